Lay the workspace and the shared types

Cause: the project starts empty; every later part needs typed identifiers, one verdict type, the resource documents and checked settings. Conclusion: base for wire, consensus, control, routing, node and testbed.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,28 @@
+//! What every part of drumshore shares: identifiers, verdicts, resources and settings.
+//!
+//! Nothing here does I/O, reads a clock or starts a thread.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+mod ids;
+mod keys;
+mod resource;
+pub mod settings;
+mod time;
+mod verdict;
+
+pub use ids::{
+    AdapterName, ChangeId, EngineId, EngineName, Epoch, IdempotencyKey, Incarnation, MachineName,
+    ModelName, OperatorName, PoolName, RequestId, Revision, RouterName, TenantName, WeightsVersion,
+    ZoneName,
+};
+pub use keys::{KeyHash, SecretKey};
+pub use resource::{
+    EnginePoolSpec, ModelSpec, Priority, PriorityClassSpec, Resource, ResourceKey, ResourceKind,
+    ResourceSpec, RolloutSpec, RolloutState, SpecError, TenantLimits, TenantSpec,
+};
+pub use time::Timestamp;
+pub use verdict::{ErrorCode, Execution, Verdict};
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/core/src/settings.rs
@@ -0,0 +1,286 @@
+//! Settings files of the daemons, with checks that name the key, the line, what was found and
+//! what is allowed.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use serde::de::DeserializeOwned;
+use serde::Deserialize;
+
+use crate::{KeyHash, OperatorName, RouterName, SecretKey, ZoneName};
+
+/// Why a settings file is refused.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SettingsError {
+    /// The file is not TOML, has an unknown key, lacks one, or has one of the wrong type.
+    #[error("line {line}: {message}")]
+    Syntax {
+        /// Counted from 1.
+        line: usize,
+        /// What the TOML library found.
+        message: String,
+    },
+    /// A value lies outside what is allowed.
+    #[error("line {line}: {key}: found {found}, allowed is {allowed}")]
+    Value {
+        /// Counted from 1; 0 when the key is absent and its default is at fault.
+        line: usize,
+        /// The key with its table, as in `limits.max_body_bytes`.
+        key: String,
+        /// What was found.
+        found: String,
+        /// What is allowed.
+        allowed: String,
+    },
+}
+
+/// A settings file that can be read and checked.
+pub trait Settings: DeserializeOwned {
+    /// Lists the values that are out of bounds.
+    fn violations(&self) -> Vec<Violation>;
+}
+
+/// A value out of bounds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Violation {
+    /// The key with its table.
+    pub key: &'static str,
+    /// What was found.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+/// Reads and checks a settings file's text.
+pub fn parse<S: Settings>(text: &str) -> Result<S, SettingsError> {
+    let settings: S = toml::from_str(text).map_err(|error| syntax_error(text, &error))?;
+    match settings.violations().into_iter().next() {
+        None => Ok(settings),
+        Some(violation) => Err(SettingsError::Value {
+            line: line_of_key(text, violation.key).unwrap_or(0),
+            key: violation.key.to_owned(),
+            found: violation.found,
+            allowed: violation.allowed,
+        }),
+    }
+}
+
+fn syntax_error(text: &str, error: &toml::de::Error) -> SettingsError {
+    let offset = error.span().map_or(0, |span| span.start);
+    SettingsError::Syntax { line: line_at(text, offset), message: error.message().to_owned() }
+}
+
+fn line_at(text: &str, offset: usize) -> usize {
+    let end = offset.min(text.len());
+    1 + text.as_bytes()[..end].iter().filter(|byte| **byte == b'\n').count()
+}
+
+fn line_of_key(text: &str, key: &str) -> Option<usize> {
+    let document = toml_edit::ImDocument::parse(text).ok()?;
+    let mut item = document.as_item();
+    for part in key.split('.') {
+        item = item.get(part)?;
+    }
+    item.span().map(|span| line_at(text, span.start))
+}
+
+fn check_range(
+    violations: &mut Vec<Violation>,
+    key: &'static str,
+    found: u64,
+    range: std::ops::RangeInclusive<u64>,
+) {
+    if !range.contains(&found) {
+        violations.push(Violation {
+            key,
+            found: found.to_string(),
+            allowed: format!("{} to {}", range.start(), range.end()),
+        });
+    }
+}
+
+fn check_cluster_key(violations: &mut Vec<Violation>, key: &SecretKey) {
+    const MIN_KEY_BYTES: usize = 16;
+    if key.as_bytes().len() < MIN_KEY_BYTES {
+        violations.push(Violation {
+            key: "cluster_key",
+            found: format!("{} bytes", key.as_bytes().len()),
+            allowed: format!("{MIN_KEY_BYTES} bytes or more"),
+        });
+    }
+}
+
+/// Bounds on what callers may ask of one router.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RouterLimits {
+    /// The largest request body, in bytes.
+    pub max_body_bytes: u64,
+    /// The largest sum of header names and values, in bytes.
+    pub max_header_bytes: u64,
+    /// Requests that may be open at once; each holds a thread.
+    pub max_open_requests: u64,
+    /// How long a caller may be silent while it sends, in milliseconds.
+    pub read_timeout_ms: u64,
+    /// How long a caller may take to accept bytes, in milliseconds.
+    pub write_timeout_ms: u64,
+    /// How long an engine may be silent within an answer, in milliseconds.
+    pub engine_stall_ms: u64,
+    /// How long a request may wait for an engine, in milliseconds.
+    pub queue_timeout_ms: u64,
+    /// Requests that may wait for an engine at once.
+    pub max_queued_requests: u64,
+    /// Attempts at one request, the first included.
+    pub max_attempts: u64,
+    /// Retries allowed for each hundred first attempts.
+    pub retry_percent: u64,
+    /// Decisions kept for `explain`.
+    pub decision_log_entries: u64,
+}
+
+impl Default for RouterLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 << 20,
+            max_header_bytes: 16 << 10,
+            max_open_requests: 2_048,
+            read_timeout_ms: 10_000,
+            write_timeout_ms: 10_000,
+            engine_stall_ms: 15_000,
+            queue_timeout_ms: 10_000,
+            max_queued_requests: 4_096,
+            max_attempts: 4,
+            retry_percent: 20,
+            decision_log_entries: 8_192,
+        }
+    }
+}
+
+/// Settings of `drumshore router`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RouterSettings {
+    /// The router's name; it identifies its reports.
+    pub name: RouterName,
+    /// Where it runs; engines of the same zone are preferred.
+    pub zone: ZoneName,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where its last known configuration is kept.
+    pub data_dir: PathBuf,
+    /// The control machines' internal addresses.
+    pub control: Vec<SocketAddr>,
+    /// The secret that processes of one cluster share.
+    pub cluster_key: SecretKey,
+    /// Hashes of the keys that may ask for explanations.
+    #[serde(default)]
+    pub operator_key_hashes: Vec<KeyHash>,
+    /// Bounds on callers.
+    #[serde(default)]
+    pub limits: RouterLimits,
+}
+
+impl Settings for RouterSettings {
+    fn violations(&self) -> Vec<Violation> {
+        const MINUTE_MS: u64 = 60_000;
+        let limits = &self.limits;
+        let mut violations = Vec::new();
+        check_cluster_key(&mut violations, &self.cluster_key);
+        if self.control.is_empty() {
+            let allowed = "one address or more".to_owned();
+            violations.push(Violation { key: "control", found: "none".to_owned(), allowed });
+        }
+        let ranges = [
+            ("limits.max_body_bytes", limits.max_body_bytes, 1_024..=64 << 20),
+            ("limits.max_header_bytes", limits.max_header_bytes, 1_024..=1 << 20),
+            ("limits.max_open_requests", limits.max_open_requests, 1..=20_000),
+            ("limits.read_timeout_ms", limits.read_timeout_ms, 100..=10 * MINUTE_MS),
+            ("limits.write_timeout_ms", limits.write_timeout_ms, 100..=10 * MINUTE_MS),
+            ("limits.engine_stall_ms", limits.engine_stall_ms, 100..=10 * MINUTE_MS),
+            ("limits.queue_timeout_ms", limits.queue_timeout_ms, 1..=10 * MINUTE_MS),
+            ("limits.max_queued_requests", limits.max_queued_requests, 0..=100_000),
+            ("limits.max_attempts", limits.max_attempts, 1..=16),
+            ("limits.retry_percent", limits.retry_percent, 0..=100),
+            ("limits.decision_log_entries", limits.decision_log_entries, 1..=1_000_000),
+        ];
+        for (key, found, range) in ranges {
+            check_range(&mut violations, key, found, range);
+        }
+        violations
+    }
+}
+
+/// Another control machine.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlPeer {
+    /// Its replica number.
+    pub id: u64,
+    /// Its internal address.
+    pub address: SocketAddr,
+}
+
+/// An operator and the hash of its key.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct OperatorAccount {
+    /// The name that histories show.
+    pub name: OperatorName,
+    /// The hash of the key it presents.
+    pub key_hash: KeyHash,
+}
+
+/// Settings of `drumshore control`.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ControlSettings {
+    /// This machine's replica number; never used again after its disk was lost.
+    pub id: u64,
+    /// Names the cluster; a data folder of another one is refused.
+    pub cluster: String,
+    /// Where operators connect.
+    pub listen: SocketAddr,
+    /// Where routers and other control machines connect.
+    pub internal_listen: SocketAddr,
+    /// Where durable state is kept.
+    pub data_dir: PathBuf,
+    /// The control machines that vote from the start, this one included.
+    pub peers: Vec<ControlPeer>,
+    /// The secret that processes of one cluster share.
+    pub cluster_key: SecretKey,
+    /// Who may change resources.
+    pub operators: Vec<OperatorAccount>,
+    /// The platform's list of machines, as `http://IP:PORT`.
+    pub platform_url: String,
+    /// How often engines and platform are asked, in milliseconds.
+    #[serde(default = "default_poll_ms")]
+    pub poll_interval_ms: u64,
+    /// The replication clock's period, in milliseconds.
+    #[serde(default = "default_tick_ms")]
+    pub tick_ms: u64,
+}
+
+fn default_poll_ms() -> u64 {
+    500
+}
+
+fn default_tick_ms() -> u64 {
+    50
+}
+
+impl Settings for ControlSettings {
+    fn violations(&self) -> Vec<Violation> {
+        let mut violations = Vec::new();
+        check_cluster_key(&mut violations, &self.cluster_key);
+        check_range(&mut violations, "poll_interval_ms", self.poll_interval_ms, 50..=60_000);
+        check_range(&mut violations, "tick_ms", self.tick_ms, 5..=1_000);
+        if !self.peers.iter().any(|peer| peer.id == self.id) {
+            violations.push(Violation {
+                key: "peers",
+                found: format!("no entry with id {}", self.id),
+                allowed: "a list that holds this machine".to_owned(),
+            });
+        }
+        violations
+    }
+}
