Frame and authenticate messages between processes

Cause: processes must prove the cluster key before any frame is read, and a damaged or oversized frame must be refused. Change: binrw frames with magic, version, length and CRC-32; mutual HMAC proof bound to both identities; the messages of routers and control machines. Conclusion: ready for control and routers.

--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,1 +1,23 @@
-//! x
+//! Frames and messages between drumshore processes.
+//!
+//! A connection starts with a mutual proof of the cluster key ([`handshake`]); after it, each
+//! message travels in one checksummed [`frame`]. Callers bring the byte streams.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod frame;
+pub mod handshake;
+mod messages;
+mod primitives;
+
+pub use frame::{read_frame, write_frame, FrameError};
+pub use handshake::{handshake, HandshakeError, Identity};
+pub use messages::{
+    ClaimGrant, ClaimRequest, ClaimResponse, ConfigUpdate, EngineEntry, EngineLoad, EngineStateCode,
+    EngineUpdate, Freshness, LoadUpdate, Message, OutcomeReport, Subscribe, TenantAnswer,
+    TenantQuery, UsageAllotment, UsageRecord, UsageReport,
+};
+pub use primitives::{Blob, List, Text};
+
+#[cfg(test)]
+mod tests;
