--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -118,7 +118,11 @@
 
 impl Default for TenantLimits {
     fn default() -> Self {
-        Self { requests_per_second: 10_000, concurrent_requests: 20_000, weight: 1 }
+        Self {
+            requests_per_second: 10_000,
+            concurrent_requests: 20_000,
+            weight: 1,
+        }
     }
 }
 
@@ -263,7 +267,12 @@
         format!("{malformed:?}"),
         "SHA-256 digests in hexadecimal",
     )?;
-    require(tenant.limits.weight >= 1, "spec.limits.weight", tenant.limits.weight, "1 or more")
+    require(
+        tenant.limits.weight >= 1,
+        "spec.limits.weight",
+        tenant.limits.weight,
+        "1 or more",
+    )
 }
 
 fn require(
@@ -275,7 +284,11 @@
     if holds {
         return Ok(());
     }
-    Err(SpecError::Field { field, found: found.to_string(), allowed })
+    Err(SpecError::Field {
+        field,
+        found: found.to_string(),
+        allowed,
+    })
 }
 
 /// A stored document.
@@ -297,7 +310,10 @@
 impl Resource {
     /// The resource's key.
     pub fn key(&self) -> ResourceKey {
-        ResourceKey { kind: self.spec.kind(), name: self.name.clone() }
+        ResourceKey {
+            kind: self.spec.kind(),
+            name: self.name.clone(),
+        }
     }
 
     /// The tenant's name and document, when it is one.
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -67,12 +67,18 @@
 
 fn syntax_error(text: &str, error: &toml::de::Error) -> SettingsError {
     let offset = error.span().map_or(0, |span| span.start);
-    SettingsError::Syntax { line: line_at(text, offset), message: error.message().to_owned() }
+    SettingsError::Syntax {
+        line: line_at(text, offset),
+        message: error.message().to_owned(),
+    }
 }
 
 fn line_at(text: &str, offset: usize) -> usize {
     let end = offset.min(text.len());
-    1 + text.as_bytes()[..end].iter().filter(|byte| **byte == b'\n').count()
+    1 + text.as_bytes()[..end]
+        .iter()
+        .filter(|byte| **byte == b'\n')
+        .count()
 }
 
 fn line_of_key(text: &str, key: &str) -> Option<usize> {
@@ -188,20 +194,60 @@
         check_cluster_key(&mut violations, &self.cluster_key);
         if self.control.is_empty() {
             let allowed = "one address or more".to_owned();
-            violations.push(Violation { key: "control", found: "none".to_owned(), allowed });
+            violations.push(Violation {
+                key: "control",
+                found: "none".to_owned(),
+                allowed,
+            });
         }
         let ranges = [
-            ("limits.max_body_bytes", limits.max_body_bytes, 1_024..=64 << 20),
-            ("limits.max_header_bytes", limits.max_header_bytes, 1_024..=1 << 20),
-            ("limits.max_open_requests", limits.max_open_requests, 1..=20_000),
-            ("limits.read_timeout_ms", limits.read_timeout_ms, 100..=10 * MINUTE_MS),
-            ("limits.write_timeout_ms", limits.write_timeout_ms, 100..=10 * MINUTE_MS),
-            ("limits.engine_stall_ms", limits.engine_stall_ms, 100..=10 * MINUTE_MS),
-            ("limits.queue_timeout_ms", limits.queue_timeout_ms, 1..=10 * MINUTE_MS),
-            ("limits.max_queued_requests", limits.max_queued_requests, 0..=100_000),
+            (
+                "limits.max_body_bytes",
+                limits.max_body_bytes,
+                1_024..=64 << 20,
+            ),
+            (
+                "limits.max_header_bytes",
+                limits.max_header_bytes,
+                1_024..=1 << 20,
+            ),
+            (
+                "limits.max_open_requests",
+                limits.max_open_requests,
+                1..=20_000,
+            ),
+            (
+                "limits.read_timeout_ms",
+                limits.read_timeout_ms,
+                100..=10 * MINUTE_MS,
+            ),
+            (
+                "limits.write_timeout_ms",
+                limits.write_timeout_ms,
+                100..=10 * MINUTE_MS,
+            ),
+            (
+                "limits.engine_stall_ms",
+                limits.engine_stall_ms,
+                100..=10 * MINUTE_MS,
+            ),
+            (
+                "limits.queue_timeout_ms",
+                limits.queue_timeout_ms,
+                1..=10 * MINUTE_MS,
+            ),
+            (
+                "limits.max_queued_requests",
+                limits.max_queued_requests,
+                0..=100_000,
+            ),
             ("limits.max_attempts", limits.max_attempts, 1..=16),
             ("limits.retry_percent", limits.retry_percent, 0..=100),
-            ("limits.decision_log_entries", limits.decision_log_entries, 1..=1_000_000),
+            (
+                "limits.decision_log_entries",
+                limits.decision_log_entries,
+                1..=1_000_000,
+            ),
         ];
         for (key, found, range) in ranges {
             check_range(&mut violations, key, found, range);
@@ -272,7 +318,12 @@
     fn violations(&self) -> Vec<Violation> {
         let mut violations = Vec::new();
         check_cluster_key(&mut violations, &self.cluster_key);
-        check_range(&mut violations, "poll_interval_ms", self.poll_interval_ms, 50..=60_000);
+        check_range(
+            &mut violations,
+            "poll_interval_ms",
+            self.poll_interval_ms,
+            50..=60_000,
+        );
         check_range(&mut violations, "tick_ms", self.tick_ms, 5..=1_000);
         if !self.peers.iter().any(|peer| peer.id == self.id) {
             violations.push(Violation {
--- a/crates/core/src/tests.rs
+++ b/crates/core/src/tests.rs
@@ -53,12 +53,18 @@
 platform_url = "http://127.0.0.1:3"
 "#;
     let error = parse::<ControlSettings>(text).unwrap_err();
-    assert!(matches!(error, SettingsError::Value { line: 7, .. }), "{error}");
+    assert!(
+        matches!(error, SettingsError::Value { line: 7, .. }),
+        "{error}"
+    );
 }
 
 #[test]
 fn a_request_id_reads_back() {
-    let id = RequestId { router: 0xfeed, sequence: 42 };
+    let id = RequestId {
+        router: 0xfeed,
+        sequence: 42,
+    };
     assert_eq!(id.to_string().parse::<RequestId>().unwrap(), id);
 }
 
@@ -86,8 +92,7 @@
         "spec":{"weights_version":2,"block_tokens":2048},"changed_by":"o","change_id":"c"}"#;
     let resource: Resource = serde_json::from_str(text).unwrap();
     assert!(matches!(resource.spec, ResourceSpec::Model(_)));
-    let again: Resource =
-        serde_json::from_str(&serde_json::to_string(&resource).unwrap()).unwrap();
+    let again: Resource = serde_json::from_str(&serde_json::to_string(&resource).unwrap()).unwrap();
     assert_eq!(again, resource);
 }
 
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -116,17 +116,32 @@
 impl Verdict {
     /// A refusal: the request did not run.
     pub fn not_run(code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { execution: Execution::NotRun, code, message: message.into(), retry_after: None }
+        Self {
+            execution: Execution::NotRun,
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
     }
 
     /// A failure after which nobody can say whether the request ran.
     pub fn may_have_run(code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { execution: Execution::MayHaveRun, code, message: message.into(), retry_after: None }
+        Self {
+            execution: Execution::MayHaveRun,
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
     }
 
     /// A failure of a request that did run.
     pub fn ran(code: ErrorCode, message: impl Into<String>) -> Self {
-        Self { execution: Execution::Ran, code, message: message.into(), retry_after: None }
+        Self {
+            execution: Execution::Ran,
+            code,
+            message: message.into(),
+            retry_after: None,
+        }
     }
 
     /// Adds when to come back.
--- /dev/null
+++ b/crates/routing/src/admission.rs
@@ -0,0 +1,181 @@
+//! Whether a request may start now: rate and concurrency of its tenant, room in the process.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_core::{ErrorCode, TenantLimits, TenantName, Timestamp, Verdict};
+
+/// Bounds of the process itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AdmissionParams {
+    /// Requests open at once, over all tenants.
+    pub max_open: u32,
+}
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct AdmissionRequest<'a> {
+    /// Who asks.
+    pub tenant: &'a TenantName,
+    /// The tenant's limits over the whole fleet.
+    pub limits: &'a TenantLimits,
+}
+
+/// This router's share of a tenant's limits, as the control machines see the fleet's use.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allotment {
+    /// Requests a second.
+    pub requests_per_second: f64,
+    /// Requests open at once.
+    pub open: u32,
+}
+
+/// The answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdmissionDecision {
+    /// It may start; [`Admission::release`] must follow.
+    Admitted,
+    /// It may not, and did not run.
+    Refused(Verdict),
+}
+
+#[derive(Clone, Debug)]
+struct TenantUse {
+    open: u32,
+    asked: u32,
+    tokens: f64,
+    refilled_at: Timestamp,
+    allotment: Option<Allotment>,
+}
+
+/// What one tenant used since the last report.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TenantUsage {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Requests that asked to start.
+    pub asked: u32,
+    /// Requests open now.
+    pub open: u32,
+}
+
+/// Seconds of a rate limit that may be used in one burst.
+const BURST_SECONDS: f64 = 1.0;
+
+/// The admission control of one router.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    params: AdmissionParams,
+    open: u32,
+    tenants: BTreeMap<TenantName, TenantUse>,
+}
+
+impl Admission {
+    /// Nothing is open.
+    pub fn new(params: AdmissionParams) -> Self {
+        Self {
+            params,
+            open: 0,
+            tenants: BTreeMap::new(),
+        }
+    }
+
+    /// Decides on one request.
+    pub fn admit(&mut self, request: &AdmissionRequest<'_>, now: Timestamp) -> AdmissionDecision {
+        if self.open >= self.params.max_open {
+            let verdict = Verdict::not_run(ErrorCode::Overloaded, "too many requests are open");
+            return AdmissionDecision::Refused(verdict.retry_after(Duration::from_secs(1)));
+        }
+        let tenant = self.tenant_use(request, now);
+        tenant.asked += 1;
+        if let Err(verdict) = tenant.check(request.limits, now) {
+            return AdmissionDecision::Refused(verdict);
+        }
+        tenant.open += 1;
+        self.open += 1;
+        AdmissionDecision::Admitted
+    }
+
+    /// An admitted request ended.
+    pub fn release(&mut self, tenant: &TenantName) {
+        self.open = self.open.saturating_sub(1);
+        if let Some(tenant) = self.tenants.get_mut(tenant) {
+            tenant.open = tenant.open.saturating_sub(1);
+        }
+    }
+
+    /// Requests open now.
+    pub fn open(&self) -> u32 {
+        self.open
+    }
+
+    /// Takes this router's share of a tenant's limits; `None` lifts it.
+    pub fn set_allotment(&mut self, tenant: &TenantName, allotment: Option<Allotment>) {
+        if let Some(tenant) = self.tenants.get_mut(tenant) {
+            tenant.allotment = allotment;
+        }
+    }
+
+    /// What tenants used since the last call. Tenants that use nothing are forgotten.
+    pub fn take_usage(&mut self) -> Vec<TenantUsage> {
+        let used = |tenant: &TenantUse| tenant.asked > 0 || tenant.open > 0;
+        let usage = self.tenants.iter().filter(|(_, tenant)| used(tenant));
+        let usage = usage
+            .map(|(name, tenant)| TenantUsage {
+                tenant: name.clone(),
+                asked: tenant.asked,
+                open: tenant.open,
+            })
+            .collect();
+        self.tenants.retain(|_, tenant| used(tenant));
+        for tenant in self.tenants.values_mut() {
+            tenant.asked = 0;
+        }
+        usage
+    }
+
+    fn tenant_use(&mut self, request: &AdmissionRequest<'_>, now: Timestamp) -> &mut TenantUse {
+        let full = f64::from(request.limits.requests_per_second) * BURST_SECONDS;
+        self.tenants
+            .entry(request.tenant.clone())
+            .or_insert_with(|| TenantUse {
+                open: 0,
+                asked: 0,
+                tokens: full,
+                refilled_at: now,
+                allotment: None,
+            })
+    }
+}
+
+impl TenantUse {
+    fn check(&mut self, limits: &TenantLimits, now: Timestamp) -> Result<(), Verdict> {
+        let rate = f64::from(limits.requests_per_second);
+        let rate = self
+            .allotment
+            .map_or(rate, |allotment| allotment.requests_per_second);
+        let open = limits.concurrent_requests;
+        let open = self
+            .allotment
+            .map_or(open, |allotment| allotment.open.min(open));
+        self.refill(rate, now);
+        if self.open >= open {
+            let message = "the tenant's limit of concurrent requests is reached";
+            let verdict = Verdict::not_run(ErrorCode::LimitReached, message);
+            return Err(verdict.retry_after(Duration::from_millis(500)));
+        }
+        if self.tokens < 1.0 {
+            let wait = Duration::from_secs_f64((1.0 - self.tokens) / rate.max(0.1));
+            let message = "the tenant's request rate is reached";
+            return Err(Verdict::not_run(ErrorCode::LimitReached, message).retry_after(wait));
+        }
+        self.tokens -= 1.0;
+        Ok(())
+    }
+
+    fn refill(&mut self, rate: f64, now: Timestamp) {
+        let earned = rate * now.since(self.refilled_at).as_secs_f64();
+        self.tokens = (self.tokens + earned).min((rate * BURST_SECONDS).max(1.0));
+        self.refilled_at = now;
+    }
+}
--- /dev/null
+++ b/crates/routing/src/heat.rs
@@ -0,0 +1,62 @@
+//! How often prefixes are asked for, as exponentially decayed rates in bounded memory.
+
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use rustc_hash::FxHashMap;
+
+use crate::SequenceHash;
+
+#[derive(Clone, Copy, Debug)]
+struct Counter {
+    value: f64,
+    at: Timestamp,
+}
+
+/// Decayed request rates of prefixes. Two generations bound the memory: when the young one is
+/// full it becomes the old one, and what was not asked for since is forgotten.
+#[derive(Clone, Debug)]
+pub struct HeatMap {
+    time_constant: Duration,
+    generation_entries: usize,
+    young: FxHashMap<SequenceHash, Counter>,
+    old: FxHashMap<SequenceHash, Counter>,
+}
+
+impl HeatMap {
+    /// `time_constant` is how far back a rate looks; `capacity` bounds the entries.
+    pub fn new(time_constant: Duration, capacity: usize) -> Self {
+        Self {
+            time_constant,
+            generation_entries: (capacity / 2).max(1),
+            young: FxHashMap::default(),
+            old: FxHashMap::default(),
+        }
+    }
+
+    /// Counts one request for a prefix and returns its rate, in requests a second.
+    pub fn touch(&mut self, prefix: SequenceHash, now: Timestamp) -> f64 {
+        let counter = self.young.get(&prefix).or_else(|| self.old.get(&prefix));
+        let decayed = counter.map_or(0.0, |counter| self.decayed(counter, now));
+        self.rotate_when_full();
+        self.young.insert(
+            prefix,
+            Counter {
+                value: decayed + 1.0,
+                at: now,
+            },
+        );
+        (decayed + 1.0) / self.time_constant.as_secs_f64()
+    }
+
+    fn decayed(&self, counter: &Counter, now: Timestamp) -> f64 {
+        let age = now.since(counter.at).as_secs_f64() / self.time_constant.as_secs_f64();
+        counter.value * (-age).exp()
+    }
+
+    fn rotate_when_full(&mut self) {
+        if self.young.len() >= self.generation_entries {
+            self.old = std::mem::take(&mut self.young);
+        }
+    }
+}
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,1 +1,33 @@
-//! x
+//! Cache-aware placement, admission and retries, as state machines without I/O or clock.
+//!
+//! One file for each role: [`protocols`] (what engines say), [`prefix`] (what a prompt is made
+//! of), [`index`] (who is believed to hold what), [`engines`] (what is known of each engine),
+//! [`scheduler`] (which engine a request goes to), [`admission`] (whether it may start),
+//! [`retry`] (whether it may be tried again), [`decision`] (what was believed, for later).
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+pub mod admission;
+pub mod decision;
+pub mod engines;
+pub mod fair_queue;
+pub mod heat;
+pub mod index;
+pub mod prefix;
+pub mod protocols;
+pub mod rendezvous;
+pub mod retry;
+pub mod scheduler;
+
+pub use admission::{Admission, AdmissionDecision, AdmissionParams, AdmissionRequest, Allotment};
+pub use decision::{AttemptRecord, CandidateRecord, DecisionLog, DecisionRecord};
+pub use engines::{Engine, EngineObservation, EngineSet, EngineState, LoadReport};
+pub use fair_queue::{FairQueue, QueuedItem};
+pub use index::{BeliefIndex, BeliefParams};
+pub use prefix::{PrefixChain, PrefixRoot, Prompt};
+pub use protocols::{CacheEvent, CacheEventKind, SequenceHash};
+pub use retry::{RetryBudget, RetryParams};
+pub use scheduler::{Choice, Policy, RoutingRequest, Scheduler, SchedulerParams};
+
+#[cfg(test)]
+mod tests;
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -73,7 +73,11 @@
         return Err(FrameError::TooLarge(length));
     }
     let checksum = crc32fast::hash(&payload);
-    let mut bytes = encode(&Header { version: PROTOCOL_VERSION, length, checksum })?;
+    let mut bytes = encode(&Header {
+        version: PROTOCOL_VERSION,
+        length,
+        checksum,
+    })?;
     bytes.extend_from_slice(&payload);
     Ok(bytes)
 }
--- a/crates/wire/src/handshake.rs
+++ b/crates/wire/src/handshake.rs
@@ -76,7 +76,9 @@
     let mut peer_proof = [0; PROOF_BYTES];
     stream.read_exact(&mut peer_proof)?;
     let expected = proof(key, &peer, &own);
-    expected.verify_slice(&peer_proof).map_err(|_| HandshakeError::WrongKey)?;
+    expected
+        .verify_slice(&peer_proof)
+        .map_err(|_| HandshakeError::WrongKey)?;
     let hello = Hello::read(&mut Cursor::new(peer)).map_err(FrameError::from)?;
     Ok(hello.identity)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,9 +13,9 @@
 pub use frame::{read_frame, write_frame, FrameError};
 pub use handshake::{handshake, HandshakeError, Identity};
 pub use messages::{
-    ClaimGrant, ClaimRequest, ClaimResponse, ConfigUpdate, EngineEntry, EngineLoad, EngineStateCode,
-    EngineUpdate, Freshness, LoadUpdate, Message, OutcomeReport, Subscribe, TenantAnswer,
-    TenantQuery, UsageAllotment, UsageRecord, UsageReport,
+    ClaimGrant, ClaimRequest, ClaimResponse, ConfigUpdate, EngineEntry, EngineLoad,
+    EngineStateCode, EngineUpdate, Freshness, LoadUpdate, Message, OutcomeReport, Subscribe,
+    TenantAnswer, TenantQuery, UsageAllotment, UsageRecord, UsageReport,
 };
 pub use primitives::{Blob, List, Text};
 
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -15,7 +15,10 @@
 fn samples() -> Vec<Message> {
     vec![
         Message::Consensus(Blob::new(vec![1, 2, 3])),
-        Message::Subscribe(Subscribe { floor: 9, tenants: List::new(vec![Text::new("acme")]) }),
+        Message::Subscribe(Subscribe {
+            floor: 9,
+            tenants: List::new(vec![Text::new("acme")]),
+        }),
         Message::ClaimResponse(ClaimResponse {
             ticket: 4,
             grant: ClaimGrant::Completed(Blob::new(b"answer".to_vec())),
@@ -34,9 +37,16 @@
 
 #[test]
 fn a_load_record_takes_six_bytes() {
-    let load = EngineLoad { slot: 1, waiting: 2, running: 3, age: 4 };
+    let load = EngineLoad {
+        slot: 1,
+        waiting: 2,
+        running: 3,
+        age: 4,
+    };
     let frame = |count| {
-        let loads = LoadUpdate { loads: List::new(vec![load; count]) };
+        let loads = LoadUpdate {
+            loads: List::new(vec![load; count]),
+        };
         encode_frame(&Message::Loads(loads)).unwrap().len()
     };
     assert_eq!(frame(11) - frame(1), 60);
@@ -97,7 +107,10 @@
     let router = Identity::Router(Text::new("router-1"));
     let expected = router.clone();
     let thread = std::thread::spawn(move || greet(client, "cluster-key", router, 1));
-    assert_eq!(greet(server, "cluster-key", Identity::Control(3), 2).unwrap(), expected);
+    assert_eq!(
+        greet(server, "cluster-key", Identity::Control(3), 2).unwrap(),
+        expected
+    );
     assert_eq!(thread.join().unwrap().unwrap(), Identity::Control(3));
 }
 
