Add the control machine: store, ledger, fleet, rollouts, limits

Cause: operators' changes, claims of work that may not be repeated and the state of engines need one replicated home that routers can trust. Change: the control crate joins the replicated log with a resource store (compare-and-set, change ids, history, watches), an execution ledger, the merged state of engines, rollouts and the division of tenants' limits, as a core without I/O. Reads, subscriptions and freshness are confirmed by a quorum; commands are resent until they show.

--- /dev/null
+++ b/crates/control/src/core/mod.rs
@@ -0,0 +1,406 @@
+//! A control machine without I/O: the replicated log, what it replicates, and everybody who asks.
+
+mod operators;
+mod peers;
+mod proposals;
+mod reads;
+mod routers;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use drumshore_consensus::{
+    Directory, EntryKind, FolderIdentity, LogIndex, Membership, Output, Params, Replica,
+    ReplicaError, ReplicaId, Role,
+};
+use drumshore_core::{
+    EngineName, Epoch, ResourceKind, ResourceSpec, Revision, Timestamp, WeightsVersion,
+};
+use drumshore_wire::{Blob, Message};
+
+use crate::allotment::DemandBook;
+use crate::command::{Command, ProposalId};
+use crate::fleet::{EngineOrder, EngineProbe, Fleet, MachineRecord, ProbeFailed};
+use crate::operator::{OperatorReply, OperatorTicket};
+use crate::rollout::{RolloutDriver, RolloutView};
+use crate::state::{Applied, StateMachine};
+use crate::store::ChangeOutcome;
+use crate::subscription::{ConnectionId, Subscription};
+
+use operators::Watcher;
+use proposals::{Origin, Pending};
+use reads::Reads;
+
+/// Bounds and periods of a control machine.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ControlParams {
+    /// Of the replicated log.
+    pub consensus: Params,
+    /// Entries applied between two snapshots.
+    pub snapshot_entries: u64,
+    /// How long a caller waits for a quorum.
+    pub patience: Duration,
+    /// How long until a command or a read that was not confirmed is sent again.
+    pub resend_after: Duration,
+    /// How often this machine confirms its view and tells routers so.
+    pub freshness_interval: Duration,
+    /// How often routers hear how busy engines are.
+    pub load_interval: Duration,
+    /// How often the leader looks after rollouts, claims and limits.
+    pub upkeep_interval: Duration,
+}
+
+impl Default for ControlParams {
+    fn default() -> Self {
+        Self {
+            consensus: Params::default(),
+            snapshot_entries: 5_000,
+            patience: Duration::from_secs(5),
+            resend_after: Duration::from_secs(1),
+            freshness_interval: Duration::from_secs(1),
+            load_interval: Duration::from_millis(500),
+            upkeep_interval: Duration::from_secs(1),
+        }
+    }
+}
+
+/// What is to be sent, and to whom.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// A message to another control machine.
+    ToControl(ReplicaId, Message),
+    /// A message to a router.
+    ToRouter(ConnectionId, Message),
+    /// An answer to an operator.
+    Reply(OperatorTicket, OperatorReply),
+    /// An order to an engine.
+    Order {
+        /// The engine.
+        engine: EngineName,
+        /// Where it listens.
+        address: String,
+        /// The order.
+        order: EngineOrder,
+    },
+}
+
+/// The time, as the machine's loop sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock {
+    /// Monotonic.
+    pub now: Timestamp,
+    /// Milliseconds since the Unix epoch, for histories and claims.
+    pub unix_ms: u64,
+}
+
+/// A control machine.
+pub struct ControlCore<D> {
+    params: ControlParams,
+    replica: Replica<D>,
+    state: StateMachine,
+    applied: LogIndex,
+    snapshot_at: LogIndex,
+    fleet: Fleet,
+    rollouts: RolloutDriver,
+    subscriptions: BTreeMap<ConnectionId, Subscription>,
+    router_demands: DemandBook<ConnectionId>,
+    replica_demands: DemandBook<ReplicaId>,
+    watchers: Vec<Watcher>,
+    origin: u64,
+    next_proposal: u64,
+    pending: BTreeMap<ProposalId, Pending>,
+    reads: Reads,
+    last_confirmed: Option<Timestamp>,
+    clock: Clock,
+    due: Due,
+    effects: Vec<Effect>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Due {
+    freshness: Timestamp,
+    loads: Timestamp,
+    upkeep: Timestamp,
+}
+
+impl<D: Directory> ControlCore<D> {
+    /// Opens a control machine. `first_membership` counts only in a new folder; `seed` has to
+    /// differ at each start.
+    pub fn open(
+        directory: D,
+        identity: &FolderIdentity,
+        first_membership: Membership,
+        params: ControlParams,
+        seed: u64,
+    ) -> Result<Self, ReplicaError> {
+        let consensus = params.consensus.clone();
+        let replica = Replica::open(directory, identity, first_membership, consensus, seed)?;
+        Ok(Self {
+            params,
+            replica,
+            state: StateMachine::default(),
+            applied: LogIndex(0),
+            snapshot_at: LogIndex(0),
+            fleet: Fleet::default(),
+            rollouts: RolloutDriver::default(),
+            subscriptions: BTreeMap::new(),
+            router_demands: DemandBook::default(),
+            replica_demands: DemandBook::default(),
+            watchers: Vec::new(),
+            origin: seed,
+            next_proposal: 0,
+            pending: BTreeMap::new(),
+            reads: Reads::default(),
+            last_confirmed: None,
+            clock: Clock::default(),
+            due: Due::default(),
+            effects: Vec::new(),
+        })
+    }
+
+    /// This machine's number.
+    pub fn id(&self) -> ReplicaId {
+        self.replica.raft().id()
+    }
+
+    /// What it is in the replicated log.
+    pub fn role(&self) -> Role {
+        self.replica.raft().role()
+    }
+
+    /// The replicated state, as far as it is applied here.
+    pub fn state(&self) -> &StateMachine {
+        &self.state
+    }
+
+    /// The engines as this machine sees them.
+    pub fn fleet(&self) -> &Fleet {
+        &self.fleet
+    }
+
+    /// Lets one tick of the replication clock pass. [`ControlCore::flush`] must follow.
+    pub fn on_tick(&mut self, clock: Clock) {
+        self.clock = clock;
+        self.replica.raft_mut().tick();
+        self.resend_pending();
+        self.resend_reads();
+        self.expire_watchers();
+        if is_due(
+            &mut self.due.freshness,
+            clock.now,
+            self.params.freshness_interval,
+        ) {
+            self.request_freshness();
+        }
+        if is_due(&mut self.due.loads, clock.now, self.params.load_interval) {
+            self.push_loads();
+        }
+        if is_due(&mut self.due.upkeep, clock.now, self.params.upkeep_interval) {
+            self.upkeep();
+        }
+    }
+
+    /// Takes in the platform's list.
+    pub fn on_machines(&mut self, machines: &[MachineRecord]) {
+        self.fleet.on_machines(machines, self.clock.now);
+    }
+
+    /// Takes in an engine's answer to a probe, or that there was none.
+    pub fn on_probe(&mut self, engine: &EngineName, result: Result<EngineProbe, ProbeFailed>) {
+        self.fleet.on_probe(engine, result, self.clock.now);
+    }
+
+    /// Does all that is due and hands out what to send, in order. Must run after each batch of
+    /// calls; everything that gathered in between shares one sync of the disk.
+    pub fn flush(&mut self, sink: &mut dyn FnMut(Effect)) -> Result<(), ReplicaError> {
+        self.start_reads();
+        let mut send = |envelope: drumshore_consensus::Envelope| {
+            let message = Message::Consensus(Blob::new(envelope.encode()));
+            sink(Effect::ToControl(envelope.to, message));
+        };
+        let output = self.replica.flush(&mut send)?;
+        self.apply(output);
+        self.serve_confirmed_reads();
+        self.push_engines();
+        self.effects.drain(..).for_each(sink);
+        self.snapshot_if_due()
+    }
+
+    fn apply(&mut self, output: Output) {
+        let revision_before = self.state.store.revision();
+        if let Some(snapshot) = output.snapshot {
+            if let Ok(state) = StateMachine::decode(&snapshot.data) {
+                self.state = state;
+            }
+            self.applied = snapshot.index;
+            self.snapshot_at = snapshot.index;
+        }
+        for entry in output.committed {
+            self.applied = entry.index;
+            if entry.kind != EntryKind::Command {
+                continue;
+            }
+            if let Some((proposal, applied)) = self.state.apply(&entry.data) {
+                self.answer_proposal(proposal, applied);
+            }
+        }
+        self.reads.on_confirmed(output.reads);
+        if self.state.store.revision() != revision_before {
+            self.on_new_revision();
+        }
+    }
+
+    fn on_new_revision(&mut self) {
+        let pools = self.state.store.list(ResourceKind::EnginePool);
+        let draining: BTreeSet<EngineName> = pools
+            .filter_map(|resource| resource.as_pool())
+            .flat_map(|(_, pool)| pool.draining.iter().cloned())
+            .collect();
+        self.fleet.set_draining(draining);
+        self.push_changes();
+        self.notify_watchers();
+    }
+
+    fn snapshot_if_due(&mut self) -> Result<(), ReplicaError> {
+        if self.applied.0 < self.snapshot_at.0 + self.params.snapshot_entries {
+            return Ok(());
+        }
+        self.snapshot_at = self.applied;
+        self.replica.compact(self.applied, self.state.encode())
+    }
+
+    fn is_leader(&self) -> bool {
+        self.role() == Role::Leader
+    }
+
+    fn epoch(&self) -> Epoch {
+        Epoch(self.replica.raft().term().0)
+    }
+
+    /// The leader's housekeeping, and every machine's share of the limits.
+    fn upkeep(&mut self) {
+        self.share_usage();
+        if !self.is_leader() {
+            return;
+        }
+        self.divide_limits();
+        if !self.state.ledger.is_empty() {
+            self.propose(Command::Expire, Origin::Nobody);
+        }
+        self.drive_rollouts();
+    }
+
+    fn drive_rollouts(&mut self) {
+        let rollouts: Vec<_> = self
+            .state
+            .store
+            .list(ResourceKind::Rollout)
+            .cloned()
+            .collect();
+        for resource in rollouts {
+            let ResourceSpec::Rollout(spec) = &resource.spec else {
+                continue;
+            };
+            let Some(model) = self.model(spec.model.as_str()) else {
+                continue;
+            };
+            let Some((_, model_spec)) = model.as_model() else {
+                continue;
+            };
+            let pools: Vec<_> = self
+                .state
+                .store
+                .list(ResourceKind::EnginePool)
+                .filter_map(|pool| pool.as_pool())
+                .filter(|(_, pool)| pool.model == spec.model)
+                .map(|(name, _)| name)
+                .collect();
+            let in_force = model_spec.weights_version;
+            let epoch = self.epoch();
+            let view = RolloutView {
+                spec,
+                in_force,
+                pools: &pools,
+                epoch,
+            };
+            let step = self.rollouts.step(&view, &self.fleet, self.clock.now);
+            for (engine, order) in step.orders {
+                self.send_order(engine, order);
+            }
+            if let Some(version) = step.put_in_force {
+                self.put_version_in_force(&resource.name, &model, version);
+            }
+        }
+    }
+
+    fn model(&self, name: &str) -> Option<drumshore_core::Resource> {
+        let key = drumshore_core::ResourceKey {
+            kind: ResourceKind::Model,
+            name: name.to_owned(),
+        };
+        self.state.store.get(&key).cloned()
+    }
+
+    fn send_order(&mut self, engine: EngineName, order: EngineOrder) {
+        let Some(view) = self.fleet.get(&engine) else {
+            return;
+        };
+        let address = view.record.address.clone();
+        self.effects.push(Effect::Order {
+            engine,
+            address,
+            order,
+        });
+    }
+
+    fn put_version_in_force(
+        &mut self,
+        rollout: &str,
+        model: &drumshore_core::Resource,
+        version: WeightsVersion,
+    ) {
+        let Some((_, spec)) = model.as_model() else {
+            return;
+        };
+        let spec = drumshore_core::ModelSpec {
+            weights_version: version,
+            ..spec.clone()
+        };
+        let spec = ResourceSpec::Model(spec);
+        let Ok(bytes) = serde_json::to_vec(&spec) else {
+            return;
+        };
+        let command = Command::Put {
+            change_id: format!("rollout/{rollout}/{}/{version}", model.version)
+                .as_str()
+                .into(),
+            operator: format!("rollout/{rollout}").as_str().into(),
+            expected: model.version.0,
+            name: model.name.as_str().into(),
+            spec: Blob::new(bytes),
+        };
+        self.propose(command, Origin::Nobody);
+    }
+
+    fn revision(&self) -> Revision {
+        self.state.store.revision()
+    }
+}
+
+fn is_due(next: &mut Timestamp, now: Timestamp, interval: Duration) -> bool {
+    if now < *next {
+        return false;
+    }
+    *next = now.plus(interval);
+    true
+}
+
+/// An answer for an operator from what a command came to.
+fn change_reply(applied: Applied) -> OperatorReply {
+    match applied {
+        Applied::Change(outcome) => OperatorReply::Change(outcome),
+        Applied::Claim(_) | Applied::Done => OperatorReply::Change(ChangeOutcome::Invalid {
+            message: "the command was not a change".to_owned(),
+        }),
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/proposals.rs
@@ -0,0 +1,159 @@
+//! Commands on their way through the log, from whoever waits for them.
+
+use drumshore_consensus::Directory;
+use drumshore_core::Timestamp;
+use drumshore_wire::{Blob, ClaimGrant, ClaimResponse, Message};
+
+use super::{change_reply, ControlCore, Effect};
+use crate::command::{Command, Proposal, ProposalId};
+use crate::ledger::ClaimResult;
+use crate::operator::{OperatorReply, OperatorTicket};
+use crate::state::Applied;
+use crate::subscription::ConnectionId;
+
+/// Who waits for a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Origin {
+    /// Nobody.
+    Nobody,
+    /// An operator.
+    Operator(OperatorTicket),
+    /// A router that asked for a claim.
+    Claim {
+        connection: ConnectionId,
+        ticket: u64,
+    },
+    /// A router that reported an outcome.
+    Outcome {
+        connection: ConnectionId,
+        ticket: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Pending {
+    proposal: Vec<u8>,
+    origin: Origin,
+    deadline: Timestamp,
+    resend_at: Timestamp,
+}
+
+impl<D: Directory> ControlCore<D> {
+    /// Sends a command into the log, by way of the leader when this is not it. It is sent again
+    /// until it shows: every command may safely be applied twice.
+    pub(super) fn propose(&mut self, command: Command, origin: Origin) {
+        self.next_proposal += 1;
+        let id = ProposalId {
+            origin: self.origin,
+            sequence: self.next_proposal,
+        };
+        let proposal = Proposal {
+            id,
+            now_ms: self.clock.unix_ms,
+            command,
+        }
+        .encode();
+        let now = self.clock.now;
+        let pending = Pending {
+            proposal: proposal.clone(),
+            origin,
+            deadline: now.plus(self.params.patience),
+            resend_at: now.plus(self.params.resend_after),
+        };
+        self.pending.insert(id, pending);
+        self.submit(proposal);
+    }
+
+    /// A command that another control machine took in.
+    pub(super) fn on_forwarded(&mut self, proposal: Vec<u8>) {
+        if self.is_leader() {
+            let _ = self.replica.raft_mut().propose(proposal);
+        }
+    }
+
+    /// Answers whoever waits for a command that was applied.
+    pub(super) fn answer_proposal(&mut self, id: ProposalId, applied: Applied) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        let effect = match pending.origin {
+            Origin::Nobody => return,
+            Origin::Operator(ticket) => Effect::Reply(ticket, change_reply(applied)),
+            Origin::Claim { connection, ticket } => {
+                let grant = claim_grant(applied);
+                let response = Message::ClaimResponse(ClaimResponse { ticket, grant });
+                Effect::ToRouter(connection, response)
+            }
+            Origin::Outcome { connection, ticket } => {
+                Effect::ToRouter(connection, Message::OutcomeStored(ticket))
+            }
+        };
+        self.effects.push(effect);
+    }
+
+    /// Sends again what has not shown, and gives up what nobody waits for any longer.
+    pub(super) fn resend_pending(&mut self) {
+        let now = self.clock.now;
+        let expired: Vec<ProposalId> = self
+            .pending
+            .iter()
+            .filter(|(_, pending)| pending.deadline <= now)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in expired {
+            self.give_up(id);
+        }
+        let resend_at = now.plus(self.params.resend_after);
+        let mut due = Vec::new();
+        for pending in self
+            .pending
+            .values_mut()
+            .filter(|pending| pending.resend_at <= now)
+        {
+            pending.resend_at = resend_at;
+            due.push(pending.proposal.clone());
+        }
+        for proposal in due {
+            self.submit(proposal);
+        }
+    }
+
+    fn submit(&mut self, proposal: Vec<u8>) {
+        let Err(error) = self.replica.raft_mut().propose(proposal.clone()) else {
+            return;
+        };
+        if let Some(leader) = error.leader.filter(|leader| *leader != self.id()) {
+            let message = Message::Forward(Blob::new(proposal));
+            self.effects.push(Effect::ToControl(leader, message));
+        }
+    }
+
+    fn give_up(&mut self, id: ProposalId) {
+        let Some(pending) = self.pending.remove(&id) else {
+            return;
+        };
+        match pending.origin {
+            Origin::Nobody | Origin::Outcome { .. } => {}
+            Origin::Operator(ticket) => {
+                self.effects
+                    .push(Effect::Reply(ticket, OperatorReply::Unavailable));
+            }
+            Origin::Claim { connection, ticket } => {
+                let grant = ClaimGrant::Unavailable;
+                let response = Message::ClaimResponse(ClaimResponse { ticket, grant });
+                self.effects.push(Effect::ToRouter(connection, response));
+            }
+        }
+    }
+}
+
+fn claim_grant(applied: Applied) -> ClaimGrant {
+    match applied {
+        Applied::Claim(ClaimResult::Granted) => ClaimGrant::Granted,
+        Applied::Claim(ClaimResult::StillRunning) => ClaimGrant::StillRunning,
+        Applied::Claim(ClaimResult::Completed(answer)) => ClaimGrant::Completed(Blob::new(answer)),
+        Applied::Claim(ClaimResult::MayHaveRun) => ClaimGrant::MayHaveRun,
+        Applied::Claim(ClaimResult::KeyReused) => ClaimGrant::KeyReused,
+        Applied::Change(_) | Applied::Done => ClaimGrant::Unavailable,
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/reads.rs
@@ -0,0 +1,164 @@
+//! Reads that a quorum confirms: what is served is not older than what was accepted.
+
+use std::collections::BTreeMap;
+
+use drumshore_consensus::{Directory, LogIndex, ReadState};
+use drumshore_core::{ResourceKey, ResourceKind, Timestamp};
+use drumshore_guard::{enforced, Guard};
+use drumshore_wire::TenantQuery;
+
+use super::{ControlCore, Effect};
+use crate::operator::{OperatorReply, OperatorTicket};
+use crate::subscription::ConnectionId;
+
+/// Who waits for a confirmed view.
+#[derive(Clone, Debug)]
+pub(super) enum Waiting {
+    /// The routers here want to know that they are up to date.
+    Freshness,
+    /// A router that subscribed.
+    Subscriber(ConnectionId),
+    /// A router that met a key it does not know.
+    Tenant(ConnectionId, TenantQuery),
+    /// An operator who reads one resource.
+    Get(OperatorTicket, ResourceKey),
+    /// An operator who reads all of a kind.
+    List(OperatorTicket, ResourceKind),
+}
+
+#[derive(Clone, Debug)]
+struct Round {
+    waiting: Vec<Waiting>,
+    resend_at: Timestamp,
+    deadline: Timestamp,
+}
+
+/// Reads on their way.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Reads {
+    next_context: u64,
+    gathering: Vec<Waiting>,
+    asked: BTreeMap<u64, Round>,
+    confirmed: Vec<(LogIndex, Vec<Waiting>)>,
+}
+
+impl Reads {
+    /// The quorum's answers.
+    pub(super) fn on_confirmed(&mut self, states: Vec<ReadState>) {
+        for state in states {
+            if let Some(round) = self.asked.remove(&state.context) {
+                self.confirmed.push((state.index, round.waiting));
+            }
+        }
+    }
+}
+
+impl<D: Directory> ControlCore<D> {
+    pub(super) fn request_read(&mut self, waiting: Waiting) {
+        if !enforced(Guard::QuorumRead) {
+            self.serve(waiting);
+            return;
+        }
+        self.reads.gathering.push(waiting);
+    }
+
+    pub(super) fn request_freshness(&mut self) {
+        self.request_read(Waiting::Freshness);
+    }
+
+    /// Asks the quorum once for everything that has gathered.
+    pub(super) fn start_reads(&mut self) {
+        if self.reads.gathering.is_empty() {
+            return;
+        }
+        self.reads.next_context += 1;
+        let context = self.reads.next_context;
+        let now = self.clock.now;
+        let round = Round {
+            waiting: std::mem::take(&mut self.reads.gathering),
+            resend_at: now.plus(self.params.resend_after),
+            deadline: now.plus(self.params.patience),
+        };
+        self.reads.asked.insert(context, round);
+        let _ = self.replica.raft_mut().read_index(context);
+    }
+
+    pub(super) fn resend_reads(&mut self) {
+        let now = self.clock.now;
+        let expired: Vec<u64> = self
+            .reads
+            .asked
+            .iter()
+            .filter(|(_, round)| round.deadline <= now)
+            .map(|(context, _)| *context)
+            .collect();
+        for context in expired {
+            self.give_up_read(context);
+        }
+        let resend_at = now.plus(self.params.resend_after);
+        let mut due = Vec::new();
+        for (context, round) in &mut self.reads.asked {
+            if round.resend_at <= now {
+                round.resend_at = resend_at;
+                due.push(*context);
+            }
+        }
+        for context in due {
+            let _ = self.replica.raft_mut().read_index(context);
+        }
+    }
+
+    /// Serves what is confirmed and applied here.
+    pub(super) fn serve_confirmed_reads(&mut self) {
+        let applied = self.applied;
+        let confirmed = std::mem::take(&mut self.reads.confirmed);
+        for (index, waiting) in confirmed {
+            if index > applied {
+                self.reads.confirmed.push((index, waiting));
+                continue;
+            }
+            self.last_confirmed = Some(self.clock.now);
+            for waiting in waiting {
+                self.serve(waiting);
+            }
+        }
+    }
+
+    fn serve(&mut self, waiting: Waiting) {
+        match waiting {
+            Waiting::Freshness => self.push_freshness(),
+            Waiting::Subscriber(connection) => self.send_full_config(connection),
+            Waiting::Tenant(connection, query) => self.answer_tenant(connection, &query),
+            Waiting::Get(ticket, key) => {
+                let resource = self.state.store.get(&key).cloned().map(Box::new);
+                self.effects
+                    .push(Effect::Reply(ticket, OperatorReply::Resource(resource)));
+            }
+            Waiting::List(ticket, kind) => {
+                let resources = self.state.store.list(kind).cloned().collect();
+                let reply = OperatorReply::Resources {
+                    revision: self.revision(),
+                    resources,
+                };
+                self.effects.push(Effect::Reply(ticket, reply));
+            }
+        }
+    }
+
+    /// Operators are told; routers keep what they have and their request is asked again.
+    fn give_up_read(&mut self, context: u64) {
+        let Some(round) = self.reads.asked.remove(&context) else {
+            return;
+        };
+        for waiting in round.waiting {
+            match waiting {
+                Waiting::Get(ticket, _) | Waiting::List(ticket, _) => {
+                    self.effects
+                        .push(Effect::Reply(ticket, OperatorReply::Unavailable));
+                }
+                Waiting::Subscriber(_) => self.reads.gathering.push(waiting),
+                Waiting::Freshness | Waiting::Tenant(..) => {}
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/core/routers.rs
@@ -0,0 +1,227 @@
+//! What routers say and hear.
+
+use drumshore_consensus::Directory;
+use drumshore_core::{KeyHash, Resource, ResourceKey, Revision, TenantName};
+use drumshore_wire::{
+    Blob, ClaimRequest, ConfigUpdate, EngineUpdate, Freshness, List, LoadUpdate, Message,
+    OutcomeReport, Subscribe, TenantAnswer, TenantQuery,
+};
+
+use super::proposals::Origin;
+use super::reads::Waiting;
+use super::{ControlCore, Effect};
+use crate::command::Command;
+use crate::subscription::{ConnectionId, Subscription};
+
+impl<D: Directory> ControlCore<D> {
+    /// A router connected and proved the cluster key.
+    pub fn on_router_connected(&mut self, connection: ConnectionId, router: String) {
+        self.subscriptions
+            .insert(connection, Subscription::new(router));
+    }
+
+    /// A router's connection ended.
+    pub fn on_router_gone(&mut self, connection: ConnectionId) {
+        self.subscriptions.remove(&connection);
+        self.router_demands.forget(connection);
+    }
+
+    /// A router said something.
+    pub fn on_router_message(&mut self, connection: ConnectionId, message: Message) {
+        match message {
+            Message::Subscribe(subscribe) => self.on_subscribe(connection, &subscribe),
+            Message::InForce(revision) => {
+                if let Some(subscription) = self.subscriptions.get_mut(&connection) {
+                    subscription.in_force = Revision(revision);
+                }
+            }
+            Message::TenantQuery(query) => self.request_read(Waiting::Tenant(connection, query)),
+            Message::Claim(claim) => self.on_claim(connection, claim),
+            Message::Outcome(report) => self.on_outcome(connection, report),
+            Message::Usage(usage) => self.on_router_usage(connection, &usage),
+            // The rest is what control machines send.
+            _ => {}
+        }
+    }
+
+    /// Tells every router of changes that concern it.
+    pub(super) fn push_changes(&mut self) {
+        let connections: Vec<ConnectionId> = self
+            .subscriptions
+            .iter()
+            .filter(|(_, subscription)| subscription.confirmed)
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in connections {
+            self.push_changes_to(connection);
+        }
+    }
+
+    /// Tells every router that a quorum confirms what it was told.
+    pub(super) fn push_freshness(&mut self) {
+        let fresh = Freshness {
+            revision: self.revision().0,
+            epoch: self.epoch().0,
+        };
+        for (connection, subscription) in &self.subscriptions {
+            if subscription.confirmed {
+                self.effects
+                    .push(Effect::ToRouter(*connection, Message::Fresh(fresh)));
+            }
+        }
+    }
+
+    /// Tells every router of engines that changed.
+    pub(super) fn push_engines(&mut self) {
+        let change = self.fleet.change();
+        for (connection, subscription) in &mut self.subscriptions {
+            let (full, engines) = match subscription.engines_sent {
+                Some(sent) if sent == change => continue,
+                Some(sent) => (0, self.fleet.entries_after(sent)),
+                None => (1, self.fleet.entries()),
+            };
+            subscription.engines_sent = Some(change);
+            let update = EngineUpdate {
+                full,
+                engines: List::new(engines),
+            };
+            self.effects
+                .push(Effect::ToRouter(*connection, Message::Engines(update)));
+        }
+    }
+
+    /// Tells every router of loads that changed noticeably.
+    pub(super) fn push_loads(&mut self) {
+        let loads = self.fleet.loads();
+        for (connection, subscription) in &mut self.subscriptions {
+            if subscription.engines_sent.is_none() {
+                continue;
+            }
+            let changed = subscription.changed_loads(&loads);
+            if !changed.is_empty() {
+                let update = LoadUpdate {
+                    loads: List::new(changed),
+                };
+                self.effects
+                    .push(Effect::ToRouter(*connection, Message::Loads(update)));
+            }
+        }
+    }
+
+    /// Sends a router all that concerns it, as of now.
+    pub(super) fn send_full_config(&mut self, connection: ConnectionId) {
+        let revision = self.revision();
+        let Some(subscription) = self.subscriptions.get_mut(&connection) else {
+            return;
+        };
+        let resources: Vec<&Resource> = subscription.concerned(self.state.store.iter()).collect();
+        let update = config_update(revision, true, &resources, &[]);
+        subscription.confirmed = true;
+        subscription.sent = revision;
+        self.effects
+            .push(Effect::ToRouter(connection, Message::Config(update)));
+    }
+
+    /// Tells a router who holds a key, and of that tenant's changes from now on.
+    pub(super) fn answer_tenant(&mut self, connection: ConnectionId, query: &TenantQuery) {
+        let hash = serde_json::from_value::<KeyHash>(query.key_hash.as_str().into()).ok();
+        let tenant = hash.and_then(|hash| self.state.store.tenant_of_key(&hash));
+        let resource = Blob::new(to_json(&tenant));
+        let name = tenant.map(|resource| TenantName::new(&resource.name));
+        let Some(subscription) = self.subscriptions.get_mut(&connection) else {
+            return;
+        };
+        subscription.tenants.extend(name);
+        let answer = TenantAnswer {
+            ticket: query.ticket,
+            revision: self.state.store.revision().0,
+            resource,
+        };
+        self.effects
+            .push(Effect::ToRouter(connection, Message::TenantAnswer(answer)));
+    }
+
+    fn on_subscribe(&mut self, connection: ConnectionId, subscribe: &Subscribe) {
+        let Some(subscription) = self.subscriptions.get_mut(&connection) else {
+            return;
+        };
+        let tenants = subscribe.tenants.items.iter();
+        subscription.tenants = tenants.map(|name| TenantName::new(name.as_str())).collect();
+        subscription.in_force = Revision(subscribe.floor);
+        self.request_read(Waiting::Subscriber(connection));
+    }
+
+    fn on_claim(&mut self, connection: ConnectionId, claim: ClaimRequest) {
+        let origin = Origin::Claim {
+            connection,
+            ticket: claim.ticket,
+        };
+        let command = Command::Claim {
+            tenant: claim.tenant,
+            key: claim.key,
+            fingerprint: claim.fingerprint,
+            request_router: claim.request_router,
+            request_sequence: claim.request_sequence,
+        };
+        self.propose(command, origin);
+    }
+
+    fn on_outcome(&mut self, connection: ConnectionId, report: OutcomeReport) {
+        let origin = Origin::Outcome {
+            connection,
+            ticket: report.ticket,
+        };
+        let command = Command::Outcome {
+            tenant: report.tenant,
+            key: report.key,
+            request_router: report.request_router,
+            request_sequence: report.request_sequence,
+            execution: report.execution,
+            answer: report.answer,
+        };
+        self.propose(command, origin);
+    }
+
+    fn push_changes_to(&mut self, connection: ConnectionId) {
+        let revision = self.revision();
+        let Some(subscription) = self.subscriptions.get_mut(&connection) else {
+            return;
+        };
+        let Some(changes) = self.state.store.changes_after(subscription.sent) else {
+            self.send_full_config(connection);
+            return;
+        };
+        let mut resources: Vec<&Resource> = Vec::new();
+        let mut deleted: Vec<ResourceKey> = Vec::new();
+        for change in changes.filter(|change| subscription.concerns(&change.key)) {
+            resources.retain(|resource| resource.key() != change.key);
+            deleted.retain(|key| *key != change.key);
+            match &change.resource {
+                Some(resource) => resources.push(resource),
+                None => deleted.push(change.key.clone()),
+            }
+        }
+        let update = config_update(revision, false, &resources, &deleted);
+        subscription.sent = revision;
+        self.effects
+            .push(Effect::ToRouter(connection, Message::Config(update)));
+    }
+}
+
+fn config_update(
+    revision: Revision,
+    full: bool,
+    resources: &[&Resource],
+    deleted: &[ResourceKey],
+) -> ConfigUpdate {
+    ConfigUpdate {
+        revision: revision.0,
+        full: u8::from(full),
+        records: Blob::new(to_json(&resources)),
+        deleted: Blob::new(to_json(&deleted)),
+    }
+}
+
+fn to_json(value: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).expect("resources have no maps with structured keys")
+}
--- /dev/null
+++ b/crates/control/src/fleet.rs
@@ -0,0 +1,336 @@
+//! The engines: one state per back end, merged from the platform's lagging list, the engine's own
+//! word, failed probes and operators' orders.
+//!
+//! The cautious sign wins: whoever says that an engine leaves is believed at once, and an engine
+//! becomes ready only when nothing speaks against it.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use drumshore_core::{
+    EngineName, Epoch, Incarnation, ModelName, PoolName, Timestamp, WeightsVersion, ZoneName,
+};
+use drumshore_wire::{EngineEntry, EngineLoad, EngineStateCode, Text};
+use serde::{Deserialize, Serialize};
+
+/// What the platform says of a machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum MachineState {
+    /// It runs.
+    Live,
+    /// It will be taken away.
+    Leaving,
+}
+
+/// One machine of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MachineRecord {
+    /// The engine on it.
+    pub name: EngineName,
+    /// IP and port.
+    pub address: String,
+    /// Its zone.
+    pub zone: ZoneName,
+    /// Its pool.
+    pub pool: PoolName,
+    /// What the platform says.
+    pub state: MachineState,
+}
+
+/// An engine's answer to a probe.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineProbe {
+    /// Its start.
+    pub incarnation: Incarnation,
+    /// The model it holds.
+    pub model: ModelName,
+    /// The weights it holds; 0 while it loads.
+    pub weights_version: WeightsVersion,
+    /// True when it wants no new work.
+    pub leaving: bool,
+    /// Prompt tokens that wait to be computed.
+    pub waiting_tokens: u32,
+    /// Sequences that are producing tokens.
+    pub running: u32,
+    /// The age of these figures, in milliseconds.
+    pub lag_ms: u64,
+}
+
+/// The engine gave no answer to a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ProbeFailed;
+
+/// An order of the leader to an engine. The engine refuses one of an older epoch than it has
+/// seen, so that a leader that was cut off harms nothing.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The leader's term.
+    pub epoch: Epoch,
+    /// The model to load.
+    pub model: ModelName,
+    /// Its version.
+    pub weights_version: WeightsVersion,
+}
+
+/// Failed probes in a row after which an engine is suspect.
+const SUSPECT_AFTER: u32 = 2;
+
+/// How long an engine that does not answer and is not on the list is kept.
+const GONE_AFTER_UNLISTED: Duration = Duration::from_secs(5);
+
+/// How long an engine that does not answer is kept although the list has it.
+const GONE_AFTER_LISTED: Duration = Duration::from_secs(600);
+
+/// One engine.
+#[derive(Clone, Debug)]
+pub struct EngineView {
+    /// What the platform says.
+    pub record: MachineRecord,
+    /// Its last answer.
+    pub probe: Option<EngineProbe>,
+    /// Its state, from all that is known.
+    pub state: EngineStateCode,
+    /// What decided the state.
+    pub reason: &'static str,
+    slot: u16,
+    listed: bool,
+    draining: bool,
+    failures: u32,
+    failing_since: Option<Timestamp>,
+    change: u64,
+}
+
+/// All engines.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    engines: BTreeMap<EngineName, EngineView>,
+    gone: Vec<(u64, EngineEntry)>,
+    draining: BTreeSet<EngineName>,
+    change: u64,
+    next_slot: u16,
+}
+
+const GONE_KEPT: usize = 1_024;
+
+impl Fleet {
+    /// Counts the changes; routers are told what changed after the count they have.
+    pub fn change(&self) -> u64 {
+        self.change
+    }
+
+    /// The engines, by name.
+    pub fn iter(&self) -> impl Iterator<Item = (&EngineName, &EngineView)> {
+        self.engines.iter()
+    }
+
+    /// One engine.
+    pub fn get(&self, name: &EngineName) -> Option<&EngineView> {
+        self.engines.get(name)
+    }
+
+    /// Takes in the platform's list.
+    pub fn on_machines(&mut self, machines: &[MachineRecord], now: Timestamp) {
+        for view in self.engines.values_mut() {
+            view.listed = false;
+        }
+        for machine in machines {
+            self.on_machine(machine);
+        }
+        self.forget_gone(now);
+        self.settle_all();
+    }
+
+    /// Takes in an engine's answer, or that there was none.
+    pub fn on_probe(
+        &mut self,
+        name: &EngineName,
+        result: Result<EngineProbe, ProbeFailed>,
+        now: Timestamp,
+    ) {
+        let Some(view) = self.engines.get_mut(name) else {
+            return;
+        };
+        let before = identity(view.probe.as_ref());
+        match result {
+            Ok(probe) => {
+                view.failures = 0;
+                view.failing_since = None;
+                view.probe = Some(probe);
+            }
+            Err(ProbeFailed) => {
+                view.failures += 1;
+                view.failing_since.get_or_insert(now);
+            }
+        }
+        if identity(view.probe.as_ref()) != before {
+            self.change += 1;
+            view.change = self.change;
+        }
+        self.forget_gone(now);
+        self.settle_all();
+    }
+
+    /// Takes in which engines operators want to be empty.
+    pub fn set_draining(&mut self, draining: BTreeSet<EngineName>) {
+        self.draining = draining;
+        self.settle_all();
+    }
+
+    /// Engines that changed after a count, those that are gone included.
+    pub fn entries_after(&self, change: u64) -> Vec<EngineEntry> {
+        let gone = self
+            .gone
+            .iter()
+            .filter(|(at, _)| *at > change)
+            .map(|(_, entry)| entry.clone());
+        let current = self
+            .engines
+            .values()
+            .filter(|view| view.change > change)
+            .map(entry);
+        gone.chain(current).collect()
+    }
+
+    /// All engines.
+    pub fn entries(&self) -> Vec<EngineEntry> {
+        self.engines.values().map(entry).collect()
+    }
+
+    /// How busy the engines said they are.
+    pub fn loads(&self) -> Vec<EngineLoad> {
+        self.engines.values().filter_map(load).collect()
+    }
+
+    fn on_machine(&mut self, machine: &MachineRecord) {
+        match self.engines.get_mut(&machine.name) {
+            Some(view) => {
+                view.listed = true;
+                if view.record != *machine {
+                    view.record = machine.clone();
+                    self.change += 1;
+                    view.change = self.change;
+                }
+            }
+            None => {
+                self.change += 1;
+                self.next_slot = self.next_slot.wrapping_add(1);
+                let view = EngineView {
+                    record: machine.clone(),
+                    probe: None,
+                    state: EngineStateCode::Joining,
+                    reason: "no answer yet",
+                    slot: self.next_slot,
+                    listed: true,
+                    draining: false,
+                    failures: 0,
+                    failing_since: None,
+                    change: self.change,
+                };
+                self.engines.insert(machine.name.clone(), view);
+            }
+        }
+    }
+
+    fn settle_all(&mut self) {
+        for (name, view) in &mut self.engines {
+            view.draining = self.draining.contains(name);
+            let (state, reason) = merged_state(view);
+            view.reason = reason;
+            if view.state != state {
+                self.change += 1;
+                view.state = state;
+                view.change = self.change;
+            }
+        }
+    }
+
+    /// An engine that does not answer is gone when the list says so too; the list alone lags.
+    fn forget_gone(&mut self, now: Timestamp) {
+        let is_gone = |view: &EngineView| {
+            let limit = if view.listed {
+                GONE_AFTER_LISTED
+            } else {
+                GONE_AFTER_UNLISTED
+            };
+            view.failing_since
+                .is_some_and(|since| now.since(since) >= limit)
+        };
+        let names: Vec<EngineName> = self
+            .engines
+            .iter()
+            .filter(|(_, view)| is_gone(view))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for name in names {
+            if let Some(view) = self.engines.remove(&name) {
+                self.change += 1;
+                let entry = EngineEntry {
+                    state: EngineStateCode::Gone,
+                    ..entry(&view)
+                };
+                self.gone.push((self.change, entry));
+            }
+        }
+        if self.gone.len() > GONE_KEPT {
+            self.gone.remove(0);
+        }
+    }
+}
+
+fn identity(probe: Option<&EngineProbe>) -> Option<(Incarnation, WeightsVersion)> {
+    probe.map(|probe| (probe.incarnation, probe.weights_version))
+}
+
+fn merged_state(view: &EngineView) -> (EngineStateCode, &'static str) {
+    if view.record.state == MachineState::Leaving {
+        return (EngineStateCode::Leaving, "the platform says it leaves");
+    }
+    if view.draining {
+        return (EngineStateCode::Leaving, "an operator drains it");
+    }
+    let Some(probe) = &view.probe else {
+        return (EngineStateCode::Joining, "no answer yet");
+    };
+    if probe.leaving {
+        return (EngineStateCode::Leaving, "the engine says it leaves");
+    }
+    if view.failures >= SUSPECT_AFTER {
+        return (EngineStateCode::Suspect, "it does not answer");
+    }
+    if probe.weights_version == WeightsVersion(0) {
+        return (EngineStateCode::Joining, "it loads weights");
+    }
+    (EngineStateCode::Ready, "it answers")
+}
+
+fn entry(view: &EngineView) -> EngineEntry {
+    let probe = view.probe.as_ref();
+    EngineEntry {
+        name: Text::new(view.record.name.as_str()),
+        address: Text::new(view.record.address.as_str()),
+        zone: Text::new(view.record.zone.as_str()),
+        pool: Text::new(view.record.pool.as_str()),
+        incarnation: probe.map_or(0, |probe| probe.incarnation.0),
+        weights_version: probe.map_or(0, |probe| probe.weights_version.0),
+        state: view.state,
+        slot: view.slot,
+    }
+}
+
+/// Prompt tokens in one unit of a load record.
+pub const WAITING_UNIT_TOKENS: u32 = 256;
+
+/// Milliseconds in one unit of a load record's age.
+pub const AGE_UNIT_MS: u64 = 100;
+
+fn load(view: &EngineView) -> Option<EngineLoad> {
+    let probe = view.probe.as_ref()?;
+    let waiting = probe.waiting_tokens.div_ceil(WAITING_UNIT_TOKENS);
+    Some(EngineLoad {
+        slot: view.slot,
+        waiting: u16::try_from(waiting).unwrap_or(u16::MAX),
+        running: u8::try_from(probe.running).unwrap_or(u8::MAX),
+        age: u8::try_from(probe.lag_ms / AGE_UNIT_MS).unwrap_or(u8::MAX),
+    })
+}
--- /dev/null
+++ b/crates/control/src/rollout.rs
@@ -0,0 +1,136 @@
+//! Rollouts: a model's weights change engine by engine, and requests follow when half the pool
+//! has the new version.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_core::{
+    EngineName, Epoch, ModelName, PoolName, RolloutSpec, RolloutState, Timestamp, WeightsVersion,
+};
+use drumshore_wire::EngineStateCode;
+
+use crate::fleet::{EngineOrder, EngineView, Fleet};
+
+/// How long to wait for an order to show before it is sent again.
+const ORDER_RETRY: Duration = Duration::from_secs(5);
+
+/// What a rollout wants next.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RolloutStep {
+    /// Orders to send.
+    pub orders: Vec<(EngineName, EngineOrder)>,
+    /// The version that requests should now be answered with, when it is time to change it.
+    pub put_in_force: Option<WeightsVersion>,
+}
+
+/// What a rollout works on.
+#[derive(Clone, Debug)]
+pub struct RolloutView<'a> {
+    /// The rollout.
+    pub spec: &'a RolloutSpec,
+    /// The version in force.
+    pub in_force: WeightsVersion,
+    /// The pools that serve the model.
+    pub pools: &'a [PoolName],
+    /// The leader's term.
+    pub epoch: Epoch,
+}
+
+/// Remembers which orders are under way. Lost with the leader: the next one sends them again,
+/// and engines take an order twice without harm.
+#[derive(Clone, Debug, Default)]
+pub struct RolloutDriver {
+    ordered: BTreeMap<EngineName, Timestamp>,
+}
+
+impl RolloutDriver {
+    /// Works out the next step.
+    pub fn step(&mut self, view: &RolloutView<'_>, fleet: &Fleet, now: Timestamp) -> RolloutStep {
+        let target = match view.spec.state {
+            RolloutState::Running => view.spec.to_version,
+            RolloutState::RolledBack => view.spec.from_version,
+            RolloutState::Paused => return RolloutStep::default(),
+        };
+        let engines: Vec<(&EngineName, &EngineView)> = fleet
+            .iter()
+            .filter(|(_, engine)| view.pools.contains(&engine.record.pool))
+            .collect();
+        let loaded = engines
+            .iter()
+            .filter(|(_, engine)| holds(engine, target))
+            .count();
+        let half_loaded = !engines.is_empty() && loaded * 2 >= engines.len();
+        let put_in_force = (half_loaded && view.in_force != target).then_some(target);
+        let orders = self.orders(view, target, &engines, now);
+        RolloutStep {
+            orders,
+            put_in_force,
+        }
+    }
+
+    fn orders(
+        &mut self,
+        view: &RolloutView<'_>,
+        target: WeightsVersion,
+        engines: &[(&EngineName, &EngineView)],
+        now: Timestamp,
+    ) -> Vec<(EngineName, EngineOrder)> {
+        // A failed engine on the new version stops the rollout until somebody looks.
+        let failed = engines.iter().any(|(_, engine)| {
+            engine.state == EngineStateCode::Suspect && version(engine) == target
+        });
+        if failed && view.spec.state == RolloutState::Running {
+            return Vec::new();
+        }
+        for (name, engine) in engines {
+            if holds(engine, target) {
+                self.ordered.remove(*name);
+            }
+        }
+        let loading = engines
+            .iter()
+            .filter(|(name, _)| self.ordered.contains_key(*name))
+            .count();
+        let mut room = (view.spec.max_loading as usize).saturating_sub(loading);
+        let mut orders = Vec::new();
+        for (name, engine) in engines {
+            let due = match self.ordered.get(*name) {
+                Some(at) => now.since(*at) >= ORDER_RETRY,
+                None => {
+                    let wanted = room > 0 && may_load(engine, target);
+                    room -= usize::from(wanted);
+                    wanted
+                }
+            };
+            if due && !holds(engine, target) {
+                self.ordered.insert((*name).clone(), now);
+                orders.push(((*name).clone(), order(view.epoch, &view.spec.model, target)));
+            }
+        }
+        orders
+    }
+}
+
+fn order(epoch: Epoch, model: &ModelName, weights_version: WeightsVersion) -> EngineOrder {
+    EngineOrder {
+        epoch,
+        model: model.clone(),
+        weights_version,
+    }
+}
+
+fn version(engine: &EngineView) -> WeightsVersion {
+    engine
+        .probe
+        .as_ref()
+        .map_or(WeightsVersion(0), |probe| probe.weights_version)
+}
+
+fn holds(engine: &EngineView, target: WeightsVersion) -> bool {
+    engine.state == EngineStateCode::Ready && version(engine) == target
+}
+
+/// Engines that serve another version may load.
+fn may_load(engine: &EngineView, target: WeightsVersion) -> bool {
+    engine.state == EngineStateCode::Ready && version(engine) != target
+}
--- /dev/null
+++ b/crates/control/src/state.rs
@@ -0,0 +1,154 @@
+//! What the log replicates: store and ledger, changed by commands alone.
+
+use drumshore_core::{
+    ChangeId, IdempotencyKey, OperatorName, RequestId, ResourceKey, ResourceKind, ResourceSpec,
+    Revision, TenantName,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::command::{Command, Proposal, ProposalId};
+use crate::ledger::{ClaimKey, ClaimResult, Ledger, WorkOutcome};
+use crate::store::{Author, ChangeOutcome, ResourceStore};
+
+/// What came of a command.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Applied {
+    /// A change of resources.
+    Change(ChangeOutcome),
+    /// A claim.
+    Claim(ClaimResult),
+    /// An outcome, or time that passed.
+    Done,
+}
+
+/// The replicated state at one position of the log.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct StateMachine {
+    /// Resources.
+    pub store: ResourceStore,
+    /// Claims.
+    pub ledger: Ledger,
+    now_ms: u64,
+}
+
+impl StateMachine {
+    /// Applies one committed entry; `None` when its bytes are no command.
+    pub fn apply(&mut self, entry: &[u8]) -> Option<(ProposalId, Applied)> {
+        let proposal = Proposal::decode(entry)?;
+        // Proposers' clocks differ; time here never goes back.
+        self.now_ms = self.now_ms.max(proposal.now_ms);
+        let applied = self.apply_command(proposal.command);
+        Some((proposal.id, applied))
+    }
+
+    /// The state as bytes for a snapshot.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("the state has no maps with structured keys")
+    }
+
+    /// Reads a snapshot back.
+    pub fn decode(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        let mut state: Self = serde_json::from_slice(bytes)?;
+        state.store.rebuild();
+        Ok(state)
+    }
+
+    fn apply_command(&mut self, command: Command) -> Applied {
+        match command {
+            Command::Put {
+                change_id,
+                operator,
+                expected,
+                name,
+                spec,
+            } => {
+                let author = self.author(change_id.as_str(), operator.as_str());
+                let outcome = match serde_json::from_slice::<ResourceSpec>(&spec.bytes) {
+                    Ok(spec) => self
+                        .store
+                        .put(author, Revision(expected), name.as_str(), spec),
+                    Err(error) => ChangeOutcome::Invalid {
+                        message: error.to_string(),
+                    },
+                };
+                Applied::Change(outcome)
+            }
+            Command::Delete {
+                change_id,
+                operator,
+                expected,
+                kind,
+                name,
+            } => {
+                let author = self.author(change_id.as_str(), operator.as_str());
+                let outcome = match ResourceKind::from_word(kind.as_str()) {
+                    Some(kind) => {
+                        let key = ResourceKey {
+                            kind,
+                            name: name.as_str().to_owned(),
+                        };
+                        self.store.delete(author, Revision(expected), key)
+                    }
+                    None => ChangeOutcome::Invalid {
+                        message: "no such kind".to_owned(),
+                    },
+                };
+                Applied::Change(outcome)
+            }
+            Command::Claim {
+                tenant,
+                key,
+                fingerprint,
+                request_router,
+                request_sequence,
+            } => {
+                let key = claim_key(tenant.as_str(), key.as_str());
+                let request = RequestId {
+                    router: request_router,
+                    sequence: request_sequence,
+                };
+                Applied::Claim(self.ledger.claim(key, fingerprint, request, self.now_ms))
+            }
+            Command::Outcome {
+                tenant,
+                key,
+                request_router,
+                request_sequence,
+                execution,
+                answer,
+            } => {
+                let key = claim_key(tenant.as_str(), key.as_str());
+                let request = RequestId {
+                    router: request_router,
+                    sequence: request_sequence,
+                };
+                let outcome = match execution {
+                    0 => WorkOutcome::NotRun,
+                    2 => WorkOutcome::Ran(answer.bytes),
+                    _ => WorkOutcome::MayHaveRun,
+                };
+                self.ledger.record(&key, request, outcome);
+                Applied::Done
+            }
+            Command::Expire => {
+                self.ledger.expire(self.now_ms);
+                Applied::Done
+            }
+        }
+    }
+
+    fn author(&self, change_id: &str, operator: &str) -> Author {
+        Author {
+            change_id: ChangeId::new(change_id),
+            operator: OperatorName::new(operator),
+            at_ms: self.now_ms,
+        }
+    }
+}
+
+fn claim_key(tenant: &str, key: &str) -> ClaimKey {
+    ClaimKey {
+        tenant: TenantName::new(tenant),
+        key: IdempotencyKey::new(key),
+    }
+}
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -51,6 +51,9 @@
     /// Control to router: this router's share of tenants' limits.
     #[brw(magic(14u8))]
     Allotment(UsageAllotment),
+    /// Control to router: the outcome with this ticket is stored.
+    #[brw(magic(16u8))]
+    OutcomeStored(u64),
     /// Control to control: an operator's or router's command on its way to the leader.
     #[brw(magic(15u8))]
     Forward(Blob),
@@ -252,6 +255,8 @@
 #[brw(little)]
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct OutcomeReport {
+    /// Returned when the outcome is stored; until then the router sends it again.
+    pub ticket: u64,
     /// The tenant.
     pub tenant: Text,
     /// The caller's key.
--- a/crates/wire/src/primitives.rs
+++ b/crates/wire/src/primitives.rs
@@ -27,6 +27,12 @@
     }
 }
 
+impl From<&str> for Text {
+    fn from(text: &str) -> Self {
+        Self::new(text)
+    }
+}
+
 /// Opaque bytes, encoded by a higher layer.
 #[binrw]
 #[brw(little)]
