Add a bounded HTTP/1.1 server edge

Cause: routers serve strangers. tiny_http bounds neither heads nor connections and has no read deadline, and a stream costs it two threads. Change: crates/http serves one connection a thread, with httparse for heads and chunked_transfer for bodies, and bounds on connections, heads, bodies and the time that any of them may take. Refusals are verdicts. Conclusion: the edge of router and control; stand-ins stay on tiny_http, so that two implementations meet on the wire.

--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -76,6 +76,8 @@
     NotRepeated = "not_repeated", 409;
     /// The engine's incarnation or weights differ from what the router believed.
     FenceMismatch = "fence_mismatch", 412;
+    /// The request took too long to arrive.
+    SlowSender = "slow_sender", 408;
     /// The body is larger than the limit.
     TooLarge = "too_large", 413;
     /// The tenant's rate or concurrency limit is reached.
--- /dev/null
+++ b/crates/http/src/connection.rs
@@ -0,0 +1,90 @@
+//! Bytes from one connection, under a deadline.
+
+use std::io::{self, Read};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+
+/// Bytes read from the socket at once.
+const READ_BYTES: usize = 8 * 1024;
+
+/// The receiving half of a connection: what was read ahead, and the socket.
+#[derive(Debug)]
+pub(crate) struct Input {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+    consumed: usize,
+    deadline: Option<Instant>,
+}
+
+impl Input {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            buffer: Vec::new(),
+            consumed: 0,
+            deadline: None,
+        }
+    }
+
+    /// All that is read from now on has to arrive within `patience`.
+    pub(crate) fn set_patience(&mut self, patience: Duration) {
+        self.deadline = Some(Instant::now() + patience);
+    }
+
+    /// What was read ahead and not consumed.
+    pub(crate) fn buffered(&self) -> &[u8] {
+        &self.buffer[self.consumed..]
+    }
+
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.consumed += count;
+        if self.consumed == self.buffer.len() {
+            self.buffer.clear();
+            self.consumed = 0;
+        }
+    }
+
+    /// Reads more behind what is buffered; 0 at the end of the stream.
+    pub(crate) fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.drain(..self.consumed);
+        self.consumed = 0;
+        self.arm_timeout()?;
+        let length = self.buffer.len();
+        self.buffer.resize(length + READ_BYTES, 0);
+        let result = self.stream.read(&mut self.buffer[length..]);
+        self.buffer
+            .truncate(length + result.as_ref().map_or(0, |count| *count));
+        result.map_err(timeout_as_such)
+    }
+
+    fn arm_timeout(&self) -> io::Result<()> {
+        let Some(deadline) = self.deadline else {
+            return self.stream.set_read_timeout(None);
+        };
+        let left = deadline.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(io::ErrorKind::TimedOut.into());
+        }
+        self.stream.set_read_timeout(Some(left))
+    }
+}
+
+impl Read for Input {
+    fn read(&mut self, target: &mut [u8]) -> io::Result<usize> {
+        if self.buffered().is_empty() && self.fill()? == 0 {
+            return Ok(0);
+        }
+        let count = target.len().min(self.buffered().len());
+        target[..count].copy_from_slice(&self.buffered()[..count]);
+        self.consume(count);
+        Ok(count)
+    }
+}
+
+/// Sockets report a timeout as `WouldBlock`.
+fn timeout_as_such(error: io::Error) -> io::Error {
+    if error.kind() == io::ErrorKind::WouldBlock {
+        return io::ErrorKind::TimedOut.into();
+    }
+    error
+}
--- /dev/null
+++ b/crates/http/src/server.rs
@@ -0,0 +1,247 @@
+//! Accepts connections, one bounded thread each.
+
+use std::io::{self, Read};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use drumshore_core::{ErrorCode, Verdict};
+
+use crate::connection::Input;
+use crate::request::{Head, HeadError, Request};
+use crate::responder::Responder;
+
+/// Connections beyond the bound that are told so at the same time; more are closed unheard.
+const REFUSALS_AT_ONCE: usize = 64;
+
+/// How long a closing connection waits for bytes that are still on their way.
+const LINGER: Duration = Duration::from_millis(300);
+
+/// Bytes that a closing connection reads at most.
+const LINGER_BYTES: usize = 1 << 20;
+
+/// Bounds of a server.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ServerParams {
+    /// Connections served at once; more are refused.
+    pub max_connections: usize,
+    /// The largest head of a request, in bytes.
+    pub max_head_bytes: usize,
+    /// How long a head, and then a body, may take to arrive.
+    pub read_patience: Duration,
+    /// How long a caller may take to accept bytes.
+    pub write_patience: Duration,
+    /// How long a connection may rest between requests.
+    pub idle_patience: Duration,
+    /// The stack of a connection's thread, in bytes.
+    pub stack_bytes: usize,
+}
+
+impl Default for ServerParams {
+    fn default() -> Self {
+        Self {
+            max_connections: 4_096,
+            max_head_bytes: 16 * 1024,
+            read_patience: Duration::from_secs(10),
+            write_patience: Duration::from_secs(10),
+            idle_patience: Duration::from_secs(60),
+            stack_bytes: 128 * 1024,
+        }
+    }
+}
+
+/// Answers requests, on the connections' threads.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: &mut Request<'_>, responder: Responder<'_>);
+}
+
+impl<F: Fn(&mut Request<'_>, Responder<'_>) + Send + Sync + 'static> Handler for F {
+    fn handle(&self, request: &mut Request<'_>, responder: Responder<'_>) {
+        self(request, responder);
+    }
+}
+
+/// What a server holds at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerStatus {
+    /// Connections open.
+    pub connections: usize,
+    /// Requests being answered.
+    pub active_requests: usize,
+}
+
+struct Shared {
+    params: ServerParams,
+    handler: Box<dyn Handler>,
+    connections: AtomicUsize,
+    active_requests: AtomicUsize,
+    closing: AtomicBool,
+}
+
+/// A server that runs until the process ends.
+pub struct Server {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// Listens and starts to serve.
+    pub fn start(
+        listen: SocketAddr,
+        params: ServerParams,
+        handler: impl Handler,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen)?;
+        let address = listener.local_addr()?;
+        let shared = Arc::new(Shared {
+            params,
+            handler: Box::new(handler),
+            connections: AtomicUsize::new(0),
+            active_requests: AtomicUsize::new(0),
+            closing: AtomicBool::new(false),
+        });
+        let accepting = Arc::clone(&shared);
+        thread::Builder::new()
+            .name("http-accept".to_owned())
+            .spawn(move || accept(&listener, &accepting))?;
+        Ok(Self { shared, address })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// What it holds.
+    pub fn status(&self) -> ServerStatus {
+        ServerStatus {
+            connections: self.shared.connections.load(Ordering::SeqCst),
+            active_requests: self.shared.active_requests.load(Ordering::SeqCst),
+        }
+    }
+
+    /// From now on every connection is closed after its answer.
+    pub fn close_after_answers(&self) {
+        self.shared.closing.store(true, Ordering::SeqCst);
+    }
+}
+
+fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
+    const PAUSE_AFTER_ERROR: Duration = Duration::from_millis(20);
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => admit(stream, shared),
+            Err(error) => {
+                tracing::warn!("http: accept failed: {error}");
+                thread::sleep(PAUSE_AFTER_ERROR);
+            }
+        }
+    }
+}
+
+fn admit(stream: TcpStream, shared: &Arc<Shared>) {
+    let count = shared.connections.fetch_add(1, Ordering::SeqCst);
+    let guard = Counted::new(Arc::clone(shared));
+    let max = shared.params.max_connections;
+    if count >= max + REFUSALS_AT_ONCE {
+        return;
+    }
+    let spawned = thread::Builder::new()
+        .name("http-connection".to_owned())
+        .stack_size(shared.params.stack_bytes)
+        .spawn(move || {
+            if count < max {
+                serve(&stream, &guard.shared);
+            } else {
+                refuse_connection(&stream, &guard.shared);
+            }
+            close_in_order(&stream);
+        });
+    if let Err(error) = spawned {
+        tracing::warn!("http: no thread for a connection: {error}");
+    }
+}
+
+fn refuse_connection(stream: &TcpStream, shared: &Shared) {
+    let _ = stream.set_write_timeout(Some(shared.params.write_patience));
+    let verdict = Verdict::not_run(ErrorCode::Overloaded, "too many connections");
+    Responder::new(stream, false).refuse(&verdict.retry_after(Duration::from_secs(1)));
+}
+
+/// Closes so that the peer can read the last answer: a socket that is closed with bytes unread
+/// is reset, and a reset may overtake the answer.
+fn close_in_order(mut stream: &TcpStream) {
+    let mut left = LINGER_BYTES;
+    let mut discarded = [0; 4 * 1024];
+    let prepared = stream
+        .shutdown(Shutdown::Write)
+        .and_then(|()| stream.set_read_timeout(Some(LINGER)));
+    if prepared.is_err() {
+        return;
+    }
+    while let Ok(count @ 1..) = stream.read(&mut discarded) {
+        left = left.saturating_sub(count);
+        if left == 0 {
+            return;
+        }
+    }
+}
+
+struct Counted {
+    shared: Arc<Shared>,
+}
+
+impl Counted {
+    fn new(shared: Arc<Shared>) -> Self {
+        Self { shared }
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.shared.connections.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+fn serve(stream: &TcpStream, shared: &Shared) {
+    let params = &shared.params;
+    let ready = stream
+        .set_nodelay(true)
+        .and_then(|()| stream.set_write_timeout(Some(params.write_patience)))
+        .and_then(|()| stream.try_clone());
+    let Ok(reading) = ready else {
+        return;
+    };
+    let mut input = Input::new(reading);
+    while serve_one(stream, &mut input, shared) {}
+}
+
+/// True when the connection can carry another request.
+fn serve_one(stream: &TcpStream, input: &mut Input, shared: &Shared) -> bool {
+    let params = &shared.params;
+    let head = Head::read(
+        input,
+        params.max_head_bytes,
+        params.idle_patience,
+        params.read_patience,
+    );
+    let head = match head {
+        Ok(head) => head,
+        Err(HeadError::Closed) => return false,
+        Err(HeadError::Refused(verdict)) => {
+            Responder::new(stream, false).refuse(&verdict);
+            return false;
+        }
+    };
+    shared.active_requests.fetch_add(1, Ordering::SeqCst);
+    let keep_alive = head.keep_alive && !shared.closing.load(Ordering::SeqCst);
+    let mut request = Request::new(head, input, stream, params.read_patience);
+    let responder = Responder::new(stream, keep_alive);
+    shared.handler.handle(&mut request, responder);
+    let body_done = request.body_done;
+    shared.active_requests.fetch_sub(1, Ordering::SeqCst);
+    keep_alive && body_done
+}
