Add the router core, its exchanges and both actors

Cause: the decisions of a router have to run unchanged in a daemon and under a simulator, and token bytes must not pass through them. Change: crates/router holds RouterCore (tenants on demand, admission, claims, placement, retries, explanations, configuration floor), Exchange and StreamRelay (one request's calls, order, resumption, continuation), and the stakker actors of router and control machine. Conclusion: ready for the daemons.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -16,6 +16,7 @@
 use drumshore_core::{
     EngineName, Epoch, ResourceKind, ResourceSpec, Revision, Timestamp, WeightsVersion,
 };
+use drumshore_guard::{enforced, Guard};
 use drumshore_wire::{Blob, Message};
 
 use crate::allotment::DemandBook;
@@ -273,7 +274,11 @@
         self.role() == Role::Leader
     }
 
+    /// The fence of this leader's orders.
     fn epoch(&self) -> Epoch {
+        if !enforced(Guard::OrderEpoch) {
+            return Epoch(u64::MAX);
+        }
         Epoch(self.replica.raft().term().0)
     }
 
--- a/crates/control/src/core/routers.rs
+++ b/crates/control/src/core/routers.rs
@@ -59,9 +59,12 @@
 
     /// Tells every router that a quorum confirms what it was told.
     pub(super) fn push_freshness(&mut self) {
+        let machines = self.replica.raft().membership().members().len();
+        let routers = self.subscriptions.len() * machines;
         let fresh = Freshness {
             revision: self.revision().0,
             epoch: self.epoch().0,
+            routers: u32::try_from(routers).unwrap_or(u32::MAX),
         };
         for (connection, subscription) in &self.subscriptions {
             if subscription.confirmed {
@@ -124,8 +127,8 @@
 
     /// Tells a router who holds a key, and of that tenant's changes from now on.
     pub(super) fn answer_tenant(&mut self, connection: ConnectionId, query: &TenantQuery) {
-        let hash = serde_json::from_value::<KeyHash>(query.key_hash.as_str().into()).ok();
-        let tenant = hash.and_then(|hash| self.state.store.tenant_of_key(&hash));
+        let hash = KeyHash::from_hex(query.key_hash.as_str());
+        let tenant = self.state.store.tenant_of_key(&hash);
         let resource = Blob::new(to_json(&tenant));
         let name = tenant.map(|resource| TenantName::new(&resource.name));
         let Some(subscription) = self.subscriptions.get_mut(&connection) else {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,10 +3,11 @@
 //! [`StateMachine`] is what the log replicates: the resource [`store`] and the execution
 //! [`ledger`]. [`ControlCore`] joins it with the log, the routers' subscriptions, the engines'
 //! [`fleet`] and rollouts; it does no I/O and reads no clock, and says what to send as
-//! [`Effect`]s.
+//! [`Effect`]s. [`ControlActor`] is the core on `stakker`.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
+mod actor;
 pub mod allotment;
 pub mod command;
 pub mod core;
@@ -18,7 +19,8 @@
 pub mod store;
 pub mod subscription;
 
-pub use crate::core::{ControlCore, ControlParams, Effect};
+pub use crate::core::{Clock, ControlCore, ControlParams, Effect};
+pub use actor::{ControlActor, ControlOutputs, Inspection};
 pub use command::{Command, ProposalId};
 pub use fleet::{EngineOrder, EngineProbe, Fleet, MachineRecord, MachineState, ProbeFailed};
 pub use ledger::{ClaimResult, Ledger};
--- a/crates/core/src/keys.rs
+++ b/crates/core/src/keys.rs
@@ -40,6 +40,16 @@
 pub struct KeyHash(String);
 
 impl KeyHash {
+    /// Reads a digest that travelled as text.
+    pub fn from_hex(text: impl Into<String>) -> Self {
+        Self(text.into())
+    }
+
+    /// The digest in hexadecimal.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+
     /// True when the text has the form of a SHA-256 digest.
     pub fn is_well_formed(&self) -> bool {
         self.0.len() == 64 && self.0.bytes().all(|byte| byte.is_ascii_hexdigit())
--- a/crates/core/src/verdict.rs
+++ b/crates/core/src/verdict.rs
@@ -96,6 +96,8 @@
     Overloaded = "overloaded", 503;
     /// The ledger has no quorum, so work that may not be repeated cannot start.
     LedgerUnavailable = "ledger_unavailable", 503;
+    /// No control machine confirmed what the request depends on.
+    ConfigUnavailable = "config_unavailable", 503;
     /// The deadline passed.
     DeadlineExceeded = "deadline_exceeded", 504;
 }
--- /dev/null
+++ b/crates/router/src/core/control.rs
@@ -0,0 +1,184 @@
+//! What the control machine says.
+
+use std::collections::BTreeSet;
+
+use drumshore_core::{
+    EngineId, EngineName, Incarnation, PoolName, TenantName, WeightsVersion, ZoneName,
+};
+use drumshore_routing::{Allotment, EngineObservation, EngineState, LoadReport};
+use drumshore_wire::{
+    ConfigUpdate, EngineEntry, EngineStateCode, EngineUpdate, Freshness, List, LoadUpdate, Message,
+    Subscribe, Text, UsageAllotment, UsageRecord, UsageReport,
+};
+
+use super::{Effect, RouterCore};
+use crate::session::LinkId;
+
+/// Prompt tokens in one unit of a load record.
+const WAITING_UNIT_TOKENS: u32 = 256;
+
+/// Microseconds in one unit of a load record's age.
+const AGE_UNIT_US: u64 = 100_000;
+
+/// Rates travel in tenths of a request a second.
+const RATE_UNIT: f64 = 10.0;
+
+impl RouterCore {
+    /// A link to a control machine is up.
+    pub fn on_connected(&mut self, link: LinkId) {
+        if !self.session.on_connected(link, self.now) {
+            self.effects.push(Effect::Close(link));
+            return;
+        }
+        self.slots.clear();
+        let tenants = self.config.tenants();
+        let subscribe = Subscribe {
+            floor: self.config.floor().0,
+            tenants: List::new(tenants.map(|name| Text::new(name.as_str())).collect()),
+        };
+        self.send(Message::Subscribe(subscribe));
+        self.resend_tenant_queries();
+        self.resend_claims();
+        self.send_outcomes();
+    }
+
+    /// A link ended or could not be opened.
+    pub fn on_closed(&mut self, link: LinkId) {
+        self.session.on_closed(link, self.now, &mut self.random);
+    }
+
+    /// The control machine said something.
+    pub fn on_control_message(&mut self, link: LinkId, message: Message) {
+        if self.session.up() != Some(link) {
+            return;
+        }
+        self.metrics.control_messages_received += 1;
+        match message {
+            Message::Config(update) => self.on_config(link, &update),
+            Message::Engines(update) => self.on_engines(&update),
+            Message::Loads(update) => self.on_loads(&update),
+            Message::Fresh(fresh) => self.on_fresh(fresh),
+            Message::TenantAnswer(answer) => self.on_tenant_answer(&answer),
+            Message::ClaimResponse(response) => self.on_claim_response(response),
+            Message::OutcomeStored(ticket) => self.on_outcome_stored(ticket),
+            Message::Allotment(allotment) => self.on_allotment(&allotment),
+            // The rest is what routers send.
+            _ => {}
+        }
+    }
+
+    /// Reports what tenants used, once an interval.
+    pub(super) fn report_usage(&mut self) {
+        if self.now < self.usage_due {
+            return;
+        }
+        self.usage_due = self.now.plus(self.params.usage_interval);
+        let seconds = self.params.usage_interval.as_secs_f64();
+        let usage = self.admission.take_usage();
+        let records = usage
+            .iter()
+            .map(|usage| UsageRecord {
+                tenant: Text::new(usage.tenant.as_str()),
+                rate: (f64::from(usage.asked) * RATE_UNIT / seconds) as u32,
+                open: usage.open,
+            })
+            .collect::<Vec<_>>();
+        if !records.is_empty() {
+            let records = List::new(records);
+            self.send(Message::Usage(UsageReport { records }));
+        }
+    }
+
+    fn on_config(&mut self, link: LinkId, update: &ConfigUpdate) {
+        if let Err(error) = self.config.apply(update) {
+            tracing::warn!("router: configuration refused: {error}");
+            self.metrics.stale_updates += 1;
+            self.effects.push(Effect::Close(link));
+            self.on_closed(link);
+            return;
+        }
+        self.store_config();
+        self.send(Message::InForce(self.config.floor().0));
+        self.unknown_keys.forget_refused();
+        self.admit_known_tenants();
+        self.pump();
+    }
+
+    fn on_fresh(&mut self, fresh: Freshness) {
+        self.session.on_fresh(self.now);
+        self.last_fresh = Some(self.now);
+        self.scheduler.set_routers(f64::from(fresh.routers));
+    }
+
+    fn on_engines(&mut self, update: &EngineUpdate) {
+        let mut listed = BTreeSet::new();
+        for entry in &update.engines.items {
+            let id = EngineName::new(entry.name.as_str()).id();
+            listed.insert(id);
+            self.on_engine(id, entry);
+        }
+        self.engines_changed = true;
+        if update.full == 1 {
+            self.engines.retain(|id| listed.contains(&id));
+        }
+        self.pump();
+    }
+
+    fn on_engine(&mut self, id: EngineId, entry: &EngineEntry) {
+        let state = match entry.state {
+            EngineStateCode::Joining => EngineState::Joining,
+            EngineStateCode::Ready => EngineState::Ready,
+            EngineStateCode::Suspect => EngineState::Suspect,
+            EngineStateCode::Leaving => EngineState::Leaving,
+            EngineStateCode::Gone => {
+                self.engines.remove(id);
+                self.slots.retain(|_, engine| *engine != id);
+                return;
+            }
+        };
+        self.slots.insert(entry.slot, id);
+        self.engines.observe(EngineObservation {
+            name: EngineName::new(entry.name.as_str()),
+            address: entry.address.as_str().to_owned(),
+            zone: ZoneName::new(entry.zone.as_str()),
+            pool: PoolName::new(entry.pool.as_str()),
+            incarnation: Incarnation(entry.incarnation),
+            weights_version: WeightsVersion(entry.weights_version),
+            state,
+        });
+    }
+
+    fn on_loads(&mut self, update: &LoadUpdate) {
+        for load in &update.loads.items {
+            let engine = self.slots.get(&load.slot).copied();
+            let Some(engine) = engine.and_then(|id| self.engines.get_mut(id)) else {
+                continue;
+            };
+            let age = u64::from(load.age) * AGE_UNIT_US;
+            engine.load = LoadReport {
+                waiting_tokens: u32::from(load.waiting) * WAITING_UNIT_TOKENS,
+                running: u32::from(load.running),
+                at: drumshore_core::Timestamp(self.now.0.saturating_sub(age)),
+            };
+        }
+        self.pump();
+    }
+
+    /// The list is complete: a tenant that is no longer on it is bound by its whole limits only.
+    fn on_allotment(&mut self, allotment: &UsageAllotment) {
+        let mut allotted = BTreeSet::new();
+        for record in &allotment.records.items {
+            let tenant = TenantName::new(record.tenant.as_str());
+            let share = Allotment {
+                requests_per_second: f64::from(record.rate) / RATE_UNIT,
+                open: record.open,
+            };
+            self.admission.set_allotment(&tenant, Some(share));
+            allotted.insert(tenant);
+        }
+        for tenant in self.allotted.difference(&allotted) {
+            self.admission.set_allotment(tenant, None);
+        }
+        self.allotted = allotted;
+    }
+}
--- /dev/null
+++ b/crates/router/src/core/requests.rs
@@ -0,0 +1,328 @@
+//! A request's life: admitted, queued, placed, tried again, ended.
+
+use drumshore_core::{ErrorCode, Execution, RequestId, TenantName, TenantSpec, Verdict};
+use drumshore_guard::{enforced, Guard};
+use drumshore_routing::{
+    AdmissionDecision, AdmissionRequest, DecisionRecord, FairQueue, QueuedItem,
+};
+
+use super::{ActiveRequest, AdmitOutcome, AdmitRequest, Phase, RouterCore};
+use crate::answer::RecordedAnswer;
+use crate::exchange::{AttemptFailure, Conclusion, FailureKind};
+
+/// When to come back after a full queue.
+const RETRY_AFTER_SHED: std::time::Duration = std::time::Duration::from_secs(1);
+
+impl RouterCore {
+    /// Takes a request in; its outcome follows as an effect.
+    pub fn admit(&mut self, ask: AdmitRequest) -> RequestId {
+        self.next_sequence += 1;
+        self.metrics.requests += 1;
+        let id = RequestId {
+            router: self.router_id,
+            sequence: self.next_sequence,
+        };
+        if self.stopping {
+            let verdict = Verdict::not_run(ErrorCode::Stopping, "the router is stopping");
+            self.refuse_new(id, verdict.retry_after(RETRY_AFTER_SHED));
+        } else {
+            self.identify(id, ask);
+        }
+        id
+    }
+
+    /// An attempt failed. Its owner waits for another outcome.
+    pub fn on_attempt_failed(&mut self, id: RequestId, failure: &AttemptFailure) {
+        let Some(request) = self.active.get_mut(&id) else {
+            return;
+        };
+        let Phase::Running(placement) = &request.phase else {
+            return;
+        };
+        let placement = placement.clone();
+        request.excluded.push(placement.engine);
+        request.phase = Phase::Queued;
+        request.execution = request.execution.max(failure.verdict.execution);
+        request.deadline = self.now.plus(self.params.queue_timeout);
+        if !failure.delivered {
+            request.pinned_weights = None;
+        }
+        if let Some(engine) = self.engines.get_mut(placement.engine) {
+            engine.on_ended(id.sequence);
+            if failure.kind != FailureKind::Rejected && failure.kind != FailureKind::Diverged {
+                engine.suspect_until = Some(self.now.plus(self.params.suspect_time));
+            }
+        }
+        self.note_failure(id, &failure.verdict);
+        if self.may_retry(id, failure) {
+            self.metrics.retries += 1;
+            self.queue_or_place(id);
+        } else {
+            self.refuse_active(id, failure.verdict.clone());
+        }
+        self.pump();
+    }
+
+    /// A request's owner is done with it.
+    pub fn on_finished(&mut self, id: RequestId, conclusion: &Conclusion, answer: &RecordedAnswer) {
+        let Some(request) = self.active.remove(&id) else {
+            return;
+        };
+        if let Phase::Running(placement) = &request.phase {
+            if let Some(engine) = self.engines.get_mut(placement.engine) {
+                engine.on_ended(id.sequence);
+            }
+        }
+        self.forget_queued(&request, id);
+        self.admission.release(&request.tenant);
+        match conclusion {
+            Conclusion::Answered => {
+                self.metrics.answered += 1;
+                self.metrics.prompt_tokens +=
+                    u64::from(request.ask.prompt.as_prompt().token_count());
+                self.record_outcome(&request, id, Execution::Ran, Some(answer));
+                if let Some(record) = self.decisions.get_mut(id) {
+                    record.answered = true;
+                }
+            }
+            Conclusion::Recorded(_) => self.metrics.answered += 1,
+            Conclusion::Failed(verdict) => {
+                self.count_failure(verdict);
+                self.record_outcome(&request, id, verdict.execution, None);
+                self.note_end(id, verdict);
+            }
+            Conclusion::CallerGone => {
+                self.metrics.failed += 1;
+                let message = "the caller went away";
+                let verdict = Verdict::may_have_run(ErrorCode::EngineFailed, message);
+                self.record_outcome(&request, id, verdict.execution, None);
+                self.note_end(id, &verdict);
+            }
+        }
+        self.pump();
+    }
+
+    pub(super) fn admit_tenant(
+        &mut self,
+        id: RequestId,
+        ask: AdmitRequest,
+        tenant: TenantName,
+        spec: &TenantSpec,
+    ) {
+        let allowed = spec.models.is_empty() || spec.models.contains(&ask.model);
+        if !allowed || self.config.model(&ask.model).is_none() {
+            let message = format!("model {} is not served to this tenant", ask.model);
+            return self.refuse_new(id, Verdict::not_run(ErrorCode::UnknownModel, message));
+        }
+        let limits = &spec.limits;
+        let request = AdmissionRequest {
+            tenant: &tenant,
+            limits,
+        };
+        if let AdmissionDecision::Refused(verdict) = self.admission.admit(&request, self.now) {
+            return self.refuse_new(id, verdict);
+        }
+        self.retry.deposit(&tenant);
+        let request = self.active_request(ask, tenant, spec);
+        self.open_record(id, &request);
+        let claims = request.ask.idempotency_key.is_some();
+        self.active.insert(id, request);
+        if claims && enforced(Guard::ClaimBeforeDispatch) {
+            self.claim(id);
+        } else {
+            self.queue_or_place(id);
+        }
+    }
+
+    /// Keeps a request whose tenant is not known yet.
+    pub(super) fn park(&mut self, id: RequestId, ask: AdmitRequest) {
+        let until = self.now.plus(self.params.tenant_patience);
+        let mut request = self.active_request(ask, TenantName::default(), &unknown_tenant());
+        request.phase = Phase::AwaitingTenant { until };
+        self.active.insert(id, request);
+    }
+
+    /// Refuses a request that was not admitted.
+    pub(super) fn refuse_new(&mut self, id: RequestId, verdict: Verdict) {
+        self.metrics.refused += 1;
+        self.answer(id, AdmitOutcome::Refused(verdict));
+    }
+
+    /// Refuses a request that was admitted. Its owner ends it with `on_finished`. It is "not
+    /// run" only if none of its attempts may have run.
+    pub(super) fn refuse_active(&mut self, id: RequestId, mut verdict: Verdict) {
+        if let Some(request) = self.active.get(&id) {
+            verdict.execution = verdict.execution.max(request.execution);
+        }
+        self.answer(id, AdmitOutcome::Refused(verdict));
+    }
+
+    /// Places a request, or lets it wait for its turn.
+    pub(super) fn queue_or_place(&mut self, id: RequestId) {
+        let Some(request) = self.active.get_mut(&id) else {
+            return;
+        };
+        request.phase = Phase::Queued;
+        let model = request.ask.model.clone();
+        let others_wait = self
+            .queues
+            .get(&model)
+            .is_some_and(|queue| !queue.is_empty());
+        if !others_wait && self.place(id) {
+            return;
+        }
+        self.enqueue(id);
+    }
+
+    /// Places what waits, as far as there is room.
+    pub(super) fn pump(&mut self) {
+        let models: Vec<_> = self.queues.keys().cloned().collect();
+        for model in models {
+            while let Some(item) = self.queues.get_mut(&model).and_then(FairQueue::pop) {
+                let Some(weight) = self.active.get(&item.item).map(|request| request.weight) else {
+                    continue;
+                };
+                if !self.place(item.item) {
+                    if let Some(queue) = self.queues.get_mut(&model) {
+                        queue.unpop(item, weight);
+                    }
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Gives up what waited too long.
+    pub(super) fn expire_queued(&mut self) {
+        let now = self.now;
+        let expired: Vec<RequestId> = self
+            .queues
+            .values_mut()
+            .flat_map(|queue| queue.drain_where(|item| item.deadline <= now))
+            .map(|item| item.item)
+            .collect();
+        for id in expired {
+            let message = "no engine took the request in time";
+            let verdict = Verdict::not_run(ErrorCode::DeadlineExceeded, message);
+            self.refuse_active(id, verdict.retry_after(RETRY_AFTER_SHED));
+        }
+    }
+
+    fn enqueue(&mut self, id: RequestId) {
+        let Some(request) = self.active.get(&id) else {
+            return;
+        };
+        let item = QueuedItem {
+            item: id,
+            tenant: request.tenant.clone(),
+            priority: request.priority,
+            cost: u64::from(request.ask.prompt.as_prompt().token_count()),
+            deadline: request.deadline,
+        };
+        let weight = request.weight;
+        let capacity = self.params.queue_capacity;
+        let queue = self
+            .queues
+            .entry(request.ask.model.clone())
+            .or_insert_with(|| FairQueue::new(capacity));
+        if let Some(shed) = queue.push(item, weight) {
+            let message = "too many requests wait for an engine";
+            let verdict = Verdict::not_run(ErrorCode::Overloaded, message);
+            self.refuse_active(shed.item, verdict.retry_after(RETRY_AFTER_SHED));
+        }
+    }
+
+    /// Only work that did not run, or may be repeated, is tried again; and what the caller has
+    /// of an answer can be continued only by the same answer.
+    fn may_retry(&mut self, id: RequestId, failure: &AttemptFailure) -> bool {
+        let Some(request) = self.active.get(&id) else {
+            return false;
+        };
+        let kind_allows = !matches!(failure.kind, FailureKind::Rejected | FailureKind::Diverged);
+        let not_run = failure.verdict.execution == Execution::NotRun;
+        let repeatable = request.ask.idempotency_key.is_none();
+        let continuable = !failure.delivered || request.ask.deterministic;
+        let safe = not_run || (repeatable && continuable) || !enforced(Guard::RetryOnlyIfSafe);
+        let attempts = request.attempts;
+        let tenant = request.tenant.clone();
+        kind_allows && safe && self.retry.withdraw(&tenant, attempts)
+    }
+
+    fn active_request(
+        &self,
+        ask: AdmitRequest,
+        tenant: TenantName,
+        spec: &TenantSpec,
+    ) -> ActiveRequest {
+        let class = ask
+            .priority_class
+            .as_deref()
+            .and_then(|name| self.config.priority_class(name));
+        let asked = class.map(|class| class.priority).or(ask.priority);
+        let patience = class.map_or(self.params.queue_timeout, |class| {
+            std::time::Duration::from_millis(class.deadline_ms)
+        });
+        ActiveRequest {
+            ask,
+            tenant,
+            weight: spec.limits.weight,
+            priority: asked.unwrap_or(spec.default_priority),
+            deadline: self.now.plus(patience),
+            attempts: 0,
+            excluded: Vec::new(),
+            pinned_weights: None,
+            execution: Execution::NotRun,
+            phase: Phase::Queued,
+        }
+    }
+
+    fn open_record(&mut self, id: RequestId, request: &ActiveRequest) {
+        self.decisions.open(DecisionRecord {
+            request: id,
+            tenant: request.tenant.clone(),
+            model: request.ask.model.clone(),
+            revision: self.config.floor().0,
+            prompt_tokens: request.ask.prompt.as_prompt().token_count(),
+            non_repeatable: request.ask.idempotency_key.is_some(),
+            attempts: Vec::new(),
+            verdict: None,
+            answered: false,
+        });
+    }
+
+    fn count_failure(&mut self, verdict: &Verdict) {
+        if verdict.execution == Execution::NotRun {
+            self.metrics.refused += 1;
+        } else {
+            self.metrics.failed += 1;
+        }
+    }
+
+    fn note_failure(&mut self, id: RequestId, verdict: &Verdict) {
+        let record = self.decisions.get_mut(id);
+        if let Some(attempt) = record.and_then(|record| record.attempts.last_mut()) {
+            attempt.verdict = Some(verdict.clone());
+        }
+    }
+
+    fn note_end(&mut self, id: RequestId, verdict: &Verdict) {
+        if let Some(record) = self.decisions.get_mut(id) {
+            record.verdict = Some(verdict.clone());
+        }
+    }
+
+    fn forget_queued(&mut self, request: &ActiveRequest, id: RequestId) {
+        if let Some(queue) = self.queues.get_mut(&request.ask.model) {
+            queue.drain_where(|item| item.item == id);
+        }
+    }
+}
+
+fn unknown_tenant() -> TenantSpec {
+    TenantSpec {
+        key_hashes: Default::default(),
+        models: Default::default(),
+        limits: Default::default(),
+        default_priority: Default::default(),
+    }
+}
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -6,6 +6,7 @@
 use drumshore_core::{
     EngineId, EngineName, Incarnation, PoolName, Timestamp, WeightsVersion, ZoneName,
 };
+use drumshore_guard::{enforced, Guard};
 use serde::{Deserialize, Serialize};
 
 /// The state of a back end, merged from all that is known of it.
@@ -23,7 +24,7 @@
 }
 
 /// An engine as the control machines describe it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineObservation {
     /// Its name.
     pub name: EngineName,
@@ -102,10 +103,11 @@
 
     /// True when new work may go to it at all.
     pub fn is_eligible(&self) -> bool {
-        matches!(
-            self.observation.state,
-            EngineState::Ready | EngineState::Suspect
-        )
+        match self.observation.state {
+            EngineState::Ready | EngineState::Suspect => true,
+            EngineState::Leaving => !enforced(Guard::DrainExcluded),
+            EngineState::Joining => false,
+        }
     }
 
     /// True when it should only get work that nothing else can take.
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -1,6 +1,7 @@
 //! What a prompt is made of: a chain of block hashes whose root is the request's isolation.
 
 use drumshore_core::{AdapterName, ModelName, TenantName, WeightsVersion};
+use drumshore_guard::{enforced, Guard};
 use xxhash_rust::xxh3::{xxh3_64_with_seed, Xxh3};
 
 use crate::SequenceHash;
@@ -15,6 +16,11 @@
 pub struct PrefixRoot(u64);
 
 impl PrefixRoot {
+    /// The root as a number, for the engines' cache salt.
+    pub fn as_u64(self) -> u64 {
+        self.0
+    }
+
     /// The root of all prefixes of one tenant under one model, version and adapter.
     pub fn new(
         tenant: &TenantName,
@@ -22,6 +28,9 @@
         weights_version: WeightsVersion,
         adapter: Option<&AdapterName>,
     ) -> Self {
+        if !enforced(Guard::IsolatedPrefix) {
+            return Self(0);
+        }
         let mut hasher = Xxh3::new();
         hasher.update(tenant.as_str().as_bytes());
         hasher.update(&FIELD_SEPARATOR);
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -169,6 +169,8 @@
     pub revision: u64,
     /// The leader's term.
     pub epoch: u64,
+    /// Routers of the cluster, estimated from those connected to the sender.
+    pub routers: u32,
 }
 
 /// Asks for the tenant that holds a key.
