Run the whole path: daemons, stand-ins, load, fleets

Change: crates/node holds both daemons, their links, probes, HTTP edges and the operators' commands; crates/testbed an engine in virtual time, its real-time server, a platform, a workload, a load tool that checks every token and fleets of real processes. Found on the way: the engine stand-in's last events stayed in tiny_http's 1 KiB connection buffer, so that no answer ended; its flush is explicit now. Conclusion: the thin path is whole; failures come next.

--- a/crates/http/src/responder.rs
+++ b/crates/http/src/responder.rs
@@ -83,7 +83,7 @@
         self.send_json(verdict.code.status(), &error_body(verdict))
     }
 
-    /// Starts a streamed answer. Each write of the body leaves at once.
+    /// Starts a streamed answer. What is written leaves with the body's `flush`.
     pub fn start_stream(
         self,
         status: u16,
@@ -93,7 +93,7 @@
         head.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
         let mut stream = self.stream;
         stream.write_all(&head)?;
-        Ok(Encoder::with_flush_after_write(stream))
+        Ok(Encoder::new(stream))
     }
 
     fn head(&self, status: u16, content_type: &str) -> Vec<u8> {
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -16,6 +16,7 @@
                 .expect("the peer is there");
             for byte in body {
                 stream.write_all(&[byte]).expect("the peer is there");
+                stream.flush().expect("the peer is there");
             }
         }
         Ok(body) => {
@@ -77,7 +78,7 @@
 }
 
 #[test]
-fn each_write_of_a_stream_is_a_chunk_of_its_own() {
+fn each_flush_of_a_stream_is_a_chunk_of_its_own() {
     let server = start(params());
     let answer = exchange(
         &server,
--- /dev/null
+++ b/crates/node/src/links.rs
@@ -0,0 +1,175 @@
+//! Links to other drumshore processes: proved, framed, one reading and one writing thread each.
+
+use std::io::{self, BufReader, BufWriter, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+use drumshore_core::SecretKey;
+use drumshore_wire::{handshake, read_frame, write_frame, HandshakeError, Identity, Message};
+
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+const HANDSHAKE_PATIENCE: Duration = Duration::from_secs(3);
+const WRITE_PATIENCE: Duration = Duration::from_secs(5);
+const STACK_BYTES: usize = 256 * 1024;
+
+/// Messages that may wait on a link; a peer that falls further behind is dropped and starts
+/// afresh.
+const QUEUED_MESSAGES: usize = 8_192;
+
+/// Who a process is, and how it proves that it belongs.
+#[derive(Clone, Debug)]
+pub struct Credentials {
+    /// What it says it is.
+    pub identity: Identity,
+    /// The cluster's key.
+    pub key: SecretKey,
+}
+
+/// The sending half of a link.
+#[derive(Clone, Debug)]
+pub struct LinkSender {
+    queue: Sender<Message>,
+    stream: Arc<TcpStream>,
+}
+
+impl LinkSender {
+    /// Queues a message. A link whose queue is full is closed.
+    pub fn send(&self, message: Message) {
+        if self.queue.try_send(message).is_err() {
+            self.close();
+        }
+    }
+
+    /// Ends the link in both directions.
+    pub fn close(&self) {
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
+
+/// An open link.
+pub struct Link {
+    /// Who the peer proved to be.
+    pub peer: Identity,
+    /// Sends to it.
+    pub sender: LinkSender,
+    stream: Arc<TcpStream>,
+}
+
+impl Link {
+    /// Opens a link.
+    pub fn connect(address: SocketAddr, credentials: &Credentials) -> Result<Self, HandshakeError> {
+        let stream = TcpStream::connect_timeout(&address, CONNECT_PATIENCE)?;
+        Self::establish(stream, credentials)
+    }
+
+    /// Proves and is proved to over a new connection.
+    pub fn establish(
+        mut stream: TcpStream,
+        credentials: &Credentials,
+    ) -> Result<Self, HandshakeError> {
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(HANDSHAKE_PATIENCE))?;
+        stream.set_write_timeout(Some(WRITE_PATIENCE))?;
+        let identity = credentials.identity.clone();
+        let peer = handshake(&mut stream, &credentials.key, identity, &mut rand::rng())?;
+        stream.set_read_timeout(None)?;
+        let stream = Arc::new(stream);
+        let (queue, queued) = bounded(QUEUED_MESSAGES);
+        let sender = LinkSender {
+            queue,
+            stream: Arc::clone(&stream),
+        };
+        let writing = Arc::clone(&stream);
+        thread::Builder::new()
+            .name("link-writer".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || write_all(&writing, &queued))?;
+        Ok(Self {
+            peer,
+            sender,
+            stream,
+        })
+    }
+
+    /// Reads until the link ends.
+    pub fn read(self, mut on_message: impl FnMut(Message)) {
+        let mut reader = BufReader::new(&*self.stream);
+        loop {
+            match read_frame(&mut reader) {
+                Ok(message) => on_message(message),
+                Err(error) => {
+                    tracing::debug!("link: ended: {error}");
+                    break;
+                }
+            }
+        }
+        self.sender.close();
+    }
+}
+
+fn write_all(stream: &TcpStream, queued: &Receiver<Message>) {
+    let mut writer = BufWriter::new(stream);
+    while let Ok(message) = queued.recv() {
+        if write_batch(&mut writer, message, queued).is_err() {
+            break;
+        }
+    }
+    let _ = stream.shutdown(Shutdown::Both);
+}
+
+/// Everything that waits leaves with one flush.
+fn write_batch(
+    writer: &mut BufWriter<&TcpStream>,
+    first: Message,
+    queued: &Receiver<Message>,
+) -> Result<(), drumshore_wire::FrameError> {
+    write_frame(writer, &first)?;
+    while let Ok(message) = queued.try_recv() {
+        write_frame(writer, &message)?;
+    }
+    writer.flush()?;
+    Ok(())
+}
+
+/// Accepts links, each on a thread of its own.
+pub fn listen(
+    address: SocketAddr,
+    credentials: Credentials,
+    on_link: impl Fn(Link) + Send + Sync + 'static,
+) -> io::Result<SocketAddr> {
+    let listener = TcpListener::bind(address)?;
+    let local = listener.local_addr()?;
+    let on_link = Arc::new(on_link);
+    thread::Builder::new()
+        .name("link-accept".to_owned())
+        .spawn(move || accept(&listener, &credentials, &on_link))?;
+    Ok(local)
+}
+
+fn accept<F: Fn(Link) + Send + Sync + 'static>(
+    listener: &TcpListener,
+    credentials: &Credentials,
+    on_link: &Arc<F>,
+) {
+    for stream in listener.incoming() {
+        let Ok(stream) = stream else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let on_link = Arc::clone(on_link);
+        let credentials = credentials.clone();
+        let spawned = thread::Builder::new()
+            .name("link-reader".to_owned())
+            .stack_size(STACK_BYTES)
+            .spawn(move || match Link::establish(stream, &credentials) {
+                Ok(link) => on_link(link),
+                Err(error) => tracing::warn!("link: refused: {error}"),
+            });
+        if let Err(error) = spawned {
+            tracing::warn!("link: no thread: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/router/completions.rs
@@ -0,0 +1,267 @@
+//! One completion: the thread between a caller and the engines.
+
+use std::io::Write;
+use std::time::{Duration, Instant};
+
+use drumshore_core::{ErrorCode, RequestId, Verdict};
+use drumshore_http::{Responder, StreamBody, REQUEST_ID_HEADER};
+use drumshore_router::{
+    AdmitRequest, AttemptFailure, CompletionRequest, Conclusion, Exchange, ExchangeParams, Next,
+    RecordedAnswer, UpstreamCall,
+};
+use stakker::{call, Ret};
+
+use super::upstream::{Upstream, UpstreamBody};
+use super::RouterHandle;
+
+const READ_BYTES: usize = 8 * 1024;
+/// Standard header (W3C Server Timing) with the time spent before an engine was called.
+const SERVER_TIMING_HEADER: &str = "server-timing";
+const EVENT_STREAM: &str = "text/event-stream";
+
+/// What a completion needs of its edge.
+pub(super) struct Completion<'e, 'c> {
+    handle: &'e RouterHandle,
+    upstream: &'e Upstream,
+    request: CompletionRequest,
+    caller: Caller<'c>,
+    id: RequestId,
+    exchange: Exchange,
+    body: Option<UpstreamBody>,
+    started: Instant,
+}
+
+/// The caller's side: nothing is sent before it is known what.
+struct Caller<'c> {
+    responder: Option<Responder<'c>>,
+    stream: Option<StreamBody<'c>>,
+    id: RequestId,
+    gone: bool,
+    /// What this router spent before it called an engine for the first time.
+    router_time: Option<Duration>,
+}
+
+impl<'e, 'c> Completion<'e, 'c> {
+    pub(super) fn new(
+        handle: &'e RouterHandle,
+        upstream: &'e Upstream,
+        request: CompletionRequest,
+        responder: Responder<'c>,
+        outlives_caller: bool,
+        started: Instant,
+    ) -> Self {
+        let params = ExchangeParams {
+            streams: request.stream,
+            outlives_caller,
+        };
+        Self {
+            handle,
+            upstream,
+            request,
+            caller: Caller {
+                responder: Some(responder),
+                stream: None,
+                id: RequestId::default(),
+                gone: false,
+                router_time: None,
+            },
+            id: RequestId::default(),
+            exchange: Exchange::new(params),
+            body: None,
+            started,
+        }
+    }
+
+    /// Carries the request to its end.
+    pub(super) fn run(mut self, ask: AdmitRequest) {
+        let admitted = self.handle.ask(move |_, context, sender| {
+            let ret = Ret::new(move |admitted| {
+                let _ = sender.send(admitted);
+            });
+            call!([context.actor], admit(ask, ret));
+        });
+        let Some((id, outcome)) = admitted.flatten() else {
+            let verdict = Verdict::not_run(ErrorCode::Internal, "the router is ending");
+            return self.caller.refuse(&verdict);
+        };
+        self.id = id;
+        self.caller.id = id;
+        let mut next = self.exchange.on_outcome(outcome);
+        loop {
+            next = match next {
+                Next::Call(call) => self.call(&call),
+                Next::Read => self.read(),
+                Next::Report(failure) => self.report(failure),
+                Next::Finish(conclusion) => return self.finish(conclusion),
+            };
+        }
+    }
+
+    fn call(&mut self, call: &UpstreamCall) -> Next {
+        self.body = None;
+        self.caller
+            .router_time
+            .get_or_insert(self.started.elapsed());
+        let opened = match call {
+            UpstreamCall::Start(assignment) => self.upstream.start(assignment, &self.request),
+            UpstreamCall::Resume {
+                assignment,
+                last_event,
+            } => self.upstream.resume(assignment, *last_event),
+        };
+        match opened {
+            Ok((head, body)) => {
+                self.body = Some(body);
+                self.exchange.on_head(&head)
+            }
+            Err(end) => self.exchange.on_end(end),
+        }
+    }
+
+    fn read(&mut self) -> Next {
+        let mut buffer = [0; READ_BYTES];
+        let Some(body) = &mut self.body else {
+            return self.exchange.on_end(drumshore_router::UpstreamEnd::Ended);
+        };
+        let bytes = match body.read(&mut buffer) {
+            Ok([]) => return self.exchange.on_end(drumshore_router::UpstreamEnd::Ended),
+            Ok(bytes) => bytes,
+            Err(end) => return self.exchange.on_end(end),
+        };
+        let caller = &mut self.caller;
+        let streams = self.request.stream;
+        let next = self.exchange.on_bytes(bytes, &mut |event| {
+            if streams {
+                caller.pass_on(event.raw);
+            }
+        });
+        caller.flush();
+        if let Some(first) = self.exchange.take_first_token() {
+            let id = self.id;
+            self.handle
+                .post(move |_, context| call!([context.actor], first_token(id, first)));
+        }
+        if self.caller.gone && next == Next::Read {
+            return self.exchange.on_caller_gone();
+        }
+        next
+    }
+
+    fn report(&mut self, failure: AttemptFailure) -> Next {
+        self.body = None;
+        let id = self.id;
+        let answered = self.handle.ask(move |_, context, sender| {
+            let ret = Ret::new(move |outcome| {
+                let _ = sender.send(outcome);
+            });
+            call!([context.actor], attempt_failed(id, failure, ret));
+        });
+        match answered.flatten() {
+            Some((_, outcome)) => self.exchange.on_outcome(outcome),
+            None => {
+                let message = "the router is ending";
+                let verdict = Verdict::may_have_run(ErrorCode::Internal, message);
+                Next::Finish(Conclusion::Failed(verdict))
+            }
+        }
+    }
+
+    fn finish(mut self, conclusion: Conclusion) {
+        let answer = self.exchange.answer().clone();
+        match &conclusion {
+            Conclusion::Answered if self.request.stream => self.caller.end_stream(),
+            Conclusion::Answered => self.send_answer(&answer),
+            Conclusion::Recorded(recorded) => self.send_answer(recorded),
+            Conclusion::Failed(verdict) => self.caller.refuse(verdict),
+            Conclusion::CallerGone => {
+                self.body = None;
+                if let Some(assignment) = self.exchange.assignment() {
+                    self.upstream.cancel(assignment);
+                }
+            }
+        }
+        let id = self.id;
+        self.handle.post(move |_, context| {
+            call!([context.actor], finished(id, conclusion, answer));
+        });
+    }
+
+    fn send_answer(&mut self, answer: &RecordedAnswer) {
+        if self.request.stream {
+            let events = answer.to_stream(self.request.kind, self.id);
+            self.caller.pass_on(events.as_bytes());
+            self.caller.flush();
+            self.caller.end_stream();
+            return;
+        }
+        let document = answer.to_document(self.request.kind, self.id, &self.request.model);
+        if let Some(responder) = self.caller.take_responder() {
+            responder.send_json(200, &document);
+        }
+    }
+}
+
+impl<'c> Caller<'c> {
+    /// Adds bytes of the stream; they leave with [`Caller::flush`].
+    fn pass_on(&mut self, bytes: &[u8]) {
+        if self.gone {
+            return;
+        }
+        if self.stream.is_none() {
+            self.start_stream();
+        }
+        if let Some(stream) = &mut self.stream {
+            self.gone = stream.write_all(bytes).is_err();
+        }
+    }
+
+    fn flush(&mut self) {
+        if let Some(stream) = &mut self.stream {
+            self.gone |= stream.flush().is_err();
+        }
+    }
+
+    fn start_stream(&mut self) {
+        let Some(responder) = self.take_responder() else {
+            return;
+        };
+        match responder.start_stream(200, EVENT_STREAM) {
+            Ok(stream) => self.stream = Some(stream),
+            Err(_) => self.gone = true,
+        }
+    }
+
+    fn end_stream(&mut self) {
+        self.stream = None;
+    }
+
+    /// Before the answer began, a refusal is an answer of its own; after, it is the last event,
+    /// of a type that no completion has.
+    fn refuse(&mut self, verdict: &Verdict) {
+        if let Some(responder) = self.take_responder() {
+            responder.refuse(verdict);
+            return;
+        }
+        let code = verdict.code.as_str();
+        let execution = verdict.execution.as_str();
+        let document = serde_json::json!({"error": {
+            "code": code, "message": verdict.message, "execution": execution,
+        }});
+        self.pass_on(format!("event: error\ndata: {document}\n\n").as_bytes());
+        self.flush();
+        self.end_stream();
+    }
+
+    fn take_responder(&mut self) -> Option<Responder<'c>> {
+        let mut responder = self.responder.take()?;
+        responder.add_header(REQUEST_ID_HEADER, self.id);
+        if let Some(spent) = self.router_time {
+            let milliseconds = spent.as_secs_f64() * 1_000.0;
+            responder.add_header(
+                SERVER_TIMING_HEADER,
+                format!("router;dur={milliseconds:.3}"),
+            );
+        }
+        Some(responder)
+    }
+}
--- /dev/null
+++ b/crates/node/src/router/mod.rs
@@ -0,0 +1,144 @@
+//! `drumshore router`: the actor, its link to a control machine, its HTTP edge.
+
+mod completions;
+mod edge;
+mod link;
+mod upstream;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Duration;
+
+use drumshore_consensus::{Directory, FileDirectory};
+use drumshore_core::settings::RouterSettings;
+use drumshore_http::{Server, ServerParams};
+use drumshore_router::config::ConfigError;
+use drumshore_router::{
+    RouterActor, RouterCore, RouterOutputs, RouterParams, StoredFile, StoredState,
+};
+use drumshore_routing::{AdmissionParams, RetryParams};
+use drumshore_wire::{Identity, Text};
+use rand::Rng;
+use stakker::{actor, call, ret_nop, ActorOwn, Fwd, Ret};
+
+use crate::event_loop::{EventLoop, LoopHandle, Signals};
+use crate::links::Credentials;
+
+use edge::Edge;
+use link::ControlLinks;
+
+/// Why the daemon ends.
+#[derive(Debug, thiserror::Error)]
+pub enum DaemonError {
+    /// The data folder or a socket failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The stored configuration is unreadable.
+    #[error("stored configuration: {0}")]
+    Config(#[from] ConfigError),
+}
+
+/// What tasks on the loop's thread reach.
+pub struct RouterContext {
+    actor: ActorOwn<RouterActor>,
+}
+
+type RouterHandle = LoopHandle<RouterContext>;
+
+/// How often the end of a stop looks for answers that are still being sent.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// Runs a router until it is told to stop and has finished what is in flight.
+pub fn run(settings: RouterSettings, signals: &Signals) -> Result<(), DaemonError> {
+    let (mut event_loop, handle) = EventLoop::<RouterContext>::new();
+    let directory = FileDirectory::open(&settings.data_dir)?;
+    let config = directory.read(StoredFile::Config.file_name())?;
+    let engines = directory.read(StoredFile::Engines.file_name())?;
+    let stored = StoredState::decode(config.as_deref(), engines.as_deref())?;
+    let core = RouterCore::new(router_params(&settings), stored, rand::rng().random());
+    let links = ControlLinks::new(
+        settings.control.clone(),
+        Credentials {
+            identity: Identity::Router(Text::new(settings.name.as_str())),
+            key: settings.cluster_key.clone(),
+        },
+        handle.clone(),
+    );
+    let outputs = outputs(links, directory);
+    let actor = actor!(
+        event_loop.stakker(),
+        RouterActor::init(core, outputs),
+        ret_nop!()
+    );
+    let context = RouterContext { actor };
+    let server = start_edge(&settings, handle)?;
+    tracing::info!("router: {} serves at {}", settings.name, server.address());
+    let over = event_loop.over();
+    event_loop.run(&context, signals, move |_, context| {
+        tracing::info!("router: stopping, finishing what is in flight");
+        let drained = Ret::new(move |_| over.store(true, Ordering::SeqCst));
+        call!([context.actor], stop(drained));
+    });
+    server.close_after_answers();
+    while server.status().active_requests > 0 {
+        std::thread::sleep(DRAIN_POLL);
+    }
+    tracing::info!("router: stopped");
+    Ok(())
+}
+
+fn router_params(settings: &RouterSettings) -> RouterParams {
+    let limits = &settings.limits;
+    let controls = settings.control.len();
+    let base = RouterParams::new(settings.name.clone(), settings.zone.clone(), controls);
+    RouterParams {
+        admission: AdmissionParams {
+            max_open: u32::try_from(limits.max_open_requests).unwrap_or(u32::MAX),
+        },
+        retry: RetryParams {
+            max_attempts: u32::try_from(limits.max_attempts).unwrap_or(u32::MAX),
+            percent: u32::try_from(limits.retry_percent).unwrap_or(u32::MAX),
+            ..RetryParams::default()
+        },
+        queue_capacity: limits.max_queued_requests as usize,
+        queue_timeout: Duration::from_millis(limits.queue_timeout_ms),
+        decision_entries: limits.decision_log_entries as usize,
+        ..base
+    }
+}
+
+fn outputs(links: ControlLinks, mut directory: FileDirectory) -> RouterOutputs {
+    let links = Arc::new(links);
+    let connecting = Arc::clone(&links);
+    let closing = Arc::clone(&links);
+    RouterOutputs {
+        persist: Box::new(move |file, bytes| {
+            if let Err(error) = directory.replace(file.file_name(), &bytes) {
+                tracing::error!("router: {} was not stored: {error}", file.file_name());
+            }
+        }),
+        connect: Fwd::new(move |(link, peer)| connecting.connect(link, peer)),
+        close: Fwd::new(move |link| closing.close(link)),
+        send: Fwd::new(move |(link, message)| links.send(link, message)),
+    }
+}
+
+fn start_edge(settings: &RouterSettings, handle: RouterHandle) -> io::Result<Server> {
+    let limits = &settings.limits;
+    let params = ServerParams {
+        // Refusals need connections too.
+        max_connections: limits.max_open_requests as usize * 2,
+        max_head_bytes: limits.max_header_bytes as usize,
+        read_patience: Duration::from_millis(limits.read_timeout_ms),
+        write_patience: Duration::from_millis(limits.write_timeout_ms),
+        ..ServerParams::default()
+    };
+    let listen: SocketAddr = settings.listen;
+    Server::start(listen, params, Edge::new(settings, handle))
+}
+
+/// Senders by link, shared by the loop and the connecting threads.
+type Senders = BTreeMap<drumshore_router::LinkId, crate::links::LinkSender>;
--- /dev/null
+++ b/crates/node/src/router/upstream.rs
@@ -0,0 +1,159 @@
+//! Calls to engines.
+
+use std::io::Read;
+use std::time::Duration;
+
+use drumshore_core::{Execution, Priority};
+use drumshore_http::EXECUTION_HEADER;
+use drumshore_router::engine_api;
+use drumshore_router::{Assignment, CompletionRequest, UpstreamEnd, UpstreamHead};
+use ureq::http::{HeaderMap, Response};
+use ureq::{Agent, Body, BodyReader};
+
+/// `ureq`'s default buffers are 128 KiB each way, which does not fit 1,200 streams in 128 MB.
+const BUFFER_BYTES: usize = 8 * 1024;
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+const CANCEL_PATIENCE: Duration = Duration::from_secs(1);
+const IDLE_CONNECTIONS_PER_ENGINE: usize = 64;
+
+/// Makes calls to engines; cheap to clone, with one pool of connections.
+#[derive(Clone, Debug)]
+pub(super) struct Upstream {
+    agent: Agent,
+}
+
+/// An engine's answer that is being read.
+pub(super) struct UpstreamBody {
+    reader: BodyReader<'static>,
+}
+
+impl Upstream {
+    /// `stall` is how long an engine may be silent.
+    pub(super) fn new(stall: Duration) -> Self {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
+            .max_idle_connections(IDLE_CONNECTIONS_PER_ENGINE * 16)
+            .max_idle_connections_per_host(IDLE_CONNECTIONS_PER_ENGINE)
+            .timeout_connect(Some(CONNECT_PATIENCE))
+            .timeout_per_read(Some(stall))
+            .timeout_per_write(Some(stall))
+            .build();
+        Self {
+            agent: Agent::new_with_config(config),
+        }
+    }
+
+    /// Sends a request with its fences.
+    pub(super) fn start(
+        &self,
+        assignment: &Assignment,
+        request: &CompletionRequest,
+    ) -> Result<(UpstreamHead, UpstreamBody), UpstreamEnd> {
+        let url = format!("http://{}{}", assignment.address, request.kind.path());
+        let call = self
+            .agent
+            .post(url)
+            .content_type("application/json")
+            .header(engine_api::REQUEST_ID, assignment.request.to_string())
+            .header(engine_api::INCARNATION, assignment.incarnation.to_string())
+            .header(
+                engine_api::WEIGHTS_VERSION,
+                assignment.weights_version.to_string(),
+            )
+            .header(
+                engine_api::CACHE_SALT,
+                format!("{:016x}", assignment.cache_salt.as_u64()),
+            )
+            .header(engine_api::PRIORITY, priority_word(assignment.priority));
+        let call = match &assignment.idempotency_key {
+            Some(key) => call.header(engine_api::IDEMPOTENCY_KEY, key.as_str()),
+            None => call,
+        };
+        answer(call.send(&request.upstream_body[..]))
+    }
+
+    /// Takes a stream up behind the last event received.
+    pub(super) fn resume(
+        &self,
+        assignment: &Assignment,
+        last_event: Option<u64>,
+    ) -> Result<(UpstreamHead, UpstreamBody), UpstreamEnd> {
+        let mut call = self
+            .agent
+            .get(stream_url(assignment))
+            .header(engine_api::INCARNATION, assignment.incarnation.to_string());
+        if let Some(event) = last_event {
+            call = call.header(engine_api::LAST_EVENT_ID, event.to_string());
+        }
+        answer(call.call())
+    }
+
+    /// Tells an engine that nobody waits for a request any more.
+    pub(super) fn cancel(&self, assignment: &Assignment) {
+        let call = self.agent.delete(stream_url(assignment));
+        let call = call.config().timeout_global(Some(CANCEL_PATIENCE)).build();
+        if let Err(error) = call.call() {
+            tracing::debug!("router: cancel of {} failed: {error}", assignment.request);
+        }
+    }
+}
+
+impl UpstreamBody {
+    /// Reads what has arrived; an empty slice at the end.
+    pub(super) fn read<'b>(&mut self, buffer: &'b mut [u8]) -> Result<&'b [u8], UpstreamEnd> {
+        match self.reader.read(buffer) {
+            Ok(count) => Ok(&buffer[..count]),
+            Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Err(UpstreamEnd::Stalled),
+            Err(_) => Err(UpstreamEnd::Ended),
+        }
+    }
+}
+
+fn stream_url(assignment: &Assignment) -> String {
+    let path = engine_api::STREAMS_PATH;
+    format!("http://{}{path}/{}", assignment.address, assignment.request)
+}
+
+fn answer(
+    result: Result<Response<Body>, ureq::Error>,
+) -> Result<(UpstreamHead, UpstreamBody), UpstreamEnd> {
+    let response = result.map_err(|error| end_of(&error))?;
+    let head = head_of(response.status().as_u16(), response.headers());
+    let reader = response.into_body().into_reader();
+    Ok((head, UpstreamBody { reader }))
+}
+
+/// Only a connection that was never there proves that nothing was sent.
+fn end_of(error: &ureq::Error) -> UpstreamEnd {
+    match error {
+        ureq::Error::Timeout(ureq::Timeout::Connect) | ureq::Error::ConnectionFailed => {
+            UpstreamEnd::NotConnected
+        }
+        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
+            UpstreamEnd::NotConnected
+        }
+        ureq::Error::Timeout(_) => UpstreamEnd::Stalled,
+        _ => UpstreamEnd::Ended,
+    }
+}
+
+fn head_of(status: u16, headers: &HeaderMap) -> UpstreamHead {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    UpstreamHead {
+        status,
+        execution: text(EXECUTION_HEADER).map(Execution::from_word),
+        refusal: text(engine_api::REFUSAL).map(str::to_owned),
+        cached_tokens: text(engine_api::CACHED_TOKENS).and_then(|count| count.parse().ok()),
+    }
+}
+
+fn priority_word(priority: Priority) -> &'static str {
+    match priority {
+        Priority::Interactive => "interactive",
+        Priority::Standard => "standard",
+        Priority::Batch => "batch",
+    }
+}
--- a/crates/router/src/completion.rs
+++ b/crates/router/src/completion.rs
@@ -36,6 +36,12 @@
     Tokens(Vec<u32>),
 }
 
+impl Default for PromptInput {
+    fn default() -> Self {
+        PromptInput::Text(String::new())
+    }
+}
+
 impl PromptInput {
     /// The prompt for hashing and counting.
     pub fn as_prompt(&self) -> Prompt<'_> {
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -98,11 +98,23 @@
     }
 }
 
+/// What a request is for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Purpose {
+    /// To run.
+    #[default]
+    Complete,
+    /// To learn which models the tenant may use.
+    ListModels,
+}
+
 /// A request that wants to run.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct AdmitRequest {
     /// Hash of the key presented; `None` when none was.
     pub key_hash: Option<KeyHash>,
+    /// What it is for.
+    pub purpose: Purpose,
     /// The model.
     pub model: ModelName,
     /// The adapter.
@@ -140,6 +152,8 @@
     pub cache_salt: PrefixRoot,
     /// How urgent it is.
     pub priority: Priority,
+    /// The caller's key, when the work may not be repeated.
+    pub idempotency_key: Option<IdempotencyKey>,
 }
 
 /// The core's answer to a request or a failed attempt.
@@ -149,6 +163,8 @@
     Assigned(Assignment),
     /// It ran before; this was the answer.
     Recorded(RecordedAnswer),
+    /// The models that the tenant may use.
+    Models(Vec<ModelName>),
     /// It is over.
     Refused(Verdict),
 }
--- a/crates/router/src/core/placement.rs
+++ b/crates/router/src/core/placement.rs
@@ -146,6 +146,7 @@
             weights_version,
             cache_salt,
             priority: request.priority,
+            idempotency_key: request.ask.idempotency_key.clone(),
         };
         request.phase = Phase::Running(placement);
         self.index
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -6,7 +6,7 @@
     AdmissionDecision, AdmissionRequest, DecisionRecord, FairQueue, QueuedItem,
 };
 
-use super::{ActiveRequest, AdmitOutcome, AdmitRequest, Phase, RouterCore};
+use super::{ActiveRequest, AdmitOutcome, AdmitRequest, Phase, Purpose, RouterCore};
 use crate::answer::RecordedAnswer;
 use crate::exchange::{AttemptFailure, Conclusion, FailureKind};
 
@@ -109,6 +109,11 @@
         tenant: TenantName,
         spec: &TenantSpec,
     ) {
+        if ask.purpose == Purpose::ListModels {
+            let mut models: Vec<_> = self.config.models().collect();
+            models.retain(|model| spec.models.is_empty() || spec.models.contains(model));
+            return self.answer(id, AdmitOutcome::Models(models));
+        }
         let allowed = spec.models.is_empty() || spec.models.contains(&ask.model);
         if !allowed || self.config.model(&ask.model).is_none() {
             let message = format!("model {} is not served to this tenant", ask.model);
--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -15,6 +15,9 @@
 /// Request: `interactive`, `standard` or `batch`.
 pub const PRIORITY: &str = "x-drumshore-priority";
 
+/// Request: the caller's key, when the work may not be repeated. Engines keep it in their logs.
+pub const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
 /// Answer: prompt tokens found in the cache.
 pub const CACHED_TOKENS: &str = "x-drumshore-cached-tokens";
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -199,6 +199,11 @@
             }
             AdmitOutcome::Recorded(answer) => self.finish(Conclusion::Recorded(answer)),
             AdmitOutcome::Refused(verdict) => self.finish(Conclusion::Failed(verdict)),
+            AdmitOutcome::Models(_) => {
+                let message = "models were listed to a request that wants to run";
+                let verdict = Verdict::not_run(ErrorCode::Internal, message);
+                self.finish(Conclusion::Failed(verdict))
+            }
         }
     }
 
--- a/crates/router/src/tests/core.rs
+++ b/crates/router/src/tests/core.rs
@@ -16,7 +16,7 @@
 use crate::answer::RecordedAnswer;
 use crate::completion::PromptInput;
 use crate::core::{
-    AdmitOutcome, AdmitRequest, Assignment, Effect, RouterCore, RouterParams, StoredFile,
+    AdmitOutcome, AdmitRequest, Assignment, Effect, Purpose, RouterCore, RouterParams, StoredFile,
     StoredState,
 };
 use crate::exchange::{AttemptFailure, Conclusion, FailureKind};
@@ -179,6 +179,7 @@
 fn ask(key: &str) -> AdmitRequest {
     AdmitRequest {
         key_hash: Some(SecretKey::new(key).hash()),
+        purpose: Purpose::Complete,
         model: ModelName::new("m"),
         adapter: None,
         prompt: Arc::new(PromptInput::Tokens((0..100).collect())),
--- a/crates/router/src/tests/exchange.rs
+++ b/crates/router/src/tests/exchange.rs
@@ -28,6 +28,7 @@
             None,
         ),
         priority: Priority::Standard,
+        idempotency_key: None,
     }
 }
 
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -16,6 +16,11 @@
 pub struct PrefixRoot(u64);
 
 impl PrefixRoot {
+    /// The root that a cache salt stands for.
+    pub fn from_u64(salt: u64) -> Self {
+        Self(salt)
+    }
+
     /// The root as a number, for the engines' cache salt.
     pub fn as_u64(self) -> u64 {
         self.0
--- /dev/null
+++ b/crates/testbed/src/engine/mod.rs
@@ -0,0 +1,16 @@
+//! A stand-in for an engine: continuous batching, limited block memory, fences, orders.
+//!
+//! [`EngineCore`] is the engine in virtual time, without I/O; [`http`] serves it in real time.
+
+pub mod cache;
+pub mod core;
+pub mod http;
+pub mod stream;
+pub mod timing;
+
+pub use self::core::{
+    EngineCore, EngineCounters, EngineOutput, EngineParams, EngineRequest, Executed, Refusal,
+    StreamSummary, Submission, Violation,
+};
+pub use cache::BlockCache;
+pub use timing::EngineTiming;
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,1 +1,15 @@
-//! x
+//! Stand-ins, load and experiments for drumshore.
+//!
+//! [`engine`] and [`platform`] are the outside systems, [`workload`] is what callers ask,
+//! [`load`] asks it and checks every answer, [`fleet`] runs everything as processes.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
+
+mod cli;
+pub mod engine;
+pub mod fleet;
+pub mod load;
+pub mod platform;
+pub mod workload;
+
+pub use cli::main;
--- /dev/null
+++ b/crates/testbed/src/load/mod.rs
@@ -0,0 +1,112 @@
+//! Drives callers against routers, or against engines directly, and checks every answer.
+
+mod caller;
+mod report;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use crossbeam_channel::{bounded, Receiver, Sender};
+
+use crate::workload::{WorkloadGenerator, WorkloadParams, WorkloadRequest};
+
+pub use caller::{Caller, CallerParams};
+pub use report::{LoadReport, Outcome, Percentiles, Recorder, Sample};
+
+const STACK_BYTES: usize = 128 * 1024;
+
+/// What load to make.
+#[derive(Clone, Debug)]
+pub struct LoadParams {
+    /// What is asked.
+    pub workload: WorkloadParams,
+    /// Decides all draws.
+    pub seed: u64,
+    /// Requests a second, by a Poisson process.
+    pub requests_per_second: f64,
+    /// Threads that ask; a request that finds none free waits, and its wait counts.
+    pub callers: usize,
+    /// How long requests are made.
+    pub duration: Duration,
+    /// How requests are made.
+    pub caller: CallerParams,
+}
+
+struct Job {
+    request: WorkloadRequest,
+    due: Instant,
+    number: u64,
+}
+
+/// Makes the load and gives what came of it. `progress` is called about once a second.
+pub fn run(params: &LoadParams, mut progress: impl FnMut(u64, Duration)) -> LoadReport {
+    let recorder = Arc::new(Recorder::default());
+    let asked = Arc::new(AtomicU64::new(0));
+    let over = Arc::new(AtomicBool::new(false));
+    let (sender, receiver) = bounded(params.callers * 4);
+    let threads: Vec<_> = (0..params.callers)
+        .map(|number| spawn_caller(number, params, &receiver, &recorder))
+        .collect();
+    let dispatching = {
+        let (params, asked, over) = (params.clone(), Arc::clone(&asked), Arc::clone(&over));
+        thread::spawn(move || {
+            dispatch(&params, &sender, &asked);
+            over.store(true, Ordering::SeqCst);
+        })
+    };
+    let started = Instant::now();
+    while !over.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(200));
+        progress(asked.load(Ordering::SeqCst), started.elapsed());
+    }
+    let _ = dispatching.join();
+    for thread in threads {
+        let _ = thread.join();
+    }
+    recorder.report(started.elapsed())
+}
+
+fn spawn_caller(
+    number: usize,
+    params: &LoadParams,
+    jobs: &Receiver<Job>,
+    recorder: &Arc<Recorder>,
+) -> thread::JoinHandle<()> {
+    let (jobs, recorder) = (jobs.clone(), Arc::clone(recorder));
+    let caller = Caller::new(params.caller.clone(), number);
+    thread::Builder::new()
+        .stack_size(STACK_BYTES)
+        .spawn(move || {
+            while let Ok(job) = jobs.recv() {
+                let sample = caller.ask(&job.request, job.number, job.due);
+                recorder.add(&sample);
+            }
+        })
+        .expect("a caller's thread starts")
+}
+
+fn dispatch(params: &LoadParams, jobs: &Sender<Job>, asked: &AtomicU64) {
+    let mut generator = WorkloadGenerator::new(params.workload.clone(), params.seed);
+    let started = Instant::now();
+    let mut due = 0.0;
+    loop {
+        due += generator.next_gap(params.requests_per_second);
+        if due > params.duration.as_secs_f64() {
+            return;
+        }
+        let at = started + Duration::from_secs_f64(due);
+        thread::sleep(at.saturating_duration_since(Instant::now()));
+        let number = asked.fetch_add(1, Ordering::SeqCst);
+        let request = generator.next_request(due);
+        let job = Job {
+            request,
+            due: at,
+            number,
+        };
+        if jobs.send(job).is_err() {
+            return;
+        }
+    }
+}
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -1,2 +1,5 @@
-//! x
-fn main() {}
+//! The program `drumshore-lab`.
+
+fn main() -> std::process::ExitCode {
+    drumshore_testbed::main(std::env::args_os().skip(1).collect())
+}
