--- a/crates/consensus/tests/cluster/mod.rs
+++ b/crates/consensus-harness/src/cluster.rs
@@ -1,5 +1,4 @@
 //! A cluster of replicas on memory disks and a network that loses, repeats and reorders.
-#![allow(dead_code)]
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -14,36 +13,62 @@
 /// What went wrong with one schedule.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
+    /// Two replicas lead in one term.
     TwoLeaders {
+        /// The term.
         term: Term,
     },
+    /// Two replicas applied different commands at one position.
     Diverged {
+        /// The position.
         index: LogIndex,
     },
+    /// A command that was acknowledged is gone.
     LostAcknowledged {
+        /// The command.
         value: u64,
     },
+    /// A read was confirmed at a position before what was acknowledged.
     StaleRead {
+        /// Where it was confirmed.
         index: LogIndex,
+        /// What had been acknowledged when it was asked.
         acknowledged: LogIndex,
     },
+    /// An entry was counted as committed that could still be overwritten.
+    CommittedByCounting {
+        /// Its position.
+        index: LogIndex,
+    },
+    /// A healed cluster commits nothing.
     NothingCommits,
 }
 
+/// One replica with its disk and its state machine.
 pub struct Node {
+    /// Its disk; it outlives the process.
     pub disk: MemoryDirectory,
+    /// The running process.
     pub replica: Option<Replica<MemoryDirectory>>,
     /// The commands applied, by position.
     pub state: BTreeMap<u64, u64>,
+    /// The last position applied.
     pub applied: LogIndex,
 }
 
+/// A cluster.
 pub struct Cluster {
+    /// Its replicas, by number.
     pub nodes: BTreeMap<u64, Node>,
+    /// Messages under way.
     pub network: Vec<Envelope>,
+    /// Pairs of sender and receiver whose messages are lost.
     pub cut: BTreeSet<(u64, u64)>,
+    /// Decides all draws.
     pub random: ChaCha8Rng,
+    /// The first rule seen broken.
     pub violation: Option<Violation>,
+    /// Commands whose proposers have seen them committed.
     pub acknowledged: BTreeSet<u64>,
     acknowledged_index: LogIndex,
     reads: BTreeMap<u64, LogIndex>,
@@ -73,6 +98,7 @@
 }
 
 impl Cluster {
+    /// A new cluster of voters 1, 2, 3 and so on.
     pub fn new(voters: u64, seed: u64) -> Self {
         let mut cluster = Self {
             nodes: BTreeMap::new(),
@@ -98,6 +124,7 @@
         cluster
     }
 
+    /// Adds a machine with an empty disk that does not run yet.
     pub fn add_node(&mut self, id: u64) {
         let node = Node {
             disk: MemoryDirectory::new(),
@@ -108,6 +135,7 @@
         self.nodes.insert(id, node);
     }
 
+    /// Starts a replica; on an empty disk it believes to be of the first voters.
     pub fn start_as_founder(&mut self, id: u64) {
         let voters = self.voters.iter().map(|id| ReplicaId(*id));
         self.start(id, Membership::of_voters(voters));
@@ -118,6 +146,7 @@
         self.start(id, Membership::default());
     }
 
+    /// Starts a replica.
     pub fn start(&mut self, id: u64, membership: Membership) {
         self.starts += 1;
         let seed = self.random.random();
@@ -138,6 +167,7 @@
         self.flush(id);
     }
 
+    /// Ends a process; what was not synced is lost or torn.
     pub fn crash(&mut self, id: u64) {
         let torn = self.random.random_range(0..40);
         let node = self.nodes.get_mut(&id).expect("known node");
@@ -145,12 +175,14 @@
         node.disk.crash(torn);
     }
 
+    /// True while a replica runs.
     pub fn is_up(&self, id: u64) -> bool {
         self.nodes
             .get(&id)
             .is_some_and(|node| node.replica.is_some())
     }
 
+    /// The leader of the highest term.
     pub fn leader(&self) -> Option<u64> {
         let leading = self.nodes.iter().filter(|(_, node)| {
             node.replica
@@ -163,11 +195,13 @@
             .map(|(id, _)| *id)
     }
 
+    /// A running replica.
     pub fn replica(&mut self, id: u64) -> &mut Replica<MemoryDirectory> {
         let node = self.nodes.get_mut(&id).expect("known node");
         node.replica.as_mut().expect("running node")
     }
 
+    /// Loses all messages from and to a replica.
     pub fn cut_off(&mut self, id: u64) {
         for other in self.nodes.keys().copied().filter(|other| *other != id) {
             self.cut.insert((id, other));
@@ -175,6 +209,7 @@
         }
     }
 
+    /// Lets a tick pass at a replica.
     pub fn tick(&mut self, id: u64) {
         if self.is_up(id) {
             self.replica(id).raft_mut().tick();
@@ -182,6 +217,7 @@
         }
     }
 
+    /// Delivers one message.
     pub fn deliver(&mut self, position: usize) {
         let message = self.network.swap_remove(position);
         let to = message.to.0;
@@ -192,6 +228,7 @@
         }
     }
 
+    /// Proposes the next command to a replica; `None` when it does not lead.
     pub fn propose(&mut self, id: u64) -> Option<u64> {
         if !self.is_up(id) {
             return None;
@@ -210,6 +247,7 @@
         accepted.then_some(value)
     }
 
+    /// Asks a replica for a confirmed read.
     pub fn read(&mut self, id: u64) {
         if !self.is_up(id) {
             return;
@@ -221,6 +259,7 @@
         self.flush(id);
     }
 
+    /// Lets a replica store a snapshot.
     pub fn compact(&mut self, id: u64) {
         if !self.is_up(id) {
             return;
@@ -232,6 +271,7 @@
         replica.compact(applied, data).expect("memory disk works");
     }
 
+    /// Lets a replica store, send and apply.
     pub fn flush(&mut self, id: u64) {
         let node = self.nodes.get_mut(&id).expect("known node");
         let Some(replica) = node.replica.as_mut() else {
@@ -327,6 +367,7 @@
         done(self)
     }
 
+    /// Runs without faults until there is a leader.
     pub fn settle_to_leader(&mut self) -> u64 {
         assert!(
             self.settle(400, |cluster| cluster.leader().is_some()),
@@ -357,6 +398,7 @@
         None
     }
 
+    /// True when all running replicas have applied a command.
     pub fn is_everywhere(&self, value: u64) -> bool {
         let mut running = self.nodes.values().filter(|node| node.replica.is_some());
         running.all(|node| node.state.values().any(|applied| *applied == value))
--- /dev/null
+++ b/crates/consensus-harness/src/lib.rs
@@ -0,0 +1,12 @@
+//! Clusters of replicas on memory disks, under random and scripted failures.
+//!
+//! The tests of `drumshore-consensus` and the simulator share it. [`run_schedule`] draws
+//! messages, ticks, crashes and cuts at random; [`scripts`] brings about single failures of the
+//! protocol, step by step.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms)]
+
+mod cluster;
+pub mod scripts;
+
+pub use cluster::{run_schedule, Cluster, Node, Violation};
--- a/crates/consensus/src/directory.rs
+++ b/crates/consensus/src/directory.rs
@@ -116,6 +116,14 @@
         Self::default()
     }
 
+    /// Another folder with the same content, which shares nothing with this one.
+    pub fn copy(&self) -> Self {
+        Self {
+            files: Arc::new(Mutex::new(self.files().clone())),
+            failing: Arc::default(),
+        }
+    }
+
     /// Loses unsynced bytes of every file, except the first `torn_bytes` of them.
     pub fn crash(&self, torn_bytes: usize) {
         for file in self.files().values_mut() {
--- a/crates/consensus/tests/random_schedules.rs
+++ b/crates/consensus/tests/random_schedules.rs
@@ -1,8 +1,6 @@
 //! Random schedules: safety holds with every rule in place, and each rule taken out is noticed.
 
-mod cluster;
-
-use cluster::{run_schedule, Violation};
+use drumshore_consensus_harness::{run_schedule, Violation};
 use drumshore_guard::{set_removed, Guard};
 use proptest::prelude::*;
 use rstest::rstest;
--- a/crates/consensus/tests/scenarios.rs
+++ b/crates/consensus/tests/scenarios.rs
@@ -1,13 +1,12 @@
 //! Failures one by one, as they are named in the design notes.
 
-mod cluster;
-
-use cluster::Cluster;
-use drumshore_consensus::{
-    Body, Change, ChangeError, DiskId, Entry, EntryKind, Envelope, HardState, LogIndex, Membership,
-    Params, Raft, Recovered, ReplicaId, Role, Snapshot, Term,
+use drumshore_consensus::{Change, ChangeError, LogIndex, ReplicaId, Role};
+use drumshore_consensus_harness::scripts::{
+    double_vote, lose_a_disk_and_return, lost_disk, old_term_is_counted,
 };
+use drumshore_consensus_harness::{Cluster, Violation};
 use drumshore_guard::{set_removed, Guard};
+use rstest::rstest;
 
 #[test]
 fn a_single_voter_leads_and_commits() {
@@ -179,36 +178,6 @@
     );
 }
 
-/// 1 and 2 commit while 3 is cut off; then 2 loses its disk and comes back under its old number
-/// while 1 is cut off. 2 and 3 together remember nothing of what was acknowledged. Returns the
-/// number that lost its disk.
-fn lose_a_disk_and_return(cluster: &mut Cluster) -> u64 {
-    cluster.commit_one();
-    cluster.settle(60, |_| false);
-    let leader = cluster.leader().unwrap();
-    let others: Vec<u64> = (1..=3).filter(|id| *id != leader).collect();
-    cluster.cut_off(others[1]);
-    let value = cluster.propose(leader).unwrap();
-    assert!(cluster.settle(50, |cluster| cluster.acknowledged.contains(&value)));
-    cluster.crash(others[0]);
-    cluster.nodes[&others[0]].disk.wipe();
-    cluster.cut.clear();
-    cluster.cut_off(leader);
-    if drumshore_guard::enforced(Guard::DiskIdentity) {
-        cluster.start_blank(others[0]);
-    } else {
-        cluster.start_as_founder(others[0]);
-    }
-    cluster.settle(300, |_| false);
-    if let Some(new) = (1..=3).find(|id| *id != leader && cluster.leader() == Some(*id)) {
-        cluster.propose(new);
-        cluster.settle(50, |_| false);
-    }
-    cluster.cut.clear();
-    cluster.settle(300, |_| false);
-    others[0]
-}
-
 #[test]
 fn a_new_disk_under_an_old_number_elects_nobody() {
     let mut cluster = Cluster::new(3, 9);
@@ -222,86 +191,24 @@
     assert_eq!(cluster.violation, None);
 }
 
-#[test]
-fn a_new_disk_under_an_old_number_does_harm_when_it_is_counted() {
-    set_removed(Some(Guard::DiskIdentity));
-    // Either two replicas apply different entries, or one refuses to drop a committed entry.
-    let outcome = std::panic::catch_unwind(|| {
-        let mut cluster = Cluster::new(3, 9);
-        lose_a_disk_and_return(&mut cluster);
-        cluster.violation
-    });
-    set_removed(None);
-    assert!(
-        !matches!(outcome, Ok(None)),
-        "the test would not notice the missing rule"
-    );
-}
-
-fn entry(term: u64, index: u64) -> Entry {
-    let kind = EntryKind::Command;
-    Entry {
-        term: Term(term),
-        index: LogIndex(index),
-        kind,
-        data: 7u64.to_le_bytes().to_vec(),
-    }
-}
-
-/// Figure 3.7 of the thesis: the leader of term 4 finds an entry of term 2 on a majority. It may
-/// still be overwritten by one of term 3, so it must not be committed by counting.
-fn leader_of_term_4_commits_by_counting() -> LogIndex {
-    let membership = Membership::of_voters([1, 2, 3, 4, 5].map(ReplicaId));
-    let recovered = Recovered {
-        disk: DiskId(1),
-        hard_state: HardState {
-            term: Term(3),
-            vote: ReplicaId(0),
-            commit: LogIndex(1),
-        },
-        snapshot: Snapshot {
-            membership,
-            ..Snapshot::default()
-        },
-        entries: vec![entry(1, 1), entry(2, 2)],
-    };
-    let mut raft = Raft::new(Params::default(), ReplicaId(1), recovered, 1);
-    raft.campaign();
-    let mut answer = |from: u64, term: u64, body: Body| {
-        raft.step(Envelope {
-            from: ReplicaId(from),
-            disk: DiskId(from),
-            to: ReplicaId(1),
-            term: Term(term),
-            body,
-        });
-    };
-    let stored = Body::AppendReply {
-        accepted: 1,
-        index: LogIndex(2),
-    };
-    for body in [
-        Body::PreVoteReply { granted: 1 },
-        Body::VoteReply { granted: 1 },
-        stored,
-    ] {
-        for from in [2, 3] {
-            answer(from, 4, body.clone());
-        }
+/// A script finds nothing with every rule in place, and something with its rule taken out. A
+/// replica that refuses an impossible state by a panic has noticed it too.
+#[rstest]
+#[case::new_disk_under_an_old_number(Guard::DiskIdentity, lost_disk)]
+#[case::two_votes_in_one_term(Guard::VoteSynced, double_vote)]
+#[case::older_term_committed_by_counting(Guard::CurrentTermCommit, old_term_is_counted)]
+fn a_script_notices_its_rule_taken_out(
+    #[case] guard: Guard,
+    #[case] script: fn(u64) -> Result<(), Violation>,
+) {
+    for seed in 0..20 {
+        assert_eq!(script(seed), Ok(()), "seed {seed}");
     }
-    assert_eq!(raft.role(), Role::Leader);
-    raft.committed()
-}
-
-#[test]
-fn entries_of_an_older_term_are_not_committed_by_counting() {
-    assert_eq!(leader_of_term_4_commits_by_counting(), LogIndex(1));
-    set_removed(Some(Guard::CurrentTermCommit));
-    let without = leader_of_term_4_commits_by_counting();
+    set_removed(Some(guard));
+    let noticed = (0..20).any(|seed| {
+        let outcome = std::panic::catch_unwind(|| script(seed));
+        !matches!(outcome, Ok(Ok(())))
+    });
     set_removed(None);
-    assert_eq!(
-        without,
-        LogIndex(2),
-        "the test would not notice the missing rule"
-    );
+    assert!(noticed, "{} can be taken out unnoticed", guard.as_str());
 }
--- a/crates/control/src/actor.rs
+++ b/crates/control/src/actor.rs
@@ -22,9 +22,6 @@
     pub unix_ms: Box<dyn Fn() -> u64>,
 }
 
-/// Reads a control machine's core.
-pub type Inspection<D> = Box<dyn FnOnce(&ControlCore<D>)>;
-
 /// A control machine.
 pub struct ControlActor<D: Directory + 'static> {
     core: ControlCore<D>,
@@ -102,9 +99,9 @@
         self.queue_flush(cx);
     }
 
-    /// Lets a caller read the core.
-    pub fn inspect(&mut self, _: CX![], read: Inspection<D>) {
-        read(&self.core);
+    /// The core, to be read with [`stakker::Actor::query`].
+    pub fn core(&self) -> &ControlCore<D> {
+        &self.core
     }
 
     fn tick(&mut self, cx: CX![]) {
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -275,10 +275,14 @@
     }
 
     /// The fence of this leader's orders.
-    fn epoch(&self) -> Epoch {
+    fn order_fence(&self) -> (Epoch, Revision) {
         if !enforced(Guard::OrderEpoch) {
-            return Epoch(u64::MAX);
+            return (Epoch(u64::MAX), Revision(u64::MAX));
         }
+        (self.epoch(), self.revision())
+    }
+
+    fn epoch(&self) -> Epoch {
         Epoch(self.replica.raft().term().0)
     }
 
@@ -321,12 +325,13 @@
                 .map(|(name, _)| name)
                 .collect();
             let in_force = model_spec.weights_version;
-            let epoch = self.epoch();
+            let (epoch, revision) = self.order_fence();
             let view = RolloutView {
                 spec,
                 in_force,
                 pools: &pools,
                 epoch,
+                revision,
             };
             let step = self.rollouts.step(&view, &self.fleet, self.clock.now);
             for (engine, order) in step.orders {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use drumshore_core::{
-    EngineName, Epoch, Incarnation, ModelName, PoolName, Timestamp, WeightsVersion, ZoneName,
+    EngineName, Epoch, Incarnation, ModelName, PoolName, Revision, Timestamp, WeightsVersion,
+    ZoneName,
 };
 use drumshore_wire::{EngineEntry, EngineLoad, EngineStateCode, Text};
 use serde::{Deserialize, Serialize};
@@ -61,12 +62,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProbeFailed;
 
-/// An order of the leader to an engine. The engine refuses one of an older epoch than it has
-/// seen, so that a leader that was cut off harms nothing.
+/// An order of the leader to an engine. The engine refuses one whose epoch and revision, taken
+/// in this order, are older than those of an order that it has obeyed: so a leader that was cut
+/// off harms nothing, and neither does an order that was held up on its way.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EngineOrder {
     /// The leader's term.
     pub epoch: Epoch,
+    /// The revision of the resources from which the order follows.
+    pub revision: Revision,
     /// The model to load.
     pub model: ModelName,
     /// Its version.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod subscription;
 
 pub use crate::core::{Clock, ControlCore, ControlParams, Effect};
-pub use actor::{ControlActor, ControlOutputs, Inspection};
+pub use actor::{ControlActor, ControlOutputs};
 pub use command::{Command, ProposalId};
 pub use fleet::{EngineOrder, EngineProbe, Fleet, MachineRecord, MachineState, ProbeFailed};
 pub use ledger::{ClaimResult, Ledger};
--- a/crates/control/src/rollout.rs
+++ b/crates/control/src/rollout.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use drumshore_core::{
-    EngineName, Epoch, ModelName, PoolName, RolloutSpec, RolloutState, Timestamp, WeightsVersion,
+    EngineName, Epoch, PoolName, Revision, RolloutSpec, RolloutState, Timestamp, WeightsVersion,
 };
 use drumshore_wire::EngineStateCode;
 
@@ -34,6 +34,8 @@
     pub pools: &'a [PoolName],
     /// The leader's term.
     pub epoch: Epoch,
+    /// The revision of the resources that the view comes from.
+    pub revision: Revision,
 }
 
 /// Remembers which orders are under way. Lost with the leader: the next one sends them again,
@@ -104,17 +106,18 @@
             };
             if due && !holds(engine, target) {
                 self.ordered.insert((*name).clone(), now);
-                orders.push(((*name).clone(), order(view.epoch, &view.spec.model, target)));
+                orders.push(((*name).clone(), order(view, target)));
             }
         }
         orders
     }
 }
 
-fn order(epoch: Epoch, model: &ModelName, weights_version: WeightsVersion) -> EngineOrder {
+fn order(view: &RolloutView<'_>, weights_version: WeightsVersion) -> EngineOrder {
     EngineOrder {
-        epoch,
-        model: model.clone(),
+        epoch: view.epoch,
+        revision: view.revision,
+        model: view.spec.model.clone(),
         weights_version,
     }
 }
--- a/crates/control/src/tests.rs
+++ b/crates/control/src/tests.rs
@@ -383,6 +383,7 @@
         in_force: WeightsVersion(1),
         pools: &pools,
         epoch: Epoch(3),
+        revision: Revision(7),
     };
     let mut driver = RolloutDriver::default();
     let mut switched_after = None;
@@ -409,6 +410,7 @@
         in_force: WeightsVersion(1),
         pools: &pools,
         epoch: Epoch(1),
+        revision: Revision(7),
     };
     fleet.on_probe(&EngineName::new("a"), Ok(probe(1, 2)), Timestamp(0));
     for at in 0..2 {
--- a/crates/node/src/control/probes.rs
+++ b/crates/node/src/control/probes.rs
@@ -82,17 +82,17 @@
 
 /// The engines known, those that the list no longer has included.
 fn targets(handle: &ControlHandle) -> Vec<Target> {
-    let known = handle.ask(|_, context, sender| {
-        let inspection = Box::new(
-            move |core: &drumshore_control::ControlCore<drumshore_consensus::FileDirectory>| {
-                let targets = core.fleet().iter().map(|(name, view)| Target {
+    let known = handle.ask(|stakker, context, sender| {
+        let targets = context.actor.query(stakker, |actor, _| {
+            let engines = actor.core().fleet().iter();
+            engines
+                .map(|(name, view)| Target {
                     name: name.clone(),
                     address: view.record.address.clone(),
-                });
-                let _ = sender.send(targets.collect::<Vec<_>>());
-            },
-        );
-        call!([context.actor], inspect(inspection));
+                })
+                .collect::<Vec<_>>()
+        });
+        let _ = sender.send(targets.unwrap_or_default());
     });
     known.unwrap_or_default()
 }
--- a/crates/node/src/router/edge.rs
+++ b/crates/node/src/router/edge.rs
@@ -140,11 +140,11 @@
         &self,
         read: impl FnOnce(&drumshore_router::RouterCore) -> T + Send + 'static,
     ) -> Option<T> {
-        self.handle.ask(move |_, context, sender| {
-            let inspection = Box::new(move |core: &drumshore_router::RouterCore| {
-                let _ = sender.send(read(core));
-            });
-            call!([context.actor], inspect(inspection));
+        self.handle.ask(move |stakker, context, sender| {
+            let value = context.actor.query(stakker, |actor, _| read(actor.core()));
+            if let Some(value) = value {
+                let _ = sender.send(value);
+            }
         })
     }
 }
--- a/crates/node/src/router/mod.rs
+++ b/crates/node/src/router/mod.rs
@@ -79,7 +79,9 @@
     let over = event_loop.over();
     event_loop.run(&context, signals, move |_, context| {
         tracing::info!("router: stopping, finishing what is in flight");
-        let drained = Ret::new(move |_| over.store(true, Ordering::SeqCst));
+        let drained = Ret::new(move |drained: Option<()>| {
+            over.fetch_or(drained.is_some(), Ordering::SeqCst);
+        });
         call!([context.actor], stop(drained));
     });
     server.close_after_answers();
--- a/crates/router/src/actor.rs
+++ b/crates/router/src/actor.rs
@@ -4,12 +4,12 @@
 use std::time::{Duration, Instant};
 
 use drumshore_core::{RequestId, Timestamp};
-use drumshore_routing::DecisionRecord;
+use drumshore_guard::{enforced, Guard};
 use drumshore_wire::Message;
 use stakker::{after, fwd, ret, Fwd, Ret, CX};
 
 use crate::answer::RecordedAnswer;
-use crate::core::{AdmitOutcome, AdmitRequest, Effect, RouterCore, RouterMetrics, StoredFile};
+use crate::core::{AdmitOutcome, AdmitRequest, Effect, RouterCore, StoredFile};
 use crate::exchange::{AttemptFailure, Conclusion, FirstToken};
 use crate::session::LinkId;
 
@@ -36,7 +36,7 @@
     outputs: RouterOutputs,
     started: Instant,
     waiting: BTreeMap<RequestId, Ret<Admitted>>,
-    on_drained: Option<Ret<()>>,
+    on_drained: Vec<Ret<()>>,
 }
 
 impl RouterActor {
@@ -47,7 +47,7 @@
             outputs,
             started: cx.start_instant(),
             waiting: BTreeMap::new(),
-            on_drained: None,
+            on_drained: Vec::new(),
         };
         actor.tick(cx);
         Some(actor)
@@ -116,28 +116,21 @@
         self.carry_out();
     }
 
-    /// Takes nothing new, and tells when all that is open has ended.
+    /// Takes nothing new, and tells when all that is open has ended. May be said again.
     pub fn stop(&mut self, cx: CX![], drained: Ret<()>) {
         self.set_now(cx);
         self.core.stop();
-        self.on_drained = Some(drained);
+        if !enforced(Guard::DrainOnStop) {
+            ret!([drained]);
+            return;
+        }
+        self.on_drained.push(drained);
         self.carry_out();
     }
 
-    /// Tells the story of a recent request.
-    pub fn explain(&mut self, _: CX![], id: RequestId, ret: Ret<Option<DecisionRecord>>) {
-        ret!([ret], self.core.explain(id).cloned());
-    }
-
-    /// Hands out counters and gauges.
-    pub fn metrics(&mut self, _: CX![], ret: Ret<RouterMetrics>) {
-        ret!([ret], self.core.metrics());
-    }
-
-    /// Lets a caller read the core.
-    pub fn inspect(&mut self, cx: CX![], read: Box<dyn FnOnce(&RouterCore)>) {
-        self.set_now(cx);
-        read(&self.core);
+    /// The core, to be read with [`stakker::Actor::query`].
+    pub fn core(&self) -> &RouterCore {
+        &self.core
     }
 
     fn tick(&mut self, cx: CX![]) {
@@ -167,7 +160,7 @@
             }
         }
         if self.core.is_drained() {
-            if let Some(drained) = self.on_drained.take() {
+            for drained in self.on_drained.drain(..) {
                 ret!([drained]);
             }
         }
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -26,6 +26,8 @@
        [--profile surtidor|sohar-quay] [--rate R] [--callers N] [--seconds N] [--seed N]
        [--block-tokens N] [--json FILE]
                                make load against routers or engines
+  sim [--scenario NAME|all] [--seed N] [--seeds COUNT] [--without GUARD] [--json FILE]
+  sim --list | --list-guards   simulate the fleet under failures on a virtual clock
   engine [--config FILE] [--listen IP:PORT] [--platform URL] [--witness FILE]
                                run an engine stand-in; prints its address
   platform [--listen IP:PORT] [--lag-ms N]
@@ -80,6 +82,7 @@
         "load" => run_load(arguments),
         "engine" => run_engine(arguments),
         "platform" => run_platform(arguments),
+        "sim" => crate::sim::cli::main(arguments),
         other => Err(LabError::Usage(format!(
             "unknown command {other:?}; see drumshore-lab --help"
         ))),
--- a/crates/testbed/src/engine/core.rs
+++ b/crates/testbed/src/engine/core.rs
@@ -6,7 +6,7 @@
 use drumshore_control::{EngineOrder, EngineProbe};
 use drumshore_core::{
     EngineName, Epoch, Execution, IdempotencyKey, Incarnation, ModelName, Priority, RequestId,
-    Timestamp, WeightsVersion,
+    Revision, Timestamp, WeightsVersion,
 };
 use drumshore_guard::{enforced, Guard};
 use drumshore_router::engine_api;
@@ -197,7 +197,7 @@
     weights_version: WeightsVersion,
     ordered: Option<WeightsVersion>,
     load_ends_at: Option<Timestamp>,
-    highest_epoch: Epoch,
+    obeyed: (Epoch, Revision),
     leaving: bool,
     cache: BlockCache,
     waiting: Vec<Sequence>,
@@ -231,7 +231,7 @@
             weights_version,
             ordered: None,
             load_ends_at: None,
-            highest_epoch: Epoch(0),
+            obeyed: (Epoch(0), Revision(0)),
             leaving: false,
             waiting: Vec::new(),
             running: Vec::new(),
@@ -382,16 +382,17 @@
         })
     }
 
-    /// Takes an order; false when it comes from an older leader than one obeyed before.
+    /// Takes an order; false when it is older than one obeyed before.
     pub fn order(&mut self, order: &EngineOrder) -> bool {
-        if order.epoch < self.highest_epoch {
+        let fence = (order.epoch, order.revision);
+        if fence < self.obeyed {
             return false;
         }
-        self.highest_epoch = order.epoch;
+        self.obeyed = fence;
         let wanted = order.weights_version;
-        if wanted != self.weights_version && self.load_ends_at.is_none() {
-            self.ordered = Some(wanted);
-            self.weights_version = WeightsVersion(0);
+        if self.load_ends_at.is_none() {
+            // What was accepted before ends with the weights that it was accepted for.
+            self.ordered = (wanted != self.weights_version).then_some(wanted);
         }
         true
     }
@@ -403,6 +404,7 @@
 
     /// Begins to load, for as long as it will take.
     pub fn begin_load(&mut self, takes: Duration, now: Timestamp) {
+        self.weights_version = WeightsVersion(0);
         self.load_ends_at = Some(now.plus(takes));
     }
 
@@ -419,9 +421,13 @@
             self.report.waiting_tokens = self.waiting_tokens();
             self.report.running = self.running.len() as u32;
         }
+        let weights_version = match self.ordered {
+            Some(_) => WeightsVersion(0),
+            None => self.weights_version,
+        };
         EngineProbe {
             incarnation: self.incarnation,
-            weights_version: self.weights_version,
+            weights_version,
             leaving: self.leaving,
             lag_ms: now.since(self.report_at).as_millis() as u64,
             ..self.report.clone()
@@ -473,7 +479,7 @@
         let other_weights = request
             .weights_version
             .is_some_and(|meant| meant != self.weights_version);
-        let loads = self.weights_version == WeightsVersion(0);
+        let loads = self.ordered.is_some();
         if loads || (other_weights && enforced(Guard::WeightsFence)) {
             return refuse(412, engine_api::REFUSAL_FENCE);
         }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -1,7 +1,8 @@
 //! Stand-ins, load and experiments for drumshore.
 //!
 //! [`engine`] and [`platform`] are the outside systems, [`workload`] is what callers ask,
-//! [`load`] asks it and checks every answer, [`fleet`] runs everything as processes.
+//! [`load`] asks it and checks every answer, [`fleet`] runs everything as processes, [`sim`] on a
+//! virtual clock.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
@@ -10,6 +11,7 @@
 pub mod fleet;
 pub mod load;
 pub mod platform;
+pub mod sim;
 pub mod workload;
 
 pub use cli::main;
--- /dev/null
+++ b/crates/testbed/src/sim/controls.rs
@@ -0,0 +1,421 @@
+//! Control machines of the simulated fleet, their disks, and what they ask of the outside.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_consensus::{Change, FolderIdentity, Membership, MemoryDirectory, ReplicaId};
+use drumshore_control::{
+    ControlActor, ControlCore, ControlOutputs, ControlParams, Effect, EngineOrder, EngineProbe,
+    OperatorRequest, ProbeFailed,
+};
+use drumshore_core::{EngineName, Timestamp};
+use drumshore_wire::Message;
+use rand::Rng;
+use stakker::{actor, call, ret_nop, ActorOwn, Fwd};
+
+use super::network::Node;
+use super::operators::{Asker, OrderTruth};
+use super::world::{Event, Output, World};
+
+const TICK: Duration = Duration::from_millis(50);
+const POLL: Duration = Duration::from_millis(500);
+const PROBE_PATIENCE: Duration = Duration::from_secs(1);
+const REPLACEMENT_PAUSE: Duration = Duration::from_millis(700);
+
+/// Clocks run this much too fast or slow, in parts of 1,000.
+const DRIFT_PER_MILLE: u64 = 20;
+
+/// Control machines' clocks differ by up to this much, in milliseconds.
+const CLOCK_OFFSET_MS: u64 = 3_000;
+
+pub(super) struct ControlHost {
+    pub(super) id: ReplicaId,
+    pub(super) actor: Option<ActorOwn<ControlActor<MemoryDirectory>>>,
+    pub(super) generation: u64,
+    directory: MemoryDirectory,
+    /// A copy of the disk, for operators who restore it.
+    backup: Option<MemoryDirectory>,
+    offset_ms: u64,
+    tick: Duration,
+    pub(super) next_ticket: u64,
+}
+
+/// A machine that is being replaced, and the step that comes next.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Replacement {
+    pub(super) control: usize,
+    pub(super) old: ReplicaId,
+    pub(super) new: ReplicaId,
+    pub(super) step: usize,
+}
+
+impl ControlHost {
+    pub(super) fn new(id: ReplicaId) -> Self {
+        Self {
+            id,
+            actor: None,
+            generation: 0,
+            directory: MemoryDirectory::new(),
+            backup: None,
+            offset_ms: 0,
+            tick: TICK,
+            next_ticket: 0,
+        }
+    }
+}
+
+impl World {
+    /// Starts a control machine from its disk. `first` makes an empty disk that of a new
+    /// cluster; without it an empty one waits to be added.
+    pub(super) fn start_control(&mut self, control: usize, first: bool) {
+        let seed = self.draw();
+        let drift = self
+            .random
+            .random_range(1_000 - DRIFT_PER_MILLE..=1_000 + DRIFT_PER_MILLE);
+        let offset_ms = self.random.random_range(0..CLOCK_OFFSET_MS);
+        let ids: Vec<ReplicaId> = self.controls.iter().map(|host| host.id).collect();
+        let host = &mut self.controls[control];
+        let identity = FolderIdentity {
+            cluster: "sim".to_owned(),
+            replica: host.id,
+        };
+        let membership = if first {
+            Membership::of_voters(ids)
+        } else {
+            Membership::default()
+        };
+        let params = ControlParams {
+            snapshot_entries: SNAPSHOT_ENTRIES,
+            ..ControlParams::default()
+        };
+        let opened = ControlCore::open(host.directory.clone(), &identity, membership, params, seed);
+        let core = match opened {
+            Ok(core) => core,
+            Err(error) => {
+                return self.note(format!("control {control} does not start: {error}"));
+            }
+        };
+        host.generation += 1;
+        host.offset_ms = offset_ms;
+        host.tick = TICK * drift as u32 / 1_000;
+        let (generation, tick) = (host.generation, host.tick);
+        let outputs = outputs(control, generation, offset_ms, &self.clock_ms, &self.outbox);
+        let actor = actor!(
+            self.stakker,
+            <ControlActor<MemoryDirectory>>::init(core, outputs, tick),
+            ret_nop!()
+        );
+        self.controls[control].actor = Some(actor);
+        let poll = Event::Poll {
+            control,
+            generation,
+        };
+        self.events.schedule(self.now, poll);
+        self.note(format!("control {control} starts"));
+    }
+
+    /// A control machine's process ends at once; what was not synced is lost, or torn.
+    pub(super) fn crash_control(&mut self, control: usize) {
+        let torn = self.random.random_range(0..200);
+        let host = &mut self.controls[control];
+        if host.actor.take().is_none() {
+            return;
+        }
+        host.directory.crash(torn);
+        self.note(format!("control {control} ends"));
+        let at = self.now.plus(Duration::from_millis(1));
+        let ended: Vec<u64> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.control == control)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.events.schedule(at, Event::LinkReset(id));
+        }
+    }
+
+    /// The disk is lost, and an empty one comes back under the old number.
+    pub(super) fn wipe_control(&mut self, control: usize) {
+        self.crash_control(control);
+        self.controls[control].directory.wipe();
+        // What a careless operator would do: start it as if the cluster were new.
+        let at = self.now.plus(Duration::from_millis(300));
+        self.events.schedule(at, Event::StartControl(control, true));
+    }
+
+    /// Copies of all disks are taken, for a later restore.
+    pub(super) fn back_up_controls(&mut self) {
+        for host in &mut self.controls {
+            host.backup = Some(copy_of(&host.directory));
+        }
+    }
+
+    /// All machines come back from the copies.
+    pub(super) fn restore_controls(&mut self) {
+        for control in 0..self.controls.len() {
+            self.crash_control(control);
+            let host = &mut self.controls[control];
+            if let Some(backup) = &host.backup {
+                host.directory = copy_of(backup);
+            }
+            let at = self.now.plus(Duration::from_millis(200));
+            self.events
+                .schedule(at, Event::StartControl(control, false));
+        }
+        self.note("control machines are restored from older copies");
+    }
+
+    /// The disk is lost; a machine with an empty one is added under a new number, and the old
+    /// number is removed.
+    pub(super) fn replace_control(&mut self, control: usize) {
+        self.crash_control(control);
+        let old = self.controls[control].id;
+        self.next_replica += 1;
+        let new = ReplicaId(self.next_replica);
+        let host = &mut self.controls[control];
+        host.id = new;
+        host.directory = MemoryDirectory::new();
+        self.start_control(control, false);
+        self.replacements.push(Replacement {
+            control,
+            old,
+            new,
+            step: 0,
+        });
+        let at = self.now.plus(REPLACEMENT_PAUSE);
+        let index = self.replacements.len() - 1;
+        self.events.schedule(at, Event::ReplacementStep(index));
+    }
+
+    /// The next step, asked of every machine, for only the leader takes it. The old number goes
+    /// before the new one votes, so that a majority of those that live is a majority.
+    pub(super) fn replacement_step(&mut self, index: usize) {
+        let Replacement { old, new, step, .. } = self.replacements[index];
+        let change = match step {
+            0 => Change::Remove(old),
+            1 => Change::AddLearner(new),
+            2 => Change::Promote(new),
+            _ => return,
+        };
+        for control in 0..self.controls.len() {
+            self.ask_control(
+                control,
+                OperatorRequest::ChangeMembers(change),
+                Asker::Replacement(index),
+            );
+        }
+        let at = self.now.plus(REPLACEMENT_PAUSE);
+        self.events.schedule(at, Event::ReplacementStep(index));
+    }
+
+    /// A machine took a step, or said why not.
+    pub(super) fn on_replacement_reply(&mut self, index: usize, result: Result<(), String>) {
+        let replacement = &mut self.replacements[index];
+        let done = match &result {
+            Ok(()) => true,
+            // It was done before, and the answer was lost.
+            Err(reason) => {
+                (replacement.step == 0 && reason.contains("is not a member"))
+                    || (replacement.step == 1 && reason.contains("is a member already"))
+            }
+        };
+        if done {
+            replacement.step += 1;
+            let (control, step) = (replacement.control, replacement.step);
+            self.note(format!(
+                "replacement of control {control}: step {step} taken"
+            ));
+        }
+    }
+
+    pub(super) fn on_control_effect(&mut self, control: usize, generation: u64, effect: Effect) {
+        if self.controls[control].generation != generation {
+            return;
+        }
+        match effect {
+            Effect::ToControl(to, message) => self.send_to_control(control, to, message),
+            Effect::ToRouter(connection, message) => {
+                self.control_sends(control, connection, message);
+            }
+            Effect::Reply(ticket, reply) => self.on_reply(control, ticket, reply),
+            Effect::Order { engine, order, .. } => self.send_order(control, &engine, order),
+        }
+    }
+
+    fn send_to_control(&mut self, from: usize, to: ReplicaId, message: Message) {
+        let Some(target) = self.controls.iter().position(|host| host.id == to) else {
+            return;
+        };
+        let nodes = (Node::Control(from), Node::Control(target));
+        if self.network.is_cut(nodes.0, nodes.1, self.now) {
+            return;
+        }
+        let loss = self.network.loss;
+        let lossy = loss.until > self.now;
+        if lossy && self.random.random::<f64>() < loss.chance {
+            return;
+        }
+        let from_id = self.controls[from].id;
+        let copies = 1 + usize::from(lossy && self.random.random::<f64>() < loss.chance);
+        for _ in 0..copies {
+            let mut delay = self.network.delay(nodes.0, nodes.1, &mut self.random);
+            if lossy && self.random.random::<f64>() < loss.chance {
+                delay += Duration::from_millis(self.random.random_range(0..300));
+            }
+            let event = Event::ControlToControl {
+                from: from_id,
+                to: target,
+                message: message.clone(),
+            };
+            self.events.schedule(self.now.plus(delay), event);
+        }
+    }
+
+    pub(super) fn deliver_control(&mut self, from: ReplicaId, to: usize, message: Message) {
+        self.trace.mark(self.now, "control to control", to as u64);
+        if let Some(actor) = &self.controls[to].actor {
+            call!([actor], control_message(from, message));
+        }
+    }
+
+    /// A control machine asks the platform, and each engine that it knows.
+    pub(super) fn poll(&mut self, control: usize, generation: u64) {
+        let host = &self.controls[control];
+        if host.generation != generation {
+            return;
+        }
+        let Some(actor) = &host.actor else {
+            return;
+        };
+        let machines = self.platform.list(Duration::from_micros(self.now.0));
+        call!([actor], machines(machines));
+        let known = actor.query(&mut self.stakker, |actor, _| {
+            let engines = actor.core().fleet().iter();
+            engines.map(|(name, _)| name.clone()).collect::<Vec<_>>()
+        });
+        for name in known.unwrap_or_default() {
+            self.send_probe(control, generation, name);
+        }
+        let poll = Event::Poll {
+            control,
+            generation,
+        };
+        self.events.schedule(self.now.plus(POLL), poll);
+    }
+
+    fn send_probe(&mut self, control: usize, generation: u64, name: EngineName) {
+        let Some(engine) = self.engine_named(&name) else {
+            return;
+        };
+        let nodes = (Node::Control(control), Node::Engine(engine));
+        let silent = self.network.is_parted(nodes.0, nodes.1, self.now)
+            || self.engines[engine].is_frozen(self.now);
+        let round_trip = self.network.delay(nodes.0, nodes.1, &mut self.random) * 2;
+        let (result, after) = if silent {
+            (Err(ProbeFailed), PROBE_PATIENCE)
+        } else {
+            (self.probe_engine(engine), round_trip)
+        };
+        let event = Event::ProbeAnswer {
+            control,
+            generation,
+            name,
+            result,
+        };
+        self.events.schedule(self.now.plus(after), event);
+    }
+
+    pub(super) fn on_probe_answer(
+        &mut self,
+        control: usize,
+        generation: u64,
+        name: EngineName,
+        result: Result<EngineProbe, ProbeFailed>,
+    ) {
+        let host = &self.controls[control];
+        if host.generation != generation {
+            return;
+        }
+        if let Some(actor) = &host.actor {
+            call!([actor], probe(name, result));
+        }
+    }
+
+    fn send_order(&mut self, control: usize, name: &EngineName, order: EngineOrder) {
+        let Some(engine) = self.engine_named(name) else {
+            return;
+        };
+        let nodes = (Node::Control(control), Node::Engine(engine));
+        if self.network.is_cut(nodes.0, nodes.1, self.now) {
+            return;
+        }
+        let mut delay = self.network.delay(nodes.0, nodes.1, &mut self.random);
+        if self.late_orders.until > self.now {
+            delay += self.late_orders.by;
+        }
+        let truth = self.order_truth(control);
+        let event = Event::Order {
+            engine,
+            order,
+            truth,
+        };
+        self.events.schedule(self.now.plus(delay), event);
+    }
+}
+
+impl World {
+    /// Term and revision of a sender, whatever fence it writes on its orders.
+    fn order_truth(&mut self, control: usize) -> OrderTruth {
+        let Some(actor) = &self.controls[control].actor else {
+            return (0, 0);
+        };
+        let truth = actor.query(&mut self.stakker, |actor, _| {
+            let status = actor.core().status();
+            (status.term, status.revision.0)
+        });
+        truth.unwrap_or((0, 0))
+    }
+}
+
+/// Small, so that short runs meet snapshots too.
+const SNAPSHOT_ENTRIES: u64 = 40;
+
+/// Something that is held back for a while.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Lateness {
+    pub(super) by: Duration,
+    pub(super) until: Timestamp,
+}
+
+fn copy_of(directory: &MemoryDirectory) -> MemoryDirectory {
+    directory.copy()
+}
+
+fn outputs(
+    control: usize,
+    generation: u64,
+    offset_ms: u64,
+    clock_ms: &Rc<RefCell<u64>>,
+    outbox: &Rc<RefCell<Vec<Output>>>,
+) -> ControlOutputs {
+    let clock_ms = Rc::clone(clock_ms);
+    let (effects, failures) = (Rc::clone(outbox), Rc::clone(outbox));
+    ControlOutputs {
+        effect: Fwd::new(move |effect| {
+            effects.borrow_mut().push(Output::Control {
+                control,
+                generation,
+                effect,
+            });
+        }),
+        disk_failed: Fwd::new(move |_| {
+            failures.borrow_mut().push(Output::DiskFailed {
+                control,
+                generation,
+            });
+        }),
+        unix_ms: Box::new(move || *clock_ms.borrow() + offset_ms),
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sim/engines.rs
@@ -0,0 +1,520 @@
+//! Engines of the simulated fleet, and the connections to them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_control::{EngineOrder, EngineProbe, MachineRecord, MachineState, ProbeFailed};
+use drumshore_core::{
+    EngineName, IdempotencyKey, Incarnation, ModelName, RequestId, Timestamp, WeightsVersion,
+};
+use drumshore_router::{Assignment, CompletionKind, UpstreamCall, UpstreamEnd, UpstreamHead};
+use drumshore_routing::PrefixChain;
+use rand::Rng;
+
+use super::checks::{Promise, LEAVING_LIMIT};
+use super::network::Node;
+use super::world::{Event, World};
+use crate::engine::stream::{done_event, token, token_event, EventContext};
+use crate::engine::{
+    EngineCore, EngineOutput, EngineParams, EngineRequest, EngineTiming, Submission, Violation,
+};
+
+/// Tokens in a block.
+pub(super) const BLOCK_TOKENS: u32 = 16;
+
+/// A prompt token takes as long as 25 of the users' engines, so that short prompts weigh.
+pub(super) const PREFILL_US_PER_TOKEN: f64 = 500.0;
+
+/// The model that the engines serve.
+pub(super) const MODEL: &str = "m";
+
+/// The pool of all engines.
+pub(super) const POOL: &str = "p";
+
+const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
+const RESET_DELAY: Duration = Duration::from_millis(1);
+
+pub(super) struct EngineHost {
+    pub(super) name: EngineName,
+    pub(super) core: Option<EngineCore>,
+    pub(super) params: EngineParams,
+    pub(super) generation: u64,
+    pub(super) frozen_until: Timestamp,
+    /// When the first sign showed that it leaves.
+    pub(super) leaving_since: Option<Timestamp>,
+    /// Its arithmetic gives other tokens than that of other engines.
+    pub(super) varies: bool,
+    /// The fence of the last order that it obeyed, as the sender truly stood.
+    obeyed: (u64, u64),
+    readers: BTreeMap<RequestId, Vec<u64>>,
+    digests: BTreeMap<RequestId, u64>,
+}
+
+/// A connection from a router to an engine.
+#[derive(Clone, Debug)]
+pub(super) struct Call {
+    pub(super) exchange: u64,
+    pub(super) router: usize,
+    pub(super) engine: usize,
+    /// 0 until the request has arrived.
+    engine_generation: u64,
+    head_sent: bool,
+    broken: bool,
+}
+
+/// What arrives at a router over a connection.
+#[derive(Clone, Debug)]
+pub(super) enum CallNews {
+    Head(UpstreamHead),
+    Bytes(String),
+    End(UpstreamEnd),
+}
+
+impl EngineHost {
+    pub(super) fn new(number: usize, cache_blocks: usize) -> Self {
+        let name = EngineName::new(format!("engine-{number}"));
+        let params = EngineParams {
+            name: name.clone(),
+            model: ModelName::new(MODEL),
+            weights_version: WeightsVersion(1),
+            block_tokens: BLOCK_TOKENS,
+            cache_blocks,
+            max_running: 16,
+            max_waiting: 32,
+            timing: EngineTiming {
+                prefill_us_per_token: PREFILL_US_PER_TOKEN,
+                prefill_chunk_tokens: 64,
+                weight_load_seconds: 1.0,
+                ..EngineTiming::default()
+            },
+        };
+        Self {
+            name,
+            core: None,
+            params,
+            generation: 0,
+            frozen_until: Timestamp(0),
+            leaving_since: None,
+            varies: false,
+            obeyed: (0, 0),
+            readers: BTreeMap::new(),
+            digests: BTreeMap::new(),
+        }
+    }
+
+    pub(super) fn is_frozen(&self, now: Timestamp) -> bool {
+        self.frozen_until > now
+    }
+
+    pub(super) fn next_event_at(&self) -> Option<Timestamp> {
+        let next = self.core.as_ref()?.next_event_at()?;
+        Some(next.max(self.frozen_until))
+    }
+}
+
+impl World {
+    pub(super) fn start_engine(&mut self, engine: usize) {
+        let incarnation = Incarnation(self.draw() >> 16);
+        let host = &mut self.engines[engine];
+        host.generation += 1;
+        host.core = Some(EngineCore::new(host.params.clone(), incarnation));
+        host.readers.clear();
+        host.digests.clear();
+        host.obeyed = (0, 0);
+        let record = MachineRecord {
+            name: host.name.clone(),
+            address: format!("{engine}"),
+            zone: format!("zone-{}", Node::Engine(engine).zone(self.plan.zones))
+                .as_str()
+                .into(),
+            pool: POOL.into(),
+            state: MachineState::Live,
+        };
+        if host.leaving_since.is_none() {
+            self.platform.put(record, Duration::from_micros(self.now.0));
+        }
+        self.note(format!("engine {engine} starts, empty"));
+    }
+
+    pub(super) fn crash_engine(&mut self, engine: usize) {
+        if self.engines[engine].core.take().is_none() {
+            return;
+        }
+        self.note(format!("engine {engine} ends"));
+        let ended: Vec<u64> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.engine == engine)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in ended {
+            self.send_news(id, CallNews::End(UpstreamEnd::Ended), RESET_DELAY);
+        }
+    }
+
+    pub(super) fn engine_named(&self, name: &EngineName) -> Option<usize> {
+        self.engines.iter().position(|host| host.name == *name)
+    }
+
+    pub(super) fn probe_engine(&mut self, engine: usize) -> Result<EngineProbe, ProbeFailed> {
+        let now = self.now;
+        let core = self.engines[engine].core.as_mut().ok_or(ProbeFailed)?;
+        Ok(core.probe(now))
+    }
+
+    /// Opens a connection for an exchange.
+    pub(super) fn open_call(&mut self, exchange: u64, router: usize, call: UpstreamCall) {
+        let assignment = match &call {
+            UpstreamCall::Start(assignment) | UpstreamCall::Resume { assignment, .. } => assignment,
+        };
+        let Some(engine) = self.engine_named(&assignment.engine) else {
+            return;
+        };
+        self.next_call += 1;
+        let id = self.next_call;
+        self.calls.insert(
+            id,
+            Call {
+                exchange,
+                router,
+                engine,
+                engine_generation: 0,
+                head_sent: false,
+                broken: false,
+            },
+        );
+        let nodes = (Node::Router(router), Node::Engine(engine));
+        if self.network.is_parted(nodes.0, nodes.1, self.now) {
+            let end = CallNews::End(UpstreamEnd::NotConnected);
+            return self.schedule_news(id, end, self.now.plus(CONNECT_PATIENCE));
+        }
+        let mut delay = self.network.delay(nodes.0, nodes.1, &mut self.random) * 3;
+        let late = self.late_requests.until > self.now;
+        if late && self.random.random::<f64>() < 0.3 {
+            // The connection itself is held up: it may meet the engine's next start.
+            delay += self.late_requests.by;
+        } else if self.engines[engine].core.is_none() {
+            let end = CallNews::End(UpstreamEnd::NotConnected);
+            return self.schedule_news(id, end, self.now.plus(delay));
+        }
+        let at = self.now.plus(delay);
+        self.events.schedule(at, Event::EngineReceives { id, call });
+    }
+
+    /// A request reaches its engine.
+    pub(super) fn engine_receives(&mut self, id: u64, call: UpstreamCall) {
+        let Some(known) = self.calls.get(&id) else {
+            return;
+        };
+        let (engine, router) = (known.engine, known.router);
+        let host = &self.engines[engine];
+        if host.is_frozen(self.now) {
+            let at = host.frozen_until;
+            return self.events.schedule(at, Event::EngineReceives { id, call });
+        }
+        let generation = host.generation;
+        if host.core.is_none() {
+            let end = CallNews::End(UpstreamEnd::NotConnected);
+            return self.send_news(id, end, RESET_DELAY);
+        }
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.engine_generation = generation;
+        }
+        match call {
+            UpstreamCall::Start(assignment) => self.engine_starts(id, engine, router, &assignment),
+            UpstreamCall::Resume {
+                assignment,
+                last_event,
+            } => self.engine_resumes(id, engine, &assignment, last_event),
+        }
+    }
+
+    fn engine_starts(&mut self, id: u64, engine: usize, router: usize, assignment: &Assignment) {
+        let Some(request) = self.engine_request(id, assignment) else {
+            return;
+        };
+        let digest = self.digest_of_call(id);
+        let now = self.now;
+        let host = &mut self.engines[engine];
+        let Some(core) = host.core.as_mut() else {
+            return;
+        };
+        match core.submit(request, now) {
+            Submission::Accepted => {
+                host.readers.insert(assignment.request, vec![id]);
+                host.digests.insert(assignment.request, digest);
+                self.check_leaving(engine, router, assignment);
+            }
+            Submission::Refused(refusal) => {
+                let head = UpstreamHead {
+                    status: refusal.status,
+                    execution: Some(refusal.execution),
+                    refusal: Some(refusal.reason.to_owned()),
+                    cached_tokens: None,
+                };
+                self.send_news(id, CallNews::Head(head), Duration::ZERO);
+            }
+        }
+        self.settle_engine(engine);
+    }
+
+    fn engine_request(&self, id: u64, assignment: &Assignment) -> Option<EngineRequest> {
+        let exchange = self.exchanges.get(&self.calls.get(&id)?.exchange)?;
+        let ask = self.asks.get(&exchange.ask)?;
+        let prompt = ask.prompt.as_prompt();
+        let chain = PrefixChain::new(assignment.cache_salt, prompt, BLOCK_TOKENS);
+        Some(EngineRequest {
+            id: assignment.request,
+            incarnation: Some(assignment.incarnation),
+            weights_version: Some(assignment.weights_version),
+            priority: assignment.priority,
+            prompt_tokens: chain.prompt_tokens(),
+            chain: chain.hashes().to_vec(),
+            max_tokens: ask.request.output_tokens,
+            tenant: ask.request.tenant as u64 + 1,
+            once: ask.once.clone(),
+        })
+    }
+
+    /// A leaving engine got work. That counts when the router had every means to know better.
+    fn check_leaving(&mut self, engine: usize, router: usize, assignment: &Assignment) {
+        let limit = LEAVING_LIMIT;
+        let Some(since) = self.engines[engine].leaving_since else {
+            return;
+        };
+        let well = self.now.since(self.routers[router].unwell_at) > limit * 2;
+        let late = self.late_requests.until.plus(self.late_requests.by) > self.now;
+        if self.now > since.plus(limit) && well && !late {
+            let detail = format!(
+                "engine {engine} leaves since {:.1} s and got request {}",
+                since.0 as f64 / 1e6,
+                assignment.request
+            );
+            self.fail(Promise::LeavingIdle, detail);
+        }
+    }
+
+    fn engine_resumes(
+        &mut self,
+        id: u64,
+        engine: usize,
+        assignment: &Assignment,
+        last_event: Option<u64>,
+    ) {
+        let host = &mut self.engines[engine];
+        let Some(core) = &host.core else {
+            return;
+        };
+        let known = core
+            .stream(assignment.request)
+            .filter(|_| core.incarnation() == assignment.incarnation);
+        let Some(summary) = known else {
+            let head = UpstreamHead {
+                status: 404,
+                ..UpstreamHead::default()
+            };
+            return self.send_news(id, CallNews::Head(head), Duration::ZERO);
+        };
+        host.readers.entry(assignment.request).or_default().push(id);
+        let from = last_event.map_or(0, |event| event as u32 + 1);
+        for index in from..summary.emitted {
+            let output = EngineOutput {
+                id: assignment.request,
+                at: self.now,
+                index,
+                last: index + 1 == summary.max_tokens,
+                cached_tokens: summary.cached_tokens,
+                weights_version: summary.weights_version,
+            };
+            self.send_output(engine, id, &output);
+        }
+        if from >= summary.max_tokens {
+            self.send_head(id, summary.cached_tokens);
+            self.send_news(id, CallNews::Bytes(done_event()), Duration::ZERO);
+        }
+    }
+
+    pub(super) fn deliver_order(&mut self, engine: usize, order: &EngineOrder, truth: (u64, u64)) {
+        let host = &mut self.engines[engine];
+        let Some(core) = host.core.as_mut() else {
+            return;
+        };
+        if !core.order(order) {
+            return;
+        }
+        let before = host.obeyed;
+        host.obeyed = before.max(truth);
+        let version = order.weights_version;
+        self.note(format!(
+            "engine {engine} is ordered to load version {version}"
+        ));
+        if truth < before {
+            let detail = format!("engine {engine} obeyed {truth:?} after {before:?}");
+            self.fail(Promise::OrderFenced, detail);
+        }
+        self.settle_engine(engine);
+    }
+
+    /// Lets every engine that is due produce its tokens.
+    pub(super) fn advance_engines(&mut self) {
+        for engine in 0..self.engines.len() {
+            let due = self.engines[engine]
+                .next_event_at()
+                .is_some_and(|at| at <= self.now);
+            if due {
+                self.advance_engine(engine);
+            }
+        }
+    }
+
+    fn advance_engine(&mut self, engine: usize) {
+        let now = self.now;
+        let host = &mut self.engines[engine];
+        let Some(core) = host.core.as_mut() else {
+            return;
+        };
+        for output in core.advance(now) {
+            let readers = self.engines[engine].readers.get(&output.id).cloned();
+            for reader in readers.unwrap_or_default() {
+                self.send_output(engine, reader, &output);
+            }
+            if output.last {
+                self.engines[engine].readers.remove(&output.id);
+            }
+        }
+        self.settle_engine(engine);
+    }
+
+    /// Books what an engine did, and lets it load when it wants to.
+    fn settle_engine(&mut self, engine: usize) {
+        let now = self.now;
+        let Some(core) = self.engines[engine].core.as_mut() else {
+            return;
+        };
+        let executions = core.take_executions();
+        let violations = core.take_violations();
+        if core.wants_to_load() {
+            let loading = self.platform.begin_load(Duration::from_micros(now.0));
+            let takes = core.params().timing.weight_load(loading);
+            core.begin_load(takes, now);
+        }
+        for executed in executions {
+            self.trace.mark(now, "executed", executed.id.sequence);
+            self.checks
+                .on_execution(executed.id, executed.once.as_ref(), now);
+        }
+        for violation in violations {
+            let detail = match violation {
+                Violation::OtherTenant(id) => format!("{id} used another tenant's block"),
+                Violation::OtherWeights(id) => format!("{id} used a block of other weights"),
+                Violation::OtherStart(id) => format!("{id} was meant for another start"),
+            };
+            self.fail(Promise::CacheTrust, detail);
+        }
+    }
+
+    fn send_output(&mut self, engine: usize, id: u64, output: &EngineOutput) {
+        self.send_head(id, output.cached_tokens);
+        let host = &self.engines[engine];
+        let digest = host.digests.get(&output.id).copied().unwrap_or(0);
+        let text = token(digest, apparent_version(host, output), output.index);
+        let request = output.id.to_string();
+        let context = EventContext {
+            kind: CompletionKind::Text,
+            request: &request,
+            prompt_tokens: 0,
+            cached_tokens: output.cached_tokens,
+        };
+        let mut event = token_event(&context, output.index, &text, output.last);
+        if output.last {
+            event += &done_event();
+        }
+        let disordered = self.disordered.until > self.now;
+        let draw: f64 = self.random.random();
+        if disordered && draw < self.disordered.chance && !output.last {
+            return;
+        }
+        self.send_news(id, CallNews::Bytes(event.clone()), Duration::ZERO);
+        if disordered && draw > 1.0 - self.disordered.chance {
+            self.send_news(id, CallNews::Bytes(event), Duration::ZERO);
+        }
+        let flaky = self.flaky.until > self.now;
+        if flaky && self.random.random::<f64>() < self.flaky.chance {
+            self.send_news(id, CallNews::End(UpstreamEnd::Ended), Duration::ZERO);
+            if let Some(call) = self.calls.get_mut(&id) {
+                call.broken = true;
+            }
+        }
+    }
+
+    fn send_head(&mut self, id: u64, cached_tokens: u32) {
+        let first = self
+            .calls
+            .get_mut(&id)
+            .is_some_and(|call| !std::mem::replace(&mut call.head_sent, true));
+        if first {
+            let head = UpstreamHead {
+                status: 200,
+                cached_tokens: Some(cached_tokens),
+                ..UpstreamHead::default()
+            };
+            self.send_news(id, CallNews::Head(head), Duration::ZERO);
+        }
+    }
+
+    /// Sends something over a connection, behind what was sent before.
+    fn send_news(&mut self, id: u64, news: CallNews, extra: Duration) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let nodes = (Node::Engine(call.engine), Node::Router(call.router));
+        if self.network.is_cut(nodes.0, nodes.1, self.now) {
+            call.broken = true;
+        }
+        if call.broken {
+            return;
+        }
+        let delay = self.network.delay(nodes.0, nodes.1, &mut self.random) + extra;
+        let channel = (nodes.0, nodes.1, id);
+        let at = self.network.ordered_arrival(channel, self.now.plus(delay));
+        self.schedule_news(id, news, at);
+    }
+
+    fn schedule_news(&mut self, id: u64, news: CallNews, at: Timestamp) {
+        self.events.schedule(at, Event::CallNews { id, news });
+    }
+
+    fn digest_of_call(&self, id: u64) -> u64 {
+        let ask = self
+            .calls
+            .get(&id)
+            .and_then(|call| self.exchanges.get(&call.exchange))
+            .and_then(|exchange| self.asks.get(&exchange.ask));
+        ask.map_or(0, |ask| ask.digest)
+    }
+
+    /// A cancelled request, told to the engine that has it.
+    pub(super) fn cancel_at_engine(&mut self, assignment: &Assignment) {
+        if let Some(engine) = self.engine_named(&assignment.engine) {
+            if let Some(core) = self.engines[engine].core.as_mut() {
+                core.cancel(assignment.request);
+            }
+        }
+    }
+}
+
+/// The tokens of an engine that varies are those of weights that nobody has.
+fn apparent_version(host: &EngineHost, output: &EngineOutput) -> WeightsVersion {
+    const VARIATION: u64 = 2;
+    let version = output.weights_version.0;
+    WeightsVersion(if host.varies {
+        version + VARIATION
+    } else {
+        version
+    })
+}
+
+/// The caller's key of a number.
+pub(super) fn once_key(number: u64) -> IdempotencyKey {
+    IdempotencyKey::new(format!("once-{number}"))
+}
--- /dev/null
+++ b/crates/testbed/src/sim/faults.rs
@@ -0,0 +1,201 @@
+//! Carries out what a plan says goes wrong.
+
+use std::time::Duration;
+
+use drumshore_core::RolloutState;
+
+use super::network::{Loss, Node};
+use super::operators::Wish;
+use super::plan::Fault;
+use super::world::{Event, World};
+use crate::sim::controls::Lateness;
+
+/// A machine that leaves is taken away this long after the platform says so.
+const TAKEN_AFTER: Duration = Duration::from_secs(9);
+
+/// A machine that still works when it is to be taken away gets this much more time.
+const TAKEN_PAUSE: Duration = Duration::from_millis(500);
+
+impl World {
+    pub(super) fn apply_fault(&mut self, number: usize) {
+        let fault = self.plan.faults[number].fault.clone();
+        self.note(format!("FAULT {fault}"));
+        match fault {
+            Fault::EngineCrash { engine, away } => {
+                self.crash_engine(engine);
+                self.later(away, Event::StartEngine(engine));
+            }
+            Fault::EngineSlow { engine, factor } => self.slow_engine(engine, factor),
+            Fault::EngineFreeze { engine, lasting } => {
+                self.engines[engine].frozen_until = self.now.plus(lasting);
+            }
+            Fault::EngineLeaves { engine } => self.engine_leaves(engine),
+            Fault::EngineVaries { engine } => self.engines[engine].varies = true,
+            Fault::RouterIsolated { router, lasting } => self.isolate_router(router, lasting),
+            Fault::EngineDrained { engine } => {
+                let name = self.engines[engine].name.clone();
+                self.wish(Wish::Drain(name));
+            }
+            Fault::RouterCrash { router, away } => {
+                self.crash_router(router);
+                self.later(away, Event::StartRouter(router));
+            }
+            Fault::RouterStop { router } => self.stop_router(router),
+            Fault::ControlCrash { control, away } => {
+                self.crash_control(control);
+                self.later(away, Event::StartControl(control, false));
+            }
+            Fault::ControlReplaced { control } => self.replace_control(control),
+            Fault::ControlWiped { control } => self.wipe_control(control),
+            Fault::ControlsRestored => {
+                self.restored = true;
+                self.restore_controls();
+            }
+            Fault::ControlIsolated { control, lasting } => self.isolate_control(control, lasting),
+            Fault::ZoneCut { zone, lasting } => self.cut_zone(zone, lasting),
+            Fault::OneWayCut { from, to, lasting } => {
+                let until = self.now.plus(lasting);
+                self.network
+                    .cut(Node::Control(from), Node::Control(to), until);
+            }
+            Fault::LossyNetwork { chance, lasting } => {
+                self.network.loss = self.chance(chance, lasting);
+            }
+            Fault::FlakyStreams { chance, lasting } => self.flaky = self.chance(chance, lasting),
+            Fault::DisorderedStreams { chance, lasting } => {
+                self.disordered = self.chance(chance, lasting);
+            }
+            Fault::LateRequests { by, lasting } => {
+                let until = self.now.plus(lasting);
+                self.late_requests = Lateness { by, until };
+            }
+            Fault::LateOrders { by, lasting } => {
+                let until = self.now.plus(lasting);
+                self.late_orders = Lateness { by, until };
+            }
+            Fault::Surge { factor, lasting } => self.surge = self.chance(factor, lasting),
+            Fault::HotShift => self.hot_offset += self.plan.workload.hot_shift_seconds,
+            Fault::RolloutStarts => self.wish(Wish::Rollout(RolloutState::Running)),
+            Fault::RolloutRollsBack => self.wish(Wish::Rollout(RolloutState::RolledBack)),
+        }
+    }
+
+    fn later(&mut self, after: Duration, event: Event) {
+        self.events.schedule(self.now.plus(after), event);
+    }
+
+    fn chance(&self, chance: f64, lasting: Duration) -> Loss {
+        Loss {
+            chance,
+            until: self.now.plus(lasting),
+        }
+    }
+
+    fn slow_engine(&mut self, engine: usize, factor: f64) {
+        let host = &mut self.engines[engine];
+        host.params.timing.slowdown = factor;
+        if let Some(core) = &mut host.core {
+            core.timing_mut().slowdown = factor;
+        }
+    }
+
+    fn engine_leaves(&mut self, engine: usize) {
+        let now = Duration::from_micros(self.now.0);
+        let name = self.engines[engine].name.clone();
+        self.platform.leave(&name, now);
+        // The first sign is the list, and the list lags by a second.
+        let shown = self.now.plus(Duration::from_secs(1));
+        self.engines[engine].leaving_since.get_or_insert(shown);
+        self.later(TAKEN_AFTER, Event::EngineTaken(engine));
+    }
+
+    /// The platform takes a machine away once it has nothing more to do.
+    pub(super) fn take_engine(&mut self, engine: usize) {
+        let idle = self.engines[engine]
+            .core
+            .as_ref()
+            .is_none_or(|core| core.open() == 0);
+        if !idle {
+            return self.later(TAKEN_PAUSE, Event::EngineTaken(engine));
+        }
+        let now = Duration::from_micros(self.now.0);
+        let name = self.engines[engine].name.clone();
+        self.crash_engine(engine);
+        self.platform.remove(&name, now);
+    }
+
+    fn isolate_control(&mut self, control: usize, lasting: Duration) {
+        let until = self.now.plus(lasting);
+        for other in (0..self.controls.len()).filter(|other| *other != control) {
+            let pair = (Node::Control(control), Node::Control(other));
+            self.network.cut(pair.0, pair.1, until);
+            self.network.cut(pair.1, pair.0, until);
+        }
+    }
+
+    fn isolate_router(&mut self, router: usize, lasting: Duration) {
+        let until = self.now.plus(lasting);
+        for control in 0..self.controls.len() {
+            let pair = (Node::Router(router), Node::Control(control));
+            self.network.cut(pair.0, pair.1, until);
+            self.network.cut(pair.1, pair.0, until);
+        }
+    }
+
+    fn cut_zone(&mut self, zone: usize, lasting: Duration) {
+        let until = self.now.plus(lasting);
+        let zones = self.plan.zones;
+        let nodes = self.all_nodes();
+        for inside in nodes.iter().filter(|node| node.zone(zones) == zone) {
+            for outside in nodes.iter().filter(|node| node.zone(zones) != zone) {
+                self.network.cut(*inside, *outside, until);
+                self.network.cut(*outside, *inside, until);
+            }
+        }
+    }
+
+    fn all_nodes(&self) -> Vec<Node> {
+        let routers = (0..self.plan.routers).map(Node::Router);
+        let controls = (0..self.plan.controls).map(Node::Control);
+        let engines = (0..self.plan.engines).map(Node::Engine);
+        routers.chain(controls).chain(engines).collect()
+    }
+
+    /// A router is well while it is linked to a control machine that reaches a majority.
+    pub(super) fn note_unwell_routers(&mut self) {
+        let majority = self.controls.len() / 2 + 1;
+        let in_touch: Vec<bool> = (0..self.controls.len())
+            .map(|control| self.reachable_from(control) >= majority)
+            .collect();
+        let quorum = in_touch.iter().filter(|in_touch| **in_touch).count() >= majority;
+        for router in 0..self.routers.len() {
+            let linked = self.links.values().any(|link| {
+                let nodes = (Node::Router(router), Node::Control(link.control));
+                link.router == router
+                    && !link.broken
+                    && self.link_is_alive(link)
+                    && in_touch[link.control]
+                    && !self.network.is_parted(nodes.0, nodes.1, self.now)
+            });
+            let stopping = self.routers[router].stopping;
+            if !linked || !quorum || stopping {
+                self.routers[router].unwell_at = self.now;
+            }
+        }
+    }
+
+    /// Control machines that run and hear this one, itself included.
+    fn reachable_from(&self, control: usize) -> usize {
+        let runs = |host: usize| self.controls[host].actor.is_some();
+        if !runs(control) {
+            return 0;
+        }
+        (0..self.controls.len())
+            .filter(|other| runs(*other))
+            .filter(|other| {
+                let pair = (Node::Control(control), Node::Control(*other));
+                *other == control || !self.network.is_parted(pair.0, pair.1, self.now)
+            })
+            .count()
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/sim/shrink.rs
@@ -0,0 +1,30 @@
+//! Makes a failing plan smaller: leaves out faults as long as the same promise breaks.
+
+use drumshore_guard::Guard;
+
+use super::checks::Promise;
+use super::plan::Plan;
+use super::world::run;
+
+/// The plan without the faults that are not needed to break the promise.
+pub(super) fn shrink(plan: &Plan, seed: u64, without: Option<Guard>, promise: Promise) -> Plan {
+    let breaks = |plan: &Plan| {
+        let report = run(plan, seed, without);
+        report
+            .failures
+            .iter()
+            .any(|failure| failure.promise == promise)
+    };
+    let mut smallest = plan.clone();
+    let mut position = 0;
+    while position < smallest.faults.len() {
+        let mut smaller = smallest.clone();
+        smaller.faults.remove(position);
+        if breaks(&smaller) {
+            smallest = smaller;
+        } else {
+            position += 1;
+        }
+    }
+    smallest
+}
