Measure the control plane at the target's size

Change: drumshore-lab scale runs real control machines and routers beside hollow ones at four sizes, fits slopes, writes tables and a plot. Links count frames and bytes. Measured before (400 workers, loads of all regions twice a second): 11.3 B/s to a router for each worker, 21.5 KB/s at 1,900, over the budget of 14 KB/s.

--- a/crates/control/src/core/routers.rs
+++ b/crates/control/src/core/routers.rs
@@ -1,10 +1,12 @@
 //! What routers say and hear.
 
+use std::collections::BTreeMap;
+
 use drumshore_consensus::Directory;
 use drumshore_core::{KeyHash, Resource, ResourceKey, Revision, TenantName};
 use drumshore_wire::{
-    Blob, ClaimRequest, ConfigUpdate, EngineUpdate, Freshness, List, LoadUpdate, Message,
-    OutcomeReport, Subscribe, TenantAnswer, TenantQuery,
+    Blob, ClaimRequest, ConfigUpdate, EngineLoad, EngineUpdate, Freshness, List, LoadUpdate,
+    Message, OutcomeReport, Subscribe, TenantAnswer, TenantQuery,
 };
 
 use super::proposals::Origin;
@@ -95,12 +97,16 @@
 
     /// Tells every router of loads that changed noticeably.
     pub(super) fn push_loads(&mut self) {
-        let loads = self.fleet.loads();
+        let mut loads: BTreeMap<String, Vec<EngineLoad>> = BTreeMap::new();
         for (connection, subscription) in &mut self.subscriptions {
             if subscription.engines_sent.is_none() {
                 continue;
             }
-            let changed = subscription.changed_loads(&loads);
+            let region = subscription.region.clone();
+            let of_region = loads
+                .entry(region)
+                .or_insert_with_key(|region| self.fleet.loads(region));
+            let changed = subscription.changed_loads(of_region);
             if !changed.is_empty() {
                 let update = LoadUpdate {
                     loads: List::new(changed),
@@ -151,6 +157,7 @@
         let tenants = subscribe.tenants.items.iter();
         subscription.tenants = tenants.map(|name| TenantName::new(name.as_str())).collect();
         subscription.in_force = Revision(subscribe.floor);
+        subscription.region = subscribe.region.as_str().to_owned();
         self.request_read(Waiting::Subscriber(connection));
     }
 
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -201,9 +201,15 @@
         self.engines.values().map(entry).collect()
     }
 
-    /// How busy the engines said they are.
-    pub fn loads(&self) -> Vec<EngineLoad> {
-        self.engines.values().filter_map(load).collect()
+    /// How busy the engines of a region said they are; of all regions when it is empty.
+    pub fn loads(&self, region: &str) -> Vec<EngineLoad> {
+        let of_region =
+            |view: &&EngineView| region.is_empty() || view.record.zone.region() == region;
+        self.engines
+            .values()
+            .filter(of_region)
+            .filter_map(load)
+            .collect()
     }
 
     fn on_machine(&mut self, machine: &MachineRecord) {
--- a/crates/control/src/subscription.rs
+++ b/crates/control/src/subscription.rs
@@ -14,6 +14,8 @@
 pub struct Subscription {
     /// The router's name.
     pub router: String,
+    /// Its region; empty for all.
+    pub region: String,
     /// The tenants it holds. Of 9,000 tenants a router uses few, and 14 KB/s do not carry all.
     pub tenants: BTreeSet<TenantName>,
     /// True once it has been told everything up to `sent`.
@@ -33,6 +35,7 @@
     pub fn new(router: String) -> Self {
         Self {
             router,
+            region: String::new(),
             tenants: BTreeSet::new(),
             confirmed: false,
             sent: Revision(0),
--- a/crates/control/src/tests.rs
+++ b/crates/control/src/tests.rs
@@ -531,6 +531,7 @@
         let subscribe = Message::Subscribe(Subscribe {
             floor: 0,
             tenants: List::new(tenants.iter().map(|name| Text::new(*name)).collect()),
+            region: Text::default(),
         });
         core.on_router_message(connection, subscribe);
         self.deliver();
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -92,6 +92,15 @@
     EngineId;
 }
 
+impl ZoneName {
+    /// The region of a zone that is named `region/zone`; empty when the name has none.
+    pub fn region(&self) -> &str {
+        self.as_str()
+            .split_once('/')
+            .map_or("", |(region, _)| region)
+    }
+}
+
 impl EngineName {
     /// The compact identity that load reports and the index use.
     pub fn id(&self) -> EngineId {
--- a/crates/node/src/control/api.rs
+++ b/crates/node/src/control/api.rs
@@ -17,6 +17,7 @@
 use stakker::call;
 
 use super::{ControlHandle, SharedRegistry};
+use crate::links::TRAFFIC;
 use crate::metrics::{Scrape, CONTENT_TYPE};
 
 /// Header with the version that a change was made from; 0 for a new resource.
@@ -321,5 +322,6 @@
     for (name, help, value) in gauges {
         scrape.gauge(name, help, value);
     }
+    TRAFFIC.add_to(&mut scrape);
     scrape.text()
 }
--- a/crates/node/src/links.rs
+++ b/crates/node/src/links.rs
@@ -1,14 +1,18 @@
 //! Links to other drumshore processes: proved, framed, one reading and one writing thread each.
 
-use std::io::{self, BufReader, BufWriter, Write};
+use std::io::{self, BufReader, BufWriter, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use crossbeam_channel::{bounded, Receiver, Sender};
 use drumshore_core::SecretKey;
-use drumshore_wire::{handshake, read_frame, write_frame, HandshakeError, Identity, Message};
+use drumshore_wire::frame::encode_frame;
+use drumshore_wire::{handshake, read_frame, HandshakeError, Identity, Message};
+
+use crate::metrics::Scrape;
 
 const CONNECT_PATIENCE: Duration = Duration::from_secs(1);
 const HANDSHAKE_PATIENCE: Duration = Duration::from_secs(3);
@@ -19,6 +23,74 @@
 /// afresh.
 const QUEUED_MESSAGES: usize = 8_192;
 
+/// What this process has sent and received over links, in frames and bytes.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent_frames: AtomicU64,
+    sent_bytes: AtomicU64,
+    received_frames: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+/// The process's own counts.
+pub static TRAFFIC: Traffic = Traffic {
+    sent_frames: AtomicU64::new(0),
+    sent_bytes: AtomicU64::new(0),
+    received_frames: AtomicU64::new(0),
+    received_bytes: AtomicU64::new(0),
+};
+
+impl Traffic {
+    /// Adds the counts to a scrape.
+    pub fn add_to(&self, scrape: &mut Scrape) {
+        let counts = [
+            (
+                "link_sent_frames",
+                "Frames sent over links",
+                &self.sent_frames,
+            ),
+            ("link_sent_bytes", "Bytes sent over links", &self.sent_bytes),
+            (
+                "link_received_frames",
+                "Frames received over links",
+                &self.received_frames,
+            ),
+            (
+                "link_received_bytes",
+                "Bytes received over links",
+                &self.received_bytes,
+            ),
+        ];
+        for (name, help, count) in counts {
+            scrape.counter(name, help, count.load(Ordering::Relaxed));
+        }
+    }
+
+    fn on_sent(&self, bytes: usize) {
+        self.sent_frames.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn on_received(&self, bytes: u64) {
+        self.received_frames.fetch_add(1, Ordering::Relaxed);
+        self.received_bytes.fetch_add(bytes, Ordering::Relaxed);
+    }
+}
+
+/// Counts what is read through it.
+struct Counting<R> {
+    inner: R,
+    bytes: u64,
+}
+
+impl<R: Read> Read for Counting<R> {
+    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
+        let count = self.inner.read(buffer)?;
+        self.bytes += count as u64;
+        Ok(count)
+    }
+}
+
 /// Who a process is, and how it proves that it belongs.
 #[derive(Clone, Debug)]
 pub struct Credentials {
@@ -96,10 +168,16 @@
 
     /// Reads until the link ends.
     pub fn read(self, mut on_message: impl FnMut(Message)) {
-        let mut reader = BufReader::new(&*self.stream);
+        let mut reader = Counting {
+            inner: BufReader::new(&*self.stream),
+            bytes: 0,
+        };
         loop {
             match read_frame(&mut reader) {
-                Ok(message) => on_message(message),
+                Ok(message) => {
+                    TRAFFIC.on_received(std::mem::take(&mut reader.bytes));
+                    on_message(message);
+                }
                 Err(error) => {
                     tracing::debug!("link: ended: {error}");
                     break;
@@ -126,14 +204,24 @@
     first: Message,
     queued: &Receiver<Message>,
 ) -> Result<(), drumshore_wire::FrameError> {
-    write_frame(writer, &first)?;
+    write_counted(writer, &first)?;
     while let Ok(message) = queued.try_recv() {
-        write_frame(writer, &message)?;
+        write_counted(writer, &message)?;
     }
     writer.flush()?;
     Ok(())
 }
 
+fn write_counted(
+    writer: &mut BufWriter<&TcpStream>,
+    message: &Message,
+) -> Result<(), drumshore_wire::FrameError> {
+    let frame = encode_frame(message)?;
+    writer.write_all(&frame)?;
+    TRAFFIC.on_sent(frame.len());
+    Ok(())
+}
+
 /// Accepts links, each on a thread of its own.
 pub fn listen(
     address: SocketAddr,
--- a/crates/node/src/router/edge.rs
+++ b/crates/node/src/router/edge.rs
@@ -17,6 +17,7 @@
 use super::completions::Completion;
 use super::upstream::Upstream;
 use super::RouterHandle;
+use crate::links::TRAFFIC;
 use crate::metrics::{duration_histogram, Scrape, CONTENT_TYPE};
 
 /// Header that names a priority class.
@@ -110,6 +111,7 @@
         let metrics = self.inspect(|core| core.metrics()).unwrap_or_default();
         let mut scrape = Scrape::new("drumshore_router");
         add_metrics(&mut scrape, &metrics);
+        TRAFFIC.add_to(&mut scrape);
         let help = "Time from a request's head to the end of its answer, in seconds";
         scrape.metric("request_seconds", help, self.request_seconds.clone());
         responder.send(200, CONTENT_TYPE, scrape.text().as_bytes());
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -35,6 +35,7 @@
         let subscribe = Subscribe {
             floor: self.config.floor().0,
             tenants: List::new(tenants.map(|name| Text::new(name.as_str())).collect()),
+            region: Text::new(self.params.zone.region()),
         };
         self.send(Message::Subscribe(subscribe));
         self.resend_tenant_queries();
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -44,6 +44,9 @@
     pub running_us: f64,
     /// Added for an engine in another zone, in microseconds.
     pub other_zone_us: f64,
+    /// Added for an engine in another region, in microseconds. Its load is not reported here, so
+    /// it is a last resort.
+    pub other_region_us: f64,
     /// What a token computed costs in comparison with a token waited for: above 1 because
     /// computing also delays others and evicts what they need.
     pub recompute_weight: f64,
@@ -74,6 +77,7 @@
             prefill_us_per_token: 20.0,
             running_us: 400.0,
             other_zone_us: 1_000.0,
+            other_region_us: 500_000.0,
             recompute_weight: 1.5,
             home_trust: 0.6,
             max_homes: 8,
@@ -226,7 +230,10 @@
         let running = f64::from(engine.running()) * params.running_us * engine.slowness;
         let missing = (f64::from(request.chain.prompt_tokens()) - cached_tokens).max(0.0);
         let mut cost = waiting + running + missing * token_us * params.recompute_weight;
-        if engine.observation.zone != *request.zone {
+        let zone = &engine.observation.zone;
+        if zone.region() != request.zone.region() {
+            cost += params.other_region_us;
+        } else if zone != request.zone {
             cost += params.other_zone_us;
         }
         if engine.is_suspect(now) {
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -28,6 +28,9 @@
                                make load against routers or engines
   sim [--scenario NAME|all] [--seed N] [--seeds COUNT] [--without GUARD] [--json FILE]
   sim --list | --list-guards   simulate the fleet under failures on a virtual clock
+  scale [--nodes N] [--workers N] [--tenants N] [--controls N] [--seconds N]
+        [--json FILE] [--markdown FILE] [--plot FILE]
+                               measure the control plane at four sizes up to this one
   engine [--config FILE] [--listen IP:PORT] [--platform URL] [--witness FILE]
                                run an engine stand-in; prints its address
   platform [--listen IP:PORT] [--lag-ms N]
@@ -82,6 +85,7 @@
         "load" => run_load(arguments),
         "engine" => run_engine(arguments),
         "platform" => run_platform(arguments),
+        "scale" => crate::scale::cli::main(arguments),
         "sim" => crate::sim::cli::main(arguments),
         other => Err(LabError::Usage(format!(
             "unknown command {other:?}; see drumshore-lab --help"
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -229,9 +229,9 @@
                 .parse()
                 .map_err(io::Error::other)?;
             let listen = settings::free_address(ip)?;
-            let config =
-                settings::write_router(&self.folder, &self.layout, number, listen, &controls)?;
             let name = format!("router-{}", number + 1);
+            let zone = self.layout.zone(number);
+            let config = settings::write_router(&self.folder, &name, &zone, listen, &controls)?;
             let log = self.folder.join(format!("{name}.log"));
             let arguments = ["drumshore", "router", "--config", text(&config)?];
             let process = Process::spawn(&name, &arguments, &log)?;
--- a/crates/testbed/src/fleet/settings.rs
+++ b/crates/testbed/src/fleet/settings.rs
@@ -69,8 +69,8 @@
 /// Writes a router's settings.
 pub fn write_router(
     folder: &Path,
-    layout: &Layout,
-    number: usize,
+    name: &str,
+    zone: &str,
     listen: SocketAddr,
     controls: &[ControlAddresses],
 ) -> std::io::Result<PathBuf> {
@@ -78,12 +78,10 @@
         .iter()
         .map(|control| format!("\"{}\"", control.internal))
         .collect();
-    let name = format!("router-{}", number + 1);
     let text = format!(
-        "name = \"{name}\"\nzone = \"{}\"\nlisten = \"{listen}\"\ndata_dir = \"{}\"\n\
+        "name = \"{name}\"\nzone = \"{zone}\"\nlisten = \"{listen}\"\ndata_dir = \"{}\"\n\
          control = [{}]\ncluster_key = \"{CLUSTER_KEY}\"\noperator_key_hashes = [\"{}\"]\n",
-        layout.zone(number),
-        folder.join(&name).display(),
+        folder.join(name).display(),
         controls.join(", "),
         SecretKey::new(OPERATOR_KEY).hash().as_str(),
     );
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`engine`] and [`platform`] are the outside systems, [`workload`] is what callers ask,
 //! [`load`] asks it and checks every answer, [`fleet`] runs everything as processes, [`sim`] on a
-//! virtual clock.
+//! virtual clock, [`scale`] the control plane at the target's size.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
@@ -11,6 +11,7 @@
 pub mod fleet;
 pub mod load;
 pub mod platform;
+pub mod scale;
 pub mod sim;
 pub mod workload;
 
--- /dev/null
+++ b/crates/testbed/src/scale/measure.rs
@@ -0,0 +1,91 @@
+//! What processes use, as the operating system and their own metrics say.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Instant;
+
+use procfs::process::Process;
+use serde::{Deserialize, Serialize};
+
+/// What a process used while it was measured.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Usage {
+    /// Of one core, in percent.
+    pub cpu_percent: f64,
+    /// Resident memory at the end, in MB.
+    pub resident_mb: f64,
+    /// Frames sent over links, a second.
+    pub sent_frames: f64,
+    /// Bytes sent over links, a second.
+    pub sent_bytes: f64,
+    /// Frames received over links, a second.
+    pub received_frames: f64,
+    /// Bytes received over links, a second.
+    pub received_bytes: f64,
+}
+
+/// A process at one moment.
+#[derive(Clone, Debug)]
+pub(super) struct Reading {
+    at: Instant,
+    cpu_seconds: f64,
+    resident_mb: f64,
+    counters: BTreeMap<String, f64>,
+}
+
+impl Reading {
+    /// Reads a process and its metrics.
+    pub(super) fn take(process: u32, metrics: SocketAddr) -> Self {
+        const BYTES_PER_MB: f64 = 1_048_576.0;
+        let stat = Process::new(process as i32).and_then(|process| process.stat());
+        let (cpu_seconds, resident_mb) = stat.map_or((0.0, 0.0), |stat| {
+            let ticks = (stat.utime + stat.stime) as f64;
+            let pages = stat.rss * procfs::page_size();
+            (
+                ticks / procfs::ticks_per_second() as f64,
+                pages as f64 / BYTES_PER_MB,
+            )
+        });
+        Self {
+            at: Instant::now(),
+            cpu_seconds,
+            resident_mb,
+            counters: scrape(metrics),
+        }
+    }
+
+    /// What was used since an earlier reading.
+    pub(super) fn since(&self, earlier: &Self) -> Usage {
+        let seconds = (self.at - earlier.at).as_secs_f64();
+        let rate = |suffix: &str| {
+            let value = |reading: &Self| {
+                let mut counters = reading.counters.iter();
+                counters
+                    .find(|(name, _)| name.ends_with(suffix))
+                    .map_or(0.0, |(_, value)| *value)
+            };
+            (value(self) - value(earlier)) / seconds
+        };
+        Usage {
+            cpu_percent: 100.0 * (self.cpu_seconds - earlier.cpu_seconds) / seconds,
+            resident_mb: self.resident_mb,
+            sent_frames: rate("link_sent_frames_total"),
+            sent_bytes: rate("link_sent_bytes_total"),
+            received_frames: rate("link_received_frames_total"),
+            received_bytes: rate("link_received_bytes_total"),
+        }
+    }
+}
+
+fn scrape(metrics: SocketAddr) -> BTreeMap<String, f64> {
+    let text = ureq::get(format!("http://{metrics}/metrics"))
+        .call()
+        .ok()
+        .and_then(|mut response| response.body_mut().read_to_string().ok())
+        .unwrap_or_default();
+    text.lines()
+        .filter(|line| !line.starts_with('#'))
+        .filter_map(|line| line.split_once(' '))
+        .filter_map(|(name, value)| Some((name.to_owned(), value.parse().ok()?)))
+        .collect()
+}
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -68,6 +68,8 @@
     pub floor: u64,
     /// The tenants it holds.
     pub tenants: List<Text>,
+    /// Its region; it hears how busy the engines of this region are. Empty means all regions.
+    pub region: Text,
 }
 
 /// Resources that changed, for one router.
--- a/crates/wire/src/tests.rs
+++ b/crates/wire/src/tests.rs
@@ -18,6 +18,7 @@
         Message::Subscribe(Subscribe {
             floor: 9,
             tenants: List::new(vec![Text::new("acme")]),
+            region: Text::new("north"),
         }),
         Message::ClaimResponse(ClaimResponse {
             ticket: 4,
