Place by prefix family, and learn loads from answers

Homes at every longest prefix made each engine hold all the shorter ones. Change: a request's home is that of the shortest prefix whose requests fit one engine; hotter ones split into longer ones, and only the longest is shared. What a home holds follows from rate and retention (Che, 2002). Answers carry the engine's load.

--- a/crates/node/src/router/upstream.rs
+++ b/crates/node/src/router/upstream.rs
@@ -7,6 +7,7 @@
 use drumshore_http::EXECUTION_HEADER;
 use drumshore_router::engine_api;
 use drumshore_router::{Assignment, CompletionRequest, UpstreamEnd, UpstreamHead};
+use drumshore_routing::{AnswerLoad, AnswerReport};
 use ureq::http::{HeaderMap, Response};
 use ureq::{Agent, Body, BodyReader};
 
@@ -142,11 +143,18 @@
 
 fn head_of(status: u16, headers: &HeaderMap) -> UpstreamHead {
     let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    let number = |name: &str| text(name).and_then(|count| count.parse().ok());
     UpstreamHead {
         status,
         execution: text(EXECUTION_HEADER).map(Execution::from_word),
         refusal: text(engine_api::REFUSAL).map(str::to_owned),
-        cached_tokens: text(engine_api::CACHED_TOKENS).and_then(|count| count.parse().ok()),
+        report: AnswerReport {
+            cached_tokens: number(engine_api::CACHED_TOKENS),
+            load: number(engine_api::WAITING_TOKENS).map(|waiting_tokens| AnswerLoad {
+                waiting_tokens,
+                running: number(engine_api::RUNNING).unwrap_or(0),
+            }),
+        },
     }
 }
 
--- a/crates/router/src/actor.rs
+++ b/crates/router/src/actor.rs
@@ -5,12 +5,13 @@
 
 use drumshore_core::{RequestId, Timestamp};
 use drumshore_guard::{enforced, Guard};
+use drumshore_routing::AnswerReport;
 use drumshore_wire::Message;
 use stakker::{after, fwd, ret, Fwd, Ret, CX};
 
 use crate::answer::RecordedAnswer;
 use crate::core::{AdmitOutcome, AdmitRequest, Effect, RouterCore, StoredFile};
-use crate::exchange::{AttemptFailure, Conclusion, FirstToken};
+use crate::exchange::{AttemptFailure, Conclusion};
 use crate::session::LinkId;
 
 const TICK: Duration = Duration::from_millis(100);
@@ -62,9 +63,9 @@
     }
 
     /// An attempt's first token arrived.
-    pub fn first_token(&mut self, cx: CX![], id: RequestId, first: FirstToken) {
+    pub fn first_token(&mut self, cx: CX![], id: RequestId, report: AnswerReport) {
         self.set_now(cx);
-        self.core.on_first_token(id, first);
+        self.core.on_first_token(id, report);
         self.carry_out();
     }
 
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -108,7 +108,7 @@
     fn on_fresh(&mut self, fresh: Freshness) {
         self.session.on_fresh(self.now);
         self.last_fresh = Some(self.now);
-        self.scheduler.set_routers(f64::from(fresh.routers));
+        self.placer.set_routers(f64::from(fresh.routers));
     }
 
     fn on_engines(&mut self, update: &EngineUpdate) {
@@ -120,7 +120,7 @@
         }
         self.engines_changed = true;
         if update.full == 1 {
-            self.engines.retain(|id| listed.contains(&id));
+            self.placer.engines_mut().retain(|id| listed.contains(&id));
         }
         self.pump();
     }
@@ -132,13 +132,13 @@
             EngineStateCode::Suspect => EngineState::Suspect,
             EngineStateCode::Leaving => EngineState::Leaving,
             EngineStateCode::Gone => {
-                self.engines.remove(id);
+                self.placer.engines_mut().remove(id);
                 self.slots.retain(|_, engine| *engine != id);
                 return;
             }
         };
         self.slots.insert(entry.slot, id);
-        self.engines.observe(EngineObservation {
+        self.placer.engines_mut().observe(EngineObservation {
             name: EngineName::new(entry.name.as_str()),
             address: entry.address.as_str().to_owned(),
             zone: ZoneName::new(entry.zone.as_str()),
@@ -152,7 +152,7 @@
     fn on_loads(&mut self, update: &LoadUpdate) {
         for load in &update.loads.items {
             let engine = self.slots.get(&load.slot).copied();
-            let Some(engine) = engine.and_then(|id| self.engines.get_mut(id)) else {
+            let Some(engine) = engine.and_then(|id| self.placer.engines_mut().get_mut(id)) else {
                 continue;
             };
             let age = u64::from(load.age) * AGE_UNIT_US;
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -14,10 +14,9 @@
     AdapterName, EngineId, EngineName, Execution, IdempotencyKey, Incarnation, KeyHash, ModelName,
     Priority, RequestId, RouterName, TenantName, Timestamp, Verdict, WeightsVersion, ZoneName,
 };
-use drumshore_routing::index::Overlap;
 use drumshore_routing::{
-    Admission, AdmissionParams, BeliefIndex, BeliefParams, DecisionLog, DecisionRecord,
-    EngineObservation, EngineSet, FairQueue, PrefixRoot, RetryBudget, RetryParams, Scheduler,
+    Admission, AdmissionParams, BeliefParams, DecisionLog, DecisionRecord, EngineObservation,
+    EngineSet, FairQueue, Placement, Placer, PrefixRoot, RetryBudget, RetryParams, Scheduler,
     SchedulerParams,
 };
 use drumshore_wire::Message;
@@ -265,17 +264,6 @@
     pub control_fresh: u64,
 }
 
-/// Where an attempt runs.
-#[derive(Clone, Debug)]
-struct Placement {
-    engine: EngineId,
-    believed: Option<Overlap>,
-    believed_tokens: u32,
-    expected_tokens: u32,
-    waiting_tokens: u32,
-    placed_at: Timestamp,
-}
-
 #[derive(Clone, Debug)]
 enum Phase {
     AwaitingTenant { until: Timestamp },
@@ -310,9 +298,7 @@
     config: ConfigView,
     session: ControlSession,
     slots: BTreeMap<u16, EngineId>,
-    engines: EngineSet,
-    index: BeliefIndex,
-    scheduler: Scheduler,
+    placer: Placer,
     admission: Admission,
     retry: RetryBudget,
     queues: BTreeMap<ModelName, FairQueue<RequestId>>,
@@ -340,9 +326,10 @@
             stale_after: params.stale_after,
             max_pause: params.max_reconnect_pause,
         };
-        let mut engines = EngineSet::default();
+        let scheduler = Scheduler::new(params.scheduler.clone(), scheduler_random);
+        let mut placer = Placer::new(scheduler, params.belief.clone());
         for observation in stored.engines {
-            engines.observe(observation);
+            placer.engines_mut().observe(observation);
         }
         let first_peer = xxh3_64(params.name.as_str().as_bytes()) as usize;
         Self {
@@ -353,9 +340,7 @@
             config: stored.config,
             session: ControlSession::new(session_params, first_peer),
             slots: BTreeMap::new(),
-            engines,
-            index: BeliefIndex::new(params.belief.clone()),
-            scheduler: Scheduler::new(params.scheduler.clone(), scheduler_random),
+            placer,
             admission: Admission::new(params.admission.clone()),
             retry: RetryBudget::new(params.retry.clone()),
             queues: BTreeMap::new(),
@@ -434,7 +419,7 @@
 
     /// The engines known.
     pub fn engines(&self) -> &EngineSet {
-        &self.engines
+        self.placer.engines()
     }
 
     /// Counters and gauges.
@@ -466,7 +451,7 @@
         self.engines_changed = false;
         self.engines_stored_at = self.now;
         let engines: Vec<&EngineObservation> = self
-            .engines
+            .engines()
             .iter()
             .map(|engine| &engine.observation)
             .collect();
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -47,12 +47,9 @@
         if !failure.delivered {
             request.pinned_weights = None;
         }
-        if let Some(engine) = self.engines.get_mut(placement.engine) {
-            engine.on_ended(id.sequence);
-            if failure.kind != FailureKind::Rejected && failure.kind != FailureKind::Diverged {
-                engine.suspect_until = Some(self.now.plus(self.params.suspect_time));
-            }
-        }
+        let engines_fault = !matches!(failure.kind, FailureKind::Rejected | FailureKind::Diverged);
+        let until = engines_fault.then(|| self.now.plus(self.params.suspect_time));
+        self.placer.on_failed(&placement, until);
         self.note_failure(id, &failure.verdict);
         if self.may_retry(id, failure) {
             self.metrics.retries += 1;
@@ -69,9 +66,7 @@
             return;
         };
         if let Phase::Running(placement) = &request.phase {
-            if let Some(engine) = self.engines.get_mut(placement.engine) {
-                engine.on_ended(id.sequence);
-            }
+            self.placer.on_ended(placement);
         }
         self.forget_queued(&request, id);
         self.admission.release(&request.tenant);
--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -21,6 +21,12 @@
 /// Answer: prompt tokens found in the cache.
 pub const CACHED_TOKENS: &str = "x-drumshore-cached-tokens";
 
+/// Answer: prompt tokens that wait at the engine at this moment.
+pub const WAITING_TOKENS: &str = "x-drumshore-waiting-tokens";
+
+/// Answer: sequences that run at the engine at this moment.
+pub const RUNNING: &str = "x-drumshore-running";
+
 /// Answer: why the engine refused, as one of the words below.
 pub const REFUSAL: &str = "x-drumshore-refusal";
 
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -4,6 +4,7 @@
 //! what comes back, and asks the core where to go next when told to.
 
 use drumshore_core::{ErrorCode, Execution, Verdict};
+use drumshore_routing::AnswerReport;
 
 use crate::answer::RecordedAnswer;
 use crate::core::{AdmitOutcome, Assignment};
@@ -93,8 +94,8 @@
     pub execution: Option<Execution>,
     /// Why it refused.
     pub refusal: Option<String>,
-    /// Prompt tokens it found in its cache.
-    pub cached_tokens: Option<u32>,
+    /// What it says of its cache and load.
+    pub report: AnswerReport,
 }
 
 /// How a connection to an engine ended.
@@ -108,13 +109,6 @@
     Stalled,
 }
 
-/// What the owner tells the core once per attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct FirstToken {
-    /// Prompt tokens that the engine found in its cache.
-    pub cached_tokens: Option<u32>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Stage {
     Waiting,
@@ -144,8 +138,8 @@
     resumes: u32,
     relay: StreamRelay,
     answer: RecordedAnswer,
-    cached_tokens: Option<u32>,
-    first_token: Option<FirstToken>,
+    report: AnswerReport,
+    first_token: Option<AnswerReport>,
     first_token_seen: bool,
 }
 
@@ -160,7 +154,7 @@
             resumes: 0,
             relay: StreamRelay::new(),
             answer: RecordedAnswer::default(),
-            cached_tokens: None,
+            report: AnswerReport::default(),
             first_token: None,
             first_token_seen: false,
         }
@@ -183,7 +177,7 @@
     }
 
     /// The first token's news, once for each attempt.
-    pub fn take_first_token(&mut self) -> Option<FirstToken> {
+    pub fn take_first_token(&mut self) -> Option<AnswerReport> {
         self.first_token.take()
     }
 
@@ -219,7 +213,7 @@
         }
         if starting {
             self.restart();
-            self.cached_tokens = head.cached_tokens;
+            self.report = head.report;
         } else {
             self.relay.on_resumed();
         }
@@ -291,9 +285,7 @@
             return;
         }
         self.first_token_seen = true;
-        self.first_token = Some(FirstToken {
-            cached_tokens: self.cached_tokens,
-        });
+        self.first_token = Some(self.report);
     }
 
     fn refused(&mut self, head: &UpstreamHead) -> Next {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -28,8 +28,8 @@
     RouterParams, StoredFile, StoredState,
 };
 pub use exchange::{
-    AttemptFailure, Conclusion, Exchange, ExchangeParams, FailureKind, FirstToken, Next,
-    UpstreamCall, UpstreamEnd, UpstreamHead,
+    AttemptFailure, Conclusion, Exchange, ExchangeParams, FailureKind, Next, UpstreamCall,
+    UpstreamEnd, UpstreamHead,
 };
 pub use relay::{RelayError, StreamRelay};
 pub use session::LinkId;
--- a/crates/router/src/tests/exchange.rs
+++ b/crates/router/src/tests/exchange.rs
@@ -1,7 +1,7 @@
 use drumshore_core::{
     EngineName, Execution, Incarnation, ModelName, Priority, RequestId, TenantName, WeightsVersion,
 };
-use drumshore_routing::PrefixRoot;
+use drumshore_routing::{AnswerReport, PrefixRoot};
 use rstest::rstest;
 
 use crate::core::{AdmitOutcome, Assignment};
@@ -49,7 +49,10 @@
 fn ok() -> UpstreamHead {
     UpstreamHead {
         status: 200,
-        cached_tokens: Some(7),
+        report: AnswerReport {
+            cached_tokens: Some(7),
+            load: None,
+        },
         ..UpstreamHead::default()
     }
 }
@@ -106,7 +109,7 @@
         status,
         execution: said,
         refusal: refusal.map(str::to_owned),
-        cached_tokens: None,
+        report: AnswerReport::default(),
     };
     let failure = failure(exchange.on_head(&head));
     assert_eq!((failure.kind, failure.verdict.execution), (kind, execution));
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -78,6 +78,7 @@
     pub slowness: f64,
     pending: Vec<Pending>,
     open: u32,
+    exact_cached_tokens: u32,
 }
 
 const INITIAL_RETENTION: Duration = Duration::from_secs(120);
@@ -98,6 +99,7 @@
             slowness: 1.0,
             pending: Vec::new(),
             open: 0,
+            exact_cached_tokens: 0,
         }
     }
 
@@ -136,6 +138,30 @@
         self.load.running.max(self.open)
     }
 
+    /// Prompt tokens of the request at hand that it holds, when that was shown.
+    pub fn exact_cached_tokens(&self) -> u32 {
+        self.exact_cached_tokens
+    }
+
+    /// Shows the engine as it is at this moment, for the oracle of measurements: what waits and
+    /// runs there, and what it holds of the request that is placed next.
+    pub fn show_exactly(
+        &mut self,
+        waiting_tokens: u32,
+        running: u32,
+        cached_tokens: u32,
+        now: Timestamp,
+    ) {
+        self.load = LoadReport {
+            waiting_tokens,
+            running,
+            // Everything that was sent up to now is in these figures.
+            at: Timestamp(now.0 + 1),
+        };
+        self.suspect_until = None;
+        self.exact_cached_tokens = cached_tokens;
+    }
+
     /// A request was sent; `tokens` of its prompt are believed uncached.
     pub fn on_sent(&mut self, request: u64, tokens: u32, now: Timestamp) {
         self.open += 1;
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! One file for each role: [`protocols`] (what engines say), [`prefix`] (what a prompt is made
 //! of), [`index`] (who is believed to hold what), [`engines`] (what is known of each engine),
-//! [`scheduler`] (which engine a request goes to), [`admission`] (whether it may start),
+//! [`scheduler`] (which engine a request goes to), [`placer`] (all of these together),
+//! [`admission`] (whether it may start),
 //! [`retry`] (whether it may be tried again), [`decision`] (what was believed, for later).
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
@@ -13,6 +14,7 @@
 pub mod fair_queue;
 pub mod heat;
 pub mod index;
+pub mod placer;
 pub mod prefix;
 pub mod protocols;
 pub mod rendezvous;
@@ -24,10 +26,11 @@
 pub use engines::{Engine, EngineObservation, EngineSet, EngineState, LoadReport};
 pub use fair_queue::{FairQueue, QueuedItem};
 pub use index::{BeliefIndex, BeliefParams};
+pub use placer::{AnswerLoad, AnswerReport, Placement, Placer};
 pub use prefix::{PrefixChain, PrefixRoot, Prompt};
 pub use protocols::{CacheEvent, CacheEventKind, SequenceHash};
 pub use retry::{RetryBudget, RetryParams};
-pub use scheduler::{Choice, Policy, RoutingRequest, Scheduler, SchedulerParams};
+pub use scheduler::{Choice, NoChoice, Policy, RoutingRequest, Scheduler, SchedulerParams};
 
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/routing/src/placer.rs
@@ -0,0 +1,190 @@
+//! Puts requests on engines and learns from what came of it: scheduler, beliefs and engines
+//! together, as a router or an embedding project uses them.
+
+use std::time::Duration;
+
+use drumshore_core::{EngineId, Incarnation, Timestamp};
+
+use crate::index::Overlap;
+use crate::{
+    BeliefIndex, BeliefParams, Choice, Engine, EngineSet, LoadReport, NoChoice, RoutingRequest,
+    Scheduler,
+};
+
+/// Times to the first token below this say little about an engine's speed.
+const MIN_SPEED_SAMPLE_US: f64 = 10_000.0;
+
+/// What an engine's answer says when it begins.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerReport {
+    /// Prompt tokens that it found in its cache.
+    pub cached_tokens: Option<u32>,
+    /// Prompt tokens that wait there at this moment, and sequences that run.
+    pub load: Option<AnswerLoad>,
+}
+
+/// How busy an engine says it is, in an answer.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AnswerLoad {
+    /// Prompt tokens that wait.
+    pub waiting_tokens: u32,
+    /// Sequences that run.
+    pub running: u32,
+}
+
+/// A request on an engine, to be handed back when something is known of it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Placement {
+    /// The engine.
+    pub engine: EngineId,
+    /// The start of the engine that was believed; a fence.
+    pub incarnation: Incarnation,
+    request: u64,
+    prompt_tokens: u32,
+    believed: Option<Overlap>,
+    believed_tokens: u32,
+    expected_tokens: u32,
+    waiting_tokens: u32,
+    placed_at: Timestamp,
+}
+
+/// Engines, beliefs about their caches, and the scheduler that chooses among them.
+#[derive(Clone, Debug)]
+pub struct Placer {
+    engines: EngineSet,
+    index: BeliefIndex,
+    scheduler: Scheduler,
+}
+
+impl Placer {
+    /// Knows no engines and believes nothing.
+    pub fn new(scheduler: Scheduler, belief: BeliefParams) -> Self {
+        Self {
+            engines: EngineSet::default(),
+            index: BeliefIndex::new(belief),
+            scheduler,
+        }
+    }
+
+    /// The engines.
+    pub fn engines(&self) -> &EngineSet {
+        &self.engines
+    }
+
+    /// The engines, to take in what is reported of them.
+    pub fn engines_mut(&mut self) -> &mut EngineSet {
+        &mut self.engines
+    }
+
+    /// The beliefs, to take in what engines publish of their caches.
+    pub fn index_mut(&mut self) -> &mut BeliefIndex {
+        &mut self.index
+    }
+
+    /// Sets how many routers see the same traffic.
+    pub fn set_routers(&mut self, routers: f64) {
+        self.scheduler.set_routers(routers);
+    }
+
+    /// Chooses an engine and books the request on it. `request` is the caller's own number.
+    pub fn place(
+        &mut self,
+        request: u64,
+        routing: &RoutingRequest<'_>,
+        now: Timestamp,
+    ) -> Result<(Placement, Choice), NoChoice> {
+        let choice = self
+            .scheduler
+            .choose(&self.engines, &self.index, routing, now)?;
+        let chain = routing.chain;
+        let engine = self
+            .engines
+            .get_mut(choice.engine)
+            .ok_or(NoChoice::NoneReady)?;
+        let incarnation = engine.observation.incarnation;
+        let placement = Placement {
+            engine: choice.engine,
+            incarnation,
+            request,
+            prompt_tokens: chain.prompt_tokens(),
+            believed: choice.believed,
+            believed_tokens: choice
+                .believed
+                .map_or(0, |overlap| chain.tokens_in(overlap.blocks)),
+            expected_tokens: choice.expected_cached_tokens,
+            waiting_tokens: engine.waiting_tokens(),
+            placed_at: now,
+        };
+        let missing = placement
+            .prompt_tokens
+            .saturating_sub(choice.expected_cached_tokens);
+        engine.on_sent(request, missing, now);
+        self.index
+            .record_chain(chain, choice.engine, incarnation, now);
+        Ok((placement, choice))
+    }
+
+    /// The first token arrived, with what the engine says beside it: that is fresher than any
+    /// report by way of the control machines. Returns the tokens that were expected to be cached
+    /// and were not.
+    pub fn on_first_token(
+        &mut self,
+        placement: &Placement,
+        report: AnswerReport,
+        now: Timestamp,
+    ) -> u32 {
+        let prefill_us = self.scheduler.params().prefill_us_per_token;
+        let Some(engine) = self.engines.get_mut(placement.engine) else {
+            return 0;
+        };
+        let took = engine.on_first_token(placement.request, now);
+        if let Some(load) = report.load {
+            engine.load = LoadReport {
+                waiting_tokens: load.waiting_tokens,
+                running: load.running,
+                at: now,
+            };
+        }
+        let Some(cached) = report.cached_tokens else {
+            return 0;
+        };
+        if let Some(overlap) = placement.believed {
+            let age = placement.placed_at.since(overlap.used_at);
+            engine.observe_retention(age, cached >= placement.believed_tokens);
+        }
+        if let Some(took) = took {
+            learn_speed(engine, placement, cached, took, prefill_us);
+        }
+        placement.expected_tokens.saturating_sub(cached)
+    }
+
+    /// The request is over, however it ended.
+    pub fn on_ended(&mut self, placement: &Placement) {
+        if let Some(engine) = self.engines.get_mut(placement.engine) {
+            engine.on_ended(placement.request);
+        }
+    }
+
+    /// The engine failed the request; it is avoided until a time.
+    pub fn on_failed(&mut self, placement: &Placement, avoided_until: Option<Timestamp>) {
+        self.on_ended(placement);
+        if let Some(engine) = self.engines.get_mut(placement.engine) {
+            engine.suspect_until = avoided_until.or(engine.suspect_until);
+        }
+    }
+}
+
+fn learn_speed(
+    engine: &mut Engine,
+    placement: &Placement,
+    cached: u32,
+    took: Duration,
+    prefill_us: f64,
+) {
+    let missing = placement.prompt_tokens.saturating_sub(cached);
+    let work = f64::from(placement.waiting_tokens) + f64::from(missing);
+    let expected_us = work * prefill_us;
+    if expected_us >= MIN_SPEED_SAMPLE_US {
+        engine.observe_speed(took.as_micros() as f64 / expected_us);
+    }
+}
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -10,6 +10,7 @@
 use drumshore_core::{EngineId, PoolName, Timestamp, WeightsVersion, ZoneName};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
+use serde::{Deserialize, Serialize};
 
 use crate::decision::CandidateRecord;
 use crate::heat::HeatMap;
@@ -18,7 +19,8 @@
 use crate::{BeliefIndex, Engine, EngineSet, PrefixChain, SequenceHash};
 
 /// How engines are chosen. All but [`Policy::Product`] are baselines for measurements.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Policy {
     /// One after the other.
     RoundRobin,
@@ -31,10 +33,13 @@
     /// Cost with beliefs and homes.
     #[default]
     Product,
+    /// Cost with what [`Engine::show_exactly`] has shown: the oracle of measurements.
+    Exact,
 }
 
 /// Weights of the cost.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
 pub struct SchedulerParams {
     /// How engines are chosen.
     pub policy: Policy,
@@ -50,12 +55,11 @@
     /// What a token computed costs in comparison with a token waited for: above 1 because
     /// computing also delays others and evicts what they need.
     pub recompute_weight: f64,
-    /// The chance, presumed, that a home holds a prefix nothing else is known of.
-    pub home_trust: f64,
+    /// The share of an engine's fair part of all requests that one prefix family may have before
+    /// it is split, or shared by several engines when it cannot be split.
+    pub family_share: f64,
     /// Engines that share one hot prefix, at most.
     pub max_homes: usize,
-    /// Requests a second that one engine serves of one prefix before the next one shares it.
-    pub home_requests_per_second: f64,
     /// Routers that see the same traffic; this router's rates are multiplied by it.
     pub routers: f64,
     /// Engines drawn at random, so that an idle one is found.
@@ -79,9 +83,8 @@
             other_zone_us: 1_000.0,
             other_region_us: 500_000.0,
             recompute_weight: 1.5,
-            home_trust: 0.6,
+            family_share: 0.5,
             max_homes: 8,
-            home_requests_per_second: 20.0,
             routers: 1.0,
             sampled: 6,
             scan_all_up_to: 32,
@@ -96,8 +99,8 @@
 const TIE_JITTER: f64 = 0.02;
 const HEAT_TIME_CONSTANT: Duration = Duration::from_secs(30);
 const HEAT_CAPACITY: usize = 100_000;
-/// A prefix seen at least about twice within the time constant is one that others share.
-const SHARED_RATE: f64 = 1.5 / 30.0;
+/// Under this name all requests are counted.
+const ALL_REQUESTS: SequenceHash = SequenceHash(0);
 
 /// What is to be placed.
 #[derive(Clone, Copy, Debug)]
@@ -144,16 +147,12 @@
     cost_us: f64,
 }
 
-/// The engines that a prefix calls home, most binding first.
+/// The engines that a request's prefix family calls home.
 #[derive(Debug, Default)]
 struct Homes {
-    entries: Vec<Home>,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Home {
-    engine: EngineId,
-    blocks: usize,
+    engines: Vec<EngineId>,
+    /// The rate at which each home is asked for each block of the chain, in requests a second.
+    block_rates: Vec<f64>,
 }
 
 /// Chooses engines. Keeps prefix rates, a random generator and nothing else.
@@ -256,60 +255,44 @@
         overlaps
     }
 
-    /// Ranks homes at the deepest prefix, at the deepest one that others share too, and at the
-    /// first block.
+    /// Finds the request's family: the shortest prefix whose requests fit one engine. A prefix
+    /// that is asked for more often is split into the longer ones below it, so that requests
+    /// that share much stay together; the longest one is shared by several engines.
     fn homes(
         &mut self,
         engines: &EngineSet,
         request: &RoutingRequest<'_>,
         now: Timestamp,
     ) -> Homes {
-        let mut homes = Homes::default();
-        if !matches!(self.params.policy, Policy::Rendezvous | Policy::Product) {
-            return homes;
+        let hashes = request.chain.hashes();
+        let wanted = matches!(self.params.policy, Policy::Rendezvous | Policy::Product);
+        if !wanted || hashes.is_empty() {
+            return Homes::default();
         }
-        let rates: Vec<f64> = request
-            .chain
-            .hashes()
+        let rates: Vec<f64> = hashes
             .iter()
             .map(|hash| self.heat.touch(*hash, now) * self.params.routers)
             .collect();
-        let deepest = rates.len();
-        let shared = rates
-            .iter()
-            .rposition(|rate| *rate > SHARED_RATE)
-            .map_or(0, |at| at + 1);
-        let mut depths = vec![deepest, shared, 1.min(deepest)];
-        depths.dedup();
-        for blocks in depths.into_iter().filter(|blocks| *blocks > 0) {
-            let count = self.home_count(rates[blocks - 1]);
-            self.rank_homes(engines, request, blocks, count, &mut homes);
-        }
-        homes
-    }
-
-    fn home_count(&self, requests_per_second: f64) -> usize {
-        let wanted = (requests_per_second / self.params.home_requests_per_second).ceil();
-        (wanted as usize).clamp(1, self.params.max_homes)
-    }
-
-    fn rank_homes(
-        &self,
-        engines: &EngineSet,
-        request: &RoutingRequest<'_>,
-        blocks: usize,
-        count: usize,
-        homes: &mut Homes,
-    ) {
-        let prefix: SequenceHash = request.chain.hashes()[blocks - 1];
+        let all = self.heat.touch(ALL_REQUESTS, now) * self.params.routers;
+        let possible = engines
+            .pool(request.pool)
+            .filter(|engine| is_possible(engine, request));
+        let fair_part = all / possible.count().max(1) as f64;
+        let limit = (fair_part * self.params.family_share).max(f64::MIN_POSITIVE);
+        let deepest = hashes.len() - 1;
+        let fits = |rate: &f64| *rate <= limit;
+        let family = rates.iter().position(fits).unwrap_or(deepest);
+        let count = (rates[family] / limit).ceil().max(1.0) as usize;
+        let count = count.min(self.params.max_homes);
         let mut ranking = TopRanked::new(count);
         for engine in engines.pool(request.pool) {
             if is_possible(engine, request) {
-                ranking.offer(weight(prefix, engine.id), engine.id);
+                ranking.offer(weight(hashes[family], engine.id), engine.id);
             }
         }
-        for engine in ranking.into_items() {
-            homes.add(Home { engine, blocks });
+        Homes {
+            engines: ranking.into_items().collect(),
+            block_rates: rates.iter().map(|rate| rate / count as f64).collect(),
         }
     }
 
@@ -352,13 +335,16 @@
         overlaps: &[Overlap],
         homes: &Homes,
     ) -> Vec<&'e Engine> {
-        let scan_all = matches!(self.params.policy, Policy::RoundRobin | Policy::LeastLoaded);
+        let scan_all = matches!(
+            self.params.policy,
+            Policy::RoundRobin | Policy::LeastLoaded | Policy::Exact
+        );
         if scan_all || possible.len() <= self.params.scan_all_up_to {
             return possible.to_vec();
         }
         let mut positions: Vec<usize> = Vec::new();
         let known = overlaps.iter().map(|overlap| overlap.engine);
-        for id in known.chain(homes.entries.iter().map(|home| home.engine)) {
+        for id in known.chain(homes.engines.iter().copied()) {
             if let Ok(position) = possible.binary_search_by_key(&id, |engine| engine.id) {
                 positions.push(position);
             }
@@ -390,10 +376,11 @@
             let held = engine.hold_probability(now.since(overlap.used_at));
             f64::from(request.chain.tokens_in(overlap.blocks)) * held
         });
-        let from_home = homes.blocks_at(engine.id).map_or(0.0, |blocks| {
-            f64::from(request.chain.tokens_in(blocks)) * self.params.home_trust
-        });
-        let expected_tokens = from_belief.max(from_home);
+        let from_home = homes.expected_tokens(engine, request.chain);
+        let expected_tokens = match self.params.policy {
+            Policy::Exact => f64::from(engine.exact_cached_tokens()),
+            _ => from_belief.max(from_home),
+        };
         let jitter = 1.0 + TIE_JITTER * self.random.random::<f64>();
         let cost_us = self.cost_us(engine, request, expected_tokens, now) * jitter;
         Candidate {
@@ -411,17 +398,23 @@
 }
 
 impl Homes {
-    fn add(&mut self, home: Home) {
-        if self.blocks_at(home.engine).is_none() {
-            self.entries.push(home);
+    /// Tokens that a home is expected to hold. An engine that drops the longest unused first
+    /// holds a block as long as its retention after each use; with requests that come at random
+    /// at a known rate, the chance to find it is 1 - exp(-rate * retention).
+    ///
+    /// Source: Che, Tung and Wang, "Hierarchical Web Caching Systems: Modeling, Design and
+    /// Experimental Results", 2002.
+    fn expected_tokens(&self, engine: &Engine, chain: &PrefixChain) -> f64 {
+        if !self.engines.contains(&engine.id) {
+            return 0.0;
         }
-    }
-
-    fn blocks_at(&self, engine: EngineId) -> Option<usize> {
-        self.entries
+        let retention = engine.retention.as_secs_f64();
+        let held: f64 = self
+            .block_rates
             .iter()
-            .find(|home| home.engine == engine)
-            .map(|home| home.blocks)
+            .map(|rate| 1.0 - (-rate * retention).exp())
+            .sum();
+        held * f64::from(chain.block_tokens())
     }
 }
 
--- /dev/null
+++ b/crates/testbed/src/bench/decision.rs
@@ -0,0 +1,84 @@
+//! What one decision costs, and how that grows with engines and with what is remembered.
+
+use std::time::Instant;
+
+use drumshore_core::{
+    EngineName, Incarnation, ModelName, PoolName, TenantName, Timestamp, WeightsVersion, ZoneName,
+};
+use drumshore_routing::{
+    AnswerReport, BeliefParams, EngineObservation, EngineState, Placer, PrefixRoot, RoutingRequest,
+    Scheduler, SchedulerParams,
+};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::load::{histogram, Percentiles};
+use crate::workload::{Profile, WorkloadGenerator};
+
+const BLOCK_TOKENS: u32 = 2_048;
+const WARM_UP: usize = 20_000;
+const MEASURED: usize = 50_000;
+
+/// The cost of decisions at one size.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct DecisionReport {
+    /// Engines of the pool.
+    pub(super) engines: usize,
+    /// Time of one decision, in microseconds.
+    pub(super) mean_us: f64,
+    /// In microseconds, despite the type's name for its unit.
+    pub(super) microseconds: Percentiles,
+}
+
+/// Places requests among `engines` engines.
+pub(super) fn measure(engines: usize, seed: u64) -> DecisionReport {
+    let random = ChaCha8Rng::seed_from_u64(seed);
+    let scheduler = Scheduler::new(SchedulerParams::default(), random);
+    let mut placer = Placer::new(scheduler, BeliefParams::default());
+    for number in 0..engines {
+        placer.engines_mut().observe(EngineObservation {
+            name: EngineName::new(format!("engine-{number}")),
+            address: String::new(),
+            zone: ZoneName::new(format!("zone-{}", number % 18)),
+            pool: PoolName::new("p"),
+            incarnation: Incarnation(1),
+            weights_version: WeightsVersion(1),
+            state: EngineState::Ready,
+        });
+    }
+    let mut generator = WorkloadGenerator::new(Profile::SoharQuay.workload(), seed);
+    let mut nanoseconds = histogram();
+    let mut total = 0.0;
+    for number in 0..WARM_UP + MEASURED {
+        let now = Timestamp(number as u64 * 10_000);
+        let request = generator.next_request(now.0 as f64 / 1e6);
+        let tenant = TenantName::new(format!("tenant-{}", request.tenant));
+        let root = PrefixRoot::new(&tenant, &ModelName::new("m"), WeightsVersion(1), None);
+        let chain = request.chain(root, BLOCK_TOKENS);
+        let routing = RoutingRequest {
+            pool: &PoolName::new("p"),
+            weights_version: WeightsVersion(1),
+            chain: &chain,
+            zone: &ZoneName::new("zone-1"),
+            excluded: &[],
+        };
+        let started = Instant::now();
+        let placed = placer.place(number as u64, &routing, now);
+        let took = started.elapsed();
+        if let Ok((placement, _)) = placed {
+            placer.on_first_token(&placement, AnswerReport::default(), now);
+            placer.on_ended(&placement);
+        }
+        if number >= WARM_UP {
+            nanoseconds.saturating_record(took.as_nanos() as u64);
+            total += took.as_secs_f64() * 1e6;
+        }
+    }
+    // The histogram holds nanoseconds, so what reads as milliseconds are microseconds.
+    DecisionReport {
+        engines,
+        mean_us: total / MEASURED as f64,
+        microseconds: Percentiles::of(&nanoseconds),
+    }
+}
--- /dev/null
+++ b/crates/testbed/src/bench/log.rs
@@ -0,0 +1,208 @@
+//! The replicated log against the disk that it is on.
+
+use std::fs::OpenOptions;
+use std::io::{self, Write};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use drumshore_consensus::{
+    FileDirectory, FolderIdentity, LogIndex, Membership, Params, Replica, ReplicaError, ReplicaId,
+    Role,
+};
+use serde::Serialize;
+
+use crate::load::{histogram, Percentiles};
+
+const ENTRY_BYTES: usize = 256;
+const REPLICAS: u64 = 3;
+
+/// Proposals that gather between two syncs.
+const BATCHES: [usize; 3] = [1, 16, 256];
+
+/// Commits with one batch size.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct CommitReport {
+    /// Proposals under way at once.
+    pub(super) batch: usize,
+    /// Commits a second.
+    pub(super) commits_per_second: f64,
+    /// As a ratio to the disk's raw syncs a second, measured in the same run.
+    pub(super) ratio_to_syncs: f64,
+    /// From proposal to commit.
+    pub(super) commit_ms: Percentiles,
+}
+
+/// What came of the measurement.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct LogReport {
+    /// Appends of 256 bytes with a sync each, a second.
+    pub(super) syncs_per_second: f64,
+    /// Three replicas that sync one after the other on one disk and one thread.
+    pub(super) commits: Vec<CommitReport>,
+    /// Entries in the log, and the time to open a replica with them.
+    pub(super) recovery_ms: Vec<(u64, f64)>,
+}
+
+/// Why there is no measurement.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum LogError {
+    /// The disk failed.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// A replica failed.
+    #[error(transparent)]
+    Replica(#[from] ReplicaError),
+    /// No replica became the leader.
+    #[error("no replica leads")]
+    NoLeader,
+}
+
+pub(super) fn measure(folder: &Path, seconds: Duration) -> Result<LogReport, LogError> {
+    let syncs_per_second = raw_syncs(folder, seconds)?;
+    let mut commits = Vec::new();
+    for batch in BATCHES {
+        let part = folder.join(format!("batch-{batch}"));
+        let report = commit_batches(&part, batch, seconds, syncs_per_second)?;
+        commits.push(report);
+    }
+    let recovery_ms = [500, 100_000]
+        .into_iter()
+        .map(|entries| Ok((entries, recover(folder, entries)?)))
+        .collect::<Result<Vec<_>, LogError>>()?;
+    Ok(LogReport {
+        syncs_per_second,
+        commits,
+        recovery_ms,
+    })
+}
+
+fn raw_syncs(folder: &Path, seconds: Duration) -> Result<f64, LogError> {
+    let path = folder.join("raw");
+    let mut file = OpenOptions::new().create(true).append(true).open(path)?;
+    let (started, mut count) = (Instant::now(), 0_u64);
+    while started.elapsed() < seconds {
+        file.write_all(&[7; ENTRY_BYTES])?;
+        file.sync_data()?;
+        count += 1;
+    }
+    Ok(count as f64 / started.elapsed().as_secs_f64())
+}
+
+struct Cluster {
+    replicas: Vec<Replica<FileDirectory>>,
+    messages: Vec<drumshore_consensus::Envelope>,
+    leader: usize,
+}
+
+impl Cluster {
+    fn open(folder: &Path, count: u64) -> Result<Self, LogError> {
+        let ids: Vec<ReplicaId> = (1..=count).map(ReplicaId).collect();
+        let mut replicas = Vec::new();
+        for id in &ids {
+            let identity = FolderIdentity {
+                cluster: "bench".to_owned(),
+                replica: *id,
+            };
+            let directory = FileDirectory::open(folder.join(id.to_string()))?;
+            let membership = Membership::of_voters(ids.clone());
+            let replica = Replica::open(directory, &identity, membership, Params::default(), id.0)?;
+            replicas.push(replica);
+        }
+        let mut cluster = Self {
+            replicas,
+            messages: Vec::new(),
+            leader: 0,
+        };
+        cluster.elect()?;
+        Ok(cluster)
+    }
+
+    fn elect(&mut self) -> Result<(), LogError> {
+        const TICKS: usize = 1_000;
+        for _ in 0..TICKS {
+            for replica in &mut self.replicas {
+                replica.raft_mut().tick();
+            }
+            self.exchange()?;
+            let leads = |replica: &Replica<_>| replica.raft().role() == Role::Leader;
+            if let Some(leader) = self.replicas.iter().position(leads) {
+                self.leader = leader;
+                return Ok(());
+            }
+        }
+        Err(LogError::NoLeader)
+    }
+
+    /// Stores, sends and delivers until nothing is under way.
+    fn exchange(&mut self) -> Result<(), LogError> {
+        loop {
+            for replica in &mut self.replicas {
+                let messages = &mut self.messages;
+                replica.flush(&mut |message| messages.push(message))?;
+            }
+            if self.messages.is_empty() {
+                return Ok(());
+            }
+            for message in std::mem::take(&mut self.messages) {
+                let to = message.to.0 as usize - 1;
+                self.replicas[to].raft_mut().step(message);
+            }
+        }
+    }
+
+    fn commit(&mut self, count: usize) -> Result<LogIndex, LogError> {
+        let leader = &mut self.replicas[self.leader];
+        for _ in 0..count {
+            // A leader that was deposed meanwhile is noticed by the commit that does not move.
+            let _ = leader.raft_mut().propose(vec![7; ENTRY_BYTES]);
+        }
+        self.exchange()?;
+        Ok(self.replicas[self.leader].raft().committed())
+    }
+}
+
+fn commit_batches(
+    folder: &Path,
+    batch: usize,
+    seconds: Duration,
+    syncs_per_second: f64,
+) -> Result<CommitReport, LogError> {
+    let mut cluster = Cluster::open(folder, REPLICAS)?;
+    let first = cluster.commit(1)?;
+    let mut latencies = histogram();
+    let started = Instant::now();
+    let mut last = first;
+    while started.elapsed() < seconds {
+        let at = Instant::now();
+        last = cluster.commit(batch)?;
+        latencies.saturating_record((at.elapsed().as_micros() as u64).max(1));
+    }
+    let commits = (last.0 - first.0) as f64 / started.elapsed().as_secs_f64();
+    Ok(CommitReport {
+        batch,
+        commits_per_second: commits,
+        ratio_to_syncs: commits / syncs_per_second,
+        commit_ms: Percentiles::of(&latencies),
+    })
+}
+
+/// Writes a log of so many entries, and gives the time to open it again, in milliseconds.
+fn recover(folder: &Path, entries: u64) -> Result<f64, LogError> {
+    const AT_ONCE: usize = 500;
+    let folder = folder.join(format!("recover-{entries}"));
+    let mut cluster = Cluster::open(&folder, 1)?;
+    for _ in 0..entries / AT_ONCE as u64 {
+        cluster.commit(AT_ONCE)?;
+    }
+    drop(cluster);
+    let identity = FolderIdentity {
+        cluster: "bench".to_owned(),
+        replica: ReplicaId(1),
+    };
+    let started = Instant::now();
+    let directory = FileDirectory::open(folder.join("1"))?;
+    let membership = Membership::default();
+    let mut replica = Replica::open(directory, &identity, membership, Params::default(), 1)?;
+    replica.flush(&mut |_| {})?;
+    Ok(started.elapsed().as_secs_f64() * 1_000.0)
+}
--- /dev/null
+++ b/crates/testbed/src/bench/mod.rs
@@ -0,0 +1,11 @@
+//! Measurements: placement against an oracle, the cost of a decision, the log against the disk,
+//! streams through a router against streams without one.
+
+mod decision;
+mod log;
+mod routing;
+mod streams;
+
+pub(crate) mod cli;
+
+pub use routing::{run_policy, PolicyReport, RoutingBench, POLICIES};
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -28,6 +28,12 @@
                                make load against routers or engines
   sim [--scenario NAME|all] [--seed N] [--seeds COUNT] [--without GUARD] [--json FILE]
   sim --list | --list-guards   simulate the fleet under failures on a virtual clock
+  bench routing --workload surtidor|sohar-quay [--seed N] [--seconds N] [--rate R]
+        [--scheduler JSON] [--json FILE]
+                               the same requests under every policy and an oracle
+  bench decision | log | streams [--short] [--seconds N] [--json FILE]
+                               the cost of a decision; the log against its disk; streams through
+                               a router against streams without one
   scale [--nodes N] [--workers N] [--tenants N] [--controls N] [--seconds N]
         [--json FILE] [--markdown FILE] [--plot FILE]
                                measure the control plane at four sizes up to this one
@@ -85,6 +91,7 @@
         "load" => run_load(arguments),
         "engine" => run_engine(arguments),
         "platform" => run_platform(arguments),
+        "bench" => crate::bench::cli::main(arguments),
         "scale" => crate::scale::cli::main(arguments),
         "sim" => crate::sim::cli::main(arguments),
         other => Err(LabError::Usage(format!(
--- a/crates/testbed/src/engine/core.rs
+++ b/crates/testbed/src/engine/core.rs
@@ -10,7 +10,7 @@
 };
 use drumshore_guard::{enforced, Guard};
 use drumshore_router::engine_api;
-use drumshore_routing::SequenceHash;
+use drumshore_routing::{AnswerLoad, SequenceHash};
 use serde::{Deserialize, Serialize};
 
 use super::cache::{BlockCache, BlockOrigin};
@@ -121,6 +121,8 @@
     pub last: bool,
     /// Prompt tokens that were cached.
     pub cached_tokens: u32,
+    /// How busy the engine is, beside a request's first token.
+    pub load: Option<AnswerLoad>,
     /// The weights that produced it.
     pub weights_version: WeightsVersion,
 }
@@ -587,6 +589,13 @@
         }
         running.retain(|sequence| sequence.emitted < sequence.request.max_tokens);
         self.running = running;
+        let load = AnswerLoad {
+            waiting_tokens: self.waiting_tokens(),
+            running: self.running.len() as u32,
+        };
+        for output in outputs.iter_mut().filter(|output| output.index == 0) {
+            output.load = Some(load);
+        }
     }
 
     fn emit(&mut self, sequence: &mut Sequence, at: Timestamp) -> EngineOutput {
@@ -605,6 +614,7 @@
             index,
             last,
             cached_tokens: sequence.cached_tokens,
+            load: None,
             weights_version,
         }
     }
--- a/crates/testbed/src/engine/http.rs
+++ b/crates/testbed/src/engine/http.rs
@@ -18,7 +18,7 @@
 use drumshore_http::EXECUTION_HEADER;
 use drumshore_router::completion::PromptInput;
 use drumshore_router::{engine_api, CompletionKind, CompletionRequest};
-use drumshore_routing::{PrefixChain, PrefixRoot};
+use drumshore_routing::{AnswerLoad, PrefixChain, PrefixRoot};
 use rand::Rng;
 use serde::Deserialize;
 use tiny_http::{Header, Method, Request, Response, Server};
@@ -310,12 +310,13 @@
         let mut writer = request.into_writer();
         let head = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\
-             transfer-encoding: chunked\r\n{}: {}\r\n{}: {incarnation}\r\n{}: {}\r\n\r\n",
+             transfer-encoding: chunked\r\n{}: {}\r\n{}: {incarnation}\r\n{}: {}\r\n{}\r\n",
             engine_api::CACHED_TOKENS,
             first.cached_tokens,
             engine_api::INCARNATION,
             engine_api::WEIGHTS_VERSION,
             first.weights_version,
+            load_headers(first.load),
         );
         if writer.write_all(head.as_bytes()).is_err() {
             return;
@@ -376,6 +377,18 @@
     }
 }
 
+fn load_headers(load: Option<AnswerLoad>) -> String {
+    load.map_or(String::new(), |load| {
+        format!(
+            "{}: {}\r\n{}: {}\r\n",
+            engine_api::WAITING_TOKENS,
+            load.waiting_tokens,
+            engine_api::RUNNING,
+            load.running
+        )
+    })
+}
+
 fn replay(id: RequestId, summary: &StreamSummary, from: u32, sender: &Sender<EngineOutput>) {
     for index in from..summary.emitted {
         let _ = sender.send(EngineOutput {
@@ -384,6 +397,7 @@
             index,
             last: index + 1 == summary.max_tokens,
             cached_tokens: summary.cached_tokens,
+            load: None,
             weights_version: summary.weights_version,
         });
     }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,10 +2,12 @@
 //!
 //! [`engine`] and [`platform`] are the outside systems, [`workload`] is what callers ask,
 //! [`load`] asks it and checks every answer, [`fleet`] runs everything as processes, [`sim`] on a
-//! virtual clock, [`scale`] the control plane at the target's size.
+//! virtual clock, [`scale`] the control plane at the target's size, [`bench`] measures single
+//! parts.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
+pub mod bench;
 mod cli;
 pub mod engine;
 pub mod fleet;
--- a/crates/testbed/src/load/mod.rs
+++ b/crates/testbed/src/load/mod.rs
@@ -13,7 +13,7 @@
 use crate::workload::{WorkloadGenerator, WorkloadParams, WorkloadRequest};
 
 pub use caller::{Caller, CallerParams};
-pub use report::{LoadReport, Outcome, Percentiles, Recorder, Sample};
+pub use report::{histogram, LoadReport, Outcome, Percentiles, Recorder, Sample};
 
 const STACK_BYTES: usize = 128 * 1024;
 
--- a/crates/testbed/src/scale/measure.rs
+++ b/crates/testbed/src/scale/measure.rs
@@ -26,7 +26,7 @@
 
 /// A process at one moment.
 #[derive(Clone, Debug)]
-pub(super) struct Reading {
+pub struct Reading {
     at: Instant,
     cpu_seconds: f64,
     resident_mb: f64,
@@ -35,7 +35,7 @@
 
 impl Reading {
     /// Reads a process and its metrics.
-    pub(super) fn take(process: u32, metrics: SocketAddr) -> Self {
+    pub fn take(process: u32, metrics: SocketAddr) -> Self {
         const BYTES_PER_MB: f64 = 1_048_576.0;
         let stat = Process::new(process as i32).and_then(|process| process.stat());
         let (cpu_seconds, resident_mb) = stat.map_or((0.0, 0.0), |stat| {
@@ -55,7 +55,7 @@
     }
 
     /// What was used since an earlier reading.
-    pub(super) fn since(&self, earlier: &Self) -> Usage {
+    pub fn since(&self, earlier: &Self) -> Usage {
         let seconds = (self.at - earlier.at).as_secs_f64();
         let rate = |suffix: &str| {
             let value = |reading: &Self| {
--- a/crates/testbed/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod cli;
 
 pub use fit::Line;
+pub use measure::{Reading, Usage};
 pub use stage::{ScaleError, StageReport, StageSize};
 
 use serde::{Deserialize, Serialize};
--- a/crates/testbed/src/sim/engines.rs
+++ b/crates/testbed/src/sim/engines.rs
@@ -8,7 +8,7 @@
     EngineName, IdempotencyKey, Incarnation, ModelName, RequestId, Timestamp, WeightsVersion,
 };
 use drumshore_router::{Assignment, CompletionKind, UpstreamCall, UpstreamEnd, UpstreamHead};
-use drumshore_routing::PrefixChain;
+use drumshore_routing::{AnswerReport, PrefixChain};
 use rand::Rng;
 
 use super::checks::{Promise, LEAVING_LIMIT};
@@ -250,7 +250,7 @@
                     status: refusal.status,
                     execution: Some(refusal.execution),
                     refusal: Some(refusal.reason.to_owned()),
-                    cached_tokens: None,
+                    ..UpstreamHead::default()
                 };
                 self.send_news(id, CallNews::Head(head), Duration::ZERO);
             }
@@ -324,12 +324,17 @@
                 index,
                 last: index + 1 == summary.max_tokens,
                 cached_tokens: summary.cached_tokens,
+                load: None,
                 weights_version: summary.weights_version,
             };
             self.send_output(engine, id, &output);
         }
         if from >= summary.max_tokens {
-            self.send_head(id, summary.cached_tokens);
+            let report = AnswerReport {
+                cached_tokens: Some(summary.cached_tokens),
+                load: None,
+            };
+            self.send_head(id, report);
             self.send_news(id, CallNews::Bytes(done_event()), Duration::ZERO);
         }
     }
@@ -414,7 +419,11 @@
     }
 
     fn send_output(&mut self, engine: usize, id: u64, output: &EngineOutput) {
-        self.send_head(id, output.cached_tokens);
+        let report = AnswerReport {
+            cached_tokens: Some(output.cached_tokens),
+            load: output.load,
+        };
+        self.send_head(id, report);
         let host = &self.engines[engine];
         let digest = host.digests.get(&output.id).copied().unwrap_or(0);
         let text = token(digest, apparent_version(host, output), output.index);
@@ -447,7 +456,7 @@
         }
     }
 
-    fn send_head(&mut self, id: u64, cached_tokens: u32) {
+    fn send_head(&mut self, id: u64, report: AnswerReport) {
         let first = self
             .calls
             .get_mut(&id)
@@ -455,7 +464,7 @@
         if first {
             let head = UpstreamHead {
                 status: 200,
-                cached_tokens: Some(cached_tokens),
+                report,
                 ..UpstreamHead::default()
             };
             self.send_news(id, CallNews::Head(head), Duration::ZERO);
