Spread families over engines, and ask engines about expensive prompts

Change: a family is spread over three engines, its longer prefixes held once among them; families of few requests are never split; suspects are no homes. Before an expensive prompt is placed, up to four engines are asked what they hold, within a budget of 4 requests a second.

--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -59,7 +59,7 @@
             patience: Duration::from_secs(5),
             resend_after: Duration::from_secs(1),
             freshness_interval: Duration::from_secs(1),
-            load_interval: Duration::from_secs(1),
+            load_interval: Duration::from_millis(500),
             upkeep_interval: Duration::from_secs(1),
         }
     }
--- a/crates/node/src/router/edge.rs
+++ b/crates/node/src/router/edge.rs
@@ -211,6 +211,11 @@
         ("failed", "Requests that ended otherwise", metrics.failed),
         ("refused", "Requests that did not run", metrics.refused),
         ("retries", "Attempts after the first", metrics.retries),
+        (
+            "lookups",
+            "Requests before whose placement engines were asked",
+            metrics.lookups,
+        ),
         (
             "prompt_tokens",
             "Prompt tokens of answered requests",
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -2,6 +2,7 @@
 
 mod control;
 mod ledger;
+mod lookups;
 mod placement;
 mod requests;
 mod tenants;
@@ -15,9 +16,9 @@
     Priority, RequestId, RouterName, TenantName, Timestamp, Verdict, WeightsVersion, ZoneName,
 };
 use drumshore_routing::{
-    Admission, AdmissionParams, BeliefParams, DecisionLog, DecisionRecord, EngineObservation,
-    EngineSet, FairQueue, Placement, Placer, PrefixRoot, RetryBudget, RetryParams, Scheduler,
-    SchedulerParams,
+    Admission, AdmissionParams, AnswerLoad, BeliefParams, DecisionLog, DecisionRecord,
+    EngineObservation, EngineSet, FairQueue, LookupAnswer, Placement, Placer, PrefixRoot,
+    RetryBudget, RetryParams, Scheduler, SchedulerParams,
 };
 use drumshore_wire::Message;
 use rand::SeedableRng;
@@ -28,9 +29,11 @@
 use crate::answer::RecordedAnswer;
 use crate::completion::PromptInput;
 use crate::config::{ConfigError, ConfigView};
+use crate::engine_api::{LookupReply, LookupRequest};
 use crate::session::{ControlSession, LinkId, SessionAction, SessionParams};
 
 use ledger::PendingOutcome;
+use lookups::LookupBudget;
 use tenants::UnknownKeys;
 
 /// The engine list is written at most this often.
@@ -71,6 +74,11 @@
     pub usage_interval: Duration,
     /// An engine that failed a request is avoided for this long.
     pub suspect_time: Duration,
+    /// Requests a second for which engines are asked before they are placed, at most. It bounds
+    /// the traffic: a lookup of four engines is about 2 KB.
+    pub lookups_per_second: f64,
+    /// How long a request waits for the answers.
+    pub lookup_patience: Duration,
 }
 
 impl RouterParams {
@@ -93,6 +101,8 @@
             claim_patience: Duration::from_secs(6),
             usage_interval: Duration::from_secs(1),
             suspect_time: Duration::from_secs(2),
+            lookups_per_second: 4.0,
+            lookup_patience: Duration::from_millis(30),
         }
     }
 }
@@ -155,6 +165,44 @@
     pub idempotency_key: Option<IdempotencyKey>,
 }
 
+/// What to ask engines before a request is placed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Lookup {
+    /// Whom to ask.
+    pub targets: Vec<LookupTarget>,
+    /// What to ask.
+    pub request: LookupRequest,
+    /// Tokens in one block.
+    pub block_tokens: u32,
+    /// How long to wait for the answers.
+    pub patience: Duration,
+}
+
+/// An engine to ask.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LookupTarget {
+    /// The engine.
+    pub engine: EngineId,
+    /// Its name.
+    pub name: EngineName,
+    /// Where it listens.
+    pub address: String,
+}
+
+impl Lookup {
+    /// An engine's reply as the core takes it.
+    pub fn answer(&self, engine: EngineId, reply: &LookupReply) -> LookupAnswer {
+        LookupAnswer {
+            engine,
+            cached_tokens: reply.blocks * self.block_tokens,
+            load: AnswerLoad {
+                waiting_tokens: reply.waiting_tokens,
+                running: reply.running,
+            },
+        }
+    }
+}
+
 /// The core's answer to a request or a failed attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdmitOutcome {
@@ -164,6 +212,8 @@
     Recorded(RecordedAnswer),
     /// The models that the tenant may use.
     Models(Vec<ModelName>),
+    /// Ask these engines first, and hand their answers in.
+    LookUp(Lookup),
     /// It is over.
     Refused(Verdict),
 }
@@ -242,6 +292,8 @@
     pub refused: u64,
     /// Attempts after the first.
     pub retries: u64,
+    /// Requests before whose placement engines were asked.
+    pub lookups: u64,
     /// Prompt tokens of answered requests.
     pub prompt_tokens: u64,
     /// Of these, tokens that engines had in their caches.
@@ -268,6 +320,7 @@
 enum Phase {
     AwaitingTenant { until: Timestamp },
     AwaitingClaim { until: Timestamp },
+    LookingUp { until: Timestamp },
     Queued,
     Running(Placement),
 }
@@ -306,6 +359,7 @@
     unknown_keys: UnknownKeys,
     outcomes: BTreeMap<u64, PendingOutcome>,
     allotted: BTreeSet<TenantName>,
+    lookups: LookupBudget,
     decisions: DecisionLog,
     metrics: RouterMetrics,
     last_fresh: Option<Timestamp>,
@@ -348,6 +402,7 @@
             unknown_keys: UnknownKeys::default(),
             outcomes: BTreeMap::new(),
             allotted: BTreeSet::new(),
+            lookups: LookupBudget::new(params.lookups_per_second),
             decisions: DecisionLog::new(params.decision_entries),
             metrics: RouterMetrics::default(),
             last_fresh: None,
@@ -375,6 +430,7 @@
             self.effects.push(effect);
         }
         self.expire_waiting();
+        self.expire_lookups();
         self.expire_queued();
         self.resend_outcomes();
         self.report_usage();
--- a/crates/router/src/core/placement.rs
+++ b/crates/router/src/core/placement.rs
@@ -1,24 +1,83 @@
 //! Puts a request on an engine, and learns from what came of it.
 
-use drumshore_core::{ErrorCode, RequestId, Timestamp, Verdict, WeightsVersion};
+use drumshore_core::{EngineId, ErrorCode, RequestId, Timestamp, Verdict, WeightsVersion};
 use drumshore_routing::{
-    AnswerReport, AttemptRecord, Choice, Placement, PrefixChain, PrefixRoot, RoutingRequest,
+    AnswerReport, AttemptRecord, Choice, Decision, LookupAnswer, Placement, PrefixChain,
+    PrefixRoot, RoutingRequest,
 };
 
-use super::{AdmitOutcome, Assignment, Phase, RouterCore};
+use super::{AdmitOutcome, Assignment, LookupTarget, Phase, RouterCore};
+
+/// A request's prompt under its tenant, model and weights.
+struct HashedPrompt {
+    chain: PrefixChain,
+    root: PrefixRoot,
+    weights_version: WeightsVersion,
+}
 
 impl RouterCore {
     /// Chooses an engine; false when there is none with room.
     pub(super) fn place(&mut self, id: RequestId) -> bool {
-        let Some(request) = self.active.get(&id) else {
+        if !self.active.contains_key(&id) {
             return true;
-        };
-        let Some(model) = self.config.model(&request.ask.model) else {
+        }
+        let Some(HashedPrompt {
+            chain,
+            root,
+            weights_version,
+        }) = self.prompt_of(id)
+        else {
             let message = "the model is not configured any more";
             let verdict = Verdict::not_run(ErrorCode::UnknownModel, message);
             self.refuse_active(id, verdict);
             return true;
         };
+        match self.choose(id, &chain, weights_version) {
+            Some(Decision::Placed(placement, choice)) => {
+                self.commit(id, root, weights_version, (placement, choice));
+                true
+            }
+            Some(Decision::LookUp(engines)) => {
+                let targets = self.targets(&engines);
+                self.look_up(id, &chain, targets);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Places a request with what engines answered; false when there is none with room.
+    pub(super) fn place_informed(&mut self, id: RequestId, answers: &[LookupAnswer]) -> bool {
+        let Some(prompt) = self.prompt_of(id) else {
+            return false;
+        };
+        let Some(request) = self.active.get(&id) else {
+            return false;
+        };
+        for pool in self.config.pools_of(&request.ask.model) {
+            let routing = RoutingRequest {
+                pool: &pool,
+                weights_version: prompt.weights_version,
+                chain: &prompt.chain,
+                zone: &self.params.zone,
+                excluded: &request.excluded,
+                known: None,
+            };
+            let placed = self
+                .placer
+                .place_informed(id.sequence, &routing, answers, self.now);
+            if let Ok(placed) = placed {
+                self.commit(id, prompt.root, prompt.weights_version, placed);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// The prompt as it is hashed now.
+    fn prompt_of(&self, id: RequestId) -> Option<HashedPrompt> {
+        let request = self.active.get(&id)?;
+        let model = self.config.model(&request.ask.model)?;
         let weights_version = request.pinned_weights.unwrap_or(model.weights_version);
         let root = PrefixRoot::new(
             &request.tenant,
@@ -27,11 +86,24 @@
             request.ask.adapter.as_ref(),
         );
         let chain = PrefixChain::new(root, request.ask.prompt.as_prompt(), model.block_tokens);
-        let Some(placed) = self.choose(id, &chain, weights_version) else {
-            return false;
-        };
-        self.commit(id, root, weights_version, placed);
-        true
+        Some(HashedPrompt {
+            chain,
+            root,
+            weights_version,
+        })
+    }
+
+    fn targets(&self, engines: &[EngineId]) -> Vec<LookupTarget> {
+        let known = engines
+            .iter()
+            .filter_map(|engine| self.placer.engines().get(*engine));
+        known
+            .map(|engine| LookupTarget {
+                engine: engine.id,
+                name: engine.observation.name.clone(),
+                address: engine.observation.address.clone(),
+            })
+            .collect()
     }
 
     /// The first token of an attempt arrived.
@@ -63,7 +135,8 @@
         id: RequestId,
         chain: &PrefixChain,
         weights_version: WeightsVersion,
-    ) -> Option<(Placement, Choice)> {
+    ) -> Option<Decision> {
+        let may_look_up = self.lookups.has_one(self.now);
         let request = self.active.get(&id)?;
         for pool in self.config.pools_of(&request.ask.model) {
             let routing = RoutingRequest {
@@ -72,9 +145,13 @@
                 chain,
                 zone: &self.params.zone,
                 excluded: &request.excluded,
+                known: None,
             };
-            if let Ok(placed) = self.placer.place(id.sequence, &routing, self.now) {
-                return Some(placed);
+            let decided = self
+                .placer
+                .place(id.sequence, &routing, may_look_up, self.now);
+            if let Ok(decision) = decided {
+                return Some(decision);
             }
         }
         // An engine that failed once is better than none.
--- a/crates/routing/src/heat.rs
+++ b/crates/routing/src/heat.rs
@@ -34,10 +34,14 @@
         }
     }
 
+    /// The rate of a prefix, in requests a second.
+    pub fn rate(&self, prefix: SequenceHash, now: Timestamp) -> f64 {
+        self.count(prefix, now) / self.time_constant.as_secs_f64()
+    }
+
     /// Counts one request for a prefix and returns its rate, in requests a second.
     pub fn touch(&mut self, prefix: SequenceHash, now: Timestamp) -> f64 {
-        let counter = self.young.get(&prefix).or_else(|| self.old.get(&prefix));
-        let decayed = counter.map_or(0.0, |counter| self.decayed(counter, now));
+        let decayed = self.count(prefix, now);
         self.rotate_when_full();
         self.young.insert(
             prefix,
@@ -49,6 +53,11 @@
         (decayed + 1.0) / self.time_constant.as_secs_f64()
     }
 
+    fn count(&self, prefix: SequenceHash, now: Timestamp) -> f64 {
+        let counter = self.young.get(&prefix).or_else(|| self.old.get(&prefix));
+        counter.map_or(0.0, |counter| self.decayed(counter, now))
+    }
+
     fn decayed(&self, counter: &Counter, now: Timestamp) -> f64 {
         let age = now.since(counter.at).as_secs_f64() / self.time_constant.as_secs_f64();
         counter.value * (-age).exp()
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -26,11 +26,13 @@
 pub use engines::{Engine, EngineObservation, EngineSet, EngineState, LoadReport};
 pub use fair_queue::{FairQueue, QueuedItem};
 pub use index::{BeliefIndex, BeliefParams};
-pub use placer::{AnswerLoad, AnswerReport, Placement, Placer};
+pub use placer::{AnswerLoad, AnswerReport, Decision, LookupAnswer, Placement, Placer};
 pub use prefix::{PrefixChain, PrefixRoot, Prompt};
 pub use protocols::{CacheEvent, CacheEventKind, SequenceHash};
 pub use retry::{RetryBudget, RetryParams};
-pub use scheduler::{Choice, NoChoice, Policy, RoutingRequest, Scheduler, SchedulerParams};
+pub use scheduler::{
+    Choice, KnownCache, NoChoice, Policy, RoutingRequest, Scheduler, SchedulerParams,
+};
 
 #[cfg(test)]
 mod tests;
--- a/crates/routing/src/placer.rs
+++ b/crates/routing/src/placer.rs
@@ -7,8 +7,8 @@
 
 use crate::index::Overlap;
 use crate::{
-    BeliefIndex, BeliefParams, Choice, Engine, EngineSet, LoadReport, NoChoice, RoutingRequest,
-    Scheduler,
+    BeliefIndex, BeliefParams, Choice, Engine, EngineSet, KnownCache, LoadReport, NoChoice,
+    RoutingRequest, Scheduler,
 };
 
 /// Times to the first token below this say little about an engine's speed.
@@ -32,6 +32,26 @@
     pub running: u32,
 }
 
+/// What becomes of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// It goes to an engine, on which it is booked.
+    Placed(Placement, Choice),
+    /// Ask these engines what they hold of it, and place it again with their answers.
+    LookUp(Vec<EngineId>),
+}
+
+/// An engine's answer to a lookup.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LookupAnswer {
+    /// The engine.
+    pub engine: EngineId,
+    /// Prompt tokens that it holds.
+    pub cached_tokens: u32,
+    /// How busy it is.
+    pub load: AnswerLoad,
+}
+
 /// A request on an engine, to be handed back when something is known of it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Placement {
@@ -86,16 +106,66 @@
         self.scheduler.set_routers(routers);
     }
 
-    /// Chooses an engine and books the request on it. `request` is the caller's own number.
+    /// Chooses an engine and books the request on it, or says which engines to ask first.
+    /// `request` is the caller's own number.
     pub fn place(
         &mut self,
         request: u64,
         routing: &RoutingRequest<'_>,
+        may_look_up: bool,
         now: Timestamp,
-    ) -> Result<(Placement, Choice), NoChoice> {
+    ) -> Result<Decision, NoChoice> {
         let choice = self
             .scheduler
             .choose(&self.engines, &self.index, routing, now)?;
+        if may_look_up && !choice.worth_asking.is_empty() {
+            return Ok(Decision::LookUp(choice.worth_asking));
+        }
+        let (placement, choice) = self.book(request, routing, choice, now)?;
+        Ok(Decision::Placed(placement, choice))
+    }
+
+    /// Places a request with what engines answered.
+    pub fn place_informed(
+        &mut self,
+        request: u64,
+        routing: &RoutingRequest<'_>,
+        answers: &[LookupAnswer],
+        now: Timestamp,
+    ) -> Result<(Placement, Choice), NoChoice> {
+        for answer in answers {
+            if let Some(engine) = self.engines.get_mut(answer.engine) {
+                engine.load = LoadReport {
+                    waiting_tokens: answer.load.waiting_tokens,
+                    running: answer.load.running,
+                    at: now,
+                };
+            }
+        }
+        let known: Vec<KnownCache> = answers
+            .iter()
+            .map(|answer| KnownCache {
+                engine: answer.engine,
+                cached_tokens: answer.cached_tokens,
+            })
+            .collect();
+        let informed = RoutingRequest {
+            known: Some(&known),
+            ..*routing
+        };
+        let choice = self
+            .scheduler
+            .choose(&self.engines, &self.index, &informed, now)?;
+        self.book(request, &informed, choice, now)
+    }
+
+    fn book(
+        &mut self,
+        request: u64,
+        routing: &RoutingRequest<'_>,
+        choice: Choice,
+        now: Timestamp,
+    ) -> Result<(Placement, Choice), NoChoice> {
         let chain = routing.chain;
         let engine = self
             .engines
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -60,8 +60,18 @@
     pub family_share: f64,
     /// Engines that share one hot prefix, at most.
     pub max_homes: usize,
+    /// Engines over which a family's longer prefixes are spread. More engines carry more evenly,
+    /// and hold more copies of what the family shares.
+    pub family_spread: usize,
+    /// Families with fewer requests a second are neither split nor shared.
+    pub min_family_rate: f64,
     /// Routers that see the same traffic; this router's rates are multiplied by it.
     pub routers: f64,
+    /// Engines that are asked what they hold of an expensive prompt before it is placed; 0 for
+    /// never.
+    pub lookups: usize,
+    /// A prompt is expensive when its best engine is expected to compute more tokens than this.
+    pub lookup_min_tokens: u32,
     /// Engines drawn at random, so that an idle one is found.
     pub sampled: usize,
     /// Pools of up to this size are looked at as a whole.
@@ -79,13 +89,17 @@
         Self {
             policy: Policy::Product,
             prefill_us_per_token: 20.0,
-            running_us: 400.0,
+            running_us: 100.0,
             other_zone_us: 1_000.0,
             other_region_us: 500_000.0,
-            recompute_weight: 1.5,
-            family_share: 0.5,
+            recompute_weight: 4.0,
+            family_share: 3.0,
             max_homes: 8,
+            family_spread: 3,
+            min_family_rate: 0.5,
             routers: 1.0,
+            lookups: 4,
+            lookup_min_tokens: 3_000,
             sampled: 6,
             scan_all_up_to: 32,
             max_waiting_tokens: 400_000,
@@ -115,6 +129,17 @@
     pub zone: &'a ZoneName,
     /// Engines where it failed before.
     pub excluded: &'a [EngineId],
+    /// What engines said that they hold of it, when they were asked.
+    pub known: Option<&'a [KnownCache]>,
+}
+
+/// What one engine said that it holds of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct KnownCache {
+    /// The engine.
+    pub engine: EngineId,
+    /// Prompt tokens.
+    pub cached_tokens: u32,
 }
 
 /// The engine chosen.
@@ -128,6 +153,8 @@
     pub believed: Option<Overlap>,
     /// The best candidates, best first.
     pub candidates: Vec<CandidateRecord>,
+    /// Engines worth asking before the request is placed; none when it is cheap.
+    pub worth_asking: Vec<EngineId>,
 }
 
 /// Why there is no engine.
@@ -147,12 +174,16 @@
     cost_us: f64,
 }
 
-/// The engines that a request's prefix family calls home.
+/// The engines of a request's prefix family.
 #[derive(Debug, Default)]
 struct Homes {
-    engines: Vec<EngineId>,
-    /// The rate at which each home is asked for each block of the chain, in requests a second.
-    block_rates: Vec<f64>,
+    /// All engines of the family; the homes of this very prompt come first.
+    members: Vec<EngineId>,
+    homes: usize,
+    /// The rate at which each member is asked for each block of the family, a second.
+    member_rates: Vec<f64>,
+    /// The rate at which each home is asked for each block behind these, a second.
+    home_rates: Vec<f64>,
 }
 
 /// Chooses engines. Keeps prefix rates, a random generator and nothing else.
@@ -205,15 +236,35 @@
             candidates.sort_by(|a, b| a.cost_us.total_cmp(&b.cost_us));
         }
         let best = candidates[0];
+        let worth_asking = self.worth_asking(request, &candidates);
         candidates.truncate(self.params.recorded_candidates);
         Ok(Choice {
             engine: best.engine,
             expected_cached_tokens: best.expected_tokens as u32,
             believed: best.believed,
             candidates: records(engines, &candidates, now),
+            worth_asking,
         })
     }
 
+    fn worth_asking(
+        &self,
+        request: &RoutingRequest<'_>,
+        candidates: &[Candidate],
+    ) -> Vec<EngineId> {
+        let prompt_tokens = f64::from(request.chain.prompt_tokens());
+        let missing = candidates
+            .first()
+            .map_or(0.0, |best| prompt_tokens - best.expected_tokens);
+        let informed = matches!(self.params.policy, Policy::OwnBelief | Policy::Product);
+        let expensive = missing > f64::from(self.params.lookup_min_tokens);
+        if !informed || !expensive || request.known.is_some() {
+            return Vec::new();
+        }
+        let asked = candidates.iter().take(self.params.lookups);
+        asked.map(|candidate| candidate.engine).collect()
+    }
+
     /// The expected time to the first token at an engine that holds `cached_tokens` of the
     /// prompt, in microseconds, with the weights of this scheduler.
     pub fn cost_us(
@@ -269,33 +320,51 @@
         if !wanted || hashes.is_empty() {
             return Homes::default();
         }
+        let counted = request.known.is_some();
         let rates: Vec<f64> = hashes
             .iter()
-            .map(|hash| self.heat.touch(*hash, now) * self.params.routers)
+            .map(|hash| self.rate(*hash, counted, now))
             .collect();
-        let all = self.heat.touch(ALL_REQUESTS, now) * self.params.routers;
-        let possible = engines
-            .pool(request.pool)
-            .filter(|engine| is_possible(engine, request));
+        let all = self.rate(ALL_REQUESTS, counted, now);
+        // A suspect engine is no home, so that all routers turn to the same next one.
+        let is_home = |engine: &&Engine| is_possible(engine, request) && !engine.is_suspect(now);
+        let possible = engines.pool(request.pool).filter(is_home);
         let fair_part = all / possible.count().max(1) as f64;
-        let limit = (fair_part * self.params.family_share).max(f64::MIN_POSITIVE);
+        let limit = (fair_part * self.params.family_share).max(self.params.min_family_rate);
         let deepest = hashes.len() - 1;
         let fits = |rate: &f64| *rate <= limit;
         let family = rates.iter().position(fits).unwrap_or(deepest);
         let count = (rates[family] / limit).ceil().max(1.0) as usize;
         let count = count.min(self.params.max_homes);
-        let mut ranking = TopRanked::new(count);
-        for engine in engines.pool(request.pool) {
-            if is_possible(engine, request) {
-                ranking.offer(weight(hashes[family], engine.id), engine.id);
-            }
+        let mut ranking = TopRanked::new(count * self.params.family_spread.max(1));
+        for engine in engines.pool(request.pool).filter(is_home) {
+            ranking.offer(weight(hashes[family], engine.id), engine.id);
         }
+        let mut members: Vec<EngineId> = ranking.into_items().collect();
+        // Among the family's engines, the whole prompt decides: its own blocks are held once.
+        members.sort_by_key(|engine| std::cmp::Reverse(weight(hashes[deepest], *engine)));
+        let spread = members.len().max(1) as f64;
         Homes {
-            engines: ranking.into_items().collect(),
-            block_rates: rates.iter().map(|rate| rate / count as f64).collect(),
+            homes: count.min(members.len()),
+            members,
+            member_rates: rates[..=family].iter().map(|rate| rate / spread).collect(),
+            home_rates: rates[family + 1..]
+                .iter()
+                .map(|rate| rate / count as f64)
+                .collect(),
         }
     }
 
+    /// The rate of a prefix over all routers; a request that was counted is not counted again.
+    fn rate(&mut self, prefix: SequenceHash, counted: bool, now: Timestamp) -> f64 {
+        let own = if counted {
+            self.heat.rate(prefix, now)
+        } else {
+            self.heat.touch(prefix, now)
+        };
+        own * self.params.routers
+    }
+
     fn candidates(
         &mut self,
         engines: &EngineSet,
@@ -344,7 +413,7 @@
         }
         let mut positions: Vec<usize> = Vec::new();
         let known = overlaps.iter().map(|overlap| overlap.engine);
-        for id in known.chain(homes.engines.iter().copied()) {
+        for id in known.chain(homes.members.iter().copied()) {
             if let Ok(position) = possible.binary_search_by_key(&id, |engine| engine.id) {
                 positions.push(position);
             }
@@ -377,9 +446,12 @@
             f64::from(request.chain.tokens_in(overlap.blocks)) * held
         });
         let from_home = homes.expected_tokens(engine, request.chain);
-        let expected_tokens = match self.params.policy {
-            Policy::Exact => f64::from(engine.exact_cached_tokens()),
-            _ => from_belief.max(from_home),
+        let mut known = request.known.unwrap_or_default().iter();
+        let known = known.find(|known| known.engine == engine.id);
+        let expected_tokens = match (self.params.policy, known) {
+            (Policy::Exact, _) => f64::from(engine.exact_cached_tokens()),
+            (_, Some(known)) => f64::from(known.cached_tokens),
+            (_, None) => from_belief.max(from_home),
         };
         let jitter = 1.0 + TIE_JITTER * self.random.random::<f64>();
         let cost_us = self.cost_us(engine, request, expected_tokens, now) * jitter;
@@ -398,23 +470,28 @@
 }
 
 impl Homes {
-    /// Tokens that a home is expected to hold. An engine that drops the longest unused first
+    /// Tokens that an engine of the family is expected to hold. An engine that drops the longest unused first
     /// holds a block as long as its retention after each use; with requests that come at random
     /// at a known rate, the chance to find it is 1 - exp(-rate * retention).
     ///
     /// Source: Che, Tung and Wang, "Hierarchical Web Caching Systems: Modeling, Design and
     /// Experimental Results", 2002.
     fn expected_tokens(&self, engine: &Engine, chain: &PrefixChain) -> f64 {
-        if !self.engines.contains(&engine.id) {
+        let Some(rank) = self.members.iter().position(|member| *member == engine.id) else {
             return 0.0;
-        }
+        };
         let retention = engine.retention.as_secs_f64();
-        let held: f64 = self
-            .block_rates
-            .iter()
-            .map(|rate| 1.0 - (-rate * retention).exp())
-            .sum();
-        held * f64::from(chain.block_tokens())
+        let held = |rates: &[f64]| -> f64 {
+            rates
+                .iter()
+                .map(|rate| 1.0 - (-rate * retention).exp())
+                .sum()
+        };
+        let mut blocks = held(&self.member_rates);
+        if rank < self.homes {
+            blocks += held(&self.home_rates);
+        }
+        blocks * f64::from(chain.block_tokens())
     }
 }
 
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -77,6 +77,7 @@
             chain: &self.chain,
             zone: &ZoneName::new("a"),
             excluded: &[],
+            known: None,
         };
         self.scheduler
             .choose(&self.engines, &self.index, &request, NOW)
--- a/crates/testbed/src/engine/core.rs
+++ b/crates/testbed/src/engine/core.rs
@@ -9,7 +9,7 @@
     Revision, Timestamp, WeightsVersion,
 };
 use drumshore_guard::{enforced, Guard};
-use drumshore_router::engine_api;
+use drumshore_router::engine_api::{self, LookupPrefix, LookupReply, LookupRequest};
 use drumshore_routing::{AnswerLoad, SequenceHash};
 use serde::{Deserialize, Serialize};
 
@@ -305,6 +305,17 @@
         cached.min(request.prompt_tokens.saturating_sub(1))
     }
 
+    /// What is held of a prompt, and how busy the engine is.
+    pub fn look_up(&self, request: &LookupRequest) -> LookupReply {
+        let held = |prefix: &&LookupPrefix| self.cache.leading(&[prefix.hash]) == 1;
+        let longest = request.prefixes.iter().take_while(held).last();
+        LookupReply {
+            blocks: longest.map_or(0, |prefix| prefix.blocks),
+            waiting_tokens: self.waiting_tokens(),
+            running: self.running.len() as u32,
+        }
+    }
+
     /// Requests that began to run since the last call, in order.
     pub fn take_executions(&mut self) -> Vec<Executed> {
         std::mem::take(&mut self.executions)
--- a/crates/testbed/src/engine/http.rs
+++ b/crates/testbed/src/engine/http.rs
@@ -192,6 +192,15 @@
                 let probe = self.lock().core.probe(self.now());
                 respond_json(request, &probe);
             }
+            (Method::Post, engine_api::LOOKUP_PATH, _) => {
+                match read_json::<engine_api::LookupRequest>(&mut request) {
+                    Some(asked) => {
+                        let reply = self.lock().core.look_up(&asked);
+                        respond_json(request, &reply);
+                    }
+                    None => respond(request, 400, &[], b"{}"),
+                }
+            }
             (Method::Get, "/v1/counters", _) => {
                 let counters = self.lock().core.counters();
                 respond_json(request, &counters);
--- a/crates/testbed/src/sim/world.rs
+++ b/crates/testbed/src/sim/world.rs
@@ -13,6 +13,7 @@
 use drumshore_core::{EngineName, RequestId, ResourceKey, Timestamp};
 use drumshore_guard::Guard;
 use drumshore_router::{AdmitOutcome, LinkId, UpstreamCall};
+use drumshore_routing::LookupAnswer;
 use drumshore_wire::Message;
 use rand::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -97,6 +98,10 @@
         call: u64,
         progress: u64,
     },
+    LookedUp {
+        exchange: u64,
+        answers: Vec<LookupAnswer>,
+    },
     NextAsk,
     TryAsk(u64),
     Race,
@@ -510,6 +515,7 @@
                 call,
                 progress,
             } => self.on_stall(exchange, call, progress),
+            Event::LookedUp { exchange, answers } => self.on_looked_up(exchange, answers),
             Event::NextAsk => self.next_ask(),
             Event::TryAsk(number) => self.try_ask(number),
             Event::Race => self.race(),
