--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -75,7 +75,7 @@
     /// An engine that failed a request is avoided for this long.
     pub suspect_time: Duration,
     /// Requests a second for which engines are asked before they are placed, at most. It bounds
-    /// the traffic: a lookup of four engines is about 2 KB.
+    /// the traffic: a lookup of three engines is about 1 KB.
     pub lookups_per_second: f64,
     /// How long a request waits for the answers.
     pub lookup_patience: Duration,
@@ -101,7 +101,7 @@
             claim_patience: Duration::from_secs(6),
             usage_interval: Duration::from_secs(1),
             suspect_time: Duration::from_secs(2),
-            lookups_per_second: 4.0,
+            lookups_per_second: 8.0,
             lookup_patience: Duration::from_millis(30),
         }
     }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -223,36 +223,37 @@
     }
 }
 
-/// All engines that a router knows.
+/// All engines that a router knows, by identity. Decisions look at all engines of a pool, so they
+/// lie one behind the other.
 #[derive(Clone, Debug, Default)]
 pub struct EngineSet {
-    engines: BTreeMap<EngineId, Engine>,
-    pools: BTreeMap<PoolName, Vec<EngineId>>,
+    engines: Vec<Engine>,
+    pools: BTreeMap<PoolName, Vec<usize>>,
 }
 
 impl EngineSet {
     /// Takes in what the control machines say of one engine.
     pub fn observe(&mut self, observation: EngineObservation) {
-        let id = observation.name.id();
-        let moved = match self.engines.get_mut(&id) {
-            Some(engine) => {
+        match self.position(observation.name.id()) {
+            Ok(position) => {
+                let engine = &mut self.engines[position];
                 let moved = engine.observation.pool != observation.pool;
                 engine.observe(observation);
-                moved
+                if moved {
+                    self.rebuild_pools();
+                }
             }
-            None => {
-                self.engines.insert(id, Engine::new(observation));
-                true
+            Err(position) => {
+                self.engines.insert(position, Engine::new(observation));
+                self.rebuild_pools();
             }
-        };
-        if moved {
-            self.rebuild_pools();
         }
     }
 
     /// Forgets an engine that is gone.
     pub fn remove(&mut self, id: EngineId) {
-        if self.engines.remove(&id).is_some() {
+        if let Ok(position) = self.position(id) {
+            self.engines.remove(position);
             self.rebuild_pools();
         }
     }
@@ -260,7 +261,7 @@
     /// Forgets all engines not on the list.
     pub fn retain(&mut self, keep: impl Fn(EngineId) -> bool) {
         let before = self.engines.len();
-        self.engines.retain(|id, _| keep(*id));
+        self.engines.retain(|engine| keep(engine.id));
         if self.engines.len() != before {
             self.rebuild_pools();
         }
@@ -268,32 +269,40 @@
 
     /// One engine.
     pub fn get(&self, id: EngineId) -> Option<&Engine> {
-        self.engines.get(&id)
+        let position = self.position(id).ok()?;
+        self.engines.get(position)
     }
 
     /// One engine, to be changed.
     pub fn get_mut(&mut self, id: EngineId) -> Option<&mut Engine> {
-        self.engines.get_mut(&id)
+        let position = self.position(id).ok()?;
+        self.engines.get_mut(position)
     }
 
     /// The engines of a pool, in the order of their identities.
     pub fn pool(&self, pool: &PoolName) -> impl Iterator<Item = &Engine> {
         let members = self.pools.get(pool).map_or(&[][..], Vec::as_slice);
-        members.iter().filter_map(|id| self.engines.get(id))
+        members
+            .iter()
+            .filter_map(|position| self.engines.get(*position))
     }
 
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
-        self.engines.values()
+        self.engines.iter()
+    }
+
+    fn position(&self, id: EngineId) -> Result<usize, usize> {
+        self.engines.binary_search_by_key(&id, |engine| engine.id)
     }
 
     fn rebuild_pools(&mut self) {
         self.pools.clear();
-        for (id, engine) in &self.engines {
+        for (position, engine) in self.engines.iter().enumerate() {
             self.pools
                 .entry(engine.observation.pool.clone())
                 .or_default()
-                .push(*id);
+                .push(position);
         }
     }
 }
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -70,7 +70,8 @@
     /// Engines that are asked what they hold of an expensive prompt before it is placed; 0 for
     /// never.
     pub lookups: usize,
-    /// A prompt is expensive when its best engine is expected to compute more tokens than this.
+    /// A prompt is expensive when its best engine is expected to compute more tokens than this
+    /// until the first one is out, those that wait there included.
     pub lookup_min_tokens: u32,
     /// Engines drawn at random, so that an idle one is found.
     pub sampled: usize,
@@ -98,8 +99,8 @@
             family_spread: 3,
             min_family_rate: 0.5,
             routers: 1.0,
-            lookups: 4,
-            lookup_min_tokens: 3_000,
+            lookups: 3,
+            lookup_min_tokens: 800,
             sampled: 6,
             scan_all_up_to: 32,
             max_waiting_tokens: 400_000,
@@ -170,6 +171,7 @@
 struct Candidate {
     engine: EngineId,
     expected_tokens: f64,
+    waiting_tokens: f64,
     believed: Option<Overlap>,
     cost_us: f64,
 }
@@ -225,9 +227,16 @@
         request: &RoutingRequest<'_>,
         now: Timestamp,
     ) -> Result<Choice, NoChoice> {
+        let possible: Vec<&Engine> = engines
+            .pool(request.pool)
+            .filter(|engine| is_possible(engine, request))
+            .collect();
+        if possible.is_empty() {
+            return Err(NoChoice::NoneReady);
+        }
         let overlaps = self.overlaps(engines, index, request);
-        let homes = self.homes(engines, request, now);
-        let mut candidates = self.candidates(engines, request, &overlaps, &homes, now)?;
+        let homes = self.homes(&possible, request, now);
+        let mut candidates = self.candidates(&possible, request, &overlaps, &homes, now)?;
         if self.params.policy == Policy::RoundRobin {
             self.turn += 1;
             let turn = self.turn % candidates.len();
@@ -253,11 +262,11 @@
         candidates: &[Candidate],
     ) -> Vec<EngineId> {
         let prompt_tokens = f64::from(request.chain.prompt_tokens());
-        let missing = candidates
-            .first()
-            .map_or(0.0, |best| prompt_tokens - best.expected_tokens);
-        let informed = matches!(self.params.policy, Policy::OwnBelief | Policy::Product);
-        let expensive = missing > f64::from(self.params.lookup_min_tokens);
+        let work = candidates.first().map_or(0.0, |best| {
+            prompt_tokens - best.expected_tokens + best.waiting_tokens
+        });
+        let informed = self.params.policy == Policy::Product;
+        let expensive = work > f64::from(self.params.lookup_min_tokens);
         if !informed || !expensive || request.known.is_some() {
             return Vec::new();
         }
@@ -311,7 +320,7 @@
     /// that share much stay together; the longest one is shared by several engines.
     fn homes(
         &mut self,
-        engines: &EngineSet,
+        possible: &[&Engine],
         request: &RoutingRequest<'_>,
         now: Timestamp,
     ) -> Homes {
@@ -327,9 +336,8 @@
             .collect();
         let all = self.rate(ALL_REQUESTS, counted, now);
         // A suspect engine is no home, so that all routers turn to the same next one.
-        let is_home = |engine: &&Engine| is_possible(engine, request) && !engine.is_suspect(now);
-        let possible = engines.pool(request.pool).filter(is_home);
-        let fair_part = all / possible.count().max(1) as f64;
+        let eligible = || possible.iter().filter(|engine| !engine.is_suspect(now));
+        let fair_part = all / eligible().count().max(1) as f64;
         let limit = (fair_part * self.params.family_share).max(self.params.min_family_rate);
         let deepest = hashes.len() - 1;
         let fits = |rate: &f64| *rate <= limit;
@@ -337,7 +345,7 @@
         let count = (rates[family] / limit).ceil().max(1.0) as usize;
         let count = count.min(self.params.max_homes);
         let mut ranking = TopRanked::new(count * self.params.family_spread.max(1));
-        for engine in engines.pool(request.pool).filter(is_home) {
+        for engine in eligible() {
             ranking.offer(weight(hashes[family], engine.id), engine.id);
         }
         let mut members: Vec<EngineId> = ranking.into_items().collect();
@@ -367,23 +375,16 @@
 
     fn candidates(
         &mut self,
-        engines: &EngineSet,
+        possible: &[&Engine],
         request: &RoutingRequest<'_>,
         overlaps: &[Overlap],
         homes: &Homes,
         now: Timestamp,
     ) -> Result<Vec<Candidate>, NoChoice> {
-        let possible: Vec<&Engine> = engines
-            .pool(request.pool)
-            .filter(|engine| is_possible(engine, request))
-            .collect();
-        if possible.is_empty() {
-            return Err(NoChoice::NoneReady);
-        }
-        let mut considered = self.considered(&possible, overlaps, homes);
+        let mut considered = self.considered(possible, overlaps, homes);
         considered.retain(|engine| !self.is_full(engine));
         if considered.is_empty() {
-            considered = possible;
+            considered = possible.to_vec();
             considered.retain(|engine| !self.is_full(engine));
         }
         let mut candidates = Vec::with_capacity(considered.len());
@@ -458,6 +459,7 @@
         Candidate {
             engine: engine.id,
             expected_tokens,
+            waiting_tokens: f64::from(engine.waiting_tokens()),
             believed,
             cost_us,
         }
--- a/crates/testbed/src/bench/routing.rs
+++ b/crates/testbed/src/bench/routing.rs
@@ -43,7 +43,10 @@
 /// How long an engine that crashed is away.
 const AWAY: Duration = Duration::from_secs(3);
 
-/// How long it takes to ask four engines what they hold.
+/// The oracle's own weight, whatever the product's: the one at which its tail is shortest.
+const ORACLE_RECOMPUTE_WEIGHT: f64 = 1.5;
+
+/// How long it takes to ask a few engines what they hold.
 const LOOKUP_TIME: Duration = Duration::from_millis(2);
 
 /// Bytes of a question's and its answer's HTTP heads and of the answer's body.
@@ -198,6 +201,10 @@
             .collect();
         let scheduler = SchedulerParams {
             policy,
+            recompute_weight: match policy {
+                Policy::Exact => ORACLE_RECOMPUTE_WEIGHT,
+                _ => params.scheduler.recompute_weight,
+            },
             routers: params.routers as f64,
             ..params.scheduler.clone()
         };
