Let a model say whether placement weighs latency or reuse

Change: the model resource has a goal, latency or reuse; with reuse a queue is no reason to compute elsewhere, and tokens weigh twice as much.

--- a/crates/control/src/tests.rs
+++ b/crates/control/src/tests.rs
@@ -31,6 +31,7 @@
     ResourceSpec::Model(ModelSpec {
         weights_version: WeightsVersion(version),
         block_tokens: 2_048,
+        goal: Default::default(),
     })
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,8 +18,8 @@
 };
 pub use keys::{KeyHash, SecretKey};
 pub use resource::{
-    EnginePoolSpec, ModelSpec, Priority, PriorityClassSpec, Resource, ResourceKey, ResourceKind,
-    ResourceSpec, RolloutSpec, RolloutState, SpecError, TenantLimits, TenantSpec,
+    EnginePoolSpec, ModelSpec, PlacementGoal, Priority, PriorityClassSpec, Resource, ResourceKey,
+    ResourceKind, ResourceSpec, RolloutSpec, RolloutState, SpecError, TenantLimits, TenantSpec,
 };
 pub use time::Timestamp;
 pub use verdict::{ErrorCode, Execution, Verdict};
--- a/crates/core/src/resource.rs
+++ b/crates/core/src/resource.rs
@@ -94,6 +94,17 @@
     pub draining: BTreeSet<EngineName>,
 }
 
+/// What placement weighs more when it cannot have both.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementGoal {
+    /// A short time to the first token.
+    #[default]
+    Latency,
+    /// Little recomputation.
+    Reuse,
+}
+
 /// A model and the weights version in force.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -102,6 +113,9 @@
     pub weights_version: WeightsVersion,
     /// Tokens in one cached block of the engines that serve it.
     pub block_tokens: u32,
+    /// What its placement weighs more.
+    #[serde(default)]
+    pub goal: PlacementGoal,
 }
 
 /// Limits of one tenant over the whole fleet.
--- a/crates/router/src/core/placement.rs
+++ b/crates/router/src/core/placement.rs
@@ -1,6 +1,8 @@
 //! Puts a request on an engine, and learns from what came of it.
 
-use drumshore_core::{EngineId, ErrorCode, RequestId, Timestamp, Verdict, WeightsVersion};
+use drumshore_core::{
+    EngineId, ErrorCode, PlacementGoal, RequestId, Timestamp, Verdict, WeightsVersion,
+};
 use drumshore_routing::{
     AnswerReport, AttemptRecord, Choice, Decision, LookupAnswer, Placement, PrefixChain,
     PrefixRoot, RoutingRequest,
@@ -13,6 +15,7 @@
     chain: PrefixChain,
     root: PrefixRoot,
     weights_version: WeightsVersion,
+    goal: PlacementGoal,
 }
 
 impl RouterCore {
@@ -21,25 +24,20 @@
         if !self.active.contains_key(&id) {
             return true;
         }
-        let Some(HashedPrompt {
-            chain,
-            root,
-            weights_version,
-        }) = self.prompt_of(id)
-        else {
+        let Some(prompt) = self.prompt_of(id) else {
             let message = "the model is not configured any more";
             let verdict = Verdict::not_run(ErrorCode::UnknownModel, message);
             self.refuse_active(id, verdict);
             return true;
         };
-        match self.choose(id, &chain, weights_version) {
+        match self.choose(id, &prompt) {
             Some(Decision::Placed(placement, choice)) => {
-                self.commit(id, root, weights_version, (placement, choice));
+                self.commit(id, &prompt, (placement, choice));
                 true
             }
             Some(Decision::LookUp(engines)) => {
                 let targets = self.targets(&engines);
-                self.look_up(id, &chain, targets);
+                self.look_up(id, &prompt.chain, targets);
                 true
             }
             None => false,
@@ -59,6 +57,7 @@
                 pool: &pool,
                 weights_version: prompt.weights_version,
                 chain: &prompt.chain,
+                goal: prompt.goal,
                 zone: &self.params.zone,
                 excluded: &request.excluded,
                 known: None,
@@ -67,7 +66,7 @@
                 .placer
                 .place_informed(id.sequence, &routing, answers, self.now);
             if let Ok(placed) = placed {
-                self.commit(id, prompt.root, prompt.weights_version, placed);
+                self.commit(id, &prompt, placed);
                 return true;
             }
         }
@@ -90,6 +89,7 @@
             chain,
             root,
             weights_version,
+            goal: model.goal,
         })
     }
 
@@ -130,19 +130,15 @@
     }
 
     /// Asks the pools that serve the model, one after the other.
-    fn choose(
-        &mut self,
-        id: RequestId,
-        chain: &PrefixChain,
-        weights_version: WeightsVersion,
-    ) -> Option<Decision> {
+    fn choose(&mut self, id: RequestId, prompt: &HashedPrompt) -> Option<Decision> {
         let may_look_up = self.lookups.has_one(self.now);
         let request = self.active.get(&id)?;
         for pool in self.config.pools_of(&request.ask.model) {
             let routing = RoutingRequest {
                 pool: &pool,
-                weights_version,
-                chain,
+                weights_version: prompt.weights_version,
+                chain: &prompt.chain,
+                goal: prompt.goal,
                 zone: &self.params.zone,
                 excluded: &request.excluded,
                 known: None,
@@ -163,8 +159,7 @@
     fn commit(
         &mut self,
         id: RequestId,
-        cache_salt: PrefixRoot,
-        weights_version: WeightsVersion,
+        prompt: &HashedPrompt,
         (placement, choice): (Placement, Choice),
     ) {
         let Some(request) = self.active.get_mut(&id) else {
@@ -180,8 +175,8 @@
             engine: engine.observation.name.clone(),
             address: engine.observation.address.clone(),
             incarnation: placement.incarnation,
-            weights_version,
-            cache_salt,
+            weights_version: prompt.weights_version,
+            cache_salt: prompt.root,
             priority: request.priority,
             idempotency_key: request.ask.idempotency_key.clone(),
         };
--- a/crates/router/src/tests/config.rs
+++ b/crates/router/src/tests/config.rs
@@ -20,6 +20,7 @@
     let spec = ResourceSpec::Model(ModelSpec {
         weights_version: WeightsVersion(weights),
         block_tokens: 16,
+        goal: Default::default(),
     });
     resource("m", version, spec)
 }
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use drumshore_core::{EngineId, PoolName, Timestamp, WeightsVersion, ZoneName};
+use drumshore_core::{EngineId, PlacementGoal, PoolName, Timestamp, WeightsVersion, ZoneName};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use serde::{Deserialize, Serialize};
@@ -55,6 +55,8 @@
     /// What a token computed costs in comparison with a token waited for: above 1 because
     /// computing also delays others and evicts what they need.
     pub recompute_weight: f64,
+    /// The same where reuse is the goal.
+    pub reuse_recompute_weight: f64,
     /// The share of an engine's fair part of all requests that one prefix family may have before
     /// it is split, or shared by several engines when it cannot be split.
     pub family_share: f64,
@@ -73,6 +75,8 @@
     /// A prompt is expensive when its best engine is expected to compute more tokens than this
     /// until the first one is out, those that wait there included.
     pub lookup_min_tokens: u32,
+    /// The same where reuse is the goal, without those that wait.
+    pub reuse_lookup_min_tokens: u32,
     /// Engines drawn at random, so that an idle one is found.
     pub sampled: usize,
     /// Pools of up to this size are looked at as a whole.
@@ -94,6 +98,7 @@
             other_zone_us: 1_000.0,
             other_region_us: 500_000.0,
             recompute_weight: 4.0,
+            reuse_recompute_weight: 8.0,
             family_share: 3.0,
             max_homes: 8,
             family_spread: 3,
@@ -101,6 +106,7 @@
             routers: 1.0,
             lookups: 3,
             lookup_min_tokens: 800,
+            reuse_lookup_min_tokens: 3_000,
             sampled: 6,
             scan_all_up_to: 32,
             max_waiting_tokens: 400_000,
@@ -126,6 +132,8 @@
     pub weights_version: WeightsVersion,
     /// Its prompt.
     pub chain: &'a PrefixChain,
+    /// What its model's placement weighs more.
+    pub goal: PlacementGoal,
     /// Where the router runs.
     pub zone: &'a ZoneName,
     /// Engines where it failed before.
@@ -262,11 +270,17 @@
         candidates: &[Candidate],
     ) -> Vec<EngineId> {
         let prompt_tokens = f64::from(request.chain.prompt_tokens());
-        let work = candidates.first().map_or(0.0, |best| {
-            prompt_tokens - best.expected_tokens + best.waiting_tokens
+        // Where reuse is the goal, a queue is no reason to go and compute elsewhere.
+        let expensive = candidates.first().is_some_and(|best| {
+            let missing = prompt_tokens - best.expected_tokens;
+            match request.goal {
+                PlacementGoal::Latency => {
+                    missing + best.waiting_tokens > f64::from(self.params.lookup_min_tokens)
+                }
+                PlacementGoal::Reuse => missing > f64::from(self.params.reuse_lookup_min_tokens),
+            }
         });
         let informed = self.params.policy == Policy::Product;
-        let expensive = work > f64::from(self.params.lookup_min_tokens);
         if !informed || !expensive || request.known.is_some() {
             return Vec::new();
         }
@@ -288,7 +302,11 @@
         let waiting = f64::from(engine.waiting_tokens()) * token_us;
         let running = f64::from(engine.running()) * params.running_us * engine.slowness;
         let missing = (f64::from(request.chain.prompt_tokens()) - cached_tokens).max(0.0);
-        let mut cost = waiting + running + missing * token_us * params.recompute_weight;
+        let weight = match request.goal {
+            PlacementGoal::Latency => params.recompute_weight,
+            PlacementGoal::Reuse => params.reuse_recompute_weight,
+        };
+        let mut cost = waiting + running + missing * token_us * weight;
         let zone = &engine.observation.zone;
         if zone.region() != request.zone.region() {
             cost += params.other_region_us;
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -77,6 +77,7 @@
             chain: &self.chain,
             zone: &ZoneName::new("a"),
             excluded: &[],
+            goal: Default::default(),
             known: None,
         };
         self.scheduler
--- a/crates/testbed/src/bench/decision.rs
+++ b/crates/testbed/src/bench/decision.rs
@@ -3,7 +3,8 @@
 use std::time::Instant;
 
 use drumshore_core::{
-    EngineName, Incarnation, ModelName, PoolName, TenantName, Timestamp, WeightsVersion, ZoneName,
+    EngineName, Incarnation, ModelName, PlacementGoal, PoolName, TenantName, Timestamp,
+    WeightsVersion, ZoneName,
 };
 use drumshore_routing::{
     AnswerReport, BeliefParams, Decision, EngineObservation, EngineState, Placer, PrefixRoot,
@@ -60,6 +61,7 @@
             pool: &PoolName::new("p"),
             weights_version: WeightsVersion(1),
             chain: &chain,
+            goal: PlacementGoal::Latency,
             zone: &ZoneName::new("zone-1"),
             excluded: &[],
             known: None,
--- a/crates/testbed/src/bench/routing.rs
+++ b/crates/testbed/src/bench/routing.rs
@@ -201,13 +201,17 @@
             .collect();
         let scheduler = SchedulerParams {
             policy,
-            recompute_weight: match policy {
-                Policy::Exact => ORACLE_RECOMPUTE_WEIGHT,
-                _ => params.scheduler.recompute_weight,
-            },
             routers: params.routers as f64,
             ..params.scheduler.clone()
         };
+        let scheduler = match policy {
+            Policy::Exact => SchedulerParams {
+                recompute_weight: ORACLE_RECOMPUTE_WEIGHT,
+                reuse_recompute_weight: ORACLE_RECOMPUTE_WEIGHT,
+                ..scheduler
+            },
+            _ => scheduler,
+        };
         let placers = (0..params.routers).map(|router| {
             let random = ChaCha8Rng::seed_from_u64(seed ^ (router as u64 + 1) << 32);
             Placer::new(
@@ -390,6 +394,7 @@
             pool: &PoolName::new(POOL),
             weights_version: WEIGHTS,
             chain: &job.chain,
+            goal: self.params.profile.goal(),
             zone: &zone,
             excluded: &job.excluded,
             known: None,
--- a/crates/testbed/src/fleet/settings.rs
+++ b/crates/testbed/src/fleet/settings.rs
@@ -3,7 +3,7 @@
 use std::net::{IpAddr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 
-use drumshore_core::SecretKey;
+use drumshore_core::{PlacementGoal, SecretKey};
 
 use super::layout::Layout;
 
@@ -97,10 +97,14 @@
     let names: Vec<String> = draining.iter().map(|name| format!("\"{name}\"")).collect();
     let mut text = format!(
         "[[resource]]\nkind = \"model\"\nname = \"{MODEL}\"\n\
-         spec = {{ weights_version = 1, block_tokens = {} }}\n\n\
+         spec = {{ weights_version = 1, block_tokens = {}, goal = \"{}\" }}\n\n\
          [[resource]]\nkind = \"engine-pool\"\nname = \"{POOL}\"\n\
          spec = {{ model = \"{MODEL}\", draining = [{}] }}\n\n",
         layout.block_tokens(),
+        match layout.profile.goal() {
+            PlacementGoal::Latency => "latency",
+            PlacementGoal::Reuse => "reuse",
+        },
         names.join(", "),
     );
     for tenant in 0..layout.workload().tenants {
--- a/crates/testbed/src/scale/stage.rs
+++ b/crates/testbed/src/scale/stage.rs
@@ -295,6 +295,7 @@
             let spec = ResourceSpec::Model(ModelSpec {
                 weights_version: WeightsVersion(1),
                 block_tokens: 2_048,
+                goal: Default::default(),
             });
             documents.push((format!("model-{model}"), spec));
             let spec = ResourceSpec::EnginePool(EnginePoolSpec {
--- a/crates/testbed/src/sim/operators.rs
+++ b/crates/testbed/src/sim/operators.rs
@@ -114,6 +114,7 @@
         let model = ResourceSpec::Model(ModelSpec {
             weights_version: WeightsVersion(1),
             block_tokens: BLOCK_TOKENS,
+            goal: Default::default(),
         });
         let pool = ResourceSpec::EnginePool(EnginePoolSpec {
             model: ModelName::new(MODEL),
--- a/crates/testbed/src/workload.rs
+++ b/crates/testbed/src/workload.rs
@@ -4,7 +4,7 @@
 //! Prefixes form a tree under each tenant. A request walks down the tree, most often along the
 //! path that is hot at the time, and ends in a part of its own.
 
-use drumshore_core::Priority;
+use drumshore_core::{PlacementGoal, Priority};
 use drumshore_routing::{PrefixChain, PrefixRoot, SequenceHash};
 use rand::Rng;
 use rand::SeedableRng;
@@ -64,6 +64,14 @@
         }
     }
 
+    /// What it weighs more, by the brief.
+    pub fn goal(self) -> PlacementGoal {
+        match self {
+            Profile::Surtidor => PlacementGoal::Latency,
+            Profile::SoharQuay => PlacementGoal::Reuse,
+        }
+    }
+
     /// What its callers ask.
     pub fn workload(self) -> WorkloadParams {
         let level = |children, blocks| Level { children, blocks };
