Measure streams through a router at a node's share of the target

Found on the way: the engine stand-in never flushed the end of its stream, so that a caller that reads to the end hung, and routers could not use their connections again; both mended.

--- a/crates/node/src/router/completions.rs
+++ b/crates/node/src/router/completions.rs
@@ -203,6 +203,9 @@
         self.handle.post(move |_, context| {
             call!([context.actor], finished(id, conclusion, answer));
         });
+        if let Some(body) = self.body.take() {
+            body.finish();
+        }
     }
 
     fn send_answer(&mut self, answer: &RecordedAnswer) {
--- a/crates/node/src/router/upstream.rs
+++ b/crates/node/src/router/upstream.rs
@@ -128,6 +128,14 @@
 }
 
 impl UpstreamBody {
+    /// Reads past the last event to the end of the answer, so that the connection can carry
+    /// another request.
+    pub(super) fn finish(mut self) {
+        let mut end = [0; 16];
+        // Anything but the end costs the connection, not the answer.
+        let _ = self.reader.read(&mut end);
+    }
+
     /// Reads what has arrived; an empty slice at the end.
     pub(super) fn read<'b>(&mut self, buffer: &'b mut [u8]) -> Result<&'b [u8], UpstreamEnd> {
         match self.reader.read(buffer) {
--- a/crates/testbed/src/bench/streams.rs
+++ b/crates/testbed/src/bench/streams.rs
@@ -20,8 +20,9 @@
 use crate::scale::{Reading, Usage};
 use crate::workload::{Level, WorkloadParams};
 
-/// Engines beside the router, so that none of them is the bottleneck.
-const ENGINES: usize = 2;
+/// Engines beside the router, so that no engine is the bottleneck and none has more of the
+/// streams than a router gives to one.
+const ENGINES: usize = 8;
 
 /// What to measure.
 #[derive(Clone, Copy, Debug)]
@@ -64,8 +65,8 @@
     /// The operators' commands failed.
     #[error("writing resources ended as {0:?}")]
     Apply(ExitStatus),
-    /// The router did not become ready.
-    #[error("the router did not become ready")]
+    /// The router or its control machine did not become ready.
+    #[error("router or control machine did not become ready")]
     NotReady,
 }
 
@@ -229,6 +230,7 @@
         file: text(&file)?.to_owned(),
     };
     let options = Options::new(vec![format!("http://{}", control.operators)], OPERATOR_KEY);
+    await_that(|| std::net::TcpStream::connect(control.operators).is_ok())?;
     match operator::run(&command, &options) {
         ExitStatus::Done => Ok(()),
         status => Err(StreamsError::Apply(status)),
@@ -237,11 +239,16 @@
 
 /// Ready, and with engines to send to.
 fn await_ready(router: SocketAddr) -> Result<(), StreamsError> {
+    const ENGINES_KNOWN_AFTER: Duration = Duration::from_secs(2);
+    await_that(|| ureq::get(format!("http://{router}/readyz")).call().is_ok())?;
+    thread::sleep(ENGINES_KNOWN_AFTER);
+    Ok(())
+}
+
+fn await_that(holds: impl Fn() -> bool) -> Result<(), StreamsError> {
     const TRIES: usize = 200;
     for _ in 0..TRIES {
-        let ready = ureq::get(format!("http://{router}/readyz")).call().is_ok();
-        if ready {
-            thread::sleep(Duration::from_secs(2));
+        if holds() {
             return Ok(());
         }
         thread::sleep(Duration::from_millis(50));
--- a/crates/testbed/src/engine/http.rs
+++ b/crates/testbed/src/engine/http.rs
@@ -356,6 +356,9 @@
                 outputs.recv().ok()
             };
         }
+        drop(body);
+        // A peer that is gone needs no end of its stream.
+        let _ = writer.flush();
     }
 }
 
