--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -171,8 +171,11 @@
             self.change += 1;
             view.change = self.change;
         }
-        self.forget_gone(now);
-        self.settle_all();
+        // Only this engine: with 1,900 engines there are thousands of answers a second.
+        settle(view, &mut self.change);
+        if view.failing_since.is_some() {
+            self.forget_gone(now);
+        }
     }
 
     /// Takes in which engines operators want to be empty.
@@ -245,13 +248,7 @@
     fn settle_all(&mut self) {
         for (name, view) in &mut self.engines {
             view.draining = self.draining.contains(name);
-            let (state, reason) = merged_state(view);
-            view.reason = reason;
-            if view.state != state {
-                self.change += 1;
-                view.state = state;
-                view.change = self.change;
-            }
+            settle(view, &mut self.change);
         }
     }
 
@@ -292,6 +289,16 @@
     probe.map(|probe| (probe.incarnation, probe.weights_version))
 }
 
+fn settle(view: &mut EngineView, change: &mut u64) {
+    let (state, reason) = merged_state(view);
+    view.reason = reason;
+    if view.state != state {
+        *change += 1;
+        view.state = state;
+        view.change = *change;
+    }
+}
+
 fn merged_state(view: &EngineView) -> (EngineStateCode, &'static str) {
     if view.record.state == MachineState::Leaving {
         return (EngineStateCode::Leaving, "the platform says it leaves");
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use drumshore_core::{ErrorCode, Verdict};
 
@@ -19,8 +19,12 @@
 /// How long a closing connection waits for bytes that are still on their way.
 const LINGER: Duration = Duration::from_millis(300);
 
-/// Bytes that a closing connection reads at most.
-const LINGER_BYTES: usize = 1 << 20;
+/// Bytes that a closing connection reads and drops at most: a caller whose body is too large
+/// reads its refusal only when it has sent the body.
+const LINGER_BYTES: usize = 64 << 20;
+
+/// How long a closing connection reads in all.
+const LONGEST_LINGER: Duration = Duration::from_secs(2);
 
 /// Bounds of a server.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -174,6 +178,7 @@
 /// Closes so that the peer can read the last answer: a socket that is closed with bytes unread
 /// is reset, and a reset may overtake the answer.
 fn close_in_order(mut stream: &TcpStream) {
+    let deadline = Instant::now() + LONGEST_LINGER;
     let mut left = LINGER_BYTES;
     let mut discarded = [0; 4 * 1024];
     let prepared = stream
@@ -184,7 +189,7 @@
     }
     while let Ok(count @ 1..) = stream.read(&mut discarded) {
         left = left.saturating_sub(count);
-        if left == 0 {
+        if left == 0 || Instant::now() > deadline {
             return;
         }
     }
--- a/crates/testbed/src/fleet/mod.rs
+++ b/crates/testbed/src/fleet/mod.rs
@@ -89,12 +89,20 @@
     address: SocketAddr,
 }
 
-struct Fleet {
+struct ControlProcess {
+    process: Process,
+    addresses: ControlAddresses,
+    config: PathBuf,
+}
+
+/// A fleet of processes; they end with it.
+pub struct Fleet {
     layout: Layout,
     folder: PathBuf,
+    program: PathBuf,
     platform: String,
     engines: Vec<EngineProcess>,
-    controls: Vec<(Process, ControlAddresses)>,
+    controls: Vec<ControlProcess>,
     routers: Vec<(Process, SocketAddr)>,
 }
 
@@ -102,7 +110,8 @@
 pub fn run(options: &FleetOptions) -> Result<FleetReport, FleetError> {
     let folder = std::env::temp_dir().join(format!("drumshore-fleet-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
-    let mut fleet = Fleet::start(options.layout.clone(), folder.clone())?;
+    let program = std::env::current_exe()?;
+    let mut fleet = Fleet::start(options.layout.clone(), folder.clone(), program)?;
     let report = fleet.measure(options)?;
     drop(fleet);
     if report.is_clean() {
@@ -114,7 +123,9 @@
 }
 
 impl Fleet {
-    fn start(layout: Layout, folder: PathBuf) -> Result<Self, FleetError> {
+    /// Starts a fleet in a folder, with `program` as what `drumshore-lab` is, and waits until it
+    /// is ready.
+    pub fn start(layout: Layout, folder: PathBuf, program: PathBuf) -> Result<Self, FleetError> {
         let any_port = "127.0.0.1:0".parse().map_err(io::Error::other)?;
         let address = platform::spawn(&PlatformOptions {
             listen: any_port,
@@ -123,6 +134,7 @@
         let mut fleet = Self {
             layout,
             folder,
+            program,
             platform: format!("http://{address}"),
             engines: Vec::new(),
             controls: Vec::new(),
@@ -159,8 +171,7 @@
                 "--witness",
                 text(&witness)?,
             ];
-            let log = self.folder.join(format!("{name}.log"));
-            let mut process = Process::spawn(&name, &arguments, &log)?;
+            let mut process = self.spawn(&name, &arguments)?;
             let address = process.first_line()?.parse().map_err(io::Error::other)?;
             let engine = EngineProcess {
                 process,
@@ -205,11 +216,19 @@
         for own in &all {
             let config = settings::write_control(&self.folder, own, &all, &self.platform)?;
             let name = format!("control-{}", own.id);
-            let log = self.folder.join(format!("{name}.log"));
-            let config = text(&config)?;
-            let arguments = ["drumshore", "control", "--config", config, "--bootstrap"];
-            let process = Process::spawn(&name, &arguments, &log)?;
-            self.controls.push((process, *own));
+            let arguments = [
+                "drumshore",
+                "control",
+                "--config",
+                text(&config)?,
+                "--bootstrap",
+            ];
+            let process = self.spawn(&name, &arguments)?;
+            self.controls.push(ControlProcess {
+                process,
+                addresses: *own,
+                config,
+            });
         }
         self.await_that("a leader among the control machines", |fleet| {
             fleet.status().is_some_and(|status| status.leader.is_some())
@@ -220,7 +239,7 @@
         let controls: Vec<ControlAddresses> = self
             .controls
             .iter()
-            .map(|(_, addresses)| *addresses)
+            .map(|control| control.addresses)
             .collect();
         for number in 0..self.layout.routers {
             let ip = self
@@ -232,9 +251,8 @@
             let name = format!("router-{}", number + 1);
             let zone = self.layout.zone(number);
             let config = settings::write_router(&self.folder, &name, &zone, listen, &controls)?;
-            let log = self.folder.join(format!("{name}.log"));
             let arguments = ["drumshore", "router", "--config", text(&config)?];
-            let process = Process::spawn(&name, &arguments, &log)?;
+            let process = self.spawn(&name, &arguments)?;
             self.routers.push((process, listen));
         }
         Ok(())
@@ -251,16 +269,63 @@
         }
     }
 
-    fn operator_options(&self) -> Options {
+    fn spawn(&self, name: &str, arguments: &[&str]) -> io::Result<Process> {
+        let log = self.folder.join(format!("{name}.log"));
+        Process::spawn_program(&self.program, name, arguments, &log)
+    }
+
+    /// Where the routers listen.
+    pub fn routers(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(|(_, listen)| *listen).collect()
+    }
+
+    /// Where operators reach the control machines.
+    pub fn controls(&self) -> Vec<SocketAddr> {
+        let controls = self.controls.iter();
+        controls
+            .map(|control| control.addresses.operators)
+            .collect()
+    }
+
+    /// Ends an engine without warning.
+    pub fn kill_engine(&mut self, number: usize) {
+        self.engines[number].process.kill();
+    }
+
+    /// Ends a control machine without warning.
+    pub fn kill_control(&mut self, id: u64) {
+        for control in &mut self.controls {
+            if control.addresses.id == id {
+                control.process.kill();
+            }
+        }
+    }
+
+    /// Starts a control machine again, from its data folder.
+    pub fn restart_control(&mut self, id: u64) -> Result<(), FleetError> {
+        for position in 0..self.controls.len() {
+            if self.controls[position].addresses.id == id {
+                let config = self.controls[position].config.clone();
+                let arguments = ["drumshore", "control", "--config", text(&config)?];
+                let process = self.spawn(&format!("control-{id}-again"), &arguments)?;
+                self.controls[position].process = process;
+            }
+        }
+        Ok(())
+    }
+
+    /// What operators' commands need to reach the fleet.
+    pub fn operator_options(&self) -> Options {
         let urls = self.controls.iter();
-        let urls = urls.map(|(_, addresses)| format!("http://{}", addresses.operators));
+        let urls = urls.map(|control| format!("http://{}", control.addresses.operators));
         Options::new(urls.collect(), OPERATOR_KEY)
     }
 
-    fn status(&self) -> Option<StatusReport> {
+    /// The status of the first control machine that answers.
+    pub fn status(&self) -> Option<StatusReport> {
         self.controls
             .iter()
-            .find_map(|(_, addresses)| fetch_status(addresses.operators))
+            .find_map(|control| fetch_status(control.addresses.operators))
     }
 
     fn await_ready(&self) -> Result<(), FleetError> {
@@ -281,7 +346,8 @@
         })
     }
 
-    fn await_that(
+    /// Waits until something holds.
+    pub fn await_that(
         &self,
         what: &'static str,
         holds: impl Fn(&Self) -> bool,
@@ -367,7 +433,8 @@
         Ok(later.saturating_sub(after_limit))
     }
 
-    fn stop_routers(&mut self) -> usize {
+    /// Stops all routers in order; gives how many ended well.
+    pub fn stop_routers(&mut self) -> usize {
         for (process, _) in &self.routers {
             process.terminate();
         }
@@ -380,6 +447,12 @@
 
     /// Executions of work that may not be repeated beyond the first, over all engines.
     fn count_doubled(&self) -> Result<u64, FleetError> {
+        let executions = self.executions()?;
+        Ok(executions.values().map(|count| count - 1).sum())
+    }
+
+    /// How often work that may not be repeated ran, by its key.
+    pub fn executions(&self) -> Result<BTreeMap<String, u64>, FleetError> {
         let mut executions: BTreeMap<String, u64> = BTreeMap::new();
         for engine in &self.engines {
             let witness = self.folder.join(format!("{}.witness", engine.name));
@@ -387,7 +460,7 @@
                 *executions.entry(key.to_owned()).or_default() += 1;
             }
         }
-        Ok(executions.values().map(|count| count - 1).sum())
+        Ok(executions)
     }
 }
 
--- a/crates/testbed/src/fleet/process.rs
+++ b/crates/testbed/src/fleet/process.rs
@@ -20,7 +20,16 @@
 impl Process {
     /// Runs this program again with other arguments; what it logs goes into a file.
     pub fn spawn(name: &str, arguments: &[&str], log: &Path) -> io::Result<Self> {
-        let program = std::env::current_exe()?;
+        Self::spawn_program(&std::env::current_exe()?, name, arguments, log)
+    }
+
+    /// Runs a program; what it logs goes into a file.
+    pub fn spawn_program(
+        program: &Path,
+        name: &str,
+        arguments: &[&str],
+        log: &Path,
+    ) -> io::Result<Self> {
         let log = std::fs::File::create(log)?;
         let child = Command::new(program)
             .args(arguments)
