Record and replay placement; keep the lookup budget with the placer

Change: routing::recorder and drumshore-lab replay, with two traces in the tests; the placer keeps the budget of lookups (5 a second); what a home is expected to hold no longer counts the request itself, what it is credited in the cost does. Large files are split: scheduler, router core, engine stand-in, control tests. The scale run shares the fleet's errors.

--- /dev/null
+++ b/crates/control/src/tests/core.rs
@@ -0,0 +1,290 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_consensus::{FolderIdentity, Membership, MemoryDirectory, ReplicaId, Role};
+use drumshore_core::{ChangeId, OperatorName, ResourceKind, ResourceSpec, Revision, SecretKey};
+use drumshore_wire::{ClaimGrant, ClaimRequest, List, Message, Subscribe, TenantQuery, Text};
+
+use super::{key, tenant};
+use crate::core::Clock;
+use crate::store::ChangeOutcome;
+use crate::{
+    ConnectionId, ControlCore, ControlParams, Effect, OperatorReply, OperatorRequest,
+    OperatorTicket,
+};
+
+const TICK: Duration = Duration::from_millis(50);
+
+struct Cluster {
+    cores: BTreeMap<ReplicaId, ControlCore<MemoryDirectory>>,
+    cut: Vec<ReplicaId>,
+    clock: Clock,
+    to_routers: Vec<(ReplicaId, ConnectionId, Message)>,
+    replies: Vec<(OperatorTicket, OperatorReply)>,
+}
+
+impl Cluster {
+    fn new() -> Self {
+        let ids = [1, 2, 3].map(ReplicaId);
+        let cores = ids.map(|replica| {
+            let identity = FolderIdentity {
+                cluster: "test".to_owned(),
+                replica,
+            };
+            let core = ControlCore::open(
+                MemoryDirectory::new(),
+                &identity,
+                Membership::of_voters(ids),
+                ControlParams::default(),
+                100 + replica.0,
+            );
+            (replica, core.expect("memory does not fail"))
+        });
+        let mut cluster = Self {
+            cores: cores.into_iter().collect(),
+            cut: Vec::new(),
+            clock: Clock::default(),
+            to_routers: Vec::new(),
+            replies: Vec::new(),
+        };
+        cluster.run(60);
+        cluster
+    }
+
+    fn run(&mut self, ticks: u32) {
+        for _ in 0..ticks {
+            self.clock.now = self.clock.now.plus(TICK);
+            self.clock.unix_ms += TICK.as_millis() as u64;
+            for core in self.cores.values_mut() {
+                core.on_tick(self.clock);
+            }
+            self.deliver();
+        }
+    }
+
+    fn deliver(&mut self) {
+        loop {
+            let mut moved = Vec::new();
+            for (from, core) in &mut self.cores {
+                core.flush(&mut |effect| match effect {
+                    Effect::ToControl(to, message) => moved.push((*from, to, message)),
+                    Effect::ToRouter(to, message) => self.to_routers.push((*from, to, message)),
+                    Effect::Reply(ticket, reply) => self.replies.push((ticket, reply)),
+                    Effect::Order { .. } => {}
+                })
+                .expect("memory does not fail");
+            }
+            if moved.is_empty() {
+                return;
+            }
+            for (from, to, message) in moved {
+                let cut = self.cut.contains(&from) || self.cut.contains(&to);
+                if let Some(core) = self.cores.get_mut(&to).filter(|_| !cut) {
+                    core.on_control_message(from, message);
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> ReplicaId {
+        let leads = |(id, core): (&ReplicaId, &ControlCore<_>)| {
+            (core.role() == Role::Leader && !self.cut.contains(id)).then_some(*id)
+        };
+        self.cores.iter().find_map(leads).expect("a leader")
+    }
+
+    fn follower(&self) -> ReplicaId {
+        let leader = self.leader();
+        let mut ids = self.cores.keys().copied();
+        ids.find(|id| *id != leader && !self.cut.contains(id))
+            .expect("a follower")
+    }
+
+    fn put(&mut self, at: ReplicaId, ticket: u64, expected: u64, spec: ResourceSpec) {
+        let request = OperatorRequest::Put {
+            change_id: ChangeId::new(ticket.to_string()),
+            operator: OperatorName::new("ana"),
+            expected: Revision(expected),
+            name: "x".to_owned(),
+            spec,
+        };
+        self.ask(at, ticket, request);
+    }
+
+    fn ask(&mut self, at: ReplicaId, ticket: u64, request: OperatorRequest) {
+        let core = self.cores.get_mut(&at).expect("it exists");
+        core.on_operator(OperatorTicket(ticket), request);
+        self.deliver();
+    }
+
+    fn connect(&mut self, at: ReplicaId, connection: u64, tenants: &[&str]) {
+        let connection = ConnectionId(connection);
+        let core = self.cores.get_mut(&at).expect("it exists");
+        core.on_router_connected(connection, "r".to_owned());
+        let subscribe = Message::Subscribe(Subscribe {
+            floor: 0,
+            tenants: List::new(tenants.iter().map(|name| Text::new(*name)).collect()),
+            region: Text::default(),
+        });
+        core.on_router_message(connection, subscribe);
+        self.deliver();
+    }
+
+    fn reply(&self, ticket: u64) -> Option<&OperatorReply> {
+        let mut replies = self.replies.iter();
+        replies
+            .find(|(of, _)| *of == OperatorTicket(ticket))
+            .map(|(_, reply)| reply)
+    }
+
+    fn told_tenant_versions(&self, connection: u64) -> Vec<u64> {
+        let of_connection = self
+            .to_routers
+            .iter()
+            .filter(|(_, to, _)| *to == ConnectionId(connection));
+        of_connection
+            .filter_map(|(_, _, message)| match message {
+                Message::Config(update) => Some(update),
+                _ => None,
+            })
+            .flat_map(|update| {
+                serde_json::from_slice::<Vec<drumshore_core::Resource>>(&update.records.bytes)
+                    .expect("a list of resources")
+            })
+            .filter(|resource| resource.as_tenant().is_some())
+            .map(|resource| resource.version.0)
+            .collect()
+    }
+}
+
+#[test]
+fn a_change_through_a_follower_reaches_routers_of_every_machine() {
+    let mut cluster = Cluster::new();
+    let (leader, follower) = (cluster.leader(), cluster.follower());
+    cluster.connect(leader, 1, &["x"]);
+    cluster.connect(follower, 2, &["x"]);
+    cluster.run(5);
+    cluster.put(follower, 9, 0, tenant("k"));
+    cluster.run(5);
+    let accepted = matches!(
+        cluster.reply(9),
+        Some(OperatorReply::Change(ChangeOutcome::Accepted { .. }))
+    );
+    assert!(accepted, "{:?}", cluster.reply(9));
+    assert_eq!(cluster.told_tenant_versions(1), [1]);
+    assert_eq!(cluster.told_tenant_versions(2), [1]);
+}
+
+#[test]
+fn a_router_hears_only_of_tenants_it_uses() {
+    let mut cluster = Cluster::new();
+    let leader = cluster.leader();
+    cluster.connect(leader, 1, &[]);
+    cluster.put(leader, 9, 0, tenant("k"));
+    cluster.run(5);
+    assert!(cluster.told_tenant_versions(1).is_empty());
+    let query = Message::TenantQuery(TenantQuery {
+        ticket: 5,
+        key_hash: Text::new(
+            serde_json::to_value(SecretKey::new("k").hash())
+                .expect("a string")
+                .as_str()
+                .expect("a string"),
+        ),
+    });
+    let core = cluster.cores.get_mut(&leader).expect("it leads");
+    core.on_router_message(ConnectionId(1), query);
+    cluster.run(5);
+    let answered = cluster.to_routers.iter().any(|(_, _, message)| {
+        matches!(message, Message::TenantAnswer(answer)
+            if answer.ticket == 5 && answer.resource.bytes.starts_with(b"{"))
+    });
+    assert!(answered);
+    cluster.put(leader, 10, 1, tenant("k2"));
+    cluster.run(5);
+    assert_eq!(cluster.told_tenant_versions(1), [2], "it uses it now");
+}
+
+#[test]
+fn a_leader_that_is_cut_off_confirms_nothing() {
+    let mut cluster = Cluster::new();
+    let old = cluster.leader();
+    cluster.connect(old, 1, &["x"]);
+    cluster.run(30);
+    cluster.cut = vec![old];
+    cluster.run(10);
+    cluster.to_routers.clear();
+    cluster.run(80);
+    let new = cluster.leader();
+    assert_ne!(new, old);
+    cluster.put(new, 9, 0, tenant("k"));
+    let get = OperatorRequest::Get(key(ResourceKind::Tenant, "x"));
+    cluster.ask(old, 10, get);
+    cluster.run(120);
+    let fresh = cluster
+        .to_routers
+        .iter()
+        .any(|(from, _, message)| *from == old && matches!(message, Message::Fresh(_)));
+    assert!(!fresh, "routers of the cut-off machine must look elsewhere");
+    assert!(matches!(
+        cluster.reply(10),
+        Some(OperatorReply::Unavailable)
+    ));
+    cluster.cut.clear();
+    cluster.run(60);
+    assert_eq!(cluster.told_tenant_versions(1), [1]);
+}
+
+#[test]
+fn claims_through_two_machines_are_granted_once() {
+    let mut cluster = Cluster::new();
+    let (leader, follower) = (cluster.leader(), cluster.follower());
+    for (at, connection) in [(leader, 1), (follower, 2)] {
+        cluster.connect(at, connection, &[]);
+        let claim = Message::Claim(ClaimRequest {
+            ticket: connection,
+            tenant: Text::new("t"),
+            key: Text::new("booking"),
+            fingerprint: 1,
+            request_router: connection,
+            request_sequence: 1,
+        });
+        let core = cluster.cores.get_mut(&at).expect("it exists");
+        core.on_router_message(ConnectionId(connection), claim);
+    }
+    cluster.run(10);
+    let grants: Vec<&ClaimGrant> = cluster
+        .to_routers
+        .iter()
+        .filter_map(|(_, _, message)| match message {
+            Message::ClaimResponse(response) => Some(&response.grant),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(grants.len(), 2);
+    let granted = grants
+        .iter()
+        .filter(|grant| ***grant == ClaimGrant::Granted)
+        .count();
+    assert_eq!(granted, 1);
+}
+
+#[test]
+fn a_watch_waits_for_the_next_change() {
+    let mut cluster = Cluster::new();
+    let follower = cluster.follower();
+    let watch = OperatorRequest::Watch {
+        after: Revision(0),
+        patience: Duration::from_secs(60),
+    };
+    cluster.ask(follower, 5, watch);
+    cluster.run(5);
+    assert!(cluster.reply(5).is_none());
+    cluster.put(follower, 9, 0, tenant("k"));
+    cluster.run(5);
+    let Some(OperatorReply::Changes { revision, changes }) = cluster.reply(5) else {
+        panic!("{:?}", cluster.reply(5));
+    };
+    assert_eq!((*revision, changes.len()), (Revision(1), 1));
+    assert_eq!(changes[0].operator, OperatorName::new("ana"));
+}
--- /dev/null
+++ b/crates/control/src/tests/ledger.rs
@@ -0,0 +1,117 @@
+use drumshore_core::{IdempotencyKey, RequestId, TenantName};
+use proptest::prelude::*;
+use rstest::rstest;
+
+use crate::ledger::{ClaimKey, ClaimResult, Ledger, WorkOutcome, KEPT_MS, RUNNING_LIMIT_MS};
+
+pub(super) fn claim_key(tenant: &str, key: &str) -> ClaimKey {
+    ClaimKey {
+        tenant: TenantName::new(tenant),
+        key: IdempotencyKey::new(key),
+    }
+}
+
+pub(super) fn request(sequence: u64) -> RequestId {
+    RequestId {
+        router: 1,
+        sequence,
+    }
+}
+
+#[rstest]
+#[case(WorkOutcome::NotRun, ClaimResult::Granted)]
+#[case(WorkOutcome::MayHaveRun, ClaimResult::MayHaveRun)]
+#[case(WorkOutcome::Ran(b"booked".to_vec()), ClaimResult::Completed(b"booked".to_vec()))]
+fn what_a_resend_gets(#[case] outcome: WorkOutcome, #[case] expected: ClaimResult) {
+    let mut ledger = Ledger::default();
+    let key = claim_key("t", "k");
+    let granted = ledger.claim(key.clone(), 1, request(1), 0);
+    assert_eq!(granted, ClaimResult::Granted);
+    ledger.record(&key, request(1), outcome);
+    assert_eq!(ledger.claim(key, 1, request(2), 1), expected);
+}
+
+#[test]
+fn only_the_holder_gives_a_claim_back() {
+    let mut ledger = Ledger::default();
+    let key = claim_key("t", "k");
+    ledger.claim(key.clone(), 1, request(1), 0);
+    ledger.record(&key, request(2), WorkOutcome::NotRun);
+    let resent = ledger.claim(key, 1, request(3), 0);
+    assert_eq!(resent, ClaimResult::StillRunning);
+}
+
+#[test]
+fn a_key_for_another_request_is_refused() {
+    let mut ledger = Ledger::default();
+    ledger.claim(claim_key("t", "k"), 1, request(1), 0);
+    let other = ledger.claim(claim_key("t", "k"), 2, request(2), 0);
+    assert_eq!(other, ClaimResult::KeyReused);
+}
+
+#[test]
+fn a_silent_holder_loses_the_claim_to_nobody() {
+    let mut ledger = Ledger::default();
+    let key = claim_key("t", "k");
+    ledger.claim(key.clone(), 1, request(1), 0);
+    ledger.expire(RUNNING_LIMIT_MS);
+    let resent = ledger.claim(key.clone(), 1, request(2), RUNNING_LIMIT_MS);
+    assert_eq!(resent, ClaimResult::MayHaveRun);
+    ledger.expire(KEPT_MS);
+    assert!(ledger.is_empty());
+}
+
+#[derive(Clone, Debug)]
+enum LedgerStep {
+    Claim(u64),
+    NotRun(u64),
+    MayHaveRun(u64),
+    Ran(u64),
+    Expire(u64),
+}
+
+fn ledger_step() -> impl Strategy<Value = LedgerStep> {
+    prop_oneof![
+        (1..5_u64).prop_map(LedgerStep::Claim),
+        (1..5_u64).prop_map(LedgerStep::NotRun),
+        (1..5_u64).prop_map(LedgerStep::MayHaveRun),
+        (1..5_u64).prop_map(LedgerStep::Ran),
+        (0..KEPT_MS).prop_map(LedgerStep::Expire),
+    ]
+}
+
+proptest! {
+    /// Whatever happens in whatever order, a second request is granted only after the first
+    /// holder has said that it did not run.
+    #[test]
+    fn a_claim_is_granted_to_one_request_at_a_time(
+        steps in proptest::collection::vec(ledger_step(), 0..40)
+    ) {
+        let mut ledger = Ledger::default();
+        let key = claim_key("t", "k");
+        let mut holder: Option<u64> = None;
+        for step in steps {
+            match step {
+                LedgerStep::Claim(id) => {
+                    if ledger.claim(key.clone(), 1, request(id), 0) == ClaimResult::Granted {
+                        prop_assert!(holder.is_none_or(|holder| holder == id));
+                        holder = Some(id);
+                    }
+                }
+                LedgerStep::NotRun(id) => {
+                    ledger.record(&key, request(id), WorkOutcome::NotRun);
+                    if holder == Some(id) && ledger.is_empty() {
+                        holder = None;
+                    }
+                }
+                LedgerStep::MayHaveRun(id) => {
+                    ledger.record(&key, request(id), WorkOutcome::MayHaveRun);
+                }
+                LedgerStep::Ran(id) => {
+                    ledger.record(&key, request(id), WorkOutcome::Ran(Vec::new()));
+                }
+                LedgerStep::Expire(at) => ledger.expire(at),
+            }
+        }
+    }
+}
--- a/crates/router/src/core/lookups.rs
+++ b/crates/router/src/core/lookups.rs
@@ -4,44 +4,12 @@
 //! of a millisecond may find the prefix somewhere, or a shorter queue. The budget keeps these
 //! questions within a node's share of control traffic.
 
-use drumshore_core::{RequestId, Timestamp};
+use drumshore_core::RequestId;
 use drumshore_routing::{LookupAnswer, PrefixChain};
 
 use super::{AdmitOutcome, Lookup, LookupTarget, Phase, RouterCore};
 use crate::engine_api::LookupRequest;
 
-/// Seconds of the budget that may be used at once.
-const BURST_SECONDS: f64 = 2.0;
-
-/// A budget of lookups, refilled by time.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct LookupBudget {
-    per_second: f64,
-    left: f64,
-    refilled_at: Timestamp,
-}
-
-impl LookupBudget {
-    pub(super) fn new(per_second: f64) -> Self {
-        Self {
-            per_second,
-            left: per_second * BURST_SECONDS,
-            refilled_at: Timestamp(0),
-        }
-    }
-
-    pub(super) fn has_one(&mut self, now: Timestamp) -> bool {
-        let earned = self.per_second * now.since(self.refilled_at).as_secs_f64();
-        self.left = (self.left + earned).min(self.per_second * BURST_SECONDS);
-        self.refilled_at = now;
-        self.left >= 1.0
-    }
-
-    pub(super) fn take(&mut self) {
-        self.left -= 1.0;
-    }
-}
-
 impl RouterCore {
     /// Lets a request's owner ask engines.
     pub(super) fn look_up(
@@ -50,7 +18,6 @@
         chain: &PrefixChain,
         targets: Vec<LookupTarget>,
     ) {
-        self.lookups.take();
         self.metrics.lookups += 1;
         let patience = self.params.lookup_patience;
         // Twice the patience: the owner keeps the first, this core only cares that it ends.
--- a/crates/router/src/core/placement.rs
+++ b/crates/router/src/core/placement.rs
@@ -30,7 +30,7 @@
             self.refuse_active(id, verdict);
             return true;
         };
-        match self.choose(id, &prompt) {
+        match self.choose(id, &prompt, None) {
             Some(Decision::Placed(placement, choice)) => {
                 self.commit(id, &prompt, (placement, choice));
                 true
@@ -49,28 +49,13 @@
         let Some(prompt) = self.prompt_of(id) else {
             return false;
         };
-        let Some(request) = self.active.get(&id) else {
-            return false;
-        };
-        for pool in self.config.pools_of(&request.ask.model) {
-            let routing = RoutingRequest {
-                pool: &pool,
-                weights_version: prompt.weights_version,
-                chain: &prompt.chain,
-                goal: prompt.goal,
-                zone: &self.params.zone,
-                excluded: &request.excluded,
-                known: None,
-            };
-            let placed = self
-                .placer
-                .place_informed(id.sequence, &routing, answers, self.now);
-            if let Ok(placed) = placed {
-                self.commit(id, &prompt, placed);
-                return true;
+        match self.choose(id, &prompt, Some(answers)) {
+            Some(Decision::Placed(placement, choice)) => {
+                self.commit(id, &prompt, (placement, choice));
+                true
             }
+            _ => false,
         }
-        false
     }
 
     /// The prompt as it is hashed now.
@@ -130,8 +115,12 @@
     }
 
     /// Asks the pools that serve the model, one after the other.
-    fn choose(&mut self, id: RequestId, prompt: &HashedPrompt) -> Option<Decision> {
-        let may_look_up = self.lookups.has_one(self.now);
+    fn choose(
+        &mut self,
+        id: RequestId,
+        prompt: &HashedPrompt,
+        answers: Option<&[LookupAnswer]>,
+    ) -> Option<Decision> {
         let request = self.active.get(&id)?;
         for pool in self.config.pools_of(&request.ask.model) {
             let routing = RoutingRequest {
@@ -143,9 +132,14 @@
                 excluded: &request.excluded,
                 known: None,
             };
-            let decided = self
-                .placer
-                .place(id.sequence, &routing, may_look_up, self.now);
+            let (number, now) = (id.sequence, self.now);
+            let decided = match answers {
+                Some(answers) => self
+                    .placer
+                    .place_informed(number, &routing, answers, now)
+                    .map(|(placement, choice)| Decision::Placed(placement, choice)),
+                None => self.placer.place(number, &routing, now),
+            };
             if let Ok(decision) = decided {
                 return Some(decision);
             }
--- a/crates/routing/src/engines.rs
+++ b/crates/routing/src/engines.rs
@@ -43,7 +43,7 @@
 }
 
 /// How busy an engine said it was.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Prompt tokens that wait to be computed.
     pub waiting_tokens: u32,
--- a/crates/routing/src/heat.rs
+++ b/crates/routing/src/heat.rs
@@ -34,12 +34,17 @@
         }
     }
 
+    /// What one request adds to a rate, in requests a second.
+    pub fn own_rate(&self) -> f64 {
+        1.0 / self.time_constant.as_secs_f64()
+    }
+
     /// The rate of a prefix, in requests a second.
     pub fn rate(&self, prefix: SequenceHash, now: Timestamp) -> f64 {
         self.count(prefix, now) / self.time_constant.as_secs_f64()
     }
 
-    /// Counts one request for a prefix and returns its rate, in requests a second.
+    /// Counts one request for a prefix and returns its rate with it, in requests a second.
     pub fn touch(&mut self, prefix: SequenceHash, now: Timestamp) -> f64 {
         let decayed = self.count(prefix, now);
         self.rotate_when_full();
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -4,7 +4,8 @@
 //! of), [`index`] (who is believed to hold what), [`engines`] (what is known of each engine),
 //! [`scheduler`] (which engine a request goes to), [`placer`] (all of these together),
 //! [`admission`] (whether it may start),
-//! [`retry`] (whether it may be tried again), [`decision`] (what was believed, for later).
+//! [`retry`] (whether it may be tried again), [`decision`] (what was believed, for later),
+//! [`recorder`] (what a placer was told, to be replayed).
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
@@ -13,10 +14,14 @@
 pub mod engines;
 pub mod fair_queue;
 pub mod heat;
+mod homes;
 pub mod index;
+mod lookup_budget;
+mod params;
 pub mod placer;
 pub mod prefix;
 pub mod protocols;
+pub mod recorder;
 pub mod rendezvous;
 pub mod retry;
 pub mod scheduler;
@@ -26,13 +31,12 @@
 pub use engines::{Engine, EngineObservation, EngineSet, EngineState, LoadReport};
 pub use fair_queue::{FairQueue, QueuedItem};
 pub use index::{BeliefIndex, BeliefParams};
+pub use params::{Policy, SchedulerParams};
 pub use placer::{AnswerLoad, AnswerReport, Decision, LookupAnswer, Placement, Placer};
 pub use prefix::{PrefixChain, PrefixRoot, Prompt};
 pub use protocols::{CacheEvent, CacheEventKind, SequenceHash};
 pub use retry::{RetryBudget, RetryParams};
-pub use scheduler::{
-    Choice, KnownCache, NoChoice, Policy, RoutingRequest, Scheduler, SchedulerParams,
-};
+pub use scheduler::{Choice, KnownCache, NoChoice, RoutingRequest, Scheduler};
 
 #[cfg(test)]
 mod tests;
--- a/crates/routing/src/placer.rs
+++ b/crates/routing/src/placer.rs
@@ -4,8 +4,10 @@
 use std::time::Duration;
 
 use drumshore_core::{EngineId, Incarnation, Timestamp};
+use serde::{Deserialize, Serialize};
 
 use crate::index::Overlap;
+use crate::lookup_budget::LookupBudget;
 use crate::{
     BeliefIndex, BeliefParams, Choice, Engine, EngineSet, KnownCache, LoadReport, NoChoice,
     RoutingRequest, Scheduler,
@@ -15,7 +17,7 @@
 const MIN_SPEED_SAMPLE_US: f64 = 10_000.0;
 
 /// What an engine's answer says when it begins.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerReport {
     /// Prompt tokens that it found in its cache.
     pub cached_tokens: Option<u32>,
@@ -24,7 +26,7 @@
 }
 
 /// How busy an engine says it is, in an answer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AnswerLoad {
     /// Prompt tokens that wait.
     pub waiting_tokens: u32,
@@ -42,7 +44,7 @@
 }
 
 /// An engine's answer to a lookup.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LookupAnswer {
     /// The engine.
     pub engine: EngineId,
@@ -74,6 +76,7 @@
     engines: EngineSet,
     index: BeliefIndex,
     scheduler: Scheduler,
+    lookups: LookupBudget,
 }
 
 impl Placer {
@@ -82,6 +85,7 @@
         Self {
             engines: EngineSet::default(),
             index: BeliefIndex::new(belief),
+            lookups: LookupBudget::new(scheduler.params().lookups_per_second),
             scheduler,
         }
     }
@@ -112,13 +116,12 @@
         &mut self,
         request: u64,
         routing: &RoutingRequest<'_>,
-        may_look_up: bool,
         now: Timestamp,
     ) -> Result<Decision, NoChoice> {
         let choice = self
             .scheduler
             .choose(&self.engines, &self.index, routing, now)?;
-        if may_look_up && !choice.worth_asking.is_empty() {
+        if !choice.worth_asking.is_empty() && self.lookups.take(now) {
             return Ok(Decision::LookUp(choice.worth_asking));
         }
         let (placement, choice) = self.book(request, routing, choice, now)?;
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -10,112 +10,15 @@
 use drumshore_core::{EngineId, PlacementGoal, PoolName, Timestamp, WeightsVersion, ZoneName};
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
-use serde::{Deserialize, Serialize};
 
 use crate::decision::CandidateRecord;
 use crate::heat::HeatMap;
+use crate::homes::Homes;
 use crate::index::Overlap;
+use crate::params::{Policy, SchedulerParams};
 use crate::rendezvous::{weight, TopRanked};
 use crate::{BeliefIndex, Engine, EngineSet, PrefixChain, SequenceHash};
 
-/// How engines are chosen. All but [`Policy::Product`] are baselines for measurements.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Policy {
-    /// One after the other.
-    RoundRobin,
-    /// The least that waits and runs.
-    LeastLoaded,
-    /// Cost with this router's own beliefs only.
-    OwnBelief,
-    /// Cost with rendezvous homes only.
-    Rendezvous,
-    /// Cost with beliefs and homes.
-    #[default]
-    Product,
-    /// Cost with what [`Engine::show_exactly`] has shown: the oracle of measurements.
-    Exact,
-}
-
-/// Weights of the cost.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct SchedulerParams {
-    /// How engines are chosen.
-    pub policy: Policy,
-    /// Expected time to compute one prompt token, in microseconds.
-    pub prefill_us_per_token: f64,
-    /// Expected delay that each running sequence adds, in microseconds.
-    pub running_us: f64,
-    /// Added for an engine in another zone, in microseconds.
-    pub other_zone_us: f64,
-    /// Added for an engine in another region, in microseconds. Its load is not reported here, so
-    /// it is a last resort.
-    pub other_region_us: f64,
-    /// What a token computed costs in comparison with a token waited for: above 1 because
-    /// computing also delays others and evicts what they need.
-    pub recompute_weight: f64,
-    /// The same where reuse is the goal.
-    pub reuse_recompute_weight: f64,
-    /// The share of an engine's fair part of all requests that one prefix family may have before
-    /// it is split, or shared by several engines when it cannot be split.
-    pub family_share: f64,
-    /// Engines that share one hot prefix, at most.
-    pub max_homes: usize,
-    /// Engines over which a family's longer prefixes are spread. More engines carry more evenly,
-    /// and hold more copies of what the family shares.
-    pub family_spread: usize,
-    /// Families with fewer requests a second are neither split nor shared.
-    pub min_family_rate: f64,
-    /// Routers that see the same traffic; this router's rates are multiplied by it.
-    pub routers: f64,
-    /// Engines that are asked what they hold of an expensive prompt before it is placed; 0 for
-    /// never.
-    pub lookups: usize,
-    /// A prompt is expensive when its best engine is expected to compute more tokens than this
-    /// until the first one is out, those that wait there included.
-    pub lookup_min_tokens: u32,
-    /// The same where reuse is the goal, without those that wait.
-    pub reuse_lookup_min_tokens: u32,
-    /// Engines drawn at random, so that an idle one is found.
-    pub sampled: usize,
-    /// Pools of up to this size are looked at as a whole.
-    pub scan_all_up_to: usize,
-    /// Prompt tokens that may wait at an engine before it counts as full.
-    pub max_waiting_tokens: u32,
-    /// Requests of this router that may be open at one engine before it counts as full.
-    pub max_open_per_engine: u32,
-    /// Candidates kept for the decision record.
-    pub recorded_candidates: usize,
-}
-
-impl Default for SchedulerParams {
-    fn default() -> Self {
-        Self {
-            policy: Policy::Product,
-            prefill_us_per_token: 20.0,
-            running_us: 100.0,
-            other_zone_us: 1_000.0,
-            other_region_us: 500_000.0,
-            recompute_weight: 4.0,
-            reuse_recompute_weight: 8.0,
-            family_share: 3.0,
-            max_homes: 8,
-            family_spread: 3,
-            min_family_rate: 0.5,
-            routers: 1.0,
-            lookups: 3,
-            lookup_min_tokens: 800,
-            reuse_lookup_min_tokens: 3_000,
-            sampled: 6,
-            scan_all_up_to: 32,
-            max_waiting_tokens: 400_000,
-            max_open_per_engine: 256,
-            recorded_candidates: 6,
-        }
-    }
-}
-
 const SUSPECT_PENALTY_US: f64 = 10_000_000.0;
 const TIE_JITTER: f64 = 0.02;
 const HEAT_TIME_CONSTANT: Duration = Duration::from_secs(30);
@@ -179,23 +82,12 @@
 struct Candidate {
     engine: EngineId,
     expected_tokens: f64,
+    credited_tokens: f64,
     waiting_tokens: f64,
     believed: Option<Overlap>,
     cost_us: f64,
 }
 
-/// The engines of a request's prefix family.
-#[derive(Debug, Default)]
-struct Homes {
-    /// All engines of the family; the homes of this very prompt come first.
-    members: Vec<EngineId>,
-    homes: usize,
-    /// The rate at which each member is asked for each block of the family, a second.
-    member_rates: Vec<f64>,
-    /// The rate at which each home is asked for each block behind these, a second.
-    home_rates: Vec<f64>,
-}
-
 /// Chooses engines. Keeps prefix rates, a random generator and nothing else.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
@@ -272,7 +164,7 @@
         let prompt_tokens = f64::from(request.chain.prompt_tokens());
         // Where reuse is the goal, a queue is no reason to go and compute elsewhere.
         let expensive = candidates.first().is_some_and(|best| {
-            let missing = prompt_tokens - best.expected_tokens;
+            let missing = prompt_tokens - best.credited_tokens;
             match request.goal {
                 PlacementGoal::Latency => {
                     missing + best.waiting_tokens > f64::from(self.params.lookup_min_tokens)
@@ -370,9 +262,11 @@
         // Among the family's engines, the whole prompt decides: its own blocks are held once.
         members.sort_by_key(|engine| std::cmp::Reverse(weight(hashes[deepest], *engine)));
         let spread = members.len().max(1) as f64;
+        let own = self.heat.own_rate() * self.params.routers;
         Homes {
             homes: count.min(members.len()),
             members,
+            own_rates: (own / spread, own / count as f64),
             member_rates: rates[..=family].iter().map(|rate| rate / spread).collect(),
             home_rates: rates[family + 1..]
                 .iter()
@@ -464,19 +358,22 @@
             let held = engine.hold_probability(now.since(overlap.used_at));
             f64::from(request.chain.tokens_in(overlap.blocks)) * held
         });
-        let from_home = homes.expected_tokens(engine, request.chain);
+        let family = homes.tokens(engine, request.chain);
         let mut known = request.known.unwrap_or_default().iter();
         let known = known.find(|known| known.engine == engine.id);
-        let expected_tokens = match (self.params.policy, known) {
-            (Policy::Exact, _) => f64::from(engine.exact_cached_tokens()),
-            (_, Some(known)) => f64::from(known.cached_tokens),
-            (_, None) => from_belief.max(from_home),
+        let certain = match (self.params.policy, known) {
+            (Policy::Exact, _) => Some(f64::from(engine.exact_cached_tokens())),
+            (_, Some(known)) => Some(f64::from(known.cached_tokens)),
+            (_, None) => None,
         };
+        let expected_tokens = certain.unwrap_or(from_belief.max(family.expected));
+        let credited_tokens = certain.unwrap_or(from_belief.max(family.credited));
         let jitter = 1.0 + TIE_JITTER * self.random.random::<f64>();
-        let cost_us = self.cost_us(engine, request, expected_tokens, now) * jitter;
+        let cost_us = self.cost_us(engine, request, credited_tokens, now) * jitter;
         Candidate {
             engine: engine.id,
             expected_tokens,
+            credited_tokens,
             waiting_tokens: f64::from(engine.waiting_tokens()),
             believed,
             cost_us,
@@ -489,32 +386,6 @@
     }
 }
 
-impl Homes {
-    /// Tokens that an engine of the family is expected to hold. An engine that drops the longest unused first
-    /// holds a block as long as its retention after each use; with requests that come at random
-    /// at a known rate, the chance to find it is 1 - exp(-rate * retention).
-    ///
-    /// Source: Che, Tung and Wang, "Hierarchical Web Caching Systems: Modeling, Design and
-    /// Experimental Results", 2002.
-    fn expected_tokens(&self, engine: &Engine, chain: &PrefixChain) -> f64 {
-        let Some(rank) = self.members.iter().position(|member| *member == engine.id) else {
-            return 0.0;
-        };
-        let retention = engine.retention.as_secs_f64();
-        let held = |rates: &[f64]| -> f64 {
-            rates
-                .iter()
-                .map(|rate| 1.0 - (-rate * retention).exp())
-                .sum()
-        };
-        let mut blocks = held(&self.member_rates);
-        if rank < self.homes {
-            blocks += held(&self.home_rates);
-        }
-        blocks * f64::from(chain.block_tokens())
-    }
-}
-
 /// A belief counts only for the start of the engine that it was formed about: an engine that
 /// restarted came back empty.
 fn is_of_this_start(engines: &EngineSet, overlap: &Overlap) -> bool {
--- a/crates/testbed/src/bench/cli.rs
+++ b/crates/testbed/src/bench/cli.rs
@@ -7,10 +7,11 @@
 use pico_args::Arguments;
 use serde::Serialize;
 
-use super::routing::{run_policy, PolicyReport, RoutingBench, POLICIES};
+use super::routing::{record_trace, run_policy, PolicyReport, RoutingBench, POLICIES};
 use super::streams::StreamsParams;
 use super::{decision, log, streams};
 use crate::cli::{finish, write_json, LabError};
+use crate::replay::write_lines;
 use crate::workload::Profile;
 
 pub(crate) fn main(mut arguments: Arguments) -> Result<bool, LabError> {
@@ -51,7 +52,14 @@
     if let Some(scheduler) = scheduler {
         bench.scheduler = serde_json::from_str(&scheduler)?;
     }
+    let record: Option<PathBuf> = arguments.opt_value_from_str("--record")?;
     finish(arguments)?;
+    if let Some(file) = record {
+        let trace = record_trace(&bench, seed);
+        println!("{} events recorded", trace.len());
+        write_lines(&file, &trace)?;
+        return Ok(true);
+    }
     let bench = &bench;
     let policies: Vec<PolicyReport> = thread::scope(|scope| {
         let running: Vec<_> = POLICIES
--- a/crates/testbed/src/bench/decision.rs
+++ b/crates/testbed/src/bench/decision.rs
@@ -67,7 +67,7 @@
             known: None,
         };
         let started = Instant::now();
-        let placed = placer.place(number as u64, &routing, false, now);
+        let placed = placer.place(number as u64, &routing, now);
         let took = started.elapsed();
         if let Ok(Decision::Placed(placement, _)) = placed {
             placer.on_first_token(&placement, AnswerReport::default(), now);
--- a/crates/testbed/src/bench/mod.rs
+++ b/crates/testbed/src/bench/mod.rs
@@ -8,4 +8,4 @@
 
 pub(crate) mod cli;
 
-pub use routing::{run_policy, PolicyReport, RoutingBench, POLICIES};
+pub use routing::{record_trace, run_policy, PolicyReport, RoutingBench, POLICIES};
--- a/crates/testbed/src/bench/routing.rs
+++ b/crates/testbed/src/bench/routing.rs
@@ -12,6 +12,7 @@
     Timestamp, WeightsVersion, ZoneName,
 };
 use drumshore_router::engine_api::LookupRequest;
+use drumshore_routing::recorder::{PlaceEvent, TraceEvent, TraceLine};
 use drumshore_routing::{
     AnswerLoad, AnswerReport, BeliefParams, Decision, EngineObservation, EngineState, LoadReport,
     LookupAnswer, Placement, Placer, Policy, PrefixChain, PrefixRoot, RoutingRequest, Scheduler,
@@ -187,15 +188,26 @@
     lookup_bytes: u64,
     decisions: u64,
     deciding: Duration,
+    /// What the first router's placer is told, when that is wanted.
+    trace: Option<Vec<TraceLine>>,
 }
 
+/// The router that is recorded.
+const RECORDED: usize = 0;
+
 /// Runs one policy over the requests of a seed.
 pub fn run_policy(params: &RoutingBench, policy: Policy, seed: u64) -> PolicyReport {
-    Bench::new(params.clone(), policy, seed).run(seed)
+    Bench::new(params.clone(), policy, seed, None).run(seed).0
+}
+
+/// Runs the product and gives what its first router was told and asked.
+pub fn record_trace(params: &RoutingBench, seed: u64) -> Vec<TraceLine> {
+    let bench = Bench::new(params.clone(), Policy::Product, seed, Some(Vec::new()));
+    bench.run(seed).1
 }
 
 impl Bench {
-    fn new(params: RoutingBench, policy: Policy, seed: u64) -> Self {
+    fn new(params: RoutingBench, policy: Policy, seed: u64, trace: Option<Vec<TraceLine>>) -> Self {
         let names: Vec<EngineName> = (0..params.engines)
             .map(|number| EngineName::new(format!("engine-{number}")))
             .collect();
@@ -213,7 +225,7 @@
             _ => scheduler,
         };
         let placers = (0..params.routers).map(|router| {
-            let random = ChaCha8Rng::seed_from_u64(seed ^ (router as u64 + 1) << 32);
+            let random = ChaCha8Rng::seed_from_u64(router_seed(seed, router));
             Placer::new(
                 Scheduler::new(scheduler.clone(), random),
                 BeliefParams::default(),
@@ -239,8 +251,16 @@
             lookup_bytes: 0,
             decisions: 0,
             deciding: Duration::ZERO,
+            trace,
             params,
         };
+        bench.record(
+            RECORDED,
+            TraceEvent::Start {
+                params: scheduler,
+                seed: router_seed(seed, RECORDED),
+            },
+        );
         for engine in 0..bench.params.engines {
             let incarnation = bench.start_engine(engine);
             bench.tell(engine, incarnation, EngineState::Ready);
@@ -248,7 +268,14 @@
         bench
     }
 
-    fn run(mut self, seed: u64) -> PolicyReport {
+    fn record(&mut self, router: usize, event: TraceEvent) {
+        let at = self.now;
+        if let Some(trace) = self.trace.as_mut().filter(|_| router == RECORDED) {
+            trace.push(TraceLine { at, event });
+        }
+    }
+
+    fn run(mut self, seed: u64) -> (PolicyReport, Vec<TraceLine>) {
         let mut generator = WorkloadGenerator::new(self.params.profile.workload(), seed);
         let end = Timestamp(0).plus(self.params.duration);
         let rate = self.params.requests_per_second;
@@ -261,7 +288,8 @@
         loop {
             let at = self.next_at(&[next_ask, next_load, next_crash], returns);
             if at > end {
-                return self.report();
+                let trace = self.trace.take().unwrap_or_default();
+                return (self.report(), trace);
             }
             self.now = at;
             self.advance_engines();
@@ -349,7 +377,13 @@
         if let Some(placement) = job.placement.take() {
             job.excluded.push(placement.engine);
             let until = self.now.plus(AVOIDED);
-            self.placers[job.router].on_failed(&placement, Some(until));
+            let router = job.router;
+            self.placers[router].on_failed(&placement, Some(until));
+            let event = TraceEvent::Failed {
+                request: number,
+                avoided_until: Some(until),
+            };
+            self.record(router, event);
         }
         self.retries.push((self.now.plus(REPLACE_AFTER), number));
     }
@@ -399,22 +433,37 @@
             excluded: &job.excluded,
             known: None,
         };
-        let may_look_up = job.looked_up.is_none();
         let placer = &mut self.placers[job.router];
         let started = Instant::now();
         let decision = match &job.looked_up {
             Some(answers) => placer
                 .place_informed(number, &routing, answers, self.now)
                 .map(|(placement, choice)| Decision::Placed(placement, choice)),
-            None => placer.place(number, &routing, may_look_up, self.now),
+            None => placer.place(number, &routing, self.now),
         };
         self.deciding += started.elapsed();
         self.decisions += 1;
+        let router = job.router;
+        let event = TraceEvent::Place(PlaceEvent {
+            request: number,
+            pool: routing.pool.clone(),
+            weights_version: WEIGHTS,
+            hashes: job.chain.hashes().to_vec(),
+            block_tokens: job.chain.block_tokens(),
+            prompt_tokens: job.chain.prompt_tokens(),
+            goal: routing.goal,
+            zone: zone.clone(),
+            excluded: job.excluded.clone(),
+            answers: job.looked_up.clone(),
+        });
+        self.record(router, event);
         match decision {
             Ok(Decision::Placed(placement, _)) => self.submit(number, placement),
             Ok(Decision::LookUp(engines)) => self.look_up(number, &engines),
             Err(_) => {
-                job.excluded.clear();
+                if let Some(job) = self.jobs.get_mut(&number) {
+                    job.excluded.clear();
+                }
                 let at = self.now.plus(Duration::from_millis(50));
                 self.retries.push((at, number));
             }
@@ -545,6 +594,7 @@
         let Some(placement) = &job.placement else {
             return;
         };
+        let mut told = None;
         if output.index == 0 {
             let placer = &mut self.placers[job.router];
             let report = AnswerReport {
@@ -552,6 +602,7 @@
                 load: output.load,
             };
             placer.on_first_token(placement, report, output.at);
+            told = Some((job.router, report));
             if job.asked_at >= Timestamp(0).plus(WARM_UP) {
                 let took = output.at.since(job.asked_at).as_micros() as u64;
                 self.first_token.saturating_record(took.max(1));
@@ -560,10 +611,18 @@
                 self.cached_tokens += u64::from(output.cached_tokens);
             }
         }
+        if let Some((router, report)) = told {
+            let event = TraceEvent::FirstToken {
+                request: number,
+                report,
+            };
+            self.record(router, event);
+        }
         if output.last {
             if let Some(job) = self.jobs.remove(&number) {
                 if let Some(placement) = &job.placement {
                     self.placers[job.router].on_ended(placement);
+                    self.record(job.router, TraceEvent::Ended { request: number });
                 }
             }
         }
@@ -609,6 +668,9 @@
                             engine.load = load;
                         }
                     }
+                    let engine = self.ids[position];
+                    let report = load;
+                    self.record(RECORDED, TraceEvent::Load { engine, report });
                 }
                 Report::Start(position, incarnation, state) => {
                     self.tell(position, incarnation, state);
@@ -618,17 +680,19 @@
     }
 
     fn tell(&mut self, engine: usize, incarnation: Incarnation, state: EngineState) {
+        let observation = EngineObservation {
+            name: EngineName::new(format!("engine-{engine}")),
+            address: String::new(),
+            zone: zone(engine, self.params.zones),
+            pool: PoolName::new(POOL),
+            incarnation,
+            weights_version: WEIGHTS,
+            state,
+        };
         for placer in &mut self.placers {
-            placer.engines_mut().observe(EngineObservation {
-                name: EngineName::new(format!("engine-{engine}")),
-                address: String::new(),
-                zone: zone(engine, self.params.zones),
-                pool: PoolName::new(POOL),
-                incarnation,
-                weights_version: WEIGHTS,
-                state,
-            });
+            placer.engines_mut().observe(observation.clone());
         }
+        self.record(RECORDED, TraceEvent::Engine { observation });
     }
 
     fn report(self) -> PolicyReport {
@@ -647,6 +711,10 @@
     }
 }
 
+fn router_seed(seed: u64, router: usize) -> u64 {
+    seed ^ (router as u64 + 1) << 32
+}
+
 fn zone(number: usize, zones: usize) -> ZoneName {
     ZoneName::new(format!("zone-{}", number % zones))
 }
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -31,6 +31,10 @@
   bench routing --workload surtidor|sohar-quay [--seed N] [--seconds N] [--rate R]
         [--scheduler JSON] [--json FILE]
                                the same requests under every policy and an oracle
+  bench routing --workload W --record TRACE
+                               record what the product's first router is told and asked
+  replay TRACE [--expect FILE] [--write-expect FILE]
+                               replay a trace, and show the first difference from what is stated
   bench decision | log | streams [--short] [--seconds N] [--json FILE]
                                the cost of a decision; the log against its disk; streams through
                                a router against streams without one
@@ -92,6 +96,7 @@
         "engine" => run_engine(arguments),
         "platform" => run_platform(arguments),
         "bench" => crate::bench::cli::main(arguments),
+        "replay" => crate::replay::main(arguments),
         "scale" => crate::scale::cli::main(arguments),
         "sim" => crate::sim::cli::main(arguments),
         other => Err(LabError::Usage(format!(
--- a/crates/testbed/src/engine/http.rs
+++ b/crates/testbed/src/engine/http.rs
@@ -24,10 +24,9 @@
 use tiny_http::{Header, Method, Request, Response, Server};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::core::{
-    EngineCore, EngineOutput, EngineParams, EngineRequest, Refusal, StreamSummary, Submission,
-};
+use super::core::EngineCore;
 use super::stream::{done_event, token, token_event, EventContext};
+use super::types::{EngineOutput, EngineParams, EngineRequest, Refusal, StreamSummary, Submission};
 
 const LONGEST_WAIT: Duration = Duration::from_millis(100);
 const STACK_BYTES: usize = 128 * 1024;
--- a/crates/testbed/src/engine/mod.rs
+++ b/crates/testbed/src/engine/mod.rs
@@ -7,10 +7,12 @@
 pub mod http;
 pub mod stream;
 pub mod timing;
+mod types;
 
-pub use self::core::{
-    EngineCore, EngineCounters, EngineOutput, EngineParams, EngineRequest, Executed, Refusal,
-    StreamSummary, Submission, Violation,
-};
+pub use self::core::EngineCore;
 pub use cache::BlockCache;
 pub use timing::EngineTiming;
+pub use types::{
+    EngineCounters, EngineOutput, EngineParams, EngineRequest, Executed, Refusal, StreamSummary,
+    Submission, Violation,
+};
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod fleet;
 pub mod load;
 pub mod platform;
+pub mod replay;
 pub mod scale;
 pub mod sim;
 pub mod workload;
--- a/crates/testbed/src/scale/cli.rs
+++ b/crates/testbed/src/scale/cli.rs
@@ -41,8 +41,7 @@
             "scale: {} nodes, {} workers, {} tenants",
             size.nodes, size.workers, size.tenants
         );
-        let report = measure(size, controls, Duration::from_secs(seconds))
-            .map_err(|error| LabError::Usage(error.to_string()))?;
+        let report = measure(size, controls, Duration::from_secs(seconds))?;
         stages.push(report);
     }
     let report = ScaleReport {
--- a/crates/testbed/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -11,7 +11,7 @@
 
 pub use fit::Line;
 pub use measure::{Reading, Usage};
-pub use stage::{ScaleError, StageReport, StageSize};
+pub use stage::{StageReport, StageSize};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/testbed/src/scale/stage.rs
+++ b/crates/testbed/src/scale/stage.rs
@@ -16,7 +16,7 @@
 use super::hollow::{start_routers, start_workers, HollowRouters, REGIONS, WORKER_PATH, ZONES};
 use super::measure::{Reading, Usage};
 use crate::fleet::settings::{self, ControlAddresses, CLUSTER_KEY, OPERATOR_KEY};
-use crate::fleet::Process;
+use crate::fleet::{FleetError, Process};
 use crate::platform::{self, PlatformOptions};
 
 /// Real routers beside the hollow ones.
@@ -32,17 +32,6 @@
 const POLL: Duration = Duration::from_millis(50);
 const SETTLE: Duration = Duration::from_secs(4);
 
-/// Why a size was not measured.
-#[derive(Debug, thiserror::Error)]
-pub enum ScaleError {
-    /// A file, socket or process failed.
-    #[error(transparent)]
-    Io(#[from] io::Error),
-    /// Something did not come to be in time.
-    #[error("{0} did not happen in time")]
-    Late(&'static str),
-}
-
 /// A size.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StageSize {
@@ -100,7 +89,7 @@
     size: StageSize,
     controls: usize,
     seconds: Duration,
-) -> Result<StageReport, ScaleError> {
+) -> Result<StageReport, FleetError> {
     let folder = std::env::temp_dir().join(format!("drumshore-scale-{}", std::process::id()));
     std::fs::create_dir_all(&folder)?;
     let result = measure_in(size, controls, seconds, &folder);
@@ -113,7 +102,7 @@
     controls: usize,
     seconds: Duration,
     folder: &Path,
-) -> Result<StageReport, ScaleError> {
+) -> Result<StageReport, FleetError> {
     let mut stage = Stage::start(size, controls, folder)?;
     let writes_per_second = stage.write_resources()?;
     stage.await_that("all workers ready", |stage| {
@@ -182,6 +171,10 @@
     format!("region-{}/zone-{}", number % REGIONS, number % ZONES)
 }
 
+fn late(what: &'static str) -> FleetError {
+    FleetError::Late(what, PATIENCE)
+}
+
 fn received_bytes(hollow: &HollowRouters) -> f64 {
     let bytes = &hollow.seen.received_bytes;
     bytes.load(std::sync::atomic::Ordering::Relaxed) as f64
@@ -201,7 +194,7 @@
 }
 
 impl Stage {
-    fn start(size: StageSize, controls: usize, folder: &Path) -> Result<Self, ScaleError> {
+    fn start(size: StageSize, controls: usize, folder: &Path) -> Result<Self, FleetError> {
         let platform = platform::spawn(&PlatformOptions {
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             lag: Duration::ZERO,
@@ -218,7 +211,7 @@
         Ok(stage)
     }
 
-    fn register_workers(&self) -> Result<(), ScaleError> {
+    fn register_workers(&self) -> Result<(), FleetError> {
         let address = start_workers(&ModelName::new("model-0"))?;
         for worker in 0..self.size.workers {
             let machine = MachineRecord {
@@ -238,7 +231,7 @@
         Ok(())
     }
 
-    fn start_controls(&mut self, count: usize) -> Result<(), ScaleError> {
+    fn start_controls(&mut self, count: usize) -> Result<(), FleetError> {
         let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
         let mut all = Vec::new();
         for id in 1..=count as u64 {
@@ -264,7 +257,7 @@
         })
     }
 
-    fn start_real_routers(&mut self) -> Result<(), ScaleError> {
+    fn start_real_routers(&mut self) -> Result<(), FleetError> {
         let addresses: Vec<ControlAddresses> = self
             .controls
             .iter()
@@ -289,7 +282,7 @@
     }
 
     /// Writes models, pools and tenants; gives accepted changes a second.
-    fn write_resources(&self) -> Result<f64, ScaleError> {
+    fn write_resources(&self) -> Result<f64, FleetError> {
         let mut documents = Vec::new();
         for model in 0..self.size.models {
             let spec = ResourceSpec::Model(ModelSpec {
@@ -356,7 +349,7 @@
         &self,
         hollow: &HollowRouters,
         bytes_at_rest: f64,
-    ) -> Result<((f64, f64), f64), ScaleError> {
+    ) -> Result<((f64, f64), f64), FleetError> {
         let mut times = Vec::new();
         let mut version = 0;
         let (bytes_before, from) = (received_bytes(hollow), Instant::now());
@@ -365,9 +358,7 @@
                 priority: Default::default(),
                 deadline_ms: 1_000 + number as u64,
             });
-            let revision = self
-                .put("timed", version, &spec)
-                .ok_or(ScaleError::Late("a change"))?;
+            let revision = self.put("timed", version, &spec).ok_or(late("a change"))?;
             let accepted = Instant::now();
             version = revision;
             let in_force = |_: &Self| hollow.seen.in_force_at(revision, self.size.nodes).is_some();
@@ -421,11 +412,11 @@
         &self,
         what: &'static str,
         holds: impl Fn(&Self) -> bool,
-    ) -> Result<(), ScaleError> {
+    ) -> Result<(), FleetError> {
         let deadline = Instant::now() + PATIENCE;
         while !holds(self) {
             if Instant::now() > deadline {
-                return Err(ScaleError::Late(what));
+                return Err(late(what));
             }
             thread::sleep(POLL);
         }
