--- a/crates/control/src/actor.rs
+++ b/crates/control/src/actor.rs
@@ -4,6 +4,7 @@
 
 use drumshore_consensus::{Directory, ReplicaError, ReplicaId};
 use drumshore_core::{EngineName, Timestamp};
+use drumshore_routing::CacheReport;
 use drumshore_wire::Message;
 use stakker::{after, fwd, lazy, Fwd, CX};
 
@@ -69,6 +70,11 @@
         self.queue_flush(cx);
     }
 
+    /// An engine's cache reported.
+    pub fn cache_report(&mut self, _: CX![], engine: EngineName, report: CacheReport) {
+        self.core.on_cache_report(&engine, &report);
+    }
+
     /// A router connected and proved the cluster key.
     pub fn router_connected(&mut self, cx: CX![], connection: ConnectionId, router: String) {
         self.core.on_router_connected(connection, router);
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! A control machine without I/O: the replicated log, what it replicates, and everybody who asks.
 
+mod index;
 mod operators;
 mod peers;
 mod proposals;
@@ -17,7 +18,8 @@
     EngineName, Epoch, ResourceKind, ResourceSpec, Revision, Timestamp, WeightsVersion,
 };
 use drumshore_guard::{enforced, Guard};
-use drumshore_wire::{Blob, Message};
+use drumshore_routing::{Indexer, IndexerParams};
+use drumshore_wire::{Blob, Message, RelayedBooking};
 
 use crate::allotment::DemandBook;
 use crate::command::{Command, ProposalId};
@@ -33,7 +35,7 @@
 use reads::Reads;
 
 /// Bounds and periods of a control machine.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ControlParams {
     /// Of the replicated log.
     pub consensus: Params,
@@ -49,6 +51,10 @@
     pub load_interval: Duration,
     /// How often the leader looks after rollouts, claims and limits.
     pub upkeep_interval: Duration,
+    /// The region whose engines' caches are indexed here; empty for all.
+    pub index_region: String,
+    /// Of the index.
+    pub indexer: IndexerParams,
 }
 
 impl Default for ControlParams {
@@ -61,6 +67,8 @@
             freshness_interval: Duration::from_secs(1),
             load_interval: Duration::from_millis(500),
             upkeep_interval: Duration::from_secs(1),
+            index_region: String::new(),
+            indexer: IndexerParams::default(),
         }
     }
 }
@@ -102,6 +110,8 @@
     applied: LogIndex,
     snapshot_at: LogIndex,
     fleet: Fleet,
+    indexer: Indexer,
+    unrelayed: Vec<RelayedBooking>,
     rollouts: RolloutDriver,
     subscriptions: BTreeMap<ConnectionId, Subscription>,
     router_demands: DemandBook<ConnectionId>,
@@ -137,6 +147,8 @@
         let consensus = params.consensus.clone();
         let replica = Replica::open(directory, identity, first_membership, consensus, seed)?;
         Ok(Self {
+            indexer: Indexer::new(params.indexer.clone()),
+            unrelayed: Vec::new(),
             params,
             replica,
             state: StateMachine::default(),
@@ -174,6 +186,11 @@
         &self.state
     }
 
+    /// The index beside this machine.
+    pub fn indexer(&self) -> &Indexer {
+        &self.indexer
+    }
+
     /// The engines as this machine sees them.
     pub fn fleet(&self) -> &Fleet {
         &self.fleet
@@ -186,6 +203,7 @@
         self.resend_pending();
         self.resend_reads();
         self.expire_watchers();
+        self.relay_bookings();
         if is_due(
             &mut self.due.freshness,
             clock.now,
@@ -204,10 +222,14 @@
     /// Takes in the platform's list.
     pub fn on_machines(&mut self, machines: &[MachineRecord]) {
         self.fleet.on_machines(machines, self.clock.now);
+        self.trim_index();
     }
 
     /// Takes in an engine's answer to a probe, or that there was none.
     pub fn on_probe(&mut self, engine: &EngineName, result: Result<EngineProbe, ProbeFailed>) {
+        if let Ok(probe) = &result {
+            self.index_load(engine.id(), probe);
+        }
         self.fleet.on_probe(engine, result, self.clock.now);
     }
 
--- a/crates/control/src/core/peers.rs
+++ b/crates/control/src/core/peers.rs
@@ -28,6 +28,7 @@
                 self.replica_demands.report(from, demands(&usage));
             }
             Message::Allotment(allotment) => self.divide_among_routers(&allotment),
+            Message::RelayedBookings(bookings) => self.on_relayed_bookings(&bookings),
             // The rest is what routers send and hear.
             _ => {}
         }
--- a/crates/control/src/core/routers.rs
+++ b/crates/control/src/core/routers.rs
@@ -41,6 +41,8 @@
             Message::Claim(claim) => self.on_claim(connection, claim),
             Message::Outcome(report) => self.on_outcome(connection, report),
             Message::Usage(usage) => self.on_router_usage(connection, &usage),
+            Message::IndexQuestion(question) => self.on_index_question(connection, &question),
+            Message::Bookings(bookings) => self.on_bookings(connection, &bookings),
             // The rest is what control machines send.
             _ => {}
         }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -8,10 +8,12 @@
 use std::time::Duration;
 
 use drumshore_core::{
-    EngineName, Epoch, Incarnation, ModelName, PoolName, Revision, Timestamp, WeightsVersion,
-    ZoneName,
+    EngineId, EngineName, Epoch, Incarnation, ModelName, PoolName, Revision, Timestamp,
+    WeightsVersion, ZoneName,
+};
+use drumshore_wire::{
+    EngineEntry, EngineLoad, EngineStateCode, Text, AGE_UNIT_MS, WAITING_UNIT_TOKENS,
 };
-use drumshore_wire::{EngineEntry, EngineLoad, EngineStateCode, Text};
 use serde::{Deserialize, Serialize};
 
 /// What the platform says of a machine.
@@ -97,6 +99,7 @@
     pub state: EngineStateCode,
     /// What decided the state.
     pub reason: &'static str,
+    id: EngineId,
     slot: u16,
     listed: bool,
     draining: bool,
@@ -105,10 +108,28 @@
     change: u64,
 }
 
+impl EngineView {
+    /// Its compact identity.
+    pub fn id(&self) -> EngineId {
+        self.id
+    }
+
+    /// What stands for it in messages to routers of this machine.
+    pub fn slot(&self) -> u16 {
+        self.slot
+    }
+
+    fn weights_version(&self) -> Option<WeightsVersion> {
+        self.probe.as_ref().map(|probe| probe.weights_version)
+    }
+}
+
 /// All engines.
 #[derive(Clone, Debug, Default)]
 pub struct Fleet {
     engines: BTreeMap<EngineName, EngineView>,
+    by_slot: BTreeMap<u16, EngineName>,
+    by_id: BTreeMap<EngineId, EngineName>,
     gone: Vec<(u64, EngineEntry)>,
     draining: BTreeSet<EngineName>,
     change: u64,
@@ -133,6 +154,29 @@
         self.engines.get(name)
     }
 
+    /// The engine that a slot stands for.
+    pub fn of_slot(&self, slot: u16) -> Option<&EngineView> {
+        self.get(self.by_slot.get(&slot)?)
+    }
+
+    /// The engine of an identity.
+    pub fn of_id(&self, id: EngineId) -> Option<&EngineView> {
+        self.get(self.by_id.get(&id)?)
+    }
+
+    /// The engines that take work of the same pool with the same weights, the one given included.
+    pub fn peers_of<'f>(&'f self, like: &'f EngineView) -> impl Iterator<Item = EngineId> + 'f {
+        let weights_version = like.weights_version();
+        self.engines
+            .values()
+            .filter(move |view| {
+                view.state == EngineStateCode::Ready
+                    && view.record.pool == like.record.pool
+                    && view.weights_version() == weights_version
+            })
+            .map(|view| view.id)
+    }
+
     /// Takes in the platform's list.
     pub fn on_machines(&mut self, machines: &[MachineRecord], now: Timestamp) {
         for view in self.engines.values_mut() {
@@ -233,6 +277,7 @@
                     probe: None,
                     state: EngineStateCode::Joining,
                     reason: "no answer yet",
+                    id: machine.name.id(),
                     slot: self.next_slot,
                     listed: true,
                     draining: false,
@@ -240,6 +285,8 @@
                     failing_since: None,
                     change: self.change,
                 };
+                self.by_slot.insert(view.slot, machine.name.clone());
+                self.by_id.insert(view.id, machine.name.clone());
                 self.engines.insert(machine.name.clone(), view);
             }
         }
@@ -271,6 +318,8 @@
             .collect();
         for name in names {
             if let Some(view) = self.engines.remove(&name) {
+                self.by_slot.remove(&view.slot);
+                self.by_id.remove(&view.id);
                 self.change += 1;
                 let entry = EngineEntry {
                     state: EngineStateCode::Gone,
@@ -335,12 +384,6 @@
     }
 }
 
-/// Prompt tokens in one unit of a load record.
-pub const WAITING_UNIT_TOKENS: u32 = 256;
-
-/// Milliseconds in one unit of a load record's age.
-pub const AGE_UNIT_MS: u64 = 100;
-
 fn load(view: &EngineView) -> Option<EngineLoad> {
     let probe = view.probe.as_ref()?;
     let waiting = probe.waiting_tokens.div_ceil(WAITING_UNIT_TOKENS);
--- a/crates/control/src/tests/core.rs
+++ b/crates/control/src/tests/core.rs
@@ -2,11 +2,19 @@
 use std::time::Duration;
 
 use drumshore_consensus::{FolderIdentity, Membership, MemoryDirectory, ReplicaId, Role};
-use drumshore_core::{ChangeId, OperatorName, ResourceKind, ResourceSpec, Revision, SecretKey};
-use drumshore_wire::{ClaimGrant, ClaimRequest, List, Message, Subscribe, TenantQuery, Text};
+use drumshore_core::{
+    ChangeId, EngineName, Incarnation, ModelName, OperatorName, ResourceKind, ResourceSpec,
+    Revision, SecretKey, WeightsVersion,
+};
+use drumshore_routing::{CacheChange, CacheReport, SequenceHash};
+use drumshore_wire::{
+    BookingRecord, Bookings, ClaimGrant, ClaimRequest, HoldingRecord, IndexQuestion, List, Message,
+    Subscribe, TenantQuery, Text,
+};
 
 use super::{key, tenant};
 use crate::core::Clock;
+use crate::fleet::{EngineProbe, MachineRecord, MachineState};
 use crate::store::ChangeOutcome;
 use crate::{
     ConnectionId, ControlCore, ControlParams, Effect, OperatorReply, OperatorRequest,
@@ -25,6 +33,10 @@
 
 impl Cluster {
     fn new() -> Self {
+        Self::with(ControlParams::default())
+    }
+
+    fn with(params: ControlParams) -> Self {
         let ids = [1, 2, 3].map(ReplicaId);
         let cores = ids.map(|replica| {
             let identity = FolderIdentity {
@@ -35,7 +47,7 @@
                 MemoryDirectory::new(),
                 &identity,
                 Membership::of_voters(ids),
-                ControlParams::default(),
+                params.clone(),
                 100 + replica.0,
             );
             (replica, core.expect("memory does not fail"))
@@ -288,3 +300,122 @@
     assert_eq!((*revision, changes.len()), (Revision(1), 1));
     assert_eq!(changes[0].operator, OperatorName::new("ana"));
 }
+
+fn probe(waiting_tokens: u32) -> EngineProbe {
+    EngineProbe {
+        incarnation: Incarnation(1),
+        model: ModelName::new("m"),
+        weights_version: WeightsVersion(1),
+        leaving: false,
+        waiting_tokens,
+        running: 0,
+        lag_ms: 0,
+    }
+}
+
+/// Two engines on every machine's list; the first one holds block 7.
+fn with_engines(cluster: &mut Cluster) {
+    let names = ["a", "b"].map(EngineName::new);
+    let machine = |name: &EngineName| MachineRecord {
+        name: name.clone(),
+        address: "127.0.0.1:1".to_owned(),
+        zone: "z".into(),
+        pool: "p".into(),
+        state: MachineState::Live,
+    };
+    let machines = names.each_ref().map(machine);
+    let held = CacheReport {
+        incarnation: Incarnation(1),
+        complete: true,
+        first: 1,
+        changes: vec![CacheChange::Stored(SequenceHash(7))],
+    };
+    for core in cluster.cores.values_mut() {
+        core.on_machines(&machines);
+        core.on_cache_report(&names[0], &held);
+        let none = CacheReport {
+            changes: Vec::new(),
+            ..held.clone()
+        };
+        core.on_cache_report(&names[1], &none);
+        for name in &names {
+            core.on_probe(name, Ok(probe(0)));
+        }
+    }
+}
+
+fn question(ticket: u32, like: u16) -> Message {
+    Message::IndexQuestion(IndexQuestion {
+        ticket,
+        like,
+        block_tokens: 100,
+        prompt_tokens: 150,
+        recompute_weight: 10,
+        limit: 4,
+        step: 1,
+        prefixes: List::new(vec![7]),
+    })
+}
+
+impl Cluster {
+    /// The engines that a machine's index names for block 7, best first.
+    fn holdings(&mut self, at: ReplicaId, ticket: u32) -> Vec<HoldingRecord> {
+        let core = self.cores.get_mut(&at).expect("a machine");
+        let slot = core.fleet().iter().next().expect("an engine").1.slot();
+        core.on_router_message(ConnectionId(1), question(ticket, slot));
+        self.deliver();
+        let answers = self.to_routers.iter().rev();
+        let answer = answers
+            .clone()
+            .find_map(|(from, _, message)| match message {
+                Message::IndexAnswer(answer) if *from == at => Some(answer.clone()),
+                _ => None,
+            });
+        let answer = answer.expect("an answer");
+        assert_eq!(answer.ticket, ticket);
+        answer.holdings.items
+    }
+}
+
+#[test]
+fn a_booking_at_one_machine_is_known_at_all() {
+    let mut cluster = Cluster::new();
+    with_engines(&mut cluster);
+    let (here, there) = (cluster.leader(), cluster.follower());
+    for at in [here, there] {
+        cluster.connect(at, 1, &[]);
+    }
+    let before = cluster.holdings(here, 1);
+    assert_eq!(before.len(), 2);
+    assert_eq!((before[0].blocks, before[1].blocks), (1, 0));
+    let bookings = Message::Bookings(Bookings {
+        records: List::new(vec![BookingRecord {
+            ticket: 1,
+            slot: before[1].slot,
+            missing: 40,
+        }]),
+    });
+    let core = cluster.cores.get_mut(&here).expect("a machine");
+    core.on_router_message(ConnectionId(1), bookings);
+    cluster.run(1);
+    for at in [here, there] {
+        let after = cluster.holdings(at, 2);
+        assert!(after.iter().all(|holding| holding.blocks == 1), "{after:?}");
+        assert_eq!(
+            after.iter().filter(|holding| holding.waiting > 0).count(),
+            1
+        );
+    }
+}
+
+#[test]
+fn engines_of_other_regions_are_not_indexed() {
+    let params = ControlParams {
+        index_region: "north".to_owned(),
+        ..ControlParams::default()
+    };
+    let mut cluster = Cluster::with(params);
+    with_engines(&mut cluster);
+    let core = cluster.cores.values().next().expect("a machine");
+    assert_eq!(core.report_wanted(&EngineName::new("a")), None);
+}
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -301,6 +301,9 @@
     /// How often engines and platform are asked, in milliseconds.
     #[serde(default = "default_poll_ms")]
     pub poll_interval_ms: u64,
+    /// The region whose engines' caches this machine indexes for routers; empty for all.
+    #[serde(default)]
+    pub index_region: String,
     /// The replication clock's period, in milliseconds.
     #[serde(default = "default_tick_ms")]
     pub tick_ms: u64,
--- a/crates/node/src/control/mod.rs
+++ b/crates/node/src/control/mod.rs
@@ -127,7 +127,10 @@
     };
     let directory = FileDirectory::open(&settings.data_dir)?;
     let seed = rand::rng().random();
-    let params = ControlParams::default();
+    let params = ControlParams {
+        index_region: settings.index_region.clone(),
+        ..ControlParams::default()
+    };
     Ok(ControlCore::open(
         directory,
         &identity,
--- a/crates/node/src/control/probes.rs
+++ b/crates/node/src/control/probes.rs
@@ -11,6 +11,7 @@
 use drumshore_core::settings::ControlSettings;
 use drumshore_core::EngineName;
 use drumshore_router::engine_api;
+use drumshore_routing::{CacheReport, ReportWanted};
 use serde::de::DeserializeOwned;
 use stakker::call;
 use ureq::Agent;
@@ -29,6 +30,8 @@
 struct Target {
     name: EngineName,
     address: String,
+    /// What to ask about its cache; `None` when this machine does not index it.
+    report: Option<ReportWanted>,
 }
 
 /// Engines whose probe is under way; each is asked once at a time.
@@ -89,6 +92,7 @@
                 .map(|(name, view)| Target {
                     name: name.clone(),
                     address: view.record.address.clone(),
+                    report: actor.core().report_wanted(name),
                 })
                 .collect::<Vec<_>>()
         });
@@ -102,15 +106,35 @@
     while let Ok(target) = queued.recv() {
         let url = format!("http://{}{}", target.address, engine_api::PROBE_PATH);
         let result = fetch::<EngineProbe>(&agent, &url).ok_or(ProbeFailed);
+        // The report comes after the load: what was booked in between counts twice rather than
+        // not at all.
+        let wanted = target.report.filter(|_| result.is_ok());
+        let report = wanted.and_then(|wanted| fetch_report(&agent, &target.address, wanted));
         under_way
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .remove(&target.name);
         let name = target.name;
-        handle.post(move |_, context| call!([context.actor], probe(name, result)));
+        handle.post(move |_, context| {
+            if let Some(report) = report {
+                call!([context.actor], cache_report(name.clone(), report));
+            }
+            call!([context.actor], probe(name, result));
+        });
     }
 }
 
+fn fetch_report(agent: &Agent, address: &str, wanted: ReportWanted) -> Option<CacheReport> {
+    let path = engine_api::CACHE_PATH;
+    let url = match wanted {
+        ReportWanted::Complete => format!("http://{address}{path}"),
+        ReportWanted::ChangesFrom(start, number) => {
+            format!("http://{address}{path}/{start}/{number}")
+        }
+    };
+    fetch(agent, &url)
+}
+
 fn agent() -> Agent {
     let config = Agent::config_builder()
         .timeout_global(Some(PROBE_PATIENCE))
--- a/crates/node/src/router/completions.rs
+++ b/crates/node/src/router/completions.rs
@@ -6,8 +6,8 @@
 use drumshore_core::{ErrorCode, RequestId, Verdict};
 use drumshore_http::{Responder, StreamBody, REQUEST_ID_HEADER};
 use drumshore_router::{
-    AdmitRequest, AttemptFailure, CompletionRequest, Conclusion, Exchange, ExchangeParams, Lookup,
-    Next, RecordedAnswer, UpstreamCall,
+    AdmitRequest, AttemptFailure, CompletionRequest, Conclusion, Exchange, ExchangeParams, Next,
+    RecordedAnswer, UpstreamCall,
 };
 use stakker::{call, Ret};
 
@@ -90,7 +90,6 @@
         loop {
             next = match next {
                 Next::Call(call) => self.call(&call),
-                Next::LookUp(lookup) => self.look_up(&lookup),
                 Next::Read => self.read(),
                 Next::Report(failure) => self.report(failure),
                 Next::Finish(conclusion) => return self.finish(conclusion),
@@ -119,24 +118,6 @@
         }
     }
 
-    fn look_up(&mut self, lookup: &Lookup) -> Next {
-        let answers = self.upstream.look_up(lookup);
-        let id = self.id;
-        let answered = self.handle.ask(move |_, context, sender| {
-            let ret = Ret::new(move |outcome| {
-                let _ = sender.send(outcome);
-            });
-            call!([context.actor], looked_up(id, answers, ret));
-        });
-        match answered.flatten() {
-            Some((_, outcome)) => self.exchange.on_outcome(outcome),
-            None => {
-                let verdict = Verdict::not_run(ErrorCode::Internal, "the router is ending");
-                Next::Finish(Conclusion::Failed(verdict))
-            }
-        }
-    }
-
     fn read(&mut self) -> Next {
         let mut buffer = [0; READ_BYTES];
         let Some(body) = &mut self.body else {
--- a/crates/node/src/router/edge.rs
+++ b/crates/node/src/router/edge.rs
@@ -212,9 +212,9 @@
         ("refused", "Requests that did not run", metrics.refused),
         ("retries", "Attempts after the first", metrics.retries),
         (
-            "lookups",
-            "Requests before whose placement engines were asked",
-            metrics.lookups,
+            "index_questions",
+            "Requests before whose placement the index was asked",
+            metrics.index_questions,
         ),
         (
             "prompt_tokens",
--- a/crates/node/src/router/upstream.rs
+++ b/crates/node/src/router/upstream.rs
@@ -1,15 +1,13 @@
 //! Calls to engines.
 
 use std::io::Read;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use drumshore_core::{Execution, Priority};
 use drumshore_http::EXECUTION_HEADER;
 use drumshore_router::engine_api;
-use drumshore_router::{
-    Assignment, CompletionRequest, Lookup, LookupTarget, UpstreamEnd, UpstreamHead,
-};
-use drumshore_routing::{AnswerLoad, AnswerReport, LookupAnswer};
+use drumshore_router::{Assignment, CompletionRequest, UpstreamEnd, UpstreamHead};
+use drumshore_routing::{AnswerLoad, AnswerReport};
 use ureq::http::{HeaderMap, Response};
 use ureq::{Agent, Body, BodyReader};
 
@@ -94,29 +92,6 @@
         answer(call.call())
     }
 
-    /// Asks engines what they hold of a prompt, one after the other, for as long as there is
-    /// patience.
-    pub(super) fn look_up(&self, lookup: &Lookup) -> Vec<LookupAnswer> {
-        let deadline = Instant::now() + lookup.patience;
-        let Ok(body) = serde_json::to_vec(&lookup.request) else {
-            return Vec::new();
-        };
-        let ask = |target: &LookupTarget| {
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return None;
-            }
-            let path = engine_api::LOOKUP_PATH;
-            let call = self.agent.post(format!("http://{}{path}", target.address));
-            let call = call.config().timeout_global(Some(left)).build();
-            let mut response = call.send(&body[..]).ok()?;
-            let body = response.body_mut().read_to_vec().ok()?;
-            let reply: engine_api::LookupReply = serde_json::from_slice(&body).ok()?;
-            Some(lookup.answer(target.engine, &reply))
-        };
-        lookup.targets.iter().filter_map(ask).collect()
-    }
-
     /// Tells an engine that nobody waits for a request any more.
     pub(super) fn cancel(&self, assignment: &Assignment) {
         let call = self.agent.delete(stream_url(assignment));
--- a/crates/router/src/actor.rs
+++ b/crates/router/src/actor.rs
@@ -5,7 +5,7 @@
 
 use drumshore_core::{RequestId, Timestamp};
 use drumshore_guard::{enforced, Guard};
-use drumshore_routing::{AnswerReport, LookupAnswer};
+use drumshore_routing::AnswerReport;
 use drumshore_wire::Message;
 use stakker::{after, fwd, ret, Fwd, Ret, CX};
 
@@ -83,20 +83,6 @@
         self.carry_out();
     }
 
-    /// Engines were asked about a request; it wants another outcome.
-    pub fn looked_up(
-        &mut self,
-        cx: CX![],
-        id: RequestId,
-        answers: Vec<LookupAnswer>,
-        ret: Ret<Admitted>,
-    ) {
-        self.set_now(cx);
-        self.waiting.insert(id, ret);
-        self.core.on_looked_up(id, &answers);
-        self.carry_out();
-    }
-
     /// A request is over.
     pub fn finished(
         &mut self,
--- a/crates/router/src/core/control.rs
+++ b/crates/router/src/core/control.rs
@@ -8,18 +8,12 @@
 use drumshore_routing::{Allotment, EngineObservation, EngineState, LoadReport};
 use drumshore_wire::{
     ConfigUpdate, EngineEntry, EngineStateCode, EngineUpdate, Freshness, List, LoadUpdate, Message,
-    Subscribe, Text, UsageAllotment, UsageRecord, UsageReport,
+    Subscribe, Text, UsageAllotment, UsageRecord, UsageReport, AGE_UNIT_MS, WAITING_UNIT_TOKENS,
 };
 
 use super::{Effect, RouterCore};
 use crate::session::LinkId;
 
-/// Prompt tokens in one unit of a load record.
-const WAITING_UNIT_TOKENS: u32 = 256;
-
-/// Microseconds in one unit of a load record's age.
-const AGE_UNIT_US: u64 = 100_000;
-
 /// Rates travel in tenths of a request a second.
 const RATE_UNIT: f64 = 10.0;
 
@@ -30,6 +24,7 @@
             self.effects.push(Effect::Close(link));
             return;
         }
+        self.abandon_questions();
         self.slots.clear();
         let tenants = self.config.tenants();
         let subscribe = Subscribe {
@@ -46,6 +41,9 @@
     /// A link ended or could not be opened.
     pub fn on_closed(&mut self, link: LinkId) {
         self.session.on_closed(link, self.now, &mut self.random);
+        if self.session.up().is_none() {
+            self.abandon_questions();
+        }
     }
 
     /// The control machine said something.
@@ -60,6 +58,7 @@
             Message::Loads(update) => self.on_loads(&update),
             Message::Fresh(fresh) => self.on_fresh(fresh),
             Message::TenantAnswer(answer) => self.on_tenant_answer(&answer),
+            Message::IndexAnswer(answer) => self.on_index_answer(&answer),
             Message::ClaimResponse(response) => self.on_claim_response(response),
             Message::OutcomeStored(ticket) => self.on_outcome_stored(ticket),
             Message::Allotment(allotment) => self.on_allotment(&allotment),
@@ -133,7 +132,7 @@
             EngineStateCode::Leaving => EngineState::Leaving,
             EngineStateCode::Gone => {
                 self.placer.engines_mut().remove(id);
-                self.slots.retain(|_, engine| *engine != id);
+                self.slots.remove(id);
                 return;
             }
         };
@@ -151,11 +150,11 @@
 
     fn on_loads(&mut self, update: &LoadUpdate) {
         for load in &update.loads.items {
-            let engine = self.slots.get(&load.slot).copied();
+            let engine = self.slots.engine(load.slot);
             let Some(engine) = engine.and_then(|id| self.placer.engines_mut().get_mut(id)) else {
                 continue;
             };
-            let age = u64::from(load.age) * AGE_UNIT_US;
+            let age = u64::from(load.age) * AGE_UNIT_MS * 1_000;
             engine.load = LoadReport {
                 waiting_tokens: u32::from(load.waiting) * WAITING_UNIT_TOKENS,
                 running: u32::from(load.running),
--- a/crates/router/src/core/mod.rs
+++ b/crates/router/src/core/mod.rs
@@ -2,9 +2,10 @@
 
 mod control;
 mod ledger;
-mod lookups;
 mod placement;
+mod questions;
 mod requests;
+mod slots;
 mod tenants;
 mod types;
 
@@ -28,11 +29,12 @@
 use crate::session::{ControlSession, SessionAction, SessionParams};
 
 use ledger::PendingOutcome;
+use questions::Questions;
+use slots::Slots;
 use tenants::UnknownKeys;
 
 pub use types::{
-    AdmitOutcome, AdmitRequest, Assignment, Effect, Lookup, LookupTarget, Purpose, RouterMetrics,
-    StoredFile, StoredState,
+    AdmitOutcome, AdmitRequest, Assignment, Effect, Purpose, RouterMetrics, StoredFile, StoredState,
 };
 
 /// The engine list is written at most this often.
@@ -73,8 +75,8 @@
     pub usage_interval: Duration,
     /// An engine that failed a request is avoided for this long.
     pub suspect_time: Duration,
-    /// How long a request waits for the answers.
-    pub lookup_patience: Duration,
+    /// How long a request waits for an answer of the index.
+    pub index_patience: Duration,
 }
 
 impl RouterParams {
@@ -97,7 +99,7 @@
             claim_patience: Duration::from_secs(6),
             usage_interval: Duration::from_secs(1),
             suspect_time: Duration::from_secs(2),
-            lookup_patience: Duration::from_millis(30),
+            index_patience: Duration::from_millis(30),
         }
     }
 }
@@ -106,7 +108,7 @@
 enum Phase {
     AwaitingTenant { until: Timestamp },
     AwaitingClaim { until: Timestamp },
-    LookingUp { until: Timestamp },
+    AwaitingIndex { ticket: u32, until: Timestamp },
     Queued,
     Running(Placement),
 }
@@ -136,7 +138,8 @@
     random: ChaCha8Rng,
     config: ConfigView,
     session: ControlSession,
-    slots: BTreeMap<u16, EngineId>,
+    slots: Slots,
+    questions: Questions,
     placer: Placer,
     admission: Admission,
     retry: RetryBudget,
@@ -178,7 +181,8 @@
             random,
             config: stored.config,
             session: ControlSession::new(session_params, first_peer),
-            slots: BTreeMap::new(),
+            slots: Slots::default(),
+            questions: Questions::default(),
             placer,
             admission: Admission::new(params.admission.clone()),
             retry: RetryBudget::new(params.retry.clone()),
@@ -214,7 +218,7 @@
             self.effects.push(effect);
         }
         self.expire_waiting();
-        self.expire_lookups();
+        self.expire_questions();
         self.expire_queued();
         self.resend_outcomes();
         self.report_usage();
@@ -224,6 +228,7 @@
 
     /// What there is to do, in order.
     pub fn take_effects(&mut self) -> Vec<Effect> {
+        self.send_bookings();
         std::mem::take(&mut self.effects)
     }
 
--- a/crates/router/src/core/placement.rs
+++ b/crates/router/src/core/placement.rs
@@ -1,14 +1,12 @@
 //! Puts a request on an engine, and learns from what came of it.
 
-use drumshore_core::{
-    EngineId, ErrorCode, PlacementGoal, RequestId, Timestamp, Verdict, WeightsVersion,
-};
+use drumshore_core::{ErrorCode, PlacementGoal, RequestId, Timestamp, Verdict, WeightsVersion};
 use drumshore_routing::{
     AnswerReport, AttemptRecord, Choice, Decision, LookupAnswer, Placement, PrefixChain,
     PrefixRoot, RoutingRequest,
 };
 
-use super::{AdmitOutcome, Assignment, LookupTarget, Phase, RouterCore};
+use super::{AdmitOutcome, Assignment, Phase, RouterCore};
 
 /// A request's prompt under its tenant, model and weights.
 struct HashedPrompt {
@@ -35,16 +33,14 @@
                 self.commit(id, &prompt, (placement, choice));
                 true
             }
-            Some(Decision::LookUp(engines)) => {
-                let targets = self.targets(&engines);
-                self.look_up(id, &prompt.chain, targets);
-                true
+            Some(Decision::Ask(like)) => {
+                self.ask_index(id, &prompt.chain, like) || self.place_informed(id, &[])
             }
             None => false,
         }
     }
 
-    /// Places a request with what engines answered; false when there is none with room.
+    /// Places a request with what the index answered; false when there is none with room.
     pub(super) fn place_informed(&mut self, id: RequestId, answers: &[LookupAnswer]) -> bool {
         let Some(prompt) = self.prompt_of(id) else {
             return false;
@@ -78,19 +74,6 @@
         })
     }
 
-    fn targets(&self, engines: &[EngineId]) -> Vec<LookupTarget> {
-        let known = engines
-            .iter()
-            .filter_map(|engine| self.placer.engines().get(*engine));
-        known
-            .map(|engine| LookupTarget {
-                engine: engine.id,
-                name: engine.observation.name.clone(),
-                address: engine.observation.address.clone(),
-            })
-            .collect()
-    }
-
     /// The first token of an attempt arrived.
     pub fn on_first_token(&mut self, id: RequestId, report: AnswerReport) {
         let Some(request) = self.active.get_mut(&id) else {
@@ -121,6 +104,7 @@
         prompt: &HashedPrompt,
         answers: Option<&[LookupAnswer]>,
     ) -> Option<Decision> {
+        let may_ask = self.may_ask_index();
         let request = self.active.get(&id)?;
         for pool in self.config.pools_of(&request.ask.model) {
             let routing = RoutingRequest {
@@ -131,6 +115,7 @@
                 zone: &self.params.zone,
                 excluded: &request.excluded,
                 known: None,
+                may_ask,
             };
             let (number, now) = (id.sequence, self.now);
             let decided = match answers {
@@ -156,6 +141,8 @@
         prompt: &HashedPrompt,
         (placement, choice): (Placement, Choice),
     ) {
+        let ticket = self.take_ticket(id);
+        self.book_at_index(ticket, &placement);
         let Some(request) = self.active.get_mut(&id) else {
             return;
         };
--- a/crates/router/src/core/requests.rs
+++ b/crates/router/src/core/requests.rs
@@ -192,22 +192,6 @@
         }
     }
 
-    /// Places requests whose owners did not hand in answers in time.
-    pub(super) fn expire_lookups(&mut self) {
-        let now = self.now;
-        let expired: Vec<RequestId> = self
-            .active
-            .iter()
-            .filter(
-                |(_, request)| matches!(request.phase, Phase::LookingUp { until } if until <= now),
-            )
-            .map(|(id, _)| *id)
-            .collect();
-        for id in expired {
-            self.on_looked_up(id, &[]);
-        }
-    }
-
     /// Gives up what waited too long.
     pub(super) fn expire_queued(&mut self) {
         let now = self.now;
--- a/crates/router/src/core/types.rs
+++ b/crates/router/src/core/types.rs
@@ -1,20 +1,18 @@
 //! What goes into and comes out of a router's core.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use drumshore_core::{
-    AdapterName, EngineId, EngineName, IdempotencyKey, Incarnation, KeyHash, ModelName, Priority,
-    RequestId, Verdict, WeightsVersion,
+    AdapterName, EngineName, IdempotencyKey, Incarnation, KeyHash, ModelName, Priority, RequestId,
+    Verdict, WeightsVersion,
 };
-use drumshore_routing::{AnswerLoad, EngineObservation, LookupAnswer, PrefixRoot};
+use drumshore_routing::{EngineObservation, PrefixRoot};
 use drumshore_wire::Message;
 use serde::Serialize;
 
 use crate::answer::RecordedAnswer;
 use crate::completion::PromptInput;
 use crate::config::{ConfigError, ConfigView};
-use crate::engine_api::{LookupReply, LookupRequest};
 use crate::session::LinkId;
 
 /// What a request is for.
@@ -75,44 +73,6 @@
     pub idempotency_key: Option<IdempotencyKey>,
 }
 
-/// What to ask engines before a request is placed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Lookup {
-    /// Whom to ask.
-    pub targets: Vec<LookupTarget>,
-    /// What to ask.
-    pub request: LookupRequest,
-    /// Tokens in one block.
-    pub block_tokens: u32,
-    /// How long to wait for the answers.
-    pub patience: Duration,
-}
-
-/// An engine to ask.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LookupTarget {
-    /// The engine.
-    pub engine: EngineId,
-    /// Its name.
-    pub name: EngineName,
-    /// Where it listens.
-    pub address: String,
-}
-
-impl Lookup {
-    /// An engine's reply as the core takes it.
-    pub fn answer(&self, engine: EngineId, reply: &LookupReply) -> LookupAnswer {
-        LookupAnswer {
-            engine,
-            cached_tokens: reply.blocks * self.block_tokens,
-            load: AnswerLoad {
-                waiting_tokens: reply.waiting_tokens,
-                running: reply.running,
-            },
-        }
-    }
-}
-
 /// The core's answer to a request or a failed attempt.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum AdmitOutcome {
@@ -122,8 +82,6 @@
     Recorded(RecordedAnswer),
     /// The models that the tenant may use.
     Models(Vec<ModelName>),
-    /// Ask these engines first, and hand their answers in.
-    LookUp(Lookup),
     /// It is over.
     Refused(Verdict),
 }
@@ -202,8 +160,8 @@
     pub refused: u64,
     /// Attempts after the first.
     pub retries: u64,
-    /// Requests before whose placement engines were asked.
-    pub lookups: u64,
+    /// Requests before whose placement the index was asked.
+    pub index_questions: u64,
     /// Prompt tokens of answered requests.
     pub prompt_tokens: u64,
     /// Of these, tokens that engines had in their caches.
--- a/crates/router/src/engine_api.rs
+++ b/crates/router/src/engine_api.rs
@@ -1,8 +1,5 @@
 //! The part of the engines' HTTP interface that goes beyond the completion API.
 
-use drumshore_routing::{PrefixChain, SequenceHash};
-use serde::{Deserialize, Serialize};
-
 /// Request: the router's id of the request, the same at every attempt.
 pub const REQUEST_ID: &str = "x-drumshore-request-id";
 
@@ -49,55 +46,9 @@
 /// `DELETE` of the same.
 pub const STREAMS_PATH: &str = "/v1/streams";
 
-/// Path at which an engine is asked what it holds of a prompt.
-pub const LOOKUP_PATH: &str = "/v1/lookup";
-
-/// The longest chain that is asked for; of a longer one, blocks in even steps are named.
-pub const LOOKUP_HASHES: usize = 32;
-
-/// Asks what an engine holds of a prompt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LookupRequest {
-    /// Prefixes of the prompt, shortest first, each with its number of blocks.
-    pub prefixes: Vec<LookupPrefix>,
-}
-
-/// One prefix of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LookupPrefix {
-    /// Its hash.
-    pub hash: SequenceHash,
-    /// Its blocks.
-    pub blocks: u32,
-}
-
-/// What an engine holds of a prompt, and how busy it is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LookupReply {
-    /// Blocks of the longest prefix named that it holds.
-    pub blocks: u32,
-    /// Prompt tokens that wait.
-    pub waiting_tokens: u32,
-    /// Sequences that run.
-    pub running: u32,
-}
-
-impl LookupRequest {
-    /// Names the prefixes of a chain.
-    pub fn of(chain: &PrefixChain) -> Self {
-        let hashes = chain.hashes();
-        let step = hashes.len().div_ceil(LOOKUP_HASHES).max(1);
-        let last = hashes.len();
-        let named = (1..=last).filter(|blocks| blocks % step == 0 || *blocks == last);
-        let prefixes = named.map(|blocks| LookupPrefix {
-            hash: hashes[blocks - 1],
-            blocks: blocks as u32,
-        });
-        Self {
-            prefixes: prefixes.collect(),
-        }
-    }
-}
+/// Path at which an engine's cache reports: all that it holds, or with `/{incarnation}/{number}`
+/// behind it the changes of that start from a number on.
+pub const CACHE_PATH: &str = "/v1/cache";
 
 /// Path of the engine's own state.
 pub const PROBE_PATH: &str = "/v1/state";
--- a/crates/router/src/exchange.rs
+++ b/crates/router/src/exchange.rs
@@ -7,7 +7,7 @@
 use drumshore_routing::AnswerReport;
 
 use crate::answer::RecordedAnswer;
-use crate::core::{AdmitOutcome, Assignment, Lookup};
+use crate::core::{AdmitOutcome, Assignment};
 use crate::engine_api;
 use crate::relay::{RelayError, RelayProgress, StreamRelay};
 use crate::sse::Event;
@@ -34,8 +34,6 @@
 pub enum Next {
     /// Make this call.
     Call(UpstreamCall),
-    /// Ask these engines, and hand their answers to the core.
-    LookUp(Lookup),
     /// Read on.
     Read,
     /// Tell the core, and hand in its answer.
@@ -193,7 +191,6 @@
                 self.first_token_seen = false;
                 Next::Call(UpstreamCall::Start(assignment))
             }
-            AdmitOutcome::LookUp(lookup) => Next::LookUp(lookup),
             AdmitOutcome::Recorded(answer) => self.finish(Conclusion::Recorded(answer)),
             AdmitOutcome::Refused(verdict) => self.finish(Conclusion::Failed(verdict)),
             AdmitOutcome::Models(_) => {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -24,8 +24,8 @@
 pub use completion::{CompletionKind, CompletionRequest, PromptInput};
 pub use config::ConfigView;
 pub use core::{
-    AdmitOutcome, AdmitRequest, Assignment, Effect, Lookup, LookupTarget, Purpose, RouterCore,
-    RouterMetrics, RouterParams, StoredFile, StoredState,
+    AdmitOutcome, AdmitRequest, Assignment, Effect, Purpose, RouterCore, RouterMetrics,
+    RouterParams, StoredFile, StoredState,
 };
 pub use exchange::{
     AttemptFailure, Conclusion, Exchange, ExchangeParams, FailureKind, Next, UpstreamCall,
--- a/crates/router/src/tests/core.rs
+++ b/crates/router/src/tests/core.rs
@@ -7,8 +7,8 @@
     SecretKey, Timestamp, Verdict,
 };
 use drumshore_wire::{
-    Blob, ClaimGrant, ClaimResponse, EngineEntry, EngineStateCode, EngineUpdate, Freshness, List,
-    Message, TenantAnswer, Text,
+    Blob, ClaimGrant, ClaimResponse, EngineEntry, EngineStateCode, EngineUpdate, Freshness,
+    HoldingRecord, IndexAnswer, List, Message, TenantAnswer, Text,
 };
 use rstest::rstest;
 
@@ -29,6 +29,8 @@
     sent: Vec<Message>,
     answers: Vec<(RequestId, AdmitOutcome)>,
     stored: BTreeMap<StoredFile, Vec<u8>>,
+    /// The index leaves questions to the test.
+    index_silent: bool,
 }
 
 impl Bench {
@@ -45,6 +47,7 @@
             sent: Vec::new(),
             answers: Vec::new(),
             stored: BTreeMap::new(),
+            index_silent: false,
         }
     }
 
@@ -83,7 +86,32 @@
         self.settle();
     }
 
+    /// Carries effects out. An index that knows nothing answers at once, unless it is silent.
     fn settle(&mut self) {
+        loop {
+            let before = self.sent.len();
+            self.carry_out();
+            let asked: Vec<u32> = self.sent[before..].iter().filter_map(ticket).collect();
+            if asked.is_empty() || self.index_silent {
+                return;
+            }
+            for ticket in asked {
+                self.answer_question(ticket, &[]);
+            }
+        }
+    }
+
+    fn answer_question(&mut self, ticket: u32, holdings: &[HoldingRecord]) {
+        let answer = IndexAnswer {
+            ticket,
+            holdings: List::new(holdings.to_vec()),
+        };
+        let link = self.link.expect("a link is up");
+        self.core
+            .on_control_message(link, Message::IndexAnswer(answer));
+    }
+
+    fn carry_out(&mut self) {
         for effect in self.core.take_effects() {
             match effect {
                 Effect::Persist(file, bytes) => {
@@ -176,6 +204,13 @@
     }
 }
 
+fn ticket(message: &Message) -> Option<u32> {
+    match message {
+        Message::IndexQuestion(question) => Some(question.ticket),
+        _ => None,
+    }
+}
+
 fn ask(key: &str) -> AdmitRequest {
     AdmitRequest {
         key_hash: Some(SecretKey::new(key).hash()),
@@ -479,3 +514,80 @@
         }
     }
 }
+
+#[test]
+fn the_index_is_asked_and_its_answer_decides() {
+    let mut bench = Bench::ready();
+    bench.index_silent = true;
+    let id = bench.admit(ask("key"));
+    assert!(bench.last(id).is_none());
+    let ticket = bench.sent.iter().find_map(ticket).expect("a question");
+    let holding = |slot, blocks, waiting| HoldingRecord {
+        slot,
+        blocks,
+        waiting,
+        running: 0,
+    };
+    bench.answer_question(ticket, &[holding(2, 1, 0), holding(1, 0, 9)]);
+    bench.settle();
+    assert_eq!(bench.assignment(id).engine.as_str(), "b");
+    let booked = bench.sent.iter().find_map(|message| match message {
+        Message::Bookings(bookings) => bookings.records.items.first().copied(),
+        _ => None,
+    });
+    let booked = booked.expect("a booking");
+    assert_eq!((booked.ticket, booked.slot), (ticket, 2));
+}
+
+#[test]
+fn an_index_that_does_not_answer_is_left_alone_for_a_while() {
+    let mut bench = Bench::ready();
+    bench.index_silent = true;
+    let first = bench.admit(ask("key"));
+    bench.tick(Duration::from_millis(100));
+    bench.assignment(first);
+    let asked = bench.sent.iter().filter_map(ticket).count();
+    let second = bench.admit(ask("key"));
+    bench.assignment(second);
+    assert_eq!(bench.sent.iter().filter_map(ticket).count(), asked);
+    bench.tick(Duration::from_secs(1));
+    bench.admit(ask("key"));
+    assert_eq!(bench.sent.iter().filter_map(ticket).count(), asked + 1);
+}
+
+#[test]
+fn a_link_that_ends_ends_the_wait_for_the_index() {
+    let mut bench = Bench::ready();
+    bench.index_silent = true;
+    let id = bench.admit(ask("key"));
+    let link = bench.link.expect("a link is up");
+    bench.core.on_closed(link);
+    bench.settle();
+    bench.assignment(id);
+}
+
+#[test]
+fn a_late_answer_of_the_index_changes_nothing() {
+    let mut bench = Bench::ready();
+    bench.index_silent = true;
+    let id = bench.admit(ask("key"));
+    let ticket = bench.sent.iter().find_map(ticket).expect("a question");
+    bench.tick(Duration::from_millis(100));
+    let answers = bench.answers.len();
+    bench.answer_question(ticket, &[]);
+    bench.settle();
+    assert_eq!(bench.answers.len(), answers);
+    bench.assignment(id);
+}
+
+#[test]
+fn a_request_that_ends_while_it_waits_for_the_index_says_nothing_of_it() {
+    let mut bench = Bench::ready();
+    bench.index_silent = true;
+    let id = bench.admit(ask("key"));
+    bench.finish(id, &Conclusion::CallerGone);
+    bench.tick(Duration::from_millis(100));
+    let asked = bench.sent.iter().filter_map(ticket).count();
+    bench.admit(ask("key"));
+    assert_eq!(bench.sent.iter().filter_map(ticket).count(), asked + 1);
+}
--- a/crates/routing/examples/place.rs
+++ b/crates/routing/examples/place.rs
@@ -43,6 +43,7 @@
             zone: &ZoneName::new("zone-1"),
             excluded: &[],
             known: None,
+            may_ask: false,
         };
         match placer.place(request, &routing, now) {
             Ok(Decision::Placed(placement, choice)) => {
@@ -56,7 +57,7 @@
                 placer.on_first_token(&placement, AnswerReport::default(), now);
                 placer.on_ended(&placement);
             }
-            Ok(Decision::LookUp(engines)) => println!("request {request}: ask {engines:?}"),
+            Ok(Decision::Ask(_)) => println!("request {request}: ask the index"),
             Err(reason) => println!("request {request}: {reason:?}"),
         }
     }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -1,7 +1,8 @@
 //! Cache-aware placement, admission and retries, as state machines without I/O or clock.
 //!
 //! One file for each role: [`protocols`] (what engines say), [`prefix`] (what a prompt is made
-//! of), [`index`] (who is believed to hold what), [`engines`] (what is known of each engine),
+//! of), [`index`] (who one router believes holds what), [`publisher`] and [`indexer`] (who holds
+//! what, for all routers), [`engines`] (what is known of each engine),
 //! [`scheduler`] (which engine a request goes to), [`placer`] (all of these together),
 //! [`admission`] (whether it may start),
 //! [`retry`] (whether it may be tried again), [`decision`] (what was believed, for later),
@@ -16,11 +17,13 @@
 pub mod heat;
 mod homes;
 pub mod index;
-mod lookup_budget;
+pub mod indexer;
 mod params;
 pub mod placer;
 pub mod prefix;
 pub mod protocols;
+pub mod publisher;
+mod question_budget;
 pub mod recorder;
 pub mod rendezvous;
 pub mod retry;
@@ -31,10 +34,14 @@
 pub use engines::{Engine, EngineObservation, EngineSet, EngineState, LoadReport};
 pub use fair_queue::{FairQueue, QueuedItem};
 pub use index::{BeliefIndex, BeliefParams};
+pub use indexer::{
+    Booking, Holding, Indexer, IndexerParams, Question, QuestionId, QuestionPrefix, ReportWanted,
+};
 pub use params::{Policy, SchedulerParams};
 pub use placer::{AnswerLoad, AnswerReport, Decision, LookupAnswer, Placement, Placer};
-pub use prefix::{PrefixChain, PrefixRoot, Prompt};
-pub use protocols::{CacheEvent, CacheEventKind, SequenceHash};
+pub use prefix::{PrefixChain, PrefixRoot, Prompt, MAX_QUESTION_PREFIXES};
+pub use protocols::{CacheChange, CacheReport, SequenceHash};
+pub use publisher::CachePublisher;
 pub use retry::{RetryBudget, RetryParams};
 pub use scheduler::{Choice, KnownCache, NoChoice, RoutingRequest, Scheduler};
 
--- a/crates/routing/src/params.rs
+++ b/crates/routing/src/params.rs
@@ -1,5 +1,6 @@
 //! The scheduler's policy and weights.
 
+use drumshore_core::PlacementGoal;
 use serde::{Deserialize, Serialize};
 
 /// How engines are chosen. All but [`Policy::Product`] are baselines for measurements.
@@ -41,6 +42,9 @@
     pub recompute_weight: f64,
     /// The same where reuse is the goal.
     pub reuse_recompute_weight: f64,
+    /// The same for both goals once the index has answered: queues are then known as well as
+    /// caches, and may count as much.
+    pub informed_recompute_weight: f64,
     /// The share of an engine's fair part of all requests that one prefix family may have before
     /// it is split, or shared by several engines when it cannot be split.
     pub family_share: f64,
@@ -53,17 +57,14 @@
     pub min_family_rate: f64,
     /// Routers that see the same traffic; this router's rates are multiplied by it.
     pub routers: f64,
-    /// Engines that are asked what they hold of an expensive prompt before it is placed; 0 for
-    /// never.
-    pub lookups: usize,
-    /// Requests a second for which engines are asked, at most. It bounds the traffic: asking three
-    /// engines takes about 1.7 KB.
-    pub lookups_per_second: f64,
-    /// A prompt is expensive when its best engine is expected to compute more tokens than this
-    /// until the first one is out, those that wait there included.
-    pub lookup_min_tokens: u32,
-    /// The same where reuse is the goal, without those that wait.
-    pub reuse_lookup_min_tokens: u32,
+    /// Bytes a second that questions to the index may take, their answers and bookings included.
+    /// It keeps them within a node's share of control traffic; 0 for no questions.
+    pub index_bytes_per_second: f64,
+    /// Prompt tokens that have to be at stake for a question when its budget is all but spent. The
+    /// fuller the budget, the less has to be at stake, down to nothing.
+    pub index_stake_tokens: f64,
+    /// Engines that an answer names.
+    pub index_engines: usize,
     /// Engines drawn at random, so that an idle one is found.
     pub sampled: usize,
     /// Pools of up to this size are looked at as a whole.
@@ -76,6 +77,17 @@
     pub recorded_candidates: usize,
 }
 
+impl SchedulerParams {
+    /// What a token computed costs under a goal in comparison with a token waited for.
+    pub fn recompute_weight_of(&self, goal: PlacementGoal, informed: bool) -> f64 {
+        match goal {
+            _ if informed => self.informed_recompute_weight,
+            PlacementGoal::Latency => self.recompute_weight,
+            PlacementGoal::Reuse => self.reuse_recompute_weight,
+        }
+    }
+}
+
 impl Default for SchedulerParams {
     fn default() -> Self {
         Self {
@@ -86,15 +98,15 @@
             other_region_us: 500_000.0,
             recompute_weight: 4.0,
             reuse_recompute_weight: 8.0,
+            informed_recompute_weight: 1.6,
             family_share: 3.0,
             max_homes: 8,
             family_spread: 3,
             min_family_rate: 0.5,
             routers: 1.0,
-            lookups: 3,
-            lookups_per_second: 5.0,
-            lookup_min_tokens: 800,
-            reuse_lookup_min_tokens: 3_000,
+            index_bytes_per_second: 8_000.0,
+            index_stake_tokens: 8_000.0,
+            index_engines: 6,
             sampled: 6,
             scan_all_up_to: 32,
             max_waiting_tokens: 400_000,
--- a/crates/routing/src/placer.rs
+++ b/crates/routing/src/placer.rs
@@ -7,10 +7,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::index::Overlap;
-use crate::lookup_budget::LookupBudget;
+use crate::question_budget::QuestionBudget;
 use crate::{
-    BeliefIndex, BeliefParams, Choice, Engine, EngineSet, KnownCache, LoadReport, NoChoice,
-    RoutingRequest, Scheduler,
+    BeliefIndex, BeliefParams, Choice, Engine, EngineSet, KnownCache, LoadReport, NoChoice, Policy,
+    RoutingRequest, Scheduler, MAX_QUESTION_PREFIXES,
 };
 
 /// Times to the first token below this say little about an engine's speed.
@@ -39,11 +39,11 @@
 pub enum Decision {
     /// It goes to an engine, on which it is booked.
     Placed(Placement, Choice),
-    /// Ask these engines what they hold of it, and place it again with their answers.
-    LookUp(Vec<EngineId>),
+    /// Ask the index, and place it with the answer; until then this engine looks best.
+    Ask(EngineId),
 }
 
-/// An engine's answer to a lookup.
+/// What the index answers of one engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LookupAnswer {
     /// The engine.
@@ -70,13 +70,20 @@
     placed_at: Timestamp,
 }
 
+impl Placement {
+    /// Prompt tokens that the engine is expected to compute.
+    pub fn missing_tokens(&self) -> u32 {
+        self.prompt_tokens.saturating_sub(self.expected_tokens)
+    }
+}
+
 /// Engines, beliefs about their caches, and the scheduler that chooses among them.
 #[derive(Clone, Debug)]
 pub struct Placer {
     engines: EngineSet,
     index: BeliefIndex,
     scheduler: Scheduler,
-    lookups: LookupBudget,
+    questions: QuestionBudget,
 }
 
 impl Placer {
@@ -85,7 +92,10 @@
         Self {
             engines: EngineSet::default(),
             index: BeliefIndex::new(belief),
-            lookups: LookupBudget::new(scheduler.params().lookups_per_second),
+            questions: QuestionBudget::new(
+                scheduler.params().index_bytes_per_second,
+                scheduler.params().index_stake_tokens,
+            ),
             scheduler,
         }
     }
@@ -100,6 +110,11 @@
         &mut self.engines
     }
 
+    /// The scheduler.
+    pub fn scheduler(&self) -> &Scheduler {
+        &self.scheduler
+    }
+
     /// The beliefs, to take in what engines publish of their caches.
     pub fn index_mut(&mut self) -> &mut BeliefIndex {
         &mut self.index
@@ -110,7 +125,7 @@
         self.scheduler.set_routers(routers);
     }
 
-    /// Chooses an engine and books the request on it, or says which engines to ask first.
+    /// Chooses an engine and books the request on it, or says that the index is to be asked first.
     /// `request` is the caller's own number.
     pub fn place(
         &mut self,
@@ -121,14 +136,18 @@
         let choice = self
             .scheduler
             .choose(&self.engines, &self.index, routing, now)?;
-        if !choice.worth_asking.is_empty() && self.lookups.take(now) {
-            return Ok(Decision::LookUp(choice.worth_asking));
+        let prefixes = routing.chain.hashes().len().min(MAX_QUESTION_PREFIXES);
+        let informed = self.scheduler.params().policy == Policy::Product;
+        let may_ask = routing.may_ask && informed && prefixes > 0;
+        if may_ask && self.questions.take(prefixes, choice.stake_tokens, now) {
+            return Ok(Decision::Ask(choice.engine));
         }
         let (placement, choice) = self.book(request, routing, choice, now)?;
         Ok(Decision::Placed(placement, choice))
     }
 
-    /// Places a request with what engines answered.
+    /// Places a request with what the index answered; an empty answer leaves it to what is
+    /// believed here.
     pub fn place_informed(
         &mut self,
         request: u64,
@@ -154,6 +173,7 @@
             .collect();
         let informed = RoutingRequest {
             known: Some(&known),
+            may_ask: false,
             ..*routing
         };
         let choice = self
--- a/crates/routing/src/prefix.rs
+++ b/crates/routing/src/prefix.rs
@@ -4,7 +4,7 @@
 use drumshore_guard::{enforced, Guard};
 use xxhash_rust::xxh3::{xxh3_64_with_seed, Xxh3};
 
-use crate::SequenceHash;
+use crate::{QuestionPrefix, SequenceHash};
 
 /// Bytes of text that stand for one token where the engine's tokenizer is not at hand.
 pub const TEXT_BYTES_PER_TOKEN: usize = 4;
@@ -67,6 +67,9 @@
     }
 }
 
+/// Prefixes that a question to the index names, at most.
+pub const MAX_QUESTION_PREFIXES: usize = 16;
+
 /// The prefixes of one prompt that engines can hold, shortest first.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PrefixChain {
@@ -123,6 +126,20 @@
         self.prompt_tokens
     }
 
+    /// The prefixes that a question to the index names: all of a short chain; of a longer one those
+    /// in even steps, which are powers of two so that chains of other lengths name the same ones.
+    pub fn question_prefixes(&self) -> Vec<QuestionPrefix> {
+        let count = self.hashes.len();
+        let step = count.div_ceil(MAX_QUESTION_PREFIXES).next_power_of_two();
+        (1..=count)
+            .filter(|blocks| blocks % step == 0)
+            .map(|blocks| QuestionPrefix {
+                hash: self.hashes[blocks - 1],
+                blocks: blocks as u32,
+            })
+            .collect()
+    }
+
     /// Tokens in the first `blocks` blocks.
     pub fn tokens_in(&self, blocks: usize) -> u32 {
         self.block_tokens * blocks as u32
--- a/crates/routing/src/protocols.rs
+++ b/crates/routing/src/protocols.rs
@@ -1,4 +1,4 @@
-//! What engines publish about their caches.
+//! What engines publish of their caches.
 
 use std::fmt;
 
@@ -19,25 +19,30 @@
     }
 }
 
-/// What happened to a cached block.
+/// What happened to a block of an engine's cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum CacheEventKind {
+pub enum CacheChange {
     /// It was computed or imported.
-    Stored,
+    #[serde(rename = "s")]
+    Stored(SequenceHash),
     /// It was evicted.
-    Removed,
+    #[serde(rename = "r")]
+    Removed(SequenceHash),
 }
 
-/// One numbered event of an engine's cache. A number that is skipped means a lost event.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct CacheEvent {
-    /// Counts the engine's events from 1 in each incarnation.
-    pub id: u64,
+/// A part of an engine's numbered cache changes, or all that it holds.
+///
+/// Changes are counted from 1 in each start of the engine. A report that begins behind the number
+/// that was due shows that changes were lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CacheReport {
     /// The engine's start.
     pub incarnation: Incarnation,
-    /// The block.
-    pub block: SequenceHash,
-    /// What happened to it.
-    pub kind: CacheEventKind,
+    /// True when the report lists what is held now, rather than what changed.
+    pub complete: bool,
+    /// The number of the first change; of a complete report, the number of the change that comes
+    /// next.
+    pub first: u64,
+    /// The changes, in order; of a complete report, what is held, in any order.
+    pub changes: Vec<CacheChange>,
 }
--- a/crates/routing/src/recorder.rs
+++ b/crates/routing/src/recorder.rs
@@ -82,7 +82,9 @@
     pub zone: ZoneName,
     /// Engines where it failed before.
     pub excluded: Vec<EngineId>,
-    /// What engines answered; `None` when they were not asked.
+    /// True when the index could be asked.
+    pub may_ask: bool,
+    /// What the index answered; `None` when it was not asked.
     pub answers: Option<Vec<LookupAnswer>>,
 }
 
@@ -102,8 +104,8 @@
 pub enum TraceOutcome {
     /// It went to an engine.
     Placed(EngineId),
-    /// Engines were to be asked first.
-    LookUp(Vec<EngineId>),
+    /// The index was to be asked first; this engine looked best.
+    Ask(EngineId),
     /// There was no engine.
     Nowhere,
 }
@@ -190,6 +192,7 @@
             zone: &place.zone,
             excluded: &place.excluded,
             known: None,
+            may_ask: place.may_ask,
         };
         let decided: Result<Decision, NoChoice> = match &place.answers {
             Some(answers) => self
@@ -204,7 +207,7 @@
                 self.placements.insert(place.request, placement);
                 TraceOutcome::Placed(engine)
             }
-            Ok(Decision::LookUp(engines)) => TraceOutcome::LookUp(engines),
+            Ok(Decision::Ask(best)) => TraceOutcome::Ask(best),
             Err(_) => TraceOutcome::Nowhere,
         };
         TraceDecision {
--- a/crates/routing/src/scheduler.rs
+++ b/crates/routing/src/scheduler.rs
@@ -41,11 +41,13 @@
     pub zone: &'a ZoneName,
     /// Engines where it failed before.
     pub excluded: &'a [EngineId],
-    /// What engines said that they hold of it, when they were asked.
+    /// What the index answered; only these engines are considered when there are any.
     pub known: Option<&'a [KnownCache]>,
+    /// True when the index can be asked.
+    pub may_ask: bool,
 }
 
-/// What one engine said that it holds of a prompt.
+/// What the index says that one engine holds of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KnownCache {
     /// The engine.
@@ -65,8 +67,9 @@
     pub believed: Option<Overlap>,
     /// The best candidates, best first.
     pub candidates: Vec<CandidateRecord>,
-    /// Engines worth asking before the request is placed; none when it is cheap.
-    pub worth_asking: Vec<EngineId>,
+    /// Prompt tokens that have to be computed until the first token is out, those that wait
+    /// included: what an engine that is found by asking could save.
+    pub stake_tokens: f64,
 }
 
 /// Why there is no engine.
@@ -127,13 +130,14 @@
         request: &RoutingRequest<'_>,
         now: Timestamp,
     ) -> Result<Choice, NoChoice> {
-        let possible: Vec<&Engine> = engines
+        let mut possible: Vec<&Engine> = engines
             .pool(request.pool)
             .filter(|engine| is_possible(engine, request))
             .collect();
         if possible.is_empty() {
             return Err(NoChoice::NoneReady);
         }
+        self.keep_known(&mut possible, request);
         let overlaps = self.overlaps(engines, index, request);
         let homes = self.homes(&possible, request, now);
         let mut candidates = self.candidates(&possible, request, &overlaps, &homes, now)?;
@@ -145,41 +149,18 @@
             candidates.sort_by(|a, b| a.cost_us.total_cmp(&b.cost_us));
         }
         let best = candidates[0];
-        let worth_asking = self.worth_asking(request, &candidates);
+        let missing = f64::from(request.chain.prompt_tokens()) - best.credited_tokens;
+        let stake_tokens = missing.max(0.0) + best.waiting_tokens;
         candidates.truncate(self.params.recorded_candidates);
         Ok(Choice {
             engine: best.engine,
             expected_cached_tokens: best.expected_tokens as u32,
             believed: best.believed,
             candidates: records(engines, &candidates, now),
-            worth_asking,
+            stake_tokens,
         })
     }
 
-    fn worth_asking(
-        &self,
-        request: &RoutingRequest<'_>,
-        candidates: &[Candidate],
-    ) -> Vec<EngineId> {
-        let prompt_tokens = f64::from(request.chain.prompt_tokens());
-        // Where reuse is the goal, a queue is no reason to go and compute elsewhere.
-        let expensive = candidates.first().is_some_and(|best| {
-            let missing = prompt_tokens - best.credited_tokens;
-            match request.goal {
-                PlacementGoal::Latency => {
-                    missing + best.waiting_tokens > f64::from(self.params.lookup_min_tokens)
-                }
-                PlacementGoal::Reuse => missing > f64::from(self.params.reuse_lookup_min_tokens),
-            }
-        });
-        let informed = self.params.policy == Policy::Product;
-        if !informed || !expensive || request.known.is_some() {
-            return Vec::new();
-        }
-        let asked = candidates.iter().take(self.params.lookups);
-        asked.map(|candidate| candidate.engine).collect()
-    }
-
     /// The expected time to the first token at an engine that holds `cached_tokens` of the
     /// prompt, in microseconds, with the weights of this scheduler.
     pub fn cost_us(
@@ -194,10 +175,8 @@
         let waiting = f64::from(engine.waiting_tokens()) * token_us;
         let running = f64::from(engine.running()) * params.running_us * engine.slowness;
         let missing = (f64::from(request.chain.prompt_tokens()) - cached_tokens).max(0.0);
-        let weight = match request.goal {
-            PlacementGoal::Latency => params.recompute_weight,
-            PlacementGoal::Reuse => params.reuse_recompute_weight,
-        };
+        let informed = request.known.is_some_and(|known| !known.is_empty());
+        let weight = params.recompute_weight_of(request.goal, informed);
         let mut cost = waiting + running + missing * token_us * weight;
         let zone = &engine.observation.zone;
         if zone.region() != request.zone.region() {
@@ -211,6 +190,18 @@
         cost
     }
 
+    /// The index has ranked all engines; those that it does not name are worse.
+    fn keep_known(&self, possible: &mut Vec<&Engine>, request: &RoutingRequest<'_>) {
+        let known = request.known.unwrap_or_default();
+        let is_known = |engine: &&Engine| {
+            let named = known.iter().any(|known| known.engine == engine.id);
+            named && !self.is_full(engine)
+        };
+        if possible.iter().any(is_known) {
+            possible.retain(is_known);
+        }
+    }
+
     fn overlaps(
         &self,
         engines: &EngineSet,
--- a/crates/routing/src/tests.rs
+++ b/crates/routing/src/tests.rs
@@ -79,6 +79,7 @@
             excluded: &[],
             goal: Default::default(),
             known: None,
+            may_ask: false,
         };
         self.scheduler
             .choose(&self.engines, &self.index, &request, NOW)
--- a/crates/testbed/src/bench/decision.rs
+++ b/crates/testbed/src/bench/decision.rs
@@ -65,6 +65,7 @@
             zone: &ZoneName::new("zone-1"),
             excluded: &[],
             known: None,
+            may_ask: false,
         };
         let started = Instant::now();
         let placed = placer.place(number as u64, &routing, now);
--- a/crates/testbed/src/bench/routing.rs
+++ b/crates/testbed/src/bench/routing/run.rs
@@ -1,9 +1,4 @@
-//! The same requests under every policy, on a virtual clock.
-//!
-//! Several routers, each with its own [`Placer`], send to engines in virtual time. What routers
-//! know of engines is late: loads are reported once a second and are older than that, a new
-//! start of an engine is learned after a delay. The oracle alone sees every cache and queue at
-//! once.
+//! One policy over the requests of one seed.
 
 use std::time::{Duration, Instant};
 
@@ -11,32 +6,25 @@
     EngineId, EngineName, Incarnation, ModelName, PoolName, Priority, RequestId, TenantName,
     Timestamp, WeightsVersion, ZoneName,
 };
-use drumshore_router::engine_api::LookupRequest;
 use drumshore_routing::recorder::{PlaceEvent, TraceEvent, TraceLine};
 use drumshore_routing::{
-    AnswerLoad, AnswerReport, BeliefParams, Decision, EngineObservation, EngineState, LoadReport,
-    LookupAnswer, Placement, Placer, Policy, PrefixChain, PrefixRoot, RoutingRequest, Scheduler,
-    SchedulerParams,
+    AnswerReport, BeliefParams, Decision, EngineState, Indexer, IndexerParams, LookupAnswer,
+    Placement, Placer, Policy, PrefixChain, PrefixRoot, RoutingRequest, Scheduler, SchedulerParams,
 };
-use drumshore_wire::frame::encode_frame;
-use drumshore_wire::{EngineLoad, List, LoadUpdate, Message};
 use hdrhistogram::Histogram;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use rustc_hash::FxHashMap;
-use serde::Serialize;
 
+use super::control::{ids, Report, POLL_EVERY};
+use super::{name, PolicyReport, RoutingBench};
 use crate::engine::{EngineCore, EngineOutput, EngineParams, EngineRequest, Submission};
 use crate::load::{histogram, Percentiles};
-use crate::workload::{Profile, WorkloadGenerator, WorkloadRequest};
+use crate::workload::{WorkloadGenerator, WorkloadRequest};
 
 const MODEL: &str = "m";
-const POOL: &str = "p";
-const WEIGHTS: WeightsVersion = WeightsVersion(1);
-
-/// How often routers hear loads, and how old these are then: the control machines' periods.
-const LOAD_EVERY: Duration = Duration::from_millis(500);
-const LOAD_AGE: Duration = Duration::from_millis(350);
+pub(super) const POOL: &str = "p";
+pub(super) const WEIGHTS: WeightsVersion = WeightsVersion(1);
 
 /// How long routers do not know of an engine's new start.
 const RESTART_UNKNOWN: Duration = Duration::from_millis(700);
@@ -47,145 +35,49 @@
 /// The oracle's own weight, whatever the product's: the one at which its tail is shortest.
 const ORACLE_RECOMPUTE_WEIGHT: f64 = 1.5;
 
-/// How long it takes to ask a few engines what they hold.
-const LOOKUP_TIME: Duration = Duration::from_millis(2);
-
-/// Bytes of a question's and its answer's HTTP heads and of the answer's body.
-const LOOKUP_OVERHEAD_BYTES: u64 = 350;
-
 /// A request that was refused is placed again after this long.
 const REPLACE_AFTER: Duration = Duration::from_millis(2);
 
 /// Requests before this time warm the caches and are not counted.
 const WARM_UP: Duration = Duration::from_secs(40);
 
-/// All policies, baselines first; [`Policy::Exact`] is the oracle, which sees every engine's cache
-/// and queue at once.
-pub const POLICIES: [Policy; 6] = [
-    Policy::RoundRobin,
-    Policy::LeastLoaded,
-    Policy::OwnBelief,
-    Policy::Rendezvous,
-    Policy::Product,
-    Policy::Exact,
-];
-
-fn name(policy: Policy) -> &'static str {
-    match policy {
-        Policy::RoundRobin => "round-robin",
-        Policy::LeastLoaded => "least-loaded",
-        Policy::OwnBelief => "own-belief",
-        Policy::Rendezvous => "rendezvous",
-        Policy::Product => "product",
-        Policy::Exact => "oracle",
-    }
-}
-
-/// A fleet and its callers.
-#[derive(Clone, Debug)]
-pub struct RoutingBench {
-    /// Whose callers ask.
-    pub profile: Profile,
-    /// Engines.
-    pub engines: usize,
-    /// Routers.
-    pub routers: usize,
-    /// Zones.
-    pub zones: usize,
-    /// Requests a second, over all routers.
-    pub requests_per_second: f64,
-    /// Blocks an engine holds.
-    pub cache_blocks: usize,
-    /// How long requests are made.
-    pub duration: Duration,
-    /// An engine crashes this often.
-    pub crash_every: Duration,
-    /// Weights of the scheduler.
-    pub scheduler: SchedulerParams,
-}
-
-impl RoutingBench {
-    /// A user's fleet, at the brief's sizes, with a working set of three times the caches.
-    pub fn of(profile: Profile) -> Self {
-        let base = Self {
-            profile,
-            engines: 12,
-            routers: 6,
-            zones: 3,
-            requests_per_second: 110.0,
-            cache_blocks: 440,
-            duration: Duration::from_secs(240),
-            crash_every: Duration::from_secs(45),
-            scheduler: SchedulerParams::default(),
-        };
-        match profile {
-            Profile::Surtidor => base,
-            Profile::SoharQuay => Self {
-                engines: 20,
-                routers: 8,
-                zones: 4,
-                requests_per_second: 24.0,
-                cache_blocks: 660,
-                ..base
-            },
-        }
-    }
-}
-
-/// What came of a policy.
-#[derive(Clone, Debug, Serialize)]
-pub struct PolicyReport {
-    /// The policy.
-    pub policy: &'static str,
-    /// Requests counted.
-    pub requests: u64,
-    /// Cached share of their prompt tokens.
-    pub prefix_hit_rate: f64,
-    /// From asking to the first token.
-    pub ttft_ms: Percentiles,
-    /// Prompt tokens computed.
-    pub recomputed_tokens: u64,
-    /// Bytes of load reports to, and of lookups by, one router.
-    pub control_bytes_per_second_per_node: f64,
-    /// Time of one decision on this machine.
-    pub decision_ns: f64,
-}
-
-struct Job {
+pub(super) struct Job {
     request: WorkloadRequest,
-    chain: PrefixChain,
-    router: usize,
+    pub(super) chain: PrefixChain,
+    pub(super) router: usize,
     asked_at: Timestamp,
     excluded: Vec<EngineId>,
-    looked_up: Option<Vec<LookupAnswer>>,
+    /// What the index answered, until the request is placed.
+    pub(super) answers: Option<Vec<LookupAnswer>>,
+    /// The index was asked, and is owed a booking.
+    pub(super) asked: bool,
     placement: Option<Placement>,
 }
 
-/// What a router will be told.
-enum Report {
-    Load(usize, LoadReport),
-    Start(usize, Incarnation, EngineState),
-}
-
-struct Bench {
-    params: RoutingBench,
+/// A fleet under way.
+pub(super) struct Bench {
+    pub(super) params: RoutingBench,
     policy: Policy,
-    now: Timestamp,
+    pub(super) now: Timestamp,
     random: ChaCha8Rng,
-    engines: Vec<Option<EngineCore>>,
-    ids: Vec<EngineId>,
-    placers: Vec<Placer>,
-    jobs: FxHashMap<u64, Job>,
-    retries: Vec<(Timestamp, u64)>,
-    reports: Vec<(Timestamp, Report)>,
+    pub(super) engines: Vec<Option<EngineCore>>,
+    pub(super) ids: Vec<EngineId>,
+    /// What routers were told of each engine's state.
+    pub(super) states: Vec<EngineState>,
+    pub(super) placers: Vec<Placer>,
+    /// One beside each control machine.
+    pub(super) indexers: Vec<Indexer>,
+    pub(super) jobs: FxHashMap<u64, Job>,
+    pub(super) retries: Vec<(Timestamp, u64)>,
+    pub(super) reports: Vec<(Timestamp, Report)>,
     next_job: u64,
     next_start: u64,
     first_token: Histogram<u64>,
     requests: u64,
     prompt_tokens: u64,
     cached_tokens: u64,
-    control_bytes: u64,
-    lookup_bytes: u64,
+    pub(super) control_bytes: u64,
+    pub(super) index_bytes: u64,
     decisions: u64,
     deciding: Duration,
     /// What the first router's placer is told, when that is wanted.
@@ -193,24 +85,15 @@
 }
 
 /// The router that is recorded.
-const RECORDED: usize = 0;
-
-/// Runs one policy over the requests of a seed.
-pub fn run_policy(params: &RoutingBench, policy: Policy, seed: u64) -> PolicyReport {
-    Bench::new(params.clone(), policy, seed, None).run(seed).0
-}
-
-/// Runs the product and gives what its first router was told and asked.
-pub fn record_trace(params: &RoutingBench, seed: u64) -> Vec<TraceLine> {
-    let bench = Bench::new(params.clone(), Policy::Product, seed, Some(Vec::new()));
-    bench.run(seed).1
-}
+pub(super) const RECORDED: usize = 0;
 
 impl Bench {
-    fn new(params: RoutingBench, policy: Policy, seed: u64, trace: Option<Vec<TraceLine>>) -> Self {
-        let names: Vec<EngineName> = (0..params.engines)
-            .map(|number| EngineName::new(format!("engine-{number}")))
-            .collect();
+    pub(super) fn new(
+        params: RoutingBench,
+        policy: Policy,
+        seed: u64,
+        trace: Option<Vec<TraceLine>>,
+    ) -> Self {
         let scheduler = SchedulerParams {
             policy,
             routers: params.routers as f64,
@@ -236,7 +119,9 @@
             now: Timestamp(0),
             random: ChaCha8Rng::seed_from_u64(seed),
             engines: (0..params.engines).map(|_| None).collect(),
-            ids: names.iter().map(EngineName::id).collect(),
+            ids: ids(params.engines),
+            states: vec![EngineState::Joining; params.engines],
+            indexers: vec![Indexer::new(IndexerParams::default()); params.control_machines],
             placers: placers.collect(),
             jobs: FxHashMap::default(),
             retries: Vec::new(),
@@ -248,7 +133,7 @@
             prompt_tokens: 0,
             cached_tokens: 0,
             control_bytes: 0,
-            lookup_bytes: 0,
+            index_bytes: 0,
             decisions: 0,
             deciding: Duration::ZERO,
             trace,
@@ -268,25 +153,25 @@
         bench
     }
 
-    fn record(&mut self, router: usize, event: TraceEvent) {
+    pub(super) fn record(&mut self, router: usize, event: TraceEvent) {
         let at = self.now;
         if let Some(trace) = self.trace.as_mut().filter(|_| router == RECORDED) {
             trace.push(TraceLine { at, event });
         }
     }
 
-    fn run(mut self, seed: u64) -> (PolicyReport, Vec<TraceLine>) {
+    pub(super) fn run(mut self, seed: u64) -> (PolicyReport, Vec<TraceLine>) {
         let mut generator = WorkloadGenerator::new(self.params.profile.workload(), seed);
         let end = Timestamp(0).plus(self.params.duration);
         let rate = self.params.requests_per_second;
         let seconds = |at: Timestamp| at.0 as f64 / 1e6;
         let after = |at: Timestamp, gap: f64| at.plus(Duration::from_secs_f64(gap));
         let mut next_ask = after(self.now, generator.next_gap(rate));
-        let mut next_load = self.now.plus(LOAD_EVERY);
+        let mut next_poll = self.now.plus(POLL_EVERY);
         let mut next_crash = self.now.plus(self.params.crash_every);
         let mut returns: Option<(Timestamp, usize)> = None;
         loop {
-            let at = self.next_at(&[next_ask, next_load, next_crash], returns);
+            let at = self.next_at(&[next_ask, next_poll, next_crash], returns);
             if at > end {
                 let trace = self.trace.take().unwrap_or_default();
                 return (self.report(), trace);
@@ -300,9 +185,9 @@
                 self.ask(request);
                 next_ask = after(at, generator.next_gap(rate));
             }
-            if next_load <= at {
-                self.publish_loads();
-                next_load = at.plus(LOAD_EVERY);
+            if next_poll <= at {
+                self.poll_engines();
+                next_poll = at.plus(POLL_EVERY);
             }
             if next_crash <= at {
                 let engine = self.random.random_range(0..self.params.engines);
@@ -408,7 +293,8 @@
             router: self.random.random_range(0..self.params.routers),
             asked_at: self.now,
             excluded: Vec::new(),
-            looked_up: None,
+            answers: None,
+            asked: false,
             placement: None,
             request,
         };
@@ -423,6 +309,7 @@
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
+        let may_ask = job.answers.is_none();
         let zone = zone(job.router, self.params.zones);
         let routing = RoutingRequest {
             pool: &PoolName::new(POOL),
@@ -432,10 +319,11 @@
             zone: &zone,
             excluded: &job.excluded,
             known: None,
+            may_ask,
         };
         let placer = &mut self.placers[job.router];
         let started = Instant::now();
-        let decision = match &job.looked_up {
+        let decision = match &job.answers {
             Some(answers) => placer
                 .place_informed(number, &routing, answers, self.now)
                 .map(|(placement, choice)| Decision::Placed(placement, choice)),
@@ -454,12 +342,13 @@
             goal: routing.goal,
             zone: zone.clone(),
             excluded: job.excluded.clone(),
-            answers: job.looked_up.clone(),
+            may_ask,
+            answers: job.answers.clone(),
         });
         self.record(router, event);
         match decision {
             Ok(Decision::Placed(placement, _)) => self.submit(number, placement),
-            Ok(Decision::LookUp(engines)) => self.look_up(number, &engines),
+            Ok(Decision::Ask(_)) => self.ask_index(number),
             Err(_) => {
                 if let Some(job) = self.jobs.get_mut(&number) {
                     job.excluded.clear();
@@ -470,41 +359,19 @@
         }
     }
 
-    /// Engines answer by what they hold now; the request is placed a little later.
-    fn look_up(&mut self, number: u64, engines: &[EngineId]) {
-        let Some(job) = self.jobs.get_mut(&number) else {
-            return;
-        };
-        let request = LookupRequest::of(&job.chain);
-        let bytes = serde_json::to_vec(&request).map_or(0, |body| body.len() as u64);
-        let block_tokens = job.chain.block_tokens();
-        let mut answers = Vec::new();
-        for (position, id) in self.ids.iter().enumerate() {
-            let core = self.engines[position].as_ref();
-            if let Some(core) = core.filter(|_| engines.contains(id)) {
-                let reply = core.look_up(&request);
-                self.lookup_bytes += bytes + LOOKUP_OVERHEAD_BYTES;
-                answers.push(LookupAnswer {
-                    engine: *id,
-                    cached_tokens: reply.blocks * block_tokens,
-                    load: AnswerLoad {
-                        waiting_tokens: reply.waiting_tokens,
-                        running: reply.running,
-                    },
-                });
-            }
-        }
-        job.looked_up = Some(answers);
-        self.retries.push((self.now.plus(LOOKUP_TIME), number));
+    /// True when the policy asks the index.
+    pub(super) fn asks(&self) -> bool {
+        self.policy == Policy::Product
     }
 
     fn submit(&mut self, number: u64, placement: Placement) {
+        self.book_at_index(number, &placement);
         let Some(job) = self.jobs.get_mut(&number) else {
             return;
         };
         let position = self.ids.iter().position(|id| *id == placement.engine);
         let incarnation = placement.incarnation;
-        job.looked_up = None;
+        job.answers = None;
         job.placement = Some(placement);
         let request = EngineRequest {
             id: RequestId {
@@ -628,77 +495,10 @@
         }
     }
 
-    /// Loads as they are now arrive later, and are old when they arrive.
-    fn publish_loads(&mut self) {
-        let mut loads = Vec::new();
-        for (position, core) in self.engines.iter().enumerate() {
-            let Some(core) = core else {
-                continue;
-            };
-            let load = LoadReport {
-                waiting_tokens: core.waiting_tokens(),
-                running: core.running() as u32,
-                at: self.now,
-            };
-            loads.push(EngineLoad {
-                slot: position as u16,
-                waiting: (load.waiting_tokens / 256) as u16,
-                running: load.running as u8,
-                age: (LOAD_AGE.as_millis() / 100) as u8,
-            });
-            let at = self.now.plus(LOAD_AGE);
-            self.reports.push((at, Report::Load(position, load)));
-        }
-        let update = Message::Loads(LoadUpdate {
-            loads: List::new(loads),
-        });
-        self.control_bytes += encode_frame(&update).map_or(0, |frame| frame.len() as u64);
-    }
-
-    fn take_reports(&mut self) {
-        let now = self.now;
-        let (due, later) = self.reports.drain(..).partition(|(at, _)| *at <= now);
-        self.reports = later;
-        let due: Vec<(Timestamp, Report)> = due;
-        for (_, report) in due {
-            match report {
-                Report::Load(position, load) => {
-                    for placer in &mut self.placers {
-                        if let Some(engine) = placer.engines_mut().get_mut(self.ids[position]) {
-                            engine.load = load;
-                        }
-                    }
-                    let engine = self.ids[position];
-                    let report = load;
-                    self.record(RECORDED, TraceEvent::Load { engine, report });
-                }
-                Report::Start(position, incarnation, state) => {
-                    self.tell(position, incarnation, state);
-                }
-            }
-        }
-    }
-
-    fn tell(&mut self, engine: usize, incarnation: Incarnation, state: EngineState) {
-        let observation = EngineObservation {
-            name: EngineName::new(format!("engine-{engine}")),
-            address: String::new(),
-            zone: zone(engine, self.params.zones),
-            pool: PoolName::new(POOL),
-            incarnation,
-            weights_version: WEIGHTS,
-            state,
-        };
-        for placer in &mut self.placers {
-            placer.engines_mut().observe(observation.clone());
-        }
-        self.record(RECORDED, TraceEvent::Engine { observation });
-    }
-
     fn report(self) -> PolicyReport {
         let counted = self.prompt_tokens.max(1) as f64;
-        let looked_up = self.lookup_bytes as f64 / self.params.routers as f64;
-        let bytes = self.control_bytes as f64 + looked_up;
+        let indexed = self.index_bytes as f64 / self.params.routers as f64;
+        let bytes = self.control_bytes as f64 + indexed;
         PolicyReport {
             policy: name(self.policy),
             requests: self.requests,
@@ -715,6 +515,7 @@
     seed ^ (router as u64 + 1) << 32
 }
 
-fn zone(number: usize, zones: usize) -> ZoneName {
+/// The zone of an engine or a router.
+pub(super) fn zone(number: usize, zones: usize) -> ZoneName {
     ZoneName::new(format!("zone-{}", number % zones))
 }
--- a/crates/testbed/src/engine/cache.rs
+++ b/crates/testbed/src/engine/cache.rs
@@ -2,8 +2,10 @@
 
 use std::collections::BTreeMap;
 
+use drumshore_core::Incarnation;
 use drumshore_core::WeightsVersion;
-use drumshore_routing::SequenceHash;
+use drumshore_routing::publisher::DEFAULT_KEPT_CHANGES;
+use drumshore_routing::{CacheChange, CachePublisher, CacheReport, ReportWanted, SequenceHash};
 use rustc_hash::FxHashMap;
 
 /// Where a block came from, for checkers.
@@ -28,12 +30,14 @@
     clock: u64,
     blocks: FxHashMap<SequenceHash, Block>,
     by_use: BTreeMap<u64, SequenceHash>,
+    publisher: CachePublisher,
 }
 
 impl BlockCache {
     /// An empty memory for `capacity` blocks.
-    pub fn new(capacity: usize) -> Self {
+    pub fn new(capacity: usize, incarnation: Incarnation) -> Self {
         Self {
+            publisher: CachePublisher::new(incarnation, DEFAULT_KEPT_CHANGES),
             capacity,
             clock: 0,
             blocks: FxHashMap::default(),
@@ -77,12 +81,24 @@
         self.blocks.is_empty()
     }
 
+    /// What changed, or all that is held when that is wanted or the changes are not kept.
+    pub fn report(&self, wanted: ReportWanted) -> CacheReport {
+        let changes = match wanted {
+            ReportWanted::ChangesFrom(start, number) => self.publisher.changes_from(start, number),
+            ReportWanted::Complete => None,
+        };
+        let held = self.by_use.values().copied();
+        changes.unwrap_or_else(|| self.publisher.complete(held))
+    }
+
     fn touch(&mut self, hash: SequenceHash, origin: BlockOrigin) {
         self.clock += 1;
         let used = self.clock;
         let block = self.blocks.entry(hash).or_insert(Block { origin, used: 0 });
         if block.used > 0 {
             self.by_use.remove(&block.used);
+        } else {
+            self.publisher.publish(CacheChange::Stored(hash));
         }
         block.used = used;
         self.by_use.insert(used, hash);
@@ -91,6 +107,7 @@
     fn evict(&mut self) {
         if let Some((_, hash)) = self.by_use.pop_first() {
             self.blocks.remove(&hash);
+            self.publisher.publish(CacheChange::Removed(hash));
         }
     }
 }
--- a/crates/testbed/src/engine/core.rs
+++ b/crates/testbed/src/engine/core.rs
@@ -8,8 +8,8 @@
     Epoch, Execution, Incarnation, RequestId, Revision, Timestamp, WeightsVersion,
 };
 use drumshore_guard::{enforced, Guard};
-use drumshore_router::engine_api::{self, LookupPrefix, LookupReply, LookupRequest};
-use drumshore_routing::AnswerLoad;
+use drumshore_router::engine_api;
+use drumshore_routing::{AnswerLoad, CacheReport, ReportWanted};
 
 use super::cache::{BlockCache, BlockOrigin};
 use super::timing::EngineTiming;
@@ -82,7 +82,7 @@
             lag_ms: 0,
         };
         Self {
-            cache: BlockCache::new(params.cache_blocks),
+            cache: BlockCache::new(params.cache_blocks, incarnation),
             params,
             incarnation,
             weights_version,
@@ -160,15 +160,9 @@
         cached.min(request.prompt_tokens.saturating_sub(1))
     }
 
-    /// What is held of a prompt, and how busy the engine is.
-    pub fn look_up(&self, request: &LookupRequest) -> LookupReply {
-        let held = |prefix: &&LookupPrefix| self.cache.leading(&[prefix.hash]) == 1;
-        let longest = request.prefixes.iter().take_while(held).last();
-        LookupReply {
-            blocks: longest.map_or(0, |prefix| prefix.blocks),
-            waiting_tokens: self.waiting_tokens(),
-            running: self.running.len() as u32,
-        }
+    /// What its cache publishes.
+    pub fn cache_report(&self, wanted: ReportWanted) -> CacheReport {
+        self.cache.report(wanted)
     }
 
     /// Requests that began to run since the last call, in order.
--- a/crates/testbed/src/engine/http.rs
+++ b/crates/testbed/src/engine/http.rs
@@ -18,7 +18,7 @@
 use drumshore_http::EXECUTION_HEADER;
 use drumshore_router::completion::PromptInput;
 use drumshore_router::{engine_api, CompletionKind, CompletionRequest};
-use drumshore_routing::{AnswerLoad, PrefixChain, PrefixRoot};
+use drumshore_routing::{AnswerLoad, PrefixChain, PrefixRoot, ReportWanted};
 use rand::Rng;
 use serde::Deserialize;
 use tiny_http::{Header, Method, Request, Response, Server};
@@ -191,14 +191,9 @@
                 let probe = self.lock().core.probe(self.now());
                 respond_json(request, &probe);
             }
-            (Method::Post, engine_api::LOOKUP_PATH, _) => {
-                match read_json::<engine_api::LookupRequest>(&mut request) {
-                    Some(asked) => {
-                        let reply = self.lock().core.look_up(&asked);
-                        respond_json(request, &reply);
-                    }
-                    None => respond(request, 400, &[], b"{}"),
-                }
+            (Method::Get, path, _) if path.starts_with(engine_api::CACHE_PATH) => {
+                let report = self.lock().core.cache_report(report_wanted(path));
+                respond_json(request, &report);
             }
             (Method::Get, "/v1/counters", _) => {
                 let counters = self.lock().core.counters();
@@ -474,6 +469,17 @@
         .map(|header| header.value.as_str().to_owned())
 }
 
+/// Reads a path under [`engine_api::CACHE_PATH`].
+fn report_wanted(path: &str) -> ReportWanted {
+    let rest = path.strip_prefix(engine_api::CACHE_PATH);
+    let parts = rest.and_then(|rest| rest.strip_prefix('/')?.split_once('/'));
+    let changes = parts.and_then(|(start, number)| {
+        let start = Incarnation(start.parse().ok()?);
+        Some(ReportWanted::ChangesFrom(start, number.parse().ok()?))
+    });
+    changes.unwrap_or(ReportWanted::Complete)
+}
+
 fn refuse(request: Request, refusal: &Refusal) {
     let headers = [
         (EXECUTION_HEADER, refusal.execution.as_str()),
--- a/crates/testbed/src/sim/callers.rs
+++ b/crates/testbed/src/sim/callers.rs
@@ -10,16 +10,14 @@
     WeightsVersion,
 };
 use drumshore_router::{
-    AdmitOutcome, AdmitRequest, AttemptFailure, Conclusion, Exchange, ExchangeParams, Lookup, Next,
+    AdmitOutcome, AdmitRequest, AttemptFailure, Conclusion, Exchange, ExchangeParams, Next,
     PromptInput, Purpose, UpstreamEnd,
 };
-use drumshore_routing::LookupAnswer;
 use rand::Rng;
 use stakker::{call, Ret};
 
 use super::checks::Promise;
 use super::engines::{once_key, CallNews, BLOCK_TOKENS, MODEL};
-use super::network::Node;
 use super::world::{Event, Output, World};
 use crate::engine::http::prompt_digest;
 use crate::engine::stream::token;
@@ -287,53 +285,11 @@
                 }
                 self.watch_stall(key, call, progress);
             }
-            Next::LookUp(lookup) => self.look_up(key, &lookup),
             Next::Report(failure) => self.report_failure(key, failure),
             Next::Finish(conclusion) => self.conclude(key, conclusion),
         }
     }
 
-    /// Engines answer by what they hold now; the answers arrive a little later.
-    fn look_up(&mut self, key: u64, lookup: &Lookup) {
-        let Some(router) = self.exchanges.get(&key).map(|exchange| exchange.router) else {
-            return;
-        };
-        let mut answers = Vec::new();
-        let mut longest = Duration::ZERO;
-        for target in &lookup.targets {
-            let Some(engine) = self.engine_named(&target.name) else {
-                continue;
-            };
-            let nodes = (Node::Router(router), Node::Engine(engine));
-            longest += self.network.delay(nodes.0, nodes.1, &mut self.random) * 2;
-            let host = &self.engines[engine];
-            let silent = self.network.is_parted(nodes.0, nodes.1, self.now)
-                || host.is_frozen(self.now)
-                || longest > lookup.patience;
-            if let Some(core) = host.core.as_ref().filter(|_| !silent) {
-                let reply = core.look_up(&lookup.request);
-                answers.push(lookup.answer(target.engine, &reply));
-            }
-        }
-        let at = self.now.plus(longest.min(lookup.patience));
-        let event = Event::LookedUp {
-            exchange: key,
-            answers,
-        };
-        self.events.schedule(at, event);
-    }
-
-    pub(super) fn on_looked_up(&mut self, key: u64, answers: Vec<LookupAnswer>) {
-        let ret = self.admitted(key);
-        let Some(exchange) = self.exchanges.get(&key) else {
-            return;
-        };
-        let id = exchange.id.unwrap_or_default();
-        if let Some(actor) = &self.routers[exchange.router].actor {
-            call!([actor], looked_up(id, answers, ret));
-        }
-    }
-
     fn report_failure(&mut self, key: u64, failure: AttemptFailure) {
         let ret = self.admitted(key);
         let Some(exchange) = self.exchanges.get_mut(&key) else {
--- a/crates/testbed/src/sim/controls.rs
+++ b/crates/testbed/src/sim/controls.rs
@@ -10,6 +10,7 @@
     OperatorRequest, ProbeFailed,
 };
 use drumshore_core::{EngineName, Timestamp};
+use drumshore_routing::CacheReport;
 use drumshore_wire::Message;
 use rand::Rng;
 use stakker::{actor, call, ret_nop, ActorOwn, Fwd};
@@ -318,15 +319,50 @@
         } else {
             (self.probe_engine(engine), round_trip)
         };
+        let report = match &result {
+            Ok(_) => self.report_cache(control, engine, &name),
+            Err(ProbeFailed) => None,
+        };
         let event = Event::ProbeAnswer {
             control,
             generation,
             name,
             result,
+            report,
         };
         self.events.schedule(self.now.plus(after), event);
     }
 
+    /// What an engine's cache reports to a machine that asks for what it is missing.
+    fn report_cache(
+        &mut self,
+        control: usize,
+        engine: usize,
+        name: &EngineName,
+    ) -> Option<CacheReport> {
+        let actor = self.controls[control].actor.as_ref()?;
+        let wanted = actor.query(&mut self.stakker, |actor, _| {
+            actor.core().report_wanted(name)
+        });
+        let core = self.engines[engine].core.as_ref()?;
+        Some(core.cache_report(wanted.flatten()?))
+    }
+
+    pub(super) fn on_cache_report(
+        &mut self,
+        control: usize,
+        generation: u64,
+        name: &EngineName,
+        report: Option<CacheReport>,
+    ) {
+        let host = &self.controls[control];
+        if let Some((actor, report)) = host.actor.as_ref().zip(report) {
+            if host.generation == generation {
+                call!([actor], cache_report(name.clone(), report));
+            }
+        }
+    }
+
     pub(super) fn on_probe_answer(
         &mut self,
         control: usize,
--- a/crates/testbed/src/sim/routers.rs
+++ b/crates/testbed/src/sim/routers.rs
@@ -87,7 +87,7 @@
         );
         let mut params = params;
         params.scheduler.prefill_us_per_token = super::engines::PREFILL_US_PER_TOKEN;
-        params.scheduler.lookup_min_tokens = super::engines::BLOCK_TOKENS;
+        params.scheduler.index_stake_tokens = f64::from(super::engines::BLOCK_TOKENS);
         let core = RouterCore::new(params, stored, seed);
         let now = self.now;
         let host = &mut self.routers[router];
--- a/crates/testbed/src/sim/world.rs
+++ b/crates/testbed/src/sim/world.rs
@@ -13,7 +13,7 @@
 use drumshore_core::{EngineName, RequestId, ResourceKey, Timestamp};
 use drumshore_guard::Guard;
 use drumshore_router::{AdmitOutcome, LinkId, UpstreamCall};
-use drumshore_routing::LookupAnswer;
+use drumshore_routing::CacheReport;
 use drumshore_wire::Message;
 use rand::{RngCore, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -79,6 +79,7 @@
         generation: u64,
         name: EngineName,
         result: Result<EngineProbe, ProbeFailed>,
+        report: Option<CacheReport>,
     },
     Order {
         engine: usize,
@@ -98,10 +99,6 @@
         call: u64,
         progress: u64,
     },
-    LookedUp {
-        exchange: u64,
-        answers: Vec<LookupAnswer>,
-    },
     NextAsk,
     TryAsk(u64),
     Race,
@@ -502,7 +499,11 @@
                 generation,
                 name,
                 result,
-            } => self.on_probe_answer(control, generation, name, result),
+                report,
+            } => {
+                self.on_cache_report(control, generation, &name, report);
+                self.on_probe_answer(control, generation, name, result);
+            }
             Event::Order {
                 engine,
                 order,
@@ -515,7 +516,6 @@
                 call,
                 progress,
             } => self.on_stall(exchange, call, progress),
-            Event::LookedUp { exchange, answers } => self.on_looked_up(exchange, answers),
             Event::NextAsk => self.next_ask(),
             Event::TryAsk(number) => self.try_ask(number),
             Event::Race => self.race(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,9 +13,11 @@
 pub use frame::{read_frame, write_frame, FrameError};
 pub use handshake::{handshake, HandshakeError, Identity};
 pub use messages::{
-    ClaimGrant, ClaimRequest, ClaimResponse, ConfigUpdate, EngineEntry, EngineLoad,
-    EngineStateCode, EngineUpdate, Freshness, LoadUpdate, Message, OutcomeReport, Subscribe,
-    TenantAnswer, TenantQuery, UsageAllotment, UsageRecord, UsageReport,
+    BookingRecord, Bookings, ClaimGrant, ClaimRequest, ClaimResponse, ConfigUpdate, EngineEntry,
+    EngineLoad, EngineStateCode, EngineUpdate, Freshness, HoldingRecord, IndexAnswer,
+    IndexQuestion, LoadUpdate, Message, OutcomeReport, RelayedBooking, RelayedBookings, Subscribe,
+    TenantAnswer, TenantQuery, UsageAllotment, UsageRecord, UsageReport, AGE_UNIT_MS,
+    WAITING_UNIT_TOKENS,
 };
 pub use primitives::{Blob, List, Text};
 
--- a/crates/wire/src/messages.rs
+++ b/crates/wire/src/messages.rs
@@ -54,6 +54,18 @@
     /// Control to router: the outcome with this ticket is stored.
     #[brw(magic(16u8))]
     OutcomeStored(u64),
+    /// Router to control: what do engines hold of this prompt?
+    #[brw(magic(17u8))]
+    IndexQuestion(IndexQuestion),
+    /// Control to router: what they hold.
+    #[brw(magic(18u8))]
+    IndexAnswer(IndexAnswer),
+    /// Router to control: requests that it placed.
+    #[brw(magic(19u8))]
+    Bookings(Bookings),
+    /// Control to control: requests that its routers placed.
+    #[brw(magic(20u8))]
+    RelayedBookings(RelayedBookings),
     /// Control to control: an operator's or router's command on its way to the leader.
     #[brw(magic(15u8))]
     Forward(Blob),
@@ -138,6 +150,12 @@
     pub engines: List<EngineEntry>,
 }
 
+/// Prompt tokens in one unit of a message.
+pub const WAITING_UNIT_TOKENS: u32 = 256;
+
+/// Milliseconds in one unit of a load's age.
+pub const AGE_UNIT_MS: u64 = 100;
+
 /// How busy one engine is, quantised to 6 bytes.
 #[binrw]
 #[brw(little)]
@@ -162,6 +180,99 @@
     pub loads: List<EngineLoad>,
 }
 
+/// Asks the index what engines hold of a prompt.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IndexQuestion {
+    /// Returned in the answer, and named by the booking that follows.
+    pub ticket: u32,
+    /// The slot of an engine that could serve it; others of its pool with its weights could too.
+    pub like: u16,
+    /// Tokens in a block.
+    pub block_tokens: u32,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// What a token to compute costs in comparison with one to wait for, in tenths.
+    pub recompute_weight: u8,
+    /// Engines to name, at most.
+    pub limit: u8,
+    /// Blocks from one prefix named to the next.
+    pub step: u16,
+    /// Hashes of the prefixes, shortest first.
+    pub prefixes: List<u64>,
+}
+
+/// What one engine holds of a prompt, and how busy it is.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HoldingRecord {
+    /// The engine's slot in the last engine update.
+    pub slot: u16,
+    /// Blocks of the prompt that it holds.
+    pub blocks: u16,
+    /// Prompt tokens waiting, in units of 256 tokens.
+    pub waiting: u16,
+    /// Sequences running, saturating.
+    pub running: u8,
+}
+
+/// Engines for a prompt.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct IndexAnswer {
+    /// From the question.
+    pub ticket: u32,
+    /// The engines, best first.
+    pub holdings: List<HoldingRecord>,
+}
+
+/// A request that was placed.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BookingRecord {
+    /// The question that went before; 0 for none.
+    pub ticket: u32,
+    /// The engine's slot in the last engine update.
+    pub slot: u16,
+    /// Prompt tokens that it will compute, in units of 256 tokens.
+    pub missing: u16,
+}
+
+/// Requests that a router placed.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Bookings {
+    /// The requests.
+    pub records: List<BookingRecord>,
+}
+
+/// A request that a router of another control machine placed.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayedBooking {
+    /// The engine's identity: slots differ between machines.
+    pub engine: u64,
+    /// Prompt tokens that it will compute.
+    pub missing_tokens: u32,
+    /// Prefixes that it will hold.
+    pub prefixes: List<u64>,
+}
+
+/// Requests that routers of another control machine placed.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayedBookings {
+    /// The requests.
+    pub bookings: List<RelayedBooking>,
+}
+
 /// What a quorum confirms of the sender's view.
 #[binrw]
 #[brw(little)]
