--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -223,6 +223,12 @@
             .map(|(id, progress)| (*id, progress.matched))
     }
 
+    /// Ticks since another replica was last heard, when this one leads.
+    pub fn silent_ticks(&self, id: ReplicaId) -> Option<u64> {
+        let progress = self.progress.get(&id)?;
+        Some(self.ticks.saturating_sub(progress.heard_at))
+    }
+
     /// True while a majority has answered within an election timeout, as counted by this
     /// leader's own ticks. For reports; reads use [`Raft::read_index`].
     pub fn has_recent_quorum(&self) -> bool {
--- a/crates/control/src/core/index.rs
+++ b/crates/control/src/core/index.rs
@@ -82,7 +82,7 @@
             ticket: asked.ticket,
             holdings: List::new(holdings),
         };
-        self.effects
+        self.hints
             .push(Effect::ToRouter(connection, Message::IndexAnswer(answer)));
     }
 
--- a/crates/control/src/core/mod.rs
+++ b/crates/control/src/core/mod.rs
@@ -124,6 +124,8 @@
     last_confirmed: Option<Timestamp>,
     clock: Clock,
     due: Due,
+    /// Answers that promise nothing, and so need not wait for the disk.
+    hints: Vec<Effect>,
     effects: Vec<Effect>,
 }
 
@@ -167,6 +169,7 @@
             last_confirmed: None,
             clock: Clock::default(),
             due: Due::default(),
+            hints: Vec::new(),
             effects: Vec::new(),
         })
     }
@@ -236,6 +239,7 @@
     /// Does all that is due and hands out what to send, in order. Must run after each batch of
     /// calls; everything that gathered in between shares one sync of the disk.
     pub fn flush(&mut self, sink: &mut dyn FnMut(Effect)) -> Result<(), ReplicaError> {
+        self.hints.drain(..).for_each(&mut *sink);
         self.start_reads();
         let mut send = |envelope: drumshore_consensus::Envelope| {
             let message = Message::Consensus(Blob::new(envelope.encode()));
--- /dev/null
+++ b/crates/gateway-core/src/control/mod.rs
@@ -0,0 +1,453 @@
+//! One control machine: the replicated log, what it replicates, and everybody who asks.
+
+mod members;
+mod proposals;
+mod reads;
+mod rollout;
+mod routers;
+
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use drumshore_consensus::{
+    Directory, Envelope, FolderIdentity, LogIndex, Membership, Output, Params, Replica,
+    ReplicaError, ReplicaId, Role,
+};
+use drumshore_core::Timestamp;
+use drumshore_wire::{Blob, List, Text};
+
+use crate::{
+    Command, InstanceId, Lifecycle, LoadPhase, LoadedModel, Message, ModelName, Proposal,
+    ReplicatedState,
+};
+
+pub use members::{address_of, bootstrap_id};
+pub use rollout::{Order, OrderId, OrderOutcome, Report};
+
+use members::Joiners;
+use proposals::PendingProposals;
+use reads::Reads;
+use rollout::Rollouts;
+use routers::Routers;
+
+/// Bounds and periods of a control machine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ControlParams {
+    /// Of the replicated log.
+    pub consensus: Params,
+    /// How often [`ControlCore::on_tick`] is called.
+    pub tick: Duration,
+    /// Entries applied between two snapshots.
+    pub snapshot_entries: u64,
+    /// Replicas that vote, when as many are there.
+    pub voters: usize,
+    /// How long a caller waits for a quorum.
+    pub patience: Duration,
+    /// How long a former leader's orders may still arrive; a new one waits that long.
+    pub order_lease: Duration,
+    /// Between telling routers that a back end loads weights and ordering it to.
+    pub load_notice: Duration,
+    /// A voter that was silent this long gives way to a replica that waits to vote.
+    pub voter_silence: Duration,
+}
+
+impl Default for ControlParams {
+    fn default() -> Self {
+        Self {
+            consensus: Params {
+                election_ticks: 8,
+                heartbeat_ticks: 2,
+                ..Params::default()
+            },
+            tick: Duration::from_millis(75),
+            snapshot_entries: 400,
+            voters: 5,
+            patience: Duration::from_millis(850),
+            order_lease: Duration::from_millis(3_300),
+            load_notice: Duration::from_millis(250),
+            voter_silence: Duration::from_secs(5),
+        }
+    }
+}
+
+/// A caller that waits for a [`Reply`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket(pub u64);
+
+/// A router's link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// What a caller is told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// A quorum has it on disk.
+    Accepted,
+    /// The newest configuration, confirmed by a quorum; `None` before the first one.
+    Configuration(Option<Vec<u8>>),
+    /// Nobody can say yet; ask another machine, or later.
+    Unavailable,
+}
+
+/// What is to be sent, and to whom.
+#[derive(Clone, Debug)]
+pub enum Effect {
+    /// A message to another control machine.
+    ToControl(Ipv4Addr, Message),
+    /// A message to a router.
+    ToRouter(ConnectionId, Message),
+    /// An answer.
+    Reply(Ticket, Reply),
+    /// An order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
+    Order(Order),
+    /// A question to a back end; its answer goes to [`ControlCore::on_report`].
+    Ask {
+        /// The back end.
+        instance: InstanceId,
+        /// Where it listens.
+        address: String,
+    },
+}
+
+/// What a back end says of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// Its incarnation.
+    pub instance: InstanceId,
+    /// Its pool.
+    pub pool: String,
+    /// IP:PORT.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it leaves.
+    pub lifecycle: Lifecycle,
+    /// The weights it holds.
+    pub models: Vec<(ModelName, u64)>,
+}
+
+/// A control machine.
+pub struct ControlCore<D> {
+    params: ControlParams,
+    holder: String,
+    replica: Replica<D>,
+    state: ReplicatedState,
+    applied: LogIndex,
+    snapshot_at: LogIndex,
+    seeds: Vec<Ipv4Addr>,
+    joiners: Joiners,
+    proposals: PendingProposals,
+    reads: Reads,
+    routers: Routers,
+    rollouts: Rollouts,
+    /// When each back end was heard last, here or, at the leader, anywhere.
+    heard: BTreeMap<String, Timestamp>,
+    leads_since: Option<Timestamp>,
+    /// When this leader asked the question that a quorum answered last.
+    confirmed_at: Option<Timestamp>,
+    leaderless_since: Option<Timestamp>,
+    now: Timestamp,
+    effects: Vec<Effect>,
+}
+
+impl<D: Directory> ControlCore<D> {
+    /// Opens a control machine. `seed` has to differ at each start; `holder` names this machine
+    /// in its orders; `members` counts only in a new folder.
+    pub fn open(
+        directory: D,
+        replica: ReplicaId,
+        members: Membership,
+        seeds: Vec<Ipv4Addr>,
+        holder: String,
+        params: ControlParams,
+        seed: u64,
+    ) -> Result<Self, ReplicaError> {
+        let identity = FolderIdentity {
+            cluster: "gateway".to_owned(),
+            replica,
+        };
+        let consensus = params.consensus.clone();
+        let replica = Replica::open(directory, &identity, members, consensus, seed)?;
+        Ok(Self {
+            proposals: PendingProposals::new(seed, params.patience),
+            params,
+            holder,
+            replica,
+            state: ReplicatedState::default(),
+            applied: LogIndex(0),
+            snapshot_at: LogIndex(0),
+            seeds,
+            joiners: Joiners::default(),
+            reads: Reads::default(),
+            routers: Routers::default(),
+            rollouts: Rollouts::default(),
+            heard: BTreeMap::new(),
+            leads_since: None,
+            confirmed_at: None,
+            leaderless_since: None,
+            now: Timestamp::default(),
+            effects: Vec::new(),
+        })
+    }
+
+    /// The replicated state, as far as it is applied here.
+    pub fn state(&self) -> &ReplicatedState {
+        &self.state
+    }
+
+    /// What this machine is in the replicated log.
+    pub fn role(&self) -> Role {
+        self.replica.raft().role()
+    }
+
+    /// The latest term seen.
+    pub fn term(&self) -> u64 {
+        self.replica.raft().term().0
+    }
+
+    /// The address of the leader, when known.
+    pub fn leader(&self) -> Option<Ipv4Addr> {
+        self.replica.raft().leader().map(address_of)
+    }
+
+    /// The addresses of all members and seeds.
+    pub fn controls(&self) -> Vec<Ipv4Addr> {
+        let members = self.replica.raft().membership().members();
+        let mut known: Vec<Ipv4Addr> = members.iter().map(|item| address_of(item.id)).collect();
+        if known.is_empty() {
+            known.clone_from(&self.seeds);
+        }
+        known.sort_unstable();
+        known.dedup();
+        known
+    }
+
+    /// Takes in seeds that changed.
+    pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) {
+        self.seeds = seeds;
+    }
+
+    /// Lets one tick of the replication clock pass. [`ControlCore::flush`] must follow.
+    pub fn on_tick(&mut self, now: Timestamp) {
+        self.now = now;
+        self.replica.raft_mut().tick();
+        self.note_leadership();
+        self.resend_proposals();
+        self.tick_reads();
+        self.ask_to_join();
+        self.routers.forget_silent(now);
+        if self.role() == Role::Leader {
+            self.change_members();
+            self.expire_instances();
+            self.drive_rollouts();
+        }
+    }
+
+    /// Takes in a message of another control machine.
+    pub fn on_control(&mut self, now: Timestamp, message: Message) {
+        self.now = now;
+        match message {
+            Message::Consensus(blob) => {
+                if let Ok(envelope) = Envelope::decode(&blob.bytes) {
+                    self.replica.raft_mut().step(envelope);
+                }
+            }
+            Message::Propose(blob) => {
+                // Whoever sent it asks again when this machine does not lead.
+                let _ = self.replica.raft_mut().propose(blob.bytes);
+            }
+            Message::Join(replica) => self.on_join(replica),
+            Message::Heard { instance, .. } => {
+                self.heard.insert(instance.as_str().to_owned(), now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Proposes a command; the ticket is answered once it is committed and applied here.
+    pub fn submit(&mut self, now: Timestamp, ticket: Ticket, command: Command) {
+        self.now = now;
+        self.propose(Some(ticket), command);
+    }
+
+    /// Asks for the newest configuration.
+    pub fn read_configuration(&mut self, now: Timestamp, ticket: Ticket) {
+        self.now = now;
+        self.queue_read(reads::Waiting::Operator(ticket));
+    }
+
+    /// Takes in a back end's word. The ticket is answered when a quorum knows whatever is new.
+    pub fn on_heartbeat(&mut self, now: Timestamp, ticket: Ticket, heartbeat: &Heartbeat) {
+        self.now = now;
+        let name = heartbeat.instance.as_str();
+        if self.state.is_removed(name) {
+            self.effects.push(Effect::Reply(ticket, Reply::Accepted));
+            return;
+        }
+        self.note_heard(name);
+        let Some(record) = self.state.instance(name) else {
+            let command = registration(heartbeat);
+            self.propose(Some(ticket), command);
+            return;
+        };
+        let leaves =
+            heartbeat.lifecycle == Lifecycle::Draining && record.lifecycle == Lifecycle::Ready;
+        if leaves {
+            let instance = Text::new(name);
+            self.propose(Some(ticket), Command::Drain { instance });
+            return;
+        }
+        self.effects.push(Effect::Reply(ticket, Reply::Accepted));
+        self.note_versions(heartbeat);
+    }
+
+    /// Hands leadership to a replica that is up to date, before a planned end.
+    pub fn step_down(&mut self) {
+        let raft = self.replica.raft();
+        let membership = raft.membership();
+        let best = raft
+            .replication()
+            .filter(|(id, _)| membership.is_voter(*id))
+            .max_by_key(|(_, matched)| *matched);
+        if let Some((successor, _)) = best {
+            self.replica.raft_mut().transfer_leadership(successor);
+        }
+    }
+
+    /// Does all that is due and hands out what to send, in order. Must run after each batch of
+    /// calls; everything that gathered in between shares one sync of the disk.
+    pub fn flush(&mut self, sink: &mut dyn FnMut(Effect)) -> Result<(), ReplicaError> {
+        self.start_reads();
+        let mut send = |envelope: Envelope| {
+            let to = address_of(envelope.to);
+            sink(Effect::ToControl(
+                to,
+                Message::Consensus(Blob::new(envelope.encode())),
+            ));
+        };
+        let output = self.replica.flush(&mut send)?;
+        self.apply(output);
+        self.serve_confirmed_reads();
+        self.effects.drain(..).for_each(sink);
+        self.snapshot_if_due()
+    }
+
+    fn apply(&mut self, output: Output) {
+        let before = self.state.revision();
+        if let Some(snapshot) = output.snapshot {
+            if let Some(state) = ReplicatedState::decode(&snapshot.data) {
+                self.state = state;
+            }
+            self.applied = snapshot.index;
+            self.snapshot_at = snapshot.index;
+        }
+        for entry in output.committed {
+            self.applied = entry.index;
+            if let Some(proposal) = Proposal::decode(&entry.data) {
+                self.state.apply(entry.index.0, &proposal.command);
+                self.answer_proposal(proposal.id);
+            }
+        }
+        self.reads.on_confirmed(output.reads);
+        if self.state.revision() != before {
+            self.announce();
+        }
+    }
+
+    fn snapshot_if_due(&mut self) -> Result<(), ReplicaError> {
+        if self.applied.0 < self.snapshot_at.0 + self.params.snapshot_entries {
+            return Ok(());
+        }
+        self.snapshot_at = self.applied;
+        self.replica.compact(self.applied, self.state.encode())
+    }
+
+    fn note_leadership(&mut self) {
+        if self.role() == Role::Leader {
+            if self.leads_since.is_none() {
+                self.leads_since = Some(self.now);
+                self.heard.clear();
+                self.rollouts = Rollouts::default();
+            }
+        } else {
+            self.leads_since = None;
+            self.confirmed_at = None;
+        }
+    }
+
+    fn note_heard(&mut self, name: &str) {
+        self.heard.insert(name.to_owned(), self.now);
+        let leader = self.leader().filter(|_| self.role() != Role::Leader);
+        if let Some(leader) = leader {
+            let message = Message::Heard {
+                instance: Text::new(name),
+                orders_taken: 0,
+            };
+            self.effects.push(Effect::ToControl(leader, message));
+        }
+    }
+
+    /// A back end may hold newer weights than the log says, when an order was carried out late.
+    fn note_versions(&mut self, heartbeat: &Heartbeat) {
+        let name = heartbeat.instance.as_str();
+        let Some(record) = self.state.instance(name) else {
+            return;
+        };
+        let newer: Vec<(ModelName, u64)> = heartbeat
+            .models
+            .iter()
+            .filter(|(model, version)| {
+                let loaded = record.model(model.as_str());
+                loaded.is_some_and(|loaded| loaded.loading == 0 && loaded.version < *version)
+            })
+            .cloned()
+            .collect();
+        for (model, version) in newer {
+            let command = Command::Load {
+                instance: Text::new(name),
+                model: Text::new(model.as_str()),
+                version,
+                phase: LoadPhase::Finished,
+            };
+            self.propose(None, command);
+        }
+    }
+
+    /// Forgets back ends that were silent so long that they cannot come back.
+    fn expire_instances(&mut self) {
+        const SILENCE: Duration = Duration::from_secs(120);
+        let now = self.now;
+        let mut expired = Vec::new();
+        for record in self.state.instances() {
+            let name = record.instance.as_str();
+            let heard = self.heard.entry(name.to_owned()).or_insert(now);
+            if now.since(*heard) > SILENCE {
+                expired.push(record.instance.clone());
+            }
+        }
+        for instance in expired {
+            self.heard.remove(instance.as_str());
+            self.propose(None, Command::Deregister { instance });
+        }
+    }
+}
+
+fn registration(heartbeat: &Heartbeat) -> Command {
+    let models = heartbeat.models.iter().map(|(model, version)| LoadedModel {
+        model: Text::new(model.as_str()),
+        version: *version,
+        loading: 0,
+    });
+    Command::Register {
+        instance: Text::new(heartbeat.instance.as_str()),
+        pool: Text::new(heartbeat.pool.as_str()),
+        address: Text::new(heartbeat.address.as_str()),
+        zone: Text::new(heartbeat.zone.as_str()),
+        slots: heartbeat.slots,
+        draining: u8::from(heartbeat.lifecycle == Lifecycle::Draining),
+        models: List::new(models.collect()),
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -0,0 +1,338 @@
+//! The leader brings back ends to the weights that were named, a few at a time.
+//!
+//! Routers are told first, so that no request meets a back end that is loading. Orders carry the
+//! leader's term as fencing token and the number of orders that the back end is expected to have
+//! taken, so that a late copy of an order changes nothing.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_consensus::{Directory, Role};
+use drumshore_core::Timestamp;
+
+use super::reads::Waiting;
+use super::{ControlCore, Effect};
+use crate::{
+    Command, InstanceId, InstanceRecord, Lifecycle, LoadPhase, ModelName, ReplicatedState,
+};
+
+/// A pool is loaded in about so many rounds.
+const ROUNDS: usize = 4;
+/// At least so many of a pool load at once.
+const LEAST_AT_ONCE: usize = 2;
+/// The first look at a back end that took an order.
+const FIRST_LOOK: Duration = Duration::from_millis(650);
+/// Between later looks.
+const NEXT_LOOK: Duration = Duration::from_millis(150);
+/// An order that had no effect by then is given again.
+const ORDER_AGAIN: Duration = Duration::from_millis(1_500);
+/// An order is only given while a quorum has confirmed this leader so lately.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(700);
+
+/// Tells orders apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct OrderId(pub u64);
+
+/// An order to load weights.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Order {
+    /// Tells it apart.
+    pub id: OrderId,
+    /// The back end; another one at its address refuses.
+    pub instance: InstanceId,
+    /// IP:PORT.
+    pub address: String,
+    /// The model.
+    pub model: ModelName,
+    /// The version to load.
+    pub version: u64,
+    /// Who gives the order.
+    pub holder: String,
+    /// Rises with each leader.
+    pub fencing_token: u64,
+    /// Orders that the back end has taken so far.
+    pub expected_orders: u64,
+}
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It is being done.
+    Taken,
+    /// The back end holds the version already.
+    Holds,
+    /// Another order is under way, or another number of orders was expected.
+    Conflict,
+    /// A newer leader has given orders.
+    Fenced,
+    /// Another incarnation listens there.
+    Gone,
+    /// No answer; it may be carried out, even later.
+    Unknown,
+}
+
+/// What a back end answers when asked.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// Orders that it has taken.
+    pub orders_taken: u64,
+    /// True while it carries one out.
+    pub busy: bool,
+    /// The weights it holds.
+    pub models: Vec<(ModelName, u64)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Step {
+    /// Routers are told; the order follows.
+    Noticed { at: Timestamp },
+    /// The order is on its way.
+    Ordered { at: Timestamp, id: OrderId },
+    /// It is being done, or may be.
+    Loading { ordered: Timestamp, look: Timestamp },
+    /// The back end was asked.
+    Asked { ordered: Timestamp, at: Timestamp },
+}
+
+/// Loads under way, as this leader knows them.
+#[derive(Debug, Default)]
+pub(super) struct Rollouts {
+    steps: BTreeMap<String, Step>,
+    orders_taken: BTreeMap<String, u64>,
+    next_order: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Load {
+    instance: String,
+    address: String,
+    model: String,
+    version: u64,
+}
+
+impl<D: Directory> ControlCore<D> {
+    /// Takes in what came of an order.
+    pub fn on_order_outcome(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        id: OrderId,
+        outcome: OrderOutcome,
+    ) {
+        self.now = now;
+        let name = instance.as_str();
+        let Some(Step::Ordered { at, id: current }) = self.rollouts.steps.get(name).copied() else {
+            return;
+        };
+        if current != id {
+            return;
+        }
+        let look = match outcome {
+            OrderOutcome::Taken => at.plus(FIRST_LOOK),
+            OrderOutcome::Holds | OrderOutcome::Conflict | OrderOutcome::Unknown => now,
+            OrderOutcome::Fenced | OrderOutcome::Gone => now.plus(ORDER_AGAIN),
+        };
+        let step = Step::Loading { ordered: at, look };
+        self.rollouts.steps.insert(name.to_owned(), step);
+    }
+
+    /// Takes in a back end's report, or that there was none.
+    pub fn on_report(&mut self, now: Timestamp, instance: &InstanceId, report: Option<&Report>) {
+        self.now = now;
+        let name = instance.as_str().to_owned();
+        let Some(Step::Asked { ordered, .. }) = self.rollouts.steps.get(&name).copied() else {
+            return;
+        };
+        let again = Step::Loading {
+            ordered,
+            look: now.plus(NEXT_LOOK),
+        };
+        self.rollouts.steps.insert(name.clone(), again);
+        let Some(report) = report else {
+            return;
+        };
+        self.rollouts
+            .orders_taken
+            .insert(name.clone(), report.orders_taken);
+        if report.busy {
+            return;
+        }
+        self.conclude(&name, report, ordered);
+    }
+
+    pub(super) fn drive_rollouts(&mut self) {
+        let loads = pending_loads(&self.state);
+        if loads.is_empty() {
+            self.rollouts.steps.clear();
+            return;
+        }
+        self.queue_read(Waiting::Leader);
+        if !self.may_order() {
+            return;
+        }
+        self.start_loads(&loads);
+        for load in loads {
+            let record = self.state.instance(&load.instance);
+            if record.is_some_and(InstanceRecord::is_loading) {
+                self.drive_load(load);
+            }
+        }
+    }
+
+    /// Two machines must not give orders within the lease of one another's, and a machine that
+    /// was cut off or paused must notice before it gives one.
+    fn may_order(&self) -> bool {
+        let now = self.now;
+        let lease = self.params.order_lease;
+        let waited = self
+            .leads_since
+            .is_some_and(|since| now.since(since) >= lease);
+        let confirmed = self
+            .confirmed_at
+            .is_some_and(|at| now.since(at) < CONFIRMED_WITHIN);
+        self.role() == Role::Leader && waited && confirmed
+    }
+
+    fn start_loads(&mut self, loads: &[Load]) {
+        let mut by_pool: BTreeMap<String, (usize, usize)> = BTreeMap::new();
+        for record in self.state.instances() {
+            let counts = by_pool.entry(record.pool.as_str().to_owned()).or_default();
+            counts.0 += 1;
+            counts.1 += usize::from(record.is_loading());
+        }
+        for load in loads {
+            let Some(record) = self.state.instance(&load.instance) else {
+                continue;
+            };
+            let Some((all, busy)) = by_pool.get_mut(record.pool.as_str()) else {
+                continue;
+            };
+            let at_once = all.div_ceil(ROUNDS).max(LEAST_AT_ONCE);
+            let proposed = self.rollouts.steps.contains_key(&load.instance);
+            if record.is_loading() || proposed || *busy >= at_once {
+                continue;
+            }
+            *busy += 1;
+            let step = Step::Noticed { at: self.now };
+            self.rollouts.steps.insert(load.instance.clone(), step);
+            self.propose_load(load, LoadPhase::Started);
+        }
+    }
+
+    fn drive_load(&mut self, load: Load) {
+        let now = self.now;
+        let fresh = Step::Loading {
+            ordered: Timestamp::default(),
+            look: now,
+        };
+        let step = *self
+            .rollouts
+            .steps
+            .entry(load.instance.clone())
+            .or_insert(fresh);
+        match step {
+            Step::Noticed { at } if now.since(at) >= self.params.load_notice => {
+                self.give_order(load);
+            }
+            Step::Ordered { at, .. } if now.since(at) >= ORDER_AGAIN => {
+                let look = Step::Loading {
+                    ordered: at,
+                    look: now,
+                };
+                self.rollouts.steps.insert(load.instance, look);
+            }
+            Step::Loading { ordered, look } if look <= now => self.ask(load, ordered),
+            Step::Asked { ordered, at } if now.since(at) >= ORDER_AGAIN => self.ask(load, ordered),
+            _ => {}
+        }
+    }
+
+    fn ask(&mut self, load: Load, ordered: Timestamp) {
+        let step = Step::Asked {
+            ordered,
+            at: self.now,
+        };
+        self.rollouts.steps.insert(load.instance.clone(), step);
+        self.effects.push(Effect::Ask {
+            instance: InstanceId::new(&load.instance),
+            address: load.address,
+        });
+    }
+
+    fn give_order(&mut self, load: Load) {
+        self.rollouts.next_order += 1;
+        let id = OrderId(self.rollouts.next_order);
+        let expected = self.rollouts.orders_taken.get(&load.instance);
+        let order = Order {
+            id,
+            instance: InstanceId::new(&load.instance),
+            address: load.address,
+            model: ModelName::new(&load.model),
+            version: load.version,
+            holder: self.holder.clone(),
+            fencing_token: self.term(),
+            expected_orders: expected.copied().unwrap_or(0),
+        };
+        let step = Step::Ordered { at: self.now, id };
+        self.rollouts.steps.insert(load.instance, step);
+        self.effects.push(Effect::Order(order));
+    }
+
+    fn conclude(&mut self, name: &str, report: &Report, ordered: Timestamp) {
+        let Some(record) = self.state.instance(name).cloned() else {
+            return;
+        };
+        for loaded in &record.models.items {
+            let held = report
+                .models
+                .iter()
+                .find(|(model, _)| model.as_str() == loaded.model.as_str())
+                .map_or(0, |(_, version)| *version);
+            let load = Load {
+                instance: name.to_owned(),
+                address: record.address.as_str().to_owned(),
+                model: loaded.model.as_str().to_owned(),
+                version: held,
+            };
+            if loaded.loading != 0 && held > loaded.version {
+                self.rollouts.steps.remove(name);
+                self.propose_load(&load, LoadPhase::Finished);
+            } else if loaded.loading != 0 && self.now.since(ordered) >= ORDER_AGAIN {
+                let step = Step::Noticed { at: self.now };
+                self.rollouts.steps.insert(name.to_owned(), step);
+            }
+        }
+    }
+
+    fn propose_load(&mut self, load: &Load, phase: LoadPhase) {
+        let command = Command::Load {
+            instance: load.instance.as_str().into(),
+            model: load.model.as_str().into(),
+            version: load.version,
+            phase,
+        };
+        self.propose(None, command);
+    }
+}
+
+/// Back ends whose weights are older than what was named, or that are loading.
+fn pending_loads(state: &ReplicatedState) -> Vec<Load> {
+    let mut loads = Vec::new();
+    for record in state.instances() {
+        if record.lifecycle == Lifecycle::Draining {
+            continue;
+        }
+        for loaded in &record.models.items {
+            let named = state.named_version(loaded.model.as_str());
+            if named > loaded.version || loaded.loading != 0 {
+                loads.push(Load {
+                    instance: record.instance.as_str().to_owned(),
+                    address: record.address.as_str().to_owned(),
+                    model: loaded.model.as_str().to_owned(),
+                    version: named.max(loaded.version),
+                });
+            }
+        }
+    }
+    loads
+}
--- /dev/null
+++ b/crates/gateway-core/src/control/routers.rs
@@ -0,0 +1,94 @@
+//! Routers that are linked to this machine: who they are, and what they are told.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_consensus::Directory;
+use drumshore_core::Timestamp;
+
+use super::reads::Waiting;
+use super::{ConnectionId, ControlCore, Effect};
+use crate::{Announcement, Message, RouterStatus};
+
+/// A router that asked nothing for so long is not handed to callers.
+const SILENCE: Duration = Duration::from_millis(4_000);
+
+#[derive(Debug)]
+struct Linked {
+    status: RouterStatus,
+    heard: Timestamp,
+}
+
+/// Linked routers.
+#[derive(Debug, Default)]
+pub(super) struct Routers(BTreeMap<ConnectionId, Linked>);
+
+impl Routers {
+    pub fn count(&self) -> u16 {
+        u16::try_from(self.0.len()).unwrap_or(u16::MAX)
+    }
+
+    pub fn forget_silent(&mut self, now: Timestamp) {
+        self.0.retain(|_, linked| now.since(linked.heard) < SILENCE);
+    }
+}
+
+impl<D: Directory> ControlCore<D> {
+    /// Takes in a router's message.
+    pub fn on_router(&mut self, now: Timestamp, connection: ConnectionId, message: Message) {
+        self.now = now;
+        match message {
+            Message::Router(status) => {
+                let linked = Linked { status, heard: now };
+                self.routers.0.insert(connection, linked);
+                self.announce_to(connection);
+            }
+            Message::Ping { sequence } => {
+                if let Some(linked) = self.routers.0.get_mut(&connection) {
+                    linked.heard = now;
+                }
+                self.queue_read(Waiting::Router(connection, sequence));
+            }
+            Message::Fetch { since } => {
+                let changes = self.state.changes_since(since);
+                let message = Message::Changes(changes);
+                self.effects.push(Effect::ToRouter(connection, message));
+            }
+            _ => {}
+        }
+    }
+
+    /// A router's link has ended.
+    pub fn on_router_gone(&mut self, connection: ConnectionId) {
+        self.routers.0.remove(&connection);
+    }
+
+    /// The addresses of routers that take callers, those of the caller's zone first.
+    pub fn directory(&self, zone: &str) -> Vec<String> {
+        let accepting = self.routers.0.values();
+        let mut accepting: Vec<&RouterStatus> = accepting
+            .map(|linked| &linked.status)
+            .filter(|status| status.accepting != 0)
+            .collect();
+        accepting.sort_by_key(|status| (status.zone.as_str() != zone, status.address.as_str()));
+        let mut addresses: Vec<String> = accepting
+            .iter()
+            .map(|status| status.address.as_str().to_owned())
+            .collect();
+        addresses.dedup();
+        addresses
+    }
+
+    pub(super) fn announce(&mut self) {
+        let connections: Vec<ConnectionId> = self.routers.0.keys().copied().collect();
+        for connection in connections {
+            self.announce_to(connection);
+        }
+    }
+
+    fn announce_to(&mut self, connection: ConnectionId) {
+        let revision = self.state.revision();
+        let message = Message::Announce(Announcement { revision });
+        self.effects.push(Effect::ToRouter(connection, message));
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/lib.rs
@@ -0,0 +1,37 @@
+//! What the gateway decides, without I/O, clock or threads.
+//!
+//! The gateway is drumshore for callers that run no process of ours: routers forward any HTTP
+//! request on a configured route, and control machines replicate what routers go by. This crate
+//! holds both state machines and the messages between them:
+//!
+//! * [`Document`]: a whole configuration with its routes, pools and tenants;
+//! * [`ReplicatedState`]: what control machines agree on, command by command;
+//! * [`ControlCore`]: one control machine: the replicated log, members, reads, rollouts;
+//! * [`RouterCore`]: one router: its view, the lease on it, placement, limits on retries.
+#![forbid(unsafe_code)]
+#![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
+
+mod command;
+mod control;
+mod document;
+mod ids;
+mod message;
+mod router;
+mod state;
+
+pub use command::{Command, LoadPhase, Proposal, ProposalId};
+pub use control::{
+    address_of, bootstrap_id, ConnectionId, ControlCore, ControlParams, Effect, Heartbeat, Order,
+    OrderId, OrderOutcome, Reply, Report, Ticket,
+};
+pub use document::{
+    CacheStore, Document, InvalidDocument, Limits, ModelPool, Pool, RequestKind, Route, Share,
+    Tenant,
+};
+pub use ids::{InstanceId, ModelName, PoolName, TenantName};
+pub use message::{Announcement, Changes, Message, RouterStatus};
+pub use router::{
+    Admission, Choice, ChoiceError, Outcome, Prompt, PromptPart, Refusal, RouterCore, RouterParams,
+    ViewError,
+};
+pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, ReplicatedState};
--- /dev/null
+++ b/crates/gateway-core/src/message.rs
@@ -0,0 +1,120 @@
+//! What the gateway's processes say to one another. Each message travels in a checksummed frame
+//! of `drumshore-wire`.
+
+use binrw::binrw;
+use drumshore_consensus::ReplicaId;
+use drumshore_wire::{Blob, List, Text};
+
+use crate::{InstanceRecord, NamedWeights};
+
+/// What a router tells about itself.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RouterStatus {
+    /// Where callers reach it, IP:PORT.
+    pub address: Text,
+    /// Its zone.
+    pub zone: Text,
+    /// 1 while it takes new callers.
+    pub accepting: u8,
+}
+
+/// What a control machine tells its routers when something changed.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Announcement {
+    /// How far it has applied the log.
+    pub revision: u64,
+}
+
+/// What changed between two revisions.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Changes {
+    /// The revision that the receiver has; 0 when all is included.
+    pub since: u64,
+    /// The revision that this leads to.
+    pub revision: u64,
+    /// 0 or 1 configuration.
+    pub configuration: List<Blob>,
+    /// Models whose named version changed.
+    pub weights: List<NamedWeights>,
+    /// Back ends that are new or changed.
+    pub instances: List<InstanceRecord>,
+    /// Back ends that have gone.
+    pub removed: List<Text>,
+}
+
+/// A message.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Message {
+    /// The first message on a router's link, and again when it changes.
+    #[brw(magic(1u8))]
+    Router(RouterStatus),
+    /// Replication between control machines.
+    #[brw(magic(2u8))]
+    Consensus(Blob),
+    /// A command for the leader to propose.
+    #[brw(magic(3u8))]
+    Propose(Blob),
+    /// A replica that no leader feeds asks to be let in.
+    #[brw(magic(4u8))]
+    Join(ReplicaId),
+    /// A back end was heard at another control machine.
+    #[brw(magic(5u8))]
+    Heard {
+        /// Its incarnation.
+        instance: Text,
+        /// Orders that it has taken.
+        orders_taken: u64,
+    },
+    /// Something changed.
+    #[brw(magic(6u8))]
+    Announce(Announcement),
+    /// A router asks what changed.
+    #[brw(magic(7u8))]
+    Fetch {
+        /// The revision it has.
+        since: u64,
+    },
+    /// The answer.
+    #[brw(magic(8u8))]
+    Changes(Changes),
+    /// A router asks which revision is surely not outdated.
+    #[brw(magic(9u8))]
+    Ping {
+        /// Counts the router's questions.
+        sequence: u64,
+    },
+    /// The answer, once a quorum confirmed it after the question came.
+    #[brw(magic(10u8))]
+    Pong {
+        /// From the question.
+        sequence: u64,
+        /// Everything accepted before the question is at or below it.
+        revision: u64,
+        /// Routers linked to this control machine.
+        routers: u16,
+        /// The IPv4 addresses of all control machines.
+        controls: List<u32>,
+    },
+}
+
+impl Message {
+    /// The payload of a frame.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut cursor = std::io::Cursor::new(Vec::new());
+        binrw::BinWrite::write(self, &mut cursor).expect("a message fits in its length fields");
+        cursor.into_inner()
+    }
+
+    /// Reads a payload back; `None` when it is no message.
+    pub fn decode(payload: &[u8]) -> Option<Self> {
+        binrw::BinRead::read(&mut std::io::Cursor::new(payload)).ok()
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -0,0 +1,136 @@
+//! Back ends as one router sees them: requests in flight, and whom to avoid for a while.
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+
+use crate::{InstanceId, InstanceRecord};
+
+const SHED_PAUSE: Duration = Duration::from_millis(150);
+const BROKEN_PAUSE: Duration = Duration::from_millis(400);
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+const MISDIRECTED_PAUSE: Duration = Duration::from_secs(30);
+/// The weight of the newest answer in the share of failures.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// How a request left its back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered.
+    Answered,
+    /// The back end answered that it failed.
+    Failed,
+    /// The back end turned it away: it has not run.
+    Shed,
+    /// Another incarnation listens there: it has not run.
+    Misdirected,
+    /// The back end holds other weights than expected: it has not run.
+    OtherWeights,
+    /// No connection came about: it has not run.
+    Unreachable,
+    /// The connection broke, or bytes came that are no answer.
+    Broken,
+    /// No answer within the time that was left.
+    TimedOut,
+    /// The caller left, or the router gave up for a reason of its own.
+    Abandoned,
+}
+
+/// A back end.
+#[derive(Debug)]
+pub(super) struct Endpoint {
+    pub record: Rc<InstanceRecord>,
+    pub in_flight: u32,
+    pub avoided_until: Timestamp,
+    /// Smoothed share of requests that failed there.
+    pub failures: f64,
+    unreachable_in_a_row: u32,
+    pub misdirected_until: Timestamp,
+}
+
+/// All back ends.
+#[derive(Debug, Default)]
+pub(super) struct Endpoints(BTreeMap<InstanceId, Endpoint>);
+
+impl Endpoints {
+    /// Takes in the back ends that there are; what was learned of those that stay is kept.
+    pub fn update<'a>(&mut self, records: impl Iterator<Item = &'a Rc<InstanceRecord>>) {
+        let mut earlier = std::mem::take(&mut self.0);
+        for record in records {
+            let id = InstanceId::new(record.instance.as_str());
+            let mut endpoint = earlier.remove(&id).unwrap_or_else(|| Endpoint {
+                record: Rc::clone(record),
+                in_flight: 0,
+                avoided_until: Timestamp::default(),
+                failures: 0.0,
+                unreachable_in_a_row: 0,
+                misdirected_until: Timestamp::default(),
+            });
+            endpoint.record = Rc::clone(record);
+            self.0.insert(id, endpoint);
+        }
+    }
+
+    pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Endpoint)> {
+        self.0.iter()
+    }
+
+    pub fn in_flight(&self) -> u32 {
+        self.0.values().map(|endpoint| endpoint.in_flight).sum()
+    }
+
+    pub fn started(&mut self, instance: &InstanceId) {
+        if let Some(endpoint) = self.0.get_mut(instance) {
+            endpoint.in_flight += 1;
+        }
+    }
+
+    pub fn finished(&mut self, now: Timestamp, instance: &InstanceId, outcome: Outcome) {
+        let Some(endpoint) = self.0.get_mut(instance) else {
+            return;
+        };
+        endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        let pause = match outcome {
+            Outcome::Answered => {
+                endpoint.unreachable_in_a_row = 0;
+                endpoint.note(false);
+                return;
+            }
+            Outcome::Abandoned => return,
+            Outcome::Failed => {
+                endpoint.note(true);
+                return;
+            }
+            Outcome::Shed | Outcome::OtherWeights => SHED_PAUSE,
+            Outcome::Broken => {
+                endpoint.note(true);
+                BROKEN_PAUSE
+            }
+            Outcome::TimedOut | Outcome::Unreachable => {
+                endpoint.note(true);
+                endpoint.longer_pause()
+            }
+            Outcome::Misdirected => {
+                endpoint.misdirected_until = now.plus(MISDIRECTED_PAUSE);
+                MISDIRECTED_PAUSE
+            }
+        };
+        endpoint.avoided_until = endpoint.avoided_until.max(now.plus(pause));
+    }
+}
+
+impl Endpoint {
+    fn note(&mut self, failed: bool) {
+        let sample = if failed { 1.0 } else { 0.0 };
+        self.failures += FAILURE_WEIGHT * (sample - self.failures);
+    }
+
+    fn longer_pause(&mut self) -> Duration {
+        let doubled = FIRST_PAUSE * 2_u32.saturating_pow(self.unreachable_in_a_row.min(8));
+        self.unreachable_in_a_row += 1;
+        doubled.min(LONGEST_PAUSE)
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/router/mod.rs
@@ -0,0 +1,271 @@
+//! One router: what it knows, how long it may rely on it, and where requests go.
+
+mod budget;
+mod endpoints;
+mod placement;
+mod split;
+mod view;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::{Changes, Document, InstanceId, InvalidDocument, ModelName, PoolName, Route, Tenant};
+
+pub use endpoints::Outcome;
+pub use view::ViewError;
+
+use budget::RetryBudget;
+use endpoints::Endpoints;
+use split::Splitter;
+use view::View;
+
+/// Bounds of a router.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouterParams {
+    /// Its zone.
+    pub zone: String,
+    /// How long keys are honoured after the view was last confirmed as current.
+    pub key_lease: Duration,
+    /// How long after new weights are named a request may still begin on older ones.
+    pub version_grace: Duration,
+    /// Repeats that all routers together may add, as a share of requests.
+    pub retry_ratio: f64,
+    /// Repeats that all routers together may add beyond the share, in one window.
+    pub retry_slack: f64,
+    /// The window.
+    pub retry_window: Duration,
+}
+
+/// A part of a prompt that other requests may share.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PromptPart {
+    /// Its identifier.
+    pub id: String,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a request says of its prompt.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// The model it is for.
+    pub model: ModelName,
+    /// Its parts in order; the last one is the request's own, or its session's.
+    pub parts: Vec<PromptPart>,
+}
+
+/// Why a request is not forwarded. None of these has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Refusal {
+    /// No configuration has been received.
+    #[error("no configuration yet")]
+    NoConfiguration,
+    /// The view may be outdated.
+    #[error("view not confirmed in time")]
+    Unconfirmed,
+    /// No route matches.
+    #[error("no route")]
+    NoRoute,
+    /// No tenant holds the key.
+    #[error("unknown key")]
+    UnknownKey,
+}
+
+/// Why no back end was chosen. The request has not run there.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ChoiceError {
+    /// No back end of the pool takes requests.
+    #[error("no back end takes requests")]
+    NoneReady,
+    /// All that take requests were tried.
+    #[error("no other back end")]
+    NoneLeft,
+    /// Retries are used up for now.
+    #[error("retry budget used up")]
+    NoBudget,
+}
+
+/// A request that may be forwarded.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Its tenant, when it needs a key.
+    pub tenant: Option<Rc<Tenant>>,
+    /// The pool that is to serve it.
+    pub pool: PoolName,
+    /// Its priority; 0 is most urgent.
+    pub priority: u8,
+}
+
+/// Where a request goes, and what goes with it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Choice {
+    /// The back end.
+    pub instance: InstanceId,
+    /// IP:PORT.
+    pub address: String,
+    /// Connections that this router may have open to it.
+    pub connections: usize,
+    /// The weights that the back end must hold.
+    pub expected_version: Option<u64>,
+    /// Cached prompts are shared under the same salt only.
+    pub cache_salt: Option<String>,
+    /// A store to fetch the prompt from and save it to.
+    pub cache_store: Option<String>,
+    /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
+    pub in_flight: u32,
+    /// 0 when the back end is the first home of the prompt.
+    pub rank: usize,
+}
+
+/// A router.
+pub struct RouterCore {
+    params: RouterParams,
+    view: View,
+    endpoints: Endpoints,
+    splitter: Splitter,
+    budget: RetryBudget,
+    random: ChaCha8Rng,
+    routers: u16,
+}
+
+impl RouterCore {
+    /// A router that knows nothing yet.
+    pub fn new(params: RouterParams, seed: u64) -> Self {
+        Self {
+            view: View::default(),
+            endpoints: Endpoints::default(),
+            splitter: Splitter::default(),
+            budget: RetryBudget::new(&params, 1),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            params,
+            routers: 1,
+        }
+    }
+
+    /// The revision of the view.
+    pub fn revision(&self) -> u64 {
+        self.view.revision()
+    }
+
+    /// The version of the configuration; 0 before the first one.
+    pub fn configuration_version(&self) -> u64 {
+        self.view.document().map_or(0, |document| document.version)
+    }
+
+    /// The configuration.
+    pub fn document(&self) -> Option<&Document> {
+        self.view.document()
+    }
+
+    /// How long ago the view was surely current; `None` when it never was.
+    pub fn view_age(&self, now: Timestamp) -> Option<Duration> {
+        self.view.confirmed().map(|at| now.since(at))
+    }
+
+    /// True once requests can be judged.
+    pub fn is_ready(&self, now: Timestamp) -> bool {
+        self.view.document().is_some() && self.is_confirmed(now)
+    }
+
+    /// Takes in what changed; `parse` reads a configuration.
+    pub fn apply(
+        &mut self,
+        now: Timestamp,
+        changes: Changes,
+        parse: impl FnOnce(&[u8]) -> Result<Document, InvalidDocument>,
+    ) -> Result<(), ViewError> {
+        self.view.apply(now, &changes, parse)?;
+        let keep = self.view.instances();
+        self.endpoints.update(keep);
+        Ok(())
+    }
+
+    /// A quorum confirmed that nothing newer than `revision` was accepted before `asked`.
+    pub fn on_confirmed(&mut self, asked: Timestamp, revision: u64, routers: u16) {
+        self.view.on_confirmed(asked, revision);
+        if routers > 0 && routers != self.routers {
+            self.routers = routers;
+            self.budget = RetryBudget::new(&self.params, routers);
+        }
+    }
+
+    /// Finds route, tenant and pool of a request.
+    pub fn admit(
+        &mut self,
+        now: Timestamp,
+        host: &str,
+        path: &str,
+        key: Option<&str>,
+    ) -> Result<Admission, Refusal> {
+        if self.view.document().is_none() {
+            return Err(Refusal::NoConfiguration);
+        }
+        if !self.is_confirmed(now) {
+            return Err(Refusal::Unconfirmed);
+        }
+        let route = self.view.route(host, path).ok_or(Refusal::NoRoute)?;
+        let tenant = self.judge_key(&route, key)?;
+        let pool = self.splitter.next(&route);
+        let own = tenant.as_ref().and_then(|tenant| tenant.priority);
+        let priority = own.unwrap_or(route.priority);
+        Ok(Admission {
+            route,
+            tenant,
+            pool,
+            priority,
+        })
+    }
+
+    /// Chooses a back end and counts the request there until [`RouterCore::finished`].
+    pub fn choose(
+        &mut self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+        tried: &[InstanceId],
+    ) -> Result<Choice, ChoiceError> {
+        if tried.is_empty() {
+            self.budget.on_request(now);
+        } else if !self.budget.may_retry(now) {
+            return Err(ChoiceError::NoBudget);
+        }
+        let choice = self.place(now, admission, prompt, tried)?;
+        if !tried.is_empty() {
+            self.budget.on_retry();
+        }
+        self.endpoints.started(&choice.instance);
+        Ok(choice)
+    }
+
+    /// A request that was chosen for has left its back end.
+    pub fn finished(&mut self, now: Timestamp, instance: &InstanceId, outcome: Outcome) {
+        self.endpoints.finished(now, instance, outcome);
+    }
+
+    /// Requests in flight from this router.
+    pub fn in_flight(&self) -> u32 {
+        self.endpoints.in_flight()
+    }
+
+    fn is_confirmed(&self, now: Timestamp) -> bool {
+        let age = self.view_age(now);
+        age.is_some_and(|age| age < self.params.key_lease)
+    }
+
+    fn judge_key(&self, route: &Route, key: Option<&str>) -> Result<Option<Rc<Tenant>>, Refusal> {
+        if route.public || !self.view.has_tenants() {
+            return Ok(None);
+        }
+        let tenant = key.and_then(|key| self.view.tenant(key));
+        tenant.map(Some).ok_or(Refusal::UnknownKey)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/gateway-core/src/router/placement.rs
@@ -0,0 +1,238 @@
+//! Where a request goes: to the home of its prompt while that has room, else to the back end with
+//! the fewest requests.
+
+use drumshore_core::Timestamp;
+use rand::Rng;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::endpoints::Endpoint;
+use super::{Admission, Choice, ChoiceError, Prompt, RouterCore};
+use crate::{InstanceId, Lifecycle, Pool};
+
+/// A home is passed over when it has more than this many times the mean of requests in flight,
+const HOME_LOAD_FACTOR: f64 = 1.5;
+/// and this many more.
+const HOME_LOAD_SLACK: f64 = 2.0;
+/// A back end whose share of failures is above this is used only when no other is left.
+const TOO_MANY_FAILURES: f64 = 0.4;
+/// Connections to one back end when its pool sets no bound.
+const DEFAULT_CONNECTIONS: usize = 64;
+/// Part of a pool's connections that routers use, for those that count one another late.
+const CONNECTION_PART: f64 = 0.85;
+
+struct Candidate<'a> {
+    id: &'a InstanceId,
+    endpoint: &'a Endpoint,
+    version: Option<u64>,
+}
+
+struct Placed {
+    instance: InstanceId,
+    address: String,
+    version: Option<u64>,
+    in_flight: u32,
+    rank: usize,
+}
+
+impl RouterCore {
+    pub(super) fn place(
+        &mut self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+        tried: &[InstanceId],
+    ) -> Result<Choice, ChoiceError> {
+        let draw = self.random.random();
+        let candidates = self.candidates(now, admission, prompt);
+        if candidates.is_empty() {
+            return Err(ChoiceError::NoneReady);
+        }
+        let untried: Vec<Candidate<'_>> = candidates
+            .into_iter()
+            .filter(|candidate| !tried.contains(candidate.id))
+            .collect();
+        let usable = prefer_sound(now, untried);
+        let home = prompt.and_then(home_key);
+        let placed = match home {
+            Some(key) => place_by_home(&usable, key),
+            None => self.place_by_load(&usable, draw),
+        };
+        let placed = placed.ok_or(ChoiceError::NoneLeft)?;
+        Ok(self.choice(admission, prompt, placed))
+    }
+
+    fn candidates<'a>(
+        &'a self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+    ) -> Vec<Candidate<'a>> {
+        let model = prompt.map(|prompt| prompt.model.as_str());
+        let required = model.map_or(0, |model| {
+            self.view
+                .required_version(model, now, self.params.version_grace)
+        });
+        let in_pool = |endpoint: &Endpoint| {
+            endpoint.record.pool.as_str() == admission.pool.as_str()
+                && endpoint.record.lifecycle == Lifecycle::Ready
+                && !endpoint.record.is_loading()
+                && endpoint.misdirected_until <= now
+        };
+        let mut candidates = Vec::new();
+        for (id, endpoint) in self.endpoints.iter().filter(|item| in_pool(item.1)) {
+            let loaded = model.and_then(|model| endpoint.record.model(model));
+            let version = loaded.map(|loaded| loaded.version);
+            if version.is_none_or(|version| version >= required) {
+                candidates.push(Candidate {
+                    id,
+                    endpoint,
+                    version,
+                });
+            }
+        }
+        keep_latest_at_address(candidates)
+    }
+
+    /// The fewest requests for its slots; of equals one in the same zone, then any.
+    fn place_by_load(&self, usable: &[Candidate<'_>], draw: u64) -> Option<Placed> {
+        let zone = self.params.zone.as_str();
+        let best = usable.iter().min_by_key(|candidate| {
+            let record = &candidate.endpoint.record;
+            let slots = u64::from(record.slots.max(1));
+            let load = u64::from(candidate.endpoint.in_flight) * 1_000 / slots;
+            let remote = record.zone.as_str() != zone;
+            let tie = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw);
+            (load, remote, tie)
+        })?;
+        Some(best.placed(0))
+    }
+
+    fn choice(&self, admission: &Admission, prompt: Option<&Prompt>, placed: Placed) -> Choice {
+        let pool = self.pool(admission);
+        let max_connections = pool.map_or(0, |pool| pool.max_connections);
+        let cache_salt = prompt.map(|prompt| salt(admission, prompt, placed.version));
+        let cache_store = prompt.and_then(|_| self.store(admission));
+        Choice {
+            instance: placed.instance,
+            address: placed.address,
+            connections: self.connections(max_connections),
+            expected_version: placed.version,
+            cache_salt,
+            cache_store,
+            in_flight: placed.in_flight,
+            rank: placed.rank,
+        }
+    }
+
+    fn pool(&self, admission: &Admission) -> Option<&Pool> {
+        let document = self.view.document()?;
+        document
+            .pools
+            .iter()
+            .find(|pool| pool.name == admission.pool)
+    }
+
+    fn store(&self, admission: &Admission) -> Option<String> {
+        let has_models = self
+            .pool(admission)
+            .is_some_and(|pool| pool.models.is_some());
+        let document = self.view.document().filter(|_| has_models)?;
+        let mut stores = document.pools.iter().filter_map(|pool| pool.store.as_ref());
+        stores.next().map(|store| store.address.clone())
+    }
+
+    fn connections(&self, max_connections: u32) -> usize {
+        if max_connections == 0 {
+            return DEFAULT_CONNECTIONS;
+        }
+        let all = f64::from(max_connections) * CONNECTION_PART;
+        let own = all / f64::from(self.routers.max(1));
+        (own as usize).max(1)
+    }
+}
+
+impl Candidate<'_> {
+    fn placed(&self, rank: usize) -> Placed {
+        Placed {
+            instance: self.id.clone(),
+            address: self.endpoint.record.address.as_str().to_owned(),
+            version: self.version,
+            in_flight: self.endpoint.in_flight,
+            rank,
+        }
+    }
+}
+
+/// Of two incarnations at one address only the one that registered later can be there.
+fn keep_latest_at_address(candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    let mut kept: Vec<Candidate<'_>> = Vec::with_capacity(candidates.len());
+    for candidate in candidates {
+        let address = &candidate.endpoint.record.address;
+        let twin = kept
+            .iter_mut()
+            .find(|other| other.endpoint.record.address == *address);
+        match twin {
+            None => kept.push(candidate),
+            Some(other)
+                if other.endpoint.record.registered < candidate.endpoint.record.registered =>
+            {
+                *other = candidate;
+            }
+            Some(_) => {}
+        }
+    }
+    kept
+}
+
+/// Leaves out those that failed lately, while there are others.
+fn prefer_sound(now: Timestamp, candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
+    let is_sound = |candidate: &Candidate<'_>| {
+        candidate.endpoint.avoided_until <= now && candidate.endpoint.failures < TOO_MANY_FAILURES
+    };
+    if candidates.iter().any(is_sound) {
+        return candidates.into_iter().filter(is_sound).collect();
+    }
+    candidates
+}
+
+/// What requests with the same shared parts have in common; `None` when nothing is shared.
+fn home_key(prompt: &Prompt) -> Option<u64> {
+    let shared = prompt
+        .parts
+        .len()
+        .checked_sub(1)
+        .filter(|count| *count > 0)?;
+    let start = xxh3_64_with_seed(prompt.model.as_str().as_bytes(), 0);
+    let key = prompt.parts[..shared].iter().fold(start, |seed, part| {
+        xxh3_64_with_seed(part.id.as_bytes(), seed)
+    });
+    Some(key)
+}
+
+/// Rendezvous hashing with bounded load.
+fn place_by_home(usable: &[Candidate<'_>], key: u64) -> Option<Placed> {
+    let mut ranked: Vec<&Candidate<'_>> = usable.iter().collect();
+    ranked.sort_by_cached_key(|candidate| {
+        std::cmp::Reverse(xxh3_64_with_seed(candidate.id.as_str().as_bytes(), key))
+    });
+    let in_flight: u32 = usable.iter().map(|item| item.endpoint.in_flight).sum();
+    let mean = f64::from(in_flight) / usable.len().max(1) as f64;
+    let bound = mean * HOME_LOAD_FACTOR + HOME_LOAD_SLACK;
+    let home = ranked
+        .iter()
+        .position(|candidate| f64::from(candidate.endpoint.in_flight) < bound);
+    let rank = home.unwrap_or(0);
+    ranked.get(rank).map(|candidate| candidate.placed(rank))
+}
+
+/// What was cached under other weights, or by another tenant when one is isolated, has another
+/// salt and so is never used.
+fn salt(admission: &Admission, prompt: &Prompt, version: Option<u64>) -> String {
+    let model = prompt.model.as_str();
+    let version = version.unwrap_or(0);
+    let isolated = admission.tenant.as_ref().filter(|tenant| tenant.isolated);
+    match isolated {
+        Some(tenant) => format!("{model}.{version}.{}", tenant.name),
+        None => format!("{model}.{version}"),
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/router/tests.rs
@@ -0,0 +1,1 @@
+//! Tests of the router.
--- /dev/null
+++ b/crates/gateway-core/src/state.rs
@@ -0,0 +1,382 @@
+//! What control machines agree on. Applying the same commands gives the same state everywhere.
+
+use std::collections::BTreeMap;
+use std::io::Cursor;
+
+use binrw::{binrw, BinRead, BinWrite};
+use drumshore_wire::{Blob, List, Text};
+
+use crate::{Changes, Command, LoadPhase};
+
+/// Back ends that have gone are remembered, so that a late word of theirs does not bring them
+/// back; beyond this many the oldest are forgotten.
+const REMEMBERED_REMOVALS: usize = 4_096;
+
+/// Whether a back end may get new requests.
+#[binrw]
+#[brw(little, repr = u8)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// It may.
+    Ready = 0,
+    /// It may not, and never will again.
+    Draining = 1,
+}
+
+/// The weights that a back end holds of one model.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LoadedModel {
+    /// The model.
+    pub model: Text,
+    /// The version it holds.
+    pub version: u64,
+    /// The version it is loading; 0 for none.
+    pub loading: u64,
+}
+
+/// A back end.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct InstanceRecord {
+    /// Its incarnation.
+    pub instance: Text,
+    /// Its pool.
+    pub pool: Text,
+    /// IP:PORT.
+    pub address: Text,
+    /// Its zone.
+    pub zone: Text,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it may get new requests.
+    pub lifecycle: Lifecycle,
+    /// The weights it holds.
+    pub models: List<LoadedModel>,
+    /// The revision that registered it; of two at one address the later is in charge.
+    pub registered: u64,
+    /// The revision that changed it last.
+    pub revision: u64,
+}
+
+impl InstanceRecord {
+    /// The weights of a model.
+    pub fn model(&self, model: &str) -> Option<&LoadedModel> {
+        let mut models = self.models.items.iter();
+        models.find(|loaded| loaded.model.as_str() == model)
+    }
+
+    /// True while an order for new weights is under way.
+    pub fn is_loading(&self) -> bool {
+        self.models.items.iter().any(|loaded| loaded.loading != 0)
+    }
+}
+
+/// The version of a model that all back ends are to hold.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NamedWeights {
+    /// The model.
+    pub model: Text,
+    /// The version.
+    pub version: u64,
+    /// The revision that named it.
+    pub revision: u64,
+}
+
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, Default)]
+struct StoredConfiguration {
+    version: u64,
+    revision: u64,
+    body: Blob,
+}
+
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug)]
+struct Removal {
+    instance: Text,
+    revision: u64,
+}
+
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug)]
+struct Image {
+    revision: u64,
+    forgotten: u64,
+    configuration: StoredConfiguration,
+    weights: List<NamedWeights>,
+    instances: List<InstanceRecord>,
+    removals: List<Removal>,
+}
+
+/// The replicated state.
+#[derive(Clone, Debug, Default)]
+pub struct ReplicatedState {
+    revision: u64,
+    /// Removals up to this revision may have been forgotten.
+    forgotten: u64,
+    configuration: StoredConfiguration,
+    weights: BTreeMap<String, NamedWeights>,
+    instances: BTreeMap<String, InstanceRecord>,
+    removals: BTreeMap<String, u64>,
+}
+
+impl ReplicatedState {
+    /// The position of the last command that changed something.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The version of the configuration; 0 before the first one.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// The configuration as the operator sent it.
+    pub fn configuration(&self) -> Option<&[u8]> {
+        (self.configuration.version > 0).then_some(&self.configuration.body.bytes[..])
+    }
+
+    /// All back ends.
+    pub fn instances(&self) -> impl Iterator<Item = &InstanceRecord> {
+        self.instances.values()
+    }
+
+    /// One back end.
+    pub fn instance(&self, instance: &str) -> Option<&InstanceRecord> {
+        self.instances.get(instance)
+    }
+
+    /// True when the back end has gone for good.
+    pub fn is_removed(&self, instance: &str) -> bool {
+        self.removals.contains_key(instance)
+    }
+
+    /// All named weights.
+    pub fn weights(&self) -> impl Iterator<Item = &NamedWeights> {
+        self.weights.values()
+    }
+
+    /// The version of a model that back ends are to hold; 0 when none was named.
+    pub fn named_version(&self, model: &str) -> u64 {
+        self.weights.get(model).map_or(0, |named| named.version)
+    }
+
+    /// Applies a committed command at its position. True when something changed.
+    pub fn apply(&mut self, position: u64, command: &Command) -> bool {
+        let changed = match command {
+            Command::Configure { version, body } => self.configure(position, *version, body),
+            Command::Register { .. } => self.register(position, command),
+            Command::Drain { instance } => self.drain(position, instance),
+            Command::Deregister { instance } => self.deregister(position, instance),
+            Command::NameWeights { model, version } => self.name(position, model, *version),
+            Command::Load {
+                instance,
+                model,
+                version,
+                phase,
+            } => self.load(position, instance, model, *version, *phase),
+        };
+        if changed {
+            self.revision = position;
+        }
+        changed
+    }
+
+    /// What a router with revision `since` lacks.
+    pub fn changes_since(&self, since: u64) -> Changes {
+        let since = if since < self.forgotten || since > self.revision {
+            0
+        } else {
+            since
+        };
+        let configuration = (self.configuration.revision > since)
+            .then(|| self.configuration.body.clone())
+            .into_iter()
+            .collect();
+        let weights = self.weights.values().filter(|item| item.revision > since);
+        let instances = self.instances.values().filter(|item| item.revision > since);
+        let removed = self.removals.iter().filter(|item| *item.1 > since);
+        Changes {
+            since,
+            revision: self.revision,
+            configuration: List::new(configuration),
+            weights: List::new(weights.cloned().collect()),
+            instances: List::new(instances.cloned().collect()),
+            removed: List::new(removed.map(|item| Text::new(item.0.as_str())).collect()),
+        }
+    }
+
+    /// The state as a snapshot of the log.
+    pub fn encode(&self) -> Vec<u8> {
+        let removals = self.removals.iter().map(|(instance, revision)| Removal {
+            instance: Text::new(instance.as_str()),
+            revision: *revision,
+        });
+        let image = Image {
+            revision: self.revision,
+            forgotten: self.forgotten,
+            configuration: self.configuration.clone(),
+            weights: List::new(self.weights.values().cloned().collect()),
+            instances: List::new(self.instances.values().cloned().collect()),
+            removals: List::new(removals.collect()),
+        };
+        let mut cursor = Cursor::new(Vec::new());
+        image
+            .write(&mut cursor)
+            .expect("a state fits in its length fields");
+        cursor.into_inner()
+    }
+
+    /// Reads a snapshot back.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let image = Image::read(&mut Cursor::new(bytes)).ok()?;
+        let by_model = |named: NamedWeights| (named.model.as_str().to_owned(), named);
+        let by_instance = |record: InstanceRecord| (record.instance.as_str().to_owned(), record);
+        let removal = |item: Removal| (item.instance.as_str().to_owned(), item.revision);
+        Some(Self {
+            revision: image.revision,
+            forgotten: image.forgotten,
+            configuration: image.configuration,
+            weights: image.weights.items.into_iter().map(by_model).collect(),
+            instances: image.instances.items.into_iter().map(by_instance).collect(),
+            removals: image.removals.items.into_iter().map(removal).collect(),
+        })
+    }
+
+    fn configure(&mut self, position: u64, version: u64, body: &Blob) -> bool {
+        if version <= self.configuration.version {
+            return false;
+        }
+        self.configuration = StoredConfiguration {
+            version,
+            revision: position,
+            body: body.clone(),
+        };
+        true
+    }
+
+    fn register(&mut self, position: u64, command: &Command) -> bool {
+        let Command::Register {
+            instance,
+            pool,
+            address,
+            zone,
+            slots,
+            draining,
+            models,
+        } = command
+        else {
+            return false;
+        };
+        let name = instance.as_str();
+        if self.removals.contains_key(name) || self.instances.contains_key(name) {
+            return false;
+        }
+        let lifecycle = if *draining == 0 {
+            Lifecycle::Ready
+        } else {
+            Lifecycle::Draining
+        };
+        let record = InstanceRecord {
+            instance: instance.clone(),
+            pool: pool.clone(),
+            address: address.clone(),
+            zone: zone.clone(),
+            slots: *slots,
+            lifecycle,
+            models: models.clone(),
+            registered: position,
+            revision: position,
+        };
+        self.instances.insert(name.to_owned(), record);
+        true
+    }
+
+    fn drain(&mut self, position: u64, instance: &Text) -> bool {
+        let Some(record) = self.instances.get_mut(instance.as_str()) else {
+            return false;
+        };
+        if record.lifecycle == Lifecycle::Draining {
+            return false;
+        }
+        record.lifecycle = Lifecycle::Draining;
+        record.revision = position;
+        true
+    }
+
+    /// Also for an instance that was never seen: a word of it that is still on its way must not
+    /// bring it back.
+    fn deregister(&mut self, position: u64, instance: &Text) -> bool {
+        let name = instance.as_str();
+        if self.removals.contains_key(name) {
+            return false;
+        }
+        self.instances.remove(name);
+        self.removals.insert(name.to_owned(), position);
+        self.forget_oldest_removal();
+        true
+    }
+
+    fn forget_oldest_removal(&mut self) {
+        if self.removals.len() <= REMEMBERED_REMOVALS {
+            return;
+        }
+        let oldest = self.removals.iter().min_by_key(|item| *item.1);
+        if let Some((name, revision)) = oldest.map(|item| (item.0.clone(), *item.1)) {
+            self.removals.remove(&name);
+            self.forgotten = self.forgotten.max(revision);
+        }
+    }
+
+    fn name(&mut self, position: u64, model: &Text, version: u64) -> bool {
+        if version <= self.named_version(model.as_str()) {
+            return false;
+        }
+        let named = NamedWeights {
+            model: model.clone(),
+            version,
+            revision: position,
+        };
+        self.weights.insert(model.as_str().to_owned(), named);
+        true
+    }
+
+    fn load(
+        &mut self,
+        position: u64,
+        instance: &Text,
+        model: &Text,
+        version: u64,
+        phase: LoadPhase,
+    ) -> bool {
+        let Some(record) = self.instances.get_mut(instance.as_str()) else {
+            return false;
+        };
+        let mut models = record.models.items.iter_mut();
+        let Some(loaded) = models.find(|loaded| loaded.model == *model) else {
+            return false;
+        };
+        let before = loaded.clone();
+        match phase {
+            LoadPhase::Started => loaded.loading = version,
+            LoadPhase::Abandoned => loaded.loading = 0,
+            LoadPhase::Finished => {
+                loaded.loading = 0;
+                loaded.version = loaded.version.max(version);
+            }
+        }
+        if *loaded == before {
+            return false;
+        }
+        record.revision = position;
+        true
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/api.rs
@@ -0,0 +1,145 @@
+//! What operators, back ends and callers ask of a control machine.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use drumshore_gateway_core::{Command, Reply};
+use drumshore_wire::{Blob, Text};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+
+use super::Control;
+use crate::answer::{self, AnswerBody};
+use crate::dialect::ControlCall;
+use crate::server::NoAnswer;
+
+const MOST_BODY_BYTES: usize = 8 << 20;
+
+/// Serves one call.
+pub(super) async fn serve(
+    control: Rc<Control>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, NoAnswer> {
+    let call = control.dialect.call(request.method(), request.uri());
+    let Some(call) = call else {
+        return Ok(answer::plain(StatusCode::NOT_FOUND, ""));
+    };
+    if let ControlCall::Directory { zone } = &call {
+        return Ok(directory(&control, zone));
+    }
+    let body = Limited::new(request.into_body(), MOST_BODY_BYTES);
+    let body = body.collect().await.map_err(|_| NoAnswer)?.to_bytes();
+    let response = match call {
+        ControlCall::PutConfiguration => put_configuration(&control, body).await,
+        ControlCall::GetConfiguration => get_configuration(&control).await,
+        ControlCall::NameWeights => name_weights(&control, &body).await,
+        ControlCall::Heartbeat(instance) => match control.dialect.heartbeat(&instance, &body) {
+            Err(error) => invalid(&control, &error.to_string()),
+            Ok(heartbeat) => {
+                let asking =
+                    control.ask(|core, now, ticket| core.on_heartbeat(now, ticket, &heartbeat));
+                acknowledge(&control, asking.await)
+            }
+        },
+        ControlCall::Deregister(instance) => {
+            let command = Command::Deregister {
+                instance: Text::new(instance.as_str()),
+            };
+            let reply = submit(&control, command).await;
+            tracing::info!(event = "deregister", %instance, outcome = word(&reply));
+            acknowledge(&control, reply)
+        }
+        ControlCall::Directory { zone } => directory(&control, &zone),
+    };
+    Ok(response)
+}
+
+async fn submit(control: &Control, command: Command) -> Reply {
+    control
+        .ask(|core, now, ticket| core.submit(now, ticket, command))
+        .await
+}
+
+async fn put_configuration(control: &Control, body: Bytes) -> Response<AnswerBody> {
+    let document = match control.dialect.document(&body) {
+        Ok(document) => document,
+        Err(error) => return invalid(control, &error.to_string()),
+    };
+    let version = document.version;
+    let routes = document.routes.len();
+    drop(document);
+    let command = Command::Configure {
+        version,
+        body: Blob::new(body.to_vec()),
+    };
+    let reply = submit(control, command).await;
+    tracing::info!(event = "configure", version, routes, outcome = word(&reply));
+    acknowledge(control, reply)
+}
+
+async fn get_configuration(control: &Control) -> Response<AnswerBody> {
+    let asking = control.ask(|core, now, ticket| core.read_configuration(now, ticket));
+    let reply = asking.await;
+    tracing::info!(event = "configuration_read", outcome = word(&reply));
+    match reply {
+        Reply::Configuration(Some(body)) => answer::typed(control.dialect.content_type(), body),
+        _ => answer::plain(StatusCode::SERVICE_UNAVAILABLE, ""),
+    }
+}
+
+async fn name_weights(control: &Control, body: &[u8]) -> Response<AnswerBody> {
+    let (model, version) = match control.dialect.weights(body) {
+        Ok(named) => named,
+        Err(error) => return invalid(control, &error.to_string()),
+    };
+    let command = Command::NameWeights {
+        model: Text::new(model.as_str()),
+        version,
+    };
+    let reply = submit(control, command).await;
+    tracing::info!(event = "weights_named", %model, version, outcome = word(&reply));
+    acknowledge(control, reply)
+}
+
+fn directory(control: &Control, zone: &str) -> Response<AnswerBody> {
+    let addresses = control
+        .core
+        .borrow()
+        .as_ref()
+        .map(|core| core.directory(zone))
+        .unwrap_or_default();
+    if addresses.is_empty() {
+        return answer::plain(StatusCode::SERVICE_UNAVAILABLE, "");
+    }
+    let ttl = control.settings.directory_ttl;
+    let body = control.dialect.directory(&addresses, ttl);
+    answer::typed(control.dialect.content_type(), body)
+}
+
+fn acknowledge(control: &Control, reply: Reply) -> Response<AnswerBody> {
+    match reply {
+        Reply::Accepted => {
+            control.metrics.count_decision("accepted");
+            answer::typed(control.dialect.content_type(), Bytes::from_static(b"{}"))
+        }
+        _ => {
+            control.metrics.count_decision("unavailable");
+            answer::plain(StatusCode::SERVICE_UNAVAILABLE, "")
+        }
+    }
+}
+
+fn invalid(control: &Control, reason: &str) -> Response<AnswerBody> {
+    control.metrics.count_decision("invalid");
+    tracing::info!(event = "invalid_call", reason);
+    answer::plain(StatusCode::BAD_REQUEST, reason.to_owned())
+}
+
+fn word(reply: &Reply) -> &'static str {
+    match reply {
+        Reply::Accepted => "accepted",
+        Reply::Configuration(_) => "confirmed",
+        Reply::Unavailable => "unavailable",
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/control/back_ends.rs
@@ -0,0 +1,120 @@
+//! Calls from a control machine to back ends: orders and questions.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use drumshore_gateway_core::{InstanceId, Order, OrderOutcome, Report};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
+use hyper::{Request, StatusCode};
+use tokio::time::timeout;
+
+use super::Control;
+use crate::dialect::OutboundCall;
+use crate::upstream::Upstreams;
+
+const PATIENCE: Duration = Duration::from_millis(1_000);
+const CONNECTIONS: usize = 2;
+const MOST_ANSWER_BYTES: usize = 64 << 10;
+
+/// Connections to back ends.
+pub(super) struct BackEnds {
+    upstreams: Upstreams,
+}
+
+struct CallAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl BackEnds {
+    pub fn new(upstreams: Upstreams) -> Self {
+        Self { upstreams }
+    }
+
+    async fn call(
+        &self,
+        control: &Control,
+        instance: &InstanceId,
+        address: &str,
+        call: OutboundCall,
+    ) -> Option<CallAnswer> {
+        let connecting = self
+            .upstreams
+            .connect(instance, address, CONNECTIONS, PATIENCE);
+        let mut connection = connecting.await.ok()?;
+        let request = request(control, instance, address, call)?;
+        let response = connection.send(request).await.ok()?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES);
+        let body = body.collect().await.ok()?.to_bytes();
+        connection.give_back(control.clock.now());
+        Some(CallAnswer { status, body })
+    }
+}
+
+fn request(
+    control: &Control,
+    instance: &InstanceId,
+    address: &str,
+    call: OutboundCall,
+) -> Option<Request<Full<Bytes>>> {
+    let has_body = !call.body.is_empty();
+    let mut request = Request::new(Full::new(call.body));
+    *request.method_mut() = call.method;
+    *request.uri_mut() = call.path.parse().ok()?;
+    let headers = request.headers_mut();
+    headers.insert(HOST, HeaderValue::from_str(address).ok()?);
+    if has_body {
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(call.content_type));
+    }
+    let expected = HeaderValue::from_str(instance.as_str()).ok()?;
+    headers.insert(&control.dialect.headers().expect_instance, expected);
+    Some(request)
+}
+
+/// Gives an order; its outcome goes back to the core.
+pub(super) fn give_order(control: &Rc<Control>, order: Order) {
+    let control = Rc::clone(control);
+    tokio::task::spawn_local(async move {
+        let call = control.dialect.order(&order);
+        let calling = control
+            .back_ends
+            .call(&control, &order.instance, &order.address, call);
+        let answer = timeout(PATIENCE, calling).await.ok().flatten();
+        let outcome = answer.as_ref().map_or(OrderOutcome::Unknown, outcome_of);
+        tracing::info!(event = "order", instance = %order.instance, model = %order.model,
+            version = order.version, fencing_token = order.fencing_token,
+            expected_orders = order.expected_orders, outcome = ?outcome);
+        control.metrics.count_decision("order");
+        control.with_core(|core, now| {
+            core.on_order_outcome(now, &order.instance, order.id, outcome);
+        });
+    });
+}
+
+fn outcome_of(answer: &CallAnswer) -> OrderOutcome {
+    match answer.status {
+        StatusCode::ACCEPTED => OrderOutcome::Taken,
+        StatusCode::OK => OrderOutcome::Holds,
+        StatusCode::CONFLICT => OrderOutcome::Conflict,
+        StatusCode::PRECONDITION_FAILED => OrderOutcome::Fenced,
+        StatusCode::MISDIRECTED_REQUEST => OrderOutcome::Gone,
+        _ => OrderOutcome::Unknown,
+    }
+}
+
+/// Asks a back end what it holds; the answer goes back to the core.
+pub(super) fn ask(control: &Rc<Control>, instance: InstanceId, address: String) {
+    let control = Rc::clone(control);
+    tokio::task::spawn_local(async move {
+        let call = control.dialect.report_call();
+        let calling = control.back_ends.call(&control, &instance, &address, call);
+        let answer = timeout(PATIENCE, calling).await.ok().flatten();
+        let report: Option<Report> = answer
+            .filter(|answer| answer.status == StatusCode::OK)
+            .and_then(|answer| control.dialect.report(&answer.body).ok());
+        control.with_core(|core, now| core.on_report(now, &instance, report.as_ref()));
+    });
+}
--- /dev/null
+++ b/crates/gateway/src/control/folder.rs
@@ -0,0 +1,54 @@
+//! The data folder: which replica it belongs to, and the state in it.
+
+use drumshore_consensus::{
+    Directory, FileDirectory, Membership, ReplicaError, ReplicaId, WalError,
+};
+use drumshore_gateway_core::bootstrap_id;
+
+use super::{Control, Core};
+use crate::settings::ControlSettings;
+
+/// Holds the replica's number, 8 bytes, little-endian.
+const REPLICA_FILE: &str = "replica";
+
+/// Opens the folder, making it when it is empty.
+pub(super) fn open(settings: &ControlSettings) -> Result<Core, ReplicaError> {
+    let mut directory = FileDirectory::open(&settings.data_dir).map_err(WalError::Io)?;
+    let seeds = (settings.seeds)();
+    let founds = settings.bootstrap && seeds.contains(&settings.ip);
+    let replica = replica_of(&mut directory, settings, founds)?;
+    let members = if founds && replica == bootstrap_id(settings.ip) {
+        Membership::of_voters(seeds.iter().map(|seed| bootstrap_id(*seed)))
+    } else {
+        Membership::default()
+    };
+    Core::open(
+        directory,
+        replica,
+        members,
+        seeds,
+        settings.node.clone(),
+        settings.params.clone(),
+        Control::seed(),
+    )
+}
+
+/// A number is drawn once for each disk; one that was lost takes its number with it.
+fn replica_of(
+    directory: &mut FileDirectory,
+    settings: &ControlSettings,
+    founds: bool,
+) -> Result<ReplicaId, WalError> {
+    let stored = directory.read(REPLICA_FILE)?;
+    if let Some(bytes) = stored.and_then(|bytes| <[u8; 8]>::try_from(bytes).ok()) {
+        return Ok(ReplicaId(u64::from_le_bytes(bytes)));
+    }
+    let founding = bootstrap_id(settings.ip);
+    let replica = if founds {
+        founding
+    } else {
+        ReplicaId(founding.0 | u64::from((Control::seed() as u32).max(1)))
+    };
+    directory.replace(REPLICA_FILE, &replica.0.to_le_bytes())?;
+    Ok(replica)
+}
--- /dev/null
+++ b/crates/gateway/src/control/mod.rs
@@ -0,0 +1,273 @@
+//! The control daemon: a replica of the state, its links, and its HTTP interface.
+
+mod api;
+mod back_ends;
+mod folder;
+mod peers;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_consensus::{FileDirectory, ReplicaError, Role};
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{ConnectionId, ControlCore, Effect, Reply, Ticket};
+use hyper::body::Incoming;
+use hyper::Request;
+use rand::Rng;
+use tokio::sync::{oneshot, Notify};
+use tokio::task::LocalSet;
+use tokio::time::{interval, MissedTickBehavior};
+
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::link::Sender;
+use crate::metrics::Metrics;
+use crate::server::{self, NoAnswer, ServerParams};
+use crate::settings::ControlSettings;
+use crate::signals::{Request as SignalRequest, Signals};
+use crate::sockets;
+use crate::upstream::Upstreams;
+use crate::DaemonError;
+
+use back_ends::BackEnds;
+use peers::Peers;
+
+const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
+const MAX_CONNECTIONS: usize = 1_000;
+/// Between two tries to open a folder whose disk failed.
+const REOPEN_AFTER: Duration = Duration::from_millis(500);
+/// Between handing leadership over and the end of the process.
+const HAND_OVER: Duration = Duration::from_millis(400);
+
+type Core = ControlCore<FileDirectory>;
+
+/// What the tasks of a control machine share.
+pub(crate) struct Control {
+    /// `None` while the disk fails.
+    core: RefCell<Option<Core>>,
+    dialect: Rc<dyn Dialect>,
+    settings: ControlSettings,
+    clock: Clock,
+    metrics: Rc<Metrics>,
+    peers: Peers,
+    back_ends: BackEnds,
+    routers: RefCell<HashMap<ConnectionId, Sender>>,
+    waiting: RefCell<HashMap<Ticket, oneshot::Sender<Reply>>>,
+    next_ticket: Cell<u64>,
+    flush: Notify,
+    role: Cell<Option<Role>>,
+}
+
+/// Runs a control machine until it is told to stop.
+pub fn run(settings: ControlSettings, dialect: Rc<dyn Dialect>) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run_on_loop(settings, dialect))
+}
+
+async fn run_on_loop(
+    settings: ControlSettings,
+    dialect: Rc<dyn Dialect>,
+) -> Result<(), DaemonError> {
+    let mut signals = Signals::new()?;
+    let clock = Clock::start();
+    let core = match folder::open(&settings) {
+        Ok(core) => Some(core),
+        Err(error) => {
+            tracing::error!(event = "folder_failed", %error);
+            None
+        }
+    };
+    let control = Rc::new(Control {
+        core: RefCell::new(core),
+        dialect,
+        clock,
+        metrics: Metrics::new(),
+        peers: Peers::new(settings.internal_port),
+        back_ends: BackEnds::new(Upstreams::new(clock)),
+        routers: RefCell::default(),
+        waiting: RefCell::default(),
+        next_ticket: Cell::new(0),
+        flush: Notify::new(),
+        role: Cell::new(None),
+        settings,
+    });
+    listen(&control)?;
+    tokio::task::spawn_local(flush_when_asked(Rc::clone(&control)));
+    tokio::task::spawn_local(tick(Rc::clone(&control)));
+    tracing::info!(event = "started", role = "control", node = %control.settings.node,
+        listen = %control.settings.listen, bootstrap = control.settings.bootstrap);
+    while signals.next().await == SignalRequest::Reload {
+        tracing::info!(event = "reloaded");
+        control.reload_seeds();
+    }
+    tracing::info!(event = "stopping");
+    control.with_core(|core, _| core.step_down());
+    tokio::time::sleep(HAND_OVER).await;
+    tracing::info!(event = "stopped");
+    Ok(())
+}
+
+fn listen(control: &Rc<Control>) -> Result<(), DaemonError> {
+    let settings = &control.settings;
+    let params = ServerParams {
+        idle_timeout: IDLE_TIMEOUT,
+        max_connections: MAX_CONNECTIONS,
+    };
+    let mut addresses = vec![("control", settings.listen)];
+    addresses.extend(settings.directory_listen.map(|at| ("directory", at)));
+    for (what, address) in addresses {
+        let listener = open(what, address)?;
+        let shared = Rc::clone(control);
+        let answering = server::serve(listener, params, move |request| {
+            api::serve(Rc::clone(&shared), request)
+        });
+        tokio::task::spawn_local(answering);
+    }
+    if let Some(address) = settings.metrics_listen {
+        let listener = open("metrics", address)?;
+        let metrics = Rc::clone(&control.metrics);
+        let answering = server::serve(listener, params, move |request: Request<Incoming>| {
+            let response = metrics.answer(&request);
+            async move { Ok::<_, NoAnswer>(response) }
+        });
+        tokio::task::spawn_local(answering);
+    }
+    let internal = (settings.ip, settings.internal_port).into();
+    let listener = open("other processes", internal)?;
+    tokio::task::spawn_local(peers::accept(Rc::clone(control), listener));
+    Ok(())
+}
+
+fn open(
+    what: &'static str,
+    address: std::net::SocketAddr,
+) -> Result<tokio::net::TcpListener, DaemonError> {
+    sockets::listen(address).map_err(|source| DaemonError::Listen {
+        what,
+        address,
+        source,
+    })
+}
+
+async fn tick(control: Rc<Control>) {
+    let mut ticks = interval(control.settings.params.tick);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        if control.core.borrow().is_none() {
+            control.reopen().await;
+        }
+        control.with_core(Core::on_tick);
+        control.note_role();
+    }
+}
+
+async fn flush_when_asked(control: Rc<Control>) {
+    loop {
+        control.flush.notified().await;
+        control.flush_now();
+    }
+}
+
+impl Control {
+    /// Lets the core take something in; what follows is sent when the loop gets to it, so that
+    /// all that gathers until then shares one sync of the disk. `None` while the disk fails.
+    fn with_core<R>(&self, take_in: impl FnOnce(&mut Core, Timestamp) -> R) -> Option<R> {
+        let now = self.clock.now();
+        let mut core = self.core.borrow_mut();
+        let result = take_in(core.as_mut()?, now);
+        self.flush.notify_one();
+        Some(result)
+    }
+
+    /// Asks the core something and waits for its reply.
+    async fn ask(&self, question: impl FnOnce(&mut Core, Timestamp, Ticket)) -> Reply {
+        let ticket = Ticket(self.next_ticket.get());
+        self.next_ticket.set(ticket.0 + 1);
+        let (sender, receiver) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, sender);
+        let asked = self.with_core(|core, now| question(core, now, ticket));
+        if asked.is_none() {
+            self.waiting.borrow_mut().remove(&ticket);
+            return Reply::Unavailable;
+        }
+        receiver.await.unwrap_or(Reply::Unavailable)
+    }
+
+    fn flush_now(self: &Rc<Self>) {
+        let mut effects = Vec::new();
+        let flushed = match self.core.borrow_mut().as_mut() {
+            None => return,
+            Some(core) => core.flush(&mut |effect| effects.push(effect)),
+        };
+        for effect in effects {
+            self.carry_out(effect);
+        }
+        if let Err(error) = flushed {
+            self.on_disk_failure(&error);
+        }
+    }
+
+    fn carry_out(self: &Rc<Self>, effect: Effect) {
+        match effect {
+            Effect::ToControl(address, message) => self.peers.send(address, &message),
+            Effect::ToRouter(connection, message) => {
+                if let Some(sender) = self.routers.borrow().get(&connection) {
+                    sender.send(&message);
+                }
+            }
+            Effect::Reply(ticket, reply) => {
+                if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
+                    let _ = waiting.send(reply);
+                }
+            }
+            Effect::Order(order) => back_ends::give_order(self, order),
+            Effect::Ask { instance, address } => back_ends::ask(self, instance, address),
+        }
+    }
+
+    /// Nothing may be promised any more until the folder was read again.
+    fn on_disk_failure(&self, error: &ReplicaError) {
+        tracing::error!(event = "disk_lost", %error);
+        *self.core.borrow_mut() = None;
+        self.waiting.borrow_mut().clear();
+    }
+
+    async fn reopen(&self) {
+        tokio::time::sleep(REOPEN_AFTER).await;
+        match folder::open(&self.settings) {
+            Ok(core) => {
+                tracing::info!(event = "disk_regained");
+                *self.core.borrow_mut() = Some(core);
+            }
+            Err(error) => tracing::error!(event = "folder_failed", %error),
+        }
+    }
+
+    fn reload_seeds(&self) {
+        let seeds: Vec<Ipv4Addr> = (self.settings.seeds)();
+        self.with_core(|core, _| core.set_seeds(seeds));
+    }
+
+    fn note_role(&self) {
+        let core = self.core.borrow();
+        let Some(core) = core.as_ref() else {
+            return;
+        };
+        let role = Some(core.role());
+        self.metrics.revision.set(core.state().revision() as i64);
+        if self.role.replace(role) != role {
+            tracing::info!(event = "role_changed", role = ?core.role(), term = core.term(),
+                revision = core.state().revision(), members = core.controls().len());
+        }
+    }
+
+    fn seed() -> u64 {
+        rand::rng().random()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/logs.rs
@@ -0,0 +1,100 @@
+//! Structured logs on standard output: bounded in volume, and never waited for.
+
+use std::io::{self, Write};
+use std::os::fd::AsRawFd;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use nix::fcntl::{fcntl, FcntlArg, OFlag};
+use tracing_subscriber::fmt::MakeWriter;
+
+/// Lines a second, over longer times.
+const LINES_PER_SECOND: f64 = 200.0;
+/// Lines at once.
+const BURST_LINES: f64 = 400.0;
+
+struct Allowance {
+    lines: f64,
+    updated: Instant,
+    suppressed: u64,
+}
+
+/// Lets so many lines through; what was suppressed is told with the next line.
+#[derive(Clone)]
+struct BoundedStdout(Arc<Mutex<Allowance>>);
+
+impl BoundedStdout {
+    fn new() -> Self {
+        Self(Arc::new(Mutex::new(Allowance {
+            lines: BURST_LINES,
+            updated: Instant::now(),
+            suppressed: 0,
+        })))
+    }
+
+    /// How many lines were suppressed before this one; `None` when it is suppressed too.
+    fn admit(&self) -> Option<u64> {
+        let mut allowance = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let now = Instant::now();
+        let passed = now.duration_since(allowance.updated).as_secs_f64();
+        allowance.updated = now;
+        allowance.lines = (allowance.lines + passed * LINES_PER_SECOND).min(BURST_LINES);
+        if allowance.lines < 1.0 {
+            allowance.suppressed += 1;
+            return None;
+        }
+        allowance.lines -= 1.0;
+        Some(std::mem::take(&mut allowance.suppressed))
+    }
+
+    fn give_back(&self, lines: u64) {
+        let mut allowance = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        allowance.suppressed += lines;
+    }
+}
+
+impl Write for BoundedStdout {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        let Some(suppressed) = self.admit() else {
+            return Ok(line.len());
+        };
+        let note = match suppressed {
+            0 => String::new(),
+            count => format!("event=\"lines_suppressed\" count={count}\n"),
+        };
+        let mut whole = note.into_bytes();
+        whole.extend_from_slice(line);
+        // The descriptor does not block: a reader that does not keep up loses lines.
+        if nix::unistd::write(io::stdout(), &whole).is_err() {
+            self.give_back(suppressed + 1);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+impl<'a> MakeWriter<'a> for BoundedStdout {
+    type Writer = Self;
+
+    fn make_writer(&'a self) -> Self {
+        self.clone()
+    }
+}
+
+/// Starts logging; once per process, later calls change nothing.
+pub fn start() {
+    let stdout = io::stdout().as_raw_fd();
+    if let Ok(flags) = fcntl(stdout, FcntlArg::F_GETFL) {
+        let flags = OFlag::from_bits_truncate(flags) | OFlag::O_NONBLOCK;
+        let _ = fcntl(stdout, FcntlArg::F_SETFL(flags));
+    }
+    let _ = tracing_subscriber::fmt()
+        .with_max_level(tracing::Level::INFO)
+        .with_writer(BoundedStdout::new())
+        .with_target(false)
+        .with_ansi(false)
+        .try_init();
+}
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,96 @@
+//! Counters and latencies, served as text.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::{Request, Response};
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::Registry;
+
+use crate::answer::{self, AnswerBody};
+
+const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+/// Upper bounds of the latency buckets, in seconds.
+const LATENCY_BUCKETS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.8, 1.5, 3.0, 10.0,
+];
+
+/// What became of a request or decision.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct OutcomeLabel {
+    /// A word from the code.
+    pub outcome: &'static str,
+}
+
+/// The figures of one process.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Requests by what they were answered.
+    pub requests: Family<OutcomeLabel, Counter>,
+    /// Attempts at back ends by how they ended.
+    pub attempts: Family<OutcomeLabel, Counter>,
+    /// Seconds to the head of the answer.
+    pub latency: Histogram,
+    /// Decisions of a control machine.
+    pub decisions: Family<OutcomeLabel, Counter>,
+    /// The revision of the view or state.
+    pub revision: Gauge,
+    /// Milliseconds since the view was surely current.
+    pub view_age_ms: Gauge,
+}
+
+impl Metrics {
+    pub fn new() -> Rc<Self> {
+        let requests = Family::default();
+        let attempts = Family::default();
+        let latency = Histogram::new(LATENCY_BUCKETS);
+        let decisions = Family::default();
+        let revision = Gauge::default();
+        let view_age_ms = Gauge::default();
+        let mut registry = Registry::with_prefix("drumshore_gateway");
+        registry.register("requests", "Requests by answer", Clone::clone(&requests));
+        registry.register("attempts", "Attempts by end", Clone::clone(&attempts));
+        registry.register("answer_head_seconds", "Time to the head", latency.clone());
+        registry.register("decisions", "Control decisions", Clone::clone(&decisions));
+        registry.register("revision", "Revision held", revision.clone());
+        registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
+        Rc::new(Self {
+            registry,
+            requests,
+            attempts,
+            latency,
+            decisions,
+            revision,
+            view_age_ms,
+        })
+    }
+
+    pub fn count_request(&self, outcome: &'static str, latency: Duration) {
+        self.requests.get_or_create(&OutcomeLabel { outcome }).inc();
+        self.latency.observe(latency.as_secs_f64());
+    }
+
+    pub fn count_attempt(&self, outcome: &'static str) {
+        self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    pub fn count_decision(&self, outcome: &'static str) {
+        self.decisions
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
+    /// Answers any request with all figures.
+    pub fn answer<B>(&self, _request: &Request<B>) -> Response<AnswerBody> {
+        let mut text = String::new();
+        if encode(&mut text, &self.registry).is_err() {
+            return answer::plain(hyper::StatusCode::INTERNAL_SERVER_ERROR, "");
+        }
+        answer::typed(CONTENT_TYPE, text)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/router/headers.rs
@@ -0,0 +1,95 @@
+//! Which headers travel on, and which the gateway sets.
+
+use std::time::Duration;
+
+use drumshore_gateway_core::{Admission, Choice};
+use hyper::header::{
+    HeaderName, HeaderValue, CONNECTION, CONTENT_LENGTH, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::HeaderMap;
+
+use crate::dialect::HeaderNames;
+
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
+const EXPECT: HeaderName = hyper::header::EXPECT;
+const LEAST_URGENT: u8 = 9;
+
+/// Removes what concerns one connection only (RFC 9110 §7.6.1).
+pub(super) fn strip_connection_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    let always = [
+        CONNECTION,
+        KEEP_ALIVE,
+        PROXY_CONNECTION,
+        TE,
+        TRAILER,
+        TRANSFER_ENCODING,
+        UPGRADE,
+        EXPECT,
+    ];
+    for name in always {
+        headers.remove(name);
+    }
+}
+
+/// The caller's headers as a back end gets them, but for what depends on the attempt.
+pub(super) fn for_back_end(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
+    strip_connection_headers(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    let reserved = [
+        &names.key,
+        &names.tenant,
+        &names.expect_instance,
+        &names.expect_version,
+        &names.priority,
+        &names.cache_salt,
+        &names.cache_fetch,
+        &names.cache_save,
+    ];
+    for name in reserved.into_iter().chain(&names.reserved) {
+        headers.remove(name);
+    }
+    headers
+}
+
+/// Sets what depends on the choice and on the time that is left.
+pub(super) fn set_for_attempt(
+    headers: &mut HeaderMap,
+    names: &HeaderNames,
+    admission: &Admission,
+    choice: &Choice,
+    left: Duration,
+) {
+    let mut set = |name: &HeaderName, value: &str| {
+        if let Ok(value) = HeaderValue::from_str(value) {
+            headers.insert(name, value);
+        }
+    };
+    set(&names.deadline_ms, &left.as_millis().to_string());
+    set(&names.expect_instance, choice.instance.as_str());
+    if let Some(tenant) = &admission.tenant {
+        set(&names.tenant, tenant.name.as_str());
+    }
+    if let Some(version) = choice.expected_version {
+        set(&names.expect_version, &version.to_string());
+    }
+    if let Some(salt) = &choice.cache_salt {
+        set(&names.cache_salt, salt);
+        let priority = admission.priority.min(LEAST_URGENT).to_string();
+        set(&names.priority, &priority);
+    }
+    if let Some(store) = &choice.cache_store {
+        set(&names.cache_fetch, store);
+        set(&names.cache_save, store);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/router/mod.rs
@@ -0,0 +1,182 @@
+//! The router daemon: callers on one side, back ends on the other, control machines beside it.
+
+mod forward;
+mod headers;
+mod relay;
+mod updates;
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_gateway_core::RouterCore;
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use rand::Rng;
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+
+use crate::answer::{self, AnswerBody};
+use crate::clock::Clock;
+use crate::dialect::Dialect;
+use crate::metrics::Metrics;
+use crate::server::{self, NoAnswer, ServerParams};
+use crate::settings::RouterSettings;
+use crate::signals::{Request as SignalRequest, Signals};
+use crate::sockets;
+use crate::upstream::Upstreams;
+use crate::DaemonError;
+
+pub(crate) use relay::Relay;
+
+const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
+/// A connection may rest this long; longer than any configuration lets callers rest.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
+const MAX_CONNECTIONS: usize = 1_500;
+const MAX_PLATFORM_CONNECTIONS: usize = 32;
+/// Before the process is killed.
+const EXIT_MARGIN: Duration = Duration::from_millis(700);
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// What the tasks of a router share.
+pub(crate) struct Router {
+    core: RefCell<RouterCore>,
+    dialect: Rc<dyn Dialect>,
+    upstreams: Upstreams,
+    clock: Clock,
+    settings: RouterSettings,
+    metrics: Rc<Metrics>,
+    stopping: Cell<bool>,
+    /// Requests between their head and the end of their answer.
+    open_requests: Cell<usize>,
+    /// Wakes the links to control machines when the router's own status changed.
+    status_changed: Notify,
+}
+
+/// Runs a router until it is told to stop.
+pub fn run(settings: RouterSettings, dialect: Rc<dyn Dialect>) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run_on_loop(settings, dialect))
+}
+
+async fn run_on_loop(
+    settings: RouterSettings,
+    dialect: Rc<dyn Dialect>,
+) -> Result<(), DaemonError> {
+    let mut signals = Signals::new()?;
+    let clock = Clock::start();
+    let seed = rand::rng().random();
+    let router = Rc::new(Router {
+        core: RefCell::new(RouterCore::new(settings.params.clone(), seed)),
+        dialect,
+        upstreams: Upstreams::new(clock),
+        clock,
+        metrics: Metrics::new(),
+        stopping: Cell::new(false),
+        open_requests: Cell::new(0),
+        status_changed: Notify::new(),
+        settings,
+    });
+    listen(&router)?;
+    updates::start(&router);
+    tokio::task::spawn_local(prune(Rc::clone(&router)));
+    tracing::info!(event = "started", role = "router", node = %router.settings.node,
+        listen = %router.settings.listen);
+    while signals.next().await == SignalRequest::Reload {
+        tracing::info!(event = "reloaded", seeds = ?(router.settings.seeds)());
+    }
+    stop(&router).await;
+    Ok(())
+}
+
+fn listen(router: &Rc<Router>) -> Result<(), DaemonError> {
+    let callers = open("callers", router.settings.listen)?;
+    let params = ServerParams {
+        idle_timeout: IDLE_TIMEOUT,
+        max_connections: MAX_CONNECTIONS,
+    };
+    let shared = Rc::clone(router);
+    let forwarding = server::serve(callers, params, move |request| {
+        forward::serve(Rc::clone(&shared), request)
+    });
+    tokio::task::spawn_local(forwarding);
+    let platform = ServerParams {
+        max_connections: MAX_PLATFORM_CONNECTIONS,
+        ..params
+    };
+    let ready = open("readiness", router.settings.ready_listen)?;
+    let shared = Rc::clone(router);
+    let answering = server::serve(ready, platform, move |_: Request<Incoming>| {
+        let response = readiness(&shared);
+        async move { Ok::<_, NoAnswer>(response) }
+    });
+    tokio::task::spawn_local(answering);
+    if let Some(address) = router.settings.metrics_listen {
+        let listener = open("metrics", address)?;
+        let metrics = Rc::clone(&router.metrics);
+        let answering = server::serve(listener, platform, move |request| {
+            let response = metrics.answer(&request);
+            async move { Ok::<_, NoAnswer>(response) }
+        });
+        tokio::task::spawn_local(answering);
+    }
+    Ok(())
+}
+
+fn open(
+    what: &'static str,
+    address: std::net::SocketAddr,
+) -> Result<tokio::net::TcpListener, DaemonError> {
+    sockets::listen(address).map_err(|source| DaemonError::Listen {
+        what,
+        address,
+        source,
+    })
+}
+
+fn readiness(router: &Router) -> Response<AnswerBody> {
+    let configured = router.core.borrow().configuration_version() > 0;
+    if configured && !router.stopping.get() {
+        answer::plain(StatusCode::OK, "")
+    } else {
+        answer::plain(StatusCode::SERVICE_UNAVAILABLE, "")
+    }
+}
+
+async fn prune(router: Rc<Router>) {
+    loop {
+        tokio::time::sleep(PRUNE_INTERVAL).await;
+        router.upstreams.prune();
+        let age = router.core.borrow().view_age(router.clock.now());
+        let age_ms = age.map_or(i64::MAX, |age| age.as_millis() as i64);
+        router.metrics.view_age_ms.set(age_ms);
+    }
+}
+
+/// Callers learn from the directory and from each answer to go elsewhere; the process ends when
+/// they have had the time to, and no request is open.
+async fn stop(router: &Rc<Router>) {
+    router.stopping.set(true);
+    router.status_changed.notify_waiters();
+    tracing::info!(
+        event = "stopping",
+        open_requests = router.open_requests.get()
+    );
+    let begun = router.clock.now();
+    let last = router.settings.grace.saturating_sub(EXIT_MARGIN);
+    loop {
+        tokio::time::sleep(STOP_CHECK).await;
+        let passed = router.clock.now().since(begun);
+        let left_alone =
+            passed >= router.settings.directory_memory && router.open_requests.get() == 0;
+        if passed >= last || left_alone {
+            break;
+        }
+    }
+    tracing::info!(
+        event = "stopped",
+        open_requests = router.open_requests.get()
+    );
+}
--- /dev/null
+++ b/crates/gateway/src/router/updates.rs
@@ -0,0 +1,223 @@
+//! Links to control machines: what changed, and how surely it is current.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{Changes, Message, RouterStatus};
+use drumshore_wire::Text;
+use tokio::task::JoinHandle;
+use tokio::time::{sleep, Instant};
+
+use super::Router;
+use crate::link::{self, Receiver, Sender};
+
+/// Between two questions to any control machine.
+const PING_SPACING: Duration = Duration::from_millis(300);
+/// A link on which a question got no answer for so long is given up.
+const UNANSWERED: Duration = Duration::from_millis(2_500);
+const REDIAL: Duration = Duration::from_millis(250);
+const FOLLOW_MEMBERS: Duration = Duration::from_secs(1);
+/// A question for changes is repeated after this long.
+const FETCH_AGAIN: Duration = Duration::from_millis(300);
+
+#[derive(Default)]
+struct Links {
+    /// All control machines, as one of them said last.
+    controls: RefCell<Vec<Ipv4Addr>>,
+    tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
+    fetch_asked: Cell<Option<Timestamp>>,
+    /// The highest revision that a control machine spoke of.
+    announced: Cell<u64>,
+}
+
+pub(super) fn start(router: &Rc<Router>) {
+    let links = Rc::new(Links::default());
+    tokio::task::spawn_local(follow_members(Rc::clone(router), links));
+}
+
+/// Keeps one link to each control machine that seeds or control machines name.
+async fn follow_members(router: Rc<Router>, links: Rc<Links>) {
+    loop {
+        let mut wanted = (router.settings.seeds)();
+        wanted.extend(links.controls.borrow().iter());
+        wanted.sort_unstable();
+        wanted.dedup();
+        {
+            let mut tasks = links.tasks.borrow_mut();
+            tasks.retain(|address, task| {
+                let keep = wanted.contains(address);
+                if !keep {
+                    task.abort();
+                }
+                keep
+            });
+            for address in wanted {
+                tasks.entry(address).or_insert_with(|| {
+                    let link = keep_linked(Rc::clone(&router), Rc::clone(&links), address);
+                    tokio::task::spawn_local(link)
+                });
+            }
+        }
+        sleep(FOLLOW_MEMBERS).await;
+    }
+}
+
+async fn keep_linked(router: Rc<Router>, links: Rc<Links>, address: Ipv4Addr) {
+    let target = SocketAddr::from((address, router.settings.internal_port));
+    loop {
+        if let Ok((sender, receiver)) = link::dial(target).await {
+            tracing::info!(event = "control_linked", %address);
+            let reason = converse(&router, &links, sender, receiver).await;
+            tracing::info!(event = "control_lost", %address, reason);
+        }
+        sleep(REDIAL).await;
+    }
+}
+
+/// Speaks until the link ends; says why it did.
+async fn converse(
+    router: &Rc<Router>,
+    links: &Rc<Links>,
+    sender: Sender,
+    receiver: Receiver,
+) -> &'static str {
+    let asked: Rc<RefCell<BTreeMap<u64, Timestamp>>> = Rc::default();
+    sender.send(&status(router));
+    let asking = ask_regularly(router, links, &sender, &asked);
+    let listening = listen(router, links, &sender, receiver, &asked);
+    let telling = tell_changes(router, &sender);
+    tokio::select! {
+        reason = asking => reason,
+        reason = listening => reason,
+        reason = telling => reason,
+    }
+}
+
+fn status(router: &Router) -> Message {
+    Message::Router(RouterStatus {
+        address: Text::new(router.settings.listen.to_string()),
+        zone: Text::new(router.settings.params.zone.as_str()),
+        accepting: u8::from(!router.stopping.get()),
+    })
+}
+
+async fn tell_changes(router: &Rc<Router>, sender: &Sender) -> &'static str {
+    loop {
+        router.status_changed.notified().await;
+        if !sender.send(&status(router)) {
+            return "closed";
+        }
+    }
+}
+
+async fn ask_regularly(
+    router: &Rc<Router>,
+    links: &Rc<Links>,
+    sender: &Sender,
+    asked: &Rc<RefCell<BTreeMap<u64, Timestamp>>>,
+) -> &'static str {
+    let mut sequence = 0;
+    loop {
+        let now = router.clock.now();
+        let oldest = asked.borrow().values().next().copied();
+        if oldest.is_some_and(|at| now.since(at) > UNANSWERED) {
+            return "silent";
+        }
+        sequence += 1;
+        asked.borrow_mut().insert(sequence, now);
+        if !sender.send(&Message::Ping { sequence }) || sender.is_closed() {
+            return "closed";
+        }
+        let machines = links.tasks.borrow().len().max(1) as u32;
+        sleep(PING_SPACING * machines).await;
+    }
+}
+
+async fn listen(
+    router: &Rc<Router>,
+    links: &Rc<Links>,
+    sender: &Sender,
+    mut receiver: Receiver,
+    asked: &Rc<RefCell<BTreeMap<u64, Timestamp>>>,
+) -> &'static str {
+    loop {
+        let Ok(message) = receiver.receive().await else {
+            return "closed";
+        };
+        match message {
+            Message::Announce(announcement) => {
+                fetch(router, links, sender, announcement.revision);
+            }
+            Message::Changes(changes) => {
+                let revision = changes.revision;
+                apply(router, links, changes);
+                fetch(router, links, sender, revision);
+            }
+            Message::Pong {
+                sequence,
+                revision,
+                routers,
+                controls,
+            } => {
+                let at = asked.borrow_mut().remove(&sequence);
+                asked.borrow_mut().retain(|other, _| *other > sequence);
+                if let Some(at) = at {
+                    let mut core = router.core.borrow_mut();
+                    core.on_confirmed(at, revision, routers);
+                }
+                if !controls.items.is_empty() {
+                    let controls = controls.items.into_iter().map(Ipv4Addr::from);
+                    *links.controls.borrow_mut() = controls.collect();
+                }
+                fetch(router, links, sender, revision);
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Asks for changes, unless another link was asked just now.
+fn fetch(router: &Router, links: &Links, sender: &Sender, revision: u64) {
+    links.announced.set(links.announced.get().max(revision));
+    let held = router.core.borrow().revision();
+    if links.announced.get() <= held {
+        return;
+    }
+    let now = router.clock.now();
+    let lately = links.fetch_asked.get();
+    if lately.is_some_and(|at| now.since(at) < FETCH_AGAIN) {
+        return;
+    }
+    if sender.send(&Message::Fetch { since: held }) {
+        links.fetch_asked.set(Some(now));
+    }
+}
+
+fn apply(router: &Router, links: &Links, changes: Changes) {
+    links.fetch_asked.set(None);
+    let now = router.clock.now();
+    let began = Instant::now();
+    let revision = changes.revision;
+    let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
+    let parse = |body: &[u8]| router.dialect.document(body);
+    let applied = router.core.borrow_mut().apply(now, changes, parse);
+    match applied {
+        Ok(()) => {
+            router.metrics.revision.set(revision as i64);
+            let core = router.core.borrow();
+            tracing::info!(
+                event = "view_changed",
+                revision,
+                instances,
+                removed,
+                configuration = core.configuration_version(),
+                took_us = began.elapsed().as_micros() as u64
+            );
+        }
+        Err(error) => tracing::info!(event = "view_refused", revision, %error),
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,77 @@
+//! Serves HTTP/1.1 on a listener, one task a connection on the process's event loop.
+
+use std::future::Future;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::{Request, Response};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use crate::answer::AnswerBody;
+
+/// After an error of the listener, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// Bounds of a server's connections.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ServerParams {
+    /// How long a connection may rest, and a head may take.
+    pub idle_timeout: Duration,
+    /// Connections at once; beyond it new ones wait in the listener's queue.
+    pub max_connections: usize,
+}
+
+/// Why a request ends without an answer: its connection is closed.
+#[derive(Debug, thiserror::Error)]
+#[error("the caller has gone or sent no whole request")]
+pub(crate) struct NoAnswer;
+
+/// Serves connections until the process ends.
+pub(crate) async fn serve<H, F>(listener: TcpListener, params: ServerParams, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
+{
+    let handler = Rc::new(handler);
+    let places = Arc::new(Semaphore::new(params.max_connections));
+    loop {
+        let Ok(place) = Arc::clone(&places).acquire_owned().await else {
+            return;
+        };
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let handler = Rc::clone(&handler);
+                tokio::task::spawn_local(async move {
+                    serve_connection(stream, params, handler).await;
+                    drop(place);
+                });
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection<H, F>(stream: TcpStream, params: ServerParams, handler: Rc<H>)
+where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
+{
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| handler(request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(params.idle_timeout)
+        .max_buf_size(BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/gateway/src/sockets.rs
@@ -0,0 +1,50 @@
+//! TCP sockets that notice a dead peer.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+
+/// Data that a peer does not acknowledge for so long ends the connection.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+const BACKLOG: i32 = 512;
+
+/// Opens a connection within `patience`.
+pub(crate) async fn connect(address: SocketAddr, patience: Duration) -> io::Result<TcpStream> {
+    let connecting = TcpStream::connect(address);
+    let stream = timeout(patience, connecting)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    watch_peer(&stream)?;
+    Ok(stream)
+}
+
+/// Makes a connection end when its peer has gone without a word.
+pub(crate) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// Listens; a process that starts again takes over its predecessor's address.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
--- /dev/null
+++ b/crates/gateway/src/upstream.rs
@@ -0,0 +1,245 @@
+//! Connections to back ends: kept, few, and one request at a time on each.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::InstanceId;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{Request, Response};
+use hyper_util::rt::TokioIo;
+use tokio::sync::Notify;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+use crate::clock::Clock;
+use crate::sockets;
+
+const CONNECT_PATIENCE: Duration = Duration::from_millis(500);
+/// A connection whose peer does not say how long it may rest is closed after this long.
+const DEFAULT_REST: Duration = Duration::from_secs(10);
+/// Safety before the time that the peer says.
+const REST_MARGIN: Duration = Duration::from_millis(600);
+/// Idle connections kept to one back end.
+const MOST_IDLE: usize = 16;
+const BUFFER_BYTES: usize = 32 << 10;
+
+/// Why there is no connection. Nothing was sent.
+#[derive(Debug, thiserror::Error)]
+pub(crate) enum NoConnection {
+    /// The back end cannot be reached.
+    #[error("unreachable: {0}")]
+    Unreachable(#[from] io::Error),
+    /// All connections that this process may have are in use.
+    #[error("no free connection")]
+    NoneFree,
+}
+
+/// Why there is no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum SendError {
+    /// The request did not leave this process.
+    #[error("not sent")]
+    NotSent,
+    /// It left, at least in part.
+    #[error("connection broke")]
+    Broken,
+}
+
+#[derive(Debug)]
+struct Idle {
+    connection: Connection,
+    expires: Timestamp,
+}
+
+#[derive(Debug, Default)]
+struct Pool {
+    open: Cell<usize>,
+    idle: RefCell<Vec<Idle>>,
+    freed: Notify,
+}
+
+/// A connection; it is closed when dropped.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    pool: Rc<Pool>,
+    rest: Duration,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+        self.pool.open.set(self.pool.open.get().saturating_sub(1));
+        self.pool.freed.notify_one();
+    }
+}
+
+impl Connection {
+    /// Sends a request and waits for the head of the answer.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        let sent = self.sender.try_send_request(request).await;
+        let response = sent.map_err(|mut error| match error.take_message() {
+            Some(_) => SendError::NotSent,
+            None => SendError::Broken,
+        })?;
+        self.rest = keep_alive(&response).unwrap_or(DEFAULT_REST);
+        Ok(response)
+    }
+
+    /// Keeps the connection for another request, once its answer was read whole.
+    pub fn give_back(self, now: Timestamp) {
+        let pool = Rc::clone(&self.pool);
+        if !self.sender.is_closed() && pool.idle.borrow().len() < MOST_IDLE {
+            let expires = now.plus(self.rest.saturating_sub(REST_MARGIN));
+            pool.idle.borrow_mut().push(Idle {
+                connection: self,
+                expires,
+            });
+        }
+        pool.freed.notify_one();
+    }
+}
+
+/// All connections to back ends.
+pub(crate) struct Upstreams {
+    pools: RefCell<HashMap<InstanceId, Rc<Pool>>>,
+    clock: Clock,
+}
+
+impl Upstreams {
+    pub fn new(clock: Clock) -> Self {
+        Self {
+            pools: RefCell::default(),
+            clock,
+        }
+    }
+
+    /// A connection that is ready for a request, of at most `most`; waits for one to be freed
+    /// for `patience`.
+    pub async fn connect(
+        &self,
+        instance: &InstanceId,
+        address: &str,
+        most: usize,
+        patience: Duration,
+    ) -> Result<Connection, NoConnection> {
+        let pool = self.pool(instance);
+        let waiting = async {
+            loop {
+                if let Some(connection) = self.take_idle(&pool) {
+                    return Ok(connection);
+                }
+                if pool.open.get() < most {
+                    return open(address, &pool).await;
+                }
+                pool.freed.notified().await;
+            }
+        };
+        let waited = timeout(patience + CONNECT_PATIENCE, waiting).await;
+        waited.unwrap_or(Err(NoConnection::NoneFree))
+    }
+
+    /// Closes connections that rested long enough, and forgets back ends without any.
+    pub fn prune(&self) {
+        let now = self.clock.now();
+        self.pools.borrow_mut().retain(|_, pool| {
+            let fresh = |idle: &mut Idle| idle.expires > now && !idle.connection.sender.is_closed();
+            let mut idle = std::mem::take(&mut *pool.idle.borrow_mut());
+            idle.retain_mut(fresh);
+            *pool.idle.borrow_mut() = idle;
+            pool.open.get() > 0 || Rc::strong_count(pool) > 1
+        });
+    }
+
+    fn pool(&self, instance: &InstanceId) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        Rc::clone(pools.entry(instance.clone()).or_default())
+    }
+
+    /// The connection that rested least.
+    fn take_idle(&self, pool: &Pool) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut stale = Vec::new();
+        let mut found = None;
+        {
+            let mut idle = pool.idle.borrow_mut();
+            while let Some(last) = idle.pop() {
+                if last.expires <= now || last.connection.sender.is_closed() {
+                    stale.push(last);
+                } else if last.connection.sender.is_ready() {
+                    found = Some(last.connection);
+                    break;
+                } else {
+                    stale.push(last);
+                }
+            }
+        }
+        drop(stale);
+        found
+    }
+}
+
+async fn open(address: &str, pool: &Rc<Pool>) -> Result<Connection, NoConnection> {
+    let address: SocketAddr = address
+        .parse()
+        .map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
+    let place = Place::take(pool);
+    let stream = sockets::connect(address, CONNECT_PATIENCE).await?;
+    let handshake = http1::Builder::new()
+        .max_buf_size(BUFFER_BYTES)
+        .handshake(TokioIo::new(stream));
+    let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        let _ = connection.await;
+    });
+    Ok(Connection {
+        sender,
+        task: task.abort_handle(),
+        pool: place.keep(),
+        rest: DEFAULT_REST,
+    })
+}
+
+/// Counts a connection while it is being opened.
+struct Place(Option<Rc<Pool>>);
+
+impl Place {
+    fn take(pool: &Rc<Pool>) -> Self {
+        pool.open.set(pool.open.get() + 1);
+        Self(Some(Rc::clone(pool)))
+    }
+
+    fn keep(mut self) -> Rc<Pool> {
+        self.0.take().expect("a place is kept once")
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if let Some(pool) = self.0.take() {
+            pool.open.set(pool.open.get().saturating_sub(1));
+            pool.freed.notify_one();
+        }
+    }
+}
+
+/// How long the peer lets the connection rest, in whole seconds.
+fn keep_alive(response: &Response<Incoming>) -> Option<Duration> {
+    let value = response.headers().get("keep-alive")?.to_str().ok()?;
+    let parameter = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    parameter.parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/testbed/src/bench/index.rs
@@ -0,0 +1,191 @@
+//! What the index beside a control machine costs, and how that grows with what it knows.
+
+use std::time::Instant;
+
+use drumshore_core::{EngineId, EngineName, Incarnation, Timestamp};
+use drumshore_routing::{
+    CacheChange, CacheReport, Indexer, IndexerParams, Question, QuestionId, QuestionPrefix,
+    SequenceHash,
+};
+use procfs::process::Process;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+use crate::cli::LabError;
+use crate::load::{histogram, Percentiles};
+
+/// Letter 1's engines of one region: 1,900 over 5.
+const ENGINES: usize = 380;
+
+/// Blocks that an answer to a poll changes: 1,580 a second, twice a second, half of them new.
+const CHANGES_PER_REPORT: usize = 790;
+
+/// Prefixes of one question.
+const PREFIXES: u64 = 16;
+
+const REPORTS: usize = 2_000;
+const QUESTIONS: u32 = 20_000;
+
+/// The cost of an index of one size.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct IndexReport {
+    /// Engines.
+    pub(super) engines: usize,
+    /// Blocks known, each as often as it is held.
+    pub(super) entries: usize,
+    /// Resident memory for each.
+    pub(super) bytes_per_entry: f64,
+    /// Time to take one change in, in nanoseconds.
+    pub(super) change_ns: f64,
+    /// Time to read one change from an engine's answer, in nanoseconds.
+    pub(super) decode_ns: f64,
+    /// Bytes of one change in an engine's answer.
+    pub(super) change_bytes: f64,
+    /// Time to answer one question, in microseconds.
+    pub(super) question_us: Percentiles,
+}
+
+/// Fills an index with `blocks` blocks of each engine and measures it.
+pub(super) fn measure(blocks: usize, seed: u64) -> Result<IndexReport, LabError> {
+    let mut bench = IndexBench::new(blocks, seed);
+    let before = resident_bytes()?;
+    bench.fill();
+    let entries = bench.indexer.entries();
+    let bytes = resident_bytes()?.saturating_sub(before);
+    let (decode_ns, change_bytes, change_ns) = bench.churn()?;
+    Ok(IndexReport {
+        engines: ENGINES,
+        entries,
+        bytes_per_entry: bytes as f64 / entries.max(1) as f64,
+        change_ns,
+        decode_ns,
+        change_bytes,
+        question_us: bench.ask(),
+    })
+}
+
+fn resident_bytes() -> Result<u64, LabError> {
+    let read = || Process::myself()?.stat();
+    let stat = read().map_err(|error| LabError::Usage(error.to_string()))?;
+    Ok(stat.rss * procfs::page_size())
+}
+
+struct IndexBench {
+    indexer: Indexer,
+    engines: Vec<EngineId>,
+    blocks: usize,
+    random: ChaCha8Rng,
+    next_change: Vec<u64>,
+}
+
+impl IndexBench {
+    fn new(blocks: usize, seed: u64) -> Self {
+        let names = (0..ENGINES).map(|number| EngineName::new(format!("engine-{number}")));
+        Self {
+            indexer: Indexer::new(IndexerParams::default()),
+            engines: names.map(|name| name.id()).collect(),
+            blocks,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            next_change: vec![1; ENGINES],
+        }
+    }
+
+    /// A block of an engine: most are its own, some are held by several.
+    fn block(&self, engine: usize, number: usize) -> SequenceHash {
+        const SHARED_EVERY: usize = 4;
+        const SHARED_BY: usize = 8;
+        let owner = if number.is_multiple_of(SHARED_EVERY) {
+            engine / SHARED_BY
+        } else {
+            ENGINES + engine
+        };
+        let number = ((owner as u64) << 32) | number as u64;
+        SequenceHash(xxhash_rust::xxh3::xxh3_64(&number.to_le_bytes()))
+    }
+
+    fn fill(&mut self) {
+        for engine in 0..ENGINES {
+            let held = (0..self.blocks).map(|number| self.block(engine, number));
+            let report = CacheReport {
+                incarnation: Incarnation(1),
+                complete: true,
+                first: 1,
+                changes: held.map(CacheChange::Stored).collect(),
+            };
+            self.indexer
+                .on_report(self.engines[engine], &report, Timestamp(0));
+        }
+    }
+
+    /// Blocks come and go; gives the time to read one change, its bytes, and the time to take it.
+    fn churn(&mut self) -> Result<(f64, f64, f64), LabError> {
+        let (mut decoding, mut bytes, mut taking) = (0.0, 0, 0.0);
+        for _ in 0..REPORTS {
+            let engine = self.random.random_range(0..ENGINES);
+            let body = serde_json::to_vec(&self.report(engine))?;
+            bytes += body.len();
+            let started = Instant::now();
+            let report: CacheReport = serde_json::from_slice(&body)?;
+            decoding += started.elapsed().as_secs_f64();
+            let started = Instant::now();
+            let id = self.engines[engine];
+            self.indexer.on_report(id, &report, Timestamp(1));
+            taking += started.elapsed().as_secs_f64();
+        }
+        let changes = (REPORTS * CHANGES_PER_REPORT) as f64;
+        let nanoseconds = |seconds: f64| seconds * 1e9 / changes;
+        Ok((
+            nanoseconds(decoding),
+            bytes as f64 / changes,
+            nanoseconds(taking),
+        ))
+    }
+
+    fn report(&mut self, engine: usize) -> CacheReport {
+        let first = self.next_change[engine];
+        self.next_change[engine] += CHANGES_PER_REPORT as u64;
+        let changes = (0..CHANGES_PER_REPORT).map(|position| {
+            let number = self.random.random_range(0..self.blocks);
+            let block = self.block(engine, number);
+            if position.is_multiple_of(2) {
+                CacheChange::Stored(block)
+            } else {
+                CacheChange::Removed(block)
+            }
+        });
+        CacheReport {
+            incarnation: Incarnation(1),
+            complete: false,
+            first,
+            changes: changes.collect(),
+        }
+    }
+
+    fn ask(&mut self) -> Percentiles {
+        let mut nanoseconds = histogram();
+        for ticket in 0..QUESTIONS {
+            let engine = self.random.random_range(0..ENGINES);
+            let first = self.random.random_range(0..self.blocks);
+            let prefixes = (0..PREFIXES).map(|offset| QuestionPrefix {
+                hash: self.block(engine, (first + offset as usize) % self.blocks),
+                blocks: offset as u32 + 1,
+            });
+            let question = Question {
+                id: QuestionId { asker: 1, ticket },
+                prefixes: prefixes.collect(),
+                block_tokens: 2_048,
+                prompt_tokens: 40_000,
+                recompute_weight: 1.6,
+                limit: 6,
+            };
+            let started = Instant::now();
+            let engines = self.engines.iter().copied();
+            let holdings = self.indexer.ask(&question, engines, Timestamp(1));
+            let took = started.elapsed().as_nanos() as u64;
+            assert!(!holdings.is_empty(), "every engine is a candidate");
+            nanoseconds.saturating_record(took);
+        }
+        Percentiles::of(&nanoseconds)
+    }
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -67,36 +67,72 @@
 
 /// The bytes of one message as one frame.
 pub fn encode_frame(message: &Message) -> Result<Vec<u8>, FrameError> {
-    let payload = encode(message)?;
+    encode_payload(&encode(message)?)
+}
+
+/// The bytes of one frame around a payload of another layer.
+pub fn encode_payload(payload: &[u8]) -> Result<Vec<u8>, FrameError> {
     let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
     if length > MAX_PAYLOAD_BYTES {
         return Err(FrameError::TooLarge(length));
     }
-    let checksum = crc32fast::hash(&payload);
+    let checksum = crc32fast::hash(payload);
     let mut bytes = encode(&Header {
         version: PROTOCOL_VERSION,
         length,
         checksum,
     })?;
-    bytes.extend_from_slice(&payload);
+    bytes.extend_from_slice(payload);
     Ok(bytes)
 }
 
+/// The head of a frame whose payload is still to be read, for callers that read without blocking.
+#[derive(Clone, Copy, Debug)]
+pub struct FrameHead {
+    length: u32,
+    checksum: u32,
+}
+
+impl FrameHead {
+    /// Bytes of a head.
+    pub const BYTES: usize = HEADER_BYTES;
+
+    /// Reads a head.
+    pub fn parse(bytes: [u8; HEADER_BYTES]) -> Result<Self, FrameError> {
+        let header = Header::read(&mut Cursor::new(bytes))?;
+        if header.version != PROTOCOL_VERSION {
+            return Err(FrameError::Version(header.version));
+        }
+        if header.length > MAX_PAYLOAD_BYTES {
+            return Err(FrameError::TooLarge(header.length));
+        }
+        Ok(Self {
+            length: header.length,
+            checksum: header.checksum,
+        })
+    }
+
+    /// Bytes of the payload that follows.
+    pub fn payload_bytes(&self) -> usize {
+        self.length as usize
+    }
+
+    /// Checks the payload against the head.
+    pub fn check(&self, payload: &[u8]) -> Result<(), FrameError> {
+        if crc32fast::hash(payload) != self.checksum {
+            return Err(FrameError::Checksum);
+        }
+        Ok(())
+    }
+}
+
 /// Reads one frame and its message.
 pub fn read_frame(stream: &mut impl Read) -> Result<Message, FrameError> {
     let mut header = [0; HEADER_BYTES];
     stream.read_exact(&mut header)?;
-    let header = Header::read(&mut Cursor::new(header))?;
-    if header.version != PROTOCOL_VERSION {
-        return Err(FrameError::Version(header.version));
-    }
-    if header.length > MAX_PAYLOAD_BYTES {
-        return Err(FrameError::TooLarge(header.length));
-    }
-    let mut payload = vec![0; header.length as usize];
+    let head = FrameHead::parse(header)?;
+    let mut payload = vec![0; head.payload_bytes()];
     stream.read_exact(&mut payload)?;
-    if crc32fast::hash(&payload) != header.checksum {
-        return Err(FrameError::Checksum);
-    }
+    head.check(&payload)?;
     Ok(Message::read(&mut Cursor::new(payload))?)
 }
