Load the weights of the back ends that are furthest behind first; pass over silent ones

Change: order by the version held; silent back ends neither count nor are ordered; one whose address answers for a later incarnation is deregistered.

--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -26,6 +26,8 @@
 const NEXT_LOOK: Duration = Duration::from_millis(150);
 /// An order that had no effect by then is given again.
 const ORDER_AGAIN: Duration = Duration::from_millis(1_500);
+/// A back end that said nothing for so long is passed over until it is heard again.
+const INSTANCE_SILENCE: Duration = Duration::from_secs(4);
 /// An order is only given while a quorum has confirmed this leader so lately.
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(700);
 
@@ -107,6 +109,9 @@
     instance: String,
     address: String,
     model: String,
+    /// The version it holds.
+    held: u64,
+    /// The version it is to hold.
     version: u64,
 }
 
@@ -127,6 +132,9 @@
         if current != id {
             return;
         }
+        if outcome == OrderOutcome::Gone {
+            self.on_instance_gone(name);
+        }
         let look = match outcome {
             OrderOutcome::Taken => at.plus(FIRST_LOOK),
             OrderOutcome::Holds | OrderOutcome::Conflict | OrderOutcome::Unknown => now,
@@ -136,6 +144,21 @@
         self.rollouts.steps.insert(name.to_owned(), step);
     }
 
+    /// Another incarnation answered at its address. When that one has registered, the word of a
+    /// back end that is no more is all that is left of it.
+    fn on_instance_gone(&mut self, name: &str) {
+        let Some(record) = self.state.instance(name) else {
+            return;
+        };
+        let replaced = self.state.instances().any(|other| {
+            other.address == record.address && other.registered > record.registered
+        });
+        if replaced {
+            let instance = record.instance.clone();
+            self.propose(None, Command::Deregister { instance });
+        }
+    }
+
     /// Takes in a back end's report, or that there was none.
     pub fn on_report(&mut self, now: Timestamp, instance: &InstanceId, report: Option<&Report>) {
         self.now = now;
@@ -170,8 +193,12 @@
         if !self.may_order() {
             return;
         }
-        self.start_loads(&loads);
-        for load in loads {
+        let heard: Vec<Load> = loads
+            .into_iter()
+            .filter(|load| self.is_instance_heard(&load.instance))
+            .collect();
+        self.start_loads(&heard);
+        for load in heard {
             let record = self.state.instance(&load.instance);
             if record.is_some_and(InstanceRecord::is_loading) {
                 self.drive_load(load);
@@ -196,7 +223,12 @@
     fn start_loads(&mut self, loads: &[Load]) {
         let mut by_pool: BTreeMap<String, (usize, usize)> = BTreeMap::new();
         for record in self.state.instances() {
-            let counts = by_pool.entry(record.pool.as_str().to_owned()).or_default();
+            if !self.is_instance_heard(record.instance.as_str()) {
+                continue;
+            }
+            let counts = by_pool
+                .entry(record.pool.as_str().to_owned())
+                .or_default();
             counts.0 += 1;
             counts.1 += usize::from(record.is_loading());
         }
@@ -219,6 +251,12 @@
         }
     }
 
+    /// A back end that stopped talking holds up nobody else's load.
+    fn is_instance_heard(&self, instance: &str) -> bool {
+        let heard = self.heard.get(instance);
+        heard.is_some_and(|at| self.now.since(*at) < INSTANCE_SILENCE)
+    }
+
     fn drive_load(&mut self, load: Load) {
         let now = self.now;
         let fresh = Step::Loading {
@@ -292,6 +330,7 @@
                 instance: name.to_owned(),
                 address: record.address.as_str().to_owned(),
                 model: loaded.model.as_str().to_owned(),
+                held,
                 version: held,
             };
             if loaded.loading != 0 && held > loaded.version {
@@ -315,7 +354,8 @@
     }
 }
 
-/// Back ends whose weights are older than what was named, or that are loading.
+/// Back ends whose weights are older than what was named, or that are loading; those that are
+/// furthest behind first, for their time runs out first.
 fn pending_loads(state: &ReplicatedState) -> Vec<Load> {
     let mut loads = Vec::new();
     for record in state.instances() {
@@ -329,10 +369,12 @@
                     instance: record.instance.as_str().to_owned(),
                     address: record.address.as_str().to_owned(),
                     model: loaded.model.as_str().to_owned(),
+                    held: loaded.version,
                     version: named.max(loaded.version),
                 });
             }
         }
     }
+    loads.sort_by_key(|load| load.held);
     loads
 }
