--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -99,6 +99,13 @@
     ToRouter(ConnectionId, Message),
     /// An answer.
     Reply(Ticket, Reply),
+    /// The state changed, for logs. A configuration comes without its body.
+    Applied {
+        /// The position in the log.
+        position: u64,
+        /// What changed it.
+        command: Command,
+    },
     /// An order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
     Order(Order),
     /// A question to a back end; its answer goes to [`ControlCore::on_report`].
@@ -143,6 +150,8 @@
     reads: Reads,
     routers: Routers,
     rollouts: Rollouts,
+    /// When weights were named, by revision; those from before this start count from the start.
+    named_at: BTreeMap<u64, Timestamp>,
     /// When each back end was heard last, here or, at the leader, anywhere.
     heard: BTreeMap<String, Timestamp>,
     leads_since: Option<Timestamp>,
@@ -184,6 +193,7 @@
             reads: Reads::default(),
             routers: Routers::default(),
             rollouts: Rollouts::default(),
+            named_at: BTreeMap::new(),
             heard: BTreeMap::new(),
             leads_since: None,
             confirmed_at: None,
@@ -347,7 +357,10 @@
         for entry in output.committed {
             self.applied = entry.index;
             if let Some(proposal) = Proposal::decode(&entry.data) {
-                self.state.apply(entry.index.0, &proposal.command);
+                let changed = self.state.apply(entry.index.0, &proposal.command);
+                if changed {
+                    self.note_applied(entry.index.0, proposal.command);
+                }
                 self.answer_proposal(proposal.id);
             }
         }
@@ -357,6 +370,23 @@
         }
     }
 
+    fn note_applied(&mut self, position: u64, mut command: Command) {
+        match &mut command {
+            Command::Configure { body, .. } => body.bytes.clear(),
+            Command::NameWeights { .. } => {
+                self.named_at.insert(position, self.now);
+            }
+            _ => {}
+        }
+        self.effects.push(Effect::Applied { position, command });
+    }
+
+    fn weights_age_ms(&self, revision: u64) -> u32 {
+        let named = self.named_at.get(&revision).copied().unwrap_or_default();
+        let age = self.now.since(named).as_millis();
+        u32::try_from(age).unwrap_or(u32::MAX)
+    }
+
     fn snapshot_if_due(&mut self) -> Result<(), ReplicaError> {
         if self.applied.0 < self.snapshot_at.0 + self.params.snapshot_entries {
             return Ok(());
@@ -401,7 +431,7 @@
             .iter()
             .filter(|(model, version)| {
                 let loaded = record.model(model.as_str());
-                loaded.is_some_and(|loaded| loaded.loading == 0 && loaded.version < *version)
+                loaded.is_some_and(|loaded| loaded.version < *version && loaded.loading <= *version)
             })
             .cloned()
             .collect();
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -150,9 +150,10 @@
         let Some(record) = self.state.instance(name) else {
             return;
         };
-        let replaced = self.state.instances().any(|other| {
-            other.address == record.address && other.registered > record.registered
-        });
+        let replaced = self
+            .state
+            .instances()
+            .any(|other| other.address == record.address && other.registered > record.registered);
         if replaced {
             let instance = record.instance.clone();
             self.propose(None, Command::Deregister { instance });
@@ -190,14 +191,14 @@
             return;
         }
         self.queue_read(Waiting::Leader);
-        if !self.may_order() {
-            return;
-        }
+        self.forget_finished_steps();
         let heard: Vec<Load> = loads
             .into_iter()
             .filter(|load| self.is_instance_heard(&load.instance))
             .collect();
-        self.start_loads(&heard);
+        if self.may_order() {
+            self.start_loads(&heard);
+        }
         for load in heard {
             let record = self.state.instance(&load.instance);
             if record.is_some_and(InstanceRecord::is_loading) {
@@ -220,15 +221,25 @@
         self.role() == Role::Leader && waited && confirmed
     }
 
+    /// A step belongs to a load that is under way, or that was proposed just now.
+    fn forget_finished_steps(&mut self) {
+        let now = self.now;
+        let state = &self.state;
+        self.rollouts.steps.retain(|name, step| {
+            let record = state.instance(name);
+            let loading = record.is_some_and(InstanceRecord::is_loading);
+            let proposed = matches!(step, Step::Noticed { at } if now.since(*at) < ORDER_AGAIN);
+            loading || proposed
+        });
+    }
+
     fn start_loads(&mut self, loads: &[Load]) {
         let mut by_pool: BTreeMap<String, (usize, usize)> = BTreeMap::new();
         for record in self.state.instances() {
             if !self.is_instance_heard(record.instance.as_str()) {
                 continue;
             }
-            let counts = by_pool
-                .entry(record.pool.as_str().to_owned())
-                .or_default();
+            let counts = by_pool.entry(record.pool.as_str().to_owned()).or_default();
             counts.0 += 1;
             counts.1 += usize::from(record.is_loading());
         }
@@ -270,7 +281,9 @@
             .or_insert(fresh);
         match step {
             Step::Noticed { at } if now.since(at) >= self.params.load_notice => {
-                self.give_order(load);
+                if self.may_order() {
+                    self.give_order(load);
+                }
             }
             Step::Ordered { at, .. } if now.since(at) >= ORDER_AGAIN => {
                 let look = Step::Loading {
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -8,7 +8,7 @@
 
 use super::reads::Waiting;
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{Announcement, Message, RouterStatus};
+use crate::{Announcement, Message, NamedWeights, RouterStatus};
 
 /// A router that asked nothing for so long is not handed to callers.
 const SILENCE: Duration = Duration::from_millis(4_000);
@@ -50,7 +50,8 @@
                 self.queue_read(Waiting::Router(connection, sequence));
             }
             Message::Fetch { since } => {
-                let changes = self.state.changes_since(since);
+                let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
+                let changes = self.state.changes_since(since, age_ms);
                 let message = Message::Changes(changes);
                 self.effects.push(Effect::ToRouter(connection, message));
             }
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -5,7 +5,7 @@
 use drumshore_consensus::ReplicaId;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{InstanceRecord, NamedWeights};
+use crate::InstanceRecord;
 
 /// What a router tells about itself.
 #[binrw]
@@ -29,6 +29,20 @@
     pub revision: u64,
 }
 
+/// Weights that were named, and how long ago. A process that starts must not take what it hears
+/// for new.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WeightsNotice {
+    /// The model.
+    pub model: Text,
+    /// The version that back ends are to hold.
+    pub version: u64,
+    /// Milliseconds since it was named, as far as the sender knows.
+    pub age_ms: u32,
+}
+
 /// What changed between two revisions.
 #[binrw]
 #[brw(little)]
@@ -40,8 +54,8 @@
     pub revision: u64,
     /// 0 or 1 configuration.
     pub configuration: List<Blob>,
-    /// Models whose named version changed.
-    pub weights: List<NamedWeights>,
+    /// Weights that were named.
+    pub weights: List<WeightsNotice>,
     /// Back ends that are new or changed.
     pub instances: List<InstanceRecord>,
     /// Back ends that have gone.
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Named {
     version: u64,
-    received: Timestamp,
+    since: Timestamp,
 }
 
 /// The replicated state as a router has it.
@@ -84,7 +84,7 @@
     pub fn required_version(&self, model: &str, now: Timestamp, grace: std::time::Duration) -> u64 {
         let named = self.named.get(model).into_iter().flatten();
         named
-            .filter(|named| now.since(named.received) >= grace)
+            .filter(|named| now.since(named.since) >= grace)
             .map(|named| named.version)
             .max()
             .unwrap_or(0)
@@ -143,7 +143,7 @@
                 .or_default();
             named.push(Named {
                 version: weights.version,
-                received: now,
+                since: Timestamp(now.0.saturating_sub(u64::from(weights.age_ms) * 1_000)),
             });
             if named.len() > REMEMBERED {
                 named.remove(0);
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -6,12 +6,15 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{Changes, Command, LoadPhase};
+use crate::{Changes, Command, LoadPhase, WeightsNotice};
 
 /// Back ends that have gone are remembered, so that a late word of theirs does not bring them
 /// back; beyond this many the oldest are forgotten.
 const REMEMBERED_REMOVALS: usize = 4_096;
 
+/// Versions of one model; enough for those that are named within the time a load may take.
+const REMEMBERED_VERSIONS: usize = 16;
+
 /// Whether a back end may get new requests.
 #[binrw]
 #[brw(little, repr = u8)]
@@ -123,7 +126,8 @@
     /// Removals up to this revision may have been forgotten.
     forgotten: u64,
     configuration: StoredConfiguration,
-    weights: BTreeMap<String, NamedWeights>,
+    /// The versions of each model that were named last, oldest first.
+    weights: BTreeMap<String, Vec<NamedWeights>>,
     instances: BTreeMap<String, InstanceRecord>,
     removals: BTreeMap<String, u64>,
 }
@@ -159,14 +163,15 @@
         self.removals.contains_key(instance)
     }
 
-    /// All named weights.
+    /// The weights that were named last, of each model oldest first.
     pub fn weights(&self) -> impl Iterator<Item = &NamedWeights> {
-        self.weights.values()
+        self.weights.values().flatten()
     }
 
     /// The version of a model that back ends are to hold; 0 when none was named.
     pub fn named_version(&self, model: &str) -> u64 {
-        self.weights.get(model).map_or(0, |named| named.version)
+        let newest = self.weights.get(model).and_then(|named| named.last());
+        newest.map_or(0, |named| named.version)
     }
 
     /// Applies a committed command at its position. True when something changed.
@@ -191,7 +196,8 @@
     }
 
     /// What a router with revision `since` lacks.
-    pub fn changes_since(&self, since: u64) -> Changes {
+    /// `age_ms` tells how long ago weights were named.
+    pub fn changes_since(&self, since: u64, age_ms: impl Fn(&NamedWeights) -> u32) -> Changes {
         let since = if since < self.forgotten || since > self.revision {
             0
         } else {
@@ -201,14 +207,19 @@
             .then(|| self.configuration.body.clone())
             .into_iter()
             .collect();
-        let weights = self.weights.values().filter(|item| item.revision > since);
+        let weights = self.weights().filter(|item| item.revision > since);
+        let notice = |named: &NamedWeights| WeightsNotice {
+            model: named.model.clone(),
+            version: named.version,
+            age_ms: age_ms(named),
+        };
         let instances = self.instances.values().filter(|item| item.revision > since);
         let removed = self.removals.iter().filter(|item| *item.1 > since);
         Changes {
             since,
             revision: self.revision,
             configuration: List::new(configuration),
-            weights: List::new(weights.cloned().collect()),
+            weights: List::new(weights.map(notice).collect()),
             instances: List::new(instances.cloned().collect()),
             removed: List::new(removed.map(|item| Text::new(item.0.as_str())).collect()),
         }
@@ -224,7 +235,7 @@
             revision: self.revision,
             forgotten: self.forgotten,
             configuration: self.configuration.clone(),
-            weights: List::new(self.weights.values().cloned().collect()),
+            weights: List::new(self.weights().cloned().collect()),
             instances: List::new(self.instances.values().cloned().collect()),
             removals: List::new(removals.collect()),
         };
@@ -238,14 +249,18 @@
     /// Reads a snapshot back.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         let image = Image::read(&mut Cursor::new(bytes)).ok()?;
-        let by_model = |named: NamedWeights| (named.model.as_str().to_owned(), named);
+        let mut weights: BTreeMap<String, Vec<NamedWeights>> = BTreeMap::new();
+        for named in image.weights.items {
+            let model = named.model.as_str().to_owned();
+            weights.entry(model).or_default().push(named);
+        }
         let by_instance = |record: InstanceRecord| (record.instance.as_str().to_owned(), record);
         let removal = |item: Removal| (item.instance.as_str().to_owned(), item.revision);
         Some(Self {
             revision: image.revision,
             forgotten: image.forgotten,
             configuration: image.configuration,
-            weights: image.weights.items.into_iter().map(by_model).collect(),
+            weights,
             instances: image.instances.items.into_iter().map(by_instance).collect(),
             removals: image.removals.items.into_iter().map(removal).collect(),
         })
@@ -345,7 +360,11 @@
             version,
             revision: position,
         };
-        self.weights.insert(model.as_str().to_owned(), named);
+        let versions = self.weights.entry(model.as_str().to_owned()).or_default();
+        versions.push(named);
+        if versions.len() > REMEMBERED_VERSIONS {
+            versions.remove(0);
+        }
         true
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -13,7 +13,7 @@
 
 use drumshore_consensus::{FileDirectory, ReplicaError, Role};
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{ConnectionId, ControlCore, Effect, Reply, Ticket};
+use drumshore_gateway_core::{Command, ConnectionId, ControlCore, Effect, Reply, Ticket};
 use hyper::body::Incoming;
 use hyper::Request;
 use rand::Rng;
@@ -226,6 +226,7 @@
                     let _ = waiting.send(reply);
                 }
             }
+            Effect::Applied { position, command } => log_applied(position, &command),
             Effect::Order(order) => back_ends::give_order(self, order),
             Effect::Ask { instance, address } => back_ends::ask(self, instance, address),
         }
@@ -271,3 +272,61 @@
         rand::rng().random()
     }
 }
+
+/// One line for each change of what this machine believes.
+fn log_applied(position: u64, command: &Command) {
+    match command {
+        Command::Configure { version, .. } => {
+            tracing::info!(event = "configuration_applied", position, version);
+        }
+        Command::Register {
+            instance,
+            pool,
+            address,
+            draining,
+            ..
+        } => {
+            let (instance, pool) = (instance.as_str(), pool.as_str());
+            let address = address.as_str();
+            tracing::info!(
+                event = "instance_registered",
+                position,
+                instance,
+                pool,
+                address,
+                draining
+            );
+        }
+        Command::Drain { instance } => {
+            tracing::info!(
+                event = "instance_draining",
+                position,
+                instance = instance.as_str()
+            );
+        }
+        Command::Deregister { instance } => {
+            tracing::info!(
+                event = "instance_removed",
+                position,
+                instance = instance.as_str()
+            );
+        }
+        Command::NameWeights { model, version } => {
+            tracing::info!(
+                event = "weights_applied",
+                position,
+                model = model.as_str(),
+                version
+            );
+        }
+        Command::Load {
+            instance,
+            model,
+            version,
+            phase,
+        } => {
+            let (instance, model) = (instance.as_str(), model.as_str());
+            tracing::info!(event = "load", position, instance, model, version, ?phase);
+        }
+    }
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -26,6 +26,8 @@
 const MOST_TRIES: usize = 4;
 /// A caller that was refused because of a passing state comes back after this long.
 const COME_BACK: Duration = Duration::from_millis(60);
+/// Another router serves it at once.
+const COME_BACK_AT_ONCE: Duration = Duration::from_millis(5);
 /// A caller comes back later when no back end is there at all.
 const COME_BACK_LATER: Duration = Duration::from_millis(400);
 /// Part of a route's target within which a repeatable request should have its answer's head.
@@ -57,6 +59,21 @@
     reason: &'static str,
 }
 
+/// Why a request is not looked into.
+#[derive(Clone, Copy, Debug)]
+enum Refused {
+    /// The router's view says so.
+    ByView(Refusal),
+    /// This process ends too soon.
+    Stopping,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self::ByView(refusal)
+    }
+}
+
 /// Counts a request as open until its answer has ended.
 pub(super) struct OpenRequest(Rc<Router>);
 
@@ -88,7 +105,7 @@
         }
         Err(refusal) => refuse(&router, &id, received, refusal),
     };
-    if router.stopping.get() {
+    if router.stopping.get().is_some() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
     }
@@ -99,13 +116,16 @@
     router: &Router,
     request: &Request<Incoming>,
     now: Timestamp,
-) -> Result<(Admission, Option<Prompt>), Refusal> {
+) -> Result<(Admission, Option<Prompt>), Refused> {
     let names = router.dialect.headers();
     let headers = request.headers();
     let host = host_of(request);
     let key = headers.get(&names.key).and_then(|key| key.to_str().ok());
     let path = request.uri().path();
     let admission = router.core.borrow_mut().admit(now, &host, path, key)?;
+    if router.stops_before(admission.route.kind) {
+        return Err(Refused::Stopping);
+    }
     let prompt = router.dialect.prompt(headers);
     Ok((admission, prompt))
 }
@@ -416,21 +436,17 @@
     router: &Router,
     id: &str,
     received: Timestamp,
-    refusal: Refusal,
+    refused: Refused,
 ) -> Response<AnswerBody> {
-    let (status, come_back, reason) = match refusal {
-        Refusal::NoRoute => (StatusCode::NOT_FOUND, None, "no_route"),
-        Refusal::UnknownKey => (StatusCode::UNAUTHORIZED, None, "unknown_key"),
-        Refusal::NoConfiguration => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(COME_BACK_LATER),
-            "no_configuration",
-        ),
-        Refusal::Unconfirmed => (
-            StatusCode::SERVICE_UNAVAILABLE,
-            Some(COME_BACK_LATER),
-            "unconfirmed",
-        ),
+    let busy = StatusCode::SERVICE_UNAVAILABLE;
+    let (status, come_back, reason) = match refused {
+        Refused::ByView(Refusal::NoRoute) => (StatusCode::NOT_FOUND, None, "no_route"),
+        Refused::ByView(Refusal::UnknownKey) => (StatusCode::UNAUTHORIZED, None, "unknown_key"),
+        Refused::ByView(Refusal::NoConfiguration) => {
+            (busy, Some(COME_BACK_LATER), "no_configuration")
+        }
+        Refused::ByView(Refusal::Unconfirmed) => (busy, Some(COME_BACK_LATER), "unconfirmed"),
+        Refused::Stopping => (busy, Some(COME_BACK_AT_ONCE), "stopping"),
     };
     let now = router.clock.now();
     router.metrics.count_request(reason, now.since(received));
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -9,7 +9,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_gateway_core::RouterCore;
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{RequestKind, RouterCore};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
@@ -36,6 +37,10 @@
 const MAX_PLATFORM_CONNECTIONS: usize = 32;
 /// Before the process is killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(700);
+/// A stream that begins later than this before the end would be cut.
+const STREAM_NEEDS: Duration = Duration::from_millis(3_300);
+/// The same for other requests.
+const ANSWER_NEEDS: Duration = Duration::from_millis(1_200);
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
 /// What the tasks of a router share.
@@ -46,7 +51,8 @@
     clock: Clock,
     settings: RouterSettings,
     metrics: Rc<Metrics>,
-    stopping: Cell<bool>,
+    /// When this process began to stop.
+    stopping: Cell<Option<Timestamp>>,
     /// Requests between their head and the end of their answer.
     open_requests: Cell<usize>,
     /// Wakes the links to control machines when the router's own status changed.
@@ -74,7 +80,7 @@
         upstreams: Upstreams::new(clock),
         clock,
         metrics: Metrics::new(),
-        stopping: Cell::new(false),
+        stopping: Cell::new(None),
         open_requests: Cell::new(0),
         status_changed: Notify::new(),
         settings,
@@ -138,7 +144,7 @@
 
 fn readiness(router: &Router) -> Response<AnswerBody> {
     let configured = router.core.borrow().configuration_version() > 0;
-    if configured && !router.stopping.get() {
+    if configured && router.stopping.get().is_none() {
         answer::plain(StatusCode::OK, "")
     } else {
         answer::plain(StatusCode::SERVICE_UNAVAILABLE, "")
@@ -155,16 +161,32 @@
     }
 }
 
+impl Router {
+    /// True when a request would not end before this process does.
+    fn stops_before(&self, kind: RequestKind) -> bool {
+        let Some(begun) = self.stopping.get() else {
+            return false;
+        };
+        let needed = if kind.is_stream() {
+            STREAM_NEEDS
+        } else {
+            ANSWER_NEEDS
+        };
+        let last = self.settings.grace.saturating_sub(EXIT_MARGIN);
+        self.clock.now().since(begun) + needed > last
+    }
+}
+
 /// Callers learn from the directory and from each answer to go elsewhere; the process ends when
 /// they have had the time to, and no request is open.
 async fn stop(router: &Rc<Router>) {
-    router.stopping.set(true);
+    let begun = router.clock.now();
+    router.stopping.set(Some(begun));
     router.status_changed.notify_waiters();
     tracing::info!(
         event = "stopping",
         open_requests = router.open_requests.get()
     );
-    let begun = router.clock.now();
     let last = router.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
         tokio::time::sleep(STOP_CHECK).await;
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -101,7 +101,7 @@
     Message::Router(RouterStatus {
         address: Text::new(router.settings.listen.to_string()),
         zone: Text::new(router.settings.params.zone.as_str()),
-        accepting: u8::from(!router.stopping.get()),
+        accepting: u8::from(router.stopping.get().is_none()),
     })
 }
 
