--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -36,10 +36,10 @@
 const MAX_CONNECTIONS: usize = 1_500;
 const MAX_PLATFORM_CONNECTIONS: usize = 32;
 /// Before the process is killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(700);
-/// A stream that begins later than this before the end would be cut.
-const STREAM_NEEDS: Duration = Duration::from_millis(3_300);
-/// The same for other requests.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Streams may last longer than a stop does; later than this into it none begins.
+const STREAMS_BEGIN_WITHIN: Duration = Duration::from_millis(2_800);
+/// Another request that begins later than this before the end would be cut.
 const ANSWER_NEEDS: Duration = Duration::from_millis(1_200);
 const STOP_CHECK: Duration = Duration::from_millis(100);
 
@@ -167,13 +167,12 @@
         let Some(begun) = self.stopping.get() else {
             return false;
         };
-        let needed = if kind.is_stream() {
-            STREAM_NEEDS
-        } else {
-            ANSWER_NEEDS
-        };
+        let passed = self.clock.now().since(begun);
+        if kind.is_stream() {
+            return passed > STREAMS_BEGIN_WITHIN;
+        }
         let last = self.settings.grace.saturating_sub(EXIT_MARGIN);
-        self.clock.now().since(begun) + needed > last
+        passed + ANSWER_NEEDS > last
     }
 }
 
