Routers share the load they put on back ends; placement by expected cost

Cause: a router saw a seventh of the requests in flight, so long prompts met at the same back end while others were idle; streams beside them paused for more than their target. Change: routers tell the leader what is pending and in flight at each back end, 8 bytes an entry and only when it changes; the leader tells each router the sum of the others. A prompt goes where the least is to be read before it, with soft prices for leaving its home or its side.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -253,6 +253,7 @@
             self.change_members();
             self.expire_instances();
             self.drive_rollouts();
+            self.share_loads();
         }
     }
 
--- a/crates/gateway-core/src/control/reads.rs
+++ b/crates/gateway-core/src/control/reads.rs
@@ -131,6 +131,7 @@
                     revision: self.state.revision(),
                     routers: self.routers.count(),
                     controls: List::new(controls),
+                    leader: self.leader().map_or(0, u32::from),
                 };
                 self.effects.push(Effect::ToRouter(connection, message));
             }
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -6,17 +6,55 @@
 use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
 
+use drumshore_wire::List;
+
 use super::reads::Waiting;
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{Announcement, Message, NamedWeights, RouterStatus};
+use crate::{Announcement, LoadEntry, Message, NamedWeights, RouterStatus};
 
 /// A router that asked nothing for so long is not handed to callers.
 const SILENCE: Duration = Duration::from_millis(4_000);
 
+/// A router's load that was not told again counts for so long.
+const LOADS_COUNT_FOR: Duration = Duration::from_millis(600);
+
 #[derive(Debug)]
 struct Linked {
     status: RouterStatus,
     heard: Timestamp,
+    loads: Vec<LoadEntry>,
+    loads_heard: Timestamp,
+    /// What it was told of the others' load.
+    told: Vec<LoadEntry>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Load {
+    pending: u32,
+    in_flight: u32,
+}
+
+impl Load {
+    fn add(&mut self, entry: &LoadEntry) {
+        self.pending += u32::from(entry.pending);
+        self.in_flight += u32::from(entry.in_flight);
+    }
+}
+
+fn totals_without(totals: &BTreeMap<u32, Load>, own: &[LoadEntry]) -> Vec<LoadEntry> {
+    let own: BTreeMap<u32, &LoadEntry> = own.iter().map(|entry| (entry.key, entry)).collect();
+    let narrow = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
+    let others = totals.iter().map(|(key, total)| {
+        let own = own.get(key).map(|entry| **entry).unwrap_or_default();
+        LoadEntry {
+            key: *key,
+            pending: narrow(total.pending.saturating_sub(u32::from(own.pending))),
+            in_flight: narrow(total.in_flight.saturating_sub(u32::from(own.in_flight))),
+        }
+    });
+    others
+        .filter(|entry| entry.pending > 0 || entry.in_flight > 0)
+        .collect()
 }
 
 /// Linked routers.
@@ -39,7 +77,13 @@
         self.now = now;
         match message {
             Message::Router(status) => {
-                let linked = Linked { status, heard: now };
+                let linked = Linked {
+                    status,
+                    heard: now,
+                    loads: Vec::new(),
+                    loads_heard: now,
+                    told: Vec::new(),
+                };
                 self.routers.0.insert(connection, linked);
                 self.announce_to(connection);
             }
@@ -49,6 +93,12 @@
                 }
                 self.queue_read(Waiting::Router(connection, sequence));
             }
+            Message::Loads(loads) => {
+                if let Some(linked) = self.routers.0.get_mut(&connection) {
+                    linked.loads = loads.items;
+                    linked.loads_heard = now;
+                }
+            }
             Message::Fetch { since } => {
                 let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
                 let changes = self.state.changes_since(since, age_ms);
@@ -80,6 +130,28 @@
         addresses
     }
 
+    /// Tells each router how busy the others keep the back ends, when that has changed.
+    pub(super) fn share_loads(&mut self) {
+        let now = self.now;
+        let mut totals: BTreeMap<u32, Load> = BTreeMap::new();
+        for linked in self.routers.0.values_mut() {
+            if now.since(linked.loads_heard) >= LOADS_COUNT_FOR {
+                linked.loads.clear();
+            }
+            for entry in &linked.loads {
+                totals.entry(entry.key).or_default().add(entry);
+            }
+        }
+        for (connection, linked) in &mut self.routers.0 {
+            let others = totals_without(&totals, &linked.loads);
+            if others != linked.told {
+                linked.told.clone_from(&others);
+                let message = Message::Loads(List::new(others));
+                self.effects.push(Effect::ToRouter(*connection, message));
+            }
+        }
+    }
+
     pub(super) fn announce(&mut self) {
         let connections: Vec<ConnectionId> = self.routers.0.keys().copied().collect();
         for connection in connections {
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -29,7 +29,7 @@
     Tenant,
 };
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
-pub use message::{Announcement, Changes, Message, RouterStatus, WeightsNotice};
+pub use message::{Announcement, Changes, LoadEntry, Message, RouterStatus, WeightsNotice};
 pub use router::{
     Admission, Choice, ChoiceError, Outcome, Prompt, PromptPart, Refusal, RouterCore, RouterParams,
     ViewError,
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -62,6 +62,30 @@
     pub removed: List<Text>,
 }
 
+/// How busy a back end is with requests of one router, or of several.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LoadEntry {
+    /// Stands for the incarnation; see [`LoadEntry::key_of`].
+    pub key: u32,
+    /// Tokens of prompts that were sent and not yet answered, in [`LoadEntry::TOKENS`].
+    pub pending: u16,
+    /// Requests that were sent and have not ended.
+    pub in_flight: u16,
+}
+
+impl LoadEntry {
+    /// Tokens in one unit of `pending`.
+    pub const TOKENS: u32 = 64;
+
+    /// A short stand-in for an incarnation's name. Two that share it are taken for busier than
+    /// they are, which does little harm.
+    pub fn key_of(instance: &str) -> u32 {
+        xxhash_rust::xxh3::xxh3_64(instance.as_bytes()) as u32
+    }
+}
+
 /// A message.
 #[binrw]
 #[brw(little)]
@@ -116,7 +140,13 @@
         routers: u16,
         /// The IPv4 addresses of all control machines.
         controls: List<u32>,
+        /// The IPv4 address of the leader; 0 when unknown.
+        leader: u32,
     },
+    /// From a router: the load it puts on back ends. From the leader: the load that all others
+    /// put on them.
+    #[brw(magic(11u8))]
+    Loads(List<LoadEntry>),
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -6,7 +6,7 @@
 
 use drumshore_core::Timestamp;
 
-use crate::{InstanceId, InstanceRecord};
+use crate::{InstanceId, InstanceRecord, LoadEntry};
 
 const SHED_PAUSE: Duration = Duration::from_millis(150);
 const BROKEN_PAUSE: Duration = Duration::from_millis(400);
@@ -43,7 +43,13 @@
 #[derive(Debug)]
 pub(super) struct Endpoint {
     pub record: Rc<InstanceRecord>,
+    key: u32,
+    /// Requests of this router.
     pub in_flight: u32,
+    /// Tokens of this router's prompts that were sent and not answered.
+    pending_tokens: u32,
+    /// What the other routers put on it.
+    others: LoadEntry,
     pub avoided_until: Timestamp,
     /// Smoothed share of requests that failed there.
     pub failures: f64,
@@ -63,7 +69,10 @@
             let id = InstanceId::new(record.instance.as_str());
             let mut endpoint = earlier.remove(&id).unwrap_or_else(|| Endpoint {
                 record: Rc::clone(record),
+                key: LoadEntry::key_of(record.instance.as_str()),
                 in_flight: 0,
+                pending_tokens: 0,
+                others: LoadEntry::default(),
                 avoided_until: Timestamp::default(),
                 failures: 0.0,
                 unreachable_in_a_row: 0,
@@ -82,9 +91,37 @@
         self.0.values().map(|endpoint| endpoint.in_flight).sum()
     }
 
-    pub fn started(&mut self, instance: &InstanceId) {
+    pub fn started(&mut self, instance: &InstanceId, tokens: u32) {
         if let Some(endpoint) = self.0.get_mut(instance) {
             endpoint.in_flight += 1;
+            endpoint.pending_tokens += tokens;
+        }
+    }
+
+    /// The answer to a request has begun: its prompt has been read.
+    pub fn answered(&mut self, instance: &InstanceId, tokens: u32) {
+        if let Some(endpoint) = self.0.get_mut(instance) {
+            endpoint.pending_tokens = endpoint.pending_tokens.saturating_sub(tokens);
+        }
+    }
+
+    /// What this router puts on back ends.
+    pub fn own_loads(&self) -> Vec<LoadEntry> {
+        let narrow = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
+        let busy = self.0.values().filter(|endpoint| endpoint.in_flight > 0);
+        busy.map(|endpoint| LoadEntry {
+            key: endpoint.key,
+            pending: narrow(endpoint.pending_tokens.div_ceil(LoadEntry::TOKENS)),
+            in_flight: narrow(endpoint.in_flight),
+        })
+        .collect()
+    }
+
+    /// Takes in what the other routers put on back ends; those not named are free of it.
+    pub fn set_others(&mut self, loads: &[LoadEntry]) {
+        for endpoint in self.0.values_mut() {
+            let entry = loads.iter().find(|entry| entry.key == endpoint.key);
+            endpoint.others = entry.copied().unwrap_or_default();
         }
     }
 
@@ -123,6 +160,16 @@
 }
 
 impl Endpoint {
+    /// Requests of all routers, as far as they have told.
+    pub fn all_in_flight(&self) -> u32 {
+        self.in_flight + u32::from(self.others.in_flight)
+    }
+
+    /// Tokens of prompts of all routers that are still to be read.
+    pub fn all_pending_tokens(&self) -> u32 {
+        self.pending_tokens + u32::from(self.others.pending) * LoadEntry::TOKENS
+    }
+
     fn note(&mut self, failed: bool) {
         let sample = if failed { 1.0 } else { 0.0 };
         self.failures += FAILURE_WEIGHT * (sample - self.failures);
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod endpoints;
 mod placement;
+mod prompt_mix;
 mod split;
 mod view;
 
@@ -13,13 +14,14 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Changes, Document, InstanceId, InvalidDocument, ModelName, PoolName, Route, Tenant};
+use crate::{Changes, Document, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName, Route, Tenant};
 
 pub use endpoints::Outcome;
 pub use view::ViewError;
 
 use budget::RetryBudget;
 use endpoints::Endpoints;
+use prompt_mix::PromptMix;
 use split::Splitter;
 use view::View;
 
@@ -56,6 +58,8 @@
     pub model: ModelName,
     /// Its parts in order; the last one is the request's own, or its session's.
     pub parts: Vec<PromptPart>,
+    /// The most tokens that are generated.
+    pub output: u32,
 }
 
 /// Why a request is not forwarded. None of these has run.
@@ -115,6 +119,8 @@
     pub expected_version: Option<u64>,
     /// Cached prompts are shared under the same salt only.
     pub cache_salt: Option<String>,
+    /// Tokens that the back end is expected to read.
+    pub tokens: u32,
     /// A store to fetch the prompt from and save it to.
     pub cache_store: Option<String>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
@@ -129,6 +135,7 @@
     view: View,
     endpoints: Endpoints,
     splitter: Splitter,
+    prompt_mix: PromptMix,
     budget: RetryBudget,
     random: ChaCha8Rng,
     routers: u16,
@@ -141,6 +148,7 @@
             view: View::default(),
             endpoints: Endpoints::default(),
             splitter: Splitter::default(),
+            prompt_mix: PromptMix::default(),
             budget: RetryBudget::new(&params, 1),
             random: ChaCha8Rng::seed_from_u64(seed),
             params,
@@ -232,6 +240,9 @@
     ) -> Result<Choice, ChoiceError> {
         if tried.is_empty() {
             self.budget.on_request(now);
+            if let Some(prompt) = prompt {
+                self.prompt_mix.note(prompt);
+            }
         } else if !self.budget.may_retry(now) {
             return Err(ChoiceError::NoBudget);
         }
@@ -239,10 +250,25 @@
         if !tried.is_empty() {
             self.budget.on_retry();
         }
-        self.endpoints.started(&choice.instance);
+        self.endpoints.started(&choice.instance, choice.tokens);
         Ok(choice)
     }
 
+    /// The answer to a request that was chosen for has begun.
+    pub fn answered(&mut self, choice: &Choice) {
+        self.endpoints.answered(&choice.instance, choice.tokens);
+    }
+
+    /// What this router puts on back ends.
+    pub fn own_loads(&self) -> Vec<LoadEntry> {
+        self.endpoints.own_loads()
+    }
+
+    /// Takes in what the other routers put on back ends.
+    pub fn set_others_loads(&mut self, loads: &[LoadEntry]) {
+        self.endpoints.set_others(loads);
+    }
+
     /// A request that was chosen for has left its back end.
     pub fn finished(&mut self, now: Timestamp, instance: &InstanceId, outcome: Outcome) {
         self.endpoints.finished(now, instance, outcome);
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -9,10 +9,14 @@
 use super::{Admission, Choice, ChoiceError, Prompt, RouterCore};
 use crate::{InstanceId, Lifecycle, Pool};
 
-/// A home is passed over when it has more than this many times the mean of requests in flight,
-const HOME_LOAD_FACTOR: f64 = 1.5;
-/// and this many more.
-const HOME_LOAD_SLACK: f64 = 2.0;
+/// Tokens that may wait at the home of a prompt before another back end is better.
+const AWAY_FROM_HOME_TOKENS: f64 = 1_500.0;
+/// A stream costs those who share its back end about as much as so many tokens to read.
+const STREAM_TOKENS: f64 = 60.0;
+/// Tokens that may wait on the own side before the other side is better.
+const OTHER_SIDE_TOKENS: f64 = 3_000.0;
+/// The side of short prompts against their part of the work.
+const SHORT_SIDE: f64 = 0.5;
 /// A back end whose share of failures is above this is used only when no other is left.
 const TOO_MANY_FAILURES: f64 = 0.4;
 /// Connections to one back end when its pool sets no bound.
@@ -26,6 +30,18 @@
     version: Option<u64>,
 }
 
+/// The back ends that short prompts prefer; none when nearly all prompts are alike.
+#[derive(Default)]
+struct Sides {
+    short: Vec<InstanceId>,
+}
+
+impl Sides {
+    fn is_own(&self, id: &InstanceId, is_short: bool) -> bool {
+        self.short.is_empty() || self.short.contains(id) == is_short
+    }
+}
+
 struct Placed {
     instance: InstanceId,
     address: String,
@@ -52,9 +68,8 @@
             .filter(|candidate| !tried.contains(candidate.id))
             .collect();
         let usable = prefer_sound(now, untried);
-        let home = prompt.and_then(home_key);
-        let placed = match home {
-            Some(key) => place_by_home(&usable, key),
+        let placed = match prompt {
+            Some(prompt) => self.place_prompt(admission, prompt, &usable, draw),
             None => self.place_by_load(&usable, draw),
         };
         let placed = placed.ok_or(ChoiceError::NoneLeft)?;
@@ -93,13 +108,71 @@
         keep_latest_at_address(candidates)
     }
 
+    /// The least expected cost, in tokens to be read before this prompt's answer begins. Reading
+    /// a long prompt holds up every stream of its back end, so long and short prompts are kept
+    /// apart as far as load allows: each has its side of the pool, on all routers the same.
+    fn place_prompt(
+        &self,
+        admission: &Admission,
+        prompt: &Prompt,
+        usable: &[Candidate<'_>],
+        draw: u64,
+    ) -> Option<Placed> {
+        let sides = self.sides(admission);
+        let home = home_key(prompt);
+        let is_short = prompt.is_short();
+        let rank = |candidate: &Candidate<'_>| match home {
+            Some(key) => home_rank(usable, key, candidate, &sides, is_short),
+            None => 0,
+        };
+        let cost = |candidate: &Candidate<'_>, rank: usize| {
+            let endpoint = candidate.endpoint;
+            let away = !sides.is_own(candidate.id, is_short);
+            let moved = if rank == 0 { 0.0 } else { AWAY_FROM_HOME_TOKENS };
+            let streams = f64::from(endpoint.all_in_flight()) * STREAM_TOKENS;
+            let other_side = if away { OTHER_SIDE_TOKENS } else { 0.0 };
+            f64::from(endpoint.all_pending_tokens()) + streams + moved + other_side
+        };
+        let ranked = usable.iter().map(|candidate| {
+            let rank = rank(candidate);
+            let tie = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw);
+            (cost(candidate, rank), tie, rank, candidate)
+        });
+        let best = ranked.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+        best.map(|(_, _, rank, candidate)| candidate.placed(rank))
+    }
+
+    fn sides(&self, admission: &Admission) -> Sides {
+        let Some(short_share) = self.prompt_mix.short_share() else {
+            return Sides::default();
+        };
+        let mut ranked: Vec<(u64, &InstanceId)> = self
+            .endpoints
+            .iter()
+            .filter(|(_, endpoint)| {
+                endpoint.record.pool.as_str() == admission.pool.as_str()
+                    && endpoint.record.lifecycle == Lifecycle::Ready
+            })
+            .map(|(id, _)| (xxh3_64_with_seed(id.as_str().as_bytes(), 0), id))
+            .collect();
+        ranked.sort_unstable();
+        let shorts = (ranked.len() as f64 * short_share * SHORT_SIDE).round() as usize;
+        let shorts = shorts.clamp(1, ranked.len().saturating_sub(1).max(1));
+        Sides {
+            short: ranked[..shorts.min(ranked.len())]
+                .iter()
+                .map(|(_, id)| (*id).clone())
+                .collect(),
+        }
+    }
+
     /// The fewest requests for its slots; of equals one in the same zone, then any.
     fn place_by_load(&self, usable: &[Candidate<'_>], draw: u64) -> Option<Placed> {
         let zone = self.params.zone.as_str();
         let best = usable.iter().min_by_key(|candidate| {
             let record = &candidate.endpoint.record;
             let slots = u64::from(record.slots.max(1));
-            let load = u64::from(candidate.endpoint.in_flight) * 1_000 / slots;
+            let load = u64::from(candidate.endpoint.all_in_flight()) * 1_000 / slots;
             let remote = record.zone.as_str() != zone;
             let tie = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw);
             (load, remote, tie)
@@ -118,6 +191,7 @@
             connections: self.connections(max_connections),
             expected_version: placed.version,
             cache_salt,
+            tokens: prompt.map_or(0, Prompt::expected_read),
             cache_store,
             in_flight: placed.in_flight,
             rank: placed.rank,
@@ -209,20 +283,20 @@
     Some(key)
 }
 
-/// Rendezvous hashing with bounded load.
-fn place_by_home(usable: &[Candidate<'_>], key: u64) -> Option<Placed> {
-    let mut ranked: Vec<&Candidate<'_>> = usable.iter().collect();
-    ranked.sort_by_cached_key(|candidate| {
-        std::cmp::Reverse(xxh3_64_with_seed(candidate.id.as_str().as_bytes(), key))
-    });
-    let in_flight: u32 = usable.iter().map(|item| item.endpoint.in_flight).sum();
-    let mean = f64::from(in_flight) / usable.len().max(1) as f64;
-    let bound = mean * HOME_LOAD_FACTOR + HOME_LOAD_SLACK;
-    let home = ranked
+/// How many back ends of the same side come before this one by rendezvous hashing.
+fn home_rank(
+    usable: &[Candidate<'_>],
+    key: u64,
+    candidate: &Candidate<'_>,
+    sides: &Sides,
+    is_short: bool,
+) -> usize {
+    let weight = |id: &InstanceId| xxh3_64_with_seed(id.as_str().as_bytes(), key);
+    let own = weight(candidate.id);
+    usable
         .iter()
-        .position(|candidate| f64::from(candidate.endpoint.in_flight) < bound);
-    let rank = home.unwrap_or(0);
-    ranked.get(rank).map(|candidate| candidate.placed(rank))
+        .filter(|other| sides.is_own(other.id, is_short) && weight(other.id) > own)
+        .count()
 }
 
 /// What was cached under other weights, or by another tenant when one is isolated, has another
--- /dev/null
+++ b/crates/gateway-core/src/router/prompt_mix.rs
@@ -0,0 +1,67 @@
+//! How much of a router's work are short prompts.
+
+use super::Prompt;
+
+/// Prompts of fewer tokens are short.
+const LONG_PROMPT_TOKENS: u32 = 2_048;
+/// The weight of the newest prompt.
+const NEWEST: f64 = 0.005;
+/// Part of the shared tokens that is expected to be read all the same.
+const SHARED_PART: f64 = 0.25;
+/// A token that is generated costs about as much as so many that are read.
+const OUTPUT_COST: f64 = 4.0;
+/// Sides smaller than this are not worth keeping apart.
+const LEAST_SHARE: f64 = 0.04;
+
+impl Prompt {
+    /// Tokens of all parts.
+    pub fn tokens(&self) -> u32 {
+        self.parts.iter().map(|part| part.tokens).sum()
+    }
+
+    /// True when reading it holds up nobody for long.
+    pub fn is_short(&self) -> bool {
+        self.tokens() < LONG_PROMPT_TOKENS
+    }
+
+    /// Tokens that a back end is expected to read; the rest it has, or fetches.
+    pub fn expected_read(&self) -> u32 {
+        let own = self.parts.last().map_or(0, |part| part.tokens);
+        let shared = self.tokens() - own;
+        own + (f64::from(shared) * SHARED_PART) as u32
+    }
+
+    fn cost(&self) -> f64 {
+        f64::from(self.expected_read()) + f64::from(self.output) * OUTPUT_COST
+    }
+}
+
+/// A running mean over the prompts of one router.
+#[derive(Debug, Default)]
+pub(super) struct PromptMix {
+    short: f64,
+    long: f64,
+    seen: u32,
+}
+
+impl PromptMix {
+    pub fn note(&mut self, prompt: &Prompt) {
+        self.seen = self.seen.saturating_add(1);
+        let weight = NEWEST.max(1.0 / f64::from(self.seen));
+        let cost = prompt.cost();
+        let (short, long) = if prompt.is_short() {
+            (cost, 0.0)
+        } else {
+            (0.0, cost)
+        };
+        self.short += weight * (short - self.short);
+        self.long += weight * (long - self.long);
+    }
+
+    /// The part of the work that short prompts make; `None` when nearly all are alike.
+    pub fn short_share(&self) -> Option<f64> {
+        let all = self.short + self.long;
+        let share = self.short / all;
+        (all > 0.0 && (LEAST_SHARE..=1.0 - LEAST_SHARE).contains(&share)).then_some(share)
+    }
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -225,7 +225,7 @@
 }
 
 async fn attempt(router: &Rc<Router>, call: &Call, choice: &Choice, sent: u32) -> Attempt {
-    let mut visit = Visit::new(router, &choice.instance);
+    let mut visit = Visit::new(router, choice);
     let connecting = router.upstreams.connect(
         &choice.instance,
         &choice.address,
@@ -305,6 +305,7 @@
     mut visit: Visit,
     sent: u32,
 ) -> Attempt {
+    visit.answered();
     let names = router.dialect.headers();
     let headers = response.headers();
     if header(headers, &names.request_id) != call.id {
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use drumshore_gateway_core::{InstanceId, Outcome};
+use drumshore_gateway_core::{Choice, Outcome};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 
@@ -19,19 +19,28 @@
 /// A request's stay at a back end. However it ends, the router's count is put right.
 pub(crate) struct Visit {
     router: Rc<Router>,
-    instance: InstanceId,
+    choice: Choice,
+    answered: bool,
     outcome: Outcome,
 }
 
 impl Visit {
-    pub fn new(router: &Rc<Router>, instance: &InstanceId) -> Self {
+    pub fn new(router: &Rc<Router>, choice: &Choice) -> Self {
         Self {
             router: Rc::clone(router),
-            instance: instance.clone(),
+            choice: choice.clone(),
+            answered: false,
             outcome: Outcome::Abandoned,
         }
     }
 
+    /// The answer has begun.
+    pub fn answered(&mut self) {
+        if !std::mem::replace(&mut self.answered, true) {
+            self.router.core.borrow_mut().answered(&self.choice);
+        }
+    }
+
     /// Says how it ended; it ends when dropped.
     pub fn end(&mut self, outcome: Outcome) {
         self.outcome = outcome;
@@ -40,9 +49,10 @@
 
 impl Drop for Visit {
     fn drop(&mut self) {
+        self.answered();
         let now = self.router.clock.now();
         let mut core = self.router.core.borrow_mut();
-        core.finished(now, &self.instance, self.outcome);
+        core.finished(now, &self.choice.instance, self.outcome);
         self.router.metrics.count_attempt(word(self.outcome));
     }
 }
@@ -143,7 +153,7 @@
     }
 
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
-        tracing::info!(event = "answer_cut", id = %self.id, instance = %self.visit.instance,
+        tracing::info!(event = "answer_cut", id = %self.id, instance = %self.visit.choice.instance,
             reason, %error);
         self.visit.end(outcome);
         self.connection = None;
@@ -154,7 +164,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.connection.is_some() {
-            tracing::info!(event = "caller_left", id = %self.id, instance = %self.visit.instance);
+            tracing::info!(event = "caller_left", id = %self.id, instance = %self.visit.choice.instance);
         }
     }
 }
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -8,7 +8,7 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{Changes, Message, RouterStatus};
-use drumshore_wire::Text;
+use drumshore_wire::{List, Text};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
@@ -24,6 +24,13 @@
 /// A question for changes is repeated after this long.
 const FETCH_AGAIN: Duration = Duration::from_millis(300);
 
+/// Between two words to the leader about this router's load.
+const LOADS_INTERVAL: Duration = Duration::from_millis(80);
+/// Load that does not change is told again after this long.
+const LOADS_CONFIRM: Duration = Duration::from_millis(300);
+/// What the leader told of other routers' load counts for so long.
+const LOADS_COUNT_FOR: Duration = Duration::from_millis(1_000);
+
 #[derive(Default)]
 struct Links {
     /// All control machines, as one of them said last.
@@ -32,6 +39,10 @@
     fetch_asked: Cell<Option<Timestamp>>,
     /// The highest revision that a control machine spoke of.
     announced: Cell<u64>,
+    /// The leader, as one of them said last.
+    leader: Cell<u32>,
+    /// When the leader last told what other routers put on back ends.
+    loads_heard: Cell<Timestamp>,
 }
 
 pub(super) fn start(router: &Rc<Router>) {
@@ -71,7 +82,7 @@
     loop {
         if let Ok((sender, receiver)) = link::dial(target).await {
             tracing::info!(event = "control_linked", %address);
-            let reason = converse(&router, &links, sender, receiver).await;
+            let reason = converse(&router, &links, address, sender, receiver).await;
             tracing::info!(event = "control_lost", %address, reason);
         }
         sleep(REDIAL).await;
@@ -82,6 +93,7 @@
 async fn converse(
     router: &Rc<Router>,
     links: &Rc<Links>,
+    address: Ipv4Addr,
     sender: Sender,
     receiver: Receiver,
 ) -> &'static str {
@@ -90,10 +102,12 @@
     let asking = ask_regularly(router, links, &sender, &asked);
     let listening = listen(router, links, &sender, receiver, &asked);
     let telling = tell_changes(router, &sender);
+    let reporting = report_loads(router, links, &sender, address);
     tokio::select! {
         reason = asking => reason,
         reason = listening => reason,
         reason = telling => reason,
+        reason = reporting => reason,
     }
 }
 
@@ -162,7 +176,9 @@
                 revision,
                 routers,
                 controls,
+                leader,
             } => {
+                links.leader.set(leader);
                 let at = asked.borrow_mut().remove(&sequence);
                 asked.borrow_mut().retain(|other, _| *other > sequence);
                 if let Some(at) = at {
@@ -175,11 +191,49 @@
                 }
                 fetch(router, links, sender, revision);
             }
+            Message::Loads(loads) => {
+                links.loads_heard.set(router.clock.now());
+                let mut core = router.core.borrow_mut();
+                core.set_others_loads(&loads.items);
+            }
             _ => {}
         }
     }
 }
 
+/// Tells the leader what this router puts on back ends, when that has changed or is to be
+/// confirmed; the leader tells the others.
+async fn report_loads(
+    router: &Rc<Router>,
+    links: &Rc<Links>,
+    sender: &Sender,
+    address: Ipv4Addr,
+) -> &'static str {
+    let mut told = Vec::new();
+    let mut told_at = router.clock.now();
+    loop {
+        sleep(LOADS_INTERVAL).await;
+        let now = router.clock.now();
+        if now.since(links.loads_heard.get()) > LOADS_COUNT_FOR {
+            links.loads_heard.set(now);
+            router.core.borrow_mut().set_others_loads(&[]);
+        }
+        if links.leader.get() != u32::from(address) {
+            continue;
+        }
+        let loads = router.core.borrow().own_loads();
+        let unconfirmed = now.since(told_at) >= LOADS_CONFIRM && !loads.is_empty();
+        if loads == told && !unconfirmed {
+            continue;
+        }
+        told.clone_from(&loads);
+        told_at = now;
+        if !sender.send(&Message::Loads(List::new(loads))) {
+            return "closed";
+        }
+    }
+}
+
 /// Asks for changes, unless another link was asked just now.
 fn fetch(router: &Router, links: &Links, sender: &Sender, revision: u64) {
     links.announced.set(links.announced.get().max(revision));
