The leader follows the store of cached prompts; routers save what is missing there

Cause: every prompt was saved whole, so the store (1.2 M tokens on sqbc) turned over in about 8 s with parts that nobody shares, and shared parts were gone when another back end needed them. Ruled out: a store that is too slow; fetching is priced at a two-hundredth of reading. Change: events and now and then the list of the store go to routers as 4-byte keys; a prompt is saved only when a shared part is missing, and fetched only when its first part is there.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -5,6 +5,7 @@
 mod reads;
 mod rollout;
 mod routers;
+mod stored;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
@@ -24,12 +25,14 @@
 
 pub use members::{address_of, bootstrap_id};
 pub use rollout::{Order, OrderId, OrderOutcome, Report};
+pub use stored::StoreNews;
 
 use members::Joiners;
 use proposals::PendingProposals;
 use reads::Reads;
 use rollout::Rollouts;
 use routers::Routers;
+use stored::Stored;
 
 /// Bounds and periods of a control machine.
 #[derive(Clone, Debug, PartialEq)]
@@ -150,6 +153,7 @@
     reads: Reads,
     routers: Routers,
     rollouts: Rollouts,
+    stored: Stored,
     /// When weights were named, by revision; those from before this start count from the start.
     named_at: BTreeMap<u64, Timestamp>,
     /// When each back end was heard last, here or, at the leader, anywhere.
@@ -193,6 +197,7 @@
             reads: Reads::default(),
             routers: Routers::default(),
             rollouts: Rollouts::default(),
+            stored: Stored::default(),
             named_at: BTreeMap::new(),
             heard: BTreeMap::new(),
             leads_since: None,
@@ -254,6 +259,7 @@
             self.expire_instances();
             self.drive_rollouts();
             self.share_loads();
+            self.share_stored();
         }
     }
 
@@ -402,6 +408,7 @@
                 self.leads_since = Some(self.now);
                 self.heard.clear();
                 self.rollouts = Rollouts::default();
+                self.forget_store();
             }
         } else {
             self.leads_since = None;
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -66,6 +66,10 @@
         u16::try_from(self.0.len()).unwrap_or(u16::MAX)
     }
 
+    pub fn connections(&self) -> Vec<ConnectionId> {
+        self.0.keys().copied().collect()
+    }
+
     pub fn forget_silent(&mut self, now: Timestamp) {
         self.0.retain(|_, linked| now.since(linked.heard) < SILENCE);
     }
@@ -86,6 +90,7 @@
                 };
                 self.routers.0.insert(connection, linked);
                 self.announce_to(connection);
+                self.tell_stored(connection);
             }
             Message::Ping { sequence } => {
                 if let Some(linked) = self.routers.0.get_mut(&connection) {
@@ -153,8 +158,7 @@
     }
 
     pub(super) fn announce(&mut self) {
-        let connections: Vec<ConnectionId> = self.routers.0.keys().copied().collect();
-        for connection in connections {
+        for connection in self.routers.connections() {
             self.announce_to(connection);
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -22,14 +22,16 @@
 pub use command::{Command, LoadPhase, Proposal, ProposalId};
 pub use control::{
     address_of, bootstrap_id, ConnectionId, ControlCore, ControlParams, Effect, Heartbeat, Order,
-    OrderId, OrderOutcome, Reply, Report, Ticket,
+    OrderId, OrderOutcome, Reply, Report, StoreNews, Ticket,
 };
 pub use document::{
     CacheStore, Document, InvalidDocument, Limits, ModelPool, Pool, RequestKind, Route, Share,
     Tenant,
 };
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
-pub use message::{Announcement, Changes, LoadEntry, Message, RouterStatus, WeightsNotice};
+pub use message::{
+    Announcement, Changes, LoadEntry, Message, RouterStatus, StoredKey, WeightsNotice,
+};
 pub use router::{
     Admission, Choice, ChoiceError, Outcome, Prompt, PromptPart, Refusal, RouterCore, RouterParams,
     ViewError,
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -86,6 +86,20 @@
     }
 }
 
+/// Stands for a part of a prompt that a store holds under a salt.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoredKey(pub u32);
+
+impl StoredKey {
+    /// The key of a part. Two parts that share it cost a read or a copy that was not needed.
+    pub fn new(salt: &str, part: &str) -> Self {
+        let seed = xxhash_rust::xxh3::xxh3_64(salt.as_bytes());
+        Self(xxhash_rust::xxh3::xxh3_64_with_seed(part.as_bytes(), seed) as u32)
+    }
+}
+
 /// A message.
 #[binrw]
 #[brw(little)]
@@ -147,6 +161,18 @@
     /// put on them.
     #[brw(magic(11u8))]
     Loads(List<LoadEntry>),
+    /// From the leader: what the store of cached prompts holds.
+    #[brw(magic(12u8))]
+    Stored {
+        /// 0 when the store does not answer.
+        known: u8,
+        /// 1 when what was told before is void.
+        reset: u8,
+        /// Parts that came.
+        added: List<StoredKey>,
+        /// Parts that went.
+        removed: List<StoredKey>,
+    },
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod split;
 mod view;
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,7 +15,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
-use crate::{Changes, Document, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName, Route, Tenant};
+use crate::{
+    Changes, Document, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName, Route,
+    StoredKey, Tenant,
+};
 
 pub use endpoints::Outcome;
 pub use view::ViewError;
@@ -121,8 +125,10 @@
     pub cache_salt: Option<String>,
     /// Tokens that the back end is expected to read.
     pub tokens: u32,
-    /// A store to fetch the prompt from and save it to.
-    pub cache_store: Option<String>,
+    /// A store to fetch the prompt from.
+    pub fetch_from: Option<String>,
+    /// A store to save the prompt to.
+    pub save_to: Option<String>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
     pub in_flight: u32,
     /// 0 when the back end is the first home of the prompt.
@@ -139,6 +145,8 @@
     budget: RetryBudget,
     random: ChaCha8Rng,
     routers: u16,
+    /// What the store of cached prompts holds; `None` while nobody says.
+    stored: Option<HashSet<StoredKey>>,
 }
 
 impl RouterCore {
@@ -153,6 +161,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             params,
             routers: 1,
+            stored: None,
         }
     }
 
@@ -269,6 +278,25 @@
         self.endpoints.set_others(loads);
     }
 
+    /// Takes in what the store holds. `known` is false when the store does not answer.
+    pub fn on_stored(
+        &mut self,
+        known: bool,
+        reset: bool,
+        added: &[StoredKey],
+        removed: &[StoredKey],
+    ) {
+        if reset {
+            self.stored = known.then(HashSet::new);
+        }
+        if let Some(stored) = &mut self.stored {
+            stored.extend(added);
+            removed.iter().for_each(|key| {
+                stored.remove(key);
+            });
+        }
+    }
+
     /// A request that was chosen for has left its back end.
     pub fn finished(&mut self, now: Timestamp, instance: &InstanceId, outcome: Outcome) {
         self.endpoints.finished(now, instance, outcome);
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -7,10 +7,10 @@
 
 use super::endpoints::Endpoint;
 use super::{Admission, Choice, ChoiceError, Prompt, RouterCore};
-use crate::{InstanceId, Lifecycle, Pool};
+use crate::{InstanceId, Lifecycle, Pool, StoredKey};
 
 /// Tokens that may wait at the home of a prompt before another back end is better.
-const AWAY_FROM_HOME_TOKENS: f64 = 1_500.0;
+const AWAY_FROM_HOME_TOKENS: f64 = 5_000.0;
 /// A stream costs those who share its back end about as much as so many tokens to read.
 const STREAM_TOKENS: f64 = 60.0;
 /// Tokens that may wait on the own side before the other side is better.
@@ -42,6 +42,11 @@
     }
 }
 
+struct UseOfStore {
+    fetch: bool,
+    save: bool,
+}
+
 struct Placed {
     instance: InstanceId,
     address: String,
@@ -128,7 +133,11 @@
         let cost = |candidate: &Candidate<'_>, rank: usize| {
             let endpoint = candidate.endpoint;
             let away = !sides.is_own(candidate.id, is_short);
-            let moved = if rank == 0 { 0.0 } else { AWAY_FROM_HOME_TOKENS };
+            let moved = if rank == 0 {
+                0.0
+            } else {
+                AWAY_FROM_HOME_TOKENS
+            };
             let streams = f64::from(endpoint.all_in_flight()) * STREAM_TOKENS;
             let other_side = if away { OTHER_SIDE_TOKENS } else { 0.0 };
             f64::from(endpoint.all_pending_tokens()) + streams + moved + other_side
@@ -184,7 +193,8 @@
         let pool = self.pool(admission);
         let max_connections = pool.map_or(0, |pool| pool.max_connections);
         let cache_salt = prompt.map(|prompt| salt(admission, prompt, placed.version));
-        let cache_store = prompt.and_then(|_| self.store(admission));
+        let use_of_store = self.use_of_store(prompt, cache_salt.as_deref());
+        let store = prompt.and_then(|_| self.store(admission));
         Choice {
             instance: placed.instance,
             address: placed.address,
@@ -192,12 +202,31 @@
             expected_version: placed.version,
             cache_salt,
             tokens: prompt.map_or(0, Prompt::expected_read),
-            cache_store,
+            fetch_from: store.clone().filter(|_| use_of_store.fetch),
+            save_to: store.filter(|_| use_of_store.save),
             in_flight: placed.in_flight,
             rank: placed.rank,
         }
     }
 
+    /// A save copies the whole prompt, also the part that nobody else has; the store drops what
+    /// others share to make room for it. So a prompt is saved only when a shared part is missing.
+    fn use_of_store(&self, prompt: Option<&Prompt>, salt: Option<&str>) -> UseOfStore {
+        let (Some(prompt), Some(salt), Some(stored)) = (prompt, salt, &self.stored) else {
+            return UseOfStore {
+                fetch: false,
+                save: false,
+            };
+        };
+        let own = prompt.parts.len().saturating_sub(1);
+        let shared = &prompt.parts[..own];
+        let is_held = |part: &super::PromptPart| stored.contains(&StoredKey::new(salt, &part.id));
+        UseOfStore {
+            fetch: shared.first().is_some_and(is_held),
+            save: !shared.iter().all(is_held),
+        }
+    }
+
     fn pool(&self, admission: &Admission) -> Option<&Pool> {
         let document = self.view.document()?;
         document
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -16,16 +16,16 @@
 
 const PATIENCE: Duration = Duration::from_millis(1_000);
 const CONNECTIONS: usize = 2;
-const MOST_ANSWER_BYTES: usize = 64 << 10;
+const MOST_ANSWER_BYTES: usize = 1 << 20;
 
 /// Connections to back ends.
 pub(super) struct BackEnds {
     upstreams: Upstreams,
 }
 
-struct CallAnswer {
-    status: StatusCode,
-    body: Bytes,
+pub(super) struct CallAnswer {
+    pub status: StatusCode,
+    pub body: Bytes,
 }
 
 impl BackEnds {
@@ -33,18 +33,20 @@
         Self { upstreams }
     }
 
-    async fn call(
+    /// Calls a back end, or a store, which expects no instance.
+    pub async fn call(
         &self,
         control: &Control,
         instance: &InstanceId,
         address: &str,
         call: OutboundCall,
+        expect: bool,
     ) -> Option<CallAnswer> {
         let connecting = self
             .upstreams
             .connect(instance, address, CONNECTIONS, PATIENCE);
         let mut connection = connecting.await.ok()?;
-        let request = request(control, instance, address, call)?;
+        let request = request(control, expect.then_some(instance), address, call)?;
         let response = connection.send(request).await.ok()?;
         let status = response.status();
         let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES);
@@ -56,7 +58,7 @@
 
 fn request(
     control: &Control,
-    instance: &InstanceId,
+    expected: Option<&InstanceId>,
     address: &str,
     call: OutboundCall,
 ) -> Option<Request<Full<Bytes>>> {
@@ -69,8 +71,11 @@
     if has_body {
         headers.insert(CONTENT_TYPE, HeaderValue::from_static(call.content_type));
     }
-    let expected = HeaderValue::from_str(instance.as_str()).ok()?;
-    headers.insert(&control.dialect.headers().expect_instance, expected);
+    headers.extend(call.headers);
+    if let Some(instance) = expected {
+        let expected = HeaderValue::from_str(instance.as_str()).ok()?;
+        headers.insert(&control.dialect.headers().expect_instance, expected);
+    }
     Some(request)
 }
 
@@ -81,7 +86,7 @@
         let call = control.dialect.order(&order);
         let calling = control
             .back_ends
-            .call(&control, &order.instance, &order.address, call);
+            .call(&control, &order.instance, &order.address, call, true);
         let answer = timeout(PATIENCE, calling).await.ok().flatten();
         let outcome = answer.as_ref().map_or(OrderOutcome::Unknown, outcome_of);
         tracing::info!(event = "order", instance = %order.instance, model = %order.model,
@@ -110,7 +115,9 @@
     let control = Rc::clone(control);
     tokio::task::spawn_local(async move {
         let call = control.dialect.report_call();
-        let calling = control.back_ends.call(&control, &instance, &address, call);
+        let calling = control
+            .back_ends
+            .call(&control, &instance, &address, call, true);
         let answer = timeout(PATIENCE, calling).await.ok().flatten();
         let report: Option<Report> = answer
             .filter(|answer| answer.status == StatusCode::OK)
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,9 +4,9 @@
 
 use bytes::Bytes;
 use drumshore_gateway_core::{
-    Document, Heartbeat, InstanceId, InvalidDocument, ModelName, Order, Prompt, Report,
+    Document, Heartbeat, InstanceId, InvalidDocument, ModelName, Order, Prompt, Report, StoredKey,
 };
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, HeaderValue};
 use hyper::{HeaderMap, Method, Uri};
 
 /// The names of the headers that the gateway reads or writes.
@@ -78,6 +78,30 @@
     pub body: Bytes,
     /// The type of the body.
     pub content_type: &'static str,
+    /// Further headers.
+    pub headers: Vec<(HeaderName, HeaderValue)>,
+}
+
+/// What a store of cached prompts tells of itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreEvents {
+    /// Changes when the store starts again with nothing.
+    pub epoch: u64,
+    /// Where the next question goes on.
+    pub next: u64,
+    /// True when some events before these are no longer there.
+    pub lost: bool,
+    /// Parts that came, and parts that went, in order.
+    pub events: Vec<StoreEvent>,
+}
+
+/// One part that came or went.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreEvent {
+    /// True when it came.
+    pub came: bool,
+    /// The part.
+    pub key: StoredKey,
 }
 
 /// Translates between the gateway and what others speak. It holds no state.
@@ -114,4 +138,16 @@
 
     /// Reads a back end's answer to the question.
     fn report(&self, body: &[u8]) -> Result<Report, InvalidCall>;
+
+    /// Asks a store what changed; it may wait so long until something does.
+    fn store_events_call(&self, since: u64, wait: Duration) -> OutboundCall;
+
+    /// Reads a store's answer.
+    fn store_events(&self, body: &[u8]) -> Result<StoreEvents, InvalidCall>;
+
+    /// Asks a store for all that it holds.
+    fn store_list_call(&self) -> OutboundCall;
+
+    /// Reads a store's list.
+    fn store_list(&self, body: &[u8]) -> Result<Vec<StoredKey>, InvalidCall>;
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,7 +21,9 @@
 mod upstream;
 
 pub use control::run as run_control;
-pub use dialect::{ControlCall, Dialect, HeaderNames, InvalidCall, OutboundCall};
+pub use dialect::{
+    ControlCall, Dialect, HeaderNames, InvalidCall, OutboundCall, StoreEvent, StoreEvents,
+};
 pub use router::run as run_router;
 pub use settings::{ControlSettings, RouterSettings, SeedSource};
 
--- a/crates/gateway/src/router/headers.rs
+++ b/crates/gateway/src/router/headers.rs
@@ -88,8 +88,10 @@
         let priority = admission.priority.min(LEAST_URGENT).to_string();
         set(&names.priority, &priority);
     }
-    if let Some(store) = &choice.cache_store {
+    if let Some(store) = &choice.fetch_from {
         set(&names.cache_fetch, store);
+    }
+    if let Some(store) = &choice.save_to {
         set(&names.cache_save, store);
     }
 }
