Orders without an answer are looked into and given again at once

Change: an order waits 400 ms; after silence or a conflict the back end is asked and the order given again with the right count. Short prompts are not saved to the store.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -383,6 +383,11 @@
             Command::NameWeights { .. } => {
                 self.named_at.insert(position, self.now);
             }
+            Command::Load {
+                instance,
+                phase: LoadPhase::Finished,
+                ..
+            } => self.on_load_finished(instance.as_str()),
             _ => {}
         }
         self.effects.push(Effect::Applied { position, command });
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -101,6 +101,7 @@
 pub(super) struct Rollouts {
     steps: BTreeMap<String, Step>,
     orders_taken: BTreeMap<String, u64>,
+    expected_at_order: BTreeMap<String, u64>,
     next_order: u64,
 }
 
@@ -135,12 +136,14 @@
         if outcome == OrderOutcome::Gone {
             self.on_instance_gone(name);
         }
-        let look = match outcome {
-            OrderOutcome::Taken => at.plus(FIRST_LOOK),
-            OrderOutcome::Holds | OrderOutcome::Conflict | OrderOutcome::Unknown => now,
-            OrderOutcome::Fenced | OrderOutcome::Gone => now.plus(ORDER_AGAIN),
+        let (ordered, look) = match outcome {
+            OrderOutcome::Taken => (at, at.plus(FIRST_LOOK)),
+            OrderOutcome::Holds => (at, now),
+            // The report tells whether it was taken; if not, it is given again at once.
+            OrderOutcome::Conflict | OrderOutcome::Unknown => (Timestamp::default(), now),
+            OrderOutcome::Fenced | OrderOutcome::Gone => (at, now.plus(ORDER_AGAIN)),
         };
-        let step = Step::Loading { ordered: at, look };
+        let step = Step::Loading { ordered, look };
         self.rollouts.steps.insert(name.to_owned(), step);
     }
 
@@ -314,6 +317,10 @@
         self.rollouts.next_order += 1;
         let id = OrderId(self.rollouts.next_order);
         let expected = self.rollouts.orders_taken.get(&load.instance);
+        let expected_orders = expected.copied().unwrap_or(0);
+        self.rollouts
+            .expected_at_order
+            .insert(load.instance.clone(), expected_orders);
         let order = Order {
             id,
             instance: InstanceId::new(&load.instance),
@@ -322,7 +329,7 @@
             version: load.version,
             holder: self.holder.clone(),
             fencing_token: self.term(),
-            expected_orders: expected.copied().unwrap_or(0),
+            expected_orders,
         };
         let step = Step::Ordered { at: self.now, id };
         self.rollouts.steps.insert(load.instance, step);
@@ -350,12 +357,27 @@
                 self.rollouts.steps.remove(name);
                 self.propose_load(&load, LoadPhase::Finished);
             } else if loaded.loading != 0 && self.now.since(ordered) >= ORDER_AGAIN {
-                let step = Step::Noticed { at: self.now };
+                let step = Step::Noticed {
+                    at: Timestamp::default(),
+                };
                 self.rollouts.steps.insert(name.to_owned(), step);
             }
         }
     }
 
+    /// A load that a heartbeat told of has ended without a report.
+    pub(super) fn on_load_finished(&mut self, instance: &str) {
+        let expected = self.rollouts.expected_at_order.remove(instance);
+        if let Some(expected) = expected {
+            let taken = self
+                .rollouts
+                .orders_taken
+                .entry(instance.to_owned())
+                .or_default();
+            *taken = (*taken).max(expected + 1);
+        }
+    }
+
     fn propose_load(&mut self, load: &Load, phase: LoadPhase) {
         let command = Command::Load {
             instance: load.instance.as_str().into(),
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -223,7 +223,7 @@
         let is_held = |part: &super::PromptPart| stored.contains(&StoredKey::new(salt, &part.id));
         UseOfStore {
             fetch: shared.first().is_some_and(is_held),
-            save: !shared.iter().all(is_held),
+            save: !prompt.is_short() && !shared.iter().all(is_held),
         }
     }
 
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -14,7 +14,8 @@
 use crate::dialect::OutboundCall;
 use crate::upstream::Upstreams;
 
-const PATIENCE: Duration = Duration::from_millis(1_000);
+/// A back end that takes an order says so at once.
+const PATIENCE: Duration = Duration::from_millis(400);
 const CONNECTIONS: usize = 2;
 const MOST_ANSWER_BYTES: usize = 1 << 20;
 
