Start loads of weights no sooner than they must

Change: a rollout starts when those that are behind, so many at a time, would just be done in time; a version that is named meanwhile makes one load of two.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -51,6 +51,8 @@
     pub order_lease: Duration,
     /// Between telling routers that a back end loads weights and ordering it to.
     pub load_notice: Duration,
+    /// Back ends hold new weights within this time after they were named.
+    pub load_within: Duration,
     /// A voter that was silent this long gives way to a replica that waits to vote.
     pub voter_silence: Duration,
 }
@@ -69,6 +71,7 @@
             patience: Duration::from_millis(850),
             order_lease: Duration::from_millis(3_300),
             load_notice: Duration::from_millis(250),
+            load_within: Duration::from_secs(6),
             voter_silence: Duration::from_secs(5),
         }
     }
@@ -393,10 +396,13 @@
         self.effects.push(Effect::Applied { position, command });
     }
 
-    fn weights_age_ms(&self, revision: u64) -> u32 {
+    fn weights_age(&self, revision: u64) -> Duration {
         let named = self.named_at.get(&revision).copied().unwrap_or_default();
-        let age = self.now.since(named).as_millis();
-        u32::try_from(age).unwrap_or(u32::MAX)
+        self.now.since(named)
+    }
+
+    fn weights_age_ms(&self, revision: u64) -> u32 {
+        u32::try_from(self.weights_age(revision).as_millis()).unwrap_or(u32::MAX)
     }
 
     fn snapshot_if_due(&mut self) -> Result<(), ReplicaError> {
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -20,6 +20,10 @@
 const ROUNDS: usize = 4;
 /// At least so many of a pool load at once.
 const LEAST_AT_ONCE: usize = 2;
+/// About how long one load takes, with the notice before it.
+const LOAD_CYCLE: Duration = Duration::from_millis(1_050);
+/// Loads that have to be given again.
+const LOAD_SLACK: Duration = Duration::from_millis(700);
 /// The first look at a back end that took an order.
 const FIRST_LOOK: Duration = Duration::from_millis(650);
 /// Between later looks.
@@ -199,7 +203,7 @@
             .into_iter()
             .filter(|load| self.is_instance_heard(&load.instance))
             .collect();
-        if self.may_order() {
+        if self.may_order() && self.is_time_to_load(&heard) {
             self.start_loads(&heard);
         }
         for load in heard {
@@ -224,6 +228,29 @@
         self.role() == Role::Leader && waited && confirmed
     }
 
+    /// Loads start no sooner than they must, for a version that is named meanwhile makes one load
+    /// of two: when those that are behind, so many at a time, would just be done in time.
+    fn is_time_to_load(&self, loads: &[Load]) -> bool {
+        let waiting: Vec<&Load> = loads
+            .iter()
+            .filter(|load| load.version > load.held)
+            .collect();
+        let oldest = waiting.iter().filter_map(|load| {
+            let unmet = self
+                .state
+                .weights()
+                .find(|named| named.model.as_str() == load.model && named.version > load.held)?;
+            Some(self.weights_age(unmet.revision))
+        });
+        let Some(oldest) = oldest.max() else {
+            return true;
+        };
+        let rounds = u32::try_from(ROUNDS).unwrap_or(u32::MAX);
+        let share = waiting.len() as f64 / self.state.instances().count().max(1) as f64;
+        let needed = LOAD_CYCLE.mul_f64(f64::from(rounds) * share.min(1.0)) + LOAD_SLACK;
+        oldest + needed >= self.params.load_within
+    }
+
     /// A step belongs to a load that is under way, or that was proposed just now.
     fn forget_finished_steps(&mut self) {
         let now = self.now;
