--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -310,10 +310,10 @@
             .entry(load.instance.clone())
             .or_insert(fresh);
         match step {
-            Step::Noticed { at } if now.since(at) >= self.params.load_notice => {
-                if self.may_order() {
-                    self.give_order(load);
-                }
+            Step::Noticed { at }
+                if now.since(at) >= self.params.load_notice && self.may_order() =>
+            {
+                self.give_order(load);
             }
             Step::Ordered { at, .. } if now.since(at) >= ORDER_AGAIN => {
                 let look = Step::Loading {
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -1,1 +1,445 @@
 //! Tests of the router.
+
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use drumshore_wire::{Blob, List, Text};
+
+use super::*;
+use crate::{
+    CacheStore, InstanceRecord, Lifecycle, Limits, LoadedModel, ModelPool, Pool, RequestKind,
+    Share, TenantName, WeightsNotice,
+};
+
+const LEASE: Duration = Duration::from_secs(4);
+const GRACE: Duration = Duration::from_secs(6);
+
+fn params() -> RouterParams {
+    RouterParams {
+        zone: "zone".to_owned(),
+        key_lease: LEASE,
+        version_grace: GRACE,
+        retry_ratio: 0.2,
+        retry_slack: 50.0,
+        retry_window: Duration::from_secs(10),
+    }
+}
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp(1 + milliseconds * 1_000)
+}
+
+fn route(name: &str, prefix: &str, shares: &[(&str, u32)]) -> Route {
+    Route {
+        name: name.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: prefix.to_owned(),
+        kind: RequestKind::Once,
+        timeout: Duration::from_secs(5),
+        target: Duration::from_millis(300),
+        gap_target: None,
+        priority: 2,
+        max_attempts: 2,
+        public: false,
+        shares: shares
+            .iter()
+            .map(|(pool, weight)| Share {
+                pool: PoolName::new(pool),
+                weight: *weight,
+            })
+            .collect(),
+    }
+}
+
+fn tenant(name: &str, key: &str, priority: Option<u8>, isolated: bool) -> Tenant {
+    Tenant {
+        name: TenantName::new(name),
+        keys: vec![key.to_owned()],
+        priority,
+        isolated,
+    }
+}
+
+fn pool(name: &str, models: bool) -> Pool {
+    Pool {
+        name: PoolName::new(name),
+        max_connections: 70,
+        models: models.then(|| ModelPool {
+            slots: 8,
+            cache_tokens: 100_000,
+            models: vec![ModelName::new("model")],
+        }),
+        store: None,
+    }
+}
+
+fn document() -> Document {
+    let mut open = route("open", "/open/", &[("apps", 1)]);
+    open.public = true;
+    let store = Pool {
+        store: Some(CacheStore {
+            address: "10.0.9.9:90".to_owned(),
+            zone: "zone".to_owned(),
+            cache_tokens: 1_000_000,
+        }),
+        ..pool("store", false)
+    };
+    Document {
+        version: 5,
+        routes: vec![
+            route("short", "/a/", &[("apps", 1)]),
+            route("long", "/a/b/", &[("models", 1)]),
+            route("split", "/split/", &[("apps", 3), ("models", 1)]),
+            open,
+        ],
+        pools: vec![pool("apps", false), pool("models", true), store],
+        tenants: vec![
+            tenant("one", "key 1", None, false),
+            tenant("two", "key 2", Some(0), true),
+        ],
+        limits: Limits::default(),
+    }
+}
+
+fn record(name: &str, pool: &str, registered: u64) -> InstanceRecord {
+    let models = if pool == "models" { 1 } else { 0 };
+    let loaded = (0..models).map(|_| LoadedModel {
+        model: Text::new("model"),
+        version: 1,
+        loading: 0,
+    });
+    InstanceRecord {
+        instance: Text::new(name),
+        pool: Text::new(pool),
+        address: Text::new(format!("10.0.0.{registered}:80")),
+        zone: Text::new("zone"),
+        slots: 8,
+        lifecycle: Lifecycle::Ready,
+        models: List::new(loaded.collect()),
+        registered,
+        revision: registered,
+    }
+}
+
+fn changes(since: u64, revision: u64, instances: Vec<InstanceRecord>) -> Changes {
+    let configuration = if since == 0 {
+        vec![Blob::new(Vec::new())]
+    } else {
+        Vec::new()
+    };
+    Changes {
+        since,
+        revision,
+        configuration: List::new(configuration),
+        weights: List::new(Vec::new()),
+        instances: List::new(instances),
+        removed: List::new(Vec::new()),
+    }
+}
+
+fn router_with(instances: Vec<InstanceRecord>) -> RouterCore {
+    let mut router = RouterCore::new(params(), 7);
+    router
+        .apply(at(0), changes(0, 10, instances), |_| Ok(document()))
+        .unwrap();
+    router.on_confirmed(at(0), 10, 1);
+    router
+}
+
+fn router() -> RouterCore {
+    let mut instances: Vec<InstanceRecord> = (1..=3)
+        .map(|number| record(&format!("app-{number}"), "apps", number))
+        .collect();
+    instances.extend((4..=9).map(|number| record(&format!("llm-{number}"), "models", number)));
+    router_with(instances)
+}
+
+fn update(router: &mut RouterCore, now: Timestamp, changed: Changes) {
+    router.apply(now, changed, |_| Ok(document())).unwrap();
+}
+
+fn prompt(shared: &str, own: u32) -> Prompt {
+    Prompt {
+        model: ModelName::new("model"),
+        parts: vec![
+            PromptPart {
+                id: shared.to_owned(),
+                tokens: 4_000,
+            },
+            PromptPart {
+                id: "own".to_owned(),
+                tokens: own,
+            },
+        ],
+        output: 20,
+    }
+}
+
+fn admit(router: &mut RouterCore, now: Timestamp, path: &str) -> Admission {
+    router.admit(now, "host", path, Some("key 1")).unwrap()
+}
+
+#[test]
+fn the_longest_prefix_wins() {
+    let mut router = router();
+    assert_eq!(admit(&mut router, at(1), "/a/x").route.name, "short");
+    assert_eq!(admit(&mut router, at(1), "/a/b/x").route.name, "long");
+    let none = router.admit(at(1), "host", "/c/", Some("key 1"));
+    assert_eq!(none.unwrap_err(), Refusal::NoRoute);
+    let other_host = router.admit(at(1), "other", "/a/x", Some("key 1"));
+    assert_eq!(other_host.unwrap_err(), Refusal::NoRoute);
+}
+
+#[test]
+fn keys_name_tenants_and_tenants_priorities() {
+    let mut router = router();
+    let unknown = router.admit(at(1), "host", "/a/x", Some("key 9"));
+    assert_eq!(unknown.unwrap_err(), Refusal::UnknownKey);
+    let missing = router.admit(at(1), "host", "/a/x", None);
+    assert_eq!(missing.unwrap_err(), Refusal::UnknownKey);
+    let one = router.admit(at(1), "host", "/a/x", Some("key 1")).unwrap();
+    assert_eq!(one.priority, 2);
+    let two = router.admit(at(1), "host", "/a/x", Some("key 2")).unwrap();
+    assert_eq!(two.priority, 0);
+    let open = router.admit(at(1), "host", "/open/x", None).unwrap();
+    assert!(open.tenant.is_none());
+}
+
+#[test]
+fn a_router_that_is_not_confirmed_in_time_judges_nothing() {
+    let mut router = router();
+    let late = at(LEASE.as_millis() as u64 + 1);
+    let refused = router.admit(late, "host", "/a/x", Some("key 1"));
+    assert_eq!(refused.unwrap_err(), Refusal::Unconfirmed);
+    router.on_confirmed(at(3_000), 10, 1);
+    assert!(router.admit(late, "host", "/a/x", Some("key 1")).is_ok());
+}
+
+#[test]
+fn a_confirmation_of_something_newer_counts_only_once_that_has_arrived() {
+    let mut router = router();
+    let late = at(5_000);
+    router.on_confirmed(at(4_900), 12, 1);
+    let refused = router.admit(late, "host", "/a/x", Some("key 1"));
+    assert_eq!(refused.unwrap_err(), Refusal::Unconfirmed);
+    update(&mut router, late, changes(10, 12, Vec::new()));
+    assert!(router.admit(late, "host", "/a/x", Some("key 1")).is_ok());
+}
+
+#[test]
+fn a_view_never_leads_back_and_has_no_gaps() {
+    let mut router = router();
+    let parse = |_: &[u8]| Ok(document());
+    let older = router.apply(at(1), changes(0, 9, Vec::new()), parse);
+    assert!(matches!(older, Err(ViewError::Gap { .. })));
+    let gap = router.apply(at(1), changes(11, 12, Vec::new()), parse);
+    assert!(matches!(gap, Err(ViewError::Gap { .. })));
+    assert_eq!(router.revision(), 10);
+}
+
+#[test]
+fn shares_hold_over_few_requests() {
+    let mut router = router();
+    let mut apps = 0;
+    for _ in 0..40 {
+        let admission = admit(&mut router, at(1), "/split/x");
+        apps += u32::from(admission.pool.as_str() == "apps");
+    }
+    assert_eq!(apps, 30);
+}
+
+#[test]
+fn draining_loading_and_replaced_back_ends_get_nothing() {
+    let mut draining = record("draining", "models", 1);
+    draining.lifecycle = Lifecycle::Draining;
+    let mut loading = record("loading", "models", 2);
+    loading.models.items[0].loading = 2;
+    let old = record("old", "models", 3);
+    let mut new = record("new", "models", 4);
+    new.address = old.address.clone();
+    let mut router = router_with(vec![draining, loading, old, new]);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    for _ in 0..20 {
+        let choice = router
+            .choose(at(1), &admission, Some(&prompt("s", 10)), &[])
+            .unwrap();
+        assert_eq!(choice.instance.as_str(), "new");
+    }
+}
+
+#[test]
+fn one_that_another_incarnation_answered_for_is_left_alone() {
+    let old = record("old", "apps", 3);
+    let mut new = record("new", "apps", 4);
+    new.address = old.address.clone();
+    let mut router = router_with(vec![old, new]);
+    let admission = admit(&mut router, at(1), "/a/x");
+    let choice = router.choose(at(1), &admission, None, &[]).unwrap();
+    assert_eq!(choice.instance.as_str(), "new");
+    router.finished(at(1), &choice.instance, Outcome::Misdirected);
+    let choice = router.choose(at(2), &admission, None, &[]).unwrap();
+    assert_eq!(choice.instance.as_str(), "old");
+}
+
+#[test]
+fn old_weights_are_not_used_when_their_time_is_up() {
+    let mut router = router();
+    let mut named = changes(10, 11, Vec::new());
+    named.weights = List::new(vec![WeightsNotice {
+        model: Text::new("model"),
+        version: 2,
+        age_ms: 2_000,
+    }]);
+    update(&mut router, at(1_000), named);
+    router.on_confirmed(at(7_000), 11, 1);
+    let admission = admit(&mut router, at(4_000), "/a/b/x");
+    let prompt = prompt("s", 10);
+    let choice = router.choose(at(4_000), &admission, Some(&prompt), &[]);
+    assert_eq!(choice.unwrap().expected_version, Some(1));
+    // Two seconds of the grace were over when the name arrived here.
+    let choice = router.choose(at(5_100), &admission, Some(&prompt), &[]);
+    assert_eq!(choice.unwrap_err(), ChoiceError::NoneReady);
+}
+
+#[test]
+fn requests_with_the_same_shared_parts_meet_at_one_back_end() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let mut homes = std::collections::BTreeSet::new();
+    for own in 1..10 {
+        let prompt = prompt("shared", own);
+        let choice = router
+            .choose(at(1), &admission, Some(&prompt), &[])
+            .unwrap();
+        assert_eq!(choice.rank, 0);
+        router.answered(&choice);
+        router.finished(at(1), &choice.instance, Outcome::Answered);
+        homes.insert(choice.instance);
+    }
+    assert_eq!(homes.len(), 1);
+}
+
+#[test]
+fn a_home_that_others_keep_busy_is_passed_over() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let home = router
+        .choose(at(1), &admission, Some(&prompt), &[])
+        .unwrap();
+    router.finished(at(1), &home.instance, Outcome::Answered);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(home.instance.as_str()),
+        pending: 200,
+        in_flight: 6,
+    };
+    router.set_others_loads(&[busy]);
+    let away = router
+        .choose(at(1), &admission, Some(&prompt), &[])
+        .unwrap();
+    assert_ne!(away.instance, home.instance);
+    assert!(away.rank > 0);
+}
+
+#[test]
+fn salts_separate_versions_and_isolated_tenants() {
+    let mut router = router();
+    let prompt = prompt("shared", 10);
+    let mut salt = |key: &str| {
+        let admission = router.admit(at(1), "host", "/a/b/x", Some(key)).unwrap();
+        let choice = router
+            .choose(at(1), &admission, Some(&prompt), &[])
+            .unwrap();
+        choice.cache_salt.unwrap()
+    };
+    assert_ne!(salt("key 1"), salt("key 2"));
+    let shared = salt("key 1");
+    let mut newer: Vec<InstanceRecord> = (4..=9)
+        .map(|number| record(&format!("llm-{number}"), "models", number))
+        .collect();
+    for record in &mut newer {
+        record.models.items[0].version = 2;
+    }
+    update(&mut router, at(2), changes(10, 11, newer));
+    let admission = admit(&mut router, at(2), "/a/b/x");
+    let choice = router
+        .choose(at(2), &admission, Some(&prompt), &[])
+        .unwrap();
+    assert_ne!(choice.cache_salt.unwrap(), shared);
+}
+
+#[test]
+fn a_prompt_is_saved_only_when_a_shared_part_is_missing() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let mut choose = |router: &mut RouterCore| {
+        router
+            .choose(at(1), &admission, Some(&prompt), &[])
+            .unwrap()
+    };
+    let unknown = choose(&mut router);
+    assert_eq!((unknown.fetch_from, unknown.save_to), (None, None));
+    router.on_stored(true, true, &[], &[]);
+    let missing = choose(&mut router);
+    assert!(missing.fetch_from.is_none() && missing.save_to.is_some());
+    let key = StoredKey::new(missing.cache_salt.as_deref().unwrap(), "shared");
+    router.on_stored(true, false, &[key], &[]);
+    let held = choose(&mut router);
+    assert!(held.fetch_from.is_some() && held.save_to.is_none());
+    router.on_stored(true, false, &[], &[key]);
+    assert!(choose(&mut router).save_to.is_some());
+    router.on_stored(false, true, &[], &[]);
+    let lost = choose(&mut router);
+    assert_eq!((lost.fetch_from, lost.save_to), (None, None));
+}
+
+#[test]
+fn retries_are_bounded_by_requests() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/x");
+    let mut retries = 0;
+    for _ in 0..200 {
+        let first = router.choose(at(1), &admission, None, &[]).unwrap();
+        let tried = [first.instance.clone()];
+        let second = router.choose(at(1), &admission, None, &tried);
+        retries += u32::from(second.is_ok());
+        if let Ok(second) = second {
+            router.finished(at(1), &second.instance, Outcome::Failed);
+        }
+        router.finished(at(1), &first.instance, Outcome::Failed);
+    }
+    // 0.2 of 200 requests, and the slack.
+    assert!((20..=90).contains(&retries), "{retries}");
+}
+
+#[test]
+fn the_part_of_one_router_shrinks_with_the_number_of_routers() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/x");
+    let alone = router.choose(at(1), &admission, None, &[]).unwrap();
+    router.on_confirmed(at(1), 10, 7);
+    let one_of_seven = router.choose(at(1), &admission, None, &[]).unwrap();
+    assert!(alone.connections > 6 * one_of_seven.connections);
+    assert!(one_of_seven.connections >= 1);
+}
+
+#[test]
+fn a_back_end_that_cannot_be_reached_is_avoided_and_tried_again_later() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/x");
+    let lost = router.choose(at(1), &admission, None, &[]).unwrap();
+    router.finished(at(1), &lost.instance, Outcome::Unreachable);
+    for _ in 0..20 {
+        let choice = router.choose(at(100), &admission, None, &[]).unwrap();
+        assert_ne!(choice.instance, lost.instance);
+    }
+    router.finished(at(100), &lost.instance, Outcome::Answered);
+    let later = at(1_500);
+    let mut seen = false;
+    for _ in 0..20 {
+        let choice = router.choose(later, &admission, None, &[]).unwrap();
+        seen |= choice.instance == lost.instance;
+    }
+    assert!(seen);
+}
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
+use std::time::Duration;
 
 use drumshore_core::Timestamp;
 
@@ -28,7 +29,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Named {
     version: u64,
-    since: Timestamp,
+    received: Timestamp,
+    /// How old the name was when it arrived; it may be older than this process.
+    age: Duration,
 }
 
 /// The replicated state as a router has it.
@@ -84,7 +87,7 @@
     pub fn required_version(&self, model: &str, now: Timestamp, grace: std::time::Duration) -> u64 {
         let named = self.named.get(model).into_iter().flatten();
         named
-            .filter(|named| now.since(named.since) >= grace)
+            .filter(|named| now.since(named.received) + named.age >= grace)
             .map(|named| named.version)
             .max()
             .unwrap_or(0)
@@ -143,7 +146,8 @@
                 .or_default();
             named.push(Named {
                 version: weights.version,
-                since: Timestamp(now.0.saturating_sub(u64::from(weights.age_ms) * 1_000)),
+                received: now,
+                age: Duration::from_millis(u64::from(weights.age_ms)),
             });
             if named.len() > REMEMBERED {
                 named.remove(0);
--- /dev/null
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -0,0 +1,280 @@
+//! Control machines on one virtual clock, with links that can be cut and disks that can be lost.
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use drumshore_consensus::{Membership, MemoryDirectory, ReplicaId, Role};
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{
+    address_of, bootstrap_id, Command, ConnectionId, ControlCore, ControlParams, Effect, Heartbeat,
+    InstanceId, Lifecycle, Message, ModelName, Order, Reply, RouterStatus, Ticket,
+};
+use drumshore_wire::{Blob, Text};
+
+pub type Core = ControlCore<MemoryDirectory>;
+
+/// A machine: its core, or nothing while it is down, and its disk.
+pub struct Machine {
+    pub core: Option<Core>,
+    pub disk: MemoryDirectory,
+    pub replica: ReplicaId,
+}
+
+/// An order as it left its machine.
+#[derive(Clone, Debug)]
+pub struct Given {
+    pub by: Ipv4Addr,
+    pub at: Timestamp,
+    pub order: Order,
+}
+
+pub struct Cluster {
+    pub machines: BTreeMap<Ipv4Addr, Machine>,
+    pub seeds: Vec<Ipv4Addr>,
+    pub now: Timestamp,
+    pub cut: BTreeSet<Ipv4Addr>,
+    pub replies: BTreeMap<Ticket, Reply>,
+    pub to_routers: Vec<(Ipv4Addr, ConnectionId, Message)>,
+    pub orders: Vec<Given>,
+    pub asked: Vec<(Ipv4Addr, InstanceId)>,
+    in_flight: Vec<(Ipv4Addr, Ipv4Addr, Message)>,
+    params: ControlParams,
+    next_ticket: u64,
+    next_seed: u64,
+}
+
+pub fn address(number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, number)
+}
+
+impl Cluster {
+    /// `founders` machines that start together, all of them seeds.
+    pub fn new(founders: u8) -> Self {
+        Self::with_params(founders, ControlParams::default())
+    }
+
+    pub fn with_params(founders: u8, params: ControlParams) -> Self {
+        let seeds: Vec<Ipv4Addr> = (1..=founders).map(address).collect();
+        let mut cluster = Self {
+            machines: BTreeMap::new(),
+            seeds: seeds.clone(),
+            now: Timestamp(1),
+            cut: BTreeSet::new(),
+            replies: BTreeMap::new(),
+            to_routers: Vec::new(),
+            orders: Vec::new(),
+            asked: Vec::new(),
+            in_flight: Vec::new(),
+            params,
+            next_ticket: 0,
+            next_seed: 100,
+        };
+        for seed in seeds {
+            cluster.add(seed, bootstrap_id(seed));
+        }
+        cluster
+    }
+
+    fn add(&mut self, at: Ipv4Addr, replica: ReplicaId) {
+        let machine = Machine {
+            core: None,
+            disk: MemoryDirectory::new(),
+            replica,
+        };
+        self.machines.insert(at, machine);
+        self.start(at);
+    }
+
+    /// A machine with an empty disk asks to be let in.
+    pub fn join(&mut self, at: Ipv4Addr) {
+        self.next_seed += 1;
+        let replica = ReplicaId(bootstrap_id(at).0 | self.next_seed);
+        self.add(at, replica);
+    }
+
+    pub fn start(&mut self, at: Ipv4Addr) {
+        self.next_seed += 1;
+        let founding = self.machines[&at].replica == bootstrap_id(at);
+        let members = if founding {
+            Membership::of_voters(self.seeds.iter().map(|seed| bootstrap_id(*seed)))
+        } else {
+            Membership::default()
+        };
+        let machine = self.machines.get_mut(&at).unwrap();
+        let core = Core::open(
+            machine.disk.clone(),
+            machine.replica,
+            members,
+            self.seeds.clone(),
+            at.to_string(),
+            self.params.clone(),
+            self.next_seed,
+        );
+        machine.core = Some(core.unwrap());
+    }
+
+    pub fn kill(&mut self, at: Ipv4Addr) {
+        self.machines.get_mut(&at).unwrap().core = None;
+    }
+
+    /// The machine loses its disk and returns under a new number.
+    pub fn wipe(&mut self, at: Ipv4Addr) {
+        self.machines.remove(&at);
+        self.join(at);
+    }
+
+    pub fn core(&mut self, at: Ipv4Addr) -> &mut Core {
+        self.machines.get_mut(&at).unwrap().core.as_mut().unwrap()
+    }
+
+    pub fn leader(&self) -> Option<Ipv4Addr> {
+        let leads = |machine: &Machine| {
+            let core = machine.core.as_ref();
+            core.is_some_and(|core| core.role() == Role::Leader)
+        };
+        let mut leaders = self.machines.iter().filter(|(_, machine)| leads(machine));
+        leaders
+            .find(|(at, _)| !self.cut.contains(at))
+            .map(|(at, _)| *at)
+    }
+
+    /// Lets time pass, a tick at a time.
+    pub fn run(&mut self, duration: Duration) {
+        let end = self.now.plus(duration);
+        while self.now < end {
+            self.now = self.now.plus(self.params.tick);
+            let all: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
+            for at in all {
+                let now = self.now;
+                if let Some(core) = &mut self.machines.get_mut(&at).unwrap().core {
+                    core.on_tick(now);
+                }
+            }
+            self.settle();
+        }
+    }
+
+    /// Delivers messages until none is left.
+    pub fn settle(&mut self) {
+        loop {
+            self.flush_all();
+            let messages = std::mem::take(&mut self.in_flight);
+            if messages.is_empty() {
+                return;
+            }
+            for (from, to, message) in messages {
+                if self.cut.contains(&from) || self.cut.contains(&to) {
+                    continue;
+                }
+                let now = self.now;
+                let machine = self.machines.get_mut(&to);
+                if let Some(core) = machine.and_then(|machine| machine.core.as_mut()) {
+                    core.on_control(now, message);
+                }
+            }
+        }
+    }
+
+    fn flush_all(&mut self) {
+        let all: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
+        for at in all {
+            let mut effects = Vec::new();
+            if let Some(core) = &mut self.machines.get_mut(&at).unwrap().core {
+                core.flush(&mut |effect| effects.push(effect)).unwrap();
+            }
+            for effect in effects {
+                self.carry_out(at, effect);
+            }
+        }
+    }
+
+    fn carry_out(&mut self, at: Ipv4Addr, effect: Effect) {
+        match effect {
+            Effect::ToControl(to, message) => self.in_flight.push((at, to, message)),
+            Effect::ToRouter(connection, message) => {
+                self.to_routers.push((at, connection, message));
+            }
+            Effect::Reply(ticket, reply) => {
+                self.replies.insert(ticket, reply);
+            }
+            Effect::Order(order) => self.orders.push(Given {
+                by: at,
+                at: self.now,
+                order,
+            }),
+            Effect::Ask { instance, .. } => self.asked.push((at, instance)),
+            Effect::Applied { .. } => {}
+        }
+    }
+
+    fn ticket(&mut self) -> Ticket {
+        self.next_ticket += 1;
+        Ticket(self.next_ticket)
+    }
+
+    pub fn submit(&mut self, at: Ipv4Addr, command: Command) -> Ticket {
+        let (ticket, now) = (self.ticket(), self.now);
+        self.core(at).submit(now, ticket, command);
+        self.settle();
+        ticket
+    }
+
+    pub fn configure(&mut self, at: Ipv4Addr, version: u64) -> Ticket {
+        let body = Blob::new(format!("configuration {version}").into_bytes());
+        self.submit(at, Command::Configure { version, body })
+    }
+
+    pub fn name_weights(&mut self, at: Ipv4Addr, version: u64) -> Ticket {
+        let model = Text::new("model");
+        self.submit(at, Command::NameWeights { model, version })
+    }
+
+    pub fn read(&mut self, at: Ipv4Addr) -> Ticket {
+        let (ticket, now) = (self.ticket(), self.now);
+        self.core(at).read_configuration(now, ticket);
+        self.settle();
+        ticket
+    }
+
+    pub fn heartbeat(&mut self, at: Ipv4Addr, heartbeat: &Heartbeat) -> Ticket {
+        let (ticket, now) = (self.ticket(), self.now);
+        self.core(at).on_heartbeat(now, ticket, heartbeat);
+        self.settle();
+        ticket
+    }
+
+    pub fn link_router(&mut self, at: Ipv4Addr, connection: ConnectionId, address: &str) {
+        let status = RouterStatus {
+            address: Text::new(address),
+            zone: Text::new("zone"),
+            accepting: 1,
+        };
+        let now = self.now;
+        self.core(at)
+            .on_router(now, connection, Message::Router(status));
+        self.settle();
+    }
+
+    pub fn voters(&self, at: Ipv4Addr) -> usize {
+        self.machines[&at].core.as_ref().unwrap().controls().len()
+    }
+}
+
+/// A back end that holds `version`.
+pub fn back_end(number: u8, version: u64) -> Heartbeat {
+    Heartbeat {
+        instance: InstanceId::new(&format!("i-{number}")),
+        pool: "pool".to_owned(),
+        address: format!("10.9.0.{number}:80"),
+        zone: "zone".to_owned(),
+        slots: 4,
+        lifecycle: Lifecycle::Ready,
+        models: vec![(ModelName::new("model"), version)],
+    }
+}
+
+pub fn replica_address(replica: ReplicaId) -> Ipv4Addr {
+    address_of(replica)
+}
--- /dev/null
+++ b/crates/gateway-core/tests/control.rs
@@ -0,0 +1,461 @@
+//! Control machines under the failures that they are meant for.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{address, back_end, Cluster};
+use drumshore_gateway_core::{
+    ConnectionId, ControlParams, Lifecycle, LoadEntry, Message, ModelName, OrderOutcome, Reply,
+    Report, StoreNews, StoredKey,
+};
+use drumshore_wire::List;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn elected(founders: u8) -> Cluster {
+    let mut cluster = Cluster::new(founders);
+    cluster.run(3 * SECOND);
+    assert!(cluster.leader().is_some());
+    cluster
+}
+
+#[test]
+fn a_configuration_is_acknowledged_and_read_back_anywhere() {
+    let mut cluster = elected(3);
+    let accepted = cluster.configure(address(2), 7);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&accepted], Reply::Accepted);
+    for number in 1..=3 {
+        let read = cluster.read(address(number));
+        cluster.run(SECOND);
+        let expected = Reply::Configuration(Some(b"configuration 7".to_vec()));
+        assert_eq!(cluster.replies[&read], expected);
+    }
+}
+
+#[test]
+fn the_highest_version_wins_and_an_older_one_is_acknowledged_without_effect() {
+    let mut cluster = elected(3);
+    for version in [5, 9, 6, 9] {
+        let ticket = cluster.configure(address(1), version);
+        cluster.run(SECOND);
+        assert_eq!(cluster.replies[&ticket], Reply::Accepted);
+    }
+    assert_eq!(cluster.core(address(3)).state().configuration_version(), 9);
+}
+
+#[test]
+fn a_machine_that_is_cut_off_neither_acknowledges_nor_answers_reads() {
+    let mut cluster = elected(3);
+    let old_leader = cluster.leader().unwrap();
+    cluster.configure(old_leader, 1);
+    cluster.cut.insert(old_leader);
+    let change = cluster.configure(old_leader, 2);
+    let read = cluster.read(old_leader);
+    cluster.run(4 * SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Unavailable);
+    assert_eq!(cluster.replies[&read], Reply::Unavailable);
+    let new_leader = cluster.leader().unwrap();
+    let change = cluster.configure(new_leader, 3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+}
+
+#[test]
+fn acknowledged_changes_outlast_a_loss_of_power_of_all() {
+    let mut cluster = elected(3);
+    let change = cluster.configure(address(1), 4);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+    for number in 1..=3 {
+        cluster.kill(address(number));
+        cluster.machines[&address(number)].disk.crash(0);
+    }
+    for number in 1..=3 {
+        cluster.start(address(number));
+    }
+    cluster.run(3 * SECOND);
+    let read = cluster.read(address(2));
+    cluster.run(SECOND);
+    let expected = Reply::Configuration(Some(b"configuration 4".to_vec()));
+    assert_eq!(cluster.replies[&read], expected);
+}
+
+#[test]
+fn machines_that_are_not_seeds_join_and_vote() {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    // Two losses are borne only if five vote.
+    cluster.kill(address(1));
+    cluster.kill(address(2));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(5), 2);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+}
+
+#[test]
+fn two_disks_are_lost_and_the_machines_return_as_others() {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(1), 3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+    cluster.wipe(address(1));
+    cluster.wipe(address(4));
+    cluster.run(8 * SECOND);
+    // Those that kept their disks may go now: the others have what was acknowledged.
+    cluster.kill(address(2));
+    cluster.kill(address(3));
+    cluster.run(5 * SECOND);
+    let read = cluster.read(address(1));
+    cluster.run(SECOND);
+    let expected = Reply::Configuration(Some(b"configuration 3".to_vec()));
+    assert_eq!(cluster.replies[&read], expected);
+}
+
+#[test]
+fn a_replacement_at_another_address_takes_the_place_of_a_machine_that_is_gone() {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    cluster.kill(address(2));
+    cluster.machines.remove(&address(2));
+    cluster.join(address(6));
+    cluster.run(12 * SECOND);
+    assert!(!cluster.core(address(6)).controls().contains(&address(2)));
+    cluster.kill(address(1));
+    cluster.kill(address(3));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(6), 2);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+}
+
+#[test]
+fn leaving_is_acknowledged_only_when_a_quorum_knows() {
+    let mut cluster = elected(3);
+    let ready = back_end(1, 1);
+    let registered = cluster.heartbeat(address(1), &ready);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&registered], Reply::Accepted);
+    let mut leaving = ready.clone();
+    leaving.lifecycle = Lifecycle::Draining;
+    cluster.cut.insert(address(1));
+    let unheard = cluster.heartbeat(address(1), &leaving);
+    cluster.run(2 * SECOND);
+    assert_eq!(cluster.replies[&unheard], Reply::Unavailable);
+    cluster.cut.clear();
+    cluster.run(2 * SECOND);
+    let heard = cluster.heartbeat(address(2), &leaving);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&heard], Reply::Accepted);
+    let record = cluster.core(address(3)).state().instance("i-1").cloned();
+    assert_eq!(record.unwrap().lifecycle, Lifecycle::Draining);
+}
+
+#[test]
+fn a_late_word_does_not_bring_back_one_that_has_gone() {
+    let mut cluster = elected(3);
+    let ready = back_end(1, 1);
+    cluster.heartbeat(address(1), &ready);
+    let instance = "i-1".into();
+    cluster.submit(
+        address(1),
+        drumshore_gateway_core::Command::Deregister { instance },
+    );
+    let late = cluster.heartbeat(address(2), &ready);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&late], Reply::Accepted);
+    assert!(cluster.core(address(3)).state().instance("i-1").is_none());
+}
+
+/// Back ends that keep talking, so that rollouts do not pass them over.
+fn run_with_beats(cluster: &mut Cluster, count: u8, version: u64, duration: Duration) {
+    let steps = duration.as_millis() / 500;
+    for _ in 0..steps {
+        let at = cluster.leader().unwrap_or(address(1));
+        for number in 1..=count {
+            if cluster.machines[&at].core.is_some() {
+                cluster.heartbeat(at, &back_end(number, version));
+            }
+        }
+        cluster.run(Duration::from_millis(500));
+    }
+}
+
+fn impatient() -> ControlParams {
+    ControlParams {
+        load_within: Duration::ZERO,
+        ..ControlParams::default()
+    }
+}
+
+fn rollout(count: u8) -> Cluster {
+    let mut cluster = Cluster::with_params(3, impatient());
+    cluster.run(6 * SECOND);
+    run_with_beats(&mut cluster, count, 1, SECOND);
+    let leader = cluster.leader().unwrap();
+    cluster.name_weights(leader, 2);
+    run_with_beats(&mut cluster, count, 1, SECOND);
+    cluster
+}
+
+#[test]
+fn routers_hear_of_a_load_before_it_is_ordered() {
+    let mut cluster = Cluster::with_params(3, impatient());
+    cluster.run(6 * SECOND);
+    run_with_beats(&mut cluster, 1, 1, SECOND);
+    let leader = cluster.leader().unwrap();
+    cluster.name_weights(leader, 2);
+    let mut noticed = None;
+    for _ in 0..40 {
+        cluster.heartbeat(leader, &back_end(1, 1));
+        cluster.run(Duration::from_millis(75));
+        let record = cluster.core(leader).state().instance("i-1").unwrap();
+        if record.is_loading() && noticed.is_none() {
+            noticed = Some(cluster.now);
+        }
+    }
+    let noticed = noticed.expect("the load is in the replicated state");
+    let ordered = cluster.orders[0].at;
+    assert!(ordered.since(noticed) >= Duration::from_millis(200));
+}
+
+#[test]
+fn few_back_ends_load_at_once() {
+    let cluster = rollout(8);
+    // A quarter of the pool, and none finishes here.
+    assert_eq!(cluster.orders.len(), 2);
+}
+
+#[test]
+fn orders_carry_the_term_and_the_orders_taken() {
+    let mut cluster = rollout(2);
+    let first = cluster.orders[0].clone();
+    let term = cluster.core(first.by).term();
+    assert_eq!(first.order.fencing_token, term);
+    assert_eq!(first.order.expected_orders, 0);
+    let now = cluster.now;
+    let (instance, id) = (first.order.instance.clone(), first.order.id);
+    let core = cluster.core(first.by);
+    core.on_order_outcome(now, &instance, id, OrderOutcome::Conflict);
+    cluster.run(Duration::from_millis(200));
+    assert!(cluster.asked.iter().any(|(_, asked)| *asked == instance));
+    let report = Report {
+        orders_taken: 3,
+        busy: false,
+        models: vec![(ModelName::new("model"), 1)],
+    };
+    let now = cluster.now;
+    cluster
+        .core(first.by)
+        .on_report(now, &instance, Some(&report));
+    cluster.run(Duration::from_millis(300));
+    let again = cluster.orders.last().unwrap();
+    assert_eq!(again.order.instance, instance);
+    assert_eq!(again.order.expected_orders, 3);
+}
+
+/// Back ends that were asked say that they took no order and hold the old weights.
+fn report_idle(cluster: &mut Cluster) {
+    let report = Report {
+        orders_taken: 0,
+        busy: false,
+        models: vec![(ModelName::new("model"), 1)],
+    };
+    for (by, instance) in std::mem::take(&mut cluster.asked) {
+        let now = cluster.now;
+        cluster.core(by).on_report(now, &instance, Some(&report));
+    }
+}
+
+#[test]
+fn a_new_leader_gives_no_order_within_the_lease_of_the_old_one() {
+    let mut cluster = rollout(4);
+    let old = cluster.leader().unwrap();
+    let last = cluster.orders.last().unwrap().at;
+    cluster.cut.insert(old);
+    for _ in 0..16 {
+        let other = cluster.leader().unwrap_or(address(1));
+        if other != old {
+            run_with_beats(&mut cluster, 4, 1, Duration::from_millis(500));
+            report_idle(&mut cluster);
+        } else {
+            cluster.run(Duration::from_millis(500));
+        }
+    }
+    let lease = ControlParams::default().order_lease;
+    let mut by_other = cluster.orders.iter().filter(|given| given.by != old);
+    let first = by_other.next().expect("the new leader goes on");
+    assert!(first.at.since(last) >= lease);
+    let mut by_old = cluster.orders.iter().filter(|given| given.by == old);
+    let last_of_old = by_old.next_back().unwrap().at;
+    assert!(last_of_old.since(last) < SECOND, "the old one stops");
+}
+
+#[test]
+fn a_load_that_ended_leaves_its_back_end_free_for_the_next() {
+    // A step left behind kept two back ends on old weights for 20 s (trouble-1, first score).
+    let mut cluster = rollout(2);
+    let leader = cluster.leader().unwrap();
+    let orders: Vec<_> = cluster.orders.clone();
+    for given in &orders {
+        let now = cluster.now;
+        let (instance, id) = (given.order.instance.clone(), given.order.id);
+        let core = cluster.core(leader);
+        core.on_order_outcome(now, &instance, id, OrderOutcome::Taken);
+    }
+    run_with_beats(&mut cluster, 2, 2, 2 * SECOND);
+    cluster.orders.clear();
+    cluster.name_weights(leader, 3);
+    run_with_beats(&mut cluster, 2, 2, 2 * SECOND);
+    assert_eq!(cluster.orders.len(), 2);
+    assert!(cluster.orders.iter().all(|given| given.order.version == 3));
+    let counted = cluster
+        .orders
+        .iter()
+        .map(|given| given.order.expected_orders);
+    assert_eq!(counted.collect::<Vec<_>>(), [1, 1]);
+}
+
+#[test]
+fn a_rollout_waits_for_names_that_may_still_come() {
+    let mut cluster = elected(3);
+    run_with_beats(&mut cluster, 4, 1, 2 * SECOND);
+    let leader = cluster.leader().unwrap();
+    cluster.name_weights(leader, 2);
+    run_with_beats(&mut cluster, 4, 1, SECOND);
+    assert!(cluster.orders.is_empty(), "there is time");
+    run_with_beats(&mut cluster, 4, 1, 4 * SECOND);
+    assert!(!cluster.orders.is_empty(), "and it is used up");
+}
+
+#[test]
+fn a_router_is_told_what_changed_and_how_old_a_name_is() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.name_weights(leader, 2);
+    cluster.run(3 * SECOND);
+    let connection = ConnectionId(1);
+    cluster.link_router(leader, connection, "10.0.1.1:80");
+    let now = cluster.now;
+    let fetch = Message::Fetch { since: 0 };
+    cluster.core(leader).on_router(now, connection, fetch);
+    cluster.settle();
+    let told = cluster.to_routers.iter().find_map(|(_, _, message)| {
+        let Message::Changes(changes) = message else {
+            return None;
+        };
+        changes.weights.items.first().cloned()
+    });
+    let told = told.expect("the name is in the answer");
+    assert_eq!(told.version, 2);
+    assert!(told.age_ms >= 3_000);
+}
+
+#[test]
+fn a_ping_is_answered_only_while_a_quorum_confirms() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    let connection = ConnectionId(1);
+    cluster.link_router(leader, connection, "10.0.1.1:80");
+    let ping = |cluster: &mut Cluster, sequence| {
+        let now = cluster.now;
+        let message = Message::Ping { sequence };
+        cluster.core(leader).on_router(now, connection, message);
+        cluster.run(2 * SECOND);
+        let answered = |message: &Message| matches!(message, Message::Pong { sequence: answered, .. } if *answered == sequence);
+        let mut messages = cluster.to_routers.iter();
+        messages.any(|(_, _, message)| answered(message))
+    };
+    assert!(ping(&mut cluster, 1));
+    cluster.cut.insert(leader);
+    assert!(!ping(&mut cluster, 2));
+}
+
+#[test]
+fn each_router_is_told_the_load_of_the_others() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    let load = |pending, in_flight| LoadEntry {
+        key: LoadEntry::key_of("i-1"),
+        pending,
+        in_flight,
+    };
+    for (number, own) in [(1, load(10, 2)), (2, load(5, 1))] {
+        let connection = ConnectionId(number);
+        cluster.link_router(leader, connection, &format!("10.0.1.{number}:80"));
+        let now = cluster.now;
+        let message = Message::Loads(List::new(vec![own]));
+        cluster.core(leader).on_router(now, connection, message);
+    }
+    cluster.run(Duration::from_millis(150));
+    let told = |to: u64| {
+        cluster
+            .to_routers
+            .iter()
+            .find_map(|(_, connection, message)| match message {
+                Message::Loads(loads) if *connection == ConnectionId(to) => {
+                    Some(loads.items.clone())
+                }
+                _ => None,
+            })
+    };
+    assert_eq!(told(1).unwrap(), [load(5, 1)]);
+    assert_eq!(told(2).unwrap(), [load(10, 2)]);
+    // What is not told again counts no longer.
+    cluster.to_routers.clear();
+    cluster.run(SECOND);
+    let last = cluster
+        .to_routers
+        .iter()
+        .rev()
+        .find_map(|(_, _, message)| match message {
+            Message::Loads(loads) => Some(loads.items.clone()),
+            _ => None,
+        });
+    assert_eq!(last.unwrap(), []);
+}
+
+#[test]
+fn routers_hear_what_the_store_gains_and_that_it_is_lost() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
+    let key = |part: &str| StoredKey::new("salt", part);
+    let mut told = |news| {
+        let now = cluster.now;
+        cluster.core(leader).on_store_news(now, news);
+        cluster.to_routers.clear();
+        cluster.run(Duration::from_millis(100));
+        let messages = cluster.to_routers.iter();
+        messages
+            .filter(|(_, _, message)| matches!(message, Message::Stored { .. }))
+            .map(|(_, _, message)| message.clone())
+            .next_back()
+            .unwrap()
+    };
+    let stored = |known, reset, added: Vec<StoredKey>| Message::Stored {
+        known,
+        reset,
+        added: List::new(added),
+        removed: List::new(Vec::new()),
+    };
+    assert_eq!(
+        told(StoreNews::Holds(vec![key("a")])),
+        stored(1, 1, vec![key("a")])
+    );
+    let gained = StoreNews::Changed {
+        added: vec![key("a"), key("b")],
+        removed: Vec::new(),
+    };
+    assert_eq!(told(gained), stored(1, 0, vec![key("b")]));
+    assert_eq!(told(StoreNews::Lost), stored(0, 1, Vec::new()));
+}
