--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -373,7 +373,7 @@
     let mut router = router();
     let admission = admit(&mut router, at(1), "/a/b/x");
     let prompt = prompt("shared", 10);
-    let mut choose = |router: &mut RouterCore| {
+    let choose = |router: &mut RouterCore| {
         router
             .choose(at(1), &admission, Some(&prompt), &[])
             .unwrap()
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -47,10 +47,17 @@
 
 /// How one attempt ended.
 enum Attempt {
-    Answered(Response<Incoming>, Connection, Visit),
+    Answered(Box<Answered>),
     Ended { execution: Execution, sent: bool },
 }
 
+/// An answer that is to be passed on.
+struct Answered {
+    response: Response<Incoming>,
+    connection: Connection,
+    visit: Visit,
+}
+
 /// How a request is answered when no back end does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct GivenUp {
@@ -197,10 +204,8 @@
         };
         tried.push(choice.instance.clone());
         match attempt(router, &call, &choice, sent).await {
-            Attempt::Answered(response, connection, visit) => {
-                return relay(
-                    router, call, choice, response, connection, visit, open, &tried,
-                );
+            Attempt::Answered(answered) => {
+                return relay(router, call, &choice, *answered, open, &tried);
             }
             Attempt::Ended {
                 execution,
@@ -342,7 +347,11 @@
             sent: true,
         };
     }
-    Attempt::Answered(response, connection, visit)
+    Attempt::Answered(Box::new(Answered {
+        response,
+        connection,
+        visit,
+    }))
 }
 
 /// Reads a short answer to its end, so that its connection can be kept.
@@ -358,17 +367,19 @@
     });
 }
 
-#[allow(clippy::too_many_arguments)]
 fn relay(
     router: &Rc<Router>,
     call: Call,
-    choice: Choice,
-    response: Response<Incoming>,
-    connection: Connection,
-    visit: Visit,
+    choice: &Choice,
+    answered: Answered,
     open: OpenRequest,
     tried: &[InstanceId],
 ) -> Response<AnswerBody> {
+    let Answered {
+        response,
+        connection,
+        visit,
+    } = answered;
     let now = router.clock.now();
     let elapsed = now.since(call.received);
     router.metrics.count_request("answered", elapsed);
@@ -380,7 +391,7 @@
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
     let left = call.deadline.since(now);
-    let relay = Relay::new(router, call.id, body, connection, visit, open, left);
+    let relay = Relay::new(call.id, body, connection, visit, open, left);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -84,7 +84,6 @@
 
 impl Relay {
     pub(super) fn new(
-        router: &Rc<Router>,
         id: String,
         body: Incoming,
         connection: Connection,
@@ -92,7 +91,6 @@
         open: OpenRequest,
         left: Duration,
     ) -> Self {
-        let _ = router;
         let mut relay = Self {
             id,
             body,
