Elect sooner after a common start; say when to come back while unconfirmed

Change: the first election after a start waits a third as long (pre-votes keep it harmless where a leader is), finer ticks split fewer votes, and the time to come back covers the election.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -21,6 +21,9 @@
     /// Ticks without a leader after which a replica stands; each draws between one and two times
     /// as many. Also the time within which a leader must hear its quorum.
     pub election_ticks: u64,
+    /// In place of `election_ticks` for the first election after a start: when all replicas start
+    /// together there is no leader to wait for, and where there is one its heartbeat comes first.
+    pub first_election_ticks: u64,
     /// Ticks between a leader's heartbeats.
     pub heartbeat_ticks: u64,
     /// Messages on their way to one replica at once.
@@ -35,6 +38,7 @@
     fn default() -> Self {
         Self {
             election_ticks: 10,
+            first_election_ticks: 10,
             heartbeat_ticks: 2,
             window: 16,
             batch_bytes: 256 << 10,
@@ -163,6 +167,8 @@
         };
         raft.restore_memberships();
         raft.draw_election_timeout();
+        let earlier = raft.params.election_ticks - raft.params.first_election_ticks;
+        raft.election_timeout -= earlier;
         raft
     }
 
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -61,11 +61,12 @@
     fn default() -> Self {
         Self {
             consensus: Params {
-                election_ticks: 8,
-                heartbeat_ticks: 2,
+                election_ticks: 12,
+                first_election_ticks: 4,
+                heartbeat_ticks: 3,
                 ..Params::default()
             },
-            tick: Duration::from_millis(75),
+            tick: Duration::from_millis(50),
             snapshot_entries: 400,
             voters: 5,
             patience: Duration::from_millis(850),
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -26,6 +26,8 @@
 const MOST_TRIES: usize = 4;
 /// A caller that was refused because of a passing state comes back after this long.
 const COME_BACK: Duration = Duration::from_millis(60);
+/// Control machines that start together have a leader after about this long.
+const COMMON_START: Duration = Duration::from_millis(1_100);
 /// Another router serves it at once.
 const COME_BACK_AT_ONCE: Duration = Duration::from_millis(5);
 /// A caller comes back later when no back end is there at all.
@@ -457,7 +459,9 @@
         Refused::ByView(Refusal::NoConfiguration) => {
             (busy, Some(COME_BACK_LATER), "no_configuration")
         }
-        Refused::ByView(Refusal::Unconfirmed) => (busy, Some(COME_BACK_LATER), "unconfirmed"),
+        Refused::ByView(Refusal::Unconfirmed) => {
+            (busy, Some(until_confirmed(router)), "unconfirmed")
+        }
         Refused::Stopping => (busy, Some(COME_BACK_AT_ONCE), "stopping"),
     };
     let now = router.clock.now();
@@ -473,6 +477,13 @@
     })
 }
 
+/// When control machines have started together with this router they elect a leader first, and
+/// a caller that comes back before that comes in vain.
+fn until_confirmed(router: &Router) -> Duration {
+    let running = Duration::from_micros(router.clock.now().0);
+    COMMON_START.saturating_sub(running).max(COME_BACK_LATER)
+}
+
 fn respond(given_up: GivenUp) -> Response<AnswerBody> {
     match given_up.come_back {
         Some(after) => answer::come_back(given_up.status, after),
