Take silent and replaced back ends out of the registry

Change: a back end whose address another incarnation has taken goes after 4 s of silence, any other after 15 s, and comes back with its next word unless it was leaving; sides count back ends that can be reached.

--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -93,6 +93,12 @@
         /// The version that all back ends are to hold.
         version: u64,
     },
+    /// A back end that fell silent; its word brings it back.
+    #[brw(magic(7u8))]
+    Expire {
+        /// Its incarnation.
+        instance: Text,
+    },
     /// A step of one back end's load of weights.
     #[brw(magic(6u8))]
     Load {
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -78,6 +78,11 @@
     }
 }
 
+/// A back end whose address another incarnation has taken is gone after this silence.
+const REPLACED_SILENCE: Duration = Duration::from_secs(4);
+/// Any other back end, after this one; its next word brings it back.
+const SILENCE: Duration = Duration::from_secs(15);
+
 /// A caller that waits for a [`Reply`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -466,22 +471,36 @@
         }
     }
 
-    /// Forgets back ends that were silent so long that they cannot come back.
+    /// Takes silent back ends out: soon when another incarnation has registered at their address,
+    /// else after longer, for a back end that is cut off from control may still serve.
     fn expire_instances(&mut self) {
-        const SILENCE: Duration = Duration::from_secs(120);
         let now = self.now;
-        let mut expired = Vec::new();
+        let mut latest: BTreeMap<&str, u64> = BTreeMap::new();
+        for record in self.state.instances() {
+            let registered = latest.entry(record.address.as_str()).or_default();
+            *registered = record.registered.max(*registered);
+        }
+        let mut replaced = Vec::new();
+        let mut silent = Vec::new();
         for record in self.state.instances() {
             let name = record.instance.as_str();
-            let heard = self.heard.entry(name.to_owned()).or_insert(now);
-            if now.since(*heard) > SILENCE {
-                expired.push(record.instance.clone());
+            let heard = *self.heard.entry(name.to_owned()).or_insert(now);
+            let silence = now.since(heard);
+            let is_latest = latest.get(record.address.as_str()) == Some(&record.registered);
+            if !is_latest && silence > REPLACED_SILENCE {
+                replaced.push(record.instance.clone());
+            } else if silence > SILENCE {
+                silent.push(record.instance.clone());
             }
         }
-        for instance in expired {
+        for instance in replaced {
             self.heard.remove(instance.as_str());
             self.propose(None, Command::Deregister { instance });
         }
+        for instance in silent {
+            self.heard.remove(instance.as_str());
+            self.propose(None, Command::Expire { instance });
+        }
     }
 }
 
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -160,6 +160,11 @@
 }
 
 impl Endpoint {
+    /// False once it could not be reached, until it answers again.
+    pub fn is_reachable(&self) -> bool {
+        self.unreachable_in_a_row == 0
+    }
+
     /// Requests of all routers, as far as they have told.
     pub fn all_in_flight(&self) -> u32 {
         self.in_flight + u32::from(self.others.in_flight)
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -161,6 +161,7 @@
             .filter(|(_, endpoint)| {
                 endpoint.record.pool.as_str() == admission.pool.as_str()
                     && endpoint.record.lifecycle == Lifecycle::Ready
+                    && endpoint.is_reachable()
             })
             .map(|(id, _)| (xxh3_64_with_seed(id.as_str().as_bytes(), 0), id))
             .collect();
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -105,6 +105,14 @@
 struct Removal {
     instance: Text,
     revision: u64,
+    may_return: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Removed {
+    revision: u64,
+    /// It fell silent and may speak again.
+    may_return: bool,
 }
 
 #[binrw]
@@ -129,7 +137,7 @@
     /// The versions of each model that were named last, oldest first.
     weights: BTreeMap<String, Vec<NamedWeights>>,
     instances: BTreeMap<String, InstanceRecord>,
-    removals: BTreeMap<String, u64>,
+    removals: BTreeMap<String, Removed>,
 }
 
 impl ReplicatedState {
@@ -160,7 +168,8 @@
 
     /// True when the back end has gone for good.
     pub fn is_removed(&self, instance: &str) -> bool {
-        self.removals.contains_key(instance)
+        let removed = self.removals.get(instance);
+        removed.is_some_and(|removed| !removed.may_return)
     }
 
     /// The weights that were named last, of each model oldest first.
@@ -180,7 +189,8 @@
             Command::Configure { version, body } => self.configure(position, *version, body),
             Command::Register { .. } => self.register(position, command),
             Command::Drain { instance } => self.drain(position, instance),
-            Command::Deregister { instance } => self.deregister(position, instance),
+            Command::Deregister { instance } => self.remove(position, instance, false),
+            Command::Expire { instance } => self.expire(position, instance),
             Command::NameWeights { model, version } => self.name(position, model, *version),
             Command::Load {
                 instance,
@@ -214,7 +224,7 @@
             age_ms: age_ms(named),
         };
         let instances = self.instances.values().filter(|item| item.revision > since);
-        let removed = self.removals.iter().filter(|item| *item.1 > since);
+        let removed = self.removals.iter().filter(|item| item.1.revision > since);
         Changes {
             since,
             revision: self.revision,
@@ -227,9 +237,10 @@
 
     /// The state as a snapshot of the log.
     pub fn encode(&self) -> Vec<u8> {
-        let removals = self.removals.iter().map(|(instance, revision)| Removal {
+        let removals = self.removals.iter().map(|(instance, removed)| Removal {
             instance: Text::new(instance.as_str()),
-            revision: *revision,
+            revision: removed.revision,
+            may_return: u8::from(removed.may_return),
         });
         let image = Image {
             revision: self.revision,
@@ -255,7 +266,13 @@
             weights.entry(model).or_default().push(named);
         }
         let by_instance = |record: InstanceRecord| (record.instance.as_str().to_owned(), record);
-        let removal = |item: Removal| (item.instance.as_str().to_owned(), item.revision);
+        let removal = |item: Removal| {
+            let removed = Removed {
+                revision: item.revision,
+                may_return: item.may_return != 0,
+            };
+            (item.instance.as_str().to_owned(), removed)
+        };
         Some(Self {
             revision: image.revision,
             forgotten: image.forgotten,
@@ -292,9 +309,10 @@
             return false;
         };
         let name = instance.as_str();
-        if self.removals.contains_key(name) || self.instances.contains_key(name) {
+        if self.is_removed(name) || self.instances.contains_key(name) {
             return false;
         }
+        self.removals.remove(name);
         let lifecycle = if *draining == 0 {
             Lifecycle::Ready
         } else {
@@ -329,23 +347,34 @@
 
     /// Also for an instance that was never seen: a word of it that is still on its way must not
     /// bring it back.
-    fn deregister(&mut self, position: u64, instance: &Text) -> bool {
+    fn remove(&mut self, position: u64, instance: &Text, may_return: bool) -> bool {
         let name = instance.as_str();
-        if self.removals.contains_key(name) {
+        if self.is_removed(name) {
             return false;
         }
         self.instances.remove(name);
-        self.removals.insert(name.to_owned(), position);
+        let removed = Removed {
+            revision: position,
+            may_return,
+        };
+        self.removals.insert(name.to_owned(), removed);
         self.forget_oldest_removal();
         true
     }
 
+    /// One that is leaving stays, so that a late word cannot make it ready again.
+    fn expire(&mut self, position: u64, instance: &Text) -> bool {
+        let record = self.instances.get(instance.as_str());
+        let ready = record.is_some_and(|record| record.lifecycle == Lifecycle::Ready);
+        ready && self.remove(position, instance, true)
+    }
+
     fn forget_oldest_removal(&mut self) {
         if self.removals.len() <= REMEMBERED_REMOVALS {
             return;
         }
-        let oldest = self.removals.iter().min_by_key(|item| *item.1);
-        if let Some((name, revision)) = oldest.map(|item| (item.0.clone(), *item.1)) {
+        let oldest = self.removals.iter().min_by_key(|item| item.1.revision);
+        if let Some((name, revision)) = oldest.map(|item| (item.0.clone(), item.1.revision)) {
             self.removals.remove(&name);
             self.forgotten = self.forgotten.max(revision);
         }
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -459,3 +459,47 @@
     assert_eq!(told(gained), stored(1, 0, vec![key("b")]));
     assert_eq!(told(StoreNews::Lost), stored(0, 1, Vec::new()));
 }
+
+#[test]
+fn a_silent_back_end_goes_and_its_word_brings_it_back() {
+    // Dead incarnations made up most of a pool's side after crashes (sqbc scale-2).
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.heartbeat(leader, &back_end(1, 1));
+    cluster.run(20 * SECOND);
+    assert!(cluster.core(leader).state().instance("i-1").is_none());
+    cluster.heartbeat(leader, &back_end(1, 1));
+    cluster.run(SECOND);
+    assert!(cluster.core(leader).state().instance("i-1").is_some());
+}
+
+#[test]
+fn a_silent_back_end_that_was_leaving_stays_as_leaving() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    let mut leaving = back_end(1, 1);
+    leaving.lifecycle = Lifecycle::Draining;
+    cluster.heartbeat(leader, &leaving);
+    cluster.run(20 * SECOND);
+    cluster.heartbeat(leader, &back_end(1, 1));
+    cluster.run(SECOND);
+    let record = cluster.core(leader).state().instance("i-1").cloned();
+    assert_eq!(record.unwrap().lifecycle, Lifecycle::Draining);
+}
+
+#[test]
+fn an_incarnation_whose_address_is_taken_goes_soon() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.heartbeat(leader, &back_end(1, 1));
+    let mut later = back_end(2, 1);
+    later.address = back_end(1, 1).address;
+    cluster.heartbeat(leader, &later);
+    for _ in 0..10 {
+        cluster.run(SECOND / 2);
+        cluster.heartbeat(leader, &later);
+    }
+    let state = cluster.core(leader).state();
+    assert!(state.instance("i-1").is_none());
+    assert!(state.instance("i-2").is_some());
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -315,6 +315,13 @@
                 instance = instance.as_str()
             );
         }
+        Command::Expire { instance } => {
+            tracing::info!(
+                event = "instance_silent",
+                position,
+                instance = instance.as_str()
+            );
+        }
         Command::NameWeights { model, version } => {
             tracing::info!(
                 event = "weights_applied",
