--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -53,6 +53,8 @@
     version: Option<u64>,
     in_flight: u32,
     rank: usize,
+    /// Where the prompt's home listens, when that is another back end with the same weights.
+    home: Option<String>,
 }
 
 impl RouterCore {
@@ -148,7 +150,16 @@
             (cost(candidate, rank), tie, rank, candidate)
         });
         let best = ranked.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
-        best.map(|(_, _, rank, candidate)| candidate.placed(rank))
+        let (_, _, best_rank, best) = best?;
+        let mut placed = best.placed(best_rank);
+        if best_rank > 0 {
+            let at_home = usable
+                .iter()
+                .find(|candidate| rank(candidate) == 0 && sides.is_own(candidate.id, is_short));
+            let home = at_home.filter(|home| home.version == placed.version);
+            placed.home = home.map(|home| home.endpoint.record.address.as_str().to_owned());
+        }
+        Some(placed)
     }
 
     fn sides(&self, admission: &Admission) -> Sides {
@@ -203,7 +214,9 @@
             expected_version: placed.version,
             cache_salt,
             tokens: prompt.map_or(0, Prompt::expected_read),
-            fetch_from: store.clone().filter(|_| use_of_store.fetch),
+            fetch_from: placed
+                .home
+                .or_else(|| store.clone().filter(|_| use_of_store.fetch)),
             save_to: store.filter(|_| use_of_store.save),
             in_flight: placed.in_flight,
             rank: placed.rank,
@@ -263,6 +276,7 @@
             version: self.version,
             in_flight: self.endpoint.in_flight,
             rank,
+            home: None,
         }
     }
 }
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -339,6 +339,8 @@
         .unwrap();
     assert_ne!(away.instance, home.instance);
     assert!(away.rank > 0);
+    // The home has the shared parts, and many homes have more links than one store.
+    assert_eq!(away.fetch_from, Some(home.address));
 }
 
 #[test]
