Leave the store alone while its fetches are slow

Cause: asking homes always gives up what only the store has; asking the store always fills its link. Change: after an answer that took 1.3 times its target with a fetch from the store, a router asks homes for 1.5 s, and nobody where the prompt is at home.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -127,6 +127,8 @@
     pub tokens: u32,
     /// A store to fetch the prompt from.
     pub fetch_from: Option<String>,
+    /// True when that is the store and not another back end.
+    pub fetches_from_store: bool,
     /// A store to save the prompt to.
     pub save_to: Option<String>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
@@ -135,6 +137,11 @@
     pub rank: usize,
 }
 
+/// A fetch from the store is slow when the answer takes more than so many times its target.
+const SLOW_FETCH: f64 = 1.3;
+/// So long prompts are fetched from their homes after a slow fetch from the store.
+const STORE_PAUSE: Duration = Duration::from_millis(1_500);
+
 /// A router.
 pub struct RouterCore {
     params: RouterParams,
@@ -147,6 +154,8 @@
     routers: u16,
     /// What the store of cached prompts holds; `None` while nobody says.
     stored: Option<HashSet<StoredKey>>,
+    /// Fetches from the store took too long lately: its link is full.
+    store_busy_until: Timestamp,
 }
 
 impl RouterCore {
@@ -162,6 +171,7 @@
             params,
             routers: 1,
             stored: None,
+            store_busy_until: Timestamp::default(),
         }
     }
 
@@ -263,9 +273,20 @@
         Ok(choice)
     }
 
-    /// The answer to a request that was chosen for has begun.
-    pub fn answered(&mut self, choice: &Choice) {
+    /// The answer to a request that was chosen for has begun, or its attempt has ended. `took` is
+    /// the time since it was sent, when an answer came, and `target` the time it should take.
+    pub fn answered(
+        &mut self,
+        now: Timestamp,
+        choice: &Choice,
+        took: Option<Duration>,
+        target: Duration,
+    ) {
         self.endpoints.answered(&choice.instance, choice.tokens);
+        let slow = took.is_some_and(|took| took > target.mul_f64(SLOW_FETCH));
+        if slow && choice.fetches_from_store {
+            self.store_busy_until = now.plus(STORE_PAUSE);
+        }
     }
 
     /// What this router puts on back ends.
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -80,7 +80,7 @@
             None => self.place_by_load(&usable, draw),
         };
         let placed = placed.ok_or(ChoiceError::NoneLeft)?;
-        Ok(self.choice(admission, prompt, placed))
+        Ok(self.choice(now, admission, prompt, placed))
     }
 
     fn candidates<'a>(
@@ -201,12 +201,24 @@
         Some(best.placed(0))
     }
 
-    fn choice(&self, admission: &Admission, prompt: Option<&Prompt>, placed: Placed) -> Choice {
+    fn choice(
+        &self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+        placed: Placed,
+    ) -> Choice {
         let pool = self.pool(admission);
         let max_connections = pool.map_or(0, |pool| pool.max_connections);
         let cache_salt = prompt.map(|prompt| salt(admission, prompt, placed.version));
         let use_of_store = self.use_of_store(prompt, cache_salt.as_deref());
         let store = prompt.and_then(|_| self.store(admission));
+        let from_store = use_of_store.fetch && self.store_busy_until <= now;
+        let fetch_from = if from_store {
+            store.clone()
+        } else {
+            placed.home
+        };
         Choice {
             instance: placed.instance,
             address: placed.address,
@@ -214,9 +226,8 @@
             expected_version: placed.version,
             cache_salt,
             tokens: prompt.map_or(0, Prompt::expected_read),
-            fetch_from: placed
-                .home
-                .or_else(|| store.clone().filter(|_| use_of_store.fetch)),
+            fetches_from_store: from_store && fetch_from.is_some(),
+            fetch_from,
             save_to: store.filter(|_| use_of_store.save),
             in_flight: placed.in_flight,
             rank: placed.rank,
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -312,7 +312,7 @@
             .choose(at(1), &admission, Some(&prompt), &[])
             .unwrap();
         assert_eq!(choice.rank, 0);
-        router.answered(&choice);
+        router.answered(at(1), &choice, None, Duration::ZERO);
         router.finished(at(1), &choice.instance, Outcome::Answered);
         homes.insert(choice.instance);
     }
@@ -445,3 +445,29 @@
     }
     assert!(seen);
 }
+
+#[test]
+fn a_slow_store_is_left_alone_for_a_while() {
+    // A full link of the store made a third of the requests wait 2 s (sqbc scale-2).
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    router.on_stored(true, true, &[], &[]);
+    let first = router
+        .choose(at(1), &admission, Some(&prompt), &[])
+        .unwrap();
+    let key = StoredKey::new(first.cache_salt.as_deref().unwrap(), "shared");
+    router.on_stored(true, false, &[key], &[]);
+    let fetching = router
+        .choose(at(2), &admission, Some(&prompt), &[])
+        .unwrap();
+    assert!(fetching.fetches_from_store);
+    let target = Duration::from_millis(300);
+    router.answered(at(300), &fetching, Some(2 * target), target);
+    let choose = |router: &mut RouterCore, now| {
+        let choice = router.choose(now, &admission, Some(&prompt), &[]);
+        choice.unwrap().fetches_from_store
+    };
+    assert!(!choose(&mut router, at(400)));
+    assert!(choose(&mut router, at(3_000)));
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -232,7 +232,7 @@
 }
 
 async fn attempt(router: &Rc<Router>, call: &Call, choice: &Choice, sent: u32) -> Attempt {
-    let mut visit = Visit::new(router, choice);
+    let mut visit = Visit::new(router, choice, call.admission.route.target);
     let connecting = router.upstreams.connect(
         &choice.instance,
         &choice.address,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use drumshore_core::Timestamp;
 use drumshore_gateway_core::{Choice, Outcome};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
@@ -20,13 +21,17 @@
 pub(crate) struct Visit {
     router: Rc<Router>,
     choice: Choice,
+    target: Duration,
+    begun: Timestamp,
     answered: bool,
     outcome: Outcome,
 }
 
 impl Visit {
-    pub fn new(router: &Rc<Router>, choice: &Choice) -> Self {
+    pub fn new(router: &Rc<Router>, choice: &Choice, target: Duration) -> Self {
         Self {
+            target,
+            begun: router.clock.now(),
             router: Rc::clone(router),
             choice: choice.clone(),
             answered: false,
@@ -36,8 +41,15 @@
 
     /// The answer has begun.
     pub fn answered(&mut self) {
+        let took = self.router.clock.now().since(self.begun);
+        self.note_answered(Some(took));
+    }
+
+    fn note_answered(&mut self, took: Option<Duration>) {
         if !std::mem::replace(&mut self.answered, true) {
-            self.router.core.borrow_mut().answered(&self.choice);
+            let now = self.router.clock.now();
+            let mut core = self.router.core.borrow_mut();
+            core.answered(now, &self.choice, took, self.target);
         }
     }
 
@@ -49,7 +61,7 @@
 
 impl Drop for Visit {
     fn drop(&mut self) {
-        self.answered();
+        self.note_answered(None);
         let now = self.router.clock.now();
         let mut core = self.router.core.borrow_mut();
         core.finished(now, &self.choice.instance, self.outcome);
