Place a prompt in n log n; part the control machine's file; one opener, one loop

Ruled out: caching ranks between requests (the set of usable back ends changes with each failure). Change: weights are hashed once and sorted; maps by address and key; control/instances.rs for back ends that register themselves; sockets::open and run_on_event_loop. Decisions are the same.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! One control machine: the replicated log, what it replicates, and everybody who asks.
 
+mod instances;
 mod members;
 mod proposals;
 mod reads;
@@ -16,13 +17,11 @@
     ReplicaError, ReplicaId, Role,
 };
 use drumshore_core::Timestamp;
-use drumshore_wire::{Blob, List, Text};
+use drumshore_wire::Blob;
 
-use crate::{
-    Command, InstanceId, Lifecycle, LoadPhase, LoadedModel, Message, ModelName, Proposal,
-    ReplicatedState,
-};
+use crate::{Command, InstanceId, LoadPhase, Message, Proposal, ReplicatedState};
 
+pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
 pub use rollout::{Order, OrderId, OrderOutcome, Report};
 pub use stored::StoreNews;
@@ -78,11 +77,6 @@
     }
 }
 
-/// A back end whose address another incarnation has taken is gone after this silence.
-const REPLACED_SILENCE: Duration = Duration::from_secs(4);
-/// Any other back end, after this one; its next word brings it back.
-const SILENCE: Duration = Duration::from_secs(15);
-
 /// A caller that waits for a [`Reply`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -129,25 +123,6 @@
     },
 }
 
-/// What a back end says of itself.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Heartbeat {
-    /// Its incarnation.
-    pub instance: InstanceId,
-    /// Its pool.
-    pub pool: String,
-    /// IP:PORT.
-    pub address: String,
-    /// Its zone.
-    pub zone: String,
-    /// Requests it works on at once.
-    pub slots: u32,
-    /// Whether it leaves.
-    pub lifecycle: Lifecycle,
-    /// The weights it holds.
-    pub models: Vec<(ModelName, u64)>,
-}
-
 /// A control machine.
 pub struct ControlCore<D> {
     params: ControlParams,
@@ -286,7 +261,7 @@
                 let _ = self.replica.raft_mut().propose(blob.bytes);
             }
             Message::Join(replica) => self.on_join(replica),
-            Message::Heard { instance, .. } => {
+            Message::Heard { instance } => {
                 self.heard.insert(instance.as_str().to_owned(), now);
             }
             _ => {}
@@ -305,31 +280,6 @@
         self.queue_read(reads::Waiting::Operator(ticket));
     }
 
-    /// Takes in a back end's word. The ticket is answered when a quorum knows whatever is new.
-    pub fn on_heartbeat(&mut self, now: Timestamp, ticket: Ticket, heartbeat: &Heartbeat) {
-        self.now = now;
-        let name = heartbeat.instance.as_str();
-        if self.state.is_removed(name) {
-            self.effects.push(Effect::Reply(ticket, Reply::Accepted));
-            return;
-        }
-        self.note_heard(name);
-        let Some(record) = self.state.instance(name) else {
-            let command = registration(heartbeat);
-            self.propose(Some(ticket), command);
-            return;
-        };
-        let leaves =
-            heartbeat.lifecycle == Lifecycle::Draining && record.lifecycle == Lifecycle::Ready;
-        if leaves {
-            let instance = Text::new(name);
-            self.propose(Some(ticket), Command::Drain { instance });
-            return;
-        }
-        self.effects.push(Effect::Reply(ticket, Reply::Accepted));
-        self.note_versions(heartbeat);
-    }
-
     /// Hands leadership to a replica that is up to date, before a planned end.
     pub fn step_down(&mut self) {
         let raft = self.replica.raft();
@@ -432,91 +382,4 @@
             self.confirmed_at = None;
         }
     }
-
-    fn note_heard(&mut self, name: &str) {
-        self.heard.insert(name.to_owned(), self.now);
-        let leader = self.leader().filter(|_| self.role() != Role::Leader);
-        if let Some(leader) = leader {
-            let message = Message::Heard {
-                instance: Text::new(name),
-                orders_taken: 0,
-            };
-            self.effects.push(Effect::ToControl(leader, message));
-        }
-    }
-
-    /// A back end may hold newer weights than the log says, when an order was carried out late.
-    fn note_versions(&mut self, heartbeat: &Heartbeat) {
-        let name = heartbeat.instance.as_str();
-        let Some(record) = self.state.instance(name) else {
-            return;
-        };
-        let newer: Vec<(ModelName, u64)> = heartbeat
-            .models
-            .iter()
-            .filter(|(model, version)| {
-                let loaded = record.model(model.as_str());
-                loaded.is_some_and(|loaded| loaded.version < *version && loaded.loading <= *version)
-            })
-            .cloned()
-            .collect();
-        for (model, version) in newer {
-            let command = Command::Load {
-                instance: Text::new(name),
-                model: Text::new(model.as_str()),
-                version,
-                phase: LoadPhase::Finished,
-            };
-            self.propose(None, command);
-        }
-    }
-
-    /// Takes silent back ends out: soon when another incarnation has registered at their address,
-    /// else after longer, for a back end that is cut off from control may still serve.
-    fn expire_instances(&mut self) {
-        let now = self.now;
-        let mut latest: BTreeMap<&str, u64> = BTreeMap::new();
-        for record in self.state.instances() {
-            let registered = latest.entry(record.address.as_str()).or_default();
-            *registered = record.registered.max(*registered);
-        }
-        let mut replaced = Vec::new();
-        let mut silent = Vec::new();
-        for record in self.state.instances() {
-            let name = record.instance.as_str();
-            let heard = *self.heard.entry(name.to_owned()).or_insert(now);
-            let silence = now.since(heard);
-            let is_latest = latest.get(record.address.as_str()) == Some(&record.registered);
-            if !is_latest && silence > REPLACED_SILENCE {
-                replaced.push(record.instance.clone());
-            } else if silence > SILENCE {
-                silent.push(record.instance.clone());
-            }
-        }
-        for instance in replaced {
-            self.heard.remove(instance.as_str());
-            self.propose(None, Command::Deregister { instance });
-        }
-        for instance in silent {
-            self.heard.remove(instance.as_str());
-            self.propose(None, Command::Expire { instance });
-        }
-    }
-}
-
-fn registration(heartbeat: &Heartbeat) -> Command {
-    let models = heartbeat.models.iter().map(|(model, version)| LoadedModel {
-        model: Text::new(model.as_str()),
-        version: *version,
-        loading: 0,
-    });
-    Command::Register {
-        instance: Text::new(heartbeat.instance.as_str()),
-        pool: Text::new(heartbeat.pool.as_str()),
-        address: Text::new(heartbeat.address.as_str()),
-        zone: Text::new(heartbeat.zone.as_str()),
-        slots: heartbeat.slots,
-        draining: u8::from(heartbeat.lifecycle == Lifecycle::Draining),
-        models: List::new(models.collect()),
-    }
 }
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -122,8 +122,6 @@
     Heard {
         /// Its incarnation.
         instance: Text,
-        /// Orders that it has taken.
-        orders_taken: u64,
     },
     /// Something changed.
     #[brw(magic(6u8))]
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -1,6 +1,6 @@
 //! Back ends as one router sees them: requests in flight, and whom to avoid for a while.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -119,8 +119,10 @@
 
     /// Takes in what the other routers put on back ends; those not named are free of it.
     pub fn set_others(&mut self, loads: &[LoadEntry]) {
+        let by_key: HashMap<u32, LoadEntry> =
+            loads.iter().map(|entry| (entry.key, *entry)).collect();
         for endpoint in self.0.values_mut() {
-            let entry = loads.iter().find(|entry| entry.key == endpoint.key);
+            let entry = by_key.get(&endpoint.key);
             endpoint.others = entry.copied().unwrap_or_default();
         }
     }
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -1,6 +1,8 @@
 //! Where a request goes: to the home of its prompt while that has room, else to the back end with
 //! the fewest requests.
 
+use std::collections::{HashMap, HashSet};
+
 use drumshore_core::Timestamp;
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -33,7 +35,7 @@
 /// The back ends that short prompts prefer; none when nearly all prompts are alike.
 #[derive(Default)]
 struct Sides {
-    short: Vec<InstanceId>,
+    short: HashSet<InstanceId>,
 }
 
 impl Sides {
@@ -128,10 +130,9 @@
         let sides = self.sides(admission);
         let home = home_key(prompt);
         let is_short = prompt.is_short();
-        let rank = |candidate: &Candidate<'_>| match home {
-            Some(key) => home_rank(usable, key, candidate, &sides, is_short),
-            None => 0,
-        };
+        let homes = home.map(|key| Homes::new(key, usable, &sides, is_short));
+        let rank =
+            |candidate: &Candidate<'_>| homes.as_ref().map_or(0, |homes| homes.rank(candidate.id));
         let cost = |candidate: &Candidate<'_>, rank: usize| {
             let endpoint = candidate.endpoint;
             let away = !sides.is_own(candidate.id, is_short);
@@ -294,23 +295,19 @@
 
 /// Of two incarnations at one address only the one that registered later can be there.
 fn keep_latest_at_address(candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
-    let mut kept: Vec<Candidate<'_>> = Vec::with_capacity(candidates.len());
-    for candidate in candidates {
-        let address = &candidate.endpoint.record.address;
-        let twin = kept
-            .iter_mut()
-            .find(|other| other.endpoint.record.address == *address);
-        match twin {
-            None => kept.push(candidate),
-            Some(other)
-                if other.endpoint.record.registered < candidate.endpoint.record.registered =>
-            {
-                *other = candidate;
-            }
-            Some(_) => {}
-        }
+    let mut latest: HashMap<&str, u64> = HashMap::with_capacity(candidates.len());
+    for candidate in &candidates {
+        let record = &candidate.endpoint.record;
+        let registered = latest.entry(record.address.as_str()).or_default();
+        *registered = record.registered.max(*registered);
     }
-    kept
+    candidates
+        .into_iter()
+        .filter(|candidate| {
+            let record = &candidate.endpoint.record;
+            latest.get(record.address.as_str()) == Some(&record.registered)
+        })
+        .collect()
 }
 
 /// Leaves out those that failed lately, while there are others.
@@ -338,20 +335,32 @@
     Some(key)
 }
 
-/// How many back ends of the same side come before this one by rendezvous hashing.
-fn home_rank(
-    usable: &[Candidate<'_>],
+/// The back ends of one side in the order of rendezvous hashing.
+struct Homes {
     key: u64,
-    candidate: &Candidate<'_>,
-    sides: &Sides,
-    is_short: bool,
-) -> usize {
-    let weight = |id: &InstanceId| xxh3_64_with_seed(id.as_str().as_bytes(), key);
-    let own = weight(candidate.id);
-    usable
-        .iter()
-        .filter(|other| sides.is_own(other.id, is_short) && weight(other.id) > own)
-        .count()
+    /// Descending.
+    weights: Vec<u64>,
+}
+
+impl Homes {
+    fn new(key: u64, usable: &[Candidate<'_>], sides: &Sides, is_short: bool) -> Self {
+        let own = usable
+            .iter()
+            .filter(|candidate| sides.is_own(candidate.id, is_short));
+        let mut weights: Vec<u64> = own.map(|candidate| weight(candidate.id, key)).collect();
+        weights.sort_unstable_by_key(|weight| std::cmp::Reverse(*weight));
+        Self { key, weights }
+    }
+
+    /// How many come before this one.
+    fn rank(&self, id: &InstanceId) -> usize {
+        let own = weight(id, self.key);
+        self.weights.partition_point(|weight| *weight > own)
+    }
+}
+
+fn weight(id: &InstanceId, key: u64) -> u64 {
+    xxh3_64_with_seed(id.as_str().as_bytes(), key)
 }
 
 /// What was cached under other weights, or by another tenant when one is isolated, has another
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,7 +19,6 @@
 use hyper::Request;
 use rand::Rng;
 use tokio::sync::{oneshot, Notify};
-use tokio::task::LocalSet;
 use tokio::time::{interval, MissedTickBehavior};
 
 use crate::clock::Clock;
@@ -31,7 +30,7 @@
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
 use crate::upstream::Upstreams;
-use crate::DaemonError;
+use crate::{run_on_event_loop, DaemonError};
 
 use back_ends::BackEnds;
 use peers::Peers;
@@ -65,10 +64,7 @@
 
 /// Runs a control machine until it is told to stop.
 pub fn run(settings: ControlSettings, dialect: Rc<dyn Dialect>) -> Result<(), DaemonError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, run_on_loop(settings, dialect))
+    run_on_event_loop(run_on_loop(settings, dialect))
 }
 
 async fn run_on_loop(
@@ -125,7 +121,7 @@
     let mut addresses = vec![("control", settings.listen)];
     addresses.extend(settings.directory_listen.map(|at| ("directory", at)));
     for (what, address) in addresses {
-        let listener = open(what, address)?;
+        let listener = sockets::open(what, address)?;
         let shared = Rc::clone(control);
         let answering = server::serve(listener, params, move |request| {
             api::serve(Rc::clone(&shared), request)
@@ -133,7 +129,7 @@
         tokio::task::spawn_local(answering);
     }
     if let Some(address) = settings.metrics_listen {
-        let listener = open("metrics", address)?;
+        let listener = sockets::open("metrics", address)?;
         let metrics = Rc::clone(&control.metrics);
         let answering = server::serve(listener, params, move |request: Request<Incoming>| {
             let response = metrics.answer(&request);
@@ -142,22 +138,11 @@
         tokio::task::spawn_local(answering);
     }
     let internal = (settings.ip, settings.internal_port).into();
-    let listener = open("other processes", internal)?;
+    let listener = sockets::open("other processes", internal)?;
     tokio::task::spawn_local(peers::accept(Rc::clone(control), listener));
     Ok(())
 }
 
-fn open(
-    what: &'static str,
-    address: std::net::SocketAddr,
-) -> Result<tokio::net::TcpListener, DaemonError> {
-    sockets::listen(address).map_err(|source| DaemonError::Listen {
-        what,
-        address,
-        source,
-    })
-}
-
 async fn tick(control: Rc<Control>) {
     let mut ticks = interval(control.settings.params.tick);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,3 +47,13 @@
     #[error("data folder: {0}")]
     Folder(#[from] drumshore_consensus::ReplicaError),
 }
+
+/// Runs a daemon on one thread, until it ends.
+fn run_on_event_loop(
+    daemon: impl std::future::Future<Output = Result<(), DaemonError>>,
+) -> Result<(), DaemonError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    tokio::task::LocalSet::new().block_on(&runtime, daemon)
+}
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -15,7 +15,6 @@
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
 use tokio::sync::Notify;
-use tokio::task::LocalSet;
 
 use crate::answer::{self, AnswerBody};
 use crate::clock::Clock;
@@ -26,7 +25,7 @@
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
 use crate::upstream::Upstreams;
-use crate::DaemonError;
+use crate::{run_on_event_loop, DaemonError};
 
 pub(crate) use relay::Relay;
 
@@ -61,10 +60,7 @@
 
 /// Runs a router until it is told to stop.
 pub fn run(settings: RouterSettings, dialect: Rc<dyn Dialect>) -> Result<(), DaemonError> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
-    LocalSet::new().block_on(&runtime, run_on_loop(settings, dialect))
+    run_on_event_loop(run_on_loop(settings, dialect))
 }
 
 async fn run_on_loop(
@@ -98,7 +94,7 @@
 }
 
 fn listen(router: &Rc<Router>) -> Result<(), DaemonError> {
-    let callers = open("callers", router.settings.listen)?;
+    let callers = sockets::open("callers", router.settings.listen)?;
     let params = ServerParams {
         idle_timeout: IDLE_TIMEOUT,
         max_connections: MAX_CONNECTIONS,
@@ -112,7 +108,7 @@
         max_connections: MAX_PLATFORM_CONNECTIONS,
         ..params
     };
-    let ready = open("readiness", router.settings.ready_listen)?;
+    let ready = sockets::open("readiness", router.settings.ready_listen)?;
     let shared = Rc::clone(router);
     let answering = server::serve(ready, platform, move |_: Request<Incoming>| {
         let response = readiness(&shared);
@@ -120,7 +116,7 @@
     });
     tokio::task::spawn_local(answering);
     if let Some(address) = router.settings.metrics_listen {
-        let listener = open("metrics", address)?;
+        let listener = sockets::open("metrics", address)?;
         let metrics = Rc::clone(&router.metrics);
         let answering = server::serve(listener, platform, move |request| {
             let response = metrics.answer(&request);
@@ -131,17 +127,6 @@
     Ok(())
 }
 
-fn open(
-    what: &'static str,
-    address: std::net::SocketAddr,
-) -> Result<tokio::net::TcpListener, DaemonError> {
-    sockets::listen(address).map_err(|source| DaemonError::Listen {
-        what,
-        address,
-        source,
-    })
-}
-
 fn readiness(router: &Router) -> Response<AnswerBody> {
     let configured = router.core.borrow().configuration_version() > 0;
     if configured && router.stopping.get().is_none() {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -57,8 +57,6 @@
     pub data_dir: PathBuf,
     /// How long callers may keep a directory answer.
     pub directory_ttl: Duration,
-    /// From the signal to stop until the process is killed.
-    pub grace: Duration,
     /// Of its decisions.
     pub params: ControlParams,
 }
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -8,6 +8,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
+use crate::DaemonError;
+
 /// Data that a peer does not acknowledge for so long ends the connection.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2_000);
 const PROBE_AFTER: Duration = Duration::from_secs(2);
@@ -35,8 +37,17 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Listens, with an error that says what was to be served.
+pub(crate) fn open(what: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
+    listen(address).map_err(|source| DaemonError::Listen {
+        what,
+        address,
+        source,
+    })
+}
+
 /// Listens; a process that starts again takes over its predecessor's address.
-pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
