Start the split of a route anywhere in its cycle; a fenced leader orders no more

Cause: (1) each router began the weighted round robin of a split route at the same place, so with many routers and few requests each, the pool with the most weight got more than its share (79 routers on the grown sites). Ruled out: choosing pools at random, which does not hold shares over few requests. Change: a router walks a random part of the cycle first; a leader that was fenced steps down and gives no order in that term. Before: `shares_hold_over_many_routers_with_one_request_each` and `a_leader_that_a_newer_one_has_fenced_orders_no_more_in_its_term` fail. After: both pass, with all tests of gateway-core.

--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -107,6 +107,8 @@
     orders_taken: BTreeMap<String, u64>,
     expected_at_order: BTreeMap<String, u64>,
     next_order: u64,
+    /// The term in which a back end said that a newer leader has given it orders.
+    fenced_in_term: Option<u64>,
 }
 
 #[derive(Clone, Debug)]
@@ -140,6 +142,9 @@
         if outcome == OrderOutcome::Gone {
             self.on_instance_gone(name);
         }
+        if outcome == OrderOutcome::Fenced {
+            self.on_fenced();
+        }
         let (ordered, look) = match outcome {
             OrderOutcome::Taken => (at, at.plus(FIRST_LOOK)),
             OrderOutcome::Holds => (at, now),
@@ -151,6 +156,12 @@
         self.rollouts.steps.insert(name.to_owned(), step);
     }
 
+    /// A newer leader has given orders: what this one orders in its term is refused from now on.
+    fn on_fenced(&mut self) {
+        self.rollouts.fenced_in_term = Some(self.term());
+        self.step_down();
+    }
+
     /// Another incarnation answered at its address. When that one has registered, the word of a
     /// back end that is no more is all that is left of it.
     fn on_instance_gone(&mut self, name: &str) {
@@ -225,7 +236,8 @@
         let confirmed = self
             .confirmed_at
             .is_some_and(|at| now.since(at) < CONFIRMED_WITHIN);
-        self.role() == Role::Leader && waited && confirmed
+        let fenced = self.rollouts.fenced_in_term == Some(self.term());
+        self.role() == Role::Leader && waited && confirmed && !fenced
     }
 
     /// Loads start no sooner than they must, for a version that is named meanwhile makes one load
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -238,7 +238,7 @@
         }
         let route = self.view.route(host, path).ok_or(Refusal::NoRoute)?;
         let tenant = self.judge_key(&route, key)?;
-        let pool = self.splitter.next(&route);
+        let pool = self.splitter.next(&route, &mut self.random);
         let own = tenant.as_ref().and_then(|tenant| tenant.priority);
         let priority = own.unwrap_or(route.priority);
         Ok(Admission {
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -248,6 +248,20 @@
     assert_eq!(apps, 30);
 }
 
+#[test]
+fn shares_hold_over_many_routers_with_one_request_each() {
+    // With a common start each of them would choose the pool with the most weight.
+    let apps = (0..400).filter(|seed| {
+        let mut router = RouterCore::new(params(), *seed);
+        update(&mut router, at(0), changes(0, 10, Vec::new()));
+        router.on_confirmed(at(0), 10, 1);
+        let admission = admit(&mut router, at(1), "/split/x");
+        admission.pool.as_str() == "apps"
+    });
+    let apps = apps.count();
+    assert!((270..=330).contains(&apps), "{apps} of 400, 300 expected");
+}
+
 #[test]
 fn draining_loading_and_replaced_back_ends_get_nothing() {
     let mut draining = record("draining", "models", 1);
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -276,6 +276,29 @@
     }
 }
 
+#[test]
+fn a_leader_that_a_newer_one_has_fenced_orders_no_more_in_its_term() {
+    let mut cluster = rollout(2);
+    let first = cluster.orders[0].clone();
+    let fenced = first.order.fencing_token;
+    let now = cluster.now;
+    let core = cluster.core(first.by);
+    core.on_order_outcome(
+        now,
+        &first.order.instance,
+        first.order.id,
+        OrderOutcome::Fenced,
+    );
+    let given = cluster.orders.len();
+    for _ in 0..24 {
+        run_with_beats(&mut cluster, 2, 1, Duration::from_millis(500));
+        report_idle(&mut cluster);
+    }
+    let later = &cluster.orders[given..];
+    assert!(!later.is_empty(), "a later term goes on");
+    assert!(later.iter().all(|given| given.order.fencing_token > fenced));
+}
+
 #[test]
 fn a_new_leader_gives_no_order_within_the_lease_of_the_old_one() {
     let mut cluster = rollout(4);
