Use every store of cached prompts: each prompt has one of them

Ruled out: workers' memory alone (it turns over in about 4 s, sessions come back every 6 s). Change: the leader follows each store and tells routers of each; a prompt's store is found by rendezvous hashing of its shared parts over the stores that answer. A store that holds only the first part is passed over for the home of the prompt when that is another back end. What a router knows of stores has a file of its own.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -31,7 +31,7 @@
 use reads::Reads;
 use rollout::Rollouts;
 use routers::Routers;
-use stored::Stored;
+use stored::Stores;
 
 /// Bounds and periods of a control machine.
 #[derive(Clone, Debug, PartialEq)]
@@ -137,7 +137,7 @@
     reads: Reads,
     routers: Routers,
     rollouts: Rollouts,
-    stored: Stored,
+    stores: Stores,
     /// When weights were named, by revision; those from before this start count from the start.
     named_at: BTreeMap<u64, Timestamp>,
     /// When each back end was heard last, here or, at the leader, anywhere.
@@ -181,7 +181,7 @@
             reads: Reads::default(),
             routers: Routers::default(),
             rollouts: Rollouts::default(),
-            stored: Stored::default(),
+            stores: Stores::default(),
             named_at: BTreeMap::new(),
             heard: BTreeMap::new(),
             leads_since: None,
@@ -375,7 +375,7 @@
                 self.leads_since = Some(self.now);
                 self.heard.clear();
                 self.rollouts = Rollouts::default();
-                self.forget_store();
+                self.forget_stores();
             }
         } else {
             self.leads_since = None;
--- a/crates/gateway-core/src/control/stored.rs
+++ b/crates/gateway-core/src/control/stored.rs
@@ -1,16 +1,16 @@
-//! What the store of cached prompts holds, as its events and lists tell the leader, and what
+//! What each store of cached prompts holds, as its events and lists tell the leader, and what
 //! routers were told of it.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
 use drumshore_wire::List;
 
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{Message, StoredKey};
+use crate::{Message, StoreId, StoredKey};
 
-/// News of the store.
+/// News of a store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum StoreNews {
     /// All that it holds.
@@ -26,9 +26,13 @@
     Lost,
 }
 
-/// The store as the leader knows it.
+/// All stores as the leader knows them.
 #[derive(Debug, Default)]
-pub(super) struct Stored {
+pub(super) struct Stores(BTreeMap<StoreId, Stored>);
+
+/// One store.
+#[derive(Debug, Default)]
+struct Stored {
     /// `None` while it is not known, or does not answer.
     held: Option<BTreeSet<StoredKey>>,
     changed: bool,
@@ -39,8 +43,9 @@
 }
 
 impl Stored {
-    fn whole(&self) -> Message {
+    fn whole(&self, store: StoreId) -> Message {
         Message::Stored {
+            store,
             known: u8::from(self.held.is_some()),
             reset: 1,
             added: List::new(self.held.iter().flatten().copied().collect()),
@@ -81,47 +86,56 @@
         }
         self.changed |= !self.added.is_empty() || !self.removed.is_empty();
     }
+
+    /// What came and went since the last time.
+    fn take_changes(&mut self, store: StoreId) -> Option<Message> {
+        if !std::mem::take(&mut self.changed) {
+            return None;
+        }
+        let added = std::mem::take(&mut self.added);
+        let removed = std::mem::take(&mut self.removed);
+        if std::mem::take(&mut self.reset) {
+            return Some(self.whole(store));
+        }
+        Some(Message::Stored {
+            store,
+            known: 1,
+            reset: 0,
+            added: List::new(added),
+            removed: List::new(removed),
+        })
+    }
 }
 
 impl<D: Directory> ControlCore<D> {
-    /// Takes in news of the store of cached prompts.
-    pub fn on_store_news(&mut self, now: Timestamp, news: StoreNews) {
+    /// Takes in news of a store of cached prompts.
+    pub fn on_store_news(&mut self, now: Timestamp, store: StoreId, news: StoreNews) {
         self.now = now;
-        self.stored.take_in(news);
+        self.stores.0.entry(store).or_default().take_in(news);
     }
 
-    pub(super) fn forget_store(&mut self) {
-        self.stored = super::Stored::default();
+    pub(super) fn forget_stores(&mut self) {
+        self.stores = Stores::default();
     }
 
     /// Tells all routers what came and went since the last time.
     pub(super) fn share_stored(&mut self) {
-        if !std::mem::take(&mut self.stored.changed) {
-            return;
-        }
-        let added = std::mem::take(&mut self.stored.added);
-        let removed = std::mem::take(&mut self.stored.removed);
-        let message = if std::mem::take(&mut self.stored.reset) {
-            self.stored.whole()
-        } else {
-            Message::Stored {
-                known: 1,
-                reset: 0,
-                added: List::new(added),
-                removed: List::new(removed),
+        let stores = self.stores.0.iter_mut();
+        let messages: Vec<Message> = stores
+            .filter_map(|(id, stored)| stored.take_changes(*id))
+            .collect();
+        for message in messages {
+            for connection in self.routers.connections() {
+                let effect = Effect::ToRouter(connection, message.clone());
+                self.effects.push(effect);
             }
-        };
-        for connection in self.routers.connections() {
-            let effect = Effect::ToRouter(connection, message.clone());
-            self.effects.push(effect);
         }
     }
 
     /// Tells a router that has just come all there is.
     pub(super) fn tell_stored(&mut self, connection: ConnectionId) {
-        if self.stored.held.is_some() {
-            let message = self.stored.whole();
-            self.effects.push(Effect::ToRouter(connection, message));
-        }
+        let known = self.stores.0.iter().filter(|item| item.1.held.is_some());
+        let messages = known.map(|(id, stored)| Effect::ToRouter(connection, stored.whole(*id)));
+        self.effects.extend(messages);
     }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -30,7 +30,7 @@
 };
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
 pub use message::{
-    Announcement, Changes, LoadEntry, Message, RouterStatus, StoredKey, WeightsNotice,
+    Announcement, Changes, LoadEntry, Message, RouterStatus, StoreId, StoredKey, WeightsNotice,
 };
 pub use router::{
     Admission, Choice, ChoiceError, Outcome, Prompt, PromptPart, Refusal, RouterCore, RouterParams,
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -100,6 +100,19 @@
     }
 }
 
+/// Stands for a store of cached prompts.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StoreId(pub u32);
+
+impl StoreId {
+    /// The store that listens at an address, IP:PORT.
+    pub fn at(address: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(address.as_bytes()) as u32)
+    }
+}
+
 /// A message.
 #[binrw]
 #[brw(little)]
@@ -159,9 +172,11 @@
     /// put on them.
     #[brw(magic(11u8))]
     Loads(List<LoadEntry>),
-    /// From the leader: what the store of cached prompts holds.
+    /// From the leader: what a store of cached prompts holds.
     #[brw(magic(12u8))]
     Stored {
+        /// The store.
+        store: StoreId,
         /// 0 when the store does not answer.
         known: u8,
         /// 1 when what was told before is void.
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -5,9 +5,9 @@
 mod placement;
 mod prompt_mix;
 mod split;
+mod stores;
 mod view;
 
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Changes, Document, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName, Route,
+    Changes, Document, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName, Route, StoreId,
     StoredKey, Tenant,
 };
 
@@ -27,6 +27,7 @@
 use endpoints::Endpoints;
 use prompt_mix::PromptMix;
 use split::Splitter;
+use stores::Stores;
 use view::View;
 
 /// Bounds of a router.
@@ -127,8 +128,8 @@
     pub tokens: u32,
     /// A store to fetch the prompt from.
     pub fetch_from: Option<String>,
-    /// True when that is the store and not another back end.
-    pub fetches_from_store: bool,
+    /// The store that this is, when it is not another back end.
+    pub fetches_from_store: Option<StoreId>,
     /// A store to save the prompt to.
     pub save_to: Option<String>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
@@ -139,8 +140,6 @@
 
 /// A fetch from the store is slow when the answer takes more than so many times its target.
 const SLOW_FETCH: f64 = 1.3;
-/// So long prompts are fetched from their homes after a slow fetch from the store.
-const STORE_PAUSE: Duration = Duration::from_millis(1_500);
 
 /// A router.
 pub struct RouterCore {
@@ -152,10 +151,7 @@
     budget: RetryBudget,
     random: ChaCha8Rng,
     routers: u16,
-    /// What the store of cached prompts holds; `None` while nobody says.
-    stored: Option<HashSet<StoredKey>>,
-    /// Fetches from the store took too long lately: its link is full.
-    store_busy_until: Timestamp,
+    stores: Stores,
 }
 
 impl RouterCore {
@@ -170,8 +166,7 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             params,
             routers: 1,
-            stored: None,
-            store_busy_until: Timestamp::default(),
+            stores: Stores::default(),
         }
     }
 
@@ -284,8 +279,8 @@
     ) {
         self.endpoints.answered(&choice.instance, choice.tokens);
         let slow = took.is_some_and(|took| took > target.mul_f64(SLOW_FETCH));
-        if slow && choice.fetches_from_store {
-            self.store_busy_until = now.plus(STORE_PAUSE);
+        if let Some(store) = choice.fetches_from_store.filter(|_| slow) {
+            self.stores.on_slow_fetch(now, store);
         }
     }
 
@@ -299,23 +294,16 @@
         self.endpoints.set_others(loads);
     }
 
-    /// Takes in what the store holds. `known` is false when the store does not answer.
+    /// Takes in what a store holds. `known` is false when the store does not answer.
     pub fn on_stored(
         &mut self,
+        store: StoreId,
         known: bool,
         reset: bool,
         added: &[StoredKey],
         removed: &[StoredKey],
     ) {
-        if reset {
-            self.stored = known.then(HashSet::new);
-        }
-        if let Some(stored) = &mut self.stored {
-            stored.extend(added);
-            removed.iter().for_each(|key| {
-                stored.remove(key);
-            });
-        }
+        self.stores.on_stored(store, known, reset, added, removed);
     }
 
     /// A request that was chosen for has left its back end.
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -9,7 +9,7 @@
 
 use super::endpoints::Endpoint;
 use super::{Admission, Choice, ChoiceError, Prompt, RouterCore};
-use crate::{InstanceId, Lifecycle, Pool, StoredKey};
+use crate::{InstanceId, Lifecycle, Pool, StoreId};
 
 /// Tokens that may wait at the home of a prompt before another back end is better.
 const AWAY_FROM_HOME_TOKENS: f64 = 5_000.0;
@@ -44,9 +44,13 @@
     }
 }
 
-struct UseOfStore {
-    fetch: bool,
-    save: bool,
+/// Where a prompt's cached parts come from and go to.
+#[derive(Default)]
+struct CacheUse {
+    fetch_from: Option<String>,
+    /// The store that this is, when it is not another back end.
+    from_store: Option<StoreId>,
+    save_to: Option<String>,
 }
 
 struct Placed {
@@ -212,14 +216,10 @@
         let pool = self.pool(admission);
         let max_connections = pool.map_or(0, |pool| pool.max_connections);
         let cache_salt = prompt.map(|prompt| salt(admission, prompt, placed.version));
-        let use_of_store = self.use_of_store(prompt, cache_salt.as_deref());
-        let store = prompt.and_then(|_| self.store(admission));
-        let from_store = use_of_store.fetch && self.store_busy_until <= now;
-        let fetch_from = if from_store {
-            store.clone()
-        } else {
-            placed.home
-        };
+        let home = placed.home.as_deref();
+        let cache = prompt.zip(cache_salt.as_deref());
+        let cache = cache.map(|(prompt, salt)| self.cache_use(now, admission, prompt, salt, home));
+        let cache = cache.unwrap_or_default();
         Choice {
             instance: placed.instance,
             address: placed.address,
@@ -227,29 +227,39 @@
             expected_version: placed.version,
             cache_salt,
             tokens: prompt.map_or(0, Prompt::expected_read),
-            fetches_from_store: from_store && fetch_from.is_some(),
-            fetch_from,
-            save_to: store.filter(|_| use_of_store.save),
+            fetches_from_store: cache.from_store,
+            fetch_from: cache.fetch_from,
+            save_to: cache.save_to,
             in_flight: placed.in_flight,
             rank: placed.rank,
         }
     }
 
-    /// A save copies the whole prompt, also the part that nobody else has; the store drops what
-    /// others share to make room for it. So a prompt is saved only when a shared part is missing.
-    fn use_of_store(&self, prompt: Option<&Prompt>, salt: Option<&str>) -> UseOfStore {
-        let (Some(prompt), Some(salt), Some(stored)) = (prompt, salt, &self.stored) else {
-            return UseOfStore {
-                fetch: false,
-                save: false,
+    /// The store gives what it is known to hold; when that is not all that is shared, the home of
+    /// the prompt has likely more.
+    fn cache_use(
+        &self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: &Prompt,
+        salt: &str,
+        home: Option<&str>,
+    ) -> CacheUse {
+        let key = home_key(prompt).unwrap_or_default();
+        let stores = self.store_addresses(admission);
+        let Some((id, address)) = self.stores.store_of(key, stores) else {
+            return CacheUse {
+                fetch_from: home.map(str::to_owned),
+                ..CacheUse::default()
             };
         };
-        let own = prompt.parts.len().saturating_sub(1);
-        let shared = &prompt.parts[..own];
-        let is_held = |part: &super::PromptPart| stored.contains(&StoredKey::new(salt, &part.id));
-        UseOfStore {
-            fetch: shared.first().is_some_and(is_held),
-            save: !prompt.is_short() && !shared.iter().all(is_held),
+        let store_use = self.stores.use_for(now, id, prompt, salt);
+        let from_store = store_use.fetch_all || (store_use.fetch && home.is_none());
+        let source = if from_store { Some(address) } else { home };
+        CacheUse {
+            fetch_from: source.map(str::to_owned),
+            from_store: from_store.then_some(id),
+            save_to: store_use.save.then(|| address.to_owned()),
         }
     }
 
@@ -261,13 +271,15 @@
             .find(|pool| pool.name == admission.pool)
     }
 
-    fn store(&self, admission: &Admission) -> Option<String> {
+    /// The stores that the pool of a request may use.
+    fn store_addresses(&self, admission: &Admission) -> impl Iterator<Item = &str> {
         let has_models = self
             .pool(admission)
             .is_some_and(|pool| pool.models.is_some());
-        let document = self.view.document().filter(|_| has_models)?;
-        let mut stores = document.pools.iter().filter_map(|pool| pool.store.as_ref());
-        stores.next().map(|store| store.address.clone())
+        let document = self.view.document().filter(|_| has_models);
+        let pools = document.into_iter().flat_map(|document| &document.pools);
+        let stores = pools.filter_map(|pool| pool.store.as_ref());
+        stores.map(|store| store.address.as_str())
     }
 
     fn connections(&self, max_connections: u32) -> usize {
@@ -323,16 +335,12 @@
 
 /// What requests with the same shared parts have in common; `None` when nothing is shared.
 fn home_key(prompt: &Prompt) -> Option<u64> {
-    let shared = prompt
-        .parts
-        .len()
-        .checked_sub(1)
-        .filter(|count| *count > 0)?;
+    let shared = prompt.shared_parts();
     let start = xxh3_64_with_seed(prompt.model.as_str().as_bytes(), 0);
-    let key = prompt.parts[..shared].iter().fold(start, |seed, part| {
+    let key = shared.iter().fold(start, |seed, part| {
         xxh3_64_with_seed(part.id.as_bytes(), seed)
     });
-    Some(key)
+    (!shared.is_empty()).then_some(key)
 }
 
 /// The back ends of one side in the order of rendezvous hashing.
--- a/crates/gateway-core/src/router/prompt_mix.rs
+++ b/crates/gateway-core/src/router/prompt_mix.rs
@@ -1,6 +1,6 @@
 //! How much of a router's work are short prompts.
 
-use super::Prompt;
+use super::{Prompt, PromptPart};
 
 /// Prompts of fewer tokens are short.
 const LONG_PROMPT_TOKENS: u32 = 2_048;
@@ -19,6 +19,12 @@
         self.parts.iter().map(|part| part.tokens).sum()
     }
 
+    /// The parts that other requests may share: all but its own.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        let own = self.parts.len().saturating_sub(1);
+        &self.parts[..own]
+    }
+
     /// True when reading it holds up nobody for long.
     pub fn is_short(&self) -> bool {
         self.tokens() < LONG_PROMPT_TOKENS
--- /dev/null
+++ b/crates/gateway-core/src/router/stores.rs
@@ -0,0 +1,103 @@
+//! Stores of cached prompts as one router knows them. Each prompt has one store, by rendezvous
+//! hashing of its shared parts over the stores that answer, so that all routers save and fetch it
+//! at the same place and the stores share the work.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::{Prompt, PromptPart};
+use crate::{StoreId, StoredKey};
+
+/// So long prompts are fetched from their homes after a slow fetch from a store.
+const PAUSE: Duration = Duration::from_millis(1_500);
+
+/// What a store is good for, for one prompt.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct StoreUse {
+    /// It holds the first shared part at least, and its link is not full.
+    pub fetch: bool,
+    /// It holds all shared parts, and its link is not full.
+    pub fetch_all: bool,
+    /// A shared part is missing that is worth saving.
+    pub save: bool,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    held: HashSet<StoredKey>,
+    /// Fetches took too long lately: its link is full.
+    busy_until: Timestamp,
+}
+
+/// The stores that answer.
+#[derive(Debug, Default)]
+pub(super) struct Stores(HashMap<StoreId, Store>);
+
+impl Stores {
+    /// Takes in what the leader told of a store. `known` is false when it does not answer.
+    pub fn on_stored(
+        &mut self,
+        id: StoreId,
+        known: bool,
+        reset: bool,
+        added: &[StoredKey],
+        removed: &[StoredKey],
+    ) {
+        if !known {
+            self.0.remove(&id);
+            return;
+        }
+        if !reset && !self.0.contains_key(&id) {
+            return;
+        }
+        let store = self.0.entry(id).or_default();
+        if reset {
+            store.held.clear();
+        }
+        store.held.extend(added);
+        for key in removed {
+            store.held.remove(key);
+        }
+    }
+
+    /// A fetch from the store took too long.
+    pub fn on_slow_fetch(&mut self, now: Timestamp, id: StoreId) {
+        if let Some(store) = self.0.get_mut(&id) {
+            store.busy_until = now.plus(PAUSE);
+        }
+    }
+
+    /// The store of a prompt, among those that listen at `addresses`.
+    pub fn store_of<'a>(
+        &self,
+        key: u64,
+        addresses: impl Iterator<Item = &'a str>,
+    ) -> Option<(StoreId, &'a str)> {
+        addresses
+            .map(|address| (StoreId::at(address), address))
+            .filter(|(id, _)| self.0.contains_key(id))
+            .max_by_key(|(_, address)| xxh3_64_with_seed(address.as_bytes(), key))
+    }
+
+    /// What a store is good for. A save copies the whole prompt, also the part that nobody else
+    /// has, and the store drops what others share to make room for it; so a prompt is saved only
+    /// when a shared part is missing.
+    pub fn use_for(&self, now: Timestamp, id: StoreId, prompt: &Prompt, salt: &str) -> StoreUse {
+        let Some(store) = self.0.get(&id) else {
+            return StoreUse::default();
+        };
+        let shared = prompt.shared_parts();
+        let is_held = |part: &PromptPart| store.held.contains(&StoredKey::new(salt, &part.id));
+        let has_first = shared.first().is_some_and(is_held);
+        let has_all = shared.iter().all(is_held);
+        let is_free = store.busy_until <= now;
+        StoreUse {
+            fetch: has_first && is_free,
+            fetch_all: has_first && has_all && is_free,
+            save: !prompt.is_short() && !has_all,
+        }
+    }
+}
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -73,17 +73,27 @@
     }
 }
 
-fn document() -> Document {
-    let mut open = route("open", "/open/", &[("apps", 1)]);
-    open.public = true;
-    let store = Pool {
+const STORE: &str = "10.0.9.9:90";
+const OTHER_STORE: &str = "10.0.9.8:90";
+
+fn store() -> StoreId {
+    StoreId::at(STORE)
+}
+
+fn store_pool(name: &str, address: &str) -> Pool {
+    Pool {
         store: Some(CacheStore {
-            address: "10.0.9.9:90".to_owned(),
+            address: address.to_owned(),
             zone: "zone".to_owned(),
             cache_tokens: 1_000_000,
         }),
-        ..pool("store", false)
-    };
+        ..pool(name, false)
+    }
+}
+
+fn document() -> Document {
+    let mut open = route("open", "/open/", &[("apps", 1)]);
+    open.public = true;
     Document {
         version: 5,
         routes: vec![
@@ -92,7 +102,11 @@
             route("split", "/split/", &[("apps", 3), ("models", 1)]),
             open,
         ],
-        pools: vec![pool("apps", false), pool("models", true), store],
+        pools: vec![
+            pool("apps", false),
+            pool("models", true),
+            store_pool("store", STORE),
+        ],
         tenants: vec![
             tenant("one", "key 1", None, false),
             tenant("two", "key 2", Some(0), true),
@@ -396,16 +410,16 @@
     };
     let unknown = choose(&mut router);
     assert_eq!((unknown.fetch_from, unknown.save_to), (None, None));
-    router.on_stored(true, true, &[], &[]);
+    router.on_stored(store(), true, true, &[], &[]);
     let missing = choose(&mut router);
     assert!(missing.fetch_from.is_none() && missing.save_to.is_some());
     let key = StoredKey::new(missing.cache_salt.as_deref().unwrap(), "shared");
-    router.on_stored(true, false, &[key], &[]);
+    router.on_stored(store(), true, false, &[key], &[]);
     let held = choose(&mut router);
     assert!(held.fetch_from.is_some() && held.save_to.is_none());
-    router.on_stored(true, false, &[], &[key]);
+    router.on_stored(store(), true, false, &[], &[key]);
     assert!(choose(&mut router).save_to.is_some());
-    router.on_stored(false, true, &[], &[]);
+    router.on_stored(store(), false, true, &[], &[]);
     let lost = choose(&mut router);
     assert_eq!((lost.fetch_from, lost.save_to), (None, None));
 }
@@ -466,22 +480,62 @@
     let mut router = router();
     let admission = admit(&mut router, at(1), "/a/b/x");
     let prompt = prompt("shared", 10);
-    router.on_stored(true, true, &[], &[]);
+    router.on_stored(store(), true, true, &[], &[]);
     let first = router
         .choose(at(1), &admission, Some(&prompt), &[])
         .unwrap();
     let key = StoredKey::new(first.cache_salt.as_deref().unwrap(), "shared");
-    router.on_stored(true, false, &[key], &[]);
+    router.on_stored(store(), true, false, &[key], &[]);
     let fetching = router
         .choose(at(2), &admission, Some(&prompt), &[])
         .unwrap();
-    assert!(fetching.fetches_from_store);
+    assert_eq!(fetching.fetches_from_store, Some(store()));
     let target = Duration::from_millis(300);
     router.answered(at(300), &fetching, Some(2 * target), target);
     let choose = |router: &mut RouterCore, now| {
         let choice = router.choose(now, &admission, Some(&prompt), &[]);
-        choice.unwrap().fetches_from_store
+        choice.unwrap().fetches_from_store.is_some()
     };
     assert!(!choose(&mut router, at(400)));
     assert!(choose(&mut router, at(3_000)));
 }
+
+/// A router that knows two stores, and what it says of `count` prompts that differ.
+fn stores_used(known: &[&str], count: u32) -> Vec<String> {
+    let mut router = router();
+    let mut two = document();
+    two.pools.push(store_pool("other store", OTHER_STORE));
+    let mut changed = changes(10, 11, Vec::new());
+    changed.configuration = List::new(vec![Blob { bytes: Vec::new() }]);
+    router.apply(at(1), changed, |_| Ok(two)).unwrap();
+    for address in known {
+        router.on_stored(StoreId::at(address), true, true, &[], &[]);
+    }
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let mut used = Vec::new();
+    for number in 0..count {
+        let prompt = prompt(&format!("shared {number}"), 10);
+        let choice = router.choose(at(1), &admission, Some(&prompt), &[]);
+        used.extend(choice.unwrap().save_to);
+    }
+    used
+}
+
+#[test]
+fn stores_share_the_prompts_and_each_prompt_has_one() {
+    // Of three stores only the first was used: its link was full and it held half of the prompts.
+    let used = stores_used(&[STORE, OTHER_STORE], 60);
+    let other = used
+        .iter()
+        .filter(|address| *address == OTHER_STORE)
+        .count();
+    assert_eq!(used.len(), 60);
+    assert!((15..=45).contains(&other), "{other} of 60");
+    assert_eq!(used, stores_used(&[STORE, OTHER_STORE], 60));
+}
+
+#[test]
+fn a_store_that_does_not_answer_leaves_its_prompts_to_the_others() {
+    let used = stores_used(&[OTHER_STORE], 20);
+    assert_eq!(used, [OTHER_STORE; 20]);
+}
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -7,7 +7,7 @@
 use cluster::{address, back_end, Cluster};
 use drumshore_gateway_core::{
     ConnectionId, ControlParams, Lifecycle, LoadEntry, Message, ModelName, OrderOutcome, Reply,
-    Report, StoreNews, StoredKey,
+    Report, StoreId, StoreNews, StoredKey,
 };
 use drumshore_wire::List;
 
@@ -453,9 +453,10 @@
     let leader = cluster.leader().unwrap();
     cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
     let key = |part: &str| StoredKey::new("salt", part);
+    let store = StoreId::at("10.0.9.1:80");
     let mut told = |news| {
         let now = cluster.now;
-        cluster.core(leader).on_store_news(now, news);
+        cluster.core(leader).on_store_news(now, store, news);
         cluster.to_routers.clear();
         cluster.run(Duration::from_millis(100));
         let messages = cluster.to_routers.iter();
@@ -466,6 +467,7 @@
             .unwrap()
     };
     let stored = |known, reset, added: Vec<StoredKey>| Message::Stored {
+        store,
         known,
         reset,
         added: List::new(added),
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -59,7 +59,7 @@
     next_ticket: Cell<u64>,
     flush: Notify,
     role: Cell<Option<Role>>,
-    store: RefCell<store::KnownStore>,
+    stores: RefCell<store::KnownStores>,
 }
 
 /// Runs a control machine until it is told to stop.
@@ -92,13 +92,13 @@
         next_ticket: Cell::new(0),
         flush: Notify::new(),
         role: Cell::new(None),
-        store: RefCell::default(),
+        stores: RefCell::default(),
         settings,
     });
     listen(&control)?;
     tokio::task::spawn_local(flush_when_asked(Rc::clone(&control)));
     tokio::task::spawn_local(tick(Rc::clone(&control)));
-    tokio::task::spawn_local(store::follow(Rc::clone(&control)));
+    tokio::task::spawn_local(store::follow_all(Rc::clone(&control)));
     tracing::info!(event = "started", role = "control", node = %control.settings.node,
         listen = %control.settings.listen, bootstrap = control.settings.bootstrap);
     while signals.next().await == SignalRequest::Reload {
--- a/crates/gateway/src/control/store.rs
+++ b/crates/gateway/src/control/store.rs
@@ -1,13 +1,15 @@
-//! Follows the store of cached prompts while this machine leads: its events as they come, and
-//! now and then its list, for some events never come.
+//! Follows the stores of cached prompts while this machine leads: their events as they come, and
+//! now and then their lists, for some events never come.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use drumshore_consensus::Role;
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{InstanceId, StoreNews, StoredKey};
+use drumshore_gateway_core::{InstanceId, StoreId, StoreNews, StoredKey};
 use hyper::StatusCode;
+use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout};
 
 use super::Control;
@@ -18,11 +20,11 @@
 const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Between two questions, so that events come in batches.
 const PAUSE: Duration = Duration::from_millis(60);
-/// While there is no store, or this machine does not lead.
+/// Between two looks at which stores there are, and after one that did not answer.
 const IDLE: Duration = Duration::from_millis(200);
 const LIST_INTERVAL: Duration = Duration::from_secs(10);
 
-/// Where in the store's events this machine is.
+/// Where in a store's events this machine is.
 #[derive(Clone, Copy, Debug)]
 struct Position {
     epoch: u64,
@@ -30,16 +32,36 @@
     listed: Timestamp,
 }
 
-/// Follows the store until the process ends.
-pub(super) async fn follow(control: Rc<Control>) {
-    let mut position: Option<Position> = None;
+/// While this machine leads, keeps one follower for each store that the configuration names.
+pub(super) async fn follow_all(control: Rc<Control>) {
+    let mut followers: BTreeMap<String, JoinHandle<()>> = BTreeMap::new();
     loop {
-        let store = store_address(&control);
-        let Some(address) = store.filter(|_| control.leads()) else {
-            position = None;
-            sleep(IDLE).await;
-            continue;
+        let wanted = if control.leads() {
+            store_addresses(&control)
+        } else {
+            Vec::new()
         };
+        followers.retain(|address, follower| {
+            let keep = wanted.contains(address);
+            if !keep {
+                follower.abort();
+                tell(&control, address, StoreNews::Lost);
+            }
+            keep
+        });
+        for address in wanted {
+            followers.entry(address.clone()).or_insert_with(|| {
+                let follower = follow(Rc::clone(&control), address);
+                tokio::task::spawn_local(follower)
+            });
+        }
+        sleep(IDLE).await;
+    }
+}
+
+async fn follow(control: Rc<Control>, address: String) {
+    let mut position: Option<Position> = None;
+    loop {
         let followed = match position {
             Some(position) => go_on(&control, &address, position).await,
             None => start(&control, &address).await,
@@ -50,7 +72,7 @@
             tracing::info!(event = "store_found", %address);
         }
         if followed.is_none() {
-            tell(&control, StoreNews::Lost);
+            tell(&control, &address, StoreNews::Lost);
             sleep(IDLE).await;
         }
         position = followed;
@@ -62,7 +84,7 @@
 async fn start(control: &Control, address: &str) -> Option<Position> {
     let events = ask_events(control, address, 0, Duration::ZERO).await?;
     let list = ask_list(control, address).await?;
-    tell(control, StoreNews::Holds(list));
+    tell(control, address, StoreNews::Holds(list));
     Some(Position {
         epoch: events.epoch,
         next: events.next,
@@ -84,6 +106,7 @@
     if !came.is_empty() || !went.is_empty() {
         tell(
             control,
+            address,
             StoreNews::Changed {
                 added: came.into_iter().map(|event| event.key).collect(),
                 removed: went.into_iter().map(|event| event.key).collect(),
@@ -117,31 +140,35 @@
     (answer.status == StatusCode::OK).then_some(answer.body)
 }
 
-fn tell(control: &Control, news: StoreNews) {
-    control.with_core(|core, now| core.on_store_news(now, news));
+fn tell(control: &Control, address: &str, news: StoreNews) {
+    let store = StoreId::at(address);
+    control.with_core(|core, now| core.on_store_news(now, store, news));
 }
 
-/// The store that the configuration names.
-fn store_address(control: &Control) -> Option<String> {
+/// The stores that the configuration names.
+fn store_addresses(control: &Control) -> Vec<String> {
     let core = control.core.borrow();
-    let state = core.as_ref()?.state();
-    let mut known = control.store.borrow_mut();
+    let Some(core) = core.as_ref() else {
+        return Vec::new();
+    };
+    let state = core.state();
+    let mut known = control.stores.borrow_mut();
     if known.version != state.configuration_version() {
         known.version = state.configuration_version();
-        let document = control.dialect.document(state.configuration()?).ok();
-        known.address = document.and_then(|document| {
-            let mut stores = document.pools.into_iter().filter_map(|pool| pool.store);
-            stores.next().map(|store| store.address)
-        });
+        let body = state.configuration().unwrap_or_default();
+        let document = control.dialect.document(body).ok();
+        let pools = document.into_iter().flat_map(|document| document.pools);
+        let stores = pools.filter_map(|pool| pool.store);
+        known.addresses = stores.map(|store| store.address).collect();
     }
-    known.address.clone()
+    known.addresses.clone()
 }
 
-/// The store of a configuration, so that it need not be read each time.
+/// The stores of a configuration, so that it need not be read each time.
 #[derive(Debug, Default)]
-pub(super) struct KnownStore {
+pub(super) struct KnownStores {
     version: u64,
-    address: Option<String>,
+    addresses: Vec<String>,
 }
 
 impl Control {
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -192,13 +192,14 @@
                 fetch(router, links, sender, revision);
             }
             Message::Stored {
+                store,
                 known,
                 reset,
                 added,
                 removed,
             } => {
                 let mut core = router.core.borrow_mut();
-                core.on_stored(known != 0, reset != 0, &added.items, &removed.items);
+                core.on_stored(store, known != 0, reset != 0, &added.items, &removed.items);
             }
             Message::Loads(loads) => {
                 links.loads_heard.set(router.clock.now());
