Stay longer at home: prompts leave it at 12,000 pending tokens; slow stores still serve homes

Two reasons: a prompt left its home when another back end was 5,000 tokens ahead, which costs less time (130 ms) than what is read again elsewhere; and a store counted as slow whenever an answer was late, also when the back end itself was busy, and then nothing was fetched at all. Change: AWAY_FROM_HOME_TOKENS 5,000 -> 12,000; a slow store is passed over only where the home of the prompt is another source.

--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -12,7 +12,7 @@
 use crate::{CacheStore, InstanceId, Lifecycle, Pool, StoreId};
 
 /// Tokens that may wait at the home of a prompt before another back end is better.
-const AWAY_FROM_HOME_TOKENS: f64 = 5_000.0;
+const AWAY_FROM_HOME_TOKENS: f64 = 12_000.0;
 /// A stream costs those who share its back end about as much as so many tokens to read.
 const STREAM_TOKENS: f64 = 60.0;
 /// Tokens that may wait on the own side before the other side is better.
@@ -235,8 +235,9 @@
         }
     }
 
-    /// The store gives what it is known to hold; when that is not all that is shared, the home of
-    /// the prompt has likely more.
+    /// The store gives what it is known to hold. When that is not all that is shared, or the store
+    /// is slow, the home of the prompt is the better source; at home itself a slow fetch still
+    /// costs less than to read the prompt again.
     fn cache_use(
         &self,
         now: Timestamp,
@@ -255,7 +256,10 @@
             };
         };
         let store_use = self.stores.use_for(now, id, prompt, salt);
-        let from_store = store_use.fetch_all || (store_use.fetch && home.is_none());
+        let from_store = match home {
+            Some(_) => store_use.has_all && !store_use.is_slow,
+            None => store_use.has_first,
+        };
         let source = if from_store { Some(address) } else { home };
         CacheUse {
             fetch_from: source.map(str::to_owned),
--- a/crates/gateway-core/src/router/stores.rs
+++ b/crates/gateway-core/src/router/stores.rs
@@ -12,16 +12,18 @@
 use super::{Prompt, PromptPart};
 use crate::{CacheStore, StoreId, StoredKey};
 
-/// So long prompts are fetched from their homes after a slow fetch from a store.
+/// So long a store counts as slow after a slow fetch.
 const PAUSE: Duration = Duration::from_millis(1_500);
 
 /// What a store is good for, for one prompt.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct StoreUse {
-    /// It holds the first shared part at least, and its link is not full.
-    pub fetch: bool,
-    /// It holds all shared parts, and its link is not full.
-    pub fetch_all: bool,
+    /// It holds the first shared part at least.
+    pub has_first: bool,
+    /// It holds all shared parts.
+    pub has_all: bool,
+    /// Its link is full.
+    pub is_slow: bool,
     /// A shared part is missing that is worth saving.
     pub save: bool,
 }
@@ -30,7 +32,7 @@
 struct Store {
     held: HashSet<StoredKey>,
     /// Fetches took too long lately: its link is full.
-    busy_until: Timestamp,
+    slow_until: Timestamp,
 }
 
 /// The stores that answer.
@@ -67,7 +69,7 @@
     /// A fetch from the store took too long.
     pub fn on_slow_fetch(&mut self, now: Timestamp, id: StoreId) {
         if let Some(store) = self.0.get_mut(&id) {
-            store.busy_until = now.plus(PAUSE);
+            store.slow_until = now.plus(PAUSE);
         }
     }
 
@@ -99,10 +101,10 @@
         let is_held = |part: &PromptPart| store.held.contains(&StoredKey::new(salt, &part.id));
         let has_first = shared.first().is_some_and(is_held);
         let has_all = shared.iter().all(is_held);
-        let is_free = store.busy_until <= now;
         StoreUse {
-            fetch: has_first && is_free,
-            fetch_all: has_first && has_all && is_free,
+            has_first,
+            has_all: has_first && has_all,
+            is_slow: store.slow_until > now,
             save: !prompt.is_short() && !has_all,
         }
     }
