Bound what load sharing costs a router; part the large files of router and rollout

Cause: with 90 back ends the leader told each router 14 KB/s of others' load, all that a node may spend on control traffic at the target. The request path is forward.rs, attempt.rs and refusal.rs; orders and due loads have files beside rollout.rs; homes and cache sources beside placement.rs. Code was moved, not changed. Test: `what_a_router_is_told_of_loads_stays_within_its_part_of_the_traffic`.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -2,6 +2,8 @@
 
 mod instances;
 mod members;
+mod order;
+mod pending_loads;
 mod proposals;
 mod reads;
 mod rollout;
@@ -23,7 +25,7 @@
 
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
-pub use rollout::{Order, OrderId, OrderOutcome, Report};
+pub use order::{Order, OrderId, OrderOutcome, Report};
 pub use stored::StoreNews;
 
 use members::Joiners;
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -10,11 +10,11 @@
 use drumshore_consensus::{Directory, Role};
 use drumshore_core::Timestamp;
 
+use super::order::{Order, OrderId, OrderOutcome, Report};
+use super::pending_loads::{pending_loads, Load};
 use super::reads::Waiting;
 use super::{ControlCore, Effect};
-use crate::{
-    Command, InstanceId, InstanceRecord, Lifecycle, LoadPhase, ModelName, ReplicatedState,
-};
+use crate::{Command, InstanceId, InstanceRecord, LoadPhase, ModelName};
 
 /// A pool is loaded in about so many rounds.
 const ROUNDS: usize = 4;
@@ -35,59 +35,6 @@
 /// An order is only given while a quorum has confirmed this leader so lately.
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(700);
 
-/// Tells orders apart.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct OrderId(pub u64);
-
-/// An order to load weights.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Order {
-    /// Tells it apart.
-    pub id: OrderId,
-    /// The back end; another one at its address refuses.
-    pub instance: InstanceId,
-    /// IP:PORT.
-    pub address: String,
-    /// The model.
-    pub model: ModelName,
-    /// The version to load.
-    pub version: u64,
-    /// Who gives the order.
-    pub holder: String,
-    /// Rises with each leader.
-    pub fencing_token: u64,
-    /// Orders that the back end has taken so far.
-    pub expected_orders: u64,
-}
-
-/// What came of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// It is being done.
-    Taken,
-    /// The back end holds the version already.
-    Holds,
-    /// Another order is under way, or another number of orders was expected.
-    Conflict,
-    /// A newer leader has given orders.
-    Fenced,
-    /// Another incarnation listens there.
-    Gone,
-    /// No answer; it may be carried out, even later.
-    Unknown,
-}
-
-/// What a back end answers when asked.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Report {
-    /// Orders that it has taken.
-    pub orders_taken: u64,
-    /// True while it carries one out.
-    pub busy: bool,
-    /// The weights it holds.
-    pub models: Vec<(ModelName, u64)>,
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Step {
     /// Routers are told; the order follows.
@@ -111,17 +58,6 @@
     fenced_in_term: Option<u64>,
 }
 
-#[derive(Clone, Debug)]
-struct Load {
-    instance: String,
-    address: String,
-    model: String,
-    /// The version it holds.
-    held: u64,
-    /// The version it is to hold.
-    version: u64,
-}
-
 impl<D: Directory> ControlCore<D> {
     /// Takes in what came of an order.
     pub fn on_order_outcome(
@@ -427,28 +363,3 @@
         self.propose(None, command);
     }
 }
-
-/// Back ends whose weights are older than what was named, or that are loading; those that are
-/// furthest behind first, for their time runs out first.
-fn pending_loads(state: &ReplicatedState) -> Vec<Load> {
-    let mut loads = Vec::new();
-    for record in state.instances() {
-        if record.lifecycle == Lifecycle::Draining {
-            continue;
-        }
-        for loaded in &record.models.items {
-            let named = state.named_version(loaded.model.as_str());
-            if named > loaded.version || loaded.loading != 0 {
-                loads.push(Load {
-                    instance: record.instance.as_str().to_owned(),
-                    address: record.address.as_str().to_owned(),
-                    model: loaded.model.as_str().to_owned(),
-                    held: loaded.version,
-                    version: named.max(loaded.version),
-                });
-            }
-        }
-    }
-    loads.sort_by_key(|load| load.held);
-    loads
-}
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -18,6 +18,10 @@
 /// A router's load that was not told again counts for so long.
 const LOADS_COUNT_FOR: Duration = Duration::from_millis(600);
 
+/// Bytes a second that the others' load may cost one router, of 14 KB/s that a node may spend on
+/// all control traffic. A long list is told less often.
+const LOADS_BYTES_PER_SECOND: f64 = 10_000.0;
+
 #[derive(Debug)]
 struct Linked {
     status: RouterStatus,
@@ -26,6 +30,15 @@
     loads_heard: Timestamp,
     /// What it was told of the others' load.
     told: Vec<LoadEntry>,
+    told_at: Timestamp,
+}
+
+impl Linked {
+    fn may_be_told(&self, now: Timestamp, others: &[LoadEntry]) -> bool {
+        let bytes = others.len() * LoadEntry::BYTES;
+        let interval = Duration::from_secs_f64(bytes as f64 / LOADS_BYTES_PER_SECOND);
+        now.since(self.told_at) >= interval
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -87,6 +100,7 @@
                     loads: Vec::new(),
                     loads_heard: now,
                     told: Vec::new(),
+                    told_at: Timestamp::default(),
                 };
                 self.routers.0.insert(connection, linked);
                 self.announce_to(connection);
@@ -149,8 +163,9 @@
         }
         for (connection, linked) in &mut self.routers.0 {
             let others = totals_without(&totals, &linked.loads);
-            if others != linked.told {
+            if others != linked.told && linked.may_be_told(now, &others) {
                 linked.told.clone_from(&others);
+                linked.told_at = now;
                 let message = Message::Loads(List::new(others));
                 self.effects.push(Effect::ToRouter(*connection, message));
             }
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -76,6 +76,8 @@
 }
 
 impl LoadEntry {
+    /// Its size in a message.
+    pub const BYTES: usize = 8;
     /// Tokens in one unit of `pending`.
     pub const TOKENS: u32 = 64;
 
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -1,7 +1,9 @@
 //! One router: what it knows, how long it may rely on it, and where requests go.
 
 mod budget;
+mod cache;
 mod endpoints;
+mod homes;
 mod placement;
 mod prompt_mix;
 mod split;
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -7,9 +7,11 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::cache::salt;
 use super::endpoints::Endpoint;
+use super::homes::{home_key, Homes};
 use super::{Admission, Choice, ChoiceError, Prompt, RouterCore};
-use crate::{CacheStore, InstanceId, Lifecycle, Pool, StoreId};
+use crate::{InstanceId, Lifecycle, Pool};
 
 /// Tokens that may wait at the home of a prompt before another back end is better.
 const AWAY_FROM_HOME_TOKENS: f64 = 12_000.0;
@@ -26,33 +28,24 @@
 /// Part of a pool's connections that routers use, for those that count one another late.
 const CONNECTION_PART: f64 = 0.85;
 
-struct Candidate<'a> {
-    id: &'a InstanceId,
+pub(super) struct Candidate<'a> {
+    pub id: &'a InstanceId,
     endpoint: &'a Endpoint,
     version: Option<u64>,
 }
 
 /// The back ends that short prompts prefer; none when nearly all prompts are alike.
 #[derive(Default)]
-struct Sides {
+pub(super) struct Sides {
     short: HashSet<InstanceId>,
 }
 
 impl Sides {
-    fn is_own(&self, id: &InstanceId, is_short: bool) -> bool {
+    pub fn is_own(&self, id: &InstanceId, is_short: bool) -> bool {
         self.short.is_empty() || self.short.contains(id) == is_short
     }
 }
 
-/// Where a prompt's cached parts come from and go to.
-#[derive(Default)]
-struct CacheUse {
-    fetch_from: Option<String>,
-    /// The store that this is, when it is not another back end.
-    from_store: Option<StoreId>,
-    save_to: Option<String>,
-}
-
 struct Placed {
     instance: InstanceId,
     address: String,
@@ -235,40 +228,7 @@
         }
     }
 
-    /// The store gives what it is known to hold. When that is not all that is shared, or the store
-    /// is slow, the home of the prompt is the better source; at home itself a slow fetch still
-    /// costs less than to read the prompt again.
-    fn cache_use(
-        &self,
-        now: Timestamp,
-        admission: &Admission,
-        prompt: &Prompt,
-        salt: &str,
-        home: Option<&str>,
-    ) -> CacheUse {
-        let key = home_key(prompt).unwrap_or_default();
-        let zone = self.home_zone(admission, key);
-        let stores = self.cache_stores(admission);
-        let Some((id, address)) = self.stores.store_of(key, zone, stores) else {
-            return CacheUse {
-                fetch_from: home.map(str::to_owned),
-                ..CacheUse::default()
-            };
-        };
-        let store_use = self.stores.use_for(now, id, prompt, salt);
-        let from_store = match home {
-            Some(_) => store_use.has_all && !store_use.is_slow,
-            None => store_use.has_first,
-        };
-        let source = if from_store { Some(address) } else { home };
-        CacheUse {
-            fetch_from: source.map(str::to_owned),
-            from_store: from_store.then_some(id),
-            save_to: store_use.save.then(|| address.to_owned()),
-        }
-    }
-
-    fn pool(&self, admission: &Admission) -> Option<&Pool> {
+    pub(super) fn pool(&self, admission: &Admission) -> Option<&Pool> {
         let document = self.view.document()?;
         document
             .pools
@@ -276,27 +236,6 @@
             .find(|pool| pool.name == admission.pool)
     }
 
-    /// The zone of a prompt's home, also while that is loading weights or does not answer: the
-    /// place of what is stored should not change with it.
-    fn home_zone(&self, admission: &Admission, key: u64) -> Option<&str> {
-        let pool = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.record.pool.as_str() == admission.pool.as_str()
-                && endpoint.record.lifecycle == Lifecycle::Ready
-        });
-        let home = pool.max_by_key(|(id, _)| weight(id, key));
-        home.map(|(_, endpoint)| endpoint.record.zone.as_str())
-    }
-
-    /// The stores that the pool of a request may use.
-    fn cache_stores(&self, admission: &Admission) -> impl Iterator<Item = &CacheStore> {
-        let has_models = self
-            .pool(admission)
-            .is_some_and(|pool| pool.models.is_some());
-        let document = self.view.document().filter(|_| has_models);
-        let pools = document.into_iter().flat_map(|document| &document.pools);
-        pools.filter_map(|pool| pool.store.as_ref())
-    }
-
     fn connections(&self, max_connections: u32) -> usize {
         if max_connections == 0 {
             return DEFAULT_CONNECTIONS;
@@ -347,53 +286,3 @@
     }
     candidates
 }
-
-/// What requests with the same shared parts have in common; `None` when nothing is shared.
-fn home_key(prompt: &Prompt) -> Option<u64> {
-    let shared = prompt.shared_parts();
-    let start = xxh3_64_with_seed(prompt.model.as_str().as_bytes(), 0);
-    let key = shared.iter().fold(start, |seed, part| {
-        xxh3_64_with_seed(part.id.as_bytes(), seed)
-    });
-    (!shared.is_empty()).then_some(key)
-}
-
-/// The back ends of one side in the order of rendezvous hashing.
-struct Homes {
-    key: u64,
-    /// Descending.
-    weights: Vec<u64>,
-}
-
-impl Homes {
-    fn new(key: u64, usable: &[Candidate<'_>], sides: &Sides, is_short: bool) -> Self {
-        let own = usable
-            .iter()
-            .filter(|candidate| sides.is_own(candidate.id, is_short));
-        let mut weights: Vec<u64> = own.map(|candidate| weight(candidate.id, key)).collect();
-        weights.sort_unstable_by_key(|weight| std::cmp::Reverse(*weight));
-        Self { key, weights }
-    }
-
-    /// How many come before this one.
-    fn rank(&self, id: &InstanceId) -> usize {
-        let own = weight(id, self.key);
-        self.weights.partition_point(|weight| *weight > own)
-    }
-}
-
-fn weight(id: &InstanceId, key: u64) -> u64 {
-    xxh3_64_with_seed(id.as_str().as_bytes(), key)
-}
-
-/// What was cached under other weights, or by another tenant when one is isolated, has another
-/// salt and so is never used.
-fn salt(admission: &Admission, prompt: &Prompt, version: Option<u64>) -> String {
-    let model = prompt.model.as_str();
-    let version = version.unwrap_or(0);
-    let isolated = admission.tenant.as_ref().filter(|tenant| tenant.isolated);
-    match isolated {
-        Some(tenant) => format!("{model}.{version}.{}", tenant.name),
-        None => format!("{model}.{version}"),
-    }
-}
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -447,6 +447,44 @@
     assert_eq!(last.unwrap(), []);
 }
 
+#[test]
+fn what_a_router_is_told_of_loads_stays_within_its_part_of_the_traffic() {
+    // 90 back ends at 20 lists a second were 14 KB/s, all that a node may spend.
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
+    cluster.link_router(leader, ConnectionId(2), "10.0.1.2:80");
+    cluster.to_routers.clear();
+    let seconds = 10;
+    for step in 0..seconds * 20 {
+        let loads = (0..90).map(|key| LoadEntry {
+            key,
+            pending: step,
+            in_flight: 1,
+        });
+        let message = Message::Loads(List::new(loads.collect()));
+        let now = cluster.now;
+        let core = cluster.core(leader);
+        core.on_router(now, ConnectionId(1), message);
+        for router in [1, 2] {
+            let sequence = u64::from(step);
+            core.on_router(now, ConnectionId(router), Message::Ping { sequence });
+        }
+        cluster.run(Duration::from_millis(50));
+    }
+    let told = cluster.to_routers.iter().filter_map(|(_, to, message)| {
+        let Message::Loads(loads) = message else {
+            return None;
+        };
+        (*to == ConnectionId(2)).then_some(loads.items.len() * LoadEntry::BYTES)
+    });
+    let bytes: usize = told.sum();
+    assert!(
+        (50_000..=100_000).contains(&bytes),
+        "{bytes} in {seconds} s"
+    );
+}
+
 #[test]
 fn routers_hear_what_the_store_gains_and_that_it_is_lost() {
     let mut cluster = elected(3);
--- /dev/null
+++ b/crates/gateway/src/router/attempt.rs
@@ -0,0 +1,175 @@
+//! One attempt to have a request answered by a back end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use drumshore_core::Execution;
+use drumshore_gateway_core::{Choice, Outcome, RequestKind};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode, Uri};
+use tokio::time::timeout;
+
+use super::forward::{header, may_try_again, Call};
+use super::headers;
+use super::relay::Visit;
+use super::Router;
+use crate::upstream::{Connection, NoConnection, SendError};
+
+/// Part of a route's target within which a repeatable request should have its answer's head.
+const SILENCE_FACTOR: f64 = 1.6;
+/// A free connection may take this long.
+const CONNECTION_PATIENCE: Duration = Duration::from_millis(60);
+
+/// How one attempt ended.
+pub(super) enum Attempt {
+    Answered(Box<Answered>),
+    Ended { execution: Execution, sent: bool },
+}
+
+/// An answer that is to be passed on.
+pub(super) struct Answered {
+    pub response: Response<Incoming>,
+    pub connection: Connection,
+    pub visit: Visit,
+}
+
+/// Sends the request to the back end that was chosen and judges what comes.
+pub(super) async fn make(router: &Rc<Router>, call: &Call, choice: &Choice, sent: u32) -> Attempt {
+    let mut visit = Visit::new(router, choice, call.admission.route.target);
+    let connecting = router.upstreams.connect(
+        &choice.instance,
+        &choice.address,
+        choice.connections,
+        CONNECTION_PATIENCE,
+    );
+    let mut connection = match connecting.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            let outcome = match error {
+                NoConnection::Unreachable(_) => Outcome::Unreachable,
+                NoConnection::NoneFree => Outcome::Shed,
+            };
+            visit.end(outcome);
+            return Attempt::Ended {
+                execution: Execution::NotRun,
+                sent: false,
+            };
+        }
+    };
+    let left = call.deadline.since(router.clock.now());
+    let request = outbound(router, call, choice, left);
+    let patience = head_patience(call, sent, left);
+    let response = match timeout(patience, connection.send(request)).await {
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return broken(visit, error),
+        Err(_) => {
+            visit.end(Outcome::TimedOut);
+            return Attempt::Ended {
+                execution: Execution::MayHaveRun,
+                sent: true,
+            };
+        }
+    };
+    judge(router, call, choice, response, connection, visit, sent)
+}
+
+fn broken(mut visit: Visit, error: SendError) -> Attempt {
+    let (outcome, execution) = match error {
+        SendError::NotSent => (Outcome::Broken, Execution::NotRun),
+        SendError::Broken => (Outcome::Broken, Execution::MayHaveRun),
+    };
+    visit.end(outcome);
+    Attempt::Ended {
+        execution,
+        sent: error == SendError::Broken,
+    }
+}
+
+/// How long to wait for a head: all that is left, unless another back end may be asked.
+fn head_patience(call: &Call, sent: u32, left: Duration) -> Duration {
+    let route = &call.admission.route;
+    if route.kind != RequestKind::Repeatable || sent + 1 >= route.max_attempts {
+        return left;
+    }
+    left.min(route.target.mul_f64(SILENCE_FACTOR))
+}
+
+fn outbound(router: &Router, call: &Call, choice: &Choice, left: Duration) -> Request<Full<Bytes>> {
+    let names = router.dialect.headers();
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    let target = call.parts.uri.path_and_query().cloned();
+    *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
+    *request.headers_mut() = headers::for_back_end(call.parts.headers.clone(), names);
+    headers::set_for_attempt(request.headers_mut(), names, &call.admission, choice, left);
+    request
+}
+
+/// Decides whether an answer is the request's, and whether it is passed on.
+fn judge(
+    router: &Rc<Router>,
+    call: &Call,
+    choice: &Choice,
+    response: Response<Incoming>,
+    connection: Connection,
+    mut visit: Visit,
+    sent: u32,
+) -> Attempt {
+    visit.answered();
+    let names = router.dialect.headers();
+    let headers = response.headers();
+    if header(headers, &names.request_id) != call.id {
+        // A surplus answer to an earlier request: nobody can say what became of this one.
+        visit.end(Outcome::Broken);
+        return Attempt::Ended {
+            execution: Execution::MayHaveRun,
+            sent: true,
+        };
+    }
+    let not_run = headers.contains_key(&names.not_run)
+        || response.status() == StatusCode::MISDIRECTED_REQUEST;
+    if not_run {
+        let answered_by = header(headers, &names.instance);
+        let other = !answered_by.is_empty() && answered_by != choice.instance.as_str();
+        let outcome = match response.status() {
+            StatusCode::MISDIRECTED_REQUEST if other => Outcome::Misdirected,
+            StatusCode::MISDIRECTED_REQUEST => Outcome::OtherWeights,
+            _ => Outcome::Shed,
+        };
+        visit.end(outcome);
+        drain(router, response, connection);
+        return Attempt::Ended {
+            execution: Execution::NotRun,
+            sent: true,
+        };
+    }
+    let failed = response.status().is_server_error();
+    if failed && may_try_again(&call.admission, Execution::Ran, sent + 1) {
+        visit.end(Outcome::Failed);
+        drain(router, response, connection);
+        return Attempt::Ended {
+            execution: Execution::Ran,
+            sent: true,
+        };
+    }
+    Attempt::Answered(Box::new(Answered {
+        response,
+        connection,
+        visit,
+    }))
+}
+
+/// Reads a short answer to its end, so that its connection can be kept.
+fn drain(router: &Rc<Router>, response: Response<Incoming>, connection: Connection) {
+    const SHORT: usize = 16 << 10;
+    const PATIENCE: Duration = Duration::from_millis(200);
+    let clock = router.clock;
+    tokio::task::spawn_local(async move {
+        let reading = Limited::new(response.into_body(), SHORT).collect();
+        if matches!(timeout(PATIENCE, reading).await, Ok(Ok(_))) {
+            connection.give_back(clock.now());
+        }
+    });
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -5,82 +5,34 @@
 
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
-use drumshore_gateway_core::{
-    Admission, Choice, ChoiceError, InstanceId, Outcome, Prompt, Refusal, RequestKind,
-};
-use http_body_util::{BodyExt, Full, Limited};
+use drumshore_gateway_core::{Admission, Choice, InstanceId, Prompt};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Request, Response};
 use tokio::time::timeout;
 
+use super::attempt::{self, Answered, Attempt};
 use super::headers;
-use super::relay::{Relay, Visit};
+use super::refusal::{self, Refused};
+use super::relay::Relay;
 use super::Router;
-use crate::answer::{self, AnswerBody};
+use crate::answer::AnswerBody;
 use crate::server::NoAnswer;
-use crate::upstream::{Connection, NoConnection, SendError};
 
 /// Attempts that reached no back end do not count as attempts, but there is an end to them.
 const MOST_TRIES: usize = 4;
-/// A caller that was refused because of a passing state comes back after this long.
-const COME_BACK: Duration = Duration::from_millis(60);
-/// Control machines that start together have a leader after about this long.
-const COMMON_START: Duration = Duration::from_millis(1_100);
-/// Another router serves it at once.
-const COME_BACK_AT_ONCE: Duration = Duration::from_millis(5);
-/// A caller comes back later when no back end is there at all.
-const COME_BACK_LATER: Duration = Duration::from_millis(400);
-/// Part of a route's target within which a repeatable request should have its answer's head.
-const SILENCE_FACTOR: f64 = 1.6;
-const CONNECTION_PATIENCE: Duration = Duration::from_millis(60);
 
 /// What is known of a request.
-struct Call {
-    id: String,
-    received: Timestamp,
-    deadline: Timestamp,
-    admission: Admission,
-    prompt: Option<Prompt>,
-    parts: Parts,
-    body: Bytes,
-}
-
-/// How one attempt ended.
-enum Attempt {
-    Answered(Box<Answered>),
-    Ended { execution: Execution, sent: bool },
-}
-
-/// An answer that is to be passed on.
-struct Answered {
-    response: Response<Incoming>,
-    connection: Connection,
-    visit: Visit,
-}
-
-/// How a request is answered when no back end does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct GivenUp {
-    status: StatusCode,
-    come_back: Option<Duration>,
-    reason: &'static str,
-}
-
-/// Why a request is not looked into.
-#[derive(Clone, Copy, Debug)]
-enum Refused {
-    /// The router's view says so.
-    ByView(Refusal),
-    /// This process ends too soon.
-    Stopping,
-}
-
-impl From<Refusal> for Refused {
-    fn from(refusal: Refusal) -> Self {
-        Self::ByView(refusal)
-    }
+pub(super) struct Call {
+    pub id: String,
+    pub received: Timestamp,
+    pub deadline: Timestamp,
+    pub admission: Admission,
+    pub prompt: Option<Prompt>,
+    pub parts: Parts,
+    pub body: Bytes,
 }
 
 /// Counts a request as open until its answer has ended.
@@ -112,7 +64,7 @@
             let call = read_call(&router, id, received, admission, prompt, request).await?;
             answer(&router, call, open).await
         }
-        Err(refusal) => refuse(&router, &id, received, refusal),
+        Err(refused) => refusal::refuse(&router, &id, received, refused),
     };
     if router.stopping.get().is_some() {
         let close = HeaderValue::from_static("close");
@@ -202,10 +154,10 @@
                 .choose(now, &call.admission, call.prompt.as_ref(), &tried);
         let choice = match chosen {
             Ok(choice) => choice,
-            Err(error) => return give_up(router, &call, &tried, worst, Some(error)),
+            Err(error) => return refusal::give_up(router, &call, &tried, worst, Some(error)),
         };
         tried.push(choice.instance.clone());
-        match attempt(router, &call, &choice, sent).await {
+        match attempt::make(router, &call, &choice, sent).await {
             Attempt::Answered(answered) => {
                 return relay(router, call, &choice, *answered, open, &tried);
             }
@@ -221,154 +173,16 @@
             }
         }
     }
-    give_up(router, &call, &tried, worst, None)
+    refusal::give_up(router, &call, &tried, worst, None)
 }
 
 /// A request that may have run goes to another back end only when it may run twice.
-fn may_try_again(admission: &Admission, worst: Execution, sent: u32) -> bool {
+pub(super) fn may_try_again(admission: &Admission, worst: Execution, sent: u32) -> bool {
     let route = &admission.route;
     let repeatable = worst == Execution::NotRun || route.kind.may_repeat();
     repeatable && sent < route.max_attempts.max(1)
 }
 
-async fn attempt(router: &Rc<Router>, call: &Call, choice: &Choice, sent: u32) -> Attempt {
-    let mut visit = Visit::new(router, choice, call.admission.route.target);
-    let connecting = router.upstreams.connect(
-        &choice.instance,
-        &choice.address,
-        choice.connections,
-        CONNECTION_PATIENCE,
-    );
-    let mut connection = match connecting.await {
-        Ok(connection) => connection,
-        Err(error) => {
-            let outcome = match error {
-                NoConnection::Unreachable(_) => Outcome::Unreachable,
-                NoConnection::NoneFree => Outcome::Shed,
-            };
-            visit.end(outcome);
-            return Attempt::Ended {
-                execution: Execution::NotRun,
-                sent: false,
-            };
-        }
-    };
-    let left = call.deadline.since(router.clock.now());
-    let request = outbound(router, call, choice, left);
-    let patience = head_patience(call, sent, left);
-    let response = match timeout(patience, connection.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return broken(visit, error),
-        Err(_) => {
-            visit.end(Outcome::TimedOut);
-            return Attempt::Ended {
-                execution: Execution::MayHaveRun,
-                sent: true,
-            };
-        }
-    };
-    judge(router, call, choice, response, connection, visit, sent)
-}
-
-fn broken(mut visit: Visit, error: SendError) -> Attempt {
-    let (outcome, execution) = match error {
-        SendError::NotSent => (Outcome::Broken, Execution::NotRun),
-        SendError::Broken => (Outcome::Broken, Execution::MayHaveRun),
-    };
-    visit.end(outcome);
-    Attempt::Ended {
-        execution,
-        sent: error == SendError::Broken,
-    }
-}
-
-/// How long to wait for a head: all that is left, unless another back end may be asked.
-fn head_patience(call: &Call, sent: u32, left: Duration) -> Duration {
-    let route = &call.admission.route;
-    if route.kind != RequestKind::Repeatable || sent + 1 >= route.max_attempts {
-        return left;
-    }
-    left.min(route.target.mul_f64(SILENCE_FACTOR))
-}
-
-fn outbound(router: &Router, call: &Call, choice: &Choice, left: Duration) -> Request<Full<Bytes>> {
-    let names = router.dialect.headers();
-    let mut request = Request::new(Full::new(call.body.clone()));
-    *request.method_mut() = call.parts.method.clone();
-    let target = call.parts.uri.path_and_query().cloned();
-    *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
-    *request.headers_mut() = headers::for_back_end(call.parts.headers.clone(), names);
-    headers::set_for_attempt(request.headers_mut(), names, &call.admission, choice, left);
-    request
-}
-
-/// Decides whether an answer is the request's, and whether it is passed on.
-fn judge(
-    router: &Rc<Router>,
-    call: &Call,
-    choice: &Choice,
-    response: Response<Incoming>,
-    connection: Connection,
-    mut visit: Visit,
-    sent: u32,
-) -> Attempt {
-    visit.answered();
-    let names = router.dialect.headers();
-    let headers = response.headers();
-    if header(headers, &names.request_id) != call.id {
-        // A surplus answer to an earlier request: nobody can say what became of this one.
-        visit.end(Outcome::Broken);
-        return Attempt::Ended {
-            execution: Execution::MayHaveRun,
-            sent: true,
-        };
-    }
-    let not_run = headers.contains_key(&names.not_run)
-        || response.status() == StatusCode::MISDIRECTED_REQUEST;
-    if not_run {
-        let answered_by = header(headers, &names.instance);
-        let other = !answered_by.is_empty() && answered_by != choice.instance.as_str();
-        let outcome = match response.status() {
-            StatusCode::MISDIRECTED_REQUEST if other => Outcome::Misdirected,
-            StatusCode::MISDIRECTED_REQUEST => Outcome::OtherWeights,
-            _ => Outcome::Shed,
-        };
-        visit.end(outcome);
-        drain(router, response, connection);
-        return Attempt::Ended {
-            execution: Execution::NotRun,
-            sent: true,
-        };
-    }
-    let failed = response.status().is_server_error();
-    if failed && may_try_again(&call.admission, Execution::Ran, sent + 1) {
-        visit.end(Outcome::Failed);
-        drain(router, response, connection);
-        return Attempt::Ended {
-            execution: Execution::Ran,
-            sent: true,
-        };
-    }
-    Attempt::Answered(Box::new(Answered {
-        response,
-        connection,
-        visit,
-    }))
-}
-
-/// Reads a short answer to its end, so that its connection can be kept.
-fn drain(router: &Rc<Router>, response: Response<Incoming>, connection: Connection) {
-    const SHORT: usize = 16 << 10;
-    const PATIENCE: Duration = Duration::from_millis(200);
-    let clock = router.clock;
-    tokio::task::spawn_local(async move {
-        let reading = Limited::new(response.into_body(), SHORT).collect();
-        if matches!(timeout(PATIENCE, reading).await, Ok(Ok(_))) {
-            connection.give_back(clock.now());
-        }
-    });
-}
-
 fn relay(
     router: &Rc<Router>,
     call: Call,
@@ -397,101 +211,7 @@
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
-fn give_up(
-    router: &Router,
-    call: &Call,
-    tried: &[InstanceId],
-    worst: Execution,
-    error: Option<ChoiceError>,
-) -> Response<AnswerBody> {
-    let elapsed = router.clock.now().since(call.received);
-    let given_up = final_answer(worst, error, router.clock.now() >= call.deadline);
-    router.metrics.count_request(given_up.reason, elapsed);
-    tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
-        outcome = given_up.reason, status = given_up.status.as_u16(),
-        instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
-        execution = worst.as_str(), choice = error.map(tracing::field::display),
-        elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision());
-    respond(given_up)
-}
-
-/// 503 promises that the request has not run; 502 and 504 promise nothing.
-fn final_answer(worst: Execution, error: Option<ChoiceError>, late: bool) -> GivenUp {
-    if worst == Execution::NotRun {
-        let none_ready = error == Some(ChoiceError::NoneReady);
-        let after = if none_ready {
-            COME_BACK_LATER
-        } else {
-            COME_BACK
-        };
-        return GivenUp {
-            status: StatusCode::SERVICE_UNAVAILABLE,
-            come_back: Some(after),
-            reason: if none_ready {
-                "no_back_end"
-            } else {
-                "turned_away"
-            },
-        };
-    }
-    let (status, reason) = if late {
-        (StatusCode::GATEWAY_TIMEOUT, "timed_out")
-    } else {
-        (StatusCode::BAD_GATEWAY, "broken")
-    };
-    GivenUp {
-        status,
-        come_back: None,
-        reason,
-    }
-}
-
-fn refuse(
-    router: &Router,
-    id: &str,
-    received: Timestamp,
-    refused: Refused,
-) -> Response<AnswerBody> {
-    let busy = StatusCode::SERVICE_UNAVAILABLE;
-    let (status, come_back, reason) = match refused {
-        Refused::ByView(Refusal::NoRoute) => (StatusCode::NOT_FOUND, None, "no_route"),
-        Refused::ByView(Refusal::UnknownKey) => (StatusCode::UNAUTHORIZED, None, "unknown_key"),
-        Refused::ByView(Refusal::NoConfiguration) => {
-            (busy, Some(COME_BACK_LATER), "no_configuration")
-        }
-        Refused::ByView(Refusal::Unconfirmed) => {
-            (busy, Some(until_confirmed(router)), "unconfirmed")
-        }
-        Refused::Stopping => (busy, Some(COME_BACK_AT_ONCE), "stopping"),
-    };
-    let now = router.clock.now();
-    router.metrics.count_request(reason, now.since(received));
-    let core = router.core.borrow();
-    tracing::info!(event = "request", %id, outcome = reason, status = status.as_u16(),
-        revision = core.revision(), configuration = core.configuration_version(),
-        view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64));
-    respond(GivenUp {
-        status,
-        come_back,
-        reason,
-    })
-}
-
-/// When control machines have started together with this router they elect a leader first, and
-/// a caller that comes back before that comes in vain.
-fn until_confirmed(router: &Router) -> Duration {
-    let running = Duration::from_micros(router.clock.now().0);
-    COMMON_START.saturating_sub(running).max(COME_BACK_LATER)
-}
-
-fn respond(given_up: GivenUp) -> Response<AnswerBody> {
-    match given_up.come_back {
-        Some(after) => answer::come_back(given_up.status, after),
-        None => answer::plain(given_up.status, ""),
-    }
-}
-
-fn header(headers: &HeaderMap, name: &hyper::header::HeaderName) -> String {
+pub(super) fn header(headers: &HeaderMap, name: &hyper::header::HeaderName) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default().to_owned()
 }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,7 +1,9 @@
 //! The router daemon: callers on one side, back ends on the other, control machines beside it.
 
+mod attempt;
 mod forward;
 mod headers;
+mod refusal;
 mod relay;
 mod updates;
 
--- /dev/null
+++ b/crates/gateway/src/router/refusal.rs
@@ -0,0 +1,139 @@
+//! Answers of the router's own: what it refuses to look into, and what it gives up.
+
+use std::time::Duration;
+
+use drumshore_core::{Execution, Timestamp};
+use drumshore_gateway_core::{ChoiceError, InstanceId, Refusal};
+use hyper::{Response, StatusCode};
+
+use super::forward::Call;
+use super::Router;
+use crate::answer::{self, AnswerBody};
+
+/// A caller that was refused because of a passing state comes back after this long.
+const COME_BACK: Duration = Duration::from_millis(60);
+/// Control machines that start together have a leader after about this long.
+const COMMON_START: Duration = Duration::from_millis(1_100);
+/// Another router serves it at once.
+const COME_BACK_AT_ONCE: Duration = Duration::from_millis(5);
+/// A caller comes back later when no back end is there at all.
+const COME_BACK_LATER: Duration = Duration::from_millis(400);
+
+/// How a request is answered when no back end does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct GivenUp {
+    status: StatusCode,
+    come_back: Option<Duration>,
+    reason: &'static str,
+}
+
+/// Why a request is not looked into.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Refused {
+    /// The router's view says so.
+    ByView(Refusal),
+    /// This process ends too soon.
+    Stopping,
+}
+
+impl From<Refusal> for Refused {
+    fn from(refusal: Refusal) -> Self {
+        Self::ByView(refusal)
+    }
+}
+
+/// The answer to a request that no back end answered.
+pub(super) fn give_up(
+    router: &Router,
+    call: &Call,
+    tried: &[InstanceId],
+    worst: Execution,
+    error: Option<ChoiceError>,
+) -> Response<AnswerBody> {
+    let elapsed = router.clock.now().since(call.received);
+    let given_up = final_answer(worst, error, router.clock.now() >= call.deadline);
+    router.metrics.count_request(given_up.reason, elapsed);
+    tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
+        outcome = given_up.reason, status = given_up.status.as_u16(),
+        instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
+        execution = worst.as_str(), choice = error.map(tracing::field::display),
+        elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision());
+    respond(given_up)
+}
+
+/// 503 promises that the request has not run; 502 and 504 promise nothing.
+fn final_answer(worst: Execution, error: Option<ChoiceError>, late: bool) -> GivenUp {
+    if worst == Execution::NotRun {
+        let none_ready = error == Some(ChoiceError::NoneReady);
+        let after = if none_ready {
+            COME_BACK_LATER
+        } else {
+            COME_BACK
+        };
+        return GivenUp {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            come_back: Some(after),
+            reason: if none_ready {
+                "no_back_end"
+            } else {
+                "turned_away"
+            },
+        };
+    }
+    let (status, reason) = if late {
+        (StatusCode::GATEWAY_TIMEOUT, "timed_out")
+    } else {
+        (StatusCode::BAD_GATEWAY, "broken")
+    };
+    GivenUp {
+        status,
+        come_back: None,
+        reason,
+    }
+}
+
+/// The answer to a request that is not looked into.
+pub(super) fn refuse(
+    router: &Router,
+    id: &str,
+    received: Timestamp,
+    refused: Refused,
+) -> Response<AnswerBody> {
+    let busy = StatusCode::SERVICE_UNAVAILABLE;
+    let (status, come_back, reason) = match refused {
+        Refused::ByView(Refusal::NoRoute) => (StatusCode::NOT_FOUND, None, "no_route"),
+        Refused::ByView(Refusal::UnknownKey) => (StatusCode::UNAUTHORIZED, None, "unknown_key"),
+        Refused::ByView(Refusal::NoConfiguration) => {
+            (busy, Some(COME_BACK_LATER), "no_configuration")
+        }
+        Refused::ByView(Refusal::Unconfirmed) => {
+            (busy, Some(until_confirmed(router)), "unconfirmed")
+        }
+        Refused::Stopping => (busy, Some(COME_BACK_AT_ONCE), "stopping"),
+    };
+    let now = router.clock.now();
+    router.metrics.count_request(reason, now.since(received));
+    let core = router.core.borrow();
+    tracing::info!(event = "request", %id, outcome = reason, status = status.as_u16(),
+        revision = core.revision(), configuration = core.configuration_version(),
+        view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64));
+    respond(GivenUp {
+        status,
+        come_back,
+        reason,
+    })
+}
+
+/// When control machines have started together with this router they elect a leader first, and
+/// a caller that comes back before that comes in vain.
+fn until_confirmed(router: &Router) -> Duration {
+    let running = Duration::from_micros(router.clock.now().0);
+    COMMON_START.saturating_sub(running).max(COME_BACK_LATER)
+}
+
+fn respond(given_up: GivenUp) -> Response<AnswerBody> {
+    match given_up.come_back {
+        Some(after) => answer::come_back(given_up.status, after),
+        None => answer::plain(given_up.status, ""),
+    }
+}
