--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -140,6 +140,17 @@
     pub rank: usize,
 }
 
+impl Choice {
+    /// Where shared parts are fetched from, for logs.
+    pub fn fetch_word(&self) -> &'static str {
+        match (&self.fetch_from, self.fetches_from_store) {
+            (Some(_), Some(_)) => "store",
+            (Some(_), None) => "home",
+            (None, _) => "none",
+        }
+    }
+}
+
 /// A fetch from the store is slow when the answer takes more than so many times its target.
 const SLOW_FETCH: f64 = 1.3;
 
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -202,7 +202,8 @@
     tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
         outcome = "answered", status = response.status().as_u16(), instance = %choice.instance,
         attempts = tried.len(), rank = choice.rank, in_flight = choice.in_flight,
-        version = choice.expected_version, elapsed_ms = elapsed.as_millis() as u64,
+        version = choice.expected_version, fetch = choice.fetch_word(),
+        stores = choice.save_to.is_some(), elapsed_ms = elapsed.as_millis() as u64,
         revision = router.core.borrow().revision());
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
