Part the simulator's scenarios: the list, and the plans of fleet and control machines

Change: scenarios.rs keeps the list and the runs, scenario_plans.rs draws the plans, scenario_control_plans.rs those that strike control machines.

--- a/crates/testbed/src/sim/mod.rs
+++ b/crates/testbed/src/sim/mod.rs
@@ -14,6 +14,8 @@
 mod operators;
 mod plan;
 mod routers;
+mod scenario_control_plans;
+mod scenario_plans;
 mod scenarios;
 mod shrink;
 mod trace;
