Let requests wait for the first confirmed view of a process

Hypothesis: waiting a moment for what is about to come serves them; a refusal and a way back costs more.

Change: within the first second of a process, requests wait up to 0.8 s for the confirmation, 256 at most; then they are refused at once, as before. A process that was confirmed earlier refuses at once. A module of its own with table tests.

--- /dev/null
+++ b/crates/gateway/src/router/first_view_tests.rs
@@ -0,0 +1,42 @@
+use rstest::rstest;
+
+use super::*;
+
+const fn ms(value: u64) -> Timestamp {
+    Timestamp(value * 1_000)
+}
+
+#[rstest]
+#[case::just_started(ms(100), ms(100), Some(800))]
+#[case::has_waited(ms(600), ms(100), Some(300))]
+#[case::waited_long_enough(ms(900), ms(100), None)]
+#[case::the_start_is_nearly_over(ms(950), ms(950), Some(50))]
+#[case::started_long_ago(ms(1_000), ms(1_000), None)]
+#[case::confirmed_once_and_no_longer(ms(60_000), ms(60_000), None)]
+fn requests_wait_only_in_the_first_moment(
+    #[case] now: Timestamp,
+    #[case] received: Timestamp,
+    #[case] expected_ms: Option<u64>,
+) {
+    let view = FirstView::default();
+    let expected = expected_ms.map(Duration::from_millis);
+    assert_eq!(view.may_wait(now, received), expected);
+}
+
+#[test]
+fn requests_that_wait_are_few_and_those_that_leave_make_room() {
+    let view = FirstView::default();
+    let mut waiting: Vec<Waiting<'_>> = (0..MOST_WAITING).map(|_| view.waiting()).collect();
+    assert_eq!(view.may_wait(ms(1), ms(1)), None);
+    waiting.pop();
+    assert!(view.may_wait(ms(1), ms(1)).is_some());
+}
+
+#[tokio::test(flavor = "current_thread")]
+async fn all_that_wait_are_woken() {
+    let view = FirstView::default();
+    let (first, second) = (view.confirmed(), view.confirmed());
+    view.on_confirmed();
+    first.await;
+    second.await;
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
-use drumshore_gateway_core::{Admission, Choice, InstanceId, Prompt};
+use drumshore_gateway_core::{Admission, Choice, InstanceId, Prompt, Refusal};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, HOST};
@@ -59,7 +59,8 @@
     let open = OpenRequest::new(&router);
     let received = router.clock.now();
     let id = header(request.headers(), &router.dialect.headers().request_id);
-    let mut response = match admit(&router, &request, received) {
+    let admitted = admit_when_confirmed(&router, &request, received).await;
+    let mut response = match admitted {
         Ok((admission, prompt)) => {
             let call = read_call(&router, id, received, admission, prompt, request).await?;
             answer(&router, call, open).await
@@ -73,6 +74,28 @@
     Ok(response)
 }
 
+/// Admits a request once the view is confirmed, if that may be waited for.
+async fn admit_when_confirmed(
+    router: &Router,
+    request: &Request<Incoming>,
+    received: Timestamp,
+) -> Result<(Admission, Option<Prompt>), Refused> {
+    loop {
+        let now = router.clock.now();
+        let confirmed = router.first_view.confirmed();
+        let admitted = admit(router, request, now);
+        let Err(Refused::ByView(Refusal::NoConfiguration | Refusal::Unconfirmed)) = admitted else {
+            return admitted;
+        };
+        let left = router.first_view.may_wait(now, received);
+        let Some(left) = left.filter(|_| router.stopping.get().is_none()) else {
+            return admitted;
+        };
+        let _waiting = router.first_view.waiting();
+        let _ = timeout(left, confirmed).await;
+    }
+}
+
 fn admit(
     router: &Router,
     request: &Request<Incoming>,
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,6 +1,7 @@
 //! The router daemon: callers on one side, back ends on the other, control machines beside it.
 
 mod attempt;
+mod first_view;
 mod forward;
 mod headers;
 mod refusal;
@@ -31,6 +32,8 @@
 
 pub(crate) use relay::Relay;
 
+use first_view::FirstView;
+
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 /// A connection may rest this long; longer than any configuration lets callers rest.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
@@ -58,6 +61,8 @@
     open_requests: Cell<usize>,
     /// Wakes the links to control machines when the router's own status changed.
     status_changed: Notify,
+    /// For requests that come before the view is confirmed.
+    first_view: FirstView,
 }
 
 /// Runs a router until it is told to stop.
@@ -81,6 +86,7 @@
         stopping: Cell::new(None),
         open_requests: Cell::new(0),
         status_changed: Notify::new(),
+        first_view: FirstView::default(),
         settings,
     });
     listen(&router)?;
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -185,6 +185,7 @@
                     let mut core = router.core.borrow_mut();
                     core.on_confirmed(at, revision, routers);
                 }
+                wake_waiting(router);
                 if !controls.items.is_empty() {
                     let controls = controls.items.into_iter().map(Ipv4Addr::from);
                     *links.controls.borrow_mut() = controls.collect();
@@ -261,6 +262,13 @@
     }
 }
 
+/// Requests that came before the view was confirmed go on once it is.
+fn wake_waiting(router: &Router) {
+    if router.core.borrow().is_ready(router.clock.now()) {
+        router.first_view.on_confirmed();
+    }
+}
+
 fn apply(router: &Router, links: &Links, changes: Changes) {
     links.fetch_asked.set(None);
     let now = router.clock.now();
@@ -281,6 +289,8 @@
                 configuration = core.configuration_version(),
                 took_us = began.elapsed().as_micros() as u64
             );
+            drop(core);
+            wake_waiting(router);
         }
         Err(error) => tracing::info!(event = "view_refused", revision, %error),
     }
