Fetch prompts from back ends that routers saw read them

A prompt away from its home, or at a home that has just loaded weights, was fetched from the store or from the hashed home only, and neither has it then. Routers see which back end's answer to a prompt has begun, sooner than any event comes.

A prompt is fetched from the store when that is known to hold all of it and is not slow, else from the back end that is believed to hold most, else from the home. The request's line says how many parts were believed here and at the source, and how old that was.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -1,5 +1,6 @@
 //! One control machine: the replicated log, what it replicates, and everybody who asks.
 
+mod holders;
 mod instances;
 mod members;
 mod order;
@@ -28,6 +29,7 @@
 pub use order::{Order, OrderId, OrderOutcome, Report};
 pub use stored::StoreNews;
 
+use holders::HolderNews;
 use members::Joiners;
 use proposals::PendingProposals;
 use reads::Reads;
@@ -140,6 +142,7 @@
     routers: Routers,
     rollouts: Rollouts,
     stores: Stores,
+    holder_news: HolderNews,
     /// When weights were named, by revision; those from before this start count from the start.
     named_at: BTreeMap<u64, Timestamp>,
     /// When each back end was heard last, here or, at the leader, anywhere.
@@ -184,6 +187,7 @@
             routers: Routers::default(),
             rollouts: Rollouts::default(),
             stores: Stores::default(),
+            holder_news: HolderNews::default(),
             named_at: BTreeMap::new(),
             heard: BTreeMap::new(),
             leads_since: None,
@@ -246,6 +250,7 @@
             self.drive_rollouts();
             self.share_loads();
             self.share_stored();
+            self.share_holders();
         }
     }
 
@@ -378,6 +383,7 @@
                 self.heard.clear();
                 self.rollouts = Rollouts::default();
                 self.forget_stores();
+                self.holder_news = HolderNews::default();
             }
         } else {
             self.leads_since = None;
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -118,6 +118,7 @@
                     linked.loads_heard = now;
                 }
             }
+            Message::Holders(entries) => self.on_holders(connection, &entries.items),
             Message::Fetch { since } => {
                 let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
                 let changes = self.state.changes_since(since, age_ms);
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -30,10 +30,11 @@
 };
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
 pub use message::{
-    Announcement, Changes, LoadEntry, Message, RouterStatus, StoreId, StoredKey, WeightsNotice,
+    Announcement, Changes, HolderEntry, LoadEntry, Message, RouterStatus, StoreId, StoredKey,
+    WeightsNotice,
 };
 pub use router::{
-    Admission, Choice, ChoiceError, Outcome, Prompt, PromptPart, Refusal, RouterCore, RouterParams,
-    ViewError,
+    Admission, BelievedParts, Choice, ChoiceError, Outcome, Prompt, PromptPart, Refusal,
+    RouterCore, RouterParams, ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, ReplicatedState};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -102,6 +102,22 @@
     }
 }
 
+/// A back end that holds a prefix of a prompt.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HolderEntry {
+    /// Stands for the prefix under its salt.
+    pub prefix: u32,
+    /// Stands for the incarnation; see [`LoadEntry::key_of`].
+    pub key: u32,
+}
+
+impl HolderEntry {
+    /// Its size in a message.
+    pub const BYTES: usize = 8;
+}
+
 /// Stands for a store of cached prompts.
 #[binrw]
 #[brw(little)]
@@ -188,6 +204,9 @@
         /// Parts that went.
         removed: List<StoredKey>,
     },
+    /// From a router: prompts that back ends have read. From the leader: the same of all others.
+    #[brw(magic(13u8))]
+    Holders(List<HolderEntry>),
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/cache.rs
+++ b/crates/gateway-core/src/router/cache.rs
@@ -17,8 +17,18 @@
     pub save_to: Option<String>,
 }
 
+/// Back ends that may hold a prompt's shared parts, IP:PORT.
+#[derive(Clone, Copy, Default)]
+pub(super) struct OtherCaches<'a> {
+    /// Believed to hold more of them than the chosen back end.
+    pub holder: Option<&'a str>,
+    /// The prompt's home, when that is not the chosen one.
+    pub home: Option<&'a str>,
+}
+
 impl RouterCore {
-    /// The store gives what it is known to hold. When that is not all that is shared, or the store
+    /// A back end that is believed to hold more is the best source: links between back ends are
+    /// faster than a store's. Else the store gives what it is known to hold. When that is not all that is shared, or the store
     /// is slow, the home of the prompt is the better source; at home itself a slow fetch still
     /// costs less than to read the prompt again.
     pub(super) fn cache_use(
@@ -27,8 +37,9 @@
         admission: &Admission,
         prompt: &Prompt,
         salt: &str,
-        home: Option<&str>,
+        others: OtherCaches<'_>,
     ) -> CacheUse {
+        let home = others.holder.or(others.home);
         let key = home_key(prompt).unwrap_or_default();
         let zone = self.home_zone(admission, key);
         let stores = self.cache_stores(admission);
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -43,7 +43,7 @@
 #[derive(Debug)]
 pub(super) struct Endpoint {
     pub record: Rc<InstanceRecord>,
-    key: u32,
+    pub key: u32,
     /// Requests of this router.
     pub in_flight: u32,
     /// Tokens of this router's prompts that were sent and not answered.
--- /dev/null
+++ b/crates/gateway-core/src/router/holders_tests.rs
@@ -0,0 +1,90 @@
+use super::*;
+use crate::router::PromptPart;
+use crate::ModelName;
+
+fn at(milliseconds: u64) -> Timestamp {
+    Timestamp(milliseconds * 1_000)
+}
+
+fn part(id: &str, tokens: u32) -> PromptPart {
+    PromptPart {
+        id: id.to_owned(),
+        tokens,
+    }
+}
+
+fn prompt(parts: &[(&str, u32)]) -> Prompt {
+    Prompt {
+        model: ModelName::new("model"),
+        parts: parts.iter().map(|(id, tokens)| part(id, *tokens)).collect(),
+        output: 10,
+    }
+}
+
+fn long_prompt() -> Prompt {
+    prompt(&[("all", 2_500), ("subject", 3_700), ("own", 2_900)])
+}
+
+#[test]
+fn a_back_end_that_has_read_a_prompt_holds_its_shared_parts_for_a_while() {
+    let mut holders = Holders::default();
+    let prefixes = prefixes(&long_prompt(), "salt");
+    assert_eq!(prefixes.len(), 2);
+    holders.on_read(at(0), &prefixes, "i-1");
+    let held = holders.held(at(1_000), &prefixes);
+    assert_eq!(held.len(), 1);
+    assert_eq!(held[0].key, LoadEntry::key_of("i-1"));
+    assert_eq!(held[0].parts, 2);
+    let forgotten = at(LIFETIME.as_millis() as u64);
+    assert!(holders.held(forgotten, &prefixes).is_empty());
+}
+
+#[test]
+fn prompts_that_share_the_first_part_only_are_held_as_far_as_that() {
+    let mut holders = Holders::default();
+    holders.on_read(at(0), &prefixes(&long_prompt(), "salt"), "i-1");
+    let other = prompt(&[("all", 2_500), ("other subject", 3_700), ("own", 2_900)]);
+    let held = holders.held(at(1), &prefixes(&other, "salt"));
+    assert_eq!(held[0].parts, 1);
+}
+
+#[test]
+fn other_weights_and_other_tenants_have_other_prefixes() {
+    let mut holders = Holders::default();
+    holders.on_read(at(0), &prefixes(&long_prompt(), "model.1"), "i-1");
+    for salt in ["model.2", "model.1.tenant"] {
+        let held = holders.held(at(1), &prefixes(&long_prompt(), salt));
+        assert!(held.is_empty(), "{salt}");
+    }
+}
+
+#[test]
+fn short_prompts_are_not_worth_a_belief() {
+    let short = prompt(&[("all", 100), ("subject", 80), ("own", 600)]);
+    assert!(prefixes(&short, "salt").is_empty());
+}
+
+#[test]
+fn what_is_known_is_told_once_and_again_before_others_forget_it() {
+    let mut holders = Holders::default();
+    let prefixes = prefixes(&long_prompt(), "salt");
+    holders.on_read(at(0), &prefixes, "i-1");
+    assert_eq!(holders.take_news().len(), 2);
+    holders.on_read(at(100), &prefixes, "i-1");
+    assert!(holders.take_news().is_empty());
+    holders.on_read(at(200), &prefixes, "i-2");
+    assert_eq!(holders.take_news().len(), 2);
+    let later = 200 + TOLD_AGAIN_AFTER.as_millis() as u64;
+    holders.on_read(at(later), &prefixes, "i-2");
+    assert_eq!(holders.take_news().len(), 2);
+    holders.on_news(at(later), &[]);
+}
+
+#[test]
+fn news_that_nobody_takes_are_bounded() {
+    let mut holders = Holders::default();
+    for number in 0..MOST_NEWS as u32 * 2 {
+        holders.on_read(at(0), &[number], "i-1");
+    }
+    assert_eq!(holders.take_news().len(), MOST_NEWS);
+}
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod cache;
 mod endpoints;
+mod holders;
 mod homes;
 mod placement;
 mod prompt_mix;
@@ -18,8 +19,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    Changes, Document, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName, Route, StoreId,
-    StoredKey, Tenant,
+    Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, ModelName, PoolName,
+    Route, StoreId, StoredKey, Tenant,
 };
 
 pub use endpoints::Outcome;
@@ -27,6 +28,7 @@
 
 use budget::RetryBudget;
 use endpoints::Endpoints;
+use holders::Holders;
 use prompt_mix::PromptMix;
 use split::Splitter;
 use stores::Stores;
@@ -126,12 +128,16 @@
     pub expected_version: Option<u64>,
     /// Cached prompts are shared under the same salt only.
     pub cache_salt: Option<String>,
+    /// Stand for the shared parts of a long prompt under its salt, the shortest prefix first.
+    pub prefixes: Vec<u32>,
     /// Tokens that the back end is expected to read.
     pub tokens: u32,
     /// A store to fetch the prompt from.
     pub fetch_from: Option<String>,
     /// The store that this is, when it is not another back end.
     pub fetches_from_store: Option<StoreId>,
+    /// Shared parts that the back end is believed to hold, and those that the source is.
+    pub believed: BelievedParts,
     /// A store to save the prompt to.
     pub save_to: Option<String>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
@@ -140,6 +146,17 @@
     pub rank: usize,
 }
 
+/// Leading shared parts of a prompt that are believed to be held.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct BelievedParts {
+    /// At the chosen back end.
+    pub here: usize,
+    /// At the back end to fetch from, when one is believed to hold more.
+    pub at_source: usize,
+    /// Age of that belief, in milliseconds.
+    pub age_ms: u64,
+}
+
 impl Choice {
     /// Where shared parts are fetched from, for logs.
     pub fn fetch_word(&self) -> &'static str {
@@ -165,6 +182,7 @@
     random: ChaCha8Rng,
     routers: u16,
     stores: Stores,
+    holders: Holders,
 }
 
 impl RouterCore {
@@ -180,6 +198,7 @@
             params,
             routers: 1,
             stores: Stores::default(),
+            holders: Holders::default(),
         }
     }
 
@@ -297,6 +316,22 @@
         }
     }
 
+    /// The back end that was chosen has read the whole prompt: its answer has begun.
+    pub fn prompt_read(&mut self, now: Timestamp, choice: &Choice) {
+        let instance = choice.instance.as_str();
+        self.holders.on_read(now, &choice.prefixes, instance);
+    }
+
+    /// Takes in what other routers learned of the caches of back ends.
+    pub fn on_holders(&mut self, now: Timestamp, entries: &[HolderEntry]) {
+        self.holders.on_news(now, entries);
+    }
+
+    /// What this router learned of them and the others do not know yet.
+    pub fn take_holder_news(&mut self) -> Vec<HolderEntry> {
+        self.holders.take_news()
+    }
+
     /// What this router puts on back ends.
     pub fn own_loads(&self) -> Vec<LoadEntry> {
         self.endpoints.own_loads()
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -7,11 +7,12 @@
 use rand::Rng;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::cache::salt;
+use super::cache::{salt, OtherCaches};
 use super::endpoints::Endpoint;
+use super::holders::{self, Held};
 use super::homes::{home_key, Homes};
-use super::{Admission, Choice, ChoiceError, Prompt, RouterCore};
-use crate::{InstanceId, Lifecycle, Pool};
+use super::{Admission, BelievedParts, Choice, ChoiceError, Prompt, RouterCore};
+use crate::{InstanceId, Lifecycle, LoadEntry, Pool};
 
 /// Tokens that may wait at the home of a prompt before another back end is better.
 const AWAY_FROM_HOME_TOKENS: f64 = 12_000.0;
@@ -79,7 +80,7 @@
             None => self.place_by_load(&usable, draw),
         };
         let placed = placed.ok_or(ChoiceError::NoneLeft)?;
-        Ok(self.choice(now, admission, prompt, placed))
+        Ok(self.choice(now, admission, prompt, placed, &usable))
     }
 
     fn candidates<'a>(
@@ -205,13 +206,21 @@
         admission: &Admission,
         prompt: Option<&Prompt>,
         placed: Placed,
+        usable: &[Candidate<'_>],
     ) -> Choice {
         let pool = self.pool(admission);
         let max_connections = pool.map_or(0, |pool| pool.max_connections);
         let cache_salt = prompt.map(|prompt| salt(admission, prompt, placed.version));
-        let home = placed.home.as_deref();
         let cache = prompt.zip(cache_salt.as_deref());
-        let cache = cache.map(|(prompt, salt)| self.cache_use(now, admission, prompt, salt, home));
+        let prefixes = cache.map(|(prompt, salt)| holders::prefixes(prompt, salt));
+        let prefixes = prefixes.unwrap_or_default();
+        let (believed, holder) = self.best_holder(now, &prefixes, &placed, usable);
+        let others = OtherCaches {
+            holder,
+            home: placed.home.as_deref(),
+        };
+        let cache =
+            cache.map(|(prompt, salt)| self.cache_use(now, admission, prompt, salt, others));
         let cache = cache.unwrap_or_default();
         Choice {
             instance: placed.instance,
@@ -219,6 +228,8 @@
             connections: self.connections(max_connections),
             expected_version: placed.version,
             cache_salt,
+            prefixes,
+            believed,
             tokens: prompt.map_or(0, Prompt::expected_read),
             fetches_from_store: cache.from_store,
             fetch_from: cache.fetch_from,
@@ -228,6 +239,36 @@
         }
     }
 
+    /// Of the back ends with the same weights, the one that is believed to hold more of a prompt
+    /// than the chosen one does: the most parts, then the latest use.
+    fn best_holder<'a>(
+        &self,
+        now: Timestamp,
+        prefixes: &[u32],
+        placed: &Placed,
+        usable: &[Candidate<'a>],
+    ) -> (BelievedParts, Option<&'a str>) {
+        let held = self.holders.held(now, prefixes);
+        let own = LoadEntry::key_of(placed.instance.as_str());
+        let here = held.iter().find(|held| held.key == own);
+        let here = here.map_or(0, |held| held.parts);
+        let at = |held: &Held| {
+            let mut usable = usable.iter();
+            let holder = usable.find(|other| other.endpoint.key == held.key)?;
+            (holder.version == placed.version).then_some(holder.endpoint)
+        };
+        let more = held.iter().filter(|held| held.parts > here);
+        let sources = more.filter_map(|held| at(held).map(|endpoint| (held, endpoint)));
+        let best = sources.max_by_key(|(held, _)| (held.parts, held.used_at));
+        let believed = BelievedParts {
+            here,
+            at_source: best.map_or(0, |(held, _)| held.parts),
+            age_ms: best.map_or(0, |(held, _)| now.since(held.used_at).as_millis() as u64),
+        };
+        let address = best.map(|(_, endpoint)| endpoint.record.address.as_str());
+        (believed, address)
+    }
+
     pub(super) fn pool(&self, admission: &Admission) -> Option<&Pool> {
         let document = self.view.document()?;
         document
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -562,3 +562,69 @@
     let used = stores_used(&[OTHER_STORE], "other zone", 20);
     assert_eq!(used, [OTHER_STORE; 20]);
 }
+
+/// A router that saw the home of a prompt read it, and whose home is busy now.
+fn router_with_a_busy_home(prompt: &Prompt) -> (RouterCore, Admission, Choice) {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let first = router.choose(at(1), &admission, Some(prompt), &[]).unwrap();
+    router.prompt_read(at(2), &first);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(first.instance.as_str()),
+        pending: 400,
+        in_flight: 6,
+    };
+    router.set_others_loads(&[busy]);
+    (router, admission, first)
+}
+
+#[test]
+fn a_prompt_away_from_home_is_fetched_from_who_has_read_it() {
+    let prompt = prompt("shared", 10);
+    let (mut router, admission, first) = router_with_a_busy_home(&prompt);
+    let away = router
+        .choose(at(3), &admission, Some(&prompt), &[])
+        .unwrap();
+    assert_ne!(away.instance, first.instance);
+    assert_eq!(away.believed.here, 0);
+    assert_eq!(away.believed.at_source, 1);
+    assert_eq!(away.fetch_from.as_deref(), Some(first.address.as_str()));
+    assert_eq!(away.fetches_from_store, None);
+}
+
+#[test]
+fn what_other_routers_learned_is_used_as_well() {
+    let prompt = prompt("shared", 10);
+    let (mut other, _, first) = router_with_a_busy_home(&prompt);
+    let learned = other.take_holder_news();
+    assert_eq!(learned.len(), 1);
+    assert!(other.take_holder_news().is_empty());
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    router.on_holders(at(1), &learned);
+    let tried = [first.instance];
+    let away = router.choose(at(2), &admission, Some(&prompt), &tried);
+    assert_eq!(
+        away.unwrap().believed.at_source,
+        0,
+        "a tried one is no source"
+    );
+    let known = router.choose(at(2), &admission, Some(&prompt), &[]);
+    assert_eq!(known.unwrap().believed.here, 1);
+}
+
+#[test]
+fn a_holder_that_loads_or_leaves_is_no_source() {
+    let prompt = prompt("shared", 10);
+    let (mut router, admission, first) = router_with_a_busy_home(&prompt);
+    let mut leaving = record(first.instance.as_str(), "models", 1);
+    leaving.lifecycle = Lifecycle::Draining;
+    leaving.revision = 11;
+    update(&mut router, at(3), changes(10, 11, vec![leaving]));
+    let away = router
+        .choose(at(3), &admission, Some(&prompt), &[])
+        .unwrap();
+    assert_ne!(away.instance, first.instance);
+    assert_eq!(away.believed.at_source, 0);
+    assert_ne!(away.fetch_from.as_deref(), Some(first.address.as_str()));
+}
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -6,8 +6,8 @@
 
 use cluster::{address, back_end, Cluster};
 use drumshore_gateway_core::{
-    ConnectionId, ControlParams, Lifecycle, LoadEntry, Message, ModelName, OrderOutcome, Reply,
-    Report, StoreId, StoreNews, StoredKey,
+    ConnectionId, ControlParams, HolderEntry, Lifecycle, LoadEntry, Message, ModelName,
+    OrderOutcome, Reply, Report, StoreId, StoreNews, StoredKey,
 };
 use drumshore_wire::List;
 use rstest::rstest;
@@ -629,3 +629,72 @@
     assert_eq!(cluster.leader(), Some(leader));
     assert_eq!(cluster.core(leader).term(), term);
 }
+
+fn holder(prefix: u32) -> HolderEntry {
+    HolderEntry {
+        prefix,
+        key: LoadEntry::key_of("i-1"),
+    }
+}
+
+/// What a router was told of the caches of back ends.
+fn told_of_holders(cluster: &Cluster, to: u64) -> Vec<HolderEntry> {
+    let told = cluster.to_routers.iter();
+    told.filter(|(_, connection, _)| *connection == ConnectionId(to))
+        .filter_map(|(_, _, message)| match message {
+            Message::Holders(entries) => Some(entries.items.clone()),
+            _ => None,
+        })
+        .flatten()
+        .collect()
+}
+
+fn with_two_routers(at_leader: bool) -> (Cluster, std::net::Ipv4Addr) {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    let mut others = (1..=3).map(address).filter(|at| *at != leader);
+    let machine = if at_leader {
+        leader
+    } else {
+        others.next().unwrap()
+    };
+    for number in [1, 2] {
+        let connection = ConnectionId(number);
+        cluster.link_router(machine, connection, &format!("10.0.1.{number}:80"));
+    }
+    (cluster, machine)
+}
+
+#[rstest]
+#[case::by_the_leader(true, vec![holder(7)])]
+#[case::by_nobody_else(false, vec![])]
+fn what_one_router_learned_of_caches_is_told_to_the_others(
+    #[case] at_leader: bool,
+    #[case] expected: Vec<HolderEntry>,
+) {
+    let (mut cluster, machine) = with_two_routers(at_leader);
+    let message = Message::Holders(List::new(vec![holder(7)]));
+    let now = cluster.now;
+    cluster
+        .core(machine)
+        .on_router(now, ConnectionId(1), message);
+    cluster.run(SECOND);
+    assert_eq!(told_of_holders(&cluster, 2), expected);
+    assert_eq!(told_of_holders(&cluster, 1), []);
+}
+
+#[test]
+fn what_a_router_is_told_of_caches_stays_within_its_part_of_the_traffic() {
+    let (mut cluster, leader) = with_two_routers(true);
+    for round in 0..20 {
+        let entries = (0..1_000).map(|number| holder(round * 1_000 + number));
+        let message = Message::Holders(List::new(entries.collect()));
+        let now = cluster.now;
+        cluster
+            .core(leader)
+            .on_router(now, ConnectionId(1), message);
+        cluster.run(Duration::from_millis(100));
+    }
+    let bytes = told_of_holders(&cluster, 2).len() * HolderEntry::BYTES;
+    assert!((3_000..=6_000).contains(&bytes), "{bytes} in two seconds");
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -221,12 +221,16 @@
     } = answered;
     let now = router.clock.now();
     let elapsed = now.since(call.received);
+    if response.status().is_success() {
+        router.core.borrow_mut().prompt_read(now, choice);
+    }
     router.metrics.count_request("answered", elapsed);
     tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
         outcome = "answered", status = response.status().as_u16(), instance = %choice.instance,
         attempts = tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         version = choice.expected_version, fetch = choice.fetch_word(),
-        stores = choice.save_to.is_some(), elapsed_ms = elapsed.as_millis() as u64,
+        held_here = choice.believed.here, held_at_source = choice.believed.at_source,
+        belief_age_ms = choice.believed.age_ms, stores = choice.save_to.is_some(), elapsed_ms = elapsed.as_millis() as u64,
         revision = router.core.borrow().revision());
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -202,6 +202,10 @@
                 let mut core = router.core.borrow_mut();
                 core.on_stored(store, known != 0, reset != 0, &added.items, &removed.items);
             }
+            Message::Holders(entries) => {
+                let now = router.clock.now();
+                router.core.borrow_mut().on_holders(now, &entries.items);
+            }
             Message::Loads(loads) => {
                 links.loads_heard.set(router.clock.now());
                 let mut core = router.core.borrow_mut();
@@ -232,6 +236,10 @@
         if links.leader.get() != u32::from(address) {
             continue;
         }
+        let learned = router.core.borrow_mut().take_holder_news();
+        if !learned.is_empty() && !sender.send(&Message::Holders(List::new(learned))) {
+            return "closed";
+        }
         let loads = router.core.borrow().own_loads();
         let unconfirmed = now.since(told_at) >= LOADS_CONFIRM && !loads.is_empty();
         if loads == told && !unconfirmed {
