--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -4,7 +4,7 @@
 //! leader's term as fencing token and the number of orders that the back end is expected to have
 //! taken, so that a late copy of an order changes nothing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use drumshore_consensus::{Directory, Role};
@@ -14,12 +14,15 @@
 use super::pending_loads::{pending_loads, Load};
 use super::reads::Waiting;
 use super::{ControlCore, Effect};
-use crate::{Command, InstanceId, InstanceRecord, LoadPhase, ModelName};
+use crate::{Command, InstanceId, InstanceRecord, LoadEntry, LoadPhase, ModelName};
 
 /// A pool is loaded in about so many rounds.
 const ROUNDS: usize = 4;
 /// At least so many of a pool load at once.
 const LEAST_AT_ONCE: usize = 2;
+/// Prompt tokens that wait at each usable back end of a pool on the mean while it is too busy for
+/// loads that can wait.
+const BUSY_TOKENS: u32 = 4_000;
 /// About how long one load takes, with the notice before it.
 const LOAD_CYCLE: Duration = Duration::from_millis(1_050);
 /// Loads that have to be given again.
@@ -176,8 +179,9 @@
         self.role() == Role::Leader && waited && confirmed && !fenced
     }
 
-    /// Loads start no sooner than they must, for a version that is named meanwhile makes one load
-    /// of two: when those that are behind, so many at a time, would just be done in time.
+    /// Loads start at once, for what begins on replaced weights is worth less. While the pool is
+    /// busy they start no sooner than they must: when those that are behind, so many at a time,
+    /// would just be done in time.
     fn is_time_to_load(&self, loads: &[Load]) -> bool {
         let waiting: Vec<&Load> = loads
             .iter()
@@ -196,7 +200,28 @@
         let rounds = u32::try_from(ROUNDS).unwrap_or(u32::MAX);
         let share = waiting.len() as f64 / self.state.instances().count().max(1) as f64;
         let needed = LOAD_CYCLE.mul_f64(f64::from(rounds) * share.min(1.0)) + LOAD_SLACK;
-        oldest + needed >= self.params.load_within
+        oldest + needed >= self.params.load_within || !self.is_pool_busy(loads)
+    }
+
+    /// True while the back ends that could be loaded have so much to read that the others could not
+    /// take over from those that load.
+    fn is_pool_busy(&self, loads: &[Load]) -> bool {
+        let pools: BTreeSet<&str> = loads
+            .iter()
+            .filter_map(|load| self.state.instance(&load.instance))
+            .map(|record| record.pool.as_str())
+            .collect();
+        let members = self.state.instances().filter(|record| {
+            pools.contains(record.pool.as_str()) && self.is_instance_heard(record.instance.as_str())
+        });
+        let pending_tokens = self.routers.pending_tokens();
+        let (mut usable, mut pending) = (0, 0);
+        for record in members {
+            let key = LoadEntry::key_of(record.instance.as_str());
+            usable += u32::from(!record.is_loading());
+            pending += pending_tokens.get(&key).copied().unwrap_or(0);
+        }
+        pending > usable * BUSY_TOKENS
     }
 
     /// A step belongs to a load that is under way, or that was proposed just now.
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -83,6 +83,15 @@
         self.0.keys().copied().collect()
     }
 
+    /// Prompt tokens that all routers together have waiting, by [`LoadEntry::key_of`] a back end.
+    pub fn pending_tokens(&self) -> BTreeMap<u32, u32> {
+        let mut pending: BTreeMap<u32, u32> = BTreeMap::new();
+        for entry in self.0.values().flat_map(|linked| &linked.loads) {
+            *pending.entry(entry.key).or_default() += u32::from(entry.pending) * LoadEntry::TOKENS;
+        }
+        pending
+    }
+
     pub fn forget_silent(&mut self, now: Timestamp) {
         self.0.retain(|_, linked| now.since(linked.heard) < SILENCE);
     }
--- a/crates/gateway-core/src/router/cache.rs
+++ b/crates/gateway-core/src/router/cache.rs
@@ -40,7 +40,7 @@
         others: OtherCaches<'_>,
     ) -> CacheUse {
         let home = others.holder.or(others.home);
-        let key = home_key(prompt).unwrap_or_default();
+        let key = home_key(&prompt.model, prompt.shared_parts()).unwrap_or_default();
         let zone = self.home_zone(admission, key);
         let stores = self.cache_stores(admission);
         let Some((id, address)) = self.stores.store_of(key, zone, stores) else {
--- a/crates/gateway-core/src/router/homes.rs
+++ b/crates/gateway-core/src/router/homes.rs
@@ -3,13 +3,12 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::placement::{Candidate, Sides};
-use super::Prompt;
-use crate::InstanceId;
+use super::PromptPart;
+use crate::{InstanceId, ModelName};
 
 /// What requests with the same shared parts have in common; `None` when nothing is shared.
-pub(super) fn home_key(prompt: &Prompt) -> Option<u64> {
-    let shared = prompt.shared_parts();
-    let start = xxh3_64_with_seed(prompt.model.as_str().as_bytes(), 0);
+pub(super) fn home_key(model: &ModelName, shared: &[PromptPart]) -> Option<u64> {
+    let start = xxh3_64_with_seed(model.as_str().as_bytes(), 0);
     let key = shared.iter().fold(start, |seed, part| {
         xxh3_64_with_seed(part.id.as_bytes(), seed)
     });
@@ -19,23 +18,40 @@
 /// The back ends of one side in the order of rendezvous hashing.
 pub(super) struct Homes {
     key: u64,
+    led_to: Option<u64>,
     /// Descending.
     weights: Vec<u64>,
 }
 
 impl Homes {
-    pub fn new(key: u64, usable: &[Candidate<'_>], sides: &Sides, is_short: bool) -> Self {
-        let own = usable
-            .iter()
-            .filter(|candidate| sides.is_own(candidate.id, is_short));
+    /// The order for one key; with `led_to`, of those only that hold these weights, and they have
+    /// no side then.
+    pub fn new(
+        key: u64,
+        usable: &[Candidate<'_>],
+        sides: &Sides,
+        is_short: bool,
+        led_to: Option<u64>,
+    ) -> Self {
+        let own = usable.iter().filter(|candidate| match led_to {
+            Some(_) => candidate.version == led_to,
+            None => sides.is_own(candidate.id, is_short),
+        });
         let mut weights: Vec<u64> = own.map(|candidate| weight(candidate.id, key)).collect();
         weights.sort_unstable_by_key(|weight| std::cmp::Reverse(*weight));
-        Self { key, weights }
+        Self {
+            key,
+            led_to,
+            weights,
+        }
     }
 
     /// How many come before this one.
-    pub fn rank(&self, id: &InstanceId) -> usize {
-        let own = weight(id, self.key);
+    pub fn rank(&self, candidate: &Candidate<'_>) -> usize {
+        if self.led_to.is_some() && candidate.version != self.led_to {
+            return self.weights.len();
+        }
+        let own = weight(candidate.id, self.key);
         self.weights.partition_point(|weight| *weight > own)
     }
 }
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -10,7 +10,7 @@
 use super::cache::{salt, OtherCaches};
 use super::endpoints::Endpoint;
 use super::holders::{self, Held};
-use super::homes::{home_key, Homes};
+use super::homes::{home_key, weight, Homes};
 use super::{Admission, BelievedParts, Choice, ChoiceError, Prompt, RouterCore};
 use crate::{InstanceId, Lifecycle, LoadEntry, Pool};
 
@@ -32,7 +32,7 @@
 pub(super) struct Candidate<'a> {
     pub id: &'a InstanceId,
     endpoint: &'a Endpoint,
-    version: Option<u64>,
+    pub version: Option<u64>,
 }
 
 /// The back ends that short prompts prefer; none when nearly all prompts are alike.
@@ -126,11 +126,10 @@
         draw: u64,
     ) -> Option<Placed> {
         let sides = self.sides(admission);
-        let home = home_key(prompt);
         let is_short = prompt.is_short();
-        let homes = home.map(|key| Homes::new(key, usable, &sides, is_short));
+        let homes = self.homes(admission, prompt, usable, &sides);
         let rank =
-            |candidate: &Candidate<'_>| homes.as_ref().map_or(0, |homes| homes.rank(candidate.id));
+            |candidate: &Candidate<'_>| homes.as_ref().map_or(0, |homes| homes.rank(candidate));
         let cost = |candidate: &Candidate<'_>, rank: usize| {
             let endpoint = candidate.endpoint;
             let away = !sides.is_own(candidate.id, is_short);
@@ -161,6 +160,48 @@
         Some(placed)
     }
 
+    /// The back ends in the order in which they are homes of a prompt; none when nothing of it is
+    /// shared.
+    fn homes(
+        &self,
+        admission: &Admission,
+        prompt: &Prompt,
+        usable: &[Candidate<'_>],
+        sides: &Sides,
+    ) -> Option<Homes> {
+        let shared = prompt.shared_parts();
+        let key = home_key(&prompt.model, shared)?;
+        let is_short = prompt.is_short();
+        let newest = usable.iter().filter_map(|candidate| candidate.version);
+        let newest = newest.max();
+        let loading = self.weights_of_loading_home(admission, prompt, key, sides);
+        let led_to = loading
+            .filter(|loading| newest >= Some(*loading))
+            .and(newest);
+        Some(Homes::new(key, usable, sides, is_short, led_to))
+    }
+
+    /// The weights that the home of a prompt is loading, when that is what keeps it from being
+    /// chosen.
+    fn weights_of_loading_home(
+        &self,
+        admission: &Admission,
+        prompt: &Prompt,
+        key: u64,
+        sides: &Sides,
+    ) -> Option<u64> {
+        let is_short = prompt.is_short();
+        let pool = self.endpoints.iter().filter(|(id, endpoint)| {
+            endpoint.record.pool.as_str() == admission.pool.as_str()
+                && endpoint.record.lifecycle == Lifecycle::Ready
+                && endpoint.is_reachable()
+                && sides.is_own(id, is_short)
+        });
+        let (_, home) = pool.max_by_key(|(id, _)| weight(id, key))?;
+        let loaded = home.record.model(prompt.model.as_str())?;
+        (loaded.loading > loaded.version).then_some(loaded.loading)
+    }
+
     fn sides(&self, admission: &Admission) -> Sides {
         let Some(short_share) = self.prompt_mix.short_share() else {
             return Sides::default();
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -628,3 +628,34 @@
     assert_eq!(away.believed.at_source, 0);
     assert_ne!(away.fetch_from.as_deref(), Some(first.address.as_str()));
 }
+
+#[test]
+fn prompts_of_a_home_that_loads_go_to_back_ends_with_the_new_weights() {
+    // What is read under weights that are about to be replaced has to be read again.
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompts: Vec<Prompt> = (0..40)
+        .map(|n| prompt(&format!("shared {n}"), 10))
+        .collect();
+    let choose = |router: &mut RouterCore, prompt: &Prompt| {
+        let choice = router.choose(at(1), &admission, Some(prompt), &[]).unwrap();
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, Outcome::Answered);
+        choice
+    };
+    let before: Vec<Choice> = prompts.iter().map(|it| choose(&mut router, it)).collect();
+    let mut loading = record("llm-4", "models", 4);
+    loading.models.items[0].loading = 2;
+    let mut loaded = record("llm-5", "models", 5);
+    loaded.models.items[0].version = 2;
+    update(&mut router, at(1), changes(10, 11, vec![loading, loaded]));
+    for (prompt, before) in prompts.iter().zip(before) {
+        let after = choose(&mut router, prompt);
+        if before.instance.as_str() == "llm-4" {
+            assert_eq!(after.instance.as_str(), "llm-5");
+            assert_eq!(after.expected_version, Some(2));
+        } else {
+            assert_eq!(after.instance, before.instance);
+        }
+    }
+}
