A new leader waits for the lease only where other leaders may have ordered

Change: the lease is kept for each back end. An order is given only once the start of its load is committed, so a successor that a quorum has confirmed has applied the start of every load that another could order.

Tests: a new leader orders within a second where nothing was loading; after a restart of all those that had been ordered wait; the old test of the lease stands as it was.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -323,14 +323,19 @@
         if let Some(snapshot) = output.snapshot {
             if let Some(state) = ReplicatedState::decode(&snapshot.data) {
                 self.state = state;
+                self.note_orders_in_state(true);
             }
             self.applied = snapshot.index;
             self.snapshot_at = snapshot.index;
         }
         for entry in output.committed {
             self.applied = entry.index;
+            let by_other = self.role() != Role::Leader || entry.term.0 < self.term();
             if let Some(proposal) = Proposal::decode(&entry.data) {
                 let changed = self.state.apply(entry.index.0, &proposal.command);
+                if let (Command::Load { instance, .. }, true) = (&proposal.command, by_other) {
+                    self.note_order_of_others(instance.as_str());
+                }
                 if changed {
                     self.note_applied(entry.index.0, proposal.command);
                 }
@@ -381,7 +386,7 @@
             if self.leads_since.is_none() {
                 self.leads_since = Some(self.now);
                 self.heard.clear();
-                self.rollouts = Rollouts::default();
+                self.begin_rollouts();
                 self.forget_stores();
                 self.holder_news = HolderNews::default();
             }
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -57,6 +57,8 @@
     orders_taken: BTreeMap<String, u64>,
     expected_at_order: BTreeMap<String, u64>,
     next_order: u64,
+    /// When other leaders may have ordered each back end last, as this machine applied it.
+    ordered_by_others: BTreeMap<String, Timestamp>,
     /// The term in which a back end said that a newer leader has given it orders.
     fenced_in_term: Option<u64>,
 }
@@ -164,19 +166,52 @@
         }
     }
 
-    /// Two machines must not give orders within the lease of one another's, and a machine that
-    /// was cut off or paused must notice before it gives one.
+    /// A machine that was cut off or paused must notice before it gives an order.
     fn may_order(&self) -> bool {
         let now = self.now;
-        let lease = self.params.order_lease;
-        let waited = self
-            .leads_since
-            .is_some_and(|since| now.since(since) >= lease);
         let confirmed = self
             .confirmed_at
             .is_some_and(|at| now.since(at) < CONFIRMED_WITHIN);
         let fenced = self.rollouts.fenced_in_term == Some(self.term());
-        self.role() == Role::Leader && waited && confirmed && !fenced
+        self.role() == Role::Leader && confirmed && !fenced
+    }
+
+    /// Two machines must not order one back end within the lease of one another's orders. A
+    /// leader orders a back end only once the start of its load is committed, and a successor that
+    /// is confirmed has applied all that was; so the back ends whose loads others have begun are
+    /// those that others may have ordered.
+    fn is_free_of_others_orders(&self, instance: &str) -> bool {
+        let lease = self.params.order_lease;
+        let ordered = self.rollouts.ordered_by_others.get(instance);
+        ordered.is_none_or(|at| self.now.since(*at) >= lease)
+    }
+
+    /// A load that another leader, or this one in an earlier term, has begun or ended.
+    pub(super) fn note_order_of_others(&mut self, instance: &str) {
+        let ordered = &mut self.rollouts.ordered_by_others;
+        ordered.insert(instance.to_owned(), self.now);
+    }
+
+    /// Others may have ordered all back ends that are loading now; all that there are when the
+    /// state came as a whole and does not tell when their loads began.
+    pub(super) fn note_orders_in_state(&mut self, state_is_new: bool) {
+        let records = self.state.instances();
+        let ordered: Vec<String> = records
+            .filter(|record| state_is_new || record.is_loading())
+            .map(|record| record.instance.as_str().to_owned())
+            .collect();
+        for instance in ordered {
+            self.note_order_of_others(&instance);
+        }
+    }
+
+    /// What a new leader knows of rollouts: only what others have ordered.
+    pub(super) fn begin_rollouts(&mut self) {
+        self.rollouts = Rollouts {
+            ordered_by_others: std::mem::take(&mut self.rollouts.ordered_by_others),
+            ..Rollouts::default()
+        };
+        self.note_orders_in_state(false);
     }
 
     /// Loads start at once, for what begins on replaced weights is worth less. While the pool is
@@ -228,6 +263,9 @@
     fn forget_finished_steps(&mut self) {
         let now = self.now;
         let state = &self.state;
+        self.rollouts
+            .ordered_by_others
+            .retain(|name, _| state.instance(name).is_some());
         self.rollouts.steps.retain(|name, step| {
             let record = state.instance(name);
             let loading = record.is_some_and(InstanceRecord::is_loading);
@@ -254,7 +292,8 @@
                 continue;
             };
             let at_once = all.div_ceil(ROUNDS).max(LEAST_AT_ONCE);
-            let proposed = self.rollouts.steps.contains_key(&load.instance);
+            let proposed = self.rollouts.steps.contains_key(&load.instance)
+                || !self.is_free_of_others_orders(&load.instance);
             if record.is_loading() || proposed || *busy >= at_once {
                 continue;
             }
@@ -284,7 +323,9 @@
             .or_insert(fresh);
         match step {
             Step::Noticed { at }
-                if now.since(at) >= self.params.load_notice && self.may_order() =>
+                if now.since(at) >= self.params.load_notice
+                    && self.may_order()
+                    && self.is_free_of_others_orders(&load.instance) =>
             {
                 self.give_order(load);
             }
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -726,3 +726,48 @@
     let bytes = told_of_holders(&cluster, 2).len() * HolderEntry::BYTES;
     assert!((3_000..=6_000).contains(&bytes), "{bytes} in two seconds");
 }
+
+#[test]
+fn a_new_leader_orders_at_once_where_no_other_can_have_ordered() {
+    let mut cluster = elected(5);
+    run_with_beats(&mut cluster, 4, 1, SECOND);
+    let old = cluster.leader().unwrap();
+    cluster.kill(old);
+    cluster.run(2 * SECOND);
+    let leader = cluster.leader().unwrap();
+    let led_since = cluster.now;
+    cluster.name_weights(leader, 2);
+    run_with_beats(&mut cluster, 4, 1, SECOND);
+    let first = cluster.orders.first().expect("an order within a second");
+    assert_eq!(first.by, leader);
+    assert!(first.at.since(led_since) < SECOND);
+}
+
+#[test]
+fn after_a_restart_of_all_back_ends_that_were_ordered_wait_for_the_lease() {
+    // The log tells what was ordered, not when: it may have been just before.
+    let mut cluster = rollout(4);
+    let ordered: Vec<_> = cluster
+        .orders
+        .iter()
+        .map(|given| given.order.instance.clone())
+        .collect();
+    assert_eq!(ordered.len(), 2);
+    cluster.orders.clear();
+    (1..=3).for_each(|number| cluster.kill(address(number)));
+    (1..=3).for_each(|number| cluster.start(address(number)));
+    let restarted = cluster.now;
+    for _ in 0..10 {
+        run_with_beats(&mut cluster, 4, 1, Duration::from_millis(500));
+        report_idle(&mut cluster);
+    }
+    let lease = ControlParams::default().order_lease;
+    assert!(!cluster.orders.is_empty());
+    for given in &cluster.orders {
+        let waited = given.at.since(restarted) >= lease;
+        assert!(
+            waited || !ordered.contains(&given.order.instance),
+            "{given:?}"
+        );
+    }
+}
