Take up resumable streams inside one answer; count retries in sliding windows for each pool

Change: `router::resume`: when the connection to a back end breaks, the stream goes on at another one behind the last event that was passed on whole (`router::events`: a half event is held back and dropped), under the head and seal of the first. A take-up is an attempt: `max_attempts` and the retry budget bound it. The broken connection is closed before; a stream that is only silent is never taken up, for its run may go on. It counts requests and retries of each pool in the last window now, 0.6 of what is allowed, half of the slack in the first window of a process.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -193,7 +193,7 @@
             endpoints: Endpoints::default(),
             splitter: Splitter::default(),
             prompt_mix: PromptMix::default(),
-            budget: RetryBudget::new(&params, 1),
+            budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
             params,
             routers: 1,
@@ -245,7 +245,7 @@
         self.view.on_confirmed(asked, revision);
         if routers > 0 && routers != self.routers {
             self.routers = routers;
-            self.budget = RetryBudget::new(&self.params, routers);
+            self.budget.set_routers(routers);
         }
     }
 
@@ -285,16 +285,16 @@
         tried: &[InstanceId],
     ) -> Result<Choice, ChoiceError> {
         if tried.is_empty() {
-            self.budget.on_request(now);
+            self.budget.on_request(now, &admission.pool);
             if let Some(prompt) = prompt {
                 self.prompt_mix.note(prompt);
             }
-        } else if !self.budget.may_retry(now) {
+        } else if !self.budget.may_retry(now, &admission.pool) {
             return Err(ChoiceError::NoBudget);
         }
         let choice = self.place(now, admission, prompt, tried)?;
         if !tried.is_empty() {
-            self.budget.on_retry();
+            self.budget.on_retry(now, &admission.pool);
         }
         self.endpoints.started(&choice.instance, choice.tokens);
         Ok(choice)
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -8,6 +8,7 @@
 use drumshore_gateway_core::{Choice, Outcome, RequestKind};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::{Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
@@ -36,7 +37,14 @@
 }
 
 /// Sends the request to the back end that was chosen and judges what comes.
-pub(super) async fn make(router: &Rc<Router>, call: &Call, choice: &Choice, sent: u32) -> Attempt {
+/// `after` is the last event that the caller has of a stream that is taken up.
+pub(super) async fn make(
+    router: &Rc<Router>,
+    call: &Call,
+    choice: &Choice,
+    sent: u32,
+    after: Option<&Bytes>,
+) -> Attempt {
     let mut visit = Visit::new(router, choice, call.admission.route.target);
     let connecting = router.upstreams.connect(
         &choice.instance,
@@ -59,7 +67,11 @@
         }
     };
     let left = call.deadline.since(router.clock.now());
-    let request = outbound(router, call, choice, left);
+    let mut request = outbound(router, call, choice, left);
+    if let Some(after) = after.and_then(|after| HeaderValue::from_bytes(after).ok()) {
+        let name = &router.dialect.headers().last_event_id;
+        request.headers_mut().insert(name, after);
+    }
     let patience = head_patience(call, sent, left);
     let response = match timeout(patience, connection.send(request)).await {
         Ok(Ok(response)) => response,
--- /dev/null
+++ b/crates/gateway/src/router/events_tests.rs
@@ -0,0 +1,81 @@
+use proptest::prelude::*;
+use rstest::rstest;
+
+use super::*;
+
+const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nversion:3\nid:3\ndata: c\n\n";
+
+fn passed_on(events: &mut Events, bytes: &[u8]) -> Vec<u8> {
+    let whole = events.take_in(Bytes::copy_from_slice(bytes));
+    whole.map(|whole| whole.to_vec()).unwrap_or_default()
+}
+
+#[rstest]
+#[case::nothing(0, b"", None)]
+#[case::half_of_the_first(8, b"", None)]
+#[case::the_first(15, b"id: 1\ndata: a\n\n", Some("1"))]
+#[case::into_the_second(25, b"id: 1\ndata: a\n\n", Some("1"))]
+#[case::all(STREAM.len(), STREAM, Some("3"))]
+fn only_whole_events_are_passed_on(
+    #[case] cut: usize,
+    #[case] expected: &[u8],
+    #[case] last: Option<&str>,
+) {
+    let mut events = Events::default();
+    assert_eq!(passed_on(&mut events, &STREAM[..cut]), expected);
+    let id = events
+        .last_id()
+        .map(|id| String::from_utf8_lossy(id).into_owned());
+    assert_eq!(id.as_deref(), last);
+}
+
+#[test]
+fn the_rest_of_an_answer_that_ended_is_passed_on() {
+    let mut events = Events::default();
+    assert_eq!(passed_on(&mut events, b"data: no end"), b"");
+    assert_eq!(events.take_rest().unwrap().as_ref(), b"data: no end");
+    assert_eq!(events.take_rest(), None);
+}
+
+#[test]
+fn an_event_without_end_does_not_fill_the_memory() {
+    let mut events = Events::default();
+    let half = vec![b'x'; MOST_PENDING_BYTES];
+    assert_eq!(passed_on(&mut events, &half), b"");
+    assert_eq!(passed_on(&mut events, b"y").len(), MOST_PENDING_BYTES + 1);
+}
+
+/// The events from the one after `last` on, as a back end that takes up a stream makes them.
+fn taken_up_after(last: Option<&Bytes>) -> Vec<u8> {
+    let after: usize = last.map_or(0, |id| String::from_utf8_lossy(id).parse().unwrap());
+    let mut rest = STREAM.to_vec();
+    for _ in 0..after {
+        let end = rest.windows(2).position(|pair| pair == EVENT_END).unwrap();
+        rest.drain(..end + EVENT_END.len());
+    }
+    rest
+}
+
+proptest! {
+    /// However a stream comes in pieces and wherever it breaks off, what is passed on before and
+    /// after is the whole stream, in order.
+    #[test]
+    fn a_stream_that_is_taken_up_is_whole(
+        cut in 0..=STREAM.len(),
+        pieces in prop::collection::vec(1_usize..20, 0..20),
+    ) {
+        let mut events = Events::default();
+        let mut passed = Vec::new();
+        let mut left = &STREAM[..cut];
+        for size in pieces {
+            let (piece, rest) = left.split_at(size.min(left.len()));
+            passed.extend(passed_on(&mut events, piece));
+            left = rest;
+        }
+        passed.extend(passed_on(&mut events, left));
+        events.drop_half();
+        let rest = taken_up_after(events.last_id());
+        passed.extend(passed_on(&mut events, &rest));
+        prop_assert_eq!(passed, STREAM);
+    }
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -5,18 +5,19 @@
 
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
-use drumshore_gateway_core::{Admission, Choice, InstanceId, Prompt, Refusal};
+use drumshore_gateway_core::{Admission, Choice, InstanceId, Prompt, Refusal, RequestKind};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response};
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::timeout;
 
 use super::attempt::{self, Answered, Attempt};
 use super::headers;
 use super::refusal::{self, Refused};
 use super::relay::Relay;
+use super::resume::{Attempts, Resumption};
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::server::NoAnswer;
@@ -180,9 +181,11 @@
             Err(error) => return refusal::give_up(router, &call, &tried, worst, Some(error)),
         };
         tried.push(choice.instance.clone());
-        match attempt::make(router, &call, &choice, sent).await {
+        match attempt::make(router, &call, &choice, sent, None).await {
             Attempt::Answered(answered) => {
-                return relay(router, call, &choice, *answered, open, &tried);
+                let sent = sent + 1;
+                let attempts = Attempts { tried, sent };
+                return relay(router, call, &choice, *answered, open, attempts);
             }
             Attempt::Ended {
                 execution,
@@ -212,7 +215,7 @@
     choice: &Choice,
     answered: Answered,
     open: OpenRequest,
-    tried: &[InstanceId],
+    attempts: Attempts,
 ) -> Response<AnswerBody> {
     let Answered {
         response,
@@ -227,7 +230,7 @@
     router.metrics.count_request("answered", elapsed);
     tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
         outcome = "answered", status = response.status().as_u16(), instance = %choice.instance,
-        attempts = tried.len(), rank = choice.rank, in_flight = choice.in_flight,
+        attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         version = choice.expected_version, fetch = choice.fetch_word(),
         held_here = choice.believed.here, held_at_source = choice.believed.at_source,
         belief_age_ms = choice.believed.age_ms, stores = choice.save_to.is_some(), elapsed_ms = elapsed.as_millis() as u64,
@@ -235,7 +238,15 @@
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
     let left = call.deadline.since(now);
-    let relay = Relay::new(call.id, body, connection, visit, open, left);
+    let is_resumable =
+        call.admission.route.kind == RequestKind::ResumableStream && head.status == StatusCode::OK;
+    let id = call.id.clone();
+    let resumption = is_resumable.then(|| {
+        // Another back end may make some of it: its length is not the first one's to say.
+        head.headers.remove(CONTENT_LENGTH);
+        Resumption::new(router, Rc::new(call), attempts)
+    });
+    let relay = Relay::new(id, body, connection, visit, open, left, resumption);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,11 +1,13 @@
 //! The router daemon: callers on one side, back ends on the other, control machines beside it.
 
 mod attempt;
+mod events;
 mod first_view;
 mod forward;
 mod headers;
 mod refusal;
 mod relay;
+mod resume;
 mod updates;
 
 use std::cell::{Cell, RefCell};
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::Sleep;
 
 use super::forward::OpenRequest;
+use super::resume::Resumption;
 use super::Router;
 use crate::upstream::Connection;
 
@@ -83,6 +84,16 @@
     }
 }
 
+/// Whether a broken stream is being taken up elsewhere.
+enum TakeUp {
+    /// It is not broken, or it has been taken up.
+    NotUnderWay,
+    /// A back end is sought.
+    UnderWay,
+    /// No back end goes on with it.
+    Failed,
+}
+
 /// Passes a body on as it comes. Dropping it closes the connection to the back end, which ends
 /// its work; an error cuts the caller's connection, so that a part never looks whole.
 pub(crate) struct Relay {
@@ -91,6 +102,8 @@
     connection: Option<Connection>,
     visit: Visit,
     deadline: Pin<Box<Sleep>>,
+    /// For a stream that another back end may take up.
+    resumption: Option<Resumption>,
     _open: OpenRequest,
 }
 
@@ -102,6 +115,7 @@
         visit: Visit,
         open: OpenRequest,
         left: Duration,
+        resumption: Option<Resumption>,
     ) -> Self {
         let mut relay = Self {
             id,
@@ -109,6 +123,7 @@
             connection: Some(connection),
             visit,
             deadline: Box::pin(tokio::time::sleep(left)),
+            resumption,
             _open: open,
         };
         if relay.body.is_end_stream() {
@@ -118,40 +133,112 @@
     }
 
     pub fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
+        // The body of a stream that may be taken up is over only when polling says so: half an
+        // event may be left of it.
+        self.resumption.is_none() && self.body.is_end_stream()
     }
 
     pub fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
+        match self.resumption {
+            Some(_) => SizeHint::default(),
+            None => self.body.size_hint(),
+        }
     }
 
     pub fn poll_frame(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => {
-                if self.body.is_end_stream() {
+        loop {
+            match self.poll_taken_up(context) {
+                TakeUp::NotUnderWay => {}
+                TakeUp::UnderWay => return self.poll_deadline(context),
+                TakeUp::Failed => {
+                    let error = io::Error::from(io::ErrorKind::ConnectionReset);
+                    return Poll::Ready(Some(Err(self.cut(Outcome::Broken, "broken", error))));
+                }
+            }
+            match Pin::new(&mut self.body).poll_frame(context) {
+                Poll::Ready(Some(Ok(frame))) => {
+                    if let Some(frame) = self.whole_events(frame) {
+                        return Poll::Ready(Some(Ok(frame)));
+                    }
+                }
+                Poll::Ready(Some(Err(error))) => {
+                    if !self.take_up(&error) {
+                        let error = io::Error::other(error);
+                        let error = self.cut(Outcome::Broken, "broken", error);
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                }
+                Poll::Ready(None) => {
                     self.finish();
+                    let rest = self.resumption.as_mut();
+                    let rest = rest.and_then(|resumption| resumption.events.take_rest());
+                    return Poll::Ready(rest.map(|rest| Ok(Frame::data(rest))));
                 }
-                Poll::Ready(Some(Ok(frame)))
+                Poll::Pending => return self.poll_deadline(context),
             }
-            Poll::Ready(Some(Err(error))) => Poll::Ready(Some(Err(self.cut(
-                Outcome::Broken,
-                "broken",
-                io::Error::other(error),
-            )))),
-            Poll::Ready(None) => {
-                self.finish();
-                Poll::Ready(None)
+        }
+    }
+
+    fn poll_deadline(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        if self.deadline.as_mut().poll(context).is_pending() {
+            return Poll::Pending;
+        }
+        let error = io::Error::from(io::ErrorKind::TimedOut);
+        Poll::Ready(Some(Err(self.cut(Outcome::TimedOut, "timed_out", error))))
+    }
+
+    /// What of a frame can be passed on; nothing while no event has ended.
+    fn whole_events(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
+        if self.body.is_end_stream() {
+            self.finish();
+        }
+        let Some(resumption) = &mut self.resumption else {
+            return Some(frame);
+        };
+        let data = match frame.into_data() {
+            Ok(data) => data,
+            Err(trailers) => return Some(trailers),
+        };
+        resumption.events.take_in(data).map(Frame::data)
+    }
+
+    /// Begins to have a broken stream taken up elsewhere; false when that may not be.
+    fn take_up(&mut self, error: &hyper::Error) -> bool {
+        let Some(resumption) = &mut self.resumption else {
+            return false;
+        };
+        if !resumption.begin() {
+            return false;
+        }
+        tracing::info!(event = "answer_broken", id = %self.id,
+            instance = %self.visit.choice.instance, %error);
+        self.visit.end(Outcome::Broken);
+        self.connection = None;
+        true
+    }
+
+    /// Goes on with the body of the back end that takes the stream up.
+    fn poll_taken_up(&mut self, context: &mut Context<'_>) -> TakeUp {
+        let polled = self
+            .resumption
+            .as_mut()
+            .and_then(|resumption| resumption.poll_taken_up(context));
+        match polled {
+            None => TakeUp::NotUnderWay,
+            Some(Poll::Pending) => TakeUp::UnderWay,
+            Some(Poll::Ready(None)) => TakeUp::Failed,
+            Some(Poll::Ready(Some(answered))) => {
+                self.body = answered.response.into_body();
+                self.connection = Some(answered.connection);
+                self.visit = answered.visit;
+                TakeUp::NotUnderWay
             }
-            Poll::Pending => match self.deadline.as_mut().poll(context) {
-                Poll::Pending => Poll::Pending,
-                Poll::Ready(()) => {
-                    let error = io::Error::from(io::ErrorKind::TimedOut);
-                    Poll::Ready(Some(Err(self.cut(Outcome::TimedOut, "timed_out", error))))
-                }
-            },
         }
     }
 
