Tell all routers of a back end that fell silent, and close what rests open to it

Change: a back end that lost a request and sent nothing to this router for a second, while the request waited, has fallen silent: it is avoided for longer each time, connections that rest are closed (a new one that does not come about costs no run), and the other routers are told through the leader; one that hears the back end takes no notice. Tests: avoided by all, a short wait is no silence, a heard one is not avoided; only the leader passes it on.

--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -207,6 +207,10 @@
     /// From a router: prompts that back ends have read. From the leader: the same of all others.
     #[brw(magic(13u8))]
     Holders(List<HolderEntry>),
+    /// From a router: back ends that it found silent, as [`LoadEntry::key_of`] names them. From
+    /// the leader: the same of another router.
+    #[brw(magic(14u8))]
+    Suspects(List<u32>),
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -1,5 +1,6 @@
 //! Back ends as one router sees them: requests in flight, and whom to avoid for a while.
 
+use std::cell::Cell;
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,6 +14,11 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(500);
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
 const MISDIRECTED_PAUSE: Duration = Duration::from_secs(30);
+/// A back end that lost a request and sent nothing for so long, while that waited, has fallen
+/// silent: answers of one that works come every few tens of milliseconds.
+const SILENCE: Duration = Duration::from_millis(1_000);
+/// One that was heard within this time is not taken for silent on another router's word.
+const HEARD_LATELY: Duration = Duration::from_millis(600);
 /// The weight of the newest answer in the share of failures.
 const FAILURE_WEIGHT: f64 = 0.15;
 
@@ -55,6 +61,8 @@
     pub failures: f64,
     unreachable_in_a_row: u32,
     pub misdirected_until: Timestamp,
+    /// When bytes of an answer came last; shared with the answers that are passed on.
+    pub heard: Rc<Cell<Timestamp>>,
 }
 
 /// All back ends.
@@ -77,6 +85,7 @@
                 failures: 0.0,
                 unreachable_in_a_row: 0,
                 misdirected_until: Timestamp::default(),
+                heard: Rc::default(),
             });
             endpoint.record = Rc::clone(record);
             self.0.insert(id, endpoint);
@@ -127,41 +136,77 @@
         }
     }
 
-    pub fn finished(&mut self, now: Timestamp, instance: &InstanceId, outcome: Outcome) {
+    /// A request that was sent at `begun` has left its back end. True when that has fallen silent,
+    /// so that what this router keeps open to it is worth nothing.
+    pub fn finished(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        begun: Timestamp,
+        outcome: Outcome,
+    ) -> bool {
         let Some(endpoint) = self.0.get_mut(instance) else {
-            return;
+            return false;
         };
-        endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+        let is_lost = matches!(outcome, Outcome::Broken | Outcome::TimedOut);
+        let silent_since = endpoint.heard.get().max(begun);
+        let fell_silent = is_lost && now.since(silent_since) >= SILENCE;
+        let outcome = if fell_silent {
+            Outcome::TimedOut
+        } else {
+            outcome
+        };
+        endpoint.note_outcome(now, outcome);
+        fell_silent
+    }
+
+    /// Another router found back ends silent. Those that were not heard here since are avoided as
+    /// well, and returned.
+    pub fn on_suspects(&mut self, now: Timestamp, keys: &[u32]) -> Vec<InstanceId> {
+        let mut silent = Vec::new();
+        for (id, endpoint) in &mut self.0 {
+            let is_heard = now.since(endpoint.heard.get()) < HEARD_LATELY;
+            if keys.contains(&endpoint.key) && !is_heard {
+                let pause = endpoint.longer_pause();
+                endpoint.avoided_until = endpoint.avoided_until.max(now.plus(pause));
+                silent.push(id.clone());
+            }
+        }
+        silent
+    }
+}
+
+impl Endpoint {
+    fn note_outcome(&mut self, now: Timestamp, outcome: Outcome) {
+        self.in_flight = self.in_flight.saturating_sub(1);
         let pause = match outcome {
             Outcome::Answered => {
-                endpoint.unreachable_in_a_row = 0;
-                endpoint.note(false);
+                self.unreachable_in_a_row = 0;
+                self.note(false);
                 return;
             }
             Outcome::Abandoned => return,
             Outcome::Failed => {
-                endpoint.note(true);
+                self.note(true);
                 return;
             }
             Outcome::Shed | Outcome::OtherWeights => SHED_PAUSE,
             Outcome::Broken => {
-                endpoint.note(true);
+                self.note(true);
                 BROKEN_PAUSE
             }
             Outcome::TimedOut | Outcome::Unreachable => {
-                endpoint.note(true);
-                endpoint.longer_pause()
+                self.note(true);
+                self.longer_pause()
             }
             Outcome::Misdirected => {
-                endpoint.misdirected_until = now.plus(MISDIRECTED_PAUSE);
+                self.misdirected_until = now.plus(MISDIRECTED_PAUSE);
                 MISDIRECTED_PAUSE
             }
         };
-        endpoint.avoided_until = endpoint.avoided_until.max(now.plus(pause));
+        self.avoided_until = self.avoided_until.max(now.plus(pause));
     }
-}
 
-impl Endpoint {
     /// False once it could not be reached, until it answers again.
     pub fn is_reachable(&self) -> bool {
         self.unreachable_in_a_row == 0
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod stores;
 mod view;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -140,6 +141,8 @@
     pub believed: BelievedParts,
     /// A store to save the prompt to.
     pub save_to: Option<String>,
+    /// When bytes of an answer came last from the back end.
+    pub heard: Rc<Cell<Timestamp>>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
     pub in_flight: u32,
     /// 0 when the back end is the first home of the prompt.
@@ -171,6 +174,9 @@
 /// A fetch from the store is slow when the answer takes more than so many times its target.
 const SLOW_FETCH: f64 = 1.3;
 
+/// Silent back ends that wait to be told.
+const MOST_SUSPECTS: usize = 64;
+
 /// A router.
 pub struct RouterCore {
     params: RouterParams,
@@ -183,6 +189,7 @@
     routers: u16,
     stores: Stores,
     holders: Holders,
+    suspects: Vec<u32>,
 }
 
 impl RouterCore {
@@ -199,6 +206,7 @@
             routers: 1,
             stores: Stores::default(),
             holders: Holders::default(),
+            suspects: Vec::new(),
         }
     }
 
@@ -354,9 +362,30 @@
         self.stores.on_stored(store, known, reset, added, removed);
     }
 
-    /// A request that was chosen for has left its back end.
-    pub fn finished(&mut self, now: Timestamp, instance: &InstanceId, outcome: Outcome) {
-        self.endpoints.finished(now, instance, outcome);
+    /// A request that was chosen for, and sent at `begun`, has left its back end. True when that
+    /// has fallen silent.
+    pub fn finished(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        begun: Timestamp,
+        outcome: Outcome,
+    ) -> bool {
+        let fell_silent = self.endpoints.finished(now, instance, begun, outcome);
+        if fell_silent && self.suspects.len() < MOST_SUSPECTS {
+            self.suspects.push(LoadEntry::key_of(instance.as_str()));
+        }
+        fell_silent
+    }
+
+    /// Back ends that this router found silent and the others do not know of yet.
+    pub fn take_suspects(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.suspects)
+    }
+
+    /// Takes in which back ends another router found silent; returns those that may be.
+    pub fn on_suspects(&mut self, now: Timestamp, keys: &[u32]) -> Vec<InstanceId> {
+        self.endpoints.on_suspects(now, keys)
     }
 
     /// Requests in flight from this router.
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -1,7 +1,9 @@
 //! Where a request goes: to the home of its prompt while that has room, else to the back end with
 //! the fewest requests.
 
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 
 use drumshore_core::Timestamp;
 use rand::Rng;
@@ -51,6 +53,7 @@
     instance: InstanceId,
     address: String,
     version: Option<u64>,
+    heard: Rc<Cell<Timestamp>>,
     in_flight: u32,
     rank: usize,
     /// Where the prompt's home listens, when that is another back end with the same weights.
@@ -275,6 +278,7 @@
             fetches_from_store: cache.from_store,
             fetch_from: cache.fetch_from,
             save_to: cache.save_to,
+            heard: placed.heard,
             in_flight: placed.in_flight,
             rank: placed.rank,
         }
@@ -334,6 +338,7 @@
             instance: self.id.clone(),
             address: self.endpoint.record.address.as_str().to_owned(),
             version: self.version,
+            heard: Rc::clone(&self.endpoint.heard),
             in_flight: self.endpoint.in_flight,
             rank,
             home: None,
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -304,7 +304,7 @@
     let admission = admit(&mut router, at(1), "/a/x");
     let choice = router.choose(at(1), &admission, None, &[]).unwrap();
     assert_eq!(choice.instance.as_str(), "new");
-    router.finished(at(1), &choice.instance, Outcome::Misdirected);
+    router.finished(at(1), &choice.instance, at(1), Outcome::Misdirected);
     let choice = router.choose(at(2), &admission, None, &[]).unwrap();
     assert_eq!(choice.instance.as_str(), "old");
 }
@@ -341,7 +341,7 @@
             .unwrap();
         assert_eq!(choice.rank, 0);
         router.answered(at(1), &choice, None, Duration::ZERO);
-        router.finished(at(1), &choice.instance, Outcome::Answered);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
         homes.insert(choice.instance);
     }
     assert_eq!(homes.len(), 1);
@@ -355,7 +355,7 @@
     let home = router
         .choose(at(1), &admission, Some(&prompt), &[])
         .unwrap();
-    router.finished(at(1), &home.instance, Outcome::Answered);
+    router.finished(at(1), &home.instance, at(1), Outcome::Answered);
     let busy = LoadEntry {
         key: LoadEntry::key_of(home.instance.as_str()),
         pending: 200,
@@ -435,9 +435,9 @@
         let second = router.choose(at(1), &admission, None, &tried);
         retries += u32::from(second.is_ok());
         if let Ok(second) = second {
-            router.finished(at(1), &second.instance, Outcome::Failed);
+            router.finished(at(1), &second.instance, at(1), Outcome::Failed);
         }
-        router.finished(at(1), &first.instance, Outcome::Failed);
+        router.finished(at(1), &first.instance, at(1), Outcome::Failed);
     }
     // 0.2 of 200 requests, and the slack.
     assert!((20..=90).contains(&retries), "{retries}");
@@ -459,12 +459,12 @@
     let mut router = router();
     let admission = admit(&mut router, at(1), "/a/x");
     let lost = router.choose(at(1), &admission, None, &[]).unwrap();
-    router.finished(at(1), &lost.instance, Outcome::Unreachable);
+    router.finished(at(1), &lost.instance, at(1), Outcome::Unreachable);
     for _ in 0..20 {
         let choice = router.choose(at(100), &admission, None, &[]).unwrap();
         assert_ne!(choice.instance, lost.instance);
     }
-    router.finished(at(100), &lost.instance, Outcome::Answered);
+    router.finished(at(100), &lost.instance, at(100), Outcome::Answered);
     let later = at(1_500);
     let mut seen = false;
     for _ in 0..20 {
@@ -640,7 +640,7 @@
     let choose = |router: &mut RouterCore, prompt: &Prompt| {
         let choice = router.choose(at(1), &admission, Some(prompt), &[]).unwrap();
         router.answered(at(1), &choice, None, Duration::ZERO);
-        router.finished(at(1), &choice.instance, Outcome::Answered);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
         choice
     };
     let before: Vec<Choice> = prompts.iter().map(|it| choose(&mut router, it)).collect();
@@ -659,3 +659,38 @@
         }
     }
 }
+
+/// One router loses a request to a back end; what another one does when it is told.
+fn other_router_after(waited_ms: u64, heard_by_other_at: u64) -> (bool, bool) {
+    let (mut router, mut other) = (router(), router());
+    let admission = admit(&mut router, at(1), "/a/x");
+    let lost = router.choose(at(1), &admission, None, &[]).unwrap();
+    let ended = at(1 + waited_ms);
+    let fell_silent = router.finished(ended, &lost.instance, at(1), Outcome::Broken);
+    let tried: Vec<InstanceId> = (1..=3)
+        .map(|number| InstanceId::new(&format!("app-{number}")))
+        .filter(|id| *id != lost.instance)
+        .collect();
+    let admission = admit(&mut other, at(1), "/a/x");
+    let heard = other.choose(at(1), &admission, None, &tried).unwrap();
+    assert_eq!(heard.instance, lost.instance);
+    heard.heard.set(at(heard_by_other_at));
+    let silent = other.on_suspects(ended, &router.take_suspects());
+    assert!(router.take_suspects().is_empty());
+    (fell_silent, silent == [lost.instance])
+}
+
+#[test]
+fn one_that_lost_a_request_in_silence_is_avoided_by_all_routers() {
+    assert_eq!(other_router_after(2_000, 1), (true, true));
+}
+
+#[test]
+fn a_short_wait_is_no_silence() {
+    assert_eq!(other_router_after(400, 1), (false, false));
+}
+
+#[test]
+fn one_that_this_router_hears_is_not_taken_for_silent_on_the_word_of_another() {
+    assert_eq!(other_router_after(2_000, 1_900), (true, false));
+}
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -771,3 +771,21 @@
         );
     }
 }
+
+#[rstest]
+#[case::by_the_leader(true, 1)]
+#[case::by_nobody_else(false, 0)]
+fn a_silent_back_end_is_told_to_the_other_routers(#[case] at_leader: bool, #[case] told: usize) {
+    let (mut cluster, machine) = with_two_routers(at_leader);
+    let message = Message::Suspects(List::new(vec![LoadEntry::key_of("i-1")]));
+    let now = cluster.now;
+    let core = cluster.core(machine);
+    core.on_router(now, ConnectionId(1), message.clone());
+    cluster.run(Duration::from_millis(100));
+    let heard = |to: u64| {
+        let sent = cluster.to_routers.iter();
+        sent.filter(|(_, connection, sent)| *connection == ConnectionId(to) && *sent == message)
+            .count()
+    };
+    assert_eq!((heard(1), heard(2)), (0, told));
+}
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -42,10 +42,16 @@
 
     /// The answer has begun.
     pub fn answered(&mut self) {
+        self.heard();
         let took = self.router.clock.now().since(self.begun);
         self.note_answered(Some(took));
     }
 
+    /// Bytes of the answer have come.
+    fn heard(&self) {
+        self.choice.heard.set(self.router.clock.now());
+    }
+
     fn note_answered(&mut self, took: Option<Duration>) {
         if !std::mem::replace(&mut self.answered, true) {
             let now = self.router.clock.now();
@@ -64,8 +70,15 @@
     fn drop(&mut self) {
         self.note_answered(None);
         let now = self.router.clock.now();
+        let instance = &self.choice.instance;
         let mut core = self.router.core.borrow_mut();
-        core.finished(now, &self.choice.instance, self.outcome);
+        let fell_silent = core.finished(now, instance, self.begun, self.outcome);
+        drop(core);
+        if fell_silent {
+            tracing::info!(event = "back_end_suspected", %instance, by = "this router",
+                outcome = word(self.outcome));
+            self.router.upstreams.close_idle(instance);
+        }
         self.router.metrics.count_attempt(word(self.outcome));
     }
 }
@@ -160,6 +173,7 @@
             }
             match Pin::new(&mut self.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
+                    self.visit.heard();
                     if let Some(frame) = self.whole_events(frame) {
                         return Poll::Ready(Some(Ok(frame)));
                     }
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -202,6 +202,14 @@
                 let mut core = router.core.borrow_mut();
                 core.on_stored(store, known != 0, reset != 0, &added.items, &removed.items);
             }
+            Message::Suspects(keys) => {
+                let now = router.clock.now();
+                let silent = router.core.borrow_mut().on_suspects(now, &keys.items);
+                for instance in silent {
+                    tracing::info!(event = "back_end_suspected", %instance, by = "another router");
+                    router.upstreams.close_idle(&instance);
+                }
+            }
             Message::Holders(entries) => {
                 let now = router.clock.now();
                 router.core.borrow_mut().on_holders(now, &entries.items);
@@ -236,6 +244,10 @@
         if links.leader.get() != u32::from(address) {
             continue;
         }
+        let suspects = router.core.borrow_mut().take_suspects();
+        if !suspects.is_empty() && !sender.send(&Message::Suspects(List::new(suspects))) {
+            return "closed";
+        }
         let learned = router.core.borrow_mut().take_holder_news();
         if !learned.is_empty() && !sender.send(&Message::Holders(List::new(learned))) {
             return "closed";
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -151,6 +151,14 @@
         waited.unwrap_or(Err(NoConnection::NoneFree))
     }
 
+    /// Closes the connections to a back end that rest: it has fallen silent, and a request on one
+    /// of them would be lost, where a new connection that does not come about costs nothing.
+    pub fn close_idle(&self, instance: &InstanceId) {
+        let pool = self.pools.borrow().get(instance).cloned();
+        let idle = pool.map(|pool| std::mem::take(&mut *pool.idle.borrow_mut()));
+        drop(idle);
+    }
+
     /// Closes connections that rested long enough, and forgets back ends without any.
     pub fn prune(&self) {
         let now = self.clock.now();
