Remove the scale run; logs are sentences with a prefix again; a lost store is told after a change of leader

Each line of the gateway begins with a short sentence behind the name of its part, the fields stay beside it. A leader that never heard a store says that it is lost when it does not answer (test first, it failed: routers went on fetching from what the former leader had told). No policy changed but the store's loss.

--- a/crates/gateway-core/src/control/stored.rs
+++ b/crates/gateway-core/src/control/stored.rs
@@ -36,6 +36,8 @@
     /// `None` while it is not known, or does not answer.
     held: Option<BTreeSet<StoredKey>>,
     changed: bool,
+    /// This leader has told routers of it, or is about to.
+    was_told: bool,
     added: Vec<StoredKey>,
     removed: Vec<StoredKey>,
     /// Routers need to be told all.
@@ -63,11 +65,13 @@
                 }
             }
             StoreNews::Lost => {
-                self.reset |= self.held.take().is_some();
+                // Of one that this leader never heard routers may believe what another one told.
+                self.reset |= self.held.take().is_some() || !self.was_told;
             }
             StoreNews::Changed { added, removed } => self.change(added, removed),
         }
         self.changed |= self.reset;
+        self.was_told |= self.changed;
     }
 
     fn change(&mut self, added: Vec<StoredKey>, removed: Vec<StoredKey>) {
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -789,3 +789,29 @@
     };
     assert_eq!((heard(1), heard(2)), (0, told));
 }
+
+#[test]
+fn a_new_leader_tells_that_a_store_is_lost_which_it_never_heard() {
+    // Routers went on with what the former leader had told and fetched from a store that was gone.
+    let mut cluster = elected(3);
+    let former = cluster.leader().unwrap();
+    let store = StoreId::at("10.0.9.1:80");
+    let now = cluster.now;
+    let holds = StoreNews::Holds(vec![StoredKey::new("salt", "a")]);
+    cluster.core(former).on_store_news(now, store, holds);
+    cluster.kill(former);
+    cluster.run(4 * SECOND);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
+    let told_of_loss = |cluster: &mut Cluster| {
+        let now = cluster.now;
+        let core = cluster.core(leader);
+        core.on_store_news(now, store, StoreNews::Lost);
+        cluster.to_routers.clear();
+        cluster.run(Duration::from_millis(100));
+        let mut sent = cluster.to_routers.iter();
+        sent.any(|(_, _, message)| matches!(message, Message::Stored { known: 0, .. }))
+    };
+    assert!(told_of_loss(&mut cluster));
+    assert!(!told_of_loss(&mut cluster), "once is enough");
+}
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -47,7 +47,8 @@
                 instance: Text::new(instance.as_str()),
             };
             let reply = submit(&control, command).await;
-            tracing::info!(event = "deregister", %instance, outcome = word(&reply));
+            tracing::info!(event = "deregister", %instance, outcome = word(&reply),
+            "control: a back end says that it has gone");
             acknowledge(&control, reply)
         }
         ControlCall::Directory { zone } => directory(&control, &zone),
@@ -74,14 +75,24 @@
         body: Blob::new(body.to_vec()),
     };
     let reply = submit(control, command).await;
-    tracing::info!(event = "configure", version, routes, outcome = word(&reply));
+    tracing::info!(
+        event = "configure",
+        version,
+        routes,
+        outcome = word(&reply),
+        "control: a configuration was sent"
+    );
     acknowledge(control, reply)
 }
 
 async fn get_configuration(control: &Control) -> Response<AnswerBody> {
     let asking = control.ask(|core, now, ticket| core.read_configuration(now, ticket));
     let reply = asking.await;
-    tracing::info!(event = "configuration_read", outcome = word(&reply));
+    tracing::info!(
+        event = "configuration_read",
+        outcome = word(&reply),
+        "control: a configuration was read"
+    );
     match reply {
         Reply::Configuration(Some(body)) => answer::typed(control.dialect.content_type(), body),
         _ => answer::plain(StatusCode::SERVICE_UNAVAILABLE, ""),
@@ -98,7 +109,8 @@
         version,
     };
     let reply = submit(control, command).await;
-    tracing::info!(event = "weights_named", %model, version, outcome = word(&reply));
+    tracing::info!(event = "weights_named", %model, version, outcome = word(&reply),
+    "control: weights were named");
     acknowledge(control, reply)
 }
 
@@ -132,7 +144,11 @@
 
 fn invalid(control: &Control, reason: &str) -> Response<AnswerBody> {
     control.metrics.count_decision("invalid");
-    tracing::info!(event = "invalid_call", reason);
+    tracing::info!(
+        event = "invalid_call",
+        reason,
+        "control: a call cannot be understood"
+    );
     answer::plain(StatusCode::BAD_REQUEST, reason.to_owned())
 }
 
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -92,7 +92,8 @@
         let outcome = answer.as_ref().map_or(OrderOutcome::Unknown, outcome_of);
         tracing::info!(event = "order", instance = %order.instance, model = %order.model,
             version = order.version, fencing_token = order.fencing_token,
-            expected_orders = order.expected_orders, outcome = ?outcome);
+            expected_orders = order.expected_orders, outcome = ?outcome,
+            "control: an order was given");
         control.metrics.count_decision("order");
         control.with_core(|core, now| {
             core.on_order_outcome(now, &order.instance, order.id, outcome);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -76,7 +76,8 @@
     let core = match folder::open(&settings) {
         Ok(core) => Some(core),
         Err(error) => {
-            tracing::error!(event = "folder_failed", %error);
+            tracing::error!(event = "folder_failed", %error,
+            "control: the folder cannot be opened");
             None
         }
     };
@@ -100,15 +101,16 @@
     tokio::task::spawn_local(tick(Rc::clone(&control)));
     tokio::task::spawn_local(store::follow_all(Rc::clone(&control)));
     tracing::info!(event = "started", role = "control", node = %control.settings.node,
-        listen = %control.settings.listen, bootstrap = control.settings.bootstrap);
+        listen = %control.settings.listen, bootstrap = control.settings.bootstrap,
+        "control: started");
     while signals.next().await == SignalRequest::Reload {
-        tracing::info!(event = "reloaded");
+        tracing::info!(event = "reloaded", "control: settings read again");
         control.reload_seeds();
     }
-    tracing::info!(event = "stopping");
+    tracing::info!(event = "stopping", "control: stopping");
     control.with_core(|core, _| core.step_down());
     tokio::time::sleep(HAND_OVER).await;
-    tracing::info!(event = "stopped");
+    tracing::info!(event = "stopped", "control: stopped");
     Ok(())
 }
 
@@ -223,7 +225,7 @@
 
     /// Nothing may be promised any more until the folder was read again.
     fn on_disk_failure(&self, error: &ReplicaError) {
-        tracing::error!(event = "disk_lost", %error);
+        tracing::error!(event = "disk_lost", %error, "control: the disk fails");
         *self.core.borrow_mut() = None;
         self.waiting.borrow_mut().clear();
     }
@@ -232,10 +234,13 @@
         tokio::time::sleep(REOPEN_AFTER).await;
         match folder::open(&self.settings) {
             Ok(core) => {
-                tracing::info!(event = "disk_regained");
+                tracing::info!(event = "disk_regained", "control: the disk works again");
                 *self.core.borrow_mut() = Some(core);
             }
-            Err(error) => tracing::error!(event = "folder_failed", %error),
+            Err(error) => {
+                tracing::error!(event = "folder_failed", %error,
+                "control: the folder cannot be opened")
+            }
         }
     }
 
@@ -253,7 +258,8 @@
         self.metrics.revision.set(core.state().revision() as i64);
         if self.role.replace(role) != role {
             tracing::info!(event = "role_changed", role = ?core.role(), term = core.term(),
-                revision = core.state().revision(), members = core.controls().len());
+                revision = core.state().revision(), members = core.controls().len(),
+                "control: the role changed");
         }
     }
 
@@ -266,7 +272,12 @@
 fn log_applied(position: u64, command: &Command) {
     match command {
         Command::Configure { version, .. } => {
-            tracing::info!(event = "configuration_applied", position, version);
+            tracing::info!(
+                event = "configuration_applied",
+                position,
+                version,
+                "control: a configuration is in force"
+            );
         }
         Command::Register {
             instance,
@@ -283,28 +294,32 @@
                 instance,
                 pool,
                 address,
-                draining
+                draining,
+                "control: a back end registered"
             );
         }
         Command::Drain { instance } => {
             tracing::info!(
                 event = "instance_draining",
                 position,
-                instance = instance.as_str()
+                instance = instance.as_str(),
+                "control: a back end leaves"
             );
         }
         Command::Deregister { instance } => {
             tracing::info!(
                 event = "instance_removed",
                 position,
-                instance = instance.as_str()
+                instance = instance.as_str(),
+                "control: a back end has gone"
             );
         }
         Command::Expire { instance } => {
             tracing::info!(
                 event = "instance_silent",
                 position,
-                instance = instance.as_str()
+                instance = instance.as_str(),
+                "control: a back end is silent"
             );
         }
         Command::NameWeights { model, version } => {
@@ -312,7 +327,8 @@
                 event = "weights_applied",
                 position,
                 model = model.as_str(),
-                version
+                version,
+                "control: new weights are named"
             );
         }
         Command::Load {
@@ -322,7 +338,15 @@
             phase,
         } => {
             let (instance, model) = (instance.as_str(), model.as_str());
-            tracing::info!(event = "load", position, instance, model, version, ?phase);
+            tracing::info!(
+                event = "load",
+                position,
+                instance,
+                model,
+                version,
+                ?phase,
+                "control: a load of weights moved on"
+            );
         }
     }
 }
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -50,14 +50,16 @@
     loop {
         let Ok((sender, mut receiver)) = redial.dial(target).await else {
             if !std::mem::replace(&mut lost, true) {
-                tracing::info!(event = "peer_lost", peer = %target);
+                tracing::info!(event = "peer_lost", peer = %target,
+                "control: a control machine is lost");
             }
             tokio::time::sleep(redial.pause()).await;
             // What has waited is outdated; the log sends it again.
             while queue.try_recv().is_ok() {}
             continue;
         };
-        tracing::info!(event = "peer_linked", peer = %target);
+        tracing::info!(event = "peer_linked", peer = %target,
+        "control: linked to a control machine");
         loop {
             tokio::select! {
                 message = queue.recv() => match message {
@@ -69,7 +71,7 @@
                 _ = receiver.receive() => break,
             }
         }
-        tracing::info!(event = "peer_lost", peer = %target);
+        tracing::info!(event = "peer_lost", peer = %target, "control: a control machine is lost");
         lost = true;
         tokio::time::sleep(redial.pause()).await;
     }
@@ -86,7 +88,8 @@
                 tokio::task::spawn_local(serve(Rc::clone(&control), connection, stream));
             }
             Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
+                tracing::warn!(event = "accept_failed", %error,
+                "control: a connection was not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
@@ -102,12 +105,12 @@
     };
     if let Message::Router(status) = &first {
         let address = status.address.as_str().to_owned();
-        tracing::info!(event = "router_linked", %address);
+        tracing::info!(event = "router_linked", %address, "control: a router linked");
         control.routers.borrow_mut().insert(connection, sender);
         serve_router(&control, connection, first, receiver).await;
         control.routers.borrow_mut().remove(&connection);
         control.with_core(|core, _| core.on_router_gone(connection));
-        tracing::info!(event = "router_lost", %address);
+        tracing::info!(event = "router_lost", %address, "control: a router is lost");
     } else {
         serve_control(&control, sender, first, receiver).await;
     }
--- a/crates/gateway/src/control/store.rs
+++ b/crates/gateway/src/control/store.rs
@@ -67,9 +67,9 @@
             None => start(&control, &address).await,
         };
         if followed.is_none() && position.is_some() {
-            tracing::info!(event = "store_lost", %address);
+            tracing::info!(event = "store_lost", %address, "control: a store does not answer");
         } else if followed.is_some() && position.is_none() {
-            tracing::info!(event = "store_found", %address);
+            tracing::info!(event = "store_found", %address, "control: a store answers");
         }
         if followed.is_none() {
             tell(&control, &address, StoreNews::Lost);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -60,7 +60,7 @@
         match encode_payload(&message.encode()) {
             Ok(frame) => self.0.try_send(Bytes::from(frame)).is_ok(),
             Err(error) => {
-                tracing::error!(event = "message_dropped", %error);
+                tracing::error!(event = "message_dropped", %error, "link: a message was too long");
                 false
             }
         }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -95,9 +95,10 @@
     updates::start(&router);
     tokio::task::spawn_local(prune(Rc::clone(&router)));
     tracing::info!(event = "started", role = "router", node = %router.settings.node,
-        listen = %router.settings.listen);
+        listen = %router.settings.listen, "router: started");
     while signals.next().await == SignalRequest::Reload {
-        tracing::info!(event = "reloaded", seeds = ?(router.settings.seeds)());
+        tracing::info!(event = "reloaded", seeds = ?(router.settings.seeds)(),
+        "router: settings read again");
     }
     stop(&router).await;
     Ok(())
@@ -179,7 +180,8 @@
     router.status_changed.notify_waiters();
     tracing::info!(
         event = "stopping",
-        open_requests = router.open_requests.get()
+        open_requests = router.open_requests.get(),
+        "router: stopping"
     );
     let last = router.settings.grace.saturating_sub(EXIT_MARGIN);
     loop {
@@ -193,6 +195,7 @@
     }
     tracing::info!(
         event = "stopped",
-        open_requests = router.open_requests.get()
+        open_requests = router.open_requests.get(),
+        "router: stopped"
     );
 }
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -57,7 +57,8 @@
         outcome = given_up.reason, status = given_up.status.as_u16(),
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         execution = worst.as_str(), choice = error.map(tracing::field::display),
-        elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision());
+        elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
+        "router: given up");
     respond(given_up)
 }
 
@@ -116,7 +117,7 @@
     let core = router.core.borrow();
     tracing::info!(event = "request", %id, outcome = reason, status = status.as_u16(),
         revision = core.revision(), configuration = core.configuration_version(),
-        view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64));
+        view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64), "router: refused");
     respond(GivenUp {
         status,
         come_back,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -76,7 +76,7 @@
         drop(core);
         if fell_silent {
             tracing::info!(event = "back_end_suspected", %instance, by = "this router",
-                outcome = word(self.outcome));
+                outcome = word(self.outcome), "router: a back end fell silent");
             self.router.upstreams.close_idle(instance);
         }
         self.router.metrics.count_attempt(word(self.outcome));
@@ -231,7 +231,7 @@
             return false;
         }
         tracing::info!(event = "answer_broken", id = %self.id,
-            instance = %self.visit.choice.instance, %error);
+            instance = %self.visit.choice.instance, %error, "router: a back end broke off");
         self.visit.end(Outcome::Broken);
         self.connection = None;
         true
@@ -265,7 +265,7 @@
 
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
         tracing::info!(event = "answer_cut", id = %self.id, instance = %self.visit.choice.instance,
-            reason, %error);
+            reason, %error, "router: an answer was cut");
         self.visit.end(outcome);
         self.connection = None;
         error
@@ -275,7 +275,8 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.connection.is_some() {
-            tracing::info!(event = "caller_left", id = %self.id, instance = %self.visit.choice.instance);
+            tracing::info!(event = "caller_left", id = %self.id, instance = %self.visit.choice.instance,
+            "router: the caller left");
         }
     }
 }
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -107,7 +107,8 @@
         let choice = match chosen {
             Ok(choice) => choice,
             Err(error) => {
-                tracing::info!(event = "not_taken_up", id = %call.id, attempts = tried.len(), %error);
+                tracing::info!(event = "not_taken_up", id = %call.id, attempts = tried.len(), %error,
+                "router: no back end goes on");
                 return None;
             }
         };
@@ -120,7 +121,8 @@
                     .map(|index| tried[index].as_str());
                 tracing::info!(event = "answer_taken_up", id = %call.id, from,
                     instance = %choice.instance, version = choice.expected_version,
-                    after = after.as_ref().map(|id| String::from_utf8_lossy(id).into_owned()));
+                    after = after.as_ref().map(|id| String::from_utf8_lossy(id).into_owned()),
+                    "router: another back end goes on");
                 let sent = sent + 1;
                 return Some(TakenUp {
                     answered: *answered,
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -81,9 +81,11 @@
     let mut redial = Redial::default();
     loop {
         if let Ok((sender, receiver)) = redial.dial(target).await {
-            tracing::info!(event = "control_linked", %address);
+            tracing::info!(event = "control_linked", %address,
+            "router: linked to a control machine");
             let reason = converse(&router, &links, address, sender, receiver).await;
-            tracing::info!(event = "control_lost", %address, reason);
+            tracing::info!(event = "control_lost", %address, reason,
+            "router: a control machine is lost");
         }
         sleep(redial.pause()).await;
     }
@@ -206,7 +208,8 @@
                 let now = router.clock.now();
                 let silent = router.core.borrow_mut().on_suspects(now, &keys.items);
                 for instance in silent {
-                    tracing::info!(event = "back_end_suspected", %instance, by = "another router");
+                    tracing::info!(event = "back_end_suspected", %instance, by = "another router",
+                    "router: a back end fell silent");
                     router.upstreams.close_idle(&instance);
                 }
             }
@@ -307,11 +310,15 @@
                 instances,
                 removed,
                 configuration = core.configuration_version(),
-                took_us = began.elapsed().as_micros() as u64
+                took_us = began.elapsed().as_micros() as u64,
+                "router: the view changed"
             );
             drop(core);
             wake_waiting(router);
         }
-        Err(error) => tracing::info!(event = "view_refused", revision, %error),
+        Err(error) => {
+            tracing::info!(event = "view_refused", revision, %error,
+            "router: changes do not fit the view")
+        }
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -54,7 +54,8 @@
                 });
             }
             Err(error) => {
-                tracing::warn!(event = "accept_failed", %error);
+                tracing::warn!(event = "accept_failed", %error,
+                "server: a connection was not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/testbed/src/bench/mod.rs
+++ b/crates/testbed/src/bench/mod.rs
@@ -5,6 +5,7 @@
 mod log;
 mod routing;
 mod streams;
+mod usage;
 
 pub(crate) mod cli;
 
--- a/crates/testbed/src/bench/streams.rs
+++ b/crates/testbed/src/bench/streams.rs
@@ -12,12 +12,12 @@
 use drumshore_node::operator::{self, Command, ExitStatus, Options};
 use serde::Serialize;
 
+use super::usage::{Reading, Usage};
 use crate::engine::{EngineParams, EngineTiming};
 use crate::fleet::settings::{self, ControlAddresses, MODEL, OPERATOR_KEY, POOL};
 use crate::fleet::{Layout, Process};
 use crate::load::{self, CallerParams, LoadParams, LoadReport};
 use crate::platform::{self, PlatformOptions};
-use crate::scale::{Reading, Usage};
 use crate::workload::{Level, WorkloadParams};
 
 /// Engines beside the router, so that no engine is the bottleneck and none has more of the
--- a/crates/testbed/src/cli.rs
+++ b/crates/testbed/src/cli.rs
@@ -38,9 +38,6 @@
   bench decision | log | streams [--short] [--seconds N] [--json FILE]
                                the cost of a decision; the log against its disk; streams through
                                a router against streams without one
-  scale [--nodes N] [--workers N] [--tenants N] [--controls N] [--seconds N]
-        [--json FILE] [--markdown FILE] [--plot FILE]
-                               measure the control plane at four sizes up to this one
   engine [--config FILE] [--listen IP:PORT] [--platform URL] [--witness FILE]
                                run an engine stand-in; prints its address
   platform [--listen IP:PORT] [--lag-ms N]
@@ -97,7 +94,6 @@
         "platform" => run_platform(arguments),
         "bench" => crate::bench::cli::main(arguments),
         "replay" => crate::replay::main(arguments),
-        "scale" => crate::scale::cli::main(arguments),
         "sim" => crate::sim::cli::main(arguments),
         other => Err(LabError::Usage(format!(
             "unknown command {other:?}; see drumshore-lab --help"
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -2,8 +2,7 @@
 //!
 //! [`engine`] and [`platform`] are the outside systems, [`workload`] is what callers ask,
 //! [`load`] asks it and checks every answer, [`fleet`] runs everything as processes, [`sim`] on a
-//! virtual clock, [`scale`] the control plane at the target's size, [`bench`] measures single
-//! parts.
+//! virtual clock, [`bench`] measures single parts.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
@@ -14,7 +13,6 @@
 pub mod load;
 pub mod platform;
 pub mod replay;
-pub mod scale;
 pub mod sim;
 pub mod workload;
 
