--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -2,8 +2,11 @@
 
 mod holders;
 mod instances;
+mod load_timing;
 mod members;
 mod order;
+mod order_lease;
+mod params;
 mod pending_loads;
 mod proposals;
 mod reads;
@@ -16,8 +19,8 @@
 use std::time::Duration;
 
 use drumshore_consensus::{
-    Directory, Envelope, FolderIdentity, LogIndex, Membership, Output, Params, Replica,
-    ReplicaError, ReplicaId, Role,
+    Directory, Envelope, FolderIdentity, LogIndex, Membership, Output, Replica, ReplicaError,
+    ReplicaId, Role,
 };
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
@@ -27,60 +30,18 @@
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
 pub use order::{Order, OrderId, OrderOutcome, Report};
+pub use params::ControlParams;
 pub use stored::StoreNews;
 
 use holders::HolderNews;
 use members::Joiners;
+use order_lease::OrderLeases;
 use proposals::PendingProposals;
 use reads::Reads;
 use rollout::Rollouts;
 use routers::Routers;
 use stored::Stores;
 
-/// Bounds and periods of a control machine.
-#[derive(Clone, Debug, PartialEq)]
-pub struct ControlParams {
-    /// Of the replicated log.
-    pub consensus: Params,
-    /// How often [`ControlCore::on_tick`] is called.
-    pub tick: Duration,
-    /// Entries applied between two snapshots.
-    pub snapshot_entries: u64,
-    /// Replicas that vote, when as many are there.
-    pub voters: usize,
-    /// How long a caller waits for a quorum.
-    pub patience: Duration,
-    /// How long a former leader's orders may still arrive; a new one waits that long.
-    pub order_lease: Duration,
-    /// Between telling routers that a back end loads weights and ordering it to.
-    pub load_notice: Duration,
-    /// Back ends hold new weights within this time after they were named.
-    pub load_within: Duration,
-    /// A voter that was silent this long gives way to a replica that waits to vote.
-    pub voter_silence: Duration,
-}
-
-impl Default for ControlParams {
-    fn default() -> Self {
-        Self {
-            consensus: Params {
-                election_ticks: 12,
-                first_election_ticks: 2,
-                heartbeat_ticks: 3,
-                ..Params::default()
-            },
-            tick: Duration::from_millis(50),
-            snapshot_entries: 400,
-            voters: 5,
-            patience: Duration::from_millis(850),
-            order_lease: Duration::from_millis(3_300),
-            load_notice: Duration::from_millis(250),
-            load_within: Duration::from_secs(6),
-            voter_silence: Duration::from_secs(5),
-        }
-    }
-}
-
 /// A caller that waits for a [`Reply`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket(pub u64);
@@ -141,6 +102,7 @@
     reads: Reads,
     routers: Routers,
     rollouts: Rollouts,
+    order_leases: OrderLeases,
     stores: Stores,
     holder_news: HolderNews,
     /// When weights were named, by revision; those from before this start count from the start.
@@ -186,6 +148,7 @@
             reads: Reads::default(),
             routers: Routers::default(),
             rollouts: Rollouts::default(),
+            order_leases: OrderLeases::default(),
             stores: Stores::default(),
             holder_news: HolderNews::default(),
             named_at: BTreeMap::new(),
@@ -323,7 +286,7 @@
         if let Some(snapshot) = output.snapshot {
             if let Some(state) = ReplicatedState::decode(&snapshot.data) {
                 self.state = state;
-                self.note_orders_in_state(true);
+                self.note_orders_before_snapshot();
             }
             self.applied = snapshot.index;
             self.snapshot_at = snapshot.index;
@@ -386,7 +349,8 @@
             if self.leads_since.is_none() {
                 self.leads_since = Some(self.now);
                 self.heard.clear();
-                self.begin_rollouts();
+                self.rollouts = Rollouts::default();
+                self.note_orders_under_way();
                 self.forget_stores();
                 self.holder_news = HolderNews::default();
             }
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -4,7 +4,7 @@
 //! leader's term as fencing token and the number of orders that the back end is expected to have
 //! taken, so that a late copy of an order changes nothing.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use drumshore_consensus::{Directory, Role};
@@ -14,19 +14,12 @@
 use super::pending_loads::{pending_loads, Load};
 use super::reads::Waiting;
 use super::{ControlCore, Effect};
-use crate::{Command, InstanceId, InstanceRecord, LoadEntry, LoadPhase, ModelName};
+use crate::{Command, InstanceId, InstanceRecord, LoadPhase, ModelName};
 
 /// A pool is loaded in about so many rounds.
-const ROUNDS: usize = 4;
+pub(super) const ROUNDS: usize = 4;
 /// At least so many of a pool load at once.
 const LEAST_AT_ONCE: usize = 2;
-/// Prompt tokens that wait at each usable back end of a pool on the mean while it is too busy for
-/// loads that can wait.
-const BUSY_TOKENS: u32 = 4_000;
-/// About how long one load takes, with the notice before it.
-const LOAD_CYCLE: Duration = Duration::from_millis(1_050);
-/// Loads that have to be given again.
-const LOAD_SLACK: Duration = Duration::from_millis(700);
 /// The first look at a back end that took an order.
 const FIRST_LOOK: Duration = Duration::from_millis(650);
 /// Between later looks.
@@ -57,8 +50,6 @@
     orders_taken: BTreeMap<String, u64>,
     expected_at_order: BTreeMap<String, u64>,
     next_order: u64,
-    /// When other leaders may have ordered each back end last, as this machine applied it.
-    ordered_by_others: BTreeMap<String, Timestamp>,
     /// The term in which a back end said that a newer leader has given it orders.
     fenced_in_term: Option<u64>,
 }
@@ -176,96 +167,16 @@
         self.role() == Role::Leader && confirmed && !fenced
     }
 
-    /// Two machines must not order one back end within the lease of one another's orders. A
-    /// leader orders a back end only once the start of its load is committed, and a successor that
-    /// is confirmed has applied all that was; so the back ends whose loads others have begun are
-    /// those that others may have ordered.
     fn is_free_of_others_orders(&self, instance: &str) -> bool {
         let lease = self.params.order_lease;
-        let ordered = self.rollouts.ordered_by_others.get(instance);
-        ordered.is_none_or(|at| self.now.since(*at) >= lease)
-    }
-
-    /// A load that another leader, or this one in an earlier term, has begun or ended.
-    pub(super) fn note_order_of_others(&mut self, instance: &str) {
-        let ordered = &mut self.rollouts.ordered_by_others;
-        ordered.insert(instance.to_owned(), self.now);
-    }
-
-    /// Others may have ordered all back ends that are loading now; all that there are when the
-    /// state came as a whole and does not tell when their loads began.
-    pub(super) fn note_orders_in_state(&mut self, state_is_new: bool) {
-        let records = self.state.instances();
-        let ordered: Vec<String> = records
-            .filter(|record| state_is_new || record.is_loading())
-            .map(|record| record.instance.as_str().to_owned())
-            .collect();
-        for instance in ordered {
-            self.note_order_of_others(&instance);
-        }
-    }
-
-    /// What a new leader knows of rollouts: only what others have ordered.
-    pub(super) fn begin_rollouts(&mut self) {
-        self.rollouts = Rollouts {
-            ordered_by_others: std::mem::take(&mut self.rollouts.ordered_by_others),
-            ..Rollouts::default()
-        };
-        self.note_orders_in_state(false);
-    }
-
-    /// Loads start at once, for what begins on replaced weights is worth less. While the pool is
-    /// busy they start no sooner than they must: when those that are behind, so many at a time,
-    /// would just be done in time.
-    fn is_time_to_load(&self, loads: &[Load]) -> bool {
-        let waiting: Vec<&Load> = loads
-            .iter()
-            .filter(|load| load.version > load.held)
-            .collect();
-        let oldest = waiting.iter().filter_map(|load| {
-            let unmet = self
-                .state
-                .weights()
-                .find(|named| named.model.as_str() == load.model && named.version > load.held)?;
-            Some(self.weights_age(unmet.revision))
-        });
-        let Some(oldest) = oldest.max() else {
-            return true;
-        };
-        let rounds = u32::try_from(ROUNDS).unwrap_or(u32::MAX);
-        let share = waiting.len() as f64 / self.state.instances().count().max(1) as f64;
-        let needed = LOAD_CYCLE.mul_f64(f64::from(rounds) * share.min(1.0)) + LOAD_SLACK;
-        oldest + needed >= self.params.load_within || !self.is_pool_busy(loads)
-    }
-
-    /// True while the back ends that could be loaded have so much to read that the others could not
-    /// take over from those that load.
-    fn is_pool_busy(&self, loads: &[Load]) -> bool {
-        let pools: BTreeSet<&str> = loads
-            .iter()
-            .filter_map(|load| self.state.instance(&load.instance))
-            .map(|record| record.pool.as_str())
-            .collect();
-        let members = self.state.instances().filter(|record| {
-            pools.contains(record.pool.as_str()) && self.is_instance_heard(record.instance.as_str())
-        });
-        let pending_tokens = self.routers.pending_tokens();
-        let (mut usable, mut pending) = (0, 0);
-        for record in members {
-            let key = LoadEntry::key_of(record.instance.as_str());
-            usable += u32::from(!record.is_loading());
-            pending += pending_tokens.get(&key).copied().unwrap_or(0);
-        }
-        pending > usable * BUSY_TOKENS
+        self.order_leases.is_free(self.now, lease, instance)
     }
 
     /// A step belongs to a load that is under way, or that was proposed just now.
     fn forget_finished_steps(&mut self) {
         let now = self.now;
         let state = &self.state;
-        self.rollouts
-            .ordered_by_others
-            .retain(|name, _| state.instance(name).is_some());
+        self.order_leases.forget_gone(state);
         self.rollouts.steps.retain(|name, step| {
             let record = state.instance(name);
             let loading = record.is_some_and(InstanceRecord::is_loading);
@@ -305,7 +216,7 @@
     }
 
     /// A back end that stopped talking holds up nobody else's load.
-    fn is_instance_heard(&self, instance: &str) -> bool {
+    pub(super) fn is_instance_heard(&self, instance: &str) -> bool {
         let heard = self.heard.get(instance);
         heard.is_some_and(|at| self.now.since(*at) < INSTANCE_SILENCE)
     }
