Say in which order caches are asked; indent log sentences

Change: comments, one name (`back_end` for what is not only the home), layout of log lines. No behaviour changes. Measured: tests of gateway, gateway-core and platform pass.

--- a/crates/gateway-core/src/router/cache.rs
+++ b/crates/gateway-core/src/router/cache.rs
@@ -27,10 +27,10 @@
 }
 
 impl RouterCore {
-    /// A back end that is believed to hold more is the best source: links between back ends are
-    /// faster than a store's. Else the store gives what it is known to hold. When that is not all that is shared, or the store
-    /// is slow, the home of the prompt is the better source; at home itself a slow fetch still
-    /// costs less than to read the prompt again.
+    /// The store gives what it is known to hold. When that is not all that is shared, or the store
+    /// is slow, another back end is the better source: one that is believed to hold more than the
+    /// chosen one, else the prompt's home. With no such back end a slow fetch still costs less than
+    /// to read the prompt again.
     pub(super) fn cache_use(
         &self,
         now: Timestamp,
@@ -39,22 +39,22 @@
         salt: &str,
         others: OtherCaches<'_>,
     ) -> CacheUse {
-        let home = others.holder.or(others.home);
+        let back_end = others.holder.or(others.home);
         let key = home_key(&prompt.model, prompt.shared_parts()).unwrap_or_default();
         let zone = self.home_zone(admission, key);
         let stores = self.cache_stores(admission);
         let Some((id, address)) = self.stores.store_of(key, zone, stores) else {
             return CacheUse {
-                fetch_from: home.map(str::to_owned),
+                fetch_from: back_end.map(str::to_owned),
                 ..CacheUse::default()
             };
         };
         let store_use = self.stores.use_for(now, id, prompt, salt);
-        let from_store = match home {
+        let from_store = match back_end {
             Some(_) => store_use.has_all && !store_use.is_slow,
             None => store_use.has_first,
         };
-        let source = if from_store { Some(address) } else { home };
+        let source = if from_store { Some(address) } else { back_end };
         CacheUse {
             fetch_from: source.map(str::to_owned),
             from_store: from_store.then_some(id),
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -48,7 +48,7 @@
             };
             let reply = submit(&control, command).await;
             tracing::info!(event = "deregister", %instance, outcome = word(&reply),
-            "control: a back end says that it has gone");
+                "control: a back end says that it has gone");
             acknowledge(&control, reply)
         }
         ControlCall::Directory { zone } => directory(&control, &zone),
@@ -110,7 +110,7 @@
     };
     let reply = submit(control, command).await;
     tracing::info!(event = "weights_named", %model, version, outcome = word(&reply),
-    "control: weights were named");
+        "control: weights were named");
     acknowledge(control, reply)
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -77,7 +77,7 @@
         Ok(core) => Some(core),
         Err(error) => {
             tracing::error!(event = "folder_failed", %error,
-            "control: the folder cannot be opened");
+                "control: the folder cannot be opened");
             None
         }
     };
@@ -239,7 +239,7 @@
             }
             Err(error) => {
                 tracing::error!(event = "folder_failed", %error,
-                "control: the folder cannot be opened")
+                    "control: the folder cannot be opened")
             }
         }
     }
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -51,7 +51,7 @@
         let Ok((sender, mut receiver)) = redial.dial(target).await else {
             if !std::mem::replace(&mut lost, true) {
                 tracing::info!(event = "peer_lost", peer = %target,
-                "control: a control machine is lost");
+                    "control: a control machine is lost");
             }
             tokio::time::sleep(redial.pause()).await;
             // What has waited is outdated; the log sends it again.
@@ -59,7 +59,7 @@
             continue;
         };
         tracing::info!(event = "peer_linked", peer = %target,
-        "control: linked to a control machine");
+            "control: linked to a control machine");
         loop {
             tokio::select! {
                 message = queue.recv() => match message {
@@ -89,7 +89,7 @@
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error,
-                "control: a connection was not accepted");
+                    "control: a connection was not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -233,8 +233,9 @@
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         version = choice.expected_version, fetch = choice.fetch_word(),
         held_here = choice.believed.here, held_at_source = choice.believed.at_source,
-        belief_age_ms = choice.believed.age_ms, stores = choice.save_to.is_some(), elapsed_ms = elapsed.as_millis() as u64,
-        revision = router.core.borrow().revision(), "router: answered");
+        belief_age_ms = choice.believed.age_ms, stores = choice.save_to.is_some(),
+        elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
+        "router: answered");
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
     let left = call.deadline.since(now);
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -98,7 +98,7 @@
         listen = %router.settings.listen, "router: started");
     while signals.next().await == SignalRequest::Reload {
         tracing::info!(event = "reloaded", seeds = ?(router.settings.seeds)(),
-        "router: settings read again");
+            "router: settings read again");
     }
     stop(&router).await;
     Ok(())
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -58,7 +58,7 @@
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         execution = worst.as_str(), choice = error.map(tracing::field::display),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
-        "router: given up");
+            "router: given up");
     respond(given_up)
 }
 
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -276,7 +276,7 @@
     fn drop(&mut self) {
         if self.connection.is_some() {
             tracing::info!(event = "caller_left", id = %self.id, instance = %self.visit.choice.instance,
-            "router: the caller left");
+                "router: the caller left");
         }
     }
 }
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -108,7 +108,7 @@
             Ok(choice) => choice,
             Err(error) => {
                 tracing::info!(event = "not_taken_up", id = %call.id, attempts = tried.len(), %error,
-                "router: no back end goes on");
+                    "router: no back end goes on");
                 return None;
             }
         };
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -82,10 +82,10 @@
     loop {
         if let Ok((sender, receiver)) = redial.dial(target).await {
             tracing::info!(event = "control_linked", %address,
-            "router: linked to a control machine");
+                "router: linked to a control machine");
             let reason = converse(&router, &links, address, sender, receiver).await;
             tracing::info!(event = "control_lost", %address, reason,
-            "router: a control machine is lost");
+                "router: a control machine is lost");
         }
         sleep(redial.pause()).await;
     }
@@ -209,7 +209,7 @@
                 let silent = router.core.borrow_mut().on_suspects(now, &keys.items);
                 for instance in silent {
                     tracing::info!(event = "back_end_suspected", %instance, by = "another router",
-                    "router: a back end fell silent");
+                        "router: a back end fell silent");
                     router.upstreams.close_idle(&instance);
                 }
             }
@@ -318,7 +318,7 @@
         }
         Err(error) => {
             tracing::info!(event = "view_refused", revision, %error,
-            "router: changes do not fit the view")
+                "router: changes do not fit the view")
         }
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -55,7 +55,7 @@
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error,
-                "server: a connection was not accepted");
+                    "server: a connection was not accepted");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
