Draw two back ends of each side for prompts that leave their home; tell loads as changes, fewer beliefs

Cause: at 295 routers each hears the others' loads 0.2 to 0.3 s late. Beliefs about caches were bounded to 375 a second while 458 prompts a second made two each; the first part, which four kinds share, took most of the bound and others were dropped. Change: besides its home a prompt may go to two back ends of each side, drawn for each request; the leader tells changed loads each tick within the same 10 KB/s, all of them each 0.8 s; a prefix that four back ends are known to hold is no news. Tests: prompts_that_leave_busy_homes_do_not_all_go_to_the_same_back_end (failed first: 400 of 400 to one), a_list_of_changed_loads_leaves_the_others_as_they_were, a_load_that_changes_alone_is_told_alone_and_all_are_told_now_and_then, what_enough_back_ends_are_known_to_hold_is_no_news; each_router_is_told_the_load_of_the_others now puts the messages together as a router does, with the same assertions.

--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -18,8 +18,12 @@
 /// A router's load that was not told again counts for so long.
 const LOADS_COUNT_FOR: Duration = Duration::from_millis(600);
 
+/// All of the others' load is told after this long, in case a message was lost, and before the
+/// router takes silence for no load.
+const LOADS_WHOLE_AFTER: Duration = Duration::from_millis(800);
+
 /// Bytes a second that the others' load may cost one router, of 14 KB/s that a node may spend on
-/// all control traffic. A long list is told less often.
+/// all control traffic. Longer lists are told less often.
 const LOADS_BYTES_PER_SECOND: f64 = 10_000.0;
 
 #[derive(Debug)]
@@ -30,17 +34,62 @@
     loads_heard: Timestamp,
     /// What it was told of the others' load.
     told: Vec<LoadEntry>,
-    told_at: Timestamp,
+    /// When the next list may follow, by the length of those before.
+    next_at: Timestamp,
+    told_whole_at: Option<Timestamp>,
 }
 
 impl Linked {
-    fn may_be_told(&self, now: Timestamp, others: &[LoadEntry]) -> bool {
-        let bytes = others.len() * LoadEntry::BYTES;
+    /// What this router is to be told of the others' load, if anything is due.
+    fn loads_to_tell(&mut self, now: Timestamp, others: Vec<LoadEntry>) -> Option<Message> {
+        if now < self.next_at {
+            return None;
+        }
+        let whole_at = self.told_whole_at;
+        let is_whole = whole_at.is_none_or(|at| now.since(at) >= LOADS_WHOLE_AFTER);
+        let loads = if is_whole {
+            others.clone()
+        } else {
+            changed_loads(&self.told, &others)
+        };
+        if loads.is_empty() && (self.told.is_empty() || !is_whole) {
+            return None;
+        }
+        let bytes = loads.len() * LoadEntry::BYTES;
         let interval = Duration::from_secs_f64(bytes as f64 / LOADS_BYTES_PER_SECOND);
-        now.since(self.told_at) >= interval
+        self.next_at = now.plus(interval);
+        if is_whole {
+            self.told_whole_at = Some(now);
+        }
+        self.told = others;
+        Some(Message::LoadsOfOthers {
+            whole: u8::from(is_whole),
+            loads: List::new(loads),
+        })
     }
 }
 
+/// The entries of `after` that differ from `before`, and empty ones for those that are gone. Both
+/// lists are in the order of their keys.
+fn changed_loads(before: &[LoadEntry], after: &[LoadEntry]) -> Vec<LoadEntry> {
+    let find = |loads: &[LoadEntry], key: u32| {
+        let at = loads.binary_search_by_key(&key, |entry| entry.key);
+        at.ok().map(|at| loads[at])
+    };
+    let changed = after
+        .iter()
+        .filter(|entry| find(before, entry.key) != Some(**entry))
+        .copied();
+    let gone = before
+        .iter()
+        .filter(|entry| find(after, entry.key).is_none())
+        .map(|entry| LoadEntry {
+            key: entry.key,
+            ..LoadEntry::default()
+        });
+    changed.chain(gone).collect()
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Load {
     pending: u32,
@@ -109,7 +158,8 @@
                     loads: Vec::new(),
                     loads_heard: now,
                     told: Vec::new(),
-                    told_at: Timestamp::default(),
+                    next_at: Timestamp::default(),
+                    told_whole_at: None,
                 };
                 self.routers.0.insert(connection, linked);
                 self.announce_to(connection);
@@ -175,10 +225,7 @@
         }
         for (connection, linked) in &mut self.routers.0 {
             let others = totals_without(&totals, &linked.loads);
-            if others != linked.told && linked.may_be_told(now, &others) {
-                linked.told.clone_from(&others);
-                linked.told_at = now;
-                let message = Message::Loads(List::new(others));
+            if let Some(message) = linked.loads_to_tell(now, others) {
                 self.effects.push(Effect::ToRouter(*connection, message));
             }
         }
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -186,8 +186,7 @@
         /// The IPv4 address of the leader; 0 when unknown.
         leader: u32,
     },
-    /// From a router: the load it puts on back ends. From the leader: the load that all others
-    /// put on them.
+    /// From a router: the load it puts on back ends.
     #[brw(magic(11u8))]
     Loads(List<LoadEntry>),
     /// From the leader: what a store of cached prompts holds.
@@ -215,6 +214,14 @@
     /// From the leader: the same of other routers.
     #[brw(magic(15u8))]
     Refusing(List<u32>),
+    /// From the leader: the load that all other routers put on back ends.
+    #[brw(magic(16u8))]
+    LoadsOfOthers {
+        /// 1 when back ends that are not named are free of it; 0 when they are as told before.
+        whole: u8,
+        /// Sums over routers.
+        loads: List<LoadEntry>,
+    },
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -132,13 +132,17 @@
         .collect()
     }
 
-    /// Takes in what the other routers put on back ends; those not named are free of it.
-    pub fn set_others(&mut self, loads: &[LoadEntry]) {
+    /// Takes in what the other routers put on back ends. Those not named are free of it when the
+    /// list is whole, else as before.
+    pub fn set_others(&mut self, is_whole: bool, loads: &[LoadEntry]) {
         let by_key: HashMap<u32, LoadEntry> =
             loads.iter().map(|entry| (entry.key, *entry)).collect();
         for endpoint in self.0.values_mut() {
-            let entry = by_key.get(&endpoint.key);
-            endpoint.others = entry.copied().unwrap_or_default();
+            match by_key.get(&endpoint.key) {
+                Some(entry) => endpoint.others = *entry,
+                None if is_whole => endpoint.others = LoadEntry::default(),
+                None => {}
+            }
         }
     }
 
--- a/crates/gateway-core/src/router/holders.rs
+++ b/crates/gateway-core/src/router/holders.rs
@@ -113,10 +113,17 @@
             .collect()
     }
 
+    /// A prefix that many share is soon held everywhere. As many holders as are remembered are
+    /// enough, and the traffic is left to the others.
     fn is_news(&self, now: Timestamp, entry: HolderEntry) -> bool {
-        let known = self.held(now, &[entry.prefix]);
-        let known = known.iter().find(|held| held.key == entry.key);
-        known.is_none_or(|held| now.since(held.used_at) >= TOLD_AGAIN_AFTER)
+        let held = self.held(now, &[entry.prefix]);
+        let lately = held
+            .iter()
+            .filter(|held| now.since(held.used_at) < TOLD_AGAIN_AFTER);
+        let is_told = held
+            .iter()
+            .any(|held| held.key == entry.key && now.since(held.used_at) < TOLD_AGAIN_AFTER);
+        !is_told && lately.count() < HOLDERS_PER_PREFIX
     }
 
     fn believe(&mut self, now: Timestamp, entry: HolderEntry) {
--- a/crates/gateway-core/src/router/holders_tests.rs
+++ b/crates/gateway-core/src/router/holders_tests.rs
@@ -88,3 +88,25 @@
     }
     assert_eq!(holders.take_news().len(), MOST_NEWS);
 }
+
+#[test]
+fn what_enough_back_ends_are_known_to_hold_is_no_news() {
+    // sqbc-large: the first part of 458 prompts a second, which four kinds share, took more than
+    // half of what may be told, and other beliefs were dropped.
+    let mut holders = Holders::default();
+    let shared = prefixes(&long_prompt(), "salt");
+    for n in 0..10 {
+        let other = prompt(&[
+            ("all", 2_500),
+            (&format!("subject-{n}"), 3_700),
+            ("own", 2_900),
+        ]);
+        let prefixes = prefixes(&other, "salt");
+        assert_eq!(prefixes[0], shared[0]);
+        holders.on_read(at(n), &prefixes, &format!("i-{n}"));
+    }
+    let news = holders.take_news();
+    let of_first_part = news.iter().filter(|entry| entry.prefix == shared[0]);
+    assert_eq!(of_first_part.count(), HOLDERS_PER_PREFIX);
+    assert_eq!(news.len(), HOLDERS_PER_PREFIX + 10);
+}
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -306,9 +306,10 @@
         self.endpoints.own_loads()
     }
 
-    /// Takes in what the other routers put on back ends.
-    pub fn set_others_loads(&mut self, loads: &[LoadEntry]) {
-        self.endpoints.set_others(loads);
+    /// Takes in what the other routers put on back ends; `is_whole` when back ends that are not
+    /// named are free of it.
+    pub fn set_others_loads(&mut self, is_whole: bool, loads: &[LoadEntry]) {
+        self.endpoints.set_others(is_whole, loads);
     }
 
     /// Takes in what a store holds. `known` is false when the store does not answer.
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -22,6 +22,10 @@
 const STREAM_TOKENS: f64 = 60.0;
 /// Tokens that may wait on the own side before the other side is better.
 const OTHER_SIDE_TOKENS: f64 = 3_000.0;
+/// Back ends of each side that a prompt may leave its home for, drawn anew for each request. Loads
+/// of other routers are known some hundred milliseconds late: if all routers chose the least loaded
+/// of the whole pool, all would choose the same one until they hear of it.
+const DRAWN_AWAY_FROM_HOME: usize = 2;
 /// The side of short prompts against their part of the work.
 const SHORT_SIDE: f64 = 0.5;
 /// A back end whose share of failures is above this is used only when no other is left.
@@ -150,7 +154,19 @@
             let tie = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw);
             (cost(candidate, rank), tie, rank, candidate)
         });
-        let best = ranked.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+        let (at_home, mut away): (Vec<_>, Vec<_>) = ranked.partition(|ranked| ranked.2 == 0);
+        away.sort_unstable_by_key(|ranked| ranked.1);
+        let (own, other): (Vec<_>, Vec<_>) = away
+            .into_iter()
+            .partition(|ranked| sides.is_own(ranked.3.id, is_short));
+        let drawn = own
+            .into_iter()
+            .take(DRAWN_AWAY_FROM_HOME)
+            .chain(other.into_iter().take(DRAWN_AWAY_FROM_HOME));
+        let best = at_home
+            .into_iter()
+            .chain(drawn)
+            .min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
         let (_, _, best_rank, best) = best?;
         let mut placed = best.placed(best_rank);
         if best_rank > 0 {
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -375,6 +375,87 @@
     assert_eq!(homes.len(), 1);
 }
 
+/// A router before so many back ends of the pool of models.
+fn router_before(back_ends: usize) -> RouterCore {
+    let mut router = router();
+    let others = (0..back_ends).map(|n| record(&format!("m-{n}"), "models", 1));
+    let changes = Changes {
+        since: 10,
+        revision: 11,
+        configuration: List::new(Vec::new()),
+        weights: List::new(Vec::new()),
+        instances: List::new(others.collect()),
+        removed: List::new(Vec::new()),
+    };
+    router
+        .apply(at(1), changes, |_| Ok(document()))
+        .expect("the changes follow");
+    router.on_confirmed(at(1), 11, 295);
+    router
+}
+
+#[test]
+fn prompts_that_leave_busy_homes_do_not_all_go_to_the_same_back_end() {
+    // sqbc-large: 295 routers hear of one another's loads 0.2 s late. All sent what left its home
+    // to the back end that was the least loaded then, and half of that was late.
+    let mut router = router_before(100);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let names = (4..=9).map(|n| format!("llm-{n}"));
+    let names = names.chain((0..100).map(|n| format!("m-{n}")));
+    let loads = names.map(|name| LoadEntry {
+        key: LoadEntry::key_of(&name),
+        pending: if name == "m-0" { 0 } else { 400 },
+        in_flight: 4,
+    });
+    router.set_others_loads(true, &loads.collect::<Vec<_>>());
+    let mut chosen = std::collections::HashMap::new();
+    for n in 0..400 {
+        let prompt = prompt(&format!("shared-{n}"), 10);
+        let choice = router.choose(at(2), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.finished(at(2), &choice.instance, at(2), Outcome::Answered);
+        router.answered(at(2), &choice, None, Duration::ZERO);
+        *chosen.entry(choice.instance).or_insert(0) += 1;
+    }
+    let idle = chosen.get(&InstanceId::new("m-0")).copied().unwrap_or(0);
+    assert!((4..=40).contains(&idle), "{idle} of 400 to the idle one");
+}
+
+#[test]
+fn a_list_of_changed_loads_leaves_the_others_as_they_were() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let choose = |router: &mut RouterCore| {
+        let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        choice.rank
+    };
+    let home = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+    let home = home.unwrap();
+    router.answered(at(1), &home, None, Duration::ZERO);
+    router.finished(at(1), &home.instance, at(1), Outcome::Answered);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(home.instance.as_str()),
+        pending: 400,
+        in_flight: 6,
+    };
+    router.set_others_loads(true, &[busy]);
+    router.set_others_loads(false, &[]);
+    assert!(choose(&mut router) > 0);
+    let free = LoadEntry {
+        key: busy.key,
+        ..LoadEntry::default()
+    };
+    router.set_others_loads(false, &[free]);
+    assert_eq!(choose(&mut router), 0);
+    router.set_others_loads(true, &[busy]);
+    router.set_others_loads(true, &[]);
+    assert_eq!(choose(&mut router), 0);
+}
+
 #[test]
 fn a_home_that_others_keep_busy_is_passed_over() {
     let mut router = router();
@@ -389,7 +470,7 @@
         pending: 200,
         in_flight: 6,
     };
-    router.set_others_loads(&[busy]);
+    router.set_others_loads(true, &[busy]);
     let away = router
         .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
         .unwrap();
@@ -586,7 +667,7 @@
         in_flight: 6,
     };
     let choose = |router: &mut RouterCore, now, loads: &[LoadEntry]| {
-        router.set_others_loads(loads);
+        router.set_others_loads(true, loads);
         let choice = router.choose(now, &admission, Some(&prompt), EarlierAttempts::default());
         choice.unwrap()
     };
@@ -663,7 +744,7 @@
         pending: 400,
         in_flight: 6,
     };
-    router.set_others_loads(&[busy]);
+    router.set_others_loads(true, &[busy]);
     (router, admission, first)
 }
 
--- a/crates/gateway-core/tests/control.rs
+++ b/crates/gateway-core/tests/control.rs
@@ -475,31 +475,65 @@
         cluster.core(leader).on_router(now, connection, message);
     }
     cluster.run(Duration::from_millis(150));
-    let told = |to: u64| {
-        cluster
-            .to_routers
-            .iter()
-            .find_map(|(_, connection, message)| match message {
-                Message::Loads(loads) if *connection == ConnectionId(to) => {
-                    Some(loads.items.clone())
-                }
-                _ => None,
-            })
-    };
-    assert_eq!(told(1).unwrap(), [load(5, 1)]);
-    assert_eq!(told(2).unwrap(), [load(10, 2)]);
+    assert_eq!(loads_told(&cluster, 1), [load(5, 1)]);
+    assert_eq!(loads_told(&cluster, 2), [load(10, 2)]);
     // What is not told again counts no longer.
-    cluster.to_routers.clear();
     cluster.run(SECOND);
-    let last = cluster
-        .to_routers
-        .iter()
-        .rev()
-        .find_map(|(_, _, message)| match message {
-            Message::Loads(loads) => Some(loads.items.clone()),
-            _ => None,
+    assert_eq!(loads_told(&cluster, 1), []);
+    assert_eq!(loads_told(&cluster, 2), []);
+}
+
+/// What a router makes of all that it was told of the others' loads.
+fn loads_told(cluster: &Cluster, to: u64) -> Vec<LoadEntry> {
+    let mut told = std::collections::BTreeMap::new();
+    for (_, connection, message) in &cluster.to_routers {
+        let Message::LoadsOfOthers { whole, loads } = message else {
+            continue;
+        };
+        if *connection != ConnectionId(to) {
+            continue;
+        }
+        if *whole != 0 {
+            told.clear();
+        }
+        told.extend(loads.items.iter().map(|entry| (entry.key, *entry)));
+    }
+    let is_busy = |entry: &LoadEntry| entry.pending > 0 || entry.in_flight > 0;
+    told.into_values().filter(is_busy).collect()
+}
+
+#[test]
+fn a_load_that_changes_alone_is_told_alone_and_all_are_told_now_and_then() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
+    cluster.link_router(leader, ConnectionId(2), "10.0.1.2:80");
+    let mut lists = Vec::new();
+    for step in 0..40 {
+        let loads = (0..90).map(|key| LoadEntry {
+            key,
+            pending: if key == 7 { step } else { 3 },
+            in_flight: 1,
         });
-    assert_eq!(last.unwrap(), []);
+        let message = Message::Loads(List::new(loads.collect()));
+        let now = cluster.now;
+        let core = cluster.core(leader);
+        core.on_router(now, ConnectionId(1), message);
+        cluster.run(Duration::from_millis(50));
+    }
+    for (_, connection, message) in &cluster.to_routers {
+        let Message::LoadsOfOthers { whole, loads } = message else {
+            continue;
+        };
+        if *connection == ConnectionId(2) {
+            lists.push((*whole, loads.items.len()));
+        }
+    }
+    let whole = lists.iter().filter(|list| **list == (1, 90)).count();
+    let alone = lists.iter().filter(|list| **list == (0, 1)).count();
+    assert_eq!(whole + alone, lists.len(), "{lists:?}");
+    assert!((2..=4).contains(&whole), "{whole} in two seconds");
+    assert!(alone >= 30, "{alone} in two seconds");
 }
 
 #[test]
@@ -528,7 +562,7 @@
         cluster.run(Duration::from_millis(50));
     }
     let told = cluster.to_routers.iter().filter_map(|(_, to, message)| {
-        let Message::Loads(loads) = message else {
+        let Message::LoadsOfOthers { loads, .. } = message else {
             return None;
         };
         (*to == ConnectionId(2)).then_some(loads.items.len() * LoadEntry::BYTES)
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -261,10 +261,10 @@
                 let now = router.clock.now();
                 router.core.borrow_mut().on_holders(now, &entries.items);
             }
-            Message::Loads(loads) => {
+            Message::LoadsOfOthers { whole, loads } => {
                 links.loads_heard.set(router.clock.now());
                 let mut core = router.core.borrow_mut();
-                core.set_others_loads(&loads.items);
+                core.set_others_loads(whole != 0, &loads.items);
             }
             _ => {}
         }
@@ -286,7 +286,7 @@
         let now = router.clock.now();
         if now.since(links.loads_heard.get()) > LOADS_COUNT_FOR {
             links.loads_heard.set(now);
-            router.core.borrow_mut().set_others_loads(&[]);
+            router.core.borrow_mut().set_others_loads(true, &[]);
         }
         if links.leader.get() != u32::from(address) {
             continue;
