Say why each attempt ended, tell a full router from a refusing back end, part the large files

A router whose own connections to a back end were all in use counted that as the back end's refusal, and with refusals passed on it would have told all others. Change: one line attempt_ended for each attempt without an answer to pass on; Outcome::NoFreeConnection; a prompt that shares nothing has no home and draws like the others (it chose the least loaded of the pool); a table of the answer to each end of the last attempt. control/loads.rs, router/fetch.rs and cheapest_of_home_and_drawn come out of routers.rs, updates.rs and place_prompt; OpenAttempt, required_weights, fetch_source, retry_after in place of Visit, led_to, fetch_word, come_back. The draw, loads and fetches keep their behaviour on all sites, whose prompts all share a part.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -3,6 +3,7 @@
 mod holders;
 mod instances;
 mod load_timing;
+mod loads;
 mod members;
 mod order;
 mod order_lease;
--- a/crates/gateway-core/src/router/choice.rs
+++ b/crates/gateway-core/src/router/choice.rs
@@ -53,7 +53,7 @@
 
 impl Choice {
     /// Where shared parts are fetched from, for logs.
-    pub fn fetch_word(&self) -> &'static str {
+    pub fn fetch_source(&self) -> &'static str {
         match (&self.fetch_from, self.fetches_from_store) {
             (Some(_), Some(_)) => "store",
             (Some(_), None) => "home",
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -19,6 +19,8 @@
 const SILENCE: Duration = Duration::from_millis(1_000);
 /// One that was heard within this time is not taken for silent on another router's word.
 const HEARD_LATELY: Duration = Duration::from_millis(600);
+/// A stream costs those who share its back end about as much as so many tokens to read.
+const STREAM_TOKENS: f64 = 60.0;
 /// How long a back end that turned another router's request away is avoided: about as long as a
 /// load of weights takes.
 const REFUSING_PAUSE: Duration = Duration::from_millis(400);
@@ -43,6 +45,8 @@
     OtherWeights,
     /// No connection came about: it has not run.
     Unreachable,
+    /// All connections that this router may have there are in use: it has not run.
+    NoFreeConnection,
     /// The connection broke, or bytes came that are no answer.
     Broken,
     /// No answer within the time that was left.
@@ -209,7 +213,7 @@
                 self.note(true);
                 return;
             }
-            Outcome::Shed | Outcome::OtherWeights => SHED_PAUSE,
+            Outcome::Shed | Outcome::OtherWeights | Outcome::NoFreeConnection => SHED_PAUSE,
             Outcome::Broken => {
                 self.note(true);
                 BROKEN_PAUSE
@@ -237,10 +241,16 @@
     }
 
     /// Tokens of prompts of all routers that are still to be read.
-    pub fn all_pending_tokens(&self) -> u32 {
+    fn all_pending_tokens(&self) -> u32 {
         self.pending_tokens + u32::from(self.others.pending) * LoadEntry::TOKENS
     }
 
+    /// What the requests of all routers there cost a further one, in tokens to be read.
+    pub fn cost_of_load(&self) -> f64 {
+        let streams = f64::from(self.all_in_flight()) * STREAM_TOKENS;
+        f64::from(self.all_pending_tokens()) + streams
+    }
+
     fn note(&mut self, failed: bool) {
         let sample = if failed { 1.0 } else { 0.0 };
         self.failures += FAILURE_WEIGHT * (sample - self.failures);
--- a/crates/gateway-core/src/router/homes.rs
+++ b/crates/gateway-core/src/router/homes.rs
@@ -18,37 +18,37 @@
 /// The back ends of one side in the order of rendezvous hashing.
 pub(super) struct Homes {
     key: u64,
-    led_to: Option<u64>,
+    required_weights: Option<u64>,
     /// Descending.
     weights: Vec<u64>,
 }
 
 impl Homes {
-    /// The order for one key; with `led_to`, of those only that hold these weights, and they have
+    /// The order for one key; with `required_weights`, of those only that hold these weights, and they have
     /// no side then.
     pub fn new(
         key: u64,
         usable: &[Candidate<'_>],
         sides: &Sides,
         is_short: bool,
-        led_to: Option<u64>,
+        required_weights: Option<u64>,
     ) -> Self {
-        let own = usable.iter().filter(|candidate| match led_to {
-            Some(_) => candidate.version == led_to,
+        let own = usable.iter().filter(|candidate| match required_weights {
+            Some(_) => candidate.version == required_weights,
             None => sides.is_own(candidate.id, is_short),
         });
         let mut weights: Vec<u64> = own.map(|candidate| weight(candidate.id, key)).collect();
         weights.sort_unstable_by_key(|weight| std::cmp::Reverse(*weight));
         Self {
             key,
-            led_to,
+            required_weights,
             weights,
         }
     }
 
     /// How many come before this one.
     pub fn rank(&self, candidate: &Candidate<'_>) -> usize {
-        if self.led_to.is_some() && candidate.version != self.led_to {
+        if self.required_weights.is_some() && candidate.version != self.required_weights {
             return self.weights.len();
         }
         let own = weight(candidate.id, self.key);
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -20,8 +20,6 @@
 /// parts may have to be read there, and their copy takes room from other prompts. 12,000 tokens,
 /// which were tuned on the first sites, for the 6,300 that their long prompts share.
 const AWAY_FROM_HOME_FACTOR: f64 = 1.9;
-/// A stream costs those who share its back end about as much as so many tokens to read.
-const STREAM_TOKENS: f64 = 60.0;
 /// Tokens that may wait on the own side before the other side is better.
 const OTHER_SIDE_TOKENS: f64 = 3_000.0;
 /// Back ends of each side that a prompt may leave its home for, drawn anew for each request. Loads
@@ -53,6 +51,24 @@
     }
 }
 
+/// A back end with what it costs to send one prompt there.
+struct Scored<'a> {
+    candidate: &'a Candidate<'a>,
+    /// Its place among the homes of the prompt; `None` when the prompt shares nothing.
+    rank: Option<usize>,
+    is_own_side: bool,
+    /// In tokens to be read before the answer begins.
+    cost: f64,
+    /// Drawn anew for each request.
+    tie: u64,
+}
+
+impl Scored<'_> {
+    fn is_home(&self) -> bool {
+        self.rank == Some(0)
+    }
+}
+
 struct Placed {
     instance: InstanceId,
     address: String,
@@ -136,41 +152,28 @@
         let is_short = prompt.is_short();
         let away_from_home = f64::from(prompt.shared_tokens()) * AWAY_FROM_HOME_FACTOR;
         let homes = self.homes(admission, prompt, usable, &sides);
-        let rank =
-            |candidate: &Candidate<'_>| homes.as_ref().map_or(0, |homes| homes.rank(candidate));
-        let cost = |candidate: &Candidate<'_>, rank: usize| {
-            let endpoint = candidate.endpoint;
-            let away = !sides.is_own(candidate.id, is_short);
-            let moved = if rank == 0 { 0.0 } else { away_from_home };
-            let streams = f64::from(endpoint.all_in_flight()) * STREAM_TOKENS;
-            let other_side = if away { OTHER_SIDE_TOKENS } else { 0.0 };
-            f64::from(endpoint.all_pending_tokens()) + streams + moved + other_side
-        };
-        let ranked = usable.iter().map(|candidate| {
-            let rank = rank(candidate);
-            let tie = xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw);
-            (cost(candidate, rank), tie, rank, candidate)
+        let scored = usable.iter().map(|candidate| {
+            let rank = homes.as_ref().map(|homes| homes.rank(candidate));
+            let is_own_side = sides.is_own(candidate.id, is_short);
+            let moved = if rank == Some(0) { 0.0 } else { away_from_home };
+            let other_side = if is_own_side { 0.0 } else { OTHER_SIDE_TOKENS };
+            Scored {
+                candidate,
+                rank,
+                is_own_side,
+                cost: candidate.endpoint.cost_of_load() + moved + other_side,
+                tie: xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw),
+            }
         });
-        let (at_home, mut away): (Vec<_>, Vec<_>) = ranked.partition(|ranked| ranked.2 == 0);
-        away.sort_unstable_by_key(|ranked| ranked.1);
-        let (own, other): (Vec<_>, Vec<_>) = away
-            .into_iter()
-            .partition(|ranked| sides.is_own(ranked.3.id, is_short));
-        let drawn = own
-            .into_iter()
-            .take(DRAWN_AWAY_FROM_HOME)
-            .chain(other.into_iter().take(DRAWN_AWAY_FROM_HOME));
-        let best = at_home
-            .into_iter()
-            .chain(drawn)
-            .min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
-        let (_, _, best_rank, best) = best?;
-        let mut placed = best.placed(best_rank);
-        if best_rank > 0 {
-            let at_home = usable
-                .iter()
-                .find(|candidate| rank(candidate) == 0 && sides.is_own(candidate.id, is_short));
-            let home = at_home.filter(|home| home.version == placed.version);
+        let scored: Vec<Scored<'_>> = scored.collect();
+        let best = cheapest_of_home_and_drawn(&scored)?;
+        let rank = best.rank.unwrap_or_default();
+        let mut placed = best.candidate.placed(rank);
+        if rank > 0 {
+            let mut scored = scored.iter();
+            let home = scored.find(|scored| scored.is_home() && scored.is_own_side);
+            let home = home.map(|home| home.candidate);
+            let home = home.filter(|home| home.version == placed.version);
             placed.home = home.map(|home| home.endpoint.record.address.as_str().to_owned());
         }
         Some(placed)
@@ -191,10 +194,10 @@
         let newest = usable.iter().filter_map(|candidate| candidate.version);
         let newest = newest.max();
         let loading = self.weights_of_loading_home(admission, prompt, key, sides);
-        let led_to = loading
+        let required_weights = loading
             .filter(|loading| newest >= Some(*loading))
             .and(newest);
-        Some(Homes::new(key, usable, sides, is_short, led_to))
+        Some(Homes::new(key, usable, sides, is_short, required_weights))
     }
 
     /// The weights that the home of a prompt is loading, when that is what keeps it from being
@@ -360,6 +363,22 @@
     }
 }
 
+/// The home of a prompt, or one of the few back ends that were drawn of each side.
+fn cheapest_of_home_and_drawn<'a>(scored: &'a [Scored<'a>]) -> Option<&'a Scored<'a>> {
+    let mut away: Vec<&Scored<'_>> = scored.iter().filter(|scored| !scored.is_home()).collect();
+    away.sort_unstable_by_key(|scored| scored.tie);
+    let (own, other): (Vec<_>, Vec<_>) = away.into_iter().partition(|scored| scored.is_own_side);
+    let drawn_own = own.into_iter().take(DRAWN_AWAY_FROM_HOME);
+    let drawn_other = other.into_iter().take(DRAWN_AWAY_FROM_HOME);
+    let at_home = scored.iter().filter(|scored| scored.is_home());
+    let weighed = at_home.chain(drawn_own).chain(drawn_other);
+    weighed.min_by(|one, other| {
+        one.cost
+            .total_cmp(&other.cost)
+            .then(one.tie.cmp(&other.tie))
+    })
+}
+
 /// Of two incarnations at one address only the one that registered later can be there.
 fn keep_latest_at_address(candidates: Vec<Candidate<'_>>) -> Vec<Candidate<'_>> {
     let mut latest: HashMap<&str, u64> = HashMap::with_capacity(candidates.len());
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -421,6 +421,36 @@
     assert!((4..=40).contains(&idle), "{idle} of 400 to the idle one");
 }
 
+#[test]
+fn prompts_that_share_nothing_do_not_all_go_to_the_same_back_end() {
+    let mut router = router_before(100);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let loads = (0..100).map(|n| LoadEntry {
+        key: LoadEntry::key_of(&format!("m-{n}")),
+        pending: if n == 0 { 0 } else { 400 },
+        in_flight: 4,
+    });
+    router.set_others_loads(true, &loads.collect::<Vec<_>>());
+    let own = PromptPart {
+        id: "own".to_owned(),
+        tokens: 600,
+    };
+    let prompt = Prompt {
+        model: ModelName::new("model"),
+        parts: vec![own],
+        output: 10,
+    };
+    let mut idle = 0;
+    for _ in 0..400 {
+        let choice = router.choose(at(2), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.answered(at(2), &choice, None, Duration::ZERO);
+        router.finished(at(2), &choice.instance, at(2), Outcome::Answered);
+        idle += u32::from(choice.instance.as_str() == "m-0");
+    }
+    assert!((1..=40).contains(&idle), "{idle} of 400 to the idle one");
+}
+
 #[rstest]
 #[case::much_is_shared(6_300, false)]
 #[case::little_is_shared(200, true)]
@@ -617,6 +647,16 @@
     assert!((0..40).any(|n| goes_there(at(410 + n))));
 }
 
+#[test]
+fn a_router_without_a_free_connection_does_not_call_the_back_end_refusing() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/x");
+    let choice = router.choose(at(1), &admission, None, EarlierAttempts::default());
+    let instance = choice.unwrap().instance;
+    router.finished(at(1), &instance, at(1), Outcome::NoFreeConnection);
+    assert!(router.take_refusing().is_empty());
+}
+
 #[test]
 fn an_attempt_that_reached_no_back_end_takes_nothing_from_the_retry_budget() {
     // sqbc-large scale-2: 963 of the 1,148 requests that 43 routers turned away in 14 s ended with
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -65,8 +65,8 @@
     response
 }
 
-/// A refusal that says when to come back.
-pub(crate) fn come_back(status: StatusCode, after: Duration) -> Response<AnswerBody> {
+/// A refusal with the time after which to try again.
+pub(crate) fn refused(status: StatusCode, after: Duration) -> Response<AnswerBody> {
     let mut response = plain(status, Bytes::new());
     let seconds = format!("{:.3}", after.as_secs_f64());
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -47,7 +47,7 @@
                 instance: Text::new(instance.as_str()),
             };
             let reply = submit(&control, command).await;
-            tracing::info!(event = "deregister", %instance, outcome = word(&reply),
+            tracing::info!(event = "deregister", %instance, outcome = reply_name(&reply),
                 "control: a back end says that it has gone");
             acknowledge(&control, reply)
         }
@@ -79,7 +79,7 @@
         event = "configure",
         version,
         routes,
-        outcome = word(&reply),
+        outcome = reply_name(&reply),
         "control: a configuration was sent"
     );
     acknowledge(control, reply)
@@ -90,7 +90,7 @@
     let reply = asking.await;
     tracing::info!(
         event = "configuration_read",
-        outcome = word(&reply),
+        outcome = reply_name(&reply),
         "control: a configuration was read"
     );
     match reply {
@@ -109,7 +109,7 @@
         version,
     };
     let reply = submit(control, command).await;
-    tracing::info!(event = "weights_named", %model, version, outcome = word(&reply),
+    tracing::info!(event = "weights_named", %model, version, outcome = reply_name(&reply),
         "control: weights were named");
     acknowledge(control, reply)
 }
@@ -152,7 +152,7 @@
     answer::plain(StatusCode::BAD_REQUEST, reason.to_owned())
 }
 
-fn word(reply: &Reply) -> &'static str {
+fn reply_name(reply: &Reply) -> &'static str {
     match reply {
         Reply::Accepted => "accepted",
         Reply::Configuration(_) => "confirmed",
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -14,7 +14,7 @@
 
 use super::forward::{header, may_try_again, Call};
 use super::headers;
-use super::relay::Visit;
+use super::relay::OpenAttempt;
 use super::Router;
 use crate::upstream::{Connection, NoConnection, SendError};
 
@@ -26,14 +26,25 @@
 /// How one attempt ended.
 pub(super) enum Attempt {
     Answered(Box<Answered>),
-    Ended { execution: Execution, sent: bool },
+    Ended(Ended),
+}
+
+/// An attempt without an answer to pass on.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Ended {
+    /// What became of it at the back end.
+    pub outcome: Outcome,
+    /// Whether the request may have run there.
+    pub execution: Execution,
+    /// Whether it arrived there.
+    pub sent: bool,
 }
 
 /// An answer that is to be passed on.
 pub(super) struct Answered {
     pub response: Response<Incoming>,
     pub connection: Connection,
-    pub visit: Visit,
+    pub open_attempt: OpenAttempt,
 }
 
 /// Sends the request to the back end that was chosen and judges what comes.
@@ -45,7 +56,7 @@
     sent: u32,
     after: Option<&Bytes>,
 ) -> Attempt {
-    let mut visit = Visit::new(router, choice, call.admission.route.target);
+    let open_attempt = OpenAttempt::new(router, choice, call.admission.route.target);
     let connecting = router.upstreams.connect(
         &choice.instance,
         &choice.address,
@@ -57,13 +68,9 @@
         Err(error) => {
             let outcome = match error {
                 NoConnection::Unreachable(_) => Outcome::Unreachable,
-                NoConnection::NoneFree => Outcome::Shed,
-            };
-            visit.end(outcome);
-            return Attempt::Ended {
-                execution: Execution::NotRun,
-                sent: false,
+                NoConnection::NoneFree => Outcome::NoFreeConnection,
             };
+            return ended(open_attempt, outcome, Execution::NotRun, false);
         }
     };
     let left = call.deadline.since(router.clock.now());
@@ -75,28 +82,44 @@
     let patience = head_patience(call, sent, left);
     let response = match timeout(patience, connection.send(request)).await {
         Ok(Ok(response)) => response,
-        Ok(Err(error)) => return broken(visit, error),
+        Ok(Err(error)) => return broken(open_attempt, error),
         Err(_) => {
-            visit.end(Outcome::TimedOut);
-            return Attempt::Ended {
-                execution: Execution::MayHaveRun,
-                sent: true,
-            };
+            let outcome = Outcome::TimedOut;
+            return ended(open_attempt, outcome, Execution::MayHaveRun, true);
         }
     };
-    judge(router, call, choice, response, connection, visit, sent)
+    judge(
+        router,
+        call,
+        choice,
+        response,
+        connection,
+        open_attempt,
+        sent,
+    )
 }
 
-fn broken(mut visit: Visit, error: SendError) -> Attempt {
-    let (outcome, execution) = match error {
-        SendError::NotSent => (Outcome::Broken, Execution::NotRun),
-        SendError::Broken => (Outcome::Broken, Execution::MayHaveRun),
+fn broken(open_attempt: OpenAttempt, error: SendError) -> Attempt {
+    let execution = match error {
+        SendError::NotSent => Execution::NotRun,
+        SendError::Broken => Execution::MayHaveRun,
     };
-    visit.end(outcome);
-    Attempt::Ended {
+    let sent = error == SendError::Broken;
+    ended(open_attempt, Outcome::Broken, execution, sent)
+}
+
+fn ended(
+    mut open_attempt: OpenAttempt,
+    outcome: Outcome,
+    execution: Execution,
+    sent: bool,
+) -> Attempt {
+    open_attempt.end(outcome);
+    Attempt::Ended(Ended {
+        outcome,
         execution,
-        sent: error == SendError::Broken,
-    }
+        sent,
+    })
 }
 
 /// How long to wait for a head: all that is left, unless another back end may be asked.
@@ -126,19 +149,16 @@
     choice: &Choice,
     response: Response<Incoming>,
     connection: Connection,
-    mut visit: Visit,
+    mut open_attempt: OpenAttempt,
     sent: u32,
 ) -> Attempt {
-    visit.answered();
+    open_attempt.answered();
     let names = router.dialect.headers();
     let headers = response.headers();
     if header(headers, &names.request_id) != call.id {
         // A surplus answer to an earlier request: nobody can say what became of this one.
-        visit.end(Outcome::Broken);
-        return Attempt::Ended {
-            execution: Execution::MayHaveRun,
-            sent: true,
-        };
+        let outcome = Outcome::Broken;
+        return ended(open_attempt, outcome, Execution::MayHaveRun, true);
     }
     let not_run = headers.contains_key(&names.not_run)
         || response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -150,26 +170,18 @@
             StatusCode::MISDIRECTED_REQUEST => Outcome::OtherWeights,
             _ => Outcome::Shed,
         };
-        visit.end(outcome);
         drain(router, response, connection);
-        return Attempt::Ended {
-            execution: Execution::NotRun,
-            sent: true,
-        };
+        return ended(open_attempt, outcome, Execution::NotRun, true);
     }
     let failed = response.status().is_server_error();
     if failed && may_try_again(&call.admission, Execution::Ran, sent + 1) {
-        visit.end(Outcome::Failed);
         drain(router, response, connection);
-        return Attempt::Ended {
-            execution: Execution::Ran,
-            sent: true,
-        };
+        return ended(open_attempt, Outcome::Failed, Execution::Ran, true);
     }
     Attempt::Answered(Box::new(Answered {
         response,
         connection,
-        visit,
+        open_attempt,
     }))
 }
 
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -15,10 +15,10 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::timeout;
 
-use super::attempt::{self, Answered, Attempt};
+use super::attempt::{self, Answered, Attempt, Ended};
 use super::headers;
 use super::refusal::{self, Refused};
-use super::relay::Relay;
+use super::relay::{outcome_name, Relay};
 use super::resume::{Attempts, Resumption};
 use super::Router;
 use crate::answer::AnswerBody;
@@ -193,12 +193,10 @@
                 let attempts = Attempts { tried, sent };
                 return relay(router, call, &choice, *answered, open, attempts);
             }
-            Attempt::Ended {
-                execution,
-                sent: was_sent,
-            } => {
-                worst = worst.max(execution);
-                sent += u32::from(was_sent);
+            Attempt::Ended(ended) => {
+                log_ended(router, &call, &choice, ended);
+                worst = worst.max(ended.execution);
+                sent += u32::from(ended.sent);
                 if !may_try_again(&call.admission, worst, sent) {
                     break;
                 }
@@ -208,6 +206,15 @@
     refusal::give_up(router, &call, &tried, worst, None)
 }
 
+/// One line for each attempt that did not end the request well.
+pub(super) fn log_ended(router: &Router, call: &Call, choice: &Choice, ended: Ended) {
+    let elapsed = router.clock.now().since(call.received);
+    tracing::info!(event = "attempt_ended", id = %call.id, instance = %choice.instance,
+        outcome = outcome_name(ended.outcome), execution = ended.execution.as_str(),
+        sent = ended.sent, version = choice.expected_version,
+        elapsed_ms = elapsed.as_millis() as u64, "router: a back end gave no answer to pass on");
+}
+
 /// A request that may have run goes to another back end only when it may run twice.
 pub(super) fn may_try_again(admission: &Admission, worst: Execution, sent: u32) -> bool {
     let route = &admission.route;
@@ -226,7 +233,7 @@
     let Answered {
         response,
         connection,
-        visit,
+        open_attempt,
     } = answered;
     let now = router.clock.now();
     let elapsed = now.since(call.received);
@@ -237,7 +244,7 @@
     tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
         outcome = "answered", status = response.status().as_u16(), instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
-        version = choice.expected_version, fetch = choice.fetch_word(),
+        version = choice.expected_version, fetch = choice.fetch_source(),
         held_here = choice.believed.here, held_at_source = choice.believed.at_source,
         belief_age_ms = choice.believed.age_ms, stores = choice.save_to.is_some(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
@@ -253,7 +260,7 @@
         head.headers.remove(CONTENT_LENGTH);
         Resumption::new(router, Rc::new(call), attempts)
     });
-    let relay = Relay::new(id, body, connection, visit, open, left, resumption);
+    let relay = Relay::new(id, body, connection, open_attempt, open, left, resumption);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod events;
+mod fetch;
 mod first_view;
 mod forward;
 mod headers;
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -11,19 +11,19 @@
 use crate::answer::{self, AnswerBody};
 
 /// A caller that was refused because of a passing state comes back after this long.
-const COME_BACK: Duration = Duration::from_millis(60);
+const RETRY_SOON: Duration = Duration::from_millis(60);
 /// Control machines that start together have a leader after about this long.
 const COMMON_START: Duration = Duration::from_millis(1_100);
 /// Another router serves it at once.
-const COME_BACK_AT_ONCE: Duration = Duration::from_millis(5);
+const RETRY_AT_ANOTHER_ROUTER: Duration = Duration::from_millis(5);
 /// A caller comes back later when no back end is there at all.
-const COME_BACK_LATER: Duration = Duration::from_millis(400);
+const RETRY_WITHOUT_BACK_ENDS: Duration = Duration::from_millis(400);
 
 /// How a request is answered when no back end does.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct GivenUp {
     status: StatusCode,
-    come_back: Option<Duration>,
+    retry_after: Option<Duration>,
     reason: &'static str,
 }
 
@@ -67,13 +67,13 @@
     if worst == Execution::NotRun {
         let none_ready = error == Some(ChoiceError::NoneReady);
         let after = if none_ready {
-            COME_BACK_LATER
+            RETRY_WITHOUT_BACK_ENDS
         } else {
-            COME_BACK
+            RETRY_SOON
         };
         return GivenUp {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            come_back: Some(after),
+            retry_after: Some(after),
             reason: if none_ready {
                 "no_back_end"
             } else {
@@ -88,7 +88,7 @@
     };
     GivenUp {
         status,
-        come_back: None,
+        retry_after: None,
         reason,
     }
 }
@@ -101,16 +101,16 @@
     refused: Refused,
 ) -> Response<AnswerBody> {
     let busy = StatusCode::SERVICE_UNAVAILABLE;
-    let (status, come_back, reason) = match refused {
+    let (status, retry_after, reason) = match refused {
         Refused::ByView(Refusal::NoRoute) => (StatusCode::NOT_FOUND, None, "no_route"),
         Refused::ByView(Refusal::UnknownKey) => (StatusCode::UNAUTHORIZED, None, "unknown_key"),
         Refused::ByView(Refusal::NoConfiguration) => {
-            (busy, Some(COME_BACK_LATER), "no_configuration")
+            (busy, Some(RETRY_WITHOUT_BACK_ENDS), "no_configuration")
         }
         Refused::ByView(Refusal::Unconfirmed) => {
             (busy, Some(until_confirmed(router)), "unconfirmed")
         }
-        Refused::Stopping => (busy, Some(COME_BACK_AT_ONCE), "stopping"),
+        Refused::Stopping => (busy, Some(RETRY_AT_ANOTHER_ROUTER), "stopping"),
     };
     let now = router.clock.now();
     router.metrics.count_request(reason, now.since(received));
@@ -120,7 +120,7 @@
         view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64), "router: refused");
     respond(GivenUp {
         status,
-        come_back,
+        retry_after,
         reason,
     })
 }
@@ -129,12 +129,18 @@
 /// a caller that comes back before that comes in vain.
 fn until_confirmed(router: &Router) -> Duration {
     let running = Duration::from_micros(router.clock.now().0);
-    COMMON_START.saturating_sub(running).max(COME_BACK_LATER)
+    COMMON_START
+        .saturating_sub(running)
+        .max(RETRY_WITHOUT_BACK_ENDS)
 }
 
 fn respond(given_up: GivenUp) -> Response<AnswerBody> {
-    match given_up.come_back {
-        Some(after) => answer::come_back(given_up.status, after),
+    match given_up.retry_after {
+        Some(after) => answer::refused(given_up.status, after),
         None => answer::plain(given_up.status, ""),
     }
 }
+
+#[cfg(test)]
+#[path = "refusal_tests.rs"]
+mod tests;
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -18,8 +18,8 @@
 use super::Router;
 use crate::upstream::Connection;
 
-/// A request's stay at a back end. However it ends, the router's count is put right.
-pub(crate) struct Visit {
+/// One attempt that is under way at a back end. However it ends, the router's count is put right.
+pub(crate) struct OpenAttempt {
     router: Rc<Router>,
     choice: Choice,
     target: Duration,
@@ -28,7 +28,7 @@
     outcome: Outcome,
 }
 
-impl Visit {
+impl OpenAttempt {
     pub fn new(router: &Rc<Router>, choice: &Choice, target: Duration) -> Self {
         Self {
             target,
@@ -66,7 +66,7 @@
     }
 }
 
-impl Drop for Visit {
+impl Drop for OpenAttempt {
     fn drop(&mut self) {
         self.note_answered(None);
         let now = self.router.clock.now();
@@ -76,20 +76,24 @@
         drop(core);
         if fell_silent {
             tracing::info!(event = "back_end_suspected", %instance, by = "this router",
-                outcome = word(self.outcome), "router: a back end fell silent");
+                outcome = outcome_name(self.outcome), "router: a back end fell silent");
             self.router.upstreams.close_idle(instance);
         }
-        self.router.metrics.count_attempt(word(self.outcome));
+        self.router
+            .metrics
+            .count_attempt(outcome_name(self.outcome));
     }
 }
 
-fn word(outcome: Outcome) -> &'static str {
+/// How an attempt ended, for logs and metrics.
+pub(super) fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::Answered => "answered",
         Outcome::Failed => "failed",
         Outcome::Shed => "shed",
         Outcome::Misdirected => "misdirected",
         Outcome::OtherWeights => "other_weights",
+        Outcome::NoFreeConnection => "no_free_connection",
         Outcome::Unreachable => "unreachable",
         Outcome::Broken => "broken",
         Outcome::TimedOut => "timed_out",
@@ -113,7 +117,7 @@
     id: String,
     body: Incoming,
     connection: Option<Connection>,
-    visit: Visit,
+    open_attempt: OpenAttempt,
     deadline: Pin<Box<Sleep>>,
     /// For a stream that another back end may take up.
     resumption: Option<Resumption>,
@@ -125,7 +129,7 @@
         id: String,
         body: Incoming,
         connection: Connection,
-        visit: Visit,
+        open_attempt: OpenAttempt,
         open: OpenRequest,
         left: Duration,
         resumption: Option<Resumption>,
@@ -134,7 +138,7 @@
             id,
             body,
             connection: Some(connection),
-            visit,
+            open_attempt,
             deadline: Box::pin(tokio::time::sleep(left)),
             resumption,
             _open: open,
@@ -173,7 +177,7 @@
             }
             match Pin::new(&mut self.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
-                    self.visit.heard();
+                    self.open_attempt.heard();
                     if let Some(frame) = self.whole_events(frame) {
                         return Poll::Ready(Some(Ok(frame)));
                     }
@@ -231,8 +235,8 @@
             return false;
         }
         tracing::info!(event = "answer_broken", id = %self.id,
-            instance = %self.visit.choice.instance, %error, "router: a back end broke off");
-        self.visit.end(Outcome::Broken);
+            instance = %self.open_attempt.choice.instance, %error, "router: a back end broke off");
+        self.open_attempt.end(Outcome::Broken);
         self.connection = None;
         true
     }
@@ -250,7 +254,7 @@
             Some(Poll::Ready(Some(answered))) => {
                 self.body = answered.response.into_body();
                 self.connection = Some(answered.connection);
-                self.visit = answered.visit;
+                self.open_attempt = answered.open_attempt;
                 TakeUp::NotUnderWay
             }
         }
@@ -258,15 +262,15 @@
 
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.visit.end(Outcome::Answered);
-            connection.give_back(self.visit.router.clock.now());
+            self.open_attempt.end(Outcome::Answered);
+            connection.give_back(self.open_attempt.router.clock.now());
         }
     }
 
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
-        tracing::info!(event = "answer_cut", id = %self.id, instance = %self.visit.choice.instance,
+        tracing::info!(event = "answer_cut", id = %self.id, instance = %self.open_attempt.choice.instance,
             reason, %error, "router: an answer was cut");
-        self.visit.end(outcome);
+        self.open_attempt.end(outcome);
         self.connection = None;
         error
     }
@@ -275,7 +279,7 @@
 impl Drop for Relay {
     fn drop(&mut self) {
         if self.connection.is_some() {
-            tracing::info!(event = "caller_left", id = %self.id, instance = %self.visit.choice.instance,
+            tracing::info!(event = "caller_left", id = %self.id, instance = %self.open_attempt.choice.instance,
                 "router: the caller left");
         }
     }
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -18,7 +18,7 @@
 
 use super::attempt::{self, Answered, Attempt};
 use super::events::Events;
-use super::forward::{may_try_again, Call};
+use super::forward::{log_ended, may_try_again, Call};
 use super::Router;
 
 /// Attempts that reached no back end do not count as attempts, but there is an end to them.
@@ -134,7 +134,10 @@
                 });
             }
             Attempt::Answered(_) => return None,
-            Attempt::Ended { sent: reached, .. } => sent += u32::from(reached),
+            Attempt::Ended(ended) => {
+                log_ended(&router, &call, &choice, ended);
+                sent += u32::from(ended.sent);
+            }
         }
         if call.deadline <= router.clock.now()
             || !may_try_again(&call.admission, Execution::Ran, sent)
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -12,6 +12,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 
+use super::fetch::Fetches;
 use super::Router;
 use crate::link::{Receiver, Redial, Sender};
 
@@ -20,16 +21,9 @@
 /// A link on which a question got no answer for so long is given up.
 const UNANSWERED: Duration = Duration::from_millis(2_500);
 const FOLLOW_MEMBERS: Duration = Duration::from_millis(250);
-/// A question for changes is repeated after this long, on whichever link speaks next.
-const FETCH_AGAIN: Duration = Duration::from_millis(300);
-/// The same for the whole state, while the link that was asked stands. The largest state measured
-/// (3,003 back ends, 360 KB) takes 0.3 s over a link of 10 Mbit/s alone, and longer when all routers
-/// ask at once; a second copy only delays the first.
-const FETCH_WHOLE_AGAIN: Duration = Duration::from_millis(2_500);
-
-/// Between two words to the leader about this router's load.
+/// Between two reports to the leader of this router's load.
 const LOADS_INTERVAL: Duration = Duration::from_millis(80);
-/// Load that does not change is told again after this long.
+/// Load that does not change is reported again after this long.
 const LOADS_CONFIRM: Duration = Duration::from_millis(300);
 /// What the leader told of other routers' load counts for so long.
 const LOADS_COUNT_FOR: Duration = Duration::from_millis(1_000);
@@ -39,44 +33,13 @@
     /// All control machines, as one of them said last.
     controls: RefCell<Vec<Ipv4Addr>>,
     tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
-    fetch: Cell<Option<Fetch>>,
-    /// The highest revision that a control machine spoke of.
-    announced: Cell<u64>,
+    fetches: Fetches,
     /// The leader, as one of them said last.
     leader: Cell<u32>,
     /// When the leader last told what other routers put on back ends.
     loads_heard: Cell<Timestamp>,
 }
 
-/// A question for changes that is not answered yet.
-#[derive(Clone, Copy, Debug)]
-struct Fetch {
-    from: Ipv4Addr,
-    asked: Timestamp,
-    /// The revision that is held; 0 asks for the whole state.
-    since: u64,
-}
-
-impl Fetch {
-    fn may_repeat(&self, now: Timestamp) -> bool {
-        let patience = if self.since == 0 {
-            FETCH_WHOLE_AGAIN
-        } else {
-            FETCH_AGAIN
-        };
-        now.since(self.asked) >= patience
-    }
-}
-
-impl Links {
-    /// A link has ended: what was asked on it is not answered any more.
-    fn forget_fetch_from(&self, address: Ipv4Addr) {
-        let under_way = self.fetch.get();
-        self.fetch
-            .set(under_way.filter(|fetch| fetch.from != address));
-    }
-}
-
 pub(super) fn start(router: &Rc<Router>) {
     let links = Rc::new(Links::default());
     tokio::task::spawn_local(follow_members(Rc::clone(router), links));
@@ -117,7 +80,7 @@
             tracing::info!(event = "control_linked", %address,
                 "router: linked to a control machine");
             let reason = converse(&router, &links, address, sender, receiver).await;
-            links.forget_fetch_from(address);
+            links.fetches.on_link_ended(address);
             tracing::info!(event = "control_lost", %address, reason,
                 "router: a control machine is lost");
         }
@@ -318,22 +281,10 @@
 
 /// Asks for changes, unless an answer may still come.
 fn fetch(router: &Router, links: &Links, from: Ipv4Addr, sender: &Sender, revision: u64) {
-    links.announced.set(links.announced.get().max(revision));
     let held = router.core.borrow().revision();
-    if links.announced.get() <= held {
-        return;
-    }
     let now = router.clock.now();
-    let under_way = links.fetch.get();
-    if under_way.is_some_and(|fetch| !fetch.may_repeat(now)) {
-        return;
-    }
-    if sender.send(&Message::Fetch { since: held }) {
-        links.fetch.set(Some(Fetch {
-            from,
-            asked: now,
-            since: held,
-        }));
+    if links.fetches.is_due(now, revision, held) && sender.send(&Message::Fetch { since: held }) {
+        links.fetches.on_asked(now, from, held);
     }
 }
 
@@ -345,7 +296,7 @@
 }
 
 fn apply(router: &Router, links: &Links, changes: Changes) {
-    links.fetch.set(None);
+    links.fetches.on_answer();
     let now = router.clock.now();
     let began = Instant::now();
     let revision = changes.revision;
@@ -374,7 +325,3 @@
         }
     }
 }
-
-#[cfg(test)]
-#[path = "updates_tests.rs"]
-mod tests;
