Believe reports of silence again once heartbeats stop; notify in place of tell

Cause: found reading the change: after a report that heartbeats contradicted, further reports about that back end were passed over for 10 s, also when its heartbeats had stopped since. Change: a report is passed over while routers are being notified, or while a heartbeat came within 2.5 s.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -223,7 +223,7 @@
             self.share_loads();
             self.share_stored();
             self.share_holders();
-            self.share_suspects();
+            self.notify_again_of_suspects();
         }
     }
 
--- a/crates/gateway-core/src/control/refusing.rs
+++ b/crates/gateway-core/src/control/refusing.rs
@@ -14,26 +14,26 @@
 use super::{ConnectionId, ControlCore, Effect};
 use crate::Message;
 
-/// A back end is passed on again after this long; routers avoid it for longer, see
-/// `REFUSING_PAUSE` there.
-const TELL_AGAIN_AFTER: Duration = Duration::from_millis(200);
+/// Between two notifications of one back end. Routers avoid it for longer, see their
+/// `REFUSING_PAUSE`.
+const NOTIFY_AGAIN_AFTER: Duration = Duration::from_millis(200);
 
-/// Back ends by [`crate::LoadEntry::key_of`], and when the routers were told last.
+/// Back ends by [`crate::LoadEntry::key_of`], and when routers were last notified.
 #[derive(Debug, Default)]
 pub(super) struct Refusing(BTreeMap<u32, Timestamp>);
 
 impl<D: Directory> ControlCore<D> {
-    /// Back ends turned a router's requests away. The leader tells the other routers.
+    /// Back ends turned a router's requests away. The leader notifies the other routers.
     pub(super) fn on_refusing(&mut self, from: ConnectionId, keys: &[u32]) {
         if self.role() != Role::Leader {
             return;
         }
         let now = self.now;
-        let told = &mut self.refusing.0;
-        told.retain(|_, at| now.since(*at) < TELL_AGAIN_AFTER);
+        let notified = &mut self.refusing.0;
+        notified.retain(|_, at| now.since(*at) < NOTIFY_AGAIN_AFTER);
         let mut new = Vec::new();
         for key in keys {
-            told.entry(*key).or_insert_with(|| {
+            notified.entry(*key).or_insert_with(|| {
                 new.push(*key);
                 now
             });
--- a/crates/gateway-core/src/control/suspects.rs
+++ b/crates/gateway-core/src/control/suspects.rs
@@ -1,10 +1,10 @@
-//! Back ends that routers found silent, and how long all routers are told to avoid them.
+//! Back ends that routers found silent, and how long the leader has all routers avoid them.
 //!
-//! One router loses a request to learn that a back end is silent. With hundreds of routers each of
-//! which tries it again after a pause, most requests that go there are such losses. So the leader
-//! tells all routers, and again and again until the back end's heartbeat arrives here. Neither sign
-//! suffices alone: a router may be cut off from a back end that serves all others, and so may the
-//! control machines.
+//! One router loses a request to learn that a back end is silent. When each of hundreds of routers
+//! tries it again after a pause, most requests that go there are such losses. So the leader notifies
+//! all routers, and repeats that until a heartbeat of the back end arrives. Neither sign suffices
+//! alone: a router may be cut off from a back end that serves all others, and so may the control
+//! machines.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,17 +16,31 @@
 use super::{ConnectionId, ControlCore, Effect};
 use crate::{LoadEntry, Message};
 
-/// Routers avoid a suspect for twice as long, see `SUSPECT_PAUSE` there.
-const TELL_AGAIN_AFTER: Duration = Duration::from_secs(1);
+/// Between two notifications of one suspect. Routers avoid it for twice as long, see their
+/// `SUSPECT_PAUSE`.
+const NOTIFY_AGAIN_AFTER: Duration = Duration::from_secs(1);
 /// A back end whose heartbeat came after the report is alive. Further reports about it are not
 /// passed on for so long: the router that sends them may be cut off from it.
 const DISBELIEVE_FOR: Duration = Duration::from_secs(10);
 
+/// Two heartbeats of the users' back ends, which send one each 1.2 s. One that was heard this long
+/// ago may have fallen silent since.
+const HEARTBEAT_FRESH: Duration = Duration::from_millis(2_500);
+
 /// A back end that a router found silent.
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
-    reported: Timestamp,
-    told: Timestamp,
+    reported_at: Timestamp,
+    notified_at: Timestamp,
+}
+
+impl Suspect {
+    /// Whether a further report adds nothing: routers are being notified already, or the back end's
+    /// heartbeats contradict it.
+    fn covers(&self, now: Timestamp, heard: Timestamp) -> bool {
+        let is_pending = heard <= self.reported_at;
+        is_pending || now.since(heard) < HEARTBEAT_FRESH
+    }
 }
 
 /// Suspects, by [`LoadEntry::key_of`].
@@ -34,7 +48,7 @@
 pub(super) struct Suspects(BTreeMap<u32, Suspect>);
 
 impl<D: Directory> ControlCore<D> {
-    /// A router found back ends silent. The leader tells the other routers at once: each of them
+    /// A router found back ends silent. The leader notifies the other routers at once: each of them
     /// would lose a request to learn it.
     pub(super) fn on_suspects(&mut self, from: ConnectionId, keys: &[u32]) {
         if self.role() != Role::Leader {
@@ -42,45 +56,48 @@
         }
         let now = self.now;
         let suspect = Suspect {
-            reported: now,
-            told: now,
+            reported_at: now,
+            notified_at: now,
         };
+        let heard = self.heard_by_key();
         let mut new = Vec::new();
         for key in keys {
-            if !self.suspects.0.contains_key(key) {
+            let heard = heard.get(key).copied().unwrap_or_default();
+            let known = self.suspects.0.get(key);
+            if !known.is_some_and(|known| known.covers(now, heard)) {
                 self.suspects.0.insert(*key, suspect);
                 new.push(*key);
             }
         }
-        self.tell_suspects(&new, Some(from));
+        self.notify_of_suspects(&new, Some(from));
     }
 
-    /// Tells all routers again of the suspects that have not been heard since.
-    pub(super) fn share_suspects(&mut self) {
+    /// Notifies all routers again of the suspects that sent no heartbeat since.
+    pub(super) fn notify_again_of_suspects(&mut self) {
+        if self.suspects.0.is_empty() {
+            return;
+        }
         let now = self.now;
         let heard = self.heard_by_key();
-        let mut told_again = Vec::new();
+        let mut due_again = Vec::new();
         self.suspects.0.retain(|key, suspect| {
             let Some(heard) = heard.get(key) else {
                 return false;
             };
-            if *heard > suspect.reported {
-                return now.since(suspect.reported) < DISBELIEVE_FOR;
+            if *heard > suspect.reported_at {
+                return now.since(suspect.reported_at) < DISBELIEVE_FOR;
             }
-            if now.since(suspect.told) >= TELL_AGAIN_AFTER {
-                suspect.told = now;
-                told_again.push(*key);
+            if now.since(suspect.notified_at) >= NOTIFY_AGAIN_AFTER {
+                suspect.notified_at = now;
+                due_again.push(*key);
             }
             true
         });
-        self.tell_suspects(&told_again, None);
+        self.notify_of_suspects(&due_again, None);
     }
 
     /// When each registered back end was heard last, by the key that stands for it.
     fn heard_by_key(&self) -> BTreeMap<u32, Timestamp> {
-        if self.suspects.0.is_empty() {
-            return BTreeMap::new();
-        }
         let registered = self.state.instances().map(|record| {
             let name = record.instance.as_str();
             let heard = self.heard.get(name).copied().unwrap_or_default();
@@ -89,7 +106,7 @@
         registered.collect()
     }
 
-    fn tell_suspects(&mut self, keys: &[u32], except: Option<ConnectionId>) {
+    fn notify_of_suspects(&mut self, keys: &[u32], except: Option<ConnectionId>) {
         if keys.is_empty() {
             return;
         }
