--- a/crates/gateway-core/src/control/refusing.rs
+++ b/crates/gateway-core/src/control/refusing.rs
@@ -2,7 +2,8 @@
 //!
 //! A back end refuses for some hundred milliseconds: while it loads weights, while its queue is
 //! full, or when it holds other weights than routers believe, because an order was carried out
-//! after it seemed lost and no heartbeat has told so yet. Of hundreds of routers each would send it a request of its own to learn that.
+//! after it seemed lost and no heartbeat has shown that yet. Of hundreds of routers each would send
+//! it a request of its own to learn that.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
--- a/crates/gateway-core/src/router/homes.rs
+++ b/crates/gateway-core/src/router/homes.rs
@@ -24,8 +24,8 @@
 }
 
 impl Homes {
-    /// The order for one key; with `required_weights`, of those only that hold these weights, and they have
-    /// no side then.
+    /// The order for one key; with `required_weights`, of those only that hold these weights, and
+    /// they have no side then.
     pub fn new(
         key: u64,
         usable: &[Candidate<'_>],
