--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -394,12 +394,8 @@
     router
 }
 
-#[test]
-fn prompts_that_leave_busy_homes_do_not_all_go_to_the_same_back_end() {
-    // sqbc-large: 295 routers hear of one another's loads 0.2 s late. All sent what left its home
-    // to the back end that was the least loaded then, and half of that was late.
-    let mut router = router_before(100);
-    let admission = admit(&mut router, at(1), "/a/b/x");
+/// Loads that keep all back ends of [`router_before`] 100 busy but `m-0`.
+fn all_busy_but_one() -> Vec<LoadEntry> {
     let names = (4..=9).map(|n| format!("llm-{n}"));
     let names = names.chain((0..100).map(|n| format!("m-{n}")));
     let loads = names.map(|name| LoadEntry {
@@ -407,7 +403,16 @@
         pending: if name == "m-0" { 0 } else { 400 },
         in_flight: 4,
     });
-    router.set_others_loads(true, &loads.collect::<Vec<_>>());
+    loads.collect()
+}
+
+#[test]
+fn prompts_that_leave_busy_homes_do_not_all_go_to_the_same_back_end() {
+    // sqbc-large: 295 routers hear of one another's loads 0.2 s late. All sent what left its home
+    // to the back end that was the least loaded then, and half of that was late.
+    let mut router = router_before(100);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    router.set_others_loads(true, &all_busy_but_one());
     let mut chosen = std::collections::HashMap::new();
     for n in 0..400 {
         let prompt = prompt(&format!("shared-{n}"), 10);
@@ -425,12 +430,7 @@
 fn prompts_that_share_nothing_do_not_all_go_to_the_same_back_end() {
     let mut router = router_before(100);
     let admission = admit(&mut router, at(1), "/a/b/x");
-    let loads = (0..100).map(|n| LoadEntry {
-        key: LoadEntry::key_of(&format!("m-{n}")),
-        pending: if n == 0 { 0 } else { 400 },
-        in_flight: 4,
-    });
-    router.set_others_loads(true, &loads.collect::<Vec<_>>());
+    router.set_others_loads(true, &all_busy_but_one());
     let own = PromptPart {
         id: "own".to_owned(),
         tokens: 600,
