Copy short runs while slots are spare; avoid back ends whose slots are taken

Cause: short prompts' streams last 1.9 s, not 0.3 as was believed, and may not be resumed: a crashed back end cuts some ten of them. Their length was taken from the most tokens that callers allow, three times what is made. A back end with all 16 slots taken seemed cheap while little waited there to be read. Change: a run that may not be repeated, and is small, is copied to another back end while at most 0.35 of the pool's slots are taken; when its back end breaks off, the copy goes on as the same run. Expected output follows the callers' guess. Leaving out back ends by the wait for a slot; a short prompt pays for one piece of the reads that wait. Routers touch only back ends that changed. Crashes of a full pool still cut streams.

--- a/crates/gateway-core/src/document.rs
+++ b/crates/gateway-core/src/document.rs
@@ -74,6 +74,8 @@
     pub slots: u32,
     /// Tokens of KV cache on one back end.
     pub cache_tokens: u64,
+    /// True when back ends keep a copy of a run at another one as it grows.
+    pub copies_runs: bool,
     /// The models.
     pub models: Vec<ModelName>,
 }
--- a/crates/gateway-core/src/router/choice.rs
+++ b/crates/gateway-core/src/router/choice.rs
@@ -32,6 +32,8 @@
     pub believed: BelievedParts,
     /// A store to save the prompt to.
     pub save_to: Option<String>,
+    /// Where the run is copied as it grows, so that it can go on when its back end is lost.
+    pub copy: Option<RunCopy>,
     /// When bytes of an answer came last from the back end.
     pub heard: Rc<Cell<Timestamp>>,
     /// Why: the requests in flight here, and the rank of the prompt's home, for logs.
@@ -40,6 +42,17 @@
     pub rank: usize,
 }
 
+/// A back end that keeps a copy of another one's run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RunCopy {
+    /// The back end.
+    pub instance: InstanceId,
+    /// IP:PORT.
+    pub address: String,
+    /// The weights of the run; a copy is of no use under others.
+    pub version: Option<u64>,
+}
+
 /// Leading shared parts of a prompt that are believed to be held.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct BelievedParts {
--- /dev/null
+++ b/crates/gateway-core/src/router/copies_tests.rs
@@ -0,0 +1,91 @@
+//! Tests of which runs are copied, and where they go on.
+
+use drumshore_core::Timestamp;
+use rstest::rstest;
+
+use super::super::tests::{at, prompt_of, router_for_copies, short_stream};
+use super::*;
+use crate::{LoadEntry, Outcome};
+
+fn admission(router: &mut RouterCore, kind: RequestKind) -> Admission {
+    short_stream(router, kind)
+}
+
+fn choose(router: &mut RouterCore, admission: &Admission, prompt: &Prompt) -> Choice {
+    let choice = router.choose(at(1), admission, Some(prompt), EarlierAttempts::default());
+    choice.unwrap()
+}
+
+#[rstest]
+#[case::may_not_be_repeated(RequestKind::Stream, 600, true)]
+#[case::can_be_read_again(RequestKind::ResumableStream, 600, false)]
+#[case::takes_too_much_memory(RequestKind::Stream, 9_000, false)]
+fn runs_that_would_be_lost_are_copied_while_they_are_small(
+    #[case] kind: RequestKind,
+    #[case] tokens: u32,
+    #[case] is_copied: bool,
+) {
+    let mut router = router_for_copies();
+    let admission = admission(&mut router, kind);
+    let choice = choose(&mut router, &admission, &prompt_of(tokens));
+    assert_eq!(choice.copy.is_some(), is_copied);
+    if let Some(copy) = choice.copy {
+        assert_ne!(copy.instance, choice.instance);
+        assert_eq!(copy.version, choice.expected_version);
+    }
+}
+
+#[test]
+fn a_busy_pool_keeps_its_memory_for_prompts() {
+    let mut router = router_for_copies();
+    let admission = admission(&mut router, RequestKind::Stream);
+    let loads: Vec<LoadEntry> = (4..=9)
+        .map(|number| LoadEntry {
+            key: LoadEntry::key_of(&format!("llm-{number}")),
+            pending: 0,
+            in_flight: 4,
+        })
+        .collect();
+    router.set_others_loads(true, &loads);
+    assert_eq!(choose(&mut router, &admission, &prompt_of(600)).copy, None);
+}
+
+/// The first back end has broken off: the copy goes on, and is asked for nothing else.
+#[test]
+fn a_run_goes_on_where_its_copy_is() {
+    let mut router = router_for_copies();
+    let admission = admission(&mut router, RequestKind::Stream);
+    let prompt = prompt_of(600);
+    let first = choose(&mut router, &admission, &prompt);
+    let copy = first.copy.clone().unwrap();
+    let tried = [first.instance.clone()];
+    let earlier = EarlierAttempts {
+        tried: &tried,
+        arrived: 1,
+    };
+    let next = router.choose_copy(at(2), &admission, Some(&prompt), &copy, earlier);
+    let next = next.unwrap();
+    assert_eq!(next.instance, copy.instance);
+    assert_eq!(
+        (next.copy, next.fetch_from, next.save_to),
+        (None, None, None)
+    );
+    let began = Timestamp(0);
+    assert!(!router.finished(at(3), &next.instance, began, Outcome::Answered));
+}
+
+/// A copy is of no use under other weights, or at a back end that leaves.
+#[test]
+fn a_copy_at_a_back_end_that_is_gone_is_not_asked() {
+    let mut router = router_for_copies();
+    let admission = admission(&mut router, RequestKind::Stream);
+    let prompt = prompt_of(600);
+    let copy = choose(&mut router, &admission, &prompt).copy.unwrap();
+    let other_weights = RunCopy {
+        version: Some(7),
+        ..copy
+    };
+    let earlier = EarlierAttempts::default();
+    let refused = router.choose_copy(at(2), &admission, Some(&prompt), &other_weights, earlier);
+    assert_eq!(refused.unwrap_err(), ChoiceError::NoneLeft);
+}
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -21,6 +21,12 @@
 const HEARD_LATELY: Duration = Duration::from_millis(600);
 /// A stream costs those who share its back end about as much as so many tokens to read.
 const STREAM_TOKENS: f64 = 60.0;
+/// Back ends read prompts in pieces of so many tokens (the users' sheets); a short prompt waits for
+/// the one that is being read.
+const PIECE_TOKENS: f64 = 4_096.0;
+/// Part of the reads that wait at a back end which a short prompt pays for all the same: they make
+/// each step of its stream longer. The only value tried, see docs/design/shifted-work.md.
+const STALLING_PART: f64 = 0.1;
 /// How long a back end that turned another router's request away is avoided: about as long as a
 /// load of weights takes.
 const REFUSING_PAUSE: Duration = Duration::from_millis(400);
@@ -55,6 +61,16 @@
     Abandoned,
 }
 
+/// What a request that is to be placed makes of the load of back ends.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Newcomer {
+    /// It is read in one piece, between the pieces of long prompts.
+    pub is_short: bool,
+    /// How long the pool's streams keep their slots on the mean, in tokens that could be read
+    /// meanwhile.
+    pub stream_length: f64,
+}
+
 /// A back end.
 #[derive(Debug)]
 pub(super) struct Endpoint {
@@ -81,27 +97,33 @@
 
 impl Endpoints {
     /// Takes in the back ends that there are; what was learned of those that stay is kept.
-    pub fn update<'a>(&mut self, records: impl Iterator<Item = &'a Rc<InstanceRecord>>) {
+    pub fn replace_all<'a>(&mut self, records: impl Iterator<Item = &'a Rc<InstanceRecord>>) {
         let mut earlier = std::mem::take(&mut self.0);
         for record in records {
             let id = InstanceId::new(record.instance.as_str());
-            let mut endpoint = earlier.remove(&id).unwrap_or_else(|| Endpoint {
-                record: Rc::clone(record),
-                key: LoadEntry::key_of(record.instance.as_str()),
-                in_flight: 0,
-                pending_tokens: 0,
-                others: LoadEntry::default(),
-                avoided_until: Timestamp::default(),
-                failures: 0.0,
-                unreachable_in_a_row: 0,
-                misdirected_until: Timestamp::default(),
-                heard: Rc::default(),
-            });
-            endpoint.record = Rc::clone(record);
-            self.0.insert(id, endpoint);
+            if let Some(endpoint) = earlier.remove(&id) {
+                self.0.insert(id, endpoint);
+            }
+            self.insert(record);
+        }
+    }
+
+    /// Takes in one back end that is new or has changed.
+    pub fn insert(&mut self, record: &Rc<InstanceRecord>) {
+        let id = InstanceId::new(record.instance.as_str());
+        match self.0.get_mut(&id) {
+            Some(endpoint) => endpoint.record = Rc::clone(record),
+            None => {
+                self.0.insert(id, Endpoint::new(record));
+            }
         }
     }
 
+    /// A back end has gone.
+    pub fn remove(&mut self, instance: &str) {
+        self.0.remove(&InstanceId::new(instance));
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Endpoint)> {
         self.0.iter()
     }
@@ -200,6 +222,21 @@
 }
 
 impl Endpoint {
+    fn new(record: &Rc<InstanceRecord>) -> Self {
+        Self {
+            record: Rc::clone(record),
+            key: LoadEntry::key_of(record.instance.as_str()),
+            in_flight: 0,
+            pending_tokens: 0,
+            others: LoadEntry::default(),
+            avoided_until: Timestamp::default(),
+            failures: 0.0,
+            unreachable_in_a_row: 0,
+            misdirected_until: Timestamp::default(),
+            heard: Rc::default(),
+        }
+    }
+
     fn note_outcome(&mut self, now: Timestamp, outcome: Outcome) {
         self.in_flight = self.in_flight.saturating_sub(1);
         let pause = match outcome {
@@ -246,9 +283,22 @@
     }
 
     /// What the requests of all routers there cost a further one, in tokens to be read.
-    pub fn cost_of_load(&self) -> f64 {
+    pub fn cost_of_load(&self, newcomer: Newcomer) -> f64 {
+        let pending = f64::from(self.all_pending_tokens());
+        let reads_first = if newcomer.is_short {
+            pending.min(PIECE_TOKENS) + pending * STALLING_PART
+        } else {
+            pending
+        };
         let streams = f64::from(self.all_in_flight()) * STREAM_TOKENS;
-        f64::from(self.all_pending_tokens()) + streams
+        reads_first + streams + self.wait_for_slot(newcomer.stream_length)
+    }
+
+    /// What a further request waits until one of those before it has ended and left its slot.
+    fn wait_for_slot(&self, stream_length: f64) -> f64 {
+        let slots = self.record.slots.max(1);
+        let before = (self.all_in_flight() + 1).saturating_sub(slots);
+        f64::from(before) * stream_length / f64::from(slots)
     }
 
     fn note(&mut self, failed: bool) {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod cache;
 mod choice;
+mod copies;
 mod endpoints;
 mod holders;
 mod homes;
@@ -27,7 +28,7 @@
 };
 
 pub use accounts::{Charge, OverLimit};
-pub use choice::{BelievedParts, Choice};
+pub use choice::{BelievedParts, Choice, RunCopy};
 pub use endpoints::Outcome;
 pub use view::ViewError;
 
@@ -73,7 +74,7 @@
     pub model: ModelName,
     /// Its parts in order; the last one is the request's own, or its session's.
     pub parts: Vec<PromptPart>,
-    /// The most tokens that are generated.
+    /// Tokens that are expected to be generated.
     pub output: u32,
 }
 
@@ -228,11 +229,27 @@
         if let Some(document) = self.view.document().filter(|_| has_configuration) {
             self.tenant_accounts.set_limits(now, document);
         }
-        let keep = self.view.instances();
-        self.endpoints.update(keep);
+        self.update_endpoints(&changes);
         Ok(())
     }
 
+    /// Hundreds of changes a second come while thousands of back ends register, so only those that
+    /// changed are touched.
+    fn update_endpoints(&mut self, changes: &Changes) {
+        if changes.since == 0 {
+            self.endpoints.replace_all(self.view.instances());
+            return;
+        }
+        for removed in &changes.removed.items {
+            self.endpoints.remove(removed.as_str());
+        }
+        for changed in &changes.instances.items {
+            if let Some(record) = self.view.instance(changed.instance.as_str()) {
+                self.endpoints.insert(record);
+            }
+        }
+    }
+
     /// A quorum confirmed that nothing newer than `revision` was accepted before `asked`.
     pub fn on_confirmed(&mut self, asked: Timestamp, revision: u64, routers: u16) {
         self.view.on_confirmed(asked, revision);
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -10,7 +10,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::cache::{salt, OtherCaches};
-use super::endpoints::Endpoint;
+use super::endpoints::{Endpoint, Newcomer};
 use super::holders::{self, Held};
 use super::homes::{home_key, weight, Homes};
 use super::reads::CachedParts;
@@ -39,7 +39,7 @@
 
 pub(super) struct Candidate<'a> {
     pub id: &'a InstanceId,
-    endpoint: &'a Endpoint,
+    pub endpoint: &'a Endpoint,
     pub version: Option<u64>,
 }
 
@@ -73,10 +73,10 @@
     }
 }
 
-struct Placed {
-    instance: InstanceId,
+pub(super) struct Placed {
+    pub instance: InstanceId,
     address: String,
-    version: Option<u64>,
+    pub version: Option<u64>,
     heard: Rc<Cell<Timestamp>>,
     in_flight: u32,
     rank: usize,
@@ -109,10 +109,12 @@
             None => self.place_by_load(&usable, draw),
         };
         let placed = placed.ok_or(ChoiceError::NoneLeft)?;
-        Ok(self.choice(now, admission, prompt, placed, &usable))
+        let copy = self.copy_target(admission, prompt, &placed, &usable, draw);
+        let choice = self.choice(now, admission, prompt, placed, &usable);
+        Ok(Choice { copy, ..choice })
     }
 
-    fn candidates<'a>(
+    pub(super) fn candidates<'a>(
         &'a self,
         now: Timestamp,
         admission: &Admission,
@@ -159,6 +161,10 @@
         let is_short = prompt.is_short();
         let away_from_home = f64::from(prompt.shared_tokens()) * AWAY_FROM_HOME_FACTOR;
         let homes = self.homes(admission, prompt, usable, &sides);
+        let newcomer = Newcomer {
+            is_short,
+            stream_length: self.prompt_mix.stream_length(),
+        };
         let cached = self.cached_by_version(now, admission, prompt, usable);
         let scored = usable.iter().map(|candidate| {
             let rank = homes.as_ref().map(|homes| homes.rank(candidate));
@@ -173,7 +179,11 @@
                 candidate,
                 rank,
                 is_own_side,
-                cost: candidate.endpoint.cost_of_load() + read + fetched + moved + other_side,
+                cost: candidate.endpoint.cost_of_load(newcomer)
+                    + read
+                    + fetched
+                    + moved
+                    + other_side,
                 tie: xxh3_64_with_seed(candidate.id.as_str().as_bytes(), draw),
             }
         });
@@ -287,7 +297,7 @@
         Some(best.placed(0))
     }
 
-    fn choice(
+    pub(super) fn choice(
         &self,
         now: Timestamp,
         admission: &Admission,
@@ -321,6 +331,7 @@
             fetches_from_store: cache.from_store,
             fetch_from: cache.fetch_from,
             save_to: cache.save_to,
+            copy: None,
             heard: placed.heard,
             in_flight: placed.in_flight,
             rank: placed.rank,
@@ -376,7 +387,7 @@
 }
 
 impl Candidate<'_> {
-    fn placed(&self, rank: usize) -> Placed {
+    pub(super) fn placed(&self, rank: usize) -> Placed {
         Placed {
             instance: self.id.clone(),
             address: self.endpoint.record.address.as_str().to_owned(),
--- a/crates/gateway-core/src/router/prompt_mix.rs
+++ b/crates/gateway-core/src/router/prompt_mix.rs
@@ -10,6 +10,9 @@
 /// each of up to as many requests as there are slots. From the step times and read speeds of the
 /// users' engines: 176 to 206.
 const STEP_TOKENS: f64 = 200.0;
+/// Steps take so many times as long at a back end that reads prompts for half of its time, which is
+/// when streams have to wait for slots.
+const LOADED_STEP_FACTOR: f64 = 2.0;
 /// Sides smaller than this are not worth keeping apart.
 const LEAST_SHARE: f64 = 0.04;
 
@@ -48,6 +51,7 @@
 pub(super) struct PromptMix {
     short: f64,
     long: f64,
+    output: f64,
     seen: u32,
 }
 
@@ -64,6 +68,12 @@
         };
         self.short += weight * (short - self.short);
         self.long += weight * (long - self.long);
+        self.output += weight * (f64::from(prompt.output) - self.output);
+    }
+
+    /// How long a stream keeps its slot on the mean, in tokens that could be read meanwhile.
+    pub fn stream_length(&self) -> f64 {
+        self.output * STEP_TOKENS * LOADED_STEP_FACTOR
     }
 
     /// The part of the work that short prompts make; `None` when nearly all are alike.
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -26,7 +26,7 @@
     }
 }
 
-fn at(milliseconds: u64) -> Timestamp {
+pub(super) fn at(milliseconds: u64) -> Timestamp {
     Timestamp(1 + milliseconds * 1_000)
 }
 
@@ -86,6 +86,7 @@
         models: models.then(|| ModelPool {
             slots: 8,
             cache_tokens: 100_000,
+            copies_runs: true,
             models: vec![ModelName::new("model")],
         }),
         store: None,
@@ -214,6 +215,36 @@
         .unwrap()
 }
 
+/// A router before six back ends that hold a model.
+pub(super) fn router_for_copies() -> RouterCore {
+    router()
+}
+
+/// An admitted request for the model whose route is of this kind.
+pub(super) fn short_stream(router: &mut RouterCore, kind: RequestKind) -> Admission {
+    let admission = admit(router, at(1), "/a/b/x");
+    let route = Route {
+        kind,
+        ..(*admission.route).clone()
+    };
+    Admission {
+        route: Rc::new(route),
+        ..admission
+    }
+}
+
+/// A prompt of so many tokens that shares nothing.
+pub(super) fn prompt_of(tokens: u32) -> Prompt {
+    Prompt {
+        model: ModelName::new("model"),
+        parts: vec![PromptPart {
+            id: "own".to_owned(),
+            tokens,
+        }],
+        output: 20,
+    }
+}
+
 #[test]
 fn the_longest_prefix_wins() {
     let mut router = router();
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -74,6 +74,10 @@
         self.instances.values()
     }
 
+    pub fn instance(&self, instance: &str) -> Option<&Rc<InstanceRecord>> {
+        self.instances.get(instance)
+    }
+
     /// The route of the host with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -36,6 +36,10 @@
     pub cache_fetch: HeaderName,
     /// Whither it copies what it computed of a prompt.
     pub cache_save: HeaderName,
+    /// The back end to which a run's memory is copied as it grows.
+    pub run_copy: HeaderName,
+    /// The copied run that a request goes on with.
+    pub copied_run: HeaderName,
     /// The last event that a caller has of a stream.
     pub last_event_id: HeaderName,
     /// Other headers that only the gateway may set.
@@ -118,6 +122,9 @@
     /// Tokens of its prompt and the most that are generated, when a request declares them.
     fn declared_tokens(&self, headers: &HeaderMap) -> Option<u32>;
 
+    /// Names a run of which the back end at `address` has a copy.
+    fn copied_run(&self, address: &str, request_id: &str) -> String;
+
     /// Reads and checks a configuration.
     fn document(&self, body: &[u8]) -> Result<Document, InvalidDocument>;
 
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
-use hyper::{Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
 use super::forward::{header, may_try_again, Call};
@@ -47,14 +47,23 @@
     pub open_attempt: OpenAttempt,
 }
 
+/// A stream that an attempt goes on with.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Continuation {
+    /// The last event that the caller has; `None` when it has none.
+    pub after: Option<Bytes>,
+    /// The back end has a copy of the run; else it reads the prompt again.
+    pub has_copy: bool,
+}
+
 /// Sends the request to the back end that was chosen and judges what comes.
-/// `after` is the last event that the caller has of a stream that is taken up.
+/// `continued` is for a stream that is taken up.
 pub(super) async fn make(
     router: &Rc<Router>,
     call: &Call,
     choice: &Choice,
     sent: u32,
-    after: Option<&Bytes>,
+    continued: Option<&Continuation>,
 ) -> Attempt {
     let open_attempt = OpenAttempt::new(router, choice, call.admission.route.target);
     let connecting = router.upstreams.connect(
@@ -75,9 +84,8 @@
     };
     let left = call.deadline.since(router.clock.now());
     let mut request = outbound(router, call, choice, left);
-    if let Some(after) = after.and_then(|after| HeaderValue::from_bytes(after).ok()) {
-        let name = &router.dialect.headers().last_event_id;
-        request.headers_mut().insert(name, after);
+    if let Some(continued) = continued {
+        set_continuation(router, call, choice, continued, request.headers_mut());
     }
     let patience = head_patience(call, sent, left);
     let response = match timeout(patience, connection.send(request)).await {
@@ -99,6 +107,26 @@
     )
 }
 
+fn set_continuation(
+    router: &Router,
+    call: &Call,
+    choice: &Choice,
+    continued: &Continuation,
+    headers: &mut HeaderMap,
+) {
+    let names = router.dialect.headers();
+    let after = continued.after.as_ref();
+    if let Some(after) = after.and_then(|after| HeaderValue::from_bytes(after).ok()) {
+        headers.insert(&names.last_event_id, after);
+    }
+    if continued.has_copy {
+        let run = router.dialect.copied_run(&choice.address, &call.id);
+        if let Ok(run) = HeaderValue::from_str(&run) {
+            headers.insert(&names.copied_run, run);
+        }
+    }
+}
+
 fn broken(open_attempt: OpenAttempt, error: SendError) -> Attempt {
     let execution = match error {
         SendError::NotSent => Execution::NotRun,
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -256,19 +256,20 @@
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(),
         held_here = choice.believed.here, held_at_source = choice.believed.at_source,
-        belief_age_ms = choice.believed.age_ms, stores = choice.save_to.is_some(),
+        belief_age_ms = choice.believed.age_ms, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
         "router: answered");
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
     let left = call.deadline.since(now);
-    let is_resumable =
-        call.admission.route.kind == RequestKind::ResumableStream && head.status == StatusCode::OK;
+    let may_go_on =
+        call.admission.route.kind == RequestKind::ResumableStream || choice.copy.is_some();
+    let is_resumable = may_go_on && head.status == StatusCode::OK;
     let id = call.id.clone();
     let resumption = is_resumable.then(|| {
         // Another back end may make some of it: its length is not the first one's to say.
         head.headers.remove(CONTENT_LENGTH);
-        Resumption::new(router, Rc::new(call), attempts)
+        Resumption::new(router, Rc::new(call), attempts, choice.copy.clone())
     });
     let relay = Relay::new(id, body, connection, open_attempt, open, left, resumption);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
--- a/crates/gateway/src/router/headers.rs
+++ b/crates/gateway/src/router/headers.rs
@@ -55,6 +55,8 @@
         &names.cache_salt,
         &names.cache_fetch,
         &names.cache_save,
+        &names.run_copy,
+        &names.copied_run,
     ];
     for name in reserved.into_iter().chain(&names.reserved) {
         headers.remove(name);
@@ -94,4 +96,7 @@
     if let Some(store) = &choice.save_to {
         set(&names.cache_save, store);
     }
+    if let Some(copy) = &choice.copy {
+        set(&names.run_copy, &copy.address);
+    }
 }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -26,7 +26,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
-use crate::server::{self, NoAnswer, ServerParams};
+use crate::server::{self, NoAnswer, ServerParams, WhenFull};
 use crate::settings::RouterSettings;
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
@@ -110,6 +110,7 @@
     let params = ServerParams {
         idle_timeout: IDLE_TIMEOUT,
         max_connections: MAX_CONNECTIONS,
+        when_full: WhenFull::Wait,
     };
     let shared = Rc::clone(router);
     let forwarding = server::serve(callers, params, move |request| {
