Part the router's placement and request types by role

Change: candidates, sides and the placement of prompts are files of their own, request types another; the words of the new modules are those of the field. No change of behaviour.

--- a/crates/gateway-core/src/control/accounts.rs
+++ b/crates/gateway-core/src/control/accounts.rs
@@ -1,8 +1,8 @@
 //! What is left of the limits of tenants, over all routers together.
 //!
-//! The leader alone keeps accounts. Routers report what they admitted; each is told the level of
-//! the tenants that it reported, and all are told the level of tenants that are close to their
-//! limit. A new leader knows nothing of the past: during its first moments it takes the lowest
+//! The leader alone keeps accounts. Routers report what they admitted; each is sent the levels of
+//! the tenants that it reported, and all are sent those of tenants that are close to their limit.
+//! A new leader knows nothing of the past: during its first moments it takes the lowest
 //! level that any router believes in.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -19,10 +19,10 @@
 /// Between two notices to routers. Half of what a router's report takes to get here adds to it; the
 /// sum is the lag by which a tenant can exceed its limit.
 const NOTIFY_INTERVAL: Duration = Duration::from_millis(100);
-/// Routers that have nothing to be told hear so at least this often: they take silence for a leader
-/// that is out of reach, see `ACCOUNTS_COUNT_FOR` of the router.
+/// Routers get a notice at least this often, also an empty one: they take silence for a leader that
+/// is out of reach, see `LEVELS_COUNT_FOR` of the router.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(400);
-/// All routers are told of a tenant that has less than this part of its burst left.
+/// All routers are notified of a tenant that has less than this part of its burst left.
 const CLOSE_TO_LIMIT: f64 = 0.5;
 /// Bytes a second that levels may cost one router, of 14 KB/s for all control traffic. Longer lists
 /// are sent less often.
@@ -39,8 +39,8 @@
     account: Account,
     usage: RecentUsage,
     by_router: BTreeMap<ConnectionId, RecentUsage>,
-    /// Routers were told that the tenant is close to its limit.
-    told_as_close: bool,
+    /// Routers were notified that the tenant is close to its limit.
+    notified_as_close: bool,
 }
 
 /// The accounts of all tenants that have a limit.
@@ -48,7 +48,7 @@
 pub(super) struct TenantAccounts {
     limits: BTreeMap<TenantKey, TenantLimit>,
     accounts: BTreeMap<TenantKey, TenantAccount>,
-    /// What each router reported since it was last told.
+    /// What each router reported since its last notice.
     reported: BTreeMap<ConnectionId, BTreeSet<TenantKey>>,
     notified_at: BTreeMap<ConnectionId, Timestamp>,
     next_notice: Timestamp,
@@ -60,7 +60,7 @@
             account: Account::new(now, limit),
             usage: RecentUsage::default(),
             by_router: BTreeMap::new(),
-            told_as_close: false,
+            notified_as_close: false,
         }
     }
 
@@ -104,7 +104,7 @@
         )
     }
 
-    /// What a router is to be told; `None` when nothing is due.
+    /// What a router is to be sent; `None` when nothing is due.
     fn notice(
         &mut self,
         now: Timestamp,
@@ -126,18 +126,18 @@
         Some(levels.collect())
     }
 
-    /// Tenants that all routers are told of: those close to their limit, and once more those that
+    /// Tenants that all routers are notified of: those close to their limit, and once more those that
     /// no longer are.
     fn close_to_limit(&mut self, now: Timestamp) -> BTreeSet<TenantKey> {
-        let mut told = BTreeSet::new();
+        let mut notified = BTreeSet::new();
         for (key, account) in &mut self.accounts {
             let is_close = account.is_close(now);
-            if is_close || account.told_as_close {
-                told.insert(*key);
+            if is_close || account.notified_as_close {
+                notified.insert(*key);
             }
-            account.told_as_close = is_close;
+            account.notified_as_close = is_close;
         }
-        told
+        notified
     }
 }
 
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Tells routers how much is left.
+    /// Sends routers how much is left.
     pub(super) fn share_accounts(&mut self) {
         let now = self.now;
         if self.tenant_accounts.limits.is_empty() || now < self.tenant_accounts.next_notice {
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -25,11 +25,11 @@
 #[derive(Debug, Default)]
 pub(super) struct Routers(BTreeMap<ConnectionId, Linked>);
 
-/// When routers were told that something changed.
+/// When routers were last notified that something changed.
 #[derive(Debug, Default)]
 pub(super) struct Announcements {
     last: Timestamp,
-    /// What changed since then they are told at the next tick.
+    /// Something changed since; the notice follows at the next tick.
     is_owed: bool,
 }
 
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Tells routers that something changed. Thousands of back ends that register together change
+    /// Notifies routers that something changed. Thousands of back ends that register together change
     /// the state with each batch of the log; routers would ask for each of these changes apart.
     pub(super) fn announce(&mut self) {
         let is_soon = self.now.since(self.announcements.last) < self.params.tick;
--- a/crates/gateway-core/src/limits/part.rs
+++ b/crates/gateway-core/src/limits/part.rs
@@ -4,8 +4,8 @@
 
 use super::{Account, TenantLimit};
 
-/// A router's part of a tenant's limit, for the time in which no control machine tells it how much
-/// is left. Half of a limit is split evenly over all routers, the other half in proportion to what
+/// A router's part of a tenant's limit, for the time in which no leader sends it how much is
+/// left. Half of a limit is split evenly over all routers, the other half in proportion to what
 /// each used of late, so that the parts of all routers add up to the limit.
 ///
 /// A part can be smaller than one request. A request is then admitted by chance, as likely as the
@@ -15,7 +15,7 @@
 pub struct OwnPart {
     whole: TenantLimit,
     routers: u16,
-    /// Of what all routers used of late, what this one did; `None` before the leader said so.
+    /// Of what all routers used of late, what this one did; `None` before the leader sent it.
     share: Option<f64>,
     account: Account,
 }
@@ -39,7 +39,7 @@
         self.resize(now);
     }
 
-    /// The leader spoke, and not of what this router used: it used nothing of late.
+    /// Levels arrived without a share of this router's: it used nothing of late.
     pub fn set_share_if_unknown(&mut self, now: Timestamp) {
         if self.share.is_none() {
             self.set_share(now, 0.0);
--- a/crates/gateway-core/src/router/accounts.rs
+++ b/crates/gateway-core/src/router/accounts.rs
@@ -37,7 +37,7 @@
     pub level: f64,
     /// How long until the account has room for it.
     pub wait: Duration,
-    /// Age of the leader's last word, or of the first configuration before it.
+    /// Age of the last levels received, or of the first configuration before them.
     pub age: Option<Duration>,
     /// True when that is too old, so that this router spends its own part of the limit.
     pub by_own_part: bool,
@@ -45,7 +45,7 @@
 
 #[derive(Debug)]
 struct TenantAccount {
-    /// Over all routers, as the leader told and this router has charged since.
+    /// Over all routers: the last level received, less what this router has charged since.
     replica: Account,
     own_part: OwnPart,
     /// Not reported to the leader yet; negative when more was paid back than charged.
@@ -56,8 +56,8 @@
 #[derive(Debug, Default)]
 pub(super) struct TenantAccounts {
     accounts: BTreeMap<TenantKey, TenantAccount>,
-    /// When the leader last spoke of levels, or when this router first had limits: levels of a
-    /// router that has just started count as long as those of one that has just lost its leader.
+    /// When levels last arrived, or when this router first had limits: levels of a router that has
+    /// just started count as long as those of one that has just lost its leader.
     known_at: Option<Timestamp>,
     routers: u16,
 }
@@ -141,11 +141,11 @@
     /// Takes in what the leader knows.
     pub fn on_levels(&mut self, now: Timestamp, levels: &[AccountLevel]) {
         self.known_at = Some(now);
-        for told in levels {
-            if let Some(account) = self.accounts.get_mut(&told.tenant) {
-                let level = f64::from(told.level) - account.unreported as f64;
+        for received in levels {
+            if let Some(account) = self.accounts.get_mut(&received.tenant) {
+                let level = f64::from(received.level) - account.unreported as f64;
                 account.replica.set_level(now, level);
-                account.own_part.set_share(now, told.share());
+                account.own_part.set_share(now, received.share());
             }
         }
         for account in self.accounts.values_mut() {
--- a/crates/gateway-core/src/router/copies.rs
+++ b/crates/gateway-core/src/router/copies.rs
@@ -7,7 +7,7 @@
 use drumshore_core::Timestamp;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::placement::{Candidate, Placed};
+use super::candidate::{Candidate, Placed};
 use super::{Admission, Choice, ChoiceError, EarlierAttempts, Prompt, RouterCore, RunCopy};
 use crate::RequestKind;
 
--- a/crates/gateway-core/src/router/homes.rs
+++ b/crates/gateway-core/src/router/homes.rs
@@ -2,7 +2,8 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::placement::{Candidate, Sides};
+use super::candidate::Candidate;
+use super::sides::Sides;
 use super::PromptPart;
 use crate::{InstanceId, ModelName};
 
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod budget;
 mod cache;
+mod candidate;
 mod choice;
 mod copies;
 mod endpoints;
@@ -10,7 +11,10 @@
 mod homes;
 mod placement;
 mod prompt_mix;
+mod prompt_placement;
 mod reads;
+mod request;
+mod sides;
 mod split;
 mod stores;
 mod view;
@@ -23,13 +27,16 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry,
-    ModelName, PoolName, Route, StoreId, StoredKey, Tenant, UsageEntry,
+    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, Route,
+    StoreId, StoredKey, Tenant, UsageEntry,
 };
 
 pub use accounts::{Charge, OverLimit};
 pub use choice::{BelievedParts, Choice, RunCopy};
 pub use endpoints::Outcome;
+pub use request::{
+    Admission, ChoiceError, EarlierAttempts, Prompt, PromptPart, Refusal, RequestHead,
+};
 pub use view::ViewError;
 
 use accounts::TenantAccounts;
@@ -58,97 +65,6 @@
     pub retry_window: Duration,
 }
 
-/// A part of a prompt that other requests may share.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PromptPart {
-    /// Its identifier.
-    pub id: String,
-    /// Its length.
-    pub tokens: u32,
-}
-
-/// What a request says of its prompt.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Prompt {
-    /// The model it is for.
-    pub model: ModelName,
-    /// Its parts in order; the last one is the request's own, or its session's.
-    pub parts: Vec<PromptPart>,
-    /// Tokens that are expected to be generated.
-    pub output: u32,
-}
-
-/// Why a request is not forwarded. None of these has run.
-#[derive(Clone, Debug, PartialEq, thiserror::Error)]
-pub enum Refusal {
-    /// No configuration has been received.
-    #[error("no configuration yet")]
-    NoConfiguration,
-    /// The view may be outdated.
-    #[error("view not confirmed in time")]
-    Unconfirmed,
-    /// No route matches.
-    #[error("no route")]
-    NoRoute,
-    /// No tenant holds the key.
-    #[error("unknown key")]
-    UnknownKey,
-    /// The tenant has used up its limit.
-    #[error("over the tenant's limit")]
-    OverLimit(OverLimit),
-}
-
-/// Why no back end was chosen. The request has not run there.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum ChoiceError {
-    /// No back end of the pool takes requests.
-    #[error("no back end takes requests")]
-    NoneReady,
-    /// All that take requests were tried.
-    #[error("no other back end")]
-    NoneLeft,
-    /// Retries are used up for now.
-    #[error("retry budget used up")]
-    NoBudget,
-}
-
-/// What was done for a request before another back end is chosen.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct EarlierAttempts<'a> {
-    /// Back ends that were chosen.
-    pub tried: &'a [InstanceId],
-    /// Attempts that arrived at one of them, also when it turned the request away.
-    pub arrived: u32,
-}
-
-/// A request that may be forwarded.
-#[derive(Clone, Debug)]
-pub struct Admission {
-    /// Its route.
-    pub route: Rc<Route>,
-    /// Its tenant, when it needs a key.
-    pub tenant: Option<Rc<Tenant>>,
-    /// The pool that is to serve it.
-    pub pool: PoolName,
-    /// Its priority; 0 is most urgent.
-    pub priority: u8,
-    /// What it was charged to its tenant's limit.
-    pub charge: Option<Charge>,
-}
-
-/// What decides whether a request is admitted, and where.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct RequestHead<'a> {
-    /// The host that it names, without port.
-    pub host: &'a str,
-    /// Its path.
-    pub path: &'a str,
-    /// The caller's key.
-    pub key: Option<&'a str>,
-    /// Tokens of its prompt and the most that are generated, when it declares them.
-    pub declared_tokens: Option<u32>,
-}
-
 /// A fetch from the store is slow when the answer takes more than so many times its target.
 const SLOW_FETCH: f64 = 1.3;
 
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -8,8 +8,8 @@
 
 use super::*;
 use crate::{
-    CacheStore, InstanceRecord, Lifecycle, Limits, LoadedModel, ModelPool, Pool, RequestKind,
-    Share, TenantName, WeightsNotice,
+    CacheStore, InstanceRecord, Lifecycle, Limits, LoadedModel, ModelName, ModelPool, Pool,
+    PoolName, RequestKind, Share, TenantName, WeightsNotice,
 };
 
 const LEASE: Duration = Duration::from_secs(4);
