Log and count which target a late answer missed

Change: each answer keeps the time to its first piece and its longest pause; one that missed a target writes one line (answer_late) and counts in late_answers.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -52,6 +52,8 @@
     pub attempts: Family<OutcomeLabel, Counter>,
     /// Seconds to the head of the answer.
     pub latency: Histogram,
+    /// Answers that missed a target, by which.
+    late_answers: Family<OutcomeLabel, Counter>,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     labelled_tenants: RefCell<BTreeSet<String>>,
@@ -68,6 +70,7 @@
         let requests = Family::default();
         let attempts = Family::default();
         let latency = Histogram::new(LATENCY_BUCKETS);
+        let late_answers = Family::default();
         let limit_units = Family::default();
         let decisions = Family::default();
         let revision = Gauge::default();
@@ -76,6 +79,11 @@
         registry.register("requests", "Requests by answer", Clone::clone(&requests));
         registry.register("attempts", "Attempts by end", Clone::clone(&attempts));
         registry.register("answer_head_seconds", "Time to the head", latency.clone());
+        registry.register(
+            "late_answers",
+            "Answers that missed a target",
+            Clone::clone(&late_answers),
+        );
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -89,6 +97,7 @@
             requests,
             attempts,
             latency,
+            late_answers,
             limit_units,
             labelled_tenants: RefCell::default(),
             decisions,
@@ -106,6 +115,11 @@
         self.attempts.get_or_create(&OutcomeLabel { outcome }).inc();
     }
 
+    pub fn count_late(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.late_answers.get_or_create(&label).inc();
+    }
+
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MOST_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -18,8 +18,9 @@
 use super::attempt::{self, Answered, Attempt, Ended};
 use super::headers;
 use super::refusal::{self, Refused};
-use super::relay::{outcome_name, Relay};
+use super::relay::{outcome_name, Relay, Relayed};
 use super::resume::{Attempts, Resumption};
+use super::timeliness::Timeliness;
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::server::NoAnswer;
@@ -266,12 +267,22 @@
         call.admission.route.kind == RequestKind::ResumableStream || choice.copy.is_some();
     let is_resumable = may_go_on && head.status == StatusCode::OK;
     let id = call.id.clone();
+    let timeliness = Timeliness::new(&call.admission.route, call.received);
     let resumption = is_resumable.then(|| {
         // Another back end may make some of it: its length is not the first one's to say.
         head.headers.remove(CONTENT_LENGTH);
         Resumption::new(router, Rc::new(call), attempts, choice.copy.clone())
     });
-    let relay = Relay::new(id, body, connection, open_attempt, open, left, resumption);
+    let relayed = Relayed {
+        id,
+        body,
+        connection,
+        open_attempt,
+        left,
+        resumption,
+        timeliness,
+    };
+    let relay = Relay::new(relayed, open);
     Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
 }
 
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod refusal;
 mod relay;
 mod resume;
+mod timeliness;
 mod updates;
 
 use std::cell::{Cell, RefCell};
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -15,6 +15,7 @@
 
 use super::forward::OpenRequest;
 use super::resume::Resumption;
+use super::timeliness::Timeliness;
 use super::Router;
 use crate::upstream::Connection;
 
@@ -121,26 +122,33 @@
     deadline: Pin<Box<Sleep>>,
     /// For a stream that another back end may take up.
     resumption: Option<Resumption>,
+    timeliness: Timeliness,
     _open: OpenRequest,
 }
 
+/// An answer whose body is to be passed on.
+pub(super) struct Relayed {
+    /// The request's identifier.
+    pub id: String,
+    pub body: Incoming,
+    pub connection: Connection,
+    pub open_attempt: OpenAttempt,
+    /// Time until the request's deadline.
+    pub left: Duration,
+    pub resumption: Option<Resumption>,
+    pub timeliness: Timeliness,
+}
+
 impl Relay {
-    pub(super) fn new(
-        id: String,
-        body: Incoming,
-        connection: Connection,
-        open_attempt: OpenAttempt,
-        open: OpenRequest,
-        left: Duration,
-        resumption: Option<Resumption>,
-    ) -> Self {
+    pub(super) fn new(relayed: Relayed, open: OpenRequest) -> Self {
         let mut relay = Self {
-            id,
-            body,
-            connection: Some(connection),
-            open_attempt,
-            deadline: Box::pin(tokio::time::sleep(left)),
-            resumption,
+            id: relayed.id,
+            body: relayed.body,
+            connection: Some(relayed.connection),
+            open_attempt: relayed.open_attempt,
+            deadline: Box::pin(tokio::time::sleep(relayed.left)),
+            resumption: relayed.resumption,
+            timeliness: relayed.timeliness,
             _open: open,
         };
         if relay.body.is_end_stream() {
@@ -178,6 +186,7 @@
             match Pin::new(&mut self.body).poll_frame(context) {
                 Poll::Ready(Some(Ok(frame))) => {
                     self.open_attempt.heard();
+                    self.timeliness.on_piece(self.now());
                     if let Some(frame) = self.whole_events(frame) {
                         return Poll::Ready(Some(Ok(frame)));
                     }
@@ -263,10 +272,29 @@
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
             self.open_attempt.end(Outcome::Answered);
-            connection.give_back(self.open_attempt.router.clock.now());
+            connection.give_back(self.now());
         }
     }
 
+    fn now(&self) -> Timestamp {
+        self.open_attempt.router.clock.now()
+    }
+
+    /// One line for an answer that missed a target, so that its cause can be sought.
+    fn note_lateness(&self) {
+        let Some(lateness) = self.timeliness.lateness() else {
+            return;
+        };
+        let reason = lateness.as_str();
+        self.open_attempt.router.metrics.count_late(reason);
+        let to_first = self.timeliness.to_first();
+        tracing::info!(event = "answer_late", id = %self.id, reason,
+            instance = %self.open_attempt.choice.instance,
+            first_piece_ms = to_first.map(|time| time.as_millis() as u64),
+            longest_pause_ms = self.timeliness.longest_pause().as_millis() as u64,
+            "router: an answer was late");
+    }
+
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
         tracing::info!(event = "answer_cut", id = %self.id, instance = %self.open_attempt.choice.instance,
             reason, %error, "router: an answer was cut");
@@ -278,6 +306,7 @@
 
 impl Drop for Relay {
     fn drop(&mut self) {
+        self.note_lateness();
         if self.connection.is_some() {
             tracing::info!(event = "caller_left", id = %self.id, instance = %self.open_attempt.choice.instance,
                 "router: the caller left");
