Refuse a part of the prompts while a pool's slots are taken, the least urgent first

Nothing was ever refused for load. Change: a router knows the part of the pool's slots that is taken (the leader tells the others' loads). A proportional and integral controller makes of it the part of the work to refuse; requests are refused in the order of the tenant's, then the route's priority, at most 0.7 of one urgency while more urgent ones are left. 503 says that it has not run and when to return: once the streams there will have ended, by how long requests stay. Two tests of the router kept more requests open than their back ends have slots, which had no part in what they check: they end each request now, assertions unchanged.

--- a/crates/gateway-core/src/document.rs
+++ b/crates/gateway-core/src/document.rs
@@ -200,6 +200,11 @@
 }
 
 impl Document {
+    /// The pool of this name.
+    pub fn pool(&self, name: &PoolName) -> Option<&Pool> {
+        self.pools.iter().find(|pool| pool.name == *name)
+    }
+
     /// Checks what the parts promise one another.
     pub fn validate(&self) -> Result<(), InvalidDocument> {
         let pools: BTreeSet<&PoolName> = self.pools.iter().map(|pool| &pool.name).collect();
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -37,6 +37,7 @@
 };
 pub use router::{
     Admission, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, Outcome, OverLimit,
-    Prompt, PromptPart, Refusal, RequestHead, RouterCore, RouterParams, RunCopy, ViewError,
+    Overload, Prompt, PromptPart, Refusal, RequestHead, RouterCore, RouterParams, RunCopy,
+    ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, ReplicatedState};
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -7,7 +7,7 @@
 
 use drumshore_core::Timestamp;
 
-use crate::{InstanceId, InstanceRecord, LoadEntry};
+use crate::{InstanceId, InstanceRecord, Lifecycle, LoadEntry, PoolName};
 
 const SHED_PAUSE: Duration = Duration::from_millis(150);
 const BROKEN_PAUSE: Duration = Duration::from_millis(400);
@@ -124,6 +124,10 @@
         self.0.remove(&InstanceId::new(instance));
     }
 
+    pub fn get(&self, instance: &InstanceId) -> Option<&Endpoint> {
+        self.0.get(instance)
+    }
+
     pub fn iter(&self) -> impl Iterator<Item = (&InstanceId, &Endpoint)> {
         self.0.iter()
     }
@@ -132,6 +136,24 @@
         self.0.values().map(|endpoint| endpoint.in_flight).sum()
     }
 
+    /// Requests of all routers, waiting or running, for each slot of the back ends of a pool that
+    /// take requests.
+    pub fn part_of_slots_taken(&self, now: Timestamp, pool: &PoolName) -> f64 {
+        let takes_requests = |endpoint: &&Endpoint| {
+            endpoint.record.pool.as_str() == pool.as_str()
+                && endpoint.record.lifecycle == Lifecycle::Ready
+                && !endpoint.record.is_loading()
+                && endpoint.is_reachable()
+                && endpoint.avoided_until <= now
+        };
+        let (mut taken, mut slots) = (0, 0);
+        for endpoint in self.0.values().filter(takes_requests) {
+            taken += endpoint.all_in_flight();
+            slots += endpoint.slots();
+        }
+        f64::from(taken) / f64::from(slots.max(1))
+    }
+
     pub fn started(&mut self, instance: &InstanceId, tokens: u32) {
         if let Some(endpoint) = self.0.get_mut(instance) {
             endpoint.in_flight += 1;
@@ -277,6 +299,11 @@
         self.in_flight + u32::from(self.others.in_flight)
     }
 
+    /// Requests that it runs at once.
+    pub fn slots(&self) -> u32 {
+        self.record.slots.max(1)
+    }
+
     /// Tokens of prompts of all routers that are still to be read.
     fn all_pending_tokens(&self) -> u32 {
         self.pending_tokens + u32::from(self.others.pending) * LoadEntry::TOKENS
@@ -296,7 +323,7 @@
 
     /// What a further request waits until one of those before it has ended and left its slot.
     fn wait_for_slot(&self, stream_length: f64) -> f64 {
-        let slots = self.record.slots.max(1);
+        let slots = self.slots();
         let before = (self.all_in_flight() + 1).saturating_sub(slots);
         f64::from(before) * stream_length / f64::from(slots)
     }
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod endpoints;
 mod holders;
 mod homes;
+mod overload;
 mod placement;
 mod prompt_mix;
 mod prompt_placement;
@@ -27,15 +28,15 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, Route,
-    StoreId, StoredKey, Tenant, UsageEntry,
+    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, PoolName,
+    Route, StoreId, StoredKey, Tenant, UsageEntry,
 };
 
 pub use accounts::{Charge, OverLimit};
 pub use choice::{BelievedParts, Choice, RunCopy};
 pub use endpoints::Outcome;
 pub use request::{
-    Admission, ChoiceError, EarlierAttempts, Prompt, PromptPart, Refusal, RequestHead,
+    Admission, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal, RequestHead,
 };
 pub use view::ViewError;
 
@@ -43,6 +44,7 @@
 use budget::RetryBudget;
 use endpoints::Endpoints;
 use holders::Holders;
+use overload::{PoolLoads, Urgency};
 use prompt_mix::PromptMix;
 use split::Splitter;
 use stores::Stores;
@@ -79,6 +81,7 @@
     splitter: Splitter,
     tenant_accounts: TenantAccounts,
     prompt_mix: PromptMix,
+    pool_loads: PoolLoads,
     budget: RetryBudget,
     random: ChaCha8Rng,
     routers: u16,
@@ -97,6 +100,7 @@
             splitter: Splitter::default(),
             tenant_accounts: TenantAccounts::default(),
             prompt_mix: PromptMix::default(),
+            pool_loads: PoolLoads::default(),
             budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
             params,
@@ -237,6 +241,9 @@
         } else if is_retry && !self.budget.may_retry(now, &admission.pool) {
             return Err(ChoiceError::NoBudget);
         }
+        if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
+            self.refuse_overload(now, admission, prompt)?;
+        }
         let choice = self.place(now, admission, prompt, earlier.tried)?;
         if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
             let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
@@ -253,6 +260,25 @@
         Ok(choice)
     }
 
+    /// Refuses a part of the prompts while their pool has too much work.
+    fn refuse_overload(
+        &mut self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: &Prompt,
+    ) -> Result<(), ChoiceError> {
+        let document = self.view.document();
+        let Some(pool) = document.and_then(|document| document.pool(&admission.pool)) else {
+            return Ok(());
+        };
+        let taken = self.endpoints.part_of_slots_taken(now, &pool.name);
+        let draw = self.random.random();
+        let loads = &mut self.pool_loads;
+        let urgency = Urgency::of(admission);
+        loads.on_prompt(pool, urgency, prompt);
+        loads.judge(now, &pool.name, urgency, taken, draw)
+    }
+
     /// The answer to a request that was chosen for has begun, or its attempt has ended. `took` is
     /// the time since it was sent, when an answer came, and `target` the time it should take.
     pub fn answered(
@@ -317,6 +343,9 @@
         begun: Timestamp,
         outcome: Outcome,
     ) -> bool {
+        if outcome == Outcome::Answered {
+            self.note_stay(instance, now.since(begun));
+        }
         let fell_silent = self.endpoints.finished(now, instance, begun, outcome);
         if fell_silent && self.suspects.len() < MOST_SUSPECTS {
             self.suspects.push(LoadEntry::key_of(instance.as_str()));
@@ -328,6 +357,13 @@
         fell_silent
     }
 
+    fn note_stay(&mut self, instance: &InstanceId, stay: Duration) {
+        if let Some(endpoint) = self.endpoints.get(instance) {
+            let pool = PoolName::new(endpoint.record.pool.as_str());
+            self.pool_loads.on_answered(&pool, stay);
+        }
+    }
+
     /// Back ends that this router found silent and the others do not know of yet.
     pub fn take_suspects(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.suspects)
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -129,11 +129,7 @@
     }
 
     pub(super) fn pool(&self, admission: &Admission) -> Option<&Pool> {
-        let document = self.view.document()?;
-        document
-            .pools
-            .iter()
-            .find(|pool| pool.name == admission.pool)
+        self.view.document()?.pool(&admission.pool)
     }
 
     fn connections(&self, max_connections: u32) -> usize {
--- a/crates/gateway-core/src/router/prompt_mix.rs
+++ b/crates/gateway-core/src/router/prompt_mix.rs
@@ -40,7 +40,7 @@
 
     /// What it costs a back end with so many slots that reads so many tokens of it, in tokens to
     /// be read.
-    fn cost(&self, read: u32, slots: u32) -> f64 {
+    pub(super) fn cost(&self, read: u32, slots: u32) -> f64 {
         let for_each_output = STEP_TOKENS / f64::from(slots.max(1));
         f64::from(read) + f64::from(self.output) * for_each_output
     }
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -1,6 +1,7 @@
 //! What a router knows of a request, and why it is not sent anywhere.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use super::{Charge, OverLimit};
 use crate::{InstanceId, ModelName, PoolName, Route, Tenant};
@@ -54,11 +55,26 @@
     /// All that take requests were tried.
     #[error("no other back end")]
     NoneLeft,
+    /// The pool has more work than it can serve in time.
+    #[error("{0}")]
+    Overloaded(Overload),
     /// Retries are used up for now.
     #[error("retry budget used up")]
     NoBudget,
 }
 
+/// Why a request is refused while its pool has too much work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("pool overloaded: {taken_percent} % of its slots taken, {refused_percent} % refused")]
+pub struct Overload {
+    /// When the caller is to try again.
+    pub retry_after: Duration,
+    /// Requests at the pool's back ends, of 100 slots.
+    pub taken_percent: u32,
+    /// Requests of this urgency that are refused, of 100.
+    pub refused_percent: u32,
+}
+
 /// What was done for a request before another back end is chosen.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EarlierAttempts<'a> {
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -357,6 +357,7 @@
             )
             .unwrap();
         assert_eq!(choice.instance.as_str(), "new");
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
     }
 }
 
@@ -866,7 +867,9 @@
     for number in 0..count {
         let prompt = prompt(&format!("shared {number}"), 10);
         let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
-        used.extend(choice.unwrap().save_to);
+        let choice = choice.unwrap();
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        used.extend(choice.save_to);
     }
     used
 }
--- /dev/null
+++ b/crates/gateway-core/tests/pool/mod.rs
@@ -0,0 +1,443 @@
+//! A pool of simulated back ends before several routers, on a virtual clock.
+//!
+//! A back end runs requests in steps: each step reads up to a piece of the prompts that wait in its
+//! slots and makes one token for each stream that is past its prompt. Reading therefore holds up the
+//! streams beside it, as at the users' engines, whose figures these are.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{
+    Admission, Changes, Choice, ChoiceError, Document, EarlierAttempts, InstanceRecord, Lifecycle,
+    LoadEntry, LoadedModel, ModelName, ModelPool, Outcome, Pool, PoolName, Prompt, PromptPart,
+    RequestHead, RequestKind, Route, RouterCore, RouterParams, Share,
+};
+use drumshore_wire::{Blob, List, Text};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const BACK_ENDS: u64 = 12;
+const ROUTERS: usize = 8;
+const SLOTS: u32 = 16;
+/// A step without reading.
+const STEP_US: f64 = 5_230.0;
+const READ_TOKENS_PER_US: f64 = 0.0384;
+const PIECE_TOKENS: u32 = 4_096;
+/// Tokens that one event of a stream holds.
+const EVENT_TOKENS: u32 = 6;
+const TICK: Duration = Duration::from_millis(1);
+/// Between two notices of the other routers' loads, which also are so old.
+const LOADS_INTERVAL: Duration = Duration::from_millis(250);
+const PAUSE_TARGET: Duration = Duration::from_millis(600);
+/// A caller that was refused tries once more, after at most this part of the time it has left.
+const LONGEST_WAIT_PART: u32 = 3;
+
+/// One kind of request.
+#[derive(Clone, Copy, Debug)]
+pub struct Kind {
+    pub path: &'static str,
+    pub prompt_tokens: u32,
+    pub output_tokens: u32,
+    pub priority: u8,
+    pub target: Duration,
+    pub deadline: Duration,
+    /// Of all requests.
+    pub share: f64,
+}
+
+/// The users' long prompts, their shared part cached, and their short ones.
+pub const LONG: Kind = Kind {
+    path: "/long/",
+    prompt_tokens: 2_890,
+    output_tokens: 54,
+    priority: 1,
+    target: Duration::from_millis(800),
+    deadline: Duration::from_secs(5),
+    share: 1.0,
+};
+pub const SHORT: Kind = Kind {
+    path: "/short/",
+    prompt_tokens: 628,
+    output_tokens: 290,
+    priority: 0,
+    target: Duration::from_millis(600),
+    deadline: Duration::from_secs(15),
+    share: 1.0,
+};
+
+struct Request {
+    kind: Kind,
+    kind_number: usize,
+    router: usize,
+    /// When its caller asked first.
+    asked: Timestamp,
+    sent: Timestamp,
+    choice: Choice,
+    unread: u32,
+    left: u32,
+    first: Option<Timestamp>,
+    latest_event: Timestamp,
+    longest_pause: Duration,
+}
+
+#[derive(Default)]
+struct BackEnd {
+    waiting: Vec<Request>,
+    running: Vec<Request>,
+    step_ends: Option<Timestamp>,
+}
+
+/// A caller that comes back after a refusal.
+type Return = Reverse<(u64, usize, u64)>;
+
+/// What became of requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Tally {
+    pub asked: u32,
+    pub in_time: u32,
+    /// Of those whose caller came back after a refusal: in time from then on.
+    pub in_time_on_return: u32,
+    pub late: u32,
+    /// Refused when their caller asked first.
+    pub told_to_return: u32,
+    /// Refused again when it came back.
+    pub refused: u32,
+}
+
+impl Tally {
+    /// Served in time since the caller asked last.
+    pub fn served_in_time(&self) -> u32 {
+        self.in_time + self.in_time_on_return
+    }
+
+    pub fn served(&self) -> u32 {
+        self.served_in_time() + self.late
+    }
+}
+
+pub struct Simulation {
+    now: Timestamp,
+    routers: Vec<RouterCore>,
+    back_ends: Vec<BackEnd>,
+    kinds: Vec<Kind>,
+    random: ChaCha8Rng,
+    returns: BinaryHeap<Return>,
+    loads_told: Timestamp,
+    /// By kind.
+    tallies: Vec<Tally>,
+}
+
+impl Simulation {
+    pub fn new(kinds: &[Kind], seed: u64) -> Self {
+        let routers = (0..ROUTERS as u64).map(|router| new_router(kinds, seed * 100 + router));
+        Self {
+            now: Timestamp(1),
+            routers: routers.collect(),
+            back_ends: (0..BACK_ENDS).map(|_| BackEnd::default()).collect(),
+            kinds: kinds.to_vec(),
+            random: ChaCha8Rng::seed_from_u64(seed),
+            returns: BinaryHeap::new(),
+            loads_told: Timestamp(1),
+            tallies: vec![Tally::default(); kinds.len()],
+        }
+    }
+
+    /// What became of each kind since this was asked last.
+    pub fn take_tallies(&mut self) -> Vec<Tally> {
+        let fresh = vec![Tally::default(); self.kinds.len()];
+        std::mem::replace(&mut self.tallies, fresh)
+    }
+
+    /// Callers ask at this rate for so long.
+    pub fn run(&mut self, requests_per_second: f64, time: Duration) {
+        let end = self.now.plus(time);
+        let chance = requests_per_second * TICK.as_secs_f64();
+        while self.now < end {
+            self.now = self.now.plus(TICK);
+            self.tell_loads();
+            let mut due = chance;
+            while due > 0.0 && self.random.random::<f64>() < due {
+                let kind = self.draw_kind();
+                self.tallies[kind].asked += 1;
+                self.ask(kind, self.now, false);
+                due -= 1.0;
+            }
+            self.take_returns();
+            for number in 0..self.back_ends.len() {
+                self.step(number);
+            }
+        }
+    }
+
+    fn draw_kind(&mut self) -> usize {
+        let all: f64 = self.kinds.iter().map(|kind| kind.share).sum();
+        let mut draw = self.random.random::<f64>() * all;
+        for (number, kind) in self.kinds.iter().enumerate() {
+            draw -= kind.share;
+            if draw <= 0.0 {
+                return number;
+            }
+        }
+        self.kinds.len() - 1
+    }
+
+    fn ask(&mut self, kind_number: usize, asked: Timestamp, is_return: bool) {
+        let kind = self.kinds[kind_number];
+        let router = self.random.random_range(0..ROUTERS);
+        let now = self.now;
+        let head = RequestHead {
+            host: "host",
+            path: kind.path,
+            key: None,
+            declared_tokens: None,
+        };
+        let core = &mut self.routers[router];
+        core.on_confirmed(now, 1, ROUTERS as u16);
+        let admission: Admission = core.admit(now, head).unwrap();
+        let prompt = prompt_of(kind, self.random.random());
+        match core.choose(now, &admission, Some(&prompt), EarlierAttempts::default()) {
+            Ok(choice) => {
+                let number: usize = choice.instance.as_str()[3..].parse().unwrap();
+                self.back_ends[number].waiting.push(Request {
+                    kind,
+                    kind_number,
+                    router,
+                    asked,
+                    sent: now,
+                    choice,
+                    unread: kind.prompt_tokens,
+                    left: kind.output_tokens,
+                    first: None,
+                    latest_event: now,
+                    longest_pause: Duration::ZERO,
+                });
+            }
+            Err(error) if is_return => {
+                assert!(retry_after(error).is_some(), "{error}");
+                self.tallies[kind_number].refused += 1;
+            }
+            Err(error) => {
+                self.tallies[kind_number].told_to_return += 1;
+                let wait = retry_after(error).unwrap_or_else(|| panic!("{error}"));
+                let wait = wait.min(kind.deadline / LONGEST_WAIT_PART);
+                let at = now.plus(wait);
+                self.returns.push(Reverse((at.0, kind_number, asked.0)));
+            }
+        }
+    }
+
+    fn take_returns(&mut self) {
+        while let Some(Reverse((at, kind, asked))) = self.returns.peek().copied() {
+            if at > self.now.0 {
+                break;
+            }
+            self.returns.pop();
+            self.ask(kind, Timestamp(asked), true);
+        }
+    }
+
+    /// Each router gets the sum of the others' loads, as the leader tells it.
+    fn tell_loads(&mut self) {
+        if self.now.since(self.loads_told) < LOADS_INTERVAL {
+            return;
+        }
+        self.loads_told = self.now;
+        let own: Vec<Vec<LoadEntry>> = self.routers.iter().map(RouterCore::own_loads).collect();
+        for (number, router) in self.routers.iter_mut().enumerate() {
+            let mut sums: std::collections::BTreeMap<u32, LoadEntry> = Default::default();
+            let others = own.iter().enumerate().filter(|(other, _)| *other != number);
+            for entry in others.flat_map(|(_, entries)| entries) {
+                let sum = sums.entry(entry.key).or_default();
+                sum.key = entry.key;
+                sum.pending += entry.pending;
+                sum.in_flight += entry.in_flight;
+            }
+            let sums: Vec<LoadEntry> = sums.into_values().collect();
+            router.set_others_loads(true, &sums);
+        }
+    }
+
+    /// Ends a step that is over, and begins the next one.
+    fn step(&mut self, number: usize) {
+        let now = self.now;
+        let back_end = &mut self.back_ends[number];
+        if back_end.step_ends.is_some_and(|end| end > now) {
+            return;
+        }
+        if back_end.step_ends.take().is_some() {
+            for request in back_end.end_step(now, &mut self.routers) {
+                finish(&request, now, &mut self.routers, &mut self.tallies);
+            }
+        }
+        self.back_ends[number].begin_step(now);
+    }
+}
+
+impl BackEnd {
+    /// Each stream whose prompt is read gets a token; returns those that are whole.
+    fn end_step(&mut self, now: Timestamp, routers: &mut [RouterCore]) -> Vec<Request> {
+        let streams = self
+            .running
+            .iter_mut()
+            .filter(|request| request.unread == 0);
+        streams.for_each(|request| make_token(request, now, routers));
+        let running = std::mem::take(&mut self.running);
+        let (ended, running) = running.into_iter().partition(|request| request.left == 0);
+        self.running = running;
+        ended
+    }
+
+    fn begin_step(&mut self, now: Timestamp) {
+        while self.running.len() < SLOTS as usize && !self.waiting.is_empty() {
+            let places = 0..self.waiting.len();
+            let most_urgent = places.min_by_key(|place| self.waiting[*place].kind.priority);
+            let next = self.waiting.remove(most_urgent.unwrap());
+            self.running.push(next);
+        }
+        if self.running.is_empty() {
+            return;
+        }
+        let mut room = PIECE_TOKENS;
+        for request in &mut self.running {
+            let read = request.unread.min(room);
+            request.unread -= read;
+            room -= read;
+        }
+        let read = f64::from(PIECE_TOKENS - room);
+        let length = STEP_US + read / READ_TOKENS_PER_US;
+        self.step_ends = Some(now.plus(Duration::from_micros(length as u64)));
+    }
+}
+
+fn make_token(request: &mut Request, now: Timestamp, routers: &mut [RouterCore]) {
+    let made = request.kind.output_tokens - request.left;
+    request.left -= 1;
+    if request.first.is_none() {
+        request.first = Some(now);
+        request.latest_event = now;
+        let took = now.since(request.sent);
+        let target = request.kind.target;
+        routers[request.router].answered(now, &request.choice, Some(took), target);
+        return;
+    }
+    if made.is_multiple_of(EVENT_TOKENS) {
+        let pause = now.since(request.latest_event);
+        request.longest_pause = request.longest_pause.max(pause);
+        request.latest_event = now;
+    }
+}
+
+fn finish(request: &Request, now: Timestamp, routers: &mut [RouterCore], tallies: &mut [Tally]) {
+    let instance = &request.choice.instance;
+    routers[request.router].finished(now, instance, request.sent, Outcome::Answered);
+    let tally = &mut tallies[request.kind_number];
+    let first = request.first.unwrap_or(now).since(request.asked);
+    let from_return = request.first.unwrap_or(now).since(request.sent);
+    let is_paused = request.longest_pause > PAUSE_TARGET;
+    if first <= request.kind.target && !is_paused {
+        tally.in_time += 1;
+    } else if request.sent != request.asked && from_return <= request.kind.target && !is_paused {
+        tally.in_time_on_return += 1;
+    } else {
+        tally.late += 1;
+    }
+}
+
+fn retry_after(error: ChoiceError) -> Option<Duration> {
+    match error {
+        ChoiceError::Overloaded(overload) => Some(overload.retry_after),
+        _ => None,
+    }
+}
+
+fn prompt_of(kind: Kind, id: u64) -> Prompt {
+    Prompt {
+        model: ModelName::new("model"),
+        parts: vec![PromptPart {
+            id: id.to_string(),
+            tokens: kind.prompt_tokens,
+        }],
+        output: kind.output_tokens,
+    }
+}
+
+fn new_router(kinds: &[Kind], seed: u64) -> RouterCore {
+    let params = RouterParams {
+        zone: "zone".to_owned(),
+        key_lease: Duration::from_secs(4),
+        version_grace: Duration::from_secs(6),
+        retry_ratio: 0.2,
+        retry_slack: 50.0,
+        retry_window: Duration::from_secs(10),
+    };
+    let mut router = RouterCore::new(params, seed);
+    let instances: Vec<InstanceRecord> = (0..BACK_ENDS).map(record).collect();
+    let changes = Changes {
+        since: 0,
+        revision: 1,
+        configuration: List::new(vec![Blob::new(Vec::new())]),
+        weights: List::new(Vec::new()),
+        instances: List::new(instances),
+        removed: List::new(Vec::new()),
+    };
+    let document = document(kinds);
+    router
+        .apply(Timestamp(1), changes, |_| Ok(document))
+        .unwrap();
+    router
+}
+
+fn record(number: u64) -> InstanceRecord {
+    InstanceRecord {
+        instance: Text::new(format!("be-{number}")),
+        pool: Text::new("models"),
+        address: Text::new(format!("10.0.0.{number}:80")),
+        zone: Text::new("zone"),
+        slots: SLOTS,
+        lifecycle: Lifecycle::Ready,
+        models: List::new(vec![LoadedModel {
+            model: Text::new("model"),
+            version: 1,
+            loading: 0,
+        }]),
+        registered: number + 1,
+        revision: 1,
+    }
+}
+
+fn document(kinds: &[Kind]) -> Document {
+    let routes = kinds.iter().map(|kind| Route {
+        name: kind.path.to_owned(),
+        host: "host".to_owned(),
+        path_prefix: kind.path.to_owned(),
+        kind: RequestKind::Stream,
+        timeout: kind.deadline,
+        target: kind.target,
+        gap_target: Some(PAUSE_TARGET),
+        priority: kind.priority,
+        max_attempts: 1,
+        public: true,
+        shares: vec![Share {
+            pool: PoolName::new("models"),
+            weight: 1,
+        }],
+    });
+    Document {
+        version: 1,
+        routes: routes.collect(),
+        pools: vec![Pool {
+            name: PoolName::new("models"),
+            max_connections: 10_000,
+            models: Some(ModelPool {
+                slots: SLOTS,
+                cache_tokens: 86_721,
+                copies_runs: false,
+                models: vec![ModelName::new("model")],
+            }),
+            store: None,
+        }],
+        ..Document::default()
+    }
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -253,7 +253,8 @@
     }
     router.metrics.count_request("answered", elapsed);
     tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
-        outcome = "answered", status = response.status().as_u16(), instance = %choice.instance,
+        outcome = "answered", status = response.status().as_u16(),
+        priority = call.admission.priority, instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(),
         held_here = choice.believed.here, held_at_source = choice.believed.at_source,
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -65,7 +65,7 @@
     let given_up = final_answer(worst, error, now >= call.deadline);
     router.metrics.count_request(given_up.reason, elapsed);
     tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
-        outcome = given_up.reason, status = given_up.status.as_u16(),
+        outcome = given_up.reason, status = given_up.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         execution = worst.as_str(), choice = error.map(tracing::field::display),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
@@ -76,20 +76,17 @@
 /// 503 promises that the request has not run; 502 and 504 promise nothing.
 fn final_answer(worst: Execution, error: Option<ChoiceError>, late: bool) -> GivenUp {
     if worst == Execution::NotRun {
-        let none_ready = error == Some(ChoiceError::NoneReady);
-        let after = if none_ready {
-            RETRY_WITHOUT_BACK_ENDS
-        } else {
-            RETRY_SOON
+        let (after, reason) = match error {
+            Some(ChoiceError::NoneReady) => (RETRY_WITHOUT_BACK_ENDS, "no_back_end"),
+            Some(ChoiceError::Overloaded(overload)) => (overload.retry_after, "overloaded"),
+            Some(ChoiceError::NoneLeft | ChoiceError::NoBudget) | None => {
+                (RETRY_SOON, "turned_away")
+            }
         };
         return GivenUp {
             status: StatusCode::SERVICE_UNAVAILABLE,
             retry_after: Some(after),
-            reason: if none_ready {
-                "no_back_end"
-            } else {
-                "turned_away"
-            },
+            reason,
         };
     }
     let (status, reason) = if late {
--- a/crates/gateway/src/router/refusal_tests.rs
+++ b/crates/gateway/src/router/refusal_tests.rs
@@ -3,11 +3,18 @@
 use rstest::rstest;
 
 use super::*;
+use drumshore_gateway_core::Overload;
 
 const NONE_READY: Option<ChoiceError> = Some(ChoiceError::NoneReady);
 const NO_BUDGET: Option<ChoiceError> = Some(ChoiceError::NoBudget);
 const NONE_LEFT: Option<ChoiceError> = Some(ChoiceError::NoneLeft);
 
+const OVERLOADED: Option<ChoiceError> = Some(ChoiceError::Overloaded(Overload {
+    retry_after: Duration::from_millis(1_300),
+    taken_percent: 110,
+    refused_percent: 30,
+}));
+
 /// Only a request that has surely not run is answered with 503, and every such answer says when
 /// to try again; time that has run out changes nothing about that.
 #[rstest]
@@ -17,6 +24,7 @@
 #[case::turned_away_and_no_retry_left(Execution::NotRun, NO_BUDGET, false, 503, true)]
 #[case::turned_away_as_often_as_allowed(Execution::NotRun, None, false, 503, true)]
 #[case::turned_away_until_late(Execution::NotRun, None, true, 503, true)]
+#[case::overloaded(Execution::NotRun, OVERLOADED, false, 503, true)]
 #[case::connection_broke(Execution::MayHaveRun, None, false, 502, false)]
 #[case::connection_broke_and_none_left(Execution::MayHaveRun, NONE_LEFT, false, 502, false)]
 #[case::connection_broke_and_no_retry_left(Execution::MayHaveRun, NO_BUDGET, false, 502, false)]
@@ -51,3 +59,10 @@
     let after = retry_after_limit(Duration::from_millis(wait_ms), draw);
     assert_eq!(after, Duration::from_millis(after_ms));
 }
+
+#[test]
+fn a_caller_of_a_pool_that_is_overloaded_is_told_when_there_is_room() {
+    let given_up = final_answer(Execution::NotRun, OVERLOADED, false);
+    let told = (given_up.reason, given_up.retry_after);
+    assert_eq!(told, ("overloaded", Some(Duration::from_millis(1_300))));
+}
