Do not count back ends that do not say their slots; keep the refusing of prompts in one file

Found by reading the change. Test: back_ends_that_do_not_say_their_slots_are_not_taken_for_full, seen failing without the guard.

--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -137,10 +137,11 @@
     }
 
     /// Requests of all routers, waiting or running, for each slot of the back ends of a pool that
-    /// take requests.
+    /// take requests. Those that do not say how many slots they have do not count.
     pub fn part_of_slots_taken(&self, now: Timestamp, pool: &PoolName) -> f64 {
         let takes_requests = |endpoint: &&Endpoint| {
             endpoint.record.pool.as_str() == pool.as_str()
+                && endpoint.record.slots > 0
                 && endpoint.record.lifecycle == Lifecycle::Ready
                 && !endpoint.record.is_loading()
                 && endpoint.is_reachable()
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -28,8 +28,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, PoolName,
-    Route, StoreId, StoredKey, Tenant, UsageEntry,
+    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, Route,
+    StoreId, StoredKey, Tenant, UsageEntry,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -44,7 +44,7 @@
 use budget::RetryBudget;
 use endpoints::Endpoints;
 use holders::Holders;
-use overload::{PoolLoads, Urgency};
+use overload::PoolLoads;
 use prompt_mix::PromptMix;
 use split::Splitter;
 use stores::Stores;
@@ -260,25 +260,6 @@
         Ok(choice)
     }
 
-    /// Refuses a part of the prompts while their pool has too much work.
-    fn refuse_overload(
-        &mut self,
-        now: Timestamp,
-        admission: &Admission,
-        prompt: &Prompt,
-    ) -> Result<(), ChoiceError> {
-        let document = self.view.document();
-        let Some(pool) = document.and_then(|document| document.pool(&admission.pool)) else {
-            return Ok(());
-        };
-        let taken = self.endpoints.part_of_slots_taken(now, &pool.name);
-        let draw = self.random.random();
-        let loads = &mut self.pool_loads;
-        let urgency = Urgency::of(admission);
-        loads.on_prompt(pool, urgency, prompt);
-        loads.judge(now, &pool.name, urgency, taken, draw)
-    }
-
     /// The answer to a request that was chosen for has begun, or its attempt has ended. `took` is
     /// the time since it was sent, when an answer came, and `target` the time it should take.
     pub fn answered(
@@ -357,13 +338,6 @@
         fell_silent
     }
 
-    fn note_stay(&mut self, instance: &InstanceId, stay: Duration) {
-        if let Some(endpoint) = self.endpoints.get(instance) {
-            let pool = PoolName::new(endpoint.record.pool.as_str());
-            self.pool_loads.on_answered(&pool, stay);
-        }
-    }
-
     /// Back ends that this router found silent and the others do not know of yet.
     pub fn take_suspects(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.suspects)
--- a/crates/gateway-core/src/router/overload.rs
+++ b/crates/gateway-core/src/router/overload.rs
@@ -10,9 +10,10 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
+use rand::Rng;
 
-use super::{Admission, ChoiceError, Overload, Prompt};
-use crate::{Pool, PoolName};
+use super::{Admission, ChoiceError, Overload, Prompt, RouterCore};
+use crate::{InstanceId, Pool, PoolName};
 
 /// Refusing begins when this part of the pool's slots is taken. Of the values tried, see
 /// docs/design/overload.md.
@@ -171,6 +172,35 @@
     }
 }
 
+impl RouterCore {
+    /// Refuses a part of the prompts while their pool has too much work.
+    pub(super) fn refuse_overload(
+        &mut self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: &Prompt,
+    ) -> Result<(), ChoiceError> {
+        let document = self.view.document();
+        let Some(pool) = document.and_then(|document| document.pool(&admission.pool)) else {
+            return Ok(());
+        };
+        let taken = self.endpoints.part_of_slots_taken(now, &pool.name);
+        let draw = self.random.random();
+        let loads = &mut self.pool_loads;
+        let urgency = Urgency::of(admission);
+        loads.on_prompt(pool, urgency, prompt);
+        loads.judge(now, &pool.name, urgency, taken, draw)
+    }
+
+    /// A request that was answered has left its back end after so long.
+    pub(super) fn note_stay(&mut self, instance: &InstanceId, stay: Duration) {
+        if let Some(endpoint) = self.endpoints.get(instance) {
+            let pool = PoolName::new(endpoint.record.pool.as_str());
+            self.pool_loads.on_answered(&pool, stay);
+        }
+    }
+}
+
 fn percent(part: f64) -> u32 {
     (part * 100.0).round() as u32
 }
--- a/crates/gateway-core/src/router/overload_tests.rs
+++ b/crates/gateway-core/src/router/overload_tests.rs
@@ -1,5 +1,7 @@
+use super::super::tests::{at, router_with_slots, short_stream};
+use super::super::EarlierAttempts;
 use super::*;
-use crate::{ModelName, PromptPart};
+use crate::{ModelName, PromptPart, RequestKind};
 
 const SECOND: u64 = 1_000_000;
 const FULL: f64 = 1.2;
@@ -116,3 +118,14 @@
     let excess = load.excess(Timestamp(60 * SECOND), 1.05);
     assert!(excess < at_once + 0.03, "{excess}");
 }
+
+#[test]
+fn back_ends_that_do_not_say_their_slots_are_not_taken_for_full() {
+    let mut router = router_with_slots(0);
+    let admission = short_stream(&mut router, RequestKind::Stream);
+    for _ in 0..40 {
+        let prompt = prompt();
+        let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+        assert!(choice.is_ok(), "{choice:?}");
+    }
+}
--- a/crates/gateway-core/src/router/tests.rs
+++ b/crates/gateway-core/src/router/tests.rs
@@ -220,6 +220,13 @@
     router()
 }
 
+/// A router before one back end that holds a model and says that it has so many slots.
+pub(super) fn router_with_slots(slots: u32) -> RouterCore {
+    let mut back_end = record("llm-1", "models", 1);
+    back_end.slots = slots;
+    router_with(vec![back_end])
+}
+
 /// An admitted request for the model whose route is of this kind.
 pub(super) fn short_stream(router: &mut RouterCore, kind: RequestKind) -> Admission {
     let admission = admit(router, at(1), "/a/b/x");
