Part the tests of router and control machines by subject

router/tests.rs (1,062 lines) and tests/control.rs (967) become a folder each with one file a subject and what they share in mod.rs and main.rs. No product code.

--- /dev/null
+++ b/crates/gateway-core/src/router/tests/admission.rs
@@ -0,0 +1,94 @@
+//! Tests of routes, keys, the view, and the shares of pools.
+
+use super::*;
+
+#[test]
+fn the_longest_prefix_wins() {
+    let mut router = router();
+    assert_eq!(admit(&mut router, at(1), "/a/x").route.name, "short");
+    assert_eq!(admit(&mut router, at(1), "/a/b/x").route.name, "long");
+    let none = router.admit(at(1), head("host", "/c/", Some("key 1")));
+    assert_eq!(none.unwrap_err(), Refusal::NoRoute);
+    let other_host = router.admit(at(1), head("other", "/a/x", Some("key 1")));
+    assert_eq!(other_host.unwrap_err(), Refusal::NoRoute);
+}
+
+#[test]
+fn keys_name_tenants_and_tenants_priorities() {
+    let mut router = router();
+    let unknown = router.admit(at(1), head("host", "/a/x", Some("key 9")));
+    assert_eq!(unknown.unwrap_err(), Refusal::UnknownKey);
+    let missing = router.admit(at(1), head("host", "/a/x", None));
+    assert_eq!(missing.unwrap_err(), Refusal::UnknownKey);
+    let one = router
+        .admit(at(1), head("host", "/a/x", Some("key 1")))
+        .unwrap();
+    assert_eq!(one.priority, 2);
+    let two = router
+        .admit(at(1), head("host", "/a/x", Some("key 2")))
+        .unwrap();
+    assert_eq!(two.priority, 0);
+    let open = router.admit(at(1), head("host", "/open/x", None)).unwrap();
+    assert!(open.tenant.is_none());
+}
+
+#[test]
+fn a_router_that_is_not_confirmed_in_time_judges_nothing() {
+    let mut router = router();
+    let late = at(LEASE.as_millis() as u64 + 1);
+    let refused = router.admit(late, head("host", "/a/x", Some("key 1")));
+    assert_eq!(refused.unwrap_err(), Refusal::Unconfirmed);
+    router.on_confirmed(at(3_000), 10, 1);
+    assert!(router
+        .admit(late, head("host", "/a/x", Some("key 1")))
+        .is_ok());
+}
+
+#[test]
+fn a_confirmation_of_something_newer_counts_only_once_that_has_arrived() {
+    let mut router = router();
+    let late = at(5_000);
+    router.on_confirmed(at(4_900), 12, 1);
+    let refused = router.admit(late, head("host", "/a/x", Some("key 1")));
+    assert_eq!(refused.unwrap_err(), Refusal::Unconfirmed);
+    update(&mut router, late, changes(10, 12, Vec::new()));
+    assert!(router
+        .admit(late, head("host", "/a/x", Some("key 1")))
+        .is_ok());
+}
+
+#[test]
+fn a_view_never_leads_back_and_has_no_gaps() {
+    let mut router = router();
+    let parse = |_: &[u8]| Ok(document());
+    let older = router.apply(at(1), changes(0, 9, Vec::new()), parse);
+    assert!(matches!(older, Err(ViewError::Gap { .. })));
+    let gap = router.apply(at(1), changes(11, 12, Vec::new()), parse);
+    assert!(matches!(gap, Err(ViewError::Gap { .. })));
+    assert_eq!(router.revision(), 10);
+}
+
+#[test]
+fn shares_hold_over_few_requests() {
+    let mut router = router();
+    let mut apps = 0;
+    for _ in 0..40 {
+        let admission = admit(&mut router, at(1), "/split/x");
+        apps += u32::from(admission.pool.as_str() == "apps");
+    }
+    assert_eq!(apps, 30);
+}
+
+#[test]
+fn shares_hold_over_many_routers_with_one_request_each() {
+    // With a common start each of them would choose the pool with the most weight.
+    let apps = (0..400).filter(|seed| {
+        let mut router = RouterCore::new(params(), *seed);
+        update(&mut router, at(0), changes(0, 10, Vec::new()));
+        router.on_confirmed(at(0), 10, 1);
+        let admission = admit(&mut router, at(1), "/split/x");
+        admission.pool.as_str() == "apps"
+    });
+    let apps = apps.count();
+    assert!((270..=330).contains(&apps), "{apps} of 400, 300 expected");
+}
--- /dev/null
+++ b/crates/gateway-core/src/router/tests/caches.rs
@@ -0,0 +1,288 @@
+//! Tests of salts, stores and the back ends that are believed to hold prompts.
+
+use super::*;
+
+#[test]
+fn salts_separate_versions_and_isolated_tenants() {
+    let mut router = router();
+    let prompt = prompt("shared", 10);
+    let mut salt = |key: &str| {
+        let admission = router
+            .admit(at(1), head("host", "/a/b/x", Some(key)))
+            .unwrap();
+        let choice = router
+            .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
+            .unwrap();
+        choice.cache_salt.unwrap()
+    };
+    assert_ne!(salt("key 1"), salt("key 2"));
+    let shared = salt("key 1");
+    let mut newer: Vec<InstanceRecord> = (4..=9)
+        .map(|number| record(&format!("llm-{number}"), "models", number))
+        .collect();
+    for record in &mut newer {
+        record.models.items[0].version = 2;
+    }
+    update(&mut router, at(2), changes(10, 11, newer));
+    let admission = admit(&mut router, at(2), "/a/b/x");
+    let choice = router
+        .choose(at(2), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    assert_ne!(choice.cache_salt.unwrap(), shared);
+}
+
+#[test]
+fn a_prompt_is_saved_only_when_a_shared_part_is_missing() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let choose = |router: &mut RouterCore| {
+        let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        choice
+    };
+    let unknown = choose(&mut router);
+    assert_eq!((unknown.fetch_from, unknown.save_to), (None, None));
+    router.on_stored(store(), true, true, &[], &[]);
+    let missing = choose(&mut router);
+    assert!(missing.fetch_from.is_none() && missing.save_to.is_some());
+    let key = StoredKey::new(missing.cache_salt.as_deref().unwrap(), "shared");
+    router.on_stored(store(), true, false, &[key], &[]);
+    let held = choose(&mut router);
+    assert!(held.fetch_from.is_some() && held.save_to.is_none());
+    router.on_stored(store(), true, false, &[], &[key]);
+    assert!(choose(&mut router).save_to.is_some());
+    router.on_stored(store(), false, true, &[], &[]);
+    let lost = choose(&mut router);
+    assert_eq!((lost.fetch_from, lost.save_to), (None, None));
+}
+
+/// A prompt that nobody has cached was charged a quarter of its shared part: a back end seemed to
+/// be done long before it was.
+#[test]
+fn a_back_end_is_charged_what_it_is_expected_to_read() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let choose = |router: &mut RouterCore| {
+        let choice = router.choose(at(2), &admission, Some(&prompt), EarlierAttempts::default());
+        choice.unwrap()
+    };
+    let first = choose(&mut router);
+    assert_eq!(first.tokens, 4_010, "nobody has it");
+    router.prompt_read(at(3), &first);
+    assert_eq!(choose(&mut router).tokens, 10, "its home has read it");
+    router.finished(at(3), &first.instance, at(1), Outcome::Answered);
+}
+
+/// Short prompts are not followed: most of what they share is expected to be cached.
+#[test]
+fn a_short_prompt_is_charged_a_part_of_what_it_shares() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let part = |id: &str, tokens| PromptPart {
+        id: id.to_owned(),
+        tokens,
+    };
+    let prompt = Prompt {
+        model: ModelName::new("model"),
+        parts: vec![part("shared", 400), part("own", 600)],
+        output: 10,
+    };
+    let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+    assert_eq!(choice.unwrap().tokens, 700);
+}
+
+#[test]
+fn a_slow_store_is_left_alone_for_a_while_where_the_home_can_give() {
+    // A full link of the store made a third of the requests wait 2 s (sqbc scale-2). At home
+    // there is no other source, and to read the prompt again holds up more (grown sqbc scale-1).
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    router.on_stored(store(), true, true, &[], &[]);
+    let first = router
+        .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    let key = StoredKey::new(first.cache_salt.as_deref().unwrap(), "shared");
+    router.on_stored(store(), true, false, &[key], &[]);
+    let fetching = router
+        .choose(at(2), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    assert_eq!(fetching.fetches_from_store, Some(store()));
+    let target = Duration::from_millis(300);
+    router.answered(at(300), &fetching, Some(2 * target), target);
+    let busy_home = LoadEntry {
+        key: LoadEntry::key_of(fetching.instance.as_str()),
+        pending: 400,
+        in_flight: 6,
+    };
+    let choose = |router: &mut RouterCore, now, loads: &[LoadEntry]| {
+        router.set_others_loads(true, loads);
+        let choice = router.choose(now, &admission, Some(&prompt), EarlierAttempts::default());
+        choice.unwrap()
+    };
+    let away = choose(&mut router, at(400), &[busy_home]);
+    assert_ne!(away.instance, fetching.instance);
+    assert_eq!(away.fetches_from_store, None);
+    assert_eq!(away.fetch_from.as_deref(), Some(fetching.address.as_str()));
+    let at_home = choose(&mut router, at(400), &[]);
+    assert_eq!(at_home.instance, fetching.instance);
+    assert_eq!(at_home.fetches_from_store, Some(store()));
+    let later = choose(&mut router, at(3_000), &[busy_home]);
+    assert_eq!(later.fetches_from_store, Some(store()));
+}
+
+/// A router that knows two stores, and what it says of `count` prompts that differ.
+fn stores_used(known: &[&str], other_zone: &str, count: u32) -> Vec<String> {
+    let mut router = router();
+    let mut two = document();
+    two.pools
+        .push(store_pool("other store", OTHER_STORE, other_zone));
+    let mut changed = changes(10, 11, Vec::new());
+    changed.configuration = List::new(vec![Blob { bytes: Vec::new() }]);
+    router.apply(at(1), changed, |_| Ok(two)).unwrap();
+    for address in known {
+        router.on_stored(StoreId::at(address), true, true, &[], &[]);
+    }
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let mut used = Vec::new();
+    for number in 0..count {
+        let prompt = prompt(&format!("shared {number}"), 10);
+        let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        used.extend(choice.save_to);
+    }
+    used
+}
+
+#[test]
+fn stores_share_the_prompts_and_each_prompt_has_one() {
+    // Of three stores only the first was used: its link was full and it held half of the prompts.
+    let used = stores_used(&[STORE, OTHER_STORE], "zone", 60);
+    let other = used
+        .iter()
+        .filter(|address| *address == OTHER_STORE)
+        .count();
+    assert_eq!(used.len(), 60);
+    assert!((15..=45).contains(&other), "{other} of 60");
+    assert_eq!(used, stores_used(&[STORE, OTHER_STORE], "zone", 60));
+}
+
+#[test]
+fn a_store_that_does_not_answer_leaves_its_prompts_to_the_others() {
+    let used = stores_used(&[OTHER_STORE], "zone", 20);
+    assert_eq!(used, [OTHER_STORE; 20]);
+}
+
+#[test]
+fn a_prompt_is_kept_in_the_zone_of_its_home() {
+    let used = stores_used(&[STORE, OTHER_STORE], "other zone", 20);
+    assert_eq!(used, [STORE; 20]);
+    let used = stores_used(&[OTHER_STORE], "other zone", 20);
+    assert_eq!(used, [OTHER_STORE; 20]);
+}
+
+/// A router that saw the home of a prompt read it, and whose home is busy now.
+fn router_with_a_busy_home(prompt: &Prompt) -> (RouterCore, Admission, Choice) {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let first = router
+        .choose(at(1), &admission, Some(prompt), EarlierAttempts::default())
+        .unwrap();
+    router.prompt_read(at(2), &first);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(first.instance.as_str()),
+        pending: 400,
+        in_flight: 6,
+    };
+    router.set_others_loads(true, &[busy]);
+    (router, admission, first)
+}
+
+#[test]
+fn a_prompt_away_from_home_is_fetched_from_who_has_read_it() {
+    let prompt = prompt("shared", 10);
+    let (mut router, admission, first) = router_with_a_busy_home(&prompt);
+    let away = router
+        .choose(at(3), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    assert_ne!(away.instance, first.instance);
+    assert_eq!(away.believed.here, 0);
+    assert_eq!(away.believed.at_source, 1);
+    assert_eq!(away.fetch_from.as_deref(), Some(first.address.as_str()));
+    assert_eq!(away.fetches_from_store, None);
+}
+
+#[test]
+fn what_other_routers_learned_is_used_as_well() {
+    let prompt = prompt("shared", 10);
+    let (mut other, _, first) = router_with_a_busy_home(&prompt);
+    let learned = other.take_holder_news();
+    assert_eq!(learned.len(), 1);
+    assert!(other.take_holder_news().is_empty());
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    router.on_holders(at(1), &learned);
+    let tried = [first.instance];
+    let away = router.choose(at(2), &admission, Some(&prompt), after(&tried));
+    assert_eq!(
+        away.unwrap().believed.at_source,
+        0,
+        "a tried one is no source"
+    );
+    let known = router.choose(at(2), &admission, Some(&prompt), EarlierAttempts::default());
+    assert_eq!(known.unwrap().believed.here, 1);
+}
+
+#[test]
+fn a_holder_that_loads_or_leaves_is_no_source() {
+    let prompt = prompt("shared", 10);
+    let (mut router, admission, first) = router_with_a_busy_home(&prompt);
+    let mut leaving = record(first.instance.as_str(), "models", 1);
+    leaving.lifecycle = Lifecycle::Draining;
+    leaving.revision = 11;
+    update(&mut router, at(3), changes(10, 11, vec![leaving]));
+    let away = router
+        .choose(at(3), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    assert_ne!(away.instance, first.instance);
+    assert_eq!(away.believed.at_source, 0);
+    assert_ne!(away.fetch_from.as_deref(), Some(first.address.as_str()));
+}
+
+#[test]
+fn prompts_of_a_home_that_loads_go_to_back_ends_with_the_new_weights() {
+    // What is read under weights that are about to be replaced has to be read again.
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompts: Vec<Prompt> = (0..40)
+        .map(|n| prompt(&format!("shared {n}"), 10))
+        .collect();
+    let choose = |router: &mut RouterCore, prompt: &Prompt| {
+        let choice = router
+            .choose(at(1), &admission, Some(prompt), EarlierAttempts::default())
+            .unwrap();
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        choice
+    };
+    let before: Vec<Choice> = prompts.iter().map(|it| choose(&mut router, it)).collect();
+    let mut loading = record("llm-4", "models", 4);
+    loading.models.items[0].loading = 2;
+    let mut loaded = record("llm-5", "models", 5);
+    loaded.models.items[0].version = 2;
+    update(&mut router, at(1), changes(10, 11, vec![loading, loaded]));
+    for (prompt, before) in prompts.iter().zip(before) {
+        let after = choose(&mut router, prompt);
+        if before.instance.as_str() == "llm-4" {
+            assert_eq!(after.instance.as_str(), "llm-5");
+            assert_eq!(after.expected_version, Some(2));
+        } else {
+            assert_eq!(after.instance, before.instance);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway-core/src/router/tests/placement.rs
@@ -0,0 +1,265 @@
+//! Tests of where requests go.
+
+use super::*;
+
+#[test]
+fn draining_loading_and_replaced_back_ends_get_nothing() {
+    let mut draining = record("draining", "models", 1);
+    draining.lifecycle = Lifecycle::Draining;
+    let mut loading = record("loading", "models", 2);
+    loading.models.items[0].loading = 2;
+    let old = record("old", "models", 3);
+    let mut new = record("new", "models", 4);
+    new.address = old.address.clone();
+    let mut router = router_with(vec![draining, loading, old, new]);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    for _ in 0..20 {
+        let choice = router
+            .choose(
+                at(1),
+                &admission,
+                Some(&prompt("s", 10)),
+                EarlierAttempts::default(),
+            )
+            .unwrap();
+        assert_eq!(choice.instance.as_str(), "new");
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+    }
+}
+
+#[test]
+fn one_that_another_incarnation_answered_for_is_left_alone() {
+    let old = record("old", "apps", 3);
+    let mut new = record("new", "apps", 4);
+    new.address = old.address.clone();
+    let mut router = router_with(vec![old, new]);
+    let admission = admit(&mut router, at(1), "/a/x");
+    let choice = router
+        .choose(at(1), &admission, None, EarlierAttempts::default())
+        .unwrap();
+    assert_eq!(choice.instance.as_str(), "new");
+    router.finished(at(1), &choice.instance, at(1), Outcome::Misdirected);
+    let choice = router
+        .choose(at(2), &admission, None, EarlierAttempts::default())
+        .unwrap();
+    assert_eq!(choice.instance.as_str(), "old");
+}
+
+#[test]
+fn old_weights_are_not_used_when_their_time_is_up() {
+    let mut router = router();
+    let mut named = changes(10, 11, Vec::new());
+    named.weights = List::new(vec![WeightsNotice {
+        model: Text::new("model"),
+        version: 2,
+        age_ms: 2_000,
+    }]);
+    update(&mut router, at(1_000), named);
+    router.on_confirmed(at(7_000), 11, 1);
+    let admission = admit(&mut router, at(4_000), "/a/b/x");
+    let prompt = prompt("s", 10);
+    let choice = router.choose(
+        at(4_000),
+        &admission,
+        Some(&prompt),
+        EarlierAttempts::default(),
+    );
+    assert_eq!(choice.unwrap().expected_version, Some(1));
+    // Two seconds of the grace were over when the name arrived here.
+    let choice = router.choose(
+        at(5_100),
+        &admission,
+        Some(&prompt),
+        EarlierAttempts::default(),
+    );
+    assert_eq!(choice.unwrap_err(), ChoiceError::NoneReady);
+}
+
+#[test]
+fn requests_with_the_same_shared_parts_meet_at_one_back_end() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let mut homes = std::collections::BTreeSet::new();
+    for own in 1..10 {
+        let prompt = prompt("shared", own);
+        let choice = router
+            .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
+            .unwrap();
+        assert_eq!(choice.rank, 0);
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        homes.insert(choice.instance);
+    }
+    assert_eq!(homes.len(), 1);
+}
+
+/// A router before so many back ends of the pool of models.
+fn router_before(back_ends: usize) -> RouterCore {
+    let mut router = router();
+    let others = (0..back_ends).map(|n| record(&format!("m-{n}"), "models", 1));
+    let changes = Changes {
+        since: 10,
+        revision: 11,
+        configuration: List::new(Vec::new()),
+        weights: List::new(Vec::new()),
+        instances: List::new(others.collect()),
+        removed: List::new(Vec::new()),
+    };
+    router
+        .apply(at(1), changes, |_| Ok(document()))
+        .expect("the changes follow");
+    router.on_confirmed(at(1), 11, 295);
+    router
+}
+
+/// Loads that keep all back ends of [`router_before`] 100 busy but `m-0`.
+fn all_busy_but_one() -> Vec<LoadEntry> {
+    let names = (4..=9).map(|n| format!("llm-{n}"));
+    let names = names.chain((0..100).map(|n| format!("m-{n}")));
+    let loads = names.map(|name| LoadEntry {
+        key: LoadEntry::key_of(&name),
+        pending: if name == "m-0" { 0 } else { 400 },
+        in_flight: 4,
+    });
+    loads.collect()
+}
+
+#[test]
+fn prompts_that_leave_busy_homes_do_not_all_go_to_the_same_back_end() {
+    // sqbc-large: 295 routers hear of one another's loads 0.2 s late. All sent what left its home
+    // to the back end that was the least loaded then, and half of that was late.
+    let mut router = router_before(100);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    router.set_others_loads(true, &all_busy_but_one());
+    let mut chosen = std::collections::HashMap::new();
+    for n in 0..400 {
+        let prompt = prompt(&format!("shared-{n}"), 10);
+        let choice = router.choose(at(2), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.finished(at(2), &choice.instance, at(2), Outcome::Answered);
+        router.answered(at(2), &choice, None, Duration::ZERO);
+        *chosen.entry(choice.instance).or_insert(0) += 1;
+    }
+    let idle = chosen.get(&InstanceId::new("m-0")).copied().unwrap_or(0);
+    assert!((4..=40).contains(&idle), "{idle} of 400 to the idle one");
+}
+
+#[test]
+fn prompts_that_share_nothing_do_not_all_go_to_the_same_back_end() {
+    let mut router = router_before(100);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    router.set_others_loads(true, &all_busy_but_one());
+    let own = PromptPart {
+        id: "own".to_owned(),
+        tokens: 600,
+    };
+    let prompt = Prompt {
+        model: ModelName::new("model"),
+        parts: vec![own],
+        output: 10,
+    };
+    let mut idle = 0;
+    for _ in 0..400 {
+        let choice = router.choose(at(2), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.answered(at(2), &choice, None, Duration::ZERO);
+        router.finished(at(2), &choice.instance, at(2), Outcome::Answered);
+        idle += u32::from(choice.instance.as_str() == "m-0");
+    }
+    assert!((1..=40).contains(&idle), "{idle} of 400 to the idle one");
+}
+
+#[rstest]
+#[case::much_is_shared(6_300, false)]
+#[case::little_is_shared(200, true)]
+fn a_prompt_leaves_a_busy_home_the_sooner_the_less_it_shares(
+    #[case] shared: u32,
+    #[case] leaves: bool,
+) {
+    // sqbc-large: prompts that share 198 tokens stayed at home until 12,000 waited there.
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let part = |id: &str, tokens| PromptPart {
+        id: id.to_owned(),
+        tokens,
+    };
+    let prompt = Prompt {
+        model: ModelName::new("model"),
+        parts: vec![part("shared", shared), part("own", 600)],
+        output: 10,
+    };
+    let choose = |router: &mut RouterCore| {
+        let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        choice
+    };
+    let home = choose(&mut router);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(home.instance.as_str()),
+        pending: 4_000 / LoadEntry::TOKENS as u16,
+        in_flight: 2,
+    };
+    router.set_others_loads(true, &[busy]);
+    assert_eq!(choose(&mut router).instance != home.instance, leaves);
+}
+
+#[test]
+fn a_list_of_changed_loads_leaves_the_others_as_they_were() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let choose = |router: &mut RouterCore| {
+        let choice = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+        let choice = choice.unwrap();
+        router.answered(at(1), &choice, None, Duration::ZERO);
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+        choice.rank
+    };
+    let home = router.choose(at(1), &admission, Some(&prompt), EarlierAttempts::default());
+    let home = home.unwrap();
+    router.answered(at(1), &home, None, Duration::ZERO);
+    router.finished(at(1), &home.instance, at(1), Outcome::Answered);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(home.instance.as_str()),
+        pending: 400,
+        in_flight: 6,
+    };
+    router.set_others_loads(true, &[busy]);
+    router.set_others_loads(false, &[]);
+    assert!(choose(&mut router) > 0);
+    let free = LoadEntry {
+        key: busy.key,
+        ..LoadEntry::default()
+    };
+    router.set_others_loads(false, &[free]);
+    assert_eq!(choose(&mut router), 0);
+    router.set_others_loads(true, &[busy]);
+    router.set_others_loads(true, &[]);
+    assert_eq!(choose(&mut router), 0);
+}
+
+#[test]
+fn a_home_that_others_keep_busy_is_passed_over() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let prompt = prompt("shared", 10);
+    let home = router
+        .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    router.finished(at(1), &home.instance, at(1), Outcome::Answered);
+    let busy = LoadEntry {
+        key: LoadEntry::key_of(home.instance.as_str()),
+        pending: 200,
+        in_flight: 6,
+    };
+    router.set_others_loads(true, &[busy]);
+    let away = router
+        .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
+        .unwrap();
+    assert_ne!(away.instance, home.instance);
+    assert!(away.rank > 0);
+    // The home has the shared parts, and many homes have more links than one store.
+    assert_eq!(away.fetch_from, Some(home.address));
+}
--- /dev/null
+++ b/crates/gateway-core/tests/control/configuration.rs
@@ -0,0 +1,157 @@
+//! Configurations, members and leaders, through losses and restarts.
+
+use super::*;
+
+#[test]
+fn a_configuration_is_acknowledged_and_read_back_anywhere() {
+    let mut cluster = elected(3);
+    let accepted = cluster.configure(address(2), 7);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&accepted], Reply::Accepted);
+    for number in 1..=3 {
+        let read = cluster.read(address(number));
+        cluster.run(SECOND);
+        let expected = Reply::Configuration(Some(b"configuration 7".to_vec()));
+        assert_eq!(cluster.replies[&read], expected);
+    }
+}
+
+#[test]
+fn the_highest_version_wins_and_an_older_one_is_acknowledged_without_effect() {
+    let mut cluster = elected(3);
+    for version in [5, 9, 6, 9] {
+        let ticket = cluster.configure(address(1), version);
+        cluster.run(SECOND);
+        assert_eq!(cluster.replies[&ticket], Reply::Accepted);
+    }
+    assert_eq!(cluster.core(address(3)).state().configuration_version(), 9);
+}
+
+#[test]
+fn a_machine_that_is_cut_off_neither_acknowledges_nor_answers_reads() {
+    let mut cluster = elected(3);
+    let old_leader = cluster.leader().unwrap();
+    cluster.configure(old_leader, 1);
+    cluster.cut.insert(old_leader);
+    let change = cluster.configure(old_leader, 2);
+    let read = cluster.read(old_leader);
+    cluster.run(4 * SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Unavailable);
+    assert_eq!(cluster.replies[&read], Reply::Unavailable);
+    let new_leader = cluster.leader().unwrap();
+    let change = cluster.configure(new_leader, 3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+}
+
+#[test]
+fn acknowledged_changes_outlast_a_loss_of_power_of_all() {
+    let mut cluster = elected(3);
+    let change = cluster.configure(address(1), 4);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+    for number in 1..=3 {
+        cluster.kill(address(number));
+        cluster.machines[&address(number)].disk.crash(0);
+    }
+    for number in 1..=3 {
+        cluster.start(address(number));
+    }
+    cluster.run(3 * SECOND);
+    let read = cluster.read(address(2));
+    cluster.run(SECOND);
+    let expected = Reply::Configuration(Some(b"configuration 4".to_vec()));
+    assert_eq!(cluster.replies[&read], expected);
+}
+
+#[test]
+fn machines_that_are_not_seeds_join_and_vote() {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    // Two losses are borne only if five vote.
+    cluster.kill(address(1));
+    cluster.kill(address(2));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(5), 2);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+}
+
+#[test]
+fn two_disks_are_lost_and_the_machines_return_as_others() {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(1), 3);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+    cluster.wipe(address(1));
+    cluster.wipe(address(4));
+    cluster.run(8 * SECOND);
+    // Those that kept their disks may go now: the others have what was acknowledged.
+    cluster.kill(address(2));
+    cluster.kill(address(3));
+    cluster.run(5 * SECOND);
+    let read = cluster.read(address(1));
+    cluster.run(SECOND);
+    let expected = Reply::Configuration(Some(b"configuration 3".to_vec()));
+    assert_eq!(cluster.replies[&read], expected);
+}
+
+#[test]
+fn a_replacement_at_another_address_takes_the_place_of_a_machine_that_is_gone() {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    cluster.kill(address(2));
+    cluster.machines.remove(&address(2));
+    cluster.join(address(6));
+    cluster.run(12 * SECOND);
+    assert!(!cluster.core(address(6)).controls().contains(&address(2)));
+    cluster.kill(address(1));
+    cluster.kill(address(3));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(6), 2);
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+}
+
+/// Voters that start together have a leader at once, whichever of them come up late.
+#[rstest]
+#[case::all_at_once(0)]
+#[case::the_first_voter_late(1)]
+#[case::the_last_voter_late(5)]
+fn after_a_common_restart_there_soon_is_a_leader(#[case] late: u8) {
+    const SOON: Duration = Duration::from_millis(250);
+    let mut cluster = elected(5);
+    for _ in 0..4 {
+        cluster.run(2 * SECOND);
+        (1..=5).for_each(|number| cluster.kill(address(number)));
+        cluster.run(SECOND);
+        let in_time = (1..=5).filter(|number| *number != late);
+        in_time.for_each(|number| cluster.start(address(number)));
+        cluster.run(SOON);
+        assert!(cluster.leader().is_some());
+        if late != 0 {
+            cluster.start(address(late));
+        }
+    }
+}
+
+#[test]
+fn a_voter_that_starts_alone_leaves_the_leader_in_place() {
+    let mut cluster = elected(5);
+    let leader = cluster.leader().unwrap();
+    let term = cluster.core(leader).term();
+    let other = (1..=5).map(address).find(|at| *at != leader).unwrap();
+    cluster.kill(other);
+    cluster.run(SECOND);
+    cluster.start(other);
+    cluster.run(2 * SECOND);
+    assert_eq!(cluster.leader(), Some(leader));
+    assert_eq!(cluster.core(leader).term(), term);
+}
