Tell each caller of a part of the routers, mostly of its own zone

Cause: an answer of the directory named all routers in one order, the caller's zone first. Callers use 64 of an answer: with 98 routers in a zone the same 64 came first for everybody and the rest had no callers; with fewer, most requests crossed zones. Change: at most 51 routers of the caller's zone and a quarter as many of others, by rendezvous hashing of the caller's address, so that its answers stay as they are. Tests: directory_tests.rs.

--- /dev/null
+++ b/crates/gateway-core/src/control/directory.rs
@@ -0,0 +1,56 @@
+//! Which routers a caller is told of.
+//!
+//! Callers choose evenly among the routers of an answer. There may be more routers than an answer
+//! names, so each caller gets a part of its own, or the rest would get no callers; and mostly routers
+//! of the caller's zone, or most requests would cross zones. A caller leaves routers that a new answer
+//! lacks, so its answers differ only by routers that come and go.
+
+use std::collections::BTreeSet;
+use std::net::IpAddr;
+
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::RouterStatus;
+
+/// Routers that an answer names at most: callers use no more (the platform's bound).
+const MOST_NAMED: usize = 64;
+/// For so many routers of the caller's zone one of another zone is named, for callers whose zone
+/// loses its routers before they ask again.
+const OWN_FOR_EACH_OTHER: usize = 4;
+/// Routers that an answer names at least, from other zones if there are too few in the caller's: few
+/// are soon all lost or all full.
+const FEWEST_NAMED: usize = 8;
+
+/// The addresses for a caller in a zone, of the routers that take callers.
+pub(super) fn for_caller<'a>(
+    routers: impl Iterator<Item = &'a RouterStatus>,
+    zone: &str,
+    caller: IpAddr,
+) -> Vec<String> {
+    let caller = xxh3_64(caller.to_string().as_bytes());
+    let accepting = routers.filter(|status| status.accepting != 0);
+    let (own, others): (Vec<_>, Vec<_>) =
+        accepting.partition(|status| status.zone.as_str() == zone);
+    let mut named = ranked(&own, caller);
+    let others = ranked(&others, caller);
+    named.truncate(MOST_NAMED * OWN_FOR_EACH_OTHER / (OWN_FOR_EACH_OTHER + 1));
+    let fewest_others = FEWEST_NAMED.saturating_sub(named.len());
+    let from_others = (named.len() / OWN_FOR_EACH_OTHER).max(fewest_others);
+    named.extend(others.into_iter().take(from_others));
+    named
+}
+
+/// The addresses by rendezvous hashing, each once.
+fn ranked(routers: &[&RouterStatus], caller: u64) -> Vec<String> {
+    let keyed = routers.iter().map(|status| {
+        let address = status.address.as_str();
+        (xxh3_64_with_seed(address.as_bytes(), caller), address)
+    });
+    let ordered: BTreeSet<(u64, &str)> = keyed.collect();
+    let addresses = ordered.into_iter().map(|(_, address)| address.to_owned());
+    addresses.collect()
+}
+
+#[cfg(test)]
+#[path = "directory_tests.rs"]
+mod tests;
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! One control machine: the replicated log, what it replicates, and everybody who asks.
 
 mod accounts;
+mod directory;
 mod holders;
 mod instances;
 mod load_timing;
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -1,11 +1,13 @@
 //! Routers that are linked to this machine: who they are, and what they are told.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
 
+use super::directory;
 use super::loads::{LoadExchange, Totals};
 use super::reads::Waiting;
 use super::{ConnectionId, ControlCore, Effect};
@@ -107,20 +109,10 @@
         self.forget_usage_of(connection);
     }
 
-    /// The addresses of routers that take callers, those of the caller's zone first.
-    pub fn directory(&self, zone: &str) -> Vec<String> {
-        let accepting = self.routers.0.values();
-        let mut accepting: Vec<&RouterStatus> = accepting
-            .map(|linked| &linked.status)
-            .filter(|status| status.accepting != 0)
-            .collect();
-        accepting.sort_by_key(|status| (status.zone.as_str() != zone, status.address.as_str()));
-        let mut addresses: Vec<String> = accepting
-            .iter()
-            .map(|status| status.address.as_str().to_owned())
-            .collect();
-        addresses.dedup();
-        addresses
+    /// The addresses of routers that a caller in this zone is to use.
+    pub fn directory(&self, zone: &str, caller: IpAddr) -> Vec<String> {
+        let linked = self.routers.0.values();
+        directory::for_caller(linked.map(|linked| &linked.status), zone, caller)
     }
 
     /// Sends each router how busy the others keep the back ends, where that has changed.
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -1,5 +1,6 @@
 //! What operators, back ends and callers ask of a control machine.
 
+use std::net::{IpAddr, Ipv4Addr};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -12,7 +13,7 @@
 use super::Control;
 use crate::answer::{self, AnswerBody};
 use crate::dialect::ControlCall;
-use crate::server::NoAnswer;
+use crate::server::{NoAnswer, Peer};
 
 const MOST_BODY_BYTES: usize = 8 << 20;
 
@@ -25,9 +26,7 @@
     let Some(call) = call else {
         return Ok(answer::plain(StatusCode::NOT_FOUND, ""));
     };
-    if let ControlCall::Directory { zone } = &call {
-        return Ok(directory(&control, zone));
-    }
+    let caller = request.extensions().get::<Peer>().copied();
     let body = Limited::new(request.into_body(), MOST_BODY_BYTES);
     let body = body.collect().await.map_err(|_| NoAnswer)?.to_bytes();
     let response = match call {
@@ -51,7 +50,7 @@
                 "control: a back end says that it has gone");
             acknowledge(&control, reply)
         }
-        ControlCall::Directory { zone } => directory(&control, &zone),
+        ControlCall::Directory { zone } => directory(&control, &zone, caller),
     };
     Ok(response)
 }
@@ -114,12 +113,13 @@
     acknowledge(control, reply)
 }
 
-fn directory(control: &Control, zone: &str) -> Response<AnswerBody> {
+fn directory(control: &Control, zone: &str, caller: Option<Peer>) -> Response<AnswerBody> {
+    let caller = caller.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |peer| peer.0);
     let addresses = control
         .core
         .borrow()
         .as_ref()
-        .map(|core| core.directory(zone))
+        .map(|core| core.directory(zone, caller))
         .unwrap_or_default();
     if addresses.is_empty() {
         return answer::plain(StatusCode::SERVICE_UNAVAILABLE, "");
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,6 +1,7 @@
 //! Serves HTTP/1.1 on a listener, one task a connection on the process's event loop.
 
 use std::future::Future;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -40,6 +41,10 @@
     Close,
 }
 
+/// Who sent a request, as an extension of it.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Peer(pub IpAddr);
+
 /// Why a request ends without an answer: its connection is closed.
 #[derive(Debug, thiserror::Error)]
 #[error("the caller has gone or sent no whole request")]
@@ -71,7 +76,7 @@
                 };
                 let handler = Rc::clone(&handler);
                 tokio::task::spawn_local(async move {
-                    serve_connection(stream, params, handler).await;
+                    serve_connection(stream, Peer(peer.ip()), params, handler).await;
                     drop(place);
                 });
             }
@@ -84,13 +89,16 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, params: ServerParams, handler: Rc<H>)
+async fn serve_connection<H, F>(stream: TcpStream, peer: Peer, params: ServerParams, handler: Rc<H>)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let service = service_fn(move |request| handler(request));
+    let service = service_fn(move |mut request: Request<Incoming>| {
+        request.extensions_mut().insert(peer);
+        handler(request)
+    });
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(params.idle_timeout)
