Tell the router's actor of a request's end before its caller

The product's own router sent the answer and then told its actor; a caller that asked for the explanation in between found the request open. Shown: with 30 ms of sleep between the two steps the test fails with the same assertion; with the order changed and the same sleep between them it passes. Ruled out: load alone. Change: finished is posted before the answer goes out, so a later question finds it. Conclusion: mended in the product; no test changed.

--- a/crates/node/src/router/completions.rs
+++ b/crates/node/src/router/completions.rs
@@ -166,8 +166,15 @@
         }
     }
 
+    /// The router's actor learns of the end before the caller does: whoever has the answer and asks
+    /// how it came about finds it recorded.
     fn finish(mut self, conclusion: Conclusion) {
         let answer = self.exchange.answer().clone();
+        let id = self.id;
+        let (told, recorded) = (conclusion.clone(), answer.clone());
+        self.handle.post(move |_, context| {
+            call!([context.actor], finished(id, told, recorded));
+        });
         match &conclusion {
             Conclusion::Answered if self.request.stream => self.caller.end_stream(),
             Conclusion::Answered => self.send_answer(&answer),
@@ -180,10 +187,6 @@
                 }
             }
         }
-        let id = self.id;
-        self.handle.post(move |_, context| {
-            call!([context.actor], finished(id, conclusion, answer));
-        });
         if let Some(body) = self.body.take() {
             body.finish();
         }
