Read the router's core behind the calls that were made before

A question of an operator was answered by a query, which runs at once, while finished waits in the actor's queue: when both arrive in one batch the question overtakes it. Shown: with tasks taken in together for 20 ms the test fails with the same assertion on the former code and passes with this change. Change: questions go through the queue (RouterActor::inspect). Conclusion: the order is kept by the queue; no test changed.

--- a/crates/node/src/router/edge.rs
+++ b/crates/node/src/router/edge.rs
@@ -7,7 +7,8 @@
 use drumshore_http::{Handler, Method, Request, Responder};
 use drumshore_router::engine_api;
 use drumshore_router::{
-    AdmitOutcome, AdmitRequest, CompletionKind, CompletionRequest, Purpose, RouterMetrics,
+    AdmitOutcome, AdmitRequest, CompletionKind, CompletionRequest, Purpose, RouterCore,
+    RouterMetrics,
 };
 use drumshore_routing::DecisionRecord;
 use prometheus_client::metrics::histogram::Histogram;
@@ -140,13 +141,14 @@
 
     fn inspect<T: Send + 'static>(
         &self,
-        read: impl FnOnce(&drumshore_router::RouterCore) -> T + Send + 'static,
+        read: impl FnOnce(&RouterCore) -> T + Send + 'static,
     ) -> Option<T> {
-        self.handle.ask(move |stakker, context, sender| {
-            let value = context.actor.query(stakker, |actor, _| read(actor.core()));
-            if let Some(value) = value {
-                let _ = sender.send(value);
-            }
+        self.handle.ask(move |_, context, sender| {
+            let read: Box<dyn FnOnce(&RouterCore)> = Box::new(move |core| {
+                // The edge may have stopped to wait when the router ends.
+                let _ = sender.send(read(core));
+            });
+            call!([context.actor], inspect(read));
         })
     }
 }
--- a/crates/router/src/actor.rs
+++ b/crates/router/src/actor.rs
@@ -129,11 +129,17 @@
         self.carry_out();
     }
 
-    /// The core, to be read with [`stakker::Actor::query`].
+    /// The core, to be read with [`stakker::Actor::query`] where no calls wait in the queue.
     pub fn core(&self) -> &RouterCore {
         &self.core
     }
 
+    /// Reads the core after the calls that were made before: a query would overtake those that
+    /// still wait in the queue.
+    pub fn inspect(&mut self, _cx: CX![], read: Box<dyn FnOnce(&RouterCore)>) {
+        read(&self.core);
+    }
+
     fn tick(&mut self, cx: CX![]) {
         self.set_now(cx);
         self.core.on_tick();
