--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -5,7 +5,7 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::LoadedModel;
+use crate::{LoadedModel, WorkKey};
 
 /// Tells a replica which of its callers waits for a committed command.
 #[binrw]
@@ -111,6 +111,12 @@
         /// The step.
         phase: LoadPhase,
     },
+    /// The key under which work is identified; only the first one counts.
+    #[brw(magic(8u8))]
+    SetWorkKey {
+        /// The key.
+        key: WorkKey,
+    },
 }
 
 impl Proposal {
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -30,7 +30,7 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
 
-use crate::{Command, InstanceId, LoadPhase, Message, Proposal, ReplicatedState};
+use crate::{Command, InstanceId, LoadPhase, Message, Proposal, ReplicatedState, WorkKey};
 
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
@@ -117,6 +117,9 @@
     suspects: Suspects,
     refusing: Refusing,
     tenant_accounts: TenantAccounts,
+    /// Proposed when the state has none.
+    drawn_work_key: WorkKey,
+    work_key_proposed_at: Timestamp,
     /// When weights were named, by revision; those from before this start count from the start.
     named_at: BTreeMap<u64, Timestamp>,
     /// When each back end was heard last, here or, at the leader, anywhere.
@@ -167,6 +170,8 @@
             suspects: Suspects::default(),
             refusing: Refusing::default(),
             tenant_accounts: TenantAccounts::default(),
+            drawn_work_key: WorkKey::draw(seed),
+            work_key_proposed_at: Timestamp::default(),
             named_at: BTreeMap::new(),
             heard: BTreeMap::new(),
             leads_since: None,
@@ -225,6 +230,7 @@
         self.routers.forget_silent(now);
         self.announce_if_owed();
         if self.role() == Role::Leader {
+            self.propose_work_key();
             self.change_members();
             self.expire_instances();
             self.drive_rollouts();
@@ -346,6 +352,16 @@
         self.effects.push(Effect::Applied { position, command });
     }
 
+    /// Routers identify work under one key, which has to outlast every process.
+    fn propose_work_key(&mut self) {
+        let is_due = self.now.since(self.work_key_proposed_at) >= self.params.patience;
+        if self.state.work_key().is_none() && is_due {
+            self.work_key_proposed_at = self.now;
+            let key = self.drawn_work_key.clone();
+            self.propose(None, Command::SetWorkKey { key });
+        }
+    }
+
     fn weights_age(&self, revision: u64) -> Duration {
         let named = self.named_at.get(&revision).copied().unwrap_or_default();
         self.now.since(named)
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -20,6 +20,7 @@
 mod message;
 mod router;
 mod state;
+mod work;
 
 pub use command::{Command, LoadPhase, Proposal, ProposalId};
 pub use control::{
@@ -41,3 +42,4 @@
     ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, ReplicatedState};
+pub use work::{Work, WorkId, WorkKey};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -5,7 +5,7 @@
 use drumshore_consensus::ReplicaId;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{InstanceRecord, TenantName};
+use crate::{InstanceRecord, TenantName, WorkKey};
 
 /// What a router tells about itself.
 #[binrw]
@@ -46,7 +46,7 @@
 /// What changed between two revisions.
 #[binrw]
 #[brw(little)]
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Changes {
     /// The revision that the receiver has; 0 when all is included.
     pub since: u64,
@@ -60,6 +60,8 @@
     pub instances: List<InstanceRecord>,
     /// Back ends that have gone.
     pub removed: List<Text>,
+    /// 0 or 1 key under which work is identified.
+    pub work_key: List<WorkKey>,
 }
 
 /// How busy a back end is with requests of one router, or of several.
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -28,8 +28,8 @@
 use rand_chacha::ChaCha8Rng;
 
 use crate::{
-    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, LoadEntry, Route,
-    StoreId, StoredKey, Tenant, UsageEntry,
+    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, Lifecycle,
+    LoadEntry, Route, StoreId, StoredKey, Tenant, UsageEntry, Work, WorkId,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -207,6 +207,17 @@
         })
     }
 
+    /// True while a back end is known and has not said that it leaves.
+    pub fn is_serving(&self, instance: &InstanceId) -> bool {
+        let record = self.view.instance(instance.as_str());
+        record.is_some_and(|record| record.lifecycle == Lifecycle::Ready)
+    }
+
+    /// Identifies the work of a request; `None` before the key is known.
+    pub fn identify(&self, work: &Work<'_>) -> Option<WorkId> {
+        self.view.work_key().map(|key| key.identify(work))
+    }
+
     /// An admitted request ran nowhere: its tenant's limit is as before.
     pub fn pay_back(&mut self, now: Timestamp, admission: &Admission) {
         if let Some(charge) = admission.charge {
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -173,6 +173,7 @@
         weights: List::new(Vec::new()),
         instances: List::new(instances),
         removed: List::new(Vec::new()),
+        ..Changes::default()
     }
 }
 
--- a/crates/gateway-core/src/router/tests/placement.rs
+++ b/crates/gateway-core/src/router/tests/placement.rs
@@ -104,6 +104,7 @@
         weights: List::new(Vec::new()),
         instances: List::new(others.collect()),
         removed: List::new(Vec::new()),
+        ..Changes::default()
     };
     router
         .apply(at(1), changes, |_| Ok(document()))
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -6,7 +6,7 @@
 
 use drumshore_core::Timestamp;
 
-use crate::{Changes, Document, InstanceRecord, InvalidDocument, Route, Tenant};
+use crate::{Changes, Document, InstanceRecord, InvalidDocument, Route, Tenant, WorkKey};
 
 /// Why changes are not taken in.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -46,6 +46,7 @@
     tenants: HashMap<String, Rc<Tenant>>,
     instances: BTreeMap<String, Rc<InstanceRecord>>,
     named: HashMap<String, Vec<Named>>,
+    work_key: Option<WorkKey>,
 }
 
 impl View {
@@ -78,6 +79,10 @@
         self.instances.get(instance)
     }
 
+    pub fn work_key(&self) -> Option<&WorkKey> {
+        self.work_key.as_ref()
+    }
+
     /// The route of the host with the longest prefix that begins the path.
     pub fn route(&self, host: &str, path: &str) -> Option<Rc<Route>> {
         let routes = self.routes.get(host)?;
@@ -134,6 +139,9 @@
             let name = record.instance.as_str().to_owned();
             self.instances.insert(name, Rc::new(record.clone()));
         }
+        if let Some(key) = changes.work_key.items.first() {
+            self.work_key = Some(key.clone());
+        }
         self.note_weights(now, changes);
         self.revision = changes.revision;
         self.settle_confirmations();
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -6,7 +6,7 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{Changes, Command, LoadPhase, WeightsNotice};
+use crate::{Changes, Command, LoadPhase, WeightsNotice, WorkKey};
 
 /// Back ends that have gone are remembered, so that a late word of theirs does not bring them
 /// back; beyond this many the oldest are forgotten.
@@ -108,6 +108,15 @@
     may_return: u8,
 }
 
+/// The key under which work is identified.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug)]
+struct StoredWorkKey {
+    key: WorkKey,
+    revision: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Removed {
     revision: u64,
@@ -125,6 +134,8 @@
     weights: List<NamedWeights>,
     instances: List<InstanceRecord>,
     removals: List<Removal>,
+    /// 0 or 1.
+    work_key: List<StoredWorkKey>,
 }
 
 /// The replicated state.
@@ -138,6 +149,7 @@
     weights: BTreeMap<String, Vec<NamedWeights>>,
     instances: BTreeMap<String, InstanceRecord>,
     removals: BTreeMap<String, Removed>,
+    work_key: Option<StoredWorkKey>,
 }
 
 impl ReplicatedState {
@@ -183,6 +195,11 @@
         newest.map_or(0, |named| named.version)
     }
 
+    /// The key under which work is identified; `None` before the first leader has drawn one.
+    pub fn work_key(&self) -> Option<&WorkKey> {
+        self.work_key.as_ref().map(|stored| &stored.key)
+    }
+
     /// Applies a committed command at its position. True when something changed.
     pub fn apply(&mut self, position: u64, command: &Command) -> bool {
         let changed = match command {
@@ -198,6 +215,7 @@
                 version,
                 phase,
             } => self.load(position, instance, model, *version, *phase),
+            Command::SetWorkKey { key } => self.set_work_key(position, key),
         };
         if changed {
             self.revision = position;
@@ -225,6 +243,7 @@
         };
         let instances = self.instances.values().filter(|item| item.revision > since);
         let removed = self.removals.iter().filter(|item| item.1.revision > since);
+        let work_key = self.work_key.iter().filter(|item| item.revision > since);
         Changes {
             since,
             revision: self.revision,
@@ -232,6 +251,7 @@
             weights: List::new(weights.map(notice).collect()),
             instances: List::new(instances.cloned().collect()),
             removed: List::new(removed.map(|item| Text::new(item.0.as_str())).collect()),
+            work_key: List::new(work_key.map(|item| item.key.clone()).collect()),
         }
     }
 
@@ -249,6 +269,7 @@
             weights: List::new(self.weights().cloned().collect()),
             instances: List::new(self.instances.values().cloned().collect()),
             removals: List::new(removals.collect()),
+            work_key: List::new(self.work_key.iter().cloned().collect()),
         };
         let mut cursor = Cursor::new(Vec::new());
         image
@@ -280,6 +301,7 @@
             weights,
             instances: image.instances.items.into_iter().map(by_instance).collect(),
             removals: image.removals.items.into_iter().map(removal).collect(),
+            work_key: image.work_key.items.into_iter().next(),
         })
     }
 
@@ -397,6 +419,18 @@
         true
     }
 
+    /// Work that was identified under one key is not found under another, so the first one stays.
+    fn set_work_key(&mut self, position: u64, key: &WorkKey) -> bool {
+        if self.work_key.is_some() {
+            return false;
+        }
+        self.work_key = Some(StoredWorkKey {
+            key: key.clone(),
+            revision: position,
+        });
+        true
+    }
+
     fn load(
         &mut self,
         position: u64,
--- /dev/null
+++ b/crates/gateway-core/src/work_tests.rs
@@ -0,0 +1,46 @@
+//! What makes requests the same work.
+
+use rstest::rstest;
+
+use super::*;
+
+const WORK: Work<'static> = Work {
+    method: "POST",
+    host: "a.example",
+    target: "/x/one?part=2",
+    tenant: "t1",
+    body: b"the body",
+};
+
+#[test]
+fn the_same_work_has_the_same_identifier() {
+    let (key, same) = (WorkKey::draw(7), WorkKey::draw(7));
+    assert_eq!(key.identify(&WORK), same.identify(&WORK));
+}
+
+#[rstest]
+#[case::method(Work { method: "GET", ..WORK })]
+#[case::host(Work { host: "b.example", ..WORK })]
+#[case::target(Work { target: "/x/one?part=3", ..WORK })]
+#[case::caller(Work { tenant: "t2", ..WORK })]
+#[case::body(Work { body: b"another body", ..WORK })]
+#[case::moved_border(Work { target: "/x/one?part=2t", tenant: "1", ..WORK })]
+fn other_work_has_another(#[case] other: Work<'_>) {
+    let key = WorkKey::draw(7);
+    assert_ne!(key.identify(&WORK), key.identify(&other));
+}
+
+#[test]
+fn nobody_without_the_key_can_make_one() {
+    assert_ne!(
+        WorkKey::draw(7).identify(&WORK),
+        WorkKey::draw(8).identify(&WORK)
+    );
+}
+
+#[test]
+fn logs_show_neither_key_nor_whole_identifier() {
+    let key = WorkKey::draw(7);
+    assert_eq!(format!("{key:?}"), "WorkKey(..)");
+    assert_eq!(key.identify(&WORK).to_string().len(), 2 * SHOWN_BYTES);
+}
--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -153,6 +153,7 @@
                 weights: List::new(Vec::new()),
                 instances: List::new(Vec::new()),
                 removed: List::new(Vec::new()),
+                ..Changes::default()
             };
             let parse = |_: &[u8]| Ok(document(version, limit));
             router.apply(now, changes, parse).unwrap();
--- a/crates/gateway-core/tests/pool/mod.rs
+++ b/crates/gateway-core/tests/pool/mod.rs
@@ -381,6 +381,7 @@
         weights: List::new(Vec::new()),
         instances: List::new(instances),
         removed: List::new(Vec::new()),
+        ..Changes::default()
     };
     let document = document(kinds);
     router
--- a/crates/gateway-core/tests/state.rs
+++ b/crates/gateway-core/tests/state.rs
@@ -4,7 +4,7 @@
 
 use drumshore_gateway_core::{
     Command, Document, InvalidDocument, LoadPhase, LoadedModel, Pool, PoolName, Proposal,
-    ProposalId, ReplicatedState, RequestKind, Route, Share, Tenant, TenantName,
+    ProposalId, ReplicatedState, RequestKind, Route, Share, Tenant, TenantName, WorkKey,
 };
 use drumshore_wire::{Blob, List, Text};
 use rstest::rstest;
@@ -207,3 +207,22 @@
     let error: InvalidDocument = document.validate().unwrap_err();
     assert!(!error.to_string().is_empty());
 }
+
+/// Work that was identified under one key is not found under another.
+#[test]
+fn the_first_key_for_work_stays_and_survives_a_snapshot() {
+    let mut state = filled();
+    let (first, second) = (WorkKey::draw(1), WorkKey::draw(2));
+    let before = state.revision();
+    assert!(state.apply(before + 1, &Command::SetWorkKey { key: first.clone() }));
+    assert!(!state.apply(before + 2, &Command::SetWorkKey { key: second }));
+    let restored = ReplicatedState::decode(&state.encode()).unwrap();
+    assert_eq!(restored.work_key(), Some(&first));
+    let told = restored.changes_since(before, |_| 0).work_key.items;
+    assert_eq!(told, std::slice::from_ref(&first));
+    assert!(restored
+        .changes_since(before + 1, |_| 0)
+        .work_key
+        .items
+        .is_empty());
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -344,6 +344,13 @@
                 "control: new weights are named"
             );
         }
+        Command::SetWorkKey { .. } => {
+            tracing::info!(
+                event = "work_key_set",
+                position,
+                "control: the key that identifies work is in force"
+            );
+        }
         Command::Load {
             instance,
             model,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -57,6 +57,8 @@
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     labelled_tenants: RefCell<BTreeSet<String>>,
+    /// Back ends whose connections broke, by what their address told then.
+    broken_back_ends: Family<OutcomeLabel, Counter>,
     /// Decisions of a control machine.
     pub decisions: Family<OutcomeLabel, Counter>,
     /// The revision of the view or state.
@@ -72,6 +74,7 @@
         let latency = Histogram::new(LATENCY_BUCKETS);
         let late_answers = Family::default();
         let limit_units = Family::default();
+        let broken_back_ends = Family::default();
         let decisions = Family::default();
         let revision = Gauge::default();
         let view_age_ms = Gauge::default();
@@ -89,6 +92,11 @@
             "Units of tenants' limits",
             Clone::clone(&limit_units),
         );
+        registry.register(
+            "broken_back_ends",
+            "Back ends whose connections broke, by finding",
+            Clone::clone(&broken_back_ends),
+        );
         registry.register("decisions", "Control decisions", Clone::clone(&decisions));
         registry.register("revision", "Revision held", revision.clone());
         registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
@@ -100,6 +108,7 @@
             late_answers,
             limit_units,
             labelled_tenants: RefCell::default(),
+            broken_back_ends,
             decisions,
             revision,
             view_age_ms,
@@ -132,6 +141,11 @@
         counter.inc_by(u64::from(units));
     }
 
+    pub fn count_back_end_broken(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.broken_back_ends.get_or_create(&label).inc();
+    }
+
     pub fn count_decision(&self, outcome: &'static str) {
         self.decisions
             .get_or_create(&OutcomeLabel { outcome })
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -65,7 +65,7 @@
     sent: u32,
     continued: Option<&Continuation>,
 ) -> Attempt {
-    let open_attempt = OpenAttempt::new(router, choice, call.admission.route.target);
+    let open_attempt = OpenAttempt::new(router, call, choice);
     let connecting = router.upstreams.connect(
         &choice.instance,
         &choice.address,
@@ -142,7 +142,7 @@
     execution: Execution,
     sent: bool,
 ) -> Attempt {
-    open_attempt.end(outcome);
+    open_attempt.end(outcome, execution);
     Attempt::Ended(Ended {
         outcome,
         execution,
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -7,6 +7,7 @@
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
     Admission, Choice, EarlierAttempts, InstanceId, Prompt, Refusal, RequestHead, RequestKind,
+    Work, WorkId,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -37,6 +38,8 @@
     pub prompt: Option<Prompt>,
     pub parts: Parts,
     pub body: Bytes,
+    /// Stands for what the request carries; `None` before the key for that is known.
+    pub work: Option<WorkId>,
 }
 
 /// Counts a request as open until its answer has ended.
@@ -164,8 +167,10 @@
         let read = timeout(held, reading).await.map_err(|_| NoAnswer)?;
         read.map_err(|_| NoAnswer)?.to_bytes()
     };
+    let work = identify(router, &parts, &admission, &body);
     Ok(Call {
         id,
+        work,
         received,
         deadline: received.plus(held),
         admission,
@@ -175,6 +180,18 @@
     })
 }
 
+fn identify(router: &Router, parts: &Parts, admission: &Admission, body: &Bytes) -> Option<WorkId> {
+    let target = parts.uri.path_and_query();
+    let tenant = admission.tenant.as_ref();
+    router.core.borrow().identify(&Work {
+        method: parts.method.as_str(),
+        host: &admission.route.host,
+        target: target.map_or("", |target| target.as_str()),
+        tenant: tenant.map_or("", |tenant| tenant.name.as_str()),
+        body,
+    })
+}
+
 async fn answer(router: &Rc<Router>, call: Call, open: OpenRequest) -> Response<AnswerBody> {
     let mut tried: Vec<InstanceId> = Vec::new();
     let mut sent = 0;
@@ -220,7 +237,8 @@
 /// One line for each attempt that did not end the request well.
 pub(super) fn log_ended(router: &Router, call: &Call, choice: &Choice, ended: Ended) {
     let elapsed = router.clock.now().since(call.received);
-    tracing::info!(event = "attempt_ended", id = %call.id, instance = %choice.instance,
+    tracing::info!(event = "attempt_ended", id = %call.id, work = call.work.map(tracing::field::display),
+        instance = %choice.instance,
         outcome = outcome_name(ended.outcome), execution = ended.execution.as_str(),
         sent = ended.sent, version = choice.expected_version,
         elapsed_ms = elapsed.as_millis() as u64, "router: a back end gave no answer to pass on");
@@ -252,8 +270,8 @@
         router.core.borrow_mut().prompt_read(now, choice);
     }
     router.metrics.count_request("answered", elapsed);
-    tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
-        outcome = "answered", status = response.status().as_u16(),
+    tracing::info!(event = "request", id = %call.id, work = call.work.map(tracing::field::display),
+        route = %call.admission.route.name, outcome = "answered", status = response.status().as_u16(),
         priority = call.admission.priority, instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(),
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,6 +1,7 @@
 //! The router daemon: callers on one side, back ends on the other, control machines beside it.
 
 mod attempt;
+mod back_end_ends;
 mod events;
 mod fetch;
 mod first_view;
@@ -36,6 +37,7 @@
 
 pub(crate) use relay::Relay;
 
+use back_end_ends::Examinations;
 use first_view::FirstView;
 
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
@@ -67,6 +69,8 @@
     status_changed: Notify,
     /// For requests that come before the view is confirmed.
     first_view: FirstView,
+    /// Back ends whose connections broke.
+    examinations: Examinations,
 }
 
 /// Runs a router until it is told to stop.
@@ -91,6 +95,7 @@
         open_requests: Cell::new(0),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
+        examinations: Examinations::default(),
         settings,
     });
     listen(&router)?;
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -64,7 +64,7 @@
     let elapsed = now.since(call.received);
     let given_up = final_answer(worst, error, now >= call.deadline);
     router.metrics.count_request(given_up.reason, elapsed);
-    tracing::info!(event = "request", id = %call.id, route = %call.admission.route.name,
+    tracing::info!(event = "request", id = %call.id, work = call.work.map(tracing::field::display), route = %call.admission.route.name,
         outcome = given_up.reason, status = given_up.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         execution = worst.as_str(), choice = error.map(tracing::field::display),
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -8,12 +8,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Choice, Outcome};
+use drumshore_core::{Execution, Timestamp};
+use drumshore_gateway_core::{Choice, Outcome, WorkId};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
+use tracing::field::DisplayValue;
 
-use super::forward::OpenRequest;
+use super::back_end_ends::{self, BrokenRun};
+use super::forward::{Call, OpenRequest};
 use super::resume::Resumption;
 use super::timeliness::Timeliness;
 use super::Router;
@@ -27,17 +29,25 @@
     begun: Timestamp,
     answered: bool,
     outcome: Outcome,
+    execution: Execution,
+    /// What was sent.
+    run: BrokenRun,
 }
 
 impl OpenAttempt {
-    pub fn new(router: &Rc<Router>, choice: &Choice, target: Duration) -> Self {
+    pub fn new(router: &Rc<Router>, call: &Call, choice: &Choice) -> Self {
         Self {
-            target,
+            target: call.admission.route.target,
             begun: router.clock.now(),
             router: Rc::clone(router),
             choice: choice.clone(),
             answered: false,
             outcome: Outcome::Abandoned,
+            execution: Execution::MayHaveRun,
+            run: BrokenRun {
+                id: call.id.clone(),
+                work: call.work,
+            },
         }
     }
 
@@ -62,8 +72,9 @@
     }
 
     /// Says how it ended; it ends when dropped.
-    pub fn end(&mut self, outcome: Outcome) {
+    pub fn end(&mut self, outcome: Outcome, execution: Execution) {
         self.outcome = outcome;
+        self.execution = execution;
     }
 }
 
@@ -83,6 +94,10 @@
         self.router
             .metrics
             .count_attempt(outcome_name(self.outcome));
+        if self.outcome == Outcome::Broken && self.execution != Execution::NotRun {
+            let address = &self.choice.address;
+            back_end_ends::examine(&self.router, instance, address, self.run.clone());
+        }
     }
 }
 
@@ -243,9 +258,9 @@
         if !resumption.begin() {
             return false;
         }
-        tracing::info!(event = "answer_broken", id = %self.id,
+        tracing::info!(event = "answer_broken", id = %self.id, work = self.shown_work(),
             instance = %self.open_attempt.choice.instance, %error, "router: a back end broke off");
-        self.open_attempt.end(Outcome::Broken);
+        self.open_attempt.end(Outcome::Broken, Execution::Ran);
         self.connection = None;
         true
     }
@@ -271,11 +286,15 @@
 
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
-            self.open_attempt.end(Outcome::Answered);
+            self.open_attempt.end(Outcome::Answered, Execution::Ran);
             connection.give_back(self.now());
         }
     }
 
+    fn shown_work(&self) -> Option<DisplayValue<WorkId>> {
+        self.open_attempt.run.work.map(tracing::field::display)
+    }
+
     fn now(&self) -> Timestamp {
         self.open_attempt.router.clock.now()
     }
@@ -296,9 +315,10 @@
     }
 
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
-        tracing::info!(event = "answer_cut", id = %self.id, instance = %self.open_attempt.choice.instance,
+        tracing::info!(event = "answer_cut", id = %self.id, work = self.shown_work(),
+            instance = %self.open_attempt.choice.instance,
             reason, %error, "router: an answer was cut");
-        self.open_attempt.end(outcome);
+        self.open_attempt.end(outcome, Execution::Ran);
         self.connection = None;
         error
     }
--- a/crates/wire/src/primitives.rs
+++ b/crates/wire/src/primitives.rs
@@ -53,6 +53,15 @@
     }
 }
 
+impl<T> Default for List<T>
+where
+    T: for<'a> binrw::BinRead<Args<'a> = ()> + for<'a> binrw::BinWrite<Args<'a> = ()> + 'static,
+{
+    fn default() -> Self {
+        Self { items: Vec::new() }
+    }
+}
+
 /// Items of one type with their count in front.
 #[binrw]
 #[brw(little)]
