--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -5,7 +5,7 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{LoadedModel, WorkKey};
+use crate::{LoadedModel, WorkId, WorkKey};
 
 /// Tells a replica which of its callers waits for a committed command.
 #[binrw]
@@ -117,6 +117,18 @@
         /// The key.
         key: WorkKey,
     },
+    /// Work that no back end is to be given.
+    #[brw(magic(9u8))]
+    Quarantine {
+        /// The work.
+        work: WorkId,
+    },
+    /// Work that may be tried again.
+    #[brw(magic(10u8))]
+    Release {
+        /// The work.
+        work: WorkId,
+    },
 }
 
 impl Proposal {
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod params;
 mod pending_loads;
 mod proposals;
+mod quarantine;
 mod reads;
 mod refusing;
 mod rollout;
@@ -30,7 +31,7 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
 
-use crate::{Command, InstanceId, LoadPhase, Message, Proposal, ReplicatedState, WorkKey};
+use crate::{Command, InstanceId, LoadPhase, Message, Proposal, ReplicatedState, WorkId, WorkKey};
 
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
@@ -43,6 +44,7 @@
 use members::Joiners;
 use order_lease::OrderLeases;
 use proposals::PendingProposals;
+use quarantine::SuspectedWork;
 use reads::Reads;
 use refusing::Refusing;
 use rollout::Rollouts;
@@ -85,6 +87,13 @@
         /// What changed it.
         command: Command,
     },
+    /// Another back end ended under work, for logs.
+    WorkSuspected {
+        /// The work.
+        work: WorkId,
+        /// Moments at which back ends ended under it.
+        ends: u32,
+    },
     /// An order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
     Order(Order),
     /// A question to a back end; its answer goes to [`ControlCore::on_report`].
@@ -116,10 +125,11 @@
     holder_news: HolderNews,
     suspects: Suspects,
     refusing: Refusing,
+    suspected_work: SuspectedWork,
     tenant_accounts: TenantAccounts,
     /// Proposed when the state has none.
     drawn_work_key: WorkKey,
-    work_key_proposed_at: Timestamp,
+    work_key_proposed_at: Option<Timestamp>,
     /// When weights were named, by revision; those from before this start count from the start.
     named_at: BTreeMap<u64, Timestamp>,
     /// When each back end was heard last, here or, at the leader, anywhere.
@@ -169,9 +179,10 @@
             holder_news: HolderNews::default(),
             suspects: Suspects::default(),
             refusing: Refusing::default(),
+            suspected_work: SuspectedWork::default(),
             tenant_accounts: TenantAccounts::default(),
             drawn_work_key: WorkKey::draw(seed),
-            work_key_proposed_at: Timestamp::default(),
+            work_key_proposed_at: None,
             named_at: BTreeMap::new(),
             heard: BTreeMap::new(),
             leads_since: None,
@@ -229,6 +240,8 @@
         self.ask_to_join();
         self.routers.forget_silent(now);
         self.announce_if_owed();
+        self.expire_suspicions();
+        self.share_suspicions();
         if self.role() == Role::Leader {
             self.propose_work_key();
             self.change_members();
@@ -239,6 +252,7 @@
             self.share_holders();
             self.share_accounts();
             self.notify_again_of_suspects();
+            self.release_quarantined();
         }
     }
 
@@ -347,6 +361,8 @@
                 phase: LoadPhase::Finished,
                 ..
             } => self.on_load_finished(instance.as_str()),
+            Command::Quarantine { work } => self.on_quarantined(*work),
+            Command::Release { work } => self.on_released(*work),
             _ => {}
         }
         self.effects.push(Effect::Applied { position, command });
@@ -354,9 +370,10 @@
 
     /// Routers identify work under one key, which has to outlast every process.
     fn propose_work_key(&mut self) {
-        let is_due = self.now.since(self.work_key_proposed_at) >= self.params.patience;
-        if self.state.work_key().is_none() && is_due {
-            self.work_key_proposed_at = self.now;
+        let proposed_at = self.work_key_proposed_at;
+        let is_pending = proposed_at.is_some_and(|at| self.now.since(at) < self.params.patience);
+        if self.state.work_key().is_none() && !is_pending {
+            self.work_key_proposed_at = Some(self.now);
             let key = self.drawn_work_key.clone();
             self.propose(None, Command::SetWorkKey { key });
         }
--- /dev/null
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -0,0 +1,200 @@
+//! Work that ends back ends: what routers saw, added up, and the verdict.
+//!
+//! Every control machine takes reports in, tells its routers, and proposes the verdict, whether it leads or
+//! not: reports only ever add up, so it does no harm to add them up several times, and routers go on
+//! hearing of suspected work while no leader is elected or no majority is left. What the log replicates
+//! outlasts all processes.
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_consensus::Directory;
+use drumshore_core::Timestamp;
+use drumshore_wire::List;
+
+use super::{ConnectionId, ControlCore, Effect};
+use crate::quarantine::{EndLedger, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, QUARANTINE_FOR};
+use crate::{Command, Message, WorkEvent, WorkId, WorkReport, WorkSuspicion};
+
+/// Bytes a second that this may cost one router, of 14 KB/s for all control traffic; up to five
+/// machines tell each router.
+const BYTES_PER_SECOND: f64 = 700.0;
+/// Suspected works that a router is told when it links, those with the most ends first; 4 KB.
+const MOST_TOLD_AT_LINK: usize = 256;
+/// Between two looks for ends that are too old to matter.
+const EXPIRE_EVERY: Duration = Duration::from_secs(10);
+
+/// What one control machine knows of work that ends back ends.
+#[derive(Debug, Default)]
+pub(super) struct SuspectedWork {
+    ledger: EndLedger,
+    /// What routers were told last.
+    told: BTreeMap<WorkId, u8>,
+    /// Works whose standing routers are still to be told, with their ends.
+    untold: BTreeMap<WorkId, u8>,
+    /// When old ends were forgotten last.
+    expired_at: Timestamp,
+    /// When work was quarantined, as far as this process knows; since its start for what is older.
+    quarantined_at: BTreeMap<WorkId, Timestamp>,
+}
+
+impl SuspectedWork {
+    /// Notes what routers are to be told of a work, when that has changed.
+    fn note_standing(&mut self, work: WorkId) {
+        let ends = self.ledger.ends(work);
+        let ends = if ends < ENDS_FOR_SUSPICION { 0 } else { ends };
+        let ends = u8::try_from(ends).unwrap_or(u8::MAX);
+        if self.told.get(&work).copied().unwrap_or_default() == ends {
+            self.untold.remove(&work);
+        } else {
+            self.untold.insert(work, ends);
+        }
+    }
+
+    /// The next works to tell, those with the most ends first.
+    fn take_untold(&mut self, most: usize) -> Vec<WorkSuspicion> {
+        let mut due: Vec<(u8, WorkId)> =
+            self.untold.iter().map(|item| (*item.1, *item.0)).collect();
+        due.sort_unstable_by(|one, other| other.cmp(one));
+        due.truncate(most);
+        for (ends, work) in &due {
+            self.untold.remove(work);
+            if *ends == 0 {
+                self.told.remove(work);
+            } else {
+                self.told.insert(*work, *ends);
+            }
+        }
+        due.into_iter()
+            .map(|(ends, work)| WorkSuspicion { work, ends })
+            .collect()
+    }
+}
+
+impl<D: Directory> ControlCore<D> {
+    /// Takes in what a router saw.
+    pub(super) fn on_work_reports(&mut self, reports: &[WorkReport]) {
+        for report in reports {
+            match report.event {
+                WorkEvent::BackEndEnded { back_end } => self.on_end_reported(report, back_end),
+                WorkEvent::Completed => self.on_work_completed(report.work),
+            }
+        }
+    }
+
+    fn on_end_reported(&mut self, report: &WorkReport, back_end: u32) {
+        let work = report.work;
+        let age = Duration::from_millis(u64::from(report.age_ms));
+        let suspected = &mut self.suspected_work;
+        if !suspected.ledger.note_end(self.now, age, work, back_end) {
+            return;
+        }
+        suspected.note_standing(work);
+        let ends = suspected.ledger.ends(work);
+        self.effects.push(Effect::WorkSuspected { work, ends });
+        if self.state.is_quarantined(work) {
+            self.relieve_others(work);
+        } else if ends >= ENDS_FOR_QUARANTINE {
+            self.propose(None, Command::Quarantine { work });
+        }
+    }
+
+    /// What quarantined work ended no longer speaks against the requests that were beside it.
+    fn relieve_others(&mut self, culprit: WorkId) {
+        for relieved in self.suspected_work.ledger.explain(culprit) {
+            self.suspected_work.note_standing(relieved);
+        }
+    }
+
+    /// Work that ran to its end does not end whatever runs it.
+    fn on_work_completed(&mut self, work: WorkId) {
+        self.forget_suspicion(work);
+        if self.state.is_quarantined(work) {
+            self.propose(None, Command::Release { work });
+        }
+    }
+
+    fn forget_suspicion(&mut self, work: WorkId) {
+        self.suspected_work.ledger.clear(work);
+        self.suspected_work.note_standing(work);
+    }
+
+    /// The log quarantined work.
+    pub(super) fn on_quarantined(&mut self, work: WorkId) {
+        self.suspected_work.quarantined_at.insert(work, self.now);
+        self.relieve_others(work);
+    }
+
+    /// The log released work: it is as if it had never come.
+    pub(super) fn on_released(&mut self, work: WorkId) {
+        self.suspected_work.quarantined_at.remove(&work);
+        self.forget_suspicion(work);
+    }
+
+    /// Proposes to release what has been quarantined for long enough.
+    pub(super) fn release_quarantined(&mut self) {
+        let now = self.now;
+        let mut due = Vec::new();
+        for work in self.state.quarantined() {
+            let at = self
+                .suspected_work
+                .quarantined_at
+                .entry(work)
+                .or_insert(now);
+            if now.since(*at) >= QUARANTINE_FOR {
+                // Asked again when the log does not take it.
+                *at = at.plus(self.params.patience);
+                due.push(work);
+            }
+        }
+        for work in due {
+            self.propose(None, Command::Release { work });
+        }
+    }
+
+    /// Forgets ends that are too old to matter.
+    pub(super) fn expire_suspicions(&mut self) {
+        let (now, suspected) = (self.now, &mut self.suspected_work);
+        if now.since(suspected.expired_at) < EXPIRE_EVERY {
+            return;
+        }
+        suspected.expired_at = now;
+        suspected.ledger.expire(now);
+        let told: Vec<WorkId> = suspected.told.keys().copied().collect();
+        for work in told {
+            suspected.note_standing(work);
+        }
+    }
+
+    /// Tells routers of work that is suspected, or no longer is, as much as its part of the traffic
+    /// allows.
+    pub(super) fn share_suspicions(&mut self) {
+        if self.suspected_work.untold.is_empty() {
+            return;
+        }
+        let budget = BYTES_PER_SECOND * self.params.tick.as_secs_f64();
+        let most = (budget / WorkSuspicion::BYTES as f64).max(1.0) as usize;
+        let told = self.suspected_work.take_untold(most);
+        for connection in self.routers.connections() {
+            let message = Message::WorkSuspicions(List::new(told.clone()));
+            self.effects.push(Effect::ToRouter(connection, message));
+        }
+    }
+
+    /// A router that links knows nothing yet.
+    pub(super) fn tell_suspicions(&mut self, connection: ConnectionId) {
+        let told = self.suspected_work.told.iter();
+        let known = told.map(|(work, ends)| WorkSuspicion {
+            work: *work,
+            ends: *ends,
+        });
+        let mut known: Vec<WorkSuspicion> = known.collect();
+        known.sort_unstable_by_key(|suspicion| Reverse(suspicion.ends));
+        known.truncate(MOST_TOLD_AT_LINK);
+        if !known.is_empty() {
+            let message = Message::WorkSuspicions(List::new(known));
+            self.effects.push(Effect::ToRouter(connection, message));
+        }
+    }
+}
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -77,6 +77,7 @@
                 self.routers.0.insert(connection, linked);
                 self.announce_to(connection);
                 self.tell_stored(connection);
+                self.tell_suspicions(connection);
             }
             Message::Ping { sequence } => {
                 if let Some(linked) = self.routers.0.get_mut(&connection) {
@@ -92,6 +93,7 @@
             Message::Suspects(keys) => self.on_suspects(connection, &keys.items),
             Message::Refusing(keys) => self.on_refusing(connection, &keys.items),
             Message::Holders(entries) => self.on_holders(connection, &entries.items),
+            Message::WorkReports(reports) => self.on_work_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
             Message::Fetch { since } => {
                 let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -18,6 +18,7 @@
 mod ids;
 pub mod limits;
 mod message;
+mod quarantine;
 mod router;
 mod state;
 mod work;
@@ -33,8 +34,8 @@
 };
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
 pub use message::{
-    AccountLevel, Announcement, Changes, HolderEntry, LoadEntry, Message, RouterStatus, StoreId,
-    StoredKey, TenantKey, UsageEntry, WeightsNotice,
+    AccountLevel, Announcement, Changes, HolderEntry, LoadEntry, Message, Quarantine, RouterStatus,
+    StoreId, StoredKey, TenantKey, UsageEntry, WeightsNotice, WorkEvent, WorkReport, WorkSuspicion,
 };
 pub use router::{
     Admission, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, Outcome, OverLimit,
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -5,7 +5,7 @@
 use drumshore_consensus::ReplicaId;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{InstanceRecord, TenantName, WorkKey};
+use crate::{InstanceRecord, TenantName, WorkId, WorkKey};
 
 /// What a router tells about itself.
 #[binrw]
@@ -62,6 +62,62 @@
     pub removed: List<Text>,
     /// 0 or 1 key under which work is identified.
     pub work_key: List<WorkKey>,
+    /// 0 or 1 list of all work that is quarantined.
+    pub quarantine: List<Quarantine>,
+}
+
+/// All work that no back end is given.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Quarantine {
+    /// The work.
+    pub works: List<WorkId>,
+}
+
+/// What became of work at a back end.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorkEvent {
+    /// The back end ended while it had the work in hand.
+    #[brw(magic(1u8))]
+    BackEndEnded {
+        /// Stands for the incarnation; see [`LoadEntry::key_of`].
+        back_end: u32,
+    },
+    /// The work ran to its end.
+    #[brw(magic(2u8))]
+    Completed,
+}
+
+/// What a router saw of work.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkReport {
+    /// The work.
+    pub work: WorkId,
+    /// Milliseconds since then.
+    pub age_ms: u32,
+    /// What happened.
+    pub event: WorkEvent,
+}
+
+/// How many back ends have ended under work, over all routers.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WorkSuspicion {
+    /// The work.
+    pub work: WorkId,
+    /// Moments at which some ended; 0 when nothing speaks against it any more.
+    pub ends: u8,
+}
+
+impl WorkSuspicion {
+    /// Its size in a message.
+    pub const BYTES: usize = 17;
 }
 
 /// How busy a back end is with requests of one router, or of several.
@@ -301,6 +357,12 @@
     /// those that the router does not know is close to its limit.
     #[brw(magic(18u8))]
     AccountLevels(List<AccountLevel>),
+    /// From a router to all control machines: what it saw of work that back ends ended under.
+    #[brw(magic(19u8))]
+    WorkReports(List<WorkReport>),
+    /// From any control machine: work that is suspected, or no longer is.
+    #[brw(magic(20u8))]
+    WorkSuspicions(List<WorkSuspicion>),
 }
 
 impl Message {
--- /dev/null
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -0,0 +1,131 @@
+//! Which back ends ended under which work.
+
+use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+
+use super::{ENDS_FOR_QUARANTINE, REMEMBER_ENDS_FOR};
+use crate::WorkId;
+
+/// Back ends that end within this time ended together, for a reason that is none of their work: a loss of
+/// power ends many at once, and one request may be in hand at several of them. Routers see one moment up
+/// to 9 ms apart (an incident's lines); work that ends a back end took 50 ms and more to do so.
+const SAME_MOMENT: Duration = Duration::from_millis(50);
+/// Ends that are kept of one work.
+const MOST_ENDS: usize = 8;
+/// Works that are kept, of 80 to 200 bytes each: 800 KB at most. A quarter of 1,900 back ends with 16
+/// requests each that end together make 7,600 entries, of which the oldest give way.
+const MOST_WORKS: usize = 4_096;
+/// Back ends that are kept as explained, for reports of their ends that come late.
+const MOST_EXPLAINED: usize = 1_024;
+
+#[derive(Clone, Copy, Debug)]
+struct End {
+    /// The incarnation, as [`crate::LoadEntry::key_of`] names it.
+    back_end: u32,
+    /// Microseconds on this process's clock; negative for what was before its start.
+    at: i64,
+}
+
+/// Ends of back ends by the work that they had in hand, as far as nothing else explains them.
+#[derive(Debug, Default)]
+pub(crate) struct EndLedger {
+    works: HashMap<WorkId, Vec<End>>,
+    /// Back ends that quarantined work ended: whatever else they had in hand is innocent of it.
+    explained: VecDeque<u32>,
+}
+
+impl EndLedger {
+    /// A back end ended while it had the work in hand. True when that was not known.
+    pub fn note_end(&mut self, now: Timestamp, age: Duration, work: WorkId, back_end: u32) -> bool {
+        if self.explained.contains(&back_end) {
+            return false;
+        }
+        if self.works.len() >= MOST_WORKS && !self.works.contains_key(&work) {
+            self.make_room(now);
+        }
+        let ends = self.works.entry(work).or_default();
+        let is_known = ends.iter().any(|end| end.back_end == back_end);
+        if is_known || ends.len() >= MOST_ENDS {
+            return false;
+        }
+        let at = micros(now) - age.as_micros() as i64;
+        ends.push(End { back_end, at });
+        ends.sort_unstable_by_key(|end| end.at);
+        true
+    }
+
+    /// How many moments there are at which back ends ended under the work.
+    pub fn ends(&self, work: WorkId) -> u32 {
+        let ends = self.works.get(&work).map_or(&[][..], Vec::as_slice);
+        let mut moments = 0;
+        let mut moment: Option<i64> = None;
+        for end in ends {
+            if moment.is_none_or(|begun| end.at - begun > SAME_MOMENT.as_micros() as i64) {
+                moment = Some(end.at);
+                moments += 1;
+            }
+        }
+        moments
+    }
+
+    /// Forgets all that speaks against a work. True when something did.
+    pub fn clear(&mut self, work: WorkId) -> bool {
+        self.works.remove(&work).is_some()
+    }
+
+    /// Work that was quarantined explains the ends under it: they no longer count against the requests
+    /// that were beside it. Returns the works of which nothing is left, or less than before.
+    pub fn explain(&mut self, culprit: WorkId) -> Vec<WorkId> {
+        let ends = self.works.get(&culprit).cloned().unwrap_or_default();
+        let ended: BTreeSet<u32> = ends.iter().map(|end| end.back_end).collect();
+        let mut relieved = Vec::new();
+        for (work, ends) in self.works.iter_mut().filter(|(work, _)| **work != culprit) {
+            let before = ends.len();
+            ends.retain(|end| !ended.contains(&end.back_end));
+            if ends.len() < before {
+                relieved.push(*work);
+            }
+        }
+        self.works.retain(|_, ends| !ends.is_empty());
+        self.explained.extend(ended);
+        let surplus = self.explained.len().saturating_sub(MOST_EXPLAINED);
+        self.explained.drain(..surplus);
+        relieved.sort_unstable();
+        relieved
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.works.retain(|_, ends| {
+            ends.retain(|end| micros(now) - end.at < REMEMBER_ENDS_FOR.as_micros() as i64);
+            !ends.is_empty()
+        });
+    }
+
+    /// Drops the half with the oldest last end, those with one end first: an attacker who fills the table
+    /// has to end a back end for each moment, and work that ended several stays.
+    fn make_room(&mut self, now: Timestamp) {
+        self.expire(now);
+        let mut by_value: Vec<(u32, i64, WorkId)> = Vec::with_capacity(self.works.len());
+        for (work, ends) in &self.works {
+            let last = ends.last().map(|end| end.at).unwrap_or_default();
+            let rank = self.ends(*work).min(ENDS_FOR_QUARANTINE);
+            by_value.push((rank, last, *work));
+        }
+        by_value.sort_unstable();
+        let surplus = by_value.len().saturating_sub(MOST_WORKS / 2);
+        for (.., work) in by_value.into_iter().take(surplus) {
+            self.works.remove(&work);
+        }
+    }
+}
+
+fn micros(at: Timestamp) -> i64 {
+    i64::try_from(at.0).unwrap_or(i64::MAX)
+}
+
+#[cfg(test)]
+#[path = "ledger_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -0,0 +1,166 @@
+//! What counts against work, and what does not.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rstest::rstest;
+
+use super::*;
+use crate::{Work, WorkKey};
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp(1 + ms * 1_000)
+}
+
+fn work(number: u32) -> WorkId {
+    let body = number.to_le_bytes();
+    WorkKey::draw(1).identify(&Work {
+        body: &body,
+        ..Work::default()
+    })
+}
+
+#[test]
+fn each_back_end_counts_once_and_each_moment_once() {
+    let mut ledger = EndLedger::default();
+    assert!(ledger.note_end(at(0), Duration::ZERO, work(1), 10));
+    assert!(
+        !ledger.note_end(at(5), Duration::ZERO, work(1), 10),
+        "seen by another router"
+    );
+    assert!(
+        ledger.note_end(at(9), Duration::ZERO, work(1), 11),
+        "ended together"
+    );
+    assert_eq!(ledger.ends(work(1)), 1);
+    assert!(ledger.note_end(at(400), Duration::ZERO, work(1), 12));
+    assert_eq!(ledger.ends(work(1)), 2);
+    assert_eq!(ledger.ends(work(2)), 0);
+}
+
+#[test]
+fn reports_that_come_late_count_at_the_time_of_the_end() {
+    let mut ledger = EndLedger::default();
+    for (ended, back_end) in [(900, 1), (100, 2), (500, 3)] {
+        ledger.note_end(
+            at(2_000),
+            Duration::from_millis(2_000 - ended),
+            work(1),
+            back_end,
+        );
+    }
+    assert_eq!(ledger.ends(work(1)), 3);
+}
+
+/// A control machine that has just started hears of ends before its start.
+#[test]
+fn ends_before_the_start_are_told_apart() {
+    let mut ledger = EndLedger::default();
+    for (age_s, back_end) in [(9, 1), (7, 2), (5, 3)] {
+        ledger.note_end(at(10), Duration::from_secs(age_s), work(1), back_end);
+    }
+    assert_eq!(ledger.ends(work(1)), 3);
+}
+
+#[test]
+fn requests_beside_the_culprit_are_innocent_once_it_is_known() {
+    let mut ledger = EndLedger::default();
+    for (moment, back_end) in [(0, 1), (1_000, 2), (2_000, 3)] {
+        ledger.note_end(at(moment), Duration::ZERO, work(1), back_end);
+    }
+    for (moment, back_end) in [(0, 1), (1_000, 2), (1_500, 9)] {
+        ledger.note_end(at(moment), Duration::ZERO, work(2), back_end);
+    }
+    ledger.note_end(at(0), Duration::ZERO, work(3), 1);
+    assert_eq!(ledger.explain(work(1)), sorted([work(2), work(3)]));
+    assert_eq!(
+        (
+            ledger.ends(work(1)),
+            ledger.ends(work(2)),
+            ledger.ends(work(3))
+        ),
+        (3, 1, 0)
+    );
+    assert!(
+        !ledger.note_end(at(2_100), Duration::ZERO, work(4), 3),
+        "a late report of it"
+    );
+}
+
+fn sorted<const N: usize>(mut works: [WorkId; N]) -> Vec<WorkId> {
+    works.sort_unstable();
+    works.to_vec()
+}
+
+#[test]
+fn a_run_to_the_end_clears_and_time_forgets() {
+    let mut ledger = EndLedger::default();
+    ledger.note_end(at(0), Duration::ZERO, work(1), 1);
+    assert!(ledger.clear(work(1)));
+    assert!(!ledger.clear(work(1)));
+    ledger.note_end(at(0), Duration::ZERO, work(2), 1);
+    ledger.expire(at(0).plus(REMEMBER_ENDS_FOR));
+    assert_eq!(ledger.ends(work(2)), 0);
+}
+
+#[test]
+fn a_full_table_keeps_the_work_that_ended_most() {
+    let mut ledger = EndLedger::default();
+    for (moment, back_end) in [(0, 1), (1_000, 2)] {
+        ledger.note_end(at(moment), Duration::ZERO, work(0), back_end);
+    }
+    for number in 1..=3 * MOST_WORKS as u32 {
+        let moment = 2_000 + u64::from(number);
+        ledger.note_end(at(moment), Duration::ZERO, work(number), 100 + number);
+    }
+    assert!(ledger.works.len() <= MOST_WORKS);
+    assert_eq!(ledger.ends(work(0)), 2);
+}
+
+/// A pool of 100 back ends with 16 requests each. `share` of them end at each of `waves` moments, 2 s
+/// apart; each request that broke runs once more at a back end that is drawn. Returns how many of 1,000
+/// requests in hand at the first moment are seen at `least` moments.
+fn ends_by_chance(seed: u64, waves: u32, share: f64, least: u32) -> f64 {
+    const BACK_ENDS: u32 = 100;
+    const SLOTS: u32 = 16;
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut ledger = EndLedger::default();
+    let mut home: Vec<u32> = (0..BACK_ENDS * SLOTS)
+        .map(|number| number / SLOTS)
+        .collect();
+    for wave in 0..waves {
+        let moment = at(u64::from(wave) * 2_000);
+        let ended: BTreeSet<u32> = (0..BACK_ENDS)
+            .filter(|_| random.random_bool(share))
+            .collect();
+        for (number, back_end) in home.iter_mut().enumerate() {
+            if ended.contains(back_end) {
+                // The next incarnation is another back end.
+                let incarnation = wave * BACK_ENDS + *back_end;
+                ledger.note_end(moment, Duration::ZERO, work(number as u32), incarnation);
+                *back_end = random.random_range(0..BACK_ENDS);
+            }
+        }
+    }
+    let works = (0..BACK_ENDS * SLOTS).map(work);
+    let seen = works.filter(|work| ledger.ends(*work) >= least).count();
+    seen as f64 * 1_000.0 / f64::from(BACK_ENDS * SLOTS)
+}
+
+/// When a quarter of a pool ends at once, and again 2 s later, no innocent request is quarantined.
+#[rstest]
+fn a_quarter_of_a_pool_that_ends_twice_condemns_nobody(#[values(1, 2, 3, 4, 5)] seed: u64) {
+    assert_eq!(ends_by_chance(seed, 2, 0.25, ENDS_FOR_QUARANTINE), 0.0);
+}
+
+/// What other bounds would do; prints the figures that docs/design/quarantine.md gives.
+#[test]
+#[ignore = "prints figures"]
+fn figures_of_bounds() {
+    for (waves, least) in [(2, 2), (2, 3), (3, 2), (3, 3)] {
+        let of: Vec<f64> = (1..=10)
+            .map(|seed| ends_by_chance(seed, waves, 0.25, least))
+            .collect();
+        let mean = of.iter().sum::<f64>() / of.len() as f64;
+        println!("{waves} waves, {least} ends: {mean:.1} of 1,000");
+    }
+}
--- a/crates/gateway-core/src/router/copies_tests.rs
+++ b/crates/gateway-core/src/router/copies_tests.rs
@@ -62,6 +62,7 @@
     let earlier = EarlierAttempts {
         tried: &tried,
         arrived: 1,
+        ..EarlierAttempts::default()
     };
     let next = router.choose_copy(at(2), &admission, Some(&prompt), &copy, earlier);
     let next = next.unwrap();
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -228,6 +228,14 @@
         }
     }
 
+    /// A back end has ended. What stands for it may be wrong, so it is avoided as a silent one is, until
+    /// its heartbeats are heard again.
+    pub fn on_ended(&mut self, now: Timestamp, instance: &InstanceId) {
+        if let Some(endpoint) = self.0.get_mut(instance) {
+            endpoint.avoid_as_silent(now);
+        }
+    }
+
     /// Another router found back ends silent. Those that were not heard here since are avoided as
     /// well, and returned.
     pub fn on_suspects(&mut self, now: Timestamp, keys: &[u32]) -> Vec<InstanceId> {
@@ -235,8 +243,7 @@
         for (id, endpoint) in &mut self.0 {
             let is_heard = now.since(endpoint.heard.get()) < HEARD_LATELY;
             if keys.contains(&endpoint.key) && !is_heard {
-                endpoint.avoided_until = endpoint.avoided_until.max(now.plus(SUSPECT_PAUSE));
-                endpoint.unreachable_in_a_row = endpoint.unreachable_in_a_row.max(1);
+                endpoint.avoid_as_silent(now);
                 silent.push(id.clone());
             }
         }
@@ -290,6 +297,11 @@
         self.avoided_until = self.avoided_until.max(now.plus(pause));
     }
 
+    fn avoid_as_silent(&mut self, now: Timestamp) {
+        self.avoided_until = self.avoided_until.max(now.plus(SUSPECT_PAUSE));
+        self.unreachable_in_a_row = self.unreachable_in_a_row.max(1);
+    }
+
     /// False once it could not be reached, until it answers again.
     pub fn is_reachable(&self) -> bool {
         self.unreachable_in_a_row == 0
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod sides;
 mod split;
 mod stores;
+mod suspected_work;
 mod view;
 
 use std::rc::Rc;
@@ -48,6 +49,7 @@
 use prompt_mix::PromptMix;
 use split::Splitter;
 use stores::Stores;
+use suspected_work::SuspectedWork;
 use view::View;
 
 /// Bounds of a router.
@@ -89,6 +91,7 @@
     holders: Holders,
     suspects: Vec<u32>,
     refusing: Vec<u32>,
+    suspected_work: SuspectedWork,
 }
 
 impl RouterCore {
@@ -109,6 +112,7 @@
             holders: Holders::default(),
             suspects: Vec::new(),
             refusing: Vec::new(),
+            suspected_work: SuspectedWork::default(),
         }
     }
 
@@ -149,6 +153,7 @@
         if let Some(document) = self.view.document().filter(|_| has_configuration) {
             self.tenant_accounts.set_limits(now, document);
         }
+        self.suspected_work.apply(&changes);
         self.update_endpoints(&changes);
         Ok(())
     }
@@ -246,6 +251,7 @@
         prompt: Option<&Prompt>,
         earlier: EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
+        self.judge_work(&earlier)?;
         let is_retry = earlier.arrived > 0;
         if earlier.tried.is_empty() {
             self.budget.on_request(now, &admission.pool);
@@ -255,7 +261,7 @@
         if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
             self.refuse_overload(now, admission, prompt)?;
         }
-        let choice = self.place(now, admission, prompt, earlier.tried)?;
+        let choice = self.place(now, admission, prompt, &earlier)?;
         if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
             let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
             let slots = models.map_or(1, |models| models.slots);
@@ -339,8 +345,8 @@
             self.note_stay(instance, now.since(begun));
         }
         let fell_silent = self.endpoints.finished(now, instance, begun, outcome);
-        if fell_silent && self.suspects.len() < MOST_SUSPECTS {
-            self.suspects.push(LoadEntry::key_of(instance.as_str()));
+        if fell_silent {
+            self.suspect(LoadEntry::key_of(instance.as_str()));
         }
         let is_refused = matches!(outcome, Outcome::Shed | Outcome::OtherWeights);
         if is_refused && self.refusing.len() < MOST_SUSPECTS {
@@ -349,7 +355,13 @@
         fell_silent
     }
 
-    /// Back ends that this router found silent and the others do not know of yet.
+    fn suspect(&mut self, back_end: u32) {
+        if self.suspects.len() < MOST_SUSPECTS {
+            self.suspects.push(back_end);
+        }
+    }
+
+    /// Back ends that this router found silent, or that have ended, and the others do not know of yet.
     pub fn take_suspects(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.suspects)
     }
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -7,8 +7,8 @@
 use super::cache::{salt, OtherCaches};
 use super::candidate::{prefer_sound, Candidate, Placed};
 use super::holders::{self, Held};
-use super::{Admission, BelievedParts, Choice, ChoiceError, Prompt, RouterCore};
-use crate::{InstanceId, LoadEntry, Pool};
+use super::{Admission, BelievedParts, Choice, ChoiceError, EarlierAttempts, Prompt, RouterCore};
+use crate::{LoadEntry, Pool};
 
 /// Connections to one back end when its pool sets no bound.
 const DEFAULT_CONNECTIONS: usize = 64;
@@ -21,7 +21,7 @@
         now: Timestamp,
         admission: &Admission,
         prompt: Option<&Prompt>,
-        tried: &[InstanceId],
+        earlier: &EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
         let draw = self.random.random();
         let candidates = self.candidates(now, admission, prompt);
@@ -30,9 +30,12 @@
         }
         let untried: Vec<Candidate<'_>> = candidates
             .into_iter()
-            .filter(|candidate| !tried.contains(candidate.id))
+            .filter(|candidate| !earlier.tried.contains(candidate.id))
             .collect();
         let usable = prefer_sound(now, untried);
+        if self.is_suspected(earlier.work) {
+            return self.place_suspected(now, admission, prompt, &usable, draw);
+        }
         let placed = match prompt {
             Some(prompt) => self.place_prompt(now, admission, prompt, &usable, draw),
             None => self.place_by_load(&usable, draw),
@@ -43,6 +46,23 @@
         Ok(Choice { copy, ..choice })
     }
 
+    /// Where the fewest requests would be lost with the back end, and without a copy, which would be one
+    /// more that runs it.
+    fn place_suspected(
+        &self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+        usable: &[Candidate<'_>],
+        draw: u64,
+    ) -> Result<Choice, ChoiceError> {
+        let mut placed = self
+            .place_by_load(usable, draw)
+            .ok_or(ChoiceError::NoneLeft)?;
+        placed.tokens = prompt.map_or(0, Prompt::tokens);
+        Ok(self.choice(now, admission, prompt, placed, usable))
+    }
+
     /// The fewest requests for its slots; of equals one in the same zone, then any.
     fn place_by_load(&self, usable: &[Candidate<'_>], draw: u64) -> Option<Placed> {
         let zone = self.params.zone.as_str();
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Charge, OverLimit};
-use crate::{InstanceId, ModelName, PoolName, Route, Tenant};
+use crate::{InstanceId, ModelName, PoolName, Route, Tenant, WorkId};
 
 /// A part of a prompt that other requests may share.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -58,6 +58,12 @@
     /// The pool has more work than it can serve in time.
     #[error("{0}")]
     Overloaded(Overload),
+    /// Too many back ends have ended under the same work.
+    #[error("work is quarantined")]
+    Quarantined,
+    /// Back ends have ended under the same work, so it is not sent on within a call.
+    #[error("work is suspected")]
+    Suspected,
     /// Retries are used up for now.
     #[error("retry budget used up")]
     NoBudget,
@@ -82,6 +88,12 @@
     pub tried: &'a [InstanceId],
     /// Attempts that arrived at one of them, also when it turned the request away.
     pub arrived: u32,
+    /// What the request carries.
+    pub work: Option<WorkId>,
+    /// Moments at which back ends had ended under it before this call.
+    pub ends_before_call: u32,
+    /// Attempts of this call that broke when they may have run.
+    pub broken: u32,
 }
 
 /// A request that may be forwarded.
--- /dev/null
+++ b/crates/gateway-core/src/router/suspected_work.rs
@@ -0,0 +1,171 @@
+//! Work that ends back ends, as one router knows it: what it saw itself, what control machines told it, and
+//! what they agreed on. Any of these suffices, so a router that is cut off goes by what it saw.
+
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+
+use drumshore_core::Timestamp;
+
+use super::{ChoiceError, EarlierAttempts, RouterCore};
+use crate::quarantine::{EndLedger, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR};
+use crate::{Changes, InstanceId, LoadEntry, WorkEvent, WorkId, WorkReport, WorkSuspicion};
+
+/// Reports that are kept for control machines that link later; each is sent to all of them.
+const MOST_REPORTS: usize = 512;
+/// Works that control machines suspect.
+const MOST_TOLD: usize = 4_096;
+
+/// What this router saw of work, with the time.
+#[derive(Clone, Copy, Debug)]
+struct Seen {
+    at: Timestamp,
+    work: WorkId,
+    event: WorkEvent,
+}
+
+/// What a router knows of work that ends back ends.
+#[derive(Debug, Default)]
+pub(super) struct SuspectedWork {
+    own: EndLedger,
+    /// Ends over all routers, as control machines told.
+    told: HashMap<WorkId, u8>,
+    /// What the log says.
+    quarantined: HashSet<WorkId>,
+    reports: VecDeque<Seen>,
+    /// Reports that are no longer kept.
+    dropped_reports: u64,
+}
+
+impl SuspectedWork {
+    /// Moments at which back ends ended under the work, as far as this router knows.
+    fn ends(&self, work: WorkId) -> u32 {
+        let told = self.told.get(&work).copied().unwrap_or_default();
+        self.own.ends(work).max(u32::from(told))
+    }
+
+    fn is_quarantined(&self, work: WorkId) -> bool {
+        self.quarantined.contains(&work) || self.ends(work) >= ENDS_FOR_QUARANTINE
+    }
+
+    fn report(&mut self, at: Timestamp, work: WorkId, event: WorkEvent) {
+        self.reports.push_back(Seen { at, work, event });
+        while self.reports.len() > MOST_REPORTS {
+            self.reports.pop_front();
+            self.dropped_reports += 1;
+        }
+    }
+
+    fn forget(&mut self, work: WorkId) -> bool {
+        let was_told = self.told.remove(&work).is_some();
+        self.own.clear(work) || was_told
+    }
+
+    /// Takes in what the log says; work that it has released is as if it had never come.
+    pub fn apply(&mut self, changes: &Changes) {
+        let listed = changes.quarantine.items.first();
+        if listed.is_none() && changes.since > 0 {
+            return;
+        }
+        let works = listed.into_iter().flat_map(|listed| &listed.works.items);
+        let now: HashSet<WorkId> = works.copied().collect();
+        let before = std::mem::replace(&mut self.quarantined, now);
+        let released: Vec<WorkId> = before.difference(&self.quarantined).copied().collect();
+        for work in released {
+            self.forget(work);
+        }
+    }
+}
+
+impl RouterCore {
+    /// Moments at which back ends ended under the work, as far as this router knows.
+    pub fn ends_under(&self, work: WorkId) -> u32 {
+        self.suspected_work.ends(work)
+    }
+
+    /// Whether work may run now. A call does not send suspected work on: its caller may come back, which
+    /// spreads further runs in time and leaves room for what other routers saw.
+    pub(super) fn judge_work(&self, earlier: &EarlierAttempts<'_>) -> Result<(), ChoiceError> {
+        let Some(work) = earlier.work else {
+            return Ok(());
+        };
+        if self.suspected_work.is_quarantined(work) {
+            return Err(ChoiceError::Quarantined);
+        }
+        let ends = self.suspected_work.ends(work);
+        let ends = ends.max(earlier.ends_before_call + earlier.broken);
+        if earlier.broken > 0 && ends >= ENDS_FOR_SUSPICION {
+            return Err(ChoiceError::Suspected);
+        }
+        Ok(())
+    }
+
+    /// Work under which so many back ends ended that the next one is to have little to lose.
+    pub(super) fn is_suspected(&self, work: Option<WorkId>) -> bool {
+        work.is_some_and(|work| self.suspected_work.ends(work) >= ENDS_FOR_SUSPICION)
+    }
+
+    /// A back end ended while it had these works in hand. Returns those of which that was not known, with
+    /// the moments at which back ends ended under each.
+    pub fn on_back_end_ended(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        works: &[WorkId],
+    ) -> Vec<(WorkId, u32)> {
+        let back_end = LoadEntry::key_of(instance.as_str());
+        self.endpoints.on_ended(now, instance);
+        self.suspect(back_end);
+        let suspected = &mut self.suspected_work;
+        let works: BTreeSet<WorkId> = works.iter().copied().collect();
+        let mut new = Vec::new();
+        for work in works {
+            if suspected
+                .own
+                .note_end(now, std::time::Duration::ZERO, work, back_end)
+            {
+                suspected.report(now, work, WorkEvent::BackEndEnded { back_end });
+                new.push((work, suspected.ends(work)));
+            }
+        }
+        new
+    }
+
+    /// Work ran to its end, so it does not end whatever runs it. True when something spoke against it.
+    pub fn on_work_completed(&mut self, now: Timestamp, work: WorkId) -> bool {
+        let suspected = &mut self.suspected_work;
+        let was_suspected = suspected.forget(work) || suspected.quarantined.contains(&work);
+        if was_suspected {
+            suspected.report(now, work, WorkEvent::Completed);
+        }
+        was_suspected
+    }
+
+    /// Takes in what a control machine added up. Reports only add up, so the most that any of them says
+    /// counts, until one says that nothing is left.
+    pub fn on_work_suspicions(&mut self, suspicions: &[WorkSuspicion]) {
+        let suspected = &mut self.suspected_work;
+        for WorkSuspicion { work, ends } in suspicions {
+            if *ends == 0 {
+                suspected.forget(*work);
+            } else if suspected.told.len() < MOST_TOLD || suspected.told.contains_key(work) {
+                let told = suspected.told.entry(*work).or_default();
+                *told = (*told).max(*ends);
+            }
+        }
+    }
+
+    /// What this router saw of work since `cursor`, which moves on. A new link begins at 0.
+    pub fn work_reports_since(&self, now: Timestamp, cursor: &mut u64) -> Vec<WorkReport> {
+        let suspected = &self.suspected_work;
+        let skipped = cursor.saturating_sub(suspected.dropped_reports) as usize;
+        *cursor = suspected.dropped_reports + suspected.reports.len() as u64;
+        let fresh = suspected.reports.iter().skip(skipped);
+        let fresh = fresh.filter(|seen| now.since(seen.at) < REMEMBER_ENDS_FOR);
+        fresh
+            .map(|seen| WorkReport {
+                work: seen.work,
+                age_ms: u32::try_from(now.since(seen.at).as_millis()).unwrap_or(u32::MAX),
+                event: seen.event,
+            })
+            .collect()
+    }
+}
--- a/crates/gateway-core/src/router/tests/failures.rs
+++ b/crates/gateway-core/src/router/tests/failures.rs
@@ -74,6 +74,7 @@
         let earlier = EarlierAttempts {
             tried: &[first],
             arrived: 0,
+            ..EarlierAttempts::default()
         };
         let second = router.choose(at(1), &admission, None, earlier).unwrap();
         router.finished(at(1), &second.instance, at(1), Outcome::Answered);
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -4,6 +4,7 @@
 mod caches;
 mod failures;
 mod placement;
+mod suspected_work;
 
 use std::time::Duration;
 
@@ -40,6 +41,7 @@
     EarlierAttempts {
         tried,
         arrived: tried.len() as u32,
+        ..EarlierAttempts::default()
     }
 }
 
--- /dev/null
+++ b/crates/gateway-core/src/router/tests/suspected_work.rs
@@ -0,0 +1,179 @@
+//! Tests of work that ends back ends.
+
+use super::*;
+use crate::{Quarantine, Work, WorkEvent, WorkId, WorkKey, WorkSuspicion};
+
+fn work(body: &str) -> WorkId {
+    WorkKey::draw(1).identify(&Work {
+        body: body.as_bytes(),
+        ..Work::default()
+    })
+}
+
+fn first_of(work: WorkId) -> EarlierAttempts<'static> {
+    EarlierAttempts {
+        work: Some(work),
+        ..EarlierAttempts::default()
+    }
+}
+
+/// Back ends of both pools that have ended under the work, a second apart.
+fn end_under(router: &mut RouterCore, work: WorkId, names: &[&str]) {
+    for (number, name) in names.iter().enumerate() {
+        let now = at(1_000 * (1 + number as u64));
+        router.on_back_end_ended(now, &InstanceId::new(name), &[work]);
+    }
+}
+
+fn choose(router: &mut RouterCore, earlier: EarlierAttempts<'_>) -> Result<Choice, ChoiceError> {
+    let admission = admit(router, at(3_500), "/a/x");
+    router.choose(at(3_500), &admission, None, earlier)
+}
+
+#[test]
+fn a_router_alone_stops_after_three_ends() {
+    let mut router = router();
+    end_under(&mut router, work("a"), &["app-1", "app-2"]);
+    assert!(choose(&mut router, first_of(work("a"))).is_ok());
+    end_under(&mut router, work("a"), &["app-1", "app-2", "app-3"]);
+    let refused = choose(&mut router, first_of(work("a")));
+    assert_eq!(refused, Err(ChoiceError::Quarantined));
+    assert!(choose(&mut router, first_of(work("b"))).is_ok());
+}
+
+#[rstest]
+#[case::on_the_word_of_a_control_machine(true)]
+#[case::on_the_word_of_the_log(false)]
+fn a_router_that_saw_nothing_stops(#[case] told: bool) {
+    let mut router = router();
+    if told {
+        let work = work("a");
+        router.on_work_suspicions(&[WorkSuspicion { work, ends: 3 }]);
+    } else {
+        update(&mut router, at(1), with_quarantine(10, 11, &[work("a")]));
+    }
+    let refused = choose(&mut router, first_of(work("a")));
+    assert_eq!(refused, Err(ChoiceError::Quarantined));
+}
+
+fn with_quarantine(since: u64, revision: u64, works: &[WorkId]) -> Changes {
+    let works = List::new(works.to_vec());
+    Changes {
+        quarantine: List::new(vec![Quarantine { works }]),
+        ..changes(since, revision, Vec::new())
+    }
+}
+
+#[test]
+fn released_work_is_as_if_it_had_never_come() {
+    let mut router = router();
+    end_under(&mut router, work("a"), &["app-1", "app-2", "app-3"]);
+    update(
+        &mut router,
+        at(3_100),
+        with_quarantine(10, 11, &[work("a"), work("b")]),
+    );
+    update(
+        &mut router,
+        at(3_200),
+        with_quarantine(11, 12, &[work("b")]),
+    );
+    assert_eq!(router.ends_under(work("a")), 0);
+    assert!(choose(&mut router, first_of(work("a"))).is_ok());
+    assert!(choose(&mut router, first_of(work("b"))).is_err());
+}
+
+/// A call whose work broke off at a back end goes on at another one, unless that work has ended another
+/// one before.
+#[rstest]
+#[case::first_end(0, 1, true)]
+#[case::second_end_in_the_call(0, 2, false)]
+#[case::one_before_the_call(1, 1, false)]
+#[case::not_broken_yet(2, 0, true)]
+fn a_call_does_not_send_suspected_work_on(
+    #[case] ends_before_call: u32,
+    #[case] broken: u32,
+    #[case] goes_on: bool,
+) {
+    let mut router = router();
+    let tried = [InstanceId::new("app-1")];
+    let earlier = EarlierAttempts {
+        tried: if broken > 0 { &tried } else { &[] },
+        arrived: broken,
+        work: Some(work("a")),
+        ends_before_call,
+        broken,
+    };
+    let chosen = choose(&mut router, earlier);
+    assert_eq!(chosen.is_ok(), goes_on, "{chosen:?}");
+    if !goes_on {
+        assert_eq!(chosen, Err(ChoiceError::Suspected));
+    }
+}
+
+#[test]
+fn suspected_work_goes_where_the_least_is_lost_and_without_a_copy() {
+    let mut router = router();
+    let loads = (4..=9)
+        .filter(|number| *number != 6)
+        .map(|number| LoadEntry {
+            key: LoadEntry::key_of(&format!("llm-{number}")),
+            pending: 0,
+            in_flight: 2,
+        });
+    router.set_others_loads(true, &loads.collect::<Vec<_>>());
+    let suspicion = WorkSuspicion {
+        work: work("a"),
+        ends: 2,
+    };
+    router.on_work_suspicions(&[suspicion]);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    for session in ["s1", "s2", "s3", "s4"] {
+        let prompt = prompt(session, 300);
+        let choice = router.choose(at(1), &admission, Some(&prompt), first_of(work("a")));
+        let choice = choice.unwrap();
+        assert_eq!((choice.instance.as_str(), &choice.copy), ("llm-6", &None));
+        router.finished(at(1), &choice.instance, at(1), Outcome::Answered);
+    }
+}
+
+#[test]
+fn each_control_machine_hears_of_each_end_and_later_ones_too() {
+    let mut router = router();
+    end_under(&mut router, work("a"), &["app-1", "app-2"]);
+    let (mut early, mut late) = (0, 0);
+    assert_eq!(router.work_reports_since(at(2_000), &mut early).len(), 2);
+    assert!(router.work_reports_since(at(2_000), &mut early).is_empty());
+    end_under(&mut router, work("b"), &["app-1"]);
+    assert_eq!(router.work_reports_since(at(2_500), &mut early).len(), 1);
+    let all = router.work_reports_since(at(2_500), &mut late);
+    let ages: Vec<u32> = all.iter().map(|report| report.age_ms).collect();
+    assert_eq!(ages, [1_500, 500, 1_500]);
+}
+
+#[test]
+fn work_that_ran_to_its_end_is_cleared_everywhere() {
+    let mut router = router();
+    assert!(
+        !router.on_work_completed(at(1), work("a")),
+        "nothing spoke against it"
+    );
+    end_under(&mut router, work("a"), &["app-1", "app-2", "app-3"]);
+    assert!(router.on_work_completed(at(3_100), work("a")));
+    assert!(choose(&mut router, first_of(work("a"))).is_ok());
+    let reports = router.work_reports_since(at(3_200), &mut 3);
+    let events: Vec<WorkEvent> = reports.iter().map(|report| report.event).collect();
+    assert_eq!(events, [WorkEvent::Completed]);
+}
+
+#[test]
+fn a_back_end_that_ended_is_avoided_by_all_routers() {
+    let mut router = router();
+    end_under(&mut router, work("a"), &["app-1"]);
+    assert_eq!(router.take_suspects(), [LoadEntry::key_of("app-1")]);
+    let admission = admit(&mut router, at(2_500), "/a/x");
+    for _ in 0..20 {
+        let choice = router.choose(at(2_500), &admission, None, EarlierAttempts::default());
+        assert_ne!(choice.unwrap().instance.as_str(), "app-1");
+    }
+}
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -6,7 +6,7 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{Changes, Command, LoadPhase, WeightsNotice, WorkKey};
+use crate::{Changes, Command, LoadPhase, Quarantine, WeightsNotice, WorkId, WorkKey};
 
 /// Back ends that have gone are remembered, so that a late word of theirs does not bring them
 /// back; beyond this many the oldest are forgotten.
@@ -15,6 +15,10 @@
 /// Versions of one model; enough for those that are named within the time a load may take.
 const REMEMBERED_VERSIONS: usize = 16;
 
+/// Work that is quarantined at once; beyond it the oldest is released. Each has ended three back ends, and
+/// a router is sent all of it, 16 KB, when it changes.
+const MOST_QUARANTINED: usize = 1_024;
+
 /// Whether a back end may get new requests.
 #[binrw]
 #[brw(little, repr = u8)]
@@ -117,6 +121,15 @@
     revision: u64,
 }
 
+/// Work that is quarantined.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug)]
+struct Quarantined {
+    work: WorkId,
+    position: u64,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Removed {
     revision: u64,
@@ -136,6 +149,8 @@
     removals: List<Removal>,
     /// 0 or 1.
     work_key: List<StoredWorkKey>,
+    quarantine_revision: u64,
+    quarantined: List<Quarantined>,
 }
 
 /// The replicated state.
@@ -150,6 +165,9 @@
     instances: BTreeMap<String, InstanceRecord>,
     removals: BTreeMap<String, Removed>,
     work_key: Option<StoredWorkKey>,
+    /// Work that no back end is given, by the position that said so.
+    quarantined: BTreeMap<WorkId, u64>,
+    quarantine_revision: u64,
 }
 
 impl ReplicatedState {
@@ -200,6 +218,16 @@
         self.work_key.as_ref().map(|stored| &stored.key)
     }
 
+    /// Work that no back end is given.
+    pub fn quarantined(&self) -> impl Iterator<Item = WorkId> + '_ {
+        self.quarantined.keys().copied()
+    }
+
+    /// True while no back end is given the work.
+    pub fn is_quarantined(&self, work: WorkId) -> bool {
+        self.quarantined.contains_key(&work)
+    }
+
     /// Applies a committed command at its position. True when something changed.
     pub fn apply(&mut self, position: u64, command: &Command) -> bool {
         let changed = match command {
@@ -216,6 +244,8 @@
                 phase,
             } => self.load(position, instance, model, *version, *phase),
             Command::SetWorkKey { key } => self.set_work_key(position, key),
+            Command::Quarantine { work } => self.quarantine(position, *work),
+            Command::Release { work } => self.release(position, *work),
         };
         if changed {
             self.revision = position;
@@ -244,6 +274,9 @@
         let instances = self.instances.values().filter(|item| item.revision > since);
         let removed = self.removals.iter().filter(|item| item.1.revision > since);
         let work_key = self.work_key.iter().filter(|item| item.revision > since);
+        let quarantine = (self.quarantine_revision > since).then(|| Quarantine {
+            works: List::new(self.quarantined().collect()),
+        });
         Changes {
             since,
             revision: self.revision,
@@ -252,6 +285,7 @@
             instances: List::new(instances.cloned().collect()),
             removed: List::new(removed.map(|item| Text::new(item.0.as_str())).collect()),
             work_key: List::new(work_key.map(|item| item.key.clone()).collect()),
+            quarantine: List::new(quarantine.into_iter().collect()),
         }
     }
 
@@ -262,6 +296,10 @@
             revision: removed.revision,
             may_return: u8::from(removed.may_return),
         });
+        let quarantined = self.quarantined.iter().map(|(work, position)| Quarantined {
+            work: *work,
+            position: *position,
+        });
         let image = Image {
             revision: self.revision,
             forgotten: self.forgotten,
@@ -270,6 +308,8 @@
             instances: List::new(self.instances.values().cloned().collect()),
             removals: List::new(removals.collect()),
             work_key: List::new(self.work_key.iter().cloned().collect()),
+            quarantine_revision: self.quarantine_revision,
+            quarantined: List::new(quarantined.collect()),
         };
         let mut cursor = Cursor::new(Vec::new());
         image
@@ -302,6 +342,10 @@
             instances: image.instances.items.into_iter().map(by_instance).collect(),
             removals: image.removals.items.into_iter().map(removal).collect(),
             work_key: image.work_key.items.into_iter().next(),
+            quarantined: (image.quarantined.items.iter())
+                .map(|item| (item.work, item.position))
+                .collect(),
+            quarantine_revision: image.quarantine_revision,
         })
     }
 
@@ -431,6 +475,29 @@
         true
     }
 
+    fn quarantine(&mut self, position: u64, work: WorkId) -> bool {
+        if self.is_quarantined(work) {
+            return false;
+        }
+        if self.quarantined.len() >= MOST_QUARANTINED {
+            let oldest = self.quarantined.iter().min_by_key(|item| *item.1);
+            if let Some(oldest) = oldest.map(|item| *item.0) {
+                self.quarantined.remove(&oldest);
+            }
+        }
+        self.quarantined.insert(work, position);
+        self.quarantine_revision = position;
+        true
+    }
+
+    fn release(&mut self, position: u64, work: WorkId) -> bool {
+        let was_quarantined = self.quarantined.remove(&work).is_some();
+        if was_quarantined {
+            self.quarantine_revision = position;
+        }
+        was_quarantined
+    }
+
     fn load(
         &mut self,
         position: u64,
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -227,7 +227,7 @@
                 order,
             }),
             Effect::Ask { instance, .. } => self.asked.push((at, instance)),
-            Effect::Applied { .. } => {}
+            Effect::Applied { .. } | Effect::WorkSuspected { .. } => {}
         }
     }
 
--- a/crates/gateway-core/tests/control/main.rs
+++ b/crates/gateway-core/tests/control/main.rs
@@ -5,6 +5,7 @@
 
 mod back_ends;
 mod configuration;
+mod quarantine;
 mod rollout;
 mod routers;
 mod silence;
--- /dev/null
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -0,0 +1,270 @@
+//! Work that ends back ends: which machines know of it, and for how long.
+
+use drumshore_gateway_core::{
+    Command, Work, WorkEvent, WorkId, WorkKey, WorkReport, WorkSuspicion,
+};
+
+use super::*;
+
+/// The address at which a router links to each machine, and the number of its link there.
+const ROUTER: &str = "10.0.1.1:80";
+const LINK: ConnectionId = ConnectionId(1);
+const OTHER_LINK: ConnectionId = ConnectionId(2);
+/// How long work stays quarantined.
+const QUARANTINE: Duration = Duration::from_secs(600);
+
+fn work(number: u8) -> WorkId {
+    WorkKey::draw(1).identify(&Work {
+        body: &[number],
+        ..Work::default()
+    })
+}
+
+fn ended(work: WorkId, back_end: u32, age: Duration) -> WorkReport {
+    WorkReport {
+        work,
+        age_ms: age.as_millis() as u32,
+        event: WorkEvent::BackEndEnded { back_end },
+    }
+}
+
+/// Three back ends that ended a second apart, the last one now.
+fn three_ends(work: WorkId) -> Vec<WorkReport> {
+    let ends = (1..=3).map(|number| ended(work, number, SECOND * (3 - number)));
+    ends.collect()
+}
+
+fn report(cluster: &mut Cluster, machine: Ipv4Addr, reports: &[WorkReport]) {
+    let now = cluster.now;
+    let message = Message::WorkReports(List::new(reports.to_vec()));
+    cluster.core(machine).on_router(now, LINK, message);
+    cluster.settle();
+}
+
+fn linked(founders: u8) -> Cluster {
+    let mut cluster = elected(founders);
+    for number in 1..=founders {
+        cluster.link_router(address(number), LINK, ROUTER);
+    }
+    cluster
+}
+
+/// What a router was told of the work last, over a link to a machine.
+fn told(cluster: &Cluster, machine: Ipv4Addr, link: ConnectionId, work: WorkId) -> Option<u8> {
+    let to_it = cluster.to_routers.iter().rev();
+    let mut to_it = to_it.filter(|(from, to, _)| *from == machine && *to == link);
+    to_it.find_map(|(.., message)| match message {
+        Message::WorkSuspicions(list) => suspected(&list.items, work),
+        _ => None,
+    })
+}
+
+fn suspected(suspicions: &[WorkSuspicion], work: WorkId) -> Option<u8> {
+    let mut suspicions = suspicions.iter();
+    let found = suspicions.find(|suspicion| suspicion.work == work);
+    found.map(|suspicion| suspicion.ends)
+}
+
+fn is_quarantined_at(cluster: &mut Cluster, machine: Ipv4Addr) -> bool {
+    cluster.core(machine).state().is_quarantined(work(1))
+}
+
+fn others_than(leader: Ipv4Addr, founders: u8) -> Vec<Ipv4Addr> {
+    let all = (1..=founders).map(address);
+    all.filter(|at| *at != leader).collect()
+}
+
+#[test]
+fn ends_that_different_routers_saw_add_up_to_a_verdict() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, OTHER_LINK, "10.0.1.2:80");
+    report(&mut cluster, leader, &[ended(work(1), 1, SECOND)]);
+    cluster.run(Duration::from_millis(200));
+    assert_eq!(
+        told(&cluster, leader, OTHER_LINK, work(1)),
+        None,
+        "one end says nothing"
+    );
+    let now = cluster.now;
+    let second = Message::WorkReports(List::new(vec![ended(work(1), 2, Duration::ZERO)]));
+    cluster.core(leader).on_router(now, OTHER_LINK, second);
+    cluster.run(Duration::from_millis(200));
+    assert_eq!(told(&cluster, leader, LINK, work(1)), Some(2));
+    assert!(!is_quarantined_at(&mut cluster, leader));
+    report(&mut cluster, leader, &[ended(work(1), 3, Duration::ZERO)]);
+    cluster.run(Duration::from_millis(200));
+    for number in 1..=3 {
+        assert!(is_quarantined_at(&mut cluster, address(number)));
+    }
+}
+
+/// Any machine proposes: the router that saw the third end may be cut off from the leader.
+#[test]
+fn a_follower_that_heard_alone_brings_the_verdict_about() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    let follower = others_than(leader, 3)[0];
+    report(&mut cluster, follower, &three_ends(work(1)));
+    cluster.run(SECOND);
+    assert!(is_quarantined_at(&mut cluster, leader));
+}
+
+#[test]
+fn routers_are_told_while_no_majority_is_left() {
+    let mut cluster = linked(5);
+    let leader = cluster.leader().unwrap();
+    let others = others_than(leader, 5);
+    for lost in [leader, others[0], others[1]] {
+        cluster.kill(lost);
+    }
+    cluster.run(2 * SECOND);
+    report(&mut cluster, others[2], &three_ends(work(1)));
+    cluster.run(Duration::from_millis(200));
+    assert_eq!(told(&cluster, others[2], LINK, work(1)), Some(3));
+    assert!(!is_quarantined_at(&mut cluster, others[2]));
+}
+
+#[test]
+fn what_was_counted_outlasts_the_leader() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    for number in 1..=3 {
+        let two = &three_ends(work(1))[..2];
+        report(&mut cluster, address(number), two);
+    }
+    cluster.kill(leader);
+    cluster.run(3 * SECOND);
+    let successor = cluster.leader().unwrap();
+    report(
+        &mut cluster,
+        successor,
+        &[ended(work(1), 9, Duration::ZERO)],
+    );
+    cluster.run(SECOND);
+    assert!(is_quarantined_at(&mut cluster, successor));
+}
+
+#[test]
+fn a_verdict_outlasts_a_loss_of_power_everywhere_and_a_late_router_hears_it() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    report(&mut cluster, leader, &three_ends(work(1)));
+    cluster.run(SECOND);
+    for number in 1..=3 {
+        cluster.kill(address(number));
+    }
+    for number in 1..=3 {
+        cluster.start(address(number));
+    }
+    cluster.run(3 * SECOND);
+    let leader = cluster.leader().unwrap();
+    assert!(is_quarantined_at(&mut cluster, leader));
+    let changes = cluster.core(leader).state().changes_since(0, |_| 0);
+    assert_eq!(changes.quarantine.items[0].works.items, [work(1)]);
+}
+
+#[test]
+fn a_router_that_links_later_is_told_what_is_suspected() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    report(&mut cluster, leader, &three_ends(work(1))[..2]);
+    cluster.run(Duration::from_millis(200));
+    cluster.link_router(leader, OTHER_LINK, "10.0.1.2:80");
+    assert_eq!(told(&cluster, leader, OTHER_LINK, work(1)), Some(2));
+}
+
+/// Requests that were beside the culprit when it ended back ends are innocent of these ends.
+#[test]
+fn a_verdict_relieves_the_work_that_was_beside_it() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    let beside = [ended(work(2), 1, 2 * SECOND), ended(work(2), 2, SECOND)];
+    report(&mut cluster, leader, &beside);
+    cluster.run(Duration::from_millis(200));
+    assert_eq!(told(&cluster, leader, LINK, work(2)), Some(2));
+    report(&mut cluster, leader, &three_ends(work(1)));
+    cluster.run(SECOND);
+    assert_eq!(told(&cluster, leader, LINK, work(2)), Some(0));
+    report(&mut cluster, leader, &[ended(work(2), 3, Duration::ZERO)]);
+    report(&mut cluster, leader, &[ended(work(2), 7, Duration::ZERO)]);
+    cluster.run(SECOND);
+    assert_eq!(
+        told(&cluster, leader, LINK, work(2)),
+        Some(0),
+        "one end is left"
+    );
+}
+
+#[rstest]
+#[case::it_ran_to_its_end(Duration::ZERO, true)]
+#[case::its_time_is_over(QUARANTINE, false)]
+fn quarantined_work_is_released(#[case] after: Duration, #[case] completed: bool) {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    report(&mut cluster, leader, &three_ends(work(1)));
+    cluster.run(SECOND);
+    assert!(is_quarantined_at(&mut cluster, leader));
+    if completed {
+        let report_of_end = WorkReport {
+            work: work(1),
+            age_ms: 0,
+            event: WorkEvent::Completed,
+        };
+        report(&mut cluster, leader, &[report_of_end]);
+    }
+    cluster.run(after + SECOND);
+    let leader = cluster.leader().unwrap();
+    assert!(!is_quarantined_at(&mut cluster, leader));
+    report(&mut cluster, leader, &three_ends(work(1))[..2]);
+    cluster.run(SECOND);
+    assert!(!is_quarantined_at(&mut cluster, leader), "counted anew");
+}
+
+/// What routers are told of ten thousand works costs each at most its part of the traffic.
+#[test]
+fn ten_thousand_works_are_told_within_the_budget() {
+    const BYTES_PER_SECOND: usize = 700;
+    let mut cluster = linked(1);
+    let leader = cluster.leader().unwrap();
+    let works = (0..10_000_u32).map(|number| {
+        WorkKey::draw(2).identify(&Work {
+            body: &number.to_le_bytes(),
+            ..Work::default()
+        })
+    });
+    let reports = works
+        .flat_map(|work| [1, 2].map(|back_end| ended(work, back_end, SECOND * (2 - back_end))));
+    let reports: Vec<WorkReport> = reports.collect();
+    report(&mut cluster, leader, &reports);
+    cluster.to_routers.clear();
+    cluster.run(10 * SECOND);
+    let told = cluster
+        .to_routers
+        .iter()
+        .map(|(.., message)| match message {
+            Message::WorkSuspicions(list) => list.items.len() * WorkSuspicion::BYTES,
+            _ => 0,
+        });
+    let told: usize = told.sum();
+    assert!(
+        told > 0 && told <= 10 * BYTES_PER_SECOND,
+        "{told} bytes in 10 s"
+    );
+}
+
+/// Beyond the bound the oldest verdict gives way, so that the newest always holds.
+#[test]
+fn verdicts_are_bounded() {
+    let mut cluster = linked(1);
+    let leader = cluster.leader().unwrap();
+    for number in 0..1_100_u32 {
+        let work = WorkKey::draw(3).identify(&Work {
+            body: &number.to_le_bytes(),
+            ..Work::default()
+        });
+        cluster.submit(leader, Command::Quarantine { work });
+    }
+    let state = cluster.core(leader).state();
+    assert_eq!(state.quarantined().count(), 1_024);
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -230,6 +230,10 @@
                 }
             }
             Effect::Applied { position, command } => log_applied(position, &command),
+            Effect::WorkSuspected { work, ends } => {
+                tracing::info!(event = "work_suspected", %work, ends,
+                    "control: another back end ended under work");
+            }
             Effect::Order(order) => back_ends::give_order(self, order),
             Effect::Ask { instance, address } => back_ends::ask(self, instance, address),
         }
@@ -351,6 +355,14 @@
                 "control: the key that identifies work is in force"
             );
         }
+        Command::Quarantine { work } => {
+            tracing::info!(event = "work_quarantined", position, %work,
+                "control: work is quarantined");
+        }
+        Command::Release { work } => {
+            tracing::info!(event = "work_released", position, %work,
+                "control: work may be tried again");
+        }
         Command::Load {
             instance,
             model,
--- a/crates/gateway/src/router/back_end_ends.rs
+++ b/crates/gateway/src/router/back_end_ends.rs
@@ -108,4 +108,21 @@
         tracing::info!(event = "run_broken", id = %run.id, work = run.work.map(tracing::field::display),
             %instance, finding = found, "router: a run broke with its back end");
     }
+    if finding == Finding::Ended {
+        note_ended(router, instance, &runs);
+    }
+}
+
+/// All control machines hear of it, for the next router that gets the same work knows nothing of this one.
+fn note_ended(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
+    let works: Vec<WorkId> = runs.iter().filter_map(|run| run.work).collect();
+    let now = router.clock.now();
+    let mut core = router.core.borrow_mut();
+    for (work, ends) in core.on_back_end_ended(now, instance, &works) {
+        tracing::info!(event = "work_suspected", %work, ends, %instance, by = "this router",
+            "router: a back end ended under work");
+    }
+    drop(core);
+    router.upstreams.close_idle(instance);
+    router.work_reported.notify_waiters();
 }
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
-    Admission, Choice, EarlierAttempts, InstanceId, Prompt, Refusal, RequestHead, RequestKind,
-    Work, WorkId,
+    Admission, Choice, Prompt, Refusal, RequestHead, RequestKind, Work, WorkId,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -40,6 +39,8 @@
     pub body: Bytes,
     /// Stands for what the request carries; `None` before the key for that is known.
     pub work: Option<WorkId>,
+    /// Moments at which back ends had ended under it before this call.
+    pub ends_before_call: u32,
 }
 
 /// Counts a request as open until its answer has ended.
@@ -168,9 +169,12 @@
         read.map_err(|_| NoAnswer)?.to_bytes()
     };
     let work = identify(router, &parts, &admission, &body);
+    let core = router.core.borrow();
+    let ends_before_call = work.map_or(0, |work| core.ends_under(work));
     Ok(Call {
         id,
         work,
+        ends_before_call,
         received,
         deadline: received.plus(held),
         admission,
@@ -193,18 +197,14 @@
 }
 
 async fn answer(router: &Rc<Router>, call: Call, open: OpenRequest) -> Response<AnswerBody> {
-    let mut tried: Vec<InstanceId> = Vec::new();
-    let mut sent = 0;
+    let mut attempts = Attempts::default();
     let mut worst = Execution::NotRun;
     for _ in 0..MOST_TRIES {
         let now = router.clock.now();
         if call.deadline <= now {
             break;
         }
-        let earlier = EarlierAttempts {
-            tried: &tried,
-            arrived: sent,
-        };
+        let earlier = attempts.earlier(&call);
         let prompt = call.prompt.as_ref();
         let chosen = router
             .core
@@ -212,26 +212,27 @@
             .choose(now, &call.admission, prompt, earlier);
         let choice = match chosen {
             Ok(choice) => choice,
-            Err(error) => return refusal::give_up(router, &call, &tried, worst, Some(error)),
+            Err(error) => {
+                return refusal::give_up(router, &call, &attempts.tried, worst, Some(error))
+            }
         };
-        tried.push(choice.instance.clone());
-        match attempt::make(router, &call, &choice, sent, None).await {
+        attempts.tried.push(choice.instance.clone());
+        match attempt::make(router, &call, &choice, attempts.sent, None).await {
             Attempt::Answered(answered) => {
-                let sent = sent + 1;
-                let attempts = Attempts { tried, sent };
+                attempts.sent += 1;
                 return relay(router, call, &choice, *answered, open, attempts);
             }
             Attempt::Ended(ended) => {
                 log_ended(router, &call, &choice, ended);
                 worst = worst.max(ended.execution);
-                sent += u32::from(ended.sent);
-                if !may_try_again(&call.admission, worst, sent) {
+                attempts.note(ended);
+                if !may_try_again(&call.admission, worst, attempts.sent) {
                     break;
                 }
             }
         }
     }
-    refusal::give_up(router, &call, &tried, worst, None)
+    refusal::give_up(router, &call, &attempts.tried, worst, None)
 }
 
 /// One line for each attempt that did not end the request well.
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -71,6 +71,8 @@
     first_view: FirstView,
     /// Back ends whose connections broke.
     examinations: Examinations,
+    /// Wakes the links to control machines when there are reports of work.
+    work_reported: Notify,
 }
 
 /// Runs a router until it is told to stop.
@@ -96,6 +98,7 @@
         status_changed: Notify::new(),
         first_view: FirstView::default(),
         examinations: Examinations::default(),
+        work_reported: Notify::new(),
         settings,
     });
     listen(&router)?;
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -79,6 +79,8 @@
         let (after, reason) = match error {
             Some(ChoiceError::NoneReady) => (RETRY_WITHOUT_BACK_ENDS, "no_back_end"),
             Some(ChoiceError::Overloaded(overload)) => (overload.retry_after, "overloaded"),
+            Some(ChoiceError::Quarantined) => (LONGEST_RETRY_AFTER, "quarantined"),
+            Some(ChoiceError::Suspected) => (RETRY_WITHOUT_BACK_ENDS, "suspected"),
             Some(ChoiceError::NoneLeft | ChoiceError::NoBudget) | None => {
                 (RETRY_SOON, "turned_away")
             }
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -71,6 +71,19 @@
         }
     }
 
+    /// The back end outlived the run, so the work does not end whatever runs it.
+    fn note_completed(&self, now: Timestamp) {
+        let Some(work) = self.run.work else {
+            return;
+        };
+        let was_suspected = self.router.core.borrow_mut().on_work_completed(now, work);
+        if was_suspected {
+            tracing::info!(event = "work_cleared", id = %self.run.id, %work,
+                instance = %self.choice.instance, "router: suspected work ran to its end");
+            self.router.work_reported.notify_waiters();
+        }
+    }
+
     /// Says how it ended; it ends when dropped.
     pub fn end(&mut self, outcome: Outcome, execution: Execution) {
         self.outcome = outcome;
@@ -94,6 +107,9 @@
         self.router
             .metrics
             .count_attempt(outcome_name(self.outcome));
+        if matches!(self.outcome, Outcome::Answered | Outcome::Failed) {
+            self.note_completed(now);
+        }
         if self.outcome == Outcome::Broken && self.execution != Execution::NotRun {
             let address = &self.choice.address;
             back_end_ends::examine(&self.router, instance, address, self.run.clone());
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -17,10 +17,10 @@
 
 use bytes::Bytes;
 use drumshore_core::Execution;
-use drumshore_gateway_core::{Choice, EarlierAttempts, InstanceId, RunCopy};
+use drumshore_gateway_core::{Choice, EarlierAttempts, InstanceId, Outcome, RunCopy};
 use hyper::StatusCode;
 
-use super::attempt::{self, Answered, Attempt, Continuation};
+use super::attempt::{self, Answered, Attempt, Continuation, Ended};
 use super::events::Events;
 use super::forward::{log_ended, may_try_again, Call};
 use super::Router;
@@ -35,15 +35,27 @@
     pub tried: Vec<InstanceId>,
     /// Attempts that reached one.
     pub sent: u32,
+    /// Attempts that broke when they may have run.
+    pub broken: u32,
 }
 
 impl Attempts {
-    fn earlier(&self) -> EarlierAttempts<'_> {
+    pub fn earlier(&self, call: &Call) -> EarlierAttempts<'_> {
         EarlierAttempts {
             tried: &self.tried,
             arrived: self.sent,
+            work: call.work,
+            ends_before_call: call.ends_before_call,
+            broken: self.broken,
         }
     }
+
+    /// An attempt gave no answer to pass on.
+    pub fn note(&mut self, ended: Ended) {
+        self.sent += u32::from(ended.sent);
+        let may_have_run = ended.execution != Execution::NotRun;
+        self.broken += u32::from(may_have_run && ended.outcome == Outcome::Broken);
+    }
 }
 
 /// A stream that goes on at another back end.
@@ -91,6 +103,7 @@
     /// Begins to look for another back end; false when the stream ends here.
     pub fn begin(&mut self) -> bool {
         self.events.drop_half();
+        self.attempts.broken += 1;
         let attempts = self.attempts.clone();
         let is_late = self.router.clock.now() >= self.call.deadline;
         if is_late {
@@ -136,7 +149,7 @@
     for _ in 0..MOST_TRIES {
         let now = router.clock.now();
         let prompt = call.prompt.as_ref();
-        let earlier = attempts.earlier();
+        let earlier = attempts.earlier(&call);
         let chosen = router
             .core
             .borrow_mut()
@@ -180,7 +193,7 @@
         &call.admission,
         call.prompt.as_ref(),
         &copy,
-        attempts.earlier(),
+        attempts.earlier(&call),
     );
     let choice = match chosen {
         Ok(choice) => choice,
@@ -228,7 +241,7 @@
         Attempt::Answered(_) => GoneOn::FinalAnswer,
         Attempt::Ended(ended) => {
             log_ended(router, call, choice, ended);
-            attempts.sent += u32::from(ended.sent);
+            attempts.note(ended);
             GoneOn::No
         }
     }
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Changes, Message, RouterStatus};
+use drumshore_gateway_core::{Changes, Message, RouterStatus, WorkSuspicion};
 use drumshore_wire::{List, Text};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
@@ -102,11 +102,13 @@
     let listening = listen(router, links, address, &sender, receiver, &asked);
     let telling = tell_changes(router, &sender);
     let reporting = report_loads(router, links, &sender, address);
+    let reporting_work = report_work(router, &sender);
     tokio::select! {
         reason = asking => reason,
         reason = listening => reason,
         reason = telling => reason,
         reason = reporting => reason,
+        reason = reporting_work => reason,
     }
 }
 
@@ -220,6 +222,9 @@
                     "router: back ends turn other routers' requests away"
                 );
             }
+            Message::WorkSuspicions(suspicions) => {
+                on_work_suspicions(router, address, &suspicions.items);
+            }
             Message::Holders(entries) => {
                 let now = router.clock.now();
                 router.core.borrow_mut().on_holders(now, &entries.items);
@@ -288,6 +293,28 @@
     }
 }
 
+/// Tells a control machine, also one that links later, what this router saw of work that back ends ended
+/// under. All of them are told: any may be the one that the next router hears.
+async fn report_work(router: &Rc<Router>, sender: &Sender) -> &'static str {
+    let mut cursor = 0;
+    loop {
+        let now = router.clock.now();
+        let reports = router.core.borrow().work_reports_since(now, &mut cursor);
+        if !reports.is_empty() && !sender.send(&Message::WorkReports(List::new(reports))) {
+            return "closed";
+        }
+        router.work_reported.notified().await;
+    }
+}
+
+fn on_work_suspicions(router: &Router, address: Ipv4Addr, suspicions: &[WorkSuspicion]) {
+    router.core.borrow_mut().on_work_suspicions(suspicions);
+    for WorkSuspicion { work, ends } in suspicions {
+        tracing::info!(event = "work_suspected", %work, ends, by = %address,
+            "router: a control machine suspects work");
+    }
+}
+
 /// Asks for changes, unless an answer may still come.
 fn fetch(router: &Router, links: &Links, from: Ipv4Addr, sender: &Sender, revision: u64) {
     let held = router.core.borrow().revision();
