--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -14,7 +14,9 @@
 use drumshore_wire::List;
 
 use super::{ConnectionId, ControlCore, Effect};
-use crate::quarantine::{EndLedger, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, QUARANTINE_FOR};
+use crate::quarantine::{
+    EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, QUARANTINE_FOR,
+};
 use crate::{Command, Message, WorkEvent, WorkId, WorkReport, WorkSuspicion};
 
 /// Bytes a second that this may cost one router, of 14 KB/s for all control traffic; up to five
@@ -77,17 +79,22 @@
     pub(super) fn on_work_reports(&mut self, reports: &[WorkReport]) {
         for report in reports {
             match report.event {
-                WorkEvent::BackEndEnded { back_end } => self.on_end_reported(report, back_end),
+                WorkEvent::BackEndEnded { back_end, held_ms } => {
+                    let end = EndReport {
+                        back_end,
+                        age: Duration::from_millis(u64::from(report.age_ms)),
+                        held: Duration::from_millis(u64::from(held_ms)),
+                    };
+                    self.on_end_reported(report.work, end);
+                }
                 WorkEvent::Completed => self.on_work_completed(report.work),
             }
         }
     }
 
-    fn on_end_reported(&mut self, report: &WorkReport, back_end: u32) {
-        let work = report.work;
-        let age = Duration::from_millis(u64::from(report.age_ms));
+    fn on_end_reported(&mut self, work: WorkId, end: EndReport) {
         let suspected = &mut self.suspected_work;
-        if !suspected.ledger.note_end(self.now, age, work, back_end) {
+        if !suspected.ledger.note_end(self.now, work, end) {
             return;
         }
         suspected.note_standing(work);
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -85,6 +85,8 @@
     BackEndEnded {
         /// Stands for the incarnation; see [`LoadEntry::key_of`].
         back_end: u32,
+        /// Milliseconds for which it had had the work.
+        held_ms: u32,
     },
     /// The work ran to its end.
     #[brw(magic(2u8))]
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -8,9 +8,9 @@
 use super::{ENDS_FOR_QUARANTINE, REMEMBER_ENDS_FOR};
 use crate::WorkId;
 
-/// Back ends that end within this time ended together, for a reason that is none of their work: a loss of
-/// power ends many at once, and one request may be in hand at several of them. Routers see one moment up
-/// to 9 ms apart (an incident's lines); work that ends a back end took 50 ms and more to do so.
+/// Back ends that end within this time ended together, unless one got the work after the other had ended:
+/// a loss of power ends many at once, and the same work may be in hand at several of them. Routers see one
+/// moment up to 9 ms apart (lines of an incident).
 const SAME_MOMENT: Duration = Duration::from_millis(50);
 /// Ends that are kept of one work.
 const MOST_ENDS: usize = 8;
@@ -24,10 +24,32 @@
 struct End {
     /// The incarnation, as [`crate::LoadEntry::key_of`] names it.
     back_end: u32,
-    /// Microseconds on this process's clock; negative for what was before its start.
+    /// When it got the work, in microseconds on this process's clock; negative for what was before its
+    /// start.
+    begun: i64,
+    /// When it ended, likewise.
     at: i64,
 }
 
+impl End {
+    /// Whether this end may have had the cause of an earlier one.
+    fn is_at_moment_of(&self, earlier: &End) -> bool {
+        let is_close = self.at - earlier.at <= SAME_MOMENT.as_micros() as i64;
+        is_close && self.begun <= earlier.at
+    }
+}
+
+/// A back end that ended while it had work in hand.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndReport {
+    /// The incarnation, as [`crate::LoadEntry::key_of`] names it.
+    pub back_end: u32,
+    /// How long ago it ended.
+    pub age: Duration,
+    /// For how long it had had the work then.
+    pub held: Duration,
+}
+
 /// Ends of back ends by the work that they had in hand, as far as nothing else explains them.
 #[derive(Debug, Default)]
 pub(crate) struct EndLedger {
@@ -38,7 +60,8 @@
 
 impl EndLedger {
     /// A back end ended while it had the work in hand. True when that was not known.
-    pub fn note_end(&mut self, now: Timestamp, age: Duration, work: WorkId, back_end: u32) -> bool {
+    pub fn note_end(&mut self, now: Timestamp, work: WorkId, report: EndReport) -> bool {
+        let back_end = report.back_end;
         if self.explained.contains(&back_end) {
             return false;
         }
@@ -50,8 +73,13 @@
         if is_known || ends.len() >= MOST_ENDS {
             return false;
         }
-        let at = micros(now) - age.as_micros() as i64;
-        ends.push(End { back_end, at });
+        let at = micros(now) - report.age.as_micros() as i64;
+        let begun = at - report.held.as_micros() as i64;
+        ends.push(End {
+            back_end,
+            begun,
+            at,
+        });
         ends.sort_unstable_by_key(|end| end.at);
         true
     }
@@ -60,10 +88,10 @@
     pub fn ends(&self, work: WorkId) -> u32 {
         let ends = self.works.get(&work).map_or(&[][..], Vec::as_slice);
         let mut moments = 0;
-        let mut moment: Option<i64> = None;
+        let mut moment: Option<&End> = None;
         for end in ends {
-            if moment.is_none_or(|begun| end.at - begun > SAME_MOMENT.as_micros() as i64) {
-                moment = Some(end.at);
+            if !moment.is_some_and(|earlier| end.is_at_moment_of(earlier)) {
+                moment = Some(end);
                 moments += 1;
             }
         }
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -19,34 +19,52 @@
     })
 }
 
+/// A back end that had had the work for a second when it ended.
+fn ended(back_end: u32, age_ms: u64) -> EndReport {
+    EndReport {
+        back_end,
+        age: Duration::from_millis(age_ms),
+        held: Duration::from_secs(1),
+    }
+}
+
 #[test]
 fn each_back_end_counts_once_and_each_moment_once() {
     let mut ledger = EndLedger::default();
-    assert!(ledger.note_end(at(0), Duration::ZERO, work(1), 10));
+    assert!(ledger.note_end(at(0), work(1), ended(10, 0)));
     assert!(
-        !ledger.note_end(at(5), Duration::ZERO, work(1), 10),
+        !ledger.note_end(at(5), work(1), ended(10, 0)),
         "seen by another router"
     );
     assert!(
-        ledger.note_end(at(9), Duration::ZERO, work(1), 11),
+        ledger.note_end(at(9), work(1), ended(11, 0)),
         "ended together"
     );
     assert_eq!(ledger.ends(work(1)), 1);
-    assert!(ledger.note_end(at(400), Duration::ZERO, work(1), 12));
+    assert!(ledger.note_end(at(400), work(1), ended(12, 0)));
     assert_eq!(ledger.ends(work(1)), 2);
     assert_eq!(ledger.ends(work(2)), 0);
 }
 
+/// A call that sends the work on within 42 ms has run it twice, one after the other.
+#[test]
+fn a_back_end_that_got_the_work_after_the_first_had_ended_is_another_moment() {
+    let mut ledger = EndLedger::default();
+    ledger.note_end(at(1_000), work(1), ended(1, 0));
+    let held = Duration::from_millis(41);
+    let second = EndReport {
+        held,
+        ..ended(2, 0)
+    };
+    ledger.note_end(at(1_042), work(1), second);
+    assert_eq!(ledger.ends(work(1)), 2);
+}
+
 #[test]
 fn reports_that_come_late_count_at_the_time_of_the_end() {
     let mut ledger = EndLedger::default();
-    for (ended, back_end) in [(900, 1), (100, 2), (500, 3)] {
-        ledger.note_end(
-            at(2_000),
-            Duration::from_millis(2_000 - ended),
-            work(1),
-            back_end,
-        );
+    for (ended_at, back_end) in [(900, 1), (100, 2), (500, 3)] {
+        ledger.note_end(at(2_000), work(1), ended(back_end, 2_000 - ended_at));
     }
     assert_eq!(ledger.ends(work(1)), 3);
 }
@@ -56,7 +74,7 @@
 fn ends_before_the_start_are_told_apart() {
     let mut ledger = EndLedger::default();
     for (age_s, back_end) in [(9, 1), (7, 2), (5, 3)] {
-        ledger.note_end(at(10), Duration::from_secs(age_s), work(1), back_end);
+        ledger.note_end(at(10), work(1), ended(back_end, age_s * 1_000));
     }
     assert_eq!(ledger.ends(work(1)), 3);
 }
@@ -65,12 +83,12 @@
 fn requests_beside_the_culprit_are_innocent_once_it_is_known() {
     let mut ledger = EndLedger::default();
     for (moment, back_end) in [(0, 1), (1_000, 2), (2_000, 3)] {
-        ledger.note_end(at(moment), Duration::ZERO, work(1), back_end);
+        ledger.note_end(at(moment), work(1), ended(back_end, 0));
     }
     for (moment, back_end) in [(0, 1), (1_000, 2), (1_500, 9)] {
-        ledger.note_end(at(moment), Duration::ZERO, work(2), back_end);
+        ledger.note_end(at(moment), work(2), ended(back_end, 0));
     }
-    ledger.note_end(at(0), Duration::ZERO, work(3), 1);
+    ledger.note_end(at(0), work(3), ended(1, 0));
     assert_eq!(ledger.explain(work(1)), sorted([work(2), work(3)]));
     assert_eq!(
         (
@@ -81,7 +99,7 @@
         (3, 1, 0)
     );
     assert!(
-        !ledger.note_end(at(2_100), Duration::ZERO, work(4), 3),
+        !ledger.note_end(at(2_100), work(4), ended(3, 0)),
         "a late report of it"
     );
 }
@@ -94,10 +112,10 @@
 #[test]
 fn a_run_to_the_end_clears_and_time_forgets() {
     let mut ledger = EndLedger::default();
-    ledger.note_end(at(0), Duration::ZERO, work(1), 1);
+    ledger.note_end(at(0), work(1), ended(1, 0));
     assert!(ledger.clear(work(1)));
     assert!(!ledger.clear(work(1)));
-    ledger.note_end(at(0), Duration::ZERO, work(2), 1);
+    ledger.note_end(at(0), work(2), ended(1, 0));
     ledger.expire(at(0).plus(REMEMBER_ENDS_FOR));
     assert_eq!(ledger.ends(work(2)), 0);
 }
@@ -106,11 +124,11 @@
 fn a_full_table_keeps_the_work_that_ended_most() {
     let mut ledger = EndLedger::default();
     for (moment, back_end) in [(0, 1), (1_000, 2)] {
-        ledger.note_end(at(moment), Duration::ZERO, work(0), back_end);
+        ledger.note_end(at(moment), work(0), ended(back_end, 0));
     }
     for number in 1..=3 * MOST_WORKS as u32 {
         let moment = 2_000 + u64::from(number);
-        ledger.note_end(at(moment), Duration::ZERO, work(number), 100 + number);
+        ledger.note_end(at(moment), work(number), ended(100 + number, 0));
     }
     assert!(ledger.works.len() <= MOST_WORKS);
     assert_eq!(ledger.ends(work(0)), 2);
@@ -129,14 +147,14 @@
         .collect();
     for wave in 0..waves {
         let moment = at(u64::from(wave) * 2_000);
-        let ended: BTreeSet<u32> = (0..BACK_ENDS)
+        let struck: BTreeSet<u32> = (0..BACK_ENDS)
             .filter(|_| random.random_bool(share))
             .collect();
         for (number, back_end) in home.iter_mut().enumerate() {
-            if ended.contains(back_end) {
+            if struck.contains(back_end) {
                 // The next incarnation is another back end.
                 let incarnation = wave * BACK_ENDS + *back_end;
-                ledger.note_end(moment, Duration::ZERO, work(number as u32), incarnation);
+                ledger.note_end(moment, work(number as u32), ended(incarnation, 0));
                 *back_end = random.random_range(0..BACK_ENDS);
             }
         }
--- a/crates/gateway-core/src/quarantine/mod.rs
+++ b/crates/gateway-core/src/quarantine/mod.rs
@@ -7,7 +7,7 @@
 
 mod ledger;
 
-pub(crate) use ledger::EndLedger;
+pub(crate) use ledger::{EndLedger, EndReport};
 
 use std::time::Duration;
 
--- a/crates/gateway-core/src/router/suspected_work.rs
+++ b/crates/gateway-core/src/router/suspected_work.rs
@@ -1,12 +1,15 @@
 //! Work that ends back ends, as one router knows it: what it saw itself, what control machines told it, and
 //! what they agreed on. Any of these suffices, so a router that is cut off goes by what it saw.
 
-use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::Duration;
 
 use drumshore_core::Timestamp;
 
 use super::{ChoiceError, EarlierAttempts, RouterCore};
-use crate::quarantine::{EndLedger, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR};
+use crate::quarantine::{
+    EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR,
+};
 use crate::{Changes, InstanceId, LoadEntry, WorkEvent, WorkId, WorkReport, WorkSuspicion};
 
 /// Reports that are kept for control machines that link later; each is sent to all of them.
@@ -103,26 +106,30 @@
         work.is_some_and(|work| self.suspected_work.ends(work) >= ENDS_FOR_SUSPICION)
     }
 
-    /// A back end ended while it had these works in hand. Returns those of which that was not known, with
-    /// the moments at which back ends ended under each.
+    /// A back end ended while it had these works in hand, each since a time. Returns those of which that
+    /// was not known, with the moments at which back ends ended under each.
     pub fn on_back_end_ended(
         &mut self,
         now: Timestamp,
         instance: &InstanceId,
-        works: &[WorkId],
+        works: &[(WorkId, Timestamp)],
     ) -> Vec<(WorkId, u32)> {
         let back_end = LoadEntry::key_of(instance.as_str());
         self.endpoints.on_ended(now, instance);
         self.suspect(back_end);
         let suspected = &mut self.suspected_work;
-        let works: BTreeSet<WorkId> = works.iter().copied().collect();
+        let works: BTreeMap<WorkId, Timestamp> = works.iter().copied().collect();
         let mut new = Vec::new();
-        for work in works {
-            if suspected
-                .own
-                .note_end(now, std::time::Duration::ZERO, work, back_end)
-            {
-                suspected.report(now, work, WorkEvent::BackEndEnded { back_end });
+        for (work, begun) in works {
+            let held = now.since(begun);
+            let end = EndReport {
+                back_end,
+                age: Duration::ZERO,
+                held,
+            };
+            if suspected.own.note_end(now, work, end) {
+                let held_ms = u32::try_from(held.as_millis()).unwrap_or(u32::MAX);
+                suspected.report(now, work, WorkEvent::BackEndEnded { back_end, held_ms });
                 new.push((work, suspected.ends(work)));
             }
         }
--- a/crates/gateway-core/src/router/tests/suspected_work.rs
+++ b/crates/gateway-core/src/router/tests/suspected_work.rs
@@ -21,7 +21,7 @@
 fn end_under(router: &mut RouterCore, work: WorkId, names: &[&str]) {
     for (number, name) in names.iter().enumerate() {
         let now = at(1_000 * (1 + number as u64));
-        router.on_back_end_ended(now, &InstanceId::new(name), &[work]);
+        router.on_back_end_ended(now, &InstanceId::new(name), &[(work, now)]);
     }
 }
 
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -24,7 +24,10 @@
     WorkReport {
         work,
         age_ms: age.as_millis() as u32,
-        event: WorkEvent::BackEndEnded { back_end },
+        event: WorkEvent::BackEndEnded {
+            back_end,
+            held_ms: 50,
+        },
     }
 }
 
--- a/crates/gateway/src/router/back_end_ends.rs
+++ b/crates/gateway/src/router/back_end_ends.rs
@@ -12,6 +12,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use drumshore_core::Timestamp;
 use drumshore_gateway_core::{InstanceId, WorkId};
 
 use super::Router;
@@ -28,6 +29,8 @@
     pub id: String,
     /// What it carries; `None` before the key that identifies work is known.
     pub work: Option<WorkId>,
+    /// When it was sent.
+    pub begun: Timestamp,
 }
 
 /// What a back end's address tells after connections to it broke.
@@ -115,7 +118,8 @@
 
 /// All control machines hear of it, for the next router that gets the same work knows nothing of this one.
 fn note_ended(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
-    let works: Vec<WorkId> = runs.iter().filter_map(|run| run.work).collect();
+    let with_work = |run: &BrokenRun| run.work.map(|work| (work, run.begun));
+    let works: Vec<(WorkId, Timestamp)> = runs.iter().filter_map(with_work).collect();
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
     for (work, ends) in core.on_back_end_ended(now, instance, &works) {
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -26,7 +26,6 @@
     router: Rc<Router>,
     choice: Choice,
     target: Duration,
-    begun: Timestamp,
     answered: bool,
     outcome: Outcome,
     execution: Execution,
@@ -38,7 +37,6 @@
     pub fn new(router: &Rc<Router>, call: &Call, choice: &Choice) -> Self {
         Self {
             target: call.admission.route.target,
-            begun: router.clock.now(),
             router: Rc::clone(router),
             choice: choice.clone(),
             answered: false,
@@ -47,6 +45,7 @@
             run: BrokenRun {
                 id: call.id.clone(),
                 work: call.work,
+                begun: router.clock.now(),
             },
         }
     }
@@ -54,7 +53,7 @@
     /// The answer has begun.
     pub fn answered(&mut self) {
         self.heard();
-        let took = self.router.clock.now().since(self.begun);
+        let took = self.router.clock.now().since(self.run.begun);
         self.note_answered(Some(took));
     }
 
@@ -97,7 +96,7 @@
         let now = self.router.clock.now();
         let instance = &self.choice.instance;
         let mut core = self.router.core.borrow_mut();
-        let fell_silent = core.finished(now, instance, self.begun, self.outcome);
+        let fell_silent = core.finished(now, instance, self.run.begun, self.outcome);
         drop(core);
         if fell_silent {
             tracing::info!(event = "back_end_suspected", %instance, by = "this router",
