--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -43,4 +43,4 @@
     ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, ReplicatedState};
-pub use work::{Work, WorkId, WorkKey};
+pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway-core/src/router/suspected_work.rs
+++ b/crates/gateway-core/src/router/suspected_work.rs
@@ -22,7 +22,8 @@
 struct Seen {
     at: Timestamp,
     work: WorkId,
-    event: WorkEvent,
+    /// `None` once it no longer counts.
+    event: Option<WorkEvent>,
 }
 
 /// What a router knows of work that ends back ends.
@@ -50,6 +51,7 @@
     }
 
     fn report(&mut self, at: Timestamp, work: WorkId, event: WorkEvent) {
+        let event = Some(event);
         self.reports.push_back(Seen { at, work, event });
         while self.reports.len() > MOST_REPORTS {
             self.reports.pop_front();
@@ -59,6 +61,9 @@
 
     fn forget(&mut self, work: WorkId) -> bool {
         let was_told = self.told.remove(&work).is_some();
+        // A control machine that links later must not hear of it.
+        let reports = self.reports.iter_mut().filter(|seen| seen.work == work);
+        reports.for_each(|seen| seen.event = None);
         self.own.clear(work) || was_told
     }
 
@@ -168,10 +173,12 @@
         let fresh = suspected.reports.iter().skip(skipped);
         let fresh = fresh.filter(|seen| now.since(seen.at) < REMEMBER_ENDS_FOR);
         fresh
-            .map(|seen| WorkReport {
-                work: seen.work,
-                age_ms: u32::try_from(now.since(seen.at).as_millis()).unwrap_or(u32::MAX),
-                event: seen.event,
+            .filter_map(|seen| {
+                Some(WorkReport {
+                    work: seen.work,
+                    age_ms: u32::try_from(now.since(seen.at).as_millis()).unwrap_or(u32::MAX),
+                    event: seen.event?,
+                })
             })
             .collect()
     }
--- a/crates/gateway-core/src/router/tests/suspected_work.rs
+++ b/crates/gateway-core/src/router/tests/suspected_work.rs
@@ -81,6 +81,11 @@
     assert_eq!(router.ends_under(work("a")), 0);
     assert!(choose(&mut router, first_of(work("a"))).is_ok());
     assert!(choose(&mut router, first_of(work("b"))).is_err());
+    let reports = router.work_reports_since(at(3_300), &mut 0);
+    assert!(
+        reports.is_empty(),
+        "a control machine that links later hears nothing of it"
+    );
 }
 
 /// A call whose work broke off at a back end goes on at another one, unless that work has ended another
--- a/crates/gateway-core/src/work.rs
+++ b/crates/gateway-core/src/work.rs
@@ -50,6 +50,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct WorkId([u8; ID_BYTES]);
 
+/// The start of an identifier, as logs show it, by which an operator names work.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkIdPrefix(String);
+
+impl WorkIdPrefix {
+    /// Reads as many hex digits as logs show, or more; `None` for anything else.
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_hex = text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let is_long_enough = (2 * SHOWN_BYTES..=2 * ID_BYTES).contains(&text.len());
+        (is_hex && is_long_enough).then(|| Self(text.to_ascii_lowercase()))
+    }
+
+    /// Whether the work's identifier begins so.
+    pub fn matches(&self, work: WorkId) -> bool {
+        format!("{work:#}").starts_with(&self.0)
+    }
+}
+
 impl WorkKey {
     /// A key that is drawn from `seed`, which must be random and stay within the process.
     pub fn draw(seed: u64) -> Self {
@@ -74,9 +92,15 @@
     }
 }
 
+/// The first [`SHOWN_BYTES`] in hex; all of it in the alternate form.
 impl fmt::Display for WorkId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let mut shown = self.0[..SHOWN_BYTES].iter();
+        let shown = if formatter.alternate() {
+            ID_BYTES
+        } else {
+            SHOWN_BYTES
+        };
+        let mut shown = self.0[..shown].iter();
         shown.try_for_each(|byte| write!(formatter, "{byte:02x}"))
     }
 }
--- a/crates/gateway-core/src/work_tests.rs
+++ b/crates/gateway-core/src/work_tests.rs
@@ -44,3 +44,42 @@
     assert_eq!(format!("{key:?}"), "WorkKey(..)");
     assert_eq!(key.identify(&WORK).to_string().len(), 2 * SHOWN_BYTES);
 }
+
+#[test]
+fn an_operator_names_work_as_logs_show_it() {
+    let key = WorkKey::draw(7);
+    let (work, other) = (key.identify(&WORK), key.identify(&Work::default()));
+    for shown in [
+        format!("{work}"),
+        format!("{work:#}"),
+        format!("{work}").to_uppercase(),
+    ] {
+        let prefix = WorkIdPrefix::parse(&shown).unwrap();
+        assert!(prefix.matches(work) && !prefix.matches(other));
+    }
+    let cut = &format!("{work}")[1..];
+    assert_eq!(WorkIdPrefix::parse(cut), None);
+    assert_eq!(WorkIdPrefix::parse("ends back ends"), None);
+}
+
+/// What identifying costs on the path; prints the figures that docs/design/quarantine.md gives.
+#[test]
+#[ignore = "prints figures"]
+fn figures_of_identifying() {
+    const ROUNDS: u32 = 2_000;
+    let key = WorkKey::draw(7);
+    for bytes in [600, 1_700, 18_000, 110_000] {
+        let body = vec![7; bytes];
+        let begun = std::time::Instant::now();
+        for _ in 0..ROUNDS {
+            std::hint::black_box(key.identify(&Work {
+                body: &body,
+                ..WORK
+            }));
+        }
+        println!(
+            "{bytes} bytes: {:.1} us",
+            begun.elapsed().as_secs_f64() * 1e6 / f64::from(ROUNDS)
+        );
+    }
+}
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -55,7 +55,7 @@
     Ok(response)
 }
 
-async fn submit(control: &Control, command: Command) -> Reply {
+pub(super) async fn submit(control: &Control, command: Command) -> Reply {
     control
         .ask(|core, now, ticket| core.submit(now, ticket, command))
         .await
@@ -129,7 +129,7 @@
     answer::typed(control.dialect.content_type(), body)
 }
 
-fn acknowledge(control: &Control, reply: Reply) -> Response<AnswerBody> {
+pub(super) fn acknowledge(control: &Control, reply: Reply) -> Response<AnswerBody> {
     match reply {
         Reply::Accepted => {
             control.metrics.count_decision("accepted");
@@ -152,7 +152,7 @@
     answer::plain(StatusCode::BAD_REQUEST, reason.to_owned())
 }
 
-fn reply_name(reply: &Reply) -> &'static str {
+pub(super) fn reply_name(reply: &Reply) -> &'static str {
     match reply {
         Reply::Accepted => "accepted",
         Reply::Configuration(_) => "confirmed",
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod connections;
 mod folder;
 mod peers;
+mod quarantine;
 mod store;
 
 use std::cell::{Cell, RefCell};
@@ -18,11 +19,12 @@
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{Command, ConnectionId, ControlCore, Effect, Reply, Ticket};
 use hyper::body::Incoming;
-use hyper::Request;
+use hyper::{Request, Response};
 use rand::Rng;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::{interval, MissedTickBehavior};
 
+use crate::answer::AnswerBody;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::link::Sender;
@@ -143,10 +145,10 @@
     }
     if let Some(address) = settings.metrics_listen {
         let listener = sockets::open("metrics", address)?;
-        let metrics = Rc::clone(&control.metrics);
+        let shared = Rc::clone(control);
         let answering = server::serve(listener, params, move |request: Request<Incoming>| {
-            let response = metrics.answer(&request);
-            async move { Ok::<_, NoAnswer>(response) }
+            let shared = Rc::clone(&shared);
+            async move { Ok::<_, NoAnswer>(for_operators(&shared, &request).await) }
         });
         tokio::task::spawn_local(answering);
     }
@@ -156,6 +158,14 @@
     Ok(())
 }
 
+/// What people on call ask of a control machine: its quarantine, or else its figures.
+async fn for_operators(control: &Rc<Control>, request: &Request<Incoming>) -> Response<AnswerBody> {
+    match quarantine::call_of(request.method(), request.uri().path()) {
+        Some(call) => quarantine::serve(control, call).await,
+        None => control.metrics.answer(request),
+    }
+}
+
 async fn tick(control: Rc<Control>) {
     let mut ticks = interval(control.settings.params.tick);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -231,8 +241,12 @@
             }
             Effect::Applied { position, command } => log_applied(position, &command),
             Effect::WorkSuspected { work, ends } => {
-                tracing::info!(event = "work_suspected", %work, ends,
-                    "control: another back end ended under work");
+                tracing::info!(
+                    event = "work_suspected",
+                    work = format_args!("{work:#}"),
+                    ends,
+                    "control: another back end ended under work"
+                );
             }
             Effect::Order(order) => back_ends::give_order(self, order),
             Effect::Ask { instance, address } => back_ends::ask(self, instance, address),
@@ -356,12 +370,20 @@
             );
         }
         Command::Quarantine { work } => {
-            tracing::info!(event = "work_quarantined", position, %work,
-                "control: work is quarantined");
+            tracing::info!(
+                event = "work_quarantined",
+                position,
+                work = format_args!("{work:#}"),
+                "control: work is quarantined"
+            );
         }
         Command::Release { work } => {
-            tracing::info!(event = "work_released", position, %work,
-                "control: work may be tried again");
+            tracing::info!(
+                event = "work_released",
+                position,
+                work = format_args!("{work:#}"),
+                "control: work may be tried again"
+            );
         }
         Command::Load {
             instance,
