--- a/crates/gateway-core/src/quarantine/mod.rs
+++ b/crates/gateway-core/src/quarantine/mod.rs
@@ -5,8 +5,10 @@
 //! a back end had in hand when it ended. Control machines add the reports up, tell routers of work that
 //! is suspected, and replicate a verdict, which outlasts every process.
 
+mod completions;
 mod ledger;
 
+pub(crate) use completions::Completions;
 pub(crate) use ledger::{EndLedger, EndReport};
 
 use std::time::Duration;
--- a/crates/gateway-core/src/router/suspected_work.rs
+++ b/crates/gateway-core/src/router/suspected_work.rs
@@ -8,7 +8,7 @@
 
 use super::{ChoiceError, EarlierAttempts, RouterCore};
 use crate::quarantine::{
-    EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR,
+    Completions, EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR,
 };
 use crate::{Changes, InstanceId, LoadEntry, WorkEvent, WorkId, WorkReport, WorkSuspicion};
 
@@ -30,6 +30,7 @@
 #[derive(Debug, Default)]
 pub(super) struct SuspectedWork {
     own: EndLedger,
+    completions: Completions,
     /// Ends over all routers, as control machines told.
     told: HashMap<WorkId, u8>,
     /// What the log says.
@@ -126,6 +127,9 @@
         let works: BTreeMap<WorkId, Timestamp> = works.iter().copied().collect();
         let mut new = Vec::new();
         for (work, begun) in works {
+            if suspected.completions.contains(now, work) {
+                continue;
+            }
             let held = now.since(begun);
             let end = EndReport {
                 back_end,
@@ -144,6 +148,7 @@
     /// Work ran to its end, so it does not end whatever runs it. True when something spoke against it.
     pub fn on_work_completed(&mut self, now: Timestamp, work: WorkId) -> bool {
         let suspected = &mut self.suspected_work;
+        suspected.completions.note(now, work);
         let was_suspected = suspected.forget(work) || suspected.quarantined.contains(&work);
         if was_suspected {
             suspected.report(now, work, WorkEvent::Completed);
--- a/crates/gateway-core/src/router/tests/suspected_work.rs
+++ b/crates/gateway-core/src/router/tests/suspected_work.rs
@@ -160,7 +160,7 @@
 fn work_that_ran_to_its_end_is_cleared_everywhere() {
     let mut router = router();
     assert!(
-        !router.on_work_completed(at(1), work("a")),
+        !router.on_work_completed(at(1), work("b")),
         "nothing spoke against it"
     );
     end_under(&mut router, work("a"), &["app-1", "app-2", "app-3"]);
@@ -171,6 +171,33 @@
     assert_eq!(events, [WorkEvent::Completed]);
 }
 
+/// Requests that are all the same work, such as a question for a status, are in hand at every back end that
+/// another request ends. In a soak all of a pool's three ended within 0.3 s, and 1,763 requests of their
+/// callers were refused in the 40 s that were left.
+#[test]
+fn work_that_has_just_run_to_its_end_does_not_count_as_having_ended_a_back_end() {
+    let mut router = router();
+    router.on_work_completed(at(900), work("common"));
+    for name in ["app-1", "app-2", "app-3"] {
+        let now = at(1_000 + 300 * u64::from(name.as_bytes()[4] - b'0'));
+        let in_hand = [(work("common"), at(950)), (work("ending"), at(950))];
+        router.on_back_end_ended(now, &InstanceId::new(name), &in_hand);
+    }
+    assert_eq!(router.ends_under(work("common")), 0);
+    assert_eq!(router.ends_under(work("ending")), 3);
+}
+
+/// What ran well before may end back ends since they were replaced.
+#[test]
+fn a_run_to_the_end_speaks_for_work_for_some_seconds_only() {
+    let mut router = router();
+    router.on_work_completed(at(900), work("a"));
+    let later = at(12_000);
+    router.on_work_completed(later, work("another"));
+    router.on_back_end_ended(later, &InstanceId::new("app-1"), &[(work("a"), later)]);
+    assert_eq!(router.ends_under(work("a")), 1);
+}
+
 #[test]
 fn a_back_end_that_ended_is_avoided_by_all_routers() {
     let mut router = router();
