--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -12,6 +12,10 @@
 
 /// A back end whose address another incarnation has taken is gone after this silence.
 const REPLACED_SILENCE: Duration = Duration::from_secs(4);
+/// Two heartbeats of the users' back ends, which send one each 1.2 s. Of two incarnations at one address the
+/// one that is silent for longer while the other is heard has ended, also when its registration is the later
+/// one: a cut may hold a heartbeat up until its sender is long gone.
+const OUTLIVED_SILENCE: Duration = Duration::from_millis(2_500);
 /// Any other back end, after this one; its next word brings it back.
 const SILENCE: Duration = Duration::from_secs(15);
 
@@ -102,20 +106,29 @@
     pub(super) fn expire_instances(&mut self) {
         let now = self.now;
         let mut latest: BTreeMap<&str, u64> = BTreeMap::new();
+        let mut heard_at: BTreeMap<&str, Timestamp> = BTreeMap::new();
         for record in self.state.instances() {
             let registered = latest.entry(record.address.as_str()).or_default();
             *registered = record.registered.max(*registered);
+            let heard = *self
+                .heard
+                .entry(record.instance.as_str().to_owned())
+                .or_insert(now);
+            let last = heard_at.entry(record.address.as_str()).or_default();
+            *last = heard.max(*last);
         }
         let mut replaced = Vec::new();
         let mut silent = Vec::new();
         for record in self.state.instances() {
             let name = record.instance.as_str();
-            let heard = *self.heard.entry(name.to_owned()).or_insert(now);
-            let silence = now.since(heard);
+            let silence = now.since(self.heard[name]);
+            let others_silence = now.since(heard_at[record.address.as_str()]);
             let is_latest = latest.get(record.address.as_str()) == Some(&record.registered);
+            let is_outlived =
+                is_latest && silence > OUTLIVED_SILENCE && others_silence < OUTLIVED_SILENCE;
             if !is_latest && silence > REPLACED_SILENCE {
                 replaced.push(record.instance.clone());
-            } else if silence > SILENCE {
+            } else if silence > SILENCE || is_outlived {
                 silent.push(record.instance.clone());
             }
         }
--- a/crates/gateway-core/tests/control/back_ends.rs
+++ b/crates/gateway-core/tests/control/back_ends.rs
@@ -84,6 +84,48 @@
     assert!(state.instance("i-2").is_some());
 }
 
+/// A heartbeat that a cut held up arrives when its sender has ended, was forgotten, and another incarnation
+/// has its address. Until the dead one was forgotten again, 15 s later, it stood for the address.
+#[test]
+fn a_late_word_of_a_dead_incarnation_does_not_displace_its_successor() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    cluster.heartbeat(leader, &back_end(1, 1));
+    cluster.run(20 * SECOND);
+    let mut successor = back_end(2, 1);
+    successor.address = back_end(1, 1).address;
+    let live_for = |cluster: &mut Cluster, half_seconds: u32| {
+        for _ in 0..half_seconds {
+            cluster.heartbeat(leader, &successor);
+            cluster.run(SECOND / 2);
+        }
+    };
+    live_for(&mut cluster, 4);
+    cluster.heartbeat(leader, &back_end(1, 1));
+    live_for(&mut cluster, 8);
+    let state = cluster.core(leader).state();
+    assert!(state.instance("i-1").is_none(), "the dead one has gone");
+    assert!(state.instance("i-2").is_some());
+}
+
+/// A successor whose heartbeats are lost for a while returns with the next one.
+#[test]
+fn a_successor_that_was_silent_for_a_while_returns() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    let mut successor = back_end(2, 1);
+    successor.address = back_end(1, 1).address;
+    cluster.heartbeat(leader, &back_end(1, 1));
+    cluster.heartbeat(leader, &successor);
+    for _ in 0..8 {
+        cluster.run(SECOND / 2);
+        cluster.heartbeat(leader, &back_end(1, 1));
+    }
+    cluster.heartbeat(leader, &successor);
+    cluster.run(SECOND);
+    assert!(cluster.core(leader).state().instance("i-2").is_some());
+}
+
 #[test]
 fn a_new_leader_tells_that_a_store_is_lost_which_it_never_heard() {
     // Routers went on with what the former leader had told and fetched from a store that was gone.
