--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -28,7 +28,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::metrics::Metrics;
-use crate::server::{self, NoAnswer, ServerParams, WhenFull};
+use crate::server::{self, NoAnswer, Places, ServerParams, WhenFull};
 use crate::settings::RouterSettings;
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
@@ -69,6 +69,8 @@
     status_changed: Notify,
     /// For requests that come before the view is confirmed.
     first_view: FirstView,
+    /// Room for connections of callers.
+    caller_places: Places,
     /// Back ends whose connections broke.
     examinations: Examinations,
     /// Wakes the links to control machines when there are reports of work.
@@ -97,6 +99,7 @@
         open_requests: Cell::new(0),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
+        caller_places: Places::new(MAX_CONNECTIONS),
         examinations: Examinations::default(),
         work_reported: Notify::new(),
         settings,
@@ -122,7 +125,8 @@
         when_full: WhenFull::Wait,
     };
     let shared = Rc::clone(router);
-    let forwarding = server::serve(callers, params, move |request| {
+    let places = router.caller_places.clone();
+    let forwarding = server::serve_within(callers, params, places, move |request| {
         forward::serve(Rc::clone(&shared), request)
     });
     tokio::task::spawn_local(forwarding);
@@ -151,7 +155,9 @@
 
 fn readiness(router: &Router) -> Response<AnswerBody> {
     let configured = router.core.borrow().configuration_version() > 0;
-    if configured && router.stopping.get().is_none() {
+    // A router whose room is taken accepts nobody until a connection ends: it must not be called ready.
+    let has_room = !router.caller_places.are_taken();
+    if configured && has_room && router.stopping.get().is_none() {
         answer::plain(StatusCode::OK, "")
     } else {
         answer::plain(StatusCode::SERVICE_UNAVAILABLE, "")
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -50,14 +50,45 @@
 #[error("the caller has gone or sent no whole request")]
 pub(crate) struct NoAnswer;
 
+/// Room for a server's connections.
+#[derive(Clone, Debug)]
+pub(crate) struct Places(Arc<Semaphore>);
+
+impl Places {
+    /// Room for so many connections.
+    pub fn new(max_connections: usize) -> Self {
+        Self(Arc::new(Semaphore::new(max_connections)))
+    }
+
+    /// True while a further connection would wait for another one to end, but for the one that the
+    /// server is about to accept.
+    pub fn are_taken(&self) -> bool {
+        self.0.available_permits() == 0
+    }
+}
+
 /// Serves connections until the process ends.
 pub(crate) async fn serve<H, F>(listener: TcpListener, params: ServerParams, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
+{
+    let places = Places::new(params.max_connections);
+    serve_within(listener, params, places, handler).await;
+}
+
+/// The same for connections that share room.
+pub(crate) async fn serve_within<H, F>(
+    listener: TcpListener,
+    params: ServerParams,
+    places: Places,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let handler = Rc::new(handler);
-    let places = Arc::new(Semaphore::new(params.max_connections));
+    let places = places.0;
     loop {
         let place = match params.when_full {
             WhenFull::Close => None,
--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -58,6 +58,38 @@
     });
 }
 
+/// A router says by this whether it takes new connections.
+#[test]
+fn a_server_knows_whether_its_room_is_taken() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let params = ServerParams {
+            idle_timeout: Duration::from_secs(60),
+            max_connections: 2,
+            when_full: WhenFull::Wait,
+        };
+        let places = Places::new(params.max_connections);
+        let answering = serve_within(
+            listener,
+            params,
+            places.clone(),
+            |_: Request<Incoming>| async { Ok(answer::plain(StatusCode::OK, "")) },
+        );
+        tokio::task::spawn_local(answering);
+        assert!(!places.are_taken());
+        let mut first = connect(address).await;
+        assert!(ask(&mut first).await > 0);
+        let mut second = connect(address).await;
+        assert!(ask(&mut second).await > 0);
+        assert!(places.are_taken());
+        drop((first, second));
+        while places.are_taken() {
+            tokio::task::yield_now().await;
+        }
+    });
+}
+
 #[test]
 fn a_full_server_of_callers_lets_further_connections_wait() {
     run(async {
