--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -365,6 +365,9 @@
     /// From any control machine: work that is suspected, or no longer is.
     #[brw(magic(20u8))]
     WorkSuspicions(List<WorkSuspicion>),
+    /// From a control machine on its link to another one, and back: the link carries bytes.
+    #[brw(magic(21u8))]
+    KeepAlive,
 }
 
 impl Message {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,6 +1,6 @@
 //! Links between control machines, and from routers.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -9,6 +9,7 @@
 use drumshore_gateway_core::{ConnectionId, Message};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
+use tokio::time::{interval, timeout, Instant};
 
 use super::{Control, Core};
 use crate::link::{self, Receiver, Redial, Sender};
@@ -16,6 +17,13 @@
 /// Messages that wait for a link to come up; beyond it they are lost, as on a network.
 const QUEUED_MESSAGES: usize = 128;
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Between two questions on a link whether it still carries bytes. A link may go silent for good while new
+/// ones work, and something on the way may acknowledge what it drops, so that the kernel sees nothing.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+/// A link on which nothing came back for so long is dialled anew: three questions.
+const SILENCE: Duration = Duration::from_millis(3_200);
+/// An accepted link on which nothing came for so long is closed: its peer has dialled anew.
+const ACCEPTED_SILENCE: Duration = Duration::from_secs(10);
 
 /// Outgoing links to other control machines, dialled on first use and again when they break.
 pub(super) struct Peers {
@@ -48,7 +56,7 @@
     let mut lost = false;
     let mut redial = Redial::default();
     loop {
-        let Ok((sender, mut receiver)) = redial.dial(target).await else {
+        let Ok((sender, receiver)) = redial.dial(target).await else {
             if !std::mem::replace(&mut lost, true) {
                 tracing::info!(event = "peer_lost", peer = %target,
                     "control: a control machine is lost");
@@ -60,23 +68,65 @@
         };
         tracing::info!(event = "peer_linked", peer = %target,
             "control: linked to a control machine");
-        loop {
-            tokio::select! {
-                message = queue.recv() => match message {
-                    Some(message) if sender.send(&message) => {}
-                    Some(_) if !sender.is_closed() => {}
-                    Some(_) => break,
-                    None => return,
-                },
-                _ = receiver.receive() => break,
-            }
-        }
-        tracing::info!(event = "peer_lost", peer = %target, "control: a control machine is lost");
+        let reason = match converse(&sender, receiver, &mut queue).await {
+            Ended::NothingToSay => return,
+            Ended::Closed => "closed",
+            Ended::Silent => "silent",
+        };
+        tracing::info!(event = "peer_lost", peer = %target, reason,
+            "control: a control machine is lost");
         lost = true;
         tokio::time::sleep(redial.pause()).await;
     }
 }
 
+/// Why a link to another control machine ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// It was closed.
+    Closed,
+    /// Nothing came back.
+    Silent,
+    /// This process has no use for it any more.
+    NothingToSay,
+}
+
+/// Sends what is queued until the link ends.
+async fn converse(
+    sender: &Sender,
+    receiver: Receiver,
+    queue: &mut mpsc::Receiver<Message>,
+) -> Ended {
+    let heard = Rc::new(Cell::new(Instant::now()));
+    let listening = listen(receiver, Rc::clone(&heard));
+    tokio::pin!(listening);
+    let mut keep_alive = interval(KEEP_ALIVE);
+    loop {
+        tokio::select! {
+            message = queue.recv() => match message {
+                Some(message) if sender.send(&message) => {}
+                Some(_) if !sender.is_closed() => {}
+                Some(_) => return Ended::Closed,
+                None => return Ended::NothingToSay,
+            },
+            _ = &mut listening => return Ended::Closed,
+            _ = keep_alive.tick() => {
+                if heard.get().elapsed() > SILENCE {
+                    return Ended::Silent;
+                }
+                sender.send(&Message::KeepAlive);
+            }
+        }
+    }
+}
+
+/// Notes what comes back, until the link is closed.
+async fn listen(mut receiver: Receiver, heard: Rc<Cell<Instant>>) {
+    while receiver.receive().await.is_ok() {
+        heard.set(Instant::now());
+    }
+}
+
 /// Accepts links of control machines and routers.
 pub(super) async fn accept(control: Rc<Control>, listener: TcpListener) {
     let mut next = 0;
@@ -132,13 +182,21 @@
     }
 }
 
-async fn serve_control(control: &Control, _sender: Sender, first: Message, mut receiver: Receiver) {
+async fn serve_control(control: &Control, sender: Sender, first: Message, mut receiver: Receiver) {
     let mut message = first;
     loop {
-        control.with_core(|core: &mut Core, now| core.on_control(now, message));
-        match receiver.receive().await {
-            Ok(next) => message = next,
-            Err(_) => return,
+        if message == Message::KeepAlive {
+            sender.send(&Message::KeepAlive);
+        } else {
+            control.with_core(|core: &mut Core, now| core.on_control(now, message));
+        }
+        match timeout(ACCEPTED_SILENCE, receiver.receive()).await {
+            Ok(Ok(next)) => message = next,
+            Ok(Err(_)) | Err(_) => return,
         }
     }
 }
+
+#[cfg(test)]
+#[path = "peers_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/control/peers_tests.rs
@@ -0,0 +1,73 @@
+//! Links between control machines that go silent.
+
+use tokio::io::AsyncReadExt;
+use tokio::task::LocalSet;
+
+use super::*;
+
+/// The other end of links: it takes bytes, and says something back or nothing.
+async fn accept_links(listener: TcpListener, answers: bool, accepted: Rc<Cell<usize>>) {
+    while let Ok((mut stream, _)) = listener.accept().await {
+        accepted.set(accepted.get() + 1);
+        if !answers {
+            tokio::task::spawn_local(async move {
+                let mut bytes = [0; 1_024];
+                while stream.read(&mut bytes).await.is_ok_and(|read| read > 0) {}
+            });
+            continue;
+        }
+        let (sender, mut receiver) = link::accept(stream).unwrap();
+        tokio::task::spawn_local(async move {
+            while receiver.receive().await.is_ok() {
+                sender.send(&Message::KeepAlive);
+            }
+        });
+    }
+}
+
+/// How a link to such an end ended; `None` when it did not within a time that is longer than a link may
+/// be silent.
+fn link_ends(answers: bool) -> Option<Ended> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = listener.local_addr().unwrap();
+        tokio::task::spawn_local(accept_links(listener, answers, Rc::default()));
+        let (sender, receiver) = Redial::default().dial(target).await.unwrap();
+        let (_keeps_queue_open, mut queue) = mpsc::channel(1);
+        let ended = converse(&sender, receiver, &mut queue);
+        timeout(SILENCE + 3 * KEEP_ALIVE, ended).await.ok()
+    })
+}
+
+/// The kernel acknowledges all that is sent, so only the question that gets no answer shows it.
+#[test]
+fn a_link_that_takes_bytes_and_says_nothing_is_given_up() {
+    assert_eq!(link_ends(false), Some(Ended::Silent));
+}
+
+#[test]
+fn a_link_without_traffic_of_its_own_stays() {
+    assert_eq!(link_ends(true), None);
+}
+
+/// Something on the way has forgotten the connection; the next one works.
+#[test]
+fn a_silent_link_is_dialled_anew() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = listener.local_addr().unwrap();
+        let accepted = Rc::new(Cell::new(0));
+        tokio::task::spawn_local(accept_links(listener, false, Rc::clone(&accepted)));
+        let (_keeps_queue_open, queue) = mpsc::channel(1);
+        tokio::task::spawn_local(keep_sending(target, queue));
+        while accepted.get() < 2 {
+            tokio::time::sleep(KEEP_ALIVE / 10).await;
+        }
+    });
+}
