--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -92,6 +92,8 @@
     /// Levels sent to a router arrive after a delay.
     on_the_way: VecDeque<(Timestamp, usize, Message)>,
     is_cut_off: bool,
+    /// A router whose reports are lost, though it hears the leader.
+    unheard: Option<usize>,
     random: ChaCha8Rng,
     admitted: Vec<Admitted>,
     refused: u32,
@@ -112,6 +114,7 @@
             limit,
             on_the_way: VecDeque::new(),
             is_cut_off: false,
+            unheard: None,
             random: ChaCha8Rng::seed_from_u64(seed),
             admitted: Vec::new(),
             refused: 0,
@@ -207,6 +210,9 @@
         let now = self.cluster.now;
         for (index, router) in self.routers.iter_mut().enumerate() {
             let usage = router.take_usage(now);
+            if self.unheard == Some(index) {
+                continue;
+            }
             if !usage.is_empty() {
                 let message = Message::Usage(List::new(usage));
                 let connection = ConnectionId(index as u64);
@@ -466,3 +472,19 @@
         }
     }
 }
+
+/// A link that is silent in one direction: the leader's levels arrive, and what the router reports is lost,
+/// for the 2.5 s until the router gives the link up. The leader does not know what that router admits.
+#[test]
+fn a_router_that_is_not_heard_does_not_spend_the_limit_once_more() {
+    const UNTIL_GIVEN_UP: Duration = Duration::from_millis(2_500);
+    let rate = 570_000.0;
+    let mut fleet = Fleet::new(3, limit(rate), 5);
+    fleet.run(10 * SECOND, 3.0 * rate);
+    let from = fleet.cluster.now;
+    fleet.unheard = Some(0);
+    fleet.run(UNTIL_GIVEN_UP, 3.0 * rate);
+    fleet.unheard = None;
+    fleet.run(10 * SECOND, 3.0 * rate);
+    fleet.assert_within_limit(from);
+}
