--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -99,7 +99,9 @@
         }
         suspected.note_standing(work);
         let ends = suspected.ledger.ends(work);
-        self.effects.push(Effect::WorkSuspected { work, ends });
+        if ends >= ENDS_FOR_SUSPICION {
+            self.effects.push(Effect::WorkSuspected { work, ends });
+        }
         if self.state.is_quarantined(work) {
             self.relieve_others(work);
         } else if ends >= ENDS_FOR_QUARANTINE {
--- a/crates/gateway-core/src/quarantine/completions.rs
+++ b/crates/gateway-core/src/quarantine/completions.rs
@@ -11,6 +11,8 @@
 /// share is in hand at every back end that one of another kind ends, and would be taken for the cause.
 /// Longer would shield work that ends back ends since they were replaced.
 const GENERATION: Duration = Duration::from_secs(5);
+/// The longest for which a run to the end may speak for its work.
+pub(crate) const COMPLETION_COUNTS_FOR: Duration = Duration::from_secs(2 * GENERATION.as_secs());
 /// Works of one generation, of 16 bytes each; 111 requests a second, a router's share at the size that the
 /// system is meant for, make 555 in that time.
 const MOST_WORKS: usize = 4_096;
@@ -44,7 +46,7 @@
             return;
         }
         self.older = std::mem::take(&mut self.newer);
-        if age >= 2 * GENERATION {
+        if age >= COMPLETION_COUNTS_FOR {
             self.older.clear();
         }
         self.begun = now;
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -117,7 +117,11 @@
             }
         }
         self.works.retain(|_, ends| !ends.is_empty());
-        self.explained.extend(ended);
+        let new = ended
+            .into_iter()
+            .filter(|end| !self.explained.contains(end));
+        let new: Vec<u32> = new.collect();
+        self.explained.extend(new);
         let surplus = self.explained.len().saturating_sub(MOST_EXPLAINED);
         self.explained.drain(..surplus);
         relieved.sort_unstable();
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -109,6 +109,17 @@
     works.to_vec()
 }
 
+/// A verdict is applied again with each further end under it; what it explained before stays known.
+#[test]
+fn ends_are_explained_once() {
+    let mut ledger = EndLedger::default();
+    ledger.note_end(at(0), work(1), ended(1, 0));
+    for _ in 0..2 * MOST_EXPLAINED {
+        ledger.explain(work(1));
+    }
+    assert_eq!(ledger.explained, [1]);
+}
+
 #[test]
 fn a_run_to_the_end_clears_and_time_forgets() {
     let mut ledger = EndLedger::default();
--- a/crates/gateway-core/src/quarantine/mod.rs
+++ b/crates/gateway-core/src/quarantine/mod.rs
@@ -8,14 +8,15 @@
 mod completions;
 mod ledger;
 
-pub(crate) use completions::Completions;
+pub(crate) use completions::{Completions, COMPLETION_COUNTS_FOR};
 pub(crate) use ledger::{EndLedger, EndReport};
 
 use std::time::Duration;
 
 /// Work under which so many back ends have ended, at as many moments, is quarantined. Two would do against
 /// one crash at a time, but refuses work that was at two back ends of a pool that lost a quarter of them
-/// twice: 58.8 of 1,000 requests in hand at such a pool, with three none (simulated, mean of ten seeds, `ends_by_chance`).
+/// twice: 58.8 of 1,000 requests in hand at such a pool, with three none (simulated, mean of ten seeds,
+/// `ends_by_chance`).
 pub(crate) const ENDS_FOR_QUARANTINE: u32 = 3;
 
 /// Work under which so many have ended is suspected: it runs without copies, goes to the back end that
--- a/crates/gateway-core/src/router/suspected_work.rs
+++ b/crates/gateway-core/src/router/suspected_work.rs
@@ -8,7 +8,8 @@
 
 use super::{ChoiceError, EarlierAttempts, RouterCore};
 use crate::quarantine::{
-    Completions, EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR,
+    Completions, EndLedger, EndReport, COMPLETION_COUNTS_FOR, ENDS_FOR_QUARANTINE,
+    ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR,
 };
 use crate::{Changes, InstanceId, LoadEntry, WorkEvent, WorkId, WorkReport, WorkSuspicion};
 
@@ -26,6 +27,19 @@
     event: Option<WorkEvent>,
 }
 
+impl Seen {
+    /// Whether a control machine that links now should hear of it. A run to the end from long ago says
+    /// nothing against ends since.
+    fn counts(&self, now: Timestamp) -> bool {
+        let counts_for = match self.event {
+            Some(WorkEvent::BackEndEnded { .. }) => REMEMBER_ENDS_FOR,
+            Some(WorkEvent::Completed) => COMPLETION_COUNTS_FOR,
+            None => return false,
+        };
+        now.since(self.at) < counts_for
+    }
+}
+
 /// What a router knows of work that ends back ends.
 #[derive(Debug, Default)]
 pub(super) struct SuspectedWork {
@@ -193,8 +207,8 @@
         let skipped = cursor.saturating_sub(suspected.dropped_reports) as usize;
         *cursor = suspected.dropped_reports + suspected.reports.len() as u64;
         let fresh = suspected.reports.iter().skip(skipped);
-        let fresh = fresh.filter(|seen| now.since(seen.at) < REMEMBER_ENDS_FOR);
         fresh
+            .filter(|seen| seen.counts(now))
             .filter_map(|seen| {
                 Some(WorkReport {
                     work: seen.work,
--- a/crates/gateway-core/src/router/tests/suspected_work.rs
+++ b/crates/gateway-core/src/router/tests/suspected_work.rs
@@ -171,6 +171,16 @@
     assert_eq!(events, [WorkEvent::Completed]);
 }
 
+/// A control machine that links later must not release, on a run from long ago, what has ended back ends since.
+#[test]
+fn an_old_run_to_the_end_is_not_reported_again() {
+    let mut router = router();
+    end_under(&mut router, work("a"), &["app-1"]);
+    router.on_work_completed(at(2_000), work("a"));
+    assert_eq!(router.work_reports_since(at(2_100), &mut 0).len(), 1);
+    assert!(router.work_reports_since(at(12_100), &mut 0).is_empty());
+}
+
 /// Requests that are all the same work, such as a question for a status, are in hand at every back end that
 /// another request ends. In a soak all of a pool's three ended within 0.3 s, and 1,763 requests of their
 /// callers were refused in the 40 s that were left.
