--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -241,6 +241,7 @@
         self.routers.forget_silent(now);
         self.announce_if_owed();
         self.expire_suspicions();
+        self.review_verdicts();
         self.share_suspicions();
         if self.role() == Role::Leader {
             self.propose_work_key();
@@ -252,7 +253,6 @@
             self.share_holders();
             self.share_accounts();
             self.notify_again_of_suspects();
-            self.release_quarantined();
         }
     }
 
--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -9,13 +9,14 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use drumshore_consensus::Directory;
+use drumshore_consensus::{Directory, Role};
 use drumshore_core::Timestamp;
 use drumshore_wire::List;
 
 use super::{ConnectionId, ControlCore, Effect};
 use crate::quarantine::{
-    EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, QUARANTINE_FOR,
+    EndLedger, EndReport, ENDS_FOR_QUARANTINE, ENDS_FOR_SUSPICION, QUARANTINE_FOR, TRIALS_AFTER,
+    TRIALS_SPREAD,
 };
 use crate::{Command, Message, WorkEvent, WorkId, WorkReport, WorkSuspicion};
 
@@ -37,8 +38,31 @@
     untold: BTreeMap<WorkId, u8>,
     /// When old ends were forgotten last.
     expired_at: Timestamp,
-    /// When work was quarantined, as far as this process knows; since its start for what is older.
-    quarantined_at: BTreeMap<WorkId, Timestamp>,
+    quarantined: BTreeMap<WorkId, Verdict>,
+}
+
+/// A verdict as one control machine knows it.
+#[derive(Clone, Copy, Debug)]
+struct Verdict {
+    /// When it came, as far as this process knows; since its start for what is older.
+    at: Timestamp,
+    /// Trials whose time has come, whoever led then.
+    trials: usize,
+}
+
+impl Verdict {
+    fn new(at: Timestamp) -> Self {
+        Self { at, trials: 0 }
+    }
+
+    /// True once for each trial, when its time has come.
+    fn trial_is_due(&mut self, now: Timestamp, work: WorkId) -> bool {
+        let spread = TRIALS_SPREAD.mul_f64(work.draw());
+        let next = TRIALS_AFTER.get(self.trials);
+        let is_due = next.is_some_and(|after| now.since(self.at) >= *after + spread);
+        self.trials += usize::from(is_due);
+        is_due
+    }
 }
 
 impl SuspectedWork {
@@ -131,37 +155,53 @@
 
     /// The log quarantined work.
     pub(super) fn on_quarantined(&mut self, work: WorkId) {
-        self.suspected_work.quarantined_at.insert(work, self.now);
+        let verdict = Verdict::new(self.now);
+        self.suspected_work.quarantined.insert(work, verdict);
         self.relieve_others(work);
     }
 
     /// The log released work: it is as if it had never come.
     pub(super) fn on_released(&mut self, work: WorkId) {
-        self.suspected_work.quarantined_at.remove(&work);
+        self.suspected_work.quarantined.remove(&work);
         self.forget_suspicion(work);
     }
 
-    /// Proposes to release what has been quarantined for long enough.
-    pub(super) fn release_quarantined(&mut self) {
+    /// Lets the time of verdicts pass. The leader permits trials, and proposes to release what has been
+    /// quarantined for long enough.
+    pub(super) fn review_verdicts(&mut self) {
         let now = self.now;
-        let mut due = Vec::new();
+        let leads = self.role() == Role::Leader;
+        let (mut trials, mut released) = (Vec::new(), Vec::new());
         for work in self.state.quarantined() {
-            let at = self
-                .suspected_work
-                .quarantined_at
-                .entry(work)
-                .or_insert(now);
-            if now.since(*at) >= QUARANTINE_FOR {
+            let verdicts = &mut self.suspected_work.quarantined;
+            let verdict = verdicts.entry(work).or_insert(Verdict::new(now));
+            if verdict.trial_is_due(now, work) && leads {
+                trials.push(work);
+            }
+            if now.since(verdict.at) >= QUARANTINE_FOR && leads {
                 // Asked again when the log does not take it.
-                *at = at.plus(self.params.patience);
-                due.push(work);
+                verdict.at = verdict.at.plus(self.params.patience);
+                released.push(work);
             }
         }
-        for work in due {
+        for work in trials {
+            self.permit_trial(work);
+        }
+        for work in released {
             self.propose(None, Command::Release { work });
         }
     }
 
+    /// One router may give the work to a back end once.
+    fn permit_trial(&mut self, work: WorkId) {
+        let connections = self.routers.connections();
+        let drawn = (work.draw() * connections.len() as f64) as usize;
+        if let Some(connection) = connections.get(drawn) {
+            let message = Message::TryWork(work);
+            self.effects.push(Effect::ToRouter(*connection, message));
+        }
+    }
+
     /// Forgets ends that are too old to matter.
     pub(super) fn expire_suspicions(&mut self) {
         let (now, suspected) = (self.now, &mut self.suspected_work);
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -368,6 +368,9 @@
     /// From a control machine on its link to another one, and back: the link carries bytes.
     #[brw(magic(21u8))]
     KeepAlive,
+    /// From the leader: the next request that carries this quarantined work may run.
+    #[brw(magic(22u8))]
+    TryWork(WorkId),
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/copies.rs
+++ b/crates/gateway-core/src/router/copies.rs
@@ -67,7 +67,7 @@
         copy: &RunCopy,
         earlier: EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
-        self.judge_work(&earlier)?;
+        self.judge_work(now, &earlier)?;
         if earlier.arrived > 0 && !self.budget.may_retry(now, &admission.pool) {
             return Err(ChoiceError::NoBudget);
         }
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -251,7 +251,7 @@
         prompt: Option<&Prompt>,
         earlier: EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
-        self.judge_work(&earlier)?;
+        self.judge_work(now, &earlier)?;
         let is_retry = earlier.arrived > 0;
         if earlier.tried.is_empty() {
             self.budget.on_request(now, &admission.pool);
--- a/crates/gateway-core/src/router/suspected_work.rs
+++ b/crates/gateway-core/src/router/suspected_work.rs
@@ -9,7 +9,7 @@
 use super::{ChoiceError, EarlierAttempts, RouterCore};
 use crate::quarantine::{
     Completions, EndLedger, EndReport, COMPLETION_COUNTS_FOR, ENDS_FOR_QUARANTINE,
-    ENDS_FOR_SUSPICION, REMEMBER_ENDS_FOR,
+    ENDS_FOR_SUSPICION, PERMIT_HOLDS_FOR, REMEMBER_ENDS_FOR,
 };
 use crate::{Changes, InstanceId, LoadEntry, WorkEvent, WorkId, WorkReport, WorkSuspicion};
 
@@ -49,6 +49,8 @@
     told: HashMap<WorkId, u8>,
     /// What the log says.
     quarantined: HashSet<WorkId>,
+    /// Quarantined work of which one run is permitted, and since when.
+    permits: HashMap<WorkId, Timestamp>,
     reports: VecDeque<Seen>,
     /// Reports that are no longer kept.
     dropped_reports: u64,
@@ -65,6 +67,12 @@
         self.quarantined.contains(&work) || self.ends(work) >= ENDS_FOR_QUARANTINE
     }
 
+    /// Uses up a permit for one run of quarantined work.
+    fn take_permit(&mut self, now: Timestamp, work: WorkId) -> bool {
+        let permitted_at = self.permits.remove(&work);
+        permitted_at.is_some_and(|at| now.since(at) < PERMIT_HOLDS_FOR)
+    }
+
     fn report(&mut self, at: Timestamp, work: WorkId, event: WorkEvent) {
         let event = Some(event);
         self.reports.push_back(Seen { at, work, event });
@@ -121,11 +129,19 @@
 
     /// Whether work may run now. A call does not send suspected work on: its caller may come back, which
     /// spreads further runs in time and leaves room for what other routers saw.
-    pub(super) fn judge_work(&self, earlier: &EarlierAttempts<'_>) -> Result<(), ChoiceError> {
+    pub(super) fn judge_work(
+        &mut self,
+        now: Timestamp,
+        earlier: &EarlierAttempts<'_>,
+    ) -> Result<(), ChoiceError> {
         let Some(work) = earlier.work else {
             return Ok(());
         };
         if self.suspected_work.is_quarantined(work) {
+            let is_first = earlier.tried.is_empty();
+            if is_first && self.suspected_work.take_permit(now, work) {
+                return Ok(());
+            }
             return Err(ChoiceError::Quarantined);
         }
         let ends = self.suspected_work.ends(work);
@@ -138,7 +154,17 @@
 
     /// Work under which so many back ends ended that the next one is to have little to lose.
     pub(super) fn is_suspected(&self, work: Option<WorkId>) -> bool {
-        work.is_some_and(|work| self.suspected_work.ends(work) >= ENDS_FOR_SUSPICION)
+        work.is_some_and(|work| {
+            let suspected = &self.suspected_work;
+            suspected.is_quarantined(work) || suspected.ends(work) >= ENDS_FOR_SUSPICION
+        })
+    }
+
+    /// The leader permits one run of quarantined work here.
+    pub fn on_trial_permitted(&mut self, now: Timestamp, work: WorkId) {
+        let permits = &mut self.suspected_work.permits;
+        permits.retain(|_, at| now.since(*at) < PERMIT_HOLDS_FOR);
+        permits.insert(work, now);
     }
 
     /// A back end ended while it had these works in hand, each since a time. Returns those of which that
--- a/crates/gateway-core/src/router/tests/suspected_work.rs
+++ b/crates/gateway-core/src/router/tests/suspected_work.rs
@@ -171,6 +171,38 @@
     assert_eq!(events, [WorkEvent::Completed]);
 }
 
+/// A permit is for one run, at the back end with the least to lose, and not for ever.
+#[test]
+fn one_run_of_quarantined_work_may_be_permitted() {
+    let mut router = router();
+    update(&mut router, at(1), with_quarantine(10, 11, &[work("a")]));
+    router.on_trial_permitted(at(3_400), work("a"));
+    assert!(choose(&mut router, first_of(work("a"))).is_ok());
+    let next = choose(&mut router, first_of(work("a")));
+    assert_eq!(next, Err(ChoiceError::Quarantined));
+    router.on_trial_permitted(at(3_500), work("a"));
+    assert!(router.is_suspected(Some(work("a"))));
+    let too_late = at(23_500);
+    let judged = router.judge_work(too_late, &first_of(work("a")));
+    assert_eq!(judged, Err(ChoiceError::Quarantined));
+}
+
+/// A call that was permitted and broke is not sent on.
+#[test]
+fn a_trial_that_broke_is_not_repeated_within_its_call() {
+    let mut router = router();
+    update(&mut router, at(1), with_quarantine(10, 11, &[work("a")]));
+    router.on_trial_permitted(at(3_400), work("a"));
+    let tried = [InstanceId::new("app-1")];
+    let earlier = EarlierAttempts {
+        tried: &tried,
+        arrived: 1,
+        broken: 1,
+        ..first_of(work("a"))
+    };
+    assert_eq!(choose(&mut router, earlier), Err(ChoiceError::Quarantined));
+}
+
 /// A control machine that links later must not release, on a run from long ago, what has ended back ends since.
 #[test]
 fn an_old_run_to_the_end_is_not_reported_again() {
--- a/crates/gateway-core/src/work.rs
+++ b/crates/gateway-core/src/work.rs
@@ -92,6 +92,13 @@
     }
 }
 
+impl WorkId {
+    /// A part of one, evenly spread over works.
+    pub fn draw(self) -> f64 {
+        f64::from(self.0[0]) / 256.0
+    }
+}
+
 /// The first [`SHOWN_BYTES`] in hex; all of it in the alternate form.
 impl fmt::Display for WorkId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -224,6 +224,76 @@
     assert!(!is_quarantined_at(&mut cluster, leader), "counted anew");
 }
 
+/// Permits for one run, by the router's link.
+fn permits(cluster: &Cluster) -> Vec<ConnectionId> {
+    let sent = cluster.to_routers.iter();
+    let permits = sent.filter(|(.., message)| *message == Message::TryWork(work(1)));
+    permits.map(|(_, connection, _)| *connection).collect()
+}
+
+/// Routers keep asking, as they do.
+fn run_asking(cluster: &mut Cluster, seconds: u32) {
+    for sequence in 0..u64::from(seconds) {
+        let now = cluster.now;
+        for number in 1..=3 {
+            let core = cluster.core(address(number));
+            for link in [LINK, OTHER_LINK] {
+                core.on_router(now, link, Message::Ping { sequence });
+            }
+        }
+        cluster.run(SECOND);
+    }
+}
+
+/// One trial at one router after 10 s, 60 s and 300 s, whoever leads; an innocent work is released by it.
+#[test]
+fn quarantined_work_is_tried_at_one_router_now_and_then() {
+    let mut cluster = linked(3);
+    for number in 1..=3 {
+        cluster.link_router(address(number), OTHER_LINK, "10.0.1.2:80");
+    }
+    let leader = cluster.leader().unwrap();
+    report(&mut cluster, leader, &three_ends(work(1)));
+    run_asking(&mut cluster, 9);
+    assert!(is_quarantined_at(&mut cluster, leader));
+    assert_eq!(permits(&cluster).len(), 0);
+    run_asking(&mut cluster, 6);
+    assert_eq!(permits(&cluster).len(), 1);
+    run_asking(&mut cluster, 40);
+    assert_eq!(permits(&cluster).len(), 1);
+    run_asking(&mut cluster, 10);
+    assert_eq!(permits(&cluster).len(), 2);
+    run_asking(&mut cluster, 230);
+    assert_eq!(permits(&cluster).len(), 2);
+    run_asking(&mut cluster, 10);
+    assert_eq!(permits(&cluster).len(), 3);
+    run_asking(&mut cluster, 200);
+    assert_eq!(permits(&cluster).len(), 3);
+}
+
+/// A new leader does not permit again what its predecessor did.
+#[test]
+fn a_change_of_leader_brings_no_further_trial() {
+    let mut cluster = linked(3);
+    let leader = cluster.leader().unwrap();
+    report(&mut cluster, leader, &three_ends(work(1)));
+    for sequence in 0..16 {
+        let now = cluster.now;
+        for number in 1..=3 {
+            let core = cluster.core(address(number));
+            core.on_router(now, LINK, Message::Ping { sequence });
+        }
+        cluster.run(SECOND);
+    }
+    assert_eq!(permits(&cluster).len(), 1);
+    cluster.kill(leader);
+    cluster.run(3 * SECOND);
+    assert!(cluster
+        .leader()
+        .is_some_and(|successor| successor != leader));
+    assert_eq!(permits(&cluster).len(), 1);
+}
+
 /// What routers are told of ten thousand works costs each at most its part of the traffic.
 #[test]
 fn ten_thousand_works_are_told_within_the_budget() {
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -225,6 +225,12 @@
             Message::WorkSuspicions(suspicions) => {
                 on_work_suspicions(router, address, &suspicions.items);
             }
+            Message::TryWork(work) => {
+                let now = router.clock.now();
+                router.core.borrow_mut().on_trial_permitted(now, work);
+                tracing::info!(event = "work_trial", %work, by = %address,
+                    "router: one run of quarantined work is permitted");
+            }
             Message::Holders(entries) => {
                 let now = router.clock.now();
                 router.core.borrow_mut().on_holders(now, &entries.items);
