--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -140,8 +140,10 @@
         cursor.into_inner()
     }
 
-    /// Reads an entry back; `None` when it is no proposal.
+    /// Reads an entry back; `None` when it is no proposal, or more than one.
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        Self::read(&mut Cursor::new(bytes)).ok()
+        let mut cursor = Cursor::new(bytes);
+        let proposal = Self::read(&mut cursor).ok()?;
+        (cursor.position() == bytes.len() as u64).then_some(proposal)
     }
 }
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -25,8 +25,8 @@
 use std::time::Duration;
 
 use drumshore_consensus::{
-    Directory, Envelope, FolderIdentity, LogIndex, Membership, Output, Replica, ReplicaError,
-    ReplicaId, Role,
+    Directory, EntryKind, Envelope, FolderIdentity, LogIndex, Membership, Output, Replica,
+    ReplicaError, ReplicaId, Role,
 };
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
@@ -333,7 +333,10 @@
         for entry in output.committed {
             self.applied = entry.index;
             let by_other = self.role() != Role::Leader || entry.term.0 < self.term();
-            if let Some(proposal) = Proposal::decode(&entry.data) {
+            // The bytes of a membership, with the random numbers of disks, may read as a command.
+            let is_command = entry.kind == EntryKind::Command;
+            let proposal = is_command.then(|| Proposal::decode(&entry.data)).flatten();
+            if let Some(proposal) = proposal {
                 let changed = self.state.apply(entry.index.0, &proposal.command);
                 if let (Command::Load { instance, .. }, true) = (&proposal.command, by_other) {
                     self.note_order_of_others(instance.as_str());
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -326,6 +326,21 @@
     );
 }
 
+/// The log also holds memberships, whose bytes are the random numbers of disks. Some of them read as a command:
+/// in soak seed 99036 two verdicts on work that nobody had sent stood at positions 2 and 4 of the log.
+#[test]
+fn a_change_of_members_is_no_command() {
+    let mut cluster = elected(5);
+    let lost = address(5);
+    for _ in 0..80 {
+        cluster.wipe(lost);
+        cluster.run(8 * SECOND);
+        let leader = cluster.leader().unwrap();
+        let state = cluster.core(leader).state();
+        assert_eq!(state.quarantined().count(), 0);
+    }
+}
+
 /// Beyond the bound the oldest verdict gives way, so that the newest always holds.
 #[test]
 fn verdicts_are_bounded() {
--- a/crates/gateway-core/tests/state.rs
+++ b/crates/gateway-core/tests/state.rs
@@ -4,7 +4,7 @@
 
 use drumshore_gateway_core::{
     Command, Document, InvalidDocument, LoadPhase, LoadedModel, Pool, PoolName, Proposal,
-    ProposalId, ReplicatedState, RequestKind, Route, Share, Tenant, TenantName, WorkKey,
+    ProposalId, ReplicatedState, RequestKind, Route, Share, Tenant, TenantName, Work, WorkKey,
 };
 use drumshore_wire::{Blob, List, Text};
 use rstest::rstest;
@@ -226,3 +226,18 @@
         .items
         .is_empty());
 }
+
+/// Entries of the log that are something else, such as a change of members, are longer than the command that
+/// their bytes may read as.
+#[test]
+fn bytes_that_go_on_behind_a_command_are_none() {
+    let work = WorkKey::draw(1).identify(&Work::default());
+    let proposal = Proposal {
+        id: ProposalId::default(),
+        command: Command::Quarantine { work },
+    };
+    let mut bytes = proposal.encode();
+    assert_eq!(Proposal::decode(&bytes), Some(proposal));
+    bytes.push(0);
+    assert_eq!(Proposal::decode(&bytes), None);
+}
