--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -94,6 +94,8 @@
     is_cut_off: bool,
     /// A router whose reports are lost, though it hears the leader.
     unheard: Option<usize>,
+    /// A router that the leader's levels do not reach.
+    deaf: Option<usize>,
     random: ChaCha8Rng,
     admitted: Vec<Admitted>,
     refused: u32,
@@ -115,6 +117,7 @@
             on_the_way: VecDeque::new(),
             is_cut_off: false,
             unheard: None,
+            deaf: None,
             random: ChaCha8Rng::seed_from_u64(seed),
             admitted: Vec::new(),
             refused: 0,
@@ -241,6 +244,9 @@
         let now = self.cluster.now;
         while self.on_the_way.front().is_some_and(|item| item.0 <= now) {
             if let Some((_, index, Message::AccountLevels(levels))) = self.on_the_way.pop_front() {
+                if self.deaf == Some(index) {
+                    continue;
+                }
                 self.routers[index].on_account_levels(now, &levels.items);
             }
         }
@@ -488,3 +494,21 @@
     fleet.run(10 * SECOND, 3.0 * rate);
     fleet.assert_within_limit(from);
 }
+
+/// One of three routers is silent towards control machines: it hears the leader's levels until it gives the link
+/// up, and then spends its own part of the limit until its view is outdated. The leader gives the whole limit to
+/// the other two meanwhile.
+#[test]
+fn a_router_out_of_touch_spends_its_part_of_the_limit_and_not_more_than_that() {
+    const UNTIL_GIVEN_UP: Duration = Duration::from_millis(2_500);
+    const UNTIL_OUTDATED: Duration = Duration::from_millis(4_200);
+    let rate = 570_000.0;
+    let mut fleet = Fleet::new(3, limit(rate), 5);
+    fleet.run(10 * SECOND, 3.0 * rate);
+    let from = fleet.cluster.now;
+    fleet.unheard = Some(0);
+    fleet.run(UNTIL_GIVEN_UP, 3.0 * rate);
+    fleet.deaf = Some(0);
+    fleet.run(UNTIL_OUTDATED, 3.0 * rate);
+    fleet.assert_within_limit(from);
+}
