Let routers take the state in parts, from control machines of their own zone

The whole state was encoded and queued for each router at once, and again when it had not come after 2.5 s; the scan of all records for each question was the largest part of a control machine's work.

Change: changes are kept in the order of revisions, so a question costs what is sent. A part is 64 KB at most and leads to a revision of its own; a router asks for the next when it has taken one in, so a link never has more than a part under way. Control machines say their zone; a router follows two of its own zone, or two others while there is none, and asks others only when it has known for 400 ms that it is behind and got nothing. Questions that get no answer are repeated ever less often. A router that was silent for a while is known again when it asks; with ten machines each link was asked each 3 s, and one late question made a machine forget the router until it dialled anew.

The test of when a whole state is asked for again is replaced: there is no whole state under way any more. What it guarded against, several copies of a large state for a router, is held by no_part_is_larger_than and a_router_that_gets_no_answer_asks_ever_less_often.

state.rs gives its image and its changes to files of their own.

Tests: crates/gateway-core/tests/state_parts.rs, sources_tests.rs, fetch_tests.rs.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -238,7 +238,7 @@
         self.resend_proposals();
         self.tick_reads();
         self.ask_to_join();
-        self.routers.forget_silent(now);
+        self.routers.note_silent(now);
         self.announce_if_owed();
         self.expire_suspicions();
         self.review_verdicts();
--- a/crates/gateway-core/src/control/params.rs
+++ b/crates/gateway-core/src/control/params.rs
@@ -7,6 +7,8 @@
 /// Bounds and periods of a control machine.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ControlParams {
+    /// The zone of this machine; empty when it is not known.
+    pub zone: String,
     /// Of the replicated log.
     pub consensus: Params,
     /// How often [`ControlCore::on_tick`] is called.
@@ -30,6 +32,7 @@
 impl Default for ControlParams {
     fn default() -> Self {
         Self {
+            zone: String::new(),
             consensus: Params {
                 election_ticks: 12,
                 first_election_ticks: 2,
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -6,20 +6,28 @@
 
 use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
+use drumshore_wire::Text;
 
 use super::directory;
 use super::loads::{LoadExchange, Totals};
 use super::reads::Waiting;
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{Announcement, Message, NamedWeights, RouterStatus};
+use crate::{Announcement, Message, NamedWeights, Position, RouterStatus};
 
 /// A router that asked nothing for so long is not handed to callers.
 const SILENCE: Duration = Duration::from_millis(4_000);
+/// What a router is sent of the state at once: 50 ms on its link of 10 Mbit/s. It asks for the rest when it has
+/// taken that in, so a control machine queues at most this much for each link.
+const MOST_PART_BYTES: usize = 64 << 10;
 
 #[derive(Debug)]
 struct Linked {
     status: RouterStatus,
+    /// Changes are announced to it here.
+    follows: bool,
     heard: Timestamp,
+    /// It has asked nothing for a while; it is known again when it asks.
+    is_silent: bool,
     loads: LoadExchange,
 }
 
@@ -37,11 +45,22 @@
 
 impl Routers {
     pub fn count(&self) -> u16 {
-        u16::try_from(self.0.len()).unwrap_or(u16::MAX)
+        u16::try_from(self.heard().count()).unwrap_or(u16::MAX)
     }
 
     pub fn connections(&self) -> Vec<ConnectionId> {
-        self.0.keys().copied().collect()
+        self.heard().map(|(connection, _)| connection).collect()
+    }
+
+    /// Routers that ask.
+    fn heard(&self) -> impl Iterator<Item = (ConnectionId, &Linked)> {
+        let heard = self.0.iter().filter(|(_, linked)| !linked.is_silent);
+        heard.map(|(connection, linked)| (*connection, linked))
+    }
+
+    fn followers(&self) -> Vec<ConnectionId> {
+        let following = self.heard().filter(|(_, linked)| linked.follows);
+        following.map(|(connection, _)| connection).collect()
     }
 
     /// Prompt tokens that all routers together have waiting, by [`crate::LoadEntry::key_of`] a
@@ -58,8 +77,10 @@
         totals
     }
 
-    pub fn forget_silent(&mut self, now: Timestamp) {
-        self.0.retain(|_, linked| now.since(linked.heard) < SILENCE);
+    pub fn note_silent(&mut self, now: Timestamp) {
+        for linked in self.0.values_mut() {
+            linked.is_silent = now.since(linked.heard) >= SILENCE;
+        }
     }
 }
 
@@ -69,19 +90,25 @@
         self.now = now;
         match message {
             Message::Router(status) => {
+                let known = self.routers.0.get(&connection);
                 let linked = Linked {
                     status,
+                    follows: known.is_some_and(|linked| linked.follows),
                     heard: now,
+                    is_silent: false,
                     loads: LoadExchange::new(now),
                 };
                 self.routers.0.insert(connection, linked);
-                self.announce_to(connection);
+                let zone = Text::new(self.params.zone.as_str());
+                let message = Message::ControlZone(zone);
+                self.effects.push(Effect::ToRouter(connection, message));
                 self.tell_stored(connection);
                 self.tell_suspicions(connection);
             }
             Message::Ping { sequence } => {
                 if let Some(linked) = self.routers.0.get_mut(&connection) {
                     linked.heard = now;
+                    linked.is_silent = false;
                 }
                 self.queue_read(Waiting::Router(connection, sequence));
             }
@@ -95,16 +122,32 @@
             Message::Holders(entries) => self.on_holders(connection, &entries.items),
             Message::WorkReports(reports) => self.on_work_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
-            Message::Fetch { since } => {
-                let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
-                let changes = self.state.changes_since(since, age_ms);
-                let message = Message::Changes(changes);
-                self.effects.push(Effect::ToRouter(connection, message));
+            Message::Follow { follows } => self.on_follow(connection, follows != 0),
+            Message::Fetch { since, begun } => {
+                self.on_fetch(connection, Position { held: since, begun });
             }
             _ => {}
         }
     }
 
+    fn on_follow(&mut self, connection: ConnectionId, follows: bool) {
+        if let Some(linked) = self.routers.0.get_mut(&connection) {
+            linked.follows = follows;
+        }
+        if follows {
+            self.announce_to(connection);
+        }
+    }
+
+    fn on_fetch(&mut self, connection: ConnectionId, position: Position) {
+        let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
+        let part = self.state.next_part(position, MOST_PART_BYTES, age_ms);
+        if let Some(changes) = part {
+            let message = Message::Changes(changes);
+            self.effects.push(Effect::ToRouter(connection, message));
+        }
+    }
+
     /// A router's link has ended.
     pub fn on_router_gone(&mut self, connection: ConnectionId) {
         self.routers.0.remove(&connection);
@@ -113,8 +156,8 @@
 
     /// The addresses of routers that a caller in this zone is to use.
     pub fn directory(&self, zone: &str, caller: IpAddr) -> Vec<String> {
-        let linked = self.routers.0.values();
-        directory::for_caller(linked.map(|linked| &linked.status), zone, caller)
+        let heard = self.routers.heard();
+        directory::for_caller(heard.map(|(_, linked)| &linked.status), zone, caller)
     }
 
     /// Sends each router how busy the others keep the back ends, where that has changed.
@@ -124,7 +167,8 @@
             linked.loads.expire(now);
         }
         let totals = self.routers.total_loads();
-        for (connection, linked) in &mut self.routers.0 {
+        let heard = self.routers.0.iter_mut();
+        for (connection, linked) in heard.filter(|(_, linked)| !linked.is_silent) {
             if let Some(message) = linked.loads.next_message(now, &totals) {
                 self.effects.push(Effect::ToRouter(*connection, message));
             }
@@ -150,7 +194,7 @@
 
     fn announce_now(&mut self) {
         self.announcements.last = self.now;
-        for connection in self.routers.connections() {
+        for connection in self.routers.followers() {
             self.announce_to(connection);
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -42,5 +42,5 @@
     Overload, Prompt, PromptPart, Refusal, RequestHead, RouterCore, RouterParams, RunCopy,
     ViewError,
 };
-pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, ReplicatedState};
+pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -20,7 +20,7 @@
     pub accepting: u8,
 }
 
-/// What a control machine tells its routers when something changed.
+/// What a control machine tells the routers that follow it when something changed.
 #[binrw]
 #[brw(little)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -52,6 +52,8 @@
     pub since: u64,
     /// The revision that this leads to.
     pub revision: u64,
+    /// The revision of the sender; more is to be asked for when this does not lead there.
+    pub newest: u64,
     /// 0 or 1 configuration.
     pub configuration: List<Blob>,
     /// Weights that were named.
@@ -292,8 +294,10 @@
     Fetch {
         /// The revision it has.
         since: u64,
+        /// The revision of the state whose first part it was sent.
+        begun: u64,
     },
-    /// The answer.
+    /// The answer, or its first part.
     #[brw(magic(8u8))]
     Changes(Changes),
     /// A router asks which revision is surely not outdated.
@@ -371,6 +375,15 @@
     /// From the leader: the next request that carries this quarantined work may run.
     #[brw(magic(22u8))]
     TryWork(WorkId),
+    /// From a control machine on a router's link: the zone that it is in.
+    #[brw(magic(23u8))]
+    ControlZone(Text),
+    /// From a router: whether changes are to be announced to it on this link.
+    #[brw(magic(24u8))]
+    Follow {
+        /// 1 when they are.
+        follows: u8,
+    },
 }
 
 impl Message {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -30,7 +30,7 @@
 
 use crate::{
     AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, Lifecycle,
-    LoadEntry, Route, StoreId, StoredKey, Tenant, UsageEntry, Work, WorkId,
+    LoadEntry, Position, Route, StoreId, StoredKey, Tenant, UsageEntry, Work, WorkId,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -121,6 +121,11 @@
         self.view.revision()
     }
 
+    /// How far this router has come with the state; what it asks control machines for begins there.
+    pub fn position(&self) -> Position {
+        self.view.position()
+    }
+
     /// The version of the configuration; 0 before the first one.
     pub fn configuration_version(&self) -> u64 {
         self.view.document().map_or(0, |document| document.version)
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -6,7 +6,7 @@
 
 use drumshore_core::Timestamp;
 
-use crate::{Changes, Document, InstanceRecord, InvalidDocument, Route, Tenant, WorkKey};
+use crate::{Changes, Document, InstanceRecord, InvalidDocument, Position, Route, Tenant, WorkKey};
 
 /// Why changes are not taken in.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
@@ -38,6 +38,8 @@
 #[derive(Debug, Default)]
 pub(super) struct View {
     revision: u64,
+    /// See [`Position::begun`].
+    begun: u64,
     confirmed: Option<Timestamp>,
     /// Confirmations of revisions that have not arrived yet.
     awaiting: Vec<(u64, Timestamp)>,
@@ -54,6 +56,13 @@
         self.revision
     }
 
+    pub fn position(&self) -> Position {
+        Position {
+            held: self.revision,
+            begun: self.begun,
+        }
+    }
+
     pub fn confirmed(&self) -> Option<Timestamp> {
         self.confirmed
     }
@@ -131,6 +140,7 @@
         }
         if changes.since == 0 {
             self.instances.clear();
+            self.begun = changes.newest;
         }
         for removed in &changes.removed.items {
             self.instances.remove(removed.as_str());
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -1,12 +1,18 @@
 //! What control machines agree on. Applying the same commands gives the same state everywhere.
 
+mod changes;
+mod image;
+
 use std::collections::BTreeMap;
-use std::io::Cursor;
 
-use binrw::{binrw, BinRead, BinWrite};
+use binrw::binrw;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{Changes, Command, LoadPhase, Quarantine, WeightsNotice, WorkId, WorkKey};
+use crate::{Command, LoadPhase, WorkId, WorkKey};
+
+pub use changes::Position;
+
+use changes::ChangeIndex;
 
 /// Back ends that have gone are remembered, so that a late word of theirs does not bring them
 /// back; beyond this many the oldest are forgotten.
@@ -103,15 +109,6 @@
     body: Blob,
 }
 
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug)]
-struct Removal {
-    instance: Text,
-    revision: u64,
-    may_return: u8,
-}
-
 /// The key under which work is identified.
 #[binrw]
 #[brw(little)]
@@ -121,15 +118,6 @@
     revision: u64,
 }
 
-/// Work that is quarantined.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Copy, Debug)]
-struct Quarantined {
-    work: WorkId,
-    position: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Removed {
     revision: u64,
@@ -137,22 +125,6 @@
     may_return: bool,
 }
 
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Debug)]
-struct Image {
-    revision: u64,
-    forgotten: u64,
-    configuration: StoredConfiguration,
-    weights: List<NamedWeights>,
-    instances: List<InstanceRecord>,
-    removals: List<Removal>,
-    /// 0 or 1.
-    work_key: List<StoredWorkKey>,
-    quarantine_revision: u64,
-    quarantined: List<Quarantined>,
-}
-
 /// The replicated state.
 #[derive(Clone, Debug, Default)]
 pub struct ReplicatedState {
@@ -164,6 +136,7 @@
     weights: BTreeMap<String, Vec<NamedWeights>>,
     instances: BTreeMap<String, InstanceRecord>,
     removals: BTreeMap<String, Removed>,
+    changed: ChangeIndex,
     work_key: Option<StoredWorkKey>,
     /// Work that no back end is given, by the position that said so.
     quarantined: BTreeMap<WorkId, u64>,
@@ -253,102 +226,6 @@
         changed
     }
 
-    /// What a router with revision `since` lacks.
-    /// `age_ms` tells how long ago weights were named.
-    pub fn changes_since(&self, since: u64, age_ms: impl Fn(&NamedWeights) -> u32) -> Changes {
-        let since = if since < self.forgotten || since > self.revision {
-            0
-        } else {
-            since
-        };
-        let configuration = (self.configuration.revision > since)
-            .then(|| self.configuration.body.clone())
-            .into_iter()
-            .collect();
-        let weights = self.weights().filter(|item| item.revision > since);
-        let notice = |named: &NamedWeights| WeightsNotice {
-            model: named.model.clone(),
-            version: named.version,
-            age_ms: age_ms(named),
-        };
-        let instances = self.instances.values().filter(|item| item.revision > since);
-        let removed = self.removals.iter().filter(|item| item.1.revision > since);
-        let work_key = self.work_key.iter().filter(|item| item.revision > since);
-        let quarantine = (self.quarantine_revision > since).then(|| Quarantine {
-            works: List::new(self.quarantined().collect()),
-        });
-        Changes {
-            since,
-            revision: self.revision,
-            configuration: List::new(configuration),
-            weights: List::new(weights.map(notice).collect()),
-            instances: List::new(instances.cloned().collect()),
-            removed: List::new(removed.map(|item| Text::new(item.0.as_str())).collect()),
-            work_key: List::new(work_key.map(|item| item.key.clone()).collect()),
-            quarantine: List::new(quarantine.into_iter().collect()),
-        }
-    }
-
-    /// The state as a snapshot of the log.
-    pub fn encode(&self) -> Vec<u8> {
-        let removals = self.removals.iter().map(|(instance, removed)| Removal {
-            instance: Text::new(instance.as_str()),
-            revision: removed.revision,
-            may_return: u8::from(removed.may_return),
-        });
-        let quarantined = self.quarantined.iter().map(|(work, position)| Quarantined {
-            work: *work,
-            position: *position,
-        });
-        let image = Image {
-            revision: self.revision,
-            forgotten: self.forgotten,
-            configuration: self.configuration.clone(),
-            weights: List::new(self.weights().cloned().collect()),
-            instances: List::new(self.instances.values().cloned().collect()),
-            removals: List::new(removals.collect()),
-            work_key: List::new(self.work_key.iter().cloned().collect()),
-            quarantine_revision: self.quarantine_revision,
-            quarantined: List::new(quarantined.collect()),
-        };
-        let mut cursor = Cursor::new(Vec::new());
-        image
-            .write(&mut cursor)
-            .expect("a state fits in its length fields");
-        cursor.into_inner()
-    }
-
-    /// Reads a snapshot back.
-    pub fn decode(bytes: &[u8]) -> Option<Self> {
-        let image = Image::read(&mut Cursor::new(bytes)).ok()?;
-        let mut weights: BTreeMap<String, Vec<NamedWeights>> = BTreeMap::new();
-        for named in image.weights.items {
-            let model = named.model.as_str().to_owned();
-            weights.entry(model).or_default().push(named);
-        }
-        let by_instance = |record: InstanceRecord| (record.instance.as_str().to_owned(), record);
-        let removal = |item: Removal| {
-            let removed = Removed {
-                revision: item.revision,
-                may_return: item.may_return != 0,
-            };
-            (item.instance.as_str().to_owned(), removed)
-        };
-        Some(Self {
-            revision: image.revision,
-            forgotten: image.forgotten,
-            configuration: image.configuration,
-            weights,
-            instances: image.instances.items.into_iter().map(by_instance).collect(),
-            removals: image.removals.items.into_iter().map(removal).collect(),
-            work_key: image.work_key.items.into_iter().next(),
-            quarantined: (image.quarantined.items.iter())
-                .map(|item| (item.work, item.position))
-                .collect(),
-            quarantine_revision: image.quarantine_revision,
-        })
-    }
-
     fn configure(&mut self, position: u64, version: u64, body: &Blob) -> bool {
         if version <= self.configuration.version {
             return false;
@@ -378,7 +255,7 @@
         if self.is_removed(name) || self.instances.contains_key(name) {
             return false;
         }
-        self.removals.remove(name);
+        let removed = self.removals.remove(name);
         let lifecycle = if *draining == 0 {
             Lifecycle::Ready
         } else {
@@ -396,6 +273,8 @@
             revision: position,
         };
         self.instances.insert(name.to_owned(), record);
+        let earlier = removed.map(|removed| removed.revision);
+        self.changed.note(position, name, earlier);
         true
     }
 
@@ -407,7 +286,9 @@
             return false;
         }
         record.lifecycle = Lifecycle::Draining;
-        record.revision = position;
+        let earlier = std::mem::replace(&mut record.revision, position);
+        self.changed
+            .note(position, instance.as_str(), Some(earlier));
         true
     }
 
@@ -418,12 +299,15 @@
         if self.is_removed(name) {
             return false;
         }
-        self.instances.remove(name);
+        let record = self.instances.remove(name);
         let removed = Removed {
             revision: position,
             may_return,
         };
-        self.removals.insert(name.to_owned(), removed);
+        let earlier = self.removals.insert(name.to_owned(), removed);
+        let earlier = earlier.map(|removed| removed.revision);
+        let earlier = record.map(|record| record.revision).or(earlier);
+        self.changed.note(position, name, earlier);
         self.forget_oldest_removal();
         true
     }
@@ -442,6 +326,7 @@
         let oldest = self.removals.iter().min_by_key(|item| item.1.revision);
         if let Some((name, revision)) = oldest.map(|item| (item.0.clone(), item.1.revision)) {
             self.removals.remove(&name);
+            self.changed.forget(revision);
             self.forgotten = self.forgotten.max(revision);
         }
     }
@@ -525,7 +410,9 @@
         if *loaded == before {
             return false;
         }
-        record.revision = position;
+        let earlier = std::mem::replace(&mut record.revision, position);
+        self.changed
+            .note(position, instance.as_str(), Some(earlier));
         true
     }
 }
--- /dev/null
+++ b/crates/gateway-core/src/state/changes.rs
@@ -0,0 +1,161 @@
+//! What a router lacks of the replicated state, whole or in parts of bounded size.
+
+use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
+
+use drumshore_wire::{List, Text};
+
+use super::{InstanceRecord, NamedWeights, Removed, ReplicatedState};
+use crate::{Changes, Quarantine, WeightsNotice};
+
+/// What a record takes in a message beside its texts: lengths, slots, lifecycle and revisions, and the weights
+/// of one model.
+const RECORD_BYTES: usize = 64;
+
+/// How far a router has come with the state.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Position {
+    /// The revision that it has; 0 when it has nothing.
+    pub held: u64,
+    /// The revision of the state whose first part it was sent; 0 when it was sent none.
+    pub begun: u64,
+}
+
+/// The back end that each revision changed, of those that no later one changed again.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ChangeIndex(BTreeMap<u64, String>);
+
+impl ChangeIndex {
+    pub fn of(
+        instances: &BTreeMap<String, InstanceRecord>,
+        removals: &BTreeMap<String, Removed>,
+    ) -> Self {
+        let present = instances
+            .iter()
+            .map(|(name, record)| (record.revision, name));
+        let gone = removals
+            .iter()
+            .map(|(name, removed)| (removed.revision, name));
+        let entries = present.chain(gone);
+        Self(entries.map(|(at, name)| (at, name.clone())).collect())
+    }
+
+    /// A back end has changed; `earlier` is the revision that had changed it before.
+    pub fn note(&mut self, position: u64, name: &str, earlier: Option<u64>) {
+        if let Some(earlier) = earlier {
+            self.0.remove(&earlier);
+        }
+        self.0.insert(position, name.to_owned());
+    }
+
+    /// A removal is remembered no longer.
+    pub fn forget(&mut self, position: u64) {
+        self.0.remove(&position);
+    }
+
+    fn after(&self, since: u64) -> impl Iterator<Item = (u64, &str)> {
+        let later = self.0.range(since.saturating_add(1)..);
+        later.map(|(at, name)| (*at, name.as_str()))
+    }
+}
+
+impl ReplicatedState {
+    /// All that a router with revision `since` lacks. `age_ms` tells how long ago weights were named.
+    pub fn changes_since(&self, since: u64, age_ms: impl Fn(&NamedWeights) -> u32) -> Changes {
+        let is_known = (self.forgotten..=self.revision).contains(&since);
+        let since = if is_known { since } else { 0 };
+        self.changes_between(since, self.revision, age_ms)
+    }
+
+    /// The next part of what a router lacks, of about `most_bytes`: a router asks for the next one when it
+    /// has taken this one in, so what is queued for it is bounded however large the state is. Changes come in
+    /// the order of their revisions, so each part leads to a revision of its own.
+    ///
+    /// `None` when the router was sent a later state than this one.
+    pub fn next_part(
+        &self,
+        position: Position,
+        most_bytes: usize,
+        age_ms: impl Fn(&NamedWeights) -> u32,
+    ) -> Option<Changes> {
+        let known = position.held.max(position.begun);
+        if known > self.revision {
+            return None;
+        }
+        if known < self.forgotten && position.held > 0 {
+            // The router may hold back ends whose removal is forgotten. Its view never leads back to the
+            // revision of a first part, so it is sent all at once.
+            return Some(self.changes_since(0, age_ms));
+        }
+        let last = self.last_within(position.held, most_bytes);
+        Some(self.changes_between(position.held, last, age_ms))
+    }
+
+    /// The last revision of a part that begins after `since`.
+    fn last_within(&self, since: u64, most_bytes: usize) -> u64 {
+        let mut bytes = 0;
+        for (revision, name) in self.changed.after(since) {
+            let record = self.instances.get(name);
+            bytes += record.map_or(name.len(), record_bytes);
+            if bytes >= most_bytes {
+                return revision;
+            }
+        }
+        self.revision
+    }
+
+    fn changes_between(
+        &self,
+        since: u64,
+        last: u64,
+        age_ms: impl Fn(&NamedWeights) -> u32,
+    ) -> Changes {
+        let range: RangeInclusive<u64> = since + 1..=last;
+        let mut instances = Vec::new();
+        let mut removed = Vec::new();
+        let changed = self.changed.after(since);
+        for (_, name) in changed.take_while(|(revision, _)| *revision <= last) {
+            match self.instances.get(name) {
+                Some(record) => instances.push(record.clone()),
+                None => removed.push(Text::new(name)),
+            }
+        }
+        let configuration = &self.configuration;
+        let has_configuration = range.contains(&configuration.revision);
+        let configuration = has_configuration.then(|| configuration.body.clone());
+        let weights = self.weights().filter(|item| range.contains(&item.revision));
+        let notice = |named: &NamedWeights| WeightsNotice {
+            model: named.model.clone(),
+            version: named.version,
+            age_ms: age_ms(named),
+        };
+        let work_key = self.work_key.iter();
+        let work_key = work_key.filter(|item| range.contains(&item.revision));
+        let has_quarantine = range.contains(&self.quarantine_revision);
+        let quarantine = has_quarantine.then(|| Quarantine {
+            works: List::new(self.quarantined().collect()),
+        });
+        Changes {
+            since,
+            revision: last,
+            newest: self.revision,
+            configuration: List::new(configuration.into_iter().collect()),
+            weights: List::new(weights.map(notice).collect()),
+            instances: List::new(instances),
+            removed: List::new(removed),
+            work_key: List::new(work_key.map(|item| item.key.clone()).collect()),
+            quarantine: List::new(quarantine.into_iter().collect()),
+        }
+    }
+}
+
+fn record_bytes(record: &InstanceRecord) -> usize {
+    let texts = [
+        &record.instance,
+        &record.pool,
+        &record.address,
+        &record.zone,
+    ];
+    let texts: usize = texts.iter().map(|text| text.as_str().len()).sum();
+    RECORD_BYTES + texts
+}
--- /dev/null
+++ b/crates/gateway-core/src/state/image.rs
@@ -0,0 +1,114 @@
+//! The replicated state as a snapshot of the log.
+
+use std::collections::BTreeMap;
+use std::io::Cursor;
+
+use binrw::{binrw, BinRead, BinWrite};
+use drumshore_wire::{List, Text};
+
+use super::changes::ChangeIndex;
+use super::{
+    InstanceRecord, NamedWeights, Removed, ReplicatedState, StoredConfiguration, StoredWorkKey,
+};
+use crate::WorkId;
+
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug)]
+struct Removal {
+    instance: Text,
+    revision: u64,
+    may_return: u8,
+}
+
+/// Work that is quarantined.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug)]
+struct Quarantined {
+    work: WorkId,
+    position: u64,
+}
+
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug)]
+struct Image {
+    revision: u64,
+    forgotten: u64,
+    configuration: StoredConfiguration,
+    weights: List<NamedWeights>,
+    instances: List<InstanceRecord>,
+    removals: List<Removal>,
+    /// 0 or 1.
+    work_key: List<StoredWorkKey>,
+    quarantine_revision: u64,
+    quarantined: List<Quarantined>,
+}
+
+impl ReplicatedState {
+    /// The state as a snapshot of the log.
+    pub fn encode(&self) -> Vec<u8> {
+        let removals = self.removals.iter().map(|(instance, removed)| Removal {
+            instance: Text::new(instance.as_str()),
+            revision: removed.revision,
+            may_return: u8::from(removed.may_return),
+        });
+        let quarantined = self.quarantined.iter().map(|(work, position)| Quarantined {
+            work: *work,
+            position: *position,
+        });
+        let image = Image {
+            revision: self.revision,
+            forgotten: self.forgotten,
+            configuration: self.configuration.clone(),
+            weights: List::new(self.weights().cloned().collect()),
+            instances: List::new(self.instances.values().cloned().collect()),
+            removals: List::new(removals.collect()),
+            work_key: List::new(self.work_key.iter().cloned().collect()),
+            quarantine_revision: self.quarantine_revision,
+            quarantined: List::new(quarantined.collect()),
+        };
+        let mut cursor = Cursor::new(Vec::new());
+        image
+            .write(&mut cursor)
+            .expect("a state fits in its length fields");
+        cursor.into_inner()
+    }
+
+    /// Reads a snapshot back.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let image = Image::read(&mut Cursor::new(bytes)).ok()?;
+        let mut weights: BTreeMap<String, Vec<NamedWeights>> = BTreeMap::new();
+        for named in image.weights.items {
+            let model = named.model.as_str().to_owned();
+            weights.entry(model).or_default().push(named);
+        }
+        let by_instance = |record: InstanceRecord| (record.instance.as_str().to_owned(), record);
+        let removal = |item: Removal| {
+            let removed = Removed {
+                revision: item.revision,
+                may_return: item.may_return != 0,
+            };
+            (item.instance.as_str().to_owned(), removed)
+        };
+        let instances: BTreeMap<String, InstanceRecord> =
+            image.instances.items.into_iter().map(by_instance).collect();
+        let removals: BTreeMap<String, Removed> =
+            image.removals.items.into_iter().map(removal).collect();
+        Some(Self {
+            changed: ChangeIndex::of(&instances, &removals),
+            revision: image.revision,
+            forgotten: image.forgotten,
+            configuration: image.configuration,
+            weights,
+            instances,
+            removals,
+            work_key: image.work_key.items.into_iter().next(),
+            quarantined: (image.quarantined.items.iter())
+                .map(|item| (item.work, item.position))
+                .collect(),
+            quarantine_revision: image.quarantine_revision,
+        })
+    }
+}
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -274,8 +274,9 @@
             accepting: 1,
         };
         let now = self.now;
-        self.core(at)
-            .on_router(now, connection, Message::Router(status));
+        let core = self.core(at);
+        core.on_router(now, connection, Message::Router(status));
+        core.on_router(now, connection, Message::Follow { follows: 1 });
         self.settle();
     }
 
--- a/crates/gateway/src/router/fetch.rs
+++ b/crates/gateway/src/router/fetch.rs
@@ -6,17 +6,24 @@
 
 use drumshore_core::Timestamp;
 
-/// A question is repeated after this long, on whichever link speaks next.
+/// A question is repeated after this long, on whichever link speaks next: an answer takes 50 ms at most on a
+/// link of 10 Mbit/s, for larger ones come in parts.
 const REPEAT_AFTER: Duration = Duration::from_millis(300);
-/// The same for the whole state, while the link that was asked stands. The largest state measured
-/// (3,003 back ends, 360 KB) takes 0.3 s over a link of 10 Mbit/s alone, and longer when all routers
-/// ask at once; a second copy only delays the first.
-const REPEAT_WHOLE_AFTER: Duration = Duration::from_millis(2_500);
+/// Each further repetition waits twice as long as the one before, this often. Control machines that answer late
+/// have too much to do; repeated questions would give them more.
+const MOST_DOUBLINGS: u32 = 3;
+/// A router that has known for so long that it is behind, and got nothing meanwhile, asks machines that it does
+/// not follow as well: those that it follows may be cut off from the others.
+const FOLLOWED_PATIENCE: Duration = Duration::from_millis(400);
 
 /// What is asked, and what there is to ask for.
 #[derive(Debug, Default)]
 pub(super) struct Fetches {
     under_way: Cell<Option<Fetch>>,
+    /// Questions in a row that got no answer.
+    unanswered: Cell<u32>,
+    /// Since when this router has known of changes and got none.
+    behind_since: Cell<Option<Timestamp>>,
     /// The highest revision that a control machine spoke of.
     announced: Cell<u64>,
 }
@@ -26,32 +33,41 @@
 struct Fetch {
     from: Ipv4Addr,
     asked: Timestamp,
-    /// The revision that is held; 0 asks for the whole state.
-    since: u64,
+    patience: Duration,
 }
 
 impl Fetches {
     /// A control machine spoke of a revision. True when it should be asked for what leads there
     /// from the one that is held.
-    pub fn is_due(&self, now: Timestamp, announced: u64, held: u64) -> bool {
+    pub fn is_due(&self, now: Timestamp, is_followed: bool, announced: u64, held: u64) -> bool {
         self.announced.set(self.announced.get().max(announced));
-        let is_behind = self.announced.get() > held;
+        if self.announced.get() <= held {
+            self.behind_since.set(None);
+            return false;
+        }
+        let behind_since = self.behind_since.get().unwrap_or(now);
+        self.behind_since.set(Some(behind_since));
+        let may_ask = is_followed || now.since(behind_since) >= FOLLOWED_PATIENCE;
         let under_way = self.under_way.get();
-        is_behind && under_way.is_none_or(|fetch| fetch.is_overdue(now))
+        may_ask && under_way.is_none_or(|fetch| fetch.is_overdue(now))
     }
 
     /// A control machine was asked.
-    pub fn on_asked(&self, now: Timestamp, from: Ipv4Addr, since: u64) {
+    pub fn on_asked(&self, now: Timestamp, from: Ipv4Addr) {
+        let unanswered = self.unanswered.get();
+        self.unanswered.set(unanswered + 1);
         self.under_way.set(Some(Fetch {
             from,
             asked: now,
-            since,
+            patience: REPEAT_AFTER * 2_u32.pow(unanswered.min(MOST_DOUBLINGS)),
         }));
     }
 
     /// Changes have come.
     pub fn on_answer(&self) {
         self.under_way.set(None);
+        self.unanswered.set(0);
+        self.behind_since.set(None);
     }
 
     /// A link has ended: what was asked on it is not answered any more.
@@ -64,12 +80,7 @@
 
 impl Fetch {
     fn is_overdue(&self, now: Timestamp) -> bool {
-        let patience = if self.since == 0 {
-            REPEAT_WHOLE_AFTER
-        } else {
-            REPEAT_AFTER
-        };
-        now.since(self.asked) >= patience
+        now.since(self.asked) >= self.patience
     }
 }
 
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod refusal;
 mod relay;
 mod resume;
+mod sources;
 mod timeliness;
 mod updates;
 
--- /dev/null
+++ b/crates/gateway/src/router/sources.rs
@@ -0,0 +1,88 @@
+//! Which control machines a router follows: they announce changes to it and are asked for them.
+//!
+//! State that every router asks of any control machine crosses zones once for each router. So a router follows
+//! machines of its own zone, and others only while its zone has none. It keeps links to all of them, for a
+//! confirmed view and for loads; those carry little.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
+
+use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Machines that are followed: one, and one that goes on when the first is lost.
+const MOST_FOLLOWED: usize = 2;
+
+/// The control machines that this router is linked to.
+#[derive(Debug)]
+pub(super) struct Sources {
+    zone: String,
+    /// Sets routers apart that have to choose among machines of other zones.
+    seed: u64,
+    linked: RefCell<BTreeMap<Ipv4Addr, Machine>>,
+    /// Notified when other machines are to be followed.
+    pub changed: Notify,
+}
+
+/// A linked control machine.
+#[derive(Debug, Default)]
+struct Machine {
+    /// As it said; `None` before.
+    zone: Option<String>,
+}
+
+impl Sources {
+    /// For a router in a zone; `seed` should differ from router to router.
+    pub fn new(zone: &str, seed: u64) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            seed,
+            linked: RefCell::default(),
+            changed: Notify::new(),
+        }
+    }
+
+    /// A link has come up.
+    pub fn on_linked(&self, address: Ipv4Addr) {
+        self.linked.borrow_mut().entry(address).or_default();
+        self.changed.notify_waiters();
+    }
+
+    /// A machine said which zone it is in.
+    pub fn on_zone(&self, address: Ipv4Addr, zone: &str) {
+        let mut linked = self.linked.borrow_mut();
+        linked.entry(address).or_default().zone = Some(zone.to_owned());
+        self.changed.notify_waiters();
+    }
+
+    /// A link has ended.
+    pub fn on_link_ended(&self, address: Ipv4Addr) {
+        self.linked.borrow_mut().remove(&address);
+        self.changed.notify_waiters();
+    }
+
+    /// Whether changes are asked of this machine.
+    pub fn is_followed(&self, address: Ipv4Addr) -> bool {
+        self.followed().contains(&address)
+    }
+
+    /// Machines of the own zone, or others while it has none, the first by rendezvous hashing.
+    fn followed(&self) -> Vec<Ipv4Addr> {
+        let linked = self.linked.borrow();
+        let told = linked.iter().filter_map(|(address, machine)| {
+            let zone = machine.zone.as_deref()?;
+            Some((*address, zone == self.zone))
+        });
+        let (own, others): (Vec<_>, Vec<_>) = told.partition(|(_, is_own)| *is_own);
+        let candidates = if own.is_empty() { others } else { own };
+        let mut addresses: Vec<Ipv4Addr> = candidates.into_iter().map(|item| item.0).collect();
+        addresses.sort_by_key(|address| xxh3_64_with_seed(&address.octets(), self.seed));
+        addresses.truncate(MOST_FOLLOWED);
+        addresses
+    }
+}
+
+#[cfg(test)]
+#[path = "sources_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/router/sources_tests.rs
@@ -0,0 +1,66 @@
+//! Tests of which control machines a router follows.
+
+use super::*;
+
+const SEED: u64 = 7;
+
+fn machine(zone: u8, number: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, zone, number)
+}
+
+/// A router of zone 0, linked to two machines of each of five zones.
+fn linked_to_all() -> Sources {
+    let sources = Sources::new("zone-0", SEED);
+    for zone in 0..5 {
+        for number in 1..=2 {
+            sources.on_linked(machine(zone, number));
+            sources.on_zone(machine(zone, number), &format!("zone-{zone}"));
+        }
+    }
+    sources
+}
+
+#[test]
+fn a_router_follows_the_machines_of_its_zone() {
+    // 985 routers that asked any of ten machines took 5.8 GB of state across zones in 38 s.
+    let mut followed = linked_to_all().followed();
+    followed.sort_unstable();
+    assert_eq!(followed, [machine(0, 1), machine(0, 2)]);
+}
+
+#[test]
+fn one_machine_of_the_zone_is_enough() {
+    let sources = linked_to_all();
+    sources.on_link_ended(machine(0, 1));
+    assert_eq!(sources.followed(), [machine(0, 2)]);
+}
+
+#[test]
+fn a_zone_that_lost_its_machines_follows_two_others_until_one_is_back() {
+    let sources = linked_to_all();
+    sources.on_link_ended(machine(0, 1));
+    sources.on_link_ended(machine(0, 2));
+    let others = sources.followed();
+    assert_eq!(others.len(), MOST_FOLLOWED);
+    sources.on_linked(machine(0, 2));
+    assert_eq!(sources.followed(), others, "it has not said its zone yet");
+    sources.on_zone(machine(0, 2), "zone-0");
+    assert_eq!(sources.followed(), [machine(0, 2)]);
+}
+
+#[test]
+fn routers_of_such_a_zone_spread_over_all_machines() {
+    let mut followers: BTreeMap<Ipv4Addr, usize> = BTreeMap::new();
+    for seed in 0..200 {
+        let sources = Sources::new("zone-9", seed);
+        for zone in 0..5 {
+            sources.on_zone(machine(zone, 1), &format!("zone-{zone}"));
+        }
+        for address in sources.followed() {
+            *followers.entry(address).or_default() += 1;
+        }
+    }
+    let busiest = followers.values().max().unwrap();
+    assert_eq!(followers.len(), 5);
+    assert!(*busiest < 120, "400 in all: {followers:?}");
+}
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -7,17 +7,22 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Changes, Message, RouterStatus, WorkSuspicion};
+use drumshore_gateway_core::{Changes, Message, Position, RouterStatus, WorkSuspicion};
 use drumshore_wire::{List, Text};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::fetch::Fetches;
+use super::sources::Sources;
 use super::Router;
 use crate::link::{Receiver, Redial, Sender};
 
 /// Between two questions to any control machine.
 const PING_SPACING: Duration = Duration::from_millis(300);
+/// Between two questions on the same link, however many there are: a control machine hands callers no router
+/// that asked nothing for 4 s.
+const LONGEST_SPACING: Duration = Duration::from_millis(2_000);
 /// A link on which a question got no answer for so long is given up.
 const UNANSWERED: Duration = Duration::from_millis(2_500);
 const FOLLOW_MEMBERS: Duration = Duration::from_millis(250);
@@ -28,20 +33,35 @@
 /// What the leader told of other routers' load counts for so long.
 const LOADS_COUNT_FOR: Duration = Duration::from_millis(1_000);
 
-#[derive(Default)]
 struct Links {
     /// All control machines, as one of them said last.
     controls: RefCell<Vec<Ipv4Addr>>,
     tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
     fetches: Fetches,
+    sources: Sources,
     /// The leader, as one of them said last.
     leader: Cell<u32>,
     /// When the leader last told what other routers put on back ends.
     loads_heard: Cell<Timestamp>,
 }
 
+impl Links {
+    fn new(router: &Router) -> Self {
+        let address = router.settings.listen.to_string();
+        let seed = xxh3_64(address.as_bytes());
+        Self {
+            controls: RefCell::default(),
+            tasks: RefCell::default(),
+            fetches: Fetches::default(),
+            sources: Sources::new(&router.settings.params.zone, seed),
+            leader: Cell::default(),
+            loads_heard: Cell::default(),
+        }
+    }
+}
+
 pub(super) fn start(router: &Rc<Router>) {
-    let links = Rc::new(Links::default());
+    let links = Rc::new(Links::new(router));
     tokio::task::spawn_local(follow_members(Rc::clone(router), links));
 }
 
@@ -81,6 +101,7 @@
                 "router: linked to a control machine");
             let reason = converse(&router, &links, address, sender, receiver).await;
             links.fetches.on_link_ended(address);
+            links.sources.on_link_ended(address);
             tracing::info!(event = "control_lost", %address, reason,
                 "router: a control machine is lost");
         }
@@ -98,17 +119,20 @@
 ) -> &'static str {
     let asked: Rc<RefCell<BTreeMap<u64, Timestamp>>> = Rc::default();
     sender.send(&status(router));
+    links.sources.on_linked(address);
     let asking = ask_regularly(router, links, &sender, &asked);
     let listening = listen(router, links, address, &sender, receiver, &asked);
     let telling = tell_changes(router, &sender);
     let reporting = report_loads(router, links, &sender, address);
     let reporting_work = report_work(router, &sender);
+    let following = follow(links, &sender, address);
     tokio::select! {
         reason = asking => reason,
         reason = listening => reason,
         reason = telling => reason,
         reason = reporting => reason,
         reason = reporting_work => reason,
+        reason = following => reason,
     }
 }
 
@@ -129,6 +153,26 @@
     }
 }
 
+/// Tells a control machine whether to announce changes on this link, whenever that changes.
+async fn follow(links: &Links, sender: &Sender, address: Ipv4Addr) -> &'static str {
+    let mut told = false;
+    loop {
+        let follows = links.sources.is_followed(address);
+        if follows != told {
+            tracing::info!(event = "control_followed", %address, follows,
+                "router: changes come from other control machines than before");
+            let message = Message::Follow {
+                follows: u8::from(follows),
+            };
+            if !sender.send(&message) {
+                return "closed";
+            }
+            told = follows;
+        }
+        links.sources.changed.notified().await;
+    }
+}
+
 async fn ask_regularly(
     router: &Rc<Router>,
     links: &Rc<Links>,
@@ -148,7 +192,7 @@
             return "closed";
         }
         let machines = links.tasks.borrow().len().max(1) as u32;
-        sleep(PING_SPACING * machines).await;
+        sleep((PING_SPACING * machines).min(LONGEST_SPACING)).await;
     }
 }
 
@@ -169,9 +213,9 @@
                 fetch(router, links, address, sender, announcement.revision);
             }
             Message::Changes(changes) => {
-                let revision = changes.revision;
+                let newest = changes.newest;
                 apply(router, links, changes);
-                fetch(router, links, address, sender, revision);
+                fetch(router, links, address, sender, newest);
             }
             Message::Pong {
                 sequence,
@@ -194,6 +238,7 @@
                 }
                 fetch(router, links, address, sender, revision);
             }
+            Message::ControlZone(zone) => links.sources.on_zone(address, zone.as_str()),
             Message::Stored {
                 store,
                 known,
@@ -325,10 +370,12 @@
 
 /// Asks for changes, unless an answer may still come.
 fn fetch(router: &Router, links: &Links, from: Ipv4Addr, sender: &Sender, revision: u64) {
-    let held = router.core.borrow().revision();
+    let Position { held, begun } = router.core.borrow().position();
     let now = router.clock.now();
-    if links.fetches.is_due(now, revision, held) && sender.send(&Message::Fetch { since: held }) {
-        links.fetches.on_asked(now, from, held);
+    let is_followed = links.sources.is_followed(from);
+    let message = Message::Fetch { since: held, begun };
+    if links.fetches.is_due(now, is_followed, revision, held) && sender.send(&message) {
+        links.fetches.on_asked(now, from);
     }
 }
 
