Carry registrations and heartbeats to the leader together, and append a command once

Cause: a machine sent each command and each heartbeat to the leader in a message of its own, through a queue of 128 messages that loses the rest, messages of the log among them. What was not committed in 300 ms was sent again and appended again, and a back end that got no answer in 850 ms was registered by a further command: a log of 82,081 entries for 9,998 back ends. The review for silent back ends built two maps of all names each 50 ms; each report of a silent one built a third.

Change: one message a tick names who spoke, by an 8 byte key; commands that gather before a flush go in one message. The leader knows what it has appended, until 5 s after it applied it, and appends it once. A back end that asks again waits for the command that is under way. Commands are sent again to a new leader at once, else ever less often. Silence is reviewed twice a second. A second registration that says that the back end leaves now drains it; it was answered and changed nothing.

Tests: crates/gateway-core/tests/control/fleet.rs (84 entries for 50 back ends while only what waits in the log was known, 50 to 59 with what was applied lately), state.rs.

--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -18,6 +18,13 @@
     pub sequence: u64,
 }
 
+impl ProposalId {
+    /// The id of an encoded [`Proposal`], which begins with it.
+    pub fn of(encoded: &[u8]) -> Option<Self> {
+        Self::read(&mut Cursor::new(encoded)).ok()
+    }
+}
+
 /// A command with its origin.
 #[binrw]
 #[brw(little)]
--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -3,12 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use drumshore_consensus::{Directory, Role};
+use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
 use drumshore_wire::{List, Text};
 
 use super::{ControlCore, Effect, Reply, Ticket};
-use crate::{Command, InstanceId, Lifecycle, LoadPhase, LoadedModel, Message, ModelName};
+use crate::{Command, InstanceId, Lifecycle, LoadPhase, LoadedModel, ModelName};
 
 /// A back end whose address another incarnation has taken is gone after this silence.
 const REPLACED_SILENCE: Duration = Duration::from_secs(4);
@@ -19,6 +19,10 @@
 /// Any other back end, after this one; its next word brings it back.
 const SILENCE: Duration = Duration::from_secs(15);
 
+/// Between two reviews of all back ends for silent ones. Silence counts in seconds, and a review of 10,000 takes
+/// some milliseconds, which no tick has to spare.
+const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
+
 /// What a back end says of itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Heartbeat {
@@ -49,8 +53,7 @@
         }
         self.note_heard(name);
         let Some(record) = self.state.instance(name) else {
-            let command = registration(heartbeat);
-            self.propose(Some(ticket), command);
+            self.register(ticket, heartbeat);
             return;
         };
         let leaves =
@@ -64,17 +67,6 @@
         self.note_versions(heartbeat);
     }
 
-    fn note_heard(&mut self, name: &str) {
-        self.heard.insert(name.to_owned(), self.now);
-        let leader = self.leader().filter(|_| self.role() != Role::Leader);
-        if let Some(leader) = leader {
-            let message = Message::Heard {
-                instance: Text::new(name),
-            };
-            self.effects.push(Effect::ToControl(leader, message));
-        }
-    }
-
     /// A back end may hold newer weights than the log says, when an order was carried out late.
     fn note_versions(&mut self, heartbeat: &Heartbeat) {
         let name = heartbeat.instance.as_str();
@@ -105,15 +97,16 @@
     /// else after longer, for a back end that is cut off from control may still serve.
     pub(super) fn expire_instances(&mut self) {
         let now = self.now;
+        if now.since(self.instances_reviewed) < REVIEW_INTERVAL {
+            return;
+        }
+        self.instances_reviewed = now;
         let mut latest: BTreeMap<&str, u64> = BTreeMap::new();
         let mut heard_at: BTreeMap<&str, Timestamp> = BTreeMap::new();
         for record in self.state.instances() {
             let registered = latest.entry(record.address.as_str()).or_default();
             *registered = record.registered.max(*registered);
-            let heard = *self
-                .heard
-                .entry(record.instance.as_str().to_owned())
-                .or_insert(now);
+            let heard = self.heard.at_or_from(record.instance.as_str(), now);
             let last = heard_at.entry(record.address.as_str()).or_default();
             *last = heard.max(*last);
         }
@@ -121,7 +114,7 @@
         let mut silent = Vec::new();
         for record in self.state.instances() {
             let name = record.instance.as_str();
-            let silence = now.since(self.heard[name]);
+            let silence = now.since(self.heard.at(name).unwrap_or(now));
             let others_silence = now.since(heard_at[record.address.as_str()]);
             let is_latest = latest.get(record.address.as_str()) == Some(&record.registered);
             let is_outlived =
@@ -133,17 +126,17 @@
             }
         }
         for instance in replaced {
-            self.heard.remove(instance.as_str());
+            self.heard.forget(instance.as_str());
             self.propose(None, Command::Deregister { instance });
         }
         for instance in silent {
-            self.heard.remove(instance.as_str());
+            self.heard.forget(instance.as_str());
             self.propose(None, Command::Expire { instance });
         }
     }
 }
 
-fn registration(heartbeat: &Heartbeat) -> Command {
+pub(super) fn registration(heartbeat: &Heartbeat) -> Command {
     let models = heartbeat.models.iter().map(|(model, version)| LoadedModel {
         model: Text::new(model.as_str()),
         version: *version,
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod directory;
+mod heard;
 mod holders;
 mod instances;
 mod load_timing;
@@ -40,6 +41,7 @@
 pub use stored::StoreNews;
 
 use accounts::TenantAccounts;
+use heard::Heard;
 use holders::HolderNews;
 use members::Joiners;
 use order_lease::OrderLeases;
@@ -132,8 +134,8 @@
     work_key_proposed_at: Option<Timestamp>,
     /// When weights were named, by revision; those from before this start count from the start.
     named_at: BTreeMap<u64, Timestamp>,
-    /// When each back end was heard last, here or, at the leader, anywhere.
-    heard: BTreeMap<String, Timestamp>,
+    heard: Heard,
+    instances_reviewed: Timestamp,
     leads_since: Option<Timestamp>,
     /// When this leader asked the question that a quorum answered last.
     confirmed_at: Option<Timestamp>,
@@ -184,7 +186,8 @@
             drawn_work_key: WorkKey::draw(seed),
             work_key_proposed_at: None,
             named_at: BTreeMap::new(),
-            heard: BTreeMap::new(),
+            heard: Heard::default(),
+            instances_reviewed: Timestamp::default(),
             leads_since: None,
             confirmed_at: None,
             leaderless_since: None,
@@ -208,6 +211,11 @@
         self.replica.raft().term().0
     }
 
+    /// Entries that the log has had, those in snapshots among them.
+    pub fn log_length(&self) -> u64 {
+        self.replica.raft().last_index().0
+    }
+
     /// The address of the leader, when known.
     pub fn leader(&self) -> Option<Ipv4Addr> {
         self.replica.raft().leader().map(address_of)
@@ -236,6 +244,7 @@
         self.replica.raft_mut().tick();
         self.note_leadership();
         self.resend_proposals();
+        self.tell_heard();
         self.tick_reads();
         self.ask_to_join();
         self.routers.note_silent(now);
@@ -265,14 +274,9 @@
                     self.replica.raft_mut().step(envelope);
                 }
             }
-            Message::Propose(blob) => {
-                // Whoever sent it asks again when this machine does not lead.
-                let _ = self.replica.raft_mut().propose(blob.bytes);
-            }
+            Message::Propose(proposals) => self.on_proposals(proposals.items),
             Message::Join(replica) => self.on_join(replica),
-            Message::Heard { instance } => {
-                self.heard.insert(instance.as_str().to_owned(), now);
-            }
+            Message::Heard(keys) => self.on_heard(&keys.items),
             _ => {}
         }
     }
@@ -306,6 +310,7 @@
     /// calls; everything that gathered in between shares one sync of the disk.
     pub fn flush(&mut self, sink: &mut dyn FnMut(Effect)) -> Result<(), ReplicaError> {
         self.start_reads();
+        self.send_proposals();
         let mut send = |envelope: Envelope| {
             let to = address_of(envelope.to);
             sink(Effect::ToControl(
@@ -364,6 +369,10 @@
                 phase: LoadPhase::Finished,
                 ..
             } => self.on_load_finished(instance.as_str()),
+            Command::Register { instance, .. } => self.on_registered(instance.as_str()),
+            Command::Deregister { instance } | Command::Expire { instance } => {
+                self.heard.forget(instance.as_str());
+            }
             Command::Quarantine { work } => self.on_quarantined(*work),
             Command::Release { work } => self.on_released(*work),
             _ => {}
@@ -403,7 +412,8 @@
         if self.role() == Role::Leader {
             if self.leads_since.is_none() {
                 self.leads_since = Some(self.now);
-                self.heard.clear();
+                self.heard = Heard::default();
+                self.instances_reviewed = Timestamp::default();
                 self.rollouts = Rollouts::default();
                 self.note_orders_under_way();
                 self.forget_stores();
--- a/crates/gateway-core/src/control/rollout.rs
+++ b/crates/gateway-core/src/control/rollout.rs
@@ -217,8 +217,8 @@
 
     /// A back end that stopped talking holds up nobody else's load.
     pub(super) fn is_instance_heard(&self, instance: &str) -> bool {
-        let heard = self.heard.get(instance);
-        heard.is_some_and(|at| self.now.since(*at) < INSTANCE_SILENCE)
+        let heard = self.heard.at(instance);
+        heard.is_some_and(|at| self.now.since(at) < INSTANCE_SILENCE)
     }
 
     fn drive_load(&mut self, load: Load) {
--- a/crates/gateway-core/src/control/suspects.rs
+++ b/crates/gateway-core/src/control/suspects.rs
@@ -14,7 +14,7 @@
 use drumshore_wire::List;
 
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{LoadEntry, Message};
+use crate::Message;
 
 /// Between two notifications of one suspect. Routers avoid it for twice as long, see their
 /// `SUSPECT_PAUSE`.
@@ -43,7 +43,7 @@
     }
 }
 
-/// Suspects, by [`LoadEntry::key_of`].
+/// Suspects, by [`crate::LoadEntry::key_of`].
 #[derive(Debug, Default)]
 pub(super) struct Suspects(BTreeMap<u32, Suspect>);
 
@@ -59,10 +59,9 @@
             reported_at: now,
             notified_at: now,
         };
-        let heard = self.heard_by_key();
         let mut new = Vec::new();
         for key in keys {
-            let heard = heard.get(key).copied().unwrap_or_default();
+            let heard = self.heard.at_by_short(*key).unwrap_or_default();
             let known = self.suspects.0.get(key);
             if !known.is_some_and(|known| known.covers(now, heard)) {
                 self.suspects.0.insert(*key, suspect);
@@ -78,13 +77,13 @@
             return;
         }
         let now = self.now;
-        let heard = self.heard_by_key();
+        let heard = &self.heard;
         let mut due_again = Vec::new();
         self.suspects.0.retain(|key, suspect| {
-            let Some(heard) = heard.get(key) else {
+            let Some(heard) = heard.at_by_short(*key) else {
                 return false;
             };
-            if *heard > suspect.reported_at {
+            if heard > suspect.reported_at {
                 return now.since(suspect.reported_at) < DISBELIEVE_FOR;
             }
             if now.since(suspect.notified_at) >= NOTIFY_AGAIN_AFTER {
@@ -96,16 +95,6 @@
         self.notify_of_suspects(&due_again, None);
     }
 
-    /// When each registered back end was heard last, by the key that stands for it.
-    fn heard_by_key(&self) -> BTreeMap<u32, Timestamp> {
-        let registered = self.state.instances().map(|record| {
-            let name = record.instance.as_str();
-            let heard = self.heard.get(name).copied().unwrap_or_default();
-            (LoadEntry::key_of(name), heard)
-        });
-        registered.collect()
-    }
-
     fn notify_of_suspects(&mut self, keys: &[u32], except: Option<ConnectionId>) {
         if keys.is_empty() {
             return;
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -124,6 +124,30 @@
     pub const BYTES: usize = 17;
 }
 
+/// Stands for a back end among control machines. Two of 100,000 share one with a chance of 3 in ten thousand
+/// million.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct BackEndKey(u64);
+
+impl BackEndKey {
+    /// The first in the order of keys.
+    pub const MIN: Self = Self(u64::MIN);
+    /// The last in the order of keys.
+    pub const MAX: Self = Self(u64::MAX);
+
+    /// The key of an incarnation.
+    pub fn of(instance: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(instance.as_bytes()))
+    }
+
+    /// The key by which routers name it, see [`LoadEntry::key_of`].
+    pub fn short(self) -> u32 {
+        self.0 as u32
+    }
+}
+
 /// How busy a back end is with requests of one router, or of several.
 #[binrw]
 #[brw(little)]
@@ -146,7 +170,7 @@
     /// A short stand-in for an incarnation's name. Two that share it are taken for busier than
     /// they are, which does little harm.
     pub fn key_of(instance: &str) -> u32 {
-        xxhash_rust::xxh3::xxh3_64(instance.as_bytes()) as u32
+        BackEndKey::of(instance).short()
     }
 }
 
@@ -274,18 +298,15 @@
     /// Replication between control machines.
     #[brw(magic(2u8))]
     Consensus(Blob),
-    /// A command for the leader to propose.
+    /// Commands for the leader to propose.
     #[brw(magic(3u8))]
-    Propose(Blob),
+    Propose(List<Blob>),
     /// A replica that no leader feeds asks to be let in.
     #[brw(magic(4u8))]
     Join(ReplicaId),
-    /// A back end was heard at another control machine.
+    /// Back ends that were heard at another control machine.
     #[brw(magic(5u8))]
-    Heard {
-        /// Its incarnation.
-        instance: Text,
-    },
+    Heard(List<BackEndKey>),
     /// Something changed.
     #[brw(magic(6u8))]
     Announce(Announcement),
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -252,9 +252,13 @@
             return false;
         };
         let name = instance.as_str();
-        if self.is_removed(name) || self.instances.contains_key(name) {
+        if self.is_removed(name) {
             return false;
         }
+        if self.instances.contains_key(name) {
+            // It registered as ready just before it said that it leaves.
+            return *draining != 0 && self.drain(position, instance);
+        }
         let removed = self.removals.remove(name);
         let lifecycle = if *draining == 0 {
             Lifecycle::Ready
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -41,6 +41,7 @@
     pub to_routers: Vec<(Ipv4Addr, ConnectionId, Message)>,
     pub orders: Vec<Given>,
     pub asked: Vec<(Ipv4Addr, InstanceId)>,
+    pub sent_to_control: Vec<Message>,
     in_flight: Vec<(Ipv4Addr, Ipv4Addr, Message)>,
     late: Vec<(Timestamp, Ipv4Addr, Ipv4Addr, Message)>,
     params: ControlParams,
@@ -71,6 +72,7 @@
             to_routers: Vec::new(),
             orders: Vec::new(),
             asked: Vec::new(),
+            sent_to_control: Vec::new(),
             in_flight: Vec::new(),
             params,
             next_ticket: 0,
@@ -214,7 +216,10 @@
 
     fn carry_out(&mut self, at: Ipv4Addr, effect: Effect) {
         match effect {
-            Effect::ToControl(to, message) => self.in_flight.push((at, to, message)),
+            Effect::ToControl(to, message) => {
+                self.sent_to_control.push(message.clone());
+                self.in_flight.push((at, to, message));
+            }
             Effect::ToRouter(connection, message) => {
                 self.to_routers.push((at, connection, message));
             }
@@ -231,7 +236,7 @@
         }
     }
 
-    fn ticket(&mut self) -> Ticket {
+    pub fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         Ticket(self.next_ticket)
     }
--- a/crates/gateway-core/tests/control/main.rs
+++ b/crates/gateway-core/tests/control/main.rs
@@ -5,6 +5,7 @@
 
 mod back_ends;
 mod configuration;
+mod fleet;
 mod quarantine;
 mod rollout;
 mod routers;
--- a/crates/gateway-core/tests/state.rs
+++ b/crates/gateway-core/tests/state.rs
@@ -3,8 +3,9 @@
 use std::time::Duration;
 
 use drumshore_gateway_core::{
-    Command, Document, InvalidDocument, LoadPhase, LoadedModel, Pool, PoolName, Proposal,
-    ProposalId, ReplicatedState, RequestKind, Route, Share, Tenant, TenantName, Work, WorkKey,
+    Command, Document, InvalidDocument, Lifecycle, LoadPhase, LoadedModel, Pool, PoolName,
+    Proposal, ProposalId, ReplicatedState, RequestKind, Route, Share, Tenant, TenantName, Work,
+    WorkKey,
 };
 use drumshore_wire::{Blob, List, Text};
 use rstest::rstest;
@@ -241,3 +242,20 @@
     bytes.push(0);
     assert_eq!(Proposal::decode(&bytes), None);
 }
+
+#[rstest]
+#[case::leaves(1, Lifecycle::Draining)]
+#[case::does_not_leave(0, Lifecycle::Ready)]
+fn a_second_registration_counts_only_when_it_says_that_the_back_end_leaves(
+    #[case] draining: u8,
+    #[case] expected: Lifecycle,
+) {
+    let mut state = ReplicatedState::default();
+    state.apply(1, &register("a"));
+    let mut second = register("a");
+    if let Command::Register { draining: flag, .. } = &mut second {
+        *flag = draining;
+    }
+    state.apply(2, &second);
+    assert_eq!(state.instance("a").unwrap().lifecycle, expected);
+}
