Tell what fills the links: bytes by kind, queued bytes, entries of the log

No line or metric told which message made control machines of a large fleet slow, nor what waited for links. A frame of over 16 KB is written as it is; batches copied it.

The directory puts only the routers that it names in order: it ranked and copied all of them for each caller, 985 at a time.

Tests: traffic_tests.rs; directory_tests.rs as they were.

--- a/crates/gateway-core/src/control/directory.rs
+++ b/crates/gateway-core/src/control/directory.rs
@@ -5,7 +5,6 @@
 //! of the caller's zone, or most requests would cross zones. A caller leaves routers that a new answer
 //! lacks, so its answers differ only by routers that come and go.
 
-use std::collections::BTreeSet;
 use std::net::IpAddr;
 
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
@@ -31,24 +30,32 @@
     let accepting = routers.filter(|status| status.accepting != 0);
     let (own, others): (Vec<_>, Vec<_>) =
         accepting.partition(|status| status.zone.as_str() == zone);
-    let mut named = ranked(&own, caller);
-    let others = ranked(&others, caller);
-    named.truncate(MOST_NAMED * OWN_FOR_EACH_OTHER / (OWN_FOR_EACH_OTHER + 1));
+    let most_own = MOST_NAMED * OWN_FOR_EACH_OTHER / (OWN_FOR_EACH_OTHER + 1);
+    let mut named = first_ranked(&own, caller, most_own);
     let fewest_others = FEWEST_NAMED.saturating_sub(named.len());
     let from_others = (named.len() / OWN_FOR_EACH_OTHER).max(fewest_others);
-    named.extend(others.into_iter().take(from_others));
+    named.extend(first_ranked(&others, caller, from_others));
     named
 }
 
-/// The addresses by rendezvous hashing, each once.
-fn ranked(routers: &[&RouterStatus], caller: u64) -> Vec<String> {
+/// The first addresses by rendezvous hashing, each once. Two thousand callers ask once a second: only what is
+/// named is put in order and copied.
+fn first_ranked(routers: &[&RouterStatus], caller: u64, most: usize) -> Vec<String> {
     let keyed = routers.iter().map(|status| {
         let address = status.address.as_str();
         (xxh3_64_with_seed(address.as_bytes(), caller), address)
     });
-    let ordered: BTreeSet<(u64, &str)> = keyed.collect();
-    let addresses = ordered.into_iter().map(|(_, address)| address.to_owned());
-    addresses.collect()
+    let mut keyed: Vec<(u64, &str)> = keyed.collect();
+    // A router that linked anew may be there twice.
+    let enough = 2 * most;
+    if keyed.len() > enough {
+        keyed.select_nth_unstable(enough);
+        keyed.truncate(enough);
+    }
+    keyed.sort_unstable();
+    keyed.dedup();
+    let first = keyed.into_iter().take(most);
+    first.map(|(_, address)| address.to_owned()).collect()
 }
 
 #[cfg(test)]
--- a/crates/gateway-core/src/control/proposals.rs
+++ b/crates/gateway-core/src/control/proposals.rs
@@ -91,9 +91,10 @@
     }
 
     fn forget_applied(&mut self, now: Timestamp) {
-        let is_old = |at: Timestamp| now.since(at) >= APPLIED_KEPT;
-        while let Some((_, id)) = self.applied.pop_front_if(|(at, _)| is_old(*at)) {
-            self.appended.remove(&id);
+        let is_old = |(at, _): &(Timestamp, ProposalId)| now.since(*at) >= APPLIED_KEPT;
+        while self.applied.front().is_some_and(is_old) {
+            let oldest = self.applied.pop_front();
+            oldest.map(|(_, id)| self.appended.remove(&id));
         }
     }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -22,7 +22,7 @@
 use hyper::{Request, Response};
 use rand::Rng;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{interval, MissedTickBehavior};
+use tokio::time::{interval, Instant, MissedTickBehavior};
 
 use crate::answer::AnswerBody;
 use crate::clock::Clock;
@@ -33,6 +33,7 @@
 use crate::settings::ControlSettings;
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
+use crate::traffic::LinkTraffic;
 use crate::upstream::Upstreams;
 use crate::{run_on_event_loop, DaemonError};
 
@@ -45,6 +46,8 @@
 const MAX_METRICS_CONNECTIONS: usize = 32;
 /// Between two tries to open a folder whose disk failed.
 const REOPEN_AFTER: Duration = Duration::from_millis(500);
+/// Between two lines that tell what is sent to other processes.
+const TRAFFIC_INTERVAL: Duration = Duration::from_secs(1);
 /// Between handing leadership over and the end of the process.
 const HAND_OVER: Duration = Duration::from_millis(400);
 
@@ -58,6 +61,7 @@
     settings: ControlSettings,
     clock: Clock,
     metrics: Rc<Metrics>,
+    traffic: Rc<LinkTraffic>,
     peers: Peers,
     back_ends: BackEnds,
     routers: RefCell<HashMap<ConnectionId, Sender>>,
@@ -87,12 +91,16 @@
             None
         }
     };
+    let metrics = Metrics::new();
+    let traffic = LinkTraffic::counted_by(metrics.link_bytes.clone());
+    let traffic = Rc::new(traffic);
     let control = Rc::new(Control {
         core: RefCell::new(core),
         dialect,
         clock,
-        metrics: Metrics::new(),
-        peers: Peers::new(settings.internal_port),
+        metrics,
+        peers: Peers::new(settings.internal_port, Rc::clone(&traffic)),
+        traffic,
         back_ends: BackEnds::new(Upstreams::new(clock)),
         routers: RefCell::default(),
         waiting: RefCell::default(),
@@ -105,6 +113,7 @@
     listen(&control)?;
     tokio::task::spawn_local(flush_when_asked(Rc::clone(&control)));
     tokio::task::spawn_local(tick(Rc::clone(&control)));
+    tokio::task::spawn_local(tell_traffic(Rc::clone(&control)));
     tokio::task::spawn_local(store::follow_all(Rc::clone(&control)));
     tracing::info!(event = "started", role = "control", node = %control.settings.node,
         listen = %control.settings.listen, bootstrap = control.settings.bootstrap,
@@ -180,6 +189,27 @@
     }
 }
 
+/// One line a second of what is sent to other processes, and how late this one is: a control machine that has
+/// too much to do shows it here before anything else.
+async fn tell_traffic(control: Rc<Control>) {
+    let mut told = Instant::now();
+    loop {
+        tokio::time::sleep(TRAFFIC_INTERVAL).await;
+        let late = told.elapsed().saturating_sub(TRAFFIC_INTERVAL);
+        told = Instant::now();
+        let recent = control.traffic.take_recent();
+        let core = control.core.borrow();
+        let Some(core) = core.as_ref() else {
+            continue;
+        };
+        tracing::info!(event = "traffic", late_ms = late.as_millis() as u64, sent = %recent,
+            most_queued_bytes = recent.most_queued_bytes, dropped = recent.dropped,
+            routers = control.routers.borrow().len(), log_entries = core.log_length(),
+            revision = core.state().revision(), back_ends = core.state().instances().count(),
+            "control: bytes sent to other processes");
+    }
+}
+
 async fn flush_when_asked(control: Rc<Control>) {
     loop {
         control.flush.notified().await;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -13,6 +13,7 @@
 
 use super::{Control, Core};
 use crate::link::{self, Receiver, Redial, Sender};
+use crate::traffic::LinkTraffic;
 
 /// Messages that wait for a link to come up; beyond it they are lost, as on a network.
 const QUEUED_MESSAGES: usize = 128;
@@ -28,13 +29,15 @@
 /// Outgoing links to other control machines, dialled on first use and again when they break.
 pub(super) struct Peers {
     port: u16,
+    traffic: Rc<LinkTraffic>,
     queues: RefCell<HashMap<Ipv4Addr, mpsc::Sender<Message>>>,
 }
 
 impl Peers {
-    pub fn new(port: u16) -> Self {
+    pub fn new(port: u16, traffic: Rc<LinkTraffic>) -> Self {
         Self {
             port,
+            traffic,
             queues: RefCell::default(),
         }
     }
@@ -45,16 +48,16 @@
         let queue = queues.entry(address).or_insert_with(|| {
             let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
             let target = SocketAddr::from((address, self.port));
-            tokio::task::spawn_local(keep_sending(target, queue));
+            let redial = Redial::counted_by(Rc::clone(&self.traffic));
+            tokio::task::spawn_local(keep_sending(target, redial, queue));
             sender
         });
         let _ = queue.try_send(message.clone());
     }
 }
 
-async fn keep_sending(target: SocketAddr, mut queue: mpsc::Receiver<Message>) {
+async fn keep_sending(target: SocketAddr, mut redial: Redial, mut queue: mpsc::Receiver<Message>) {
     let mut lost = false;
-    let mut redial = Redial::default();
     loop {
         let Ok((sender, receiver)) = redial.dial(target).await else {
             if !std::mem::replace(&mut lost, true) {
@@ -147,7 +150,7 @@
 }
 
 async fn serve(control: Rc<Control>, connection: ConnectionId, stream: TcpStream) {
-    let Ok((sender, mut receiver)) = link::accept(stream) else {
+    let Ok((sender, mut receiver)) = link::accept(stream, Rc::clone(&control.traffic)) else {
         return;
     };
     let Ok(first) = receiver.receive().await else {
--- a/crates/gateway/src/control/peers_tests.rs
+++ b/crates/gateway/src/control/peers_tests.rs
@@ -16,7 +16,7 @@
             });
             continue;
         }
-        let (sender, mut receiver) = link::accept(stream).unwrap();
+        let (sender, mut receiver) = link::accept(stream, Rc::default()).unwrap();
         tokio::task::spawn_local(async move {
             while receiver.receive().await.is_ok() {
                 sender.send(&Message::KeepAlive);
@@ -65,7 +65,7 @@
         let accepted = Rc::new(Cell::new(0));
         tokio::task::spawn_local(accept_links(listener, false, Rc::clone(&accepted)));
         let (_keeps_queue_open, queue) = mpsc::channel(1);
-        tokio::task::spawn_local(keep_sending(target, queue));
+        tokio::task::spawn_local(keep_sending(target, Redial::default(), queue));
         while accepted.get() < 2 {
             tokio::time::sleep(KEEP_ALIVE / 10).await;
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod signals;
 mod sockets;
+mod traffic;
 mod upstream;
 
 pub use control::run as run_control;
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -2,9 +2,10 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use drumshore_gateway_core::Message;
 use drumshore_wire::frame::{encode_payload, FrameError, FrameHead};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -13,6 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::sockets;
+use crate::traffic::LinkTraffic;
 
 /// Frames that wait for a slow peer; beyond it messages are lost, and asked for again.
 const QUEUED_FRAMES: usize = 256;
@@ -25,18 +27,28 @@
 /// Tries of the first kind, before patience and pause grow.
 const QUICK_TRIES: u32 = 12;
 
+/// Frames that wait together are written together up to so many bytes, which spares calls to the kernel; a larger
+/// one is written as it is, for a copy of it would cost as much memory again.
+const MOST_BATCH_BYTES: usize = 16 << 10;
+
 /// How long tries to reach a peer last, and the pauses between them; both grow.
 #[derive(Debug, Default)]
 pub(crate) struct Redial {
     failed: u32,
+    traffic: Rc<LinkTraffic>,
 }
 
 impl Redial {
+    /// Counts what is sent over the link.
+    pub fn counted_by(traffic: Rc<LinkTraffic>) -> Self {
+        Self { failed: 0, traffic }
+    }
+
     /// Dials a peer; starts anew once it was reached.
     pub async fn dial(&mut self, address: SocketAddr) -> io::Result<(Sender, Receiver)> {
         let stream = sockets::connect(address, self.grown(FIRST_PATIENCE, LONGEST_PATIENCE)).await;
         self.failed = if stream.is_ok() { 0 } else { self.failed + 1 };
-        Ok(split(stream?))
+        Ok(split(stream?, Rc::clone(&self.traffic)))
     }
 
     /// Before the next try.
@@ -52,23 +64,34 @@
 
 /// Sends messages; cheap to clone.
 #[derive(Clone, Debug)]
-pub(crate) struct Sender(mpsc::Sender<Bytes>);
+pub(crate) struct Sender {
+    queue: mpsc::Sender<Bytes>,
+    traffic: Rc<LinkTraffic>,
+}
 
 impl Sender {
     /// Queues a message. False when the link has ended or its peer does not keep up.
     pub fn send(&self, message: &Message) -> bool {
-        match encode_payload(&message.encode()) {
-            Ok(frame) => self.0.try_send(Bytes::from(frame)).is_ok(),
+        let frame = match encode_payload(&message.encode()) {
+            Ok(frame) => Bytes::from(frame),
             Err(error) => {
                 tracing::error!(event = "message_dropped", %error, "link: a message was too long");
-                false
+                return false;
             }
+        };
+        let bytes = frame.len();
+        let is_queued = self.queue.try_send(frame).is_ok();
+        if is_queued {
+            self.traffic.on_queued(message, bytes);
+        } else {
+            self.traffic.on_dropped();
         }
+        is_queued
     }
 
     /// True when the link has ended.
     pub fn is_closed(&self) -> bool {
-        self.0.is_closed()
+        self.queue.is_closed()
     }
 }
 
@@ -91,26 +114,71 @@
 }
 
 /// Takes an accepted connection.
-pub(crate) fn accept(stream: TcpStream) -> io::Result<(Sender, Receiver)> {
+pub(crate) fn accept(
+    stream: TcpStream,
+    traffic: Rc<LinkTraffic>,
+) -> io::Result<(Sender, Receiver)> {
     sockets::watch_peer(&stream)?;
-    Ok(split(stream))
+    Ok(split(stream, traffic))
 }
 
-fn split(stream: TcpStream) -> (Sender, Receiver) {
+fn split(stream: TcpStream, traffic: Rc<LinkTraffic>) -> (Sender, Receiver) {
     let (read, write) = stream.into_split();
-    let (sender, queue) = mpsc::channel(QUEUED_FRAMES);
-    tokio::task::spawn_local(write_frames(write, queue));
-    (Sender(sender), Receiver { half: read })
+    let (queue, frames) = mpsc::channel(QUEUED_FRAMES);
+    let queued = QueuedFrames {
+        frames,
+        traffic: Rc::clone(&traffic),
+    };
+    tokio::task::spawn_local(write_frames(write, queued));
+    (Sender { queue, traffic }, Receiver { half: read })
 }
 
-async fn write_frames(mut half: OwnedWriteHalf, mut queue: mpsc::Receiver<Bytes>) {
-    while let Some(frame) = queue.recv().await {
-        let mut batch = frame.to_vec();
-        while let Ok(next) = queue.try_recv() {
-            batch.extend_from_slice(&next);
+/// Frames on their way to a peer; those that are left when the link ends count as waiting no longer.
+struct QueuedFrames {
+    frames: mpsc::Receiver<Bytes>,
+    traffic: Rc<LinkTraffic>,
+}
+
+impl QueuedFrames {
+    fn try_next(&mut self) -> Option<Bytes> {
+        let frame = self.frames.try_recv().ok()?;
+        self.traffic.on_dequeued(frame.len());
+        Some(frame)
+    }
+
+    async fn next(&mut self) -> Option<Bytes> {
+        let frame = self.frames.recv().await?;
+        self.traffic.on_dequeued(frame.len());
+        Some(frame)
+    }
+}
+
+impl Drop for QueuedFrames {
+    fn drop(&mut self) {
+        self.frames.close();
+        while self.try_next().is_some() {}
+    }
+}
+
+async fn write_frames(mut half: OwnedWriteHalf, mut queued: QueuedFrames) {
+    let mut batch = BytesMut::new();
+    while let Some(first) = queued.next().await {
+        let mut next = Some(first);
+        while let Some(frame) = next {
+            if batch.len() + frame.len() > MOST_BATCH_BYTES {
+                if half.write_all(&batch).await.is_err() || half.write_all(&frame).await.is_err() {
+                    return;
+                }
+                batch.clear();
+            } else {
+                batch.extend_from_slice(&frame);
+            }
+            next = queued.try_next();
         }
         if half.write_all(&batch).await.is_err() {
             return;
         }
+        // An idle link keeps no memory for what it sent last.
+        batch = BytesMut::new();
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,21 @@
     pub outcome: &'static str,
 }
 
+/// Counters of one family, by a word from the code.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Counters(Family<KindLabel, Counter>);
+
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct KindLabel {
+    kind: &'static str,
+}
+
+impl Counters {
+    pub fn add(&self, kind: &'static str, amount: u64) {
+        self.0.get_or_create(&KindLabel { kind }).inc_by(amount);
+    }
+}
+
 /// The figures of one process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -59,6 +74,8 @@
     labelled_tenants: RefCell<BTreeSet<String>>,
     /// Back ends whose connections broke, by what their address told then.
     broken_back_ends: Family<OutcomeLabel, Counter>,
+    /// Bytes sent over links to other processes, by kind of message.
+    pub link_bytes: Counters,
     /// Decisions of a control machine.
     pub decisions: Family<OutcomeLabel, Counter>,
     /// The revision of the view or state.
@@ -75,6 +92,7 @@
         let late_answers = Family::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
+        let link_bytes = Counters::default();
         let decisions = Family::default();
         let revision = Gauge::default();
         let view_age_ms = Gauge::default();
@@ -97,6 +115,11 @@
             "Back ends whose connections broke, by finding",
             Clone::clone(&broken_back_ends),
         );
+        registry.register(
+            "link_bytes",
+            "Bytes to other processes, by kind of message; of the kind dropped, messages",
+            link_bytes.0.clone(),
+        );
         registry.register("decisions", "Control decisions", Clone::clone(&decisions));
         registry.register("revision", "Revision held", revision.clone());
         registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
@@ -109,6 +132,7 @@
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
+            link_bytes,
             decisions,
             revision,
             view_age_ms,
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -17,6 +17,7 @@
 use super::sources::Sources;
 use super::Router;
 use crate::link::{Receiver, Redial, Sender};
+use crate::traffic::LinkTraffic;
 
 /// Between two questions to any control machine.
 const PING_SPACING: Duration = Duration::from_millis(300);
@@ -39,6 +40,7 @@
     tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
     fetches: Fetches,
     sources: Sources,
+    traffic: Rc<LinkTraffic>,
     /// The leader, as one of them said last.
     leader: Cell<u32>,
     /// When the leader last told what other routers put on back ends.
@@ -54,6 +56,7 @@
             tasks: RefCell::default(),
             fetches: Fetches::default(),
             sources: Sources::new(&router.settings.params.zone, seed),
+            traffic: Rc::new(LinkTraffic::counted_by(router.metrics.link_bytes.clone())),
             leader: Cell::default(),
             loads_heard: Cell::default(),
         }
@@ -94,7 +97,7 @@
 
 async fn keep_linked(router: Rc<Router>, links: Rc<Links>, address: Ipv4Addr) {
     let target = SocketAddr::from((address, router.settings.internal_port));
-    let mut redial = Redial::default();
+    let mut redial = Redial::counted_by(Rc::clone(&links.traffic));
     loop {
         if let Ok((sender, receiver)) = redial.dial(target).await {
             tracing::info!(event = "control_linked", %address,
--- /dev/null
+++ b/crates/gateway/src/traffic.rs
@@ -0,0 +1,108 @@
+//! What a process sends over its links to others: bytes by kind of message, and what waits in queues.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::fmt;
+
+use drumshore_gateway_core::Message;
+
+use crate::metrics::Counters;
+
+/// Counts what is sent over all links of a process.
+#[derive(Debug, Default)]
+pub(crate) struct LinkTraffic {
+    /// In all, for metrics.
+    counters: Counters,
+    recent: RefCell<RecentTraffic>,
+    queued_bytes: Cell<usize>,
+}
+
+/// What was sent since the last line that told it.
+#[derive(Debug, Default)]
+pub(crate) struct RecentTraffic {
+    bytes: BTreeMap<&'static str, usize>,
+    /// Bytes that waited in the queues of all links together, at most.
+    pub most_queued_bytes: usize,
+    /// Messages that were lost because a queue was full.
+    pub dropped: usize,
+}
+
+impl LinkTraffic {
+    /// Counts into the process's metrics as well.
+    pub fn counted_by(counters: Counters) -> Self {
+        Self {
+            counters,
+            ..Self::default()
+        }
+    }
+
+    /// A message was queued for a link.
+    pub fn on_queued(&self, message: &Message, bytes: usize) {
+        let kind = kind_of(message);
+        self.counters.add(kind, bytes as u64);
+        self.queued_bytes.set(self.queued_bytes.get() + bytes);
+        let mut recent = self.recent.borrow_mut();
+        *recent.bytes.entry(kind).or_default() += bytes;
+        recent.most_queued_bytes = recent.most_queued_bytes.max(self.queued_bytes.get());
+    }
+
+    /// A message was lost before it was queued.
+    pub fn on_dropped(&self) {
+        self.counters.add("dropped", 1);
+        self.recent.borrow_mut().dropped += 1;
+    }
+
+    /// Bytes have left their queue: they were written, or their link has ended.
+    pub fn on_dequeued(&self, bytes: usize) {
+        self.queued_bytes.set(self.queued_bytes.get() - bytes);
+    }
+
+    /// What was sent since the last call.
+    pub fn take_recent(&self) -> RecentTraffic {
+        self.recent.take()
+    }
+}
+
+impl fmt::Display for RecentTraffic {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (position, (kind, bytes)) in self.bytes.iter().enumerate() {
+            let separator = if position > 0 { " " } else { "" };
+            write!(formatter, "{separator}{kind}={bytes}")?;
+        }
+        Ok(())
+    }
+}
+
+/// A name for metrics and lines.
+fn kind_of(message: &Message) -> &'static str {
+    match message {
+        Message::Router(_) => "router",
+        Message::Consensus(_) => "consensus",
+        Message::Propose(_) => "propose",
+        Message::Join(_) => "join",
+        Message::Heard(_) => "heard",
+        Message::Announce(_) => "announce",
+        Message::Fetch { .. } => "fetch",
+        Message::Changes(_) => "changes",
+        Message::Ping { .. } => "ping",
+        Message::Pong { .. } => "pong",
+        Message::Loads(_) => "loads",
+        Message::Stored { .. } => "stored",
+        Message::Holders(_) => "holders",
+        Message::Suspects(_) => "suspects",
+        Message::Refusing(_) => "refusing",
+        Message::LoadsOfOthers { .. } => "loads_of_others",
+        Message::Usage(_) => "usage",
+        Message::AccountLevels(_) => "account_levels",
+        Message::WorkReports(_) => "work_reports",
+        Message::WorkSuspicions(_) => "work_suspicions",
+        Message::KeepAlive => "keep_alive",
+        Message::TryWork(_) => "try_work",
+        Message::ControlZone(_) => "control_zone",
+        Message::Follow { .. } => "follow",
+    }
+}
+
+#[cfg(test)]
+#[path = "traffic_tests.rs"]
+mod tests;
