Bound what the leader tells of loads over all routers

Cause: each router was told 10 KB/s of the others' loads, so the leader's traffic grew with routers: 9.9 MB/s for 985, of which four in five parts cross zones. A list too long for that came less often than loads count.

Change: 3 MB/s in all, which 300 routers took before; more routers get less each. A list holds what fits before the whole list is due again, the heaviest back ends first: that one has little to do is told by silence.

Tests: what_the_leader_tells_of_loads_does_not_grow_with_routers (600 and 1,200 routers), when_not_all_loads_fit.

--- a/crates/gateway-core/src/control/loads.rs
+++ b/crates/gateway-core/src/control/loads.rs
@@ -20,6 +20,15 @@
 /// all control traffic. Longer lists are sent less often.
 const BYTES_PER_SECOND: f64 = 10_000.0;
 
+/// Bytes a second that it may cost the leader for all routers together: 300 routers at the rate above. Beyond, each
+/// router gets less, so the leader's traffic, most of which crosses zones, does not grow with routers. What 985
+/// routers were told took 7.9 MB/s across zones, for requests of which each back end sees one in 20 s.
+const LEADER_BYTES_PER_SECOND: f64 = 3_000_000.0;
+
+/// What a request in flight counts beside tokens that wait, when the heaviest are picked: about as routers weigh a
+/// stream, see `STREAM_TOKENS` there.
+const REQUEST_TOKENS: u32 = 60;
+
 /// What one router reported, and what it was sent of the others.
 #[derive(Debug)]
 pub(super) struct LoadExchange {
@@ -32,6 +41,39 @@
     whole_list_at: Option<Timestamp>,
 }
 
+/// What loads may cost each router.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LoadBudget {
+    bytes_per_second: f64,
+}
+
+impl LoadBudget {
+    /// When the leader tells so many routers.
+    pub fn among(routers: usize) -> Self {
+        let part = LEADER_BYTES_PER_SECOND / routers.max(1) as f64;
+        Self {
+            bytes_per_second: part.min(BYTES_PER_SECOND),
+        }
+    }
+
+    /// The loads that can be sent before the whole list is due again, the heaviest if not all. A longer list
+    /// would come too seldom for any of it to count; that a back end has little to do is told by silence.
+    fn heaviest(self, mut loads: Vec<LoadEntry>) -> Vec<LoadEntry> {
+        let bytes = self.bytes_per_second * WHOLE_LIST_AFTER.as_secs_f64();
+        let most = (bytes / LoadEntry::BYTES as f64) as usize;
+        if loads.len() > most {
+            loads.select_nth_unstable_by_key(most, |load| std::cmp::Reverse(weight(load)));
+            loads.truncate(most);
+            loads.sort_unstable_by_key(|load| load.key);
+        }
+        loads
+    }
+}
+
+fn weight(load: &LoadEntry) -> u32 {
+    u32::from(load.pending) * LoadEntry::TOKENS + u32::from(load.in_flight) * REQUEST_TOKENS
+}
+
 /// The load of all routers, by [`LoadEntry::key_of`] a back end.
 #[derive(Debug, Default)]
 pub(super) struct Totals(BTreeMap<u32, Total>);
@@ -72,11 +114,16 @@
     }
 
     /// What this router is to be sent of the others' load, if anything is due.
-    pub fn next_message(&mut self, now: Timestamp, totals: &Totals) -> Option<Message> {
+    pub fn next_message(
+        &mut self,
+        now: Timestamp,
+        totals: &Totals,
+        budget: LoadBudget,
+    ) -> Option<Message> {
         if now < self.next_at {
             return None;
         }
-        let others = totals.without(&self.reported);
+        let others = budget.heaviest(totals.without(&self.reported));
         let last_whole = self.whole_list_at;
         let is_whole = last_whole.is_none_or(|at| now.since(at) >= WHOLE_LIST_AFTER);
         let loads = if is_whole {
@@ -88,7 +135,7 @@
             return None;
         }
         let bytes = loads.len() * LoadEntry::BYTES;
-        let interval = Duration::from_secs_f64(bytes as f64 / BYTES_PER_SECOND);
+        let interval = Duration::from_secs_f64(bytes as f64 / budget.bytes_per_second);
         self.next_at = now.plus(interval);
         if is_whole {
             self.whole_list_at = Some(now);
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -9,7 +9,7 @@
 use drumshore_wire::Text;
 
 use super::directory;
-use super::loads::{LoadExchange, Totals};
+use super::loads::{LoadBudget, LoadExchange, Totals};
 use super::reads::Waiting;
 use super::{ConnectionId, ControlCore, Effect};
 use crate::{Announcement, Message, NamedWeights, Position, RouterStatus};
@@ -167,9 +167,10 @@
             linked.loads.expire(now);
         }
         let totals = self.routers.total_loads();
+        let budget = LoadBudget::among(usize::from(self.routers.count()));
         let heard = self.routers.0.iter_mut();
         for (connection, linked) in heard.filter(|(_, linked)| !linked.is_silent) {
-            if let Some(message) = linked.loads.next_message(now, &totals) {
+            if let Some(message) = linked.loads.next_message(now, &totals, budget) {
                 self.effects.push(Effect::ToRouter(*connection, message));
             }
         }
--- a/crates/gateway-core/tests/control/fleet.rs
+++ b/crates/gateway-core/tests/control/fleet.rs
@@ -137,3 +137,89 @@
     assert!(last > 0);
     assert!(written < 3 * state, "{written} for a state of {state}");
 }
+
+/// Links routers that each put load on back ends of their own, lets them report it for a while, and returns
+/// what they were told of the others' loads, in bytes a second.
+fn loads_told_to(routers: u64, back_ends_each: u32) -> f64 {
+    const STEPS: u64 = 60;
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    for router in 1..=routers {
+        cluster.link_router(leader, ConnectionId(router), &format!("10.1.0.{router}:80"));
+    }
+    cluster.to_routers.clear();
+    for step in 0..STEPS {
+        let now = cluster.now;
+        for router in 1..=routers {
+            let first = router as u32 * back_ends_each;
+            let loads = (first..first + back_ends_each).map(|key| LoadEntry {
+                key,
+                pending: step as u16,
+                in_flight: 1,
+            });
+            let message = Message::Loads(List::new(loads.collect()));
+            let core = cluster.core(leader);
+            core.on_router(now, ConnectionId(router), message);
+            let ping = Message::Ping { sequence: step };
+            core.on_router(now, ConnectionId(router), ping);
+        }
+        cluster.run(Duration::from_millis(50));
+    }
+    let told = cluster.to_routers.iter();
+    let bytes: usize = told
+        .filter_map(|(_, _, message)| match message {
+            Message::LoadsOfOthers { loads, .. } => Some(loads.items.len() * LoadEntry::BYTES),
+            _ => None,
+        })
+        .sum();
+    bytes as f64 / (STEPS as f64 * 0.05)
+}
+
+/// The leader told each of 985 routers 10 KB/s, 9.9 MB/s in all and twice that at twice the fleet. Before, the
+/// second case took twice as much as the first.
+#[rstest]
+#[case::a_large_fleet(600, 2)]
+#[case::twice_as_large(1_200, 2)]
+fn what_the_leader_tells_of_loads_does_not_grow_with_routers(
+    #[case] routers: u64,
+    #[case] back_ends_each: u32,
+) {
+    let bytes = loads_told_to(routers, back_ends_each);
+    assert!((1.5e6..3.3e6).contains(&bytes), "{bytes} bytes a second");
+}
+
+#[test]
+fn when_not_all_loads_fit_the_heaviest_are_told() {
+    let mut cluster = elected(3);
+    let leader = cluster.leader().unwrap();
+    let routers = 1_000;
+    for router in 1..=routers {
+        cluster.link_router(leader, ConnectionId(router), &format!("10.1.0.{router}:80"));
+    }
+    let heavy = LoadEntry {
+        key: 7,
+        pending: 500,
+        in_flight: 9,
+    };
+    let light = (1_000..3_000).map(|key| LoadEntry {
+        key,
+        pending: 1,
+        in_flight: 1,
+    });
+    let loads = light.chain([heavy]).collect();
+    let now = cluster.now;
+    let message = Message::Loads(List::new(loads));
+    cluster
+        .core(leader)
+        .on_router(now, ConnectionId(1), message);
+    cluster.to_routers.clear();
+    cluster.run(Duration::from_millis(100));
+    let mut lists = cluster.to_routers.iter();
+    let told = lists.find_map(|(_, to, message)| match message {
+        Message::LoadsOfOthers { loads, .. } if *to == ConnectionId(2) => Some(&loads.items),
+        _ => None,
+    });
+    let told = told.expect("loads are told");
+    assert!(told.contains(&heavy));
+    assert!(told.len() < 400, "{}", told.len());
+}
