--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -13,6 +13,9 @@
 };
 use drumshore_wire::{Blob, Text};
 
+/// Zones in which machines stand.
+pub const ZONES: u8 = 5;
+
 pub type Core = ControlCore<MemoryDirectory>;
 
 /// A machine: its core, or nothing while it is down, and its disk.
@@ -109,6 +112,10 @@
         } else {
             Membership::default()
         };
+        let params = ControlParams {
+            zone: self.zone_of(at),
+            ..self.params.clone()
+        };
         let machine = self.machines.get_mut(&at).unwrap();
         let core = Core::open(
             machine.disk.clone(),
@@ -116,7 +123,7 @@
             members,
             self.seeds.clone(),
             at.to_string(),
-            self.params.clone(),
+            params,
             self.next_seed,
         );
         machine.core = Some(core.unwrap());
@@ -236,6 +243,11 @@
         }
     }
 
+    /// Machines stand in as many zones as they are wanted in, one after the other.
+    pub fn zone_of(&self, at: Ipv4Addr) -> String {
+        format!("zone-{}", at.octets()[3] % ZONES)
+    }
+
     pub fn ticket(&mut self) -> Ticket {
         self.next_ticket += 1;
         Ticket(self.next_ticket)
