--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The control daemon: a replica of the state, its links, and its HTTP interface.
 
 mod api;
+mod applied;
 mod back_ends;
 mod configuration;
 mod connections;
@@ -8,6 +9,7 @@
 mod peers;
 mod quarantine;
 mod store;
+mod traffic_line;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -17,12 +19,12 @@
 
 use drumshore_consensus::{FileDirectory, ReplicaError, Role};
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Command, ConnectionId, ControlCore, Effect, Reply, Ticket};
+use drumshore_gateway_core::{ConnectionId, ControlCore, Effect, Reply, Ticket};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use rand::Rng;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::{interval, Instant, MissedTickBehavior};
+use tokio::time::{interval, MissedTickBehavior};
 
 use crate::answer::AnswerBody;
 use crate::clock::Clock;
@@ -46,8 +48,6 @@
 const MAX_METRICS_CONNECTIONS: usize = 32;
 /// Between two tries to open a folder whose disk failed.
 const REOPEN_AFTER: Duration = Duration::from_millis(500);
-/// Between two lines that tell what is sent to other processes.
-const TRAFFIC_INTERVAL: Duration = Duration::from_secs(1);
 /// Between handing leadership over and the end of the process.
 const HAND_OVER: Duration = Duration::from_millis(400);
 
@@ -113,7 +113,7 @@
     listen(&control)?;
     tokio::task::spawn_local(flush_when_asked(Rc::clone(&control)));
     tokio::task::spawn_local(tick(Rc::clone(&control)));
-    tokio::task::spawn_local(tell_traffic(Rc::clone(&control)));
+    tokio::task::spawn_local(traffic_line::tell(Rc::clone(&control)));
     tokio::task::spawn_local(store::follow_all(Rc::clone(&control)));
     tracing::info!(event = "started", role = "control", node = %control.settings.node,
         listen = %control.settings.listen, bootstrap = control.settings.bootstrap,
@@ -189,27 +189,6 @@
     }
 }
 
-/// One line a second of what is sent to other processes, and how late this one is: a control machine that has
-/// too much to do shows it here before anything else.
-async fn tell_traffic(control: Rc<Control>) {
-    let mut told = Instant::now();
-    loop {
-        tokio::time::sleep(TRAFFIC_INTERVAL).await;
-        let late = told.elapsed().saturating_sub(TRAFFIC_INTERVAL);
-        told = Instant::now();
-        let recent = control.traffic.take_recent();
-        let core = control.core.borrow();
-        let Some(core) = core.as_ref() else {
-            continue;
-        };
-        tracing::info!(event = "traffic", late_ms = late.as_millis() as u64, sent = %recent,
-            most_queued_bytes = recent.most_queued_bytes, dropped = recent.dropped,
-            routers = control.routers.borrow().len(), log_entries = core.log_length(),
-            revision = core.state().revision(), back_ends = core.state().instances().count(),
-            "control: bytes sent to other processes");
-    }
-}
-
 async fn flush_when_asked(control: Rc<Control>) {
     loop {
         control.flush.notified().await;
@@ -269,7 +248,7 @@
                     let _ = waiting.send(reply);
                 }
             }
-            Effect::Applied { position, command } => log_applied(position, &command),
+            Effect::Applied { position, command } => applied::log(position, &command),
             Effect::WorkSuspected { work, ends } => {
                 tracing::info!(
                     event = "work_suspected",
@@ -328,109 +307,3 @@
         rand::rng().random()
     }
 }
-
-/// One line for each change of what this machine believes.
-fn log_applied(position: u64, command: &Command) {
-    match command {
-        Command::Configure { version, .. } => {
-            tracing::info!(
-                event = "configuration_applied",
-                position,
-                version,
-                "control: a configuration is in force"
-            );
-        }
-        Command::Register {
-            instance,
-            pool,
-            address,
-            draining,
-            ..
-        } => {
-            let (instance, pool) = (instance.as_str(), pool.as_str());
-            let address = address.as_str();
-            tracing::info!(
-                event = "instance_registered",
-                position,
-                instance,
-                pool,
-                address,
-                draining,
-                "control: a back end registered"
-            );
-        }
-        Command::Drain { instance } => {
-            tracing::info!(
-                event = "instance_draining",
-                position,
-                instance = instance.as_str(),
-                "control: a back end leaves"
-            );
-        }
-        Command::Deregister { instance } => {
-            tracing::info!(
-                event = "instance_removed",
-                position,
-                instance = instance.as_str(),
-                "control: a back end has gone"
-            );
-        }
-        Command::Expire { instance } => {
-            tracing::info!(
-                event = "instance_silent",
-                position,
-                instance = instance.as_str(),
-                "control: a back end is silent"
-            );
-        }
-        Command::NameWeights { model, version } => {
-            tracing::info!(
-                event = "weights_applied",
-                position,
-                model = model.as_str(),
-                version,
-                "control: new weights are named"
-            );
-        }
-        Command::SetWorkKey { .. } => {
-            tracing::info!(
-                event = "work_key_set",
-                position,
-                "control: the key that identifies work is in force"
-            );
-        }
-        Command::Quarantine { work } => {
-            tracing::info!(
-                event = "work_quarantined",
-                position,
-                work = format_args!("{work:#}"),
-                "control: work is quarantined"
-            );
-        }
-        Command::Release { work } => {
-            tracing::info!(
-                event = "work_released",
-                position,
-                work = format_args!("{work:#}"),
-                "control: work may be tried again"
-            );
-        }
-        Command::Load {
-            instance,
-            model,
-            version,
-            phase,
-        } => {
-            let (instance, model) = (instance.as_str(), model.as_str());
-            tracing::info!(
-                event = "load",
-                position,
-                instance,
-                model,
-                version,
-                ?phase,
-                "control: a load of weights moved on"
-            );
-        }
-    }
-}
