Encode once what several routers are sent

Change: questions are answered at the next flush; routers that have come equally far share one answer, its bytes and its place in memory. The more there is to do, the more ask between two flushes.

Test: routers_that_ask_for_the_same_changes_share_one_answer (200 before, 1 now).

--- a/crates/gateway-core/src/control/holders.rs
+++ b/crates/gateway-core/src/control/holders.rs
@@ -39,7 +39,16 @@
         if told.is_empty() {
             return;
         }
-        for connection in self.routers.connections() {
+        // Most routers learned none of it themselves and are sent the same.
+        let (sources, strangers): (Vec<_>, Vec<_>) = self
+            .routers
+            .connections()
+            .into_iter()
+            .partition(|connection| told.iter().any(|(from, _)| from == connection));
+        let all = told.iter().map(|(_, entry)| *entry).collect();
+        let message = Message::Holders(List::new(all));
+        self.effects.push(Effect::ToRouters(strangers, message));
+        for connection in sources {
             let others = told.iter().filter(|(from, _)| *from != connection);
             let entries: Vec<HolderEntry> = others.map(|(_, entry)| *entry).collect();
             if !entries.is_empty() {
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -32,7 +32,9 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
 
-use crate::{Command, InstanceId, LoadPhase, Message, Proposal, ReplicatedState, WorkId, WorkKey};
+use crate::{
+    Command, InstanceId, LoadPhase, Message, Position, Proposal, ReplicatedState, WorkId, WorkKey,
+};
 
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
@@ -80,6 +82,8 @@
     ToControl(Ipv4Addr, Message),
     /// A message to a router.
     ToRouter(ConnectionId, Message),
+    /// The same message to several routers; it is to be encoded once.
+    ToRouters(Vec<ConnectionId>, Message),
     /// An answer.
     Reply(Ticket, Reply),
     /// The state changed, for logs. A configuration comes without its body.
@@ -125,6 +129,8 @@
     reads: Reads,
     routers: Routers,
     announcements: Announcements,
+    /// Routers that asked for changes and are answered at the next flush.
+    fetches: BTreeMap<Position, Vec<ConnectionId>>,
     rollouts: Rollouts,
     order_leases: OrderLeases,
     stores: Stores,
@@ -181,6 +187,7 @@
             reads: Reads::default(),
             routers: Routers::default(),
             announcements: Announcements::default(),
+            fetches: BTreeMap::new(),
             rollouts: Rollouts::default(),
             order_leases: OrderLeases::default(),
             stores: Stores::default(),
@@ -322,6 +329,7 @@
     pub fn flush(&mut self, sink: &mut dyn FnMut(Effect)) -> Result<(), ReplicaError> {
         self.start_reads();
         self.send_proposals();
+        self.answer_fetches();
         let mut send = |envelope: Envelope| {
             let to = address_of(envelope.to);
             sink(Effect::ToControl(
--- a/crates/gateway-core/src/control/refusing.rs
+++ b/crates/gateway-core/src/control/refusing.rs
@@ -42,10 +42,9 @@
         if new.is_empty() {
             return;
         }
-        let others = self.routers.connections().into_iter();
-        for connection in others.filter(|connection| *connection != from) {
-            let message = Message::Refusing(List::new(new.clone()));
-            self.effects.push(Effect::ToRouter(connection, message));
-        }
+        let mut others = self.routers.connections();
+        others.retain(|connection| *connection != from);
+        let message = Message::Refusing(List::new(new));
+        self.effects.push(Effect::ToRouters(others, message));
     }
 }
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -124,7 +124,8 @@
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
             Message::Follow { follows } => self.on_follow(connection, follows != 0),
             Message::Fetch { since, begun } => {
-                self.on_fetch(connection, Position { held: since, begun });
+                let position = Position { held: since, begun };
+                self.fetches.entry(position).or_default().push(connection);
             }
             _ => {}
         }
@@ -135,16 +136,21 @@
             linked.follows = follows;
         }
         if follows {
-            self.announce_to(connection);
+            self.announce_to(vec![connection]);
         }
     }
 
-    fn on_fetch(&mut self, connection: ConnectionId, position: Position) {
-        let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
-        let part = self.state.next_part(position, MOST_PART_BYTES, age_ms);
-        if let Some(changes) = part {
-            let message = Message::Changes(changes);
-            self.effects.push(Effect::ToRouter(connection, message));
+    /// Answers all routers that have asked since the last flush. Those that have come equally far, as nearly all
+    /// have that were told of a change together, share one answer: the more there is to do, the more ask between
+    /// two flushes, and the less each costs.
+    pub(super) fn answer_fetches(&mut self) {
+        for (position, connections) in std::mem::take(&mut self.fetches) {
+            let age_ms = |named: &NamedWeights| self.weights_age_ms(named.revision);
+            let part = self.state.next_part(position, MOST_PART_BYTES, age_ms);
+            if let Some(changes) = part {
+                let message = Message::Changes(changes);
+                self.effects.push(Effect::ToRouters(connections, message));
+            }
         }
     }
 
@@ -195,14 +201,13 @@
 
     fn announce_now(&mut self) {
         self.announcements.last = self.now;
-        for connection in self.routers.followers() {
-            self.announce_to(connection);
-        }
+        let followers = self.routers.followers();
+        self.announce_to(followers);
     }
 
-    fn announce_to(&mut self, connection: ConnectionId) {
+    fn announce_to(&mut self, connections: Vec<ConnectionId>) {
         let revision = self.state.revision();
         let message = Message::Announce(Announcement { revision });
-        self.effects.push(Effect::ToRouter(connection, message));
+        self.effects.push(Effect::ToRouters(connections, message));
     }
 }
--- a/crates/gateway-core/src/control/stored.rs
+++ b/crates/gateway-core/src/control/stored.rs
@@ -129,10 +129,8 @@
             .filter_map(|(id, stored)| stored.take_changes(*id))
             .collect();
         for message in messages {
-            for connection in self.routers.connections() {
-                let effect = Effect::ToRouter(connection, message.clone());
-                self.effects.push(effect);
-            }
+            let all = self.routers.connections();
+            self.effects.push(Effect::ToRouters(all, message));
         }
     }
 
--- a/crates/gateway-core/src/control/suspects.rs
+++ b/crates/gateway-core/src/control/suspects.rs
@@ -99,10 +99,9 @@
         if keys.is_empty() {
             return;
         }
-        let connections = self.routers.connections().into_iter();
-        for connection in connections.filter(|connection| Some(*connection) != except) {
-            let message = Message::Suspects(List::new(keys.to_vec()));
-            self.effects.push(Effect::ToRouter(connection, message));
-        }
+        let mut others = self.routers.connections();
+        others.retain(|connection| Some(*connection) != except);
+        let message = Message::Suspects(List::new(keys.to_vec()));
+        self.effects.push(Effect::ToRouters(others, message));
     }
 }
--- a/crates/gateway-core/src/state/changes.rs
+++ b/crates/gateway-core/src/state/changes.rs
@@ -13,7 +13,7 @@
 const RECORD_BYTES: usize = 64;
 
 /// How far a router has come with the state.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Position {
     /// The revision that it has; 0 when it has nothing.
     pub held: u64,
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -45,6 +45,8 @@
     pub orders: Vec<Given>,
     pub asked: Vec<(Ipv4Addr, InstanceId)>,
     pub sent_to_control: Vec<Message>,
+    /// Messages that several routers share, each counted once.
+    pub shared: Vec<Message>,
     in_flight: Vec<(Ipv4Addr, Ipv4Addr, Message)>,
     late: Vec<(Timestamp, Ipv4Addr, Ipv4Addr, Message)>,
     params: ControlParams,
@@ -76,6 +78,7 @@
             orders: Vec::new(),
             asked: Vec::new(),
             sent_to_control: Vec::new(),
+            shared: Vec::new(),
             in_flight: Vec::new(),
             params,
             next_ticket: 0,
@@ -230,6 +233,12 @@
             Effect::ToRouter(connection, message) => {
                 self.to_routers.push((at, connection, message));
             }
+            Effect::ToRouters(connections, message) => {
+                self.shared.push(message.clone());
+                let sent = connections.into_iter();
+                let sent = sent.map(|connection| (at, connection, message.clone()));
+                self.to_routers.extend(sent);
+            }
             Effect::Reply(ticket, reply) => {
                 self.replies.insert(ticket, reply);
             }
--- a/crates/gateway-core/tests/control/fleet.rs
+++ b/crates/gateway-core/tests/control/fleet.rs
@@ -138,6 +138,30 @@
     assert!(written < 3 * state, "{written} for a state of {state}");
 }
 
+/// 200 routers of a zone are told of a change at once and ask for it at once.
+#[test]
+fn routers_that_ask_for_the_same_changes_share_one_answer() {
+    let (mut cluster, leader, _) = with_follower();
+    for router in 1..=200 {
+        cluster.link_router(leader, ConnectionId(router), &format!("10.1.0.{router}:80"));
+    }
+    speak_together(&mut cluster, leader, 0..50);
+    cluster.run(SECOND);
+    cluster.shared.clear();
+    cluster.to_routers.clear();
+    let now = cluster.now;
+    for router in 1..=200 {
+        let fetch = Message::Fetch { since: 0, begun: 0 };
+        let core = cluster.core(leader);
+        core.on_router(now, ConnectionId(router), fetch);
+    }
+    cluster.settle();
+    let is_answer = |message: &&Message| matches!(message, Message::Changes(_));
+    assert_eq!(cluster.shared.iter().filter(is_answer).count(), 1);
+    let answered = cluster.to_routers.iter().map(|sent| &sent.2);
+    assert_eq!(answered.filter(is_answer).count(), 200);
+}
+
 /// Links routers that each put load on back ends of their own, lets them report it for a while, and returns
 /// what they were told of the others' loads, in bytes a second.
 fn loads_told_to(routers: u64, back_ends_each: u32) -> f64 {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -29,7 +29,7 @@
 use crate::answer::AnswerBody;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
-use crate::link::Sender;
+use crate::link::{Frame, Sender};
 use crate::metrics::Metrics;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
 use crate::settings::ControlSettings;
@@ -243,6 +243,16 @@
                     sender.send(&message);
                 }
             }
+            Effect::ToRouters(connections, message) => {
+                let Some(frame) = Frame::of(&message) else {
+                    return;
+                };
+                let routers = self.routers.borrow();
+                let senders = connections.iter().filter_map(|link| routers.get(link));
+                for sender in senders {
+                    sender.send_frame(&frame);
+                }
+            }
             Effect::Reply(ticket, reply) => {
                 if let Some(waiting) = self.waiting.borrow_mut().remove(&ticket) {
                     let _ = waiting.send(reply);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc;
 
 use crate::sockets;
-use crate::traffic::LinkTraffic;
+use crate::traffic::{kind_of, LinkTraffic};
 
 /// Frames that wait for a slow peer; beyond it messages are lost, and asked for again.
 const QUEUED_FRAMES: usize = 256;
@@ -69,20 +69,40 @@
     traffic: Rc<LinkTraffic>,
 }
 
-impl Sender {
-    /// Queues a message. False when the link has ended or its peer does not keep up.
-    pub fn send(&self, message: &Message) -> bool {
-        let frame = match encode_payload(&message.encode()) {
-            Ok(frame) => Bytes::from(frame),
+/// A message as it is written, for any number of links: they share one copy of its bytes.
+#[derive(Clone, Debug)]
+pub(crate) struct Frame {
+    kind: &'static str,
+    bytes: Bytes,
+}
+
+impl Frame {
+    /// `None`, with a line, when the message is too long.
+    pub fn of(message: &Message) -> Option<Self> {
+        match encode_payload(&message.encode()) {
+            Ok(frame) => Some(Self {
+                kind: kind_of(message),
+                bytes: Bytes::from(frame),
+            }),
             Err(error) => {
                 tracing::error!(event = "message_dropped", %error, "link: a message was too long");
-                return false;
+                None
             }
-        };
-        let bytes = frame.len();
-        let is_queued = self.queue.try_send(frame).is_ok();
+        }
+    }
+}
+
+impl Sender {
+    /// Queues a message. False when the link has ended or its peer does not keep up.
+    pub fn send(&self, message: &Message) -> bool {
+        Frame::of(message).is_some_and(|frame| self.send_frame(&frame))
+    }
+
+    /// The same for a message that goes to several peers.
+    pub fn send_frame(&self, frame: &Frame) -> bool {
+        let is_queued = self.queue.try_send(frame.bytes.clone()).is_ok();
         if is_queued {
-            self.traffic.on_queued(message, bytes);
+            self.traffic.on_queued(frame.kind, frame.bytes.len());
         } else {
             self.traffic.on_dropped();
         }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -36,9 +36,8 @@
         }
     }
 
-    /// A message was queued for a link.
-    pub fn on_queued(&self, message: &Message, bytes: usize) {
-        let kind = kind_of(message);
+    /// A message of a kind was queued for a link.
+    pub fn on_queued(&self, kind: &'static str, bytes: usize) {
         self.counters.add(kind, bytes as u64);
         self.queued_bytes.set(self.queued_bytes.get() + bytes);
         let mut recent = self.recent.borrow_mut();
@@ -74,7 +73,7 @@
 }
 
 /// A name for metrics and lines.
-fn kind_of(message: &Message) -> &'static str {
+pub(crate) fn kind_of(message: &Message) -> &'static str {
     match message {
         Message::Router(_) => "router",
         Message::Consensus(_) => "consensus",
--- a/crates/gateway/src/traffic_tests.rs
+++ b/crates/gateway/src/traffic_tests.rs
@@ -5,9 +5,9 @@
 #[test]
 fn bytes_are_told_by_kind_and_only_once() {
     let traffic = LinkTraffic::default();
-    traffic.on_queued(&Message::KeepAlive, 20);
-    traffic.on_queued(&Message::Ping { sequence: 1 }, 30);
-    traffic.on_queued(&Message::KeepAlive, 20);
+    traffic.on_queued(kind_of(&Message::KeepAlive), 20);
+    traffic.on_queued(kind_of(&Message::Ping { sequence: 1 }), 30);
+    traffic.on_queued(kind_of(&Message::KeepAlive), 20);
     traffic.on_dequeued(20);
     traffic.on_dropped();
     let recent = traffic.take_recent();
@@ -19,11 +19,11 @@
 #[test]
 fn what_waits_counts_until_it_is_written() {
     let traffic = LinkTraffic::default();
-    traffic.on_queued(&Message::KeepAlive, 1_000);
+    traffic.on_queued(kind_of(&Message::KeepAlive), 1_000);
     traffic.take_recent();
-    traffic.on_queued(&Message::KeepAlive, 10);
+    traffic.on_queued(kind_of(&Message::KeepAlive), 10);
     assert_eq!(traffic.take_recent().most_queued_bytes, 1_010);
     traffic.on_dequeued(1_010);
-    traffic.on_queued(&Message::KeepAlive, 10);
+    traffic.on_queued(kind_of(&Message::KeepAlive), 10);
     assert_eq!(traffic.take_recent().most_queued_bytes, 10);
 }
