--- a/crates/gateway-core/tests/hollow_fleet.rs
+++ b/crates/gateway-core/tests/hollow_fleet.rs
@@ -155,7 +155,7 @@
                     pending: 9,
                     in_flight: 1,
                 };
-                if self.ticks % 4 == 0 {
+                if self.ticks.is_multiple_of(4) {
                     core.on_router(now, connection, Message::Loads(List::new(vec![load])));
                 }
             }
