Pass on what the leader knows by way of the control machines that routers follow

Cause: the leader told each router of loads, caches, silent and refusing back ends itself. That crossed zones once for each router, and grew with routers times back ends.

Change: it tells each other control machine once; each passes it on, encoded once, to the routers that have chosen it: the first of the own zone that has answered a question on this link, so one that is cut off from the leader is not chosen. The list of loads is the same for all; a router takes its own part out. Only what heals by itself goes this way; what is not of these kinds, or cannot be read, is dropped, logged and counted.

Not yet measured.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod load_timing;
 mod loads;
 mod members;
+mod news;
 mod order;
 mod order_lease;
 mod params;
@@ -45,6 +46,7 @@
 use accounts::TenantAccounts;
 use heard::Heard;
 use holders::HolderNews;
+use loads::LoadNews;
 use members::Joiners;
 use order_lease::OrderLeases;
 use proposals::PendingProposals;
@@ -100,6 +102,8 @@
         /// Moments at which back ends ended under it.
         ends: u32,
     },
+    /// Another machine sent something for routers that is not passed on, for logs.
+    NewsRefused,
     /// An order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
     Order(Order),
     /// A question to a back end; its answer goes to [`ControlCore::on_report`].
@@ -135,6 +139,7 @@
     order_leases: OrderLeases,
     stores: Stores,
     holder_news: HolderNews,
+    load_news: LoadNews,
     suspects: Suspects,
     refusing: Refusing,
     suspected_work: SuspectedWork,
@@ -192,6 +197,7 @@
             order_leases: OrderLeases::default(),
             stores: Stores::default(),
             holder_news: HolderNews::default(),
+            load_news: LoadNews::default(),
             suspects: Suspects::default(),
             refusing: Refusing::default(),
             suspected_work: SuspectedWork::default(),
@@ -295,6 +301,7 @@
             Message::Propose(proposals) => self.on_proposals(proposals.items),
             Message::Join(replica) => self.on_join(replica),
             Message::Heard(keys) => self.on_heard(&keys.items),
+            Message::News(news) => self.on_news(&news),
             _ => {}
         }
     }
@@ -448,6 +455,7 @@
                 self.note_orders_under_way();
                 self.forget_stores();
                 self.holder_news = HolderNews::default();
+                self.load_news = LoadNews::default();
                 self.suspects = Suspects::default();
                 self.tenant_accounts.forget();
             }
--- a/crates/gateway-core/src/control/refusing.rs
+++ b/crates/gateway-core/src/control/refusing.rs
@@ -12,7 +12,7 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::List;
 
-use super::{ConnectionId, ControlCore, Effect};
+use super::{ConnectionId, ControlCore};
 use crate::Message;
 
 /// Between two notifications of one back end. Routers avoid it for longer, see their
@@ -42,9 +42,7 @@
         if new.is_empty() {
             return;
         }
-        let mut others = self.routers.connections();
-        others.retain(|connection| *connection != from);
         let message = Message::Refusing(List::new(new));
-        self.effects.push(Effect::ToRouters(others, message));
+        self.tell_all(message, Some(from));
     }
 }
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -9,10 +9,10 @@
 use drumshore_wire::Text;
 
 use super::directory;
-use super::loads::{LoadBudget, LoadExchange, Totals};
+use super::loads::{LoadReport, Totals};
 use super::reads::Waiting;
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{Announcement, Message, NamedWeights, Position, RouterStatus};
+use crate::{Announcement, Following, Message, NamedWeights, Position, RouterStatus};
 
 /// A router that asked nothing for so long is not handed to callers.
 const SILENCE: Duration = Duration::from_millis(4_000);
@@ -23,12 +23,12 @@
 #[derive(Debug)]
 struct Linked {
     status: RouterStatus,
-    /// Changes are announced to it here.
-    follows: bool,
+    /// What it is told here.
+    following: Following,
     heard: Timestamp,
     /// It has asked nothing for a while; it is known again when it asks.
     is_silent: bool,
-    loads: LoadExchange,
+    loads: LoadReport,
 }
 
 /// Linked routers.
@@ -59,8 +59,19 @@
     }
 
     fn followers(&self) -> Vec<ConnectionId> {
-        let following = self.heard().filter(|(_, linked)| linked.follows);
-        following.map(|(connection, _)| connection).collect()
+        self.following(Following::has_changes)
+    }
+
+    /// Routers that hear of loads, caches, silent and refusing back ends here.
+    pub fn receivers_of_news(&self) -> Vec<ConnectionId> {
+        self.following(Following::has_news)
+    }
+
+    fn following(&self, is_wanted: impl Fn(Following) -> bool) -> Vec<ConnectionId> {
+        let wanted = self
+            .heard()
+            .filter(|(_, linked)| is_wanted(linked.following));
+        wanted.map(|(connection, _)| connection).collect()
     }
 
     /// Prompt tokens that all routers together have waiting, by [`crate::LoadEntry::key_of`] a
@@ -72,7 +83,7 @@
     fn total_loads(&self) -> Totals {
         let mut totals = Totals::default();
         for linked in self.0.values() {
-            totals.add(linked.loads.reported());
+            totals.add(linked.loads.loads());
         }
         totals
     }
@@ -93,10 +104,10 @@
                 let known = self.routers.0.get(&connection);
                 let linked = Linked {
                     status,
-                    follows: known.is_some_and(|linked| linked.follows),
+                    following: known.map(|linked| linked.following).unwrap_or_default(),
                     heard: now,
                     is_silent: false,
-                    loads: LoadExchange::new(now),
+                    loads: LoadReport::new(now),
                 };
                 self.routers.0.insert(connection, linked);
                 let zone = Text::new(self.params.zone.as_str());
@@ -114,15 +125,15 @@
             }
             Message::Loads(loads) => {
                 if let Some(linked) = self.routers.0.get_mut(&connection) {
-                    linked.loads.on_report(now, loads.items);
+                    linked.loads = LoadReport::of(now, loads.items);
                 }
             }
             Message::Suspects(keys) => self.on_suspects(connection, &keys.items),
             Message::Refusing(keys) => self.on_refusing(connection, &keys.items),
-            Message::Holders(entries) => self.on_holders(connection, &entries.items),
+            Message::Holders(entries) => self.on_holders(&entries.items),
             Message::WorkReports(reports) => self.on_work_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
-            Message::Follow { follows } => self.on_follow(connection, follows != 0),
+            Message::Follow(following) => self.on_follow(connection, following),
             Message::Fetch { since, begun } => {
                 let position = Position { held: since, begun };
                 self.fetches.entry(position).or_default().push(connection);
@@ -131,11 +142,11 @@
         }
     }
 
-    fn on_follow(&mut self, connection: ConnectionId, follows: bool) {
+    fn on_follow(&mut self, connection: ConnectionId, following: Following) {
         if let Some(linked) = self.routers.0.get_mut(&connection) {
-            linked.follows = follows;
+            linked.following = following;
         }
-        if follows {
+        if following.has_changes() {
             self.announce_to(vec![connection]);
         }
     }
@@ -166,19 +177,15 @@
         directory::for_caller(heard.map(|(_, linked)| &linked.status), zone, caller)
     }
 
-    /// Sends each router how busy the others keep the back ends, where that has changed.
+    /// Tells routers how busy all of them together keep the back ends, where that has changed.
     pub(super) fn share_loads(&mut self) {
         let now = self.now;
         for linked in self.routers.0.values_mut() {
             linked.loads.expire(now);
         }
         let totals = self.routers.total_loads();
-        let budget = LoadBudget::among(usize::from(self.routers.count()));
-        let heard = self.routers.0.iter_mut();
-        for (connection, linked) in heard.filter(|(_, linked)| !linked.is_silent) {
-            if let Some(message) = linked.loads.next_message(now, &totals, budget) {
-                self.effects.push(Effect::ToRouter(*connection, message));
-            }
+        if let Some(message) = self.load_news.next_message(now, &totals) {
+            self.tell_all(message, None);
         }
     }
 
--- a/crates/gateway-core/src/control/suspects.rs
+++ b/crates/gateway-core/src/control/suspects.rs
@@ -13,7 +13,7 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::List;
 
-use super::{ConnectionId, ControlCore, Effect};
+use super::{ConnectionId, ControlCore};
 use crate::Message;
 
 /// Between two notifications of one suspect. Routers avoid it for twice as long, see their
@@ -99,9 +99,7 @@
         if keys.is_empty() {
             return;
         }
-        let mut others = self.routers.connections();
-        others.retain(|connection| Some(*connection) != except);
         let message = Message::Suspects(List::new(keys.to_vec()));
-        self.effects.push(Effect::ToRouters(others, message));
+        self.tell_all(message, except);
     }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -34,9 +34,9 @@
 };
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
 pub use message::{
-    AccountLevel, Announcement, BackEndKey, Changes, HolderEntry, LoadEntry, Message, Quarantine,
-    RouterStatus, StoreId, StoredKey, TenantKey, UsageEntry, WeightsNotice, WorkEvent, WorkReport,
-    WorkSuspicion,
+    AccountLevel, Announcement, BackEndKey, Changes, Following, HolderEntry, LoadEntry, Message,
+    Quarantine, RouterStatus, StoreId, StoredKey, TenantKey, UsageEntry, WeightsNotice, WorkEvent,
+    WorkReport, WorkSuspicion,
 };
 pub use router::{
     Admission, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, Outcome, OverLimit,
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -1,6 +1,8 @@
 //! What the gateway's processes say to one another. Each message travels in a checksummed frame
 //! of `drumshore-wire`.
 
+use std::collections::HashMap;
+
 use binrw::binrw;
 use drumshore_consensus::ReplicaId;
 use drumshore_wire::{Blob, List, Text};
@@ -43,6 +45,34 @@
     pub age_ms: u32,
 }
 
+/// What a control machine tells a router without being asked.
+#[binrw]
+#[brw(little, repr = u8)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Following {
+    /// Nothing.
+    #[default]
+    Nothing = 0,
+    /// That the state has changed.
+    Changes = 1,
+    /// What the leader knows of loads, caches, silent and refusing back ends.
+    News = 2,
+    /// Both.
+    ChangesAndNews = 3,
+}
+
+impl Following {
+    /// Whether changes of the state are announced.
+    pub fn has_changes(self) -> bool {
+        matches!(self, Self::Changes | Self::ChangesAndNews)
+    }
+
+    /// Whether news of the leader are passed on.
+    pub fn has_news(self) -> bool {
+        matches!(self, Self::News | Self::ChangesAndNews)
+    }
+}
+
 /// What changed between two revisions.
 #[binrw]
 #[brw(little)]
@@ -172,6 +202,21 @@
     pub fn key_of(instance: &str) -> u32 {
         BackEndKey::of(instance).short()
     }
+
+    /// What remains of sums over all routers without one router's part, as it reported it last. A back end that
+    /// only this router uses stays in the list, as free.
+    pub fn without(totals: &[Self], own: &[Self]) -> Vec<Self> {
+        let own: HashMap<u32, &Self> = own.iter().map(|entry| (entry.key, entry)).collect();
+        let rest = totals.iter().map(|total| match own.get(&total.key) {
+            None => *total,
+            Some(own) => Self {
+                key: total.key,
+                pending: total.pending.saturating_sub(own.pending),
+                in_flight: total.in_flight.saturating_sub(own.in_flight),
+            },
+        });
+        rest.collect()
+    }
 }
 
 /// Stands for a part of a prompt that a store holds under a salt.
@@ -369,9 +414,9 @@
     /// From the leader: the same of other routers.
     #[brw(magic(15u8))]
     Refusing(List<u32>),
-    /// From the leader: the load that all other routers put on back ends.
+    /// The load that all routers put on back ends, the receiver's among it; see [`LoadEntry::without`].
     #[brw(magic(16u8))]
-    LoadsOfOthers {
+    LoadsOfAll {
         /// 1 when back ends that are not named are free of it; 0 when they are as told before.
         whole: u8,
         /// Sums over routers.
@@ -399,12 +444,12 @@
     /// From a control machine on a router's link: the zone that it is in.
     #[brw(magic(23u8))]
     ControlZone(Text),
-    /// From a router: whether changes are to be announced to it on this link.
+    /// From a router: what it is to be told on this link.
     #[brw(magic(24u8))]
-    Follow {
-        /// 1 when they are.
-        follows: u8,
-    },
+    Follow(Following),
+    /// From the leader to another control machine: an encoded message for the routers that follow it.
+    #[brw(magic(25u8))]
+    News(Blob),
 }
 
 impl Message {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -267,6 +267,13 @@
                     "control: another back end ended under work"
                 );
             }
+            Effect::NewsRefused => {
+                self.metrics.count_decision("news_refused");
+                tracing::warn!(
+                    event = "news_refused",
+                    "control: another machine sent what is not passed on to routers"
+                );
+            }
             Effect::Order(order) => back_ends::give_order(self, order),
             Effect::Ask { instance, address } => back_ends::ask(self, instance, address),
         }
--- a/crates/gateway/src/router/sources.rs
+++ b/crates/gateway/src/router/sources.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
+use drumshore_gateway_core::Following;
 use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -30,6 +31,8 @@
 struct Machine {
     /// As it said; `None` before.
     zone: Option<String>,
+    /// It has answered a question on this link, so it hears a leader.
+    answers: bool,
 }
 
 impl Sources {
@@ -56,21 +59,54 @@
         self.changed.notify_waiters();
     }
 
+    /// A machine has answered whether this router's view is current.
+    pub fn on_answer(&self, address: Ipv4Addr) {
+        let mut linked = self.linked.borrow_mut();
+        let machine = linked.entry(address).or_default();
+        if !std::mem::replace(&mut machine.answers, true) {
+            self.changed.notify_waiters();
+        }
+    }
+
     /// A link has ended.
     pub fn on_link_ended(&self, address: Ipv4Addr) {
         self.linked.borrow_mut().remove(&address);
         self.changed.notify_waiters();
     }
 
-    /// Whether changes are asked of this machine.
-    pub fn is_followed(&self, address: Ipv4Addr) -> bool {
-        self.followed().contains(&address)
+    /// What this machine is to tell.
+    pub fn following(&self, address: Ipv4Addr) -> Following {
+        let has_news = self.source_of_news() == Some(address);
+        match (self.followed().contains(&address), has_news) {
+            (true, true) => Following::ChangesAndNews,
+            (true, false) => Following::Changes,
+            (false, true) => Following::News,
+            (false, false) => Following::Nothing,
+        }
     }
 
-    /// Machines of the own zone, or others while it has none, the first by rendezvous hashing.
+    /// The first of the own zone that hears a leader, or of the others while none there does. News would come
+    /// twice from two machines, and not at all from one that is cut off from the leader.
+    fn source_of_news(&self) -> Option<Ipv4Addr> {
+        let linked = self.linked.borrow();
+        let answering = linked.iter().filter(|(_, machine)| machine.answers);
+        self.ranked(answering).into_iter().next()
+    }
+
+    /// Machines that are asked for changes: of the own zone, or others while it has none.
     fn followed(&self) -> Vec<Ipv4Addr> {
         let linked = self.linked.borrow();
-        let told = linked.iter().filter_map(|(address, machine)| {
+        let mut addresses = self.ranked(linked.iter());
+        addresses.truncate(MOST_FOLLOWED);
+        addresses
+    }
+
+    /// Machines of the own zone, or all others if none of them is, by rendezvous hashing.
+    fn ranked<'a>(
+        &self,
+        linked: impl Iterator<Item = (&'a Ipv4Addr, &'a Machine)>,
+    ) -> Vec<Ipv4Addr> {
+        let told = linked.filter_map(|(address, machine)| {
             let zone = machine.zone.as_deref()?;
             Some((*address, zone == self.zone))
         });
@@ -78,7 +114,6 @@
         let candidates = if own.is_empty() { others } else { own };
         let mut addresses: Vec<Ipv4Addr> = candidates.into_iter().map(|item| item.0).collect();
         addresses.sort_by_key(|address| xxh3_64_with_seed(&address.octets(), self.seed));
-        addresses.truncate(MOST_FOLLOWED);
         addresses
     }
 }
--- a/crates/gateway/src/router/sources_tests.rs
+++ b/crates/gateway/src/router/sources_tests.rs
@@ -64,3 +64,31 @@
     assert_eq!(followers.len(), 5);
     assert!(*busiest < 120, "400 in all: {followers:?}");
 }
+
+#[test]
+fn news_come_from_one_machine_of_the_zone_that_hears_a_leader() {
+    let sources = linked_to_all();
+    let news = |address| sources.following(address).has_news();
+    let own = [machine(0, 1), machine(0, 2)];
+    assert!(!own.into_iter().any(news), "none has answered yet");
+    sources.on_answer(machine(3, 1));
+    assert!(news(machine(3, 1)), "better than none");
+    sources.on_answer(machine(0, 1));
+    sources.on_answer(machine(0, 2));
+    assert_eq!(own.into_iter().filter(|address| news(*address)).count(), 1);
+    assert!(!news(machine(3, 1)));
+}
+
+#[test]
+fn a_machine_that_is_linked_anew_brings_news_once_it_answers() {
+    let sources = linked_to_all();
+    let news = |address| sources.following(address).has_news();
+    sources.on_answer(machine(0, 1));
+    sources.on_answer(machine(3, 1));
+    // It is cut off from the leader: its link was given up for want of answers, and is there again.
+    sources.on_link_ended(machine(0, 1));
+    sources.on_linked(machine(0, 1));
+    sources.on_zone(machine(0, 1), "zone-0");
+    assert!(news(machine(3, 1)));
+    assert!(!news(machine(0, 1)));
+}
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Changes, Message, Position, RouterStatus, WorkSuspicion};
+use drumshore_gateway_core::{
+    Changes, Following, LoadEntry, Message, Position, RouterStatus, WorkSuspicion,
+};
 use drumshore_wire::{List, Text};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
@@ -43,7 +45,9 @@
     traffic: Rc<LinkTraffic>,
     /// The leader, as one of them said last.
     leader: Cell<u32>,
-    /// When the leader last told what other routers put on back ends.
+    /// What the leader was told last of this router's load.
+    loads_told: RefCell<Vec<LoadEntry>>,
+    /// When it was last told what all routers put on back ends.
     loads_heard: Cell<Timestamp>,
 }
 
@@ -58,6 +62,7 @@
             sources: Sources::new(&router.settings.params.zone, seed),
             traffic: Rc::new(LinkTraffic::counted_by(router.metrics.link_bytes.clone())),
             leader: Cell::default(),
+            loads_told: RefCell::default(),
             loads_heard: Cell::default(),
         }
     }
@@ -156,21 +161,18 @@
     }
 }
 
-/// Tells a control machine whether to announce changes on this link, whenever that changes.
+/// Tells a control machine what this router is to be told on this link, whenever that changes.
 async fn follow(links: &Links, sender: &Sender, address: Ipv4Addr) -> &'static str {
-    let mut told = false;
+    let mut told = Following::Nothing;
     loop {
-        let follows = links.sources.is_followed(address);
-        if follows != told {
-            tracing::info!(event = "control_followed", %address, follows,
+        let following = links.sources.following(address);
+        if following != told {
+            tracing::info!(event = "control_followed", %address, ?following,
                 "router: changes come from other control machines than before");
-            let message = Message::Follow {
-                follows: u8::from(follows),
-            };
-            if !sender.send(&message) {
+            if !sender.send(&Message::Follow(following)) {
                 return "closed";
             }
-            told = follows;
+            told = following;
         }
         links.sources.changed.notified().await;
     }
@@ -228,6 +230,7 @@
                 leader,
             } => {
                 links.leader.set(leader);
+                links.sources.on_answer(address);
                 let at = asked.borrow_mut().remove(&sequence);
                 asked.borrow_mut().retain(|other, _| *other > sequence);
                 if let Some(at) = at {
@@ -288,10 +291,11 @@
                 let mut core = router.core.borrow_mut();
                 core.on_account_levels(now, &levels.items);
             }
-            Message::LoadsOfOthers { whole, loads } => {
+            Message::LoadsOfAll { whole, loads } => {
                 links.loads_heard.set(router.clock.now());
+                let others = LoadEntry::without(&loads.items, &links.loads_told.borrow());
                 let mut core = router.core.borrow_mut();
-                core.set_others_loads(whole != 0, &loads.items);
+                core.set_others_loads(whole != 0, &others);
             }
             _ => {}
         }
@@ -306,7 +310,6 @@
     sender: &Sender,
     address: Ipv4Addr,
 ) -> &'static str {
-    let mut told = Vec::new();
     let mut told_at = router.clock.now();
     loop {
         sleep(LOADS_INTERVAL).await;
@@ -336,10 +339,10 @@
         }
         let loads = router.core.borrow().own_loads();
         let unconfirmed = now.since(told_at) >= LOADS_CONFIRM && !loads.is_empty();
-        if loads == told && !unconfirmed {
+        if loads == *links.loads_told.borrow() && !unconfirmed {
             continue;
         }
-        told.clone_from(&loads);
+        links.loads_told.borrow_mut().clone_from(&loads);
         told_at = now;
         if !sender.send(&Message::Loads(List::new(loads))) {
             return "closed";
@@ -375,7 +378,7 @@
 fn fetch(router: &Router, links: &Links, from: Ipv4Addr, sender: &Sender, revision: u64) {
     let Position { held, begun } = router.core.borrow().position();
     let now = router.clock.now();
-    let is_followed = links.sources.is_followed(from);
+    let is_followed = links.sources.following(from).has_changes();
     let message = Message::Fetch { since: held, begun };
     if links.fetches.is_due(now, is_followed, revision, held) && sender.send(&message) {
         links.fetches.on_asked(now, from);
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -90,7 +90,7 @@
         Message::Holders(_) => "holders",
         Message::Suspects(_) => "suspects",
         Message::Refusing(_) => "refusing",
-        Message::LoadsOfOthers { .. } => "loads_of_others",
+        Message::LoadsOfAll { .. } => "loads_of_all",
         Message::Usage(_) => "usage",
         Message::AccountLevels(_) => "account_levels",
         Message::WorkReports(_) => "work_reports",
@@ -98,7 +98,8 @@
         Message::KeepAlive => "keep_alive",
         Message::TryWork(_) => "try_work",
         Message::ControlZone(_) => "control_zone",
-        Message::Follow { .. } => "follow",
+        Message::Follow(_) => "follow",
+        Message::News(_) => "news",
     }
 }
 
