Take the body of a request that is refused by its head

Traced: a request that is refused by its head was answered while its body was on its way; the server then closed the connection without saying so, and the caller's next request on it got no answer. Not a matter of the test: a caller meets it too.

Change: the body is taken, up to 64 KB and 2 s, so the connection serves on.

Test: a_connection_serves_on_after_a_request_was_refused_before_its_body_came (broken pipe before, always).

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -27,6 +27,10 @@
 
 /// Attempts that reached no back end do not count as attempts, but there is an end to them.
 const MOST_TRIES: usize = 4;
+/// A longer body of a refused request is not worth taking: a new connection costs its caller less.
+const MOST_UNREAD_BYTES: usize = 64 << 10;
+/// A caller that has not sent its body by then sends it no more.
+const UNREAD_PATIENCE: Duration = Duration::from_secs(2);
 
 /// What is known of a request.
 pub(super) struct Call {
@@ -73,7 +77,10 @@
             let call = read_call(&router, id, received, admission, prompt, request).await?;
             answer(&router, call, open).await
         }
-        Err(refused) => refusal::refuse(&router, &id, received, refused),
+        Err(refused) => {
+            take_unread(request.into_body());
+            refusal::refuse(&router, &id, received, refused)
+        }
     };
     if router.stopping.get().is_some() {
         let close = HeaderValue::from_static("close");
@@ -82,6 +89,18 @@
     Ok(response)
 }
 
+/// Takes the body of a request that was refused by its head. Its caller may still be sending it; a connection on
+/// which it stays unread is closed, and the caller's next request on it would get no answer.
+fn take_unread(body: Incoming) {
+    if body.is_end_stream() {
+        return;
+    }
+    tokio::task::spawn_local(async move {
+        let taking = Limited::new(body, MOST_UNREAD_BYTES).collect();
+        let _ = timeout(UNREAD_PATIENCE, taking).await;
+    });
+}
+
 /// Admits a request once the view is confirmed, if that may be waited for.
 async fn admit_when_confirmed(
     router: &Router,
