Take the machine's link and the heartbeat's interval from the settings

A machine's part for answers to routers follows its link (0.4 of it). Heartbeats were taken to come each 1.2 s; where they come each 3 s, a back end that had just registered was taken for outlived 2.5 s later when a late heartbeat of its predecessor had come in between, and left the state until its next one.

--- a/crates/gateway-core/src/control/fetches.rs
+++ b/crates/gateway-core/src/control/fetches.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
@@ -16,11 +17,11 @@
 /// What a router is sent of the state at once: 50 ms on its link of 10 Mbit/s. It asks for the rest when it has
 /// taken that in, so a control machine queues at most this much for each link.
 const MOST_PART_BYTES: usize = 64 << 10;
-/// What all routers together are sent: less than half of a machine's link of 1 Gbit/s. A quarter of 200 routers of
-/// a zone that start again take 1.3 MB each from two machines in 0.7 s, sooner than their own links carry it.
-const BYTES_PER_SECOND: f64 = 50e6;
-/// What may be sent at once after a pause: what flows in between two ticks of 50 ms.
-const MOST_BYTES_AT_ONCE: f64 = 2.5e6;
+/// Part of the machine's link that all routers together may take. With 1 Gbit/s, a quarter of 200 routers of a zone
+/// that start again take 1.3 MB each from two machines in 0.7 s, sooner than their own links carry it.
+const LINK_PART: f64 = 0.4;
+/// For so long the allowance gathers while nobody asks: a tick.
+const GATHERS_FOR: Duration = Duration::from_millis(50);
 
 /// Questions that are not answered yet.
 #[derive(Debug, Default)]
@@ -43,9 +44,11 @@
         self.asked.remove(&connection);
     }
 
-    fn refill(&mut self, now: Timestamp) {
-        let flowed = now.since(self.allowed_at).as_secs_f64() * BYTES_PER_SECOND;
-        self.allowance = (self.allowance + flowed).min(MOST_BYTES_AT_ONCE);
+    fn refill(&mut self, now: Timestamp, link_bytes_per_second: f64) {
+        let rate = link_bytes_per_second * LINK_PART;
+        let flowed = now.since(self.allowed_at).as_secs_f64() * rate;
+        let most = GATHERS_FOR.as_secs_f64() * rate;
+        self.allowance = (self.allowance + flowed).min(most);
         self.allowed_at = now;
     }
 
@@ -76,7 +79,8 @@
     /// equally far, as nearly all have that were told of a change together, share one answer: the more there is
     /// to do, the more ask between two flushes, and the less each costs.
     pub(super) fn answer_fetches(&mut self) {
-        self.fetches.refill(self.now);
+        let link = self.params.link_bytes_per_second;
+        self.fetches.refill(self.now, link);
         for (Reverse(position), mut connections) in self.fetches.by_position() {
             if self.fetches.allowance <= 0.0 {
                 return;
--- a/crates/gateway-core/src/control/fetches_tests.rs
+++ b/crates/gateway-core/src/control/fetches_tests.rs
@@ -3,6 +3,7 @@
 use super::*;
 
 const MILLISECOND: u64 = 1_000;
+const LINK: f64 = 125e6;
 
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp(milliseconds * MILLISECOND)
@@ -17,7 +18,7 @@
     let mut fetches = Fetches::default();
     let mut sent = 0;
     for millisecond in 0..1_000 {
-        fetches.refill(at(millisecond));
+        fetches.refill(at(millisecond), LINK);
         sent += fetches.spend(MOST_PART_BYTES, routers) * MOST_PART_BYTES;
     }
     sent
@@ -27,20 +28,19 @@
 #[test]
 fn however_many_ask_the_link_is_not_filled() {
     assert_eq!(sent_in_a_second(100), sent_in_a_second(1_000));
-    let most = BYTES_PER_SECOND + MOST_BYTES_AT_ONCE + MOST_PART_BYTES as f64;
-    assert!((sent_in_a_second(1_000) as f64) < most);
+    assert!((sent_in_a_second(1_000) as f64) < LINK / 2.0);
 }
 
 #[test]
 fn one_answer_is_always_given_however_large_it_is() {
     let mut fetches = Fetches::default();
-    fetches.refill(at(1_000));
+    fetches.refill(at(1_000), LINK);
     let large = 8 << 20;
     assert_eq!(fetches.spend(large, 10), 1);
     assert!(fetches.allowance < 0.0);
-    fetches.refill(at(1_050));
+    fetches.refill(at(1_050), LINK);
     assert_eq!(fetches.spend(large, 10), 0);
-    fetches.refill(at(1_200));
+    fetches.refill(at(1_200), LINK);
     assert_eq!(fetches.spend(large, 10), 1);
 }
 
--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -12,10 +12,6 @@
 
 /// A back end whose address another incarnation has taken is gone after this silence.
 const REPLACED_SILENCE: Duration = Duration::from_secs(4);
-/// Two heartbeats of the users' back ends, which send one each 1.2 s. Of two incarnations at one address the
-/// one that is silent for longer while the other is heard has ended, also when its registration is the later
-/// one: a cut may hold a heartbeat up until its sender is long gone.
-const OUTLIVED_SILENCE: Duration = Duration::from_millis(2_500);
 /// Any other back end, after this one; its next word brings it back.
 const SILENCE: Duration = Duration::from_secs(15);
 
@@ -110,6 +106,7 @@
             let last = heard_at.entry(record.address.as_str()).or_default();
             *last = heard.max(*last);
         }
+        let beats = self.params.two_heartbeats();
         let mut replaced = Vec::new();
         let mut silent = Vec::new();
         for record in self.state.instances() {
@@ -117,8 +114,10 @@
             let silence = now.since(self.heard.at(name).unwrap_or(now));
             let others_silence = now.since(heard_at[record.address.as_str()]);
             let is_latest = latest.get(record.address.as_str()) == Some(&record.registered);
-            let is_outlived =
-                is_latest && silence > OUTLIVED_SILENCE && others_silence < OUTLIVED_SILENCE;
+            // Of two incarnations at one address the one that is silent for longer while the other is heard has
+            // ended, also when its registration is the later one: a cut may hold a heartbeat up until its
+            // sender is long gone.
+            let is_outlived = is_latest && silence > beats && others_silence < beats;
             if !is_latest && silence > REPLACED_SILENCE {
                 replaced.push(record.instance.clone());
             } else if silence > SILENCE || is_outlived {
--- a/crates/gateway-core/src/control/params.rs
+++ b/crates/gateway-core/src/control/params.rs
@@ -9,6 +9,10 @@
 pub struct ControlParams {
     /// The zone of this machine; empty when it is not known.
     pub zone: String,
+    /// What this machine's link to the network carries in a second, in bytes.
+    pub link_bytes_per_second: f64,
+    /// Between two heartbeats of a back end.
+    pub heartbeat: Duration,
     /// Of the replicated log.
     pub consensus: Params,
     /// How often [`ControlCore::on_tick`] is called.
@@ -29,10 +33,22 @@
     pub voter_silence: Duration,
 }
 
+/// Heartbeats may come late by this much.
+const HEARTBEAT_SLACK: Duration = Duration::from_millis(100);
+
+impl ControlParams {
+    /// A back end that sends heartbeats is heard within this time, also when one of them is lost.
+    pub fn two_heartbeats(&self) -> Duration {
+        self.heartbeat * 2 + HEARTBEAT_SLACK
+    }
+}
+
 impl Default for ControlParams {
     fn default() -> Self {
         Self {
             zone: String::new(),
+            link_bytes_per_second: 125e6,
+            heartbeat: Duration::from_millis(1_200),
             consensus: Params {
                 election_ticks: 12,
                 first_election_ticks: 2,
--- a/crates/gateway-core/src/control/suspects.rs
+++ b/crates/gateway-core/src/control/suspects.rs
@@ -23,10 +23,6 @@
 /// passed on for so long: the router that sends them may be cut off from it.
 const DISBELIEVE_FOR: Duration = Duration::from_secs(10);
 
-/// Two heartbeats of the users' back ends, which send one each 1.2 s. One that was heard this long
-/// ago may have fallen silent since.
-const HEARTBEAT_FRESH: Duration = Duration::from_millis(2_500);
-
 /// A back end that a router found silent.
 #[derive(Clone, Copy, Debug)]
 struct Suspect {
@@ -36,10 +32,10 @@
 
 impl Suspect {
     /// Whether a further report adds nothing: routers are being notified already, or the back end's
-    /// heartbeats contradict it.
-    fn covers(&self, now: Timestamp, heard: Timestamp) -> bool {
+    /// heartbeats contradict it. One that was heard longer ago than `fresh` may have fallen silent since.
+    fn covers(&self, now: Timestamp, heard: Timestamp, fresh: Duration) -> bool {
         let is_pending = heard <= self.reported_at;
-        is_pending || now.since(heard) < HEARTBEAT_FRESH
+        is_pending || now.since(heard) < fresh
     }
 }
 
@@ -59,11 +55,12 @@
             reported_at: now,
             notified_at: now,
         };
+        let fresh = self.params.two_heartbeats();
         let mut new = Vec::new();
         for key in keys {
             let heard = self.heard.at_by_short(*key).unwrap_or_default();
             let known = self.suspects.0.get(key);
-            if !known.is_some_and(|known| known.covers(now, heard)) {
+            if !known.is_some_and(|known| known.covers(now, heard, fresh)) {
                 self.suspects.0.insert(*key, suspect);
                 new.push(*key);
             }
