--- a/crates/gateway-core/tests/control/back_ends.rs
+++ b/crates/gateway-core/tests/control/back_ends.rs
@@ -151,3 +151,31 @@
     assert!(told_of_loss(&mut cluster));
     assert!(!told_of_loss(&mut cluster), "once is enough");
 }
+
+/// With two heartbeats taken to last 2.5 s, the successor was out of the state from 2.5 s after its registration
+/// until its next heartbeat.
+#[test]
+fn a_late_heartbeat_of_its_predecessor_removes_no_back_end_between_two_slow_heartbeats() {
+    let params = ControlParams {
+        heartbeat: 3 * SECOND,
+        ..ControlParams::default()
+    };
+    let mut cluster = Cluster::with_params(3, params);
+    cluster.run(3 * SECOND);
+    let leader = cluster.leader().unwrap();
+    let earlier = back_end(1, 1);
+    let mut later = back_end(2, 1);
+    later.address = earlier.address.clone();
+    cluster.heartbeat(leader, &earlier);
+    cluster.heartbeat(leader, &later);
+    cluster.run(SECOND);
+    cluster.heartbeat(leader, &earlier);
+    cluster.run(19 * SECOND / 10);
+    assert!(cluster.core(leader).state().instance("i-2").is_some());
+    for _ in 0..3 {
+        cluster.heartbeat(leader, &later);
+        cluster.run(3 * SECOND);
+    }
+    assert!(cluster.core(leader).state().instance("i-2").is_some());
+    assert!(cluster.core(leader).state().instance("i-1").is_none());
+}
