Part what a router tells from what it is told; forget a control machine that is no longer one

A machine that left the members kept its place among those that a router follows, and its questions stayed under way: its link's task was ended without a word. News would have been awaited from it for good.

--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod headers;
 mod refusal;
 mod relay;
+mod reports;
 mod resume;
 mod sources;
 mod timeliness;
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -7,48 +7,35 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{
-    Changes, Following, LoadEntry, Message, Position, RouterStatus, WorkSuspicion,
-};
-use drumshore_wire::{List, Text};
+use drumshore_gateway_core::{Changes, LoadEntry, Message, Position, WorkSuspicion};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::fetch::Fetches;
+use super::reports::{self, Asked};
 use super::sources::Sources;
 use super::Router;
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
 
-/// Between two questions to any control machine.
-const PING_SPACING: Duration = Duration::from_millis(300);
-/// Between two questions on the same link, however many there are: a control machine hands callers no router
-/// that asked nothing for 4 s.
-const LONGEST_SPACING: Duration = Duration::from_millis(2_000);
-/// A link on which a question got no answer for so long is given up.
-const UNANSWERED: Duration = Duration::from_millis(2_500);
+/// Between two looks at which control machines there are.
 const FOLLOW_MEMBERS: Duration = Duration::from_millis(250);
-/// Between two reports to the leader of this router's load.
-const LOADS_INTERVAL: Duration = Duration::from_millis(80);
-/// Load that does not change is reported again after this long.
-const LOADS_CONFIRM: Duration = Duration::from_millis(300);
-/// What the leader told of other routers' load counts for so long.
-const LOADS_COUNT_FOR: Duration = Duration::from_millis(1_000);
 
-struct Links {
+/// What the links of a router share.
+pub(super) struct Links {
     /// All control machines, as one of them said last.
     controls: RefCell<Vec<Ipv4Addr>>,
-    tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
+    pub tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
     fetches: Fetches,
-    sources: Sources,
+    pub sources: Sources,
     traffic: Rc<LinkTraffic>,
     /// The leader, as one of them said last.
-    leader: Cell<u32>,
+    pub leader: Cell<u32>,
     /// What the leader was told last of this router's load.
-    loads_told: RefCell<Vec<LoadEntry>>,
+    pub loads_told: RefCell<Vec<LoadEntry>>,
     /// When it was last told what all routers put on back ends.
-    loads_heard: Cell<Timestamp>,
+    pub loads_heard: Cell<Timestamp>,
 }
 
 impl Links {
@@ -66,6 +53,12 @@
             loads_heard: Cell::default(),
         }
     }
+
+    /// A link has ended, or its control machine is no longer one: nothing is awaited of it.
+    fn on_ended(&self, address: Ipv4Addr) {
+        self.fetches.on_link_ended(address);
+        self.sources.on_link_ended(address);
+    }
 }
 
 pub(super) fn start(router: &Rc<Router>) {
@@ -86,6 +79,7 @@
                 let keep = wanted.contains(address);
                 if !keep {
                     task.abort();
+                    links.on_ended(*address);
                 }
                 keep
             });
@@ -108,8 +102,7 @@
             tracing::info!(event = "control_linked", %address,
                 "router: linked to a control machine");
             let reason = converse(&router, &links, address, sender, receiver).await;
-            links.fetches.on_link_ended(address);
-            links.sources.on_link_ended(address);
+            links.on_ended(address);
             tracing::info!(event = "control_lost", %address, reason,
                 "router: a control machine is lost");
         }
@@ -125,15 +118,15 @@
     sender: Sender,
     receiver: Receiver,
 ) -> &'static str {
-    let asked: Rc<RefCell<BTreeMap<u64, Timestamp>>> = Rc::default();
-    sender.send(&status(router));
+    let asked = Asked::default();
+    sender.send(&reports::status(router));
     links.sources.on_linked(address);
-    let asking = ask_regularly(router, links, &sender, &asked);
+    let asking = reports::ask_regularly(router, links, &sender, &asked);
     let listening = listen(router, links, address, &sender, receiver, &asked);
-    let telling = tell_changes(router, &sender);
-    let reporting = report_loads(router, links, &sender, address);
-    let reporting_work = report_work(router, &sender);
-    let following = follow(links, &sender, address);
+    let telling = reports::tell_changes(router, &sender);
+    let reporting = reports::report_loads(router, links, &sender, address);
+    let reporting_work = reports::report_work(router, &sender);
+    let following = reports::follow(links, &sender, address);
     tokio::select! {
         reason = asking => reason,
         reason = listening => reason,
@@ -144,70 +137,13 @@
     }
 }
 
-fn status(router: &Router) -> Message {
-    Message::Router(RouterStatus {
-        address: Text::new(router.settings.listen.to_string()),
-        zone: Text::new(router.settings.params.zone.as_str()),
-        accepting: u8::from(router.stopping.get().is_none()),
-    })
-}
-
-async fn tell_changes(router: &Rc<Router>, sender: &Sender) -> &'static str {
-    loop {
-        router.status_changed.notified().await;
-        if !sender.send(&status(router)) {
-            return "closed";
-        }
-    }
-}
-
-/// Tells a control machine what this router is to be told on this link, whenever that changes.
-async fn follow(links: &Links, sender: &Sender, address: Ipv4Addr) -> &'static str {
-    let mut told = Following::Nothing;
-    loop {
-        let following = links.sources.following(address);
-        if following != told {
-            tracing::info!(event = "control_followed", %address, ?following,
-                "router: changes come from other control machines than before");
-            if !sender.send(&Message::Follow(following)) {
-                return "closed";
-            }
-            told = following;
-        }
-        links.sources.changed.notified().await;
-    }
-}
-
-async fn ask_regularly(
-    router: &Rc<Router>,
-    links: &Rc<Links>,
-    sender: &Sender,
-    asked: &Rc<RefCell<BTreeMap<u64, Timestamp>>>,
-) -> &'static str {
-    let mut sequence = 0;
-    loop {
-        let now = router.clock.now();
-        let oldest = asked.borrow().values().next().copied();
-        if oldest.is_some_and(|at| now.since(at) > UNANSWERED) {
-            return "silent";
-        }
-        sequence += 1;
-        asked.borrow_mut().insert(sequence, now);
-        if !sender.send(&Message::Ping { sequence }) || sender.is_closed() {
-            return "closed";
-        }
-        let machines = links.tasks.borrow().len().max(1) as u32;
-        sleep((PING_SPACING * machines).min(LONGEST_SPACING)).await;
-    }
-}
-
 async fn listen(
     router: &Rc<Router>,
     links: &Rc<Links>,
     address: Ipv4Addr,
     sender: &Sender,
     mut receiver: Receiver,
-    asked: &Rc<RefCell<BTreeMap<u64, Timestamp>>>,
+    asked: &Asked,
 ) -> &'static str {
     loop {
         let Ok(message) = receiver.receive().await else {
@@ -302,68 +238,6 @@
     }
 }
 
-/// Tells the leader what this router puts on back ends, when that has changed or is to be
-/// confirmed; the leader tells the others.
-async fn report_loads(
-    router: &Rc<Router>,
-    links: &Rc<Links>,
-    sender: &Sender,
-    address: Ipv4Addr,
-) -> &'static str {
-    let mut told_at = router.clock.now();
-    loop {
-        sleep(LOADS_INTERVAL).await;
-        let now = router.clock.now();
-        if now.since(links.loads_heard.get()) > LOADS_COUNT_FOR {
-            links.loads_heard.set(now);
-            router.core.borrow_mut().set_others_loads(true, &[]);
-        }
-        if links.leader.get() != u32::from(address) {
-            continue;
-        }
-        let suspects = router.core.borrow_mut().take_suspects();
-        if !suspects.is_empty() && !sender.send(&Message::Suspects(List::new(suspects))) {
-            return "closed";
-        }
-        let refusing = router.core.borrow_mut().take_refusing();
-        if !refusing.is_empty() && !sender.send(&Message::Refusing(List::new(refusing))) {
-            return "closed";
-        }
-        let learned = router.core.borrow_mut().take_holder_news();
-        if !learned.is_empty() && !sender.send(&Message::Holders(List::new(learned))) {
-            return "closed";
-        }
-        let usage = router.core.borrow_mut().take_usage(now);
-        if !usage.is_empty() && !sender.send(&Message::Usage(List::new(usage))) {
-            return "closed";
-        }
-        let loads = router.core.borrow().own_loads();
-        let unconfirmed = now.since(told_at) >= LOADS_CONFIRM && !loads.is_empty();
-        if loads == *links.loads_told.borrow() && !unconfirmed {
-            continue;
-        }
-        links.loads_told.borrow_mut().clone_from(&loads);
-        told_at = now;
-        if !sender.send(&Message::Loads(List::new(loads))) {
-            return "closed";
-        }
-    }
-}
-
-/// Tells a control machine, also one that links later, what this router saw of work that back ends ended
-/// under. All of them are told: any may be the one that the next router hears.
-async fn report_work(router: &Rc<Router>, sender: &Sender) -> &'static str {
-    let mut cursor = 0;
-    loop {
-        let now = router.clock.now();
-        let reports = router.core.borrow().work_reports_since(now, &mut cursor);
-        if !reports.is_empty() && !sender.send(&Message::WorkReports(List::new(reports))) {
-            return "closed";
-        }
-        router.work_reported.notified().await;
-    }
-}
-
 fn on_work_suspicions(router: &Router, address: Ipv4Addr, suspicions: &[WorkSuspicion]) {
     let now = router.clock.now();
     router.core.borrow_mut().on_work_suspicions(now, suspicions);
