Take out of the sums of loads the most that a router reported of late

Hypothesis: the sums hold what a router has just reported as ended, so its own prompt counts as load of others at its home.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -40,8 +40,8 @@
 };
 pub use router::{
     Admission, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, Outcome, OverLimit,
-    Overload, Prompt, PromptPart, Refusal, RequestHead, RouterCore, RouterParams, RunCopy,
-    ViewError,
+    Overload, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead, RouterCore, RouterParams,
+    RunCopy, ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod prompt_mix;
 mod prompt_placement;
 mod reads;
+mod reported_loads;
 mod request;
 mod sides;
 mod split;
@@ -37,6 +38,7 @@
 pub use accounts::{Charge, OverLimit};
 pub use choice::{BelievedParts, Choice, RunCopy};
 pub use endpoints::Outcome;
+pub use reported_loads::ReportedLoads;
 pub use request::{
     Admission, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal, RequestHead,
 };
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -127,10 +127,10 @@
         }
         let loads = router.core.borrow().own_loads();
         let unconfirmed = now.since(told_at) >= LOADS_CONFIRM && !loads.is_empty();
-        if loads == *links.loads_told.borrow() && !unconfirmed {
+        if loads == links.loads_told.borrow().last() && !unconfirmed {
             continue;
         }
-        links.loads_told.borrow_mut().clone_from(&loads);
+        links.loads_told.borrow_mut().note(now, loads.clone());
         told_at = now;
         if !sender.send(&Message::Loads(List::new(loads))) {
             return "closed";
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Changes, LoadEntry, Message, Position, WorkSuspicion};
+use drumshore_gateway_core::{Changes, Message, Position, ReportedLoads, WorkSuspicion};
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64;
@@ -33,7 +33,7 @@
     /// The leader, as one of them said last.
     pub leader: Cell<u32>,
     /// What the leader was told last of this router's load.
-    pub loads_told: RefCell<Vec<LoadEntry>>,
+    pub loads_told: RefCell<ReportedLoads>,
     /// When it was last told what all routers put on back ends.
     pub loads_heard: Cell<Timestamp>,
 }
@@ -229,7 +229,9 @@
             }
             Message::LoadsOfAll { whole, loads } => {
                 links.loads_heard.set(router.clock.now());
-                let others = LoadEntry::without(&loads.items, &links.loads_told.borrow());
+                let now = router.clock.now();
+                let mut told = links.loads_told.borrow_mut();
+                let others = told.without_own(now, &loads.items);
                 let mut core = router.core.borrow_mut();
                 core.set_others_loads(whole != 0, &others);
             }
