Touch only the back ends that a list of loads names

Back ends are found by the key that stands for them, and those in use are known. Tests: those of loads, silence and refusals as they were.

--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -1,7 +1,7 @@
 //! Back ends as one router sees them: requests in flight, and whom to avoid for a while.
 
 use std::cell::Cell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -101,38 +101,52 @@
 #[derive(Debug, Default)]
 pub(super) struct Endpoints {
     by_id: BTreeMap<InstanceId, Endpoint>,
+    /// By [`LoadEntry::key_of`], which several may share.
+    by_key: BTreeSet<(u32, InstanceId)>,
+    /// Those that have requests of this router.
+    in_use: BTreeSet<InstanceId>,
+    /// Those on which others are known to put load.
+    loaded_by_others: BTreeSet<u32>,
     addresses: Addresses,
 }
 
 impl Endpoints {
     /// Takes in the back ends that there are; what was learned of those that stay is kept.
     pub fn replace_all<'a>(&mut self, records: impl Iterator<Item = &'a Rc<InstanceRecord>>) {
-        let mut earlier = std::mem::take(&mut self.by_id);
-        self.addresses = Addresses::default();
+        let mut earlier = std::mem::take(self).by_id;
         for record in records {
             let id = InstanceId::new(record.instance.as_str());
             if let Some(endpoint) = earlier.remove(&id) {
-                self.addresses.add(endpoint.record.address.as_str());
-                self.by_id.insert(id, endpoint);
+                self.keep(id, endpoint);
             }
             self.insert(record);
         }
     }
 
+    /// Keeps a back end with all that was learned of it.
+    fn keep(&mut self, id: InstanceId, endpoint: Endpoint) {
+        self.addresses.add(endpoint.record.address.as_str());
+        self.by_key.insert((endpoint.key, id.clone()));
+        if endpoint.in_flight > 0 {
+            self.in_use.insert(id.clone());
+        }
+        if endpoint.has_load_of_others() {
+            self.loaded_by_others.insert(endpoint.key);
+        }
+        self.by_id.insert(id, endpoint);
+    }
+
     /// Takes in one back end that is new or has changed.
     pub fn insert(&mut self, record: &Rc<InstanceRecord>) {
         let id = InstanceId::new(record.instance.as_str());
+        let Some(endpoint) = self.by_id.get_mut(&id) else {
+            self.keep(id, Endpoint::new(record));
+            return;
+        };
         self.addresses.add(record.address.as_str());
-        match self.by_id.get_mut(&id) {
-            Some(endpoint) => {
-                self.addresses.remove(endpoint.record.address.as_str());
-                endpoint.record = Rc::clone(record);
-                endpoint.summary = Summary::of(record);
-            }
-            None => {
-                self.by_id.insert(id, Endpoint::new(record));
-            }
-        }
+        self.addresses.remove(endpoint.record.address.as_str());
+        endpoint.record = Rc::clone(record);
+        endpoint.summary = Summary::of(record);
     }
 
     /// Whether several back ends are known at any one address.
@@ -142,9 +156,11 @@
 
     /// A back end has gone.
     pub fn remove(&mut self, instance: &str) {
-        let removed = self.by_id.remove(&InstanceId::new(instance));
-        if let Some(endpoint) = removed {
+        let id = InstanceId::new(instance);
+        if let Some(endpoint) = self.by_id.remove(&id) {
             self.addresses.remove(endpoint.record.address.as_str());
+            self.in_use.remove(&id);
+            self.by_key.remove(&(endpoint.key, id));
         }
     }
 
@@ -157,7 +173,7 @@
     }
 
     pub fn in_flight(&self) -> u32 {
-        self.by_id.values().map(|endpoint| endpoint.in_flight).sum()
+        self.used().map(|endpoint| endpoint.in_flight).sum()
     }
 
     /// Requests of all routers, waiting or running, for each slot of the back ends of a pool that
@@ -184,6 +200,7 @@
         if let Some(endpoint) = self.by_id.get_mut(instance) {
             endpoint.in_flight += 1;
             endpoint.pending_tokens += tokens;
+            self.in_use.insert(instance.clone());
         }
     }
 
@@ -197,30 +214,48 @@
     /// What this router puts on back ends.
     pub fn own_loads(&self) -> Vec<LoadEntry> {
         let narrow = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
-        let busy = self
-            .by_id
-            .values()
-            .filter(|endpoint| endpoint.in_flight > 0);
-        busy.map(|endpoint| LoadEntry {
+        let loads = self.used().map(|endpoint| LoadEntry {
             key: endpoint.key,
             pending: narrow(endpoint.pending_tokens.div_ceil(LoadEntry::TOKENS)),
             in_flight: narrow(endpoint.in_flight),
-        })
-        .collect()
+        });
+        loads.collect()
+    }
+
+    /// Back ends that have requests of this router.
+    fn used(&self) -> impl Iterator<Item = &Endpoint> {
+        self.in_use.iter().filter_map(|id| self.by_id.get(id))
+    }
+
+    /// Back ends that a key stands for.
+    fn with_key(&self, key: u32) -> Vec<InstanceId> {
+        let from = (key, InstanceId::new(""));
+        let with_key = self.by_key.range(from..);
+        let with_key = with_key.take_while(|(other, _)| *other == key);
+        with_key.map(|(_, id)| id.clone()).collect()
+    }
+
+    fn change_with_key(&mut self, key: u32, mut change: impl FnMut(&InstanceId, &mut Endpoint)) {
+        for id in self.with_key(key) {
+            if let Some(endpoint) = self.by_id.get_mut(&id) {
+                change(&id, endpoint);
+            }
+        }
     }
 
     /// Takes in what the other routers put on back ends. Those not named are free of it when the
-    /// list is whole, else as before.
+    /// list is whole, else as before. Only those that are or were loaded are touched: lists come
+    /// several times a second, and a pool may have thousands.
     pub fn set_others(&mut self, is_whole: bool, loads: &[LoadEntry]) {
-        let by_key: HashMap<u32, LoadEntry> =
-            loads.iter().map(|entry| (entry.key, *entry)).collect();
-        for endpoint in self.by_id.values_mut() {
-            match by_key.get(&endpoint.key) {
-                Some(entry) => endpoint.others = *entry,
-                None if is_whole => endpoint.others = LoadEntry::default(),
-                None => {}
+        if is_whole {
+            for key in std::mem::take(&mut self.loaded_by_others) {
+                self.change_with_key(key, |_, endpoint| endpoint.others = LoadEntry::default());
             }
         }
+        for entry in loads {
+            self.loaded_by_others.insert(entry.key);
+            self.change_with_key(entry.key, |_, endpoint| endpoint.others = *entry);
+        }
     }
 
     /// A request that was sent at `begun` has left its back end. True when that has fallen silent,
@@ -244,15 +279,18 @@
             outcome
         };
         endpoint.note_outcome(now, outcome);
+        if endpoint.in_flight == 0 {
+            self.in_use.remove(instance);
+        }
         fell_silent
     }
 
     /// Other routers' requests were turned away by back ends.
     pub fn on_refusing(&mut self, now: Timestamp, keys: &[u32]) {
-        for endpoint in self.by_id.values_mut() {
-            if keys.contains(&endpoint.key) {
+        for key in keys {
+            self.change_with_key(*key, |_, endpoint| {
                 endpoint.avoided_until = endpoint.avoided_until.max(now.plus(REFUSING_PAUSE));
-            }
+            });
         }
     }
 
@@ -268,12 +306,14 @@
     /// well, and returned.
     pub fn on_suspects(&mut self, now: Timestamp, keys: &[u32]) -> Vec<InstanceId> {
         let mut silent = Vec::new();
-        for (id, endpoint) in &mut self.by_id {
-            let is_heard = now.since(endpoint.heard.get()) < HEARD_LATELY;
-            if keys.contains(&endpoint.key) && !is_heard {
-                endpoint.avoid_as_silent(now);
-                silent.push(id.clone());
-            }
+        for key in keys {
+            self.change_with_key(*key, |id, endpoint| {
+                let is_heard = now.since(endpoint.heard.get()) < HEARD_LATELY;
+                if !is_heard {
+                    endpoint.avoid_as_silent(now);
+                    silent.push(id.clone());
+                }
+            });
         }
         silent
     }
@@ -337,6 +377,10 @@
         self.unreachable_in_a_row == 0
     }
 
+    fn has_load_of_others(&self) -> bool {
+        self.others.pending > 0 || self.others.in_flight > 0
+    }
+
     /// Requests of all routers, as far as they have told.
     pub fn all_in_flight(&self) -> u32 {
         self.in_flight + u32::from(self.others.in_flight)
