Bound a message of commands to the leader

Two configurations of 8 MB that were sent at once went in one message, which is longer than a frame may be: it was dropped, and again when it was sent again. Test: large_commands_travel_apart.

--- a/crates/gateway-core/src/control/proposals.rs
+++ b/crates/gateway-core/src/control/proposals.rs
@@ -18,6 +18,9 @@
 /// A registration is kept for so long, also when its caller was told to come again: the next heartbeat waits for
 /// the same one. Back ends speak each 3 s at the latest.
 const REGISTRATION_KEPT: Duration = Duration::from_secs(10);
+/// Commands in one message to the leader: far below what a frame may hold, 16 MB, of which a configuration may take
+/// half.
+const MOST_BATCH_BYTES: usize = 1 << 20;
 /// A leader knows for so long that it has applied a command: a copy that was sent before its origin learned of
 /// that may still be on its way.
 const APPLIED_KEPT: Duration = Duration::from_secs(5);
@@ -292,16 +295,36 @@
         }
     }
 
-    /// Sends the leader all commands that have gathered, in one message. Without a leader they are lost here,
+    /// Sends the leader all commands that have gathered, in few messages. Without a leader they are lost here,
     /// and sent again once there is one.
     pub(super) fn send_proposals(&mut self) {
         let outgoing = std::mem::take(&mut self.proposals.outgoing);
         let raft = self.replica.raft();
         let leader = raft.leader().filter(|leader| *leader != raft.id());
-        if let Some(leader) = leader.filter(|_| !outgoing.is_empty()) {
-            let message = Message::Propose(List::new(outgoing));
+        let Some(leader) = leader else {
+            return;
+        };
+        for batch in batches(outgoing) {
+            let message = Message::Propose(List::new(batch));
             let to = super::address_of(leader);
             self.effects.push(Effect::ToControl(to, message));
         }
     }
 }
+
+/// Commands in their order, in messages of a bounded size; a command that is larger has a message of its own.
+fn batches(commands: Vec<Blob>) -> Vec<Vec<Blob>> {
+    let mut batches: Vec<Vec<Blob>> = Vec::new();
+    let mut bytes = 0;
+    for command in commands {
+        bytes += command.bytes.len();
+        match batches.last_mut().filter(|_| bytes <= MOST_BATCH_BYTES) {
+            Some(batch) => batch.push(command),
+            None => {
+                bytes = command.bytes.len();
+                batches.push(vec![command]);
+            }
+        }
+    }
+    batches
+}
--- a/crates/gateway-core/tests/control/fleet.rs
+++ b/crates/gateway-core/tests/control/fleet.rs
@@ -63,6 +63,26 @@
     assert_eq!(cluster.core(leader).state().instances().count(), 500);
 }
 
+/// Two configurations of 8 MB that are sent at once are longer than a frame may be.
+#[test]
+fn large_commands_travel_apart() {
+    let (mut cluster, leader, follower) = with_follower();
+    cluster.sent_to_control.clear();
+    for version in [1, 2] {
+        let (now, ticket) = (cluster.now, cluster.ticket());
+        let body = Blob::new(vec![0; 8 << 20]);
+        let command = Command::Configure { version, body };
+        cluster.core(follower).submit(now, ticket, command);
+    }
+    cluster.settle();
+    let sent = cluster.sent_to_control.iter();
+    let proposals = sent.filter(|message| matches!(message, Message::Propose(_)));
+    let sizes: Vec<usize> = proposals.map(|message| message.encode().len()).collect();
+    assert_eq!(sizes.len(), 2);
+    assert!(sizes.iter().all(|size| *size < 9 << 20), "{sizes:?}");
+    assert_eq!(cluster.core(leader).state().configuration_version(), 2);
+}
+
 /// Registrations that the leader had in its log and had not committed were sent to it again each 0.3 s, and
 /// each copy was appended: 82,081 entries for 9,998 back ends.
 #[rstest]
