--- a/crates/gateway-core/src/router/summary.rs
+++ b/crates/gateway-core/src/router/summary.rs
@@ -49,3 +49,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "summary_tests.rs"]
+mod tests;
