--- a/crates/gateway-core/src/control/directory.rs
+++ b/crates/gateway-core/src/control/directory.rs
@@ -49,7 +49,7 @@
     accepting
 }
 
-/// The first addresses by rendezvous hashing, each once. Two thousand callers ask once a second: only what is
+/// The first addresses by rendezvous hashing, each once. Thousands of callers ask once a second: only what is
 /// named is put in order and copied.
 fn first_ranked(routers: &[&RouterStatus], caller: u64, most: usize) -> Vec<String> {
     let keyed = routers.iter().map(|status| {
--- a/crates/gateway-core/src/control/fetches.rs
+++ b/crates/gateway-core/src/control/fetches.rs
@@ -1,8 +1,8 @@
 //! Routers that ask for changes, and in what order and how fast they are answered.
 //!
 //! The load that this answers is a fleet that starts, or a part of it that starts again: hundreds of routers ask
-//! for all there is at once. Together they take more than the machine's link carries, and heartbeats of the log
-//! would wait behind what they are sent: the leader of a fleet that started lost its lead half a second later.
+//! for all there is at once. Together they take more than the machine's link carries. Heartbeats of the log would
+//! wait behind what they are sent, and a leader whose heartbeats are late loses its lead.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -17,8 +17,8 @@
 /// What a router is sent of the state at once: 50 ms on its link of 10 Mbit/s. It asks for the rest when it has
 /// taken that in, so a control machine queues at most this much for each link.
 const MOST_PART_BYTES: usize = 64 << 10;
-/// Part of the machine's link that all routers together may take. With 1 Gbit/s, a quarter of 200 routers of a zone
-/// that start again take 1.3 MB each from two machines in 0.7 s, sooner than their own links carry it.
+/// Part of the machine's link that all routers together may take: less than half, so that the log, heartbeats of back
+/// ends and operators always find room. Of 1 Gbit/s it is still what forty routers' own links carry.
 const LINK_PART: f64 = 0.4;
 /// For so long the allowance gathers while nobody asks: a tick.
 const GATHERS_FOR: Duration = Duration::from_millis(50);
--- a/crates/gateway-core/src/control/heard.rs
+++ b/crates/gateway-core/src/control/heard.rs
@@ -1,7 +1,7 @@
 //! When back ends were heard last, and how the leader learns of those that speak to other machines.
 //!
-//! Thousands of back ends send heartbeats to any control machine. Passed on one by one they overran the queue
-//! between two machines, which then lost messages of the log as well; so one message a tick names all of them.
+//! Thousands of back ends send heartbeats to any control machine. Passed on one by one they would overrun the queue
+//! between two machines, which then loses messages of the log as well; so one message a tick names all of them.
 
 use std::collections::BTreeMap;
 
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -432,7 +432,7 @@
     /// A snapshot writes the whole state, and a replica that lacks an entry of the log before it is sent all of
     /// it. So the log grows to the size of the state first: however large that is, snapshots write no more than
     /// the log does, and a replica that lags by less than that is sent entries. With one each 400 entries,
-    /// 10,000 back ends that registered and loaded weights wrote a state of 1.3 MB 75 times.
+    /// 10,000 back ends that register and load weights write a state of up to 1.3 MB 75 times (worked out).
     fn snapshot_if_due(&mut self) -> Result<(), ReplicaError> {
         let has_entries = self.applied.0 >= self.snapshot_at.0 + self.params.snapshot_entries;
         if !has_entries || self.bytes_since_snapshot < self.snapshot_bytes {
--- a/crates/gateway-core/src/control/news.rs
+++ b/crates/gateway-core/src/control/news.rs
@@ -1,7 +1,7 @@
 //! What the leader tells all routers, by way of the control machines that they follow.
 //!
-//! Sent to each router by the leader, it crossed zones once for each router, and the leader did nothing else in a
-//! large fleet. Each other machine gets it once and passes it on to the routers that follow it.
+//! Sent to each router by the leader, it would cross zones once for each router, and the leader of a large fleet
+//! would do little else. Each other machine gets it once and passes it on to the routers that follow it.
 //!
 //! Only what heals by itself goes this way, for a machine may be lost with what it was to pass on: whole lists of
 //! loads come again each 0.8 s, silent back ends are named again each second, refusing ones each 0.2 s, and what
--- a/crates/gateway-core/src/control/proposals.rs
+++ b/crates/gateway-core/src/control/proposals.rs
@@ -16,7 +16,7 @@
 const RESEND_AFTER: Duration = Duration::from_millis(300);
 const MOST_DOUBLINGS: u32 = 3;
 /// A registration is kept for so long, also when its caller was told to come again: the next heartbeat waits for
-/// the same one. Back ends speak each 3 s at the latest.
+/// the same one. Back ends pause 3 s at most between heartbeats, and one of them may be lost.
 const REGISTRATION_KEPT: Duration = Duration::from_secs(10);
 /// Commands in one message to the leader: far below what a frame may hold, 16 MB, of which a configuration may take
 /// half.
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -16,9 +16,9 @@
 /// Part of a pool's connections that routers use, for those that count one another late.
 const CONNECTION_PART: f64 = 0.85;
 /// Back ends among which a router chooses while they have equally little to do. Few, so that it comes back to one
-/// while the connection is kept: of 985 routers with one request a second each before 323 back ends, nearly every
-/// request opened a connection (18,000 for 19,000 requests). Not one, so that a back end which answers badly has
-/// a quarter of its routers' requests at most.
+/// while the connection is kept: a router that sends a request a second to hundreds of back ends by turns opens a
+/// connection for nearly each. Not one, so that a back end which answers badly gets a quarter of the requests of
+/// its routers at most.
 const PREFERRED: u64 = 4;
 
 impl RouterCore {
--- a/crates/gateway-core/src/router/reported_loads.rs
+++ b/crates/gateway-core/src/router/reported_loads.rs
@@ -29,10 +29,10 @@
 
     /// What the others put on back ends, by sums over all routers.
     ///
-    /// Nobody says which report a sum holds. Taking out the last one left a prompt that had just been answered as
-    /// load of others at its home, and the next one like it was read again elsewhere. So the most that any report
-    /// of late had is taken out: what others put on a back end that this router uses itself is rather taken for
-    /// too little, for a moment.
+    /// Nobody says which report a sum holds. With the last one taken out, a prompt that has just been answered would
+    /// count as load of others at its home, and the next one like it would be read again elsewhere. So the most that
+    /// any report of late had is taken out: what others put on a back end that this router uses itself is rather
+    /// taken for too little, for a moment.
     pub fn without_own(&mut self, now: Timestamp, sums: &[LoadEntry]) -> Vec<LoadEntry> {
         self.forget_before(now);
         let mut most: HashMap<u32, LoadEntry> = HashMap::new();
