--- a/crates/gateway-core/tests/hollow_fleet.rs
+++ b/crates/gateway-core/tests/hollow_fleet.rs
@@ -92,14 +92,23 @@
         fleet
     }
 
-    fn machines() -> impl Iterator<Item = Ipv4Addr> {
-        (1..=CONTROL_MACHINES).map(address)
+    /// Control machines that are up.
+    fn machines(&self) -> Vec<Ipv4Addr> {
+        let all = (1..=CONTROL_MACHINES).map(address);
+        all.filter(|at| self.cluster.machines[at].core.is_some())
+            .collect()
+    }
+
+    /// Back ends call one machine after the other until one is up.
+    fn machine_for(&self, number: usize) -> Ipv4Addr {
+        let machines = self.machines();
+        machines[number % machines.len()]
     }
 
     /// Every router is linked to every machine and follows those of its zone.
     fn link_all(&mut self) {
         let now = self.cluster.now;
-        for at in Self::machines() {
+        for at in self.machines() {
             let zone = self.cluster.zone_of(at);
             for (number, router) in self.routers.iter().enumerate() {
                 let status = RouterStatus {
@@ -132,7 +141,7 @@
         let speaking =
             (0..known).filter(|number| number % HEARTBEAT_TICKS == self.ticks % HEARTBEAT_TICKS);
         for number in registering.chain(speaking) {
-            let at = address((number % usize::from(CONTROL_MACHINES)) as u8 + 1);
+            let at = self.machine_for(number);
             let (now, ticket) = (self.cluster.now, self.cluster.ticket());
             let core = self.cluster.core(at);
             core.on_heartbeat(now, ticket, &numbered(number));
@@ -146,7 +155,7 @@
 
     fn ask(&mut self) {
         let now = self.cluster.now;
-        for at in Self::machines() {
+        for at in self.machines() {
             let turn = usize::from(at.octets()[3]) * PING_TICKS / usize::from(CONTROL_MACHINES);
             let core = self.cluster.core(at);
             for number in 0..self.routers.len() {
@@ -179,7 +188,8 @@
                 let zone = self.cluster.zone_of(at);
                 let router = &mut self.routers[connection.0 as usize];
                 self.sent.count(at, zone == router.zone, &message);
-                if let Some(question) = router.take_in(message) {
+                let is_up = self.cluster.machines[&at].core.is_some();
+                if let Some(question) = router.take_in(message).filter(|_| is_up) {
                     let now = self.cluster.now;
                     self.cluster.core(at).on_router(now, connection, question);
                 }
@@ -270,6 +280,25 @@
     assert!(sent < 2 * needed, "{sent} bytes of changes for {needed}");
 }
 
+/// Each zone has two machines, so one that is lost costs a zone nothing but an election.
+#[test]
+fn a_fleet_that_registers_while_its_leader_is_lost_reaches_every_router() {
+    let mut fleet = Fleet::new(50, 500);
+    for _ in 0..REGISTER_EACH_TICK / 2 {
+        fleet.step();
+    }
+    let leader = fleet.cluster.leader().unwrap();
+    fleet.cluster.kill(leader);
+    let ticks = fleet.register_all();
+    assert_eq!(fleet.lacking(), 0);
+    assert!(ticks < REGISTER_EACH_TICK + 100, "{ticks} ticks");
+    assert_eq!(fleet.sent.across("changes"), 0);
+    let new_leader = fleet.cluster.leader().unwrap();
+    assert_ne!(new_leader, leader);
+    let entries = fleet.cluster.core(new_leader).log_length();
+    assert!(entries < 700, "{entries} for 500 back ends");
+}
+
 #[test]
 #[ignore = "prints figures for docs/CAPACITY.md; asserts nothing"]
 fn figures_at_twice_the_fleet() {
