--- a/crates/gateway-core/tests/control/back_ends.rs
+++ b/crates/gateway-core/tests/control/back_ends.rs
@@ -170,7 +170,7 @@
     cluster.heartbeat(leader, &later);
     cluster.run(SECOND);
     cluster.heartbeat(leader, &earlier);
-    cluster.run(19 * SECOND / 10);
+    cluster.run(24 * SECOND / 10);
     assert!(cluster.core(leader).state().instance("i-2").is_some());
     for _ in 0..3 {
         cluster.heartbeat(leader, &later);
