Show what back ends say of themselves in answers, and what is sent against it

Cause: lines could not tell whether a back end had asked for a pause, for how long, nor that a request went there within it. Change: the adapter decodes what the head of an answer says of its back end (leaving; Retry-After of a refusal); the router remembers the pause for its lines only: back_end_backoff, sent_in_backoff, and the counter back_end_notices. No choice is made otherwise than before.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -18,6 +18,7 @@
 mod ids;
 pub mod limits;
 mod message;
+mod notice;
 mod quarantine;
 mod router;
 mod state;
@@ -38,6 +39,7 @@
     Quarantine, RouterStatus, StoreId, StoredKey, TenantKey, UsageEntry, WeightsNotice, WorkEvent,
     WorkReport, WorkSuspicion,
 };
+pub use notice::BackEndNotice;
 pub use router::{
     Admission, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, Outcome, OverLimit,
     Overload, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead, RouterCore, RouterParams,
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -10,7 +10,7 @@
 
 use super::addresses::Addresses;
 use super::summary::{NameHash, Summary};
-use crate::{InstanceId, InstanceRecord, LoadEntry, PoolName};
+use crate::{BackEndNotice, InstanceId, InstanceRecord, LoadEntry, PoolName};
 
 const SHED_PAUSE: Duration = Duration::from_millis(150);
 const BROKEN_PAUSE: Duration = Duration::from_millis(400);
@@ -93,6 +93,8 @@
     pub failures: f64,
     unreachable_in_a_row: u32,
     pub misdirected_until: Timestamp,
+    /// It asked this router to send nothing before this.
+    backoff_until: Timestamp,
     /// When bytes of an answer came last; shared with the answers that are passed on.
     pub heard: Rc<Cell<Timestamp>>,
 }
@@ -285,6 +287,16 @@
         fell_silent
     }
 
+    /// Takes in what a back end said of itself to this router.
+    pub fn on_notice(&mut self, now: Timestamp, instance: &InstanceId, notice: BackEndNotice) {
+        let Some(endpoint) = self.by_id.get_mut(instance) else {
+            return;
+        };
+        if let Some(retry_after) = notice.retry_after {
+            endpoint.backoff_until = endpoint.backoff_until.max(now.plus(retry_after));
+        }
+    }
+
     /// Other routers' requests were turned away by back ends.
     pub fn on_refusing(&mut self, now: Timestamp, keys: &[u32]) {
         for key in keys {
@@ -333,6 +345,7 @@
             failures: 0.0,
             unreachable_in_a_row: 0,
             misdirected_until: Timestamp::default(),
+            backoff_until: Timestamp::default(),
             heard: Rc::default(),
         }
     }
@@ -367,6 +380,11 @@
         self.avoided_until = self.avoided_until.max(now.plus(pause));
     }
 
+    /// How much longer it wants no requests of this router.
+    pub fn backoff_left(&self, now: Timestamp) -> Duration {
+        self.backoff_until.since(now)
+    }
+
     fn avoid_as_silent(&mut self, now: Timestamp) {
         self.avoided_until = self.avoided_until.max(now.plus(SUSPECT_PAUSE));
         self.unreachable_in_a_row = self.unreachable_in_a_row.max(1);
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -35,8 +35,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    AccountLevel, Changes, Document, HolderEntry, InstanceId, InvalidDocument, Lifecycle,
-    LoadEntry, Position, Route, StoreId, StoredKey, Tenant, UsageEntry, Work, WorkId,
+    AccountLevel, BackEndNotice, Changes, Document, HolderEntry, InstanceId, InvalidDocument,
+    Lifecycle, LoadEntry, Position, Route, StoreId, StoredKey, Tenant, UsageEntry, Work, WorkId,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -347,6 +347,17 @@
         self.stores.on_stored(store, known, reset, added, removed);
     }
 
+    /// Takes in what a back end said of itself to this router.
+    pub fn on_notice(&mut self, now: Timestamp, instance: &InstanceId, notice: BackEndNotice) {
+        self.endpoints.on_notice(now, instance, notice);
+    }
+
+    /// How much longer a back end wants no requests of this router.
+    pub fn backoff_left(&self, now: Timestamp, instance: &InstanceId) -> Duration {
+        let endpoint = self.endpoints.get(instance);
+        endpoint.map_or(Duration::ZERO, |endpoint| endpoint.backoff_left(now))
+    }
+
     /// A request that was chosen for, and sent at `begun`, has left its back end. True when that
     /// has fallen silent.
     pub fn finished(
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -4,10 +4,11 @@
 
 use bytes::Bytes;
 use drumshore_gateway_core::{
-    Document, Heartbeat, InstanceId, InvalidDocument, ModelName, Order, Prompt, Report, StoredKey,
+    BackEndNotice, Document, Heartbeat, InstanceId, InvalidDocument, ModelName, Order, Prompt,
+    Report, StoredKey,
 };
 use hyper::header::{HeaderName, HeaderValue};
-use hyper::{HeaderMap, Method, Uri};
+use hyper::{HeaderMap, Method, StatusCode, Uri};
 
 /// The names of the headers that the gateway reads or writes.
 #[derive(Clone, Debug)]
@@ -122,6 +123,9 @@
     /// Tokens of its prompt and the most that are generated, when a request declares them.
     fn declared_tokens(&self, headers: &HeaderMap) -> Option<u32>;
 
+    /// What a back end says of itself in the head of an answer.
+    fn notice(&self, status: StatusCode, headers: &HeaderMap) -> BackEndNotice;
+
     /// Names a run of which the back end at `address` has a copy.
     fn copied_run(&self, address: &str, request_id: &str) -> String;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,6 +74,8 @@
     labelled_tenants: RefCell<BTreeSet<String>>,
     /// Back ends whose connections broke, by what their address told then.
     broken_back_ends: Family<OutcomeLabel, Counter>,
+    /// What back ends said of themselves in answers, and requests that were sent against it.
+    back_end_notices: Family<OutcomeLabel, Counter>,
     /// Bytes sent over links to other processes, by kind of message.
     pub link_bytes: Counters,
     /// Decisions of a control machine.
@@ -92,6 +94,7 @@
         let late_answers = Family::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
+        let back_end_notices = Family::default();
         let link_bytes = Counters::default();
         let decisions = Family::default();
         let revision = Gauge::default();
@@ -115,6 +118,11 @@
             "Back ends whose connections broke, by finding",
             Clone::clone(&broken_back_ends),
         );
+        registry.register(
+            "back_end_notices",
+            "What back ends said of themselves in answers, and requests sent against it",
+            Clone::clone(&back_end_notices),
+        );
         registry.register(
             "link_bytes",
             "Bytes to other processes, by kind of message; of the kind dropped, messages",
@@ -132,6 +140,7 @@
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
+            back_end_notices,
             link_bytes,
             decisions,
             revision,
@@ -170,6 +179,11 @@
         self.broken_back_ends.get_or_create(&label).inc();
     }
 
+    pub fn count_notice(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.back_end_notices.get_or_create(&label).inc();
+    }
+
     pub fn count_decision(&self, outcome: &'static str) {
         self.decisions
             .get_or_create(&OutcomeLabel { outcome })
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -14,6 +14,7 @@
 
 use super::forward::{header, may_try_again, Call};
 use super::headers;
+use super::notices;
 use super::relay::OpenAttempt;
 use super::Router;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -82,6 +83,7 @@
             return ended(open_attempt, outcome, Execution::NotRun, false);
         }
     };
+    notices::check_send(router, &call.id, choice);
     let left = call.deadline.since(router.clock.now());
     let mut request = outbound(router, call, choice, left);
     if let Some(continued) = continued {
@@ -181,6 +183,7 @@
     sent: u32,
 ) -> Attempt {
     open_attempt.answered();
+    notices::take_in(router, choice, &response);
     let names = router.dialect.headers();
     let headers = response.headers();
     if header(headers, &names.request_id) != call.id {
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod first_view;
 mod forward;
 mod headers;
+mod notices;
 mod refusal;
 mod relay;
 mod reports;
