Heed what back ends say of themselves in answers, on every path that sends

Cause: nobody read the Retry-After of a back end's refusal, nor that its answers say that it leaves. Ruled out: a pause that is kept and passed over (others had room), or lost by a change of the view (none between repeats). Change: the adapter decodes both once; the router core holds them by back end, also over removals and whole views, and leaves such back ends out of the one list that first choice, retry, resumption, copy and last resort choose from; a request that got its connection too late is withheld; kept connections to one that leaves are closed. When all of a pool asked for a pause the request is refused at once, with the time until the first one takes requests again and a spread. Control machines call nobody that asked them not to. Spread, and what other routers are told, are weighed next.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -41,9 +41,9 @@
 };
 pub use notice::BackEndNotice;
 pub use router::{
-    Admission, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, Outcome, OverLimit,
-    Overload, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead, RouterCore, RouterParams,
-    RunCopy, ViewError,
+    Admission, Backoff, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, NoticeChange,
+    Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead,
+    RouterCore, RouterParams, RunCopy, ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -51,12 +51,25 @@
 }
 
 impl RouterCore {
-    /// The back ends of the request's pool that take requests and hold weights that are new enough.
+    /// The back ends that a request may go to. Those that asked this router for no requests, or say that they
+    /// leave, are left out for good, not only while there are others: what all paths choose from comes from here.
     pub(super) fn candidates<'a>(
         &'a self,
         now: Timestamp,
         admission: &Admission,
         prompt: Option<&Prompt>,
+    ) -> Vec<Candidate<'a>> {
+        let mut candidates = self.eligible(now, admission, prompt);
+        candidates.retain(|candidate| candidate.endpoint.notices.allow_requests(now));
+        candidates
+    }
+
+    /// The back ends of the request's pool that are ready and hold weights that are new enough.
+    pub(super) fn eligible<'a>(
+        &'a self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
     ) -> Vec<Candidate<'a>> {
         let model = prompt.map(|prompt| prompt.model.as_str());
         let required = model.map_or(0, |model| {
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::addresses::Addresses;
+use super::notices::{HeldNotices, NoticeChange, NoticesOfAbsent};
 use super::summary::{NameHash, Summary};
 use crate::{BackEndNotice, InstanceId, InstanceRecord, LoadEntry, PoolName};
 
@@ -56,6 +57,8 @@
     Unreachable,
     /// All connections that this router may have there are in use: it has not run.
     NoFreeConnection,
+    /// The back end asked for no requests while this one waited for a connection: it was not sent.
+    Withheld,
     /// The connection broke, or bytes came that are no answer.
     Broken,
     /// No answer within the time that was left.
@@ -93,8 +96,8 @@
     pub failures: f64,
     unreachable_in_a_row: u32,
     pub misdirected_until: Timestamp,
-    /// It asked this router to send nothing before this.
-    backoff_until: Timestamp,
+    /// What it said of itself to this router.
+    pub notices: HeldNotices,
     /// When bytes of an answer came last; shared with the answers that are passed on.
     pub heard: Rc<Cell<Timestamp>>,
 }
@@ -110,12 +113,16 @@
     /// Those on which others are known to put load.
     loaded_by_others: BTreeSet<u32>,
     addresses: Addresses,
+    /// Of back ends that control machines do not name at present.
+    notices_of_absent: NoticesOfAbsent,
 }
 
 impl Endpoints {
     /// Takes in the back ends that there are; what was learned of those that stay is kept.
     pub fn replace_all<'a>(&mut self, records: impl Iterator<Item = &'a Rc<InstanceRecord>>) {
-        let mut earlier = std::mem::take(self).by_id;
+        let earlier = std::mem::take(self);
+        self.notices_of_absent = earlier.notices_of_absent;
+        let mut earlier = earlier.by_id;
         for record in records {
             let id = InstanceId::new(record.instance.as_str());
             if let Some(endpoint) = earlier.remove(&id) {
@@ -123,6 +130,9 @@
             }
             self.insert(record);
         }
+        for (id, endpoint) in earlier {
+            self.notices_of_absent.keep(id, endpoint.notices);
+        }
     }
 
     /// Keeps a back end with all that was learned of it.
@@ -142,7 +152,15 @@
     pub fn insert(&mut self, record: &Rc<InstanceRecord>) {
         let id = InstanceId::new(record.instance.as_str());
         let Some(endpoint) = self.by_id.get_mut(&id) else {
-            self.keep(id, Endpoint::new(record));
+            let notices = self.notices_of_absent.restore(&id);
+            let endpoint = Endpoint::new(record);
+            self.keep(
+                id,
+                Endpoint {
+                    notices,
+                    ..endpoint
+                },
+            );
             return;
         };
         self.addresses.add(record.address.as_str());
@@ -162,7 +180,8 @@
         if let Some(endpoint) = self.by_id.remove(&id) {
             self.addresses.remove(endpoint.record.address.as_str());
             self.in_use.remove(&id);
-            self.by_key.remove(&(endpoint.key, id));
+            self.by_key.remove(&(endpoint.key, id.clone()));
+            self.notices_of_absent.keep(id, endpoint.notices);
         }
     }
 
@@ -189,6 +208,7 @@
                 && endpoint.record.slots > 0
                 && endpoint.is_reachable()
                 && endpoint.avoided_until <= now
+                && endpoint.notices.allow_requests(now)
         };
         let (mut taken, mut slots) = (0, 0);
         for endpoint in self.by_id.values().filter(takes_requests) {
@@ -288,15 +308,24 @@
     }
 
     /// Takes in what a back end said of itself to this router.
-    pub fn on_notice(&mut self, now: Timestamp, instance: &InstanceId, notice: BackEndNotice) {
-        let Some(endpoint) = self.by_id.get_mut(instance) else {
-            return;
-        };
-        if let Some(retry_after) = notice.retry_after {
-            endpoint.backoff_until = endpoint.backoff_until.max(now.plus(retry_after));
+    pub fn on_notice(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        notice: BackEndNotice,
+    ) -> NoticeChange {
+        match self.by_id.get_mut(instance) {
+            Some(endpoint) => endpoint.notices.take_in(now, notice),
+            None => self.notices_of_absent.take_in(now, instance, notice),
         }
     }
 
+    /// False once a back end has asked this router for no requests, or says that it leaves.
+    pub fn takes_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        let endpoint = self.by_id.get(instance);
+        endpoint.is_none_or(|endpoint| endpoint.notices.allow_requests(now))
+    }
+
     /// Other routers' requests were turned away by back ends.
     pub fn on_refusing(&mut self, now: Timestamp, keys: &[u32]) {
         for key in keys {
@@ -345,7 +374,7 @@
             failures: 0.0,
             unreachable_in_a_row: 0,
             misdirected_until: Timestamp::default(),
-            backoff_until: Timestamp::default(),
+            notices: HeldNotices::default(),
             heard: Rc::default(),
         }
     }
@@ -358,7 +387,7 @@
                 self.note(false);
                 return;
             }
-            Outcome::Abandoned => return,
+            Outcome::Abandoned | Outcome::Withheld => return,
             Outcome::Failed => {
                 self.note(true);
                 return;
@@ -380,11 +409,6 @@
         self.avoided_until = self.avoided_until.max(now.plus(pause));
     }
 
-    /// How much longer it wants no requests of this router.
-    pub fn backoff_left(&self, now: Timestamp) -> Duration {
-        self.backoff_until.since(now)
-    }
-
     fn avoid_as_silent(&mut self, now: Timestamp) {
         self.avoided_until = self.avoided_until.max(now.plus(SUSPECT_PAUSE));
         self.unreachable_in_a_row = self.unreachable_in_a_row.max(1);
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -10,8 +10,8 @@
 mod endpoints;
 mod holders;
 mod homes;
-
 mod least;
+mod notices;
 mod overload;
 mod placement;
 mod prompt_mix;
@@ -42,9 +42,11 @@
 pub use accounts::{Charge, OverLimit};
 pub use choice::{BelievedParts, Choice, RunCopy};
 pub use endpoints::Outcome;
+pub use notices::NoticeChange;
 pub use reported_loads::ReportedLoads;
 pub use request::{
-    Admission, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal, RequestHead,
+    Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
+    RequestHead,
 };
 pub use view::ViewError;
 
@@ -348,14 +350,19 @@
     }
 
     /// Takes in what a back end said of itself to this router.
-    pub fn on_notice(&mut self, now: Timestamp, instance: &InstanceId, notice: BackEndNotice) {
-        self.endpoints.on_notice(now, instance, notice);
+    pub fn on_notice(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        notice: BackEndNotice,
+    ) -> NoticeChange {
+        self.endpoints.on_notice(now, instance, notice)
     }
 
-    /// How much longer a back end wants no requests of this router.
-    pub fn backoff_left(&self, now: Timestamp, instance: &InstanceId) -> Duration {
-        let endpoint = self.endpoints.get(instance);
-        endpoint.map_or(Duration::ZERO, |endpoint| endpoint.backoff_left(now))
+    /// False once a back end has asked this router for no requests, or says that it leaves. A request that was
+    /// placed there before and has not been sent must not be.
+    pub fn takes_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        self.endpoints.takes_requests(now, instance)
     }
 
     /// A request that was chosen for, and sent at `begun`, has left its back end. True when that
--- /dev/null
+++ b/crates/gateway-core/src/router/notices.rs
@@ -0,0 +1,145 @@
+//! What back ends said of themselves to this router, and what it does when none of a pool is left.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use rand::Rng;
+
+use super::{Admission, Backoff, ChoiceError, Prompt, RouterCore};
+use crate::{BackEndNotice, InstanceId};
+
+/// A back end that says it leaves gets no requests for so long after it last said so. It ends within seconds, or
+/// tens of them while it has long streams; the bound is for one that starts again under its name without control
+/// machines having noticed that it was gone.
+const LEAVING_HOLDS: Duration = Duration::from_secs(60);
+/// Callers that are refused because all back ends asked for no requests return spread over this part of the time
+/// that is left, after it has passed; see docs/design/back-end-notices.md for what was tried.
+const SPREAD: f64 = 0.5;
+/// And over no less than this: a short pause ends for all routers at about the same moment.
+const LEAST_SPREAD: Duration = Duration::from_millis(200);
+
+/// What one back end said of itself.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeldNotices {
+    /// It asked for no requests until then.
+    backoff_until: Timestamp,
+    /// It leaves, and is taken to until then.
+    leaves_until: Timestamp,
+}
+
+/// What a notice changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NoticeChange {
+    /// The back end has asked for no requests, for longer than before.
+    pub backs_off: bool,
+    /// It is known to leave from now on.
+    pub leaves: bool,
+}
+
+impl HeldNotices {
+    pub fn take_in(&mut self, now: Timestamp, notice: BackEndNotice) -> NoticeChange {
+        let mut change = NoticeChange::default();
+        if let Some(retry_after) = notice.retry_after {
+            let until = now.plus(retry_after);
+            change.backs_off = until > self.backoff_until;
+            self.backoff_until = self.backoff_until.max(until);
+        }
+        if notice.is_leaving {
+            change.leaves = self.leaves_until <= now;
+            self.leaves_until = now.plus(LEAVING_HOLDS);
+        }
+        change
+    }
+
+    /// False while it is to get nothing, whatever else there is to choose from.
+    pub fn allow_requests(&self, now: Timestamp) -> bool {
+        self.backoff_until <= now && self.leaves_until <= now
+    }
+
+    /// How much longer it wants nothing; `None` when it wants requests, or never will again.
+    fn backoff_left(&self, now: Timestamp) -> Option<Duration> {
+        let is_pause = self.backoff_until > now && self.leaves_until <= now;
+        is_pause.then(|| self.backoff_until.since(now))
+    }
+
+    fn ends_at(&self) -> Timestamp {
+        self.backoff_until.max(self.leaves_until)
+    }
+}
+
+/// What back ends said that control machines do not name at present. They may name them again: one that is cut
+/// off from them and from no router is removed and comes back, and what it said holds on.
+#[derive(Debug, Default)]
+pub(super) struct NoticesOfAbsent(BTreeMap<InstanceId, HeldNotices>);
+
+impl NoticesOfAbsent {
+    /// A back end is no longer named.
+    pub fn keep(&mut self, instance: InstanceId, notices: HeldNotices) {
+        if notices.ends_at() > Timestamp::default() {
+            self.0.insert(instance, notices);
+        }
+    }
+
+    /// It is named again.
+    pub fn restore(&mut self, instance: &InstanceId) -> HeldNotices {
+        self.0.remove(instance).unwrap_or_default()
+    }
+
+    /// It answered a request that was sent before.
+    pub fn take_in(
+        &mut self,
+        now: Timestamp,
+        instance: &InstanceId,
+        notice: BackEndNotice,
+    ) -> NoticeChange {
+        self.0.retain(|_, notices| notices.ends_at() > now);
+        let notices = self.0.entry(instance.clone()).or_default();
+        notices.take_in(now, notice)
+    }
+}
+
+impl RouterCore {
+    /// When all back ends that could take a request have asked for no requests: until when. For the answer to one
+    /// that was sent to the last of them.
+    pub fn backoff_of_all(
+        &mut self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+    ) -> Option<ChoiceError> {
+        let draw = self.random.random();
+        let none_left = self.candidates(now, admission, prompt).is_empty();
+        let reason = none_left.then(|| self.none_takes_requests(now, admission, prompt, draw));
+        reason.filter(|reason| matches!(reason, ChoiceError::BackedOff(_)))
+    }
+
+    /// Why no back end of a pool takes a request. When all have asked for no requests, its caller is told when the
+    /// first of them takes some again: holding the request until then would let it die with this router, and
+    /// sending it all the same would be turned away.
+    pub(super) fn none_takes_requests(
+        &self,
+        now: Timestamp,
+        admission: &Admission,
+        prompt: Option<&Prompt>,
+        draw: u64,
+    ) -> ChoiceError {
+        let eligible = self.eligible(now, admission, prompt);
+        let left = eligible.iter();
+        let left = left.filter_map(|candidate| candidate.endpoint.notices.backoff_left(now));
+        let left: Vec<Duration> = left.collect();
+        let Some(soonest) = left.iter().min().copied() else {
+            return ChoiceError::NoneReady;
+        };
+        let spread = soonest.mul_f64(SPREAD).max(LEAST_SPREAD);
+        ChoiceError::BackedOff(Backoff {
+            back_ends: left.len(),
+            soonest,
+            retry_after: soonest + spread.mul_f64(draw as f64 / u64::MAX as f64),
+        })
+    }
+}
+
+#[cfg(test)]
+#[path = "notices_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway-core/src/router/notices_tests.rs
@@ -0,0 +1,220 @@
+//! Tests of what back ends say of themselves.
+
+use rstest::rstest;
+
+use super::super::tests::{admit, at, changes, record, router, router_with, short_stream, update};
+use super::super::{EarlierAttempts, Outcome, RunCopy};
+use super::*;
+use crate::{Lifecycle, RequestKind};
+
+const PAUSE: Duration = Duration::from_secs(3);
+
+fn pause() -> BackEndNotice {
+    BackEndNotice {
+        retry_after: Some(PAUSE),
+        is_leaving: false,
+    }
+}
+
+fn leaving() -> BackEndNotice {
+    BackEndNotice {
+        retry_after: None,
+        is_leaving: true,
+    }
+}
+
+fn id(name: &str) -> InstanceId {
+    InstanceId::new(name)
+}
+
+/// Back ends that get some of a hundred requests at a time.
+fn chosen(router: &mut RouterCore, now: Timestamp) -> Vec<InstanceId> {
+    let admission = admit(router, at(1), "/a/x");
+    let mut chosen = Vec::new();
+    for _ in 0..100 {
+        let choice = router.choose(now, &admission, None, EarlierAttempts::default());
+        let instance = choice.unwrap().instance;
+        router.finished(now, &instance, now, Outcome::Answered);
+        if !chosen.contains(&instance) {
+            chosen.push(instance);
+        }
+    }
+    chosen
+}
+
+fn error(router: &mut RouterCore, now: Timestamp) -> ChoiceError {
+    let admission = admit(router, at(1), "/a/x");
+    router
+        .choose(now, &admission, None, EarlierAttempts::default())
+        .unwrap_err()
+}
+
+#[test]
+fn one_that_asked_for_a_pause_gets_nothing_until_it_has_passed() {
+    let mut router = router();
+    let change = router.on_notice(at(10), &id("app-1"), pause());
+    assert!(change.backs_off && !change.leaves);
+    assert!(!chosen(&mut router, at(11)).contains(&id("app-1")));
+    assert!(!chosen(&mut router, at(3_009)).contains(&id("app-1")));
+    assert!(chosen(&mut router, at(3_010)).contains(&id("app-1")));
+}
+
+#[test]
+fn a_shorter_pause_does_not_end_a_longer_one() {
+    let mut router = router();
+    router.on_notice(at(10), &id("app-1"), pause());
+    let shorter = BackEndNotice {
+        retry_after: Some(Duration::from_millis(100)),
+        ..pause()
+    };
+    assert!(!router.on_notice(at(20), &id("app-1"), shorter).backs_off);
+    assert!(!chosen(&mut router, at(2_000)).contains(&id("app-1")));
+}
+
+#[test]
+fn when_all_ask_for_a_pause_callers_are_told_when_the_first_one_ends() {
+    let mut router = router();
+    for (index, name) in ["app-1", "app-2", "app-3"].into_iter().enumerate() {
+        router.on_notice(at(10 + index as u64), &id(name), pause());
+    }
+    let mut told = Vec::new();
+    for _ in 0..200 {
+        let ChoiceError::BackedOff(backoff) = error(&mut router, at(1_010)) else {
+            panic!("refused for the pause");
+        };
+        assert_eq!(
+            (backoff.back_ends, backoff.soonest),
+            (3, Duration::from_secs(2))
+        );
+        told.push(backoff.retry_after);
+    }
+    let (first, last) = (told.iter().min().unwrap(), told.iter().max().unwrap());
+    assert!(*first >= Duration::from_secs(2), "not before it ends");
+    assert!(
+        *last - *first > Duration::from_millis(800),
+        "spread over a second"
+    );
+    assert!(*last <= Duration::from_secs(3));
+    assert_eq!(chosen(&mut router, at(3_010)), [id("app-1")]);
+}
+
+#[test]
+fn a_pool_that_leaves_is_not_waited_for() {
+    let mut router = router();
+    for name in ["app-1", "app-2", "app-3"] {
+        router.on_notice(at(10), &id(name), leaving());
+        router.on_notice(at(10), &id(name), pause());
+    }
+    assert_eq!(error(&mut router, at(20)), ChoiceError::NoneReady);
+}
+
+/// What control machines say in between changes nothing.
+#[rstest]
+#[case::a_change_of_the_record(true)]
+#[case::removed_and_registered_again(false)]
+fn what_was_said_outlives_changes_of_the_view(#[case] stays: bool) {
+    let mut router = router();
+    router.on_notice(at(10), &id("app-1"), pause());
+    router.on_notice(at(10), &id("app-2"), leaving());
+    if stays {
+        let mut changed = record("app-1", "apps", 1);
+        changed.slots = 9;
+        update(&mut router, at(20), changes(10, 11, vec![changed]));
+    } else {
+        let mut gone = changes(10, 11, Vec::new());
+        gone.removed =
+            drumshore_wire::List::new(["app-1", "app-2"].map(drumshore_wire::Text::new).to_vec());
+        update(&mut router, at(20), gone);
+        let again = vec![record("app-1", "apps", 12), record("app-2", "apps", 13)];
+        update(&mut router, at(30), changes(11, 13, again));
+    }
+    assert_eq!(chosen(&mut router, at(40)), [id("app-3")]);
+}
+
+#[test]
+fn what_was_said_outlives_a_view_that_is_taken_in_anew() {
+    let mut router = router();
+    router.on_notice(at(10), &id("app-1"), pause());
+    let whole = (1..=3).map(|number| record(&format!("app-{number}"), "apps", number));
+    update(&mut router, at(20), changes(0, 20, whole.collect()));
+    assert!(!chosen(&mut router, at(30)).contains(&id("app-1")));
+}
+
+/// An answer to a request that was under way when control machines removed its back end.
+#[test]
+fn one_that_is_not_named_at_present_is_heard_as_well() {
+    let mut router = router_with(vec![record("app-2", "apps", 2)]);
+    router.on_notice(at(10), &id("app-1"), leaving());
+    let named = vec![record("app-1", "apps", 12)];
+    update(&mut router, at(20), changes(10, 12, named));
+    assert_eq!(chosen(&mut router, at(30)), [id("app-2")]);
+}
+
+#[test]
+fn one_that_leaves_is_tried_again_when_it_stays_for_long() {
+    let mut router = router();
+    assert!(router.on_notice(at(10), &id("app-1"), leaving()).leaves);
+    assert!(!router.on_notice(at(20), &id("app-1"), leaving()).leaves);
+    assert!(!router.takes_requests(at(59_000), &id("app-1")));
+    assert!(router.takes_requests(at(61_000), &id("app-1")));
+}
+
+/// The others are silent, and avoided while there are better ones: the pause is no preference.
+#[test]
+fn the_last_resort_passes_over_those_that_asked_for_a_pause() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/x");
+    let silent = router
+        .choose(at(1), &admission, None, EarlierAttempts::default())
+        .unwrap();
+    router.finished(at(1), &silent.instance, at(1), Outcome::Unreachable);
+    for name in ["app-1", "app-2", "app-3"] {
+        if id(name) != silent.instance {
+            router.on_notice(at(2), &id(name), pause());
+        }
+    }
+    assert_eq!(chosen(&mut router, at(3)), [silent.instance]);
+}
+
+#[rstest]
+#[case(pause())]
+#[case(leaving())]
+fn a_copy_of_a_run_is_not_gone_on_with_there(#[case] notice: BackEndNotice) {
+    let mut router = router();
+    let admission = short_stream(&mut router, RequestKind::Stream);
+    let copy = RunCopy {
+        instance: id("llm-5"),
+        address: "10.0.0.5:80".to_owned(),
+        version: None,
+    };
+    let earlier = EarlierAttempts::default();
+    let now = at(2);
+    assert!(router
+        .choose_copy(now, &admission, None, &copy, earlier)
+        .is_ok());
+    router.on_notice(now, &id("llm-5"), notice);
+    assert!(router
+        .choose_copy(now, &admission, None, &copy, earlier)
+        .is_err());
+}
+
+/// Draining by its heartbeats as well: it is not among those that callers are told to come back for.
+#[test]
+fn only_those_that_could_take_the_request_count() {
+    let mut drains = record("app-2", "apps", 2);
+    drains.lifecycle = Lifecycle::Draining;
+    let mut router = router_with(vec![record("app-1", "apps", 1), drains]);
+    router.on_notice(
+        at(5),
+        &id("app-2"),
+        BackEndNotice {
+            retry_after: Some(Duration::from_millis(100)),
+            ..pause()
+        },
+    );
+    router.on_notice(at(10), &id("app-1"), pause());
+    let ChoiceError::BackedOff(backoff) = error(&mut router, at(10)) else {
+        panic!("refused for the pause");
+    };
+    assert_eq!((backoff.back_ends, backoff.soonest), (1, PAUSE));
+}
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -55,6 +55,9 @@
     /// All that take requests were tried.
     #[error("no other back end")]
     NoneLeft,
+    /// All back ends that could take it have asked this router for no requests.
+    #[error("{0}")]
+    BackedOff(Backoff),
     /// The pool has more work than it can serve in time.
     #[error("{0}")]
     Overloaded(Overload),
@@ -69,6 +72,18 @@
     NoBudget,
 }
 
+/// Until when the back ends of a pool want no requests of this router.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{back_ends} back ends asked for no requests, the first one for {} ms more", soonest.as_millis())]
+pub struct Backoff {
+    /// Those that could take the request otherwise.
+    pub back_ends: usize,
+    /// Until the first of them takes requests again.
+    pub soonest: Duration,
+    /// When the caller is to try again.
+    pub retry_after: Duration,
+}
+
 /// Why a request is refused while its pool has too much work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("pool overloaded: {taken_percent} % of its slots taken, {refused_percent} % refused")]
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -142,7 +142,7 @@
     }
 }
 
-fn record(name: &str, pool: &str, registered: u64) -> InstanceRecord {
+pub(super) fn record(name: &str, pool: &str, registered: u64) -> InstanceRecord {
     let models = if pool == "models" { 1 } else { 0 };
     let loaded = (0..models).map(|_| LoadedModel {
         model: Text::new("model"),
@@ -162,7 +162,7 @@
     }
 }
 
-fn changes(since: u64, revision: u64, instances: Vec<InstanceRecord>) -> Changes {
+pub(super) fn changes(since: u64, revision: u64, instances: Vec<InstanceRecord>) -> Changes {
     let configuration = if since == 0 {
         vec![Blob::new(Vec::new())]
     } else {
@@ -179,7 +179,7 @@
     }
 }
 
-fn router_with(instances: Vec<InstanceRecord>) -> RouterCore {
+pub(super) fn router_with(instances: Vec<InstanceRecord>) -> RouterCore {
     let mut router = RouterCore::new(params(), 7);
     router
         .apply(at(0), changes(0, 10, instances), |_| Ok(document()))
@@ -188,7 +188,7 @@
     router
 }
 
-fn router() -> RouterCore {
+pub(super) fn router() -> RouterCore {
     let mut instances: Vec<InstanceRecord> = (1..=3)
         .map(|number| record(&format!("app-{number}"), "apps", number))
         .collect();
@@ -196,7 +196,7 @@
     router_with(instances)
 }
 
-fn update(router: &mut RouterCore, now: Timestamp, changed: Changes) {
+pub(super) fn update(router: &mut RouterCore, now: Timestamp, changed: Changes) {
     router.apply(now, changed, |_| Ok(document())).unwrap();
 }
 
@@ -217,7 +217,7 @@
     }
 }
 
-fn admit(router: &mut RouterCore, now: Timestamp, path: &str) -> Admission {
+pub(super) fn admit(router: &mut RouterCore, now: Timestamp, path: &str) -> Admission {
     router
         .admit(now, head("host", path, Some("key 1")))
         .unwrap()
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -1,9 +1,12 @@
 //! Calls from a control machine to back ends: orders and questions.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use drumshore_core::Timestamp;
 use drumshore_gateway_core::{InstanceId, Order, OrderOutcome, Report};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
@@ -19,9 +22,10 @@
 const CONNECTIONS: usize = 2;
 const MOST_ANSWER_BYTES: usize = 1 << 20;
 
-/// Connections to back ends.
+/// Connections to back ends, and until when some of them want no calls of this machine.
 pub(super) struct BackEnds {
     upstreams: Upstreams,
+    backoff_until: RefCell<HashMap<InstanceId, Timestamp>>,
 }
 
 pub(super) struct CallAnswer {
@@ -31,10 +35,14 @@
 
 impl BackEnds {
     pub fn new(upstreams: Upstreams) -> Self {
-        Self { upstreams }
+        Self {
+            upstreams,
+            backoff_until: RefCell::default(),
+        }
     }
 
-    /// Calls a back end, or a store, which expects no instance.
+    /// Calls a back end, or a store, which expects no instance. One that asked this machine for no calls gets none:
+    /// as if it had not answered.
     pub async fn call(
         &self,
         control: &Control,
@@ -47,14 +55,37 @@
             .upstreams
             .connect(instance, address, CONNECTIONS, PATIENCE);
         let mut connection = connecting.await.ok()?;
+        if self.backs_off(control.clock.now(), instance) {
+            connection.give_back(control.clock.now());
+            return None;
+        }
         let request = request(control, expect.then_some(instance), address, call)?;
         let response = connection.send(request).await.ok()?;
         let status = response.status();
+        let notice = control.dialect.notice(status, response.headers());
+        if let Some(retry_after) = notice.retry_after {
+            self.note_backoff(control, instance, retry_after);
+        }
         let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES);
         let body = body.collect().await.ok()?.to_bytes();
         connection.give_back(control.clock.now());
         Some(CallAnswer { status, body })
     }
+
+    fn backs_off(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        let until = self.backoff_until.borrow().get(instance).copied();
+        until.is_some_and(|until| until > now)
+    }
+
+    fn note_backoff(&self, control: &Control, instance: &InstanceId, retry_after: Duration) {
+        let now = control.clock.now();
+        let mut backoff_until = self.backoff_until.borrow_mut();
+        backoff_until.retain(|_, until| *until > now);
+        backoff_until.insert(instance.clone(), now.plus(retry_after));
+        control.metrics.count_notice("backoff");
+        tracing::info!(event = "back_end_backoff", %instance,
+            retry_after_ms = retry_after.as_millis() as u64, "control: a back end asks for no calls");
+    }
 }
 
 fn request(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -74,7 +74,7 @@
     labelled_tenants: RefCell<BTreeSet<String>>,
     /// Back ends whose connections broke, by what their address told then.
     broken_back_ends: Family<OutcomeLabel, Counter>,
-    /// What back ends said of themselves in answers, and requests that were sent against it.
+    /// What back ends said of themselves in answers.
     back_end_notices: Family<OutcomeLabel, Counter>,
     /// Bytes sent over links to other processes, by kind of message.
     pub link_bytes: Counters,
@@ -120,7 +120,7 @@
         );
         registry.register(
             "back_end_notices",
-            "What back ends said of themselves in answers, and requests sent against it",
+            "What back ends said of themselves in answers",
             Clone::clone(&back_end_notices),
         );
         registry.register(
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -83,7 +83,10 @@
             return ended(open_attempt, outcome, Execution::NotRun, false);
         }
     };
-    notices::check_send(router, &call.id, choice);
+    if !notices::may_send(router, choice) {
+        connection.give_back(router.clock.now());
+        return ended(open_attempt, Outcome::Withheld, Execution::NotRun, false);
+    }
     let left = call.deadline.since(router.clock.now());
     let mut request = outbound(router, call, choice, left);
     if let Some(continued) = continued {
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -251,7 +251,12 @@
             }
         }
     }
-    refusal::give_up(router, &call, &attempts.tried, worst, None)
+    let now = router.clock.now();
+    let prompt = call.prompt.as_ref();
+    let mut core = router.core.borrow_mut();
+    let error = core.backoff_of_all(now, &call.admission, prompt);
+    drop(core);
+    refusal::give_up(router, &call, &attempts.tried, worst, error)
 }
 
 /// One line for each attempt that did not end the request well.
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -1,38 +1,57 @@
 //! What back ends say of themselves in the heads of their answers, as the router daemon hears it.
 //!
 //! All answers to requests pass here, whatever they are to: a first choice, a retry, a resumption, a copy of a run.
+//! What was said counts for all that this router sends from then on, and for requests that wait for a connection.
 
 use std::rc::Rc;
 
-use drumshore_gateway_core::Choice;
+use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId};
 use hyper::body::Incoming;
 use hyper::Response;
 
+use super::forward::header;
 use super::Router;
 
 /// Takes in what the head of an answer says of its back end.
 pub(super) fn take_in(router: &Rc<Router>, choice: &Choice, response: &Response<Incoming>) {
-    let notice = router.dialect.notice(response.status(), response.headers());
-    if notice.is_leaving {
-        router.metrics.count_notice("leaving");
-    }
-    if let Some(retry_after) = notice.retry_after {
-        router.metrics.count_notice("backoff");
-        tracing::info!(event = "back_end_backoff", instance = %choice.instance,
-            retry_after_ms = retry_after.as_millis() as u64, "router: a back end asks for a pause");
+    let headers = response.headers();
+    let notice = router.dialect.notice(response.status(), headers);
+    if notice == BackEndNotice::default() {
+        return;
     }
+    let instance = answered_by(router, choice, response);
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
-    core.on_notice(now, &choice.instance, notice);
+    let change = core.on_notice(now, &instance, notice);
+    drop(core);
+    if change.backs_off {
+        router.metrics.count_notice("backoff");
+        let retry_after = notice.retry_after.unwrap_or_default();
+        tracing::info!(event = "back_end_backoff", %instance,
+            retry_after_ms = retry_after.as_millis() as u64, "router: a back end asks for no requests");
+    }
+    if change.leaves {
+        router.metrics.count_notice("leaving");
+        tracing::info!(event = "back_end_leaving", %instance, "router: a back end says that it leaves");
+        router.upstreams.close_idle(&instance);
+    }
 }
 
-/// A request is about to be sent. One line when its back end has asked for none.
-pub(super) fn check_send(router: &Rc<Router>, id: &str, choice: &Choice) {
-    let now = router.clock.now();
-    let left = router.core.borrow().backoff_left(now, &choice.instance);
-    if !left.is_zero() {
-        router.metrics.count_notice("sent_in_backoff");
-        tracing::info!(event = "sent_in_backoff", %id, instance = %choice.instance,
-            left_ms = left.as_millis() as u64, "router: a request goes to a back end that wants none");
+/// Another incarnation may listen at the address, and says so.
+fn answered_by(router: &Router, choice: &Choice, response: &Response<Incoming>) -> InstanceId {
+    let names = router.dialect.headers();
+    let named = header(response.headers(), &names.instance);
+    if named.is_empty() {
+        choice.instance.clone()
+    } else {
+        InstanceId::new(&named)
     }
 }
+
+/// Whether a request that has its connection may be sent. A wait for one may last longer than the half second
+/// that requests may be under way after a back end asked for none.
+pub(super) fn may_send(router: &Router, choice: &Choice) -> bool {
+    let now = router.clock.now();
+    let core = router.core.borrow();
+    core.takes_requests(now, &choice.instance)
+}
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -78,6 +78,7 @@
     if worst == Execution::NotRun {
         let (after, reason) = match error {
             Some(ChoiceError::NoneReady) => (RETRY_WITHOUT_BACK_ENDS, "no_back_end"),
+            Some(ChoiceError::BackedOff(backoff)) => (backoff.retry_after, "backed_off"),
             Some(ChoiceError::Overloaded(overload)) => (overload.retry_after, "overloaded"),
             Some(ChoiceError::Quarantined) => (LONGEST_RETRY_AFTER, "quarantined"),
             Some(ChoiceError::Suspected) => (RETRY_WITHOUT_BACK_ENDS, "suspected"),
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -126,6 +126,7 @@
         Outcome::OtherWeights => "other_weights",
         Outcome::NoFreeConnection => "no_free_connection",
         Outcome::Unreachable => "unreachable",
+        Outcome::Withheld => "withheld",
         Outcome::Broken => "broken",
         Outcome::TimedOut => "timed_out",
         Outcome::Abandoned => "abandoned",
