Know as announced the end of a back end that said in an answer that it leaves

Cause: what a back end says of itself in answers was read by nobody, so the examination of broken connections took the end of one that had said so for an end without notice, which counts against the work that it had in hand.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -229,10 +229,14 @@
         })
     }
 
-    /// True while a back end is known and has not said that it leaves.
-    pub fn is_serving(&self, instance: &InstanceId) -> bool {
-        let record = self.view.instance(instance.as_str());
-        record.is_some_and(|record| record.lifecycle == Lifecycle::Ready)
+    /// True while a back end is known and has not said that it leaves, by a heartbeat or to this router. One that
+    /// has ends as announced, so its end speaks against nothing that it had in hand.
+    pub fn is_serving(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        let endpoint = self.endpoints.get(instance);
+        endpoint.is_some_and(|endpoint| {
+            let is_ready = endpoint.record.lifecycle == Lifecycle::Ready;
+            is_ready && !endpoint.notices.say_it_leaves(now)
+        })
     }
 
     /// Identifies the work of a request; `None` before the key is known.
--- a/crates/gateway-core/src/router/notices.rs
+++ b/crates/gateway-core/src/router/notices.rs
@@ -14,6 +14,9 @@
 /// tens of them while it has long streams; the bound is for one that starts again under its name without control
 /// machines having noticed that it was gone.
 const LEAVING_HOLDS: Duration = Duration::from_secs(60);
+/// Back ends that are gone and had said something; what ends first is forgotten first. Ten times what a rolling
+/// restart of the largest fleet takes away within the time that such a word holds.
+const MOST_ABSENT: usize = 1_024;
 /// After a pause a back end gets so many of a router's requests at once, and one more for each that it accepts. It
 /// looks idle, so that all requests of all routers would go there; it would be full at once and ask for the next
 /// pause, and a pool that has room for twice its work would not get out of that by itself.
@@ -112,6 +115,11 @@
         self.window = self.window.filter(|window| window.size <= f64::from(slots));
     }
 
+    /// Whether it said that it leaves.
+    pub fn say_it_leaves(&self, now: Timestamp) -> bool {
+        self.leaves_until > now
+    }
+
     /// How much longer it wants nothing; `None` when it wants requests, or never will again.
     fn backoff_left(&self, now: Timestamp) -> Option<Duration> {
         let is_pause = self.backoff_until > now && self.leaves_until <= now;
@@ -134,6 +142,11 @@
         if notices.ends_at() > Timestamp::default() {
             self.0.insert(instance, notices);
         }
+        if self.0.len() > MOST_ABSENT {
+            let ends = self.0.iter().map(|(id, notices)| (notices.ends_at(), id));
+            let first = ends.min().map(|(_, id)| id.clone());
+            first.map(|first| self.0.remove(&first));
+        }
     }
 
     /// It is named again.
--- a/crates/gateway-core/src/router/notices_tests.rs
+++ b/crates/gateway-core/src/router/notices_tests.rs
@@ -274,3 +274,30 @@
     };
     assert_eq!((backoff.back_ends, backoff.soonest), (1, PAUSE));
 }
+
+/// What it had in hand did not end it.
+#[test]
+fn one_that_said_it_leaves_to_this_router_ends_as_announced() {
+    let mut router = router();
+    assert!(router.is_serving(at(5), &id("app-1")));
+    router.on_notice(at(10), &id("app-1"), leaving());
+    assert!(!router.is_serving(at(11), &id("app-1")));
+    router.on_notice(at(10), &id("app-2"), pause());
+    assert!(router.is_serving(at(11), &id("app-2")));
+}
+
+#[test]
+fn what_is_kept_of_those_that_are_gone_is_bounded() {
+    let mut absent = NoticesOfAbsent::default();
+    for number in 0..3 * MOST_ABSENT as u64 {
+        let mut notices = HeldNotices::default();
+        notices.take_in(at(number), leaving(), 0);
+        absent.keep(id(&format!("app-{number}")), notices);
+    }
+    assert_eq!(absent.0.len(), MOST_ABSENT);
+    let last = id(&format!("app-{}", 3 * MOST_ABSENT - 1));
+    assert!(
+        !absent.restore(&last).allow_requests(at(9)),
+        "the last are kept"
+    );
+}
--- a/crates/gateway/src/router/back_end_ends.rs
+++ b/crates/gateway/src/router/back_end_ends.rs
@@ -89,7 +89,10 @@
 
 async fn find(router: &Router, instance: &InstanceId, address: &str) -> Finding {
     // Asked before the connection: control machines forget a back end soon after it has ended.
-    let is_serving = router.core.borrow().is_serving(instance);
+    let is_serving = router
+        .core
+        .borrow()
+        .is_serving(router.clock.now(), instance);
     let Ok(address) = address.parse::<SocketAddr>() else {
         return Finding::Silent;
     };
