--- /dev/null
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -0,0 +1,320 @@
+//! The bytes of messages and log entries that builds in the field send, keep and expect.
+//!
+//! Builds of two versions run side by side while machines are replaced, and a build starts on the disk of the one
+//! before. Layouts are positional: a changed one is read as another value, or not at all. The bytes in
+//! `wire_layout.txt` are those of builds that have landed; they are never written anew for a layout that changed.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use drumshore_consensus::ReplicaId;
+use drumshore_gateway_core::{
+    AccountLevel, Announcement, BackEndKey, Changes, Command, Following, HolderEntry,
+    InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, Proposal, ProposalId,
+    Quarantine, ReplicatedState, RouterStatus, StoreId, StoredKey, TenantKey, TenantName,
+    UsageEntry, WeightsNotice, Work, WorkEvent, WorkId, WorkKey, WorkReport, WorkSuspicion,
+};
+use drumshore_wire::{Blob, List, Text};
+
+const LANDED: &str = include_str!("wire_layout.txt");
+
+fn work() -> WorkId {
+    WorkKey::draw(1).identify(&Work::default())
+}
+
+fn tenant() -> TenantKey {
+    TenantKey::of(&TenantName::new("tenant"))
+}
+
+fn loaded() -> LoadedModel {
+    LoadedModel {
+        model: Text::new("model"),
+        version: 3,
+        loading: 4,
+    }
+}
+
+fn record() -> InstanceRecord {
+    InstanceRecord {
+        instance: Text::new("i-1"),
+        pool: Text::new("pool"),
+        address: Text::new("10.0.0.1:80"),
+        zone: Text::new("zone"),
+        slots: 16,
+        lifecycle: Lifecycle::Draining,
+        models: List::new(vec![loaded()]),
+        registered: 5,
+        revision: 6,
+    }
+}
+
+fn changes() -> Changes {
+    Changes {
+        since: 1,
+        revision: 2,
+        newest: 3,
+        configuration: List::new(vec![Blob::new(vec![7, 8])]),
+        weights: List::new(vec![WeightsNotice {
+            model: Text::new("model"),
+            version: 9,
+            age_ms: 10,
+        }]),
+        instances: List::new(vec![record()]),
+        removed: List::new(vec![Text::new("i-2")]),
+        work_key: List::new(vec![WorkKey::draw(1)]),
+        quarantine: List::new(vec![Quarantine {
+            works: List::new(vec![work()]),
+        }]),
+    }
+}
+
+fn load() -> LoadEntry {
+    LoadEntry {
+        key: 1,
+        pending: 2,
+        in_flight: 3,
+    }
+}
+
+fn messages() -> Vec<(&'static str, Message)> {
+    let reports = vec![
+        WorkReport {
+            work: work(),
+            age_ms: 11,
+            event: WorkEvent::BackEndEnded {
+                back_end: 12,
+                held_ms: 13,
+            },
+        },
+        WorkReport {
+            work: work(),
+            age_ms: 14,
+            event: WorkEvent::Completed,
+        },
+    ];
+    vec![
+        (
+            "router",
+            Message::Router(RouterStatus {
+                address: Text::new("10.0.0.9:80"),
+                zone: Text::new("zone"),
+                accepting: 1,
+                has_view: 1,
+            }),
+        ),
+        ("consensus", Message::Consensus(Blob::new(vec![1, 2]))),
+        (
+            "propose",
+            Message::Propose(List::new(vec![Blob::new(vec![3])])),
+        ),
+        ("join", Message::Join(ReplicaId(4))),
+        (
+            "heard",
+            Message::Heard(List::new(vec![BackEndKey::of("i-1")])),
+        ),
+        ("announce", Message::Announce(Announcement { revision: 5 })),
+        ("fetch", Message::Fetch { since: 6, begun: 7 }),
+        ("changes", Message::Changes(changes())),
+        ("ping", Message::Ping { sequence: 8 }),
+        (
+            "pong",
+            Message::Pong {
+                sequence: 9,
+                revision: 10,
+                routers: 11,
+                controls: List::new(vec![12]),
+                leader: 13,
+            },
+        ),
+        ("loads", Message::Loads(List::new(vec![load()]))),
+        (
+            "stored",
+            Message::Stored {
+                store: StoreId(14),
+                known: 1,
+                reset: 1,
+                added: List::new(vec![StoredKey(15)]),
+                removed: List::new(vec![StoredKey(16)]),
+            },
+        ),
+        (
+            "holders",
+            Message::Holders(List::new(vec![HolderEntry {
+                prefix: 17,
+                key: 18,
+            }])),
+        ),
+        ("suspects", Message::Suspects(List::new(vec![19]))),
+        ("refusing", Message::Refusing(List::new(vec![20]))),
+        (
+            "loads_of_all",
+            Message::LoadsOfAll {
+                whole: 1,
+                loads: List::new(vec![load()]),
+            },
+        ),
+        (
+            "usage",
+            Message::Usage(List::new(vec![UsageEntry::new(tenant(), 21, 22.0)])),
+        ),
+        (
+            "account_levels",
+            Message::AccountLevels(List::new(vec![AccountLevel::new(tenant(), -23.0, 0.5)])),
+        ),
+        ("work_reports", Message::WorkReports(List::new(reports))),
+        (
+            "work_suspicions",
+            Message::WorkSuspicions(List::new(vec![WorkSuspicion {
+                work: work(),
+                ends: 2,
+            }])),
+        ),
+        ("keep_alive", Message::KeepAlive),
+        ("try_work", Message::TryWork(work())),
+        ("control_zone", Message::ControlZone(Text::new("zone"))),
+        ("follow", Message::Follow(Following::ChangesAndNews)),
+        ("news", Message::News(Blob::new(vec![24]))),
+    ]
+}
+
+fn commands() -> Vec<(&'static str, Command)> {
+    let instance = || Text::new("i-1");
+    vec![
+        (
+            "configure",
+            Command::Configure {
+                version: 1,
+                body: Blob::new(vec![2]),
+            },
+        ),
+        (
+            "register",
+            Command::Register {
+                instance: instance(),
+                pool: Text::new("pool"),
+                address: Text::new("10.0.0.1:80"),
+                zone: Text::new("zone"),
+                slots: 16,
+                draining: 0,
+                models: List::new(vec![loaded()]),
+            },
+        ),
+        (
+            "drain",
+            Command::Drain {
+                instance: instance(),
+            },
+        ),
+        (
+            "deregister",
+            Command::Deregister {
+                instance: instance(),
+            },
+        ),
+        (
+            "name_weights",
+            Command::NameWeights {
+                model: Text::new("model"),
+                version: 3,
+            },
+        ),
+        (
+            "expire",
+            Command::Expire {
+                instance: instance(),
+            },
+        ),
+        (
+            "load",
+            Command::Load {
+                instance: instance(),
+                model: Text::new("model"),
+                version: 3,
+                phase: LoadPhase::Finished,
+            },
+        ),
+        (
+            "set_work_key",
+            Command::SetWorkKey {
+                key: WorkKey::draw(1),
+            },
+        ),
+        ("quarantine", Command::Quarantine { work: work() }),
+        ("release", Command::Release { work: work() }),
+    ]
+}
+
+/// A state to which each command was applied in the order of [`commands`], but for those that take away again.
+fn state() -> ReplicatedState {
+    let taking_away = ["deregister", "expire", "release"];
+    let mut state = ReplicatedState::default();
+    let commands = commands().into_iter().enumerate();
+    for (position, (name, command)) in commands {
+        if !taking_away.contains(&name) {
+            state.apply(position as u64 + 1, &command);
+        }
+    }
+    state
+}
+
+fn proposal(command: Command) -> Proposal {
+    Proposal {
+        id: ProposalId {
+            origin: 25,
+            sequence: 26,
+        },
+        command,
+    }
+}
+
+/// What today's code writes, by a name for each.
+fn written() -> BTreeMap<String, Vec<u8>> {
+    let messages = messages().into_iter();
+    let messages = messages.map(|(name, message)| (format!("message-{name}"), message.encode()));
+    let commands = commands().into_iter();
+    let entries =
+        commands.map(|(name, command)| (format!("entry-{name}"), proposal(command).encode()));
+    let snapshot = ("snapshot".to_owned(), state().encode());
+    messages.chain(entries).chain([snapshot]).collect()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+#[test]
+fn what_landed_is_written_byte_by_byte() {
+    let landed: BTreeMap<&str, &str> = LANDED
+        .lines()
+        .filter_map(|line| line.split_once(' '))
+        .collect();
+    let written = written();
+    let differing = written.iter().filter_map(|(name, bytes)| {
+        let now = hex(bytes);
+        (landed.get(name.as_str()) != Some(&now.as_str())).then(|| format!("{name} {now}"))
+    });
+    let differing: Vec<String> = differing.collect();
+    assert!(differing.is_empty(), "changed:\n{}", differing.join("\n"));
+    assert_eq!(
+        landed.len(),
+        written.len(),
+        "a kind that landed is not written any more"
+    );
+}
+
+#[test]
+fn what_landed_is_read() {
+    for (name, message) in messages() {
+        assert_eq!(Message::decode(&message.encode()), Some(message), "{name}");
+    }
+    for (name, command) in commands() {
+        let proposal = proposal(command);
+        let bytes = proposal.encode();
+        assert_eq!(Proposal::decode(&bytes), Some(proposal), "{name}");
+    }
+    let read = ReplicatedState::decode(&state().encode()).expect("a snapshot is read");
+    assert_eq!(read.encode(), state().encode());
+}
