--- a/crates/gateway-core/tests/control/configuration.rs
+++ b/crates/gateway-core/tests/control/configuration.rs
@@ -101,6 +101,45 @@
     assert_eq!(cluster.replies[&read], expected);
 }
 
+/// As many disks as may be lost are, and all machines lose power at that moment, right after a change was acknowledged.
+/// Those that kept their disks have synced what was acknowledged, and are a majority.
+#[rstest]
+fn acknowledged_changes_outlast_lost_disks_with_a_loss_of_power_of_all(
+    #[values((1, 2), (1, 3), (1, 4), (1, 5), (2, 3), (2, 4), (2, 5), (3, 4), (3, 5), (4, 5))] lost: (u8, u8),
+) {
+    let mut cluster = elected(3);
+    cluster.join(address(4));
+    cluster.join(address(5));
+    cluster.run(5 * SECOND);
+    let change = cluster.configure(address(1), 3);
+    while !cluster.replies.contains_key(&change) {
+        cluster.run(Duration::from_millis(1));
+    }
+    assert_eq!(cluster.replies[&change], Reply::Accepted);
+    let kept: Vec<u8> = (1..=5)
+        .filter(|number| ![lost.0, lost.1].contains(number))
+        .collect();
+    for number in 1..=5 {
+        cluster.kill(address(number));
+    }
+    for number in &kept {
+        cluster.machines[&address(*number)].disk.crash(0);
+    }
+    for number in [lost.0, lost.1] {
+        cluster.wipe(address(number));
+    }
+    for number in &kept {
+        cluster.start(address(*number));
+    }
+    cluster.run(8 * SECOND);
+    for number in 1..=5 {
+        let read = cluster.read(address(number));
+        cluster.run(SECOND);
+        let expected = Reply::Configuration(Some(b"configuration 3".to_vec()));
+        assert_eq!(cluster.replies[&read], expected, "at machine {number}");
+    }
+}
+
 #[test]
 fn a_replacement_at_another_address_takes_the_place_of_a_machine_that_is_gone() {
     let mut cluster = elected(3);
