--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -328,7 +328,7 @@
     }
 
     /// False once a back end has asked this router for no requests, or says that it leaves.
-    pub fn takes_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
+    pub fn allows_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
         let endpoint = self.by_id.get(instance);
         endpoint.is_none_or(|endpoint| endpoint.notices.allow_requests(now))
     }
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -366,8 +366,8 @@
 
     /// False once a back end has asked this router for no requests, or says that it leaves. A request that was
     /// placed there before and has not been sent must not be.
-    pub fn takes_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
-        self.endpoints.takes_requests(now, instance)
+    pub fn allows_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        self.endpoints.allows_requests(now, instance)
     }
 
     /// A request that was chosen for, and sent at `begun`, has left its back end. True when that
@@ -390,7 +390,7 @@
         // One that asked for a pause meant this router. Others that avoided it as well would crowd the rest of the
         // pool: of 17,300 callers of a simulated pool 6,627 were never served with the others told, 4,544 without
         // (tests/pauses.rs).
-        let is_for_all = is_refused && self.endpoints.takes_requests(now, instance);
+        let is_for_all = is_refused && self.endpoints.allows_requests(now, instance);
         if is_for_all && self.refusing.len() < MOST_SUSPECTS {
             self.refusing.push(LoadEntry::key_of(instance.as_str()));
         }
--- a/crates/gateway-core/src/router/notices.rs
+++ b/crates/gateway-core/src/router/notices.rs
@@ -14,8 +14,8 @@
 /// tens of them while it has long streams; the bound is for one that starts again under its name without control
 /// machines having noticed that it was gone.
 const LEAVING_HOLDS: Duration = Duration::from_secs(60);
-/// Back ends that are gone and had said something; what ends first is forgotten first. Ten times what a rolling
-/// restart of the largest fleet takes away within the time that such a word holds.
+/// Back ends that are gone and had said something; what ends first is forgotten first. A rolling restart that takes
+/// two a second away fills a tenth of it within the time that such a word holds.
 const MOST_ABSENT: usize = 1_024;
 /// After a pause a back end gets so many of a router's requests at once, and one more for each that it accepts. It
 /// looks idle, so that all requests of all routers would go there; it would be full at once and ask for the next
@@ -44,7 +44,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Window {
     size: f64,
-    /// Half of the requests that it had when it asked for a pause.
+    /// Half of the requests that it had when it asked for a pause last.
     threshold: f64,
 }
 
@@ -145,7 +145,9 @@
         if self.0.len() > MOST_ABSENT {
             let ends = self.0.iter().map(|(id, notices)| (notices.ends_at(), id));
             let first = ends.min().map(|(_, id)| id.clone());
-            first.map(|first| self.0.remove(&first));
+            if let Some(first) = first {
+                self.0.remove(&first);
+            }
         }
     }
 
--- a/crates/gateway-core/src/router/notices_tests.rs
+++ b/crates/gateway-core/src/router/notices_tests.rs
@@ -211,8 +211,8 @@
     let mut router = router();
     assert!(router.on_notice(at(10), &id("app-1"), leaving()).leaves);
     assert!(!router.on_notice(at(20), &id("app-1"), leaving()).leaves);
-    assert!(!router.takes_requests(at(59_000), &id("app-1")));
-    assert!(router.takes_requests(at(61_000), &id("app-1")));
+    assert!(!router.allows_requests(at(59_000), &id("app-1")));
+    assert!(router.allows_requests(at(61_000), &id("app-1")));
 }
 
 /// The others are silent, and avoided while there are better ones: the pause is no preference.
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -53,5 +53,5 @@
 pub(super) fn may_send(router: &Router, choice: &Choice) -> bool {
     let now = router.clock.now();
     let core = router.core.borrow();
-    core.takes_requests(now, &choice.instance)
+    core.allows_requests(now, &choice.instance)
 }
