Show the limits that back ends name, and whom a request's cached parts come from

No hypothesis can be told from another by the lines: nothing says that a limit was named, to which router, or what a request puts on back ends beside its own. Now the adapter reads the number, a router remembers it (an answer to an older request neither raises nor ends it), and lines say when it is named, changes and ends; a request's line carries the limit of its back end and from whom parts are fetched.

No logic of placement changes: nothing reads what is remembered.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -39,11 +39,11 @@
     Quarantine, RouterStatus, StoreId, StoredKey, TenantKey, UsageEntry, WeightsNotice, WorkEvent,
     WorkReport, WorkSuspicion,
 };
-pub use notice::BackEndNotice;
+pub use notice::{BackEndNotice, RequestRate};
 pub use router::{
-    Admission, Backoff, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, NoticeChange,
-    Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead,
-    RouterCore, RouterParams, RunCopy, ViewError,
+    Admission, Backoff, BelievedParts, Charge, Choice, ChoiceError, EarlierAttempts, LimitChange,
+    NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal, ReportedLoads,
+    RequestHead, RouterCore, RouterParams, RunCopy, ViewError,
 };
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -320,10 +320,13 @@
         now: Timestamp,
         instance: &InstanceId,
         notice: BackEndNotice,
+        asked: Timestamp,
     ) -> NoticeChange {
         match self.by_id.get_mut(instance) {
-            Some(endpoint) => endpoint.notices.take_in(now, notice, endpoint.in_flight),
-            None => self.notices_of_absent.take_in(now, instance, notice),
+            Some(endpoint) => endpoint
+                .notices
+                .take_in(now, notice, asked, endpoint.in_flight),
+            None => self.notices_of_absent.take_in(now, instance, notice, asked),
         }
     }
 
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -36,13 +36,14 @@
 
 use crate::{
     AccountLevel, BackEndNotice, Changes, Document, HolderEntry, InstanceId, InvalidDocument,
-    Lifecycle, LoadEntry, Position, Route, StoreId, StoredKey, Tenant, UsageEntry, Work, WorkId,
+    Lifecycle, LoadEntry, Position, RequestRate, Route, StoreId, StoredKey, Tenant, UsageEntry,
+    Work, WorkId,
 };
 
 pub use accounts::{Charge, OverLimit};
 pub use choice::{BelievedParts, Choice, RunCopy};
 pub use endpoints::Outcome;
-pub use notices::NoticeChange;
+pub use notices::{LimitChange, NoticeChange};
 pub use reported_loads::ReportedLoads;
 pub use request::{
     Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
@@ -354,14 +355,21 @@
         self.stores.on_stored(store, known, reset, added, removed);
     }
 
-    /// Takes in what a back end said of itself to this router.
+    /// Takes in what a back end said of itself to this router, in the answer to a request that was sent at `asked`;
+    /// an answer that may be to an earlier one is as old as can be.
     pub fn on_notice(
         &mut self,
         now: Timestamp,
         instance: &InstanceId,
         notice: BackEndNotice,
+        asked: Timestamp,
     ) -> NoticeChange {
-        self.endpoints.on_notice(now, instance, notice)
+        self.endpoints.on_notice(now, instance, notice, asked)
+    }
+
+    /// Requests a second that a back end takes from all routers together, when it has named a limit.
+    pub fn limit_of(&self, instance: &InstanceId) -> Option<RequestRate> {
+        self.endpoints.get(instance)?.notices.limit()
     }
 
     /// False once a back end has asked this router for no requests, or says that it leaves. A request that was
--- a/crates/gateway-core/src/router/notices.rs
+++ b/crates/gateway-core/src/router/notices.rs
@@ -8,7 +8,7 @@
 
 use super::candidate::Candidate;
 use super::{Admission, Backoff, ChoiceError, Prompt, RouterCore};
-use crate::{BackEndNotice, InstanceId};
+use crate::{BackEndNotice, InstanceId, RequestRate};
 
 /// A back end that says it leaves gets no requests for so long after it last said so. It ends within seconds, or
 /// tens of them while it has long streams; the bound is for one that starts again under its name without control
@@ -36,6 +36,16 @@
     leaves_until: Timestamp,
     /// After a pause, how many of this router's requests it is given at once; `None` when there is no such bound.
     window: Option<Window>,
+    /// The limit that it named.
+    limit: Option<HeldLimit>,
+}
+
+/// A limit that a back end named.
+#[derive(Clone, Copy, Debug)]
+struct HeldLimit {
+    rate: RequestRate,
+    /// When it was named last.
+    named: Timestamp,
 }
 
 /// Requests that a back end is given at once: few at first, one more for each that it accepts up to half of what was
@@ -66,12 +76,23 @@
 }
 
 /// What a notice changed.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct NoticeChange {
     /// The back end has asked for no requests, for longer than before.
     pub backs_off: bool,
     /// It is known to leave from now on.
     pub leaves: bool,
+    /// The limit that it names is another one than before.
+    pub limit: Option<LimitChange>,
+}
+
+/// How a limit that a back end names has changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitChange {
+    /// It names this one.
+    Named(RequestRate),
+    /// It names none any more.
+    Ended,
 }
 
 impl HeldNotices {
@@ -79,9 +100,13 @@
         &mut self,
         now: Timestamp,
         notice: BackEndNotice,
+        asked: Timestamp,
         in_flight: u32,
     ) -> NoticeChange {
-        let mut change = NoticeChange::default();
+        let mut change = NoticeChange {
+            limit: self.take_in_limit(now, notice.limit, asked),
+            ..NoticeChange::default()
+        };
         if let Some(retry_after) = notice.retry_after {
             let until = now.plus(retry_after);
             change.backs_off = until > self.backoff_until;
@@ -95,6 +120,35 @@
         change
     }
 
+    /// A limit that falls is in force at once. One that rises or ends is so only by an answer to a request that was
+    /// sent after the limit was named last: answers overtake one another.
+    fn take_in_limit(
+        &mut self,
+        now: Timestamp,
+        named: Option<RequestRate>,
+        asked: Timestamp,
+    ) -> Option<LimitChange> {
+        let held = self.limit;
+        let is_newer = held.is_none_or(|held| asked >= held.named);
+        let Some(rate) = named else {
+            let ends = held.is_some() && is_newer;
+            self.limit = held.filter(|_| !ends);
+            return ends.then_some(LimitChange::Ended);
+        };
+        let rate = match held {
+            Some(held) if held.rate < rate && !is_newer => held.rate,
+            _ => rate,
+        };
+        self.limit = Some(HeldLimit { rate, named: now });
+        let is_changed = held.is_none_or(|held| held.rate != rate);
+        is_changed.then_some(LimitChange::Named(rate))
+    }
+
+    /// The limit that it named, as long as it does.
+    pub fn limit(&self) -> Option<RequestRate> {
+        self.limit.map(|limit| limit.rate)
+    }
+
     /// False while it is to get nothing, whatever else there is to choose from.
     pub fn allow_requests(&self, now: Timestamp) -> bool {
         self.backoff_until <= now && self.leaves_until <= now
@@ -162,10 +216,11 @@
         now: Timestamp,
         instance: &InstanceId,
         notice: BackEndNotice,
+        asked: Timestamp,
     ) -> NoticeChange {
         self.0.retain(|_, notices| notices.ends_at() > now);
         let notices = self.0.entry(instance.clone()).or_default();
-        notices.take_in(now, notice, 0)
+        notices.take_in(now, notice, asked, 0)
     }
 }
 
--- a/crates/gateway-core/src/router/notices_tests.rs
+++ b/crates/gateway-core/src/router/notices_tests.rs
@@ -12,14 +12,14 @@
 fn pause() -> BackEndNotice {
     BackEndNotice {
         retry_after: Some(PAUSE),
-        is_leaving: false,
+        ..BackEndNotice::default()
     }
 }
 
 fn leaving() -> BackEndNotice {
     BackEndNotice {
-        retry_after: None,
         is_leaving: true,
+        ..BackEndNotice::default()
     }
 }
 
@@ -52,7 +52,7 @@
 #[test]
 fn one_that_asked_for_a_pause_gets_nothing_until_it_has_passed() {
     let mut router = router();
-    let change = router.on_notice(at(10), &id("app-1"), pause());
+    let change = router.on_notice(at(10), &id("app-1"), pause(), at(10));
     assert!(change.backs_off && !change.leaves);
     assert!(!chosen(&mut router, at(11)).contains(&id("app-1")));
     assert!(!chosen(&mut router, at(3_009)).contains(&id("app-1")));
@@ -62,12 +62,16 @@
 #[test]
 fn a_shorter_pause_does_not_end_a_longer_one() {
     let mut router = router();
-    router.on_notice(at(10), &id("app-1"), pause());
+    router.on_notice(at(10), &id("app-1"), pause(), at(10));
     let shorter = BackEndNotice {
         retry_after: Some(Duration::from_millis(100)),
         ..pause()
     };
-    assert!(!router.on_notice(at(20), &id("app-1"), shorter).backs_off);
+    assert!(
+        !router
+            .on_notice(at(20), &id("app-1"), shorter, at(20))
+            .backs_off
+    );
     assert!(!chosen(&mut router, at(2_000)).contains(&id("app-1")));
 }
 
@@ -75,7 +79,12 @@
 fn when_all_ask_for_a_pause_callers_are_told_when_the_first_one_ends() {
     let mut router = router();
     for (index, name) in ["app-1", "app-2", "app-3"].into_iter().enumerate() {
-        router.on_notice(at(10 + index as u64), &id(name), pause());
+        router.on_notice(
+            at(10 + index as u64),
+            &id(name),
+            pause(),
+            at(10 + index as u64),
+        );
     }
     let mut told = Vec::new();
     for _ in 0..200 {
@@ -118,7 +127,7 @@
         let choice = router.choose(now, &admission, None, EarlierAttempts::default());
         assert!(choice.is_ok());
     }
-    router.on_notice(now, &id("app-1"), pause());
+    router.on_notice(now, &id("app-1"), pause(), now);
     for _ in 0..8 {
         router.finished(now, &id("app-1"), now, Outcome::Shed);
     }
@@ -147,7 +156,7 @@
 #[test]
 fn a_pause_is_not_passed_on_to_other_routers() {
     let mut router = router();
-    router.on_notice(at(10), &id("app-1"), pause());
+    router.on_notice(at(10), &id("app-1"), pause(), at(10));
     router.finished(at(10), &id("app-1"), at(5), Outcome::Shed);
     assert!(router.take_refusing().is_empty());
     router.finished(at(10), &id("app-2"), at(5), Outcome::Shed);
@@ -158,8 +167,8 @@
 fn a_pool_that_leaves_is_not_waited_for() {
     let mut router = router();
     for name in ["app-1", "app-2", "app-3"] {
-        router.on_notice(at(10), &id(name), leaving());
-        router.on_notice(at(10), &id(name), pause());
+        router.on_notice(at(10), &id(name), leaving(), at(10));
+        router.on_notice(at(10), &id(name), pause(), at(10));
     }
     assert_eq!(error(&mut router, at(20)), ChoiceError::NoneReady);
 }
@@ -170,8 +179,8 @@
 #[case::removed_and_registered_again(false)]
 fn what_was_said_outlives_changes_of_the_view(#[case] stays: bool) {
     let mut router = router();
-    router.on_notice(at(10), &id("app-1"), pause());
-    router.on_notice(at(10), &id("app-2"), leaving());
+    router.on_notice(at(10), &id("app-1"), pause(), at(10));
+    router.on_notice(at(10), &id("app-2"), leaving(), at(10));
     if stays {
         let mut changed = record("app-1", "apps", 1);
         changed.slots = 9;
@@ -190,7 +199,7 @@
 #[test]
 fn what_was_said_outlives_a_view_that_is_taken_in_anew() {
     let mut router = router();
-    router.on_notice(at(10), &id("app-1"), pause());
+    router.on_notice(at(10), &id("app-1"), pause(), at(10));
     let whole = (1..=3).map(|number| record(&format!("app-{number}"), "apps", number));
     update(&mut router, at(20), changes(0, 20, whole.collect()));
     assert!(!chosen(&mut router, at(30)).contains(&id("app-1")));
@@ -200,7 +209,7 @@
 #[test]
 fn one_that_is_not_named_at_present_is_heard_as_well() {
     let mut router = router_with(vec![record("app-2", "apps", 2)]);
-    router.on_notice(at(10), &id("app-1"), leaving());
+    router.on_notice(at(10), &id("app-1"), leaving(), at(10));
     let named = vec![record("app-1", "apps", 12)];
     update(&mut router, at(20), changes(10, 12, named));
     assert_eq!(chosen(&mut router, at(30)), [id("app-2")]);
@@ -209,8 +218,16 @@
 #[test]
 fn one_that_leaves_is_tried_again_when_it_stays_for_long() {
     let mut router = router();
-    assert!(router.on_notice(at(10), &id("app-1"), leaving()).leaves);
-    assert!(!router.on_notice(at(20), &id("app-1"), leaving()).leaves);
+    assert!(
+        router
+            .on_notice(at(10), &id("app-1"), leaving(), at(10))
+            .leaves
+    );
+    assert!(
+        !router
+            .on_notice(at(20), &id("app-1"), leaving(), at(20))
+            .leaves
+    );
     assert!(!router.allows_requests(at(59_000), &id("app-1")));
     assert!(router.allows_requests(at(61_000), &id("app-1")));
 }
@@ -226,7 +243,7 @@
     router.finished(at(1), &silent.instance, at(1), Outcome::Unreachable);
     for name in ["app-1", "app-2", "app-3"] {
         if id(name) != silent.instance {
-            router.on_notice(at(2), &id(name), pause());
+            router.on_notice(at(2), &id(name), pause(), at(2));
         }
     }
     assert_eq!(chosen(&mut router, at(3)), [silent.instance]);
@@ -248,7 +265,7 @@
     assert!(router
         .choose_copy(now, &admission, None, &copy, earlier)
         .is_ok());
-    router.on_notice(now, &id("llm-5"), notice);
+    router.on_notice(now, &id("llm-5"), notice, now);
     assert!(router
         .choose_copy(now, &admission, None, &copy, earlier)
         .is_err());
@@ -267,8 +284,9 @@
             retry_after: Some(Duration::from_millis(100)),
             ..pause()
         },
+        at(5),
     );
-    router.on_notice(at(10), &id("app-1"), pause());
+    router.on_notice(at(10), &id("app-1"), pause(), at(10));
     let ChoiceError::BackedOff(backoff) = error(&mut router, at(10)) else {
         panic!("refused for the pause");
     };
@@ -280,9 +298,9 @@
 fn one_that_said_it_leaves_to_this_router_ends_as_announced() {
     let mut router = router();
     assert!(router.is_serving(at(5), &id("app-1")));
-    router.on_notice(at(10), &id("app-1"), leaving());
+    router.on_notice(at(10), &id("app-1"), leaving(), at(10));
     assert!(!router.is_serving(at(11), &id("app-1")));
-    router.on_notice(at(10), &id("app-2"), pause());
+    router.on_notice(at(10), &id("app-2"), pause(), at(10));
     assert!(router.is_serving(at(11), &id("app-2")));
 }
 
@@ -291,7 +309,7 @@
     let mut absent = NoticesOfAbsent::default();
     for number in 0..3 * MOST_ABSENT as u64 {
         let mut notices = HeldNotices::default();
-        notices.take_in(at(number), leaving(), 0);
+        notices.take_in(at(number), leaving(), at(number), 0);
         absent.keep(id(&format!("app-{number}")), notices);
     }
     assert_eq!(absent.0.len(), MOST_ABSENT);
@@ -301,3 +319,44 @@
         "the last are kept"
     );
 }
+
+fn limited(per_second: f64) -> BackEndNotice {
+    BackEndNotice {
+        limit: RequestRate::per_second(per_second),
+        ..BackEndNotice::default()
+    }
+}
+
+/// A limit of 2 that was named at 100 ms, and then an answer.
+#[rstest]
+#[case::falls(90, Some(1.0), Some(1.0))]
+#[case::rises(100, Some(3.0), Some(3.0))]
+#[case::an_older_answer_that_names_more(90, Some(3.0), Some(2.0))]
+#[case::ends(100, None, None)]
+#[case::an_older_answer_that_names_none(90, None, Some(2.0))]
+fn a_limit_holds_until_a_newer_answer_says_otherwise(
+    #[case] asked: u64,
+    #[case] named: Option<f64>,
+    #[case] expected: Option<f64>,
+) {
+    let mut router = router();
+    let app = id("app-1");
+    router.on_notice(at(100), &app, limited(2.0), at(50));
+    let notice = named.map_or(BackEndNotice::default(), limited);
+    router.on_notice(at(110), &app, notice, at(asked));
+    let limit = router.limit_of(&app).map(RequestRate::as_per_second);
+    assert_eq!(limit, expected);
+}
+
+#[test]
+fn a_limit_is_told_apart_from_the_one_before() {
+    let mut router = router();
+    let app = id("app-1");
+    let named = |rate: f64| RequestRate::per_second(rate).map(LimitChange::Named);
+    let first = router.on_notice(at(100), &app, limited(2.0), at(50));
+    assert_eq!(first.limit, named(2.0));
+    let again = router.on_notice(at(110), &app, limited(2.0), at(105));
+    assert_eq!(again.limit, None);
+    let ended = router.on_notice(at(120), &app, BackEndNotice::default(), at(115));
+    assert_eq!(ended.limit, Some(LimitChange::Ended));
+}
--- a/crates/gateway-core/tests/pauses/mod.rs
+++ b/crates/gateway-core/tests/pauses/mod.rs
@@ -311,11 +311,11 @@
             return;
         }
         let notice = BackEndNotice {
-            is_leaving: false,
             retry_after: Some(self.setting.pause),
+            ..BackEndNotice::default()
         };
         if self.setting.is_heeded {
-            core.on_notice(now, &choice.instance, notice);
+            core.on_notice(now, &choice.instance, notice, now);
         }
         core.finished(now, &choice.instance, sent, Outcome::Shed);
         let key = LoadEntry::key_of(choice.instance.as_str());
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use drumshore_core::Execution;
+use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{Choice, Outcome, RequestKind};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
@@ -93,6 +93,7 @@
         set_continuation(router, call, choice, continued, request.headers_mut());
     }
     let patience = head_patience(call, sent, left);
+    let asked = router.clock.now();
     let response = match timeout(patience, connection.send(request)).await {
         Ok(Ok(response)) => response,
         Ok(Err(error)) => return broken(open_attempt, error),
@@ -108,7 +109,10 @@
         response,
         connection,
         open_attempt,
-        sent,
+        Requested {
+            asked,
+            earlier: sent,
+        },
     )
 }
 
@@ -175,6 +179,14 @@
     request
 }
 
+/// What an answer is judged by.
+struct Requested {
+    /// When the request was sent.
+    asked: Timestamp,
+    /// Attempts before this one that reached a back end.
+    earlier: u32,
+}
+
 /// Decides whether an answer is the request's, and whether it is passed on.
 fn judge(
     router: &Rc<Router>,
@@ -183,13 +195,19 @@
     response: Response<Incoming>,
     connection: Connection,
     mut open_attempt: OpenAttempt,
-    sent: u32,
+    requested: Requested,
 ) -> Attempt {
     open_attempt.answered();
-    notices::take_in(router, choice, &response);
     let names = router.dialect.headers();
     let headers = response.headers();
-    if header(headers, &names.request_id) != call.id {
+    let is_own = header(headers, &names.request_id) == call.id;
+    let asked = if is_own {
+        requested.asked
+    } else {
+        Timestamp::default()
+    };
+    notices::take_in(router, choice, &response, asked);
+    if !is_own {
         // A surplus answer to an earlier request: nobody can say what became of this one.
         let outcome = Outcome::Broken;
         return ended(open_attempt, outcome, Execution::MayHaveRun, true);
@@ -208,7 +226,7 @@
         return ended(open_attempt, outcome, Execution::NotRun, true);
     }
     let failed = response.status().is_server_error();
-    if failed && may_try_again(&call.admission, Execution::Ran, sent + 1) {
+    if failed && may_try_again(&call.admission, Execution::Ran, requested.earlier + 1) {
         drain(router, response, connection);
         return ended(open_attempt, Outcome::Failed, Execution::Ran, true);
     }
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -295,11 +295,13 @@
         router.core.borrow_mut().accepted(now, choice);
     }
     router.metrics.count_request("answered", elapsed);
+    let limit = router.core.borrow().limit_of(&choice.instance);
     tracing::info!(event = "request", id = %call.id, work = call.work.map(tracing::field::display),
         route = %call.admission.route.name, outcome = "answered", status = response.status().as_u16(),
         priority = call.admission.priority, instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
-        version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(),
+        limit = limit.map(tracing::field::display),
+        version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
         held_here = choice.believed.here, held_at_source = choice.believed.at_source,
         belief_age_ms = choice.believed.age_ms, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -5,25 +5,35 @@
 
 use std::rc::Rc;
 
-use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId};
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId, LimitChange};
 use hyper::body::Incoming;
 use hyper::Response;
 
 use super::forward::header;
 use super::Router;
 
-/// Takes in what the head of an answer says of its back end.
-pub(super) fn take_in(router: &Rc<Router>, choice: &Choice, response: &Response<Incoming>) {
+/// Takes in what the head of an answer says of its back end; the request was sent at `asked`. That it says nothing
+/// is heeded as well: a limit ends so.
+pub(super) fn take_in(
+    router: &Rc<Router>,
+    choice: &Choice,
+    response: &Response<Incoming>,
+    asked: Timestamp,
+) {
     let headers = response.headers();
     let notice = router.dialect.notice(response.status(), headers);
-    if notice == BackEndNotice::default() {
+    let instance = answered_by(router, choice, response);
+    let mut core = router.core.borrow_mut();
+    if notice == BackEndNotice::default() && core.limit_of(&instance).is_none() {
         return;
     }
-    let instance = answered_by(router, choice, response);
     let now = router.clock.now();
-    let mut core = router.core.borrow_mut();
-    let change = core.on_notice(now, &instance, notice);
+    let change = core.on_notice(now, &instance, notice, asked);
     drop(core);
+    if let Some(change) = change.limit {
+        note_limit(router, &instance, change);
+    }
     if change.backs_off {
         router.metrics.count_notice("backoff");
         let retry_after = notice.retry_after.unwrap_or_default();
@@ -37,6 +47,20 @@
     }
 }
 
+fn note_limit(router: &Router, instance: &InstanceId, change: LimitChange) {
+    match change {
+        LimitChange::Named(rate) => {
+            router.metrics.count_notice("limit");
+            tracing::info!(event = "back_end_limit", %instance, requests_per_second = %rate,
+                "router: a back end limits what it takes from all routers");
+        }
+        LimitChange::Ended => {
+            router.metrics.count_notice("limit_ended");
+            tracing::info!(event = "back_end_limit_ended", %instance, "router: a back end names no limit any more");
+        }
+    }
+}
+
 /// Another incarnation may listen at the address, and says so.
 fn answered_by(router: &Router, choice: &Choice, response: &Response<Incoming>) -> InstanceId {
     let names = router.dialect.headers();
