--- /dev/null
+++ b/crates/gateway-core/tests/limits_of_back_ends.rs
@@ -0,0 +1,67 @@
+//! A limit that a back end names for all routers together, and what routers send that do not speak to one another.
+
+#[path = "limits_of_back_ends/mod.rs"]
+mod limits_of_back_ends;
+
+use limits_of_back_ends::{allowed, Fleet, Scenario};
+
+const SEEDS: u64 = 3;
+const ROUTERS: [usize; 4] = [7, 40, 300, 985];
+/// Requests a second.
+const LIMITS: [f64; 5] = [0.1, 1.0, 5.0, 20.0, 100.0];
+const SCENARIOS: [Scenario; 3] = [
+    Scenario::Calm,
+    Scenario::Restarts,
+    Scenario::MiscountedByHalf,
+];
+/// What callers ask for, as parts of the limit.
+const DEMANDS: [f64; 2] = [3.0, 30.0];
+
+/// After 20 calm seconds callers ask one back end for three times, or thirty times, what it takes. It is never given
+/// more than the users allow in any 4 s, at any size, also while routers start again and are counted differently.
+///
+/// Where 11 requests in 4 s are allowed, at a limit of one a second, 21 to 28 were sent at three times the limit while nobody read it.
+#[test]
+fn routers_keep_to_a_limit_that_they_share() {
+    let mut broken = Vec::new();
+    for routers in ROUTERS {
+        for limit in LIMITS {
+            for scenario in SCENARIOS {
+                for demand in DEMANDS {
+                    let tallies = (1..=SEEDS)
+                        .map(|seed| Fleet::new(routers, limit, scenario, seed).run(demand * limit));
+                    let most = tallies.map(|tally| tally.most).max().unwrap();
+                    if most > allowed(limit) {
+                        broken.push(format!(
+                            "{routers} routers, limit {limit}, {scenario:?}, {demand} times: {most} of {}",
+                            allowed(limit)
+                        ));
+                    }
+                }
+            }
+        }
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
+
+#[test]
+#[ignore = "prints figures"]
+fn table() {
+    for demand in DEMANDS {
+        for routers in ROUTERS {
+            for limit in LIMITS {
+                let tallies = (1..=SEEDS).map(|seed| {
+                    Fleet::new(routers, limit, Scenario::Calm, seed).run(demand * limit)
+                });
+                let tallies: Vec<_> = tallies.collect();
+                let most = tallies.iter().map(|tally| tally.most).max().unwrap();
+                let used: f64 = tallies.iter().map(|tally| tally.used).sum();
+                println!(
+                    "{demand} times; {routers} routers; limit {limit}: {most} of {}, {:.2} used",
+                    allowed(limit),
+                    used / SEEDS as f64
+                );
+            }
+        }
+    }
+}
