Ask back ends that limit what they take few questions while they load weights

Callers: a back end that takes one request a second from all of them was asked by the leading control machine six or seven times a second while it loaded weights. Cause: the same as of the routers' requests, nobody read the limit; orders and questions are calls of control machines, which have no part of it.

An answer to a question that names a limit puts the next question off by 2 s, as if unanswered meanwhile, so that a load may be noticed 2 s later. Orders are not put off: there is one a load.

--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{InstanceId, Order, OrderOutcome, Report};
+use drumshore_gateway_core::{InstanceId, Order, OrderOutcome, Report, RequestRate};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
@@ -21,16 +21,23 @@
 const PATIENCE: Duration = Duration::from_millis(400);
 const CONNECTIONS: usize = 2;
 const MOST_ANSWER_BYTES: usize = 1 << 20;
+/// Between two questions to a back end that limits what it takes. One that loads weights is asked several times a
+/// second otherwise, which is more than some take of all callers. A load is noticed so much later.
+const QUESTION_INTERVAL_UNDER_LIMIT: Duration = Duration::from_secs(2);
 
 /// Connections to back ends, and until when some of them want no calls of this machine.
 pub(super) struct BackEnds {
     upstreams: Upstreams,
     backoff_until: RefCell<HashMap<InstanceId, Timestamp>>,
+    /// Of those that limit what they take: until when they are asked nothing.
+    no_question_until: RefCell<HashMap<InstanceId, Timestamp>>,
 }
 
 pub(super) struct CallAnswer {
     pub status: StatusCode,
     pub body: Bytes,
+    /// What the back end takes from all callers.
+    pub limit: Option<RequestRate>,
 }
 
 impl BackEnds {
@@ -38,6 +45,7 @@
         Self {
             upstreams,
             backoff_until: RefCell::default(),
+            no_question_until: RefCell::default(),
         }
     }
 
@@ -69,7 +77,29 @@
         let body = Limited::new(response.into_body(), MOST_ANSWER_BYTES);
         let body = body.collect().await.ok()?.to_bytes();
         connection.give_back(control.clock.now());
-        Some(CallAnswer { status, body })
+        let limit = notice.limit;
+        Some(CallAnswer {
+            status,
+            body,
+            limit,
+        })
+    }
+
+    /// False while a back end that limits what it takes was asked a moment ago.
+    fn may_ask(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        let until = self.no_question_until.borrow().get(instance).copied();
+        until.is_none_or(|until| until <= now)
+    }
+
+    fn note_limit(&self, control: &Control, instance: &InstanceId, limit: RequestRate) {
+        let now = control.clock.now();
+        let mut no_question_until = self.no_question_until.borrow_mut();
+        no_question_until.retain(|_, until| *until > now);
+        let until = now.plus(QUESTION_INTERVAL_UNDER_LIMIT);
+        no_question_until.insert(instance.clone(), until);
+        control.metrics.count_notice("limit");
+        tracing::info!(event = "back_end_limit", %instance, requests_per_second = %limit,
+            "control: a back end limits what it takes from all callers");
     }
 
     fn backs_off(&self, now: Timestamp, instance: &InstanceId) -> bool {
@@ -147,11 +177,19 @@
 pub(super) fn ask(control: &Rc<Control>, instance: InstanceId, address: String) {
     let control = Rc::clone(control);
     tokio::task::spawn_local(async move {
+        let may_ask = control.back_ends.may_ask(control.clock.now(), &instance);
         let call = control.dialect.report_call();
         let calling = control
             .back_ends
             .call(&control, &instance, &address, call, true);
-        let answer = timeout(PATIENCE, calling).await.ok().flatten();
+        let answer = if may_ask {
+            timeout(PATIENCE, calling).await.ok().flatten()
+        } else {
+            None
+        };
+        if let Some(limit) = answer.as_ref().and_then(|answer| answer.limit) {
+            control.back_ends.note_limit(&control, &instance, limit);
+        }
         let report: Option<Report> = answer
             .filter(|answer| answer.status == StatusCode::OK)
             .and_then(|answer| control.dialect.report(&answer.body).ok());
