Count the headers of back ends' answers that nobody reads, and say each once

Nothing compared what answers carry with what the code reads.

The adapter says of each header whether it is read or known to need no reading.

--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -9,12 +9,13 @@
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{InstanceId, Order, OrderOutcome, Report, RequestRate};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::header::{HeaderValue, CONTENT_TYPE, HOST};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
 use super::Control;
 use crate::dialect::OutboundCall;
+use crate::unknown_headers::UnknownHeaders;
 use crate::upstream::Upstreams;
 
 /// A back end that takes an order says so at once.
@@ -31,6 +32,7 @@
     backoff_until: RefCell<HashMap<InstanceId, Timestamp>>,
     /// Of those that limit what they take: until when they are asked nothing.
     no_question_until: RefCell<HashMap<InstanceId, Timestamp>>,
+    unknown_headers: UnknownHeaders,
 }
 
 pub(super) struct CallAnswer {
@@ -46,6 +48,7 @@
             upstreams,
             backoff_until: RefCell::default(),
             no_question_until: RefCell::default(),
+            unknown_headers: UnknownHeaders::default(),
         }
     }
 
@@ -70,7 +73,11 @@
         let request = request(control, expect.then_some(instance), address, call)?;
         let response = connection.send(request).await.ok()?;
         let status = response.status();
-        let notice = control.dialect.notice(status, response.headers());
+        let headers = response.headers();
+        let knows_of = |name: &HeaderName| control.dialect.knows_of(name);
+        self.unknown_headers
+            .note(knows_of, &control.metrics, instance, headers);
+        let notice = control.dialect.notice(status, headers);
         if let Some(retry_after) = notice.retry_after {
             self.note_backoff(control, instance, retry_after);
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -126,6 +126,9 @@
     /// What a back end says of itself in the head of an answer.
     fn notice(&self, status: StatusCode, headers: &HeaderMap) -> BackEndNotice;
 
+    /// Whether a header of an answer is read, or is known to need no reading.
+    fn knows_of(&self, header: &HeaderName) -> bool;
+
     /// Names a run of which the back end at `address` has a copy.
     fn copied_run(&self, address: &str, request_id: &str) -> String;
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -34,6 +34,13 @@
 /// Stands for all tenants beyond them.
 const OTHER_TENANTS: &str = "other";
 
+/// A header that nobody reads.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct NameLabel {
+    /// Its name, or one word for all beyond a number of them.
+    pub name: String,
+}
+
 /// What became of the requests of a tenant that has a limit.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct TenantLabel {
@@ -76,6 +83,8 @@
     broken_back_ends: Family<OutcomeLabel, Counter>,
     /// What back ends said of themselves in answers.
     back_end_notices: Family<OutcomeLabel, Counter>,
+    /// Headers of back ends' answers that nobody reads, by name.
+    unknown_headers: Family<NameLabel, Counter>,
     /// Bytes sent over links to other processes, by kind of message.
     pub link_bytes: Counters,
     /// Decisions of a control machine.
@@ -95,6 +104,7 @@
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let back_end_notices = Family::default();
+        let unknown_headers = Family::default();
         let link_bytes = Counters::default();
         let decisions = Family::default();
         let revision = Gauge::default();
@@ -123,6 +133,11 @@
             "What back ends said of themselves in answers",
             Clone::clone(&back_end_notices),
         );
+        registry.register(
+            "unknown_headers",
+            "Headers of back ends' answers that nobody reads",
+            Clone::clone(&unknown_headers),
+        );
         registry.register(
             "link_bytes",
             "Bytes to other processes, by kind of message; of the kind dropped, messages",
@@ -141,6 +156,7 @@
             labelled_tenants: RefCell::default(),
             broken_back_ends,
             back_end_notices,
+            unknown_headers,
             link_bytes,
             decisions,
             revision,
@@ -184,6 +200,13 @@
         self.back_end_notices.get_or_create(&label).inc();
     }
 
+    pub fn count_unknown_header(&self, name: &str) {
+        let label = NameLabel {
+            name: name.to_owned(),
+        };
+        self.unknown_headers.get_or_create(&label).inc();
+    }
+
     pub fn count_decision(&self, outcome: &'static str) {
         self.decisions
             .get_or_create(&OutcomeLabel { outcome })
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -35,6 +35,7 @@
 use crate::settings::RouterSettings;
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
+use crate::unknown_headers::UnknownHeaders;
 use crate::upstream::Upstreams;
 use crate::{run_on_event_loop, DaemonError};
 
@@ -78,6 +79,7 @@
     examinations: Examinations,
     /// Wakes the links to control machines when there are reports of work.
     work_reported: Notify,
+    unknown_headers: UnknownHeaders,
 }
 
 /// Runs a router until it is told to stop.
@@ -105,6 +107,7 @@
         caller_places: Places::new(MAX_CONNECTIONS),
         examinations: Examinations::default(),
         work_reported: Notify::new(),
+        unknown_headers: UnknownHeaders::default(),
         settings,
     });
     listen(&router)?;
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -8,6 +8,7 @@
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId, LimitChange};
 use hyper::body::Incoming;
+use hyper::header::HeaderName;
 use hyper::Response;
 
 use super::forward::header;
@@ -24,6 +25,11 @@
     let headers = response.headers();
     let notice = router.dialect.notice(response.status(), headers);
     let instance = answered_by(router, choice, response);
+    let knows_of = |name: &HeaderName| router.dialect.knows_of(name);
+    let metrics = &router.metrics;
+    router
+        .unknown_headers
+        .note(knows_of, metrics, &instance, headers);
     let mut core = router.core.borrow_mut();
     if notice == BackEndNotice::default() && core.limit_of(&instance).is_none() {
         return;
