--- a/crates/gateway-core/tests/pauses.rs
+++ b/crates/gateway-core/tests/pauses.rs
@@ -77,6 +77,7 @@
 #[case::many_routers(40)]
 fn a_pool_recovers_from_a_pause_of_all(#[case] routers: usize) {
     let spell = Spell {
+        limit: None,
         back_ends: BACK_ENDS,
         from: seconds(6.0),
         to: seconds(10.0),
@@ -100,6 +101,7 @@
 #[ignore = "prints figures"]
 fn table() {
     let spell = |back_ends, to| Spell {
+        limit: None,
         back_ends,
         from: seconds(6.0),
         to: seconds(to),
@@ -144,3 +146,42 @@
         }
     }
 }
+
+/// All of a pool, or some, name limits for 8 s; half of the pool's room is asked for.
+#[test]
+#[ignore = "prints figures"]
+fn table_of_limits() {
+    for (back_ends, load) in [(5, 0.5), (18, 0.1), (18, 0.5)] {
+        for (routers, limit) in [(7, 2.0), (7, 20.0), (40, 2.0), (40, 20.0), (300, 20.0)] {
+            let spell = Spell {
+                limit: Some(limit),
+                back_ends,
+                from: seconds(6.0),
+                to: seconds(14.0),
+            };
+            let print = |name: &str, is_heeded, returning| {
+                let setting = Setting {
+                    is_heeded,
+                    routers,
+                    returning,
+                    sharing: Sharing::Nothing,
+                    pause: seconds(1.0),
+                };
+                let tally = mean(setting, &[spell], load, 0.0);
+                println!(
+                    "{back_ends} of 18 take {limit} a second, {routers} routers, load {load}; {name}: {} of {} never \
+                     served, waited {:?}, most at once {}, afterwards {:.3}",
+                    tally.never_served,
+                    tally.asked,
+                    tally.waited,
+                    tally.most_at_once,
+                    f64::from(tally.late_served) / f64::from(tally.late_asked)
+                );
+            };
+            print("not read", false, Return::AsTold);
+            print("when the first has room", true, Return::AtTheEnd);
+            print("half as long again", true, Return::Spread(0.5));
+            print("one after the other (as built)", true, Return::AsTold);
+        }
+    }
+}
--- a/crates/gateway-core/tests/pauses/mod.rs
+++ b/crates/gateway-core/tests/pauses/mod.rs
@@ -10,8 +10,8 @@
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
     BackEndNotice, Changes, Choice, ChoiceError, Document, EarlierAttempts, InstanceRecord,
-    Lifecycle, LoadEntry, Outcome, Pool, PoolName, RequestHead, RequestKind, Route, RouterCore,
-    RouterParams, Share,
+    Lifecycle, LoadEntry, Outcome, Pool, PoolName, RequestHead, RequestKind, RequestRate, Route,
+    RouterCore, RouterParams, Share,
 };
 use drumshore_wire::{Blob, List, Text};
 use rand::{Rng, SeedableRng};
@@ -69,9 +69,11 @@
     pub pause: Duration,
 }
 
-/// Back ends that turn all requests away for some time.
+/// Back ends that turn all requests away for some time, or name a limit.
 #[derive(Clone, Copy, Debug)]
 pub struct Spell {
+    /// Requests a second that each takes from all routers; `None` when they turn all away.
+    pub limit: Option<f64>,
     pub back_ends: usize,
     pub from: Duration,
     pub to: Duration,
@@ -260,10 +262,9 @@
         let back_end = self.requests[request].back_end;
         self.note_arrival(back_end);
         let passed = self.now.since(Timestamp(1));
-        let mut spells = self.spells.iter();
-        let in_spell = spells
-            .any(|spell| back_end < spell.back_ends && (spell.from..spell.to).contains(&passed));
-        let was_turned_away = in_spell || self.running[back_end] >= SLOTS;
+        let spell = self.spell_of(back_end, passed);
+        let turns_away = spell.is_some_and(|spell| spell.limit.is_none());
+        let was_turned_away = turns_away || self.running[back_end] >= SLOTS;
         let work = if was_turned_away {
             self.tally.turned_away += 1;
             Duration::ZERO
@@ -281,6 +282,36 @@
         );
     }
 
+    fn spell_of(&self, back_end: usize, passed: Duration) -> Option<Spell> {
+        let mut spells = self.spells.iter();
+        let spell = spells
+            .find(|spell| back_end < spell.back_ends && (spell.from..spell.to).contains(&passed));
+        spell.copied()
+    }
+
+    /// The back end says in its answer what it takes, or that it takes all.
+    fn name_limit(&mut self, request: usize) {
+        let Request {
+            router,
+            back_end,
+            ref choice,
+            sent,
+            ..
+        } = self.requests[request];
+        let passed = self.now.since(Timestamp(1));
+        let limit = self
+            .spell_of(back_end, passed)
+            .and_then(|spell| spell.limit);
+        let notice = BackEndNotice {
+            limit: limit.and_then(RequestRate::per_second),
+            ..BackEndNotice::default()
+        };
+        if self.setting.is_heeded {
+            let core = &mut self.routers[router];
+            core.on_notice(self.now, &choice.instance, notice, sent);
+        }
+    }
+
     fn note_arrival(&mut self, back_end: usize) {
         let window = self.now.0 / 100_000;
         let (current, count) = &mut self.windows[back_end];
@@ -293,6 +324,7 @@
 
     fn end(&mut self, request: usize, was_turned_away: bool) {
         let now = self.now;
+        self.name_limit(request);
         let Request {
             caller,
             router,
