Read a router's status without its last field, and send such a router only what it can read

Cause (reading, and the baseline in docs/design/upgrades.md): added a field to a router's status under the same protocol number.

By a router's first message a control machine tells which layout it uses, and lays out what it sends as that expects: changes without the newest revision; neither its zone nor sums of loads that hold the router's own. A question names one revision. It cannot say whom it follows, so each control machine tells it all. The line router_linked says the layout. No layout that landed changed (wire_layout.rs).

Not covered: routers of this build before control machines of that one, control machines of both among themselves, and builds before.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -21,6 +21,7 @@
 mod notice;
 mod quarantine;
 mod router;
+mod router_wire;
 mod state;
 mod work;
 
@@ -45,5 +46,6 @@
     NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal, ReportedLoads,
     RequestHead, RouterCore, RouterParams, RunCopy, ViewError,
 };
+pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -19,7 +19,9 @@
 
 use drumshore_consensus::{FileDirectory, ReplicaError, Role};
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{ConnectionId, ControlCore, Effect, Reply, Ticket};
+use drumshore_gateway_core::{
+    ConnectionId, ControlCore, Effect, Message, Reply, RouterWire, Ticket,
+};
 use hyper::body::Incoming;
 use hyper::{Request, Response};
 use rand::Rng;
@@ -244,13 +246,8 @@
                 }
             }
             Effect::ToRouters(connections, message) => {
-                let Some(frame) = Frame::of(&message) else {
-                    return;
-                };
-                let routers = self.routers.borrow();
-                let senders = connections.iter().filter_map(|link| routers.get(link));
-                for sender in senders {
-                    sender.send_frame(&frame);
+                for wire in RouterWire::ALL {
+                    self.send_to_all(&connections, &message, wire);
                 }
             }
             Effect::Reply(ticket, reply) => {
@@ -279,6 +276,22 @@
         }
     }
 
+    /// Sends a message to those of the routers whose messages are laid out so.
+    fn send_to_all(&self, connections: &[ConnectionId], message: &Message, wire: RouterWire) {
+        let routers = self.routers.borrow();
+        let senders = connections.iter().filter_map(|link| routers.get(link));
+        let mut senders = senders.filter(|sender| sender.wire() == wire).peekable();
+        if senders.peek().is_none() {
+            return;
+        }
+        let Some(frame) = Frame::of(message, wire) else {
+            return;
+        };
+        for sender in senders {
+            sender.send_frame(&frame);
+        }
+    }
+
     /// Nothing may be promised any more until the folder was read again.
     fn on_disk_failure(&self, error: &ReplicaError) {
         tracing::error!(event = "disk_lost", %error, "control: the disk fails");
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_gateway_core::{ConnectionId, Message};
+use drumshore_gateway_core::{ConnectionId, Following, Message, RouterWire};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::{interval, timeout, Instant};
@@ -153,14 +153,15 @@
     let Ok((sender, mut receiver)) = link::accept(stream, Rc::clone(&control.traffic)) else {
         return;
     };
-    let Ok(first) = receiver.receive().await else {
+    let Ok((wire, first)) = receiver.receive_first().await else {
         return;
     };
     if let Message::Router(status) = &first {
         let address = status.address.as_str().to_owned();
-        tracing::info!(event = "router_linked", %address, "control: a router linked");
+        tracing::info!(event = "router_linked", %address, ?wire, "control: a router linked");
+        let sender = sender.laid_out(wire);
         control.routers.borrow_mut().insert(connection, sender);
-        serve_router(&control, connection, first, receiver).await;
+        serve_router(&control, connection, wire, first, receiver).await;
         control.routers.borrow_mut().remove(&connection);
         control.with_core(|core, _| core.on_router_gone(connection));
         tracing::info!(event = "router_lost", %address, "control: a router is lost");
@@ -172,14 +173,23 @@
 async fn serve_router(
     control: &Control,
     connection: ConnectionId,
+    wire: RouterWire,
     first: Message,
     mut receiver: Receiver,
 ) {
-    let mut message = first;
+    control.with_core(|core, now| {
+        core.on_router(now, connection, first);
+        if wire == RouterWire::BeforeViews {
+            // It cannot say whom it follows, so each control machine tells it all.
+            let all = Message::Follow(Following::ChangesAndNews);
+            core.on_router(now, connection, all);
+        }
+    });
     loop {
-        control.with_core(|core, now| core.on_router(now, connection, message));
         match receiver.receive().await {
-            Ok(next) => message = next,
+            Ok(message) => {
+                control.with_core(|core, now| core.on_router(now, connection, message));
+            }
             Err(_) => return,
         }
     }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use drumshore_gateway_core::Message;
+use drumshore_gateway_core::{Message, RouterWire};
 use drumshore_wire::frame::{encode_payload, FrameError, FrameHead};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -67,6 +67,8 @@
 pub(crate) struct Sender {
     queue: mpsc::Sender<Bytes>,
     traffic: Rc<LinkTraffic>,
+    /// How messages to the peer are laid out.
+    wire: RouterWire,
 }
 
 /// A message as it is written, for any number of links: they share one copy of its bytes.
@@ -77,9 +79,9 @@
 }
 
 impl Frame {
-    /// `None`, with a line, when the message is too long.
-    pub fn of(message: &Message) -> Option<Self> {
-        match encode_payload(&message.encode()) {
+    /// `None` when the peer cannot read the message, and, with a line, when it is too long.
+    pub fn of(message: &Message, wire: RouterWire) -> Option<Self> {
+        match encode_payload(&wire.encode(message)?) {
             Ok(frame) => Some(Self {
                 kind: kind_of(message),
                 bytes: Bytes::from(frame),
@@ -93,9 +95,19 @@
 }
 
 impl Sender {
-    /// Queues a message. False when the link has ended or its peer does not keep up.
+    /// The same link, on which messages are laid out so.
+    pub fn laid_out(self, wire: RouterWire) -> Self {
+        Self { wire, ..self }
+    }
+
+    /// How messages to the peer are laid out.
+    pub fn wire(&self) -> RouterWire {
+        self.wire
+    }
+
+    /// Queues a message. False when the link has ended, its peer does not keep up, or cannot read it.
     pub fn send(&self, message: &Message) -> bool {
-        Frame::of(message).is_some_and(|frame| self.send_frame(&frame))
+        Frame::of(message, self.wire).is_some_and(|frame| self.send_frame(&frame))
     }
 
     /// The same for a message that goes to several peers.
@@ -118,21 +130,39 @@
 /// Receives messages.
 pub(crate) struct Receiver {
     half: OwnedReadHalf,
+    wire: RouterWire,
 }
 
 impl Receiver {
+    /// The first message, by which it is known how those after it are laid out.
+    pub async fn receive_first(&mut self) -> Result<(RouterWire, Message), FrameError> {
+        let payload = self.receive_payload().await?;
+        let first = RouterWire::of_first(&payload).ok_or_else(no_message)?;
+        self.wire = first.0;
+        Ok(first)
+    }
+
     /// The next message.
     pub async fn receive(&mut self) -> Result<Message, FrameError> {
+        let payload = self.receive_payload().await?;
+        self.wire.decode(&payload).ok_or_else(no_message)
+    }
+
+    async fn receive_payload(&mut self) -> Result<Vec<u8>, FrameError> {
         let mut head = [0; FrameHead::BYTES];
         self.half.read_exact(&mut head).await?;
         let head = FrameHead::parse(head)?;
         let mut payload = vec![0; head.payload_bytes()];
         self.half.read_exact(&mut payload).await?;
         head.check(&payload)?;
-        Message::decode(&payload).ok_or_else(|| FrameError::Malformed("no such message".into()))
+        Ok(payload)
     }
 }
 
+fn no_message() -> FrameError {
+    FrameError::Malformed("no such message".into())
+}
+
 /// Takes an accepted connection.
 pub(crate) fn accept(
     stream: TcpStream,
@@ -150,7 +180,13 @@
         traffic: Rc::clone(&traffic),
     };
     tokio::task::spawn_local(write_frames(write, queued));
-    (Sender { queue, traffic }, Receiver { half: read })
+    let wire = RouterWire::default();
+    let sender = Sender {
+        queue,
+        traffic,
+        wire,
+    };
+    (sender, Receiver { half: read, wire })
 }
 
 /// Frames on their way to a peer; those that are left when the link ends count as waiting no longer.
