Take the most routers that were counted of late for retries, connections and tenants too

Cause (the same one elsewhere): a router took the last count that any control machine gave it. One that has just started, or is cut off from some routers, counts few; a router that asked it had 59 connections to a back end in place of 8, and as many times its part of the retries and of tenants' limits, until it asked another machine.

The count of the limits of back ends, the most of ten seconds, now serves all of these. After routers have left, the others' parts grow ten seconds later.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -101,8 +101,7 @@
     random: ChaCha8Rng,
     /// Sets apart the back ends that this router prefers of equals.
     first_draw: u64,
-    routers: u16,
-    /// Routers that share the limits which back ends name.
+    /// Routers that share limits, retries and connections.
     router_count: RouterCount,
     room_under_limits: RoomUnderLimits,
     stores: Stores,
@@ -126,7 +125,6 @@
             random: ChaCha8Rng::seed_from_u64(seed),
             first_draw: xxh3_64(&seed.to_le_bytes()),
             params,
-            routers: 1,
             router_count: RouterCount::default(),
             room_under_limits: RoomUnderLimits::default(),
             stores: Stores::default(),
@@ -204,11 +202,6 @@
     /// A quorum confirmed that nothing newer than `revision` was accepted before `asked`.
     pub fn on_confirmed(&mut self, asked: Timestamp, revision: u64, routers: u16) {
         self.view.on_confirmed(asked, revision);
-        if routers > 0 && routers != self.routers {
-            self.routers = routers;
-            self.budget.set_routers(routers);
-            self.tenant_accounts.set_routers(asked, routers);
-        }
         self.count_routers(asked, routers);
     }
 
@@ -218,6 +211,8 @@
         let count = self.router_count.get();
         if count != earlier {
             self.endpoints.set_routers(now, count);
+            self.budget.set_routers(count);
+            self.tenant_accounts.set_routers(now, count);
         }
     }
 
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -166,7 +166,7 @@
             return DEFAULT_CONNECTIONS;
         }
         let all = f64::from(max_connections) * CONNECTION_PART;
-        let own = all / f64::from(self.routers.max(1));
+        let own = all / f64::from(self.router_count.get());
         (own as usize).max(1)
     }
 }
--- a/crates/gateway-core/src/router/tests/failures.rs
+++ b/crates/gateway-core/src/router/tests/failures.rs
@@ -96,6 +96,45 @@
     assert!(one_of_seven.connections >= 1);
 }
 
+/// Retries that a router may add at once.
+fn retries(router: &mut RouterCore, now: Timestamp) -> usize {
+    let admission = admit(router, at(1), "/a/x");
+    let tried = [InstanceId::new("app-1")];
+    let mut retries = 0;
+    while retries < 100 {
+        let choice = router.choose(now, &admission, None, after(&tried));
+        let Ok(choice) = choice else { break };
+        router.finished(now, &choice.instance, now, Outcome::Answered);
+        retries += 1;
+    }
+    retries
+}
+
+/// A control machine that has just started, or is cut off from some routers, counts few. Each router that asked it took
+/// a larger part of the retries, connections and limits of tenants, while the others had theirs still.
+#[test]
+fn a_control_machine_that_counts_few_routers_enlarges_no_part() {
+    let connections = |router: &mut RouterCore, now| {
+        let admission = admit(router, at(1), "/a/x");
+        let choice = router.choose(now, &admission, None, EarlierAttempts::default());
+        choice.unwrap().connections
+    };
+    let mut counted = router();
+    counted.on_confirmed(at(1), 10, 7);
+    let mut miscounted = router();
+    miscounted.on_confirmed(at(1), 10, 7);
+    miscounted.on_confirmed(at(300), 10, 1);
+    let now = at(301);
+    assert_eq!(
+        connections(&mut counted, now),
+        connections(&mut miscounted, now)
+    );
+    assert_eq!(retries(&mut counted, now), retries(&mut miscounted, now));
+    miscounted.on_confirmed(at(10_302), 10, 1);
+    let few = connections(&mut counted, at(10_303));
+    assert!(connections(&mut miscounted, at(10_303)) > 6 * few);
+}
+
 #[test]
 fn a_back_end_that_cannot_be_reached_is_avoided_and_tried_again_later() {
     let mut router = router();
