--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -6,7 +6,7 @@
 
 use drumshore_core::Timestamp;
 
-use super::endpoints::Endpoint;
+use super::endpoint::Endpoint;
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
 use crate::InstanceId;
--- a/crates/gateway-core/src/router/copies.rs
+++ b/crates/gateway-core/src/router/copies.rs
@@ -16,8 +16,7 @@
 /// Back ends that are drawn as targets of a copy; the one with fewer requests is taken.
 const DRAWN_FOR_COPY: usize = 2;
 /// Runs are copied while no more than this part of the pool's slots is taken: a copy takes memory
-/// that a busy pool needs for prompts. Trials on a pool at its limit lost more by that than crashes
-/// cost.
+/// that a busy pool needs for prompts.
 const MOST_SLOTS_TAKEN: f64 = 0.35;
 /// Of a back end's memory, what one copy may take at most. It is memory that prompts lack.
 const MOST_OF_MEMORY: f64 = 0.05;
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod candidate;
 mod choice;
 mod copies;
+mod endpoint;
 mod endpoints;
 mod holders;
 mod homes;
@@ -43,7 +44,7 @@
 
 pub use accounts::{Charge, OverLimit};
 pub use choice::{BelievedParts, Choice, RunCopy};
-pub use endpoints::Outcome;
+pub use endpoint::Outcome;
 pub use notices::{LimitChange, NoticeChange};
 pub use reported_loads::ReportedLoads;
 pub use request::{
@@ -415,8 +416,7 @@
         }
         let is_refused = matches!(outcome, Outcome::Shed | Outcome::OtherWeights);
         // One that asked for a pause meant this router. Others that avoided it as well would crowd the rest of the
-        // pool: of 17,300 callers of a simulated pool 6,627 were never served with the others told, 4,544 without
-        // (tests/pauses.rs).
+        // pool.
         let is_for_all = is_refused && self.endpoints.allows_requests(now, instance);
         if is_for_all && self.refusing.len() < MOST_SUSPECTS {
             self.refusing.push(LoadEntry::key_of(instance.as_str()));
--- a/crates/gateway-core/src/router/notices.rs
+++ b/crates/gateway-core/src/router/notices.rs
@@ -25,7 +25,7 @@
 /// pause, and a pool that has room for twice its work would not get out of that by itself.
 const FIRST_WINDOW: f64 = 1.0;
 /// Callers that are refused because all back ends asked for no requests return spread over this part of the time
-/// that is left, after it has passed; see docs/design/back-end-notices.md for what was tried.
+/// that is left, after it has passed.
 const SPREAD: f64 = 0.5;
 /// And over no less than this: a short pause ends for all routers at about the same moment.
 const LEAST_SPREAD: Duration = Duration::from_millis(200);
--- a/crates/gateway-core/src/router/prompt_placement.rs
+++ b/crates/gateway-core/src/router/prompt_placement.rs
@@ -6,7 +6,7 @@
 use drumshore_core::Timestamp;
 
 use super::candidate::{Candidate, Placed};
-use super::endpoints::Newcomer;
+use super::endpoint::Newcomer;
 use super::homes::{home_key, weight, Homes};
 use super::least::least_by_key;
 use super::reads::CachedParts;
@@ -15,11 +15,9 @@
 use super::{Admission, Prompt, RouterCore};
 
 /// What it costs to place a prompt away from its home, for each token that it shares: the shared
-/// parts may have to be read there, and their copy takes room from other prompts. 12,000 tokens,
-/// which were tuned on the first sites, for the 6,300 that their long prompts share.
+/// parts may have to be read there, and their copy takes room from other prompts.
 const AWAY_FROM_HOME_FACTOR: f64 = 1.9;
-/// What it costs to fetch a token from another back end, against reading it: 6,300 tokens take 10 ms
-/// in place of 164.
+/// What it costs to fetch a token from another back end, as a part of what it costs to read it.
 const FETCH_FACTOR: f64 = 0.06;
 /// Tokens that may wait on the own side before the other side is better.
 const OTHER_SIDE_TOKENS: f64 = 3_000.0;
--- a/crates/gateway-core/src/router/sides.rs
+++ b/crates/gateway-core/src/router/sides.rs
@@ -1,6 +1,6 @@
 //! The sides of a pool: back ends that short prompts prefer, and those for long ones.
 
-use super::endpoints::Endpoint;
+use super::endpoint::Endpoint;
 use super::summary::NameHash;
 use super::{Admission, RouterCore};
 
