Send a back end that takes nothing one request in four seconds, to find out when it takes some

Cause: a router learns only by an answer that a limit has ended, and all routers together sent 0.1 a second: each router one request in 30 s to each back end.

Now they send one request in the window of 4 s, of the five that the users' bound leaves at 0. What is borne is still taken from the number that was named.

--- a/crates/gateway-core/src/limits/rate_part.rs
+++ b/crates/gateway-core/src/limits/rate_part.rs
@@ -34,15 +34,15 @@
 const MOST_TURNS_AHEAD: u64 = 16;
 /// Standard deviations by which a sum of chances may lie above its mean.
 const DEVIATIONS: f64 = 4.0;
-/// Of a back end that takes less, in requests a second of all routers: by one of them a router finds out that the
-/// limit has ended.
-const LEAST_RATE: f64 = 0.1;
+/// What all routers together send a back end that takes less, or nothing, in requests a second: one in a window, which
+/// it bears. Only by an answer a router finds out that the limit has ended.
+const LEAST_RATE: f64 = 1.0 / WINDOW.as_secs() as f64;
 
 /// One router's part of a rate.
 #[derive(Clone, Debug)]
 pub struct RatePart {
-    /// Requests a second of all routers.
-    whole: f64,
+    /// Requests a second of all routers, as it was named.
+    named: f64,
     share: Share,
     routers: u16,
     /// Of the bucket: one is a request that may be sent.
@@ -63,10 +63,11 @@
 }
 
 impl Share {
-    fn of(whole: f64, routers: u16) -> Self {
+    fn of(named: f64, routers: u16) -> Self {
         let routers = f64::from(routers.max(1));
         let span = (WINDOW + DELAYS_DIFFER).as_secs_f64();
-        let borne = whole * WINDOW.as_secs_f64() * BORNE_FACTOR + BORNE_BEYOND - LEFT_TO_CONTROL;
+        let whole = named.max(LEAST_RATE);
+        let borne = named * WINDOW.as_secs_f64() * BORNE_FACTOR + BORNE_BEYOND - LEFT_TO_CONTROL;
         let for_each = (borne / routers).floor();
         if for_each < 1.0 {
             // A turn that ends or begins within the span counts as well.
@@ -98,11 +99,10 @@
 impl RatePart {
     /// The part of one of so many routers, which has just learned of the rate. Its bucket is filled to a level that is
     /// drawn: all routers may learn of the rate at once.
-    pub fn new(now: Timestamp, whole: f64, routers: u16, seed: u64) -> Self {
-        let whole = whole.max(LEAST_RATE);
+    pub fn new(now: Timestamp, named: f64, routers: u16, seed: u64) -> Self {
         Self {
-            whole,
-            share: Share::of(whole, routers),
+            named,
+            share: Share::of(named, routers),
             routers,
             level: part_of_one(xxh3_64(&seed.to_le_bytes())),
             updated: now,
@@ -111,21 +111,21 @@
     }
 
     /// Another rate holds from now on.
-    pub fn set_rate(&mut self, now: Timestamp, whole: f64) {
-        self.change(now, whole.max(LEAST_RATE), self.routers);
+    pub fn set_rate(&mut self, now: Timestamp, named: f64) {
+        self.change(now, named, self.routers);
     }
 
     /// So many routers share it from now on.
     pub fn set_routers(&mut self, now: Timestamp, routers: u16) {
-        self.change(now, self.whole, routers);
+        self.change(now, self.named, routers);
     }
 
-    fn change(&mut self, now: Timestamp, whole: f64, routers: u16) {
+    fn change(&mut self, now: Timestamp, named: f64, routers: u16) {
         self.level = self.level(now);
         self.updated = self.updated.max(now);
-        self.whole = whole;
+        self.named = named;
         self.routers = routers;
-        self.share = Share::of(whole, routers);
+        self.share = Share::of(named, routers);
         self.level = self.level.min(self.share.capacity);
     }
 
--- a/crates/gateway-core/src/router/notices_tests.rs
+++ b/crates/gateway-core/src/router/notices_tests.rs
@@ -535,3 +535,27 @@
     let other = router.endpoints.get(&id("app-2")).unwrap();
     assert_eq!(other.slots(), 8);
 }
+
+/// What users saw of it in the fault soak: all back ends of a service named 0 for eight seconds, and 23 s after that a
+/// sixth of the callers were still refused, for no router had sent a request by which it would have found out.
+/// The aim: well again 12 s after the last disturbance.
+#[test]
+fn a_pool_that_takes_nothing_is_well_soon_after_it_takes_all_again() {
+    const RECOVERY_MS: u64 = 12_000;
+    let mut router = router();
+    router.on_confirmed(at(1), 10, 3);
+    let apps = ["app-1", "app-2", "app-3"].map(id);
+    for app in &apps {
+        router.on_notice(at(10), app, limited(0.0), at(10));
+    }
+    let admission = admit(&mut router, at(1), "/a/x");
+    for time in (20..20 + RECOVERY_MS).step_by(10) {
+        let now = at(time);
+        let choice = router.choose(now, &admission, None, EarlierAttempts::default());
+        let Ok(choice) = choice else { continue };
+        router.accepted(now, &choice);
+        router.on_notice(now, &choice.instance, BackEndNotice::default(), now);
+        router.finished(now, &choice.instance, now, Outcome::Answered);
+    }
+    assert!(apps.iter().all(|app| router.limit_of(app).is_none()));
+}
