Show when a router learns that it is behind, whom it asks for changes, and what became of it

Cause: nothing in the lines told a late notice of a change from questions that bring nothing; no line said when a router learns of a newer revision, from whom, or whom it asks.

Change: events view_behind and changes_asked, behind_ms and the sender on view_changed and view_refused, counter fetches_total by outcome. No logic changed.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -87,6 +87,8 @@
     unknown_headers: Family<NameLabel, Counter>,
     /// Bytes sent over links to other processes, by kind of message.
     pub link_bytes: Counters,
+    /// Questions to control machines for changes, and what became of the answers.
+    fetches: Family<OutcomeLabel, Counter>,
     /// Decisions of a control machine.
     pub decisions: Family<OutcomeLabel, Counter>,
     /// The revision of the view or state.
@@ -106,6 +108,7 @@
         let back_end_notices = Family::default();
         let unknown_headers = Family::default();
         let link_bytes = Counters::default();
+        let fetches = Family::default();
         let decisions = Family::default();
         let revision = Gauge::default();
         let view_age_ms = Gauge::default();
@@ -143,6 +146,11 @@
             "Bytes to other processes, by kind of message; of the kind dropped, messages",
             link_bytes.0.clone(),
         );
+        registry.register(
+            "fetches",
+            "Questions for changes of the view, and answers by outcome",
+            Clone::clone(&fetches),
+        );
         registry.register("decisions", "Control decisions", Clone::clone(&decisions));
         registry.register("revision", "Revision held", revision.clone());
         registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
@@ -158,6 +166,7 @@
             back_end_notices,
             unknown_headers,
             link_bytes,
+            fetches,
             decisions,
             revision,
             view_age_ms,
@@ -207,6 +216,10 @@
         self.unknown_headers.get_or_create(&label).inc();
     }
 
+    pub fn count_fetch(&self, outcome: &'static str) {
+        self.fetches.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     pub fn count_decision(&self, outcome: &'static str) {
         self.decisions
             .get_or_create(&OutcomeLabel { outcome })
--- a/crates/gateway/src/router/fetch.rs
+++ b/crates/gateway/src/router/fetch.rs
@@ -52,6 +52,18 @@
         may_ask && under_way.is_none_or(|fetch| fetch.is_overdue(now))
     }
 
+    /// True while a newer revision is known than the one that is held.
+    pub fn is_behind(&self) -> bool {
+        self.behind_since.get().is_some()
+    }
+
+    /// For how long a newer revision has been known.
+    pub fn behind(&self, now: Timestamp) -> Duration {
+        self.behind_since
+            .get()
+            .map_or(Duration::ZERO, |since| now.since(since))
+    }
+
     /// A control machine was asked.
     pub fn on_asked(&self, now: Timestamp, from: Ipv4Addr) {
         let unanswered = self.unanswered.get();
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -155,7 +155,7 @@
             }
             Message::Changes(changes) => {
                 let newest = changes.newest;
-                apply(router, links, changes);
+                apply(router, links, address, changes);
                 fetch(router, links, address, sender, newest);
             }
             Message::Pong {
@@ -256,8 +256,17 @@
     let now = router.clock.now();
     let is_followed = links.sources.following(from).has_changes();
     let message = Message::Fetch { since: held, begun };
-    if links.fetches.is_due(now, is_followed, revision, held) && sender.send(&message) {
+    let was_behind = links.fetches.is_behind();
+    let is_due = links.fetches.is_due(now, is_followed, revision, held);
+    if !was_behind && links.fetches.is_behind() {
+        tracing::info!(event = "view_behind", address = %from, held, announced = revision, is_followed,
+            "router: a newer revision is known");
+    }
+    if is_due && sender.send(&message) {
         links.fetches.on_asked(now, from);
+        router.metrics.count_fetch("asked");
+        tracing::info!(event = "changes_asked", address = %from, held, announced = revision, is_followed,
+            "router: asked for changes");
     }
 }
 
@@ -269,9 +278,10 @@
     }
 }
 
-fn apply(router: &Router, links: &Links, changes: Changes) {
-    links.fetches.on_answer();
+fn apply(router: &Router, links: &Links, from: Ipv4Addr, changes: Changes) {
     let now = router.clock.now();
+    let behind_ms = links.fetches.behind(now).as_millis() as u64;
+    links.fetches.on_answer();
     let began = Instant::now();
     let revision = changes.revision;
     let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
@@ -280,10 +290,13 @@
     match applied {
         Ok(()) => {
             router.metrics.revision.set(revision as i64);
+            router.metrics.count_fetch("applied");
             let core = router.core.borrow();
             tracing::info!(
                 event = "view_changed",
                 revision,
+                %from,
+                behind_ms,
                 instances,
                 removed,
                 configuration = core.configuration_version(),
@@ -295,7 +308,8 @@
             router.work_reported.notify_waiters();
         }
         Err(error) => {
-            tracing::info!(event = "view_refused", revision, %error,
+            router.metrics.count_fetch("refused");
+            tracing::info!(event = "view_refused", %from, revision, %error,
                 "router: changes do not fit the view")
         }
     }
