Move whom a router follows and when it asks for changes into the crate without I/O

Cause: both lived beside the sockets, with a notification inside, so that the simulated cluster could not have routers that follow control machines.

Change: Sources and Fetches are plain state machines in gateway-core (view_links); the daemon keeps the notification. Their tests move along, unchanged but for receivers.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -23,6 +23,7 @@
 mod router;
 mod router_wire;
 mod state;
+mod view_links;
 mod work;
 
 pub use command::{Command, LoadPhase, Proposal, ProposalId};
@@ -48,4 +49,5 @@
 };
 pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
+pub use view_links::{Fetches, Sources};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway/src/router/fetch.rs
+++ b/crates/gateway-core/src/view_links/fetches.rs
@@ -1,6 +1,5 @@
 //! When a router asks control machines for what changed.
 
-use std::cell::Cell;
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
@@ -18,14 +17,14 @@
 
 /// What is asked, and what there is to ask for.
 #[derive(Debug, Default)]
-pub(super) struct Fetches {
-    under_way: Cell<Option<Fetch>>,
+pub struct Fetches {
+    under_way: Option<Fetch>,
     /// Questions in a row that got no answer.
-    unanswered: Cell<u32>,
+    unanswered: u32,
     /// Since when this router has known of changes and got none.
-    behind_since: Cell<Option<Timestamp>>,
+    behind_since: Option<Timestamp>,
     /// The highest revision that a control machine spoke of.
-    announced: Cell<u64>,
+    announced: u64,
 }
 
 /// A question that is not answered yet.
@@ -39,54 +38,53 @@
 impl Fetches {
     /// A control machine spoke of a revision. True when it should be asked for what leads there
     /// from the one that is held.
-    pub fn is_due(&self, now: Timestamp, is_followed: bool, announced: u64, held: u64) -> bool {
-        self.announced.set(self.announced.get().max(announced));
-        if self.announced.get() <= held {
-            self.behind_since.set(None);
+    pub fn is_due(&mut self, now: Timestamp, is_followed: bool, announced: u64, held: u64) -> bool {
+        self.announced = self.announced.max(announced);
+        if self.announced <= held {
+            self.behind_since = None;
             return false;
         }
-        let behind_since = self.behind_since.get().unwrap_or(now);
-        self.behind_since.set(Some(behind_since));
+        let behind_since = self.behind_since.unwrap_or(now);
+        self.behind_since = Some(behind_since);
         let may_ask = is_followed || now.since(behind_since) >= FOLLOWED_PATIENCE;
-        let under_way = self.under_way.get();
+        let under_way = self.under_way;
         may_ask && under_way.is_none_or(|fetch| fetch.is_overdue(now))
     }
 
     /// True while a newer revision is known than the one that is held.
     pub fn is_behind(&self) -> bool {
-        self.behind_since.get().is_some()
+        self.behind_since.is_some()
     }
 
     /// For how long a newer revision has been known.
     pub fn behind(&self, now: Timestamp) -> Duration {
         self.behind_since
-            .get()
             .map_or(Duration::ZERO, |since| now.since(since))
     }
 
     /// A control machine was asked.
-    pub fn on_asked(&self, now: Timestamp, from: Ipv4Addr) {
-        let unanswered = self.unanswered.get();
-        self.unanswered.set(unanswered + 1);
-        self.under_way.set(Some(Fetch {
+    pub fn on_asked(&mut self, now: Timestamp, from: Ipv4Addr) {
+        let unanswered = self.unanswered;
+        self.unanswered = unanswered + 1;
+        self.under_way = Some(Fetch {
             from,
             asked: now,
             patience: REPEAT_AFTER * 2_u32.pow(unanswered.min(MOST_DOUBLINGS)),
-        }));
+        });
     }
 
     /// Changes have come.
-    pub fn on_answer(&self) {
-        self.under_way.set(None);
-        self.unanswered.set(0);
-        self.behind_since.set(None);
+    pub fn on_answer(&mut self) {
+        self.under_way = None;
+        self.unanswered = 0;
+        self.behind_since = None;
     }
 
     /// A link has ended: what was asked on it is not answered any more.
-    pub fn on_link_ended(&self, address: Ipv4Addr) {
-        let under_way = self.under_way.get();
+    pub fn on_link_ended(&mut self, address: Ipv4Addr) {
+        let under_way = self.under_way;
         let others = under_way.filter(|fetch| fetch.from != address);
-        self.under_way.set(others);
+        self.under_way = others;
     }
 }
 
@@ -97,5 +95,5 @@
 }
 
 #[cfg(test)]
-#[path = "fetch_tests.rs"]
+#[path = "fetches_tests.rs"]
 mod tests;
--- a/crates/gateway/src/router/fetch_tests.rs
+++ b/crates/gateway-core/src/view_links/fetches_tests.rs
@@ -23,7 +23,7 @@
     #[case] waited_ms: u64,
     #[case] is_due: bool,
 ) {
-    let fetches = Fetches::default();
+    let mut fetches = Fetches::default();
     assert!(fetches.is_due(at(100), FOLLOWED, NEWEST, held));
     fetches.on_asked(at(100), FROM);
     assert_eq!(
@@ -36,24 +36,24 @@
 /// the same state several times.
 #[test]
 fn a_router_that_gets_no_answer_asks_ever_less_often() {
-    let fetches = Fetches::default();
-    let asks = |fetches: &Fetches, milliseconds: u64| {
+    let mut fetches = Fetches::default();
+    let asks = |fetches: &mut Fetches, milliseconds: u64| {
         let is_due = fetches.is_due(at(milliseconds), FOLLOWED, NEWEST, 0);
         if is_due {
             fetches.on_asked(at(milliseconds), FROM);
         }
         is_due
     };
-    let asked: Vec<u64> = (0..10_000).filter(|at| asks(&fetches, *at)).collect();
+    let asked: Vec<u64> = (0..10_000).filter(|at| asks(&mut fetches, *at)).collect();
     assert_eq!(asked, [0, 300, 900, 2_100, 4_500, 6_900, 9_300]);
     fetches.on_answer();
-    assert!(asks(&fetches, 10_000));
-    assert!(asks(&fetches, 10_300), "an answer starts it anew");
+    assert!(asks(&mut fetches, 10_000));
+    assert!(asks(&mut fetches, 10_300), "an answer starts it anew");
 }
 
 #[test]
 fn machines_that_are_not_followed_are_asked_only_by_a_router_that_gets_nothing() {
-    let fetches = Fetches::default();
+    let mut fetches = Fetches::default();
     assert!(!fetches.is_due(at(100), !FOLLOWED, NEWEST, 7));
     assert!(!fetches.is_due(at(499), !FOLLOWED, NEWEST, 7));
     assert!(fetches.is_due(at(500), !FOLLOWED, NEWEST, 7));
@@ -68,7 +68,7 @@
 #[case::of_the_link_that_ended(FROM, true)]
 #[case::of_another_link(OTHER, false)]
 fn a_link_that_ends_takes_its_question_along(#[case] ended: Ipv4Addr, #[case] is_due: bool) {
-    let fetches = Fetches::default();
+    let mut fetches = Fetches::default();
     fetches.on_asked(at(100), FROM);
     fetches.on_link_ended(ended);
     assert_eq!(fetches.is_due(at(200), FOLLOWED, NEWEST, 0), is_due);
@@ -76,7 +76,7 @@
 
 #[test]
 fn nothing_is_asked_for_when_all_is_held() {
-    let fetches = Fetches::default();
+    let mut fetches = Fetches::default();
     assert!(!fetches.is_due(at(100), FOLLOWED, NEWEST, NEWEST));
     fetches.on_asked(at(100), FROM);
     fetches.on_answer();
--- a/crates/gateway/src/router/sources.rs
+++ b/crates/gateway-core/src/view_links/sources.rs
@@ -4,26 +4,23 @@
 //! machines of its own zone, and others only while its zone has none. It keeps links to all of them, for a
 //! confirmed view and for loads; those carry little.
 
-use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use drumshore_gateway_core::Following;
-use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::Following;
+
 /// Machines that are followed: one, and one that goes on when the first is lost.
 const MOST_FOLLOWED: usize = 2;
 
 /// The control machines that this router is linked to.
 #[derive(Debug)]
-pub(super) struct Sources {
+pub struct Sources {
     zone: String,
     /// Sets routers apart that have to choose among machines of other zones.
     seed: u64,
-    linked: RefCell<BTreeMap<Ipv4Addr, Machine>>,
-    /// Notified when other machines are to be followed.
-    pub changed: Notify,
+    linked: BTreeMap<Ipv4Addr, Machine>,
 }
 
 /// A linked control machine.
@@ -41,37 +38,28 @@
         Self {
             zone: zone.to_owned(),
             seed,
-            linked: RefCell::default(),
-            changed: Notify::new(),
+            linked: BTreeMap::new(),
         }
     }
 
     /// A link has come up.
-    pub fn on_linked(&self, address: Ipv4Addr) {
-        self.linked.borrow_mut().entry(address).or_default();
-        self.changed.notify_waiters();
+    pub fn on_linked(&mut self, address: Ipv4Addr) {
+        self.linked.entry(address).or_default();
     }
 
     /// A machine said which zone it is in.
-    pub fn on_zone(&self, address: Ipv4Addr, zone: &str) {
-        let mut linked = self.linked.borrow_mut();
-        linked.entry(address).or_default().zone = Some(zone.to_owned());
-        self.changed.notify_waiters();
+    pub fn on_zone(&mut self, address: Ipv4Addr, zone: &str) {
+        self.linked.entry(address).or_default().zone = Some(zone.to_owned());
     }
 
     /// A machine has answered whether this router's view is current.
-    pub fn on_answer(&self, address: Ipv4Addr) {
-        let mut linked = self.linked.borrow_mut();
-        let machine = linked.entry(address).or_default();
-        if !std::mem::replace(&mut machine.answers, true) {
-            self.changed.notify_waiters();
-        }
+    pub fn on_answer(&mut self, address: Ipv4Addr) {
+        self.linked.entry(address).or_default().answers = true;
     }
 
     /// A link has ended.
-    pub fn on_link_ended(&self, address: Ipv4Addr) {
-        self.linked.borrow_mut().remove(&address);
-        self.changed.notify_waiters();
+    pub fn on_link_ended(&mut self, address: Ipv4Addr) {
+        self.linked.remove(&address);
     }
 
     /// What this machine is to tell.
@@ -88,15 +76,13 @@
     /// The first of the own zone that hears a leader, or of the others while none there does. News would come
     /// twice from two machines, and not at all from one that is cut off from the leader.
     fn source_of_news(&self) -> Option<Ipv4Addr> {
-        let linked = self.linked.borrow();
-        let answering = linked.iter().filter(|(_, machine)| machine.answers);
+        let answering = self.linked.iter().filter(|(_, machine)| machine.answers);
         self.ranked(answering).into_iter().next()
     }
 
     /// Machines that are asked for changes: of the own zone, or others while it has none.
     fn followed(&self) -> Vec<Ipv4Addr> {
-        let linked = self.linked.borrow();
-        let mut addresses = self.ranked(linked.iter());
+        let mut addresses = self.ranked(self.linked.iter());
         addresses.truncate(MOST_FOLLOWED);
         addresses
     }
--- a/crates/gateway/src/router/sources_tests.rs
+++ b/crates/gateway-core/src/view_links/sources_tests.rs
@@ -10,7 +10,7 @@
 
 /// A router of zone 0, linked to two machines of each of five zones.
 fn linked_to_all() -> Sources {
-    let sources = Sources::new("zone-0", SEED);
+    let mut sources = Sources::new("zone-0", SEED);
     for zone in 0..5 {
         for number in 1..=2 {
             sources.on_linked(machine(zone, number));
@@ -20,6 +20,10 @@
     sources
 }
 
+fn news(sources: &Sources, address: Ipv4Addr) -> bool {
+    sources.following(address).has_news()
+}
+
 #[test]
 fn a_router_follows_the_machines_of_its_zone() {
     // 985 routers that asked any of ten machines took 5.8 GB of state across zones in 38 s.
@@ -30,14 +34,14 @@
 
 #[test]
 fn one_machine_of_the_zone_is_enough() {
-    let sources = linked_to_all();
+    let mut sources = linked_to_all();
     sources.on_link_ended(machine(0, 1));
     assert_eq!(sources.followed(), [machine(0, 2)]);
 }
 
 #[test]
 fn a_zone_that_lost_its_machines_follows_two_others_until_one_is_back() {
-    let sources = linked_to_all();
+    let mut sources = linked_to_all();
     sources.on_link_ended(machine(0, 1));
     sources.on_link_ended(machine(0, 2));
     let others = sources.followed();
@@ -52,7 +56,7 @@
 fn routers_of_such_a_zone_spread_over_all_machines() {
     let mut followers: BTreeMap<Ipv4Addr, usize> = BTreeMap::new();
     for seed in 0..200 {
-        let sources = Sources::new("zone-9", seed);
+        let mut sources = Sources::new("zone-9", seed);
         for zone in 0..5 {
             sources.on_zone(machine(zone, 1), &format!("zone-{zone}"));
         }
@@ -67,28 +71,32 @@
 
 #[test]
 fn news_come_from_one_machine_of_the_zone_that_hears_a_leader() {
-    let sources = linked_to_all();
-    let news = |address| sources.following(address).has_news();
+    let mut sources = linked_to_all();
     let own = [machine(0, 1), machine(0, 2)];
-    assert!(!own.into_iter().any(news), "none has answered yet");
+    assert!(
+        !own.into_iter().any(|own| news(&sources, own)),
+        "none has answered yet"
+    );
     sources.on_answer(machine(3, 1));
-    assert!(news(machine(3, 1)), "better than none");
+    assert!(news(&sources, machine(3, 1)), "better than none");
     sources.on_answer(machine(0, 1));
     sources.on_answer(machine(0, 2));
-    assert_eq!(own.into_iter().filter(|address| news(*address)).count(), 1);
-    assert!(!news(machine(3, 1)));
+    assert_eq!(
+        own.into_iter().filter(|own| news(&sources, *own)).count(),
+        1
+    );
+    assert!(!news(&sources, machine(3, 1)));
 }
 
 #[test]
 fn a_machine_that_is_linked_anew_brings_news_once_it_answers() {
-    let sources = linked_to_all();
-    let news = |address| sources.following(address).has_news();
+    let mut sources = linked_to_all();
     sources.on_answer(machine(0, 1));
     sources.on_answer(machine(3, 1));
     // It is cut off from the leader: its link was given up for want of answers, and is there again.
     sources.on_link_ended(machine(0, 1));
     sources.on_linked(machine(0, 1));
     sources.on_zone(machine(0, 1), "zone-0");
-    assert!(news(machine(3, 1)));
-    assert!(!news(machine(0, 1)));
+    assert!(news(&sources, machine(3, 1)));
+    assert!(!news(&sources, machine(0, 1)));
 }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -3,7 +3,6 @@
 mod attempt;
 mod back_end_ends;
 mod events;
-mod fetch;
 mod first_view;
 mod forward;
 mod headers;
@@ -12,7 +11,6 @@
 mod relay;
 mod reports;
 mod resume;
-mod sources;
 mod timeliness;
 mod updates;
 
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -55,7 +55,7 @@
 pub(super) async fn follow(links: &Links, sender: &Sender, address: Ipv4Addr) -> &'static str {
     let mut told = Following::Nothing;
     loop {
-        let following = links.sources.following(address);
+        let following = links.sources.borrow().following(address);
         if following != told {
             tracing::info!(event = "control_followed", %address, ?following,
                 "router: changes come from other control machines than before");
@@ -64,7 +64,7 @@
             }
             told = following;
         }
-        links.sources.changed.notified().await;
+        links.sources_changed.notified().await;
     }
 }
 
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Changes, Message, Position, ReportedLoads, WorkSuspicion};
+use drumshore_gateway_core::{
+    Changes, Fetches, Message, Position, ReportedLoads, Sources, WorkSuspicion,
+};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::fetch::Fetches;
 use super::reports::{self, Asked};
-use super::sources::Sources;
 use super::Router;
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
@@ -27,8 +28,10 @@
     /// All control machines, as one of them said last.
     controls: RefCell<Vec<Ipv4Addr>>,
     pub tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
-    fetches: Fetches,
-    pub sources: Sources,
+    fetches: RefCell<Fetches>,
+    pub sources: RefCell<Sources>,
+    /// Notified when other machines may be to be followed.
+    pub sources_changed: Notify,
     traffic: Rc<LinkTraffic>,
     /// The leader, as one of them said last.
     pub leader: Cell<u32>,
@@ -45,8 +48,9 @@
         Self {
             controls: RefCell::default(),
             tasks: RefCell::default(),
-            fetches: Fetches::default(),
-            sources: Sources::new(&router.settings.params.zone, seed),
+            fetches: RefCell::default(),
+            sources: RefCell::new(Sources::new(&router.settings.params.zone, seed)),
+            sources_changed: Notify::new(),
             traffic: Rc::new(LinkTraffic::counted_by(router.metrics.link_bytes.clone())),
             leader: Cell::default(),
             loads_told: RefCell::default(),
@@ -56,8 +60,9 @@
 
     /// A link has ended, or its control machine is no longer one: nothing is awaited of it.
     fn on_ended(&self, address: Ipv4Addr) {
-        self.fetches.on_link_ended(address);
-        self.sources.on_link_ended(address);
+        self.fetches.borrow_mut().on_link_ended(address);
+        self.sources.borrow_mut().on_link_ended(address);
+        self.sources_changed.notify_waiters();
     }
 }
 
@@ -120,7 +125,8 @@
 ) -> &'static str {
     let asked = Asked::default();
     sender.send(&reports::status(router));
-    links.sources.on_linked(address);
+    links.sources.borrow_mut().on_linked(address);
+    links.sources_changed.notify_waiters();
     let asking = reports::ask_regularly(router, links, &sender, &asked);
     let listening = listen(router, links, address, &sender, receiver, &asked);
     let telling = reports::tell_changes(router, &sender);
@@ -166,7 +172,8 @@
                 leader,
             } => {
                 links.leader.set(leader);
-                links.sources.on_answer(address);
+                links.sources.borrow_mut().on_answer(address);
+                links.sources_changed.notify_waiters();
                 let at = asked.borrow_mut().remove(&sequence);
                 asked.borrow_mut().retain(|other, _| *other > sequence);
                 if let Some(at) = at {
@@ -180,7 +187,11 @@
                 }
                 fetch(router, links, address, sender, revision);
             }
-            Message::ControlZone(zone) => links.sources.on_zone(address, zone.as_str()),
+            Message::ControlZone(zone) => {
+                let mut sources = links.sources.borrow_mut();
+                sources.on_zone(address, zone.as_str());
+                links.sources_changed.notify_waiters();
+            }
             Message::Stored {
                 store,
                 known,
@@ -254,16 +265,17 @@
 fn fetch(router: &Router, links: &Links, from: Ipv4Addr, sender: &Sender, revision: u64) {
     let Position { held, begun } = router.core.borrow().position();
     let now = router.clock.now();
-    let is_followed = links.sources.following(from).has_changes();
+    let is_followed = links.sources.borrow().following(from).has_changes();
     let message = Message::Fetch { since: held, begun };
-    let was_behind = links.fetches.is_behind();
-    let is_due = links.fetches.is_due(now, is_followed, revision, held);
-    if !was_behind && links.fetches.is_behind() {
+    let mut fetches = links.fetches.borrow_mut();
+    let was_behind = fetches.is_behind();
+    let is_due = fetches.is_due(now, is_followed, revision, held);
+    if !was_behind && fetches.is_behind() {
         tracing::info!(event = "view_behind", address = %from, held, announced = revision, is_followed,
             "router: a newer revision is known");
     }
     if is_due && sender.send(&message) {
-        links.fetches.on_asked(now, from);
+        fetches.on_asked(now, from);
         router.metrics.count_fetch("asked");
         tracing::info!(event = "changes_asked", address = %from, held, announced = revision, is_followed,
             "router: asked for changes");
@@ -280,8 +292,10 @@
 
 fn apply(router: &Router, links: &Links, from: Ipv4Addr, changes: Changes) {
     let now = router.clock.now();
-    let behind_ms = links.fetches.behind(now).as_millis() as u64;
-    links.fetches.on_answer();
+    let mut fetches = links.fetches.borrow_mut();
+    let behind_ms = fetches.behind(now).as_millis() as u64;
+    fetches.on_answer();
+    drop(fetches);
     let began = Instant::now();
     let revision = changes.revision;
     let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
