Count only progress of the view as an answer to a question for changes

What callers saw: 404 for a route, or the old service, more than 2 s after a change was acknowledged, at routers of a zone whose only control machine was cut off from the majority.

Cause: changes that lead from a revision to itself counted as an answer. They forgot the question under way and since when the router was behind, so the same machine, which is followed and has nothing newer, was asked again at once, and others, asked only by a router that has been behind for 0.4 s, never. Nobody kept which machine has what: the question went to whoever spoke, though another one had spoken of the newer revision. The same loop follows from a configuration that this build cannot read.

Change: a router keeps the revision that each linked machine has, by what it said last, and asks only machines that have more than it holds; only progress of the view resets the pace of questions and since when it is behind; a question without progress goes to another machine next, and waits longer once all were asked.

--- a/crates/gateway-core/src/view_links/fetches_tests.rs
+++ b/crates/gateway-core/src/view_links/fetches_tests.rs
@@ -1,87 +1,137 @@
-//! Tests of when a router asks for changes, and asks again.
+//! Tests of when a router asks for changes, whom, and when again.
 
 use rstest::rstest;
 
 use super::*;
 
-const FROM: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
+const FOLLOWED: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 1);
 const OTHER: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 2);
+const THIRD: Ipv4Addr = Ipv4Addr::new(10, 0, 0, 3);
+const HELD: u64 = 7;
 const NEWEST: u64 = 12;
-const FOLLOWED: bool = true;
 
 fn at(milliseconds: u64) -> Timestamp {
     Timestamp(milliseconds * 1_000)
 }
 
+fn holding(held: u64) -> Position {
+    Position { held, begun: 0 }
+}
+
+/// Asks whoever is due and says who that is.
+fn ask(fetches: &mut Fetches, milliseconds: u64, held: u64) -> Option<Ipv4Addr> {
+    let due = fetches.due(at(milliseconds), holding(held), &[FOLLOWED]);
+    if let Some(address) = due {
+        fetches.on_asked(at(milliseconds), address);
+    }
+    due
+}
+
+fn knowing(newest: &[(Ipv4Addr, u64)], held: u64) -> Fetches {
+    let mut fetches = Fetches::default();
+    for (address, revision) in newest {
+        fetches.on_revision(at(100), *address, *revision, held);
+    }
+    fetches
+}
+
 #[rstest]
-#[case::changes_soon(7, 299, false)]
-#[case::changes_in_time(7, 300, true)]
-#[case::the_first_part_of_all_soon(0, 299, false)]
-#[case::the_first_part_of_all_in_time(0, 300, true)]
+#[case::changes_soon(7, 299, None)]
+#[case::changes_in_time(7, 300, Some(FOLLOWED))]
+#[case::the_first_part_of_all_soon(0, 299, None)]
+#[case::the_first_part_of_all_in_time(0, 300, Some(FOLLOWED))]
 fn a_question_is_repeated_when_its_answer_is_overdue(
     #[case] held: u64,
     #[case] waited_ms: u64,
-    #[case] is_due: bool,
+    #[case] due: Option<Ipv4Addr>,
 ) {
-    let mut fetches = Fetches::default();
-    assert!(fetches.is_due(at(100), FOLLOWED, NEWEST, held));
-    fetches.on_asked(at(100), FROM);
-    assert_eq!(
-        fetches.is_due(at(100 + waited_ms), FOLLOWED, NEWEST, held),
-        is_due
-    );
+    let mut fetches = knowing(&[(FOLLOWED, NEWEST)], held);
+    assert_eq!(ask(&mut fetches, 100, held), Some(FOLLOWED));
+    assert_eq!(ask(&mut fetches, 100 + waited_ms, held), due);
 }
 
 /// Control machines that were late were asked again each 0.3 s by 300 routers that started together, and sent
 /// the same state several times.
 #[test]
 fn a_router_that_gets_no_answer_asks_ever_less_often() {
-    let mut fetches = Fetches::default();
-    let asks = |fetches: &mut Fetches, milliseconds: u64| {
-        let is_due = fetches.is_due(at(milliseconds), FOLLOWED, NEWEST, 0);
-        if is_due {
-            fetches.on_asked(at(milliseconds), FROM);
-        }
-        is_due
-    };
-    let asked: Vec<u64> = (0..10_000).filter(|at| asks(&mut fetches, *at)).collect();
+    let mut fetches = knowing(&[(FOLLOWED, NEWEST)], 0);
+    let asked: Vec<u64> = (0..10_000)
+        .filter(|milliseconds| ask(&mut fetches, *milliseconds, 0).is_some())
+        .collect();
     assert_eq!(asked, [0, 300, 900, 2_100, 4_500, 6_900, 9_300]);
-    fetches.on_answer();
-    assert!(asks(&mut fetches, 10_000));
-    assert!(asks(&mut fetches, 10_300), "an answer starts it anew");
+    fetches.on_changes(at(10_000), FOLLOWED, NEWEST, Progress::Made { held: 1 });
+    assert_eq!(ask(&mut fetches, 10_000, 1), Some(FOLLOWED));
+    let again = ask(&mut fetches, 10_300, 1);
+    assert_eq!(again, Some(FOLLOWED), "progress starts it anew");
 }
 
 #[test]
 fn machines_that_are_not_followed_are_asked_only_by_a_router_that_gets_nothing() {
-    let mut fetches = Fetches::default();
-    assert!(!fetches.is_due(at(100), !FOLLOWED, NEWEST, 7));
-    assert!(!fetches.is_due(at(499), !FOLLOWED, NEWEST, 7));
-    assert!(fetches.is_due(at(500), !FOLLOWED, NEWEST, 7));
-    fetches.on_answer();
-    assert!(
-        !fetches.is_due(at(500), !FOLLOWED, NEWEST, 8),
-        "it is behind, but changes come"
-    );
+    let mut fetches = knowing(&[(OTHER, NEWEST)], HELD);
+    assert_eq!(ask(&mut fetches, 100, HELD), None);
+    assert_eq!(ask(&mut fetches, 499, HELD), None);
+    assert_eq!(ask(&mut fetches, 500, HELD), Some(OTHER));
+    let progress = Progress::Made { held: 8 };
+    fetches.on_changes(at(500), OTHER, NEWEST, progress);
+    let due = ask(&mut fetches, 500, 8);
+    assert_eq!(due, None, "it is behind, but changes come");
 }
 
 #[rstest]
-#[case::of_the_link_that_ended(FROM, true)]
-#[case::of_another_link(OTHER, false)]
-fn a_link_that_ends_takes_its_question_along(#[case] ended: Ipv4Addr, #[case] is_due: bool) {
-    let mut fetches = Fetches::default();
-    fetches.on_asked(at(100), FROM);
+#[case::of_the_link_that_ended(FOLLOWED, Some(OTHER))]
+#[case::of_another_link(OTHER, None)]
+fn a_link_that_ends_takes_its_question_along(
+    #[case] ended: Ipv4Addr,
+    #[case] due: Option<Ipv4Addr>,
+) {
+    let mut fetches = knowing(&[(FOLLOWED, NEWEST), (OTHER, NEWEST)], 0);
+    assert_eq!(ask(&mut fetches, 550, 0), Some(FOLLOWED));
     fetches.on_link_ended(ended);
-    assert_eq!(fetches.is_due(at(200), FOLLOWED, NEWEST, 0), is_due);
+    assert_eq!(ask(&mut fetches, 650, 0), due);
 }
 
 #[test]
 fn nothing_is_asked_for_when_all_is_held() {
-    let mut fetches = Fetches::default();
-    assert!(!fetches.is_due(at(100), FOLLOWED, NEWEST, NEWEST));
-    fetches.on_asked(at(100), FROM);
-    fetches.on_answer();
-    assert!(
-        fetches.is_due(at(101), FOLLOWED, 3, 7),
-        "an earlier announcement still stands"
-    );
+    let mut fetches = knowing(&[(FOLLOWED, NEWEST)], HELD);
+    assert_eq!(ask(&mut fetches, 100, NEWEST), None);
+    fetches.on_revision(at(101), OTHER, 3, HELD);
+    let due = ask(&mut fetches, 101, HELD);
+    assert_eq!(due, Some(FOLLOWED), "the earlier announcement stands");
+}
+
+#[test]
+fn a_machine_that_has_nothing_newer_is_not_asked() {
+    let mut fetches = knowing(&[(FOLLOWED, HELD), (OTHER, NEWEST)], HELD);
+    assert_eq!(ask(&mut fetches, 100, HELD), None);
+    assert_eq!(ask(&mut fetches, 500, HELD), Some(OTHER));
+}
+
+#[rstest]
+#[case::they_lead_nowhere(HELD)]
+#[case::they_cannot_be_used(NEWEST)]
+fn changes_without_progress_neither_hurry_nor_delay_the_next_question(#[case] newest: u64) {
+    let mut fetches = knowing(&[(FOLLOWED, NEWEST), (OTHER, NEWEST)], HELD);
+    assert_eq!(ask(&mut fetches, 100, HELD), Some(FOLLOWED));
+    let progress = Progress::None { held: HELD };
+    fetches.on_changes(at(101), FOLLOWED, newest, progress);
+    assert_eq!(ask(&mut fetches, 399, HELD), None);
+    assert_eq!(fetches.behind(at(400)), Some(Duration::from_millis(300)));
+    assert_eq!(ask(&mut fetches, 400, HELD), Some(OTHER));
+}
+
+#[test]
+fn a_question_without_an_answer_goes_to_another_machine_next() {
+    let machines = [(FOLLOWED, NEWEST), (OTHER, NEWEST), (THIRD, NEWEST)];
+    let mut fetches = knowing(&machines, HELD);
+    let asked: Vec<_> = (100..2_500)
+        .filter_map(|milliseconds| Some((milliseconds, ask(&mut fetches, milliseconds, HELD)?)))
+        .collect();
+    let round = |from, step| {
+        [
+            (from, FOLLOWED),
+            (from + step, OTHER),
+            (from + 2 * step, THIRD),
+        ]
+    };
+    assert_eq!(asked, [round(100, 300), round(1_000, 600)].concat());
 }
--- a/crates/gateway-core/src/view_links/mod.rs
+++ b/crates/gateway-core/src/view_links/mod.rs
@@ -4,5 +4,5 @@
 mod fetches;
 mod sources;
 
-pub use fetches::Fetches;
+pub use fetches::{Fetches, Progress};
 pub use sources::Sources;
--- a/crates/gateway-core/src/view_links/sources.rs
+++ b/crates/gateway-core/src/view_links/sources.rs
@@ -80,8 +80,8 @@
         self.ranked(answering).into_iter().next()
     }
 
-    /// Machines that are asked for changes: of the own zone, or others while it has none.
-    fn followed(&self) -> Vec<Ipv4Addr> {
+    /// Machines that announce changes and are asked for them first: of the own zone, or others while it has none.
+    pub fn followed(&self) -> Vec<Ipv4Addr> {
         let mut addresses = self.ranked(self.linked.iter());
         addresses.truncate(MOST_FOLLOWED);
         addresses
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -8,7 +8,7 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Changes, Fetches, Message, Position, ReportedLoads, Sources, WorkSuspicion,
+    Changes, Fetches, Message, Progress, ReportedLoads, Sources, WorkSuspicion,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -33,6 +33,8 @@
     /// Notified when other machines may be to be followed.
     pub sources_changed: Notify,
     traffic: Rc<LinkTraffic>,
+    /// The links that are up.
+    senders: RefCell<BTreeMap<Ipv4Addr, Sender>>,
     /// The leader, as one of them said last.
     pub leader: Cell<u32>,
     /// What the leader was told last of this router's load.
@@ -52,6 +54,7 @@
             sources: RefCell::new(Sources::new(&router.settings.params.zone, seed)),
             sources_changed: Notify::new(),
             traffic: Rc::new(LinkTraffic::counted_by(router.metrics.link_bytes.clone())),
+            senders: RefCell::default(),
             leader: Cell::default(),
             loads_told: RefCell::default(),
             loads_heard: Cell::default(),
@@ -60,6 +63,7 @@
 
     /// A link has ended, or its control machine is no longer one: nothing is awaited of it.
     fn on_ended(&self, address: Ipv4Addr) {
+        self.senders.borrow_mut().remove(&address);
         self.fetches.borrow_mut().on_link_ended(address);
         self.sources.borrow_mut().on_link_ended(address);
         self.sources_changed.notify_waiters();
@@ -125,10 +129,11 @@
 ) -> &'static str {
     let asked = Asked::default();
     sender.send(&reports::status(router));
+    links.senders.borrow_mut().insert(address, sender.clone());
     links.sources.borrow_mut().on_linked(address);
     links.sources_changed.notify_waiters();
     let asking = reports::ask_regularly(router, links, &sender, &asked);
-    let listening = listen(router, links, address, &sender, receiver, &asked);
+    let listening = listen(router, links, address, receiver, &asked);
     let telling = reports::tell_changes(router, &sender);
     let reporting = reports::report_loads(router, links, &sender, address);
     let reporting_work = reports::report_work(router, &sender);
@@ -147,7 +152,6 @@
     router: &Rc<Router>,
     links: &Rc<Links>,
     address: Ipv4Addr,
-    sender: &Sender,
     mut receiver: Receiver,
     asked: &Asked,
 ) -> &'static str {
@@ -157,12 +161,11 @@
         };
         match message {
             Message::Announce(announcement) => {
-                fetch(router, links, address, sender, announcement.revision);
+                on_revision(router, links, address, announcement.revision);
             }
             Message::Changes(changes) => {
-                let newest = changes.newest;
                 apply(router, links, address, changes);
-                fetch(router, links, address, sender, newest);
+                ask_for_changes(router, links);
             }
             Message::Pong {
                 sequence,
@@ -185,7 +188,7 @@
                     let controls = controls.items.into_iter().map(Ipv4Addr::from);
                     *links.controls.borrow_mut() = controls.collect();
                 }
-                fetch(router, links, address, sender, revision);
+                on_revision(router, links, address, revision);
             }
             Message::ControlZone(zone) => {
                 let mut sources = links.sources.borrow_mut();
@@ -261,24 +264,41 @@
     }
 }
 
-/// Asks for changes, unless an answer may still come.
-fn fetch(router: &Router, links: &Links, from: Ipv4Addr, sender: &Sender, revision: u64) {
-    let Position { held, begun } = router.core.borrow().position();
+/// A control machine spoke of its revision.
+fn on_revision(router: &Router, links: &Links, from: Ipv4Addr, revision: u64) {
     let now = router.clock.now();
-    let is_followed = links.sources.borrow().following(from).has_changes();
-    let message = Message::Fetch { since: held, begun };
+    let held = router.core.borrow().revision();
     let mut fetches = links.fetches.borrow_mut();
-    let was_behind = fetches.is_behind();
-    let is_due = fetches.is_due(now, is_followed, revision, held);
-    if !was_behind && fetches.is_behind() {
-        tracing::info!(event = "view_behind", address = %from, held, announced = revision, is_followed,
+    if fetches.on_revision(now, from, revision, held) {
+        tracing::info!(event = "view_behind", address = %from, held, announced = revision,
             "router: a newer revision is known");
     }
-    if is_due && sender.send(&message) {
-        fetches.on_asked(now, from);
+    drop(fetches);
+    ask_for_changes(router, links);
+}
+
+/// Asks for changes, if there is somebody to ask now.
+fn ask_for_changes(router: &Router, links: &Links) {
+    let now = router.clock.now();
+    let position = router.core.borrow().position();
+    let followed = links.sources.borrow().followed();
+    let mut fetches = links.fetches.borrow_mut();
+    let Some(address) = fetches.due(now, position, &followed) else {
+        return;
+    };
+    let message = Message::Fetch {
+        since: position.held,
+        begun: position.begun,
+    };
+    let senders = links.senders.borrow();
+    if senders
+        .get(&address)
+        .is_some_and(|sender| sender.send(&message))
+    {
+        fetches.on_asked(now, address);
         router.metrics.count_fetch("asked");
-        tracing::info!(event = "changes_asked", address = %from, held, announced = revision, is_followed,
-            "router: asked for changes");
+        tracing::info!(event = "changes_asked", %address, held = position.held,
+            is_followed = followed.contains(&address), "router: asked for changes");
     }
 }
 
@@ -292,39 +312,43 @@
 
 fn apply(router: &Router, links: &Links, from: Ipv4Addr, changes: Changes) {
     let now = router.clock.now();
-    let mut fetches = links.fetches.borrow_mut();
-    let behind_ms = fetches.behind(now).as_millis() as u64;
-    fetches.on_answer();
-    drop(fetches);
     let began = Instant::now();
-    let revision = changes.revision;
+    let behind = links.fetches.borrow().behind(now).unwrap_or_default();
+    let (revision, newest) = (changes.revision, changes.newest);
     let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
     let parse = |body: &[u8]| router.dialect.document(body);
     let applied = router.core.borrow_mut().apply(now, changes, parse);
-    match applied {
+    let core = router.core.borrow();
+    let held = core.revision();
+    let progress = match applied {
         Ok(()) => {
             router.metrics.revision.set(revision as i64);
             router.metrics.count_fetch("applied");
-            let core = router.core.borrow();
             tracing::info!(
                 event = "view_changed",
                 revision,
                 %from,
-                behind_ms,
+                behind_ms = behind.as_millis() as u64,
                 instances,
                 removed,
                 configuration = core.configuration_version(),
                 took_us = began.elapsed().as_micros() as u64,
                 "router: the view changed"
             );
-            drop(core);
             wake_waiting(router);
             router.work_reported.notify_waiters();
+            Progress::Made { held }
         }
         Err(error) => {
             router.metrics.count_fetch("refused");
             tracing::info!(event = "view_refused", %from, revision, %error,
-                "router: changes do not fit the view")
+                "router: changes do not fit the view");
+            Progress::None { held }
         }
-    }
+    };
+    drop(core);
+    links
+        .fetches
+        .borrow_mut()
+        .on_changes(now, from, newest, progress);
 }
