Ask for a newer revision when it is due, not when the next message arrives

Cause: a router that learns from a machine it does not follow that there is a newer revision gives those it follows 0.4 s, and looked at that time only when another message arrived. Questions on all links fall into the same moment, 1.5 s apart with five machines, so that message came 1.5 s later.

The test a_newer_revision_is_fetched_without_waiting_for_another_answer failed four times of four before (6 pings where 3 are allowed) and passes.

Change: a task looks each 50 ms whether a question is due.

--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -23,6 +23,9 @@
 /// Between two looks at which control machines there are.
 const FOLLOW_MEMBERS: Duration = Duration::from_millis(250);
 
+/// Between two looks at whether changes are to be asked for: machines need not say anything for that.
+const ASK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// What the links of a router share.
 pub(super) struct Links {
     /// All control machines, as one of them said last.
@@ -72,7 +75,15 @@
 
 pub(super) fn start(router: &Rc<Router>) {
     let links = Rc::new(Links::new(router));
-    tokio::task::spawn_local(follow_members(Rc::clone(router), links));
+    tokio::task::spawn_local(follow_members(Rc::clone(router), Rc::clone(&links)));
+    tokio::task::spawn_local(ask_when_due(Rc::clone(router), links));
+}
+
+async fn ask_when_due(router: Rc<Router>, links: Rc<Links>) {
+    loop {
+        sleep(ASK_INTERVAL).await;
+        ask_for_changes(&router, &links);
+    }
 }
 
 /// Keeps one link to each control machine that seeds or control machines name.
