Let one state machine decide what is due on a router's links to control machines

Cause: who is followed, when a router asks whether its view is current, and when it gives a link up were tasks beside the sockets, one a link; a simulated cluster could have none of it.

Change: ViewLinks (gateway-core, without I/O) hands out steps: ping, follow, fetch, give up. The daemon polls it each 50 ms and after each message, and sends. Two differences: a link is given up 2.5 s after the question, not at the next question after that (1.5 s later at most); a ping that finds a full queue counts as unanswered instead of ending the link.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -49,5 +49,5 @@
 };
 pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, NamedWeights, Position, ReplicatedState};
-pub use view_links::{Fetches, Progress, Sources};
+pub use view_links::{Progress, Step, ViewLinks};
 pub use work::{Work, WorkId, WorkIdPrefix, WorkKey};
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -1,14 +1,11 @@
-//! What a router tells control machines on its links, without being asked: who it is, what it wants to be told, what
-//! it puts on back ends and what it saw of them. Each task ends with the reason why its link is of no more use.
+//! What a router tells control machines on its links, without being asked: who it is, what it puts on back ends and
+//! what it saw of them. Each task ends with the reason why its link is of no more use.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Following, Message, RouterStatus};
+use drumshore_gateway_core::{Message, RouterStatus};
 use drumshore_wire::{List, Text};
 use tokio::time::sleep;
 
@@ -16,13 +13,6 @@
 use super::Router;
 use crate::link::Sender;
 
-/// Between two questions to any control machine.
-const PING_SPACING: Duration = Duration::from_millis(300);
-/// Between two questions on the same link, however many there are: a control machine hands callers no router
-/// that asked nothing for 4 s.
-const LONGEST_SPACING: Duration = Duration::from_millis(2_000);
-/// A link on which a question got no answer for so long is given up.
-const UNANSWERED: Duration = Duration::from_millis(2_500);
 /// Between two reports to the leader of this router's load.
 const LOADS_INTERVAL: Duration = Duration::from_millis(80);
 /// Load that does not change is reported again after this long.
@@ -30,9 +20,6 @@
 /// What the leader told of other routers' load counts for so long.
 const LOADS_COUNT_FOR: Duration = Duration::from_millis(1_000);
 
-/// Questions on a link that are not answered yet, by their number, and when each was asked.
-pub(super) type Asked = RefCell<BTreeMap<u64, Timestamp>>;
-
 pub(super) fn status(router: &Router) -> Message {
     Message::Router(RouterStatus {
         address: Text::new(router.settings.listen.to_string()),
@@ -51,46 +38,6 @@
     }
 }
 
-/// Tells a control machine what this router is to be told on this link, whenever that changes.
-pub(super) async fn follow(links: &Links, sender: &Sender, address: Ipv4Addr) -> &'static str {
-    let mut told = Following::Nothing;
-    loop {
-        let following = links.sources.borrow().following(address);
-        if following != told {
-            tracing::info!(event = "control_followed", %address, ?following,
-                "router: changes come from other control machines than before");
-            if !sender.send(&Message::Follow(following)) {
-                return "closed";
-            }
-            told = following;
-        }
-        links.sources_changed.notified().await;
-    }
-}
-
-pub(super) async fn ask_regularly(
-    router: &Rc<Router>,
-    links: &Rc<Links>,
-    sender: &Sender,
-    asked: &Asked,
-) -> &'static str {
-    let mut sequence = 0;
-    loop {
-        let now = router.clock.now();
-        let oldest = asked.borrow().values().next().copied();
-        if oldest.is_some_and(|at| now.since(at) > UNANSWERED) {
-            return "silent";
-        }
-        sequence += 1;
-        asked.borrow_mut().insert(sequence, now);
-        if !sender.send(&Message::Ping { sequence }) || sender.is_closed() {
-            return "closed";
-        }
-        let machines = links.tasks.borrow().len().max(1) as u32;
-        sleep((PING_SPACING * machines).min(LONGEST_SPACING)).await;
-    }
-}
-
 /// Tells the leader what this router puts on back ends, when that has changed or is to be
 /// confirmed; the leader tells the others.
 pub(super) async fn report_loads(
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -8,14 +8,14 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Changes, Fetches, Message, Progress, ReportedLoads, Sources, WorkSuspicion,
+    Changes, Message, Progress, ReportedLoads, Step, ViewLinks, WorkSuspicion,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::reports::{self, Asked};
+use super::reports;
 use super::Router;
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
@@ -23,21 +23,18 @@
 /// Between two looks at which control machines there are.
 const FOLLOW_MEMBERS: Duration = Duration::from_millis(250);
 
-/// Between two looks at whether changes are to be asked for: machines need not say anything for that.
-const ASK_INTERVAL: Duration = Duration::from_millis(50);
+/// Between two looks at what is due on links.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// What the links of a router share.
 pub(super) struct Links {
     /// All control machines, as one of them said last.
     controls: RefCell<Vec<Ipv4Addr>>,
     pub tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
-    fetches: RefCell<Fetches>,
-    pub sources: RefCell<Sources>,
-    /// Notified when other machines may be to be followed.
-    pub sources_changed: Notify,
+    view: RefCell<ViewLinks>,
     traffic: Rc<LinkTraffic>,
     /// The links that are up.
-    senders: RefCell<BTreeMap<Ipv4Addr, Sender>>,
+    links: RefCell<BTreeMap<Ipv4Addr, Link>>,
     /// The leader, as one of them said last.
     pub leader: Cell<u32>,
     /// What the leader was told last of this router's load.
@@ -46,6 +43,14 @@
     pub loads_heard: Cell<Timestamp>,
 }
 
+/// A link that is up.
+#[derive(Clone)]
+struct Link {
+    sender: Sender,
+    /// Notified when it is to end.
+    given_up: Rc<Notify>,
+}
+
 impl Links {
     fn new(router: &Router) -> Self {
         let address = router.settings.listen.to_string();
@@ -53,36 +58,82 @@
         Self {
             controls: RefCell::default(),
             tasks: RefCell::default(),
-            fetches: RefCell::default(),
-            sources: RefCell::new(Sources::new(&router.settings.params.zone, seed)),
-            sources_changed: Notify::new(),
+            view: RefCell::new(ViewLinks::new(&router.settings.params.zone, seed)),
             traffic: Rc::new(LinkTraffic::counted_by(router.metrics.link_bytes.clone())),
-            senders: RefCell::default(),
+            links: RefCell::default(),
             leader: Cell::default(),
             loads_told: RefCell::default(),
             loads_heard: Cell::default(),
         }
     }
 
-    /// A link has ended, or its control machine is no longer one: nothing is awaited of it.
+    /// A link has ended, or its control machine is no longer one.
     fn on_ended(&self, address: Ipv4Addr) {
-        self.senders.borrow_mut().remove(&address);
-        self.fetches.borrow_mut().on_link_ended(address);
-        self.sources.borrow_mut().on_link_ended(address);
-        self.sources_changed.notify_waiters();
+        self.links.borrow_mut().remove(&address);
+        self.view.borrow_mut().on_link_ended(address);
+    }
+
+    /// False when nothing is sent: the link has ended, or its queue is full.
+    fn send(&self, to: Ipv4Addr, message: &Message) -> bool {
+        let links = self.links.borrow();
+        links.get(&to).is_some_and(|link| link.sender.send(message))
     }
 }
 
 pub(super) fn start(router: &Rc<Router>) {
     let links = Rc::new(Links::new(router));
     tokio::task::spawn_local(follow_members(Rc::clone(router), Rc::clone(&links)));
-    tokio::task::spawn_local(ask_when_due(Rc::clone(router), links));
+    tokio::task::spawn_local(poll_regularly(Rc::clone(router), links));
 }
 
-async fn ask_when_due(router: Rc<Router>, links: Rc<Links>) {
+async fn poll_regularly(router: Rc<Router>, links: Rc<Links>) {
     loop {
-        sleep(ASK_INTERVAL).await;
-        ask_for_changes(&router, &links);
+        sleep(POLL_INTERVAL).await;
+        poll(&router, &links);
+    }
+}
+
+/// Does all that is due on links.
+fn poll(router: &Router, links: &Links) {
+    let now = router.clock.now();
+    let position = router.core.borrow().position();
+    let steps = links.view.borrow_mut().poll(now, position);
+    for step in steps {
+        take_step(router, links, step);
+    }
+}
+
+fn take_step(router: &Router, links: &Links, step: Step) {
+    match step {
+        Step::Ping { to, sequence } => {
+            links.send(to, &Message::Ping { sequence });
+        }
+        Step::Follow { to, following } => {
+            tracing::info!(event = "control_followed", address = %to, ?following,
+                "router: changes come from other control machines than before");
+            links.send(to, &Message::Follow(following));
+        }
+        Step::Fetch {
+            to,
+            position,
+            is_followed,
+        } => {
+            let message = Message::Fetch {
+                since: position.held,
+                begun: position.begun,
+            };
+            if links.send(to, &message) {
+                links.view.borrow_mut().on_asked(router.clock.now(), to);
+                router.metrics.count_fetch("asked");
+                tracing::info!(event = "changes_asked", address = %to, held = position.held, is_followed,
+                    "router: asked for changes");
+            }
+        }
+        Step::GiveUp { to } => {
+            if let Some(link) = links.links.borrow().get(&to) {
+                link.given_up.notify_one();
+            }
+        }
     }
 }
 
@@ -138,24 +189,25 @@
     sender: Sender,
     receiver: Receiver,
 ) -> &'static str {
-    let asked = Asked::default();
+    let given_up = Rc::new(Notify::new());
+    let link = Link {
+        sender: sender.clone(),
+        given_up: Rc::clone(&given_up),
+    };
     sender.send(&reports::status(router));
-    links.senders.borrow_mut().insert(address, sender.clone());
-    links.sources.borrow_mut().on_linked(address);
-    links.sources_changed.notify_waiters();
-    let asking = reports::ask_regularly(router, links, &sender, &asked);
-    let listening = listen(router, links, address, receiver, &asked);
+    links.links.borrow_mut().insert(address, link);
+    links.view.borrow_mut().on_linked(address);
+    poll(router, links);
+    let listening = listen(router, links, address, receiver);
     let telling = reports::tell_changes(router, &sender);
     let reporting = reports::report_loads(router, links, &sender, address);
     let reporting_work = reports::report_work(router, &sender);
-    let following = reports::follow(links, &sender, address);
     tokio::select! {
-        reason = asking => reason,
+        () = given_up.notified() => "silent",
         reason = listening => reason,
         reason = telling => reason,
         reason = reporting => reason,
         reason = reporting_work => reason,
-        reason = following => reason,
     }
 }
 
@@ -164,7 +216,6 @@
     links: &Rc<Links>,
     address: Ipv4Addr,
     mut receiver: Receiver,
-    asked: &Asked,
 ) -> &'static str {
     loop {
         let Ok(message) = receiver.receive().await else {
@@ -176,7 +227,7 @@
             }
             Message::Changes(changes) => {
                 apply(router, links, address, changes);
-                ask_for_changes(router, links);
+                poll(router, links);
             }
             Message::Pong {
                 sequence,
@@ -186,13 +237,10 @@
                 leader,
             } => {
                 links.leader.set(leader);
-                links.sources.borrow_mut().on_answer(address);
-                links.sources_changed.notify_waiters();
-                let at = asked.borrow_mut().remove(&sequence);
-                asked.borrow_mut().retain(|other, _| *other > sequence);
-                if let Some(at) = at {
+                let asked = links.view.borrow_mut().on_pong(address, sequence);
+                if let Some(asked) = asked {
                     let mut core = router.core.borrow_mut();
-                    core.on_confirmed(at, revision, routers);
+                    core.on_confirmed(asked, revision, routers);
                 }
                 wake_waiting(router);
                 if !controls.items.is_empty() {
@@ -202,9 +250,8 @@
                 on_revision(router, links, address, revision);
             }
             Message::ControlZone(zone) => {
-                let mut sources = links.sources.borrow_mut();
-                sources.on_zone(address, zone.as_str());
-                links.sources_changed.notify_waiters();
+                links.view.borrow_mut().on_zone(address, zone.as_str());
+                poll(router, links);
             }
             Message::Stored {
                 store,
@@ -279,38 +326,13 @@
 fn on_revision(router: &Router, links: &Links, from: Ipv4Addr, revision: u64) {
     let now = router.clock.now();
     let held = router.core.borrow().revision();
-    let mut fetches = links.fetches.borrow_mut();
-    if fetches.on_revision(now, from, revision, held) {
+    let mut view = links.view.borrow_mut();
+    if view.on_revision(now, from, revision, held) {
         tracing::info!(event = "view_behind", address = %from, held, announced = revision,
             "router: a newer revision is known");
     }
-    drop(fetches);
-    ask_for_changes(router, links);
-}
-
-/// Asks for changes, if there is somebody to ask now.
-fn ask_for_changes(router: &Router, links: &Links) {
-    let now = router.clock.now();
-    let position = router.core.borrow().position();
-    let followed = links.sources.borrow().followed();
-    let mut fetches = links.fetches.borrow_mut();
-    let Some(address) = fetches.due(now, position, &followed) else {
-        return;
-    };
-    let message = Message::Fetch {
-        since: position.held,
-        begun: position.begun,
-    };
-    let senders = links.senders.borrow();
-    if senders
-        .get(&address)
-        .is_some_and(|sender| sender.send(&message))
-    {
-        fetches.on_asked(now, address);
-        router.metrics.count_fetch("asked");
-        tracing::info!(event = "changes_asked", %address, held = position.held,
-            is_followed = followed.contains(&address), "router: asked for changes");
-    }
+    drop(view);
+    poll(router, links);
 }
 
 /// Requests that came before the view was confirmed go on once it is.
@@ -324,7 +346,7 @@
 fn apply(router: &Router, links: &Links, from: Ipv4Addr, changes: Changes) {
     let now = router.clock.now();
     let began = Instant::now();
-    let behind = links.fetches.borrow().behind(now).unwrap_or_default();
+    let behind = links.view.borrow().behind(now).unwrap_or_default();
     let (revision, newest) = (changes.revision, changes.newest);
     let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
     let parse = |body: &[u8]| router.dialect.document(body);
@@ -358,8 +380,6 @@
         }
     };
     drop(core);
-    links
-        .fetches
-        .borrow_mut()
-        .on_changes(now, from, newest, progress);
+    let mut view = links.view.borrow_mut();
+    view.on_changes(now, from, newest, progress);
 }
