Ask control machines in turn whether the view is current, first those that answer

What callers would see: 404 for a route that was added, up to 2.35 s after its acknowledgement, with nine or more control machines and all of one zone cut off.

Cause: questions went out on all links in the same moment, for links come up together, each link's min(0.3 s x machines, 2 s) after its last; so a router that follows nobody in touch learned of a change up to 2 s late, and others are asked 0.4 s after that.

Change: one question each 0.3 s (less with many machines) to the next of the machines that answer within 0.5 s; the others are asked as often as before. The number of questions in calm is the same.

--- a/crates/gateway-core/src/view_links/questions.rs
+++ b/crates/gateway-core/src/view_links/questions.rs
@@ -6,11 +6,14 @@
 
 use drumshore_core::Timestamp;
 
-/// Between two questions to any control machine.
+/// Between two questions to machines that answer, whichever they are.
 const SPACING: Duration = Duration::from_millis(300);
 /// Between two questions on the same link, however many there are: a control machine hands callers no router
 /// that asked nothing for 4 s.
 const LONGEST_LINK_SPACING: Duration = Duration::from_millis(2_000);
+/// A machine that lets a question wait for so long is not relied upon: it is cut off from a majority, frozen, or has
+/// too much to do.
+const ANSWERS_WITHIN: Duration = Duration::from_millis(500);
 /// A link on which a question got no answer for so long is given up.
 const UNANSWERED: Duration = Duration::from_millis(2_500);
 
@@ -47,28 +50,63 @@
         asked
     }
 
-    /// Machines that are to be asked now, with the numbers of their questions.
+    /// Machines that are to be asked now, with the numbers of their questions: each one as soon as it is linked, then
+    /// in turn the next of those that answer, and each of the others once in a while.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<(Ipv4Addr, u64)> {
         let machines = self.links.len().max(1) as u32;
-        let spacing = (SPACING * machines).min(LONGEST_LINK_SPACING);
-        let mut due = Vec::new();
-        for (address, link) in &mut self.links {
-            if link.last_asked.is_none_or(|at| now.since(at) >= spacing) {
-                self.last_sequence += 1;
-                link.last_asked = Some(now);
-                link.open.insert(self.last_sequence, now);
-                due.push((*address, self.last_sequence));
-            }
+        let link_spacing = (SPACING * machines).min(LONGEST_LINK_SPACING);
+        let (answering, others): (Vec<_>, Vec<_>) =
+            self.links.iter().partition(|(_, link)| link.answers(now));
+        let is_due = |link: &Link| {
+            link.last_asked
+                .is_none_or(|at| now.since(at) >= link_spacing)
+        };
+        let overdue = others.into_iter().filter(|(_, link)| is_due(link));
+        let new = answering
+            .iter()
+            .filter(|(_, link)| link.last_asked.is_none());
+        let mut due: Vec<Ipv4Addr> = overdue.chain(new.copied()).map(|item| *item.0).collect();
+        let last = answering
+            .iter()
+            .filter_map(|(_, link)| link.last_asked)
+            .max();
+        if last.is_some_and(|at| now.since(at) >= link_spacing / machines) {
+            let next = answering.iter().min_by_key(|(_, link)| link.last_asked);
+            due.extend(next.map(|item| *item.0));
         }
-        due
+        due.sort_unstable();
+        due.dedup();
+        due.into_iter().map(|to| (to, self.ask(now, to))).collect()
+    }
+
+    fn ask(&mut self, now: Timestamp, to: Ipv4Addr) -> u64 {
+        self.last_sequence += 1;
+        let link = self.links.entry(to).or_default();
+        link.last_asked = Some(now);
+        link.open.insert(self.last_sequence, now);
+        self.last_sequence
     }
 
     /// Links on which a question got no answer for too long.
     pub fn silent(&self, now: Timestamp) -> Vec<Ipv4Addr> {
-        let silent = self.links.iter().filter(|(_, link)| {
-            let oldest = link.open.values().next();
-            oldest.is_some_and(|at| now.since(*at) > UNANSWERED)
-        });
+        let links = self.links.iter();
+        let silent = links.filter(|(_, link)| link.waits(now) > UNANSWERED);
         silent.map(|(address, _)| *address).collect()
     }
 }
+
+impl Link {
+    /// For how long the oldest question has had no answer.
+    fn waits(&self, now: Timestamp) -> Duration {
+        let oldest = self.open.values().next();
+        oldest.map_or(Duration::ZERO, |at| now.since(*at))
+    }
+
+    fn answers(&self, now: Timestamp) -> bool {
+        self.waits(now) < ANSWERS_WITHIN
+    }
+}
+
+#[cfg(test)]
+#[path = "questions_tests.rs"]
+mod tests;
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -38,6 +38,10 @@
     pub seeds: Vec<Ipv4Addr>,
     pub now: Timestamp,
     pub cut: BTreeSet<Ipv4Addr>,
+    /// Pairs whose messages from the first to the second are lost.
+    pub severed: BTreeSet<(Ipv4Addr, Ipv4Addr)>,
+    /// Machines that do nothing; what they are sent waits.
+    pub frozen: BTreeSet<Ipv4Addr>,
     /// Machines whose messages, in either direction, take so long.
     pub delays: BTreeMap<Ipv4Addr, Duration>,
     pub replies: BTreeMap<Ticket, Reply>,
@@ -72,6 +76,8 @@
             seeds: seeds.clone(),
             now: Timestamp(1),
             cut: BTreeSet::new(),
+            severed: BTreeSet::new(),
+            frozen: BTreeSet::new(),
             delays: BTreeMap::new(),
             late: Vec::new(),
             replies: BTreeMap::new(),
@@ -144,6 +150,13 @@
         self.join(at);
     }
 
+    /// A machine that is up and not frozen.
+    pub fn running(&mut self, at: Ipv4Addr) -> Option<&mut Core> {
+        let is_frozen = self.frozen.contains(&at);
+        let machine = self.machines.get_mut(&at).filter(|_| !is_frozen);
+        machine.and_then(|machine| machine.core.as_mut())
+    }
+
     pub fn core(&mut self, at: Ipv4Addr) -> &mut Core {
         self.machines.get_mut(&at).unwrap().core.as_mut().unwrap()
     }
@@ -167,7 +180,7 @@
             let all: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
             for at in all {
                 let now = self.now;
-                if let Some(core) = &mut self.machines.get_mut(&at).unwrap().core {
+                if let Some(core) = self.running(at) {
                     core.on_tick(now);
                 }
             }
@@ -185,10 +198,15 @@
     }
 
     fn deliver(&mut self, from: Ipv4Addr, to: Ipv4Addr, message: Message) {
-        if self.cut.contains(&from) || self.cut.contains(&to) {
+        if self.cut.contains(&from) || self.cut.contains(&to) || self.severed.contains(&(from, to))
+        {
             return;
         }
         let now = self.now;
+        if self.frozen.contains(&to) {
+            self.late.push((now, from, to, message));
+            return;
+        }
         let machine = self.machines.get_mut(&to);
         if let Some(core) = machine.and_then(|machine| machine.core.as_mut()) {
             core.on_control(now, message);
@@ -217,7 +235,7 @@
         let all: Vec<Ipv4Addr> = self.machines.keys().copied().collect();
         for at in all {
             let mut effects = Vec::new();
-            if let Some(core) = &mut self.machines.get_mut(&at).unwrap().core {
+            if let Some(core) = self.running(at) {
                 core.flush(&mut |effect| effects.push(effect)).unwrap();
             }
             for effect in effects {
