Follow control machines that answer, and those of the own zone first among them

What callers would see: a change in force 0.3 to 0.75 s after its acknowledgement at routers whose own zone has no control machine in touch, in place of a few milliseconds elsewhere; and no news of loads and refusing back ends for 0.5 s of each 2.5 s, while the link to the lost machine was up again.

Cause: machines were followed by zone alone; that they hear a leader counted for the source of news only, and only until their link was dialled anew.

Without failures nothing changes.

Change: a machine that lets a question wait for 0.5 s is not followed until it answers one, also over links dialled anew; while none answers, those of the zone stay followed.

--- a/crates/gateway-core/src/view_links/mod.rs
+++ b/crates/gateway-core/src/view_links/mod.rs
@@ -132,6 +132,9 @@
         let mut steps: Vec<Step> = silent.into_iter().map(|to| Step::GiveUp { to }).collect();
         let pings = self.questions.take_due(now).into_iter();
         steps.extend(pings.map(|(to, sequence)| Step::Ping { to, sequence }));
+        for address in self.questions.unresponsive(now) {
+            self.sources.on_unresponsive(address);
+        }
         steps.extend(self.follow());
         let followed = self.sources.followed();
         let fetch = self.fetches.due(now, position, &followed);
--- a/crates/gateway-core/src/view_links/questions.rs
+++ b/crates/gateway-core/src/view_links/questions.rs
@@ -87,6 +87,15 @@
         self.last_sequence
     }
 
+    /// Machines that let a question wait.
+    pub fn unresponsive(&self, now: Timestamp) -> impl Iterator<Item = Ipv4Addr> + '_ {
+        let waiting = self
+            .links
+            .iter()
+            .filter(move |(_, link)| !link.answers(now));
+        waiting.map(|(address, _)| *address)
+    }
+
     /// Links on which a question got no answer for too long.
     pub fn silent(&self, now: Timestamp) -> Vec<Ipv4Addr> {
         let links = self.links.iter();
--- a/crates/gateway-core/src/view_links/sources.rs
+++ b/crates/gateway-core/src/view_links/sources.rs
@@ -1,10 +1,10 @@
 //! Which control machines a router follows: they announce changes to it and are asked for them.
 //!
 //! State that every router asks of any control machine crosses zones once for each router. So a router follows
-//! machines of its own zone, and others only while its zone has none. It keeps links to all of them, for a
+//! machines of its own zone, and others only while none there answers. It keeps links to all of them, for a
 //! confirmed view and for loads; those carry little.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -21,6 +21,8 @@
     /// Sets routers apart that have to choose among machines of other zones.
     seed: u64,
     linked: BTreeMap<Ipv4Addr, Machine>,
+    /// Machines that let a question wait and have answered none since, on whichever link.
+    unresponsive: BTreeSet<Ipv4Addr>,
 }
 
 /// A linked control machine.
@@ -39,6 +41,7 @@
             zone: zone.to_owned(),
             seed,
             linked: BTreeMap::new(),
+            unresponsive: BTreeSet::new(),
         }
     }
 
@@ -55,6 +58,12 @@
     /// A machine has answered whether this router's view is current.
     pub fn on_answer(&mut self, address: Ipv4Addr) {
         self.linked.entry(address).or_default().answers = true;
+        self.unresponsive.remove(&address);
+    }
+
+    /// A machine lets a question wait.
+    pub fn on_unresponsive(&mut self, address: Ipv4Addr) {
+        self.unresponsive.insert(address);
     }
 
     /// A link has ended.
@@ -76,17 +85,27 @@
     /// The first of the own zone that hears a leader, or of the others while none there does. News would come
     /// twice from two machines, and not at all from one that is cut off from the leader.
     fn source_of_news(&self) -> Option<Ipv4Addr> {
-        let answering = self.linked.iter().filter(|(_, machine)| machine.answers);
+        let answering = self.responsive().filter(|(_, machine)| machine.answers);
         self.ranked(answering).into_iter().next()
     }
 
-    /// Machines that announce changes and are asked for them first: of the own zone, or others while it has none.
+    /// Machines that announce changes and are asked for them first: of the own zone, or others while none there
+    /// answers.
     pub fn followed(&self) -> Vec<Ipv4Addr> {
-        let mut addresses = self.ranked(self.linked.iter());
+        let mut addresses = self.ranked(self.responsive());
+        if addresses.is_empty() {
+            addresses = self.ranked(self.linked.iter());
+        }
         addresses.truncate(MOST_FOLLOWED);
         addresses
     }
 
+    fn responsive(&self) -> impl Iterator<Item = (&Ipv4Addr, &Machine)> {
+        let is_responsive = |address: &Ipv4Addr| !self.unresponsive.contains(address);
+        let linked = self.linked.iter();
+        linked.filter(move |(address, _)| is_responsive(address))
+    }
+
     /// Machines of the own zone, or all others if none of them is, by rendezvous hashing.
     fn ranked<'a>(
         &self,
--- a/crates/gateway-core/src/view_links/sources_tests.rs
+++ b/crates/gateway-core/src/view_links/sources_tests.rs
@@ -100,3 +100,30 @@
     assert!(news(&sources, machine(3, 1)));
     assert!(!news(&sources, machine(0, 1)));
 }
+
+#[test]
+fn machines_that_let_questions_wait_are_not_followed_also_when_linked_anew() {
+    let mut sources = linked_to_all();
+    sources.on_unresponsive(machine(0, 1));
+    assert_eq!(sources.followed(), [machine(0, 2)]);
+    sources.on_unresponsive(machine(0, 2));
+    let others = sources.followed();
+    assert_eq!(others.len(), MOST_FOLLOWED);
+    sources.on_link_ended(machine(0, 1));
+    sources.on_linked(machine(0, 1));
+    sources.on_zone(machine(0, 1), "zone-0");
+    assert_eq!(sources.followed(), others);
+    sources.on_answer(machine(0, 1));
+    assert_eq!(sources.followed(), [machine(0, 1)]);
+}
+
+#[test]
+fn while_no_machine_answers_those_of_the_zone_stay_followed() {
+    let mut sources = linked_to_all();
+    let followed = sources.followed();
+    for zone in 0..5 {
+        sources.on_unresponsive(machine(zone, 1));
+        sources.on_unresponsive(machine(zone, 2));
+    }
+    assert_eq!(sources.followed(), followed);
+}
--- a/crates/gateway-core/tests/configuration_in_force/world.rs
+++ b/crates/gateway-core/tests/configuration_in_force/world.rs
@@ -371,12 +371,9 @@
                 self.next_change = now.plus(pause);
             } else if reply.is_some() || is_given_up {
                 let version = pending.version;
-                let next = self
-                    .machines
-                    .iter()
-                    .cycle()
-                    .skip_while(|at| **at != pending.at);
-                let next = *next.skip(1).next().expect("machines");
+                let place = self.machines.iter().position(|at| *at == pending.at);
+                let next = (place.unwrap_or_default() + 1) % self.machines.len();
+                let next = self.machines[next];
                 self.send_change(version, next);
             }
         } else if now >= self.next_change {
@@ -496,7 +493,7 @@
 
     fn judge_pace(&mut self, router: usize) {
         let elapsed = self.cluster.now.since(self.started).as_millis();
-        if elapsed % 1_000 != 0 {
+        if !elapsed.is_multiple_of(1_000) {
             return;
         }
         let sent = self.routers[router].sent;
