Say that a route or key does not exist only while the view is sure of it

What callers would see: 404 or 401, which they take as final, for a route or key that was added while a router is cut off from all control machines, for up to 4.2 s.

Cause: one lease, derived from the bound on revoked keys (5 s), bounded every decision by the view; that a configuration is in force has another bound (2 s).

Change: absence_lease, the same part of the bound on configurations; a view that was confirmed longer ago refuses what it does not know with 503 and a time to return, and serves what it knows as before (until the lease on keys ends). In touch the age stays below 1 s, so that a wrong path is answered 404 at once and asks nobody.

The three cases of a_route_or_key_that_may_have_been_added_since_is_not_said_to_be_missing failed before. The simulation now cuts routers off from several or all machines.

--- a/crates/gateway-core/src/router/budget_tests.rs
+++ b/crates/gateway-core/src/router/budget_tests.rs
@@ -10,6 +10,7 @@
     let mut budget = RetryBudget::new(&RouterParams {
         zone: "zone".to_owned(),
         key_lease: Duration::from_secs(4),
+        absence_lease: Duration::from_secs(2),
         version_grace: Duration::from_secs(6),
         retry_ratio: 0.2,
         retry_slack: 50.0,
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -73,6 +73,8 @@
     pub zone: String,
     /// How long keys are honoured after the view was last confirmed as current.
     pub key_lease: Duration,
+    /// How long after that the view may say that a route or key does not exist. One that was added since does.
+    pub absence_lease: Duration,
     /// How long after new weights are named a request may still begin on older ones.
     pub version_grace: Duration,
     /// Repeats that all routers together may add, as a share of requests.
@@ -225,9 +227,9 @@
         if !self.is_confirmed(now) {
             return Err(Refusal::Unconfirmed);
         }
-        let route = self.view.route(head.host, head.path);
-        let route = route.ok_or(Refusal::NoRoute)?;
-        let tenant = self.judge_key(&route, head.key)?;
+        let (route, tenant) = self
+            .find(&head)
+            .map_err(|missing| self.if_surely_missing(now, missing))?;
         let charge = match &tenant {
             Some(tenant) => self.charge(now, tenant, head.declared_tokens)?,
             None => None,
@@ -472,6 +474,24 @@
         admitted.map_err(Refusal::OverLimit)
     }
 
+    fn find(&self, head: &RequestHead<'_>) -> Result<(Rc<Route>, Option<Rc<Tenant>>), Refusal> {
+        let route = self.view.route(head.host, head.path);
+        let route = route.ok_or(Refusal::NoRoute)?;
+        let tenant = self.judge_key(&route, head.key)?;
+        Ok((route, tenant))
+    }
+
+    /// Callers take it as final that something does not exist.
+    fn if_surely_missing(&self, now: Timestamp, missing: Refusal) -> Refusal {
+        let age = self.view_age(now);
+        let is_sure = age.is_some_and(|age| age < self.params.absence_lease);
+        if is_sure {
+            missing
+        } else {
+            Refusal::Unconfirmed
+        }
+    }
+
     fn judge_key(&self, route: &Route, key: Option<&str>) -> Result<Option<Rc<Tenant>>, Refusal> {
         if route.public || !self.view.has_tenants() {
             return Ok(None);
--- a/crates/gateway-core/src/router/tests/admission.rs
+++ b/crates/gateway-core/src/router/tests/admission.rs
@@ -44,6 +44,26 @@
         .is_ok());
 }
 
+#[rstest]
+#[case::no_route("/c/x", Some("key 1"), Refusal::NoRoute)]
+#[case::unknown_key("/a/x", Some("key 9"), Refusal::UnknownKey)]
+#[case::no_key("/a/x", None, Refusal::UnknownKey)]
+fn a_route_or_key_that_may_have_been_added_since_is_not_said_to_be_missing(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] missing: Refusal,
+) {
+    let mut router = router();
+    let within = at(ABSENCE_LEASE.as_millis() as u64 - 1);
+    let refused = router.admit(within, head("host", path, key));
+    assert_eq!(refused.unwrap_err(), missing);
+    let past = at(ABSENCE_LEASE.as_millis() as u64);
+    let refused = router.admit(past, head("host", path, key));
+    assert_eq!(refused.unwrap_err(), Refusal::Unconfirmed);
+    let known = router.admit(past, head("host", "/a/x", Some("key 1")));
+    assert!(known.is_ok(), "what is known is served meanwhile");
+}
+
 #[test]
 fn a_confirmation_of_something_newer_counts_only_once_that_has_arrived() {
     let mut router = router();
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -19,12 +19,14 @@
 };
 
 const LEASE: Duration = Duration::from_secs(4);
+const ABSENCE_LEASE: Duration = Duration::from_secs(2);
 const GRACE: Duration = Duration::from_secs(6);
 
 fn params() -> RouterParams {
     RouterParams {
         zone: "zone".to_owned(),
         key_lease: LEASE,
+        absence_lease: ABSENCE_LEASE,
         version_grace: GRACE,
         retry_ratio: 0.2,
         retry_slack: 50.0,
--- a/crates/gateway-core/tests/configuration_in_force/faults.rs
+++ b/crates/gateway-core/tests/configuration_in_force/faults.rs
@@ -26,6 +26,11 @@
         to_machine: bool,
         to_router: bool,
     },
+    /// Router and machines do not reach each other.
+    IsolateRouter {
+        router: usize,
+        machines: Vec<u8>,
+    },
     FreezeRouter(usize),
     /// Starts again at the end, knowing nothing.
     KillRouter(usize),
@@ -59,7 +64,7 @@
     let minority = (machines - 1) / 2;
     let machine = random.random_range(1..=machines);
     let router = random.random_range(0..routers);
-    match random.random_range(0..12) {
+    match random.random_range(0..14) {
         0..=2 => Kind::SplitCore(some_machines(random, minority, machines)),
         3 | 4 => Kind::IsolateCore(some_machines(random, minority, machines)),
         5 => Kind::MuteCore(machine),
@@ -76,6 +81,14 @@
             }
         }
         10 => Kind::FreezeRouter(router),
+        11 => Kind::IsolateRouter {
+            router,
+            machines: (1..=machines).collect(),
+        },
+        12 => Kind::IsolateRouter {
+            router,
+            machines: some_machines(random, machines, machines),
+        },
         _ => Kind::KillRouter(router),
     }
 }
--- a/crates/gateway-core/tests/configuration_in_force/main.rs
+++ b/crates/gateway-core/tests/configuration_in_force/main.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 
 use faults::{draw, Fault, Kind};
-use world::World;
+use world::{Decisions, World};
 
 const SECOND: Duration = Duration::from_secs(1);
 /// Of a seeded schedule.
@@ -92,9 +92,11 @@
     let seeds = number("FIRST", 1_000)..number("FIRST", 1_000) + number("SEEDS", 300);
     let (routers, machines) = (number("ROUTERS", 8), number("MACHINES", 5));
     let (mut delays, mut broken) = (Vec::new(), Vec::new());
+    let mut decisions = Decisions::default();
     for seed in seeds {
         let world = seeded(seed, routers as usize, machines as u8);
         delays.extend(world.delays.iter().copied());
+        decisions.add(&world.decisions);
         broken.extend(world.broken.first().map(|first| (seed, first.clone())));
     }
     delays.sort_unstable();
@@ -108,6 +110,7 @@
         at(1.0),
         broken.len()
     );
+    println!("all routers, each 50 ms: {decisions:?}");
     for (seed, first) in broken.iter().take(10) {
         println!("seed {seed}: {first}");
     }
--- a/crates/gateway-core/tests/configuration_in_force/router.rs
+++ b/crates/gateway-core/tests/configuration_in_force/router.rs
@@ -38,6 +38,7 @@
     RouterParams {
         zone: zone.to_owned(),
         key_lease: Duration::from_millis(4_200),
+        absence_lease: Duration::from_millis(1_680),
         version_grace: Duration::from_millis(6_400),
         retry_ratio: 0.2,
         retry_slack: 50.0,
--- a/crates/gateway-core/tests/configuration_in_force/world.rs
+++ b/crates/gateway-core/tests/configuration_in_force/world.rs
@@ -30,6 +30,25 @@
     sent: Timestamp,
 }
 
+/// What all running routers, in touch or not, would say each 50 ms of a configuration that is due to be in force.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Decisions {
+    pub current: usize,
+    pub by_older: usize,
+    /// A route that was added is said not to exist.
+    pub wrongly_missing: usize,
+    pub refused: usize,
+}
+
+impl Decisions {
+    pub fn add(&mut self, other: &Self) {
+        self.current += other.current;
+        self.by_older += other.by_older;
+        self.wrongly_missing += other.wrongly_missing;
+        self.refused += other.refused;
+    }
+}
+
 /// What is known of a router for judging it.
 #[derive(Default)]
 struct Judged {
@@ -48,6 +67,7 @@
     pub broken: Vec<String>,
     /// From the acknowledgement of a version until a router had it that was in touch all the while.
     pub delays: Vec<Duration>,
+    pub decisions: Decisions,
     routers: Vec<SimRouter>,
     judged: Vec<Judged>,
     started: Timestamp,
@@ -88,6 +108,7 @@
             faults: Vec::new(),
             broken: Vec::new(),
             delays: Vec::new(),
+            decisions: Decisions::default(),
             started: now,
             machines,
             cut: BTreeSet::new(),
@@ -138,7 +159,10 @@
         let strikes_core = |kind: &Kind| {
             !matches!(
                 kind,
-                Kind::CutRouter { .. } | Kind::FreezeRouter(_) | Kind::KillRouter(_)
+                Kind::CutRouter { .. }
+                    | Kind::IsolateRouter { .. }
+                    | Kind::FreezeRouter(_)
+                    | Kind::KillRouter(_)
             )
         };
         let disturbed = begin.iter().chain(&end).any(strikes_core);
@@ -184,6 +208,13 @@
                     self.cut.insert((*router, at, Direction::ToRouter));
                 }
             }
+            Kind::IsolateRouter { router, machines } => {
+                for machine in machines {
+                    let at = address(*machine);
+                    self.cut.insert((*router, at, Direction::ToMachine));
+                    self.cut.insert((*router, at, Direction::ToRouter));
+                }
+            }
             Kind::FreezeRouter(router) => {
                 self.frozen.insert(*router);
             }
@@ -222,6 +253,11 @@
                     self.cut.remove(&(*router, at, direction));
                 }
             }
+            Kind::IsolateRouter { router, machines } => {
+                let is_cut = |at: &Ipv4Addr| machines.contains(&at.octets()[3]);
+                self.cut
+                    .retain(|(other, at, _)| other != router || !is_cut(at));
+            }
             Kind::FreezeRouter(router) => {
                 self.frozen.remove(router);
             }
@@ -428,6 +464,7 @@
             if self.frozen.contains(&router) || self.killed.contains(&router) {
                 continue;
             }
+            self.count_decisions(router);
             self.judge_order(router);
             self.judge_pace(router);
             if self.judged[router].undisturbed.lasts(now, CONTACT) {
@@ -463,6 +500,28 @@
         }
     }
 
+    fn count_decisions(&mut self, router: usize) {
+        let now = self.cluster.now;
+        let due = self
+            .acknowledged
+            .iter()
+            .filter(|(_, at)| now.since(**at) > APPLY);
+        let Some(required) = due.map(|(version, _)| *version).max() else {
+            return;
+        };
+        let served = self.routers[router].serves_by(now);
+        let host = self.routers[router].has_host_of(now, required);
+        let decisions = &mut self.decisions;
+        match served {
+            Ok(version) if version >= required => decisions.current += 1,
+            Ok(_) => decisions.by_older += 1,
+            Err(_) => decisions.refused += 1,
+        }
+        if host == Err(Refusal::NoRoute) {
+            decisions.wrongly_missing += 1;
+        }
+    }
+
     /// What a router decides by never goes back, and how long changes took.
     fn judge_order(&mut self, router: usize) {
         let now = self.cluster.now;
--- a/crates/gateway-core/tests/pauses/mod.rs
+++ b/crates/gateway-core/tests/pauses/mod.rs
@@ -435,6 +435,7 @@
     let params = RouterParams {
         zone: "zone".to_owned(),
         key_lease: Duration::from_secs(4),
+        absence_lease: Duration::from_secs(2),
         version_grace: Duration::from_secs(6),
         retry_ratio: 0.2,
         retry_slack: 50.0,
--- a/crates/gateway-core/tests/state_parts.rs
+++ b/crates/gateway-core/tests/state_parts.rs
@@ -233,6 +233,7 @@
     let params = RouterParams {
         zone: "zone".to_owned(),
         key_lease: Duration::from_secs(4),
+        absence_lease: Duration::from_secs(2),
         version_grace: Duration::from_secs(6),
         retry_ratio: 0.2,
         retry_slack: 50.0,
--- a/crates/gateway/src/clock_tests.rs
+++ b/crates/gateway/src/clock_tests.rs
@@ -53,6 +53,7 @@
         RouterParams {
             zone: "zone".to_owned(),
             key_lease: LEASE,
+            absence_lease: LEASE,
             version_grace: Duration::from_secs(6),
             retry_ratio: 0.2,
             retry_slack: 50.0,
