--- a/crates/gateway-core/src/control/fetches.rs
+++ b/crates/gateway-core/src/control/fetches.rs
@@ -96,7 +96,7 @@
                 let message = Message::Changes(changes);
                 self.effects.push(Effect::ToRouters(connections, message));
             } else {
-                // The router has a later state than this machine; it asks another one.
+                // The router has this state or a later one; it asks another machine.
                 for connection in connections {
                     self.fetches.forget(connection);
                 }
--- a/crates/gateway-core/src/state/changes.rs
+++ b/crates/gateway-core/src/state/changes.rs
@@ -71,7 +71,7 @@
     /// has taken this one in, so what is queued for it is bounded however large the state is. Changes come in
     /// the order of their revisions, so each part leads to a revision of its own.
     ///
-    /// `None` when the router was sent a later state than this one.
+    /// `None` when the router has all there is, or was sent a later state than this one.
     pub fn next_part(
         &self,
         position: Position,
@@ -79,7 +79,7 @@
         age_ms: impl Fn(&NamedWeights) -> u32,
     ) -> Option<Changes> {
         let known = position.held.max(position.begun);
-        if known > self.revision {
+        if known > self.revision || position.held == self.revision {
             return None;
         }
         if known < self.forgotten && position.held > 0 {
--- a/crates/gateway-core/tests/state_parts.rs
+++ b/crates/gateway-core/tests/state_parts.rs
@@ -170,6 +170,15 @@
     );
 }
 
+/// Routers of earlier builds ask again at once when they get changes that lead nowhere.
+#[test]
+fn a_router_that_has_all_there_is_is_sent_nothing() {
+    let writer = Writer::with(3);
+    let held = writer.state.revision();
+    let all = Position { held, begun: 0 };
+    assert_eq!(writer.state.next_part(all, PART_BYTES, |_| 0), None);
+}
+
 /// Removals beyond 4,096 are forgotten. A router that began before is sent all anew; one that has only begun
 /// goes on, or a fleet that lost many back ends would never get to the end.
 #[rstest]
