Judge whether much of a limit was left when the leader was last heard, not by what flows in since

Cause: levels that the leader sent count for 1 s, and for 1.8 s while half of the tenant's burst is left. A router's replica of the account goes on filling while no leader is heard, and only what this router itself admits is taken off. After 1 s every router had turned to its own part of the limit; a moment later each found its replica half full again, took the tenant for one with much left, and spent the whole limit by itself until 1.8 s were over.

Ruled out: that a new leader forgets what was used; it takes over what routers report, by its lines.

--- a/crates/gateway-core/src/router/accounts.rs
+++ b/crates/gateway-core/src/router/accounts.rs
@@ -48,6 +48,8 @@
     /// Over all routers: the last level received, less what this router has charged since.
     replica: Account,
     own_part: OwnPart,
+    /// Much of the limit was left when levels came last. What flows in afterwards does not count: others use it.
+    was_ample: bool,
     /// Not reported to the leader yet; negative when more was paid back than charged.
     unreported: i64,
 }
@@ -102,7 +104,7 @@
             return Ok(None);
         };
         let age = self.known_at.map(|at| now.since(at));
-        let by_own_part = age.is_none_or(|age| age >= account.levels_count_for(now));
+        let by_own_part = account.is_unknown(now, self.known_at);
         let cost = account.replica.limit().cost(declared_tokens);
         let (bucket, is_admitted) = if by_own_part {
             let part = &account.own_part;
@@ -150,6 +152,7 @@
         }
         for account in self.accounts.values_mut() {
             account.own_part.set_share_if_unknown(now);
+            account.was_ample = account.is_ample(now);
         }
     }
 
@@ -170,8 +173,10 @@
 
 impl TenantAccount {
     fn new(now: Timestamp, limit: TenantLimit, routers: u16) -> Self {
+        let replica = Account::new(now, limit);
         Self {
-            replica: Account::new(now, limit),
+            was_ample: replica.level(now) >= limit.burst * AMPLE_PART,
+            replica,
             own_part: OwnPart::new(now, limit, routers),
             unreported: 0,
         }
@@ -184,15 +189,23 @@
         }
     }
 
+    /// True when levels came last, if ever, too long ago.
+    fn is_unknown(&self, now: Timestamp, known_at: Option<Timestamp>) -> bool {
+        known_at.is_none_or(|at| now.since(at) >= self.levels_count_for(now))
+    }
+
     fn levels_count_for(&self, now: Timestamp) -> Duration {
-        let ample = self.replica.limit().burst * AMPLE_PART;
-        if self.replica.level(now) >= ample {
+        if self.was_ample && self.is_ample(now) {
             AMPLE_LEVELS_COUNT_FOR
         } else {
             LEVELS_COUNT_FOR
         }
     }
 
+    fn is_ample(&self, now: Timestamp) -> bool {
+        self.replica.level(now) >= self.replica.limit().burst * AMPLE_PART
+    }
+
     fn charge(&mut self, now: Timestamp, amount: i64) {
         self.replica.charge(now, amount as f64);
         self.own_part.charge(now, amount as f64);
--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -385,6 +385,26 @@
     fleet.assert_within_limit(begun);
 }
 
+/// A tenant asks for five times its limit before, while and after no leader is heard.
+fn assert_within_limit_while_leaders_are_lost(leaderless_ms: u64) {
+    let rate = 325_000.0;
+    let mut fleet = Fleet::new(85, limit(rate), leaderless_ms);
+    let begun = fleet.cluster.now;
+    for _ in 0..3 {
+        fleet.run(2 * SECOND, rate * 5.0);
+        fleet.is_cut_off = true;
+        fleet.run(Duration::from_millis(leaderless_ms), rate * 5.0);
+        fleet.is_cut_off = false;
+    }
+    fleet.run(4 * SECOND, rate * 5.0);
+    fleet.assert_within_limit(begun);
+}
+
+#[test]
+fn a_limit_that_was_used_up_is_not_taken_for_ample_while_no_leader_is_heard() {
+    assert_within_limit_while_leaders_are_lost(2_500);
+}
+
 #[test]
 fn a_tenant_far_below_its_limit_is_served_also_while_no_leader_is_heard() {
     let mut fleet = Fleet::new(79, limit(570_000.0), 5);
