Spend the own part of a limit 0.3 s after the leader was last heard, when little is left

Cause: a level counted for 1 s. A tenant near its limit is told of each 0.1 s, so 0.7 s of that are spent by every router by itself, on a level that the others spend as well.

Tried and not kept: an own part whose level follows the leader's, and levels that count again only 0.2 s after a gap; neither changed a verdict.

--- a/crates/gateway-core/src/router/accounts.rs
+++ b/crates/gateway-core/src/router/accounts.rs
@@ -9,8 +9,8 @@
 use crate::{AccountLevel, Document, TenantKey, TenantName, UsageEntry};
 
 /// Levels that the leader sent count for so long; afterwards a router spends its own part of the
-/// limits only. More than twice the interval at which the leader confirms them.
-const LEVELS_COUNT_FOR: Duration = Duration::from_millis(1_000);
+/// limits only. Three times the interval at which the leader sends those of tenants close to their limit.
+const LEVELS_COUNT_FOR: Duration = Duration::from_millis(300);
 /// The same for a tenant that had much of its limit left: long enough for an election, and short
 /// enough that callers who ask for three times the limit as soon as the leader is lost do not
 /// exceed it by a tenth over 8 s (`routers_that_hear_no_leader_stay_within_the_limit`).
--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -405,6 +405,13 @@
     assert_within_limit_while_leaders_are_lost(2_500);
 }
 
+#[rstest]
+fn a_level_from_before_a_leader_was_lost_is_not_spent_by_every_router(
+    #[values(300, 500, 1_000, 1_500)] leaderless_ms: u64,
+) {
+    assert_within_limit_while_leaders_are_lost(leaderless_ms);
+}
+
 #[test]
 fn a_tenant_far_below_its_limit_is_served_also_while_no_leader_is_heard() {
     let mut fleet = Fleet::new(79, limit(570_000.0), 5);
