Read what control machines of builds without zones send to a router

What callers would see: a router of this build before control machines of two landings before never becomes ready: it reads their changes by its own layout and ends the link each time.

Cause: a router laid out and read messages as its own build does, whoever is at the other end.

Change: a control machine that does not begin with its zone is of an earlier build (a current one always does); its changes are read without the newest revision, its sums of loads as those of the others alone, and it is asked by one revision.

A case of a test claimed that the word whom a router follows is the same for both builds; an earlier control machine cannot read it. The case moved to those that are not sent.

--- a/crates/gateway-core/src/router_wire.rs
+++ b/crates/gateway-core/src/router_wire.rs
@@ -1,8 +1,8 @@
-//! How messages are laid out on a link between a control machine and a router of this or an earlier build.
+//! How messages are laid out on a link between a control machine and a router, of which one may be of an earlier build.
 //!
-//! Builds in the field cannot be changed: what they send and refuse is fixed, and a router that gets a message it
-//! cannot read ends the link. A control machine therefore tells by a router's first message, its status, which build
-//! it runs, and speaks as that expects.
+//! Builds in the field cannot be changed: what they send and refuse is fixed, and one that gets a message it cannot
+//! read ends the link. A control machine therefore tells by a router's first message, its status, which build it runs,
+//! and a router by a control machine's first message, its zone; both speak as the other expects.
 
 use std::io::Cursor;
 
@@ -11,14 +11,15 @@
 
 use crate::{Changes, InstanceRecord, Message, Quarantine, RouterStatus, WeightsNotice, WorkKey};
 
-/// The layouts that routers use.
+/// The layouts that are used.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RouterWire {
     /// As [`Message`] is.
     #[default]
     Current,
-    /// Of builds whose status does not say whether the router has a view. They ask for changes by one revision, take
-    /// a state whole, choose nobody to follow, and are told no sums of loads that hold their own.
+    /// Of builds whose status does not say whether the router has a view, and whose control machines do not say their
+    /// zone. They ask for changes by one revision, take or send a state whole, choose nobody to follow, and tell sums
+    /// of loads without the receiver's own.
     BeforeViews,
 }
 
@@ -61,6 +62,17 @@
         is_status.then_some((Self::BeforeViews, message))
     }
 
+    /// Reads a control machine's first message on a router's link, and by which layout it is one; `None` when it is no
+    /// message.
+    pub fn of_control(payload: &[u8]) -> Option<(Self, Message)> {
+        let zone =
+            Message::decode(payload).filter(|first| matches!(first, Message::ControlZone(_)));
+        if let Some(zone) = zone {
+            return Some((Self::Current, zone));
+        }
+        Some((Self::BeforeViews, Self::BeforeViews.decode(payload)?))
+    }
+
     /// Reads a message; `None` when it is none.
     pub fn decode(self, payload: &[u8]) -> Option<Message> {
         match self {
@@ -69,11 +81,17 @@
         }
     }
 
-    /// Lays a message out; `None` when the router cannot read it.
+    /// Lays a message out; `None` when the other one cannot read it.
     pub fn encode(self, message: &Message) -> Option<Vec<u8>> {
         match (self, message) {
             (Self::Current, _) => Some(message.encode()),
-            (Self::BeforeViews, Message::ControlZone(_) | Message::LoadsOfAll { .. }) => None,
+            (
+                Self::BeforeViews,
+                Message::ControlZone(_) | Message::LoadsOfAll { .. } | Message::Follow(_),
+            ) => None,
+            (Self::BeforeViews, Message::Fetch { since, .. }) => {
+                Some(write_earlier(&EarlierMessage::Fetch { since: *since }))
+            }
             (Self::BeforeViews, Message::Changes(changes)) => {
                 Some(write_earlier(&earlier_changes(changes)))
             }
@@ -83,7 +101,8 @@
 }
 
 /// A router of an earlier build does not say whether it has a view, so it is taken to have one, as it was by control
-/// machines of its build; and it never has a part of the state that it does not say.
+/// machines of its build; and it never has a part of the state that it does not say. A control machine of an earlier
+/// build sends all that it has.
 fn read_earlier(payload: &[u8]) -> Option<Message> {
     let mut cursor = Cursor::new(payload);
     let message = EarlierMessage::read(&mut cursor).ok()?;
@@ -102,7 +121,26 @@
             has_view: 1,
         })),
         EarlierMessage::Fetch { since } => Some(Message::Fetch { since, begun: 0 }),
-        EarlierMessage::Changes { .. } => None,
+        EarlierMessage::Changes {
+            since,
+            revision,
+            configuration,
+            weights,
+            instances,
+            removed,
+            work_key,
+            quarantine,
+        } => Some(Message::Changes(Changes {
+            since,
+            revision,
+            newest: revision,
+            configuration,
+            weights,
+            instances,
+            removed,
+            work_key,
+            quarantine,
+        })),
     }
 }
 
--- a/crates/gateway-core/src/router_wire_tests.rs
+++ b/crates/gateway-core/src/router_wire_tests.rs
@@ -78,6 +78,7 @@
 #[rstest]
 #[case::zone(Message::ControlZone(Text::new("a")))]
 #[case::loads(Message::LoadsOfAll { whole: 1, loads: List::new(vec![LoadEntry::default()]) })]
+#[case::follow(Message::Follow(Following::Changes))]
 fn what_an_earlier_build_cannot_read_is_not_sent(#[case] message: Message) {
     assert_eq!(RouterWire::BeforeViews.encode(&message), None);
     assert_eq!(RouterWire::Current.encode(&message), Some(message.encode()));
@@ -86,7 +87,6 @@
 #[rstest]
 #[case::announcement(Message::Announce(Announcement { revision: 5 }))]
 #[case::ping(Message::Ping { sequence: 8 })]
-#[case::follow(Message::Follow(Following::Changes))]
 fn what_did_not_change_is_the_same_for_both(#[case] message: Message) {
     let payload = message.encode();
     for wire in RouterWire::ALL {
@@ -94,3 +94,39 @@
         assert_eq!(wire.decode(&payload), Some(message.clone()));
     }
 }
+
+#[test]
+fn a_control_machine_that_does_not_say_its_zone_first_is_of_an_earlier_build() {
+    let zone = Message::ControlZone(Text::new("a"));
+    let read = RouterWire::of_control(&zone.encode());
+    assert_eq!(read, Some((RouterWire::Current, zone)));
+    let announcement = Message::Announce(Announcement { revision: 5 });
+    let read = RouterWire::of_control(&announcement.encode());
+    assert_eq!(read, Some((RouterWire::BeforeViews, announcement)));
+    assert_eq!(RouterWire::of_control(&[200, 1, 2]), None);
+}
+
+/// A router that read them by its own layout ended the link each time.
+#[test]
+fn changes_of_an_earlier_control_machine_are_read_and_lead_to_all_that_it_has() {
+    let changes = Changes {
+        since: 1,
+        revision: 3,
+        newest: 3,
+        removed: List::new(vec![Text::new("i-2")]),
+        ..Changes::default()
+    };
+    let sent = Message::Changes(changes);
+    let payload = RouterWire::BeforeViews.encode(&sent).unwrap();
+    let first = RouterWire::of_control(&payload);
+    assert_eq!(first, Some((RouterWire::BeforeViews, sent.clone())));
+    assert_ne!(Message::decode(&payload), Some(sent));
+}
+
+#[test]
+fn a_question_to_an_earlier_control_machine_names_one_revision() {
+    let question = Message::Fetch { since: 5, begun: 9 };
+    let payload = RouterWire::BeforeViews.encode(&question).unwrap();
+    let read = RouterWire::BeforeViews.decode(&payload);
+    assert_eq!(read, Some(Message::Fetch { since: 5, begun: 0 }));
+}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -142,6 +142,14 @@
         Ok(first)
     }
 
+    /// The first message of a control machine, by which it is known how those after it are laid out.
+    pub async fn receive_first_of_control(&mut self) -> Result<(RouterWire, Message), FrameError> {
+        let payload = self.receive_payload().await?;
+        let first = RouterWire::of_control(&payload).ok_or_else(no_message)?;
+        self.wire = first.0;
+        Ok(first)
+    }
+
     /// The next message.
     pub async fn receive(&mut self) -> Result<Message, FrameError> {
         let payload = self.receive_payload().await?;
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -8,7 +8,7 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Changes, Message, Progress, ReportedLoads, Step, ViewLinks, WorkSuspicion,
+    Changes, Message, Progress, ReportedLoads, RouterWire, Step, ViewLinks, WorkSuspicion,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
@@ -73,6 +73,17 @@
         self.view.borrow_mut().on_link_ended(address);
     }
 
+    /// It is known how messages to a control machine are laid out.
+    fn on_wire(&self, address: Ipv4Addr, wire: RouterWire) {
+        if let Some(link) = self.links.borrow_mut().get_mut(&address) {
+            link.sender = link.sender.clone().laid_out(wire);
+        }
+        if wire != RouterWire::Current {
+            tracing::info!(event = "control_wire", %address, ?wire,
+                "router: a control machine speaks as an earlier build");
+        }
+    }
+
     /// False when nothing is sent: the link has ended, or its queue is full.
     fn send(&self, to: Ipv4Addr, message: &Message) -> bool {
         let links = self.links.borrow();
@@ -217,98 +228,116 @@
     address: Ipv4Addr,
     mut receiver: Receiver,
 ) -> &'static str {
+    let Ok((wire, mut message)) = receiver.receive_first_of_control().await else {
+        return "closed";
+    };
+    links.on_wire(address, wire);
     loop {
-        let Ok(message) = receiver.receive().await else {
-            return "closed";
+        on_message(router, links, address, wire, message);
+        message = match receiver.receive().await {
+            Ok(next) => next,
+            Err(_) => return "closed",
         };
-        match message {
-            Message::Announce(announcement) => {
-                on_revision(router, links, address, announcement.revision);
-            }
-            Message::Changes(changes) => {
-                apply(router, links, address, changes);
-                poll(router, links);
-            }
-            Message::Pong {
-                sequence,
-                revision,
-                routers,
-                controls,
-                leader,
-            } => {
-                links.leader.set(leader);
-                let asked = links.view.borrow_mut().on_pong(address, sequence);
-                if let Some(asked) = asked {
-                    let mut core = router.core.borrow_mut();
-                    core.on_confirmed(asked, revision, routers);
-                }
-                wake_waiting(router);
-                if !controls.items.is_empty() {
-                    let controls = controls.items.into_iter().map(Ipv4Addr::from);
-                    *links.controls.borrow_mut() = controls.collect();
-                }
-                on_revision(router, links, address, revision);
-            }
-            Message::ControlZone(zone) => {
-                links.view.borrow_mut().on_zone(address, zone.as_str());
-                poll(router, links);
-            }
-            Message::Stored {
-                store,
-                known,
-                reset,
-                added,
-                removed,
-            } => {
+    }
+}
+
+fn on_message(
+    router: &Rc<Router>,
+    links: &Links,
+    address: Ipv4Addr,
+    wire: RouterWire,
+    message: Message,
+) {
+    match message {
+        Message::Announce(announcement) => {
+            on_revision(router, links, address, announcement.revision);
+        }
+        Message::Changes(changes) => {
+            apply(router, links, address, changes);
+            poll(router, links);
+        }
+        Message::Pong {
+            sequence,
+            revision,
+            routers,
+            controls,
+            leader,
+        } => {
+            links.leader.set(leader);
+            let asked = links.view.borrow_mut().on_pong(address, sequence);
+            if let Some(asked) = asked {
                 let mut core = router.core.borrow_mut();
-                core.on_stored(store, known != 0, reset != 0, &added.items, &removed.items);
+                core.on_confirmed(asked, revision, routers);
             }
-            Message::Suspects(keys) => {
-                let now = router.clock.now();
-                let silent = router.core.borrow_mut().on_suspects(now, &keys.items);
-                for instance in silent {
-                    tracing::info!(event = "back_end_suspected", %instance, by = "another router",
-                        "router: a back end fell silent");
-                    router.upstreams.close_idle(&instance);
-                }
-            }
-            Message::Refusing(keys) => {
-                let now = router.clock.now();
-                router.core.borrow_mut().on_refusing(now, &keys.items);
-                tracing::info!(
-                    event = "back_ends_refusing",
-                    count = keys.items.len(),
-                    "router: back ends turn other routers' requests away"
-                );
+            wake_waiting(router);
+            if !controls.items.is_empty() {
+                let controls = controls.items.into_iter().map(Ipv4Addr::from);
+                *links.controls.borrow_mut() = controls.collect();
             }
-            Message::WorkSuspicions(suspicions) => {
-                on_work_suspicions(router, address, &suspicions.items);
+            on_revision(router, links, address, revision);
+        }
+        Message::ControlZone(zone) => {
+            links.view.borrow_mut().on_zone(address, zone.as_str());
+            poll(router, links);
+        }
+        Message::Stored {
+            store,
+            known,
+            reset,
+            added,
+            removed,
+        } => {
+            let mut core = router.core.borrow_mut();
+            core.on_stored(store, known != 0, reset != 0, &added.items, &removed.items);
+        }
+        Message::Suspects(keys) => {
+            let now = router.clock.now();
+            let silent = router.core.borrow_mut().on_suspects(now, &keys.items);
+            for instance in silent {
+                tracing::info!(event = "back_end_suspected", %instance, by = "another router",
+                        "router: a back end fell silent");
+                router.upstreams.close_idle(&instance);
             }
-            Message::TryWork(work) => {
-                let now = router.clock.now();
-                router.core.borrow_mut().on_trial_permitted(now, work);
-                tracing::info!(event = "work_trial", %work, by = %address,
+        }
+        Message::Refusing(keys) => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_refusing(now, &keys.items);
+            tracing::info!(
+                event = "back_ends_refusing",
+                count = keys.items.len(),
+                "router: back ends turn other routers' requests away"
+            );
+        }
+        Message::WorkSuspicions(suspicions) => {
+            on_work_suspicions(router, address, &suspicions.items);
+        }
+        Message::TryWork(work) => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_trial_permitted(now, work);
+            tracing::info!(event = "work_trial", %work, by = %address,
                     "router: one run of quarantined work is permitted");
-            }
-            Message::Holders(entries) => {
-                let now = router.clock.now();
-                router.core.borrow_mut().on_holders(now, &entries.items);
-            }
-            Message::AccountLevels(levels) => {
-                let now = router.clock.now();
-                let mut core = router.core.borrow_mut();
-                core.on_account_levels(now, &levels.items);
-            }
-            Message::LoadsOfAll { whole, loads } => {
-                links.loads_heard.set(router.clock.now());
-                let now = router.clock.now();
-                let mut told = links.loads_told.borrow_mut();
-                let others = told.without_own(now, &loads.items);
-                let mut core = router.core.borrow_mut();
-                core.set_others_loads(whole != 0, &others);
-            }
-            _ => {}
         }
+        Message::Holders(entries) => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_holders(now, &entries.items);
+        }
+        Message::AccountLevels(levels) => {
+            let now = router.clock.now();
+            let mut core = router.core.borrow_mut();
+            core.on_account_levels(now, &levels.items);
+        }
+        Message::LoadsOfAll { whole, loads } => {
+            links.loads_heard.set(router.clock.now());
+            let now = router.clock.now();
+            let mut told = links.loads_told.borrow_mut();
+            let others = match wire {
+                RouterWire::Current => told.without_own(now, &loads.items),
+                RouterWire::BeforeViews => loads.items,
+            };
+            let mut core = router.core.borrow_mut();
+            core.set_others_loads(whole != 0, &others);
+        }
+        _ => {}
     }
 }
 
