Tell a control machine that it is followed until that was sent

What callers would see: changes 0.4 s later than elsewhere, for as long as a link lives, at a router whose word whom it follows found the link's queue full.

Cause: ViewLinks noted the word as said when it handed the step out.

Change: the step comes again at each poll until the daemon says that it was sent. The test a_machine_is_told_that_it_is_followed_until_that_was_sent fails without it (the second poll is empty). Two fields of Links got names that say what they hold.

--- a/crates/gateway-core/src/view_links/mod.rs
+++ b/crates/gateway-core/src/view_links/mod.rs
@@ -29,7 +29,7 @@
         /// The number of the question.
         sequence: u64,
     },
-    /// Say what this router is to be told.
+    /// Say what this router is to be told. [`ViewLinks::on_told`] follows once that is sent.
     Follow {
         /// To whom.
         to: Ipv4Addr,
@@ -116,6 +116,13 @@
         self.fetches.on_changes(now, from, newest, progress);
     }
 
+    /// A machine was sent what it is to tell.
+    pub fn on_told(&mut self, to: Ipv4Addr, following: Following) {
+        if let Some(told) = self.told.get_mut(&to) {
+            *told = following;
+        }
+    }
+
     /// A machine was sent a question for changes.
     pub fn on_asked(&mut self, now: Timestamp, to: Ipv4Addr) {
         self.fetches.on_asked(now, to);
@@ -147,15 +154,14 @@
     }
 
     /// What machines are to be told that is not what they were told last.
-    fn follow(&mut self) -> Vec<Step> {
-        let mut steps = Vec::new();
-        for (address, told) in &mut self.told {
-            let following = self.sources.following(*address);
-            if std::mem::replace(told, following) != following {
-                let to = *address;
-                steps.push(Step::Follow { to, following });
-            }
-        }
-        steps
+    fn follow(&self) -> Vec<Step> {
+        let wanted = self.told.iter().filter_map(|(to, told)| {
+            let following = self.sources.following(*to);
+            (following != *told).then_some(Step::Follow { to: *to, following })
+        });
+        wanted.collect()
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gateway-core/tests/configuration_in_force/router.rs
+++ b/crates/gateway-core/tests/configuration_in_force/router.rs
@@ -109,7 +109,10 @@
                     continue;
                 }
                 Step::Ping { to, sequence } => (to, Message::Ping { sequence }),
-                Step::Follow { to, following } => (to, Message::Follow(following)),
+                Step::Follow { to, following } => {
+                    self.links.on_told(to, following);
+                    (to, Message::Follow(following))
+                }
                 Step::Fetch { to, position, .. } => {
                     self.links.on_asked(now, to);
                     let (since, begun) = (position.held, position.begun);
--- a/crates/gateway/src/router/updates.rs
+++ b/crates/gateway/src/router/updates.rs
@@ -31,10 +31,10 @@
     /// All control machines, as one of them said last.
     controls: RefCell<Vec<Ipv4Addr>>,
     pub tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
-    view: RefCell<ViewLinks>,
+    view_links: RefCell<ViewLinks>,
     traffic: Rc<LinkTraffic>,
     /// The links that are up.
-    links: RefCell<BTreeMap<Ipv4Addr, Link>>,
+    up: RefCell<BTreeMap<Ipv4Addr, Link>>,
     /// The leader, as one of them said last.
     pub leader: Cell<u32>,
     /// What the leader was told last of this router's load.
@@ -44,7 +44,6 @@
 }
 
 /// A link that is up.
-#[derive(Clone)]
 struct Link {
     sender: Sender,
     /// Notified when it is to end.
@@ -58,9 +57,9 @@
         Self {
             controls: RefCell::default(),
             tasks: RefCell::default(),
-            view: RefCell::new(ViewLinks::new(&router.settings.params.zone, seed)),
+            view_links: RefCell::new(ViewLinks::new(&router.settings.params.zone, seed)),
             traffic: Rc::new(LinkTraffic::counted_by(router.metrics.link_bytes.clone())),
-            links: RefCell::default(),
+            up: RefCell::default(),
             leader: Cell::default(),
             loads_told: RefCell::default(),
             loads_heard: Cell::default(),
@@ -69,13 +68,13 @@
 
     /// A link has ended, or its control machine is no longer one.
     fn on_ended(&self, address: Ipv4Addr) {
-        self.links.borrow_mut().remove(&address);
-        self.view.borrow_mut().on_link_ended(address);
+        self.up.borrow_mut().remove(&address);
+        self.view_links.borrow_mut().on_link_ended(address);
     }
 
     /// It is known how messages to a control machine are laid out.
     fn on_wire(&self, address: Ipv4Addr, wire: RouterWire) {
-        if let Some(link) = self.links.borrow_mut().get_mut(&address) {
+        if let Some(link) = self.up.borrow_mut().get_mut(&address) {
             link.sender = link.sender.clone().laid_out(wire);
         }
         if wire != RouterWire::Current {
@@ -86,7 +85,7 @@
 
     /// False when nothing is sent: the link has ended, or its queue is full.
     fn send(&self, to: Ipv4Addr, message: &Message) -> bool {
-        let links = self.links.borrow();
+        let links = self.up.borrow();
         links.get(&to).is_some_and(|link| link.sender.send(message))
     }
 }
@@ -108,7 +107,7 @@
 fn poll(router: &Router, links: &Links) {
     let now = router.clock.now();
     let position = router.core.borrow().position();
-    let steps = links.view.borrow_mut().poll(now, position);
+    let steps = links.view_links.borrow_mut().poll(now, position);
     for step in steps {
         take_step(router, links, step);
     }
@@ -120,9 +119,11 @@
             links.send(to, &Message::Ping { sequence });
         }
         Step::Follow { to, following } => {
-            tracing::info!(event = "control_followed", address = %to, ?following,
-                "router: changes come from other control machines than before");
-            links.send(to, &Message::Follow(following));
+            if links.send(to, &Message::Follow(following)) {
+                links.view_links.borrow_mut().on_told(to, following);
+                tracing::info!(event = "control_followed", address = %to, ?following,
+                    "router: changes come from other control machines than before");
+            }
         }
         Step::Fetch {
             to,
@@ -134,14 +135,17 @@
                 begun: position.begun,
             };
             if links.send(to, &message) {
-                links.view.borrow_mut().on_asked(router.clock.now(), to);
+                links
+                    .view_links
+                    .borrow_mut()
+                    .on_asked(router.clock.now(), to);
                 router.metrics.count_fetch("asked");
                 tracing::info!(event = "changes_asked", address = %to, held = position.held, is_followed,
                     "router: asked for changes");
             }
         }
         Step::GiveUp { to } => {
-            if let Some(link) = links.links.borrow().get(&to) {
+            if let Some(link) = links.up.borrow().get(&to) {
                 link.given_up.notify_one();
             }
         }
@@ -206,8 +210,8 @@
         given_up: Rc::clone(&given_up),
     };
     sender.send(&reports::status(router));
-    links.links.borrow_mut().insert(address, link);
-    links.view.borrow_mut().on_linked(address);
+    links.up.borrow_mut().insert(address, link);
+    links.view_links.borrow_mut().on_linked(address);
     poll(router, links);
     let listening = listen(router, links, address, receiver);
     let telling = reports::tell_changes(router, &sender);
@@ -264,7 +268,7 @@
             leader,
         } => {
             links.leader.set(leader);
-            let asked = links.view.borrow_mut().on_pong(address, sequence);
+            let asked = links.view_links.borrow_mut().on_pong(address, sequence);
             if let Some(asked) = asked {
                 let mut core = router.core.borrow_mut();
                 core.on_confirmed(asked, revision, routers);
@@ -277,7 +281,10 @@
             on_revision(router, links, address, revision);
         }
         Message::ControlZone(zone) => {
-            links.view.borrow_mut().on_zone(address, zone.as_str());
+            links
+                .view_links
+                .borrow_mut()
+                .on_zone(address, zone.as_str());
             poll(router, links);
         }
         Message::Stored {
@@ -355,7 +362,7 @@
 fn on_revision(router: &Router, links: &Links, from: Ipv4Addr, revision: u64) {
     let now = router.clock.now();
     let held = router.core.borrow().revision();
-    let mut view = links.view.borrow_mut();
+    let mut view = links.view_links.borrow_mut();
     if view.on_revision(now, from, revision, held) {
         tracing::info!(event = "view_behind", address = %from, held, announced = revision,
             "router: a newer revision is known");
@@ -375,7 +382,7 @@
 fn apply(router: &Router, links: &Links, from: Ipv4Addr, changes: Changes) {
     let now = router.clock.now();
     let began = Instant::now();
-    let behind = links.view.borrow().behind(now).unwrap_or_default();
+    let behind = links.view_links.borrow().behind(now).unwrap_or_default();
     let (revision, newest) = (changes.revision, changes.newest);
     let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
     let parse = |body: &[u8]| router.dialect.document(body);
@@ -409,6 +416,6 @@
         }
     };
     drop(core);
-    let mut view = links.view.borrow_mut();
+    let mut view = links.view_links.borrow_mut();
     view.on_changes(now, from, newest, progress);
 }
