Bound the confirmations that a view remembers while it stays behind

Cause: each answer that names a revision which has not arrived was kept until it arrives; a router that cannot take a change in, as one whose configuration it cannot read, kept three a second for ever.

Change: an answer replaces earlier ones that need as much or more, and the oldest beyond 64 give way. a_view_that_stays_behind_remembers_few_confirmations holds it (9,999 were kept before, by reading).

--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -26,6 +26,9 @@
     Document(#[from] InvalidDocument),
 }
 
+/// Confirmations of revisions that have not arrived; the oldest give way.
+const MOST_AWAITED: usize = 64;
+
 #[derive(Clone, Copy, Debug)]
 struct Named {
     version: u64,
@@ -115,6 +118,11 @@
         if revision <= self.revision {
             self.confirmed = self.confirmed.max(Some(asked));
         } else {
+            // A later answer that needs no more makes up for earlier ones.
+            self.awaiting.retain(|(needed, _)| *needed < revision);
+            if self.awaiting.len() == MOST_AWAITED {
+                self.awaiting.remove(0);
+            }
             self.awaiting.push((revision, asked));
         }
     }
@@ -208,3 +216,7 @@
         self.document = Some(document);
     }
 }
+
+#[cfg(test)]
+#[path = "view_tests.rs"]
+mod tests;
