--- a/crates/gateway-core/src/router/accounts.rs
+++ b/crates/gateway-core/src/router/accounts.rs
@@ -11,9 +11,7 @@
 /// Levels that the leader sent count for so long; afterwards a router spends its own part of the
 /// limits only. Three times the interval at which the leader sends those of tenants close to their limit.
 const LEVELS_COUNT_FOR: Duration = Duration::from_millis(300);
-/// The same for a tenant that had much of its limit left: long enough for an election, and short
-/// enough that callers who ask for three times the limit as soon as the leader is lost do not
-/// exceed it by a tenth over 8 s (`routers_that_hear_no_leader_stay_within_the_limit`).
+/// The same for a tenant that had much of its limit left, which is not to notice an election.
 const AMPLE_LEVELS_COUNT_FOR: Duration = Duration::from_millis(1_800);
 /// A tenant has much of its limit left while the account holds this part of its burst.
 const AMPLE_PART: f64 = 0.5;
--- a/crates/gateway-core/src/view_links/fetches.rs
+++ b/crates/gateway-core/src/view_links/fetches.rs
@@ -8,21 +8,21 @@
 
 use crate::Position;
 
-/// A question without an answer is followed by another after this long: an answer takes 50 ms at most on a link of
+/// A fetch without an answer is followed by another after this long: an answer takes 50 ms at most on a link of
 /// 10 Mbit/s, for larger ones come in parts.
 const REPEAT_AFTER: Duration = Duration::from_millis(300);
-/// Once all machines that have what is wanted were asked, the next question waits twice as long, this often. Control
-/// machines that answer late have too much to do; repeated questions would give them more.
+/// Once all machines that have what is wanted were asked, the next fetch waits twice as long, this often. Control
+/// machines that answer late have too much to do; repeated fetches would give them more.
 const MOST_DOUBLINGS: u32 = 3;
 /// A router that has been behind for so long without progress, or asked in vain, asks machines that it does not follow
 /// as well: those that it follows may be cut off from the others.
 const FOLLOWED_PATIENCE: Duration = Duration::from_millis(400);
 
-/// Questions for changes. Only progress of the view counts as an answer.
+/// Fetches of changes. Only progress of the view counts as an answer.
 #[derive(Debug, Default)]
 pub struct Fetches {
-    under_way: Option<Question>,
-    /// Questions since the last progress, by whom they went to.
+    under_way: Option<Fetch>,
+    /// Fetches since the last progress, by whom they went to.
     asked: BTreeMap<Ipv4Addr, u32>,
     /// Since when this router has known of changes without getting any.
     behind_since: Option<Timestamp>,
@@ -32,9 +32,9 @@
     revisions: BTreeMap<Ipv4Addr, u64>,
 }
 
-/// A question that is not answered yet.
+/// A fetch that is not answered yet.
 #[derive(Clone, Copy, Debug)]
-struct Question {
+struct Fetch {
     to: Ipv4Addr,
     asked: Timestamp,
     patience: Duration,
@@ -79,10 +79,7 @@
     ) -> Option<Ipv4Addr> {
         self.note_position(now, position.held);
         let behind_since = self.behind_since?;
-        if self
-            .under_way
-            .is_some_and(|question| !question.is_overdue(now))
-        {
+        if self.under_way.is_some_and(|fetch| !fetch.is_overdue(now)) {
             return None;
         }
         let may_ask_any = !self.asked.is_empty() || now.since(behind_since) >= FOLLOWED_PATIENCE;
@@ -101,7 +98,7 @@
         let times = self.asked.entry(to).or_default();
         let doublings = (*times).min(MOST_DOUBLINGS);
         *times += 1;
-        self.under_way = Some(Question {
+        self.under_way = Some(Fetch {
             to,
             asked: now,
             patience: REPEAT_AFTER * 2_u32.pow(doublings),
@@ -111,7 +108,7 @@
     /// A link has ended: what was asked on it is not answered any more.
     pub fn on_link_ended(&mut self, address: Ipv4Addr) {
         self.revisions.remove(&address);
-        self.under_way = self.under_way.filter(|question| question.to != address);
+        self.under_way = self.under_way.filter(|fetch| fetch.to != address);
     }
 
     /// For how long a newer revision has been known without progress; `None` when none is.
@@ -145,7 +142,7 @@
     },
 }
 
-impl Question {
+impl Fetch {
     fn is_overdue(&self, now: Timestamp) -> bool {
         now.since(self.asked) >= self.patience
     }
--- a/crates/gateway-core/src/view_links/mod.rs
+++ b/crates/gateway-core/src/view_links/mod.rs
@@ -36,7 +36,7 @@
         /// What.
         following: Following,
     },
-    /// Ask for changes. [`ViewLinks::on_asked`] follows once that is sent.
+    /// Fetch changes. [`ViewLinks::on_asked`] follows once that is sent.
     Fetch {
         /// Whom.
         to: Ipv4Addr,
@@ -123,7 +123,7 @@
         }
     }
 
-    /// A machine was sent a question for changes.
+    /// A machine was sent a fetch.
     pub fn on_asked(&mut self, now: Timestamp, to: Ipv4Addr) {
         self.fetches.on_asked(now, to);
     }
--- a/crates/gateway-core/src/view_links/questions.rs
+++ b/crates/gateway-core/src/view_links/questions.rs
@@ -19,7 +19,7 @@
 /// A link on which a question got no answer for so long is given up.
 const UNANSWERED: Duration = Duration::from_millis(2_500);
 
-/// Questions to each linked control machine, by their numbers.
+/// Questions whether the view is current, to each linked control machine, by their numbers.
 #[derive(Debug, Default)]
 pub struct Questions {
     last_sequence: u64,
