Let a link's first message show that its sender decodes measurements

Builds of two versions run side by side, and a build closes a link on a kind of message that it cannot decode. What the new parts report therefore needs a way to say who can read it. A router's status and a control machine's zone are followed by a marker, which earlier builds ignore (they decode a message and skip what follows); messages with measurements go only to peers that sent it. Weighed: a further field in the status (an earlier reader of the older format checks the length), a version in the frame (earlier readers refuse it).

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -8,10 +8,12 @@
 //! * [`ReplicatedState`]: the state that control machines replicate by a log of commands;
 //! * [`ControlCore`]: one control machine, with the replicated log, membership, reads and rollouts;
 //! * [`RouterCore`]: one router, with its view of the state, the lease on the view, placement and retry limits;
+//! * [`back_end_speed`]: how fast the back ends of a pool work;
 //! * [`limits`]: rate limits that all routers enforce together.
 #![forbid(unsafe_code)]
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
+pub mod back_end_speed;
 mod command;
 mod control;
 mod document;
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -466,6 +466,11 @@
         cursor.into_inner()
     }
 
+    /// Whether the message carries measurements, which only peers with [`crate::RouterWire::WithMeasurements`] decode.
+    pub fn is_measurement(&self) -> bool {
+        false
+    }
+
     /// Decodes a payload; `None` if it is not a valid message.
     pub fn decode(payload: &[u8]) -> Option<Self> {
         binrw::BinRead::read(&mut std::io::Cursor::new(payload)).ok()
--- a/crates/gateway-core/src/router_wire.rs
+++ b/crates/gateway-core/src/router_wire.rs
@@ -17,7 +17,10 @@
 /// The wire formats in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RouterWire {
-    /// The layout of [`Message`].
+    /// The layout of [`Message`], with the kinds of messages that carry measurements. A peer shows that it decodes them
+    /// by a marker after its first message, which builds without these kinds ignore.
+    WithMeasurements,
+    /// The layout of [`Message`], without the kinds of messages that carry measurements.
     #[default]
     Current,
     /// The format of earlier builds. Their status does not contain whether the router has a view, and their control
@@ -51,15 +54,18 @@
     },
 }
 
+/// Follows the first message of a process that decodes messages with measurements.
+const MEASUREMENTS_MARKER: u8 = 1;
+
 impl RouterWire {
     /// All wire formats.
-    pub const ALL: [Self; 2] = [Self::Current, Self::BeforeViews];
+    pub const ALL: [Self; 3] = [Self::WithMeasurements, Self::Current, Self::BeforeViews];
 
     /// Decodes the first message of a router and detects its format; `None` if it is neither a message in the current
     /// format nor a status in the earlier one.
     pub fn detect_from_router(payload: &[u8]) -> Option<(Self, Message)> {
-        if let Some(message) = Message::decode(payload) {
-            return Some((Self::Current, message));
+        if let Some((wire, message)) = decode_first(payload) {
+            return Some((wire, message));
         }
         let message = decode_legacy(payload)?;
         let is_status = matches!(message, Message::Router(_));
@@ -70,9 +76,9 @@
     /// message is a zone; `None` if it is not a valid message.
     pub fn detect_from_control(payload: &[u8]) -> Option<(Self, Message)> {
         let zone =
-            Message::decode(payload).filter(|first| matches!(first, Message::ControlZone(_)));
+            decode_first(payload).filter(|(_, first)| matches!(first, Message::ControlZone(_)));
         if let Some(zone) = zone {
-            return Some((Self::Current, zone));
+            return Some(zone);
         }
         Some((Self::BeforeViews, Self::BeforeViews.decode(payload)?))
     }
@@ -80,7 +86,7 @@
     /// Decodes a message; `None` if it is not valid.
     pub fn decode(self, payload: &[u8]) -> Option<Message> {
         match self {
-            Self::Current => Message::decode(payload),
+            Self::WithMeasurements | Self::Current => Message::decode(payload),
             Self::BeforeViews => decode_legacy(payload).or_else(|| Message::decode(payload)),
         }
     }
@@ -88,6 +94,13 @@
     /// Encodes a message; `None` if the peer cannot decode this message.
     pub fn encode(self, message: &Message) -> Option<Vec<u8>> {
         match (self, message) {
+            (Self::WithMeasurements, Message::Router(_) | Message::ControlZone(_)) => {
+                let mut payload = message.encode();
+                payload.push(MEASUREMENTS_MARKER);
+                Some(payload)
+            }
+            (Self::WithMeasurements, _) => Some(message.encode()),
+            (Self::Current | Self::BeforeViews, _) if message.is_measurement() => None,
             (Self::Current, _) => Some(message.encode()),
             (
                 Self::BeforeViews,
@@ -104,6 +117,19 @@
     }
 }
 
+/// Decodes a first message in the layout of [`Message`], and detects whether the sender decodes measurements.
+fn decode_first(payload: &[u8]) -> Option<(RouterWire, Message)> {
+    let mut cursor = Cursor::new(payload);
+    let message = Message::read(&mut cursor).ok()?;
+    let rest = payload.get(cursor.position() as usize..)?;
+    let wire = if rest.first() == Some(&MEASUREMENTS_MARKER) {
+        RouterWire::WithMeasurements
+    } else {
+        RouterWire::Current
+    };
+    Some((wire, message))
+}
+
 /// A router of an earlier build does not report whether it has a view. It is assumed to have one, as control machines
 /// of that build did. It never holds only a part of the state, so its source revision is 0. A control machine of an
 /// earlier build always sends everything up to its own revision.
--- a/crates/gateway-core/src/router_wire_tests.rs
+++ b/crates/gateway-core/src/router_wire_tests.rs
@@ -32,6 +32,31 @@
     assert_eq!(read, Some((RouterWire::Current, Message::Router(status()))));
 }
 
+#[rstest]
+#[case::router(Message::Router(status()))]
+#[case::control_machine(Message::ControlZone(Text::new("a")))]
+fn the_first_message_shows_whether_its_sender_decodes_measurements(#[case] first: Message) {
+    let detect = |payload: &[u8]| match first {
+        Message::Router(_) => RouterWire::detect_from_router(payload),
+        _ => RouterWire::detect_from_control(payload),
+    };
+    let with_marker = RouterWire::WithMeasurements.encode(&first).unwrap();
+    let expected = (RouterWire::WithMeasurements, first.clone());
+    assert_eq!(detect(&with_marker), Some(expected));
+    let without_marker = RouterWire::Current.encode(&first).unwrap();
+    let expected = (RouterWire::Current, first.clone());
+    assert_eq!(detect(&without_marker), Some(expected));
+}
+
+/// Builds without measurements decode a payload as this, whatever follows the message.
+#[rstest]
+#[case::router(Message::Router(status()))]
+#[case::control_machine(Message::ControlZone(Text::new("a")))]
+fn an_earlier_build_ignores_the_marker(#[case] first: Message) {
+    let with_marker = RouterWire::WithMeasurements.encode(&first).unwrap();
+    assert_eq!(Message::decode(&with_marker), Some(first));
+}
+
 #[rstest]
 #[case::nothing(&[])]
 #[case::an_unknown_kind(&[200, 1, 2])]
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -161,7 +161,7 @@
     if let Message::Router(status) = &first {
         let address = status.address.as_str().to_owned();
         tracing::info!(event = "router_linked", %address, ?wire, "control: a router connected");
-        let sender = sender.with_wire(wire);
+        sender.set_wire(wire);
         control.routers.borrow_mut().insert(connection, sender);
         serve_router(&control, connection, wire, first, receiver).await;
         control.routers.borrow_mut().remove(&connection);
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -1,5 +1,6 @@
 //! Links between processes: TCP connections that carry one message per frame.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -72,8 +73,8 @@
 pub(crate) struct Sender {
     queue: mpsc::Sender<Bytes>,
     traffic: Rc<LinkTraffic>,
-    /// The layout of messages to the peer.
-    wire: RouterWire,
+    /// The layout of messages to the peer, the same for all clones.
+    wire: Rc<Cell<RouterWire>>,
 }
 
 /// An encoded message, which any number of links can send without copying its bytes.
@@ -100,19 +101,25 @@
 }
 
 impl Sender {
-    /// The same link with another layout of messages.
-    pub fn with_wire(self, wire: RouterWire) -> Self {
-        Self { wire, ..self }
+    /// Sets the layout of messages to the peer.
+    pub fn set_wire(&self, wire: RouterWire) {
+        self.wire.set(wire);
     }
 
     /// The layout of messages to the peer.
     pub fn wire(&self) -> RouterWire {
-        self.wire
+        self.wire.get()
+    }
+
+    /// Queues the first message, which shows the peer what this build decodes.
+    pub fn send_first(&self, message: &Message) -> bool {
+        let frame = Frame::of(message, RouterWire::WithMeasurements);
+        frame.is_some_and(|frame| self.send_frame(&frame))
     }
 
     /// Queues a message; false when the link has ended, its queue is full, or the peer's layout has no such message.
     pub fn send(&self, message: &Message) -> bool {
-        Frame::of(message, self.wire).is_some_and(|frame| self.send_frame(&frame))
+        Frame::of(message, self.wire()).is_some_and(|frame| self.send_frame(&frame))
     }
 
     /// Queues a frame that is sent to several peers; false when the link has ended or its queue is full.
@@ -197,7 +204,7 @@
     let sender = Sender {
         queue,
         traffic,
-        wire,
+        wire: Rc::new(Cell::new(wire)),
     };
     (
         sender,
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -78,10 +78,10 @@
 
     /// Sets the layout of messages to a control machine, which its first message shows.
     fn set_wire(&self, address: Ipv4Addr, wire: RouterWire) {
-        if let Some(link) = self.open_links.borrow_mut().get_mut(&address) {
-            link.sender = link.sender.clone().with_wire(wire);
+        if let Some(link) = self.open_links.borrow().get(&address) {
+            link.sender.set_wire(wire);
         }
-        if wire != RouterWire::Current {
+        if wire == RouterWire::BeforeViews {
             tracing::info!(event = "control_wire", %address, ?wire,
                 "router: a control machine of an earlier build uses an older message layout");
         }
@@ -213,7 +213,7 @@
         sender: sender.clone(),
         close_requested: Rc::clone(&close_requested),
     };
-    sender.send(&reports::status(router));
+    sender.send_first(&reports::status(router));
     links.open_links.borrow_mut().insert(address, link);
     links.view_links.borrow_mut().on_linked(address);
     poll(router, links);
@@ -345,7 +345,9 @@
             let now = router.clock.now();
             let mut reported = links.reported_loads.borrow_mut();
             let others = match wire {
-                RouterWire::Current => reported.without_own(now, &loads.items),
+                RouterWire::WithMeasurements | RouterWire::Current => {
+                    reported.without_own(now, &loads.items)
+                }
                 RouterWire::BeforeViews => loads.items,
             };
             let mut core = router.core.borrow_mut();
