Probe back ends that send nothing, and move requests away from silent ones

Ruled out: a shorter TCP time-out, the leader deciding by heartbeats, ending calls at a report without a probe (docs/design/silent-back-ends.md). Change: a router that has received nothing from a back end for the request's target opens a new connection to it; if two attempts time out, the back end is avoided and reported, and requests that may run twice are sent elsewhere. A stream's events are discarded only once it is sure to be resumed.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -436,6 +436,13 @@
         }
     }
 
+    /// A back end has accepted no connection while requests were in flight there: it is avoided, and reported to the
+    /// other routers.
+    pub fn on_silent(&mut self, now: Timestamp, instance: &InstanceId) {
+        self.endpoints.on_crashed(now, instance);
+        self.suspect(LoadEntry::key_of(instance.as_str()));
+    }
+
     /// Takes the back ends that this router found unresponsive or crashed and has not reported yet.
     pub fn take_suspects(&mut self) -> Vec<u32> {
         std::mem::take(&mut self.suspects)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,7 @@
     labelled_tenants: RefCell<BTreeSet<String>>,
     /// Back ends whose connections broke, by the result of probing their address.
     broken_back_ends: Family<OutcomeLabel, Counter>,
+    probed_back_ends: Family<OutcomeLabel, Counter>,
     /// Notices of back ends in their answers, by kind.
     back_end_notices: Family<OutcomeLabel, Counter>,
     /// Unknown headers in back ends' answers, by name.
@@ -106,6 +107,7 @@
         let late_answers = Family::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
+        let probed_back_ends = Family::default();
         let back_end_notices = Family::default();
         let unknown_headers = Family::default();
         let link_bytes = Counters::default();
@@ -132,6 +134,11 @@
             "Back ends whose connections broke, by finding",
             Clone::clone(&broken_back_ends),
         );
+        registry.register(
+            "probed_back_ends",
+            "Back ends that sent nothing with requests in flight, by finding",
+            Clone::clone(&probed_back_ends),
+        );
         registry.register(
             "back_end_notices",
             "What back ends said of themselves in answers",
@@ -164,6 +171,7 @@
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
+            probed_back_ends,
             back_end_notices,
             unknown_headers,
             link_bytes,
@@ -205,6 +213,11 @@
         self.broken_back_ends.get_or_create(&label).inc();
     }
 
+    pub fn count_back_end_probed(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.probed_back_ends.get_or_create(&label).inc();
+    }
+
     pub fn count_notice(&self, outcome: &'static str) {
         let label = OutcomeLabel { outcome };
         self.back_end_notices.get_or_create(&label).inc();
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -16,6 +16,7 @@
 use super::headers;
 use super::notices;
 use super::relay::OpenAttempt;
+use super::silence::Watch;
 use super::Router;
 use crate::upstream::{Connection, NoConnection, SendError};
 
@@ -95,10 +96,16 @@
     }
     let time_limit = head_timeout(call, sent_before, remaining);
     let sent_at = router.clock.now();
-    let response = match timeout(time_limit, connection.send(request)).await {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => return connection_broken(open_attempt, error),
-        Err(_) => {
+    let watch = Watch::new(router, choice, call.admission.route.target);
+    let may_move = may_try_again(&call.admission, Execution::MayHaveRun, sent_before + 1);
+    let sent = tokio::select! {
+        sent = timeout(time_limit, connection.send(request)) => sent.ok(),
+        () = watch.silent_if(sent_at, may_move) => None,
+    };
+    let response = match sent {
+        Some(Ok(response)) => response,
+        Some(Err(error)) => return connection_broken(open_attempt, error),
+        None => {
             let outcome = Outcome::TimedOut;
             return unanswered(open_attempt, outcome, Execution::MayHaveRun, true);
         }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -13,6 +13,7 @@
 mod relay;
 mod reports;
 mod resume;
+mod silence;
 mod timeliness;
 
 use std::cell::{Cell, RefCell};
@@ -42,6 +43,7 @@
 
 use crash_detection::PendingProbes;
 use first_view::FirstView;
+use silence::SilenceMonitor;
 
 /// Interval at which idle connections to back ends are closed and the gauge of the view's age is set.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
@@ -79,6 +81,7 @@
     caller_slots: ConnectionSlots,
     /// Back ends that are probed because connections to them broke.
     pending_probes: PendingProbes,
+    silence_monitor: SilenceMonitor,
     /// Notifies the links to control machines that there are new reports of crashes.
     crash_reports_changed: Notify,
     unknown_headers: UnknownHeaders,
@@ -108,6 +111,7 @@
         first_view: FirstView::default(),
         caller_slots: ConnectionSlots::new(MAX_CONNECTIONS),
         pending_probes: PendingProbes::default(),
+        silence_monitor: SilenceMonitor::default(),
         crash_reports_changed: Notify::new(),
         unknown_headers: UnknownHeaders::default(),
         settings,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -17,6 +17,7 @@
 use super::crash_detection::{self, BrokenRun};
 use super::forward::{Call, OpenRequest};
 use super::resume::Resumption;
+use super::silence::Watch;
 use super::timeliness::Timeliness;
 use super::Router;
 use crate::upstream::Connection;
@@ -158,6 +159,8 @@
     deadline: Pin<Box<Sleep>>,
     /// Set for a stream that another back end may resume.
     resumption: Option<Resumption>,
+    /// Completes when the back end of a stream that may be resumed is found silent.
+    silence: Option<Pin<Box<dyn Future<Output = ()>>>>,
     timeliness: Timeliness,
     _open: OpenRequest,
 }
@@ -184,15 +187,29 @@
             open_attempt: relayed.open_attempt,
             deadline: Box::pin(tokio::time::sleep(relayed.remaining)),
             resumption: relayed.resumption,
+            silence: None,
             timeliness: relayed.timeliness,
             _open: open,
         };
         if relay.body.is_end_stream() {
             relay.finish();
+        } else {
+            relay.watch_for_silence();
         }
         relay
     }
 
+    /// Watches the back end of a stream that may be resumed.
+    fn watch_for_silence(&mut self) {
+        self.silence = self.resumption.as_ref().map(|_| {
+            let attempt = &self.open_attempt;
+            let watch = Watch::new(&attempt.router, &attempt.choice, attempt.target);
+            let since = self.now();
+            let silent = async move { watch.silent(since).await };
+            Box::pin(silent) as Pin<Box<dyn Future<Output = ()>>>
+        });
+    }
+
     pub fn is_end_stream(&self) -> bool {
         // A stream that may be resumed ends only when polling returns the end: an incomplete event may still be
         // pending.
@@ -240,11 +257,23 @@
                     let rest = rest.and_then(|resumption| resumption.events.take_remainder());
                     return Poll::Ready(rest.map(|rest| Ok(Frame::data(rest))));
                 }
+                Poll::Pending if self.resumes_from_silent(context) => {}
                 Poll::Pending => return self.poll_deadline(context),
             }
         }
     }
 
+    /// Starts to resume a stream whose back end was found silent; false while it was not, or must not be resumed.
+    fn resumes_from_silent(&mut self, context: &mut Context<'_>) -> bool {
+        let silence = self.silence.as_mut();
+        let is_silent = silence.is_some_and(|silence| silence.as_mut().poll(context).is_ready());
+        if !is_silent {
+            return false;
+        }
+        self.silence = None;
+        self.begin_resuming(&"its back end accepts no connections")
+    }
+
     fn poll_deadline(
         &mut self,
         context: &mut Context<'_>,
@@ -272,7 +301,7 @@
     }
 
     /// Starts to resume a broken stream at another back end; false when it must not be resumed.
-    fn begin_resuming(&mut self, error: &hyper::Error) -> bool {
+    fn begin_resuming(&mut self, error: &dyn std::fmt::Display) -> bool {
         let Some(resumption) = &mut self.resumption else {
             return false;
         };
@@ -300,6 +329,7 @@
                 self.body = answered.response.into_body();
                 self.connection = Some(answered.connection);
                 self.open_attempt = answered.open_attempt;
+                self.watch_for_silence();
                 ResumeState::NotResuming
             }
         }
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -3,7 +3,8 @@
 //! When the connection to a back end breaks, another back end continues the stream after the last event that was
 //! forwarded whole. The response head, and the seal header in it, remain those of the first back end. Each resumption is
 //! an attempt of the request, bounded by the route's attempts and the retry budget. The broken connection is closed
-//! first, which cancels the earlier run. A stream that has only stalled is never resumed, because its run may continue.
+//! first, which cancels the earlier run. A stream that has only stalled is not resumed, because its run may continue,
+//! unless its back end accepts no connections.
 //!
 //! A stream whose route does not allow it is resumed only where its run was copied to. That continues the same run, so
 //! nothing runs twice and the route's attempts do not count. A back end without the copy reports that, and the answer
@@ -100,15 +101,14 @@
         }
     }
 
-    /// Starts to resume at another back end; false when the stream must not be resumed.
+    /// Starts to resume at another back end; false, without any change, when the stream must not be resumed.
     pub fn begin(&mut self) -> bool {
-        self.events.discard_partial();
-        self.attempts.broken += 1;
-        let attempts = self.attempts.clone();
         let is_late = self.router.clock.now() >= self.call.deadline;
         if is_late {
             return false;
         }
+        let mut attempts = self.attempts.clone();
+        attempts.broken += 1;
         let after = self.events.last_id().cloned();
         let (router, call) = (Rc::clone(&self.router), Rc::clone(&self.call));
         if may_try_again(&self.call.admission, Execution::Ran, attempts.sent) {
@@ -118,6 +118,8 @@
         } else {
             return false;
         }
+        self.attempts.broken += 1;
+        self.events.discard_partial();
         true
     }
 
--- /dev/null
+++ b/crates/gateway/src/router/silence.rs
@@ -0,0 +1,198 @@
+//! Detects back ends that have fallen silent while requests are in flight there.
+//!
+//! A machine without power or network closes no connection, and the kernel reports a connection as dead only after
+//! seconds. When nothing has arrived from a back end for longer than a request's target, the router therefore opens a
+//! new connection to it: a working back end accepts one within a network round trip, however busy it is. A back end
+//! that does not is reported to all routers, and requests that may run twice are ended and sent elsewhere.
+//! Requests that may run only once keep waiting, because the back end may have run them and may still answer.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use drumshore_gateway_core::{Choice, InstanceId};
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use super::Router;
+use crate::sockets;
+
+/// Silence before the first probe, if the request's target is shorter. Streams send an event every few tens of
+/// milliseconds, but a request in flight alone receives nothing while long prompts ahead of it are prefilled.
+const MIN_SILENCE: Duration = Duration::from_millis(400);
+/// A working machine accepts a connection within a network round trip of a few milliseconds.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
+/// Connection attempts that must fail in a row: one packet may be lost.
+const FAILED_PROBES: usize = 2;
+/// After a successful probe, the back end is not probed again for this long.
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The back ends with requests in flight that wait to learn whether the back end is silent.
+#[derive(Default)]
+pub(super) struct SilenceMonitor(RefCell<HashMap<InstanceId, Watched>>);
+
+struct Watched {
+    /// Notifies the requests in flight that the back end is silent. Dropped with the last of them.
+    silent: Weak<Notify>,
+    probing: bool,
+    /// When the last probe succeeded.
+    alive_at: Option<Timestamp>,
+}
+
+/// One request's interest in whether its back end is silent.
+pub(super) struct Watch {
+    router: Rc<Router>,
+    instance: InstanceId,
+    address: String,
+    last_received_at: Rc<std::cell::Cell<Timestamp>>,
+    patience: Duration,
+    silent: Rc<Notify>,
+}
+
+impl SilenceMonitor {
+    /// The notification for requests in flight at a back end.
+    fn notification(&self, instance: &InstanceId) -> Rc<Notify> {
+        let mut watched = self.0.borrow_mut();
+        watched.retain(|_, entry| entry.probing || entry.silent.strong_count() > 0);
+        if let Some(notify) = watched
+            .get(instance)
+            .and_then(|entry| entry.silent.upgrade())
+        {
+            return notify;
+        }
+        let notify = Rc::new(Notify::new());
+        let entry = watched.entry(instance.clone()).or_insert(Watched {
+            silent: Weak::new(),
+            probing: false,
+            alive_at: None,
+        });
+        entry.silent = Rc::downgrade(&notify);
+        notify
+    }
+
+    /// Marks a back end as being probed; false if it is being probed already or was found alive recently.
+    fn begin_probe(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        let mut watched = self.0.borrow_mut();
+        let Some(entry) = watched.get_mut(instance) else {
+            return false;
+        };
+        let is_recent = entry
+            .alive_at
+            .is_some_and(|at| now.since(at) < PROBE_INTERVAL);
+        if entry.probing || is_recent {
+            return false;
+        }
+        entry.probing = true;
+        true
+    }
+
+    /// Ends a probe; notifies the requests in flight if the back end is silent.
+    fn end_probe(&self, now: Timestamp, instance: &InstanceId, is_silent: bool) {
+        let mut watched = self.0.borrow_mut();
+        let Some(entry) = watched.get_mut(instance) else {
+            return;
+        };
+        entry.probing = false;
+        if is_silent {
+            if let Some(silent) = entry.silent.upgrade() {
+                silent.notify_waiters();
+            }
+        } else {
+            entry.alive_at = Some(now);
+        }
+    }
+}
+
+impl Watch {
+    /// Watches the back end of a request whose answer should begin within `target`.
+    pub fn new(router: &Rc<Router>, choice: &Choice, target: Duration) -> Self {
+        Self {
+            router: Rc::clone(router),
+            instance: choice.instance.clone(),
+            address: choice.address.clone(),
+            last_received_at: Rc::clone(&choice.last_received_at),
+            patience: target.max(MIN_SILENCE),
+            silent: router.silence_monitor.notification(&choice.instance),
+        }
+    }
+
+    /// Waits until the back end is found silent, as [`Watch::silent`]. Unless `may_move`, probes it alike but never
+    /// returns: the request has to keep waiting.
+    pub async fn silent_if(&self, since: Timestamp, may_move: bool) {
+        self.silent(since).await;
+        if !may_move {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Waits until the back end is found silent. `since` is when the request was sent.
+    pub async fn silent(&self, since: Timestamp) {
+        let notified = self.silent.notified();
+        tokio::pin!(notified);
+        loop {
+            tokio::select! {
+                () = &mut notified => return,
+                () = sleep(self.remaining_patience(since)) => self.probe_if_silent(since),
+            }
+        }
+    }
+
+    /// Time until the back end has been silent for too long; at least a probe's time, so that probes do not spin.
+    fn remaining_patience(&self, since: Timestamp) -> Duration {
+        let silence = self.silence(since);
+        self.patience.saturating_sub(silence).max(CONNECT_TIMEOUT)
+    }
+
+    fn silence(&self, since: Timestamp) -> Duration {
+        let last = self.last_received_at.get().max(since);
+        self.router.clock.now().since(last)
+    }
+
+    fn probe_if_silent(&self, since: Timestamp) {
+        let now = self.router.clock.now();
+        if self.silence(since) < self.patience
+            || !self.router.silence_monitor.begin_probe(now, &self.instance)
+        {
+            return;
+        }
+        let silence = self.silence(since);
+        let (router, instance) = (Rc::clone(&self.router), self.instance.clone());
+        let address = self.address.clone();
+        tokio::task::spawn_local(async move {
+            let is_silent = probe(&address).await;
+            on_probed(&router, &instance, silence, is_silent);
+        });
+    }
+}
+
+/// Whether a back end accepts no connection. A refused one shows that the machine is reachable; the connections of a
+/// process that has ended are reset.
+async fn probe(address: &str) -> bool {
+    let Ok(address) = address.parse::<SocketAddr>() else {
+        return false;
+    };
+    for _ in 0..FAILED_PROBES {
+        match sockets::connect(address, CONNECT_TIMEOUT).await {
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
+            _ => return false,
+        }
+    }
+    true
+}
+
+fn on_probed(router: &Router, instance: &InstanceId, silence: Duration, is_silent: bool) {
+    let now = router.clock.now();
+    let finding = if is_silent { "silent" } else { "alive" };
+    router.metrics.count_back_end_probed(finding);
+    tracing::info!(event = "back_end_probed", %instance, finding, silence_ms = silence.as_millis() as u64,
+        "router: probed a back end that sent nothing while requests were in flight");
+    if is_silent {
+        router.core.borrow_mut().on_silent(now, instance);
+        router.upstreams.close_idle(instance);
+    }
+    router.silence_monitor.end_probe(now, instance, is_silent);
+}
