Report long prompts to the other routers at once

Cause: loads of other routers were 0.15 to 0.2 s old, about as long as the prefill of a long prompt takes, so routers sent long prompts to back ends that others had just chosen. Change: a change by a long prompt is reported and broadcast at once, within the same bytes a second; all other changes keep their interval.

--- a/crates/gateway-core/src/control/loads.rs
+++ b/crates/gateway-core/src/control/loads.rs
@@ -20,6 +20,13 @@
 /// Longer lists are sent less often.
 const MAX_BYTES_PER_SECOND: f64 = 10_000.0;
 
+/// Size of a message without its entries: frame header, kind, flag and length.
+const MESSAGE_OVERHEAD_BYTES: usize = 22;
+
+/// Messages with loads that all control machines together send to routers in a second. More routers
+/// therefore get them less often.
+const MAX_MESSAGES_PER_SECOND: f64 = 10_000.0;
+
 /// Limit on the entries of one list: what can be sent before the next full list is due. Entries of
 /// a longer list would expire before it is repeated.
 const MAX_LOADS_PER_MESSAGE: usize = (MAX_BYTES_PER_SECOND as usize
@@ -80,8 +87,13 @@
 }
 
 impl LoadBroadcast {
-    /// The next message to routers; `None` if nothing is due.
-    pub fn next_message(&mut self, now: Timestamp, totals: &LoadTotals) -> Option<Message> {
+    /// The next message to that many routers; `None` if nothing is due.
+    pub fn next_message(
+        &mut self,
+        now: Timestamp,
+        totals: &LoadTotals,
+        routers: u16,
+    ) -> Option<Message> {
         if now < self.next_at {
             return None;
         }
@@ -96,8 +108,10 @@
         if loads.is_empty() && (self.sent.is_empty() || !is_full_list) {
             return None;
         }
-        let bytes = loads.len() * LoadEntry::BYTES;
-        let interval = Duration::from_secs_f64(bytes as f64 / MAX_BYTES_PER_SECOND);
+        let bytes = loads.len() * LoadEntry::BYTES + MESSAGE_OVERHEAD_BYTES;
+        let by_bytes = bytes as f64 / MAX_BYTES_PER_SECOND;
+        let by_messages = f64::from(routers) / MAX_MESSAGES_PER_SECOND;
+        let interval = Duration::from_secs_f64(by_bytes.max(by_messages));
         self.next_at = now.plus(interval);
         if is_full_list {
             self.full_list_at = Some(now);
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -4,7 +4,7 @@
 use std::net::IpAddr;
 use std::time::Duration;
 
-use drumshore_consensus::Directory;
+use drumshore_consensus::{Directory, Role};
 use drumshore_core::Timestamp;
 use drumshore_wire::Text;
 
@@ -12,7 +12,7 @@
 use super::loads::{LoadReport, LoadTotals};
 use super::reads::Reader;
 use super::{ConnectionId, ControlCore, Effect};
-use crate::{Announcement, Following, Message, Position, RouterStatus};
+use crate::{load_change, Announcement, Following, LoadEntry, Message, Position, RouterStatus};
 
 /// A router that has sent no ping or status for this long is not listed for callers, and is sent no
 /// updates until it sends one.
@@ -110,9 +110,7 @@
                 self.queue_read_request(Reader::Router(connection, sequence));
             }
             Message::Loads(loads) => {
-                if let Some(router) = self.routers.0.get_mut(&connection) {
-                    router.loads = LoadReport::of(now, loads.items);
-                }
+                self.on_loads(connection, loads.items);
             }
             Message::UnresponsiveBackEnds(keys) => self.on_suspects(connection, &keys.items),
             Message::RefusingBackEnds(keys) => self.on_refusing(connection, &keys.items),
@@ -180,6 +178,18 @@
         directory::for_caller(responsive.map(|(_, router)| &router.status), zone, caller)
     }
 
+    /// Records a router's load. A long prompt is broadcast at once, as far as the bandwidth allows.
+    fn on_loads(&mut self, connection: ConnectionId, loads: Vec<LoadEntry>) {
+        let Some(router) = self.routers.0.get_mut(&connection) else {
+            return;
+        };
+        let is_urgent = load_change::is_urgent(router.loads.loads(), &loads);
+        router.loads = LoadReport::of(self.now, loads);
+        if is_urgent && self.role() == Role::Leader {
+            self.broadcast_loads();
+        }
+    }
+
     /// Sends routers the changes of the total load of back ends.
     pub(super) fn broadcast_loads(&mut self) {
         let now = self.now;
@@ -187,7 +197,9 @@
             router.loads.expire(now);
         }
         let totals = self.routers.total_loads();
-        if let Some(message) = self.load_broadcast.next_message(now, &totals) {
+        let routers = self.routers.count();
+        let message = self.load_broadcast.next_message(now, &totals, routers);
+        if let Some(message) = message {
             self.broadcast_news(message, None);
         }
     }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -20,6 +20,7 @@
 mod fingerprint;
 mod ids;
 pub mod limits;
+mod load_change;
 mod message;
 mod notice;
 mod quarantine;
--- a/crates/gateway-core/src/router/choice.rs
+++ b/crates/gateway-core/src/router/choice.rs
@@ -5,7 +5,7 @@
 
 use drumshore_core::Timestamp;
 
-use crate::{InstanceId, StoreId};
+use crate::{load_change, InstanceId, StoreId};
 
 /// The chosen back end, and what an attempt to send the request there needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -66,6 +66,11 @@
 }
 
 impl Choice {
+    /// Whether its prefill delays other requests at the back end for long.
+    pub fn has_long_prefill(&self) -> bool {
+        self.tokens >= load_change::URGENT_TOKENS
+    }
+
     /// The kind of source of a fetch, as written to logs.
     pub fn fetch_source(&self) -> &'static str {
         match (&self.fetch_from, self.fetch_store) {
--- a/crates/gateway-core/src/router/reported_loads.rs
+++ b/crates/gateway-core/src/router/reported_loads.rs
@@ -5,12 +5,19 @@
 
 use drumshore_core::Timestamp;
 
-use crate::LoadEntry;
+use crate::{load_change, LoadEntry};
 
 /// Maximum age of a report that a received sum includes. A report waits 80 ms at the router and 50 ms at the leader,
 /// and the sums then take time to be queued and sent.
 const MAX_SUM_LAG: Duration = Duration::from_millis(200);
 
+/// Interval between two reports of changes that are not urgent.
+const REPORT_INTERVAL: Duration = Duration::from_millis(80);
+/// Unchanged load is reported again after this long, before it expires at the leader.
+const REFRESH_INTERVAL: Duration = Duration::from_millis(300);
+/// The shortest interval between two reports.
+const MIN_INTERVAL: Duration = Duration::from_millis(10);
+
 /// The reports that sums received now may include, the newest last.
 #[derive(Debug, Default)]
 pub struct ReportedLoads(VecDeque<(Timestamp, Vec<LoadEntry>)>);
@@ -21,6 +28,21 @@
         self.0.back().map_or(&[], |(_, loads)| loads)
     }
 
+    /// Whether the current loads are due to be reported.
+    pub fn is_due(&self, now: Timestamp, loads: &[LoadEntry]) -> bool {
+        let Some((reported_at, _)) = self.0.back() else {
+            return !loads.is_empty();
+        };
+        let age = now.since(*reported_at);
+        if age < MIN_INTERVAL {
+            return false;
+        }
+        let last = self.last();
+        let has_changed = loads != last;
+        (has_changed && (age >= REPORT_INTERVAL || load_change::is_urgent(last, loads)))
+            || (age >= REFRESH_INTERVAL && !loads.is_empty())
+    }
+
     /// Records a report that has been sent.
     pub fn note(&mut self, now: Timestamp, loads: Vec<LoadEntry>) {
         self.0.push_back((now, loads));
--- a/crates/gateway-core/src/router/reported_loads_tests.rs
+++ b/crates/gateway-core/src/router/reported_loads_tests.rs
@@ -1,5 +1,7 @@
 //! Tests of the subtraction of a router's own load from sums over all routers.
 
+use rstest::rstest;
+
 use super::*;
 
 const KEY: u32 = 7;
@@ -48,3 +50,30 @@
     assert_eq!(others, [load(1, 0)]);
     assert_eq!(reported.0.len(), 1);
 }
+
+#[rstest]
+#[case::a_short_prompt_soon(load(13, 2), 20, false)]
+#[case::a_short_prompt_at_the_interval(load(13, 2), 80, true)]
+#[case::a_long_prompt_soon(load(60, 2), 20, true)]
+#[case::a_long_prompt_at_the_same_moment(load(60, 2), 5, false)]
+#[case::no_change(load(10, 1), 80, false)]
+#[case::no_change_for_long(load(10, 1), 300, true)]
+fn a_long_prompt_is_due_at_once(
+    #[case] current: LoadEntry,
+    #[case] after_ms: u64,
+    #[case] expected: bool,
+) {
+    let mut reported = ReportedLoads::default();
+    reported.note(at(0), vec![load(10, 1)]);
+    assert_eq!(reported.is_due(at(after_ms), &[current]), expected);
+}
+
+#[test]
+fn an_idle_router_reports_nothing() {
+    let mut reported = ReportedLoads::default();
+    assert!(!reported.is_due(at(1_000), &[]));
+    reported.note(at(1_000), vec![load(10, 1)]);
+    assert!(reported.is_due(at(1_080), &[]));
+    reported.note(at(1_080), Vec::new());
+    assert!(!reported.is_due(at(9_000), &[]));
+}
--- a/crates/gateway-core/tests/control/routers.rs
+++ b/crates/gateway-core/tests/control/routers.rs
@@ -322,3 +322,35 @@
     let bytes = received_holders(&cluster, 2).len() * HolderEntry::BYTES;
     assert!((3_000..=6_000).contains(&bytes), "{bytes} in two seconds");
 }
+
+/// The prefill of a long prompt takes about as long as loads at the regular interval need to arrive, so other routers
+/// sent further long prompts to the same back end. A short prompt is broadcast with the next tick.
+#[rstest]
+#[case::long_prompt(60, 1)]
+#[case::short_prompt(6, 0)]
+fn the_leader_broadcasts_a_long_prompt_without_waiting_for_a_tick(
+    #[case] pending: u16,
+    #[case] expected: usize,
+) {
+    let mut cluster = cluster_with_leader(3);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
+    cluster.link_router(leader, ConnectionId(2), "10.0.1.2:80");
+    cluster.run(SECOND);
+    cluster.to_routers.clear();
+    let load = LoadEntry {
+        key: 7,
+        pending,
+        in_flight: 1,
+    };
+    let now = cluster.now;
+    let message = Message::Loads(List::new(vec![load]));
+    cluster
+        .core(leader)
+        .on_router(now, ConnectionId(1), message);
+    cluster.settle();
+    let received = cluster.to_routers.iter().filter(|(_, to, message)| {
+        *to == ConnectionId(2) && matches!(message, Message::LoadsOfAll { .. })
+    });
+    assert_eq!(received.count(), expected);
+}
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -25,7 +25,7 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
-use tokio::sync::Notify;
+use tokio::sync::{watch, Notify};
 
 use crate::answer::{self, AnswerBody};
 use crate::clock::Clock;
@@ -82,6 +82,8 @@
     /// Back ends that are probed because connections to them broke.
     pending_probes: PendingProbes,
     silence_monitor: SilenceMonitor,
+    /// Notifies the links to control machines that the load of a back end changed by a long prompt.
+    loads_changed: watch::Sender<()>,
     /// Notifies the links to control machines that there are new reports of crashes.
     crash_reports_changed: Notify,
     unknown_headers: UnknownHeaders,
@@ -112,6 +114,7 @@
         caller_slots: ConnectionSlots::new(MAX_CONNECTIONS),
         pending_probes: PendingProbes::default(),
         silence_monitor: SilenceMonitor::default(),
+        loads_changed: watch::channel(()).0,
         crash_reports_changed: Notify::new(),
         unknown_headers: UnknownHeaders::default(),
         settings,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -37,6 +37,9 @@
 
 impl OpenAttempt {
     pub fn new(router: &Rc<Router>, call: &Call, choice: &Choice) -> Self {
+        if choice.has_long_prefill() {
+            router.loads_changed.send_replace(());
+        }
         Self {
             target: call.admission.route.target,
             router: Rc::clone(router),
@@ -69,6 +72,9 @@
             let now = self.router.clock.now();
             let mut core = self.router.core.borrow_mut();
             core.answered(now, &self.choice, latency, self.target);
+            if self.choice.has_long_prefill() {
+                self.router.loads_changed.send_replace(());
+            }
         }
     }
 
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -7,16 +7,16 @@
 
 use drumshore_gateway_core::{Message, RouterStatus};
 use drumshore_wire::{List, Text};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::control_links::Links;
 use super::Router;
 use crate::link::Sender;
 
-/// Interval between reports of this router's load to the leader.
-const LOADS_INTERVAL: Duration = Duration::from_millis(80);
-/// Unchanged load is reported again after this long.
-const LOADS_REFRESH_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest interval between two checks of what is due to be reported to the leader.
+const CHECK_INTERVAL: Duration = Duration::from_millis(80);
+/// Shortest interval between two such checks.
+const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 /// How long the last report of other routers' loads by the leader is valid.
 const OTHERS_LOADS_TTL: Duration = Duration::from_millis(1_000);
 
@@ -40,17 +40,17 @@
     }
 }
 
-/// Sends this router's load on back ends to the leader when it has changed or is due to be repeated, along with what
-/// else it observed; the leader forwards it to the other routers.
+/// Sends this router's load on back ends to the leader when it is due, along with what else it observed; the leader forwards it to the other routers.
 pub(super) async fn send_load_reports(
     router: &Rc<Router>,
     links: &Rc<Links>,
     sender: &Sender,
     address: Ipv4Addr,
 ) -> &'static str {
-    let mut sent_at = router.clock.now();
+    let mut loads_changed = router.loads_changed.subscribe();
     loop {
-        sleep(LOADS_INTERVAL).await;
+        sleep(MIN_CHECK_INTERVAL).await;
+        let _ = timeout(CHECK_INTERVAL - MIN_CHECK_INTERVAL, loads_changed.changed()).await;
         let now = router.clock.now();
         if now.since(links.loads_received_at.get()) > OTHERS_LOADS_TTL {
             links.loads_received_at.set(now);
@@ -77,12 +77,10 @@
             return "closed";
         }
         let loads = router.core.borrow().own_loads();
-        let refresh_due = now.since(sent_at) >= LOADS_REFRESH_INTERVAL && !loads.is_empty();
-        if loads == links.reported_loads.borrow().last() && !refresh_due {
+        if !links.reported_loads.borrow().is_due(now, &loads) {
             continue;
         }
         links.reported_loads.borrow_mut().note(now, loads.clone());
-        sent_at = now;
         if !sender.send(&Message::Loads(List::new(loads))) {
             return "closed";
         }
