--- a/crates/gateway-core/src/document.rs
+++ b/crates/gateway-core/src/document.rs
@@ -76,6 +76,10 @@
     pub cache_tokens: u64,
     /// True if a back end can keep an up-to-date copy of a running request at another back end.
     pub copies_runs: bool,
+    /// The size of one token in the KV cache, in bytes; 0 if unknown.
+    pub token_bytes: u64,
+    /// The bandwidth at which a back end fetches cached tokens from another one, in Mbit/s; 0 if unknown.
+    pub link_megabits_per_second: u64,
     /// The models that the pool serves.
     pub models: Vec<ModelName>,
 }
--- a/crates/gateway-core/src/router/cached_parts.rs
+++ b/crates/gateway-core/src/router/cached_parts.rs
@@ -4,6 +4,7 @@
 
 use super::cache::salt;
 use super::holders::{self, HolderEstimate};
+use super::placement_cost::Work;
 use super::{Admission, Prompt, RouterCore};
 
 /// Fraction of the shared tokens of a short prompt that a back end is expected to prefill. Which back ends cache
@@ -66,6 +67,27 @@
         }
     }
 
+    /// Number of shared tokens that neither a back end nor a store is known to hold.
+    pub fn missing_tokens(&self) -> u32 {
+        let shared = self.leading_tokens.last().copied().unwrap_or(0);
+        shared - self.tokens_of_leading(self.parts_anywhere())
+    }
+
+    /// What a back end has to do for the prompt.
+    pub fn work(&self, back_end: u32) -> Work {
+        Work {
+            cached: self.tokens_of_leading(self.parts_anywhere()),
+            to_prefill: self.tokens_to_prefill(),
+            to_fetch: self.tokens_to_fetch(back_end),
+            missing: self.missing_tokens(),
+        }
+    }
+
+    /// Whether a back end is estimated to hold any of the shared parts.
+    pub fn is_holder(&self, back_end: u32) -> bool {
+        self.held.iter().any(|held| held.key == back_end)
+    }
+
     fn uncached_tokens_after(&self, parts: usize) -> u32 {
         let shared = self.leading_tokens.last().copied().unwrap_or(0);
         let missing = shared - self.tokens_of_leading(parts);
--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -7,6 +7,7 @@
 use drumshore_core::Timestamp;
 
 use super::endpoint::Endpoint;
+use super::placement_cost::Forecast;
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
 use crate::InstanceId;
@@ -31,6 +32,9 @@
     pub rank: usize,
     /// Prompt tokens that it is expected to prefill.
     pub tokens: u32,
+    /// The same prefill in tokens without any before them that take as long.
+    pub work_tokens: u32,
+    pub forecast: Forecast,
     /// Address of the prompt's home, when that is another back end with the same weights.
     pub home: Option<String>,
 }
@@ -45,6 +49,8 @@
             in_flight: self.endpoint.in_flight,
             rank,
             tokens: 0,
+            work_tokens: 0,
+            forecast: Forecast::default(),
             home: None,
         }
     }
--- a/crates/gateway-core/src/router/choice.rs
+++ b/crates/gateway-core/src/router/choice.rs
@@ -5,6 +5,7 @@
 
 use drumshore_core::Timestamp;
 
+use super::placement_cost::Forecast;
 use crate::{InstanceId, StoreId};
 
 /// The chosen back end, and what an attempt to send the request there needs.
@@ -24,6 +25,10 @@
     pub prefixes: Vec<u32>,
     /// Prompt tokens that the back end is expected to prefill.
     pub tokens: u32,
+    /// The same prefill in tokens without any before them that take as long, which is what loads count.
+    pub work_tokens: u32,
+    /// What the router expects of the placement.
+    pub forecast: Forecast,
     /// Address of a cache store or back end to fetch cached prompt parts from.
     pub fetch_from: Option<String>,
     /// The store at `fetch_from`; `None` when that is a back end.
--- a/crates/gateway-core/src/router/copies.rs
+++ b/crates/gateway-core/src/router/copies.rs
@@ -84,7 +84,8 @@
             ..self.choice(now, admission, prompt, placed, &candidates)
         };
         self.budget.on_retry(now, &admission.pool);
-        self.endpoints.started(now, &choice.instance, choice.tokens);
+        self.endpoints
+            .started(now, &choice.instance, choice.work_tokens);
         Ok(choice)
     }
 }
--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::notices::{NoticeState, Permission};
+use super::speed_class::SpeedClass;
 use super::summary::Summary;
 use crate::{InstanceRecord, LoadEntry};
 
@@ -19,8 +20,6 @@
 const MIN_UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(500);
 const MAX_UNREACHABLE_COOLDOWN: Duration = Duration::from_secs(5);
 const MISDIRECTED_COOLDOWN: Duration = Duration::from_secs(30);
-/// A stream slows the other requests at its back end by about as much as the prefill of this many tokens.
-const STREAM_COST_TOKENS: f64 = 60.0;
 /// Back ends prefill prompts in chunks of this many tokens. A short prompt waits for the chunk in progress.
 const PREFILL_CHUNK_TOKENS: f64 = 4_096.0;
 /// Fraction of a back end's waiting prefill tokens that also adds to the cost of a short prompt, because
@@ -74,16 +73,6 @@
     }
 }
 
-/// Properties of a request to be placed that decide how much a back end's load delays it.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub(super) struct RequestProfile {
-    /// The prompt is prefilled in one chunk, between the chunks of long prompts.
-    pub is_short: bool,
-    /// Mean time for which the pool's streams occupy a slot, as the number of tokens that could be prefilled
-    /// in that time.
-    pub slot_time_tokens: f64,
-}
-
 /// A back end as this router sees it.
 #[derive(Debug)]
 pub(super) struct Endpoint {
@@ -94,8 +83,13 @@
     pub key: u32,
     /// Requests of this router in flight at the back end.
     pub in_flight: u32,
-    /// Prompt tokens of this router's requests whose response has not begun.
+    /// Prefill of this router's requests whose response has not begun, in tokens without any before them that take
+    /// as long.
     pub pending_tokens: u32,
+    /// The time that it takes for a piece of work, relative to the mean of its pool.
+    pub time_factor: f64,
+    /// The factor on a coarse scale; see [`SpeedClass`].
+    pub speed_class: SpeedClass,
     /// Load that the other routers put on it, as last reported.
     pub others: LoadEntry,
     pub avoided_until: Timestamp,
@@ -121,6 +115,8 @@
             key: LoadEntry::key_of(record.instance.as_str()),
             in_flight: 0,
             pending_tokens: 0,
+            time_factor: 1.0,
+            speed_class: SpeedClass::default(),
             others: LoadEntry::default(),
             avoided_until: Timestamp::default(),
             failure_rate: 0.0,
@@ -217,27 +213,33 @@
     }
 
     /// Prompt tokens of all routers that wait for prefill.
-    fn all_pending_tokens(&self) -> u32 {
+    pub fn all_pending_tokens(&self) -> u32 {
         self.pending_tokens + u32::from(self.others.pending) * LoadEntry::TOKENS
     }
 
-    /// Cost that the requests of all routers at this back end add to a further one, in prefill tokens.
-    pub fn cost_of_load(&self, profile: RequestProfile) -> f64 {
-        let pending = f64::from(self.all_pending_tokens());
-        let prefill_wait = if profile.is_short {
+    /// Prefill of other prompts that a further one waits for, in tokens. The back end has prefilled up to
+    /// `since_report` tokens since the other routers reported theirs.
+    pub fn tokens_ahead(&self, is_short: bool, since_report: f64) -> f64 {
+        let others = f64::from(u32::from(self.others.pending) * LoadEntry::TOKENS);
+        let pending = f64::from(self.pending_tokens) + (others - since_report).max(0.0);
+        if is_short {
             pending.min(PREFILL_CHUNK_TOKENS) + pending * PREFILL_STALL_FRACTION
         } else {
             pending
-        };
-        let streams = f64::from(self.all_in_flight()) * STREAM_COST_TOKENS;
-        prefill_wait + streams + self.wait_for_slot(profile.slot_time_tokens)
+        }
     }
 
-    /// Expected wait of a further request for a free slot, in prefill tokens.
-    fn wait_for_slot(&self, slot_time_tokens: f64) -> f64 {
+    /// How many times all slots have to become free before a further request gets one.
+    pub fn slot_releases_ahead(&self) -> f64 {
         let slots = self.slots();
         let before = (self.all_in_flight() + 1).saturating_sub(slots);
-        f64::from(before) * slot_time_tokens / f64::from(slots)
+        f64::from(before) / f64::from(slots)
+    }
+
+    /// Records how long it takes for a piece of work, relative to the mean of its pool.
+    pub fn set_time_factor(&mut self, factor: f64) {
+        self.time_factor = factor;
+        self.speed_class = self.speed_class.updated(factor);
     }
 
     fn update_failure_rate(&mut self, failed: bool) {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -16,13 +16,16 @@
 mod k_smallest;
 mod notices;
 mod overload;
+mod partition_demand;
 mod placement;
+mod placement_cost;
 mod pool_partition;
 mod prompt_mix;
 mod prompt_placement;
 mod reported_loads;
 mod request;
 mod router_count;
+mod speed_class;
 mod split;
 mod stores;
 mod summary;
@@ -37,6 +40,7 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::back_end_speed::BackEndSpeeds;
 use crate::{
     AccountLevel, BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId,
     InvalidDocument, Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route,
@@ -47,6 +51,7 @@
 pub use choice::{CacheEstimate, Choice, RunCopy};
 pub use endpoint::Outcome;
 pub use notices::{LimitChange, NoticeChange};
+pub use placement_cost::Forecast;
 pub use reported_loads::ReportedLoads;
 pub use request::{
     Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
@@ -60,6 +65,7 @@
 use holders::Holders;
 use notices::{NoticeContext, RetrySchedule};
 use overload::PoolLoads;
+use partition_demand::PartitionDemand;
 use prompt_mix::PromptMix;
 use router_count::RouterCount;
 use split::Splitter;
@@ -97,10 +103,12 @@
 pub struct RouterCore {
     params: RouterParams,
     view: View,
+    speeds: BackEndSpeeds,
     endpoints: Endpoints,
     splitter: Splitter,
     tenant_accounts: TenantAccounts,
     prompt_mix: PromptMix,
+    partition_demand: PartitionDemand,
     pool_loads: PoolLoads,
     budget: RetryBudget,
     random: ChaCha8Rng,
@@ -121,10 +129,12 @@
     pub fn new(params: RouterParams, seed: u64) -> Self {
         Self {
             view: View::default(),
+            speeds: BackEndSpeeds::default(),
             endpoints: Endpoints::default(),
             splitter: Splitter::default(),
             tenant_accounts: TenantAccounts::default(),
             prompt_mix: PromptMix::default(),
+            partition_demand: PartitionDemand::default(),
             pool_loads: PoolLoads::default(),
             budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -306,7 +316,8 @@
         if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
             let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
             let slots = models.map_or(1, |models| models.slots);
-            self.prompt_mix.record_prompt(prompt, choice.tokens, slots);
+            self.prompt_mix
+                .record_prompt(prompt, choice.work_tokens, slots);
         }
         if is_retry {
             self.budget.on_retry(now, &admission.pool);
@@ -314,7 +325,8 @@
                 self.tenant_accounts.charge_again(now, charge);
             }
         }
-        self.endpoints.started(now, &choice.instance, choice.tokens);
+        self.endpoints
+            .started(now, &choice.instance, choice.work_tokens);
         Ok(choice)
     }
 
@@ -327,7 +339,8 @@
         took: Option<Duration>,
         target: Duration,
     ) {
-        self.endpoints.answered(&choice.instance, choice.tokens);
+        self.endpoints
+            .answered(&choice.instance, choice.work_tokens);
         let slow = took.is_some_and(|took| took > target.mul_f64(SLOW_FETCH_FACTOR));
         if let Some(store) = choice.fetch_store.filter(|_| slow) {
             self.stores.on_slow_fetch(now, store);
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -31,6 +31,10 @@
         earlier: &EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
         let sample = self.random.random();
+        if prompt.is_some() && self.partition_demand.is_due(now, &admission.pool) {
+            let load = self.load_of_pool(admission);
+            self.partition_demand.update(now, &admission.pool, &load);
+        }
         let mut candidates = self.candidates(now, admission, prompt);
         if candidates.is_empty() {
             return Err(self.no_candidate_error(now, admission, prompt, sample));
@@ -66,6 +70,7 @@
             .place_by_load(usable, sample)
             .ok_or(ChoiceError::NoneLeft)?;
         placed.tokens = prompt.map_or(0, Prompt::tokens);
+        placed.work_tokens = placed.tokens;
         Ok(self.choice(now, admission, prompt, placed, usable))
     }
 
@@ -120,6 +125,8 @@
             prefixes,
             cache_estimate,
             tokens: placed.tokens,
+            work_tokens: placed.work_tokens,
+            forecast: placed.forecast,
             fetch_store: cache.from_store,
             fetch_from: cache.fetch_from,
             save_to: cache.save_to,
--- a/crates/gateway-core/src/router/pool_partition.rs
+++ b/crates/gateway-core/src/router/pool_partition.rs
@@ -1,45 +1,91 @@
 //! Partition of a pool into back ends preferred by short prompts and back ends preferred by long ones.
 
 use super::endpoint::Endpoint;
+use super::partition_demand::LoadOfPool;
+use super::speed_class::SpeedClass;
 use super::summary::NameHash;
 use super::{Admission, RouterCore};
 
-/// The partition of a pool: short prompts prefer the back ends with the lowest name hashes, long prompts the others.
+/// The partition of a pool. The slowest back ends are preferred by short prompts, which need little of them, and
+/// the others by long prompts. Back ends of one speed class are ordered by the hash of their names.
 #[derive(Default)]
 pub(super) struct PoolPartition {
-    /// The highest name hash in the partition of short prompts; `None` when the pool is not partitioned because nearly
+    /// The last back end in the partition of short prompts; `None` when the pool is not partitioned because nearly
     /// all prompts are of one kind.
-    highest_short_hash: Option<u64>,
+    last_short: Option<(SpeedClass, u64)>,
 }
 
 impl PoolPartition {
     pub fn prefers(&self, endpoint: &Endpoint, is_short: bool) -> bool {
-        let highest_short_hash = self.highest_short_hash;
-        highest_short_hash.is_none_or(|highest| (endpoint.name_hash <= highest) == is_short)
+        let position = (endpoint.speed_class, endpoint.name_hash);
+        self.last_short
+            .is_none_or(|last_short| (position <= last_short) == is_short)
+    }
+
+    /// Gives this share of the capacity of some back ends to short prompts, but each kind at least one back end.
+    fn of(back_ends: &[(SpeedClass, u64)], short_share: f64) -> Self {
+        let mut counts = [0_usize; SpeedClass::COUNT];
+        for (class, _) in back_ends {
+            counts[class.index()] += 1;
+        }
+        let mut short = 0;
+        let mut capacity = short_share
+            * back_ends
+                .iter()
+                .map(|(class, _)| class.speed())
+                .sum::<f64>();
+        for (count, speed) in counts.into_iter().zip(SpeedClass::speeds()) {
+            let taken = (capacity / speed).round().clamp(0.0, count as f64);
+            capacity -= taken * speed;
+            short += taken as usize;
+        }
+        let short = short.clamp(1, (back_ends.len() - 1).max(1));
+        let mut back_ends = back_ends.to_vec();
+        let (_, last_short, _) = back_ends.select_nth_unstable(short - 1);
+        Self {
+            last_short: Some(*last_short),
+        }
     }
 }
 
 impl RouterCore {
-    /// Partitions the pool of a request. The size of each partition is proportional to its share of the work.
+    /// Partitions the pool of a request. The capacity of each partition is proportional to its share of the work,
+    /// or to what the running requests of all routers need if that is more.
     pub(super) fn pool_partition(&self, admission: &Admission) -> PoolPartition {
         let Some(short_share) = self.prompt_mix.short_share() else {
             return PoolPartition::default();
         };
-        let pool = NameHash::of(admission.pool.as_str());
-        let in_pool = |endpoint: &&Endpoint| {
-            endpoint.summary.pool == pool && endpoint.summary.is_ready && endpoint.is_reachable()
-        };
-        let endpoints = self.endpoints.iter().map(|(_, endpoint)| endpoint);
-        let hashes = endpoints.filter(in_pool).map(|endpoint| endpoint.name_hash);
-        let mut hashes: Vec<u64> = hashes.collect();
-        if hashes.is_empty() {
+        let back_ends = self.partitioned(admission);
+        let back_ends = back_ends.map(|endpoint| (endpoint.speed_class, endpoint.name_hash));
+        let back_ends: Vec<(SpeedClass, u64)> = back_ends.collect();
+        if back_ends.is_empty() {
             return PoolPartition::default();
         }
-        let short_count = (hashes.len() as f64 * short_share).round() as usize;
-        let short_count = short_count.clamp(1, (hashes.len() - 1).max(1));
-        let (_, highest_short_hash, _) = hashes.select_nth_unstable(short_count - 1);
-        PoolPartition {
-            highest_short_hash: Some(*highest_short_hash),
+        let short_share = self
+            .partition_demand
+            .short_share(&admission.pool, short_share);
+        PoolPartition::of(&back_ends, short_share)
+    }
+
+    /// The load of the pool of a request, from which the need of each kind of prompts is derived.
+    pub(super) fn load_of_pool(&self, admission: &Admission) -> LoadOfPool {
+        let long_prefill = self.prompt_mix.long_prefill_tokens();
+        let mut load = LoadOfPool::default();
+        for endpoint in self.partitioned(admission) {
+            load.add(endpoint, long_prefill);
         }
+        load
+    }
+
+    fn partitioned(&self, admission: &Admission) -> impl Iterator<Item = &Endpoint> {
+        let pool = NameHash::of(admission.pool.as_str());
+        let endpoints = self.endpoints.iter().map(|(_, endpoint)| endpoint);
+        endpoints.filter(move |endpoint| {
+            endpoint.summary.pool == pool && endpoint.summary.is_ready && endpoint.is_reachable()
+        })
     }
 }
+
+#[cfg(test)]
+#[path = "pool_partition_tests.rs"]
+mod tests;
--- a/crates/gateway-core/src/router/prompt_mix.rs
+++ b/crates/gateway-core/src/router/prompt_mix.rs
@@ -51,6 +51,9 @@
 pub(super) struct PromptMix {
     short_cost: f64,
     long_cost: f64,
+    /// Fraction of the prompts that are long, and their prefilled tokens per prompt of any kind.
+    long_fraction: f64,
+    long_prefill: f64,
     mean_output: f64,
     prompt_count: u32,
 }
@@ -66,11 +69,27 @@
         } else {
             (0.0, cost)
         };
+        let (newest_long_fraction, newest_long_prefill) = if prompt.is_short() {
+            (0.0, 0.0)
+        } else {
+            (1.0, f64::from(prefill_tokens))
+        };
+        self.long_fraction += weight * (newest_long_fraction - self.long_fraction);
+        self.long_prefill += weight * (newest_long_prefill - self.long_prefill);
         self.short_cost += weight * (newest_short - self.short_cost);
         self.long_cost += weight * (newest_long - self.long_cost);
         self.mean_output += weight * (f64::from(prompt.output) - self.mean_output);
     }
 
+    /// Mean prefill of a long prompt, in tokens; 0 before the first one.
+    pub fn long_prefill_tokens(&self) -> f64 {
+        if self.long_fraction > 0.0 {
+            self.long_prefill / self.long_fraction
+        } else {
+            0.0
+        }
+    }
+
     /// Mean time for which a stream occupies a slot, as the number of tokens that could be prefilled in that time.
     pub fn slot_time_tokens(&self) -> f64 {
         self.mean_output * DECODE_STEP_TOKENS * LOADED_STEP_FACTOR
--- a/crates/gateway-core/src/router/prompt_placement.rs
+++ b/crates/gateway-core/src/router/prompt_placement.rs
@@ -1,47 +1,51 @@
-//! Placement of prompts: the back end with the lowest cost among the prompt's home and a few randomly sampled
-//! others.
+//! Placement of prompts: the back end with the lowest cost among the prompt's home, the back ends that hold its parts
+//! and a few randomly sampled others.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use drumshore_core::Timestamp;
 
 use super::cached_parts::CachedParts;
 use super::candidate::{Candidate, Placed};
-use super::endpoint::RequestProfile;
 use super::homes::{home_key, rendezvous_score, Homes};
 use super::k_smallest::k_smallest_by_key;
+use super::placement_cost::{fetch_us_per_token, PromptProfile, Site};
 use super::pool_partition::PoolPartition;
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
 
-/// Cost of placing a prompt away from its home, per shared token: the shared parts may have to be prefilled there,
-/// and their copy displaces other prompts from the cache.
-const AWAY_FROM_HOME_FACTOR: f64 = 1.9;
-/// Cost of fetching a token from another back end, as a fraction of the cost of its prefill.
-const FETCH_COST_FACTOR: f64 = 0.06;
-/// Cost of placing a prompt outside its partition, in tokens to prefill.
-const OTHER_PARTITION_PENALTY_TOKENS: f64 = 3_000.0;
-/// Back ends of each partition that are sampled at random for each request, as alternatives to the home. The loads
-/// of other routers are known with a delay of some hundred milliseconds: if all routers chose the least loaded back
-/// end of the whole pool, all would choose the same one until they received each other's loads.
+/// Back ends of the prompt's partition that are sampled at random for each request, as alternatives to the home. The
+/// loads of other routers are known with a delay of some hundred milliseconds: if all routers chose the least loaded
+/// back end of the whole pool, all would choose the same one until they received each other's loads.
 const SAMPLED_PER_PARTITION: usize = 2;
+/// Back ends of their partition that are sampled for short prompts.
+const SAMPLED_FOR_SHORT_PROMPTS: usize = 6;
+/// Back ends of their partition among which one router chooses for long prompts besides. Each router has a subset of
+/// its own, so that most prompts on a back end are from few routers, which know of their own ones at once.
+const SUBSET_FOR_LONG_PROMPTS: usize = 4;
+/// Cost of the next back end in the order of the subset: the first one is in the subsets of fewer routers that use it.
+const SUBSET_ORDER_COST_MS: f64 = 10.0;
 
 /// A back end that a prompt may be placed on.
 struct Target<'a> {
     candidate: &'a Candidate<'a>,
     /// Its index among all candidates.
     position: usize,
-    /// It is the first home of the prompt; a prompt without shared parts has none.
-    is_home: bool,
-    in_own_partition: bool,
+    /// A prompt without shared parts has no home.
+    site: Site<'a>,
+    is_holder: bool,
+    is_in_time_if_idle: bool,
     /// Differs for each request; orders the back ends for sampling and breaks ties.
     random_key: u64,
+    /// Differs for each router; orders the back ends for its subset.
+    subset_key: u64,
 }
 
 impl RouterCore {
-    /// Chooses the back end with the lowest expected cost, in tokens to prefill before this prompt's response begins.
-    /// The prefill of a long prompt delays every stream at its back end, so long and short prompts are kept
-    /// apart as far as the load allows: each kind has its partition of the pool, the same on all routers.
+    /// Chooses the back end with the lowest expected cost. The prefill of a long prompt delays every stream at its back
+    /// end, so long and short prompts are kept apart as far as the load allows: each kind has its partition of the
+    /// pool, nearly the same on all routers.
     pub(super) fn place_prompt(
         &self,
         now: Timestamp,
@@ -51,47 +55,41 @@
         sample: u64,
     ) -> Option<Placed> {
         let pool_partition = self.pool_partition(admission);
-        let is_short = prompt.is_short();
-        let away_penalty = f64::from(prompt.shared_tokens()) * AWAY_FROM_HOME_FACTOR;
         let homes = self.homes(admission, prompt, usable, &pool_partition);
-        let profile = RequestProfile {
-            is_short,
-            slot_time_tokens: self.prompt_mix.slot_time_tokens(),
-        };
+        let homes = homes.as_ref();
+        let profile = self.profile(admission, prompt);
         let cached = self.cached_by_version(now, admission, prompt, usable);
         let targets = usable.iter().enumerate().map(|(position, candidate)| {
-            let homes = homes.as_ref();
+            let endpoint = candidate.endpoint;
+            let cached = &cached[&candidate.version];
+            let site = Site {
+                endpoint,
+                work: cached.work(endpoint.key),
+                is_home: homes.is_some_and(|homes| homes.is_first_home(position, candidate)),
+                in_own_partition: pool_partition.prefers(endpoint, profile.is_short),
+            };
             Target {
                 candidate,
                 position,
-                is_home: homes.is_some_and(|homes| homes.is_first_home(position, candidate)),
-                in_own_partition: pool_partition.prefers(candidate.endpoint, is_short),
+                site,
+                is_holder: cached.is_holder(endpoint.key),
+                is_in_time_if_idle: profile.is_in_time_if_idle(&site),
                 random_key: rendezvous_score(candidate.id, sample),
+                subset_key: rendezvous_score(candidate.id, self.preference_seed),
             }
         });
         let targets: Vec<Target<'_>> = targets.collect();
-        // In tokens to prefill before the response begins.
-        let cost = |target: &Target<'_>| {
-            let endpoint = target.candidate.endpoint;
-            let away_cost = if target.is_home { 0.0 } else { away_penalty };
-            let cached = &cached[&target.candidate.version];
-            let prefill = f64::from(cached.tokens_to_prefill());
-            let fetch = f64::from(cached.tokens_to_fetch(endpoint.key)) * FETCH_COST_FACTOR;
-            let partition_cost = if target.in_own_partition {
-                0.0
-            } else {
-                OTHER_PARTITION_PENALTY_TOKENS
-            };
-            endpoint.cost_of_load(profile) + prefill + fetch + away_cost + partition_cost
-        };
-        let best = cheapest(home_and_sampled(&targets), cost)?;
-        let homes = homes.as_ref();
+        let best = cheapest(compared(&targets, profile.is_short), |target| {
+            profile.cost_ms(&target.site)
+        })?;
         let rank = homes.map_or(0, |homes| homes.rank(best.position, best.candidate));
         let mut placed = best.candidate.placed(rank);
-        placed.tokens = cached[&best.candidate.version].tokens_to_prefill();
+        placed.tokens = best.site.work.to_prefill;
+        placed.work_tokens = profile.equivalent_tokens(&best.site.work);
+        placed.forecast = profile.forecast(&best.site);
         if rank > 0 {
             let mut targets = targets.iter();
-            let home = targets.find(|target| target.is_home && target.in_own_partition);
+            let home = targets.find(|target| target.site.is_home && target.site.in_own_partition);
             let home = home.map(|home| home.candidate);
             let home =
                 home.filter(|home| home.version == placed.version && !home.endpoint.is_limited());
@@ -100,6 +98,20 @@
         Some(placed)
     }
 
+    fn profile(&self, admission: &Admission, prompt: &Prompt) -> PromptProfile {
+        let curve = self.speeds.curve(&admission.pool);
+        let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
+        let slot_time_us = self.prompt_mix.slot_time_tokens() * curve.us_per_token;
+        PromptProfile {
+            is_short: prompt.is_short(),
+            curve,
+            fetch_us_per_token: fetch_us_per_token(models),
+            target: admission.route.target,
+            slot_time: curve.latency + Duration::from_secs_f64(slot_time_us / 1e6),
+            long_prefill_tokens: self.prompt_mix.long_prefill_tokens(),
+        }
+    }
+
     /// The cached parts of a prompt for each version of the weights that the back ends hold.
     fn cached_by_version(
         &self,
@@ -166,24 +178,52 @@
     }
 }
 
-/// The home of a prompt and the back ends sampled from each partition.
-fn home_and_sampled<'a>(targets: &'a [Target<'a>]) -> Vec<&'a Target<'a>> {
-    let sampled = |in_own_partition: bool| {
-        let away = targets.iter().filter(|target| !target.is_home);
-        let in_partition = away.filter(|target| target.in_own_partition == in_own_partition);
-        k_smallest_by_key(in_partition, SAMPLED_PER_PARTITION, |target| {
-            target.random_key
-        })
+/// A back end to compare, and its additional cost in milliseconds.
+type Compared<'a> = (&'a Target<'a>, f64);
+
+/// The home of a prompt, the back ends that hold its parts, the first ones of the router's subset, and those sampled
+/// from each partition. Of its own partition, only back ends that would be in time if they were idle are compared,
+/// unless there are none.
+fn compared<'a>(targets: &'a [Target<'a>], is_short: bool) -> Vec<Compared<'a>> {
+    let (subset, own_sampled) = if is_short {
+        (0, SAMPLED_FOR_SHORT_PROMPTS)
+    } else {
+        (SUBSET_FOR_LONG_PROMPTS, SAMPLED_PER_PARTITION)
     };
-    let at_home = targets.iter().filter(|target| target.is_home);
-    at_home.chain(sampled(true)).chain(sampled(false)).collect()
+    let is_known = |target: &&Target<'_>| target.site.is_home || target.is_holder;
+    let own = |target: &&Target<'_>| target.site.in_own_partition;
+    let in_time = |target: &&Target<'_>| own(target) && target.is_in_time_if_idle;
+    let any_in_time = targets.iter().any(|target| in_time(&target));
+    let is_wanted =
+        |target: &&Target<'_>| own(target) && (target.is_in_time_if_idle || !any_in_time);
+    let subset = k_smallest_by_key(targets.iter().filter(is_wanted), subset, |target| {
+        target.subset_key
+    });
+    let ordered = subset.into_iter().enumerate();
+    let ordered = ordered.map(|(place, target)| (target, place as f64 * SUBSET_ORDER_COST_MS));
+    let sampled = |count: usize, is_wanted: &dyn Fn(&&Target<'_>) -> bool| {
+        let wanted = targets.iter().filter(is_wanted);
+        k_smallest_by_key(wanted, count, |target| target.random_key)
+    };
+    let others = sampled(own_sampled, &|target| {
+        is_wanted(target) && !is_known(target)
+    });
+    let others = others
+        .into_iter()
+        .chain(sampled(SAMPLED_PER_PARTITION, &|target| !own(target)));
+    let last = SUBSET_ORDER_COST_MS * SUBSET_FOR_LONG_PROMPTS as f64;
+    let others = others.map(|target| (target, last));
+    let known = targets.iter().filter(is_known).map(|target| (target, 0.0));
+    known.chain(ordered).chain(others).collect()
 }
 
 fn cheapest<'a>(
-    targets: Vec<&'a Target<'a>>,
+    targets: Vec<Compared<'a>>,
     cost: impl Fn(&Target<'_>) -> f64,
 ) -> Option<&'a Target<'a>> {
-    let priced = targets.into_iter().map(|target| (cost(target), target));
+    let priced = targets
+        .into_iter()
+        .map(|(target, additional)| (cost(target) + additional, target));
     let best = priced.min_by(|(cost, target), (other_cost, other)| {
         cost.total_cmp(other_cost)
             .then(target.random_key.cmp(&other.random_key))
--- a/crates/gateway-core/src/router/tests/caches.rs
+++ b/crates/gateway-core/src/router/tests/caches.rs
@@ -106,6 +106,7 @@
     let first = router
         .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
         .unwrap();
+    router.answered(at(1), &first, None, Duration::ZERO);
     let key = StoredKey::new(first.cache_salt.as_deref().unwrap(), "shared");
     router.on_store_contents(store(), true, false, &[key], &[]);
     let fetching = router
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -96,6 +96,8 @@
             slots: 8,
             cache_tokens: 100_000,
             copies_runs: true,
+            token_bytes: 0,
+            link_megabits_per_second: 0,
             models: vec![ModelName::new("model")],
         }),
         store: None,
--- a/crates/gateway-core/tests/pool/mod.rs
+++ b/crates/gateway-core/tests/pool/mod.rs
@@ -440,6 +440,8 @@
                 slots: SLOTS,
                 cache_tokens: 86_721,
                 copies_runs: false,
+                token_bytes: 0,
+                link_megabits_per_second: 0,
                 models: vec![ModelName::new("model")],
             }),
             store: None,
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -322,7 +322,8 @@
         limit = limit.map(tracing::field::display),
         version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
         held_here = choice.cache_estimate.here, held_at_source = choice.cache_estimate.at_source,
-        belief_age_ms = choice.cache_estimate.age_ms, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
+        belief_age_ms = choice.cache_estimate.age_ms, expected_ms = choice.forecast.begins_in.as_millis() as u64,
+        queue_ms = choice.forecast.queue.as_millis() as u64, own_side = choice.forecast.in_own_partition, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
         "router: a back end answered; forwarding the answer to the caller");
     let (mut head, body) = response.into_parts();
