Learn the speeds of back ends from the answers of all routers

Nothing knew that back ends of one pool differ in speed: a router sees one a few times in half a minute. Routers now report the time to the first byte of requests that hardly anything else delayed (kind 26); the leader learns a time factor for each back end, and each pool's prefill curve, and sends them as news (kind 27). Control machines keep what they forward, so a new leader does not start from nothing. Both kinds go only to peers that decode measurements; between control machines a marker behind keep-alive messages shows that, as earlier builds would refuse such news and log each one.

The estimator adds, in logarithms, a part of the class of work and one of the back end; deviations are clipped, estimates shrunk towards 1.

Ruled out: sums of ratios at the routers (a median needs single values, and the expected value is known only over all routers).

Tests of gateway-core and gateway: green.

--- a/crates/gateway-core/src/back_end_speed/mod.rs
+++ b/crates/gateway-core/src/back_end_speed/mod.rs
@@ -1,10 +1,35 @@
 //! How fast the back ends of a pool prefill prompts and generate tokens.
+//!
+//! Routers report the times of single requests as [`SpeedSample`]s, the leader learns the speeds of back ends from
+//! those of all routers ([`SpeedLearner`]), and routers know what it sends them ([`BackEndSpeeds`]).
 
-use std::collections::HashMap;
+mod curve_fit;
+mod learner;
+mod location;
+mod news;
+mod pool_model;
+mod sample;
+mod sampling;
+mod shrinkage;
+
+use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use drumshore_core::Timestamp;
+
 use crate::PoolName;
 
+pub(crate) use learner::SpeedLearner;
+pub use news::{CurveEntry, SpeedEntry, SpeedNews};
+pub use pool_model::BackEndEstimate;
+pub use sample::SpeedSample;
+pub use sampling::LoadAhead;
+pub(crate) use sampling::SpeedSamples;
+
+/// A time factor that the leader has not confirmed for this long is forgotten, so that a router that hears of no
+/// leader does not rely on old speeds for good.
+const MAX_AGE: Duration = Duration::from_secs(300);
+
 /// The prefill time of a back end of mean speed, as a function of the prompt's length.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PrefillCurve {
@@ -39,15 +64,60 @@
 /// What a router knows about the speeds of back ends.
 #[derive(Clone, Debug, Default)]
 pub struct BackEndSpeeds {
-    time_factors: HashMap<u32, f64>,
+    time_factors: BTreeMap<u32, KnownFactor>,
     curves: HashMap<PoolName, PrefillCurve>,
 }
 
+#[derive(Clone, Copy, Debug)]
+struct KnownFactor {
+    time_factor: f64,
+    /// When the leader last sent it.
+    received_at: Timestamp,
+    /// The age of its last sample at that time.
+    age: Duration,
+}
+
 impl BackEndSpeeds {
     /// The time that a back end takes for a piece of work, relative to the mean of its pool; 1 if unknown.
     /// `back_end` is its [`crate::LoadEntry::key_of`].
     pub fn time_factor(&self, back_end: u32) -> f64 {
-        self.time_factors.get(&back_end).copied().unwrap_or(1.0)
+        let known = self.time_factors.get(&back_end);
+        known.map_or(1.0, |known| known.time_factor)
+    }
+
+    /// Time since the last sample of a back end; `None` if nothing is known of it.
+    pub fn age(&self, now: Timestamp, back_end: u32) -> Option<Duration> {
+        let known = self.time_factors.get(&back_end)?;
+        Some(known.age + now.since(known.received_at))
+    }
+
+    /// Applies the leader's estimates.
+    pub(crate) fn apply(&mut self, now: Timestamp, news: &SpeedNews) {
+        if let Some(range) = news.range() {
+            self.time_factors.retain(|key, _| !range.contains(key));
+        }
+        for entry in &news.back_ends.items {
+            let known = KnownFactor {
+                time_factor: entry.time_factor(),
+                received_at: now,
+                age: entry.age(),
+            };
+            self.time_factors.insert(entry.back_end, known);
+        }
+        for curve in &news.curves.items {
+            self.curves.insert(curve.pool(), curve.curve());
+        }
+    }
+
+    /// Forgets a back end that was removed.
+    pub(crate) fn forget(&mut self, back_end: u32) {
+        self.time_factors.remove(&back_end);
+    }
+
+    /// Forgets what the leader has not confirmed for long.
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        let is_recent = |known: &mut KnownFactor| now.since(known.received_at) < MAX_AGE;
+        self.time_factors.retain(|_, known| is_recent(known));
     }
 
     /// The prefill curve of a pool.
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! back ends, operators and other control machines.
 
 mod accounts;
+mod back_end_speeds;
 mod directory;
 mod fetches;
 mod heartbeat_times;
@@ -35,6 +36,7 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
 
+use crate::back_end_speed::{BackEndEstimate, SpeedLearner};
 use crate::{
     Command, FingerprintKey, InstanceId, LoadPhase, Message, Proposal, ReplicatedState,
     RequestFingerprint,
@@ -47,6 +49,7 @@
 pub use stored::StoreUpdate;
 
 use accounts::TenantAccounts;
+use back_end_speeds::SpeedBroadcast;
 use fetches::Fetches;
 use heartbeat_times::HeartbeatTimes;
 use holders::HolderQueue;
@@ -107,6 +110,15 @@
         /// Distinct moments at which back ends crashed.
         crashes: u32,
     },
+    /// Log that the estimated speed of a back end has changed.
+    SpeedChanged {
+        /// The back end.
+        instance: InstanceId,
+        /// The time factor that was logged before, 1 at first.
+        before: f64,
+        /// The new estimate.
+        estimate: BackEndEstimate,
+    },
     /// Log that another machine sent a message for routers that must not be passed on.
     NewsRefused,
     /// Send an order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
@@ -144,6 +156,8 @@
     stores: Stores,
     holder_queue: HolderQueue,
     load_broadcast: LoadBroadcast,
+    speeds: SpeedLearner,
+    speed_broadcast: SpeedBroadcast,
     suspects: Suspects,
     refusing: Refusing,
     suspected_requests: SuspectedRequests,
@@ -203,6 +217,8 @@
             stores: Stores::default(),
             holder_queue: HolderQueue::default(),
             load_broadcast: LoadBroadcast::default(),
+            speeds: SpeedLearner::default(),
+            speed_broadcast: SpeedBroadcast::default(),
             suspects: Suspects::default(),
             refusing: Refusing::default(),
             suspected_requests: SuspectedRequests::default(),
@@ -287,6 +303,7 @@
             self.expire_instances();
             self.advance_rollouts();
             self.broadcast_loads();
+            self.broadcast_speeds();
             self.broadcast_store_changes();
             self.broadcast_holders();
             self.send_account_levels();
@@ -470,6 +487,7 @@
                 self.reset_stores();
                 self.holder_queue = HolderQueue::default();
                 self.load_broadcast = LoadBroadcast::default();
+                self.speed_broadcast = SpeedBroadcast::default();
                 self.suspects = Suspects::default();
                 self.tenant_accounts.forget();
             }
--- a/crates/gateway-core/src/control/news.rs
+++ b/crates/gateway-core/src/control/news.rs
@@ -45,6 +45,9 @@
         match Message::decode(&news.bytes) {
             Some(message) if is_news(&message) => {
                 if self.role() != Role::Leader {
+                    if let Message::BackEndSpeeds(news) = &message {
+                        self.on_speed_news(news);
+                    }
                     self.broadcast_news(message, None);
                 }
             }
@@ -61,5 +64,6 @@
             | Message::Holders(_)
             | Message::UnresponsiveBackEnds(_)
             | Message::RefusingBackEnds(_)
+            | Message::BackEndSpeeds(_)
     )
 }
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -117,6 +117,7 @@
             Message::UnresponsiveBackEnds(keys) => self.on_suspects(connection, &keys.items),
             Message::RefusingBackEnds(keys) => self.on_refusing(connection, &keys.items),
             Message::Holders(entries) => self.on_holders(&entries.items),
+            Message::SpeedSamples(samples) => self.on_speed_samples(&samples.items),
             Message::FingerprintReports(reports) => self.on_fingerprint_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
             Message::Follow(following) => self.on_follow(connection, following),
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -7,6 +7,7 @@
 use drumshore_consensus::ReplicaId;
 use drumshore_wire::{Blob, List, Text};
 
+use crate::back_end_speed::{SpeedNews, SpeedSample};
 use crate::{FingerprintKey, InstanceRecord, RequestFingerprint, TenantName};
 
 /// A router's status, which it reports to control machines.
@@ -337,6 +338,9 @@
     }
 }
 
+/// The first kind of messages that carry measurements; all later kinds do too.
+const FIRST_MEASUREMENT: u8 = 26;
+
 /// A message between two processes of the gateway.
 #[binrw]
 #[brw(little)]
@@ -456,6 +460,12 @@
     /// From the leader to another control machine: an encoded message to forward to the routers that follow it.
     #[brw(magic(25u8))]
     News(Blob),
+    /// From a router to the leader: times that requests took.
+    #[brw(magic(26u8))]
+    SpeedSamples(List<SpeedSample>),
+    /// From the leader: estimated speeds of back ends.
+    #[brw(magic(27u8))]
+    BackEndSpeeds(SpeedNews),
 }
 
 impl Message {
@@ -468,7 +478,11 @@
 
     /// Whether the message carries measurements, which only peers with [`crate::RouterWire::WithMeasurements`] decode.
     pub fn is_measurement(&self) -> bool {
-        false
+        match self {
+            Self::SpeedSamples(_) | Self::BackEndSpeeds(_) => true,
+            Self::News(news) => news.bytes.first() >= Some(&FIRST_MEASUREMENT),
+            _ => false,
+        }
     }
 
     /// Decodes a payload; `None` if it is not a valid message.
--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -9,6 +9,7 @@
 use super::endpoint::Endpoint;
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
+use crate::back_end_speed::LoadAhead;
 use crate::InstanceId;
 
 /// A back end whose failure rate is at least this is used only when no healthy one is left.
@@ -28,6 +29,7 @@
     pub version: Option<u64>,
     pub last_received_at: Rc<Cell<Timestamp>>,
     pub in_flight: u32,
+    pub load_ahead: LoadAhead,
     pub rank: usize,
     /// Prompt tokens that it is expected to prefill.
     pub tokens: u32,
@@ -43,6 +45,7 @@
             version: self.version,
             last_received_at: Rc::clone(&self.endpoint.last_received_at),
             in_flight: self.endpoint.in_flight,
+            load_ahead: self.endpoint.load(),
             rank,
             tokens: 0,
             home: None,
--- a/crates/gateway-core/src/router/choice.rs
+++ b/crates/gateway-core/src/router/choice.rs
@@ -5,6 +5,7 @@
 
 use drumshore_core::Timestamp;
 
+use crate::back_end_speed::LoadAhead;
 use crate::{InstanceId, StoreId};
 
 /// The chosen back end, and what an attempt to send the request there needs.
@@ -24,6 +25,10 @@
     pub prefixes: Vec<u32>,
     /// Prompt tokens that the back end is expected to prefill.
     pub tokens: u32,
+    /// Prompt tokens before those, which it is expected to have cached or to fetch.
+    pub cached_tokens: u32,
+    /// The load of the back end without this request.
+    pub load_ahead: LoadAhead,
     /// Address of a cache store or back end to fetch cached prompt parts from.
     pub fetch_from: Option<String>,
     /// The store at `fetch_from`; `None` when that is a back end.
--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -10,6 +10,7 @@
 
 use super::notices::{NoticeState, Permission};
 use super::summary::Summary;
+use crate::back_end_speed::LoadAhead;
 use crate::{InstanceRecord, LoadEntry};
 
 // Cooldowns: the router avoids a back end for this long after an attempt ended in this way. The cooldown after a
@@ -221,6 +222,15 @@
         self.pending_tokens + u32::from(self.others.pending) * LoadEntry::TOKENS
     }
 
+    /// The load that a further request meets.
+    pub fn load(&self) -> LoadAhead {
+        LoadAhead {
+            pending_tokens: self.all_pending_tokens(),
+            in_flight: self.all_in_flight(),
+            slots: self.slots(),
+        }
+    }
+
     /// Cost that the requests of all routers at this back end add to a further one, in prefill tokens.
     pub fn cost_of_load(&self, profile: RequestProfile) -> f64 {
         let pending = f64::from(self.all_pending_tokens());
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -23,6 +23,7 @@
 mod reported_loads;
 mod request;
 mod router_count;
+mod speeds;
 mod split;
 mod stores;
 mod summary;
@@ -37,6 +38,7 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     AccountLevel, BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId,
     InvalidDocument, Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route,
@@ -114,6 +116,8 @@
     suspects: Vec<u32>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
+    speeds: BackEndSpeeds,
+    speed_samples: SpeedSamples,
 }
 
 impl RouterCore {
@@ -137,6 +141,8 @@
             suspects: Vec::new(),
             refusing: Vec::new(),
             suspected_fingerprints: SuspectedFingerprints::default(),
+            speeds: BackEndSpeeds::default(),
+            speed_samples: SpeedSamples::default(),
         }
     }
 
@@ -196,6 +202,7 @@
         }
         for removed in &changes.removed.items {
             self.endpoints.remove(removed.as_str());
+            self.speeds.forget(LoadEntry::key_of(removed.as_str()));
         }
         for changed in &changes.instances.items {
             if let Some(record) = self.view.instance(changed.instance.as_str()) {
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -120,6 +120,10 @@
             prefixes,
             cache_estimate,
             tokens: placed.tokens,
+            cached_tokens: prompt
+                .map_or(0, Prompt::tokens)
+                .saturating_sub(placed.tokens),
+            load_ahead: placed.load_ahead,
             fetch_store: cache.from_store,
             fetch_from: cache.fetch_from,
             save_to: cache.save_to,
--- a/crates/gateway-core/src/router_wire.rs
+++ b/crates/gateway-core/src/router_wire.rs
@@ -54,7 +54,7 @@
     },
 }
 
-/// Follows the first message of a process that decodes messages with measurements.
+/// Follows the first message, or a keep-alive message, of a process that decodes messages with measurements.
 const MEASUREMENTS_MARKER: u8 = 1;
 
 impl RouterWire {
@@ -83,6 +83,12 @@
         Some((Self::BeforeViews, Self::BeforeViews.decode(payload)?))
     }
 
+    /// Decodes a message between control machines and detects whether the sender decodes measurements, which only its
+    /// keep-alive messages show; `None` if it is not valid.
+    pub fn detect_from_peer(payload: &[u8]) -> Option<(Self, Message)> {
+        decode_first(payload)
+    }
+
     /// Decodes a message; `None` if it is not valid.
     pub fn decode(self, payload: &[u8]) -> Option<Message> {
         match self {
@@ -94,7 +100,10 @@
     /// Encodes a message; `None` if the peer cannot decode this message.
     pub fn encode(self, message: &Message) -> Option<Vec<u8>> {
         match (self, message) {
-            (Self::WithMeasurements, Message::Router(_) | Message::ControlZone(_)) => {
+            (
+                Self::WithMeasurements,
+                Message::Router(_) | Message::ControlZone(_) | Message::KeepAlive,
+            ) => {
                 let mut payload = message.encode();
                 payload.push(MEASUREMENTS_MARKER);
                 Some(payload)
--- a/crates/gateway-core/tests/wire_layout.rs
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -6,14 +6,18 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Write;
+use std::time::Duration;
 
 use drumshore_consensus::ReplicaId;
+use drumshore_gateway_core::back_end_speed::{
+    CurveEntry, PrefillCurve, SpeedEntry, SpeedNews, SpeedSample,
+};
 use drumshore_gateway_core::{
     AccountLevel, Announcement, BackEndKey, Changes, Command, FingerprintEvent, FingerprintInput,
     FingerprintKey, FingerprintReport, FingerprintSuspicion, Following, HolderEntry,
-    InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, Proposal, ProposalId,
-    Quarantine, ReplicatedState, RequestFingerprint, RouterStatus, StoreId, StoredKey, TenantKey,
-    TenantName, UsageEntry, WeightsNotice,
+    InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, PoolName, Proposal,
+    ProposalId, Quarantine, ReplicatedState, RequestFingerprint, RouterStatus, StoreId, StoredKey,
+    TenantKey, TenantName, UsageEntry, WeightsNotice,
 };
 use drumshore_wire::{Blob, List, Text};
 
@@ -77,6 +81,29 @@
     }
 }
 
+fn speed_samples() -> List<SpeedSample> {
+    let took = Duration::from_micros(29_500);
+    List::new(vec![SpeedSample::new(1, 1_600, 6_400, took)])
+}
+
+fn speed_news() -> SpeedNews {
+    let curve = PrefillCurve {
+        latency: Duration::from_micros(30),
+        us_per_token: 0.031,
+        us_per_pair: 0.000_000_032,
+    };
+    SpeedNews {
+        first: 36,
+        last: 37,
+        curves: List::new(vec![CurveEntry::new(&PoolName::new("pool"), &curve)]),
+        back_ends: List::new(vec![SpeedEntry::new(
+            33,
+            0.034,
+            Duration::from_millis(3_500),
+        )]),
+    }
+}
+
 fn messages() -> Vec<(&'static str, Message)> {
     let reports = vec![
         FingerprintReport {
@@ -187,6 +214,8 @@
         ("control_zone", Message::ControlZone(Text::new("zone"))),
         ("follow", Message::Follow(Following::ChangesAndNews)),
         ("news", Message::News(Blob::new(vec![24]))),
+        ("speed_samples", Message::SpeedSamples(speed_samples())),
+        ("back_end_speeds", Message::BackEndSpeeds(speed_news())),
     ]
 }
 
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -283,6 +283,15 @@
                     "control: another back end crashed while serving requests with this fingerprint"
                 );
             }
+            Effect::SpeedChanged {
+                instance,
+                before,
+                estimate,
+            } => {
+                tracing::info!(event = "speed_changed", %instance, before, speed = estimate.time_factor,
+                    samples = estimate.samples, age_ms = estimate.age.as_millis() as u64,
+                    "control: the estimated speed of a back end changed");
+            }
             Effect::NewsRefused => {
                 self.metrics.count_decision("news_refused");
                 tracing::warn!(
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -103,7 +103,7 @@
     queue: &mut mpsc::Receiver<Message>,
 ) -> LinkEnd {
     let last_received = Rc::new(Cell::new(Instant::now()));
-    let receiving = record_receipts(receiver, Rc::clone(&last_received));
+    let receiving = record_receipts(sender, receiver, Rc::clone(&last_received));
     tokio::pin!(receiving);
     let mut keep_alive = interval(KEEP_ALIVE_INTERVAL);
     loop {
@@ -119,15 +119,20 @@
                 if last_received.get().elapsed() > RESPONSE_TIMEOUT {
                     return LinkEnd::Unresponsive;
                 }
-                sender.send(&Message::KeepAlive);
+                sender.send_marked(&Message::KeepAlive);
             }
         }
     }
 }
 
-/// Records when messages are received, until the link is closed.
-async fn record_receipts(mut receiver: Receiver, last_received: Rc<Cell<Instant>>) {
-    while receiver.receive().await.is_ok() {
+/// Records when messages are received, and which layout they show, until the link is closed.
+async fn record_receipts(
+    sender: &Sender,
+    mut receiver: Receiver,
+    last_received: Rc<Cell<Instant>>,
+) {
+    while let Ok((wire, _)) = receiver.receive_from_peer().await {
+        sender.set_wire(wire);
         last_received.set(Instant::now());
     }
 }
@@ -201,7 +206,7 @@
     let mut message = first;
     loop {
         if message == Message::KeepAlive {
-            sender.send(&Message::KeepAlive);
+            sender.send_marked(&Message::KeepAlive);
         } else {
             control.with_core(|core: &mut Core, now| core.on_control(now, message));
         }
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -111,8 +111,8 @@
         self.wire.get()
     }
 
-    /// Queues the first message, which shows the peer what this build decodes.
-    pub fn send_first(&self, message: &Message) -> bool {
+    /// Queues a first or keep-alive message, which shows the peer what this build decodes.
+    pub fn send_marked(&self, message: &Message) -> bool {
         let frame = Frame::of(message, RouterWire::WithMeasurements);
         frame.is_some_and(|frame| self.send_frame(&frame))
     }
@@ -162,6 +162,12 @@
         Ok(first)
     }
 
+    /// Receives a message from another control machine; only its keep-alive messages show which layout it decodes.
+    pub async fn receive_from_peer(&mut self) -> Result<(RouterWire, Message), FrameError> {
+        let payload = self.receive_payload().await?;
+        RouterWire::detect_from_peer(&payload).ok_or_else(unknown_message)
+    }
+
     /// Receives the next message.
     pub async fn receive(&mut self) -> Result<Message, FrameError> {
         let payload = self.receive_payload().await?;
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -213,7 +213,7 @@
         sender: sender.clone(),
         close_requested: Rc::clone(&close_requested),
     };
-    sender.send_first(&reports::status(router));
+    sender.send_marked(&reports::status(router));
     links.open_links.borrow_mut().insert(address, link);
     links.view_links.borrow_mut().on_linked(address);
     poll(router, links);
@@ -335,6 +335,10 @@
             let now = router.clock.now();
             router.core.borrow_mut().on_holders(now, &entries.items);
         }
+        Message::BackEndSpeeds(news) => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_back_end_speeds(now, &news);
+        }
         Message::AccountLevels(levels) => {
             let now = router.clock.now();
             let mut core = router.core.borrow_mut();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
-    Admission, Choice, FingerprintInput, Prompt, Refusal, RequestFingerprint, RequestHead,
-    RequestKind,
+    Admission, Choice, FingerprintInput, LoadEntry, Prompt, Refusal, RequestFingerprint,
+    RequestHead, RequestKind,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -295,6 +295,26 @@
     repeatable && sent < route.max_attempts.max(1)
 }
 
+/// What the router knows of a back end's speed, for logs.
+struct SpeedUsed {
+    time_factor: f64,
+    /// Milliseconds since the last sample of it; `None` if nothing is known.
+    age_ms: Option<u64>,
+}
+
+impl SpeedUsed {
+    fn of(router: &Router, choice: &Choice) -> Self {
+        let back_end = LoadEntry::key_of(choice.instance.as_str());
+        let core = router.core.borrow();
+        let speeds = core.back_end_speeds();
+        let age = speeds.age(router.clock.now(), back_end);
+        Self {
+            time_factor: speeds.time_factor(back_end),
+            age_ms: age.map(|age| age.as_millis() as u64),
+        }
+    }
+}
+
 fn relay(
     router: &Rc<Router>,
     call: Call,
@@ -311,8 +331,13 @@
     let now = router.clock.now();
     let elapsed = now.since(call.received);
     if response.status().is_success() {
-        router.core.borrow_mut().accepted(now, choice);
+        let mut core = router.core.borrow_mut();
+        core.accepted(now, choice);
+        if attempts.tried.len() == 1 {
+            core.record_first_byte(choice, now.since(open_attempt.began_at()));
+        }
     }
+    let speed = SpeedUsed::of(router, choice);
     router.metrics.count_request("answered", elapsed);
     let limit = router.core.borrow().limit_of(&choice.instance);
     tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display),
@@ -322,6 +347,7 @@
         limit = limit.map(tracing::field::display),
         version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
         held_here = choice.cache_estimate.here, held_at_source = choice.cache_estimate.at_source,
+        speed = speed.time_factor, speed_age_ms = speed.age_ms,
         belief_age_ms = choice.cache_estimate.age_ms, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
         "router: a back end answered; forwarding the answer to the caller");
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// When the attempt began.
+    pub fn began_at(&self) -> Timestamp {
+        self.run.sent_at
+    }
+
     /// Records that the head of the answer has arrived.
     pub fn answered(&mut self) {
         self.on_bytes_received();
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -17,6 +17,8 @@
 const LOADS_INTERVAL: Duration = Duration::from_millis(80);
 /// Unchanged load is reported again after this long.
 const LOADS_REFRESH_INTERVAL: Duration = Duration::from_millis(300);
+/// Interval between reports of the speeds of back ends.
+const SPEEDS_INTERVAL: Duration = Duration::from_millis(500);
 /// How long the last report of other routers' loads by the leader is valid.
 const OTHERS_LOADS_TTL: Duration = Duration::from_millis(1_000);
 
@@ -49,6 +51,7 @@
     address: Ipv4Addr,
 ) -> &'static str {
     let mut sent_at = router.clock.now();
+    let mut speeds_sent_at = sent_at;
     loop {
         sleep(LOADS_INTERVAL).await;
         let now = router.clock.now();
@@ -76,6 +79,10 @@
         if !usage.is_empty() && !sender.send(&Message::Usage(List::new(usage))) {
             return "closed";
         }
+        if now.since(speeds_sent_at) >= SPEEDS_INTERVAL {
+            speeds_sent_at = now;
+            send_speed_samples(router, sender);
+        }
         let loads = router.core.borrow().own_loads();
         let refresh_due = now.since(sent_at) >= LOADS_REFRESH_INTERVAL && !loads.is_empty();
         if loads == links.reported_loads.borrow().last() && !refresh_due {
@@ -89,6 +96,15 @@
     }
 }
 
+/// Sends what this router observed of the speeds of back ends. A sample that is not sent is no loss worth a new link.
+fn send_speed_samples(router: &Router, sender: &Sender) {
+    let now = router.clock.now();
+    let samples = router.core.borrow_mut().take_speed_samples(now);
+    if !samples.is_empty() {
+        sender.send(&Message::SpeedSamples(List::new(samples)));
+    }
+}
+
 /// Sends reports of crashes, by request fingerprint, to a control machine, also to one that connects later. All control
 /// machines receive them, because the next router may get its updates from any of them.
 pub(super) async fn send_crash_reports(router: &Rc<Router>, sender: &Sender) -> &'static str {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -102,6 +102,8 @@
         Message::ControlZone(_) => "control_zone",
         Message::Follow(_) => "follow",
         Message::News(_) => "news",
+        Message::SpeedSamples(_) => "speed_samples",
+        Message::BackEndSpeeds(_) => "back_end_speeds",
     }
 }
 
