--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -10,6 +10,7 @@
 use super::placement_cost::Forecast;
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
+use crate::back_end_speed::LoadAhead;
 use crate::InstanceId;
 
 /// A back end whose failure rate is at least this is used only when no healthy one is left.
@@ -29,6 +30,7 @@
     pub version: Option<u64>,
     pub last_received_at: Rc<Cell<Timestamp>>,
     pub in_flight: u32,
+    pub load_ahead: LoadAhead,
     pub rank: usize,
     /// Prompt tokens that it is expected to prefill.
     pub tokens: u32,
@@ -47,6 +49,7 @@
             version: self.version,
             last_received_at: Rc::clone(&self.endpoint.last_received_at),
             in_flight: self.endpoint.in_flight,
+            load_ahead: self.endpoint.load(),
             rank,
             tokens: 0,
             work_tokens: 0,
--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -11,6 +11,7 @@
 use super::notices::{NoticeState, Permission};
 use super::speed_class::SpeedClass;
 use super::summary::Summary;
+use crate::back_end_speed::LoadAhead;
 use crate::{InstanceRecord, LoadEntry};
 
 // Cooldowns: the router avoids a back end for this long after an attempt ended in this way. The cooldown after a
@@ -217,6 +218,15 @@
         self.pending_tokens + u32::from(self.others.pending) * LoadEntry::TOKENS
     }
 
+    /// The load that a further request meets.
+    pub fn load(&self) -> LoadAhead {
+        LoadAhead {
+            pending_tokens: self.all_pending_tokens(),
+            in_flight: self.all_in_flight(),
+            slots: self.slots(),
+        }
+    }
+
     /// Prefill of other prompts that a further one waits for, in tokens. The back end has prefilled up to
     /// `since_report` tokens since the other routers reported theirs.
     pub fn tokens_ahead(&self, is_short: bool, since_report: f64) -> f64 {
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -10,6 +10,7 @@
 use super::endpoint::{Endpoint, Outcome};
 use super::notices::{AbsentNotices, NoticeChange, NoticeContext};
 use super::summary::{NameHash, Summary};
+use crate::back_end_speed::BackEndSpeeds;
 use crate::{BackEndNotice, InstanceId, InstanceRecord, LoadEntry, PoolName};
 
 /// A back end is unresponsive if it sent no bytes for this long before a request to it broke off or timed out.
@@ -258,6 +259,13 @@
         change
     }
 
+    /// Updates how long back ends take for a piece of work.
+    pub fn set_time_factors(&mut self, speeds: &BackEndSpeeds) {
+        for endpoint in self.by_id.values_mut() {
+            endpoint.set_time_factor(speeds.time_factor(endpoint.key));
+        }
+    }
+
     /// Sets the number of routers that share the limits of back ends.
     pub fn set_routers(&mut self, now: Timestamp, routers: u16) {
         self.notices_of_absent.set_routers(now, routers);
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -26,6 +26,7 @@
 mod request;
 mod router_count;
 mod speed_class;
+mod speeds;
 mod split;
 mod stores;
 mod summary;
@@ -40,7 +41,7 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::back_end_speed::BackEndSpeeds;
+use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     AccountLevel, BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId,
     InvalidDocument, Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route,
@@ -103,7 +104,6 @@
 pub struct RouterCore {
     params: RouterParams,
     view: View,
-    speeds: BackEndSpeeds,
     endpoints: Endpoints,
     splitter: Splitter,
     tenant_accounts: TenantAccounts,
@@ -122,6 +122,8 @@
     suspects: Vec<u32>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
+    speeds: BackEndSpeeds,
+    speed_samples: SpeedSamples,
 }
 
 impl RouterCore {
@@ -129,7 +131,6 @@
     pub fn new(params: RouterParams, seed: u64) -> Self {
         Self {
             view: View::default(),
-            speeds: BackEndSpeeds::default(),
             endpoints: Endpoints::default(),
             splitter: Splitter::default(),
             tenant_accounts: TenantAccounts::default(),
@@ -147,6 +148,8 @@
             suspects: Vec::new(),
             refusing: Vec::new(),
             suspected_fingerprints: SuspectedFingerprints::default(),
+            speeds: BackEndSpeeds::default(),
+            speed_samples: SpeedSamples::default(),
         }
     }
 
@@ -206,6 +209,7 @@
         }
         for removed in &changes.removed.items {
             self.endpoints.remove(removed.as_str());
+            self.speeds.forget(LoadEntry::key_of(removed.as_str()));
         }
         for changed in &changes.instances.items {
             if let Some(record) = self.view.instance(changed.instance.as_str()) {
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -127,6 +127,10 @@
             tokens: placed.tokens,
             work_tokens: placed.work_tokens,
             forecast: placed.forecast,
+            cached_tokens: prompt
+                .map_or(0, Prompt::tokens)
+                .saturating_sub(placed.tokens),
+            load_ahead: placed.load_ahead,
             fetch_store: cache.from_store,
             fetch_from: cache.fetch_from,
             save_to: cache.save_to,
