--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -227,11 +227,12 @@
         }
     }
 
-    /// Prefill of other prompts that a further one waits for, in tokens. The back end has prefilled up to
-    /// `since_report` tokens since the other routers reported theirs.
+    /// Prefill of other prompts that a further one waits for, in tokens. The back end could prefill
+    /// `since_report` tokens since the other routers reported theirs, so little is left of a small load.
     pub fn tokens_ahead(&self, is_short: bool, since_report: f64) -> f64 {
         let others = f64::from(u32::from(self.others.pending) * LoadEntry::TOKENS);
-        let pending = f64::from(self.pending_tokens) + (others - since_report).max(0.0);
+        let left = others * others / (others + since_report).max(1.0);
+        let pending = f64::from(self.pending_tokens) + left;
         if is_short {
             pending.min(PREFILL_CHUNK_TOKENS) + pending * PREFILL_STALL_FRACTION
         } else {
--- a/crates/gateway-core/src/router/partition_demand.rs
+++ b/crates/gateway-core/src/router/partition_demand.rs
@@ -14,6 +14,9 @@
 /// Time constant with which a need decays after its load has gone. It is longer than the interval at which
 /// bursts alternate, so that back ends do not change sides and their caches with each one.
 const DECAY_TIME: Duration = Duration::from_secs(2);
+/// A partition of short prompts grows beyond their share of the work only if they would be late behind this many
+/// long prompts. Others wait a little longer, and long prompts keep their back ends.
+const LONG_PROMPTS_AHEAD: u32 = 2;
 /// Needs are not updated more often than this; loads of other routers arrive less often.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -33,6 +36,8 @@
     short: f64,
     long: f64,
     at: Timestamp,
+    /// The shortest target of the routes with short prompts.
+    short_target: Option<Duration>,
 }
 
 /// The needs of pools.
@@ -56,10 +61,18 @@
             short: streams / (self.slots * TARGET_UTILIZATION).max(1.0),
             long: (self.long_prefills / self.back_ends.max(1.0)).min(1.0),
             at,
+            short_target: None,
         }
     }
 }
 
+impl Need {
+    fn is_tight(&self, long_prefill: Duration) -> bool {
+        let target = self.short_target.unwrap_or(Duration::MAX);
+        target < long_prefill * LONG_PROMPTS_AHEAD
+    }
+}
+
 impl PartitionDemand {
     /// Whether the needs of a pool are so old that they should be updated.
     pub fn is_due(&self, now: Timestamp, pool: &PoolName) -> bool {
@@ -82,10 +95,17 @@
         need.at = now;
     }
 
+    /// Records the target of a route with short prompts.
+    pub fn note_target(&mut self, pool: &PoolName, target: Duration) {
+        if let Some(need) = self.0.get_mut(pool) {
+            need.short_target = Some(need.short_target.map_or(target, |known| known.min(target)));
+        }
+    }
+
     /// The share of short prompts: that of their work, unless one kind needs more now. If both do, each gets
-    /// its part of what they need together.
-    pub fn short_share(&self, pool: &PoolName, share_of_work: f64) -> f64 {
-        let Some(need) = self.0.get(pool) else {
+    /// its part of what they need together. `long_prefill` is the mean time for which a long prompt occupies a back end.
+    pub fn short_share(&self, pool: &PoolName, share_of_work: f64, long_prefill: Duration) -> f64 {
+        let Some(need) = self.0.get(pool).filter(|need| need.is_tight(long_prefill)) else {
             return share_of_work;
         };
         if need.short + need.long >= 1.0 {
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -31,6 +31,10 @@
         earlier: &EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
         let sample = self.random.random();
+        if prompt.is_some_and(Prompt::is_short) {
+            let target = admission.route.target;
+            self.partition_demand.note_target(&admission.pool, target);
+        }
         if prompt.is_some() && self.partition_demand.is_due(now, &admission.pool) {
             let load = self.load_of_pool(admission);
             self.partition_demand.update(now, &admission.pool, &load);
--- a/crates/gateway-core/src/router/pool_partition.rs
+++ b/crates/gateway-core/src/router/pool_partition.rs
@@ -1,5 +1,7 @@
 //! Partition of a pool into back ends preferred by short prompts and back ends preferred by long ones.
 
+use std::time::Duration;
+
 use super::endpoint::Endpoint;
 use super::partition_demand::LoadOfPool;
 use super::speed_class::SpeedClass;
@@ -61,9 +63,11 @@
         if back_ends.is_empty() {
             return PoolPartition::default();
         }
-        let short_share = self
-            .partition_demand
-            .short_share(&admission.pool, short_share);
+        let long_prefill =
+            self.speeds.curve(&admission.pool).us_per_token * self.prompt_mix.long_prefill_tokens();
+        let long_prefill = Duration::from_secs_f64(long_prefill / 1e6);
+        let demand = &self.partition_demand;
+        let short_share = demand.short_share(&admission.pool, short_share, long_prefill);
         PoolPartition::of(&back_ends, short_share)
     }
 
--- a/crates/gateway-core/src/router/prompt_placement.rs
+++ b/crates/gateway-core/src/router/prompt_placement.rs
@@ -185,7 +185,7 @@
 /// from each partition. Of its own partition, only back ends that would be in time if they were idle are compared,
 /// unless there are none.
 fn compared<'a>(targets: &'a [Target<'a>], is_short: bool) -> Vec<Compared<'a>> {
-    let (subset, own_sampled) = if is_short {
+    let (subset_size, own_sampled) = if is_short {
         (0, SAMPLED_FOR_SHORT_PROMPTS)
     } else {
         (SUBSET_FOR_LONG_PROMPTS, SAMPLED_PER_PARTITION)
@@ -196,7 +196,7 @@
     let any_in_time = targets.iter().any(|target| in_time(&target));
     let is_wanted =
         |target: &&Target<'_>| own(target) && (target.is_in_time_if_idle || !any_in_time);
-    let subset = k_smallest_by_key(targets.iter().filter(is_wanted), subset, |target| {
+    let subset = k_smallest_by_key(targets.iter().filter(is_wanted), subset_size, |target| {
         target.subset_key
     });
     let ordered = subset.into_iter().enumerate();
@@ -211,7 +211,7 @@
     let others = others
         .into_iter()
         .chain(sampled(SAMPLED_PER_PARTITION, &|target| !own(target)));
-    let last = SUBSET_ORDER_COST_MS * SUBSET_FOR_LONG_PROMPTS as f64;
+    let last = SUBSET_ORDER_COST_MS * subset_size as f64;
     let others = others.map(|target| (target, last));
     let known = targets.iter().filter(is_known).map(|target| (target, 0.0));
     known.chain(ordered).chain(others).collect()
--- a/crates/gateway-core/tests/pool/mod.rs
+++ b/crates/gateway-core/tests/pool/mod.rs
@@ -5,10 +5,11 @@
 //! the constants are the figures of these engines.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap, VecDeque};
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
+use drumshore_gateway_core::back_end_speed::{CurveEntry, PrefillCurve, SpeedEntry, SpeedNews};
 use drumshore_gateway_core::{
     Admission, Changes, Choice, ChoiceError, Document, EarlierAttempts, InstanceRecord, Lifecycle,
     LoadEntry, LoadedModel, ModelName, ModelPool, Outcome, Pool, PoolName, Prompt, PromptPart,
@@ -18,8 +19,6 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-const BACK_ENDS: u64 = 12;
-const ROUTERS: usize = 8;
 const SLOTS: u32 = 16;
 /// Duration of a step without prefill.
 const STEP_US: f64 = 5_230.0;
@@ -38,7 +37,10 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Kind {
     pub path: &'static str,
+    /// Median of the prompt's length.
     pub prompt_tokens: u32,
+    /// Standard deviation of the logarithm of the prompt's length.
+    pub spread: f64,
     pub output_tokens: u32,
     pub priority: u8,
     pub target: Duration,
@@ -51,6 +53,7 @@
 pub const LONG: Kind = Kind {
     path: "/long/",
     prompt_tokens: 2_890,
+    spread: 0.0,
     output_tokens: 54,
     priority: 1,
     target: Duration::from_millis(800),
@@ -61,6 +64,7 @@
 pub const SHORT: Kind = Kind {
     path: "/short/",
     prompt_tokens: 628,
+    spread: 0.0,
     output_tokens: 290,
     priority: 0,
     target: Duration::from_millis(600),
@@ -68,6 +72,55 @@
     share: 1.0,
 };
 
+/// The back ends and routers of a simulation, and what routers are told.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// For each back end the time that it takes for a piece of work, relative to the constants above.
+    pub time_factors: Vec<f64>,
+    pub routers: usize,
+    /// Time in microseconds for a pair of a prefilled token and a token before it.
+    pub us_per_pair: f64,
+    /// Age of the loads that routers receive, besides the interval.
+    pub loads_age: Duration,
+    /// Whether routers know the time factors and the prefill curve.
+    pub speeds_are_known: bool,
+    /// Whether routers receive the loads of others.
+    pub loads_are_known: bool,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            time_factors: vec![1.0; 12],
+            routers: 8,
+            us_per_pair: 0.0,
+            loads_age: Duration::ZERO,
+            speeds_are_known: false,
+            loads_are_known: true,
+        }
+    }
+}
+
+impl Layout {
+    fn speeds(&self) -> SpeedNews {
+        let curve = PrefillCurve {
+            latency: Duration::ZERO,
+            us_per_token: 1.0 / PREFILL_TOKENS_PER_US,
+            us_per_pair: self.us_per_pair,
+        };
+        let factors = self.time_factors.iter().enumerate();
+        let entries = factors.map(|(number, factor)| {
+            let key = LoadEntry::key_of(&format!("be-{number}"));
+            SpeedEntry::new(key, *factor, Duration::ZERO)
+        });
+        SpeedNews {
+            curves: List::new(vec![CurveEntry::new(&PoolName::new("models"), &curve)]),
+            back_ends: List::new(entries.collect()),
+            ..SpeedNews::default()
+        }
+    }
+}
+
 struct Request {
     kind: Kind,
     kind_number: usize,
@@ -76,6 +129,7 @@
     asked: Timestamp,
     sent: Timestamp,
     choice: Choice,
+    prompt_tokens: u32,
     prompt_tokens_left: u32,
     output_tokens_left: u32,
     first: Option<Timestamp>,
@@ -85,6 +139,8 @@
 
 #[derive(Default)]
 struct BackEnd {
+    time_factor: f64,
+    us_per_pair: f64,
     waiting: Vec<Request>,
     running: Vec<Request>,
     step_ends: Option<Timestamp>,
@@ -121,27 +177,43 @@
 
 pub struct Simulation {
     now: Timestamp,
+    layout: Layout,
     routers: Vec<RouterCore>,
     back_ends: Vec<BackEnd>,
     kinds: Vec<Kind>,
     random: ChaCha8Rng,
     retries: BinaryHeap<Retry>,
     loads_sent: Timestamp,
+    /// Loads of all routers that are not received yet, with the time at which they are.
+    loads_under_way: VecDeque<(Timestamp, Vec<Vec<LoadEntry>>)>,
     /// By kind.
     tallies: Vec<Tally>,
 }
 
 impl Simulation {
+    #[allow(dead_code, reason = "not every test that uses this module")]
     pub fn new(kinds: &[Kind], seed: u64) -> Self {
-        let routers = (0..ROUTERS as u64).map(|router| new_router(kinds, seed * 100 + router));
+        Self::with_layout(kinds, Layout::default(), seed)
+    }
+
+    pub fn with_layout(kinds: &[Kind], layout: Layout, seed: u64) -> Self {
+        let routers = 0..layout.routers as u64;
+        let routers = routers.map(|router| new_router(kinds, &layout, seed * 100 + router));
+        let back_end = |factor: &f64| BackEnd {
+            time_factor: *factor,
+            us_per_pair: layout.us_per_pair,
+            ..BackEnd::default()
+        };
         Self {
             now: Timestamp(1),
             routers: routers.collect(),
-            back_ends: (0..BACK_ENDS).map(|_| BackEnd::default()).collect(),
+            back_ends: layout.time_factors.iter().map(back_end).collect(),
             kinds: kinds.to_vec(),
             random: ChaCha8Rng::seed_from_u64(seed),
             retries: BinaryHeap::new(),
             loads_sent: Timestamp(1),
+            loads_under_way: VecDeque::new(),
+            layout,
             tallies: vec![Tally::default(); kinds.len()],
         }
     }
@@ -152,6 +224,12 @@
         std::mem::replace(&mut self.tallies, fresh)
     }
 
+    /// Changes the relative frequency of a kind.
+    #[allow(dead_code, reason = "not every test that uses this module")]
+    pub fn set_share(&mut self, kind: usize, share: f64) {
+        self.kinds[kind].share = share;
+    }
+
     /// Callers send requests at this rate for this time.
     pub fn run(&mut self, requests_per_second: f64, time: Duration) {
         let end = self.now.plus(time);
@@ -159,6 +237,7 @@
         while self.now < end {
             self.now = self.now.plus(TICK);
             self.send_loads();
+            self.receive_loads();
             let mut due = chance;
             while due > 0.0 && self.random.random::<f64>() < due {
                 let kind = self.sample_kind();
@@ -187,7 +266,8 @@
 
     fn send_request(&mut self, kind_number: usize, asked: Timestamp, is_retry: bool) {
         let kind = self.kinds[kind_number];
-        let router = self.random.random_range(0..ROUTERS);
+        let router = self.random.random_range(0..self.routers.len());
+        let routers = self.routers.len() as u16;
         let now = self.now;
         let head = RequestHead {
             host: "host",
@@ -196,9 +276,10 @@
             declared_tokens: None,
         };
         let core = &mut self.routers[router];
-        core.on_confirmed(now, 1, ROUTERS as u16);
+        core.on_confirmed(now, 1, routers);
         let admission: Admission = core.admit(now, head).unwrap();
-        let prompt = prompt_of(kind, self.random.random());
+        let tokens = prompt_tokens(kind, &mut self.random);
+        let prompt = prompt_of(kind, tokens, self.random.random());
         match core.choose(now, &admission, Some(&prompt), EarlierAttempts::default()) {
             Ok(choice) => {
                 let number: usize = choice.instance.as_str()[3..].parse().unwrap();
@@ -209,7 +290,8 @@
                     asked,
                     sent: now,
                     choice,
-                    prompt_tokens_left: kind.prompt_tokens,
+                    prompt_tokens: tokens,
+                    prompt_tokens_left: tokens,
                     output_tokens_left: kind.output_tokens,
                     first: None,
                     latest_event: now,
@@ -247,17 +329,31 @@
         }
         self.loads_sent = self.now;
         let own: Vec<Vec<LoadEntry>> = self.routers.iter().map(RouterCore::own_loads).collect();
-        for (number, router) in self.routers.iter_mut().enumerate() {
-            let mut sums: std::collections::BTreeMap<u32, LoadEntry> = Default::default();
-            let others = own.iter().enumerate().filter(|(other, _)| *other != number);
-            for entry in others.flat_map(|(_, entries)| entries) {
+        let received = self.now.plus(self.layout.loads_age);
+        if self.layout.loads_are_known {
+            self.loads_under_way.push_back((received, own));
+        }
+    }
+
+    fn receive_loads(&mut self) {
+        let now = self.now;
+        while self
+            .loads_under_way
+            .front()
+            .is_some_and(|(at, _)| *at <= now)
+        {
+            let (_, own) = self.loads_under_way.pop_front().unwrap();
+            let mut sums: BTreeMap<u32, LoadEntry> = BTreeMap::new();
+            for entry in own.iter().flatten() {
                 let sum = sums.entry(entry.key).or_default();
                 sum.key = entry.key;
                 sum.pending += entry.pending;
                 sum.in_flight += entry.in_flight;
             }
             let sums: Vec<LoadEntry> = sums.into_values().collect();
-            router.set_others_loads(true, &sums);
+            for (router, own) in self.routers.iter_mut().zip(&own) {
+                router.set_others_loads(true, &LoadEntry::without(&sums, own));
+            }
         }
     }
 
@@ -304,13 +400,17 @@
             return;
         }
         let mut chunk_room = PREFILL_CHUNK_TOKENS;
+        let mut pairs = 0.0;
         for request in &mut self.running {
             let prefilled = request.prompt_tokens_left.min(chunk_room);
+            let before = request.prompt_tokens - request.prompt_tokens_left;
+            pairs += f64::from(prefilled) * (f64::from(before) + f64::from(prefilled) / 2.0);
             request.prompt_tokens_left -= prefilled;
             chunk_room -= prefilled;
         }
         let prefilled = f64::from(PREFILL_CHUNK_TOKENS - chunk_room);
-        let length = STEP_US + prefilled / PREFILL_TOKENS_PER_US;
+        let prefill = prefilled / PREFILL_TOKENS_PER_US + pairs * self.us_per_pair;
+        let length = (STEP_US + prefill) * self.time_factor;
         self.step_ends = Some(now.plus(Duration::from_micros(length as u64)));
     }
 }
@@ -356,18 +456,28 @@
     }
 }
 
-fn prompt_of(kind: Kind, id: u64) -> Prompt {
+/// The length of a prompt, log-normally distributed.
+fn prompt_tokens(kind: Kind, random: &mut ChaCha8Rng) -> u32 {
+    if kind.spread == 0.0 {
+        return kind.prompt_tokens;
+    }
+    let uniform: [f64; 2] = [1.0 - random.random::<f64>(), random.random()];
+    let normal = (-2.0 * uniform[0].ln()).sqrt() * (std::f64::consts::TAU * uniform[1]).cos();
+    (f64::from(kind.prompt_tokens) * (normal * kind.spread).exp()) as u32
+}
+
+fn prompt_of(kind: Kind, tokens: u32, id: u64) -> Prompt {
     Prompt {
         model: ModelName::new("model"),
         parts: vec![PromptPart {
             id: id.to_string(),
-            tokens: kind.prompt_tokens,
+            tokens,
         }],
         output: kind.output_tokens,
     }
 }
 
-fn new_router(kinds: &[Kind], seed: u64) -> RouterCore {
+fn new_router(kinds: &[Kind], layout: &Layout, seed: u64) -> RouterCore {
     let params = RouterParams {
         zone: "zone".to_owned(),
         key_lease: Duration::from_secs(4),
@@ -378,7 +488,8 @@
         retry_window: Duration::from_secs(10),
     };
     let mut router = RouterCore::new(params, seed);
-    let instances: Vec<InstanceRecord> = (0..BACK_ENDS).map(record).collect();
+    let instances: Vec<InstanceRecord> =
+        (0..layout.time_factors.len() as u64).map(record).collect();
     let changes = Changes {
         since: 0,
         revision: 1,
@@ -392,6 +503,9 @@
     router
         .apply(Timestamp(1), changes, |_| Ok(document))
         .unwrap();
+    if layout.speeds_are_known {
+        router.on_back_end_speeds(Timestamp(1), &layout.speeds());
+    }
     router
 }
 
