--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -7,8 +7,10 @@
 use drumshore_core::Timestamp;
 
 use super::endpoint::Endpoint;
+use super::placement_cost::Forecast;
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
+use crate::back_end_speed::LoadAhead;
 use crate::InstanceId;
 
 /// A back end whose failure rate is at least this is used only when no healthy one is left.
@@ -28,9 +30,13 @@
     pub version: Option<u64>,
     pub last_received_at: Rc<Cell<Timestamp>>,
     pub in_flight: u32,
+    pub load_ahead: LoadAhead,
     pub rank: usize,
     /// Prompt tokens that it is expected to prefill.
     pub tokens: u32,
+    /// The same prefill in tokens without any before them that take as long.
+    pub work_tokens: u32,
+    pub forecast: Forecast,
     /// Address of the prompt's home, when that is another back end with the same weights.
     pub home: Option<String>,
 }
@@ -43,8 +49,11 @@
             version: self.version,
             last_received_at: Rc::clone(&self.endpoint.last_received_at),
             in_flight: self.endpoint.in_flight,
+            load_ahead: self.endpoint.load(),
             rank,
             tokens: 0,
+            work_tokens: 0,
+            forecast: Forecast::default(),
             home: None,
         }
     }
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -16,13 +16,17 @@
 mod k_smallest;
 mod notices;
 mod overload;
+mod partition_demand;
 mod placement;
+mod placement_cost;
 mod pool_partition;
 mod prompt_mix;
 mod prompt_placement;
 mod reported_loads;
 mod request;
 mod router_count;
+mod speed_class;
+mod speeds;
 mod split;
 mod stores;
 mod summary;
@@ -37,6 +41,7 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     AccountLevel, BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId,
     InvalidDocument, Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route,
@@ -47,6 +52,7 @@
 pub use choice::{CacheEstimate, Choice, RunCopy};
 pub use endpoint::Outcome;
 pub use notices::{LimitChange, NoticeChange};
+pub use placement_cost::Forecast;
 pub use reported_loads::ReportedLoads;
 pub use request::{
     Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
@@ -60,6 +66,7 @@
 use holders::Holders;
 use notices::{NoticeContext, RetrySchedule};
 use overload::PoolLoads;
+use partition_demand::PartitionDemand;
 use prompt_mix::PromptMix;
 use router_count::RouterCount;
 use split::Splitter;
@@ -101,6 +108,7 @@
     splitter: Splitter,
     tenant_accounts: TenantAccounts,
     prompt_mix: PromptMix,
+    partition_demand: PartitionDemand,
     pool_loads: PoolLoads,
     budget: RetryBudget,
     random: ChaCha8Rng,
@@ -114,6 +122,8 @@
     suspects: Vec<u32>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
+    speeds: BackEndSpeeds,
+    speed_samples: SpeedSamples,
 }
 
 impl RouterCore {
@@ -125,6 +135,7 @@
             splitter: Splitter::default(),
             tenant_accounts: TenantAccounts::default(),
             prompt_mix: PromptMix::default(),
+            partition_demand: PartitionDemand::default(),
             pool_loads: PoolLoads::default(),
             budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -137,6 +148,8 @@
             suspects: Vec::new(),
             refusing: Vec::new(),
             suspected_fingerprints: SuspectedFingerprints::default(),
+            speeds: BackEndSpeeds::default(),
+            speed_samples: SpeedSamples::default(),
         }
     }
 
@@ -196,6 +209,7 @@
         }
         for removed in &changes.removed.items {
             self.endpoints.remove(removed.as_str());
+            self.speeds.forget(LoadEntry::key_of(removed.as_str()));
         }
         for changed in &changes.instances.items {
             if let Some(record) = self.view.instance(changed.instance.as_str()) {
@@ -306,7 +320,8 @@
         if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
             let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
             let slots = models.map_or(1, |models| models.slots);
-            self.prompt_mix.record_prompt(prompt, choice.tokens, slots);
+            self.prompt_mix
+                .record_prompt(prompt, choice.work_tokens, slots);
         }
         if is_retry {
             self.budget.on_retry(now, &admission.pool);
@@ -314,7 +329,8 @@
                 self.tenant_accounts.charge_again(now, charge);
             }
         }
-        self.endpoints.started(now, &choice.instance, choice.tokens);
+        self.endpoints
+            .started(now, &choice.instance, choice.work_tokens);
         Ok(choice)
     }
 
@@ -327,7 +343,8 @@
         took: Option<Duration>,
         target: Duration,
     ) {
-        self.endpoints.answered(&choice.instance, choice.tokens);
+        self.endpoints
+            .answered(&choice.instance, choice.work_tokens);
         let slow = took.is_some_and(|took| took > target.mul_f64(SLOW_FETCH_FACTOR));
         if let Some(store) = choice.fetch_store.filter(|_| slow) {
             self.stores.on_slow_fetch(now, store);
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -17,6 +17,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// Shortest interval between two such checks.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between reports of the speeds of back ends.
+const SPEEDS_INTERVAL: Duration = Duration::from_millis(500);
 /// How long the last report of other routers' loads by the leader is valid.
 const OTHERS_LOADS_TTL: Duration = Duration::from_millis(1_000);
 
@@ -48,6 +50,7 @@
     address: Ipv4Addr,
 ) -> &'static str {
     let mut loads_changed = router.loads_changed.subscribe();
+    let mut speeds_sent_at = router.clock.now();
     loop {
         sleep(MIN_CHECK_INTERVAL).await;
         let _ = timeout(CHECK_INTERVAL - MIN_CHECK_INTERVAL, loads_changed.changed()).await;
@@ -76,6 +79,10 @@
         if !usage.is_empty() && !sender.send(&Message::Usage(List::new(usage))) {
             return "closed";
         }
+        if now.since(speeds_sent_at) >= SPEEDS_INTERVAL {
+            speeds_sent_at = now;
+            send_speed_samples(router, sender);
+        }
         let loads = router.core.borrow().own_loads();
         if !links.reported_loads.borrow().is_due(now, &loads) {
             continue;
@@ -87,6 +94,15 @@
     }
 }
 
+/// Sends what this router observed of the speeds of back ends. A sample that is not sent is no loss worth a new link.
+fn send_speed_samples(router: &Router, sender: &Sender) {
+    let now = router.clock.now();
+    let samples = router.core.borrow_mut().take_speed_samples(now);
+    if !samples.is_empty() {
+        sender.send(&Message::SpeedSamples(List::new(samples)));
+    }
+}
+
 /// Sends reports of crashes, by request fingerprint, to a control machine, also to one that connects later. All control
 /// machines receive them, because the next router may get its updates from any of them.
 pub(super) async fn send_crash_reports(router: &Rc<Router>, sender: &Sender) -> &'static str {
