--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -23,6 +23,7 @@
 mod load_change;
 mod message;
 mod notice;
+mod occupancy;
 mod quarantine;
 mod router;
 mod router_wire;
@@ -32,7 +33,7 @@
 pub use command::{Command, LoadPhase, Proposal, ProposalId};
 pub use control::{
     address_of, bootstrap_id, BackEndReport, ConnectionId, ControlCore, ControlParams, Effect,
-    Heartbeat, Order, OrderId, OrderOutcome, Reply, StoreUpdate, Ticket,
+    Heartbeat, LoadPlan, LoadReason, Order, OrderId, OrderOutcome, Reply, StoreUpdate, Ticket,
 };
 pub use document::{
     CacheStore, Document, InvalidDocument, Limits, ModelPool, Pool, RequestKind, Route, Share,
