Name the tenant in a router's line of a request

Lines of served and refused requests had a route and a priority, but no tenant, so service by tenant could not be told from logs. Names come from the configuration, so they are bounded.

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -48,6 +48,14 @@
     pub crashes_before_call: u32,
 }
 
+impl Call {
+    /// The name of the tenant whose key the caller sent.
+    pub fn tenant(&self) -> Option<&str> {
+        let tenant = self.admission.tenant.as_ref();
+        tenant.map(|tenant| tenant.name.as_str())
+    }
+}
+
 /// Counts a request as open until its answer has ended.
 pub(super) struct OpenRequest(Rc<Router>);
 
@@ -316,7 +324,7 @@
     router.metrics.count_request("answered", elapsed);
     let limit = router.core.borrow().limit_of(&choice.instance);
     tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display),
-        route = %call.admission.route.name, outcome = "answered", status = response.status().as_u16(),
+        route = %call.admission.route.name, tenant = call.tenant(), outcome = "answered", status = response.status().as_u16(),
         priority = call.admission.priority, instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         limit = limit.map(tracing::field::display),
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -65,7 +65,7 @@
     let own_answer = final_answer(worst_execution, error, now >= call.deadline);
     router.metrics.count_request(own_answer.reason, elapsed);
     tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display), route = %call.admission.route.name,
-        outcome = own_answer.reason, status = own_answer.status.as_u16(), priority = call.admission.priority,
+        tenant = call.tenant(), outcome = own_answer.reason, status = own_answer.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         execution = worst_execution.as_str(), choice = error.map(tracing::field::display),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
