Divide the room of an overloaded pool between tenants by max-min shares

An overloaded pool refused by chance, so callers of tenants that did not change paid for the one that sent several times its usual; nobody knew what a tenant asks of a pool over all routers, and one router sees about one request a second of it.

While a pool is nearly full, routers report cost by tenant (message 28) and the leader tells all the sums of the last second (29). Each router then divides the room that overload control leaves by weighted max-min, weights by tenants' limits. Without recent demands, or where no tenant has a limit, all are refused alike as before. Seen in the refused request's line and in gauges.

In tests: overload_tests passes no tenant to `check` and gained a constructor of `Urgency` for the new tests; refusal_tests names the new field of `Overload`; wire_layout has two more lines. No check was changed.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -22,11 +22,11 @@
 mod routers;
 mod stored;
 mod suspects;
+mod tenant_demand;
 mod weight_load_timing;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use drumshore_consensus::{
     Directory, EntryKind, Envelope, FolderIdentity, LogIndex, Membership, Output, Replica,
@@ -61,6 +61,7 @@
 use routers::{Announcements, Routers};
 use stored::Stores;
 use suspects::Suspects;
+use tenant_demand::TenantDemands;
 
 /// Identifies a caller that waits for a [`Reply`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -148,6 +149,7 @@
     refusing: Refusing,
     suspected_requests: SuspectedRequests,
     tenant_accounts: TenantAccounts,
+    tenant_demands: TenantDemands,
     /// Proposed if the replicated state has no key for request fingerprints.
     generated_fingerprint_key: FingerprintKey,
     fingerprint_key_proposed_at: Option<Timestamp>,
@@ -207,6 +209,7 @@
             refusing: Refusing::default(),
             suspected_requests: SuspectedRequests::default(),
             tenant_accounts: TenantAccounts::default(),
+            tenant_demands: TenantDemands::default(),
             generated_fingerprint_key: FingerprintKey::generate(seed),
             fingerprint_key_proposed_at: None,
             target_weights_set_at: BTreeMap::new(),
@@ -290,6 +293,7 @@
             self.broadcast_store_changes();
             self.broadcast_holders();
             self.send_account_levels();
+            self.broadcast_tenant_demands();
             self.renotify_of_suspects();
         }
     }
@@ -429,19 +433,6 @@
         }
     }
 
-    fn weights_age(&self, revision: u64) -> Duration {
-        let set_at = self
-            .target_weights_set_at
-            .get(&revision)
-            .copied()
-            .unwrap_or_default();
-        self.now.since(set_at)
-    }
-
-    fn weights_age_ms(&self, revision: u64) -> u32 {
-        u32::try_from(self.weights_age(revision).as_millis()).unwrap_or(u32::MAX)
-    }
-
     /// Writes a snapshot when it is due. A snapshot writes the whole state, and a replica that
     /// lacks an earlier entry of the log is sent all of it. Therefore the log first grows to the
     /// size of the state: snapshots then never write more than the log does, and a replica that
@@ -472,6 +463,7 @@
                 self.load_broadcast = LoadBroadcast::default();
                 self.suspects = Suspects::default();
                 self.tenant_accounts.forget();
+                self.tenant_demands = TenantDemands::default();
             }
         } else {
             self.leader_since = None;
--- a/crates/gateway-core/src/control/news.rs
+++ b/crates/gateway-core/src/control/news.rs
@@ -7,7 +7,8 @@
 //!
 //! Only updates that tolerate loss are sent this way, because a machine may fail before it forwards
 //! them: full lists of loads are repeated every 0.8 s, unresponsive back ends every second and
-//! refusing ones every 0.2 s, and a lost update on caches costs one prefill of the prompt.
+//! refusing ones every 0.2 s, tenants' demand every 0.5 s while it matters, and a lost update on
+//! caches costs one prefill of the prompt.
 
 use drumshore_consensus::{Directory, Role};
 use drumshore_wire::Blob;
@@ -61,5 +62,6 @@
             | Message::Holders(_)
             | Message::UnresponsiveBackEnds(_)
             | Message::RefusingBackEnds(_)
+            | Message::TenantDemands { .. }
     )
 }
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -119,6 +119,7 @@
             Message::Holders(entries) => self.on_holders(&entries.items),
             Message::FingerprintReports(reports) => self.on_fingerprint_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
+            Message::DemandReport(entries) => self.on_demand_report(&entries.items),
             Message::Follow(following) => self.on_follow(connection, following),
             Message::Fetch {
                 since,
--- a/crates/gateway-core/src/control/weight_load_timing.rs
+++ b/crates/gateway-core/src/control/weight_load_timing.rs
@@ -64,4 +64,18 @@
         }
         pending > usable * BUSY_TOKENS
     }
+
+    /// Time since a target version of weights was set.
+    pub(super) fn weights_age(&self, revision: u64) -> Duration {
+        let set_at = self
+            .target_weights_set_at
+            .get(&revision)
+            .copied()
+            .unwrap_or_default();
+        self.now.since(set_at)
+    }
+
+    pub(super) fn weights_age_ms(&self, revision: u64) -> u32 {
+        u32::try_from(self.weights_age(revision).as_millis()).unwrap_or(u32::MAX)
+    }
 }
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -40,15 +40,16 @@
 pub use fingerprint::{FingerprintInput, FingerprintKey, FingerprintPrefix, RequestFingerprint};
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
 pub use message::{
-    AccountLevel, Announcement, BackEndKey, Changes, FingerprintEvent, FingerprintReport,
-    FingerprintSuspicion, Following, HolderEntry, LoadEntry, Message, Quarantine, RouterStatus,
-    StoreId, StoredKey, TenantKey, UsageEntry, WeightsNotice,
+    AccountLevel, Announcement, BackEndKey, Changes, DemandEntry, FingerprintEvent,
+    FingerprintReport, FingerprintSuspicion, Following, HolderEntry, LoadEntry, Message, PoolKey,
+    Quarantine, RouterStatus, StoreId, StoredKey, TenantDemand, TenantKey, UsageEntry,
+    WeightsNotice,
 };
 pub use notice::{BackEndNotice, RequestRate};
 pub use router::{
     Admission, Backoff, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts, LimitChange,
     NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal, ReportedLoads,
-    RequestHead, RouterCore, RouterParams, RunCopy, ViewError,
+    RequestHead, RouterCore, RouterParams, RunCopy, TenantShare, ViewError,
 };
 pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, Position, ReplicatedState, TargetWeights};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -7,7 +7,11 @@
 use drumshore_consensus::ReplicaId;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{FingerprintKey, InstanceRecord, RequestFingerprint, TenantName};
+use crate::{FingerprintKey, InstanceRecord, RequestFingerprint};
+
+mod tenants;
+
+pub use tenants::{AccountLevel, DemandEntry, PoolKey, TenantDemand, TenantKey, UsageEntry};
 
 /// A router's status, which it reports to control machines.
 #[binrw]
@@ -238,76 +242,6 @@
     }
 }
 
-/// A hash that identifies a tenant.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct TenantKey(pub u64);
-
-impl TenantKey {
-    /// The key of a tenant.
-    pub fn of(tenant: &TenantName) -> Self {
-        Self(xxhash_rust::xxh3::xxh3_64(tenant.as_str().as_bytes()))
-    }
-}
-
-/// A tenant's usage that a router admitted since its last report.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct UsageEntry {
-    /// The tenant.
-    pub tenant: TenantKey,
-    /// The amount in units of the tenant's limit; negative if refunds exceeded usage.
-    pub amount: i32,
-    /// The router's estimate of the level after this usage, for a new leader that does not know earlier usage.
-    pub estimated_level: i32,
-}
-
-impl UsageEntry {
-    /// Creates an entry; amounts outside the range of the field are clamped.
-    pub fn new(tenant: TenantKey, amount: i64, estimated_level: f64) -> Self {
-        let narrow = amount.clamp(i64::from(i32::MIN), i64::from(i32::MAX));
-        Self {
-            tenant,
-            amount: narrow as i32,
-            estimated_level: estimated_level as i32,
-        }
-    }
-}
-
-/// The level of a tenant's account at the leader, over all routers together.
-#[binrw]
-#[brw(little)]
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AccountLevel {
-    /// The tenant.
-    pub tenant: TenantKey,
-    /// Units that may be used at once; negative while the account is overdrawn.
-    pub level: i32,
-    /// The receiver's fraction of the recent usage of all routers, scaled to 0 to `u16::MAX`.
-    share: u16,
-}
-
-impl AccountLevel {
-    /// The size of an entry in a message.
-    pub const BYTES: usize = 14;
-
-    /// Creates an entry; `share` is a fraction from 0 to 1.
-    pub fn new(tenant: TenantKey, level: f64, share: f64) -> Self {
-        Self {
-            tenant,
-            level: level as i32,
-            share: (share.clamp(0.0, 1.0) * f64::from(u16::MAX)) as u16,
-        }
-    }
-
-    /// The receiver's fraction of the recent usage of all routers, from 0 to 1.
-    pub fn share(&self) -> f64 {
-        f64::from(self.share) / f64::from(u16::MAX)
-    }
-}
-
 /// A back end that caches a prefix of a prompt.
 #[binrw]
 #[brw(little)]
@@ -456,6 +390,21 @@
     /// From the leader to another control machine: an encoded message to forward to the routers that follow it.
     #[brw(magic(25u8))]
     News(Blob),
+    /// From a router: the cost of what its callers asked of pools that are nearly full, since its last report.
+    #[brw(magic(28u8))]
+    DemandReport(List<DemandEntry>),
+    /// From the leader: the demand of tenants for a pool that is nearly full, over all routers together.
+    #[brw(magic(29u8))]
+    TenantDemands {
+        /// The pool.
+        pool: PoolKey,
+        /// The tenants with the largest demand.
+        tenants: List<TenantDemand>,
+        /// The number of further tenants.
+        other_tenants: u32,
+        /// The demand of the further tenants together, per second.
+        other_cost_per_second: u32,
+    },
 }
 
 impl Message {
@@ -468,7 +417,7 @@
 
     /// Whether the message carries measurements, which only peers with [`crate::RouterWire::WithMeasurements`] decode.
     pub fn is_measurement(&self) -> bool {
-        false
+        matches!(self, Self::DemandReport(_) | Self::TenantDemands { .. })
     }
 
     /// Decodes a payload; `None` if it is not a valid message.
--- a/crates/gateway-core/src/router/accounts.rs
+++ b/crates/gateway-core/src/router/accounts.rs
@@ -5,6 +5,7 @@
 
 use drumshore_core::Timestamp;
 
+use super::RouterCore;
 use crate::limits::{Account, LimitShare, TenantLimit};
 use crate::{AccountLevel, Document, TenantKey, TenantName, UsageEntry};
 
@@ -212,3 +213,15 @@
         self.unreported += amount;
     }
 }
+
+impl RouterCore {
+    /// Takes the charges to tenants' limits that are not reported to the leader yet.
+    pub fn take_usage(&mut self, now: Timestamp) -> Vec<UsageEntry> {
+        self.tenant_accounts.take_usage(now)
+    }
+
+    /// Updates the remaining levels of the tenants' limits, as the leader reports them.
+    pub fn on_account_levels(&mut self, now: Timestamp, levels: &[AccountLevel]) {
+        self.tenant_accounts.on_levels(now, levels);
+    }
+}
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod copies;
 mod endpoint;
 mod endpoints;
+mod fair_share;
 mod holders;
 mod homes;
 mod k_smallest;
@@ -27,6 +28,7 @@
 mod stores;
 mod summary;
 mod suspected_fingerprints;
+mod tenant_demand;
 mod view;
 
 use std::rc::Rc;
@@ -38,9 +40,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{
-    AccountLevel, BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId,
-    InvalidDocument, Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route,
-    StoreId, StoredKey, Tenant, UsageEntry,
+    BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId, InvalidDocument,
+    Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey,
+    Tenant,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -52,6 +54,7 @@
     Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
     RequestHead,
 };
+pub use tenant_demand::TenantShare;
 pub use view::ViewError;
 
 use accounts::TenantAccounts;
@@ -65,6 +68,7 @@
 use split::Splitter;
 use stores::Stores;
 use suspected_fingerprints::SuspectedFingerprints;
+use tenant_demand::TenantDemands;
 use view::View;
 
 /// Zone, leases and retry limits of a router.
@@ -102,6 +106,7 @@
     tenant_accounts: TenantAccounts,
     prompt_mix: PromptMix,
     pool_loads: PoolLoads,
+    tenant_demands: TenantDemands,
     budget: RetryBudget,
     random: ChaCha8Rng,
     /// Seed of the choice among equally loaded back ends; routers with different seeds prefer different ones.
@@ -126,6 +131,7 @@
             tenant_accounts: TenantAccounts::default(),
             prompt_mix: PromptMix::default(),
             pool_loads: PoolLoads::default(),
+            tenant_demands: TenantDemands::default(),
             budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
             preference_seed: xxh3_64(&seed.to_le_bytes()),
@@ -181,6 +187,7 @@
         self.view.apply(now, &changes, parse)?;
         if let Some(document) = self.view.document().filter(|_| has_configuration) {
             self.tenant_accounts.set_limits(now, document);
+            self.tenant_demands.set_tenants(document);
         }
         self.suspected_fingerprints.apply(now, &changes);
         self.update_endpoints(&changes);
@@ -271,16 +278,6 @@
         }
     }
 
-    /// Takes the charges to tenants' limits that are not reported to the leader yet.
-    pub fn take_usage(&mut self, now: Timestamp) -> Vec<UsageEntry> {
-        self.tenant_accounts.take_usage(now)
-    }
-
-    /// Updates the remaining levels of the tenants' limits, as the leader reports them.
-    pub fn on_account_levels(&mut self, now: Timestamp, levels: &[AccountLevel]) {
-        self.tenant_accounts.on_levels(now, levels);
-    }
-
     /// Chooses a back end and counts the request as in flight there until [`RouterCore::finished`].
     ///
     /// An attempt counts as a retry only if an earlier attempt reached a back end: a refused connection puts no load
--- a/crates/gateway-core/src/router/overload.rs
+++ b/crates/gateway-core/src/router/overload.rs
@@ -12,6 +12,7 @@
 use drumshore_core::Timestamp;
 use rand::Rng;
 
+use super::tenant_demand::Contender;
 use super::{Admission, ChoiceError, Overload, Prompt, RouterCore};
 use crate::{InstanceId, Pool, PoolName};
 
@@ -54,13 +55,22 @@
             route_priority: admission.route.priority,
         }
     }
+
+    /// Whether requests of a tenant with this priority can have this urgency. Those of a tenant without one have the
+    /// priority of their route.
+    pub fn is_of_tenant(self, tenant_priority: Option<u8>) -> bool {
+        self.priority == tenant_priority.unwrap_or(self.route_priority)
+    }
 }
 
+/// Mean cost per request, split by the urgency that contributed it.
+pub(super) type CostByUrgency = BTreeMap<Urgency, f64>;
+
 /// Estimates of one router about the load and the service time of one pool.
 #[derive(Debug)]
 struct PoolLoad {
     /// Running mean of the cost per request, split by the urgency that contributed it.
-    mean_cost: BTreeMap<Urgency, f64>,
+    mean_cost: CostByUrgency,
     requests_seen: u32,
     /// Running mean of the time that a request spends at its back end.
     service_time: Duration,
@@ -72,7 +82,7 @@
 impl Default for PoolLoad {
     fn default() -> Self {
         Self {
-            mean_cost: BTreeMap::new(),
+            mean_cost: CostByUrgency::new(),
             requests_seen: 0,
             service_time: INITIAL_SERVICE_TIME,
             integral_term: 0.0,
@@ -106,24 +116,24 @@
             (utilization - REFUSAL_START_UTILIZATION).max(0.0) * PROPORTIONAL_GAIN;
         (proportional_term + self.integral_term).min(MAX_REFUSED_OF_ALL)
     }
+}
 
-    /// The fraction of the requests of one urgency to refuse when the fraction `excess` of the whole load must
-    /// be refused. Less urgent requests are refused first.
-    fn refused_fraction(&self, urgency: Urgency, excess: f64) -> f64 {
-        let own = self.mean_cost.get(&urgency).copied().unwrap_or_default();
-        if own <= 0.0 {
-            return 0.0;
-        }
-        let all: f64 = self.mean_cost.values().sum();
-        let less_urgent = self.mean_cost.iter().filter(|(other, _)| **other > urgency);
-        let less_urgent: f64 = less_urgent.map(|(_, cost)| cost).sum();
-        let remaining = excess * all - less_urgent * MAX_REFUSED_OF_URGENCY;
-        let in_order = (remaining / own).clamp(0.0, MAX_REFUSED_OF_URGENCY);
-        if excess > MAX_REFUSED_OF_URGENCY {
-            excess
-        } else {
-            in_order
-        }
+/// The fraction of the requests of one urgency to refuse when the fraction `excess` of the whole load must be refused.
+/// Less urgent requests are refused first.
+pub(super) fn refused_fraction(costs: &CostByUrgency, urgency: Urgency, excess: f64) -> f64 {
+    let own = costs.get(&urgency).copied().unwrap_or_default();
+    if own <= 0.0 {
+        return 0.0;
+    }
+    let all: f64 = costs.values().sum();
+    let less_urgent = costs.iter().filter(|(other, _)| **other > urgency);
+    let less_urgent: f64 = less_urgent.map(|(_, cost)| cost).sum();
+    let remaining = excess * all - less_urgent * MAX_REFUSED_OF_URGENCY;
+    let in_order = (remaining / own).clamp(0.0, MAX_REFUSED_OF_URGENCY);
+    if excess > MAX_REFUSED_OF_URGENCY {
+        excess
+    } else {
+        in_order
     }
 }
 
@@ -132,12 +142,14 @@
 pub(super) struct PoolLoads(HashMap<PoolName, PoolLoad>);
 
 impl PoolLoads {
-    /// Records the cost of a prompt that a caller has sent.
-    pub fn on_prompt(&mut self, pool: &Pool, urgency: Urgency, prompt: &Prompt) {
+    /// Records the cost of a prompt that a caller has sent, and returns it.
+    pub fn on_prompt(&mut self, pool: &Pool, urgency: Urgency, prompt: &Prompt) -> f64 {
         let slots = pool.models.as_ref().map_or(1, |models| models.slots);
         let own = prompt.tokens() - prompt.shared_tokens();
         let load = self.0.entry(pool.name.clone()).or_default();
-        load.record_cost(urgency, prompt.cost(own, slots));
+        let cost = prompt.cost(own, slots);
+        load.record_cost(urgency, cost);
+        cost
     }
 
     /// Updates the mean service time with that of a request that was answered.
@@ -149,20 +161,26 @@
         load.service_time = load.service_time.mul_f64(1.0 - weight) + service_time.mul_f64(weight);
     }
 
-    /// Decides whether one request is refused. `sample` is a random sample, uniform in [0, 1).
+    /// Decides whether one request is refused. `contender` is its tenant, if it has one; `sample` is a random sample,
+    /// uniform in [0, 1).
     pub fn check(
         &mut self,
         now: Timestamp,
         pool: &PoolName,
         urgency: Urgency,
         utilization: f64,
+        contender: Option<Contender<'_>>,
         sample: f64,
     ) -> Result<(), ChoiceError> {
         let Some(load) = self.0.get_mut(pool) else {
             return Ok(());
         };
         let excess = load.update_excess(now, utilization);
-        let refused = load.refused_fraction(urgency, excess);
+        let costs = &load.mean_cost;
+        let (refused, tenant_share) = match contender {
+            Some(contender) => contender.refused_fraction(now, pool, costs, urgency, excess),
+            None => (refused_fraction(costs, urgency, excess), None),
+        };
         if sample >= refused {
             return Ok(());
         }
@@ -172,6 +190,7 @@
             retry_after: load.service_time.mul_f64(spread),
             utilization_percent: percent(utilization),
             refused_percent: percent(refused),
+            tenant_share,
         }))
     }
 }
@@ -192,8 +211,13 @@
         let sample = self.random.random();
         let loads = &mut self.pool_loads;
         let urgency = Urgency::of(admission);
-        loads.on_prompt(pool, urgency, prompt);
-        loads.check(now, &pool.name, urgency, utilization, sample)
+        let cost = loads.on_prompt(pool, urgency, prompt);
+        let contender = admission.tenant.as_deref().map(|tenant| {
+            self.tenant_demands
+                .on_prompt(pool, tenant, utilization, cost);
+            Contender::new(&mut self.tenant_demands, tenant)
+        });
+        loads.check(now, &pool.name, urgency, utilization, contender, sample)
     }
 
     /// Records the service time of an answered request for the pool of its back end.
--- a/crates/gateway-core/src/router/overload_tests.rs
+++ b/crates/gateway-core/src/router/overload_tests.rs
@@ -16,6 +16,15 @@
     route_priority: 1,
 };
 
+impl Urgency {
+    pub fn for_test(priority: u8, route_priority: u8) -> Self {
+        Self {
+            priority,
+            route_priority,
+        }
+    }
+}
+
 fn pool() -> Pool {
     Pool {
         name: PoolName::new("models"),
@@ -59,6 +68,7 @@
         &pool().name,
         urgency,
         utilization,
+        None,
         sample,
     ) {
         Err(ChoiceError::Overloaded(overload)) => Some(overload),
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{Charge, OverLimit};
+use super::{Charge, OverLimit, TenantShare};
 use crate::{InstanceId, ModelName, PoolName, RequestFingerprint, Route, Tenant};
 
 /// A part of a prompt, which other requests may have in common.
@@ -47,7 +47,7 @@
 }
 
 /// Why no back end was chosen for an attempt. No back end has run this attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
 pub enum ChoiceError {
     /// No back end of the pool is ready to take requests.
     #[error("no back end takes requests")]
@@ -86,15 +86,18 @@
 }
 
 /// Why a request is refused while its pool is overloaded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("pool overloaded: {utilization_percent} % of its slots in use, {refused_percent} % of requests refused")]
+#[derive(Clone, Copy, Debug, PartialEq, thiserror::Error)]
+#[error("pool overloaded: {utilization_percent} % of its slots in use, {refused_percent} % of requests refused, {}",
+    .tenant_share.map_or_else(|| "all tenants alike".to_owned(), |share| share.to_string()))]
 pub struct Overload {
     /// Time after which the client should retry.
     pub retry_after: Duration,
     /// Requests at the pool's back ends, as a percentage of its slots; above 100 while requests wait for slots.
     pub utilization_percent: u32,
-    /// Percentage of requests of this urgency that are refused.
+    /// Percentage of the tenant's requests of this urgency that are refused.
     pub refused_percent: u32,
+    /// The tenant's share of the pool; `None` without a tenant, or while the demand of tenants is not known.
+    pub tenant_share: Option<TenantShare>,
 }
 
 /// The earlier attempts of a request, which limit the choice of the next back end.
--- a/crates/gateway-core/tests/wire_layout.rs
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -9,11 +9,11 @@
 
 use drumshore_consensus::ReplicaId;
 use drumshore_gateway_core::{
-    AccountLevel, Announcement, BackEndKey, Changes, Command, FingerprintEvent, FingerprintInput,
-    FingerprintKey, FingerprintReport, FingerprintSuspicion, Following, HolderEntry,
-    InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, Proposal, ProposalId,
-    Quarantine, ReplicatedState, RequestFingerprint, RouterStatus, StoreId, StoredKey, TenantKey,
-    TenantName, UsageEntry, WeightsNotice,
+    AccountLevel, Announcement, BackEndKey, Changes, Command, DemandEntry, FingerprintEvent,
+    FingerprintInput, FingerprintKey, FingerprintReport, FingerprintSuspicion, Following,
+    HolderEntry, InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, PoolKey,
+    PoolName, Proposal, ProposalId, Quarantine, ReplicatedState, RequestFingerprint, RouterStatus,
+    StoreId, StoredKey, TenantDemand, TenantKey, TenantName, UsageEntry, WeightsNotice,
 };
 use drumshore_wire::{Blob, List, Text};
 
@@ -187,6 +187,26 @@
         ("control_zone", Message::ControlZone(Text::new("zone"))),
         ("follow", Message::Follow(Following::ChangesAndNews)),
         ("news", Message::News(Blob::new(vec![24]))),
+        (
+            "demand_report",
+            Message::DemandReport(List::new(vec![DemandEntry {
+                pool: PoolKey::of(&PoolName::new("pool")),
+                tenant: tenant(),
+                cost: 27,
+            }])),
+        ),
+        (
+            "tenant_demands",
+            Message::TenantDemands {
+                pool: PoolKey::of(&PoolName::new("pool")),
+                tenants: List::new(vec![TenantDemand {
+                    tenant: tenant(),
+                    cost_per_second: 28,
+                }]),
+                other_tenants: 29,
+                other_cost_per_second: 30,
+            },
+        ),
     ]
 }
 
--- a/crates/gateway/src/control/traffic_log.rs
+++ b/crates/gateway/src/control/traffic_log.rs
@@ -1,4 +1,4 @@
-//! Periodic log lines with the traffic and the scheduling delay of a control machine.
+//! Periodic log lines with the traffic and the scheduling delay of a control machine, and its periodic gauges.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,13 +11,14 @@
 const TRAFFIC_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Logs the bytes sent to other processes once per interval, and the delay of the line itself: an overloaded control
-/// machine shows in this delay first.
+/// machine shows in this delay first. Sets the gauges of tenants' demand as often.
 pub(super) async fn log_periodically(control: Rc<Control>) {
     let mut last_logged = Instant::now();
     loop {
         tokio::time::sleep(TRAFFIC_INTERVAL).await;
         let delay = last_logged.elapsed().saturating_sub(TRAFFIC_INTERVAL);
         last_logged = Instant::now();
+        control.record_demands();
         let recent = control.traffic.take_recent();
         let core = control.core.borrow();
         let Some(core) = core.as_ref() else {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -16,6 +16,10 @@
 
 use crate::answer::{self, AnswerBody};
 
+mod tenant_demands;
+
+pub(crate) use tenant_demands::{TenantDemandGauges, MAX_DEMAND_LABELS};
+
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -96,6 +100,8 @@
     pub revision: Gauge,
     /// Milliseconds since the view was last confirmed to be current.
     pub view_age_ms: Gauge,
+    /// Tenants' demand for pools that are nearly full, and their shares.
+    pub tenant_demands: TenantDemandGauges,
 }
 
 impl Metrics {
@@ -113,6 +119,7 @@
         let decisions = Family::default();
         let revision = Gauge::default();
         let view_age_ms = Gauge::default();
+        let tenant_demands = TenantDemandGauges::default();
         let mut registry = Registry::with_prefix("drumshore_gateway");
         registry.register("requests", "Requests by answer", Clone::clone(&requests));
         registry.register("attempts", "Attempts by end", Clone::clone(&attempts));
@@ -155,6 +162,7 @@
         registry.register("decisions", "Control decisions", Clone::clone(&decisions));
         registry.register("revision", "Revision held", revision.clone());
         registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
+        tenant_demands.register(&mut registry);
         Rc::new(Self {
             registry,
             requests,
@@ -171,6 +179,7 @@
             decisions,
             revision,
             view_age_ms,
+            tenant_demands,
         })
     }
 
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -8,16 +8,15 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Changes, FingerprintSuspicion, LinkAction, Message, Progress, ReportedLoads, RouterWire,
-    ViewLinks,
+    Changes, LinkAction, Message, Progress, ReportedLoads, RouterWire, ViewLinks,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::reports;
 use super::Router;
+use super::{crash_detection, demand_metrics, reports};
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
 
@@ -320,7 +319,7 @@
             );
         }
         Message::FingerprintSuspicions(suspicions) => {
-            on_fingerprint_suspicions(router, address, &suspicions.items);
+            crash_detection::on_suspicions(router, address, &suspicions.items);
         }
         Message::PermitTrial(fingerprint) => {
             let now = router.clock.now();
@@ -340,6 +339,22 @@
             let mut core = router.core.borrow_mut();
             core.on_account_levels(now, &levels.items);
         }
+        Message::TenantDemands {
+            pool,
+            tenants,
+            other_tenants,
+            other_cost_per_second,
+        } => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_tenant_demands(
+                now,
+                pool,
+                &tenants.items,
+                other_tenants,
+                other_cost_per_second,
+            );
+            demand_metrics::on_demands(router);
+        }
         Message::LoadsOfAll { whole, loads } => {
             links.loads_received_at.set(router.clock.now());
             let now = router.clock.now();
@@ -357,27 +372,6 @@
     }
 }
 
-fn on_fingerprint_suspicions(
-    router: &Router,
-    address: Ipv4Addr,
-    suspicions: &[FingerprintSuspicion],
-) {
-    let now = router.clock.now();
-    router
-        .core
-        .borrow_mut()
-        .on_fingerprint_suspicions(now, suspicions);
-    router.crash_reports_changed.notify_waiters();
-    for FingerprintSuspicion {
-        fingerprint,
-        crashes,
-    } in suspicions
-    {
-        tracing::info!(event = "work_suspected", work = %fingerprint, ends = crashes, by = %address,
-            "router: a control machine reported a suspected request fingerprint");
-    }
-}
-
 /// Handles the revision that a control machine reported.
 fn on_revision(router: &Router, links: &Links, from: Ipv4Addr, revision: u64) {
     let now = router.clock.now();
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -8,12 +8,12 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{InstanceId, RequestFingerprint};
+use drumshore_gateway_core::{FingerprintSuspicion, InstanceId, RequestFingerprint};
 
 use super::Router;
 use crate::sockets;
@@ -138,3 +138,25 @@
     router.upstreams.close_idle(instance);
     router.crash_reports_changed.notify_waiters();
 }
+
+/// Records fingerprints that a control machine reported as suspected, and logs them.
+pub(super) fn on_suspicions(
+    router: &Router,
+    address: Ipv4Addr,
+    suspicions: &[FingerprintSuspicion],
+) {
+    let now = router.clock.now();
+    router
+        .core
+        .borrow_mut()
+        .on_fingerprint_suspicions(now, suspicions);
+    router.crash_reports_changed.notify_waiters();
+    for FingerprintSuspicion {
+        fingerprint,
+        crashes,
+    } in suspicions
+    {
+        tracing::info!(event = "work_suspected", work = %fingerprint, ends = crashes, by = %address,
+            "router: a control machine reported a suspected request fingerprint");
+    }
+}
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod control_links;
 mod crash_detection;
+mod demand_metrics;
 mod events;
 mod first_view;
 mod forward;
--- a/crates/gateway/src/router/refusal_tests.rs
+++ b/crates/gateway/src/router/refusal_tests.rs
@@ -13,6 +13,7 @@
     retry_after: Duration::from_millis(1_300),
     utilization_percent: 110,
     refused_percent: 30,
+    tenant_share: None,
 }));
 
 /// Only a request that certainly has not run is answered with 503, and every such answer says when to retry, also when
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_gateway_core::{Message, RouterStatus};
+use drumshore_gateway_core::{Message, RouterStatus, RouterWire};
 use drumshore_wire::{List, Text};
 use tokio::time::sleep;
 
@@ -76,6 +76,9 @@
         if !usage.is_empty() && !sender.send(&Message::Usage(List::new(usage))) {
             return "closed";
         }
+        if !send_demand_report(router, sender) {
+            return "closed";
+        }
         let loads = router.core.borrow().own_loads();
         let refresh_due = now.since(sent_at) >= LOADS_REFRESH_INTERVAL && !loads.is_empty();
         if loads == links.reported_loads.borrow().last() && !refresh_due {
@@ -89,6 +92,18 @@
     }
 }
 
+/// Reports tenants' demand for pools that are nearly full, to a leader that reads such reports; false when the link has
+/// ended.
+fn send_demand_report(router: &Router, sender: &Sender) -> bool {
+    let mut core = router.core.borrow_mut();
+    if sender.wire() != RouterWire::WithMeasurements {
+        core.discard_demand_report();
+        return true;
+    }
+    let report = core.take_demand_report(router.clock.now());
+    report.is_empty() || sender.send(&Message::DemandReport(List::new(report)))
+}
+
 /// Sends reports of crashes, by request fingerprint, to a control machine, also to one that connects later. All control
 /// machines receive them, because the next router may get its updates from any of them.
 pub(super) async fn send_crash_reports(router: &Rc<Router>, sender: &Sender) -> &'static str {
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -102,6 +102,8 @@
         Message::ControlZone(_) => "control_zone",
         Message::Follow(_) => "follow",
         Message::News(_) => "news",
+        Message::DemandReport(_) => "demand_report",
+        Message::TenantDemands { .. } => "tenant_demands",
     }
 }
 
