--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -22,10 +22,10 @@
 mod routers;
 mod stored;
 mod suspects;
+mod tenant_demand;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use drumshore_consensus::{
     Directory, EntryKind, Envelope, FolderIdentity, LogIndex, Membership, Output, Replica,
@@ -62,6 +62,7 @@
 use routers::{Announcements, Routers};
 use stored::Stores;
 use suspects::Suspects;
+use tenant_demand::TenantDemands;
 
 /// Identifies a caller that waits for a [`Reply`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -162,6 +163,7 @@
     refusing: Refusing,
     suspected_requests: SuspectedRequests,
     tenant_accounts: TenantAccounts,
+    tenant_demands: TenantDemands,
     /// Proposed if the replicated state has no key for request fingerprints.
     generated_fingerprint_key: FingerprintKey,
     fingerprint_key_proposed_at: Option<Timestamp>,
@@ -223,6 +225,7 @@
             refusing: Refusing::default(),
             suspected_requests: SuspectedRequests::default(),
             tenant_accounts: TenantAccounts::default(),
+            tenant_demands: TenantDemands::default(),
             generated_fingerprint_key: FingerprintKey::generate(seed),
             fingerprint_key_proposed_at: None,
             target_weights_set_at: BTreeMap::new(),
@@ -307,6 +310,7 @@
             self.broadcast_store_changes();
             self.broadcast_holders();
             self.send_account_levels();
+            self.broadcast_tenant_demands();
             self.renotify_of_suspects();
         }
     }
@@ -446,19 +450,6 @@
         }
     }
 
-    fn weights_age(&self, revision: u64) -> Duration {
-        let set_at = self
-            .target_weights_set_at
-            .get(&revision)
-            .copied()
-            .unwrap_or_default();
-        self.now.since(set_at)
-    }
-
-    fn weights_age_ms(&self, revision: u64) -> u32 {
-        u32::try_from(self.weights_age(revision).as_millis()).unwrap_or(u32::MAX)
-    }
-
     /// Writes a snapshot when it is due. A snapshot writes the whole state, and a replica that
     /// lacks an earlier entry of the log is sent all of it. Therefore the log first grows to the
     /// size of the state: snapshots then never write more than the log does, and a replica that
@@ -490,6 +481,7 @@
                 self.speed_broadcast = SpeedBroadcast::default();
                 self.suspects = Suspects::default();
                 self.tenant_accounts.forget();
+                self.tenant_demands = TenantDemands::default();
             }
         } else {
             self.leader_since = None;
--- a/crates/gateway-core/src/control/rollout/starts.rs
+++ b/crates/gateway-core/src/control/rollout/starts.rs
@@ -43,6 +43,21 @@
 pub(super) struct OrderPlaces(BTreeMap<String, OrderPlace>);
 
 impl<D: Directory> ControlCore<D> {
+    /// Time since a target version of weights was set.
+    fn weights_age(&self, revision: u64) -> Duration {
+        let set_at = self
+            .target_weights_set_at
+            .get(&revision)
+            .copied()
+            .unwrap_or_default();
+        self.now.since(set_at)
+    }
+
+    /// The same in milliseconds, as sent to routers.
+    pub(in crate::control) fn weights_age_ms(&self, revision: u64) -> u32 {
+        u32::try_from(self.weights_age(revision).as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// Takes outdated back ends out of service as far as their pools have places free.
     pub(super) fn start_weight_loads(&mut self, loads: &[WeightLoad]) {
         let totals = self.routers.total_loads();
--- a/crates/gateway-core/tests/wire_layout.rs
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -13,11 +13,11 @@
     CurveEntry, PrefillCurve, SpeedEntry, SpeedNews, SpeedSample,
 };
 use drumshore_gateway_core::{
-    AccountLevel, Announcement, BackEndKey, Changes, Command, FingerprintEvent, FingerprintInput,
-    FingerprintKey, FingerprintReport, FingerprintSuspicion, Following, HolderEntry,
-    InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, PoolName, Proposal,
-    ProposalId, Quarantine, ReplicatedState, RequestFingerprint, RouterStatus, StoreId, StoredKey,
-    TenantKey, TenantName, UsageEntry, WeightsNotice,
+    AccountLevel, Announcement, BackEndKey, Changes, Command, DemandEntry, FingerprintEvent,
+    FingerprintInput, FingerprintKey, FingerprintReport, FingerprintSuspicion, Following,
+    HolderEntry, InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, PoolKey,
+    PoolName, Proposal, ProposalId, Quarantine, ReplicatedState, RequestFingerprint, RouterStatus,
+    StoreId, StoredKey, TenantDemand, TenantKey, TenantName, UsageEntry, WeightsNotice,
 };
 use drumshore_wire::{Blob, List, Text};
 
@@ -216,6 +216,26 @@
         ("news", Message::News(Blob::new(vec![24]))),
         ("speed_samples", Message::SpeedSamples(speed_samples())),
         ("back_end_speeds", Message::BackEndSpeeds(speed_news())),
+        (
+            "demand_report",
+            Message::DemandReport(List::new(vec![DemandEntry {
+                pool: PoolKey::of(&PoolName::new("pool")),
+                tenant: tenant(),
+                cost: 27,
+            }])),
+        ),
+        (
+            "tenant_demands",
+            Message::TenantDemands {
+                pool: PoolKey::of(&PoolName::new("pool")),
+                tenants: List::new(vec![TenantDemand {
+                    tenant: tenant(),
+                    cost_per_second: 28,
+                }]),
+                other_tenants: 29,
+                other_cost_per_second: 30,
+            },
+        ),
     ]
 }
 
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -104,6 +104,8 @@
         Message::News(_) => "news",
         Message::SpeedSamples(_) => "speed_samples",
         Message::BackEndSpeeds(_) => "back_end_speeds",
+        Message::DemandReport(_) => "demand_report",
+        Message::TenantDemands { .. } => "tenant_demands",
     }
 }
 
