--- a/crates/gateway-core/src/router/placement_cost.rs
+++ b/crates/gateway-core/src/router/placement_cost.rs
@@ -19,9 +19,9 @@
 /// Cost of a second copy of parts that can be fetched, as a fraction of the cost of their prefill: the copy displaces
 /// other prompts, some of which have to be prefilled again.
 const SECOND_COPY_FACTOR: f64 = 0.35;
-/// Cost of prefilling, away from the home, parts that no cache holds, as a fraction of the cost of their prefill: the
-/// home is asked for them next, and has to fetch or prefill them too.
-const SECOND_PREFILL_FACTOR: f64 = 1.0;
+/// Cost of prefilling, away from the home, parts that no cache holds, as a multiple of the cost of their prefill: another
+/// router that needs them, too, has them prefilled at the home, and the pool has that much less time for others.
+const SECOND_PREFILL_FACTOR: f64 = 2.0;
 /// Cost of placing a prompt outside its partition, as a fraction of the prefill of a long prompt: long prompts delay
 /// the short ones there, and short ones wait behind the long ones that follow them.
 const OTHER_PARTITION_FACTOR: f64 = 0.3;
--- a/crates/gateway-core/src/router/prompt_placement.rs
+++ b/crates/gateway-core/src/router/prompt_placement.rs
@@ -24,8 +24,11 @@
 /// Back ends of their partition among which one router chooses for long prompts besides. Each router has a subset of
 /// its own, so that most prompts on a back end are from few routers, which know of their own ones at once.
 const SUBSET_FOR_LONG_PROMPTS: usize = 4;
-/// Cost of the next back end in the order of the subset: the first one is in the subsets of fewer routers that use it.
+/// Cost of the next back end in the order of the subset, so that routers keep to the first ones of their own.
 const SUBSET_ORDER_COST_MS: f64 = 10.0;
+/// Cost of a sampled back end that is neither in the subset nor holds any part: it may have got prompts of other
+/// routers that are not reported yet, and a smaller difference of loads says nothing.
+const SAMPLED_COST_MS: f64 = 20.0;
 
 /// A back end that a prompt may be placed on.
 struct Target<'a> {
@@ -211,8 +214,7 @@
     let others = others
         .into_iter()
         .chain(sampled(SAMPLED_PER_PARTITION, &|target| !own(target)));
-    let last = SUBSET_ORDER_COST_MS * subset_size as f64;
-    let others = others.map(|target| (target, last));
+    let others = others.map(|target| (target, SAMPLED_COST_MS));
     let known = targets.iter().filter(is_known).map(|target| (target, 0.0));
     known.chain(ordered).chain(others).collect()
 }
