Keep a prompt at its home while it is in time there

Change: the price of a copy is 1.9 of its prefill for a prompt that is in time at its home, and falls to 0.35 as the risk to be late there rises to 1.

--- a/crates/gateway-core/src/router/placement_cost.rs
+++ b/crates/gateway-core/src/router/placement_cost.rs
@@ -16,9 +16,11 @@
 const SAFE_FRACTION_OF_TARGET: f64 = 0.7;
 /// The response is almost certainly late if it is expected after this multiple of the target.
 const LATE_MULTIPLE_OF_TARGET: f64 = 1.2;
-/// Cost of a second copy of parts that can be fetched, as a fraction of the cost of their prefill: the copy displaces
-/// other prompts, some of which have to be prefilled again.
+/// Cost of a second copy of parts that can be fetched, as a multiple of the cost of their prefill, for a prompt that is
+/// late at its home: the copy displaces other prompts, some of which have to be prefilled again.
 const SECOND_COPY_FACTOR: f64 = 0.35;
+/// The same for a prompt that is in time at its home. It gains nothing elsewhere.
+const NEEDLESS_COPY_FACTOR: f64 = 1.9;
 /// Cost of prefilling, away from the home, parts that no cache holds, as a multiple of the cost of their prefill: another
 /// router that needs them, too, has them prefilled at the home, and the pool has that much less time for others.
 const SECOND_PREFILL_FACTOR: f64 = 2.0;
@@ -53,6 +55,8 @@
     pub slot_time: Duration,
     /// Mean prefill of the pool's long prompts, in tokens.
     pub long_prefill_tokens: f64,
+    /// The probability that the prompt is late at its home; 1 if it has none.
+    pub risk_at_home: f64,
 }
 
 /// What one back end has to do for a prompt.
@@ -117,6 +121,11 @@
         }
     }
 
+    /// The probability that the response is late.
+    pub fn risk_at(&self, site: &Site<'_>) -> f64 {
+        self.risk(self.begins_in_ms(site, self.queue_ms(site.endpoint)))
+    }
+
     /// The cost of a placement, in milliseconds. A prompt that is in time anyway gains nothing from a back end that is
     /// faster than the mean, and so leaves it to prompts that need it.
     pub fn cost_ms(&self, site: &Site<'_>) -> f64 {
@@ -151,8 +160,10 @@
         if site.is_home {
             return 0.0;
         }
+        let needless = NEEDLESS_COPY_FACTOR * (1.0 - self.risk_at_home);
+        let copy_factor = needless + SECOND_COPY_FACTOR * self.risk_at_home;
         let prefill_ms = |tokens| self.curve.occupancy(0, tokens).as_secs_f64() * 1e3;
-        let copied = prefill_ms(site.work.to_fetch) * SECOND_COPY_FACTOR;
+        let copied = prefill_ms(site.work.to_fetch) * copy_factor;
         copied + prefill_ms(site.work.missing) * SECOND_PREFILL_FACTOR
     }
 
--- a/crates/gateway-core/src/router/placement_cost_tests.rs
+++ b/crates/gateway-core/src/router/placement_cost_tests.rs
@@ -39,6 +39,7 @@
         target: Duration::from_millis(800),
         slot_time: Duration::from_millis(100),
         long_prefill_tokens: 10_000.0,
+        risk_at_home: 1.0,
     }
 }
 
--- a/crates/gateway-core/src/router/prompt_placement.rs
+++ b/crates/gateway-core/src/router/prompt_placement.rs
@@ -60,7 +60,7 @@
         let pool_partition = self.pool_partition(admission);
         let homes = self.homes(admission, prompt, usable, &pool_partition);
         let homes = homes.as_ref();
-        let profile = self.profile(admission, prompt);
+        let mut profile = self.profile(admission, prompt);
         let cached = self.cached_by_version(now, admission, prompt, usable);
         let targets = usable.iter().enumerate().map(|(position, candidate)| {
             let endpoint = candidate.endpoint;
@@ -82,6 +82,9 @@
             }
         });
         let targets: Vec<Target<'_>> = targets.collect();
+        if let Some(home) = targets.iter().find(|target| target.site.is_home) {
+            profile.risk_at_home = profile.risk_at(&home.site);
+        }
         let best = cheapest(compared(&targets, profile.is_short), |target| {
             profile.cost_ms(&target.site)
         })?;
@@ -112,6 +115,7 @@
             target: admission.route.target,
             slot_time: curve.latency + Duration::from_secs_f64(slot_time_us / 1e6),
             long_prefill_tokens: self.prompt_mix.long_prefill_tokens(),
+            risk_at_home: 1.0,
         }
     }
 
