--- a/crates/gateway-core/src/back_end_speed/quantile.rs
+++ b/crates/gateway-core/src/back_end_speed/quantile.rs
@@ -3,14 +3,14 @@
 /// A request that waited for others, or whose cached tokens were gone, takes longer than expected, and hardly anything
 /// makes one take less. A quantile below the median tells the undisturbed time while up to half of the requests are
 /// disturbed.
-const LOCATION: f64 = 0.35;
+const LOCATION: f64 = 0.3;
 /// The distance to this quantile tells how precise the location is.
-const LOWER: f64 = 0.15;
+const LOWER: f64 = 0.1;
 /// Standard error of the location of one sample, relative to that distance, if the samples are about normally
 /// distributed.
-const ERROR_FACTOR: f64 = 2.0;
+const ERROR_FACTOR: f64 = 1.5;
 /// The location of fewer samples than this is much less precise than its standard error tells.
-const FEW_SAMPLES: f64 = 4.0;
+const FEW_SAMPLES: f64 = 3.0;
 
 /// The location of samples; 0 without any. Changes their order.
 pub(super) fn location(samples: &mut [f64]) -> f64 {
--- a/crates/gateway-core/src/back_end_speed/sample.rs
+++ b/crates/gateway-core/src/back_end_speed/sample.rs
@@ -13,7 +13,7 @@
 pub struct SpeedSample {
     /// The key of the incarnation, see [`crate::LoadEntry::key_of`].
     pub back_end: u32,
-    /// Prefilled tokens, in units of [`SpeedSample::TOKENS`]; 0 for a request without a prompt.
+    /// Prefilled tokens, in units of [`SpeedSample::TOKENS`].
     prefilled: u16,
     /// Tokens before the prefilled ones, in units of [`SpeedSample::CACHED_TOKENS`].
     cached: u16,
@@ -22,7 +22,7 @@
 }
 
 /// Requests are compared by the time that they would take on this curve, so that their lengths hardly matter. The
-/// latency stands for a decoding step and the network; it also is the expected time of a request without a prompt.
+/// latency stands for a decoding step.
 const REFERENCE: PrefillCurve = PrefillCurve {
     latency: Duration::from_millis(5),
     us_per_token: 20.0,
--- a/crates/gateway-core/src/back_end_speed/sampling.rs
+++ b/crates/gateway-core/src/back_end_speed/sampling.rs
@@ -11,7 +11,7 @@
 /// are known in units of [`LoadEntry::TOKENS`], of which one is always allowed.
 const MAX_FRACTION_AHEAD: f64 = 0.1;
 /// A fuller back end makes requests wait for decoding steps or a slot.
-const MAX_UTILIZATION: f64 = 0.7;
+const MAX_UTILIZATION: f64 = 0.85;
 
 /// The load of a back end when a request was sent to it, without this request, as its router knew it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -44,13 +44,14 @@
     }
 }
 
-/// Whether hardly anything but the request's own work delayed it, as far as the router knows.
+/// Whether hardly anything but the prefill of its prompt delayed a request, as far as the router knows. Requests without
+/// a prompt are not compared, because their work is unknown.
 fn is_informative(choice: &Choice) -> bool {
     let ahead = choice.load_ahead;
     let allowed = f64::from(choice.tokens) * MAX_FRACTION_AHEAD;
     let has_slot = f64::from(ahead.in_flight + 1) <= f64::from(ahead.slots) * MAX_UTILIZATION;
     let waits = f64::from(ahead.pending_tokens) > allowed.max(f64::from(LoadEntry::TOKENS));
-    has_slot && !waits
+    choice.tokens > 0 && has_slot && !waits
 }
 
 #[cfg(test)]
--- a/crates/gateway-core/src/back_end_speed/shrinkage.rs
+++ b/crates/gateway-core/src/back_end_speed/shrinkage.rs
@@ -1,7 +1,7 @@
 //! Shrinks uncertain deviations from a mean, so that back ends of equal speed are not told apart by noise.
 
 /// A single deviation counts by itself as far as it exceeds this many standard errors.
-const SIGNIFICANT_ERRORS: f64 = 3.0;
+const SIGNIFICANT_ERRORS: f64 = 4.0;
 
 /// How far the true values of a group differ from each other.
 #[derive(Clone, Copy, Debug)]
--- a/crates/gateway-core/src/control/back_end_speeds.rs
+++ b/crates/gateway-core/src/control/back_end_speeds.rs
@@ -21,8 +21,9 @@
 const MAX_CHANGED: usize = 25;
 const MAX_IN_TURN: usize = 25;
 const MAX_CURVES: usize = 2;
-/// A back end whose time factor differs from 1 by less than this ratio is not listed.
-const LISTED_FROM: f64 = 1.03;
+/// A back end whose time factor differs from 1 by less than this ratio is told as one of mean speed: the networks of
+/// zones and unequal work make equal back ends differ by so much.
+const TOLD_FROM: f64 = 1.1;
 /// A time factor is sent before its turn when it has changed by this ratio.
 const CHANGED_BY: f64 = 1.06;
 /// A change by this ratio is logged.
@@ -111,8 +112,7 @@
         let Some(first) = self.cursor else {
             return;
         };
-        let differs =
-            |estimate: &BackEndEstimate| ratio_between(estimate.time_factor, 1.0) >= LISTED_FROM;
+        let differs = |estimate: &BackEndEstimate| factor_of(Some(estimate)) != 1.0;
         let rest = estimates.range(first..);
         let mut rest = rest.filter(|(_, estimate)| differs(estimate));
         let part: Vec<u32> = rest
@@ -187,8 +187,14 @@
     }
 }
 
+/// The time factor that routers are told.
 fn factor_of(estimate: Option<&BackEndEstimate>) -> f64 {
-    estimate.map_or(1.0, |estimate| estimate.time_factor)
+    let factor = estimate.map_or(1.0, |estimate| estimate.time_factor);
+    if ratio_between(factor, 1.0) < TOLD_FROM {
+        1.0
+    } else {
+        factor
+    }
 }
 
 fn ratio_between(one: f64, other: f64) -> f64 {
--- a/crates/gateway-core/src/control/news.rs
+++ b/crates/gateway-core/src/control/news.rs
@@ -1,5 +1,5 @@
-//! News of the leader, which is its updates on loads, caches, and unresponsive and refusing back
-//! ends. It reaches routers through the control machines that they follow.
+//! News of the leader, which is its updates on loads, caches, speeds, and unresponsive and refusing
+//! back ends. It reaches routers through the control machines that they follow.
 //!
 //! If the leader sent it to each router, it would cross zones once per router and take up most of
 //! the leader's capacity in a large fleet. Instead each other control machine gets it once and
@@ -7,7 +7,8 @@
 //!
 //! Only updates that tolerate loss are sent this way, because a machine may fail before it forwards
 //! them: full lists of loads are repeated every 0.8 s, unresponsive back ends every second and
-//! refusing ones every 0.2 s, and a lost update on caches costs one prefill of the prompt.
+//! refusing ones every 0.2 s, speeds every few seconds, and a lost update on caches costs one
+//! prefill of the prompt.
 
 use drumshore_consensus::{Directory, Role};
 use drumshore_wire::Blob;
--- a/crates/gateway/src/control/peers_tests.rs
+++ b/crates/gateway/src/control/peers_tests.rs
@@ -1,5 +1,7 @@
 //! Tests that a link between control machines is replaced when it stops carrying data without being closed.
 
+use drumshore_gateway_core::back_end_speed::SpeedNews;
+use drumshore_wire::Blob;
 use tokio::io::AsyncReadExt;
 use tokio::task::LocalSet;
 
@@ -72,3 +74,59 @@
         }
     });
 }
+
+/// What a peer received on a link.
+#[derive(Default)]
+struct Received {
+    keep_alives: Cell<usize>,
+    news: Cell<usize>,
+}
+
+/// A peer that responds to keep-alive messages, as a build that decodes measurements does if `decodes` is set.
+async fn accept_news(listener: TcpListener, decodes: bool, received: Rc<Received>) {
+    let (stream, _) = listener.accept().await.unwrap();
+    let (sender, mut receiver) = link::accept(stream, Rc::default()).unwrap();
+    while let Ok(message) = receiver.receive().await {
+        match message {
+            Message::News(_) => received.news.set(received.news.get() + 1),
+            _ => received.keep_alives.set(received.keep_alives.get() + 1),
+        }
+        if decodes {
+            sender.send_marked(&Message::KeepAlive);
+        } else {
+            sender.send(&Message::KeepAlive);
+        }
+    }
+}
+
+/// Whether news with measurements that are queued every 10 ms reach a peer before its third keep-alive message.
+fn measurements_reach(decodes: bool) -> bool {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    LocalSet::new().block_on(&runtime.unwrap(), async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let target = listener.local_addr().unwrap();
+        let received = Rc::new(Received::default());
+        tokio::task::spawn_local(accept_news(listener, decodes, Rc::clone(&received)));
+        let (queue_sender, mut queue) = mpsc::channel(QUEUED_MESSAGES);
+        tokio::task::spawn_local(async move {
+            let (sender, receiver) = Redial::default().dial(target).await.unwrap();
+            run_link(&sender, receiver, &mut queue).await
+        });
+        let speeds = Message::BackEndSpeeds(SpeedNews::default());
+        let news = Message::News(Blob::new(speeds.encode()));
+        while received.news.get() == 0 && received.keep_alives.get() < 3 {
+            let _ = queue_sender.try_send(news.clone());
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+        received.news.get() > 0
+    })
+}
+
+/// An earlier build would refuse such news, and log each.
+#[test]
+fn measurements_are_sent_only_to_a_peer_that_decodes_them() {
+    assert!(measurements_reach(true));
+    assert!(!measurements_reach(false));
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -347,7 +347,8 @@
         limit = limit.map(tracing::field::display),
         version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
         held_here = choice.cache_estimate.here, held_at_source = choice.cache_estimate.at_source,
-        speed = speed.time_factor, speed_age_ms = speed.age_ms,
+        ahead_tokens = choice.load_ahead.pending_tokens, ahead_in_flight = choice.load_ahead.in_flight,
+        cached_tokens = choice.cached_tokens, speed = speed.time_factor, speed_age_ms = speed.age_ms,
         belief_age_ms = choice.cache_estimate.age_ms, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
         "router: a back end answered; forwarding the answer to the caller");
