--- a/crates/gateway-core/src/back_end_speed/sample.rs
+++ b/crates/gateway-core/src/back_end_speed/sample.rs
@@ -13,7 +13,7 @@
 pub struct SpeedSample {
     /// The key of the incarnation, see [`crate::LoadEntry::key_of`].
     pub back_end: u32,
-    /// Prefilled tokens, in units of [`SpeedSample::TOKENS`]; 0 for a request without a prompt.
+    /// Prefilled tokens, in units of [`SpeedSample::TOKENS`].
     prefilled: u16,
     /// Tokens before the prefilled ones, in units of [`SpeedSample::CACHED_TOKENS`].
     cached: u16,
@@ -22,7 +22,7 @@
 }
 
 /// Requests are compared by the time that they would take on this curve, so that their lengths hardly matter. The
-/// latency stands for a decoding step and the network; it also is the expected time of a request without a prompt.
+/// latency stands for a decoding step.
 const REFERENCE: PrefillCurve = PrefillCurve {
     latency: Duration::from_millis(5),
     us_per_token: 20.0,
@@ -30,7 +30,7 @@
 };
 
 /// Part of the time that the speed of the back end does not change: the network and a new connection.
-const NETWORK_US: f64 = 1_500.0;
+pub(super) const NETWORK: Duration = Duration::from_micros(1_500);
 
 impl SpeedSample {
     /// The size of a sample in a message.
@@ -77,7 +77,8 @@
     /// The natural logarithm of the time relative to the reference curve.
     pub(super) fn log_ratio(&self) -> f64 {
         let took = f64::from(self.took) * Self::TIME.as_secs_f64() * 1e6;
-        let at_back_end = (took - NETWORK_US).max(took / 2.0);
+        let network = NETWORK.as_secs_f64() * 1e6;
+        let at_back_end = (took - network).max(took / 2.0);
         (at_back_end / self.reference_us()).ln()
     }
 }
--- a/crates/gateway/src/control/traffic_log.rs
+++ b/crates/gateway/src/control/traffic_log.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::Control;
+use super::{back_end_speeds, Control};
 
 /// Interval between the lines.
 const TRAFFIC_INTERVAL: Duration = Duration::from_secs(1);
@@ -20,6 +20,7 @@
         last_logged = Instant::now();
         control.record_demands();
         let recent = control.traffic.take_recent();
+        back_end_speeds::update_gauges(&control);
         let core = control.core.borrow();
         let Some(core) = core.as_ref() else {
             continue;
