Wait longer in a full pool, and fetch parts from former homes

Cause: with several names in a row the deadline of the oldest counted for all back ends, so a full pool loaded more at once than it needed; and a back end that had just loaded became the home of prompts that another one had prefilled under the same weights, which it read again.

A pool without spare capacity waits as long as a sixth of it at a time meets the deadlines, in place of spreading loads over the time left. For 15 s after a name, a prompt at its home is fetched from the back end that was its home under the same weights before; that follows from the revisions of the loads. The two decisions of routers moved beside the candidates and homes.

--- a/crates/gateway-core/src/control/rollout/starts.rs
+++ b/crates/gateway-core/src/control/rollout/starts.rs
@@ -28,8 +28,8 @@
     zones: BTreeMap<String, ZoneLoads>,
     /// Outdated back ends that may be started now.
     waiting: Vec<LoadCandidate>,
-    unfinished: usize,
-    oldest_age: Duration,
+    /// Back ends whose load is not finished, by the time in which it has to be.
+    unfinished: BTreeMap<Duration, usize>,
 }
 
 /// Loads of one pool whose orders were sent.
@@ -56,6 +56,8 @@
     fn start_loads_of_pool(&mut self, name: &str, pool: PoolLoads, loads: &[WeightLoad]) {
         let situation = self.situation(name, &pool);
         let pace = LoadPace::of(&situation);
+        let unfinished = pool.unfinished.values().sum();
+        let time_left = pool.unfinished.keys().next().copied().unwrap_or_default();
         let free = pace.places.saturating_sub(pool.taken);
         let mut loading = pool.taken;
         for next in next_to_load(pool.waiting, pool.zones, free) {
@@ -74,11 +76,11 @@
                 occupied_percent: percent(next.occupancy),
                 pool_occupied_percent: percent(pool.occupied / pool.back_ends.max(1) as f64),
                 loading,
-                unfinished: pool.unfinished,
+                unfinished,
                 spare: pace.spare,
                 needed: pace.needed,
                 limit: pace.limit,
-                time_left_ms: situation.time_left.as_millis() as u64,
+                time_left_ms: time_left.as_millis() as u64,
             }));
             let step = Step::Announced { at: self.now };
             self.rollouts.steps.insert(load.instance.clone(), step);
@@ -88,12 +90,10 @@
 
     fn situation(&self, name: &str, pool: &PoolLoads) -> PoolSituation {
         let durations = &self.rollouts.durations;
-        let deadline = self.params.load_deadline.saturating_sub(LOAD_SLACK);
         PoolSituation {
             back_ends: pool.back_ends,
             occupied: pool.occupied,
-            unfinished: pool.unfinished,
-            time_left: deadline.saturating_sub(pool.oldest_age),
+            unfinished: pool.unfinished.clone(),
             cycle: durations.expected(name) + self.params.load_order_delay,
             useful: durations.useful(name),
         }
@@ -123,8 +123,8 @@
             let Some(pool) = pools.get_mut(record.pool.as_str()) else {
                 continue;
             };
-            pool.unfinished += 1;
-            pool.oldest_age = pool.oldest_age.max(self.outdated_for(load));
+            let time_left = self.time_left(load);
+            *pool.unfinished.entry(time_left).or_default() += 1;
             let is_started = record.is_loading()
                 || self.rollouts.steps.contains_key(&load.instance)
                 || !self.is_order_lease_free(&load.instance);
@@ -141,12 +141,15 @@
         pools
     }
 
-    /// How long ago the first version newer than the held one was named.
-    fn outdated_for(&self, load: &WeightLoad) -> Duration {
+    /// The time in which a load has to be finished: the deadline counts from when the first version newer than the held
+    /// one was named.
+    fn time_left(&self, load: &WeightLoad) -> Duration {
+        let deadline = self.params.load_deadline.saturating_sub(LOAD_SLACK);
         let mut targets = self.state.weights();
         let newer = targets
             .find(|target| target.model.as_str() == load.model && target.version > load.held);
-        newer.map_or(Duration::ZERO, |target| self.weights_age(target.revision))
+        let age = newer.map(|target| self.weights_age(target.revision));
+        deadline.saturating_sub(age.unwrap_or_default())
     }
 
     /// Whether a back end occupies a place for loads. Routers are notified some time before an order, so the place of a
--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -1,5 +1,7 @@
 //! Selection of the back ends that may receive a request.
 
+mod newest_weights;
+
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::rc::Rc;
--- a/crates/gateway-core/src/router/newer_weights.rs
+++ b/crates/gateway-core/src/router/candidate/newest_weights.rs
@@ -5,10 +5,10 @@
 //! their shared parts, so that all routers lead the same prompts: a shared part is then prefilled once under the new
 //! weights and fetched from there by the next prompts, instead of being kept up under both.
 
-use super::candidate::Candidate;
-use super::homes::home_key;
-use super::{Prompt, RouterCore};
+use super::Candidate;
 use crate::occupancy::occupancy;
+use crate::router::homes::home_key;
+use crate::router::{Prompt, RouterCore};
 use crate::LoadEntry;
 
 /// Occupancy that led prompts may bring back ends with the newest weights to. Above it, prompts wait noticeably for each
@@ -40,7 +40,7 @@
 
 impl RouterCore {
     /// Restricts the back ends that a prompt may be placed on to those with the newest weights, if it is led there.
-    pub(super) fn lead_to_newest_weights<'a>(
+    pub(in crate::router) fn lead_to_newest_weights<'a>(
         &self,
         prompt: Option<&Prompt>,
         usable: Vec<Candidate<'a>>,
@@ -89,5 +89,5 @@
 }
 
 #[cfg(test)]
-#[path = "newer_weights_tests.rs"]
+#[path = "newest_weights_tests.rs"]
 mod tests;
--- a/crates/gateway-core/src/router/homes.rs
+++ b/crates/gateway-core/src/router/homes.rs
@@ -1,5 +1,7 @@
 //! Homes of prompts: the back ends ranked by rendezvous hashing, in the same order on all routers.
 
+mod former;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::candidate::Candidate;
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -14,7 +14,6 @@
 mod holders;
 mod homes;
 mod k_smallest;
-mod newer_weights;
 mod notices;
 mod overload;
 mod placement;
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -47,7 +47,10 @@
             Some(prompt) => self.place_prompt(now, admission, prompt, &usable, sample),
             None => self.place_by_load(&usable, self.preferred_sample(sample)),
         };
-        let placed = placed.ok_or(ChoiceError::NoneLeft)?;
+        let mut placed = placed.ok_or(ChoiceError::NoneLeft)?;
+        if let Some(prompt) = prompt.filter(|_| placed.home.is_none()) {
+            placed.home = self.former_home(now, admission, prompt, &placed, &usable);
+        }
         let copy = self.copy_target(admission, prompt, &placed, &usable, sample);
         let choice = self.choice(now, admission, prompt, placed, &usable);
         Ok(Choice { copy, ..choice })
--- a/crates/gateway-core/src/router/tests/rollout.rs
+++ b/crates/gateway-core/src/router/tests/rollout.rs
@@ -103,3 +103,43 @@
     let choice = router.choose(at(1), &admission, Some(&prompt("s", 10)), after(&tried));
     assert_eq!(choice.unwrap().expected_version, Some(1));
 }
+
+/// The weights were named this long ago; `llm-4` finished its load first, then `llm-5`.
+#[rstest]
+#[case::recently(2_000, true)]
+#[case::long_ago(60_000, false)]
+fn a_new_home_fetches_shared_parts_from_the_one_that_had_the_weights_before(
+    #[case] age_ms: u32,
+    #[case] fetches: bool,
+) {
+    let mut router = router();
+    let loaded = [4, 5].map(|number| {
+        let mut loaded = record(&format!("llm-{number}"), "models", number);
+        loaded.models.items[0].version = 2;
+        loaded.revision = 10 + number;
+        loaded
+    });
+    let mut named = changes(10, 16, loaded.into());
+    named.weights = List::new(vec![WeightsNotice {
+        model: Text::new("model"),
+        version: 2,
+        age_ms,
+    }]);
+    update(&mut router, at(1), named);
+    let admission = admit(&mut router, at(1), "/a/b/x");
+    let mut homes = Vec::new();
+    for prompt in prompts() {
+        let choice = router
+            .choose(at(1), &admission, Some(&prompt), EarlierAttempts::default())
+            .unwrap();
+        router.finished(at(1), &choice.instance, at(1), Outcome::Abandoned);
+        if choice.rank == 0 {
+            let source = choice.fetch_from.as_deref();
+            let is_second = choice.instance.as_str() == "llm-5";
+            let expected = (is_second && fetches).then_some("10.0.0.4:80");
+            assert_eq!(source, expected, "at {}", choice.instance);
+            homes.push(is_second);
+        }
+    }
+    assert!(homes.contains(&true) && homes.contains(&false));
+}
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -120,6 +120,12 @@
             .unwrap_or(0)
     }
 
+    /// The newest version of a model's weights, if it was named less than `age` ago.
+    pub fn named_within(&self, model: &str, now: Timestamp, age: Duration) -> Option<u64> {
+        let newest = self.target_versions.get(model)?.last()?;
+        (now.since(newest.received) + newest.age < age).then_some(newest.version)
+    }
+
     /// A quorum confirmed that nothing newer than `revision` was accepted before `asked_at`.
     pub fn on_confirmed(&mut self, asked_at: Timestamp, revision: u64) {
         if revision <= self.revision {
--- a/crates/gateway-core/tests/control/rollout.rs
+++ b/crates/gateway-core/tests/control/rollout.rs
@@ -245,3 +245,90 @@
         );
     }
 }
+
+/// Lets time pass while these back ends send heartbeats with the versions they hold.
+fn run_with_versions(cluster: &mut Cluster, versions: &[(u8, u64)], duration: Duration) {
+    let step = Duration::from_millis(100);
+    for _ in 0..duration.as_millis() / step.as_millis() {
+        let leader = cluster.leader().unwrap_or(address(1));
+        for (number, version) in versions {
+            cluster.heartbeat(leader, &back_end(*number, *version));
+        }
+        cluster.run(step);
+    }
+}
+
+/// Numbers of the back ends that were sent orders, in order.
+fn ordered(cluster: &Cluster) -> Vec<u8> {
+    let names = cluster.orders.iter().map(|sent| &sent.order.instance);
+    let numbers = names.map(|name| name.as_str().trim_start_matches("i-").parse().unwrap());
+    numbers.collect()
+}
+
+#[test]
+fn the_place_of_a_finished_load_is_taken_by_the_next_back_end() {
+    let mut cluster = rollout(8);
+    let first = ordered(&cluster);
+    assert_eq!(first.len(), 2);
+    let versions: Vec<(u8, u64)> = (1..=8)
+        .map(|number| (number, if number == first[0] { 2 } else { 1 }))
+        .collect();
+    run_with_versions(&mut cluster, &versions, Duration::from_millis(700));
+    assert_eq!(ordered(&cluster).len(), 3, "one place was freed");
+}
+
+#[test]
+fn a_back_end_that_falls_silent_while_loading_does_not_hold_up_the_others() {
+    let mut cluster = rollout(8);
+    let silent = ordered(&cluster);
+    let others: Vec<(u8, u64)> = (1..=8)
+        .filter(|number| !silent.contains(number))
+        .map(|number| (number, 1))
+        .collect();
+    run_with_versions(&mut cluster, &others, 5 * SECOND);
+    let later = &ordered(&cluster)[silent.len()..];
+    assert!(later.iter().any(|number| !silent.contains(number)));
+}
+
+#[test]
+fn a_back_end_that_routers_find_unresponsive_while_it_loads_does_not_hold_up_the_others() {
+    let mut cluster = rollout(8);
+    let leader = cluster.leader().unwrap();
+    cluster.link_router(leader, ConnectionId(1), "10.0.1.1:80");
+    let suspects = ordered(&cluster);
+    let keys = suspects
+        .iter()
+        .map(|number| LoadEntry::key_of(&format!("i-{number}")));
+    let message = Message::UnresponsiveBackEnds(List::new(keys.collect()));
+    let now = cluster.now;
+    cluster
+        .core(leader)
+        .on_router(now, ConnectionId(1), message);
+    let others: Vec<(u8, u64)> = (1..=8)
+        .filter(|number| !suspects.contains(number))
+        .map(|number| (number, 1))
+        .collect();
+    run_with_versions(&mut cluster, &others, SECOND);
+    assert!(ordered(&cluster).len() > suspects.len());
+}
+
+#[test]
+fn orders_after_a_second_name_are_for_the_newest_weights() {
+    let mut cluster = rollout(8);
+    let leader = cluster.leader().unwrap();
+    let before = cluster.orders.len();
+    cluster.set_target_weights(leader, 3);
+    let first = ordered(&cluster);
+    let versions: Vec<(u8, u64)> = (1..=8)
+        .map(|number| (number, if first.contains(&number) { 2 } else { 1 }))
+        .collect();
+    run_with_versions(&mut cluster, &versions, SECOND);
+    let later = &cluster.orders[before..];
+    assert!(!later.is_empty());
+    assert!(later.iter().all(|sent| sent.order.version == 3));
+    let second = &ordered(&cluster)[before..];
+    assert!(
+        second.iter().all(|number| !first.contains(number)),
+        "those with the oldest weights come first"
+    );
+}
