Find the loads of chosen back ends by name

Cause: the start of a batch looked each chosen back end up in the list of all outdated ones, which grows with the square of a pool; and a back end with two outdated models could have been chosen twice in a batch.

--- a/crates/gateway-core/src/control/rollout/starts.rs
+++ b/crates/gateway-core/src/control/rollout/starts.rs
@@ -46,14 +46,24 @@
     /// Takes outdated back ends out of service as far as their pools have places free.
     pub(super) fn start_weight_loads(&mut self, loads: &[WeightLoad]) {
         let totals = self.routers.total_loads();
-        for (pool, loads_of_pool) in self.pool_loads(loads, &totals) {
+        // A back end with several models loads them one after the other.
+        let mut by_instance: BTreeMap<&str, &WeightLoad> = BTreeMap::new();
+        for load in loads {
+            by_instance.entry(load.instance.as_str()).or_insert(load);
+        }
+        for (pool, loads_of_pool) in self.pool_loads(&by_instance, &totals) {
             if !loads_of_pool.waiting.is_empty() {
-                self.start_loads_of_pool(&pool, loads_of_pool, loads);
+                self.start_loads_of_pool(&pool, loads_of_pool, &by_instance);
             }
         }
     }
 
-    fn start_loads_of_pool(&mut self, name: &str, pool: PoolLoads, loads: &[WeightLoad]) {
+    fn start_loads_of_pool(
+        &mut self,
+        name: &str,
+        pool: PoolLoads,
+        loads: &BTreeMap<&str, &WeightLoad>,
+    ) {
         let situation = self.situation(name, &pool);
         let pace = LoadPace::of(&situation);
         let unfinished = pool.unfinished.values().sum();
@@ -61,8 +71,7 @@
         let free = pace.places.saturating_sub(pool.taken);
         let mut loading = pool.taken;
         for next in next_to_load(pool.waiting, pool.zones, free) {
-            let mut loads = loads.iter();
-            let Some(load) = loads.find(|load| load.instance == next.instance) else {
+            let Some(load) = loads.get(next.instance.as_str()) else {
                 continue;
             };
             loading += 1;
@@ -100,7 +109,11 @@
     }
 
     /// The pools with their responsive back ends and pending loads.
-    fn pool_loads(&self, loads: &[WeightLoad], totals: &LoadTotals) -> BTreeMap<String, PoolLoads> {
+    fn pool_loads(
+        &self,
+        loads: &BTreeMap<&str, &WeightLoad>,
+        totals: &LoadTotals,
+    ) -> BTreeMap<String, PoolLoads> {
         let mut pools: BTreeMap<String, PoolLoads> = BTreeMap::new();
         for record in self.state.instances() {
             if !self.is_instance_responsive(record.instance.as_str()) {
@@ -116,7 +129,7 @@
             zone.back_ends += 1;
             zone.loading += usize::from(record.is_loading());
         }
-        for load in loads {
+        for load in loads.values() {
             let Some(record) = self.state.instance(&load.instance) else {
                 continue;
             };
