--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -15,7 +15,6 @@
 mod holders;
 mod homes;
 mod k_smallest;
-mod newer_weights;
 mod notices;
 mod overload;
 mod partition_demand;
