Compare more back ends for long prompts now that their loads are fresh

With long prompts reported at once, a router's own subset of back ends, which kept routers with old loads from choosing the same ones, is not needed: eight sampled back ends for long prompts, four for short ones (six made the division of room among tenants slower, fair_shares' test on shares that are not used). The test of small old loads asks for the same ratio at the new age.

--- a/crates/gateway-core/src/router/placement_cost.rs
+++ b/crates/gateway-core/src/router/placement_cost.rs
@@ -27,9 +27,9 @@
 /// Cost of placing a prompt outside its partition, as a fraction of the prefill of a long prompt: long prompts delay
 /// the short ones there, and short ones wait behind the long ones that follow them.
 const OTHER_PARTITION_FACTOR: f64 = 0.3;
-/// Age of the other routers' loads: a report waits at the router and the leader before it is sent on. Back ends have
+/// Mean age of the other routers' loads: long prompts are reported at once, short ones at an interval. Back ends have
 /// worked on the pending prompts since then, so that those with little to do have done it.
-const REPORT_AGE: Duration = Duration::from_millis(150);
+const REPORT_AGE: Duration = Duration::from_millis(50);
 /// Time to fetch a token, in microseconds, in a pool that does not state the size of a token and its bandwidth.
 const DEFAULT_FETCH_US_PER_TOKEN: f64 = 1.2;
 
--- a/crates/gateway-core/src/router/prompt_placement.rs
+++ b/crates/gateway-core/src/router/prompt_placement.rs
@@ -15,20 +15,14 @@
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
 
-/// Back ends of the prompt's partition that are sampled at random for each request, as alternatives to the home. The
-/// loads of other routers are known with a delay of some hundred milliseconds: if all routers chose the least loaded
-/// back end of the whole pool, all would choose the same one until they received each other's loads.
-const SAMPLED_PER_PARTITION: usize = 2;
-/// Back ends of their partition that are sampled for short prompts.
-const SAMPLED_FOR_SHORT_PROMPTS: usize = 6;
-/// Back ends of their partition among which one router chooses for long prompts besides. Each router has a subset of
-/// its own, so that most prompts on a back end are from few routers, which know of their own ones at once.
-const SUBSET_FOR_LONG_PROMPTS: usize = 4;
-/// Cost of the next back end in the order of the subset, so that routers keep to the first ones of their own.
-const SUBSET_ORDER_COST_MS: f64 = 10.0;
-/// Cost of a sampled back end that is neither in the subset nor holds any part: it may have got prompts of other
-/// routers that are not reported yet, and a smaller difference of loads says nothing.
-const SAMPLED_COST_MS: f64 = 20.0;
+/// Back ends of the prompt's partition that are sampled at random for each request, as alternatives to the home. If all
+/// routers compared the whole pool, all would choose the same back end until they received each other's loads. Long
+/// prompts are reported at once; more short ones begin before the others know of them.
+const SAMPLED_FOR_LONG_PROMPTS: usize = 8;
+/// The same for short prompts.
+const SAMPLED_FOR_SHORT_PROMPTS: usize = 4;
+/// Back ends that are sampled of the other partition.
+const SAMPLED_OF_OTHER_PARTITION: usize = 2;
 
 /// A back end that a prompt may be placed on.
 struct Target<'a> {
@@ -41,8 +35,6 @@
     is_in_time_if_idle: bool,
     /// Differs for each request; orders the back ends for sampling and breaks ties.
     random_key: u64,
-    /// Differs for each router; orders the back ends for its subset.
-    subset_key: u64,
 }
 
 impl RouterCore {
@@ -78,7 +70,6 @@
                 is_holder: cached.is_holder(endpoint.key),
                 is_in_time_if_idle: profile.is_in_time_if_idle(&site),
                 random_key: rendezvous_score(candidate.id, sample),
-                subset_key: rendezvous_score(candidate.id, self.preference_seed),
             }
         });
         let targets: Vec<Target<'_>> = targets.collect();
@@ -185,51 +176,35 @@
     }
 }
 
-/// A back end to compare, and its additional cost in milliseconds.
-type Compared<'a> = (&'a Target<'a>, f64);
-
-/// The home of a prompt, the back ends that hold its parts, the first ones of the router's subset, and those sampled
-/// from each partition. Of its own partition, only back ends that would be in time if they were idle are compared,
-/// unless there are none.
-fn compared<'a>(targets: &'a [Target<'a>], is_short: bool) -> Vec<Compared<'a>> {
-    let (subset_size, own_sampled) = if is_short {
-        (0, SAMPLED_FOR_SHORT_PROMPTS)
+/// The home of a prompt, the back ends that hold its parts, and those sampled from each partition. Of its own partition,
+/// only back ends that would be in time if they were idle are sampled, unless there are none.
+fn compared<'a>(targets: &'a [Target<'a>], is_short: bool) -> Vec<&'a Target<'a>> {
+    let own_count = if is_short {
+        SAMPLED_FOR_SHORT_PROMPTS
     } else {
-        (SUBSET_FOR_LONG_PROMPTS, SAMPLED_PER_PARTITION)
+        SAMPLED_FOR_LONG_PROMPTS
     };
     let is_known = |target: &&Target<'_>| target.site.is_home || target.is_holder;
     let own = |target: &&Target<'_>| target.site.in_own_partition;
     let in_time = |target: &&Target<'_>| own(target) && target.is_in_time_if_idle;
     let any_in_time = targets.iter().any(|target| in_time(&target));
-    let is_wanted =
-        |target: &&Target<'_>| own(target) && (target.is_in_time_if_idle || !any_in_time);
-    let subset = k_smallest_by_key(targets.iter().filter(is_wanted), subset_size, |target| {
-        target.subset_key
-    });
-    let ordered = subset.into_iter().enumerate();
-    let ordered = ordered.map(|(place, target)| (target, place as f64 * SUBSET_ORDER_COST_MS));
     let sampled = |count: usize, is_wanted: &dyn Fn(&&Target<'_>) -> bool| {
-        let wanted = targets.iter().filter(is_wanted);
-        k_smallest_by_key(wanted, count, |target| target.random_key)
+        let wanted = targets.iter().filter(|target| !is_known(target));
+        k_smallest_by_key(wanted.filter(is_wanted), count, |target| target.random_key)
     };
-    let others = sampled(own_sampled, &|target| {
-        is_wanted(target) && !is_known(target)
+    let own_sampled = sampled(own_count, &|target| {
+        own(target) && (target.is_in_time_if_idle || !any_in_time)
     });
-    let others = others
-        .into_iter()
-        .chain(sampled(SAMPLED_PER_PARTITION, &|target| !own(target)));
-    let others = others.map(|target| (target, SAMPLED_COST_MS));
-    let known = targets.iter().filter(is_known).map(|target| (target, 0.0));
-    known.chain(ordered).chain(others).collect()
+    let other_sampled = sampled(SAMPLED_OF_OTHER_PARTITION, &|target| !own(target));
+    let known = targets.iter().filter(is_known);
+    known.chain(own_sampled).chain(other_sampled).collect()
 }
 
 fn cheapest<'a>(
-    targets: Vec<Compared<'a>>,
+    targets: Vec<&'a Target<'a>>,
     cost: impl Fn(&Target<'_>) -> f64,
 ) -> Option<&'a Target<'a>> {
-    let priced = targets
-        .into_iter()
-        .map(|(target, additional)| (cost(target) + additional, target));
+    let priced = targets.into_iter().map(|target| (cost(target), target));
     let best = priced.min_by(|(cost, target), (other_cost, other)| {
         cost.total_cmp(other_cost)
             .then(target.random_key.cmp(&other.random_key))
