--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! back ends, operators and other control machines.
 
 mod accounts;
+mod back_end_speeds;
 mod directory;
 mod fetches;
 mod heartbeat_times;
@@ -13,7 +14,6 @@
 mod order;
 mod order_lease;
 mod params;
-mod pending_weight_loads;
 mod proposals;
 mod quarantine;
 mod reads;
@@ -22,11 +22,10 @@
 mod routers;
 mod stored;
 mod suspects;
-mod weight_load_timing;
+mod tenant_demand;
 
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
-use std::time::Duration;
 
 use drumshore_consensus::{
     Directory, EntryKind, Envelope, FolderIdentity, LogIndex, Membership, Output, Replica,
@@ -35,6 +34,7 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::Blob;
 
+use crate::back_end_speed::{SpeedChange, SpeedLearner};
 use crate::{
     Command, FingerprintKey, InstanceId, LoadPhase, Message, Proposal, ReplicatedState,
     RequestFingerprint,
@@ -42,11 +42,12 @@
 
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
-pub use order::{BackEndReport, Order, OrderId, OrderOutcome};
+pub use order::{BackEndReport, LoadPlan, LoadReason, Order, OrderId, OrderOutcome};
 pub use params::ControlParams;
 pub use stored::StoreUpdate;
 
 use accounts::TenantAccounts;
+use back_end_speeds::SpeedBroadcast;
 use fetches::Fetches;
 use heartbeat_times::HeartbeatTimes;
 use holders::HolderQueue;
@@ -61,6 +62,7 @@
 use routers::{Announcements, Routers};
 use stored::Stores;
 use suspects::Suspects;
+use tenant_demand::TenantDemands;
 
 /// Identifies a caller that waits for a [`Reply`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -107,8 +109,12 @@
         /// Distinct moments at which back ends crashed.
         crashes: u32,
     },
+    /// Log a new estimate of speed.
+    SpeedChanged(SpeedChange),
     /// Log that another machine sent a message for routers that must not be passed on.
     NewsRefused,
+    /// Log that a back end is taken out of service to load weights.
+    LoadPlanned(LoadPlan),
     /// Send an order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
     Order(Order),
     /// Request a report from a back end; it goes to [`ControlCore::on_report`].
@@ -144,10 +150,13 @@
     stores: Stores,
     holder_queue: HolderQueue,
     load_broadcast: LoadBroadcast,
+    speeds: SpeedLearner,
+    speed_broadcast: SpeedBroadcast,
     suspects: Suspects,
     refusing: Refusing,
     suspected_requests: SuspectedRequests,
     tenant_accounts: TenantAccounts,
+    tenant_demands: TenantDemands,
     /// Proposed if the replicated state has no key for request fingerprints.
     generated_fingerprint_key: FingerprintKey,
     fingerprint_key_proposed_at: Option<Timestamp>,
@@ -203,10 +212,13 @@
             stores: Stores::default(),
             holder_queue: HolderQueue::default(),
             load_broadcast: LoadBroadcast::default(),
+            speeds: SpeedLearner::default(),
+            speed_broadcast: SpeedBroadcast::default(),
             suspects: Suspects::default(),
             refusing: Refusing::default(),
             suspected_requests: SuspectedRequests::default(),
             tenant_accounts: TenantAccounts::default(),
+            tenant_demands: TenantDemands::default(),
             generated_fingerprint_key: FingerprintKey::generate(seed),
             fingerprint_key_proposed_at: None,
             target_weights_set_at: BTreeMap::new(),
@@ -287,9 +299,11 @@
             self.expire_instances();
             self.advance_rollouts();
             self.broadcast_loads();
+            self.broadcast_speeds();
             self.broadcast_store_changes();
             self.broadcast_holders();
             self.send_account_levels();
+            self.broadcast_tenant_demands();
             self.renotify_of_suspects();
         }
     }
@@ -429,19 +443,6 @@
         }
     }
 
-    fn weights_age(&self, revision: u64) -> Duration {
-        let set_at = self
-            .target_weights_set_at
-            .get(&revision)
-            .copied()
-            .unwrap_or_default();
-        self.now.since(set_at)
-    }
-
-    fn weights_age_ms(&self, revision: u64) -> u32 {
-        u32::try_from(self.weights_age(revision).as_millis()).unwrap_or(u32::MAX)
-    }
-
     /// Writes a snapshot when it is due. A snapshot writes the whole state, and a replica that
     /// lacks an earlier entry of the log is sent all of it. Therefore the log first grows to the
     /// size of the state: snapshots then never write more than the log does, and a replica that
@@ -470,8 +471,10 @@
                 self.reset_stores();
                 self.holder_queue = HolderQueue::default();
                 self.load_broadcast = LoadBroadcast::default();
+                self.speed_broadcast = SpeedBroadcast::default();
                 self.suspects = Suspects::default();
                 self.tenant_accounts.forget();
+                self.tenant_demands = TenantDemands::default();
             }
         } else {
             self.leader_since = None;
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -75,13 +75,8 @@
         wanted.map(|(connection, _)| connection).collect()
     }
 
-    /// Prompt tokens that wait at each back end, summed over all routers, by the back end's
-    /// [`crate::LoadEntry::key_of`].
-    pub fn pending_tokens(&self) -> BTreeMap<u32, u32> {
-        self.total_loads().pending_tokens()
-    }
-
-    fn total_loads(&self) -> LoadTotals {
+    /// Loads of back ends, summed over all routers.
+    pub fn total_loads(&self) -> LoadTotals {
         let mut totals = LoadTotals::default();
         for router in self.0.values() {
             totals.add(router.loads.loads());
@@ -115,8 +110,10 @@
             Message::UnresponsiveBackEnds(keys) => self.on_suspects(connection, &keys.items),
             Message::RefusingBackEnds(keys) => self.on_refusing(connection, &keys.items),
             Message::Holders(entries) => self.on_holders(&entries.items),
+            Message::SpeedSamples(samples) => self.on_speed_samples(&samples.items),
             Message::FingerprintReports(reports) => self.on_fingerprint_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
+            Message::DemandReport(entries) => self.on_demand_report(&entries.items),
             Message::Follow(following) => self.on_follow(connection, following),
             Message::Fetch {
                 since,
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -11,22 +11,28 @@
 mod copies;
 mod endpoint;
 mod endpoints;
+mod fair_share;
 mod holders;
 mod homes;
 mod k_smallest;
 mod notices;
 mod overload;
+mod partition_demand;
 mod placement;
+mod placement_cost;
 mod pool_partition;
 mod prompt_mix;
 mod prompt_placement;
 mod reported_loads;
 mod request;
 mod router_count;
+mod speed_class;
+mod speeds;
 mod split;
 mod stores;
 mod summary;
 mod suspected_fingerprints;
+mod tenant_demand;
 mod view;
 
 use std::rc::Rc;
@@ -37,21 +43,24 @@
 use rand_chacha::ChaCha8Rng;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
-    AccountLevel, BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId,
-    InvalidDocument, Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route,
-    StoreId, StoredKey, Tenant, UsageEntry,
+    BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId, InvalidDocument,
+    Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey,
+    Tenant,
 };
 
 pub use accounts::{Charge, OverLimit};
 pub use choice::{CacheEstimate, Choice, RunCopy};
 pub use endpoint::Outcome;
 pub use notices::{LimitChange, NoticeChange};
+pub use placement_cost::Forecast;
 pub use reported_loads::ReportedLoads;
 pub use request::{
     Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
     RequestHead,
 };
+pub use tenant_demand::TenantShare;
 pub use view::ViewError;
 
 use accounts::TenantAccounts;
@@ -60,11 +69,13 @@
 use holders::Holders;
 use notices::{NoticeContext, RetrySchedule};
 use overload::PoolLoads;
+use partition_demand::PartitionDemand;
 use prompt_mix::PromptMix;
 use router_count::RouterCount;
 use split::Splitter;
 use stores::Stores;
 use suspected_fingerprints::SuspectedFingerprints;
+use tenant_demand::TenantDemands;
 use view::View;
 
 /// Zone, leases and retry limits of a router.
@@ -101,7 +112,9 @@
     splitter: Splitter,
     tenant_accounts: TenantAccounts,
     prompt_mix: PromptMix,
+    partition_demand: PartitionDemand,
     pool_loads: PoolLoads,
+    tenant_demands: TenantDemands,
     budget: RetryBudget,
     random: ChaCha8Rng,
     /// Seed of the choice among equally loaded back ends; routers with different seeds prefer different ones.
@@ -114,6 +127,8 @@
     suspects: Vec<u32>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
+    speeds: BackEndSpeeds,
+    speed_samples: SpeedSamples,
 }
 
 impl RouterCore {
@@ -125,7 +140,9 @@
             splitter: Splitter::default(),
             tenant_accounts: TenantAccounts::default(),
             prompt_mix: PromptMix::default(),
+            partition_demand: PartitionDemand::default(),
             pool_loads: PoolLoads::default(),
+            tenant_demands: TenantDemands::default(),
             budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
             preference_seed: xxh3_64(&seed.to_le_bytes()),
@@ -137,6 +154,8 @@
             suspects: Vec::new(),
             refusing: Vec::new(),
             suspected_fingerprints: SuspectedFingerprints::default(),
+            speeds: BackEndSpeeds::default(),
+            speed_samples: SpeedSamples::default(),
         }
     }
 
@@ -181,6 +200,7 @@
         self.view.apply(now, &changes, parse)?;
         if let Some(document) = self.view.document().filter(|_| has_configuration) {
             self.tenant_accounts.set_limits(now, document);
+            self.tenant_demands.set_tenants(document);
         }
         self.suspected_fingerprints.apply(now, &changes);
         self.update_endpoints(&changes);
@@ -196,6 +216,7 @@
         }
         for removed in &changes.removed.items {
             self.endpoints.remove(removed.as_str());
+            self.speeds.forget(LoadEntry::key_of(removed.as_str()));
         }
         for changed in &changes.instances.items {
             if let Some(record) = self.view.instance(changed.instance.as_str()) {
@@ -271,16 +292,6 @@
         }
     }
 
-    /// Takes the charges to tenants' limits that are not reported to the leader yet.
-    pub fn take_usage(&mut self, now: Timestamp) -> Vec<UsageEntry> {
-        self.tenant_accounts.take_usage(now)
-    }
-
-    /// Updates the remaining levels of the tenants' limits, as the leader reports them.
-    pub fn on_account_levels(&mut self, now: Timestamp, levels: &[AccountLevel]) {
-        self.tenant_accounts.on_levels(now, levels);
-    }
-
     /// Chooses a back end and counts the request as in flight there until [`RouterCore::finished`].
     ///
     /// An attempt counts as a retry only if an earlier attempt reached a back end: a refused connection puts no load
@@ -306,7 +317,8 @@
         if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
             let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
             let slots = models.map_or(1, |models| models.slots);
-            self.prompt_mix.record_prompt(prompt, choice.tokens, slots);
+            self.prompt_mix
+                .record_prompt(prompt, choice.work_tokens, slots);
         }
         if is_retry {
             self.budget.on_retry(now, &admission.pool);
@@ -314,7 +326,8 @@
                 self.tenant_accounts.charge_again(now, charge);
             }
         }
-        self.endpoints.started(now, &choice.instance, choice.tokens);
+        self.endpoints
+            .started(now, &choice.instance, choice.work_tokens);
         Ok(choice)
     }
 
@@ -327,7 +340,8 @@
         took: Option<Duration>,
         target: Duration,
     ) {
-        self.endpoints.answered(&choice.instance, choice.tokens);
+        self.endpoints
+            .answered(&choice.instance, choice.work_tokens);
         let slow = took.is_some_and(|took| took > target.mul_f64(SLOW_FETCH_FACTOR));
         if let Some(store) = choice.fetch_store.filter(|_| slow) {
             self.stores.on_slow_fetch(now, store);
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -31,6 +31,14 @@
         earlier: &EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
         let sample = self.random.random();
+        if prompt.is_some_and(Prompt::is_short) {
+            let target = admission.route.target;
+            self.partition_demand.note_target(&admission.pool, target);
+        }
+        if prompt.is_some() && self.partition_demand.is_due(now, &admission.pool) {
+            let load = self.load_of_pool(admission);
+            self.partition_demand.update(now, &admission.pool, &load);
+        }
         let mut candidates = self.candidates(now, admission, prompt);
         if candidates.is_empty() {
             return Err(self.no_candidate_error(now, admission, prompt, sample));
@@ -42,11 +50,15 @@
         if self.is_suspected(earlier.fingerprint) {
             return self.place_suspected(now, admission, prompt, &usable, sample);
         }
+        let usable = self.lead_to_newest_weights(prompt, usable, sample);
         let placed = match prompt {
             Some(prompt) => self.place_prompt(now, admission, prompt, &usable, sample),
             None => self.place_by_load(&usable, self.preferred_sample(sample)),
         };
-        let placed = placed.ok_or(ChoiceError::NoneLeft)?;
+        let mut placed = placed.ok_or(ChoiceError::NoneLeft)?;
+        if let Some(prompt) = prompt.filter(|_| placed.home.is_none()) {
+            placed.home = self.former_home(now, admission, prompt, &placed, &usable);
+        }
         let copy = self.copy_target(admission, prompt, &placed, &usable, sample);
         let choice = self.choice(now, admission, prompt, placed, &usable);
         Ok(Choice { copy, ..choice })
@@ -66,6 +78,7 @@
             .place_by_load(usable, sample)
             .ok_or(ChoiceError::NoneLeft)?;
         placed.tokens = prompt.map_or(0, Prompt::tokens);
+        placed.work_tokens = placed.tokens;
         Ok(self.choice(now, admission, prompt, placed, usable))
     }
 
@@ -120,6 +133,12 @@
             prefixes,
             cache_estimate,
             tokens: placed.tokens,
+            work_tokens: placed.work_tokens,
+            forecast: placed.forecast,
+            cached_tokens: prompt
+                .map_or(0, Prompt::tokens)
+                .saturating_sub(placed.tokens),
+            load_ahead: placed.load_ahead,
             fetch_store: cache.from_store,
             fetch_from: cache.fetch_from,
             save_to: cache.save_to,
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -4,6 +4,7 @@
 mod caches;
 mod failures;
 mod placement;
+mod rollout;
 mod suspected_fingerprints;
 
 use std::time::Duration;
@@ -96,6 +97,8 @@
             slots: 8,
             cache_tokens: 100_000,
             copies_runs: true,
+            token_bytes: 0,
+            link_megabits_per_second: 0,
             models: vec![ModelName::new("model")],
         }),
         store: None,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod applied;
+mod back_end_speeds;
 mod back_ends;
 mod configuration;
 mod connections;
@@ -283,6 +284,7 @@
                     "control: another back end crashed while serving requests with this fingerprint"
                 );
             }
+            Effect::SpeedChanged(change) => back_end_speeds::log(&change),
             Effect::NewsRefused => {
                 self.metrics.count_decision("news_refused");
                 tracing::warn!(
@@ -290,6 +292,7 @@
                     "control: refused a message from another control machine that must not be forwarded to routers"
                 );
             }
+            Effect::LoadPlanned(plan) => applied::log_load_plan(&self.metrics, &plan),
             Effect::Order(order) => back_ends::send_order(self, order),
             Effect::RequestReport { instance, address } => {
                 back_ends::query_report(self, instance, address)
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::rc::Rc;
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use hyper::{Request, Response};
@@ -16,6 +17,10 @@
 
 use crate::answer::{self, AnswerBody};
 
+mod tenant_demands;
+
+pub(crate) use tenant_demands::{TenantDemandGauges, MAX_DEMAND_LABELS};
+
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
 /// Upper bounds of the latency buckets, in seconds.
 const LATENCY_BUCKETS: [f64; 12] = [
@@ -34,6 +39,13 @@
 /// The label of all further tenants.
 const OTHER_TENANTS: &str = "other";
 
+/// A back end.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct BackEndLabel {
+    /// The name of the incarnation.
+    pub back_end: String,
+}
+
 /// A header that the gateway does not know.
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct NameLabel {
@@ -93,10 +105,14 @@
     fetches: Family<OutcomeLabel, Counter>,
     /// Decisions of a control machine by outcome.
     pub decisions: Family<OutcomeLabel, Counter>,
+    /// Time factors of back ends, relative to the mean of their pool.
+    back_end_speeds: Family<BackEndLabel, Gauge<f64, AtomicU64>>,
     /// Revision of the router's view or of the control machine's state.
     pub revision: Gauge,
     /// Milliseconds since the view was last confirmed to be current.
     pub view_age_ms: Gauge,
+    /// Tenants' demand for pools that are nearly full, and their shares.
+    pub tenant_demands: TenantDemandGauges,
 }
 
 impl Metrics {
@@ -113,8 +129,10 @@
         let link_bytes = Counters::default();
         let fetches = Family::default();
         let decisions = Family::default();
+        let back_end_speeds = Family::default();
         let revision = Gauge::default();
         let view_age_ms = Gauge::default();
+        let tenant_demands = TenantDemandGauges::default();
         let mut registry = Registry::with_prefix("drumshore_gateway");
         registry.register("requests", "Requests by answer", Clone::clone(&requests));
         registry.register("attempts", "Attempts by end", Clone::clone(&attempts));
@@ -160,8 +178,14 @@
             Clone::clone(&fetches),
         );
         registry.register("decisions", "Control decisions", Clone::clone(&decisions));
+        registry.register(
+            "back_end_time_factor",
+            "Time that a back end takes for a piece of work, relative to the mean of its pool",
+            Clone::clone(&back_end_speeds),
+        );
         registry.register("revision", "Revision held", revision.clone());
         registry.register("view_age_ms", "Age of the view", view_age_ms.clone());
+        tenant_demands.register(&mut registry);
         Rc::new(Self {
             registry,
             requests,
@@ -177,8 +201,10 @@
             link_bytes,
             fetches,
             decisions,
+            back_end_speeds,
             revision,
             view_age_ms,
+            tenant_demands,
         })
     }
 
@@ -240,6 +266,18 @@
             .inc();
     }
 
+    /// Replaces the time factors of back ends.
+    pub fn set_back_end_speeds<'a>(&self, speeds: impl Iterator<Item = (&'a str, f64)>) {
+        self.back_end_speeds.clear();
+        for (back_end, time_factor) in speeds {
+            let back_end = back_end.to_owned();
+            let gauge = self
+                .back_end_speeds
+                .get_or_create(&BackEndLabel { back_end });
+            gauge.set(time_factor);
+        }
+    }
+
     /// Answers any request with all metrics.
     pub fn answer<B>(&self, _request: &Request<B>) -> Response<AnswerBody> {
         let mut text = String::new();
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -8,16 +8,15 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Changes, FingerprintSuspicion, LinkAction, Message, Progress, ReportedLoads, RouterWire,
-    ViewLinks,
+    Changes, LinkAction, Message, Progress, ReportedLoads, RouterWire, ViewLinks,
 };
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, Instant};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::reports;
 use super::Router;
+use super::{crash_detection, demand_metrics, reports};
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
 
@@ -213,7 +212,7 @@
         sender: sender.clone(),
         close_requested: Rc::clone(&close_requested),
     };
-    sender.send_first(&reports::status(router));
+    sender.send_marked(&reports::status(router));
     links.open_links.borrow_mut().insert(address, link);
     links.view_links.borrow_mut().on_linked(address);
     poll(router, links);
@@ -320,7 +319,7 @@
             );
         }
         Message::FingerprintSuspicions(suspicions) => {
-            on_fingerprint_suspicions(router, address, &suspicions.items);
+            crash_detection::on_suspicions(router, address, &suspicions.items);
         }
         Message::PermitTrial(fingerprint) => {
             let now = router.clock.now();
@@ -335,11 +334,31 @@
             let now = router.clock.now();
             router.core.borrow_mut().on_holders(now, &entries.items);
         }
+        Message::BackEndSpeeds(news) => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_back_end_speeds(now, &news);
+        }
         Message::AccountLevels(levels) => {
             let now = router.clock.now();
             let mut core = router.core.borrow_mut();
             core.on_account_levels(now, &levels.items);
         }
+        Message::TenantDemands {
+            pool,
+            tenants,
+            other_tenants,
+            other_cost_per_second,
+        } => {
+            let now = router.clock.now();
+            router.core.borrow_mut().on_tenant_demands(
+                now,
+                pool,
+                &tenants.items,
+                other_tenants,
+                other_cost_per_second,
+            );
+            demand_metrics::on_demands(router);
+        }
         Message::LoadsOfAll { whole, loads } => {
             links.loads_received_at.set(router.clock.now());
             let now = router.clock.now();
@@ -357,27 +376,6 @@
     }
 }
 
-fn on_fingerprint_suspicions(
-    router: &Router,
-    address: Ipv4Addr,
-    suspicions: &[FingerprintSuspicion],
-) {
-    let now = router.clock.now();
-    router
-        .core
-        .borrow_mut()
-        .on_fingerprint_suspicions(now, suspicions);
-    router.crash_reports_changed.notify_waiters();
-    for FingerprintSuspicion {
-        fingerprint,
-        crashes,
-    } in suspicions
-    {
-        tracing::info!(event = "work_suspected", work = %fingerprint, ends = crashes, by = %address,
-            "router: a control machine reported a suspected request fingerprint");
-    }
-}
-
 /// Handles the revision that a control machine reported.
 fn on_revision(router: &Router, links: &Links, from: Ipv4Addr, revision: u64) {
     let now = router.clock.now();
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_gateway_core::{Message, RouterStatus};
+use drumshore_gateway_core::{Message, RouterStatus, RouterWire};
 use drumshore_wire::{List, Text};
 use tokio::time::{sleep, timeout};
 
@@ -17,6 +17,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(80);
 /// Shortest interval between two such checks.
 const MIN_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Interval between reports of the speeds of back ends.
+const SPEEDS_INTERVAL: Duration = Duration::from_millis(500);
 /// How long the last report of other routers' loads by the leader is valid.
 const OTHERS_LOADS_TTL: Duration = Duration::from_millis(1_000);
 
@@ -48,6 +50,7 @@
     address: Ipv4Addr,
 ) -> &'static str {
     let mut loads_changed = router.loads_changed.subscribe();
+    let mut speeds_sent_at = router.clock.now();
     loop {
         sleep(MIN_CHECK_INTERVAL).await;
         let _ = timeout(CHECK_INTERVAL - MIN_CHECK_INTERVAL, loads_changed.changed()).await;
@@ -76,6 +79,13 @@
         if !usage.is_empty() && !sender.send(&Message::Usage(List::new(usage))) {
             return "closed";
         }
+        if now.since(speeds_sent_at) >= SPEEDS_INTERVAL {
+            speeds_sent_at = now;
+            send_speed_samples(router, sender);
+        }
+        if !send_demand_report(router, sender) {
+            return "closed";
+        }
         let loads = router.core.borrow().own_loads();
         if !links.reported_loads.borrow().is_due(now, &loads) {
             continue;
@@ -87,6 +97,27 @@
     }
 }
 
+/// Sends what this router observed of the speeds of back ends. A sample that is not sent is no loss worth a new link.
+fn send_speed_samples(router: &Router, sender: &Sender) {
+    let now = router.clock.now();
+    let samples = router.core.borrow_mut().take_speed_samples(now);
+    if !samples.is_empty() {
+        sender.send(&Message::SpeedSamples(List::new(samples)));
+    }
+}
+
+/// Reports tenants' demand for pools that are nearly full, to a leader that reads such reports; false when the link has
+/// ended.
+fn send_demand_report(router: &Router, sender: &Sender) -> bool {
+    let mut core = router.core.borrow_mut();
+    if sender.wire() != RouterWire::WithMeasurements {
+        core.discard_demand_report();
+        return true;
+    }
+    let report = core.take_demand_report(router.clock.now());
+    report.is_empty() || sender.send(&Message::DemandReport(List::new(report)))
+}
+
 /// Sends reports of crashes, by request fingerprint, to a control machine, also to one that connects later. All control
 /// machines receive them, because the next router may get its updates from any of them.
 pub(super) async fn send_crash_reports(router: &Rc<Router>, sender: &Sender) -> &'static str {
