Let requests wait at their router while their pool is overloaded

Each caller asks once more, mostly in the same surge, and is refused again.

Change: a request that the overload controller does not admit waits at the router if it can be in time after waiting: credit of the admitted arrivals and a share of the free slots let in the first by urgency and latest start; predicted wait and service with their errors decide who waits; refused callers are told when room is predicted, and precede new ones when they return. Bounded in count, bytes and time. `RouterCore::choose` is as before; `enter` and `choose_let_in` are new.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -46,9 +46,10 @@
 };
 pub use notice::{BackEndNotice, RequestRate};
 pub use router::{
-    Admission, Backoff, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts, LimitChange,
-    NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal, ReportedLoads,
-    RequestHead, RouterCore, RouterParams, RunCopy, ViewError,
+    Admission, Arrival, Backoff, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts,
+    Entry, LimitChange, NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal,
+    ReportedLoads, RequestHead, RouterCore, RouterParams, RunCopy, ViewError, WaitDecision,
+    WaitEstimate, WaitTicket,
 };
 pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, Position, ReplicatedState, TargetWeights};
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -38,6 +38,21 @@
     limited: BTreeSet<InstanceId>,
 }
 
+/// The slots of a pool.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SlotUsage {
+    /// Requests of all routers, waiting or running.
+    pub occupied: u32,
+    pub slots: u32,
+}
+
+impl SlotUsage {
+    /// Above 1 while requests wait for slots.
+    pub fn utilization(self) -> f64 {
+        f64::from(self.occupied) / f64::from(self.slots.max(1))
+    }
+}
+
 impl Endpoints {
     /// Replaces the set of back ends; the state of those that remain is kept.
     pub fn replace_all<'a>(&mut self, records: impl Iterator<Item = &'a Rc<InstanceRecord>>) {
@@ -117,9 +132,8 @@
             .sum()
     }
 
-    /// Requests of all routers, waiting or running, divided by the slots of the pool's back ends that take requests.
-    /// Above 1 while requests wait for slots. Back ends that declare no slots are not counted.
-    pub fn slot_utilization(&self, now: Timestamp, pool: &PoolName) -> f64 {
+    /// The slots of the pool's back ends that take requests. Back ends that declare no slots are not counted.
+    pub fn slot_usage(&self, now: Timestamp, pool: &PoolName) -> SlotUsage {
         let pool = NameHash::of(pool.as_str());
         let takes_requests = |endpoint: &&Endpoint| {
             endpoint.summary.pool == pool
@@ -135,7 +149,7 @@
             occupied += endpoint.all_in_flight();
             slots += endpoint.slots();
         }
-        f64::from(occupied) / f64::from(slots.max(1))
+        SlotUsage { occupied, slots }
     }
 
     pub fn started(&mut self, now: Timestamp, instance: &InstanceId, tokens: u32) {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -3,14 +3,21 @@
 
 mod accounts;
 mod addresses;
+mod admission_control;
+mod admission_queue;
+mod admission_queues;
+mod admission_release;
 mod budget;
 mod cache;
 mod cached_parts;
 mod candidate;
 mod choice;
+mod choose;
 mod copies;
+mod decaying_rate;
 mod endpoint;
 mod endpoints;
+mod expected_returns;
 mod holders;
 mod homes;
 mod k_smallest;
@@ -23,11 +30,14 @@
 mod reported_loads;
 mod request;
 mod router_count;
+mod service_prediction;
 mod split;
 mod stores;
 mod summary;
 mod suspected_fingerprints;
+mod time_limits;
 mod view;
+mod wait_error;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +54,9 @@
 };
 
 pub use accounts::{Charge, OverLimit};
+pub use admission_control::{Arrival, Entry, WaitEstimate};
+pub use admission_queue::WaitTicket;
+pub use admission_queues::WaitDecision;
 pub use choice::{CacheEstimate, Choice, RunCopy};
 pub use endpoint::Outcome;
 pub use notices::{LimitChange, NoticeChange};
@@ -55,6 +68,7 @@
 pub use view::ViewError;
 
 use accounts::TenantAccounts;
+use admission_queues::AdmissionQueues;
 use budget::RetryBudget;
 use endpoints::Endpoints;
 use holders::Holders;
@@ -62,9 +76,11 @@
 use overload::PoolLoads;
 use prompt_mix::PromptMix;
 use router_count::RouterCount;
+use service_prediction::ServicePrediction;
 use split::Splitter;
 use stores::Stores;
 use suspected_fingerprints::SuspectedFingerprints;
+use time_limits::TimeLimits;
 use view::View;
 
 /// Zone, leases and retry limits of a router.
@@ -102,6 +118,9 @@
     tenant_accounts: TenantAccounts,
     prompt_mix: PromptMix,
     pool_loads: PoolLoads,
+    admission_queues: AdmissionQueues,
+    service_prediction: ServicePrediction,
+    time_limits: TimeLimits,
     budget: RetryBudget,
     random: ChaCha8Rng,
     /// Seed of the choice among equally loaded back ends; routers with different seeds prefer different ones.
@@ -126,6 +145,9 @@
             tenant_accounts: TenantAccounts::default(),
             prompt_mix: PromptMix::default(),
             pool_loads: PoolLoads::default(),
+            admission_queues: AdmissionQueues::default(),
+            service_prediction: ServicePrediction::default(),
+            time_limits: TimeLimits::default(),
             budget: RetryBudget::new(&params),
             random: ChaCha8Rng::seed_from_u64(seed),
             preference_seed: xxh3_64(&seed.to_le_bytes()),
@@ -281,43 +303,6 @@
         self.tenant_accounts.on_levels(now, levels);
     }
 
-    /// Chooses a back end and counts the request as in flight there until [`RouterCore::finished`].
-    ///
-    /// An attempt counts as a retry only if an earlier attempt reached a back end: a refused connection puts no load
-    /// on the pool, and the retry budget bounds that load.
-    pub fn choose(
-        &mut self,
-        now: Timestamp,
-        admission: &Admission,
-        prompt: Option<&Prompt>,
-        earlier: EarlierAttempts<'_>,
-    ) -> Result<Choice, ChoiceError> {
-        self.check_fingerprint(now, &earlier)?;
-        let is_retry = earlier.arrived > 0;
-        if earlier.tried.is_empty() {
-            self.budget.on_request(now, &admission.pool);
-        } else if is_retry && !self.budget.may_retry(now, &admission.pool) {
-            return Err(ChoiceError::NoBudget);
-        }
-        if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
-            self.refuse_overload(now, admission, prompt)?;
-        }
-        let choice = self.place(now, admission, prompt, &earlier)?;
-        if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
-            let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
-            let slots = models.map_or(1, |models| models.slots);
-            self.prompt_mix.record_prompt(prompt, choice.tokens, slots);
-        }
-        if is_retry {
-            self.budget.on_retry(now, &admission.pool);
-            if let Some(charge) = admission.charge {
-                self.tenant_accounts.charge_again(now, charge);
-            }
-        }
-        self.endpoints.started(now, &choice.instance, choice.tokens);
-        Ok(choice)
-    }
-
     /// The response to a request has begun, or its attempt has ended without one. `took` is the time from sending
     /// the request to the start of the response, if there is one, and `target` the time it should take.
     pub fn answered(
--- a/crates/gateway-core/src/router/overload.rs
+++ b/crates/gateway-core/src/router/overload.rs
@@ -17,7 +17,7 @@
 
 /// Utilization of the pool's slots above which the proportional term refuses requests. See
 /// docs/design/overload.md.
-const REFUSAL_START_UTILIZATION: f64 = 0.75;
+pub(super) const REFUSAL_START_UTILIZATION: f64 = 0.75;
 /// Fraction of the load that the proportional term refuses, per unit of utilization above
 /// [`REFUSAL_START_UTILIZATION`].
 const PROPORTIONAL_GAIN: f64 = 0.7;
@@ -38,7 +38,7 @@
 /// Service time assumed until the first request of a pool has been answered.
 const INITIAL_SERVICE_TIME: Duration = Duration::from_millis(800);
 /// Retry times of refused callers are spread by this fraction of the mean service time, to either side of it.
-const RETRY_JITTER: f64 = 0.5;
+pub(super) const RETRY_JITTER: f64 = 0.5;
 
 /// Urgency of a request, the most urgent first. The tenant's priority takes precedence over the route's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -149,6 +149,27 @@
         load.service_time = load.service_time.mul_f64(1.0 - weight) + service_time.mul_f64(weight);
     }
 
+    /// The fraction of the requests of one urgency that is admitted now.
+    pub fn admitted_fraction(
+        &mut self,
+        now: Timestamp,
+        pool: &PoolName,
+        urgency: Urgency,
+        utilization: f64,
+    ) -> f64 {
+        let Some(load) = self.0.get_mut(pool) else {
+            return 1.0;
+        };
+        let excess = load.update_excess(now, utilization);
+        1.0 - load.refused_fraction(urgency, excess)
+    }
+
+    /// Mean time that a request spends at a back end of the pool.
+    pub fn service_time(&self, pool: &PoolName) -> Duration {
+        let load = self.0.get(pool);
+        load.map_or(INITIAL_SERVICE_TIME, |load| load.service_time)
+    }
+
     /// Decides whether one request is refused. `sample` is a random sample, uniform in [0, 1).
     pub fn check(
         &mut self,
@@ -188,7 +209,7 @@
         let Some(pool) = document.and_then(|document| document.pool(&admission.pool)) else {
             return Ok(());
         };
-        let utilization = self.endpoints.slot_utilization(now, &pool.name);
+        let utilization = self.endpoints.slot_usage(now, &pool.name).utilization();
         let sample = self.random.random();
         let loads = &mut self.pool_loads;
         let urgency = Urgency::of(admission);
@@ -205,7 +226,7 @@
     }
 }
 
-fn percent(fraction: f64) -> u32 {
+pub(super) fn percent(fraction: f64) -> u32 {
     (fraction * 100.0).round() as u32
 }
 
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -179,6 +179,12 @@
         Ok(())
     }
 
+    /// Whether the choice of a back end decides about requests with this fingerprint, because they are quarantined.
+    pub(super) fn is_quarantined(&self, fingerprint: Option<RequestFingerprint>) -> bool {
+        fingerprint
+            .is_some_and(|fingerprint| self.suspected_fingerprints.is_quarantined(fingerprint))
+    }
+
     /// Whether so many back ends have crashed while serving the fingerprint that its request is placed where a
     /// further crash loses the fewest other requests.
     pub(super) fn is_suspected(&self, fingerprint: Option<RequestFingerprint>) -> bool {
--- a/crates/gateway-core/tests/pool/mod.rs
+++ b/crates/gateway-core/tests/pool/mod.rs
@@ -4,15 +4,19 @@
 //! token for each stream whose prompt is complete. Prefill therefore delays the other streams, as in the users' engines;
 //! the constants are the figures of these engines.
 
+// Each test binary uses a part of this module.
+#![allow(dead_code)]
+
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Admission, Changes, Choice, ChoiceError, Document, EarlierAttempts, InstanceRecord, Lifecycle,
-    LoadEntry, LoadedModel, ModelName, ModelPool, Outcome, Pool, PoolName, Prompt, PromptPart,
-    RequestHead, RequestKind, Route, RouterCore, RouterParams, Share,
+    Admission, Arrival, Changes, Choice, ChoiceError, Document, EarlierAttempts, Entry,
+    InstanceRecord, Lifecycle, LoadEntry, LoadedModel, ModelName, ModelPool, Outcome, Pool,
+    PoolName, Prompt, PromptPart, RequestHead, RequestKind, Route, RouterCore, RouterParams, Share,
+    WaitTicket,
 };
 use drumshore_wire::{Blob, List, Text};
 use rand::{Rng, SeedableRng};
@@ -31,6 +35,10 @@
 /// Interval at which routers receive the other routers' loads, which are therefore up to this old.
 const LOADS_INTERVAL: Duration = Duration::from_millis(250);
 const GAP_TARGET: Duration = Duration::from_millis(600);
+/// Interval at which routers decide about waiting requests.
+const ADVANCE_INTERVAL_US: u64 = 20_000;
+/// Part of the slots that the oracle fills; of several, the one with which the pool serves most in time.
+const ORACLE_UTILIZATION: f64 = 0.9;
 /// A refused caller retries once, after at most its deadline divided by this.
 const LONGEST_WAIT_DIVISOR: u32 = 3;
 
@@ -68,12 +76,54 @@
     share: 1.0,
 };
 
+/// How routers treat the requests that the overload controller does not admit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// They refuse them at once.
+    Refuse,
+    /// They let them wait, see `RouterCore::enter`.
+    Wait,
+    /// One queue before all routers, which knows all slots and lets a request in when one is free, in the order of
+    /// the latest start; no more than can be in time.
+    Oracle,
+}
+
+/// A simulation other than that of [`Simulation::new`].
+#[derive(Clone, Copy, Debug)]
+pub struct Setup {
+    pub routers: usize,
+    pub policy: Policy,
+}
+
+/// A caller whose request waits.
+#[derive(Clone, Copy, Debug)]
+struct WaitingCaller {
+    kind_number: usize,
+    asked: Timestamp,
+    entered: Timestamp,
+    is_retry: bool,
+}
+
+/// What became of the requests that waited at routers.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Waits {
+    pub let_in: u32,
+    pub refused: u32,
+    pub longest: Duration,
+    /// The largest number of requests that waited at one router.
+    pub most_at_a_router: usize,
+}
+
 struct Request {
     kind: Kind,
     kind_number: usize,
+    admission: Admission,
+    prompt: Prompt,
     router: usize,
     /// Time of the caller's first attempt.
     asked: Timestamp,
+    /// Time of its last attempt.
+    entered: Timestamp,
     sent: Timestamp,
     choice: Choice,
     prompt_tokens_left: u32,
@@ -129,11 +179,27 @@
     loads_sent: Timestamp,
     /// By kind.
     tallies: Vec<Tally>,
+    policy: Policy,
+    waiting: BTreeMap<(usize, WaitTicket), WaitingCaller>,
+    /// The queue of the oracle: by latest start.
+    oracle: BTreeMap<(u64, u64), WaitingCaller>,
+    waits: Waits,
+    /// False while no leader tells routers of the others' loads.
+    pub has_leader: bool,
 }
 
 impl Simulation {
     pub fn new(kinds: &[Kind], seed: u64) -> Self {
-        let routers = (0..ROUTERS as u64).map(|router| new_router(kinds, seed * 100 + router));
+        let setup = Setup {
+            routers: ROUTERS,
+            policy: Policy::Refuse,
+        };
+        Self::with_setup(kinds, seed, setup)
+    }
+
+    pub fn with_setup(kinds: &[Kind], seed: u64, setup: Setup) -> Self {
+        let routers =
+            (0..setup.routers as u64).map(|router| new_router(kinds, seed * 100 + router));
         Self {
             now: Timestamp(1),
             routers: routers.collect(),
@@ -143,9 +209,53 @@
             retries: BinaryHeap::new(),
             loads_sent: Timestamp(1),
             tallies: vec![Tally::default(); kinds.len()],
+            policy: setup.policy,
+            waiting: BTreeMap::new(),
+            oracle: BTreeMap::new(),
+            waits: Waits::default(),
+            has_leader: true,
         }
     }
 
+    /// Number of requests that wait at routers.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Returns what became of waiting requests since the last call.
+    pub fn take_waits(&mut self) -> Waits {
+        std::mem::take(&mut self.waits)
+    }
+
+    /// The callers of a part of the waiting requests give up.
+    pub fn disconnect(&mut self, part: f64) -> usize {
+        let tickets: Vec<(usize, WaitTicket)> = self.waiting.keys().copied().collect();
+        let leaving: Vec<_> = tickets
+            .into_iter()
+            .filter(|_| self.random.random::<f64>() < part)
+            .collect();
+        for (router, ticket) in &leaving {
+            self.routers[*router].leave_queue(*ticket);
+            self.waiting.remove(&(*router, *ticket));
+        }
+        leaving.len()
+    }
+
+    /// A router stops; returns how many waiting requests it refuses.
+    pub fn stop_router(&mut self, router: usize) -> usize {
+        let tickets = self.routers[router].stop_waiting();
+        for ticket in &tickets {
+            self.waiting.remove(&(router, *ticket));
+        }
+        tickets.len()
+    }
+
+    /// Number of requests that a router's core holds in its queues.
+    pub fn queued_at(&self, router: usize) -> usize {
+        let lengths = self.routers[router].waiting_requests();
+        lengths.map(|(_, length)| length).sum()
+    }
+
     /// Returns the outcomes of each kind since the last call.
     pub fn take_tallies(&mut self) -> Vec<Tally> {
         let fresh = vec![Tally::default(); self.kinds.len()];
@@ -167,6 +277,7 @@
                 due -= 1.0;
             }
             self.send_retries();
+            self.advance_queues();
             for number in 0..self.back_ends.len() {
                 self.step(number);
             }
@@ -186,50 +297,184 @@
     }
 
     fn send_request(&mut self, kind_number: usize, asked: Timestamp, is_retry: bool) {
-        let kind = self.kinds[kind_number];
-        let router = self.random.random_range(0..ROUTERS);
-        let now = self.now;
+        let router = self.random.random_range(0..self.routers.len());
+        let caller = WaitingCaller {
+            kind_number,
+            asked,
+            entered: self.now,
+            is_retry,
+        };
+        match self.policy {
+            Policy::Refuse => self.choose(router, caller),
+            Policy::Wait => self.enter(router, caller),
+            Policy::Oracle => self.enter_oracle(caller),
+        }
+    }
+
+    fn admit(&mut self, router: usize, kind: Kind) -> (Admission, Prompt) {
         let head = RequestHead {
             host: "host",
             path: kind.path,
             key: None,
             declared_tokens: None,
         };
+        let routers = self.routers.len() as u16;
         let core = &mut self.routers[router];
-        core.on_confirmed(now, 1, ROUTERS as u16);
-        let admission: Admission = core.admit(now, head).unwrap();
-        let prompt = prompt_of(kind, self.random.random());
-        match core.choose(now, &admission, Some(&prompt), EarlierAttempts::default()) {
-            Ok(choice) => {
-                let number: usize = choice.instance.as_str()[3..].parse().unwrap();
-                self.back_ends[number].waiting.push(Request {
-                    kind,
-                    kind_number,
-                    router,
-                    asked,
-                    sent: now,
-                    choice,
-                    prompt_tokens_left: kind.prompt_tokens,
-                    output_tokens_left: kind.output_tokens,
-                    first: None,
-                    latest_event: now,
-                    longest_gap: Duration::ZERO,
-                });
+        core.on_confirmed(self.now, 1, routers);
+        let admission: Admission = core.admit(self.now, head).unwrap();
+        (admission, prompt_of(kind, self.random.random()))
+    }
+
+    fn choose(&mut self, router: usize, caller: WaitingCaller) {
+        let kind = self.kinds[caller.kind_number];
+        let (admission, prompt) = self.admit(router, kind);
+        let core = &mut self.routers[router];
+        match core.choose(
+            self.now,
+            &admission,
+            Some(&prompt),
+            EarlierAttempts::default(),
+        ) {
+            Ok(choice) => self.start(router, caller, admission, prompt, choice),
+            Err(error) => self.refuse(caller, error),
+        }
+    }
+
+    fn choose_let_in(&mut self, router: usize, caller: WaitingCaller) {
+        let kind = self.kinds[caller.kind_number];
+        let (admission, prompt) = self.admit(router, kind);
+        let core = &mut self.routers[router];
+        let earlier = EarlierAttempts::default();
+        let choice = core.choose_let_in(self.now, &admission, Some(&prompt), earlier);
+        self.start(router, caller, admission, prompt, choice.unwrap());
+    }
+
+    fn enter(&mut self, router: usize, caller: WaitingCaller) {
+        let kind = self.kinds[caller.kind_number];
+        let (admission, prompt) = self.admit(router, kind);
+        let arrival = Arrival {
+            received: self.now,
+            deadline: caller.asked.plus(kind.deadline),
+            body_bytes: 1_000,
+            fingerprint: None,
+            may_wait: true,
+        };
+        let core = &mut self.routers[router];
+        match core.enter(self.now, &admission, Some(&prompt), arrival) {
+            Entry::LetIn => self.choose_let_in(router, caller),
+            Entry::Refused(error, _) => self.refuse(caller, error),
+            Entry::Waits(ticket, _) => {
+                self.waiting.insert((router, ticket), caller);
+                let waiting = self.queued_at(router);
+                self.waits.most_at_a_router = self.waits.most_at_a_router.max(waiting);
+            }
+        }
+        self.take_decisions(router);
+    }
+
+    fn take_decisions(&mut self, router: usize) {
+        for decision in self.routers[router].take_wait_decisions() {
+            let caller = self.waiting.remove(&(router, decision.ticket));
+            let caller = caller.expect("a decision is about a waiting request, once");
+            let waited = self.now.since(caller.entered);
+            self.waits.longest = self.waits.longest.max(waited);
+            match decision.refused {
+                Some(error) => {
+                    self.waits.refused += 1;
+                    self.refuse(caller, error);
+                }
+                None => {
+                    self.waits.let_in += 1;
+                    self.choose_let_in(router, caller);
+                }
             }
-            Err(error) if is_retry => {
-                assert!(retry_after(error).is_some(), "{error}");
-                self.tallies[kind_number].refused_again += 1;
+        }
+    }
+
+    fn advance_queues(&mut self) {
+        if self.now.0 % ADVANCE_INTERVAL_US < TICK.as_micros() as u64 {
+            for router in 0..self.routers.len() {
+                self.routers[router].advance_queues(self.now);
+                self.take_decisions(router);
             }
-            Err(error) => {
-                self.tallies[kind_number].refused_at_first += 1;
-                let wait = retry_after(error).unwrap_or_else(|| panic!("{error}"));
-                let wait = wait.min(kind.deadline / LONGEST_WAIT_DIVISOR);
-                let at = now.plus(wait);
-                self.retries.push(Reverse((at.0, kind_number, asked.0)));
+        }
+        self.advance_oracle();
+    }
+
+    fn enter_oracle(&mut self, caller: WaitingCaller) {
+        let kind = self.kinds[caller.kind_number];
+        let latest = caller.asked.plus(kind.target);
+        let urgency = u64::from(kind.priority);
+        let key = (urgency << 48 | latest.0, self.random.random());
+        self.oracle.insert(key, caller);
+    }
+
+    /// Lets requests in while a back end has a free slot; callers that can no longer be in time are refused for good.
+    fn advance_oracle(&mut self) {
+        let now = self.now;
+        let kinds = &self.kinds;
+        let tallies = &mut self.tallies;
+        self.oracle.retain(|_, caller| {
+            let is_hopeless = now >= caller.asked.plus(kinds[caller.kind_number].target / 2);
+            tallies[caller.kind_number].refused_again += u32::from(is_hopeless);
+            !is_hopeless
+        });
+        loop {
+            let occupied: usize = self.back_ends.iter().map(BackEnd::occupied).sum();
+            if occupied as f64 >= ORACLE_UTILIZATION * (BACK_ENDS * u64::from(SLOTS)) as f64 {
+                return;
             }
+            let Some((_, caller)) = self.oracle.pop_first() else {
+                return;
+            };
+            let router = self.random.random_range(0..self.routers.len());
+            self.choose_let_in(router, caller);
         }
     }
 
+    fn start(
+        &mut self,
+        router: usize,
+        caller: WaitingCaller,
+        admission: Admission,
+        prompt: Prompt,
+        choice: Choice,
+    ) {
+        let kind = self.kinds[caller.kind_number];
+        let number: usize = choice.instance.as_str()[3..].parse().unwrap();
+        self.back_ends[number].waiting.push(Request {
+            kind,
+            kind_number: caller.kind_number,
+            admission,
+            prompt,
+            router,
+            asked: caller.asked,
+            entered: caller.entered,
+            sent: self.now,
+            choice,
+            prompt_tokens_left: kind.prompt_tokens,
+            output_tokens_left: kind.output_tokens,
+            first: None,
+            latest_event: self.now,
+            longest_gap: Duration::ZERO,
+        });
+    }
+
+    fn refuse(&mut self, caller: WaitingCaller, error: ChoiceError) {
+        let kind = self.kinds[caller.kind_number];
+        let tally = &mut self.tallies[caller.kind_number];
+        let wait = retry_after(error).unwrap_or_else(|| panic!("{error}"));
+        if caller.is_retry {
+            tally.refused_again += 1;
+            return;
+        }
+        tally.refused_at_first += 1;
+        let left = caller.asked.plus(kind.deadline).since(self.now);
+        let at = self.now.plus(wait.min(left / LONGEST_WAIT_DIVISOR));
+        self.retries
+            .push(Reverse((at.0, caller.kind_number, caller.asked.0)));
+    }
+
     fn send_retries(&mut self) {
         while let Some(Reverse((at, kind, asked))) = self.retries.peek().copied() {
             if at > self.now.0 {
@@ -246,9 +491,14 @@
             return;
         }
         self.loads_sent = self.now;
+        if !self.has_leader {
+            let routers = self.routers.iter_mut();
+            routers.for_each(|router| router.set_others_loads(true, &[]));
+            return;
+        }
         let own: Vec<Vec<LoadEntry>> = self.routers.iter().map(RouterCore::own_loads).collect();
         for (number, router) in self.routers.iter_mut().enumerate() {
-            let mut sums: std::collections::BTreeMap<u32, LoadEntry> = Default::default();
+            let mut sums: BTreeMap<u32, LoadEntry> = Default::default();
             let others = own.iter().enumerate().filter(|(other, _)| *other != number);
             for entry in others.flat_map(|(_, entries)| entries) {
                 let sum = sums.entry(entry.key).or_default();
@@ -278,6 +528,10 @@
 }
 
 impl BackEnd {
+    fn occupied(&self) -> usize {
+        self.waiting.len() + self.running.len()
+    }
+
     /// Generates a token for each stream whose prompt is complete; returns the requests that are finished.
     fn end_step(&mut self, now: Timestamp, routers: &mut [RouterCore]) -> Vec<Request> {
         let streams = self
@@ -323,7 +577,9 @@
         request.latest_event = now;
         let took = now.since(request.sent);
         let target = request.kind.target;
-        routers[request.router].answered(now, &request.choice, Some(took), target);
+        let router = &mut routers[request.router];
+        router.answered(now, &request.choice, Some(took), target);
+        router.record_time_to_answer(&request.admission, &request.prompt, took);
         return;
     }
     if generated.is_multiple_of(EVENT_TOKENS) {
@@ -338,11 +594,12 @@
     routers[request.router].finished(now, instance, request.sent, Outcome::Answered);
     let tally = &mut tallies[request.kind_number];
     let first = request.first.unwrap_or(now).since(request.asked);
-    let from_retry = request.first.unwrap_or(now).since(request.sent);
+    let from_retry = request.first.unwrap_or(now).since(request.entered);
     let has_long_gap = request.longest_gap > GAP_TARGET;
     if first <= request.kind.target && !has_long_gap {
         tally.in_time += 1;
-    } else if request.sent != request.asked && from_retry <= request.kind.target && !has_long_gap {
+    } else if request.entered != request.asked && from_retry <= request.kind.target && !has_long_gap
+    {
         tally.in_time_on_retry += 1;
     } else {
         tally.late += 1;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,12 @@
     pub outcome: &'static str,
 }
 
+/// A pool of back ends.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct PoolLabel {
+    pool: String,
+}
+
 /// A family of counters by kind; the kinds are a fixed set of names.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Counters(Family<KindLabel, Counter>);
@@ -76,6 +82,12 @@
     pub latency: Histogram,
     /// Answers that missed a target, by target.
     late_answers: Family<OutcomeLabel, Counter>,
+    /// Requests that waited while their pool was overloaded, by how the wait ended.
+    admission_waits: Family<OutcomeLabel, Counter>,
+    /// Seconds for which they waited.
+    pub admission_wait: Histogram,
+    /// Requests that wait now, by pool.
+    waiting: Family<PoolLabel, Gauge>,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -104,6 +116,9 @@
         let attempts = Family::default();
         let latency = Histogram::new(LATENCY_BUCKETS);
         let late_answers = Family::default();
+        let admission_waits = Family::default();
+        let admission_wait = Histogram::new(LATENCY_BUCKETS);
+        let waiting = Family::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let back_end_notices = Family::default();
@@ -122,6 +137,21 @@
             "Answers that missed a target",
             Clone::clone(&late_answers),
         );
+        registry.register(
+            "admission_waits",
+            "Requests that waited for an overloaded pool, by how the wait ended",
+            Clone::clone(&admission_waits),
+        );
+        registry.register(
+            "admission_wait_seconds",
+            "Time that requests waited for an overloaded pool",
+            admission_wait.clone(),
+        );
+        registry.register(
+            "admission_waiting",
+            "Requests that wait for an overloaded pool",
+            Clone::clone(&waiting),
+        );
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -161,6 +191,9 @@
             attempts,
             latency,
             late_answers,
+            admission_waits,
+            admission_wait,
+            waiting,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
@@ -188,6 +221,17 @@
         self.late_answers.get_or_create(&label).inc();
     }
 
+    pub fn count_admission_wait(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.admission_waits.get_or_create(&label).inc();
+    }
+
+    pub fn set_waiting(&self, pool: &str, requests: usize) {
+        let pool = pool.to_owned();
+        let gauge = self.waiting.get_or_create(&PoolLabel { pool });
+        gauge.set(i64::try_from(requests).unwrap_or(i64::MAX));
+    }
+
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -16,6 +16,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode};
 use tokio::time::timeout;
 
+use super::admission_wait::{wait_turn, NotLetIn};
 use super::attempt::{self, Answered, Attempt, Unanswered};
 use super::headers;
 use super::refusal::{self, Refused};
@@ -38,6 +39,8 @@
     pub id: String,
     pub received: Timestamp,
     pub deadline: Timestamp,
+    /// When it was let in to its pool.
+    pub let_in: Timestamp,
     pub admission: Admission,
     pub prompt: Option<Prompt>,
     pub parts: Parts,
@@ -197,6 +200,7 @@
         crashes_before_call,
         received,
         deadline: received.plus(time_limit),
+        let_in: received,
         admission,
         prompt,
         parts,
@@ -221,8 +225,26 @@
     })
 }
 
+/// Waits for the request's turn and has it answered.
+async fn answer(router: &Rc<Router>, mut call: Call, open: OpenRequest) -> Response<AnswerBody> {
+    let turn = wait_turn(router, &call).await;
+    call.let_in = router.clock.now();
+    match turn {
+        Ok(()) => try_back_ends(router, call, open).await,
+        Err(NotLetIn::Refused(error)) => {
+            refusal::answer_unserved(router, &call, &[], Execution::NotRun, Some(error))
+        }
+        Err(NotLetIn::Stopping) => {
+            let mut core = router.core.borrow_mut();
+            core.refund(call.let_in, &call.admission);
+            drop(core);
+            refusal::refuse(router, &call.id, call.received, Refused::Stopping)
+        }
+    }
+}
+
 /// Tries back ends until one answers, the attempts are used up or the deadline has passed.
-async fn answer(router: &Rc<Router>, call: Call, open: OpenRequest) -> Response<AnswerBody> {
+async fn try_back_ends(router: &Rc<Router>, call: Call, open: OpenRequest) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
     // The worst case over all attempts: not run, may have run, ran.
     let mut worst_execution = Execution::NotRun;
@@ -236,7 +258,7 @@
         let chosen = router
             .core
             .borrow_mut()
-            .choose(now, &call.admission, prompt, earlier);
+            .choose_let_in(now, &call.admission, prompt, earlier);
         let choice = match chosen {
             Ok(choice) => choice,
             Err(error) => {
@@ -311,7 +333,11 @@
     let now = router.clock.now();
     let elapsed = now.since(call.received);
     if response.status().is_success() {
-        router.core.borrow_mut().accepted(now, choice);
+        let mut core = router.core.borrow_mut();
+        core.accepted(now, choice);
+        if let Some(prompt) = &call.prompt {
+            core.record_time_to_answer(&call.admission, prompt, now.since(call.let_in));
+        }
     }
     router.metrics.count_request("answered", elapsed);
     let limit = router.core.borrow().limit_of(&choice.instance);
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,6 +1,7 @@
 //! The router daemon: forwards callers' requests to back ends and keeps its view of the replicated state current over
 //! links to control machines.
 
+mod admission_wait;
 mod attempt;
 mod control_links;
 mod crash_detection;
@@ -40,6 +41,7 @@
 
 pub(crate) use relay::Relay;
 
+use admission_wait::AdmissionWaits;
 use crash_detection::PendingProbes;
 use first_view::FirstView;
 
@@ -75,6 +77,8 @@
     status_changed: Notify,
     /// Lets requests wait that arrive before the view is confirmed for the first time.
     first_view: FirstView,
+    /// Requests that wait while their pool is overloaded.
+    admission_waits: AdmissionWaits,
     /// Slots for callers' connections.
     caller_slots: ConnectionSlots,
     /// Back ends that are probed because connections to them broke.
@@ -106,6 +110,7 @@
         open_requests: Cell::new(0),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
+        admission_waits: AdmissionWaits::default(),
         caller_slots: ConnectionSlots::new(MAX_CONNECTIONS),
         pending_probes: PendingProbes::default(),
         crash_reports_changed: Notify::new(),
@@ -204,6 +209,7 @@
     let stop_started = router.clock.now();
     router.stopping.set(Some(stop_started));
     router.status_changed.notify_waiters();
+    router.admission_waits.stop(router);
     tracing::info!(
         event = "stopping",
         open_requests = router.open_requests.get(),
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -55,6 +55,8 @@
         if now.since(links.loads_received_at.get()) > OTHERS_LOADS_TTL {
             links.loads_received_at.set(now);
             router.core.borrow_mut().set_others_loads(true, &[]);
+            tracing::info!(event = "loads_unknown", in_flight = router.core.borrow().in_flight(),
+                "router: no loads of other routers heard; counting them as none, so no request is refused for load");
         }
         if links.leader.get() != u32::from(address) {
             continue;
