--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod accounts;
 mod back_end_speeds;
 mod directory;
+mod effect;
 mod fetches;
 mod heartbeat_times;
 mod holders;
@@ -35,11 +36,9 @@
 use drumshore_wire::Blob;
 
 use crate::back_end_speed::{SpeedChange, SpeedLearner};
-use crate::{
-    Command, FingerprintKey, InstanceId, LoadPhase, Message, Proposal, ReplicatedState,
-    RequestFingerprint,
-};
+use crate::{Command, FingerprintKey, LoadPhase, Message, Proposal, ReplicatedState};
 
+pub use effect::Effect;
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
 pub use order::{BackEndReport, LoadPlan, LoadReason, Order, OrderId, OrderOutcome};
@@ -84,48 +83,6 @@
     Unavailable,
 }
 
-/// An output of the core for its driver to carry out.
-#[derive(Clone, Debug)]
-pub enum Effect {
-    /// Send a message to another control machine.
-    ToControl(Ipv4Addr, Message),
-    /// Send a message to a router.
-    ToRouter(ConnectionId, Message),
-    /// Send the same message to several routers; encode it only once.
-    ToRouters(Vec<ConnectionId>, Message),
-    /// Reply to a caller.
-    Reply(Ticket, Reply),
-    /// Log that a command changed the state. A configuration comes without its body.
-    Applied {
-        /// Index of the log entry.
-        position: u64,
-        /// The command that was applied.
-        command: Command,
-    },
-    /// Log that another back end crashed while serving requests with a fingerprint.
-    FingerprintSuspected {
-        /// The request fingerprint.
-        fingerprint: RequestFingerprint,
-        /// Distinct moments at which back ends crashed.
-        crashes: u32,
-    },
-    /// Log a new estimate of speed.
-    SpeedChanged(SpeedChange),
-    /// Log that another machine sent a message for routers that must not be passed on.
-    NewsRefused,
-    /// Log that a back end is taken out of service to load weights.
-    LoadPlanned(LoadPlan),
-    /// Send an order to a back end; its outcome goes to [`ControlCore::on_order_outcome`].
-    Order(Order),
-    /// Request a report from a back end; it goes to [`ControlCore::on_report`].
-    RequestReport {
-        /// The incarnation that is to answer.
-        instance: InstanceId,
-        /// Where it listens, IP:PORT.
-        address: String,
-    },
-}
-
 /// State machine of a control machine, without I/O except for the replicated log.
 pub struct ControlCore<D> {
     params: ControlParams,
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod cached_parts;
 mod candidate;
 mod choice;
+mod choose;
 mod copies;
 mod endpoint;
 mod endpoints;
@@ -292,45 +293,6 @@
         }
     }
 
-    /// Chooses a back end and counts the request as in flight there until [`RouterCore::finished`].
-    ///
-    /// An attempt counts as a retry only if an earlier attempt reached a back end: a refused connection puts no load
-    /// on the pool, and the retry budget bounds that load.
-    pub fn choose(
-        &mut self,
-        now: Timestamp,
-        admission: &Admission,
-        prompt: Option<&Prompt>,
-        earlier: EarlierAttempts<'_>,
-    ) -> Result<Choice, ChoiceError> {
-        self.check_fingerprint(now, &earlier)?;
-        let is_retry = earlier.arrived > 0;
-        if earlier.tried.is_empty() {
-            self.budget.on_request(now, &admission.pool);
-        } else if is_retry && !self.budget.may_retry(now, &admission.pool) {
-            return Err(ChoiceError::NoBudget);
-        }
-        if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
-            self.refuse_overload(now, admission, prompt)?;
-        }
-        let choice = self.place(now, admission, prompt, &earlier)?;
-        if let Some(prompt) = prompt.filter(|_| earlier.tried.is_empty()) {
-            let models = self.pool(admission).and_then(|pool| pool.models.as_ref());
-            let slots = models.map_or(1, |models| models.slots);
-            self.prompt_mix
-                .record_prompt(prompt, choice.work_tokens, slots);
-        }
-        if is_retry {
-            self.budget.on_retry(now, &admission.pool);
-            if let Some(charge) = admission.charge {
-                self.tenant_accounts.charge_again(now, charge);
-            }
-        }
-        self.endpoints
-            .started(now, &choice.instance, choice.work_tokens);
-        Ok(choice)
-    }
-
     /// The response to a request has begun, or its attempt has ended without one. `took` is the time from sending
     /// the request to the start of the response, if there is one, and `target` the time it should take.
     pub fn answered(
