Never let long loads stop a rollout, and reserve time for repeated orders

Change: the learned number never lowers the loads at once below what the deadline of a busy pool is planned with (a sixth of the pool), and an eighth of the time to the deadline is reserved for orders that have to be repeated. The new test has one useful load at 78 unfinished: 1 before, 15 now.

--- a/crates/gateway-core/src/control/rollout/pace.rs
+++ b/crates/gateway-core/src/control/rollout/pace.rs
@@ -70,7 +70,7 @@
         let spare = pool.back_ends as f64 - pool.occupied / TARGET_OCCUPANCY;
         let spare = spare.max(0.0) as usize;
         let needed = pool.needed();
-        let limit = max_concurrent(pool.back_ends).min(pool.useful.max(1));
+        let limit = concurrency_limit(pool.back_ends, pool.useful);
         Self {
             places: spare.max(needed).min(limit),
             spare,
@@ -80,11 +80,15 @@
     }
 }
 
-/// Back ends of a pool that may load at once in any case.
-pub(super) fn max_concurrent(back_ends: usize) -> usize {
-    back_ends
+/// Back ends of a pool that may load at once. `useful` is the number beyond which loads were not seen to finish sooner.
+/// As orders that are carried out late and back ends that crash make loads look longer than they are, it never lowers the
+/// number below what the deadline of a busy pool is planned with.
+pub(super) fn concurrency_limit(back_ends: usize, useful: usize) -> usize {
+    let most = back_ends
         .div_ceil(MAX_LOADING_DIVISOR)
-        .max(MIN_CONCURRENT_LOADS)
+        .max(MIN_CONCURRENT_LOADS);
+    let least = back_ends.div_ceil(BUSY_LOADING_DIVISOR).max(1);
+    useful.clamp(least, most)
 }
 
 #[cfg(test)]
--- a/crates/gateway-core/src/control/rollout/pace_tests.rs
+++ b/crates/gateway-core/src/control/rollout/pace_tests.rs
@@ -52,6 +52,21 @@
     assert_eq!(LoadPace::of(&pool).places, places);
 }
 
+/// Orders that were carried out late and back ends that crashed made loads look so long that only one at a time seemed
+/// useful; nearly all back ends then kept their old weights beyond the deadline.
+#[rstest]
+#[case::overloaded(90.0)]
+#[case::idle(0.0)]
+fn loads_that_look_long_do_not_stop_a_rollout(#[case] occupied: f64) {
+    let pool = PoolSituation {
+        occupied,
+        unfinished: due(SECOND, 78),
+        useful: 1,
+        ..situation()
+    };
+    assert_eq!(LoadPace::of(&pool).places, 15);
+}
+
 #[test]
 fn an_overloaded_pool_finishes_by_its_deadline() {
     // A load takes one cycle; each free place is taken at once.
--- a/crates/gateway-core/src/control/rollout/starts.rs
+++ b/crates/gateway-core/src/control/rollout/starts.rs
@@ -6,7 +6,7 @@
 use drumshore_consensus::Directory;
 use drumshore_core::Timestamp;
 
-use super::pace::{max_concurrent, LoadPace, PoolSituation};
+use super::pace::{concurrency_limit, LoadPace, PoolSituation};
 use super::pending::WeightLoad;
 use super::sequence::{next_to_load, LoadCandidate, ZoneLoads};
 use super::Step;
@@ -14,8 +14,9 @@
 use crate::control::{ControlCore, Effect, LoadPlan};
 use crate::{InstanceId, InstanceRecord, LoadEntry, LoadPhase};
 
-/// Time reserved for loads whose order has to be repeated.
-const LOAD_SLACK: Duration = Duration::from_millis(700);
+/// Part of the time to a deadline that is reserved for loads whose order has to be repeated, and its minimum.
+const RESERVE_DIVISOR: u32 = 8;
+const MIN_RESERVE: Duration = Duration::from_millis(700);
 
 /// The back ends of one pool, and those of its loads that have started.
 #[derive(Debug, Default)]
@@ -172,12 +173,13 @@
     /// The time in which a load has to be finished: the deadline counts from when the first version newer than the held
     /// one was named.
     fn time_left(&self, load: &WeightLoad) -> Duration {
-        let deadline = self.params.load_deadline.saturating_sub(LOAD_SLACK);
+        let deadline = self.params.load_deadline;
+        let reserve = (deadline / RESERVE_DIVISOR).max(MIN_RESERVE);
         let mut targets = self.state.weights();
         let newer = targets
             .find(|target| target.model.as_str() == load.model && target.version > load.held);
         let age = newer.map(|target| self.weights_age(target.revision));
-        deadline.saturating_sub(age.unwrap_or_default())
+        deadline.saturating_sub(reserve + age.unwrap_or_default())
     }
 
     /// Whether a back end occupies a place for loads. Routers are notified some time before an order, so the place of a
@@ -228,8 +230,8 @@
         let record = self.state.instance(instance)?;
         let pool = record.pool.as_str();
         let place = places.0.get_mut(pool)?;
-        let useful = self.rollouts.durations.useful(pool).max(1);
-        let limit = max_concurrent(place.back_ends).min(useful);
+        let useful = self.rollouts.durations.useful(pool);
+        let limit = concurrency_limit(place.back_ends, useful);
         let is_free = place.ordered < limit;
         place.ordered += usize::from(is_free);
         is_free.then_some(place.ordered)
