Tell by which view a request was sent, and how a leave became known

Added: chosen_by, view_age_ms and connection_wait_ms on request and attempt_ended; back_end_leaving for leaves by the view, with known_by, at most 16 by name for one message; sent_to_leaving_back_end; leaving_heartbeat; leaves_total. Applying changes moves from the links to a file of its own. What is sent where is unchanged.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -50,7 +50,7 @@
 pub use notice::{BackEndNotice, RequestRate};
 pub use router::{
     Admission, Backoff, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts, Forecast,
-    LimitChange, NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal,
+    Leave, LimitChange, NoticeChange, Outcome, OverLimit, Overload, Prompt, PromptPart, Refusal,
     ReportedLoads, RequestHead, RouterCore, RouterParams, RunCopy, TenantShare, ViewError,
 };
 pub use router_wire::RouterWire;
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -16,6 +16,7 @@
 mod holders;
 mod homes;
 mod k_smallest;
+mod leaving;
 mod notices;
 mod overload;
 mod partition_demand;
@@ -47,13 +48,13 @@
 use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId, InvalidDocument,
-    Lifecycle, LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey,
-    Tenant,
+    LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey, Tenant,
 };
 
 pub use accounts::{Charge, OverLimit};
 pub use choice::{CacheEstimate, Choice, RunCopy};
 pub use endpoint::Outcome;
+pub use leaving::Leave;
 pub use notices::{LimitChange, NoticeChange};
 pub use placement_cost::Forecast;
 pub use reported_loads::ReportedLoads;
@@ -271,16 +272,6 @@
         })
     }
 
-    /// True while a back end is known and has not announced, by a heartbeat or to this router, that it is leaving.
-    /// A shutdown after such an announcement is planned, so it is no evidence against the requests in flight there.
-    pub fn is_serving(&self, now: Timestamp, instance: &InstanceId) -> bool {
-        let endpoint = self.endpoints.get(instance);
-        endpoint.is_some_and(|endpoint| {
-            let is_ready = endpoint.record.lifecycle == Lifecycle::Ready;
-            is_ready && !endpoint.notices.announced_leaving(now)
-        })
-    }
-
     /// Computes the fingerprint of a request; `None` before the fingerprint key is known.
     pub fn identify(&self, input: &FingerprintInput<'_>) -> Option<RequestFingerprint> {
         self.view.fingerprint_key().map(|key| key.identify(input))
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use drumshore_gateway_core::{Command, Reply};
+use drumshore_gateway_core::{Command, Heartbeat, Lifecycle, Reply};
 use drumshore_wire::{Blob, Text};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -36,11 +36,7 @@
         ControlCall::SetTargetWeights => set_target_weights(&control, &body).await,
         ControlCall::Heartbeat(instance) => match control.dialect.heartbeat(&instance, &body) {
             Err(error) => invalid(&control, &error.to_string()),
-            Ok(heartbeat) => {
-                let asking =
-                    control.ask(|core, now, ticket| core.on_heartbeat(now, ticket, &heartbeat));
-                acknowledge(&control, asking.await)
-            }
+            Ok(heartbeat) => serve_heartbeat(&control, &heartbeat).await,
         },
         ControlCall::Deregister(instance) => {
             let command = Command::Deregister {
@@ -56,6 +52,16 @@
     Ok(response)
 }
 
+async fn serve_heartbeat(control: &Control, heartbeat: &Heartbeat) -> Response<AnswerBody> {
+    let asking = control.ask(|core, now, ticket| core.on_heartbeat(now, ticket, heartbeat));
+    let reply = asking.await;
+    if heartbeat.lifecycle == Lifecycle::Draining {
+        tracing::info!(event = "leaving_heartbeat", instance = %heartbeat.instance,
+            outcome = reply_name(&reply), "control: a back end reported that it is leaving");
+    }
+    acknowledge(control, reply)
+}
+
 /// Submits a command to the replicated log and waits for the reply.
 pub(super) async fn submit(control: &Control, command: Command) -> Reply {
     control
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
+use drumshore_gateway_core::Leave;
 use hyper::{Request, Response};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -97,6 +98,8 @@
     probed_back_ends: Family<OutcomeLabel, Counter>,
     /// Notices of back ends in their answers, by kind.
     back_end_notices: Family<OutcomeLabel, Counter>,
+    /// Back ends that this router learned to be leaving or gone, by how it learned it.
+    leaves: Family<OutcomeLabel, Counter>,
     /// Unknown headers in back ends' answers, by name.
     unknown_headers: Family<NameLabel, Counter>,
     /// Bytes sent over links to other processes, by kind of message; the kind `dropped` counts messages.
@@ -125,6 +128,7 @@
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
         let back_end_notices = Family::default();
+        let leaves = Family::default();
         let unknown_headers = Family::default();
         let link_bytes = Counters::default();
         let fetches = Family::default();
@@ -162,6 +166,11 @@
             "What back ends said of themselves in answers",
             Clone::clone(&back_end_notices),
         );
+        registry.register(
+            "leaves",
+            "Back ends that were learned to be leaving or gone, by source",
+            Clone::clone(&leaves),
+        );
         registry.register(
             "unknown_headers",
             "Headers of back ends' answers that nobody reads",
@@ -197,6 +206,7 @@
             broken_back_ends,
             probed_back_ends,
             back_end_notices,
+            leaves,
             unknown_headers,
             link_bytes,
             fetches,
@@ -249,6 +259,15 @@
         self.back_end_notices.get_or_create(&label).inc();
     }
 
+    pub fn count_leave(&self, leave: Leave) {
+        let outcome = match leave {
+            Leave::Announced => "announced",
+            Leave::Draining => "draining",
+            Leave::Removed => "removed",
+        };
+        self.leaves.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     pub fn count_unknown_header(&self, name: &str) {
         let label = NameLabel {
             name: name.to_owned(),
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -32,6 +32,38 @@
     Unanswered(Unanswered),
 }
 
+/// By which view the back end of an attempt was chosen, and how long the request then waited for a connection.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AttemptBasis {
+    /// The revision that the view held.
+    pub revision: u64,
+    /// How long before the choice the view was confirmed as current; `None` if it never was.
+    pub view_age: Option<Duration>,
+    pub connection_wait: Duration,
+}
+
+impl AttemptBasis {
+    /// The basis of an attempt whose back end has just been chosen.
+    pub fn now(router: &Router) -> Self {
+        let core = router.core.borrow();
+        Self {
+            revision: core.revision(),
+            view_age: core.view_age(router.clock.now()),
+            connection_wait: Duration::ZERO,
+        }
+    }
+
+    /// The age of the view in milliseconds, for logs.
+    pub fn view_age_ms(&self) -> Option<u64> {
+        self.view_age.map(|age| age.as_millis() as u64)
+    }
+
+    /// The wait in milliseconds, for logs.
+    pub fn connection_wait_ms(&self) -> u64 {
+        self.connection_wait.as_millis() as u64
+    }
+}
+
 /// An attempt without an answer to forward.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Unanswered {
@@ -41,6 +73,7 @@
     pub execution: Execution,
     /// Whether the request reached the back end.
     pub sent: bool,
+    pub basis: AttemptBasis,
 }
 
 /// An answer to forward to the caller.
@@ -68,14 +101,16 @@
     sent_before: u32,
     continued: Option<&Continuation>,
 ) -> Attempt {
-    let open_attempt = OpenAttempt::new(router, call, choice);
+    let mut open_attempt = OpenAttempt::new(router, call, choice);
     let connecting = router.upstreams.connect(
         &choice.instance,
         &choice.address,
         choice.connections,
         CONNECTION_WAIT,
     );
-    let mut connection = match connecting.await {
+    let connected = connecting.await;
+    open_attempt.basis.connection_wait = router.clock.now().since(open_attempt.began_at());
+    let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
             let outcome = match error {
@@ -89,6 +124,7 @@
         connection.release(router.clock.now());
         return unanswered(open_attempt, Outcome::Withheld, Execution::NotRun, false);
     }
+    log_if_leaving(router, call, choice, &open_attempt.basis);
     let remaining = call.deadline.since(router.clock.now());
     let mut request = outbound(router, call, choice, remaining);
     if let Some(continued) = continued {
@@ -124,6 +160,19 @@
     )
 }
 
+/// Logs a request that is sent to a back end which this router knows to leave.
+fn log_if_leaving(router: &Router, call: &Call, choice: &Choice, basis: &AttemptBasis) {
+    let core = router.core.borrow();
+    let Some(leave) = core.leave(router.clock.now(), &choice.instance) else {
+        return;
+    };
+    router.metrics.count_notice("sent_while_leaving");
+    tracing::warn!(event = "sent_to_leaving_back_end", id = %call.id, instance = %choice.instance, known_by = %leave,
+        chosen_by = basis.revision, revision = core.revision(), view_age_ms = basis.view_age_ms(),
+        connection_wait_ms = basis.connection_wait_ms(),
+        "router: sending a request to a back end that began to leave while the request waited");
+}
+
 fn set_continuation(
     router: &Router,
     call: &Call,
@@ -164,6 +213,7 @@
         outcome,
         execution,
         sent,
+        basis: open_attempt.basis,
     })
 }
 
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -7,16 +7,14 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{
-    Changes, LinkAction, Message, Progress, ReportedLoads, RouterWire, ViewLinks,
-};
+use drumshore_gateway_core::{LinkAction, Message, ReportedLoads, RouterWire, ViewLinks};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, Instant};
+use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Router;
-use super::{crash_detection, demand_metrics, reports};
+use super::{crash_detection, demand_metrics, reports, view_changes};
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
 
@@ -260,7 +258,9 @@
             on_revision(router, links, address, announcement.revision);
         }
         Message::Changes(changes) => {
-            apply(router, links, address, changes);
+            let mut view_links = links.view_links.borrow_mut();
+            view_changes::apply(router, &mut view_links, address, changes);
+            drop(view_links);
             poll(router, links);
         }
         Message::Pong {
@@ -390,50 +390,9 @@
 }
 
 /// Wakes the requests that wait for the first confirmed view, once it is confirmed.
-fn wake_waiting_requests(router: &Router) {
+pub(super) fn wake_waiting_requests(router: &Router) {
     let is_ready = router.core.borrow().is_ready(router.clock.now());
     if is_ready && router.first_view.on_confirmed() {
         router.status_changed.notify_waiters();
     }
 }
-
-fn apply(router: &Router, links: &Links, from: Ipv4Addr, changes: Changes) {
-    let now = router.clock.now();
-    let started = Instant::now();
-    let behind = links.view_links.borrow().behind(now).unwrap_or_default();
-    let (revision, newest) = (changes.revision, changes.newest);
-    let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
-    let parse = |body: &[u8]| router.dialect.document(body);
-    let applied = router.core.borrow_mut().apply(now, changes, parse);
-    let core = router.core.borrow();
-    let held = core.revision();
-    let progress = match applied {
-        Ok(()) => {
-            router.metrics.revision.set(revision as i64);
-            router.metrics.count_fetch("applied");
-            tracing::info!(
-                event = "view_changed",
-                revision,
-                %from,
-                behind_ms = behind.as_millis() as u64,
-                instances,
-                removed,
-                configuration = core.configuration_version(),
-                took_us = started.elapsed().as_micros() as u64,
-                "router: applied changes to the view"
-            );
-            wake_waiting_requests(router);
-            router.crash_reports_changed.notify_waiters();
-            Progress::Made { held }
-        }
-        Err(error) => {
-            router.metrics.count_fetch("refused");
-            tracing::info!(event = "view_refused", %from, revision, %error,
-                "router: changes from a control machine could not be applied to the view");
-            Progress::None { held }
-        }
-    };
-    drop(core);
-    let mut view = links.view_links.borrow_mut();
-    view.on_changes(now, from, newest, progress);
-}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -292,7 +292,8 @@
     tracing::info!(event = "attempt_ended", id = %call.id, work = call.fingerprint.map(tracing::field::display),
         instance = %choice.instance,
         outcome = outcome_name(unanswered.outcome), execution = unanswered.execution.as_str(),
-        sent = unanswered.sent, version = choice.expected_version,
+        sent = unanswered.sent, version = choice.expected_version, chosen_by = unanswered.basis.revision,
+        view_age_ms = unanswered.basis.view_age_ms(), connection_wait_ms = unanswered.basis.connection_wait_ms(),
         elapsed_ms = elapsed.as_millis() as u64, "router: an attempt at a back end ended without an answer to forward");
 }
 
@@ -348,6 +349,7 @@
     let speed = SpeedUsed::of(router, choice);
     router.metrics.count_request("answered", elapsed);
     let limit = router.core.borrow().limit_of(&choice.instance);
+    let basis = open_attempt.basis;
     tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display),
         route = %call.admission.route.name, tenant = call.tenant(), outcome = "answered", status = response.status().as_u16(),
         priority = call.admission.priority, instance = %choice.instance,
@@ -359,6 +361,7 @@
         cached_tokens = choice.cached_tokens, speed = speed.time_factor, speed_age_ms = speed.age_ms,
         belief_age_ms = choice.cache_estimate.age_ms, expected_ms = choice.forecast.begins_in.as_millis() as u64,
         queue_ms = choice.forecast.queue.as_millis() as u64, own_side = choice.forecast.in_own_partition, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
+        chosen_by = basis.revision, view_age_ms = basis.view_age_ms(), connection_wait_ms = basis.connection_wait_ms(),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
         "router: a back end answered; forwarding the answer to the caller");
     let (mut head, body) = response.into_parts();
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -16,6 +16,7 @@
 mod resume;
 mod silence;
 mod timeliness;
+mod view_changes;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId, LimitChange};
+use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId, Leave, LimitChange};
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::Response;
@@ -49,7 +49,9 @@
     }
     if change.leaves {
         router.metrics.count_notice("leaving");
-        tracing::info!(event = "back_end_leaving", %instance, "router: a back end announced that it is leaving");
+        router.metrics.count_leave(Leave::Announced);
+        tracing::info!(event = "back_end_leaving", %instance, known_by = %Leave::Announced,
+            revision = router.core.borrow().revision(), "router: a back end announced that it is leaving");
         router.upstreams.close_idle(&instance);
     }
 }
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::Sleep;
 use tracing::field::DisplayValue;
 
+use super::attempt::AttemptBasis;
 use super::crash_detection::{self, BrokenRun};
 use super::forward::{Call, OpenRequest};
 use super::resume::Resumption;
@@ -27,6 +28,7 @@
 pub(crate) struct OpenAttempt {
     router: Rc<Router>,
     choice: Choice,
+    pub basis: AttemptBasis,
     target: Duration,
     answered: bool,
     outcome: Outcome,
@@ -44,6 +46,7 @@
             target: call.admission.route.target,
             router: Rc::clone(router),
             choice: choice.clone(),
+            basis: AttemptBasis::now(router),
             answered: false,
             outcome: Outcome::Abandoned,
             execution: Execution::MayHaveRun,
--- /dev/null
+++ b/crates/gateway/src/router/view_changes.rs
@@ -0,0 +1,65 @@
+//! Applies changes of the replicated state to the view, and logs what they change.
+
+use std::net::Ipv4Addr;
+
+use drumshore_gateway_core::{Changes, InstanceId, Leave, Progress, ViewLinks};
+use tokio::time::Instant;
+
+use super::control_links::wake_waiting_requests;
+use super::Router;
+
+/// Maximum number of leaving back ends that are logged by name per message; a whole view may remove thousands.
+const MAX_NAMED_LEAVES: usize = 16;
+
+/// Applies changes that a control machine sent, and reports the progress to the links.
+pub(super) fn apply(router: &Router, view_links: &mut ViewLinks, from: Ipv4Addr, changes: Changes) {
+    let now = router.clock.now();
+    let started = Instant::now();
+    let behind = view_links.behind(now).unwrap_or_default();
+    let (revision, newest) = (changes.revision, changes.newest);
+    let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
+    let leaves = router.core.borrow().leaves_in(&changes);
+    let parse = |body: &[u8]| router.dialect.document(body);
+    let applied = router.core.borrow_mut().apply(now, changes, parse);
+    let core = router.core.borrow();
+    let held = core.revision();
+    let progress = match applied {
+        Ok(()) => {
+            router.metrics.revision.set(revision as i64);
+            router.metrics.count_fetch("applied");
+            tracing::info!(
+                event = "view_changed",
+                revision,
+                %from,
+                behind_ms = behind.as_millis() as u64,
+                instances,
+                removed,
+                leaving = leaves.len(),
+                configuration = core.configuration_version(),
+                took_us = started.elapsed().as_micros() as u64,
+                "router: applied changes to the view"
+            );
+            record_leaves(router, revision, &leaves);
+            wake_waiting_requests(router);
+            router.crash_reports_changed.notify_waiters();
+            Progress::Made { held }
+        }
+        Err(error) => {
+            router.metrics.count_fetch("refused");
+            tracing::info!(event = "view_refused", %from, revision, %error,
+                "router: changes from a control machine could not be applied to the view");
+            Progress::None { held }
+        }
+    };
+    view_links.on_changes(now, from, newest, progress);
+}
+
+fn record_leaves(router: &Router, revision: u64, leaves: &[(InstanceId, Leave)]) {
+    for (_, leave) in leaves {
+        router.metrics.count_leave(*leave);
+    }
+    for (instance, leave) in leaves.iter().take(MAX_NAMED_LEAVES) {
+        tracing::info!(event = "back_end_leaving", %instance, known_by = %leave, revision,
+            "router: the view says that a back end leaves or is gone");
+    }
+}
