Reproduce two ways to a back end that leaves (known red)

A request that waits for a connection is sent although the router's own view says by then that its back end drains or is gone: only what back ends said in answers is looked at after the wait. A leaving heartbeat that reaches a machine which still has the back end as ready, committed behind the expiry of that back end, is acknowledged and changes nothing; a ready heartbeat that was under way registers it as ready.

--- a/crates/gateway-core/src/router/leaving_tests.rs
+++ b/crates/gateway-core/src/router/leaving_tests.rs
@@ -63,3 +63,12 @@
     let expected = removed.into_iter().map(|id| (id, Leave::Removed));
     assert_eq!(router.leaves_in(&whole), expected.collect::<Vec<_>>());
 }
+
+#[test]
+fn a_request_that_waits_for_a_connection_is_not_sent_once_the_view_says_that_its_back_end_leaves() {
+    let mut router = router();
+    let left = ["app-1", "app-2"].map(id);
+    assert!(left.iter().all(|id| router.allows_requests(at(4), id)));
+    apply(&mut router, leaves());
+    assert!(!left.iter().any(|id| router.allows_requests(at(6), id)));
+}
--- a/crates/gateway-core/tests/control/back_ends.rs
+++ b/crates/gateway-core/tests/control/back_ends.rs
@@ -182,3 +182,31 @@
     assert!(cluster.core(leader).state().instance("i-2").is_some());
     assert!(cluster.core(leader).state().instance("i-1").is_none());
 }
+
+#[test]
+fn an_acknowledged_leave_holds_when_the_back_end_expired_before_it_was_committed() {
+    let mut cluster = cluster_with_leader(3);
+    let leader = cluster.leader().unwrap();
+    let behind = if leader == address(1) {
+        address(2)
+    } else {
+        address(1)
+    };
+    let ready = back_end(1, 1);
+    cluster.heartbeat(leader, &ready);
+    cluster.run(SECOND);
+    // This machine still has the back end as ready when the expiry is committed.
+    cluster.severed.insert((leader, behind));
+    let instance = "i-1".into();
+    cluster.submit(leader, drumshore_gateway_core::Command::Expire { instance });
+    let mut draining = ready.clone();
+    draining.lifecycle = Lifecycle::Draining;
+    let acknowledged = cluster.heartbeat(behind, &draining);
+    cluster.severed.clear();
+    cluster.run(SECOND);
+    assert_eq!(cluster.replies[&acknowledged], Reply::Accepted);
+    cluster.heartbeat(leader, &ready);
+    cluster.run(SECOND);
+    let record = cluster.core(leader).state().instance("i-1");
+    assert!(record.is_none_or(|record| record.lifecycle == Lifecycle::Draining));
+}
