Look at the view again when a request has its connection

Callers' requests reached a back end after its leave was acknowledged, up to 0.56 s later than the view of their router allowed: a request that waits for a connection was checked after the wait against what back ends said in answers, and not against the view. The hops from an acknowledgement to the view add up to 1.9 s of the 2 s that are allowed, so the wait was past the bound in the worst case; a back end that is gone from the view counted as one that allows requests.

allows_requests is now false for a back end that drains or is gone by the view, too. A withheld request goes to another back end within its attempts, as after a backoff, and request_withheld says why. Not shown to be what users saw.

--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -53,8 +53,8 @@
     Unreachable,
     /// All connections that this router may have to the back end are in use; the request has not run.
     NoFreeConnection,
-    /// The back end asked for a backoff, or announced that it is leaving, while the request waited for a connection;
-    /// the request was not sent.
+    /// The back end asked for a backoff, or began to leave, while the request waited for a connection; the request was
+    /// not sent.
     Withheld,
     /// The connection broke, or the response was malformed.
     Broken,
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -277,7 +277,7 @@
     }
 
     /// False while a back end asks this router to back off or announces that it is leaving.
-    pub fn allows_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
+    pub fn notices_allow_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
         let endpoint = self.by_id.get(instance);
         endpoint.is_none_or(|endpoint| endpoint.notices.allow_requests(now))
     }
--- a/crates/gateway-core/src/router/leaving.rs
+++ b/crates/gateway-core/src/router/leaving.rs
@@ -40,6 +40,12 @@
         self.leave(now, instance).is_none()
     }
 
+    /// False once a back end leaves or is gone, and while it asks this router to back off. A request that was assigned
+    /// to it earlier and is still unsent must not be sent then.
+    pub fn allows_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
+        self.is_serving(now, instance) && self.endpoints.notices_allow_requests(now, instance)
+    }
+
     /// The back ends that are ready in the view and that these changes, which are not applied yet, drain or remove.
     pub fn leaves_in(&self, changes: &Changes) -> Vec<(InstanceId, Leave)> {
         let records = changes.instances.items.iter();
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -365,12 +365,6 @@
         self.endpoints.get(instance)?.notices.limit()
     }
 
-    /// False while a back end asks this router to back off or announces that it is leaving. A request that was
-    /// assigned to it earlier and is still unsent must not be sent then.
-    pub fn allows_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
-        self.endpoints.allows_requests(now, instance)
-    }
-
     /// A request that was assigned to a back end, and sent at `sent_at`, has ended there. Returns true if the back end
     /// has become unresponsive.
     pub fn finished(
@@ -390,7 +384,7 @@
         let is_refused = matches!(outcome, Outcome::Shed | Outcome::OtherWeights);
         // A back end that asked for a backoff addressed this router only. If the other routers avoided it too, they
         // would overload the rest of the pool.
-        let is_for_all = is_refused && self.endpoints.allows_requests(now, instance);
+        let is_for_all = is_refused && self.endpoints.notices_allow_requests(now, instance);
         if is_for_all && self.refusing.len() < MAX_PENDING_SUSPECTS {
             self.refusing.push(LoadEntry::key_of(instance.as_str()));
         }
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -120,11 +120,10 @@
             return unanswered(open_attempt, outcome, Execution::NotRun, false);
         }
     };
-    if !notices::may_send(router, choice) {
+    if !may_send(router, call, choice, &open_attempt.basis) {
         connection.release(router.clock.now());
         return unanswered(open_attempt, Outcome::Withheld, Execution::NotRun, false);
     }
-    log_if_leaving(router, call, choice, &open_attempt.basis);
     let remaining = call.deadline.since(router.clock.now());
     let mut request = outbound(router, call, choice, remaining);
     if let Some(continued) = continued {
@@ -160,17 +159,20 @@
     )
 }
 
-/// Logs a request that is sent to a back end which this router knows to leave.
-fn log_if_leaving(router: &Router, call: &Call, choice: &Choice, basis: &AttemptBasis) {
+/// Whether a request may still be sent now that it has a connection. Its back end may have begun to leave, or asked for a
+/// backoff, since it was chosen; the bounds on requests after that include the wait for a connection.
+fn may_send(router: &Router, call: &Call, choice: &Choice, basis: &AttemptBasis) -> bool {
+    let now = router.clock.now();
     let core = router.core.borrow();
-    let Some(leave) = core.leave(router.clock.now(), &choice.instance) else {
-        return;
-    };
-    router.metrics.count_notice("sent_while_leaving");
-    tracing::warn!(event = "sent_to_leaving_back_end", id = %call.id, instance = %choice.instance, known_by = %leave,
-        chosen_by = basis.revision, revision = core.revision(), view_age_ms = basis.view_age_ms(),
+    if core.allows_requests(now, &choice.instance) {
+        return true;
+    }
+    let leave = core.leave(now, &choice.instance);
+    tracing::info!(event = "request_withheld", id = %call.id, instance = %choice.instance,
+        known_by = leave.map(tracing::field::display), chosen_by = basis.revision, revision = core.revision(),
         connection_wait_ms = basis.connection_wait_ms(),
-        "router: sending a request to a back end that began to leave while the request waited");
+        "router: withheld a request whose back end left or asked for a backoff while the request waited");
+    false
 }
 
 fn set_continuation(
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -80,11 +80,3 @@
         InstanceId::new(&named)
     }
 }
-
-/// Whether a request may still be sent now that it has a connection. A back end may receive requests that were in flight
-/// for half a second after it asked for none; the wait for a connection may have taken longer than that.
-pub(super) fn may_send(router: &Router, choice: &Choice) -> bool {
-    let now = router.clock.now();
-    let core = router.core.borrow();
-    core.allows_requests(now, &choice.instance)
-}
