Keep an acknowledged leave of a back end that expires at the same time

A heartbeat of a back end that leaves was proposed as a command that changes a registered back end. When the back end's expiry was committed before it, the command changed nothing and was acknowledged all the same: a ready heartbeat that was under way, as one delayed by a partition, registered the back end as ready after its leave had been acknowledged, and routers sent it requests.

The heartbeat is now proposed as the registration of a draining back end, which drains one that is registered and registers any other as draining. The log entry's layout and what replicas do with it are unchanged, so replicas of both builds agree; Drain is still applied from logs of earlier builds. Its line is instance_draining as before. Not shown to be what users saw: it takes a back end that is silent for 15 s and leaves within the round trip of its expiry.

--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -80,7 +80,8 @@
         /// The weights that the back end has loaded.
         models: List<LoadedModel>,
     },
-    /// Stops new requests to a back end.
+    /// Stops new requests to a back end, if it is registered. Proposed by earlier builds; a back end that is leaving is
+    /// now registered as draining.
     #[brw(magic(3u8))]
     Drain {
         /// The incarnation.
--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -57,8 +57,8 @@
         let is_leaving =
             heartbeat.lifecycle == Lifecycle::Draining && record.lifecycle == Lifecycle::Ready;
         if is_leaving {
-            let instance = Text::new(name);
-            self.propose(Some(ticket), Command::Drain { instance });
+            // `Command::Drain` has no effect on a back end that expires before the command is committed.
+            self.propose(Some(ticket), registration(heartbeat));
             return;
         }
         self.effects.push(Effect::Reply(ticket, Reply::Accepted));
--- a/crates/gateway/src/control/applied.rs
+++ b/crates/gateway/src/control/applied.rs
@@ -15,11 +15,23 @@
                 "control: a new configuration is in force"
             );
         }
+        Command::Drain { instance }
+        | Command::Register {
+            instance,
+            draining: 1..,
+            ..
+        } => {
+            tracing::info!(
+                event = "instance_draining",
+                position,
+                instance = instance.as_str(),
+                "control: a back end started draining"
+            );
+        }
         Command::Register {
             instance,
             pool,
             address,
-            draining,
             ..
         } => {
             let (instance, pool) = (instance.as_str(), pool.as_str());
@@ -30,18 +42,9 @@
                 instance,
                 pool,
                 address,
-                draining,
                 "control: a back end registered"
             );
         }
-        Command::Drain { instance } => {
-            tracing::info!(
-                event = "instance_draining",
-                position,
-                instance = instance.as_str(),
-                "control: a back end started draining"
-            );
-        }
         Command::Deregister { instance } => {
             tracing::info!(
                 event = "instance_removed",
