--- a/crates/gateway-core/tests/configuration_in_force/main.rs
+++ b/crates/gateway-core/tests/configuration_in_force/main.rs
@@ -1,5 +1,7 @@
-//! Routers that follow control machines apply a configuration in time, while machines and links fail.
+//! Routers that follow control machines apply configurations and leaves of back ends in time, while machines and links
+//! fail.
 
+mod back_ends;
 #[path = "../cluster/mod.rs"]
 mod cluster;
 mod connectivity;
@@ -40,7 +42,7 @@
 #[rstest]
 #[case::five_machines(5)]
 #[case::nine_machines(9)]
-fn no_connected_router_applies_a_configuration_older_than_the_bound(#[case] machines: u8) {
+fn no_connected_router_decides_by_a_state_older_than_the_bound(#[case] machines: u8) {
     for seed in 0..SEEDS_IN_CI {
         assert_no_violations(&run_seed(seed, 8, machines), &format!("seed {seed}"));
     }
--- a/crates/gateway-core/tests/configuration_in_force/simulation.rs
+++ b/crates/gateway-core/tests/configuration_in_force/simulation.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use crate::back_ends::BackEnds;
 use crate::cluster::{address, Cluster, ZONES};
 use crate::connectivity::{connected, HeldSince, APPLY_BOUND, DISTURBED_ALLOWANCE, MIN_CONNECTED};
 use crate::faults::{Fault, FaultKind};
@@ -70,6 +71,7 @@
     /// Times from the acknowledgement of a version until it was in force at a router that was connected throughout.
     pub delays: Vec<Duration>,
     pub decisions: Decisions,
+    back_ends: BackEnds,
     routers: Vec<SimRouter>,
     checks: Vec<RouterChecks>,
     started: Timestamp,
@@ -111,6 +113,7 @@
             violations: Vec::new(),
             delays: Vec::new(),
             decisions: Decisions::default(),
+            back_ends: BackEnds::new(seed),
             started: now,
             machines,
             cut: BTreeSet::new(),
@@ -135,6 +138,7 @@
             self.cluster.run(TICK);
             self.exchange();
             self.run_operator();
+            self.back_ends.run(&mut self.cluster, &self.machines);
             self.exchange();
             self.update_connectivity(disturbed);
             self.check();
@@ -479,6 +483,7 @@
             self.check_message_rate(router);
             if self.checks[router].undisturbed.lasts(now, MIN_CONNECTED) {
                 self.check_router(router, is_stable);
+                self.check_leaves(router, is_stable);
             }
         }
     }
@@ -514,6 +519,24 @@
         }
     }
 
+    /// Checks that a connected router sends nothing to back ends that left, while control machines are stable.
+    fn check_leaves(&mut self, router: usize, is_stable: bool) {
+        if !is_stable {
+            return;
+        }
+        let now = self.cluster.now;
+        let core = &self.routers[router].core;
+        let mut left = self.back_ends.left_before(now, APPLY_BOUND);
+        let used = left.find(|instance| core.allows_requests(now, instance));
+        let violation = used.map(|instance| {
+            format!("connected router {router} sends requests to {instance}, which left")
+        });
+        drop(left);
+        if let Some(violation) = violation {
+            self.add_violation(violation);
+        }
+    }
+
     fn count_decisions(&mut self, router: usize) {
         let now = self.cluster.now;
         let due = self
