--- a/crates/gateway-core/tests/configuration_in_force/main.rs
+++ b/crates/gateway-core/tests/configuration_in_force/main.rs
@@ -40,6 +40,7 @@
 }
 
 #[rstest]
+#[case::three_machines(3)]
 #[case::five_machines(5)]
 #[case::nine_machines(9)]
 fn no_connected_router_decides_by_a_state_older_than_the_bound(#[case] machines: u8) {
--- a/crates/gateway-core/tests/configuration_in_force/router.rs
+++ b/crates/gateway-core/tests/configuration_in_force/router.rs
@@ -18,6 +18,9 @@
 /// A host in every configuration; its route leads to the pool of that configuration's version.
 const HOST: &str = "host";
 
+/// For how long after its confirmation a view is taken to contain all that is in force.
+pub const ABSENCE_LEASE: Duration = Duration::from_millis(1_680);
+
 /// A message of a router, with its receiver and connection.
 pub type Sent = (Ipv4Addr, ConnectionId, Message);
 
@@ -38,7 +41,7 @@
     RouterParams {
         zone: zone.to_owned(),
         key_lease: Duration::from_millis(4_200),
-        absence_lease: Duration::from_millis(1_680),
+        absence_lease: ABSENCE_LEASE,
         version_grace: Duration::from_millis(6_400),
         retry_ratio: 0.2,
         retry_slack: 50.0,
--- a/crates/gateway-core/tests/configuration_in_force/simulation.rs
+++ b/crates/gateway-core/tests/configuration_in_force/simulation.rs
@@ -13,7 +13,7 @@
 use crate::cluster::{address, Cluster, ZONES};
 use crate::connectivity::{connected, HeldSince, APPLY_BOUND, DISTURBED_ALLOWANCE, MIN_CONNECTED};
 use crate::faults::{Fault, FaultKind};
-use crate::router::{Sent, SimRouter};
+use crate::router::{Sent, SimRouter, ABSENCE_LEASE};
 
 const TICK: Duration = Duration::from_millis(50);
 /// Message exchange between two ticks that takes more rounds counts as a loop without progress.
@@ -39,6 +39,10 @@
     /// The router answers that a route does not exist, although it was added.
     pub wrongly_missing: usize,
     pub refused: usize,
+    /// The router admits requests by a view that was not confirmed within the bound.
+    pub unsure: usize,
+    /// The router may send requests to a back end that left longer than the bound ago.
+    pub left_usable: usize,
 }
 
 impl Decisions {
@@ -47,6 +51,8 @@
         self.outdated += other.outdated;
         self.wrongly_missing += other.wrongly_missing;
         self.refused += other.refused;
+        self.unsure += other.unsure;
+        self.left_usable += other.left_usable;
     }
 }
 
@@ -548,7 +554,13 @@
         };
         let served = self.routers[router].served_version(now);
         let host = self.routers[router].resolve_host_of(now, required);
+        let core = &self.routers[router].core;
+        let is_unsure = core.view_age(now).is_none_or(|age| age >= ABSENCE_LEASE);
+        let mut left = self.back_ends.left_before(now, APPLY_BOUND);
+        let uses_left = left.any(|instance| core.allows_requests(now, instance));
         let decisions = &mut self.decisions;
+        decisions.unsure += usize::from(served.is_ok() && is_unsure);
+        decisions.left_usable += usize::from(served.is_ok() && uses_left);
         match served {
             Ok(version) if version >= required => decisions.current += 1,
             Ok(_) => decisions.outdated += 1,
