Tell how answers are framed and how their bodies end

Lines could not tell the hypotheses of the incident apart: a request whose answer ends without an error has no line at its end, and none says what marks the end of the body.

- 'answer_ended' is written for a body that ended without a mark of its end, or inside an event: bytes, whether it is a stream, and what its end says.
Framed answers get no further line.
- answer_ends_total{framing,outcome}.

No decision changes: 'answer_ended end=broken_off' is still followed by a complete answer.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -35,6 +35,13 @@
     pub outcome: &'static str,
 }
 
+/// What marked the end of an answer's body, and how the body ended.
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+struct AnswerEndLabel {
+    framing: &'static str,
+    outcome: &'static str,
+}
+
 /// Tenants with their own counters; the others share one.
 const MAX_TENANT_LABELS: usize = 64;
 /// The label of all further tenants.
@@ -89,6 +96,8 @@
     pub latency: Histogram,
     /// Answers that missed a target, by target.
     late_answers: Family<OutcomeLabel, Counter>,
+    /// Bodies of back ends' answers by how they ended.
+    answer_ends: Family<AnswerEndLabel, Counter>,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -124,6 +133,7 @@
         let attempts = Family::default();
         let latency = Histogram::new(LATENCY_BUCKETS);
         let late_answers = Family::default();
+        let answer_ends = Family::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -146,6 +156,11 @@
             "Answers that missed a target",
             Clone::clone(&late_answers),
         );
+        registry.register(
+            "answer_ends",
+            "Bodies of back ends' answers, by framing and end",
+            Clone::clone(&answer_ends),
+        );
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -201,6 +216,7 @@
             attempts,
             latency,
             late_answers,
+            answer_ends,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
@@ -232,6 +248,11 @@
         self.late_answers.get_or_create(&label).inc();
     }
 
+    pub fn count_answer_end(&self, framing: &'static str, outcome: &'static str) {
+        let label = AnswerEndLabel { framing, outcome };
+        self.answer_ends.get_or_create(&label).inc();
+    }
+
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -18,6 +18,7 @@
 
 use super::attempt::{self, Answered, Attempt, Unanswered};
 use super::headers;
+use super::received_body::ReceivedBody;
 use super::refusal::{self, Refused};
 use super::relay::{outcome_name, Relay, Relayed};
 use super::resume::{Attempts, Resumption};
@@ -339,6 +340,7 @@
     } = answered;
     let now = router.clock.now();
     let elapsed = now.since(call.received);
+    let received = ReceivedBody::new(&response, call.admission.route.kind);
     if response.status().is_success() {
         let mut core = router.core.borrow_mut();
         core.accepted(now, choice);
@@ -380,6 +382,7 @@
     let relayed = Relayed {
         id,
         body,
+        received,
         connection,
         open_attempt,
         remaining,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -17,6 +17,7 @@
 use super::attempt::AttemptBasis;
 use super::crash_detection::{self, BrokenRun};
 use super::forward::{Call, OpenRequest};
+use super::received_body::{AnswerEnd, Framing, ReceivedBody};
 use super::resume::Resumption;
 use super::silence::Watch;
 use super::timeliness::Timeliness;
@@ -168,6 +169,7 @@
 pub(crate) struct Relay {
     id: String,
     body: Incoming,
+    received: ReceivedBody,
     connection: Option<Connection>,
     open_attempt: OpenAttempt,
     deadline: Pin<Box<Sleep>>,
@@ -184,6 +186,7 @@
     /// The request's identifier.
     pub id: String,
     pub body: Incoming,
+    pub received: ReceivedBody,
     pub connection: Connection,
     pub open_attempt: OpenAttempt,
     /// Time until the request's deadline.
@@ -197,6 +200,7 @@
         let mut relay = Self {
             id: relayed.id,
             body: relayed.body,
+            received: relayed.received,
             connection: Some(relayed.connection),
             open_attempt: relayed.open_attempt,
             deadline: Box::pin(tokio::time::sleep(relayed.remaining)),
@@ -259,6 +263,7 @@
                     }
                 }
                 Poll::Ready(Some(Err(error))) => {
+                    self.count_end("error");
                     if !self.begin_resuming(&error) {
                         let error = io::Error::other(error);
                         let error = self.cut(Outcome::Broken, "broken", error);
@@ -301,6 +306,9 @@
 
     /// The part of a frame that can be forwarded; `None` while the current event is incomplete.
     fn whole_events(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
+        if let Some(data) = frame.data_ref() {
+            self.received.add(data);
+        }
         if self.body.is_end_stream() {
             self.finish();
         }
@@ -340,6 +348,7 @@
             Some(Poll::Pending) => ResumeState::Resuming,
             Some(Poll::Ready(None)) => ResumeState::Failed,
             Some(Poll::Ready(Some(answered))) => {
+                self.received.on_resumed(&answered.response);
                 self.body = answered.response.into_body();
                 self.connection = Some(answered.connection);
                 self.open_attempt = answered.open_attempt;
@@ -351,11 +360,29 @@
 
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
+            self.record_end(self.received.end());
             self.open_attempt.end(Outcome::Answered, Execution::Ran);
             connection.release(self.now());
         }
     }
 
+    fn count_end(&self, outcome: &'static str) {
+        let metrics = &self.open_attempt.router.metrics;
+        metrics.count_answer_end(self.received.framing().as_str(), outcome);
+    }
+
+    /// Counts the end of a body that ended without an error, and logs one that the back end did not mark.
+    fn record_end(&self, end: AnswerEnd) {
+        self.count_end(end.as_str());
+        let framing = self.received.framing();
+        if end == AnswerEnd::Complete && framing != Framing::Connection {
+            return;
+        }
+        tracing::info!(event = "answer_ended", id = %self.id, instance = %self.open_attempt.choice.instance,
+            framed_by = framing.as_str(), end = end.as_str(), stream = self.received.is_event_stream(),
+            bytes = self.received.bytes(), "router: the body of an answer ended without a mark of its end");
+    }
+
     fn displayed_fingerprint(&self) -> Option<DisplayValue<RequestFingerprint>> {
         self.open_attempt
             .run
@@ -384,8 +411,8 @@
 
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
         tracing::info!(event = "answer_cut", id = %self.id, work = self.displayed_fingerprint(),
-            instance = %self.open_attempt.choice.instance,
-            reason, %error, "router: closed the caller's connection before the end of an answer");
+            instance = %self.open_attempt.choice.instance, framed_by = self.received.framing().as_str(),
+            bytes = self.received.bytes(), reason, %error, "router: closed the caller's connection before the end of an answer");
         self.open_attempt.end(outcome, Execution::Ran);
         self.connection = None;
         error
