--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -15,7 +15,7 @@
 use super::forward::{header, may_try_again, Call};
 use super::headers;
 use super::notices;
-use super::relay::OpenAttempt;
+use super::open_attempt::OpenAttempt;
 use super::silence::Watch;
 use super::Router;
 use crate::upstream::{Connection, NoConnection, SendError};
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -18,9 +18,10 @@
 
 use super::attempt::{self, Answered, Attempt, Unanswered};
 use super::headers;
+use super::open_attempt::outcome_name;
 use super::received_body::ReceivedBody;
 use super::refusal::{self, Refused};
-use super::relay::{outcome_name, Relay, Relayed};
+use super::relay::{Relay, Relayed};
 use super::resume::{Attempts, Resumption};
 use super::timeliness::Timeliness;
 use super::Router;
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod forward;
 mod headers;
 mod notices;
+mod open_attempt;
 mod received_body;
 mod refusal;
 mod relay;
--- /dev/null
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -0,0 +1,143 @@
+//! An attempt in progress at a back end, and what is learned from its end.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_core::{Execution, Timestamp};
+use drumshore_gateway_core::{Choice, Outcome};
+
+use super::attempt::AttemptBasis;
+use super::crash_detection::{self, BrokenRun};
+use super::forward::Call;
+use super::Router;
+
+/// An attempt in progress at a back end. When dropped, it reports how the attempt ended, so that the number of requests
+/// in flight stays correct on every path.
+pub(crate) struct OpenAttempt {
+    pub router: Rc<Router>,
+    pub choice: Choice,
+    pub basis: AttemptBasis,
+    /// The time within which the answer should begin.
+    pub target: Duration,
+    answered: bool,
+    outcome: Outcome,
+    execution: Execution,
+    /// The request as sent.
+    pub run: BrokenRun,
+}
+
+impl OpenAttempt {
+    pub fn new(router: &Rc<Router>, call: &Call, choice: &Choice) -> Self {
+        if choice.has_long_prefill() {
+            router.loads_changed.send_replace(());
+        }
+        Self {
+            target: call.admission.route.target,
+            router: Rc::clone(router),
+            choice: choice.clone(),
+            basis: AttemptBasis::now(router),
+            answered: false,
+            outcome: Outcome::Abandoned,
+            execution: Execution::MayHaveRun,
+            run: BrokenRun {
+                id: call.id.clone(),
+                fingerprint: call.fingerprint,
+                sent_at: router.clock.now(),
+            },
+        }
+    }
+
+    /// When the attempt began.
+    pub fn began_at(&self) -> Timestamp {
+        self.run.sent_at
+    }
+
+    /// Records that the head of the answer has arrived.
+    pub fn answered(&mut self) {
+        self.on_bytes_received();
+        let latency = self.router.clock.now().since(self.run.sent_at);
+        self.record_answered(Some(latency));
+    }
+
+    /// Records that bytes of the answer have arrived.
+    pub fn on_bytes_received(&self) {
+        self.choice.last_received_at.set(self.router.clock.now());
+    }
+
+    fn record_answered(&mut self, latency: Option<Duration>) {
+        if !std::mem::replace(&mut self.answered, true) {
+            let now = self.router.clock.now();
+            let mut core = self.router.core.borrow_mut();
+            core.answered(now, &self.choice, latency, self.target);
+            if self.choice.has_long_prefill() {
+                self.router.loads_changed.send_replace(());
+            }
+        }
+    }
+
+    /// Records that the back end did not crash during the run, which clears the request's fingerprint of suspicion.
+    fn record_completed(&self, now: Timestamp) {
+        let Some(fingerprint) = self.run.fingerprint else {
+            return;
+        };
+        let was_suspected = self
+            .router
+            .core
+            .borrow_mut()
+            .on_fingerprint_completed(now, fingerprint);
+        if was_suspected {
+            tracing::info!(event = "work_cleared", id = %self.run.id, work = %fingerprint,
+                instance = %self.choice.instance, "router: a request with a suspected fingerprint ran to completion");
+            self.router.crash_reports_changed.notify_waiters();
+        }
+    }
+
+    /// Sets how the attempt ended, which is reported when it is dropped.
+    pub fn end(&mut self, outcome: Outcome, execution: Execution) {
+        self.outcome = outcome;
+        self.execution = execution;
+    }
+}
+
+impl Drop for OpenAttempt {
+    fn drop(&mut self) {
+        self.record_answered(None);
+        let now = self.router.clock.now();
+        let instance = &self.choice.instance;
+        let mut core = self.router.core.borrow_mut();
+        let became_unresponsive = core.finished(now, instance, self.run.sent_at, self.outcome);
+        drop(core);
+        if became_unresponsive {
+            tracing::info!(event = "back_end_suspected", %instance, by = "this router",
+                outcome = outcome_name(self.outcome), "router: suspecting a back end that became unresponsive");
+            self.router.upstreams.close_idle(instance);
+        }
+        self.router
+            .metrics
+            .count_attempt(outcome_name(self.outcome));
+        if matches!(self.outcome, Outcome::Answered | Outcome::Failed) {
+            self.record_completed(now);
+        }
+        if self.outcome == Outcome::Broken && self.execution != Execution::NotRun {
+            let address = &self.choice.address;
+            crash_detection::probe(&self.router, instance, address, self.run.clone());
+        }
+    }
+}
+
+/// The name of an outcome in logs and metrics.
+pub(super) fn outcome_name(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Answered => "answered",
+        Outcome::Failed => "failed",
+        Outcome::Shed => "shed",
+        Outcome::Misdirected => "misdirected",
+        Outcome::OtherWeights => "other_weights",
+        Outcome::NoFreeConnection => "no_free_connection",
+        Outcome::Unreachable => "unreachable",
+        Outcome::Withheld => "withheld",
+        Outcome::Broken => "broken",
+        Outcome::TimedOut => "timed_out",
+        Outcome::Abandoned => "abandoned",
+    }
+}
