Find the ends of events whatever their line ends

What callers saw: the events of a stream that may be resumed, from a back end that ends its lines with CR LF or CR, did not arrive one by one, but all at once at the end of the stream or in pieces of 256 KiB, and the stream could not be resumed where it broke.

Cause: the relay looked for two line feeds; the standard allows CR LF, LF and CR (WHATWG HTML 9.2.6). EventScanner, which already tells how a stream ends, now says which bytes belong to whole events, and identifiers are read from lines with any end. It is the only place that knows what an event is.

--- a/crates/gateway/src/router/events.rs
+++ b/crates/gateway/src/router/events.rs
@@ -1,10 +1,8 @@
-//! Splits a stream into server-sent events, as far as resuming it at another back end requires: only whole events are
+//! Holds back what a stream has of an event, so that it can be resumed at another back end: only whole events are
 //! forwarded, and the identifier of the last one is kept.
 
 use bytes::{Bytes, BytesMut};
 
-/// Ends an event (WHATWG HTML §9.2.6, with the line ends that back ends use).
-const EVENT_END: &[u8] = b"\n\n";
 const ID_FIELD: &[u8] = b"id:";
 /// Limit of the memory for an incomplete event, above the size of any event that back ends send. Beyond it bytes are
 /// forwarded as they arrive.
@@ -19,24 +17,24 @@
 }
 
 impl Events {
-    /// Adds bytes and returns the events that are complete now.
-    pub fn push(&mut self, bytes: Bytes) -> Option<Bytes> {
-        let whole = if self.pending.is_empty() && bytes.ends_with(EVENT_END) {
-            bytes
-        } else {
-            self.pending.extend_from_slice(&bytes);
-            let end = end_of_last_event(&self.pending);
-            let length = match end {
-                None if self.pending.len() > MAX_PENDING_BYTES => self.pending.len(),
-                None => return None,
-                Some(end) => end,
-            };
-            self.pending.split_to(length).freeze()
+    /// Adds bytes, the first `whole` of which end with an event, and returns the events that are complete now.
+    pub fn push(&mut self, mut bytes: Bytes, whole: usize) -> Option<Bytes> {
+        let partial = bytes.split_off(whole);
+        let events = match whole {
+            0 => None,
+            _ if self.pending.is_empty() => Some(bytes),
+            _ => {
+                self.pending.extend_from_slice(&bytes);
+                Some(self.pending.split().freeze())
+            }
         };
-        if let Some(id) = last_id(&whole) {
-            self.last_id = Some(whole.slice_ref(id));
+        self.pending.extend_from_slice(&partial);
+        let is_oversized = events.is_none() && self.pending.len() > MAX_PENDING_BYTES;
+        let forwarded = events.or_else(|| is_oversized.then(|| self.pending.split().freeze()))?;
+        if let Some(id) = last_id(&forwarded) {
+            self.last_id = Some(forwarded.slice_ref(id));
         }
-        Some(whole)
+        Some(forwarded)
     }
 
     /// The incomplete event that remains when the answer has ended.
@@ -56,15 +54,8 @@
     }
 }
 
-fn end_of_last_event(bytes: &[u8]) -> Option<usize> {
-    let start = bytes
-        .windows(EVENT_END.len())
-        .rposition(|window| window == EVENT_END);
-    start.map(|start| start + EVENT_END.len())
-}
-
 fn last_id(events: &[u8]) -> Option<&[u8]> {
-    let lines = events.rsplit(|byte| *byte == b'\n');
+    let lines = events.rsplit(|byte| matches!(byte, b'\n' | b'\r'));
     let mut ids = lines.filter_map(|line| line.strip_prefix(ID_FIELD));
     ids.next().map(<[u8]>::trim_ascii)
 }
--- a/crates/gateway/src/router/events_tests.rs
+++ b/crates/gateway/src/router/events_tests.rs
@@ -3,13 +3,34 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
+use super::super::event_scanner::EventScanner;
 use super::*;
 
 const STREAM: &[u8] = b"id: 1\ndata: a\n\nid: 2\ndata: id: 9\n\nversion:3\nid:3\ndata: c\n\n";
 
-fn forwarded(events: &mut Events, bytes: &[u8]) -> Vec<u8> {
-    let whole = events.push(Bytes::copy_from_slice(bytes));
-    whole.map(|whole| whole.to_vec()).unwrap_or_default()
+/// A stream as it arrives, and what of it is forwarded.
+#[derive(Default)]
+struct Stream {
+    events: Events,
+    scanner: EventScanner,
+}
+
+impl Stream {
+    fn forwarded(&mut self, bytes: &[u8]) -> Vec<u8> {
+        let whole = self.scanner.scan(bytes);
+        let forwarded = self.events.push(Bytes::copy_from_slice(bytes), whole);
+        forwarded.map(|bytes| bytes.to_vec()).unwrap_or_default()
+    }
+
+    fn break_off(&mut self) {
+        self.events.discard_partial();
+        self.scanner.discard_partial_event();
+    }
+
+    fn last_id(&self) -> Option<String> {
+        let id = self.events.last_id();
+        id.map(|id| String::from_utf8_lossy(id).into_owned())
+    }
 }
 
 #[rstest]
@@ -23,37 +44,47 @@
     #[case] expected: &[u8],
     #[case] last: Option<&str>,
 ) {
-    let mut events = Events::default();
-    assert_eq!(forwarded(&mut events, &STREAM[..cut]), expected);
-    let id = events
-        .last_id()
-        .map(|id| String::from_utf8_lossy(id).into_owned());
-    assert_eq!(id.as_deref(), last);
+    let mut stream = Stream::default();
+    assert_eq!(stream.forwarded(&STREAM[..cut]), expected);
+    assert_eq!(stream.last_id().as_deref(), last);
 }
 
 #[test]
 fn an_incomplete_last_event_is_forwarded_when_the_answer_ends() {
-    let mut events = Events::default();
-    assert_eq!(forwarded(&mut events, b"data: no end"), b"");
-    assert_eq!(events.take_remainder().unwrap().as_ref(), b"data: no end");
-    assert_eq!(events.take_remainder(), None);
+    let mut stream = Stream::default();
+    assert_eq!(stream.forwarded(b"data: no end"), b"");
+    let remainder = stream.events.take_remainder();
+    assert_eq!(remainder.unwrap().as_ref(), b"data: no end");
+    assert_eq!(stream.events.take_remainder(), None);
 }
 
 #[test]
 fn an_event_without_end_does_not_exhaust_memory() {
-    let mut events = Events::default();
+    let mut stream = Stream::default();
     let half = vec![b'x'; MAX_PENDING_BYTES];
-    assert_eq!(forwarded(&mut events, &half), b"");
-    assert_eq!(forwarded(&mut events, b"y").len(), MAX_PENDING_BYTES + 1);
+    assert_eq!(stream.forwarded(&half), b"");
+    assert_eq!(stream.forwarded(b"y").len(), MAX_PENDING_BYTES + 1);
+}
+
+#[rstest]
+#[case::both_line_ends("\r\n")]
+#[case::carriage_returns("\r")]
+fn events_are_forwarded_as_they_end_whatever_their_line_ends(#[case] line_end: &str) {
+    let mut stream = Stream::default();
+    for number in ["1", "2"] {
+        let event = format!("id: {number}{line_end}data: a{line_end}{line_end}");
+        assert_eq!(stream.forwarded(event.as_bytes()), event.as_bytes());
+        assert_eq!(stream.last_id().as_deref(), Some(number));
+    }
 }
 
 /// The events after `last`, as a back end that resumes the stream sends them.
-fn resumed_after(last: Option<&Bytes>) -> Vec<u8> {
-    let after: usize = last.map_or(0, |id| String::from_utf8_lossy(id).parse().unwrap());
+fn resumed_after(last: Option<String>) -> Vec<u8> {
+    let after: usize = last.map_or(0, |id| id.parse().unwrap());
     let mut rest = STREAM.to_vec();
     for _ in 0..after {
-        let end = rest.windows(2).position(|pair| pair == EVENT_END).unwrap();
-        rest.drain(..end + EVENT_END.len());
+        let end = rest.windows(2).position(|pair| pair == b"\n\n").unwrap();
+        rest.drain(..end + 2);
     }
     rest
 }
@@ -66,18 +97,18 @@
         cut in 0..=STREAM.len(),
         pieces in prop::collection::vec(1_usize..20, 0..20),
     ) {
-        let mut events = Events::default();
+        let mut stream = Stream::default();
         let mut received = Vec::new();
         let mut left = &STREAM[..cut];
         for size in pieces {
             let (piece, rest) = left.split_at(size.min(left.len()));
-            received.extend(forwarded(&mut events, piece));
+            received.extend(stream.forwarded(piece));
             left = rest;
         }
-        received.extend(forwarded(&mut events, left));
-        events.discard_partial();
-        let rest = resumed_after(events.last_id());
-        received.extend(forwarded(&mut events, &rest));
+        received.extend(stream.forwarded(left));
+        stream.break_off();
+        let rest = resumed_after(stream.last_id());
+        received.extend(stream.forwarded(&rest));
         prop_assert_eq!(received, STREAM);
     }
 }
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -173,9 +173,7 @@
 
     /// The part of a frame that can be forwarded; `None` while the current event is incomplete.
     fn whole_events(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
-        if let Some(data) = frame.data_ref() {
-            self.received.add(data);
-        }
+        let whole = frame.data_ref().map_or(0, |data| self.received.add(data));
         if self.body.is_end_stream() {
             self.finish();
         }
@@ -186,7 +184,7 @@
             Ok(data) => data,
             Err(trailers) => return Some(trailers),
         };
-        resumption.events.push(data).map(Frame::data)
+        resumption.events.push(data, whole).map(Frame::data)
     }
 
     /// Starts to resume a broken stream at another back end; false when it must not be resumed.
