Take a stream that ends inside an event for broken off

Cause: a back end may end an answer with its connection, without length and chunks. The relay took the end of the body for the end of the answer, whatever marks it; it passed on the part of an event that it held and let its own frame say that all had come. The run counted as answered: no other back end was asked, the back end was not probed, the request's fingerprint was cleared of suspicion and the time fed the service times.

By bytes on the connection every cut inside an event looked complete without a frame (three line ends, resumable or not), and none under chunks or a length.

Change: ReceivedBody judges the end of every body, by its frame and by the events in it: complete, broken off, or unmarked. Each path of the relay asks it (resumable, resumed before, continued from a copy, once only, plain). A stream that ends inside an event lacks that event for its reader (it is discarded without its blank line), so it is broken off under any frame; so is one that ends with its connection before any event. A broken one is resumed or cut, ends as broken and is learned from as such. Streams of events are sent on in chunks, since a declared length cannot be taken back. Whether an answer is a stream is told by its type, and by the route if it names none. A connection that ended with its answer is not pooled.

New ones: streams framed as whole that end inside an event, the type against the route, resets of plain answers. The test that an incomplete last event is passed on when the answer ends is replaced: it held what callers suffered from, and a_stream_framed_as_whole_that_ends_inside_an_event_never_looks_complete holds the opposite by bytes.

--- a/crates/gateway/src/router/event_scanner.rs
+++ b/crates/gateway/src/router/event_scanner.rs
@@ -28,7 +28,7 @@
         let mut whole = 0;
         for (index, byte) in bytes.iter().enumerate() {
             self.add(*byte);
-            if self.line == Line::Empty && !self.is_event_open {
+            if !self.is_inside_event() {
                 whole = index + 1;
             }
         }
--- a/crates/gateway/src/router/events.rs
+++ b/crates/gateway/src/router/events.rs
@@ -37,12 +37,6 @@
         Some(forwarded)
     }
 
-    /// The incomplete event that remains when the answer has ended.
-    pub fn take_remainder(&mut self) -> Option<Bytes> {
-        let rest = self.pending.split().freeze();
-        (!rest.is_empty()).then_some(rest)
-    }
-
     /// Discards an incomplete event: the back end that resumes the stream sends it whole.
     pub fn discard_partial(&mut self) {
         self.pending.clear();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -372,14 +372,14 @@
     let remaining = call.deadline.since(now);
     let may_resume =
         call.admission.route.kind == RequestKind::ResumableStream || choice.copy.is_some();
-    let is_resumable = may_resume && head.status == StatusCode::OK;
+    let is_resumable = may_resume && head.status == StatusCode::OK && received.is_event_stream();
     let id = call.id.clone();
     let timeliness = Timeliness::new(&call.admission.route, call.received);
-    let resumption = is_resumable.then(|| {
-        // Another back end may produce the rest of the stream, so the length that the first one declares may not hold.
+    if received.is_event_stream() && !body.is_end_stream() {
         head.headers.remove(CONTENT_LENGTH);
-        Resumption::new(router, Rc::new(call), attempts, choice.copy.clone())
-    });
+    }
+    let resumption =
+        is_resumable.then(|| Resumption::new(router, Rc::new(call), attempts, choice.copy.clone()));
     let relayed = Relayed {
         id,
         body,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -21,6 +21,8 @@
 use super::timeliness::Timeliness;
 use crate::upstream::Connection;
 
+const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event, or before the first one";
+
 /// Whether a broken stream is being resumed at another back end.
 enum ResumeState {
     /// It is not broken, or has been resumed.
@@ -76,7 +78,7 @@
             timeliness: relayed.timeliness,
             _open: open,
         };
-        if relay.body.is_end_stream() {
+        if relay.is_whole() {
             relay.finish();
         } else {
             relay.watch_for_silence();
@@ -98,16 +100,24 @@
     pub fn is_end_stream(&self) -> bool {
         // A stream that may be resumed ends only when polling returns the end: an incomplete event may still be
         // pending.
-        self.resumption.is_none() && self.body.is_end_stream()
+        self.resumption.is_none() && self.is_whole()
     }
 
+    /// The length, if it marks the end of the answer. A stream may prove broken off, or go on at another back end, after
+    /// as many bytes as its back end declared.
     pub fn size_hint(&self) -> SizeHint {
-        match self.resumption {
-            Some(_) => SizeHint::default(),
-            None => self.body.size_hint(),
+        if self.received.is_event_stream() && !self.body.is_end_stream() {
+            SizeHint::default()
+        } else {
+            self.body.size_hint()
         }
     }
 
+    /// Whether the whole answer has arrived, as its declared length tells.
+    fn is_whole(&self) -> bool {
+        self.body.is_end_stream() && self.received.end() == AnswerEnd::Complete
+    }
+
     pub fn poll_frame(
         &mut self,
         context: &mut Context<'_>,
@@ -131,17 +141,20 @@
                 }
                 Poll::Ready(Some(Err(error))) => {
                     self.count_end("error");
-                    if !self.begin_resuming(&error) {
-                        let error = io::Error::other(error);
-                        let error = self.cut(Outcome::Broken, "broken", error);
+                    if let Some(error) = self.resume_or_cut(io::Error::other(error)) {
+                        return Poll::Ready(Some(Err(error)));
+                    }
+                }
+                Poll::Ready(None) if self.received.end() == AnswerEnd::BrokenOff => {
+                    self.record_end(AnswerEnd::BrokenOff);
+                    let error = io::Error::new(io::ErrorKind::UnexpectedEof, ENDED_INSIDE_EVENT);
+                    if let Some(error) = self.resume_or_cut(error) {
                         return Poll::Ready(Some(Err(error)));
                     }
                 }
                 Poll::Ready(None) => {
                     self.finish();
-                    let rest = self.resumption.as_mut();
-                    let rest = rest.and_then(|resumption| resumption.events.take_remainder());
-                    return Poll::Ready(rest.map(|rest| Ok(Frame::data(rest))));
+                    return Poll::Ready(None);
                 }
                 Poll::Pending if self.resumes_from_silent(context) => {}
                 Poll::Pending => return self.poll_deadline(context),
@@ -174,7 +187,7 @@
     /// The part of a frame that can be forwarded; `None` while the current event is incomplete.
     fn whole_events(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
         let whole = frame.data_ref().map_or(0, |data| self.received.add(data));
-        if self.body.is_end_stream() {
+        if self.is_whole() {
             self.finish();
         }
         let Some(resumption) = &mut self.resumption else {
@@ -187,6 +200,14 @@
         resumption.events.push(data, whole).map(Frame::data)
     }
 
+    /// Starts to resume a broken answer at another back end, or ends it; the error closes the caller's connection.
+    fn resume_or_cut(&mut self, error: io::Error) -> Option<io::Error> {
+        if self.begin_resuming(&error) {
+            return None;
+        }
+        Some(self.cut(Outcome::Broken, "broken", error))
+    }
+
     /// Starts to resume a broken stream at another back end; false when it must not be resumed.
     fn begin_resuming(&mut self, error: &dyn std::fmt::Display) -> bool {
         let Some(resumption) = &mut self.resumption else {
@@ -227,7 +248,9 @@
         if let Some(connection) = self.connection.take() {
             self.record_end(self.received.end());
             self.open_attempt.end(Outcome::Answered, Execution::Ran);
-            connection.release(self.now());
+            if self.received.framing() != Framing::Connection {
+                connection.release(self.now());
+            }
         }
     }
 
@@ -240,7 +263,7 @@
     fn record_end(&self, end: AnswerEnd) {
         self.count_end(end.as_str());
         let framing = self.received.framing();
-        if end == AnswerEnd::Complete && framing != Framing::Connection {
+        if end == AnswerEnd::Complete {
             return;
         }
         tracing::info!(event = "answer_ended", id = %self.id, instance = %self.open_attempt.choice.instance,
