Never resume a stream inside an event that was forwarded in part

What callers would see: an event above 256 KiB is forwarded as it arrives. If its back end broke there, the stream was resumed after that event, whose identifier counted as seen: the caller lost the rest of the event and got the next one in its place.

Cause: the identifier was read from any bytes forwarded, also from a part of an event.

From the part on, the stream is forwarded as it arrives and is cut when it breaks.

--- a/crates/gateway/src/router/events.rs
+++ b/crates/gateway/src/router/events.rs
@@ -4,8 +4,8 @@
 use bytes::{Bytes, BytesMut};
 
 const ID_FIELD: &[u8] = b"id:";
-/// Limit of the memory for an incomplete event, above the size of any event that back ends send. Beyond it bytes are
-/// forwarded as they arrive.
+/// Limit of the memory for an incomplete event, above the size of any event that back ends send. Beyond it the rest of the
+/// stream is forwarded as it arrives, and can no longer be resumed.
 const MAX_PENDING_BYTES: usize = 256 << 10;
 
 /// The events of one answer.
@@ -14,11 +14,16 @@
     /// The beginning of an event whose end has not arrived.
     pending: BytesMut,
     last_id: Option<Bytes>,
+    /// Whether a part of an event has been forwarded, which a back end that resumes the stream would send again.
+    has_forwarded_part: bool,
 }
 
 impl Events {
     /// Adds bytes, the first `whole` of which end with an event, and returns the events that are complete now.
     pub fn push(&mut self, mut bytes: Bytes, whole: usize) -> Option<Bytes> {
+        if self.has_forwarded_part {
+            return Some(bytes);
+        }
         let partial = bytes.split_off(whole);
         let events = match whole {
             0 => None,
@@ -29,12 +34,15 @@
             }
         };
         self.pending.extend_from_slice(&partial);
-        let is_oversized = events.is_none() && self.pending.len() > MAX_PENDING_BYTES;
-        let forwarded = events.or_else(|| is_oversized.then(|| self.pending.split().freeze()))?;
-        if let Some(id) = last_id(&forwarded) {
-            self.last_id = Some(forwarded.slice_ref(id));
+        if events.is_none() && self.pending.len() > MAX_PENDING_BYTES {
+            self.has_forwarded_part = true;
+            return Some(self.pending.split().freeze());
+        }
+        let events = events?;
+        if let Some(id) = last_id(&events) {
+            self.last_id = Some(events.slice_ref(id));
         }
-        Some(forwarded)
+        Some(events)
     }
 
     /// Discards an incomplete event: the back end that resumes the stream sends it whole.
@@ -42,6 +50,11 @@
         self.pending.clear();
     }
 
+    /// Whether all that was returned are whole events.
+    pub fn allow_resuming(&self) -> bool {
+        !self.has_forwarded_part
+    }
+
     /// The identifier of the last event that was returned.
     pub fn last_id(&self) -> Option<&Bytes> {
         self.last_id.as_ref()
--- a/crates/gateway/src/router/events_tests.rs
+++ b/crates/gateway/src/router/events_tests.rs
@@ -57,6 +57,17 @@
     assert_eq!(stream.forwarded(b"y").len(), MAX_PENDING_BYTES + 1);
 }
 
+#[test]
+fn a_stream_is_not_resumed_once_a_part_of_an_event_was_forwarded() {
+    let mut stream = Stream::default();
+    stream.forwarded(b"id: 1\ndata: a\n\nid: 2\ndata: ");
+    assert!(stream.events.allow_resuming());
+    stream.forwarded(&vec![b'x'; MAX_PENDING_BYTES]);
+    assert!(!stream.events.allow_resuming());
+    assert_eq!(stream.forwarded(b"x\n\nid: 3"), b"x\n\nid: 3");
+    assert_eq!(stream.last_id().as_deref(), Some("1"));
+}
+
 #[rstest]
 #[case::both_line_ends("\r\n")]
 #[case::carriage_returns("\r")]
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -104,7 +104,7 @@
     /// Starts to resume at another back end; false, without any change, when the stream must not be resumed.
     pub fn begin(&mut self) -> bool {
         let is_late = self.router.clock.now() >= self.call.deadline;
-        if is_late {
+        if is_late || !self.events.allow_resuming() {
             return false;
         }
         let mut attempts = self.attempts.clone();
