Take an answer whose back end crashed at its end for broken off

What callers would see: an answer without length and chunks, from a back end that crashes between two events or inside a plain body, looks complete. A server writes whole events, and the kernel ends the connections of a crashed process as those of one that is done, so most crashes end there.

Cause: an unmarked end (of the connection, where the answer may end) was vouched for without a look.

Change: before the last chunk is sent, the router opens the connection that replaces the one that ended with the answer. Refused, and the back end had not announced a stop: it crashed; the answer is resumed or cut, and the run counts as broken, so that its fingerprint is suspected. Accepted: the end is passed on as that of a whole answer. The connection is kept for the next request, so that a back end which never frames its answers gets as many connections as before.

an_answer_that_ends_with_a_crash_never_looks_complete guards it, for a resumable stream, one that is not, and a plain answer; it failed before. What is left: an answer that a running back end breaks off exactly between two events.

--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -13,10 +13,11 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{FingerprintSuspicion, InstanceId, RequestFingerprint};
+use drumshore_gateway_core::{Choice, FingerprintSuspicion, InstanceId, RequestFingerprint};
 
 use super::Router;
 use crate::sockets;
+use crate::upstream::NoConnection;
 
 /// A reachable machine accepts or refuses a connection within a network round trip, 2.8 ms between the users' zones. One
 /// that does not respond within this time is isolated or has no power.
@@ -47,6 +48,15 @@
 }
 
 impl Finding {
+    fn new(connected: io::Result<()>, is_serving: bool) -> Self {
+        match connected {
+            Ok(()) => Self::Alive,
+            Err(error) if error.kind() != io::ErrorKind::ConnectionRefused => Self::Unresponsive,
+            Err(_) if is_serving => Self::Crashed,
+            Err(_) => Self::StoppedAsAnnounced,
+        }
+    }
+
     fn as_str(self) -> &'static str {
         match self {
             Self::Crashed => "ended",
@@ -88,20 +98,37 @@
 }
 
 async fn probe_address(router: &Router, instance: &InstanceId, address: &str) -> Finding {
-    // Read before connecting: control machines remove a back end from the state soon after its process has ended.
-    let is_serving = router
-        .core
-        .borrow()
-        .is_serving(router.clock.now(), instance);
+    let is_serving = is_serving(router, instance);
     let Ok(address) = address.parse::<SocketAddr>() else {
         return Finding::Unresponsive;
     };
-    match sockets::connect(address, CONNECT_TIMEOUT).await {
-        Ok(_) => Finding::Alive,
-        Err(error) if error.kind() != io::ErrorKind::ConnectionRefused => Finding::Unresponsive,
-        Err(_) if is_serving => Finding::Crashed,
-        Err(_) => Finding::StoppedAsAnnounced,
-    }
+    let connected = sockets::connect(address, CONNECT_TIMEOUT).await;
+    Finding::new(connected.map(drop), is_serving)
+}
+
+/// Whether the state has a back end as serving. Read before connecting to it: control machines remove a back end from the
+/// state soon after its process has ended.
+fn is_serving(router: &Router, instance: &InstanceId) -> bool {
+    let core = router.core.borrow();
+    core.is_serving(router.clock.now(), instance)
+}
+
+/// Whether a back end has crashed whose connection ended together with its answer. The connection opened to find out
+/// replaces the one that ended.
+pub(super) async fn has_crashed(router: Rc<Router>, choice: Choice) -> bool {
+    let Choice {
+        instance, address, ..
+    } = &choice;
+    let is_serving = is_serving(&router, instance);
+    let opening = router
+        .upstreams
+        .open_idle(instance, address, choice.connections);
+    let finding = match opening.await {
+        Ok(()) => Finding::new(Ok(()), is_serving),
+        Err(NoConnection::Unreachable(error)) => Finding::new(Err(error), is_serving),
+        Err(NoConnection::NoneFree) => probe_address(&router, instance, address).await,
+    };
+    finding == Finding::Crashed
 }
 
 fn apply_finding(router: &Rc<Router>, instance: &InstanceId, finding: Finding) {
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -3,7 +3,8 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -13,15 +14,23 @@
 use tokio::time::Sleep;
 use tracing::field::DisplayValue;
 
+use super::crash_detection;
 use super::forward::OpenRequest;
 use super::open_attempt::OpenAttempt;
-use super::received_body::{AnswerEnd, Framing, ReceivedBody};
+use super::received_body::{AnswerEnd, ReceivedBody};
 use super::resume::Resumption;
 use super::silence::Watch;
 use super::timeliness::Timeliness;
 use crate::upstream::Connection;
 
-const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event, or before the first one";
+/// Why an answer is broken off whose body ended without an error of the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+enum BrokenOff {
+    #[error("the stream ended inside an event, or before the first one")]
+    InsideEvent,
+    #[error("the back end crashed at the end of its answer")]
+    Crash,
+}
 
 /// Whether a broken stream is being resumed at another back end.
 enum ResumeState {
@@ -46,6 +55,9 @@
     resumption: Option<Resumption>,
     /// Completes when the back end of a stream that may be resumed is found silent.
     silence: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    /// Completes when it is known whether the back end of an answer with an unmarked end has crashed.
+    crash_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
+    is_finished: bool,
     timeliness: Timeliness,
     _open: OpenRequest,
 }
@@ -75,6 +87,8 @@
             deadline: Box::pin(tokio::time::sleep(relayed.remaining)),
             resumption: relayed.resumption,
             silence: None,
+            crash_check: None,
+            is_finished: false,
             timeliness: relayed.timeliness,
             _open: open,
         };
@@ -131,7 +145,7 @@
                     return Poll::Ready(Some(Err(self.cut(Outcome::Broken, "broken", error))));
                 }
             }
-            match Pin::new(&mut self.body).poll_frame(context) {
+            match self.poll_body(context) {
                 Poll::Ready(Some(Ok(frame))) => {
                     self.open_attempt.on_bytes_received();
                     self.timeliness.on_piece(self.now());
@@ -145,17 +159,20 @@
                         return Poll::Ready(Some(Err(error)));
                     }
                 }
-                Poll::Ready(None) if self.received.end() == AnswerEnd::BrokenOff => {
-                    self.record_end(AnswerEnd::BrokenOff);
-                    let error = io::Error::new(io::ErrorKind::UnexpectedEof, ENDED_INSIDE_EVENT);
-                    if let Some(error) = self.resume_or_cut(error) {
-                        return Poll::Ready(Some(Err(error)));
+                Poll::Ready(None) => match self.poll_end(context) {
+                    Poll::Pending => return Poll::Pending,
+                    Poll::Ready(None) => {
+                        self.finish();
+                        return Poll::Ready(None);
                     }
-                }
-                Poll::Ready(None) => {
-                    self.finish();
-                    return Poll::Ready(None);
-                }
+                    Poll::Ready(Some(broken_off)) => {
+                        self.record_end(AnswerEnd::BrokenOff);
+                        let error = io::Error::new(io::ErrorKind::UnexpectedEof, broken_off);
+                        if let Some(error) = self.resume_or_cut(error) {
+                            return Poll::Ready(Some(Err(error)));
+                        }
+                    }
+                },
                 Poll::Pending if self.resumes_from_silent(context) => {}
                 Poll::Pending => return self.poll_deadline(context),
             }
@@ -200,6 +217,36 @@
         resumption.events.push(data, whole).map(Frame::data)
     }
 
+    fn poll_body(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<hyper::Result<Frame<Bytes>>>> {
+        if self.crash_check.is_some() {
+            return Poll::Ready(None);
+        }
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    /// Judges an answer whose body has ended without an error of the connection: why it is broken off, or that nothing says
+    /// so. An unmarked end is that of a crash if the back end accepts no more connections.
+    fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Option<BrokenOff>> {
+        match self.received.end() {
+            AnswerEnd::Complete => Poll::Ready(None),
+            AnswerEnd::BrokenOff => Poll::Ready(Some(BrokenOff::InsideEvent)),
+            AnswerEnd::Unmarked => {
+                self.connection = None;
+                let attempt = &self.open_attempt;
+                let check = self.crash_check.get_or_insert_with(|| {
+                    let (router, choice) = (Rc::clone(&attempt.router), attempt.choice.clone());
+                    Box::pin(crash_detection::has_crashed(router, choice))
+                });
+                let has_crashed = ready!(check.as_mut().poll(context));
+                self.crash_check = None;
+                Poll::Ready(has_crashed.then_some(BrokenOff::Crash))
+            }
+        }
+    }
+
     /// Starts to resume a broken answer at another back end, or ends it; the error closes the caller's connection.
     fn resume_or_cut(&mut self, error: io::Error) -> Option<io::Error> {
         if self.begin_resuming(&error) {
@@ -245,12 +292,13 @@
     }
 
     fn finish(&mut self) {
+        if std::mem::replace(&mut self.is_finished, true) {
+            return;
+        }
+        self.record_end(self.received.end());
+        self.open_attempt.end(Outcome::Answered, Execution::Ran);
         if let Some(connection) = self.connection.take() {
-            self.record_end(self.received.end());
-            self.open_attempt.end(Outcome::Answered, Execution::Ran);
-            if self.received.framing() != Framing::Connection {
-                connection.release(self.now());
-            }
+            connection.release(self.now());
         }
     }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -157,6 +157,21 @@
         waited.unwrap_or(Err(NoConnection::NoneFree))
     }
 
+    /// Opens a connection to a back end for a later request, unless all that this process may open are in use.
+    pub async fn open_idle(
+        &self,
+        instance: &InstanceId,
+        address: &str,
+        max_connections: usize,
+    ) -> Result<(), NoConnection> {
+        let pool = self.pool(instance);
+        if pool.open.get() >= max_connections {
+            return Err(NoConnection::NoneFree);
+        }
+        open(address, &pool).await?.release(self.clock.now());
+        Ok(())
+    }
+
     /// Closes the idle connections to a back end that has become unresponsive: a request sent on one of them would be
     /// lost, whereas a failed attempt to open a new connection loses nothing.
     pub fn close_idle(&self, instance: &InstanceId) {
