Reset the connection of a cut answer whose caller reads no chunks

What callers would see: one of HTTP/1.0 gets a stream without length and chunks; cut by the router, it ended with FIN, which is the mark of a whole answer for that caller, whatever its back end had sent.

Cause: the relay's error closes the connection, and only the missing last chunk told the caller so.

Change: when a connection ends with an error and its last request was of HTTP/1.0, it is reset. Callers of HTTP/1.1 keep the ordinary close: a reset may discard what they could resume from.

A process that is killed, or ends with its grace period, still ends such an answer with FIN: open.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,5 +1,6 @@
 //! Serves HTTP/1.1 on a listener, with one task per connection on the process's event loop.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::net::IpAddr;
 use std::rc::Rc;
@@ -9,8 +10,9 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response};
+use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
 
@@ -126,16 +128,30 @@
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let reads_chunks = Rc::new(Cell::new(true));
+    let caller_reads_chunks = Rc::clone(&reads_chunks);
     let service = service_fn(move |mut request: Request<Incoming>| {
+        caller_reads_chunks.set(request.version() > Version::HTTP_10);
         request.extensions_mut().insert(peer);
         handler(request)
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(params.idle_timeout)
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let _ = connection.await;
+    let served = (&mut connection).await;
+    if served.is_err() && !reads_chunks.get() {
+        reset(&connection.into_parts().io.into_inner(), peer);
+    }
+}
+
+/// Makes a connection end with a reset: its caller takes the ordinary end for the end of a whole answer.
+fn reset(stream: &TcpStream, peer: Peer) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        tracing::warn!(event = "reset_failed", peer = %peer.0, %error,
+            "server: failed to reset a connection after an incomplete answer");
+    }
 }
 
 #[cfg(test)]
