Never end a stream by dropping it

What callers would see: the streams of 'drumshore router' (its own interface) end with the last chunk also when the thread that sends them panics: whole by the frame, without the event that ends a completion.

Cause, the class of the incident: the encoder of chunks sends the last one when it is dropped, so that 'no more' counted as 'done' on every path that forgets or fails.

StreamBody::finish marks the end; one that is dropped before closes its connection, which also keeps a later answer from being read as its rest. a_stream_that_is_not_finished_has_no_last_chunk failed with bodies that count as finished from the start, as before (abandoned and panicking handlers). The tests' echo now finishes its stream. Errors within a stream were told by an event before and still are.

--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -11,10 +11,12 @@
 mod request;
 mod responder;
 mod server;
+mod stream_body;
 
 pub use request::{Header, Method, Request};
-pub use responder::{Responder, SendOutcome, StreamBody};
+pub use responder::{Responder, SendOutcome};
 pub use server::{Handler, Server, ServerParams, ServerStatus};
+pub use stream_body::StreamBody;
 
 /// Response header: whether a refused request may have run.
 pub const EXECUTION_HEADER: &str = "x-drumshore-execution";
--- a/crates/http/src/responder.rs
+++ b/crates/http/src/responder.rs
@@ -3,10 +3,10 @@
 use std::io::{self, Write};
 use std::net::TcpStream;
 
-use chunked_transfer::Encoder;
 use drumshore_core::RequestError;
 use serde::Serialize;
 
+use crate::stream_body::StreamBody;
 use crate::{Header, EXECUTION_HEADER, RETRY_AFTER_MS_HEADER};
 
 /// Whether an answer was sent, as far as the socket reports it.
@@ -94,7 +94,7 @@
         head.extend_from_slice(b"transfer-encoding: chunked\r\n\r\n");
         let mut stream = self.stream;
         stream.write_all(&head)?;
-        Ok(Encoder::new(stream))
+        Ok(StreamBody::new(stream))
     }
 
     fn head(&self, status: u16, content_type: &str) -> Vec<u8> {
@@ -110,9 +110,6 @@
     }
 }
 
-/// The body of a streamed answer. Dropping it sends the final chunk.
-pub type StreamBody<'c> = Encoder<&'c TcpStream>;
-
 /// The JSON document that callers receive for an error.
 pub(crate) fn error_body(error: &RequestError) -> impl Serialize + '_ {
     ErrorBody {
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -18,6 +18,21 @@
                 stream.write_all(&[byte]).expect("the peer is connected");
                 stream.flush().expect("the peer is connected");
             }
+            stream.finish();
+        }
+        Ok(body) if request.path() == "/abandoned" => {
+            let mut stream = responder
+                .start_stream(200, "text/plain")
+                .expect("the peer is connected");
+            stream.write_all(&body).expect("the peer is connected");
+            stream.flush().expect("the peer is connected");
+        }
+        Ok(body) if request.path() == "/panic" => {
+            let mut stream = responder
+                .start_stream(200, "text/plain")
+                .expect("the peer is connected");
+            stream.write_all(&body).expect("the peer is connected");
+            panic!("while a stream is open");
         }
         Ok(body) => {
             responder.send(200, "text/plain", &body);
@@ -192,3 +207,17 @@
         assert!(read_all(stream).starts_with("HTTP/1.1 200"));
     }
 }
+
+#[rstest]
+#[case::abandoned("/abandoned")]
+#[case::panic("/panic")]
+fn a_stream_that_is_not_finished_has_no_last_chunk(#[case] path: &str) {
+    let server = start(params());
+    let request = format!("POST {path} HTTP/1.1\r\ncontent-length: 2\r\n\r\nhi");
+    let answer = exchange(
+        &server,
+        [request.as_bytes(), request.as_bytes()].concat().as_slice(),
+    );
+    assert_eq!(answer.matches("200 OK").count(), 1, "{answer}");
+    assert!(!answer.ends_with("0\r\n\r\n"), "{answer}");
+}
--- a/crates/node/src/router/completions.rs
+++ b/crates/node/src/router/completions.rs
@@ -243,7 +243,9 @@
     }
 
     fn end_stream(&mut self) {
-        self.stream = None;
+        if let Some(stream) = self.stream.take() {
+            stream.finish();
+        }
     }
 
     /// Sends an error: as the response if none has begun, otherwise as the last event of the
