Answer in the caller's version of HTTP, not the back end's

The router's lines were right: answer_ended broken_off, answer_cut.

Cause: the head of a back end's answer was passed on with its version. One of HTTP/1.0 made the router answer a caller of HTTP/1.1 without chunks, so that a cut looked like the end. Found only because the soak's callers now read the bytes of their connection; an HTTP library reads such an answer as whole.

a_stream_cut_that_its_back_end_sent_without_chunks_never_looks_complete failed before, with a length and without. a_back_end_that_never_frames_answers_gets_one_connection_for_each_request holds what the look for a crash costs.

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode};
+use hyper::{HeaderMap, Request, Response, StatusCode, Version};
 use tokio::time::timeout;
 
 use super::attempt::{self, Answered, Attempt, Unanswered};
@@ -369,6 +369,8 @@
         "router: a back end answered; forwarding the answer to the caller");
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
+    // The version, and with it whether a body may have chunks, is that of the caller's connection.
+    head.version = Version::HTTP_11;
     let remaining = call.deadline.since(now);
     let may_resume =
         call.admission.route.kind == RequestKind::ResumableStream || choice.copy.is_some();
