--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -6,24 +6,20 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
-    Admission, Choice, FingerprintInput, LoadEntry, Prompt, Refusal, RequestFingerprint,
-    RequestHead, RequestKind,
+    Admission, Choice, FingerprintInput, Prompt, Refusal, RequestFingerprint, RequestHead,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, CONTENT_LENGTH, HOST};
+use hyper::header::{HeaderValue, CONNECTION, HOST};
 use hyper::http::request::Parts;
-use hyper::{HeaderMap, Request, Response, StatusCode, Version};
+use hyper::{HeaderMap, Request, Response};
 use tokio::time::timeout;
 
-use super::attempt::{self, Answered, Attempt, Unanswered};
-use super::headers;
+use super::attempt::{self, Attempt, Unanswered};
+use super::forwarded_answer::forward_answer;
 use super::open_attempt::outcome_name;
-use super::received_body::ReceivedBody;
 use super::refusal::{self, Refused};
-use super::relay::{Relay, Relayed};
-use super::resume::{Attempts, Resumption};
-use super::timeliness::Timeliness;
+use super::resume::Attempts;
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::server::NoAnswer;
@@ -263,7 +259,7 @@
         match attempt::make(router, &call, &choice, attempts.sent, None).await {
             Attempt::Answered(answered) => {
                 attempts.sent += 1;
-                return relay(router, call, &choice, *answered, open, attempts);
+                return forward_answer(router, call, &choice, *answered, open, attempts);
             }
             Attempt::Unanswered(unanswered) => {
                 log_unanswered(router, &call, &choice, unanswered);
@@ -306,96 +302,6 @@
     repeatable && sent < route.max_attempts.max(1)
 }
 
-/// What the router knows of a back end's speed, for logs.
-struct SpeedUsed {
-    time_factor: f64,
-    /// Milliseconds since the last sample of it; `None` if nothing is known.
-    age_ms: Option<u64>,
-}
-
-impl SpeedUsed {
-    fn of(router: &Router, choice: &Choice) -> Self {
-        let back_end = LoadEntry::key_of(choice.instance.as_str());
-        let core = router.core.borrow();
-        let speeds = core.back_end_speeds();
-        let age = speeds.age(router.clock.now(), back_end);
-        Self {
-            time_factor: speeds.time_factor(back_end),
-            age_ms: age.map(|age| age.as_millis() as u64),
-        }
-    }
-}
-
-fn relay(
-    router: &Rc<Router>,
-    call: Call,
-    choice: &Choice,
-    answered: Answered,
-    open: OpenRequest,
-    attempts: Attempts,
-) -> Response<AnswerBody> {
-    let Answered {
-        response,
-        connection,
-        open_attempt,
-    } = answered;
-    let now = router.clock.now();
-    let elapsed = now.since(call.received);
-    let received = ReceivedBody::new(&response, call.admission.route.kind);
-    if response.status().is_success() {
-        let mut core = router.core.borrow_mut();
-        core.accepted(now, choice);
-        if attempts.tried.len() == 1 {
-            core.record_first_byte(choice, now.since(open_attempt.began_at()));
-        }
-    }
-    let speed = SpeedUsed::of(router, choice);
-    router.metrics.count_request("answered", elapsed);
-    let limit = router.core.borrow().limit_of(&choice.instance);
-    let basis = open_attempt.basis;
-    tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display),
-        route = %call.admission.route.name, tenant = call.tenant(), outcome = "answered", status = response.status().as_u16(),
-        priority = call.admission.priority, instance = %choice.instance,
-        attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
-        limit = limit.map(tracing::field::display),
-        version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
-        held_here = choice.cache_estimate.here, held_at_source = choice.cache_estimate.at_source,
-        ahead_tokens = choice.load_ahead.pending_tokens, ahead_in_flight = choice.load_ahead.in_flight,
-        cached_tokens = choice.cached_tokens, speed = speed.time_factor, speed_age_ms = speed.age_ms,
-        belief_age_ms = choice.cache_estimate.age_ms, expected_ms = choice.forecast.begins_in.as_millis() as u64,
-        queue_ms = choice.forecast.queue.as_millis() as u64, own_side = choice.forecast.in_own_partition, copied_to = choice.copy.as_ref().map(|copy| copy.instance.as_str()), stores = choice.save_to.is_some(),
-        chosen_by = basis.revision, view_age_ms = basis.view_age_ms(), connection_wait_ms = basis.connection_wait_ms(),
-        elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
-        "router: a back end answered; forwarding the answer to the caller");
-    let (mut head, body) = response.into_parts();
-    headers::strip_connection_headers(&mut head.headers);
-    // The version, and with it whether a body may have chunks, is that of the caller's connection.
-    head.version = Version::HTTP_11;
-    let remaining = call.deadline.since(now);
-    let may_resume =
-        call.admission.route.kind == RequestKind::ResumableStream || choice.copy.is_some();
-    let is_resumable = may_resume && head.status == StatusCode::OK && received.is_event_stream();
-    let id = call.id.clone();
-    let timeliness = Timeliness::new(&call.admission.route, call.received);
-    if received.is_event_stream() && !body.is_end_stream() {
-        head.headers.remove(CONTENT_LENGTH);
-    }
-    let resumption =
-        is_resumable.then(|| Resumption::new(router, Rc::new(call), attempts, choice.copy.clone()));
-    let relayed = Relayed {
-        id,
-        body,
-        received,
-        connection,
-        open_attempt,
-        remaining,
-        resumption,
-        timeliness,
-    };
-    let relay = Relay::new(relayed, open);
-    Response::from_parts(head, AnswerBody::Relayed(Box::new(relay)))
-}
-
 pub(super) fn header(headers: &HeaderMap, name: &hyper::header::HeaderName) -> String {
     let value = headers.get(name).and_then(|value| value.to_str().ok());
     value.unwrap_or_default().to_owned()
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -9,6 +9,7 @@
 mod events;
 mod first_view;
 mod forward;
+mod forwarded_answer;
 mod headers;
 mod notices;
 mod open_attempt;
