--- a/crates/gateway/src/router/event_scanner.rs
+++ b/crates/gateway/src/router/event_scanner.rs
@@ -25,11 +25,17 @@
     /// Scans the next bytes of the stream. Returns how many of them belong to whole events, or to whole lines between
     /// events.
     pub fn scan(&mut self, bytes: &[u8]) -> usize {
-        let mut whole = 0;
-        for (index, byte) in bytes.iter().enumerate() {
-            self.add(*byte);
+        let (mut whole, mut index) = (0, 0);
+        while index < bytes.len() {
+            if self.line != Line::Empty {
+                let rest = bytes[index..].iter();
+                let line_end = rest.clone().position(|byte| matches!(byte, b'\n' | b'\r'));
+                index += line_end.unwrap_or(rest.len() - 1);
+            }
+            self.add(bytes[index]);
+            index += 1;
             if !self.is_inside_event() {
-                whole = index + 1;
+                whole = index;
             }
         }
         whole
