Let the mock engine's answers end with their connection

A server in front of the mock engine takes the framing off its answers and breaks them off where it is told (tiny_http, which serves the engine, closes no connection itself). The product's own interface needs [DONE] to take a stream for whole: cut at any byte before it, the relay stays open, and an end then resumes or fails.

--- a/crates/testbed/src/engine/mod.rs
+++ b/crates/testbed/src/engine/mod.rs
@@ -9,6 +9,7 @@
 pub mod stream;
 pub mod timing;
 mod types;
+pub mod unframed;
 
 pub use self::core::EngineCore;
 pub use cache::BlockCache;
