Log with an unserved request how many back ends are ready and out of this router's reach

Cause: both 'all back ends are down' and 'only this router cannot reach them' ended in outcome=turned_away with the same fields, so the first two hypotheses of the incident could not be told apart from one router's lines.

Change: the line of a request that no back end answered names the ready back ends of its pool by the view, those that this router's last attempt did not reach, and the time since it last received bytes from any. No decision reads them.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -25,6 +25,7 @@
 mod pool_partition;
 mod prompt_mix;
 mod prompt_placement;
+mod reach;
 mod reported_loads;
 mod request;
 mod router_count;
@@ -57,6 +58,7 @@
 pub use leaving::Leave;
 pub use notices::{LimitChange, NoticeChange};
 pub use placement_cost::Forecast;
+pub use reach::PoolReach;
 pub use reported_loads::ReportedLoads;
 pub use request::{
     Admission, Backoff, ChoiceError, EarlierAttempts, Overload, Prompt, PromptPart, Refusal,
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -64,10 +64,13 @@
     let elapsed = now.since(call.received);
     let own_answer = final_answer(worst_execution, error, now >= call.deadline);
     router.metrics.count_request(own_answer.reason, elapsed);
+    let reach = router.core.borrow().pool_reach(now, &call.admission.pool);
     tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display), route = %call.admission.route.name,
         tenant = call.tenant(), outcome = own_answer.reason, status = own_answer.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         execution = worst_execution.as_str(), choice = error.map(tracing::field::display),
+        ready = reach.ready, unreachable = reach.unreachable,
+        received_ms_ago = reach.received_ago.map(|ago| ago.as_millis() as u64),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
             "router: no back end answered a request");
     respond(own_answer)
