--- a/crates/gateway-core/src/control/directory.rs
+++ b/crates/gateway-core/src/control/directory.rs
@@ -20,6 +20,8 @@
 /// Minimum number of routers in an answer, filled up from other zones if the caller's zone has too
 /// few: a few routers are more likely to be all lost or all full.
 const MIN_LISTED: usize = 8;
+/// Maximum number of routers that one router is given to forward requests to.
+const MAX_PEERS: usize = 8;
 
 /// Addresses for a caller in a zone, among the routers that accept callers.
 pub(super) fn for_caller<'a>(
@@ -29,7 +31,7 @@
 ) -> Vec<String> {
     let caller = xxh3_64(caller.to_string().as_bytes());
     let accepting = routers.filter(|status| status.accepting != 0).collect();
-    let eligible = prefer_with_view(accepting).into_iter();
+    let eligible = prefer_serving(accepting).into_iter();
     let (own, others): (Vec<_>, Vec<_>) = eligible.partition(|status| status.zone.as_str() == zone);
     let max_own = MAX_LISTED * OWN_ZONE_PER_OTHER / (OWN_ZONE_PER_OTHER + 1);
     let mut listed = first_ranked(&own, caller, max_own);
@@ -39,14 +41,35 @@
     listed
 }
 
-/// Leaves out routers without a view unless they are the majority. A router that starts before
-/// thousands of back ends needs a second or two to receive them, and its callers wait or are
-/// rejected. While most routers have no view, as after a restart of the whole fleet, the few with a
-/// view could not serve all callers.
-fn prefer_with_view(mut accepting: Vec<&RouterStatus>) -> Vec<&RouterStatus> {
-    let with_view = accepting.iter().filter(|status| status.has_view != 0);
-    if 2 * with_view.count() >= accepting.len() {
-        accepting.retain(|status| status.has_view != 0);
+/// Addresses of routers that can serve requests which another router forwards to them. Half of them
+/// are in its zone, if there are as many. Each router gets its own subset, so that none has to
+/// serve the callers of many others.
+pub(super) fn for_peer<'a>(
+    routers: impl Iterator<Item = &'a RouterStatus>,
+    router: &RouterStatus,
+) -> Vec<String> {
+    let seed = xxh3_64(router.address.as_str().as_bytes());
+    let can_serve = |status: &&RouterStatus| {
+        status.accepting != 0 && status.is_serving != 0 && status.address != router.address
+    };
+    let (own, others): (Vec<_>, Vec<_>) = routers
+        .filter(can_serve)
+        .partition(|status| status.zone == router.zone);
+    let mut listed = first_ranked(&own, seed, MAX_PEERS / 2);
+    let from_others = MAX_PEERS - listed.len();
+    listed.extend(first_ranked(&others, seed, from_others));
+    listed
+}
+
+/// Leaves out routers that cannot serve callers unless they are the majority. A router that starts
+/// before thousands of back ends needs a second or two to receive them, and its callers wait or are
+/// rejected. A router without a path to back ends forwards its callers' requests to others. While
+/// most routers cannot serve, as after a restart of the whole fleet, the few that can could not
+/// serve all callers.
+fn prefer_serving(mut accepting: Vec<&RouterStatus>) -> Vec<&RouterStatus> {
+    let serving = accepting.iter().filter(|status| status.is_serving != 0);
+    if 2 * serving.count() >= accepting.len() {
+        accepting.retain(|status| status.is_serving != 0);
     }
     accepting
 }
--- a/crates/gateway-core/src/control/directory_tests.rs
+++ b/crates/gateway-core/src/control/directory_tests.rs
@@ -13,7 +13,7 @@
         address: Text::new(format!("{zone}-{number}")),
         zone: Text::new(zone),
         accepting: 1,
-        has_view: 1,
+        is_serving: 1,
     };
     (0..count).map(router).collect()
 }
@@ -29,6 +29,25 @@
         .count()
 }
 
+#[test]
+fn a_router_is_given_peers_of_its_own_and_of_other_zones_that_can_serve() {
+    let mut all = routers("own", 20);
+    all.extend(routers("other", 20));
+    for status in all.iter_mut().skip(1).step_by(2) {
+        status.is_serving = 0;
+    }
+    let requester = all[0].clone();
+    let listed = for_peer(all.iter(), &requester);
+    assert_eq!(listed.len(), MAX_PEERS);
+    assert_eq!(in_zone(&listed, "own"), MAX_PEERS / 2);
+    assert!(!listed.iter().any(|peer| peer == requester.address.as_str()));
+    let serving = all.iter().filter(|status| status.is_serving != 0);
+    let serving: Vec<&str> = serving.map(|status| status.address.as_str()).collect();
+    assert!(listed.iter().all(|peer| serving.contains(&peer.as_str())));
+    all.truncate(3);
+    assert_eq!(for_peer(all.iter(), &requester), ["own-2"]);
+}
+
 #[rstest]
 #[case::many_in_each_zone(98, 197, 51, 12)]
 #[case::some_in_each_zone(24, 55, 24, 6)]
@@ -112,7 +131,7 @@
     all.extend(routers("without", without_view));
     for status in &mut all {
         let lacks_view = status.address.as_str().starts_with("without");
-        status.has_view = u8::from(!lacks_view);
+        status.is_serving = u8::from(!lacks_view);
         status.zone = Text::new("own");
     }
     let listed = for_caller(all.iter(), "own", caller(7));
--- a/crates/gateway-core/src/control/routers.rs
+++ b/crates/gateway-core/src/control/routers.rs
@@ -6,7 +6,7 @@
 
 use drumshore_consensus::{Directory, Role};
 use drumshore_core::Timestamp;
-use drumshore_wire::Text;
+use drumshore_wire::{List, Text};
 
 use super::directory;
 use super::loads::{LoadReport, LoadTotals};
@@ -114,6 +114,7 @@
             Message::FingerprintReports(reports) => self.on_fingerprint_reports(&reports.items),
             Message::Usage(entries) => self.on_usage(connection, &entries.items),
             Message::DemandReport(entries) => self.on_demand_report(&entries.items),
+            Message::FetchPeers => self.on_fetch_peers(connection),
             Message::Follow(following) => self.on_follow(connection, following),
             Message::Fetch {
                 since,
@@ -153,6 +154,17 @@
         self.send_suspicions(connection);
     }
 
+    /// Tells a router to which others it may forward requests.
+    fn on_fetch_peers(&mut self, connection: ConnectionId) {
+        let Some(router) = self.routers.0.get(&connection) else {
+            return;
+        };
+        let responsive = self.routers.responsive().map(|(_, router)| &router.status);
+        let peers = directory::for_peer(responsive, &router.status);
+        let message = Message::Peers(List::new(peers.iter().map(Text::new).collect()));
+        self.effects.push(Effect::ToRouter(connection, message));
+    }
+
     fn on_follow(&mut self, connection: ConnectionId, following: Following) {
         if let Some(router) = self.routers.0.get_mut(&connection) {
             router.following = following;
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -50,8 +50,9 @@
 pub use notice::{BackEndNotice, RequestRate};
 pub use router::{
     Admission, Backoff, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts, Forecast,
-    Leave, LimitChange, NoticeChange, Outcome, OverLimit, Overload, PoolReach, Prompt, PromptPart,
-    Refusal, ReportedLoads, RequestHead, RouterCore, RouterParams, RunCopy, TenantShare, ViewError,
+    Leave, LimitChange, NoticeChange, Outcome, OverLimit, Overload, PathChange, PathCheck,
+    PoolReach, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead, RouterCore, RouterParams,
+    RunCopy, TenantShare, ViewError, Witness,
 };
 pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, Position, ReplicatedState, TargetWeights};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -25,8 +25,8 @@
     pub zone: Text,
     /// 1 while the router accepts new clients.
     pub accepting: u8,
-    /// 1 once the router has had a confirmed view, so that it can serve clients.
-    pub has_view: u8,
+    /// 1 while the router can serve clients: it has had a confirmed view, and has not lost its path to all back ends.
+    pub is_serving: u8,
 }
 
 /// Sent by a control machine to the routers that follow it when the replicated state has changed.
@@ -272,7 +272,7 @@
     }
 }
 
-/// The first kind of messages that carry measurements; all later kinds do too.
+/// The first kind of news that carries measurements; all later kinds of news do too.
 const FIRST_MEASUREMENT: u8 = 26;
 
 /// A message between two processes of the gateway.
@@ -415,6 +415,12 @@
         /// The demand of the further tenants together, per second.
         other_cost_per_second: u32,
     },
+    /// From a router: asks for routers to forward requests to.
+    #[brw(magic(30u8))]
+    FetchPeers,
+    /// The response: the addresses for clients, IP:PORT, of routers that reach back ends.
+    #[brw(magic(31u8))]
+    Peers(List<Text>),
 }
 
 impl Message {
@@ -425,7 +431,7 @@
         cursor.into_inner()
     }
 
-    /// Whether the message carries measurements, which only peers with [`crate::RouterWire::WithMeasurements`] decode.
+    /// Whether the message carries measurements, which only peers from [`crate::RouterWire::WithMeasurements`] on decode.
     pub fn is_measurement(&self) -> bool {
         match self {
             Self::SpeedSamples(_)
@@ -437,6 +443,11 @@
         }
     }
 
+    /// Whether the message is about peers of a router, which only [`crate::RouterWire::WithPeers`] decodes.
+    pub fn is_about_peers(&self) -> bool {
+        matches!(self, Self::FetchPeers | Self::Peers(_))
+    }
+
     /// Decodes a payload; `None` if it is not a valid message.
     pub fn decode(payload: &[u8]) -> Option<Self> {
         binrw::BinRead::read(&mut std::io::Cursor::new(payload)).ok()
--- a/crates/gateway-core/src/router/choose.rs
+++ b/crates/gateway-core/src/router/choose.rs
@@ -5,6 +5,15 @@
 use super::{Admission, Choice, ChoiceError, EarlierAttempts, Prompt, RouterCore};
 
 impl RouterCore {
+    /// Charges a further attempt of a request to the retry budget; false when the budget does not allow it.
+    pub fn charge_retry(&mut self, now: Timestamp, admission: &Admission) -> bool {
+        let is_allowed = self.budget.may_retry(now, &admission.pool);
+        if is_allowed {
+            self.budget.on_retry(now, &admission.pool);
+        }
+        is_allowed
+    }
+
     /// Chooses a back end and counts the request as in flight there until [`RouterCore::finished`].
     ///
     /// An attempt counts as a retry only if an earlier attempt reached a back end: a refused connection puts no load
--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -188,6 +188,15 @@
         self.unreachable_in_a_row = self.unreachable_in_a_row.max(1);
     }
 
+    /// Forgets that it could not be reached.
+    pub fn forget_failures(&mut self) {
+        if !self.is_reachable() {
+            self.unreachable_in_a_row = 0;
+            self.failure_rate = 0.0;
+            self.avoided_until = Timestamp::default();
+        }
+    }
+
     /// False after a connection failure, a timeout or a report that it is unresponsive, until it answers again.
     pub fn is_reachable(&self) -> bool {
         self.unreachable_in_a_row == 0
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -291,6 +291,15 @@
         }
     }
 
+    /// Forgets the failures of a pool's back ends that were due to this router's path to them.
+    pub fn forget_failures(&mut self, pool: &PoolName) {
+        let pool = NameHash::of(pool.as_str());
+        let in_pool = |endpoint: &&mut Endpoint| endpoint.summary.pool == pool;
+        for endpoint in self.by_id.values_mut().filter(in_pool) {
+            endpoint.forget_failures();
+        }
+    }
+
     /// A back end is believed to have crashed. As that may be wrong, it is only avoided, like an unresponsive one,
     /// until its heartbeats arrive again.
     pub fn on_crashed(&mut self, now: Timestamp, instance: &InstanceId) {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -20,6 +20,7 @@
 mod notices;
 mod overload;
 mod partition_demand;
+mod paths;
 mod placement;
 mod placement_cost;
 mod pool_partition;
@@ -57,6 +58,7 @@
 pub use endpoint::Outcome;
 pub use leaving::Leave;
 pub use notices::{LimitChange, NoticeChange};
+pub use paths::{PathChange, PathCheck, Witness};
 pub use placement_cost::Forecast;
 pub use reach::PoolReach;
 pub use reported_loads::ReportedLoads;
@@ -74,6 +76,7 @@
 use notices::{NoticeContext, RetrySchedule};
 use overload::PoolLoads;
 use partition_demand::PartitionDemand;
+use paths::Paths;
 use prompt_mix::PromptMix;
 use router_count::RouterCount;
 use split::Splitter;
@@ -128,6 +131,7 @@
     retry_schedule: RetrySchedule,
     stores: Stores,
     holders: Holders,
+    paths: Paths,
     suspects: Vec<u32>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
@@ -155,6 +159,7 @@
             retry_schedule: RetrySchedule::default(),
             stores: Stores::default(),
             holders: Holders::default(),
+            paths: Paths::default(),
             suspects: Vec::new(),
             refusing: Vec::new(),
             suspected_fingerprints: SuspectedFingerprints::default(),
--- /dev/null
+++ b/crates/gateway-core/src/router/paths.rs
@@ -0,0 +1,198 @@
+//! Whether this router has a network path to the back ends of a pool.
+//!
+//! A router whose attempt at a back end fails cannot tell from it whether the back end is down or the router itself is cut
+//! off. It therefore tries to reach other back ends of the pool. If it reaches none of them, its own path is presumed
+//! lost: its callers are better served by another router.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use drumshore_core::Timestamp;
+use rand::seq::IndexedRandom;
+
+use super::{InstanceId, RouterCore};
+use crate::PoolName;
+
+/// Back ends that a check tries to reach at the same time.
+const WITNESSES: usize = 4;
+/// A path that was found open is not checked again for this long.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// A back end that a check of a path tries to reach.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Witness {
+    /// The back end.
+    pub instance: InstanceId,
+    /// Its address, IP:PORT.
+    pub address: String,
+    /// Number of connections that this router may have open to it.
+    pub connections: usize,
+}
+
+/// A check of the path to a pool: the path is open if any of the witnesses accepts a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PathCheck {
+    /// The pool.
+    pub pool: PoolName,
+    /// The back ends to reach.
+    pub witnesses: Vec<Witness>,
+}
+
+/// The result of a check that changed what is known of a path.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathChange {
+    /// No witness was reached.
+    Lost,
+    /// A witness was reached again, this long after the path was lost.
+    Regained(Duration),
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Path {
+    is_being_checked: bool,
+    /// When the path was found lost; `None` while it is open.
+    lost_at: Option<Timestamp>,
+    /// When a check last reached a witness.
+    reached_at: Option<Timestamp>,
+}
+
+/// The paths of one router, by pool. Pools without an entry have never been in doubt.
+#[derive(Debug, Default)]
+pub(super) struct Paths(BTreeMap<PoolName, Path>);
+
+impl Paths {
+    pub fn is_lost(&self, pool: &PoolName) -> bool {
+        self.0.get(pool).is_some_and(|path| path.lost_at.is_some())
+    }
+
+    fn begin_check(&mut self, now: Timestamp, pool: &PoolName) -> bool {
+        let path = self.0.entry(pool.clone()).or_default();
+        let is_known = path
+            .reached_at
+            .is_some_and(|at| now.since(at) < CHECK_INTERVAL);
+        if path.is_being_checked || is_known {
+            return false;
+        }
+        path.is_being_checked = true;
+        true
+    }
+
+    fn end_check(&mut self, now: Timestamp, pool: &PoolName, reached: bool) -> Option<PathChange> {
+        let path = self.0.entry(pool.clone()).or_default();
+        path.is_being_checked = false;
+        if reached {
+            path.reached_at = Some(now);
+            let lost_at = path.lost_at.take()?;
+            return Some(PathChange::Regained(now.since(lost_at)));
+        }
+        if path.lost_at.is_some() {
+            return None;
+        }
+        path.lost_at = Some(now);
+        Some(PathChange::Lost)
+    }
+}
+
+impl RouterCore {
+    /// Begins a check of the path to the pool of a back end that could not be reached. Returns `None` if the path is
+    /// already being checked, or was found open a moment ago.
+    pub fn begin_path_check(
+        &mut self,
+        now: Timestamp,
+        unreached: &InstanceId,
+    ) -> Option<PathCheck> {
+        let record = &self.endpoints.get(unreached)?.record;
+        let pool = PoolName::new(record.pool.as_str());
+        self.begin_check(now, pool, Some(unreached))
+    }
+
+    /// Begins another check of a path that is lost.
+    pub fn begin_path_recheck(&mut self, now: Timestamp, pool: &PoolName) -> Option<PathCheck> {
+        self.begin_check(now, pool.clone(), None)
+    }
+
+    fn begin_check(
+        &mut self,
+        now: Timestamp,
+        pool: PoolName,
+        unreached: Option<&InstanceId>,
+    ) -> Option<PathCheck> {
+        if !self.paths.begin_check(now, &pool) {
+            return None;
+        }
+        let witnesses = self.witnesses(&pool, unreached);
+        Some(PathCheck { pool, witnesses })
+    }
+
+    /// Records whether a check reached any witness.
+    pub fn end_path_check(
+        &mut self,
+        now: Timestamp,
+        pool: &PoolName,
+        reached: bool,
+    ) -> Option<PathChange> {
+        let change = self.paths.end_check(now, pool, reached);
+        if let Some(PathChange::Regained(_)) = change {
+            self.endpoints.forget_failures(pool);
+        }
+        change
+    }
+
+    /// True while this router reaches no back end of the pool.
+    pub fn has_lost_path(&self, pool: &PoolName) -> bool {
+        self.paths.is_lost(pool)
+    }
+
+    /// True while this router reaches no back end of some pool.
+    pub fn has_lost_any_path(&self) -> bool {
+        self.paths.0.values().any(|path| path.lost_at.is_some())
+    }
+
+    /// True while the path to some pool that has back ends is not lost. A router without any back ends counts as having
+    /// one: it has no reason to send its callers elsewhere.
+    pub fn has_any_path(&self) -> bool {
+        let mut pools = self
+            .endpoints
+            .iter()
+            .map(|(_, endpoint)| endpoint.record.pool.as_str());
+        let has_back_ends = self.endpoints.iter().next().is_some();
+        !has_back_ends || pools.any(|pool| !self.paths.is_lost(&PoolName::new(pool)))
+    }
+
+    /// Back ends of a pool that are worth a check: those without failures, if there are any.
+    fn witnesses(&mut self, pool: &PoolName, unreached: Option<&InstanceId>) -> Vec<Witness> {
+        let max_connections = self
+            .view
+            .document()
+            .and_then(|document| document.pool(pool))
+            .map_or(0, |pool| pool.max_connections);
+        let connections = self.connections(max_connections);
+        let in_pool = self.endpoints.iter().filter(|(_, endpoint)| {
+            endpoint.summary.is_ready && endpoint.record.pool.as_str() == pool.as_str()
+        });
+        let in_pool: Vec<_> = in_pool.collect();
+        let is_other = |id: &InstanceId| Some(id) != unreached;
+        let others = in_pool.iter().filter(|(id, _)| is_other(id));
+        let others: Vec<_> = others.copied().collect();
+        let sound = others
+            .iter()
+            .filter(|(_, endpoint)| endpoint.is_reachable());
+        let sound: Vec<_> = sound.copied().collect();
+        let eligible = [sound, others, in_pool];
+        let eligible = eligible.iter().find(|eligible| !eligible.is_empty());
+        let Some(eligible) = eligible else {
+            return Vec::new();
+        };
+        let chosen = eligible.choose_multiple(&mut self.random, WITNESSES);
+        let witnesses = chosen.map(|(id, endpoint)| Witness {
+            instance: (*id).clone(),
+            address: endpoint.record.address.as_str().to_owned(),
+            connections,
+        });
+        witnesses.collect()
+    }
+}
+
+#[cfg(test)]
+#[path = "paths_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -0,0 +1,98 @@
+//! Tests of what a router concludes about its paths.
+
+use super::super::tests::{admit, at, router};
+use super::*;
+use crate::router::{EarlierAttempts, Outcome};
+
+fn pool() -> PoolName {
+    PoolName::new("apps")
+}
+
+fn back_end(name: &str) -> InstanceId {
+    InstanceId::new(name)
+}
+
+/// Fails an attempt at a back end and checks the path.
+fn fail_and_check(router: &mut RouterCore, name: &str, reached: bool) -> Option<PathChange> {
+    router.finished(at(10), &back_end(name), at(0), Outcome::Unreachable);
+    let check = router.begin_path_check(at(10), &back_end(name))?;
+    router.end_path_check(at(20), &check.pool, reached)
+}
+
+#[test]
+fn a_check_tries_the_other_back_ends_of_the_pool() {
+    let mut router = router();
+    let check = router.begin_path_check(at(10), &back_end("app-1")).unwrap();
+    assert_eq!(check.pool, pool());
+    let witnesses = check.witnesses.iter();
+    let mut witnesses: Vec<&str> = witnesses.map(|witness| witness.instance.as_str()).collect();
+    witnesses.sort_unstable();
+    assert_eq!(witnesses, ["app-2", "app-3"]);
+}
+
+#[test]
+fn a_path_is_lost_when_no_witness_is_reached_and_regained_with_the_first_one() {
+    let mut router = router();
+    assert_eq!(
+        fail_and_check(&mut router, "app-1", false),
+        Some(PathChange::Lost)
+    );
+    assert!(router.has_lost_path(&pool()));
+    assert!(router.has_any_path(), "the other pool is not in doubt");
+    router.begin_path_recheck(at(30), &pool()).unwrap();
+    let change = router.end_path_check(at(120), &pool(), true);
+    let lost_for = Duration::from_millis(100);
+    assert_eq!(change, Some(PathChange::Regained(lost_for)));
+    assert!(!router.has_lost_path(&pool()));
+}
+
+#[test]
+fn one_back_end_that_is_down_does_not_lose_the_path() {
+    let mut router = router();
+    assert_eq!(fail_and_check(&mut router, "app-1", true), None);
+    assert!(!router.has_lost_path(&pool()));
+    let again = router.begin_path_check(at(200), &back_end("app-1"));
+    assert_eq!(again, None, "the path was found open a moment ago");
+    assert!(router
+        .begin_path_check(at(300), &back_end("app-1"))
+        .is_some());
+}
+
+#[test]
+fn only_one_check_of_a_pool_runs_at_a_time() {
+    let mut router = router();
+    router.begin_path_check(at(10), &back_end("app-1")).unwrap();
+    assert_eq!(router.begin_path_check(at(11), &back_end("app-2")), None);
+    assert!(router
+        .begin_path_check(at(11), &back_end("llm-4"))
+        .is_some());
+}
+
+#[test]
+fn back_ends_that_failed_while_the_path_was_lost_are_used_at_once_when_it_is_regained() {
+    let mut router = router();
+    for name in ["app-1", "app-2", "app-3"] {
+        for _ in 0..4 {
+            router.finished(at(10), &back_end(name), at(0), Outcome::Unreachable);
+        }
+    }
+    fail_and_check(&mut router, "app-1", false);
+    router.begin_path_recheck(at(30), &pool()).unwrap();
+    router.end_path_check(at(40), &pool(), true);
+    assert_eq!(router.pool_reach(at(40), &pool()).unreachable, 0);
+    let admission = admit(&mut router, at(40), "/a/x");
+    let tried = [back_end("app-1"), back_end("app-2")];
+    let earlier = EarlierAttempts {
+        tried: &tried,
+        ..EarlierAttempts::default()
+    };
+    assert!(router.choose(at(40), &admission, None, earlier).is_ok());
+}
+
+#[test]
+fn a_router_without_a_path_to_any_pool_has_none() {
+    let mut router = router();
+    fail_and_check(&mut router, "app-1", false);
+    fail_and_check(&mut router, "llm-4", false);
+    assert!(!router.has_any_path());
+}
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -185,7 +185,7 @@
         self.view.document()?.pool(&admission.pool)
     }
 
-    fn connections(&self, max_connections: u32) -> usize {
+    pub(super) fn connections(&self, max_connections: u32) -> usize {
         if max_connections == 0 {
             return DEFAULT_CONNECTIONS;
         }
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -68,6 +68,9 @@
     /// the same call.
     #[error("work is suspected")]
     Suspected,
+    /// This router reaches no back end of the pool, and no other router took the request over.
+    #[error("no path to the back ends")]
+    NoPath,
     /// The pool's retry budget is used up for now.
     #[error("retry budget used up")]
     NoBudget,
--- a/crates/gateway-core/src/router_wire.rs
+++ b/crates/gateway-core/src/router_wire.rs
@@ -17,6 +17,8 @@
 /// The wire formats in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RouterWire {
+    /// The layout of [`Message`], with the kinds of messages that carry measurements and those about peers of a router.
+    WithPeers,
     /// The layout of [`Message`], with the kinds of messages that carry measurements. A peer shows that it decodes them
     /// by a marker after its first message, which builds without these kinds ignore.
     WithMeasurements,
@@ -56,10 +58,31 @@
 
 /// Follows the first message, or a keep-alive message, of a process that decodes messages with measurements.
 const MEASUREMENTS_MARKER: u8 = 1;
+/// Follows [`MEASUREMENTS_MARKER`] if the process also decodes messages about peers of a router.
+const PEERS_MARKER: u8 = 2;
 
 impl RouterWire {
     /// All wire formats.
-    pub const ALL: [Self; 3] = [Self::WithMeasurements, Self::Current, Self::BeforeViews];
+    pub const ALL: [Self; 4] = [
+        Self::WithPeers,
+        Self::WithMeasurements,
+        Self::Current,
+        Self::BeforeViews,
+    ];
+
+    /// Whether the peer decodes messages with measurements.
+    pub fn has_measurements(self) -> bool {
+        matches!(self, Self::WithPeers | Self::WithMeasurements)
+    }
+
+    /// The bytes after a first or keep-alive message that show what its sender decodes.
+    fn markers(self) -> &'static [u8] {
+        match self {
+            Self::WithPeers => &[MEASUREMENTS_MARKER, PEERS_MARKER],
+            Self::WithMeasurements => &[MEASUREMENTS_MARKER],
+            Self::Current | Self::BeforeViews => &[],
+        }
+    }
 
     /// Decodes the first message of a router and detects its format; `None` if it is neither a message in the current
     /// format nor a status in the earlier one.
@@ -92,25 +115,33 @@
     /// Decodes a message; `None` if it is not valid.
     pub fn decode(self, payload: &[u8]) -> Option<Message> {
         match self {
-            Self::WithMeasurements | Self::Current => Message::decode(payload),
+            Self::WithPeers | Self::WithMeasurements | Self::Current => Message::decode(payload),
             Self::BeforeViews => decode_legacy(payload).or_else(|| Message::decode(payload)),
         }
     }
 
     /// Encodes a message; `None` if the peer cannot decode this message.
     pub fn encode(self, message: &Message) -> Option<Vec<u8>> {
+        let is_decoded = match self {
+            Self::WithPeers => true,
+            Self::WithMeasurements => !message.is_about_peers(),
+            Self::Current | Self::BeforeViews => {
+                !message.is_about_peers() && !message.is_measurement()
+            }
+        };
+        if !is_decoded {
+            return None;
+        }
         match (self, message) {
             (
-                Self::WithMeasurements,
+                Self::WithPeers | Self::WithMeasurements,
                 Message::Router(_) | Message::ControlZone(_) | Message::KeepAlive,
             ) => {
                 let mut payload = message.encode();
-                payload.push(MEASUREMENTS_MARKER);
+                payload.extend(self.markers());
                 Some(payload)
             }
-            (Self::WithMeasurements, _) => Some(message.encode()),
-            (Self::Current | Self::BeforeViews, _) if message.is_measurement() => None,
-            (Self::Current, _) => Some(message.encode()),
+            (Self::WithPeers | Self::WithMeasurements | Self::Current, _) => Some(message.encode()),
             (
                 Self::BeforeViews,
                 Message::ControlZone(_) | Message::LoadsOfAll { .. } | Message::Follow(_),
@@ -131,10 +162,10 @@
     let mut cursor = Cursor::new(payload);
     let message = Message::read(&mut cursor).ok()?;
     let rest = payload.get(cursor.position() as usize..)?;
-    let wire = if rest.first() == Some(&MEASUREMENTS_MARKER) {
-        RouterWire::WithMeasurements
-    } else {
-        RouterWire::Current
+    let wire = match rest {
+        [MEASUREMENTS_MARKER, PEERS_MARKER, ..] => RouterWire::WithPeers,
+        [MEASUREMENTS_MARKER, ..] => RouterWire::WithMeasurements,
+        _ => RouterWire::Current,
     };
     Some((wire, message))
 }
@@ -157,7 +188,7 @@
             address,
             zone,
             accepting,
-            has_view: 1,
+            is_serving: 1,
         })),
         LegacyMessage::Fetch { since } => Some(Message::Fetch {
             since,
--- a/crates/gateway-core/src/router_wire_tests.rs
+++ b/crates/gateway-core/src/router_wire_tests.rs
@@ -11,7 +11,7 @@
         address: Text::new("10.0.0.9:80"),
         zone: Text::new("zone"),
         accepting: 1,
-        has_view: 1,
+        is_serving: 1,
     }
 }
 
@@ -196,6 +196,34 @@
     assert!(!Message::News(Blob::new(loads.encode())).is_measurement());
 }
 
+#[rstest]
+#[case::fetch(Message::FetchPeers)]
+#[case::peers(Message::Peers(List::default()))]
+fn messages_about_peers_are_sent_only_to_builds_that_decode_them(#[case] message: Message) {
+    for wire in RouterWire::ALL {
+        let expected = (wire == RouterWire::WithPeers).then(|| message.encode());
+        assert_eq!(wire.encode(&message), expected, "{wire:?}");
+    }
+}
+
+#[rstest]
+#[case::router(Message::Router(status()))]
+#[case::control_machine(Message::ControlZone(Text::new("a")))]
+fn a_build_that_decodes_messages_about_peers_is_known_to_decode_measurements(
+    #[case] first: Message,
+) {
+    let marked = RouterWire::WithPeers.encode(&first).unwrap();
+    let detected = match first {
+        Message::Router(_) => RouterWire::detect_from_router(&marked),
+        _ => RouterWire::detect_from_control(&marked),
+    };
+    assert_eq!(detected, Some((RouterWire::WithPeers, first.clone())));
+    assert!(RouterWire::WithPeers.has_measurements());
+    assert_eq!(Message::decode(&marked), Some(first.clone()));
+    let earlier = RouterWire::WithMeasurements.encode(&first).unwrap();
+    assert!(marked.starts_with(&earlier));
+}
+
 #[test]
 fn a_keep_alive_message_shows_that_its_sender_decodes_measurements() {
     let marked = RouterWire::WithMeasurements.encode(&Message::KeepAlive);
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -329,7 +329,7 @@
             address: Text::new(address),
             zone: Text::new("zone"),
             accepting: 1,
-            has_view: 1,
+            is_serving: 1,
         };
         let now = self.now;
         let core = self.core(at);
--- a/crates/gateway-core/tests/configuration_in_force/router.rs
+++ b/crates/gateway-core/tests/configuration_in_force/router.rs
@@ -89,7 +89,7 @@
             address: Text::new("10.1.0.1:80"),
             zone: Text::new(self.zone.as_str()),
             accepting: 1,
-            has_view: 1,
+            is_serving: 1,
         }
     }
 
--- a/crates/gateway-core/tests/fleet_traffic.rs
+++ b/crates/gateway-core/tests/fleet_traffic.rs
@@ -116,7 +116,7 @@
                     address: Text::new(format!("10.1.0.{number}:80")),
                     zone: Text::new(router.zone.as_str()),
                     accepting: 1,
-                    has_view: 1,
+                    is_serving: 1,
                 };
                 let connection = ConnectionId(number as u64);
                 let is_first_of_zone = at.octets()[3] <= ZONES;
--- a/crates/gateway-core/tests/wire_layout.rs
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -127,7 +127,7 @@
                 address: Text::new("10.0.0.9:80"),
                 zone: Text::new("zone"),
                 accepting: 1,
-                has_view: 1,
+                is_serving: 1,
             }),
         ),
         ("consensus", Message::Consensus(Blob::new(vec![1, 2]))),
@@ -236,6 +236,11 @@
                 other_cost_per_second: 30,
             },
         ),
+        ("fetch_peers", Message::FetchPeers),
+        (
+            "peers",
+            Message::Peers(List::new(vec![Text::new("10.0.0.1:80")])),
+        ),
     ]
 }
 
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -11,12 +11,14 @@
 use hyper::header::{HeaderValue, CONTENT_TYPE, RETRY_AFTER};
 use hyper::{Response, StatusCode};
 
-use crate::router::Relay;
+use crate::router::{PeerBody, Relay};
 
-/// The body of an answer: the gateway's own bytes, or a back end's body that is being forwarded.
+/// The body of an answer: the gateway's own bytes, or the body of a back end or of another router that is being
+/// forwarded.
 pub(crate) enum AnswerBody {
     Own(Full<Bytes>),
     Relayed(Box<Relay>),
+    FromPeer(Box<PeerBody>),
 }
 
 impl Body for AnswerBody {
@@ -32,6 +34,7 @@
                 .poll_frame(context)
                 .map_err(|never| match never {}),
             Self::Relayed(relay) => relay.poll_frame(context),
+            Self::FromPeer(body) => body.poll_frame(context),
         }
     }
 
@@ -39,6 +42,7 @@
         match self {
             Self::Own(full) => full.is_end_stream(),
             Self::Relayed(relay) => relay.is_end_stream(),
+            Self::FromPeer(body) => body.is_end_stream(),
         }
     }
 
@@ -46,6 +50,7 @@
         match self {
             Self::Own(full) => full.size_hint(),
             Self::Relayed(relay) => relay.size_hint(),
+            Self::FromPeer(body) => body.size_hint(),
         }
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,6 +105,10 @@
     /// Back ends whose connections broke, by the result of probing their address.
     broken_back_ends: Family<OutcomeLabel, Counter>,
     probed_back_ends: Family<OutcomeLabel, Counter>,
+    /// Checks of paths to pools.
+    path_checks: Family<OutcomeLabel, Counter>,
+    /// Attempts to forward a request to another router.
+    forwarded_requests: Family<OutcomeLabel, Counter>,
     /// Notices of back ends in their answers, by kind.
     back_end_notices: Family<OutcomeLabel, Counter>,
     /// Back ends that this router learned to be leaving or gone, by how it learned it.
@@ -137,6 +141,8 @@
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
+        let path_checks = Family::default();
+        let forwarded_requests = Family::default();
         let back_end_notices = Family::default();
         let leaves = Family::default();
         let unknown_headers = Family::default();
@@ -176,6 +182,16 @@
             "Back ends that sent nothing with requests in flight, by finding",
             Clone::clone(&probed_back_ends),
         );
+        registry.register(
+            "path_checks",
+            "Checks of the path to the back ends of a pool",
+            Clone::clone(&path_checks),
+        );
+        registry.register(
+            "forwarded_requests",
+            "Attempts to forward a request to another router",
+            Clone::clone(&forwarded_requests),
+        );
         registry.register(
             "back_end_notices",
             "What back ends said of themselves in answers",
@@ -221,6 +237,8 @@
             labelled_tenants: RefCell::default(),
             broken_back_ends,
             probed_back_ends,
+            path_checks,
+            forwarded_requests,
             back_end_notices,
             leaves,
             unknown_headers,
@@ -275,6 +293,16 @@
         self.probed_back_ends.get_or_create(&label).inc();
     }
 
+    pub fn count_path_check(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.path_checks.get_or_create(&label).inc();
+    }
+
+    pub fn count_forwarded(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.forwarded_requests.get_or_create(&label).inc();
+    }
+
     pub fn count_notice(&self, outcome: &'static str) {
         let label = OutcomeLabel { outcome };
         self.back_end_notices.get_or_create(&label).inc();
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -16,6 +16,7 @@
 use super::headers;
 use super::notices;
 use super::open_attempt::OpenAttempt;
+use super::paths;
 use super::silence::Watch;
 use super::Router;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -108,13 +109,16 @@
         choice.connections,
         CONNECTION_WAIT,
     );
-    let connected = connecting.await;
+    let connected = tokio::select! {
+        connected = connecting => connected,
+        () = paths::lost(router, &call.admission.pool) => Err(NoConnection::NoPath),
+    };
     open_attempt.basis.connection_wait = router.clock.now().since(open_attempt.began_at());
     let mut connection = match connected {
         Ok(connection) => connection,
         Err(error) => {
             let outcome = match error {
-                NoConnection::Unreachable(_) => Outcome::Unreachable,
+                NoConnection::Unreachable(_) | NoConnection::NoPath => Outcome::Unreachable,
                 NoConnection::NoneFree => Outcome::NoFreeConnection,
             };
             return unanswered(open_attempt, outcome, Execution::NotRun, false);
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -112,6 +112,24 @@
     for action in actions {
         execute_action(router, links, action);
     }
+    fetch_peers_if_due(router, links);
+}
+
+/// Asks any control machine for the routers to forward requests to.
+fn fetch_peers_if_due(router: &Router, links: &Links) {
+    let has_lost_path = router.core.borrow().has_lost_any_path();
+    let links = links.open_links.borrow();
+    let senders = links.values().map(|link| &link.sender);
+    let senders: Vec<&Sender> = senders
+        .filter(|sender| sender.wire() == RouterWire::WithPeers)
+        .collect();
+    let now = router.clock.now();
+    if senders.is_empty() || !router.peers.is_fetch_due(now, has_lost_path) {
+        return;
+    }
+    // Successive fetches go to different machines, as one of them may be cut off.
+    let fetches = router.peers.count_fetch();
+    senders[fetches % senders.len()].send(&Message::FetchPeers);
 }
 
 fn execute_action(router: &Router, links: &Links, action: LinkAction) {
@@ -338,6 +356,11 @@
             let now = router.clock.now();
             router.core.borrow_mut().on_back_end_speeds(now, &news);
         }
+        Message::Peers(addresses) => {
+            let addresses = addresses.items.iter();
+            let addresses = addresses.map(|address| address.as_str().to_owned());
+            router.peers.set(addresses.collect());
+        }
         Message::AccountLevels(levels) => {
             let now = router.clock.now();
             let mut core = router.core.borrow_mut();
@@ -364,7 +387,7 @@
             let now = router.clock.now();
             let mut reported = links.reported_loads.borrow_mut();
             let others = match wire {
-                RouterWire::WithMeasurements | RouterWire::Current => {
+                RouterWire::WithPeers | RouterWire::WithMeasurements | RouterWire::Current => {
                     reported.without_own(now, &loads.items)
                 }
                 RouterWire::BeforeViews => loads.items,
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -126,7 +126,9 @@
     let finding = match opening.await {
         Ok(()) => Finding::new(Ok(()), is_serving),
         Err(NoConnection::Unreachable(error)) => Finding::new(Err(error), is_serving),
-        Err(NoConnection::NoneFree) => probe_address(&router, instance, address).await,
+        Err(NoConnection::NoneFree | NoConnection::NoPath) => {
+            probe_address(&router, instance, address).await
+        }
     };
     finding == Finding::Crashed
 }
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -1,12 +1,14 @@
 //! Handles one request: admits it, reads its body and tries back ends until one answers.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
-    Admission, Choice, FingerprintInput, Prompt, Refusal, RequestFingerprint, RequestHead,
+    Admission, Choice, ChoiceError, FingerprintInput, Prompt, Refusal, RequestFingerprint,
+    RequestHead,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -18,6 +20,7 @@
 use super::attempt::{self, Attempt, Unanswered};
 use super::forwarded_answer::forward_answer;
 use super::open_attempt::outcome_name;
+use super::peer_forwarding;
 use super::refusal::{self, Refused};
 use super::resume::Attempts;
 use super::Router;
@@ -28,6 +31,8 @@
 const MAX_TRIES: usize = 4;
 /// Limit of the body that is read from a refused request. For a longer one, a new connection costs the caller less.
 const MAX_UNREAD_BYTES: usize = 64 << 10;
+/// Requests that other routers may have open here. Each of them has callers of its own to serve.
+const MAX_FORWARDED_REQUESTS: usize = 400;
 /// How long to wait for the body of a refused request.
 const UNREAD_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -42,6 +47,8 @@
     pub body: Bytes,
     /// The request's fingerprint; `None` before the key for fingerprints is known.
     pub fingerprint: Option<RequestFingerprint>,
+    /// Whether another router forwarded it.
+    pub is_forwarded: bool,
     /// Times before this call at which back ends crashed while serving a request with this fingerprint.
     pub crashes_before_call: u32,
 }
@@ -55,18 +62,37 @@
 }
 
 /// Counts a request as open until its answer has ended.
-pub(super) struct OpenRequest(Rc<Router>);
+pub(super) struct OpenRequest {
+    router: Rc<Router>,
+    is_forwarded: bool,
+}
 
 impl OpenRequest {
-    fn new(router: &Rc<Router>) -> Self {
-        router.open_requests.set(router.open_requests.get() + 1);
-        Self(Rc::clone(router))
+    fn new(router: &Rc<Router>, is_forwarded: bool) -> Self {
+        let open = Self {
+            router: Rc::clone(router),
+            is_forwarded,
+        };
+        for count in open.counts() {
+            count.set(count.get() + 1);
+        }
+        open
+    }
+
+    /// The counts that include the request.
+    fn counts(&self) -> impl Iterator<Item = &Cell<usize>> {
+        let forwarded = self
+            .is_forwarded
+            .then_some(&self.router.open_forwarded_requests);
+        std::iter::once(&self.router.open_requests).chain(forwarded)
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.0.open_requests.set(self.0.open_requests.get() - 1);
+        for count in self.counts() {
+            count.set(count.get() - 1);
+        }
     }
 }
 
@@ -75,7 +101,8 @@
     router: Rc<Router>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, NoAnswer> {
-    let open = OpenRequest::new(&router);
+    let is_forwarded = peer_forwarding::is_forwarded(request.headers());
+    let open = OpenRequest::new(&router, is_forwarded);
     let received = router.clock.now();
     let id = header(request.headers(), &router.dialect.headers().request_id);
     let admitted = admit_when_confirmed(&router, &request, received).await;
@@ -86,7 +113,12 @@
         }
         Err(refused) => {
             discard_body(request.into_body());
-            refusal::refuse(&router, &id, received, refused)
+            let may_be_served_elsewhere = refused.concerns_this_router();
+            let mut response = refusal::refuse(&router, &id, received, refused);
+            if is_forwarded && may_be_served_elsewhere {
+                peer_forwarding::mark_declined(&mut response);
+            }
+            response
         }
     };
     if router.stopping.get().is_some() {
@@ -146,9 +178,17 @@
         declared_tokens: router.dialect.declared_tokens(headers),
     };
     let admission = router.core.borrow_mut().admit(now, head)?;
-    if router.stops_too_soon_for(admission.route.kind) {
+    let is_forwarded = peer_forwarding::is_forwarded(headers);
+    let refused = if router.stops_too_soon_for(admission.route.kind) {
+        Some(Refused::Stopping)
+    } else if is_forwarded && router.open_forwarded_requests.get() > MAX_FORWARDED_REQUESTS {
+        Some(Refused::TooManyForwarded)
+    } else {
+        None
+    };
+    if let Some(refused) = refused {
         router.core.borrow_mut().refund(now, &admission);
-        return Err(Refused::Stopping);
+        return Err(refused);
     }
     if let Some((tenant, charge)) = admission.tenant.as_ref().zip(admission.charge) {
         let metrics = &router.metrics;
@@ -186,6 +226,7 @@
         .borrow()
         .document()
         .map_or(0, |document| document.limits.body_bytes);
+    let is_forwarded = peer_forwarding::is_forwarded(request.headers());
     let (parts, body) = request.into_parts();
     let body = if body.is_end_stream() {
         Bytes::new()
@@ -200,6 +241,7 @@
     Ok(Call {
         id,
         fingerprint,
+        is_forwarded,
         crashes_before_call,
         received,
         deadline: received.plus(time_limit),
@@ -237,6 +279,17 @@
         if call.deadline <= now {
             break;
         }
+        if router.core.borrow().has_lost_path(&call.admission.pool) {
+            if call.is_forwarded {
+                let error = Some(ChoiceError::NoPath);
+                let tried = &attempts.tried;
+                return refusal::answer_unserved(router, &call, tried, worst_execution, error);
+            }
+            let is_retry = attempts.sent > 0;
+            if !is_retry || router.core.borrow_mut().charge_retry(now, &call.admission) {
+                return peer_forwarding::forward(router, call, open, worst_execution).await;
+            }
+        }
         let earlier = attempts.earlier(&call);
         let prompt = call.prompt.as_ref();
         let chosen = router
--- a/crates/gateway/src/router/headers.rs
+++ b/crates/gateway/src/router/headers.rs
@@ -8,6 +8,7 @@
 };
 use hyper::HeaderMap;
 
+use super::peer_forwarding::FORWARDED;
 use crate::dialect::HeaderNames;
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
@@ -63,6 +64,7 @@
     for name in reserved.into_iter().chain(&names.reserved) {
         headers.remove(name);
     }
+    headers.remove(FORWARDED);
     headers
 }
 
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -13,6 +13,9 @@
 mod headers;
 mod notices;
 mod open_attempt;
+mod paths;
+mod peer_forwarding;
+mod peers;
 mod received_body;
 mod refusal;
 mod relay;
@@ -45,10 +48,12 @@
 use crate::upstream::Upstreams;
 use crate::{run_on_event_loop, DaemonError};
 
+pub(crate) use peer_forwarding::PeerBody;
 pub(crate) use relay::Relay;
 
 use crash_detection::PendingProbes;
 use first_view::FirstView;
+use peers::Peers;
 use silence::SilenceMonitor;
 
 /// Interval at which idle connections to back ends are closed and the gauge of the view's age is set.
@@ -79,6 +84,11 @@
     stopping: Cell<Option<Timestamp>>,
     /// Requests whose head was received and whose answer has not ended.
     open_requests: Cell<usize>,
+    /// Of those, requests that other routers forwarded.
+    open_forwarded_requests: Cell<usize>,
+    peers: Peers,
+    /// Notifies waiting requests that the path to the back ends of a pool was lost.
+    path_lost: Notify,
     /// Notifies the links to control machines that the router's own status changed.
     status_changed: Notify,
     /// Lets requests wait that arrive before the view is confirmed for the first time.
@@ -115,6 +125,9 @@
         metrics: Metrics::new(),
         stopping: Cell::new(None),
         open_requests: Cell::new(0),
+        open_forwarded_requests: Cell::new(0),
+        peers: Peers::default(),
+        path_lost: Notify::new(),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
         caller_slots: ConnectionSlots::new(MAX_CONNECTIONS),
--- a/crates/gateway/src/router/open_attempt.rs
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -9,7 +9,7 @@
 use super::attempt::AttemptBasis;
 use super::crash_detection::{self, BrokenRun};
 use super::forward::Call;
-use super::Router;
+use super::{paths, Router};
 
 /// An attempt in progress at a back end. When dropped, it reports how the attempt ended, so that the number of requests
 /// in flight stays correct on every path.
@@ -112,6 +112,9 @@
                 outcome = outcome_name(self.outcome), "router: suspecting a back end that became unresponsive");
             self.router.upstreams.close_idle(instance);
         }
+        if became_unresponsive || self.outcome == Outcome::Unreachable {
+            paths::check(&self.router, instance);
+        }
         self.router
             .metrics
             .count_attempt(outcome_name(self.outcome));
--- /dev/null
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -0,0 +1,242 @@
+//! Forwards requests to another router while this one has no path to the back ends of their pool.
+//!
+//! The other router admits, places and charges the request like those of its own callers, and frames the answer. A request
+//! is forwarded once: a router that receives it so marked sends it to a back end or declines it, which tells that it has
+//! not run. Routers of earlier builds ignore the mark and serve it like any request.
+
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::Bytes;
+use drumshore_core::Execution;
+use drumshore_gateway_core::{ChoiceError, InstanceId};
+use http_body_util::Full;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
+use tokio::time::{timeout, Sleep};
+
+use super::forward::{may_try_again, Call, OpenRequest};
+use super::{headers, refusal, Router};
+use crate::answer::AnswerBody;
+use crate::upstream::{Connection, NoConnection, SendError};
+
+/// Marks a request that another router forwards.
+pub(super) const FORWARDED: HeaderName = HeaderName::from_static("drumshore-forwarded");
+/// Marks the rejection of a forwarded request that another router may be able to serve.
+pub(super) const DECLINED: HeaderName = HeaderName::from_static("drumshore-declined");
+
+/// Connections to one peer.
+const MAX_CONNECTIONS: usize = 256;
+/// Peers that one request is forwarded to.
+const MAX_PEERS: usize = 3;
+/// Time allowed for waiting for a free connection, in addition to the time for opening one.
+const CONNECTION_WAIT: Duration = Duration::from_millis(60);
+
+/// How an attempt at a peer ended.
+enum Forwarded {
+    Answered(Response<Incoming>, Connection),
+    /// The peer did not run the request.
+    Declined,
+    Unreachable,
+    /// The peer may have run the request.
+    Broken,
+}
+
+impl Forwarded {
+    fn as_str(&self) -> &'static str {
+        match self {
+            Self::Answered(..) => "answered",
+            Self::Declined => "declined",
+            Self::Unreachable => "unreachable",
+            Self::Broken => "broken",
+        }
+    }
+}
+
+/// Forwards a request to peers until one answers. `worst_execution` is that of its attempts at back ends.
+pub(super) async fn forward(
+    router: &Rc<Router>,
+    call: Call,
+    open: OpenRequest,
+    mut worst_execution: Execution,
+) -> Response<AnswerBody> {
+    let pool = &call.admission.pool;
+    let peers = router.peers.candidates(router.clock.now(), pool);
+    for peer in peers.iter().take(MAX_PEERS) {
+        let now = router.clock.now();
+        if call.deadline <= now {
+            break;
+        }
+        let forwarded = attempt(router, &call, peer).await;
+        router.metrics.count_forwarded(forwarded.as_str());
+        log(router, &call, peer, &forwarded);
+        let now = router.clock.now();
+        match forwarded {
+            Forwarded::Answered(response, connection) => {
+                // The peer has charged the request to its tenant as well.
+                router.core.borrow_mut().refund(now, &call.admission);
+                return answer(router, &call, open, response, connection);
+            }
+            Forwarded::Declined => router.peers.on_declined(now, peer, pool),
+            Forwarded::Unreachable => router.peers.on_unreachable(now, peer),
+            Forwarded::Broken => {
+                worst_execution = Execution::MayHaveRun;
+                let may_repeat = may_try_again(&call.admission, worst_execution, 1);
+                if !may_repeat || !router.core.borrow_mut().charge_retry(now, &call.admission) {
+                    break;
+                }
+            }
+        }
+    }
+    let error = Some(ChoiceError::NoPath);
+    refusal::answer_unserved(router, &call, &[], worst_execution, error)
+}
+
+async fn attempt(router: &Rc<Router>, call: &Call, peer: &str) -> Forwarded {
+    let instance = InstanceId::new(peer);
+    let connecting = router
+        .upstreams
+        .connect(&instance, peer, MAX_CONNECTIONS, CONNECTION_WAIT);
+    let mut connection = match connecting.await {
+        Ok(connection) => connection,
+        Err(NoConnection::NoneFree) => return Forwarded::Declined,
+        Err(NoConnection::Unreachable(_) | NoConnection::NoPath) => return Forwarded::Unreachable,
+    };
+    let remaining = call.deadline.since(router.clock.now());
+    let request = outbound(router, call, remaining);
+    match timeout(remaining, connection.send(request)).await {
+        Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
+        Ok(Ok(response)) => Forwarded::Answered(response, connection),
+        Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
+        Ok(Err(SendError::Broken)) | Err(_) => Forwarded::Broken,
+    }
+}
+
+fn outbound(router: &Router, call: &Call, remaining: Duration) -> Request<Full<Bytes>> {
+    let mut request = Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = call.parts.method.clone();
+    let target = call.parts.uri.path_and_query().cloned();
+    *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
+    *request.headers_mut() = call.parts.headers.clone();
+    let fields = request.headers_mut();
+    headers::strip_connection_headers(fields);
+    fields.remove(CONTENT_LENGTH);
+    fields.insert(FORWARDED, HeaderValue::from_static("1"));
+    let remaining = HeaderValue::from(remaining.as_millis() as u64);
+    fields.insert(&router.dialect.headers().deadline_ms, remaining);
+    request
+}
+
+fn log(router: &Router, call: &Call, peer: &str, forwarded: &Forwarded) {
+    let status = match forwarded {
+        Forwarded::Answered(response, _) => Some(response.status().as_u16()),
+        _ => None,
+    };
+    let elapsed = router.clock.now().since(call.received);
+    tracing::info!(event = "request_forwarded", id = %call.id, route = %call.admission.route.name,
+        pool = %call.admission.pool, peer, outcome = forwarded.as_str(), status, peers = router.peers.count(),
+        elapsed_ms = elapsed.as_millis() as u64, "router: forwarded a request to another router");
+}
+
+fn answer(
+    router: &Rc<Router>,
+    call: &Call,
+    open: OpenRequest,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Response<AnswerBody> {
+    let now = router.clock.now();
+    router
+        .metrics
+        .count_request("forwarded", now.since(call.received));
+    let (mut head, body) = response.into_parts();
+    headers::strip_connection_headers(&mut head.headers);
+    // The version, and with it whether a body may have chunks, is that of the caller's connection.
+    head.version = Version::HTTP_11;
+    let remaining = call.deadline.since(now);
+    let mut body = PeerBody {
+        id: call.id.clone(),
+        router: Rc::clone(router),
+        body,
+        connection: Some(connection),
+        deadline: Box::pin(tokio::time::sleep(remaining)),
+        _open: open,
+    };
+    if body.is_end_stream() {
+        body.finish();
+    }
+    Response::from_parts(head, AnswerBody::FromPeer(Box::new(body)))
+}
+
+/// The body of an answer from another router. Dropping it before the end closes the connection, by which that router
+/// learns that the caller has left.
+pub(crate) struct PeerBody {
+    id: String,
+    router: Rc<Router>,
+    body: Incoming,
+    connection: Option<Connection>,
+    deadline: Pin<Box<Sleep>>,
+    _open: OpenRequest,
+}
+
+impl PeerBody {
+    pub fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    pub fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+
+    pub fn poll_frame(
+        &mut self,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
+        match Pin::new(&mut self.body).poll_frame(context) {
+            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Err(error))) => {
+                Poll::Ready(Some(Err(self.cut("broken", io::Error::other(error)))))
+            }
+            Poll::Ready(None) => {
+                self.finish();
+                Poll::Ready(None)
+            }
+            Poll::Pending if self.deadline.as_mut().poll(context).is_ready() => {
+                let error = io::Error::from(io::ErrorKind::TimedOut);
+                Poll::Ready(Some(Err(self.cut("timed_out", error))))
+            }
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    fn finish(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            connection.release(self.router.clock.now());
+        }
+    }
+
+    fn cut(&mut self, reason: &'static str, error: io::Error) -> io::Error {
+        tracing::info!(event = "answer_cut", id = %self.id, reason, %error,
+            "router: closed the caller's connection before the end of an answer from another router");
+        self.connection = None;
+        error
+    }
+}
+
+/// Whether another router forwarded the request.
+pub(super) fn is_forwarded(headers: &HeaderMap) -> bool {
+    headers.contains_key(&FORWARDED)
+}
+
+/// Marks the rejection of a forwarded request for a reason that concerns only this router.
+pub(super) fn mark_declined(response: &mut Response<AnswerBody>) {
+    debug_assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
+    response
+        .headers_mut()
+        .insert(DECLINED, HeaderValue::from_static("1"));
+}
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 
 use super::forward::Call;
+use super::peer_forwarding;
 use super::Router;
 use crate::answer::{self, AnswerBody};
 
@@ -34,6 +35,12 @@
     reason: &'static str,
 }
 
+impl OwnAnswer {
+    fn is_unavailable(&self) -> bool {
+        self.status == StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
 /// Why a request is not admitted.
 #[derive(Clone, Debug)]
 pub(super) enum Refused {
@@ -41,6 +48,20 @@
     ByView(Refusal),
     /// This process is stopping and would exit before the request is answered.
     Stopping,
+    /// Other routers have forwarded as many requests as this one serves for them.
+    TooManyForwarded,
+}
+
+impl Refused {
+    /// Whether another router may serve the request.
+    pub fn concerns_this_router(&self) -> bool {
+        match self {
+            Self::Stopping | Self::TooManyForwarded => true,
+            Self::ByView(refusal) => {
+                matches!(refusal, Refusal::NoConfiguration | Refusal::Unconfirmed)
+            }
+        }
+    }
 }
 
 impl From<Refusal> for Refused {
@@ -73,7 +94,11 @@
         received_ms_ago = reach.received_ago.map(|ago| ago.as_millis() as u64),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
             "router: no back end answered a request");
-    respond(own_answer)
+    let mut response = respond(own_answer);
+    if call.is_forwarded && error == Some(ChoiceError::NoPath) && own_answer.is_unavailable() {
+        peer_forwarding::mark_declined(&mut response);
+    }
+    response
 }
 
 /// 503 guarantees that the request has not run; 502 and 504 guarantee nothing.
@@ -88,6 +113,7 @@
             Some(ChoiceError::BackedOff(backoff)) => (backoff.retry_after, "backed_off"),
             Some(ChoiceError::Overloaded(overload)) => (overload.retry_after, "overloaded"),
             Some(ChoiceError::Quarantined) => (MAX_RETRY_AFTER, "quarantined"),
+            Some(ChoiceError::NoPath) => (RETRY_WITHOUT_BACK_ENDS, "no_path"),
             Some(ChoiceError::Suspected) => (RETRY_WITHOUT_BACK_ENDS, "suspected"),
             Some(ChoiceError::NoneLeft | ChoiceError::NoBudget) | None => {
                 (RETRY_SOON, "turned_away")
@@ -138,6 +164,7 @@
             (StatusCode::TOO_MANY_REQUESTS, Some(after), "over_limit")
         }
         Refused::Stopping => (unavailable, Some(RETRY_AT_ANOTHER_ROUTER), "stopping"),
+        Refused::TooManyForwarded => (unavailable, Some(RETRY_SOON), "too_many_forwarded"),
     };
     let now = router.clock.now();
     router.metrics.count_request(reason, now.since(received));
--- a/crates/gateway/src/router/reports.rs
+++ b/crates/gateway/src/router/reports.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_gateway_core::{Message, RouterStatus, RouterWire};
+use drumshore_gateway_core::{Message, RouterStatus};
 use drumshore_wire::{List, Text};
 use tokio::time::{sleep, timeout};
 
@@ -24,11 +24,12 @@
 
 /// This router's status as sent to control machines.
 pub(super) fn status(router: &Router) -> Message {
+    let has_path = router.core.borrow().has_any_path();
     Message::Router(RouterStatus {
         address: Text::new(router.settings.listen.to_string()),
         zone: Text::new(router.settings.params.zone.as_str()),
         accepting: u8::from(router.stopping.get().is_none()),
-        has_view: u8::from(router.first_view.was_confirmed()),
+        is_serving: u8::from(router.first_view.was_confirmed() && has_path),
     })
 }
 
@@ -110,7 +111,7 @@
 /// ended.
 fn send_demand_report(router: &Router, sender: &Sender) -> bool {
     let mut core = router.core.borrow_mut();
-    if sender.wire() != RouterWire::WithMeasurements {
+    if !sender.wire().has_measurements() {
         core.discard_demand_report();
         return true;
     }
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -152,6 +152,10 @@
     };
     for _ in 0..MAX_TRIES {
         let now = router.clock.now();
+        if router.core.borrow().has_lost_path(&call.admission.pool) {
+            log_not_resumed(&call, &attempts, "no path to the back ends");
+            return None;
+        }
         let prompt = call.prompt.as_ref();
         let earlier = attempts.earlier(&call);
         let chosen = router
--- a/crates/gateway/src/router/silence.rs
+++ b/crates/gateway/src/router/silence.rs
@@ -18,7 +18,7 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
-use super::Router;
+use super::{paths, Router};
 use crate::sockets;
 
 /// Silence before the first probe, if the request's target is shorter. Streams send an event every few tens of
@@ -184,7 +184,7 @@
     true
 }
 
-fn on_probed(router: &Router, instance: &InstanceId, silence: Duration, is_silent: bool) {
+fn on_probed(router: &Rc<Router>, instance: &InstanceId, silence: Duration, is_silent: bool) {
     let now = router.clock.now();
     let finding = if is_silent { "silent" } else { "alive" };
     router.metrics.count_back_end_probed(finding);
@@ -193,6 +193,7 @@
     if is_silent {
         router.core.borrow_mut().on_silent(now, instance);
         router.upstreams.close_idle(instance);
+        paths::check(router, instance);
     }
     router.silence_monitor.end_probe(now, instance, is_silent);
 }
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -106,6 +106,8 @@
         Message::BackEndSpeeds(_) => "back_end_speeds",
         Message::DemandReport(_) => "demand_report",
         Message::TenantDemands { .. } => "tenant_demands",
+        Message::FetchPeers => "fetch_peers",
+        Message::Peers(_) => "peers",
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -38,6 +38,9 @@
     /// The back end cannot be reached.
     #[error("back end is unreachable: {0}")]
     Unreachable(#[from] io::Error),
+    /// This process was found to reach no back end of the pool.
+    #[error("no path to the back ends")]
+    NoPath,
     /// All connections that this process may open to the back end are in use.
     #[error("no free connection to the back end")]
     NoneFree,
