Do not report requests that hang behind a lost path as load

Cause: requests that hang at a router without a path were reported to the leader as load of the back ends that they never reach, and the other routers divide what is left.

Change: a router leaves out of its report the back ends of a pool whose path is lost and that have sent nothing since. Those that still answer on open connections are counted.

Evidence: the new unit test failed before (two back ends reported, one expected).

--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -155,10 +155,13 @@
         }
     }
 
-    /// This router's load on each back end where it has requests in flight.
-    pub fn own_loads(&self) -> Vec<LoadEntry> {
+    /// This router's load on each back end where it has requests in flight, except those that are cut off.
+    pub fn own_loads(&self, is_cut_off: impl Fn(&Endpoint) -> bool) -> Vec<LoadEntry> {
         let narrow = |value: u32| u16::try_from(value).unwrap_or(u16::MAX);
-        let loads = self.in_use_endpoints().map(|endpoint| LoadEntry {
+        let reached = self
+            .in_use_endpoints()
+            .filter(|back_end| !is_cut_off(back_end));
+        let loads = reached.map(|endpoint| LoadEntry {
             key: endpoint.key,
             pending: narrow(endpoint.pending_tokens.div_ceil(LoadEntry::TOKENS)),
             in_flight: narrow(endpoint.in_flight),
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -325,9 +325,11 @@
         self.holders.take_reports()
     }
 
-    /// This router's load on each back end where it has requests in flight.
+    /// This router's load on each back end where it has requests in flight. Requests that hang behind a lost path are no
+    /// load there, and the other routers would leave room for them.
     pub fn own_loads(&self) -> Vec<LoadEntry> {
-        self.endpoints.own_loads()
+        self.endpoints
+            .own_loads(|endpoint| self.paths.cuts_off(endpoint))
     }
 
     /// Records the load that the other routers put on back ends. With `is_whole`, back ends that are not listed have
--- a/crates/gateway-core/src/router/paths.rs
+++ b/crates/gateway-core/src/router/paths.rs
@@ -10,6 +10,7 @@
 use drumshore_core::Timestamp;
 use rand::seq::IndexedRandom;
 
+use super::endpoint::Endpoint;
 use super::{InstanceId, RouterCore};
 use crate::PoolName;
 
@@ -65,6 +66,13 @@
         self.0.get(pool).is_some_and(|path| path.lost_at.is_some())
     }
 
+    /// Whether a back end has sent nothing since the path to its pool was lost.
+    pub fn cuts_off(&self, endpoint: &Endpoint) -> bool {
+        let pool = PoolName::new(endpoint.record.pool.as_str());
+        let lost_at = self.0.get(&pool).and_then(|path| path.lost_at);
+        lost_at.is_some_and(|lost_at| endpoint.last_received_at.get() < lost_at)
+    }
+
     fn begin_check(&mut self, now: Timestamp, pool: &PoolName) -> bool {
         let path = self.0.entry(pool.clone()).or_default();
         let is_known = path
--- a/crates/gateway-core/src/router/paths_tests.rs
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -3,6 +3,7 @@
 use super::super::tests::{admit, at, router};
 use super::*;
 use crate::router::{EarlierAttempts, Outcome};
+use crate::LoadEntry;
 
 fn pool() -> PoolName {
     PoolName::new("apps")
@@ -96,3 +97,24 @@
     fail_and_check(&mut router, "llm-4", false);
     assert!(!router.has_any_path());
 }
+
+#[test]
+fn requests_that_hang_behind_a_lost_path_are_not_reported_as_load() {
+    let mut router = router();
+    let admission = admit(&mut router, at(1), "/a/x");
+    let mut send = || {
+        let choice = router.choose(at(1), &admission, None, EarlierAttempts::default());
+        choice.unwrap()
+    };
+    let (hanging, streaming) = (send(), send());
+    assert_ne!(hanging.instance, streaming.instance);
+    assert_eq!(router.own_loads().len(), 2);
+    router.begin_path_check(at(10), &hanging.instance).unwrap();
+    router.end_path_check(at(20), &pool(), false);
+    streaming.last_received_at.set(at(21));
+    let reported: Vec<u32> = router.own_loads().iter().map(|load| load.key).collect();
+    assert_eq!(reported, [LoadEntry::key_of(streaming.instance.as_str())]);
+    router.begin_path_recheck(at(30), &pool()).unwrap();
+    router.end_path_check(at(40), &pool(), true);
+    assert_eq!(router.own_loads().len(), 2);
+}
