Report back ends as unresponsive only while the own path is known to be open

Cause: a router without a path reported each back end that it lost a request at. The leader cannot tell such a report from a true one until the next heartbeat, and then distrusts true reports of the same back end for 10 s.

Change: suspects wait while the path to their pool is checked, which takes a round trip if the path is open; those of a lost path are discarded.

--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -50,7 +50,8 @@
 use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId, InvalidDocument,
-    LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey, Tenant,
+    LoadEntry, PoolName, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey,
+    Tenant,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -108,6 +109,14 @@
 /// A fetch from a store counts as slow when the answer takes longer than its target times this factor.
 const SLOW_FETCH_FACTOR: f64 = 1.3;
 
+/// A back end that this router found unresponsive or crashed.
+#[derive(Clone, Debug)]
+struct Suspect {
+    /// See [`LoadEntry::key_of`].
+    key: u32,
+    pool: PoolName,
+}
+
 /// Maximum number of unresponsive back ends, and of refusing ones, that wait to be reported to the leader.
 const MAX_PENDING_SUSPECTS: usize = 64;
 
@@ -132,7 +141,7 @@
     stores: Stores,
     holders: Holders,
     paths: Paths,
-    suspects: Vec<u32>,
+    suspects: Vec<Suspect>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
     speeds: BackEndSpeeds,
@@ -388,7 +397,7 @@
         }
         let became_unresponsive = self.endpoints.finished(now, instance, sent_at, outcome);
         if became_unresponsive {
-            self.suspect(LoadEntry::key_of(instance.as_str()));
+            self.suspect(instance);
         }
         let is_refused = matches!(outcome, Outcome::Shed | Outcome::OtherWeights);
         // A back end that asked for a backoff addressed this router only. If the other routers avoided it too, they
@@ -400,9 +409,14 @@
         became_unresponsive
     }
 
-    fn suspect(&mut self, back_end: u32) {
-        if self.suspects.len() < MAX_PENDING_SUSPECTS {
-            self.suspects.push(back_end);
+    /// Adds a back end to those to report, unless its failure is this router's own: it has lost its path there.
+    fn suspect(&mut self, instance: &InstanceId) {
+        let Some(endpoint) = self.endpoints.get(instance) else {
+            return;
+        };
+        let (key, pool) = (endpoint.key, PoolName::new(endpoint.record.pool.as_str()));
+        if self.suspects.len() < MAX_PENDING_SUSPECTS && !self.paths.is_lost(&pool) {
+            self.suspects.push(Suspect { key, pool });
         }
     }
 
@@ -410,12 +424,19 @@
     /// other routers.
     pub fn on_silent(&mut self, now: Timestamp, instance: &InstanceId) {
         self.endpoints.on_crashed(now, instance);
-        self.suspect(LoadEntry::key_of(instance.as_str()));
+        self.suspect(instance);
     }
 
-    /// Takes the back ends that this router found unresponsive or crashed and has not reported yet.
+    /// Takes the back ends that this router found unresponsive or crashed and has not reported yet. Those of a pool whose
+    /// path is being checked wait for the result.
     pub fn take_suspects(&mut self) -> Vec<u32> {
-        std::mem::take(&mut self.suspects)
+        let paths = &self.paths;
+        let (waiting, due) = std::mem::take(&mut self.suspects)
+            .into_iter()
+            .partition(|suspect| paths.is_being_checked(&suspect.pool));
+        self.suspects = waiting;
+        let due: Vec<Suspect> = due;
+        due.into_iter().map(|suspect| suspect.key).collect()
     }
 
     /// Takes the back ends that refused this router's requests and that it has not reported yet.
--- a/crates/gateway-core/src/router/paths.rs
+++ b/crates/gateway-core/src/router/paths.rs
@@ -66,6 +66,10 @@
         self.0.get(pool).is_some_and(|path| path.lost_at.is_some())
     }
 
+    pub fn is_being_checked(&self, pool: &PoolName) -> bool {
+        self.0.get(pool).is_some_and(|path| path.is_being_checked)
+    }
+
     /// Whether a back end has sent nothing since the path to its pool was lost.
     pub fn cuts_off(&self, endpoint: &Endpoint) -> bool {
         let pool = PoolName::new(endpoint.record.pool.as_str());
@@ -140,8 +144,10 @@
         reached: bool,
     ) -> Option<PathChange> {
         let change = self.paths.end_check(now, pool, reached);
-        if let Some(PathChange::Regained(_)) = change {
-            self.endpoints.forget_failures(pool);
+        match change {
+            Some(PathChange::Lost) => self.suspects.retain(|suspect| suspect.pool != *pool),
+            Some(PathChange::Regained(_)) => self.endpoints.forget_failures(pool),
+            None => {}
         }
         change
     }
--- a/crates/gateway-core/src/router/paths_tests.rs
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -118,3 +118,31 @@
     router.end_path_check(at(40), &pool(), true);
     assert_eq!(router.own_loads().len(), 2);
 }
+
+/// Loses a request at a back end that sent nothing for two seconds, and begins to check the path.
+fn lose_request(router: &mut RouterCore, name: &str) {
+    let became_unresponsive = router.finished(at(2_010), &back_end(name), at(0), Outcome::Broken);
+    assert!(became_unresponsive);
+    router.begin_path_check(at(2_010), &back_end(name)).unwrap();
+}
+
+#[test]
+fn an_unresponsive_back_end_is_reported_once_another_one_was_reached() {
+    let mut router = router();
+    lose_request(&mut router, "app-1");
+    assert!(router.take_suspects().is_empty());
+    router.end_path_check(at(2_020), &pool(), true);
+    assert_eq!(router.take_suspects(), [LoadEntry::key_of("app-1")]);
+}
+
+#[test]
+fn back_ends_behind_a_lost_path_are_not_reported() {
+    let mut router = router();
+    lose_request(&mut router, "app-1");
+    router.end_path_check(at(2_020), &pool(), false);
+    router.on_silent(at(2_100), &back_end("app-2"));
+    assert!(router.take_suspects().is_empty());
+    router.begin_path_recheck(at(2_300), &pool()).unwrap();
+    router.end_path_check(at(2_310), &pool(), true);
+    assert!(router.take_suspects().is_empty());
+}
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -206,7 +206,7 @@
     ) -> Vec<(RequestFingerprint, u32)> {
         let back_end = LoadEntry::key_of(instance.as_str());
         self.endpoints.on_crashed(now, instance);
-        self.suspect(back_end);
+        self.suspect(instance);
         let suspected = &mut self.suspected_fingerprints;
         let fingerprints: BTreeMap<RequestFingerprint, Timestamp> =
             fingerprints.iter().copied().collect();
