Take no back end for crashed while the own path to its pool is lost

Cause: a back end whose connections broke and that refuses a new one counted as crashed. A router whose path is cut with refusals sees just that at every back end.

Change: before a crash is recorded the router connects to sound back ends of the same pool. If none accepts, the finding is no_path and nothing is reported. With no sound one left to compare with, as after several real crashes, a refusal counts as before.

--- a/crates/gateway-core/src/router/paths.rs
+++ b/crates/gateway-core/src/router/paths.rs
@@ -8,9 +8,10 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use rand::seq::IndexedRandom;
+use rand::seq::IteratorRandom;
 
 use super::endpoint::Endpoint;
+use super::summary::NameHash;
 use super::{InstanceId, RouterCore};
 use crate::PoolName;
 
@@ -173,33 +174,55 @@
         !has_back_ends || pools.any(|pool| !self.paths.is_lost(&PoolName::new(pool)))
     }
 
-    /// Back ends of a pool that are worth a check: those without failures, if there are any.
+    /// Back ends without failures in the pool of one that refused this router, to compare it with. Empty while the path to
+    /// the pool is lost; `None` if there is none.
+    pub fn sound_witnesses(&mut self, refusing: &InstanceId) -> Option<Vec<Witness>> {
+        let pool = PoolName::new(self.endpoints.get(refusing)?.record.pool.as_str());
+        if self.paths.is_lost(&pool) {
+            return Some(Vec::new());
+        }
+        let is_sound =
+            |id: &InstanceId, endpoint: &Endpoint| id != refusing && endpoint.is_reachable();
+        let witnesses = self.choose_witnesses(&pool, is_sound);
+        (!witnesses.is_empty()).then_some(witnesses)
+    }
+
+    /// Back ends of a pool that are worth a check: others than the unreached one without failures, else any others, else
+    /// that one.
     fn witnesses(&mut self, pool: &PoolName, unreached: Option<&InstanceId>) -> Vec<Witness> {
-        let max_connections = self
-            .view
-            .document()
+        let is_other = |id: &InstanceId| Some(id) != unreached;
+        let is_sound =
+            |id: &InstanceId, endpoint: &Endpoint| is_other(id) && endpoint.is_reachable();
+        let mut witnesses = self.choose_witnesses(pool, is_sound);
+        if witnesses.is_empty() {
+            witnesses = self.choose_witnesses(pool, |id, _| is_other(id));
+        }
+        if witnesses.is_empty() {
+            witnesses = self.choose_witnesses(pool, |_, _| true);
+        }
+        witnesses
+    }
+
+    /// Some of the ready back ends of a pool that meet a condition.
+    fn choose_witnesses(
+        &mut self,
+        pool: &PoolName,
+        is_eligible: impl Fn(&InstanceId, &Endpoint) -> bool,
+    ) -> Vec<Witness> {
+        let document = self.view.document();
+        let max_connections = document
             .and_then(|document| document.pool(pool))
             .map_or(0, |pool| pool.max_connections);
         let connections = self.connections(max_connections);
-        let in_pool = self.endpoints.iter().filter(|(_, endpoint)| {
-            endpoint.summary.is_ready && endpoint.record.pool.as_str() == pool.as_str()
+        let in_pool = NameHash::of(pool.as_str());
+        let eligible = self.endpoints.iter().filter(|(id, endpoint)| {
+            endpoint.summary.is_ready
+                && endpoint.summary.pool == in_pool
+                && is_eligible(id, endpoint)
         });
-        let in_pool: Vec<_> = in_pool.collect();
-        let is_other = |id: &InstanceId| Some(id) != unreached;
-        let others = in_pool.iter().filter(|(id, _)| is_other(id));
-        let others: Vec<_> = others.copied().collect();
-        let sound = others
-            .iter()
-            .filter(|(_, endpoint)| endpoint.is_reachable());
-        let sound: Vec<_> = sound.copied().collect();
-        let eligible = [sound, others, in_pool];
-        let eligible = eligible.iter().find(|eligible| !eligible.is_empty());
-        let Some(eligible) = eligible else {
-            return Vec::new();
-        };
         let chosen = eligible.choose_multiple(&mut self.random, WITNESSES);
-        let witnesses = chosen.map(|(id, endpoint)| Witness {
-            instance: (*id).clone(),
+        let witnesses = chosen.into_iter().map(|(id, endpoint)| Witness {
+            instance: id.clone(),
             address: endpoint.record.address.as_str().to_owned(),
             connections,
         });
--- a/crates/gateway-core/src/router/paths_tests.rs
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -146,3 +146,25 @@
     router.end_path_check(at(2_310), &pool(), true);
     assert!(router.take_suspects().is_empty());
 }
+
+#[test]
+fn a_back_end_that_refused_is_compared_with_sound_ones_only() {
+    let mut router = router();
+    let names = |witnesses: Option<Vec<Witness>>| {
+        let witnesses = witnesses?.into_iter();
+        Some(
+            witnesses
+                .map(|witness| witness.instance.as_str().to_owned())
+                .collect::<Vec<_>>(),
+        )
+    };
+    router.finished(at(10), &back_end("app-2"), at(0), Outcome::Unreachable);
+    let witnesses = router.sound_witnesses(&back_end("app-1"));
+    assert_eq!(names(witnesses), Some(vec!["app-3".to_owned()]));
+    router.finished(at(10), &back_end("app-3"), at(0), Outcome::Unreachable);
+    let witnesses = router.sound_witnesses(&back_end("app-1"));
+    assert_eq!(names(witnesses), None, "none is left to compare it with");
+    fail_and_check(&mut router, "app-1", false);
+    let witnesses = router.sound_witnesses(&back_end("app-1"));
+    assert_eq!(names(witnesses), Some(Vec::new()));
+}
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -15,7 +15,7 @@
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{Choice, FingerprintSuspicion, InstanceId, RequestFingerprint};
 
-use super::Router;
+use super::{paths, Router};
 use crate::sockets;
 use crate::upstream::NoConnection;
 
@@ -39,6 +39,8 @@
 enum Finding {
     /// It refuses connections and had not announced a stop: the process has crashed.
     Crashed,
+    /// It refuses connections, and so do the other back ends of its pool: this router has no path to them.
+    NoPath,
     /// It refuses connections, and was no longer serving before: the process has stopped as announced.
     StoppedAsAnnounced,
     /// It accepts connections: the process is running.
@@ -60,6 +62,7 @@
     fn as_str(self) -> &'static str {
         match self {
             Self::Crashed => "ended",
+            Self::NoPath => "no_path",
             Self::StoppedAsAnnounced => "left",
             Self::Alive => "alive",
             Self::Unresponsive => "silent",
@@ -91,7 +94,10 @@
         let (router, instance) = (Rc::clone(router), instance.clone());
         let address = address.to_owned();
         tokio::task::spawn_local(async move {
-            let finding = probe_address(&router, &instance, &address).await;
+            let mut finding = probe_address(&router, &instance, &address).await;
+            if finding == Finding::Crashed && !paths::is_open_beside(&router, &instance).await {
+                finding = Finding::NoPath;
+            }
             apply_finding(&router, &instance, finding);
         });
     }
--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -25,6 +25,19 @@
     }
 }
 
+/// Whether this router reaches back ends beside one that refused it. True if no sound one is left to compare with.
+pub(super) async fn is_open_beside(router: &Rc<Router>, refusing: &InstanceId) -> bool {
+    let witnesses = router.core.borrow_mut().sound_witnesses(refusing);
+    let Some(witnesses) = witnesses else {
+        return true;
+    };
+    let is_open = !witnesses.is_empty() && reaches_any(router, witnesses).await;
+    if !is_open {
+        check(router, refusing);
+    }
+    is_open
+}
+
 /// Carries out a check and repeats it while the path is lost.
 async fn check_until_reached(router: Rc<Router>, mut check: PathCheck) {
     loop {
