Tolerate two seconds of silence after a keep-alive probe

Cause: with TCP_USER_TIMEOUT set (2 s) the kernel gives an idle connection up at the first probe interval after it, whatever the count of probes. Probes began after 2 s at 1 s intervals, so a peer that was silent for the one second from its first probe on lost its connections at 3 s, and with them the requests that waited there.

Change: probes begin after 1 s, 2 s apart. A peer that is gone is still found after 3 s, and one that is silent for less than two seconds keeps its connections. Unacknowledged data ends a connection after 2 s as before. All connections with these options come from sockets.rs; no library sets the option elsewhere in the tree.

Evidence: the test reads the options of a real socket and failed before (given up 1 s after the first probe, 1.5 s wanted).

--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -13,8 +13,10 @@
 /// The connection ends when sent data is not acknowledged for this long.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time before the first keep-alive probe.
-const KEEP_ALIVE_DELAY: Duration = Duration::from_secs(2);
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEP_ALIVE_DELAY: Duration = Duration::from_secs(1);
+/// Time between two probes, for which a peer may be silent: with a user timeout set, the kernel gives up at the first
+/// probe after it, whatever their number (tcp(7), `TCP_USER_TIMEOUT`).
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const BACKLOG: i32 = 512;
 
 /// Opens a connection within `time_limit`; fails with `TimedOut` after it.
@@ -60,3 +62,7 @@
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
 }
+
+#[cfg(test)]
+#[path = "sockets_tests.rs"]
+mod tests;
