Compare a refusing back end with those that became unreachable a moment ago

Cause: attempts that fail while a path is being lost can mark every other back end of the pool unreachable before the first broken connection is examined. No sound one is left to compare with, and the back end counts as crashed.

Change: with no sound back end left, those that became unreachable within the last second are tried. Back ends that crashed longer ago are no evidence about the path.

--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -97,6 +97,8 @@
     /// Moving average of the fraction of requests that failed there.
     pub failure_rate: f64,
     unreachable_in_a_row: u32,
+    /// When the first of the failures in a row occurred.
+    unreachable_since: Timestamp,
     pub misdirected_until: Timestamp,
     /// Moving average of the time that this router's requests spend there.
     service_time: Duration,
@@ -122,6 +124,7 @@
             avoided_until: Timestamp::default(),
             failure_rate: 0.0,
             unreachable_in_a_row: 0,
+            unreachable_since: Timestamp::default(),
             misdirected_until: Timestamp::default(),
             service_time: INITIAL_SERVICE_TIME,
             notices,
@@ -152,7 +155,7 @@
             }
             Outcome::TimedOut | Outcome::Unreachable => {
                 self.update_failure_rate(true);
-                self.next_unreachable_cooldown()
+                self.next_unreachable_cooldown(now)
             }
             Outcome::Misdirected => {
                 self.misdirected_until = now.plus(MISDIRECTED_COOLDOWN);
@@ -185,7 +188,19 @@
 
     pub fn avoid_as_unresponsive(&mut self, now: Timestamp) {
         self.avoided_until = self.avoided_until.max(now.plus(UNRESPONSIVE_COOLDOWN));
-        self.unreachable_in_a_row = self.unreachable_in_a_row.max(1);
+        self.count_unreachable(now, self.unreachable_in_a_row.max(1));
+    }
+
+    fn count_unreachable(&mut self, now: Timestamp, in_a_row: u32) {
+        if self.is_reachable() {
+            self.unreachable_since = now;
+        }
+        self.unreachable_in_a_row = in_a_row;
+    }
+
+    /// Whether it was reachable until a moment ago.
+    pub fn became_unreachable_within(&self, now: Timestamp, recently: Duration) -> bool {
+        !self.is_reachable() && now.since(self.unreachable_since) <= recently
     }
 
     /// Forgets that it could not be reached.
@@ -267,10 +282,10 @@
         self.failure_rate += FAILURE_WEIGHT * (sample - self.failure_rate);
     }
 
-    fn next_unreachable_cooldown(&mut self) -> Duration {
+    fn next_unreachable_cooldown(&mut self, now: Timestamp) -> Duration {
         let doubled =
             MIN_UNREACHABLE_COOLDOWN * 2_u32.saturating_pow(self.unreachable_in_a_row.min(8));
-        self.unreachable_in_a_row += 1;
+        self.count_unreachable(now, self.unreachable_in_a_row + 1);
         doubled.min(MAX_UNREACHABLE_COOLDOWN)
     }
 }
--- a/crates/gateway-core/src/router/paths.rs
+++ b/crates/gateway-core/src/router/paths.rs
@@ -19,6 +19,8 @@
 const WITNESSES: usize = 4;
 /// A path that was found open is not checked again for this long.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// A back end that became unreachable within this time may have done so for the same reason as another one.
+const RECENT_FAILURE: Duration = Duration::from_secs(1);
 
 /// A back end that a check of a path tries to reach.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -174,16 +176,26 @@
         !has_back_ends || pools.any(|pool| !self.paths.is_lost(&PoolName::new(pool)))
     }
 
-    /// Back ends without failures in the pool of one that refused this router, to compare it with. Empty while the path to
+    /// Back ends without earlier failures in the pool of one that refused this router, to compare it with. Empty while the path to
     /// the pool is lost; `None` if there is none.
-    pub fn sound_witnesses(&mut self, refusing: &InstanceId) -> Option<Vec<Witness>> {
+    pub fn sound_witnesses(
+        &mut self,
+        now: Timestamp,
+        refusing: &InstanceId,
+    ) -> Option<Vec<Witness>> {
         let pool = PoolName::new(self.endpoints.get(refusing)?.record.pool.as_str());
         if self.paths.is_lost(&pool) {
             return Some(Vec::new());
         }
         let is_sound =
             |id: &InstanceId, endpoint: &Endpoint| id != refusing && endpoint.is_reachable();
-        let witnesses = self.choose_witnesses(&pool, is_sound);
+        let mut witnesses = self.choose_witnesses(&pool, is_sound);
+        if witnesses.is_empty() {
+            // When a path is lost, other attempts may have failed at all of them before it is known.
+            witnesses = self.choose_witnesses(&pool, |id, endpoint| {
+                id != refusing && endpoint.became_unreachable_within(now, RECENT_FAILURE)
+            });
+        }
         (!witnesses.is_empty()).then_some(witnesses)
     }
 
--- a/crates/gateway-core/src/router/paths_tests.rs
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -159,12 +159,14 @@
         )
     };
     router.finished(at(10), &back_end("app-2"), at(0), Outcome::Unreachable);
-    let witnesses = router.sound_witnesses(&back_end("app-1"));
+    let witnesses = router.sound_witnesses(at(2_000), &back_end("app-1"));
     assert_eq!(names(witnesses), Some(vec!["app-3".to_owned()]));
     router.finished(at(10), &back_end("app-3"), at(0), Outcome::Unreachable);
-    let witnesses = router.sound_witnesses(&back_end("app-1"));
+    let witnesses = router.sound_witnesses(at(20), &back_end("app-1"));
+    assert_eq!(names(witnesses).map(|names| names.len()), Some(2));
+    let witnesses = router.sound_witnesses(at(2_000), &back_end("app-1"));
     assert_eq!(names(witnesses), None, "none is left to compare it with");
     fail_and_check(&mut router, "app-1", false);
-    let witnesses = router.sound_witnesses(&back_end("app-1"));
+    let witnesses = router.sound_witnesses(at(2_000), &back_end("app-1"));
     assert_eq!(names(witnesses), Some(Vec::new()));
 }
--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -27,7 +27,8 @@
 
 /// Whether this router reaches back ends beside one that refused it. True if no sound one is left to compare with.
 pub(super) async fn is_open_beside(router: &Rc<Router>, refusing: &InstanceId) -> bool {
-    let witnesses = router.core.borrow_mut().sound_witnesses(refusing);
+    let now = router.clock.now();
+    let witnesses = router.core.borrow_mut().sound_witnesses(now, refusing);
     let Some(witnesses) = witnesses else {
         return true;
     };
