Tolerate silence of two seconds before a back end is given up

What the users say: a sound worker may fall silent for a second or so and go on.

Cause: a back end that sent nothing for a request's target (0.4 s at least) and accepted no connection twice was given up after 0.9 s: reported to all routers, its streams taken up elsewhere while it might still run them. One that ended a request after 1 s of silence was reported as well.

Change: after two failed connections this router avoids the back end and checks its own path as before, but goes on trying. Requests leave it, and the others hear of it, after two seconds of silence. The first accepted connection ends the avoidance.

Evidence: a_stream_stays_at_a_back_end_that_is_silent_for_a_second failed before (the stream was taken up elsewhere, 1.3 s of silence) and passes; the five tests of back ends that stay silent pass unchanged.

--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -14,8 +14,8 @@
 use crate::{BackEndNotice, InstanceId, InstanceRecord, LoadEntry, PoolName};
 
 /// A back end is unresponsive if it sent no bytes for this long before a request to it broke off or timed out.
-/// A working one sends response bytes every few tens of milliseconds.
-const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(1_000);
+/// A working one sends response bytes every few tens of milliseconds, and may be silent for a second or so.
+const UNRESPONSIVE_AFTER: Duration = Duration::from_secs(2);
 /// Another router's report of an unresponsive back end is ignored if this router received bytes from the back end
 /// within this time.
 const RECENTLY_RECEIVED: Duration = Duration::from_millis(600);
@@ -294,6 +294,20 @@
         }
     }
 
+    /// Avoids a back end for a short time, without a verdict on it.
+    pub fn avoid(&mut self, now: Timestamp, instance: &InstanceId) {
+        if let Some(endpoint) = self.by_id.get_mut(instance) {
+            endpoint.avoid_as_unresponsive(now);
+        }
+    }
+
+    /// Stops avoiding a back end that has proved reachable.
+    pub fn stop_avoiding(&mut self, instance: &InstanceId) {
+        if let Some(endpoint) = self.by_id.get_mut(instance) {
+            endpoint.forget_failures();
+        }
+    }
+
     /// Forgets the failures of a pool's back ends that were due to this router's path to them.
     pub fn forget_failures(&mut self, pool: &PoolName) {
         let pool = NameHash::of(pool.as_str());
@@ -306,9 +320,7 @@
     /// A back end is believed to have crashed. As that may be wrong, it is only avoided, like an unresponsive one,
     /// until its heartbeats arrive again.
     pub fn on_crashed(&mut self, now: Timestamp, instance: &InstanceId) {
-        if let Some(endpoint) = self.by_id.get_mut(instance) {
-            endpoint.avoid_as_unresponsive(now);
-        }
+        self.avoid(now, instance);
     }
 
     /// Another router found back ends unresponsive. Those from which this router received no bytes recently are
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -420,6 +420,16 @@
         }
     }
 
+    /// Avoids a back end that does not respond at the moment, without reporting it.
+    pub fn avoid(&mut self, now: Timestamp, instance: &InstanceId) {
+        self.endpoints.avoid(now, instance);
+    }
+
+    /// Uses a back end again that has proved reachable.
+    pub fn stop_avoiding(&mut self, instance: &InstanceId) {
+        self.endpoints.stop_avoiding(instance);
+    }
+
     /// A back end has accepted no connection while requests were in flight there: it is avoided, and reported to the
     /// other routers.
     pub fn on_silent(&mut self, now: Timestamp, instance: &InstanceId) {
--- a/crates/gateway/src/router/silence.rs
+++ b/crates/gateway/src/router/silence.rs
@@ -3,7 +3,8 @@
 //! A machine without power or network closes no connection, and the kernel reports a connection as dead only after
 //! seconds. When nothing has arrived from a back end for longer than a request's target, the router therefore opens a
 //! new connection to it: a working back end accepts one within a network round trip, however busy it is. A back end
-//! that does not is reported to all routers, and requests that may run twice are ended and sent elsewhere.
+//! that does not is avoided by this router. A sound one may be silent for a second or so and then go on, so only one that
+//! stays silent for longer is reported to all routers, and requests that may run twice are ended and sent elsewhere.
 //! Requests that may run only once keep waiting, because the back end may have run them and may still answer.
 
 use std::cell::RefCell;
@@ -26,8 +27,10 @@
 const MIN_SILENCE: Duration = Duration::from_millis(400);
 /// A working machine accepts a connection within a network round trip of a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
-/// Connection attempts that must fail in a row: one packet may be lost.
+/// Connection attempts that must fail in a row before a back end is avoided: one packet may be lost.
 const FAILED_PROBES: usize = 2;
+/// A sound back end may be silent for a shorter time than this.
+const MAX_SOUND_SILENCE: Duration = Duration::from_secs(2);
 /// After a successful probe, the back end is not probed again for this long.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -163,25 +166,44 @@
         let (router, instance) = (Rc::clone(&self.router), self.instance.clone());
         let address = self.address.clone();
         tokio::task::spawn_local(async move {
-            let is_silent = probe(&address).await;
+            let is_silent = probe(&router, &instance, &address, now, silence).await;
             on_probed(&router, &instance, silence, is_silent);
         });
     }
 }
 
-/// Whether a back end accepts no connection. A refused one shows that the machine is reachable; the connections of a
-/// process that has ended are reset.
-async fn probe(address: &str) -> bool {
+/// Whether a back end, silent for `silence` at `began`, accepts no connection until it has been silent for longer than a
+/// sound one may be.
+async fn probe(
+    router: &Rc<Router>,
+    instance: &InstanceId,
+    address: &str,
+    began: Timestamp,
+    silence: Duration,
+) -> bool {
     let Ok(address) = address.parse::<SocketAddr>() else {
         return false;
     };
-    for _ in 0..FAILED_PROBES {
+    for failed in 1.. {
         match sockets::connect(address, CONNECT_TIMEOUT).await {
+            Ok(_) => {
+                router.core.borrow_mut().stop_avoiding(instance);
+                return false;
+            }
             Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
-            _ => return false,
+            // The machine is reachable, and the connections of a process that has ended are reset.
+            Err(_) => return false,
+        }
+        let now = router.clock.now();
+        if failed >= FAILED_PROBES {
+            router.core.borrow_mut().avoid(now, instance);
+            paths::check(router, instance);
+            if silence + now.since(began) >= MAX_SOUND_SILENCE {
+                return true;
+            }
         }
     }
-    true
+    false
 }
 
 fn on_probed(router: &Rc<Router>, instance: &InstanceId, silence: Duration, is_silent: bool) {
