Keep requests in flight at brittle back ends within their slots

What the users say: back ends may announce Server-Brittle = N; one that has to reject more than N requests a second, counted over all routers, crashes.

Cause: nothing read the announcement, and routers went on filling queues until they were rejected, each of them by itself.

Change: the adapter decodes the announcement into a rate of rejections. While a pool announces it, a router keeps at most its share of a back end's slots in flight there, or takes random turns where there are more routers than slots, and pauses after a rejection.

--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -47,12 +47,12 @@
     Quarantine, RouterStatus, StoreId, StoredKey, TenantDemand, TenantKey, UsageEntry,
     WeightsNotice,
 };
-pub use notice::{BackEndNotice, RequestRate};
+pub use notice::{BackEndNotice, RejectionRate, RequestRate};
 pub use router::{
-    Admission, Backoff, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts, Forecast,
-    Leave, LimitChange, NoticeChange, Outcome, OverLimit, Overload, PathChange, PathCheck,
-    PoolReach, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead, RouterCore, RouterParams,
-    RunCopy, TenantShare, ViewError, Witness,
+    Admission, Backoff, BrittleChange, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts,
+    Forecast, Leave, LimitChange, NoticeChange, Outcome, OverLimit, Overload, PathChange,
+    PathCheck, PoolReach, Prompt, PromptPart, Refusal, ReportedLoads, RequestHead, RouterCore,
+    RouterParams, RunCopy, TenantShare, ViewError, Witness,
 };
 pub use router_wire::RouterWire;
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, Position, ReplicatedState, TargetWeights};
--- a/crates/gateway-core/src/notice.rs
+++ b/crates/gateway-core/src/notice.rs
@@ -13,6 +13,31 @@
     pub retry_after: Option<Duration>,
     /// The maximum rate of requests from all processes together. It ends with the first response without it.
     pub limit: Option<RequestRate>,
+    /// The back end crashes if it has to reject more requests than this for want of room, from all processes together. It
+    /// ends with the first response without it.
+    pub brittle: Option<RejectionRate>,
+}
+
+/// Rejections per second that a back end withstands.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+pub struct RejectionRate(f64);
+
+impl RejectionRate {
+    /// `None` if the rate is negative, infinite or not a number.
+    pub fn per_second(rate: f64) -> Option<Self> {
+        (rate.is_finite() && rate >= 0.0).then_some(Self(rate))
+    }
+
+    /// The rate in rejections per second; zero or more.
+    pub fn as_per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RejectionRate {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
 }
 
 /// Requests per second that a back end accepts from all processes together.
--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -62,8 +62,9 @@
 }
 
 impl RouterCore {
-    /// The back ends that a request may be sent to. Back ends that asked this router to back off, or announced that
-    /// they are leaving, are always left out, even if no others remain. Every choice of a back end starts from
+    /// The back ends that a request may be sent to. Back ends that asked this router to back off, announced that
+    /// they are leaving, or are brittle and have this router's share of requests, are always left out, even if no others
+    /// remain. Every choice of a back end starts from
     /// this list.
     pub(super) fn candidates<'a>(
         &'a self,
@@ -72,7 +73,10 @@
         prompt: Option<&Prompt>,
     ) -> Vec<Candidate<'a>> {
         let mut candidates = self.eligible(now, admission, prompt);
-        candidates.retain(|candidate| candidate.endpoint.takes_requests(now));
+        candidates.retain(|candidate| {
+            let endpoint = candidate.endpoint;
+            endpoint.takes_requests(now) && self.brittle_wait(now, endpoint).is_none()
+        });
         candidates
     }
 
--- a/crates/gateway-core/src/router/endpoints.rs
+++ b/crates/gateway-core/src/router/endpoints.rs
@@ -294,6 +294,13 @@
         }
     }
 
+    /// Sends a back end that rejected a request no further one for this long.
+    pub fn pause(&mut self, now: Timestamp, instance: &InstanceId, pause: Duration) {
+        if let Some(endpoint) = self.by_id.get_mut(instance) {
+            endpoint.notices.pause(now, pause);
+        }
+    }
+
     /// Avoids a back end for a short time, without a verdict on it.
     pub fn avoid(&mut self, now: Timestamp, instance: &InstanceId) {
         if let Some(endpoint) = self.by_id.get_mut(instance) {
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -3,6 +3,7 @@
 
 mod accounts;
 mod addresses;
+mod brittle;
 mod budget;
 mod cache;
 mod cached_parts;
@@ -55,6 +56,7 @@
 };
 
 pub use accounts::{Charge, OverLimit};
+pub use brittle::BrittleChange;
 pub use choice::{CacheEstimate, Choice, RunCopy};
 pub use endpoint::Outcome;
 pub use leaving::Leave;
@@ -71,6 +73,7 @@
 pub use view::ViewError;
 
 use accounts::TenantAccounts;
+use brittle::BrittlePools;
 use budget::RetryBudget;
 use endpoints::Endpoints;
 use holders::Holders;
@@ -141,6 +144,7 @@
     stores: Stores,
     holders: Holders,
     paths: Paths,
+    brittle_pools: BrittlePools,
     suspects: Vec<Suspect>,
     refusing: Vec<u32>,
     suspected_fingerprints: SuspectedFingerprints,
@@ -169,6 +173,7 @@
             stores: Stores::default(),
             holders: Holders::default(),
             paths: Paths::default(),
+            brittle_pools: BrittlePools::default(),
             suspects: Vec::new(),
             refusing: Vec::new(),
             suspected_fingerprints: SuspectedFingerprints::default(),
@@ -399,6 +404,9 @@
         if became_unresponsive {
             self.suspect(instance);
         }
+        if outcome == Outcome::Shed {
+            self.pause_at_brittle(now, instance);
+        }
         let is_refused = matches!(outcome, Outcome::Shed | Outcome::OtherWeights);
         // A back end that asked for a backoff addressed this router only. If the other routers avoided it too, they
         // would overload the rest of the pool.
--- a/crates/gateway-core/src/router/notices.rs
+++ b/crates/gateway-core/src/router/notices.rs
@@ -155,6 +155,11 @@
         change
     }
 
+    /// Sends no further requests for this long, as if the back end had asked for it.
+    pub fn pause(&mut self, now: Timestamp, pause: Duration) {
+        self.backoff_until = self.backoff_until.max(now.plus(pause));
+    }
+
     /// A lower limit takes effect at once. A higher limit, or the end of the limit, takes effect only if the answer is
     /// to a request that was sent after the limit was last announced, because answers may arrive out of order.
     fn apply_limit(
@@ -351,9 +356,10 @@
         let eligible = self.eligible(now, admission, prompt);
         let waits = eligible.iter().filter_map(|candidate| {
             let endpoint = candidate.endpoint;
+            let brittle_wait = self.brittle_wait(now, endpoint).unwrap_or_default();
             match endpoint.permission(now) {
-                Permission::After(wait) => Some(wait),
-                Permission::Granted | Permission::WindowFull => Some(Duration::ZERO),
+                Permission::After(wait) => Some(wait.max(brittle_wait)),
+                Permission::Granted | Permission::WindowFull => Some(brittle_wait),
                 Permission::Never => None,
             }
         });
--- a/crates/gateway-core/src/router/notices_tests.rs
+++ b/crates/gateway-core/src/router/notices_tests.rs
@@ -459,6 +459,7 @@
         retry_after: Some(BACKOFF),
         is_leaving: true,
         limit: RequestRate::per_second(1.0),
+        brittle: None,
     };
     notices.apply(all, context(at(10)), 3);
     assert_eq!(notices.permission(at(20), 0), Permission::Never);
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -7,7 +7,9 @@
 use std::rc::Rc;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{BackEndNotice, Choice, InstanceId, Leave, LimitChange};
+use drumshore_gateway_core::{
+    BackEndNotice, BrittleChange, Choice, InstanceId, Leave, LimitChange,
+};
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
 use hyper::Response;
@@ -32,10 +34,14 @@
         .unknown_headers
         .record(is_known_header, metrics, &instance, headers);
     let mut core = router.core.borrow_mut();
+    let now = router.clock.now();
+    let brittle_change = core.on_brittleness(now, &instance, notice.brittle, sent_at);
+    if let Some(change) = brittle_change {
+        record_brittle_change(router, &instance, change);
+    }
     if notice == BackEndNotice::default() && core.limit_of(&instance).is_none() {
         return;
     }
-    let now = router.clock.now();
     let change = core.on_notice(now, &instance, notice, sent_at);
     drop(core);
     if let Some(change) = change.limit {
@@ -56,6 +62,20 @@
     }
 }
 
+fn record_brittle_change(router: &Router, instance: &InstanceId, change: BrittleChange) {
+    match change {
+        BrittleChange::Began(withstood) => {
+            router.metrics.count_notice("brittle");
+            tracing::info!(event = "pool_brittle", %instance, rejections_per_second = %withstood,
+                "router: a back end announced that too many rejections crash it; limiting the requests in flight to its pool");
+        }
+        BrittleChange::Ended => {
+            router.metrics.count_notice("brittle_ended");
+            tracing::info!(event = "pool_brittle_ended", %instance, "router: the back ends of a pool are no longer brittle");
+        }
+    }
+}
+
 fn record_limit_change(router: &Router, instance: &InstanceId, change: LimitChange) {
     match change {
         LimitChange::Announced(rate) => {
