Keep peers that control machines no longer name for ten seconds, after the others

Found by the soak (--cuts): two of three routers were cut off from the back ends, and the third lost its links to the control machines meanwhile. They no longer named it, and the two rejected 506 requests with no_path in five seconds, although the third went on serving its own callers until its view expired.

Change: a peer that is not named any more is tried for ten seconds after those that are. One that cannot serve declines, and is not asked for the pool again for half a second.

--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -359,7 +359,7 @@
         Message::Peers(addresses) => {
             let addresses = addresses.items.iter();
             let addresses = addresses.map(|address| address.as_str().to_owned());
-            router.peers.set(addresses.collect());
+            router.peers.set(router.clock.now(), addresses.collect());
         }
         Message::AccountLevels(levels) => {
             let now = router.clock.now();
--- a/crates/gateway/src/router/peers.rs
+++ b/crates/gateway/src/router/peers.rs
@@ -18,11 +18,16 @@
 const WITHOUT_PATH_FOR: Duration = Duration::from_millis(500);
 /// A peer that could not be reached is tried again after this time.
 const UNREACHABLE_FOR: Duration = Duration::from_secs(2);
+/// A peer that control machines no longer name is used for this long after the others. It may only have lost its links to
+/// them, and goes on serving until its view expires.
+const FORMER_PEER_TTL: Duration = Duration::from_secs(10);
 
 /// The known peers.
 #[derive(Debug, Default)]
 pub(super) struct Peers {
-    addresses: RefCell<Vec<String>>,
+    named: RefCell<Vec<String>>,
+    /// Peers that were named before, with the time at which they last were.
+    former: RefCell<BTreeMap<String, Timestamp>>,
     fetched_at: Cell<Timestamp>,
     fetches: Cell<usize>,
     /// Until when peers are not used, for one pool or for all.
@@ -53,20 +58,24 @@
     }
 
     /// Replaces the list.
-    pub fn set(&self, addresses: Vec<String>) {
-        *self.addresses.borrow_mut() = addresses;
+    pub fn set(&self, now: Timestamp, addresses: Vec<String>) {
+        let earlier = self.named.replace(addresses);
+        let mut former = self.former.borrow_mut();
+        former.extend(earlier.into_iter().map(|address| (address, now)));
+        let named = self.named.borrow();
+        former.retain(|address, at| now.since(*at) < FORMER_PEER_TTL && !named.contains(address));
     }
 
-    /// The number of known peers.
+    /// The number of peers that control machines named last.
     pub fn count(&self) -> usize {
-        self.addresses.borrow().len()
+        self.named.borrow().len()
     }
 
     /// Peers to try for a request of a pool, in order. Successive requests begin with different ones.
     pub fn candidates(&self, now: Timestamp, pool: &PoolName) -> Vec<String> {
         let mut avoided = self.avoided.borrow_mut();
         avoided.retain(|_, until| *until > now);
-        let addresses = self.addresses.borrow();
+        let addresses = self.named.borrow();
         let first = self.next.get();
         self.next.set(first.wrapping_add(1));
         let count = addresses.len();
@@ -76,7 +85,12 @@
             let for_all = (String::clone(address), None);
             !avoided.contains_key(&for_pool) && !avoided.contains_key(&for_all)
         };
-        rotated.filter(is_usable).cloned().collect()
+        let former = self.former.borrow();
+        let recent = former
+            .iter()
+            .filter(|(_, at)| now.since(**at) < FORMER_PEER_TTL);
+        let last = recent.map(|(address, _)| address);
+        rotated.chain(last).filter(is_usable).cloned().collect()
     }
 
     /// Records that a peer has no path to a pool either, or takes no further requests.
--- a/crates/gateway/src/router/peers_tests.rs
+++ b/crates/gateway/src/router/peers_tests.rs
@@ -8,7 +8,7 @@
 
 fn peers() -> Peers {
     let peers = Peers::default();
-    peers.set(vec!["a".to_owned(), "b".to_owned()]);
+    peers.set(at(0), vec!["a".to_owned(), "b".to_owned()]);
     peers
 }
 
@@ -44,3 +44,16 @@
     assert!(peers.is_fetch_due(at(400), true));
     assert!(!peers.is_fetch_due(at(500), true));
 }
+
+#[test]
+fn a_peer_that_is_no_longer_named_is_tried_last_for_a_while() {
+    let (peers, pool) = (peers(), PoolName::new("pool"));
+    peers.set(at(1_000), vec!["b".to_owned()]);
+    assert_eq!(peers.candidates(at(1_000), &pool), ["b", "a"]);
+    peers.set(at(2_000), Vec::new());
+    assert_eq!(peers.candidates(at(2_000), &pool), ["a", "b"]);
+    assert_eq!(peers.candidates(at(11_500), &pool), ["b"]);
+    assert!(peers.candidates(at(12_000), &pool).is_empty());
+    peers.set(at(12_000), vec!["a".to_owned()]);
+    assert_eq!(peers.candidates(at(12_000), &pool), ["a"]);
+}
