--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -37,6 +37,7 @@
 mod stores;
 mod summary;
 mod suspected_fingerprints;
+mod suspects;
 mod tenant_demand;
 mod view;
 
@@ -51,8 +52,7 @@
 use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId, InvalidDocument,
-    LoadEntry, PoolName, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey,
-    Tenant,
+    LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey, Tenant,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -86,6 +86,7 @@
 use split::Splitter;
 use stores::Stores;
 use suspected_fingerprints::SuspectedFingerprints;
+use suspects::Suspect;
 use tenant_demand::TenantDemands;
 use view::View;
 
@@ -112,17 +113,6 @@
 /// A fetch from a store counts as slow when the answer takes longer than its target times this factor.
 const SLOW_FETCH_FACTOR: f64 = 1.3;
 
-/// A back end that this router found unresponsive or crashed.
-#[derive(Clone, Debug)]
-struct Suspect {
-    /// See [`LoadEntry::key_of`].
-    key: u32,
-    pool: PoolName,
-}
-
-/// Maximum number of unresponsive back ends, and of refusing ones, that wait to be reported to the leader.
-const MAX_PENDING_SUSPECTS: usize = 64;
-
 /// The state of one router, without I/O: callers pass in the time, messages and outcomes.
 pub struct RouterCore {
     params: RouterParams,
@@ -407,72 +397,12 @@
         if outcome == Outcome::Shed {
             self.pause_at_brittle(now, instance);
         }
-        let is_refused = matches!(outcome, Outcome::Shed | Outcome::OtherWeights);
-        // A back end that asked for a backoff addressed this router only. If the other routers avoided it too, they
-        // would overload the rest of the pool.
-        let is_for_all = is_refused && self.endpoints.notices_allow_requests(now, instance);
-        if is_for_all && self.refusing.len() < MAX_PENDING_SUSPECTS {
-            self.refusing.push(LoadEntry::key_of(instance.as_str()));
+        if matches!(outcome, Outcome::Shed | Outcome::OtherWeights) {
+            self.on_refused(now, instance);
         }
         became_unresponsive
     }
 
-    /// Adds a back end to those to report, unless its failure is this router's own: it has lost its path there.
-    fn suspect(&mut self, instance: &InstanceId) {
-        let Some(endpoint) = self.endpoints.get(instance) else {
-            return;
-        };
-        let (key, pool) = (endpoint.key, PoolName::new(endpoint.record.pool.as_str()));
-        if self.suspects.len() < MAX_PENDING_SUSPECTS && !self.paths.is_lost(&pool) {
-            self.suspects.push(Suspect { key, pool });
-        }
-    }
-
-    /// Avoids a back end that does not respond at the moment, without reporting it.
-    pub fn avoid(&mut self, now: Timestamp, instance: &InstanceId) {
-        self.endpoints.avoid(now, instance);
-    }
-
-    /// Uses a back end again that has proved reachable.
-    pub fn stop_avoiding(&mut self, instance: &InstanceId) {
-        self.endpoints.stop_avoiding(instance);
-    }
-
-    /// A back end has accepted no connection while requests were in flight there: it is avoided, and reported to the
-    /// other routers.
-    pub fn on_silent(&mut self, now: Timestamp, instance: &InstanceId) {
-        self.endpoints.on_crashed(now, instance);
-        self.suspect(instance);
-    }
-
-    /// Takes the back ends that this router found unresponsive or crashed and has not reported yet. Those of a pool whose
-    /// path is being checked wait for the result.
-    pub fn take_suspects(&mut self) -> Vec<u32> {
-        let paths = &self.paths;
-        let (waiting, due) = std::mem::take(&mut self.suspects)
-            .into_iter()
-            .partition(|suspect| paths.is_being_checked(&suspect.pool));
-        self.suspects = waiting;
-        let due: Vec<Suspect> = due;
-        due.into_iter().map(|suspect| suspect.key).collect()
-    }
-
-    /// Takes the back ends that refused this router's requests and that it has not reported yet.
-    pub fn take_refusing(&mut self) -> Vec<u32> {
-        std::mem::take(&mut self.refusing)
-    }
-
-    /// Avoids, for a short time, back ends that refused requests of other routers.
-    pub fn on_refusing(&mut self, now: Timestamp, keys: &[u32]) {
-        self.endpoints.on_refusing(now, keys);
-    }
-
-    /// Avoids back ends that another router found unresponsive, unless this router received data from them recently.
-    /// Returns those that it avoids.
-    pub fn on_suspects(&mut self, now: Timestamp, keys: &[u32]) -> Vec<InstanceId> {
-        self.endpoints.on_suspects(now, keys)
-    }
-
     /// Number of this router's requests in flight at all back ends.
     pub fn in_flight(&self) -> u32 {
         self.endpoints.in_flight()
