Heed what a back end announces in an answer that another router forwarded

The users' rules bind the machine that passed an answer on: a back end that said in it that it leaves gets nothing from that machine later than drain_ms, one that named a limit no more than its share. A router that forwards passes such answers on without having seen the back end, and would use it as soon as its own path is back.

Change: the peer names the back end in the answer (drumshore-served-by), and the router that forwarded heeds leave, limit and brittleness as from its own. A back-off was addressed to the peer, and what was announced before ends only with an own answer.

--- a/crates/gateway/src/router/forwarded_answer.rs
+++ b/crates/gateway/src/router/forwarded_answer.rs
@@ -10,6 +10,7 @@
 use super::attempt::Answered;
 use super::forward::{Call, OpenRequest};
 use super::headers;
+use super::peer_forwarding;
 use super::received_body::ReceivedBody;
 use super::relay::{Relay, Relayed};
 use super::resume::{Attempts, Resumption};
@@ -81,6 +82,9 @@
         "router: a back end answered; forwarding the answer to the caller");
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
+    if call.is_forwarded {
+        peer_forwarding::name_back_end(&mut head.headers, &open_attempt.choice.instance);
+    }
     // The version, and with it whether a body may have chunks, is that of the caller's connection.
     head.version = Version::HTTP_11;
     let remaining = call.deadline.since(now);
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -12,7 +12,7 @@
 };
 use hyper::body::Incoming;
 use hyper::header::HeaderName;
-use hyper::Response;
+use hyper::{HeaderMap, Response, StatusCode};
 
 use super::forward::header;
 use super::Router;
@@ -33,19 +33,38 @@
     router
         .unknown_headers
         .record(is_known_header, metrics, &instance, headers);
-    let mut core = router.core.borrow_mut();
+    record(router, &instance, notice, sent_at);
+}
+
+/// Processes the notice in an answer of a back end that another router forwarded to this one. A backoff was addressed to that
+/// router, and it is unknown when the request was sent, so nothing that was announced before ends.
+pub(super) fn process_forwarded(
+    router: &Rc<Router>,
+    instance: &InstanceId,
+    status: StatusCode,
+    headers: &HeaderMap,
+) {
+    let notice = BackEndNotice {
+        retry_after: None,
+        ..router.dialect.notice(status, headers)
+    };
+    record(router, instance, notice, Timestamp::default());
+}
+
+fn record(router: &Router, instance: &InstanceId, notice: BackEndNotice, sent_at: Timestamp) {
     let now = router.clock.now();
-    let brittle_change = core.on_brittleness(now, &instance, notice.brittle, sent_at);
+    let mut core = router.core.borrow_mut();
+    let brittle_change = core.on_brittleness(now, instance, notice.brittle, sent_at);
     if let Some(change) = brittle_change {
-        record_brittle_change(router, &instance, change);
+        record_brittle_change(router, instance, change);
     }
-    if notice == BackEndNotice::default() && core.limit_of(&instance).is_none() {
+    if notice == BackEndNotice::default() && core.limit_of(instance).is_none() {
         return;
     }
-    let change = core.on_notice(now, &instance, notice, sent_at);
+    let change = core.on_notice(now, instance, notice, sent_at);
     drop(core);
     if let Some(change) = change.limit {
-        record_limit_change(router, &instance, change);
+        record_limit_change(router, instance, change);
     }
     if change.backs_off {
         router.metrics.count_notice("backoff");
@@ -58,7 +77,7 @@
         router.metrics.count_leave(Leave::Announced);
         tracing::info!(event = "back_end_leaving", %instance, known_by = %Leave::Announced,
             revision = router.core.borrow().revision(), "router: a back end announced that it is leaving");
-        router.upstreams.close_idle(&instance);
+        router.upstreams.close_idle(instance);
     }
 }
 
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -21,12 +21,14 @@
 use tokio::time::{timeout, Sleep};
 
 use super::forward::{may_try_again, Call, OpenRequest};
-use super::{headers, refusal, Router};
+use super::{headers, notices, refusal, Router};
 use crate::answer::AnswerBody;
 use crate::upstream::{Connection, NoConnection, SendError};
 
 /// Marks a request that another router forwards.
 pub(super) const FORWARDED: HeaderName = HeaderName::from_static("drumshore-forwarded");
+/// Names the back end whose answer is forwarded to another router, which heeds what the answer says of it.
+const SERVED_BY: HeaderName = HeaderName::from_static("drumshore-served-by");
 /// Marks the rejection of a forwarded request that another router may be able to serve.
 pub(super) const DECLINED: HeaderName = HeaderName::from_static("drumshore-declined");
 
@@ -155,6 +157,10 @@
         .metrics
         .count_request("forwarded", now.since(call.received));
     let (mut head, body) = response.into_parts();
+    if let Some(back_end) = head.headers.remove(SERVED_BY) {
+        let back_end = InstanceId::new(&String::from_utf8_lossy(back_end.as_bytes()));
+        notices::process_forwarded(router, &back_end, head.status, &head.headers);
+    }
     headers::strip_connection_headers(&mut head.headers);
     // The version, and with it whether a body may have chunks, is that of the caller's connection.
     head.version = Version::HTTP_11;
@@ -233,6 +239,19 @@
     headers.contains_key(&FORWARDED)
 }
 
+/// Names the back end of an answer to a forwarded request.
+pub(super) fn name_back_end(headers: &mut HeaderMap, back_end: &InstanceId) {
+    match HeaderValue::from_str(back_end.as_str()) {
+        Ok(value) => {
+            headers.insert(SERVED_BY, value);
+        }
+        Err(error) => {
+            tracing::warn!(event = "back_end_not_named", instance = %back_end, %error,
+                "router: the name of a back end fits no header; the router that forwarded the request cannot heed its notices");
+        }
+    }
+}
+
 /// Marks the rejection of a forwarded request for a reason that concerns only this router.
 pub(super) fn mark_declined(response: &mut Response<AnswerBody>) {
     debug_assert_eq!(response.status(), StatusCode::SERVICE_UNAVAILABLE);
