Check the paths to all pools when one is lost, and probe slow back ends after a second

Found by the soak (--cuts): both pools of a router were cut off silently at 18.3 s. The path to one was found lost 1.7 s later, that to the other after 4.5 s, since its requests have a long target and a silent back end was probed only after it. A stream sent 3.4 s after the cut waited to its deadline.

Change: when the path to a pool is lost, the paths to the others are checked at once; and a back end that sent nothing for a second is probed, however long the request's target is.

--- a/crates/gateway-core/src/router/paths.rs
+++ b/crates/gateway-core/src/router/paths.rs
@@ -4,7 +4,7 @@
 //! off. It therefore tries to reach other back ends of the pool. If it reaches none of them, its own path is presumed
 //! lost: its callers are better served by another router.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
@@ -160,6 +160,14 @@
         self.paths.is_lost(pool)
     }
 
+    /// The pools that have back ends.
+    pub fn pools_with_back_ends(&self) -> BTreeSet<PoolName> {
+        let endpoints = self.endpoints.iter();
+        let names = endpoints.map(|(_, endpoint)| endpoint.record.pool.as_str());
+        let names: BTreeSet<&str> = names.collect();
+        names.into_iter().map(PoolName::new).collect()
+    }
+
     /// True while this router reaches no back end of some pool.
     pub fn has_lost_any_path(&self) -> bool {
         self.paths.0.values().any(|path| path.lost_at.is_some())
@@ -168,12 +176,8 @@
     /// True while the path to some pool that has back ends is not lost. A router without any back ends counts as having
     /// one: it has no reason to send its callers elsewhere.
     pub fn has_any_path(&self) -> bool {
-        let mut pools = self
-            .endpoints
-            .iter()
-            .map(|(_, endpoint)| endpoint.record.pool.as_str());
-        let has_back_ends = self.endpoints.iter().next().is_some();
-        !has_back_ends || pools.any(|pool| !self.paths.is_lost(&PoolName::new(pool)))
+        let pools = self.pools_with_back_ends();
+        pools.is_empty() || !pools.iter().all(|pool| self.paths.is_lost(pool))
     }
 
     /// Back ends without earlier failures in the pool of one that refused this router, to compare it with. Empty while the path to
--- a/crates/gateway-core/src/router/paths_tests.rs
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -170,3 +170,16 @@
     let witnesses = router.sound_witnesses(at(2_000), &back_end("app-1"));
     assert_eq!(names(witnesses), Some(Vec::new()));
 }
+
+#[test]
+fn each_pool_with_back_ends_can_be_checked_by_itself() {
+    let mut router = router();
+    let pools = router.pools_with_back_ends();
+    assert_eq!(
+        pools.into_iter().collect::<Vec<_>>(),
+        [pool(), PoolName::new("models")]
+    );
+    fail_and_check(&mut router, "app-1", false);
+    let check = router.begin_path_recheck(at(30), &PoolName::new("models"));
+    assert_eq!(check.unwrap().witnesses.len(), WITNESSES);
+}
--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -1,5 +1,7 @@
 //! Checks whether this router has a path to the back ends of a pool, after an attempt at one of them failed.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,7 +42,11 @@
 }
 
 /// Carries out a check and repeats it while the path is lost.
-async fn check_until_reached(router: Rc<Router>, mut check: PathCheck) {
+fn check_until_reached(router: Rc<Router>, check: PathCheck) -> Pin<Box<dyn Future<Output = ()>>> {
+    Box::pin(repeat_until_reached(router, check))
+}
+
+async fn repeat_until_reached(router: Rc<Router>, mut check: PathCheck) {
     loop {
         let pool = check.pool.clone();
         let reached = reaches_any(&router, check.witnesses).await;
@@ -111,6 +117,7 @@
                 received_ms_ago = reach.received_ago.map(|ago| ago.as_millis() as u64), peers = router.peers.count(),
                 "router: reached no back end of a pool; forwarding its requests to other routers");
             router.path_lost.notify_waiters();
+            check_other_pools(router);
         }
         Some(PathChange::Regained(after)) => {
             tracing::info!(event = "path_regained", %pool, ready = reach.ready,
@@ -123,6 +130,19 @@
     }
 }
 
+/// Checks the paths to the other pools, which may be lost for the same reason.
+fn check_other_pools(router: &Rc<Router>) {
+    let now = router.clock.now();
+    let mut pools = router.core.borrow().pools_with_back_ends();
+    pools.retain(|pool| !router.core.borrow().has_lost_path(pool));
+    for pool in pools {
+        let check = router.core.borrow_mut().begin_path_recheck(now, &pool);
+        if let Some(check) = check {
+            tokio::task::spawn_local(check_until_reached(Rc::clone(router), check));
+        }
+    }
+}
+
 /// Completes when the path to a pool is found lost.
 pub(super) async fn lost(router: &Router, pool: &PoolName) {
     loop {
--- a/crates/gateway/src/router/silence.rs
+++ b/crates/gateway/src/router/silence.rs
@@ -1,7 +1,7 @@
 //! Detects back ends that have fallen silent while requests are in flight there.
 //!
 //! A machine without power or network closes no connection, and the kernel reports a connection as dead only after
-//! seconds. When nothing has arrived from a back end for longer than a request's target, the router therefore opens a
+//! seconds. When nothing has arrived from a back end for about a request's target, the router therefore opens a
 //! new connection to it: a working back end accepts one within a network round trip, however busy it is. A back end
 //! that does not is avoided by this router. A sound one may be silent for a second or so and then go on, so only one that
 //! stays silent for longer is reported to all routers, and requests that may run twice are ended and sent elsewhere.
@@ -25,6 +25,9 @@
 /// Silence before the first probe, if the request's target is shorter. Streams send an event every few tens of
 /// milliseconds, but a request in flight alone receives nothing while long prompts ahead of it are prefilled.
 const MIN_SILENCE: Duration = Duration::from_millis(400);
+/// Silence before the first probe, if the request's target is longer. This router may have lost its path, which has to be
+/// known long before a slow request would be late.
+const MAX_SILENCE: Duration = Duration::from_secs(1);
 /// A working machine accepts a connection within a network round trip of a few milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Connection attempts that must fail in a row before a back end is avoided: one packet may be lost.
@@ -118,7 +121,7 @@
             instance: choice.instance.clone(),
             address: choice.address.clone(),
             last_received_at: Rc::clone(&choice.last_received_at),
-            patience: target.max(MIN_SILENCE),
+            patience: target.clamp(MIN_SILENCE, MAX_SILENCE),
             silent: router.silence_monitor.notification(&choice.instance),
         }
     }
