Name the software versions of back ends in log lines and metrics

It stands behind what earlier builds read: their bytes are the same, and they skip the command.

Lines: request and attempt_ended name the software version and the stream that a caller takes up; answer_taken_up names the version that began and that goes on; software_version_set and earlier_build at control machines; continued_streams_total. No decision reads any of it.

--- a/crates/gateway-core/src/back_end_speed/sampling_tests.rs
+++ b/crates/gateway-core/src/back_end_speed/sampling_tests.rs
@@ -3,7 +3,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::{CacheEstimate, Forecast, InstanceId};
+use crate::{CacheEstimate, Forecast, InstanceId, SoftwareVersion};
 
 fn choice(tokens: u32, load_ahead: LoadAhead) -> Choice {
     Choice {
@@ -11,6 +11,7 @@
         address: "10.0.0.1:80".to_owned(),
         connections: 1,
         expected_version: Some(1),
+        software: SoftwareVersion::default(),
         cache_salt: None,
         prefixes: Vec::new(),
         tokens,
--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -5,7 +5,7 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{FingerprintKey, LoadedModel, RequestFingerprint};
+use crate::{FingerprintKey, LoadedModel, RequestFingerprint, SoftwareVersion};
 
 /// Identifies a proposal, so that the replica that accepted it can answer the waiting caller once it is committed.
 #[binrw]
@@ -137,6 +137,14 @@
         /// The fingerprint.
         fingerprint: RequestFingerprint,
     },
+    /// Sets the software version of a registered back end. Earlier builds skip this command.
+    #[brw(magic(11u8))]
+    SetSoftwareVersion {
+        /// The incarnation.
+        instance: Text,
+        /// The version that it runs.
+        software: SoftwareVersion,
+    },
 }
 
 impl Proposal {
--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -8,7 +8,7 @@
 use drumshore_wire::{List, Text};
 
 use super::{ControlCore, Effect, Reply, Ticket};
-use crate::{Command, InstanceId, Lifecycle, LoadPhase, LoadedModel, ModelName};
+use crate::{Command, InstanceId, Lifecycle, LoadPhase, LoadedModel, ModelName, SoftwareVersion};
 
 /// A back end whose address another incarnation has taken over is removed after this time without a
 /// heartbeat.
@@ -37,6 +37,8 @@
     pub lifecycle: Lifecycle,
     /// Models and the versions of their weights.
     pub models: Vec<(ModelName, u64)>,
+    /// The version of the software that it runs.
+    pub software: SoftwareVersion,
 }
 
 impl<D: Directory> ControlCore<D> {
@@ -52,6 +54,7 @@
         self.record_heartbeat(name);
         let Some(record) = self.state.instance(name) else {
             self.register(ticket, heartbeat);
+            self.propose_software_version(heartbeat);
             return;
         };
         let is_leaving =
@@ -61,10 +64,25 @@
             self.propose(Some(ticket), registration(heartbeat));
             return;
         }
+        if record.software != heartbeat.software {
+            self.propose_software_version(heartbeat);
+        }
         self.effects.push(Effect::Reply(ticket, Reply::Accepted));
         self.propose_newer_versions(heartbeat);
     }
 
+    /// Proposes the software version of a back end. A version that is no longer declared stays.
+    fn propose_software_version(&mut self, heartbeat: &Heartbeat) {
+        if !heartbeat.software.is_declared() || self.earlier_build_present {
+            return;
+        }
+        let command = Command::SetSoftwareVersion {
+            instance: Text::new(heartbeat.instance.as_str()),
+            software: heartbeat.software.clone(),
+        };
+        self.propose(None, command);
+    }
+
     /// Proposes weights that are newer than the replicated state says: an order may have been
     /// carried out late.
     fn propose_newer_versions(&mut self, heartbeat: &Heartbeat) {
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -128,6 +128,9 @@
     leaderless_since: Option<Timestamp>,
     now: Timestamp,
     effects: Vec<Effect>,
+    /// Whether another control machine runs a build that skips [`Command::SetSoftwareVersion`]. Such a machine would
+    /// write snapshots without the versions, and lack them after its upgrade.
+    earlier_build_present: bool,
 }
 
 impl<D: Directory> ControlCore<D> {
@@ -186,6 +189,7 @@
             leaderless_since: None,
             now: Timestamp::default(),
             effects: Vec::new(),
+            earlier_build_present: false,
         })
     }
 
@@ -231,6 +235,11 @@
         known
     }
 
+    /// Sets whether another control machine runs a build without software versions of back ends.
+    pub fn set_earlier_build_present(&mut self, is_present: bool) {
+        self.earlier_build_present = is_present;
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<Ipv4Addr>) {
         self.seeds = seeds;
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -27,6 +27,7 @@
 mod quarantine;
 mod router;
 mod router_wire;
+mod software;
 mod state;
 mod view_links;
 
@@ -55,5 +56,6 @@
     RouterParams, RunCopy, TenantShare, ViewError, Witness,
 };
 pub use router_wire::RouterWire;
+pub use software::{SoftwareKey, SoftwareVersion};
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, Position, ReplicatedState, TargetWeights};
 pub use view_links::{LinkAction, Progress, ViewLinks};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -10,8 +10,10 @@
 use crate::back_end_speed::{SpeedNews, SpeedSample};
 use crate::{FingerprintKey, InstanceRecord, RequestFingerprint};
 
+mod software;
 mod tenants;
 
+pub(crate) use software::SoftwareEntry;
 pub use tenants::{AccountLevel, DemandEntry, PoolKey, TenantDemand, TenantKey, UsageEntry};
 
 /// A router's status, which it reports to control machines.
@@ -428,7 +430,11 @@
     pub fn encode(&self) -> Vec<u8> {
         let mut cursor = std::io::Cursor::new(Vec::new());
         binrw::BinWrite::write(self, &mut cursor).expect("a message fits in its length fields");
-        cursor.into_inner()
+        let mut payload = cursor.into_inner();
+        if let Self::Changes(changes) = self {
+            software::append_to(&mut payload, &changes.instances.items);
+        }
+        payload
     }
 
     /// Whether the message carries measurements, which only peers from [`crate::RouterWire::WithMeasurements`] on decode.
@@ -450,6 +456,11 @@
 
     /// Decodes a payload; `None` if it is not a valid message.
     pub fn decode(payload: &[u8]) -> Option<Self> {
-        binrw::BinRead::read(&mut std::io::Cursor::new(payload)).ok()
+        let mut cursor = std::io::Cursor::new(payload);
+        let mut message = binrw::BinRead::read(&mut cursor).ok()?;
+        if let Self::Changes(changes) = &mut message {
+            software::read_after(&mut cursor, &mut changes.instances.items);
+        }
+        Some(message)
     }
 }
--- /dev/null
+++ b/crates/gateway-core/src/message/software.rs
@@ -0,0 +1,61 @@
+//! The software versions of back ends, which follow the records in messages and snapshots. Earlier builds ignore what
+//! follows the fields that they know.
+
+use std::io::Cursor;
+
+use binrw::{binrw, BinRead, BinWrite};
+use drumshore_wire::List;
+
+use crate::{InstanceRecord, SoftwareVersion};
+
+/// The software version of one record.
+#[binrw]
+#[brw(little)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct SoftwareEntry {
+    /// The position of the record in its list.
+    position: u32,
+    software: SoftwareVersion,
+}
+
+impl SoftwareEntry {
+    /// The versions of those records that declare one.
+    pub fn list_of<'a>(records: impl IntoIterator<Item = &'a InstanceRecord>) -> List<Self> {
+        let numbered = records.into_iter().zip(0..);
+        let declared = numbered.filter(|(record, _)| record.software.is_declared());
+        let entry = |(record, position): (&InstanceRecord, u32)| Self {
+            position,
+            software: record.software.clone(),
+        };
+        List::new(declared.map(entry).collect())
+    }
+
+    /// Sets the versions of records in the order in which they were listed.
+    pub fn set_all(records: &mut [InstanceRecord], entries: Option<&List<Self>>) {
+        let entries = entries.map_or(&[][..], |entries| &entries.items);
+        for entry in entries {
+            if let Some(record) = records.get_mut(entry.position as usize) {
+                record.software = entry.software.clone();
+            }
+        }
+    }
+}
+
+/// Appends the versions of records to a payload, unless none is declared.
+pub(super) fn append_to(payload: &mut Vec<u8>, records: &[InstanceRecord]) {
+    let entries = SoftwareEntry::list_of(records);
+    if entries.items.is_empty() {
+        return;
+    }
+    let mut cursor = Cursor::new(Vec::new());
+    entries
+        .write_le(&mut cursor)
+        .expect("the versions fit in their length fields");
+    payload.extend(cursor.into_inner());
+}
+
+/// Reads the versions that follow records, if there are any.
+pub(super) fn read_after(cursor: &mut Cursor<&[u8]>, records: &mut [InstanceRecord]) {
+    let entries = List::read_le(cursor).ok();
+    SoftwareEntry::set_all(records, entries.as_ref());
+}
--- a/crates/gateway-core/src/router/candidate.rs
+++ b/crates/gateway-core/src/router/candidate.rs
@@ -13,7 +13,7 @@
 use super::summary::NameHash;
 use super::{Admission, Prompt, RouterCore};
 use crate::back_end_speed::LoadAhead;
-use crate::InstanceId;
+use crate::{InstanceId, SoftwareVersion};
 
 /// A back end whose failure rate is at least this is used only when no healthy one is left.
 const FAILURE_RATE_THRESHOLD: f64 = 0.4;
@@ -30,6 +30,7 @@
     pub instance: InstanceId,
     pub address: String,
     pub version: Option<u64>,
+    pub software: SoftwareVersion,
     pub last_received_at: Rc<Cell<Timestamp>>,
     pub in_flight: u32,
     pub load_ahead: LoadAhead,
@@ -49,6 +50,7 @@
             instance: self.id.clone(),
             address: self.endpoint.record.address.as_str().to_owned(),
             version: self.version,
+            software: self.endpoint.record.software.clone(),
             last_received_at: Rc::clone(&self.endpoint.last_received_at),
             in_flight: self.endpoint.in_flight,
             load_ahead: self.endpoint.load(),
--- a/crates/gateway-core/src/router/choice.rs
+++ b/crates/gateway-core/src/router/choice.rs
@@ -7,7 +7,7 @@
 
 use super::placement_cost::Forecast;
 use crate::back_end_speed::LoadAhead;
-use crate::{load_change, InstanceId, StoreId};
+use crate::{load_change, InstanceId, SoftwareVersion, StoreId};
 
 /// The chosen back end, and what an attempt to send the request there needs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,6 +20,8 @@
     pub connections: usize,
     /// Version of the model weights that the back end must hold; `None` for a request without a model.
     pub expected_version: Option<u64>,
+    /// Version of the software that the back end runs, by this router's view.
+    pub software: SoftwareVersion,
     /// Cached prompt parts are shared only between requests with the same salt.
     pub cache_salt: Option<String>,
     /// Hashes of the prefixes of a long prompt's shared parts under the salt, the shortest prefix first.
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -129,6 +129,7 @@
             address: placed.address,
             connections: self.connections(max_connections),
             expected_version: placed.version,
+            software: placed.software,
             cache_salt,
             prefixes,
             cache_estimate,
--- a/crates/gateway-core/src/router/placement_cost_tests.rs
+++ b/crates/gateway-core/src/router/placement_cost_tests.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::{InstanceRecord, Lifecycle, LoadEntry};
+use crate::{InstanceRecord, Lifecycle, LoadEntry, SoftwareVersion};
 
 fn endpoint(time_factor: f64, pending_ms: u32) -> Endpoint {
     let record = InstanceRecord {
@@ -19,6 +19,7 @@
         models: List::new(Vec::new()),
         registered: 1,
         revision: 1,
+        software: SoftwareVersion::default(),
     };
     let mut endpoint = Endpoint::new(&Rc::new(record), Default::default());
     endpoint.set_time_factor(time_factor);
--- a/crates/gateway-core/src/router/summary_tests.rs
+++ b/crates/gateway-core/src/router/summary_tests.rs
@@ -4,7 +4,7 @@
 use rstest::rstest;
 
 use super::*;
-use crate::LoadedModel;
+use crate::{LoadedModel, SoftwareVersion};
 
 fn record(models: &[(&str, u64)]) -> InstanceRecord {
     let loaded = models.iter().map(|(model, version)| LoadedModel {
@@ -22,6 +22,7 @@
         models: List::new(loaded.collect()),
         registered: 1,
         revision: 1,
+        software: SoftwareVersion::default(),
     }
 }
 
--- a/crates/gateway-core/src/router_wire.rs
+++ b/crates/gateway-core/src/router_wire.rs
@@ -17,6 +17,8 @@
 /// The wire formats in use.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum RouterWire {
+    /// The layout of [`Message`], with all kinds of messages. The sender also knows the software versions of back ends.
+    WithStreams,
     /// The layout of [`Message`], with the kinds of messages that carry measurements and those about peers of a router.
     WithPeers,
     /// The layout of [`Message`], with the kinds of messages that carry measurements. A peer shows that it decodes them
@@ -60,10 +62,13 @@
 const MEASUREMENTS_MARKER: u8 = 1;
 /// Follows [`MEASUREMENTS_MARKER`] if the process also decodes messages about peers of a router.
 const PEERS_MARKER: u8 = 2;
+/// Follows [`PEERS_MARKER`] if the process also knows software versions and decodes messages about streams.
+const STREAMS_MARKER: u8 = 3;
 
 impl RouterWire {
     /// All wire formats.
-    pub const ALL: [Self; 4] = [
+    pub const ALL: [Self; 5] = [
+        Self::WithStreams,
         Self::WithPeers,
         Self::WithMeasurements,
         Self::Current,
@@ -72,12 +77,26 @@
 
     /// Whether the peer decodes messages with measurements.
     pub fn has_measurements(self) -> bool {
-        matches!(self, Self::WithPeers | Self::WithMeasurements)
+        matches!(
+            self,
+            Self::WithStreams | Self::WithPeers | Self::WithMeasurements
+        )
+    }
+
+    /// Whether the peer decodes messages about peers of a router.
+    pub fn has_peers(self) -> bool {
+        matches!(self, Self::WithStreams | Self::WithPeers)
+    }
+
+    /// Whether the peer knows software versions and decodes messages about streams.
+    pub fn has_streams(self) -> bool {
+        self == Self::WithStreams
     }
 
     /// The bytes after a first or keep-alive message that show what its sender decodes.
     fn markers(self) -> &'static [u8] {
         match self {
+            Self::WithStreams => &[MEASUREMENTS_MARKER, PEERS_MARKER, STREAMS_MARKER],
             Self::WithPeers => &[MEASUREMENTS_MARKER, PEERS_MARKER],
             Self::WithMeasurements => &[MEASUREMENTS_MARKER],
             Self::Current | Self::BeforeViews => &[],
@@ -115,7 +134,9 @@
     /// Decodes a message; `None` if it is not valid.
     pub fn decode(self, payload: &[u8]) -> Option<Message> {
         match self {
-            Self::WithPeers | Self::WithMeasurements | Self::Current => Message::decode(payload),
+            Self::WithStreams | Self::WithPeers | Self::WithMeasurements | Self::Current => {
+                Message::decode(payload)
+            }
             Self::BeforeViews => decode_legacy(payload).or_else(|| Message::decode(payload)),
         }
     }
@@ -123,7 +144,7 @@
     /// Encodes a message; `None` if the peer cannot decode this message.
     pub fn encode(self, message: &Message) -> Option<Vec<u8>> {
         let is_decoded = match self {
-            Self::WithPeers => true,
+            Self::WithStreams | Self::WithPeers => true,
             Self::WithMeasurements => !message.is_about_peers(),
             Self::Current | Self::BeforeViews => {
                 !message.is_about_peers() && !message.is_measurement()
@@ -134,14 +155,16 @@
         }
         match (self, message) {
             (
-                Self::WithPeers | Self::WithMeasurements,
+                Self::WithStreams | Self::WithPeers | Self::WithMeasurements,
                 Message::Router(_) | Message::ControlZone(_) | Message::KeepAlive,
             ) => {
                 let mut payload = message.encode();
                 payload.extend(self.markers());
                 Some(payload)
             }
-            (Self::WithPeers | Self::WithMeasurements | Self::Current, _) => Some(message.encode()),
+            (Self::WithStreams | Self::WithPeers | Self::WithMeasurements | Self::Current, _) => {
+                Some(message.encode())
+            }
             (
                 Self::BeforeViews,
                 Message::ControlZone(_) | Message::LoadsOfAll { .. } | Message::Follow(_),
@@ -163,6 +186,7 @@
     let message = Message::read(&mut cursor).ok()?;
     let rest = payload.get(cursor.position() as usize..)?;
     let wire = match rest {
+        [MEASUREMENTS_MARKER, PEERS_MARKER, STREAMS_MARKER, ..] => RouterWire::WithStreams,
         [MEASUREMENTS_MARKER, PEERS_MARKER, ..] => RouterWire::WithPeers,
         [MEASUREMENTS_MARKER, ..] => RouterWire::WithMeasurements,
         _ => RouterWire::Current,
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -8,7 +8,7 @@
 use binrw::binrw;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{Command, FingerprintKey, LoadPhase, RequestFingerprint};
+use crate::{Command, FingerprintKey, LoadPhase, RequestFingerprint, SoftwareVersion};
 
 pub use changes::Position;
 
@@ -72,6 +72,10 @@
     pub registered: u64,
     /// The revision that last changed the record.
     pub revision: u64,
+    /// The version of the software that the back end runs. Messages and snapshots carry it after all records, where
+    /// earlier builds do not read it.
+    #[brw(ignore)]
+    pub software: SoftwareVersion,
 }
 
 impl InstanceRecord {
@@ -221,6 +225,9 @@
             Command::SetFingerprintKey { key } => self.set_fingerprint_key(position, key),
             Command::Quarantine { fingerprint } => self.quarantine(position, *fingerprint),
             Command::Release { fingerprint } => self.release(position, *fingerprint),
+            Command::SetSoftwareVersion { instance, software } => {
+                self.set_software_version(position, instance, software)
+            }
         };
         if changed {
             self.revision = position;
@@ -277,6 +284,7 @@
             models: models.clone(),
             registered: position,
             revision: position,
+            software: SoftwareVersion::default(),
         };
         self.instances.insert(name.to_owned(), record);
         let earlier = removed.map(|removed| removed.revision);
@@ -298,6 +306,25 @@
         true
     }
 
+    fn set_software_version(
+        &mut self,
+        position: u64,
+        instance: &Text,
+        software: &SoftwareVersion,
+    ) -> bool {
+        let Some(record) = self.instances.get_mut(instance.as_str()) else {
+            return false;
+        };
+        if record.software == *software {
+            return false;
+        }
+        record.software = software.clone();
+        let earlier = std::mem::replace(&mut record.revision, position);
+        self.changed
+            .note(position, instance.as_str(), Some(earlier));
+        true
+    }
+
     /// Also records the removal of an instance that was never registered, so that a delayed registration does not
     /// add it.
     fn remove(&mut self, position: u64, instance: &Text, may_return: bool) -> bool {
--- a/crates/gateway-core/src/state/snapshot.rs
+++ b/crates/gateway-core/src/state/snapshot.rs
@@ -11,6 +11,7 @@
     InstanceRecord, Removed, ReplicatedState, StoredConfiguration, StoredFingerprintKey,
     TargetWeights,
 };
+use crate::message::SoftwareEntry;
 use crate::RequestFingerprint;
 
 #[binrw]
@@ -45,6 +46,9 @@
     fingerprint_key: List<StoredFingerprintKey>,
     quarantine_revision: u64,
     quarantined: List<Quarantined>,
+    /// Missing in snapshots of earlier builds, which ignore what follows the fields that they know.
+    #[br(try)]
+    software: Option<List<SoftwareEntry>>,
 }
 
 impl ReplicatedState {
@@ -62,6 +66,7 @@
                 fingerprint: *fingerprint,
                 position: *position,
             });
+        let software = SoftwareEntry::list_of(self.instances.values());
         let snapshot = Snapshot {
             revision: self.revision,
             removals_forgotten_to: self.removals_forgotten_to,
@@ -72,6 +77,7 @@
             fingerprint_key: List::new(self.fingerprint_key.iter().cloned().collect()),
             quarantine_revision: self.quarantine_revision,
             quarantined: List::new(quarantined.collect()),
+            software: (!software.items.is_empty()).then_some(software),
         };
         let mut cursor = Cursor::new(Vec::new());
         snapshot
@@ -96,12 +102,10 @@
             };
             (item.instance.as_str().to_owned(), removed)
         };
-        let instances: BTreeMap<String, InstanceRecord> = snapshot
-            .instances
-            .items
-            .into_iter()
-            .map(by_instance)
-            .collect();
+        let mut records = snapshot.instances.items;
+        SoftwareEntry::set_all(&mut records, snapshot.software.as_ref());
+        let instances: BTreeMap<String, InstanceRecord> =
+            records.into_iter().map(by_instance).collect();
         let removals: BTreeMap<String, Removed> =
             snapshot.removals.items.into_iter().map(removal).collect();
         Some(Self {
--- /dev/null
+++ b/crates/gateway-core/tests/software_versions.rs
@@ -0,0 +1,123 @@
+//! Software versions of back ends: how they get into the replicated state, and beside which builds.
+
+#[path = "cluster/mod.rs"]
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{address, back_end, Cluster};
+use drumshore_gateway_core::{
+    Changes, Command, Heartbeat, InstanceRecord, Message, ReplicatedState, SoftwareVersion,
+};
+use drumshore_wire::{List, Text};
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn running(version: &str) -> Heartbeat {
+    Heartbeat {
+        software: SoftwareVersion::new(version),
+        ..back_end(1, 1)
+    }
+}
+
+fn name() -> String {
+    back_end(1, 1).instance.as_str().to_owned()
+}
+
+fn software_at(cluster: &mut Cluster, number: u8) -> Option<String> {
+    let state = cluster.core(address(number)).state();
+    let record = state.instance(&name())?;
+    Some(record.software.as_str().to_owned())
+}
+
+fn settled_cluster() -> Cluster {
+    let mut cluster = Cluster::new(3);
+    cluster.settle();
+    cluster
+}
+
+fn state_with(version: &str) -> ReplicatedState {
+    let mut state = ReplicatedState::default();
+    let register = Command::Register {
+        instance: Text::new("i-1"),
+        pool: Text::new("pool"),
+        address: Text::new("10.0.0.1:80"),
+        zone: Text::new("zone"),
+        slots: 4,
+        draining: 0,
+        models: List::default(),
+    };
+    state.apply(1, &register);
+    let set = Command::SetSoftwareVersion {
+        instance: Text::new("i-1"),
+        software: SoftwareVersion::new(version),
+    };
+    state.apply(2, &set);
+    state
+}
+
+fn records(state: &ReplicatedState) -> Vec<InstanceRecord> {
+    state.instances().cloned().collect()
+}
+
+#[test]
+fn all_control_machines_learn_the_version_of_the_first_heartbeat() {
+    let mut cluster = settled_cluster();
+    cluster.heartbeat(address(1), &running("v1"));
+    cluster.run(SECOND);
+    for number in 1..=3 {
+        assert_eq!(software_at(&mut cluster, number).as_deref(), Some("v1"));
+    }
+}
+
+#[test]
+fn a_back_end_that_starts_again_under_its_name_may_declare_another_version() {
+    let mut cluster = settled_cluster();
+    cluster.heartbeat(address(1), &running("v1"));
+    cluster.run(SECOND);
+    cluster.heartbeat(address(2), &running("v2"));
+    cluster.run(SECOND);
+    assert_eq!(software_at(&mut cluster, 3).as_deref(), Some("v2"));
+    cluster.heartbeat(address(2), &running(""));
+    cluster.run(SECOND);
+    assert_eq!(software_at(&mut cluster, 3).as_deref(), Some("v2"));
+}
+
+#[test]
+fn a_version_is_recorded_once_no_control_machine_of_an_earlier_build_is_left() {
+    let mut cluster = settled_cluster();
+    cluster.core(address(1)).set_earlier_build_present(true);
+    cluster.heartbeat(address(1), &running("v1"));
+    cluster.run(SECOND);
+    assert_eq!(software_at(&mut cluster, 1).as_deref(), Some(""));
+    cluster.core(address(1)).set_earlier_build_present(false);
+    cluster.heartbeat(address(1), &running("v1"));
+    cluster.run(SECOND);
+    assert_eq!(software_at(&mut cluster, 2).as_deref(), Some("v1"));
+}
+
+#[test]
+fn snapshots_keep_versions_behind_what_earlier_builds_read() {
+    let state = state_with("v1");
+    let read = ReplicatedState::decode(&state.encode()).expect("the snapshot is decoded");
+    assert_eq!(records(&read), records(&state));
+    let undeclared = state_with("").encode();
+    let declared = state.encode();
+    // The two differ in the revisions that the version sets, not in their layout.
+    assert!(declared.len() > undeclared.len());
+    let earlier = ReplicatedState::decode(&declared[..undeclared.len()]);
+    let earlier = earlier.expect("the part that earlier builds read is a whole snapshot");
+    assert!(!records(&earlier)[0].software.is_declared());
+}
+
+#[test]
+fn changes_carry_versions_behind_what_earlier_builds_read() {
+    let changes = state_with("v1").changes_since(0, |_| 0);
+    let message = Message::Changes(changes.clone());
+    let encoded = message.encode();
+    assert_eq!(Message::decode(&encoded), Some(message));
+    let mut undeclared: Changes = changes;
+    undeclared.instances.items[0].software = SoftwareVersion::default();
+    let undeclared = Message::Changes(undeclared).encode();
+    assert_eq!(encoded[..undeclared.len()], undeclared[..]);
+}
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -53,7 +53,10 @@
 }
 
 async fn serve_heartbeat(control: &Control, heartbeat: &Heartbeat) -> Response<AnswerBody> {
-    let asking = control.ask(|core, now, ticket| core.on_heartbeat(now, ticket, heartbeat));
+    let asking = control.ask(|core, now, ticket| {
+        core.set_earlier_build_present(control.peers.has_earlier_build());
+        core.on_heartbeat(now, ticket, heartbeat);
+    });
     let reply = asking.await;
     if heartbeat.lifecycle == Lifecycle::Draining {
         tracing::info!(event = "leaving_heartbeat", instance = %heartbeat.instance,
--- a/crates/gateway/src/control/applied.rs
+++ b/crates/gateway/src/control/applied.rs
@@ -85,6 +85,15 @@
                 "control: a request fingerprint was quarantined"
             );
         }
+        Command::SetSoftwareVersion { instance, software } => {
+            tracing::info!(
+                event = "software_version_set",
+                position,
+                instance = instance.as_str(),
+                %software,
+                "control: a back end declared the version of its software"
+            );
+        }
         Command::Release { fingerprint } => {
             tracing::info!(
                 event = "work_released",
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,7 +1,7 @@
 //! Links to other control machines, and links accepted from them and from routers.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
@@ -32,6 +32,8 @@
     port: u16,
     traffic: Rc<LinkTraffic>,
     queues: RefCell<HashMap<Ipv4Addr, mpsc::Sender<Message>>>,
+    /// The linked control machines of earlier builds, which know no software versions.
+    earlier_builds: Rc<RefCell<BTreeSet<SocketAddr>>>,
 }
 
 impl Peers {
@@ -40,9 +42,15 @@
             port,
             traffic,
             queues: RefCell::default(),
+            earlier_builds: Rc::default(),
         }
     }
 
+    /// Whether a linked control machine knows no software versions of back ends.
+    pub fn has_earlier_build(&self) -> bool {
+        !self.earlier_builds.borrow().is_empty()
+    }
+
     /// Queues a message for a control machine; drops it when the queue is full.
     pub fn send(&self, address: Ipv4Addr, message: &Message) {
         let mut queues = self.queues.borrow_mut();
@@ -50,7 +58,11 @@
             let (sender, queue) = mpsc::channel(QUEUED_MESSAGES);
             let target = SocketAddr::from((address, self.port));
             let redial = Redial::with_traffic(Rc::clone(&self.traffic));
-            tokio::task::spawn_local(maintain_link(target, redial, queue));
+            let earlier_builds = Rc::clone(&self.earlier_builds);
+            tokio::task::spawn_local(async move {
+                maintain_link(target, redial, queue, &earlier_builds).await;
+                earlier_builds.borrow_mut().remove(&target);
+            });
             sender
         });
         let _ = queue.try_send(message.clone());
@@ -58,7 +70,12 @@
 }
 
 /// Keeps a link connected and sends what is queued, until the queue is closed.
-async fn maintain_link(target: SocketAddr, mut redial: Redial, mut queue: mpsc::Receiver<Message>) {
+async fn maintain_link(
+    target: SocketAddr,
+    mut redial: Redial,
+    mut queue: mpsc::Receiver<Message>,
+    earlier_builds: &RefCell<BTreeSet<SocketAddr>>,
+) {
     let mut loss_logged = false;
     loop {
         let Ok((sender, receiver)) = redial.dial(target).await else {
@@ -73,7 +90,16 @@
         };
         tracing::info!(event = "peer_linked", peer = %target,
             "control: connected to another control machine");
-        let reason = match run_link(&sender, receiver, &mut queue).await {
+        let on_wire = |wire: RouterWire| {
+            let mut earlier_builds = earlier_builds.borrow_mut();
+            if wire.has_streams() {
+                earlier_builds.remove(&target);
+            } else if earlier_builds.insert(target) {
+                tracing::info!(event = "earlier_build", peer = %target, ?wire,
+                    "control: another control machine runs an earlier build; software versions are not recorded");
+            }
+        };
+        let reason = match run_link(&sender, receiver, &mut queue, on_wire).await {
             LinkEnd::Unneeded => return,
             LinkEnd::Closed => "closed",
             LinkEnd::Unresponsive => "silent",
@@ -101,9 +127,10 @@
     sender: &Sender,
     receiver: Receiver,
     queue: &mut mpsc::Receiver<Message>,
+    on_wire: impl Fn(RouterWire),
 ) -> LinkEnd {
     let last_received = Rc::new(Cell::new(Instant::now()));
-    let receiving = record_receipts(sender, receiver, Rc::clone(&last_received));
+    let receiving = record_receipts(sender, on_wire, receiver, Rc::clone(&last_received));
     tokio::pin!(receiving);
     let mut keep_alive = interval(KEEP_ALIVE_INTERVAL);
     loop {
@@ -128,11 +155,13 @@
 /// Records when messages are received, and which layout they show, until the link is closed.
 async fn record_receipts(
     sender: &Sender,
+    on_wire: impl Fn(RouterWire),
     mut receiver: Receiver,
     last_received: Rc<Cell<Instant>>,
 ) {
     while let Ok((wire, _)) = receiver.receive_from_peer().await {
         sender.set_wire(wire);
+        on_wire(wire);
         last_received.set(Instant::now());
     }
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -43,6 +43,8 @@
     pub copied_run: HeaderName,
     /// The identifier of the last event of a stream that the caller received.
     pub last_event_id: HeaderName,
+    /// On a request that takes up a stream: the [`HeaderNames::request_id`] of the attempt that brought its first event.
+    pub taken_up_request: HeaderName,
     /// Other headers that only the gateway may set.
     pub reserved: Vec<HeaderName>,
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -98,6 +98,8 @@
     late_answers: Family<OutcomeLabel, Counter>,
     /// Bodies of back ends' answers by how they ended.
     answer_ends: Family<AnswerEndLabel, Counter>,
+    /// Streams that another back end resumed within the answer, by whether its software version is that of the first one.
+    continued_streams: Family<OutcomeLabel, Counter>,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -138,6 +140,7 @@
         let latency = Histogram::new(LATENCY_BUCKETS);
         let late_answers = Family::default();
         let answer_ends = Family::default();
+        let continued_streams = Family::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -167,6 +170,11 @@
             "Bodies of back ends' answers, by framing and end",
             Clone::clone(&answer_ends),
         );
+        registry.register(
+            "continued_streams",
+            "Streams that another back end resumed, by software version",
+            Clone::clone(&continued_streams),
+        );
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -233,6 +241,7 @@
             latency,
             late_answers,
             answer_ends,
+            continued_streams,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
@@ -271,6 +280,12 @@
         self.answer_ends.get_or_create(&label).inc();
     }
 
+    pub fn count_continued(&self, at_same_software: bool) {
+        let outcome = if at_same_software { "same" } else { "other" };
+        let label = OutcomeLabel { outcome };
+        self.continued_streams.get_or_create(&label).inc();
+    }
+
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
-use drumshore_gateway_core::{Choice, Outcome, RequestKind};
+use drumshore_gateway_core::{Choice, Outcome, RequestKind, SoftwareVersion};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderValue;
@@ -91,6 +91,8 @@
     pub after: Option<Bytes>,
     /// Whether the back end has a copy of the run; without one it processes the prompt again.
     pub has_copy: bool,
+    /// The software version of the back end that began the stream.
+    pub software: SoftwareVersion,
 }
 
 /// Sends the request to the chosen back end and classifies the answer. `sent_before` counts the earlier attempts that
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -120,9 +120,7 @@
     let has_lost_path = router.core.borrow().has_lost_any_path();
     let links = links.open_links.borrow();
     let senders = links.values().map(|link| &link.sender);
-    let senders: Vec<&Sender> = senders
-        .filter(|sender| sender.wire() == RouterWire::WithPeers)
-        .collect();
+    let senders: Vec<&Sender> = senders.filter(|sender| sender.wire().has_peers()).collect();
     let now = router.clock.now();
     if senders.is_empty() || !router.peers.is_fetch_due(now, has_lost_path) {
         return;
@@ -387,10 +385,8 @@
             let now = router.clock.now();
             let mut reported = links.reported_loads.borrow_mut();
             let others = match wire {
-                RouterWire::WithPeers | RouterWire::WithMeasurements | RouterWire::Current => {
-                    reported.without_own(now, &loads.items)
-                }
                 RouterWire::BeforeViews => loads.items,
+                _ => reported.without_own(now, &loads.items),
             };
             let mut core = router.core.borrow_mut();
             core.set_others_loads(whole != 0, &others);
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -23,6 +23,7 @@
 use super::peer_forwarding;
 use super::refusal::{self, Refused};
 use super::resume::Attempts;
+use super::take_up::TakeUp;
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::server::NoAnswer;
@@ -49,11 +50,23 @@
     pub fingerprint: Option<RequestFingerprint>,
     /// Whether another router forwarded it.
     pub is_forwarded: bool,
+    /// The stream that it takes up, if any.
+    pub take_up: Option<TakeUp>,
     /// Times before this call at which back ends crashed while serving a request with this fingerprint.
     pub crashes_before_call: u32,
 }
 
 impl Call {
+    /// The attempt that brought the first event of the stream that the request takes up, as the caller names it.
+    pub fn taken_up(&self) -> Option<&str> {
+        self.take_up.as_ref()?.begun_by.as_deref()
+    }
+
+    /// The last event that the caller received of the stream that the request takes up.
+    pub fn taken_up_after(&self) -> Option<&str> {
+        self.take_up.as_ref()?.after.as_deref()
+    }
+
     /// The name of the tenant whose key the caller sent.
     pub fn tenant(&self) -> Option<&str> {
         let tenant = self.admission.tenant.as_ref();
@@ -227,6 +240,7 @@
         .document()
         .map_or(0, |document| document.limits.body_bytes);
     let is_forwarded = peer_forwarding::is_forwarded(request.headers());
+    let take_up = TakeUp::of(request.headers(), names);
     let (parts, body) = request.into_parts();
     let body = if body.is_end_stream() {
         Bytes::new()
@@ -242,6 +256,7 @@
         id,
         fingerprint,
         is_forwarded,
+        take_up,
         crashes_before_call,
         received,
         deadline: received.plus(time_limit),
@@ -343,7 +358,7 @@
     tracing::info!(event = "attempt_ended", id = %call.id, work = call.fingerprint.map(tracing::field::display),
         instance = %choice.instance,
         outcome = outcome_name(unanswered.outcome), execution = unanswered.execution.as_str(),
-        sent = unanswered.sent, version = choice.expected_version, chosen_by = unanswered.basis.revision,
+        sent = unanswered.sent, version = choice.expected_version, software = choice.software.as_str(), chosen_by = unanswered.basis.revision,
         view_age_ms = unanswered.basis.view_age_ms(), connection_wait_ms = unanswered.basis.connection_wait_ms(),
         elapsed_ms = elapsed.as_millis() as u64, "router: an attempt at a back end ended without an answer to forward");
 }
--- a/crates/gateway/src/router/forwarded_answer.rs
+++ b/crates/gateway/src/router/forwarded_answer.rs
@@ -71,7 +71,9 @@
         priority = call.admission.priority, instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
         limit = limit.map(tracing::field::display),
-        version = choice.expected_version, read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
+        version = choice.expected_version, software = choice.software.as_str(),
+        takes_up = call.taken_up(), after = call.taken_up_after(),
+        read_tokens = choice.tokens, fetch = choice.fetch_source(), fetch_from = choice.fetch_from,
         held_here = choice.cache_estimate.here, held_at_source = choice.cache_estimate.at_source,
         ahead_tokens = choice.load_ahead.pending_tokens, ahead_in_flight = choice.load_ahead.in_flight,
         cached_tokens = choice.cached_tokens, speed = speed.time_factor, speed_age_ms = speed.age_ms,
@@ -96,8 +98,7 @@
     if received.is_event_stream() && !body.is_end_stream() {
         head.headers.remove(CONTENT_LENGTH);
     }
-    let resumption =
-        is_resumable.then(|| Resumption::new(router, Rc::new(call), attempts, choice.copy.clone()));
+    let resumption = is_resumable.then(|| Resumption::new(router, Rc::new(call), attempts, choice));
     let relayed = Relayed {
         id,
         body,
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod reports;
 mod resume;
 mod silence;
+mod take_up;
 mod timeliness;
 mod view_changes;
 
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -89,6 +89,7 @@
     tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display), route = %call.admission.route.name,
         tenant = call.tenant(), outcome = own_answer.reason, status = own_answer.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
+        takes_up = call.taken_up(), after = call.taken_up_after(),
         execution = worst_execution.as_str(), choice = error.map(tracing::field::display),
         ready = reach.ready, unreachable = reach.unreachable,
         received_ms_ago = reach.received_ago.map(|ago| ago.as_millis() as u64),
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -15,9 +15,10 @@
 use std::rc::Rc;
 use std::task::{Context, Poll};
 
-use bytes::Bytes;
 use drumshore_core::Execution;
-use drumshore_gateway_core::{Choice, EarlierAttempts, InstanceId, Outcome, RunCopy};
+use drumshore_gateway_core::{
+    Choice, EarlierAttempts, InstanceId, Outcome, RunCopy, SoftwareVersion,
+};
 use hyper::StatusCode;
 
 use super::attempt::{self, Answered, Attempt, Continuation, Unanswered};
@@ -80,22 +81,20 @@
     attempts: Attempts,
     /// Where the run was copied to, until the copy is used.
     copy: Option<RunCopy>,
+    /// The software version of the back end that began the stream.
+    software: SoftwareVersion,
     pub events: Events,
     resuming: Option<ResumeFuture>,
 }
 
 impl Resumption {
-    pub fn new(
-        router: &Rc<Router>,
-        call: Rc<Call>,
-        attempts: Attempts,
-        copy: Option<RunCopy>,
-    ) -> Self {
+    pub fn new(router: &Rc<Router>, call: Rc<Call>, attempts: Attempts, choice: &Choice) -> Self {
         Self {
             router: Rc::clone(router),
             call,
             attempts,
-            copy,
+            copy: choice.copy.clone(),
+            software: choice.software.clone(),
             events: Events::default(),
             resuming: None,
         }
@@ -109,12 +108,14 @@
         }
         let mut attempts = self.attempts.clone();
         attempts.broken += 1;
-        let after = self.events.last_id().cloned();
         let (router, call) = (Rc::clone(&self.router), Rc::clone(&self.call));
         if may_try_again(&self.call.admission, Execution::Ran, attempts.sent) {
-            self.resuming = Some(Box::pin(resume(router, call, attempts, after)));
+            let continued = self.continuation(false);
+            self.resuming = Some(Box::pin(resume(router, call, attempts, continued)));
         } else if let Some(copy) = self.copy.take() {
-            self.resuming = Some(Box::pin(resume_copy(router, call, attempts, after, copy)));
+            let continued = self.continuation(true);
+            let resuming = resume_copy(router, call, attempts, continued, copy);
+            self.resuming = Some(Box::pin(resuming));
         } else {
             return false;
         }
@@ -123,6 +124,14 @@
         true
     }
 
+    fn continuation(&self, has_copy: bool) -> Continuation {
+        Continuation {
+            after: self.events.last_id().cloned(),
+            has_copy,
+            software: self.software.clone(),
+        }
+    }
+
     /// Polls for the answer of the back end that resumes the stream; a ready `None` when no back end does. Returns `None`
     /// when no resumption is in progress.
     pub fn poll_resumed(&mut self, context: &mut Context<'_>) -> Option<Poll<Option<Answered>>> {
@@ -144,12 +153,8 @@
     router: Rc<Router>,
     call: Rc<Call>,
     mut attempts: Attempts,
-    after: Option<Bytes>,
+    continued: Continuation,
 ) -> Option<ResumedStream> {
-    let continued = Continuation {
-        after,
-        has_copy: false,
-    };
     for _ in 0..MAX_TRIES {
         let now = router.clock.now();
         if router.core.borrow().has_lost_path(&call.admission.pool) {
@@ -190,13 +195,9 @@
     router: Rc<Router>,
     call: Rc<Call>,
     mut attempts: Attempts,
-    after: Option<Bytes>,
+    continued: Continuation,
     copy: RunCopy,
 ) -> Option<ResumedStream> {
-    let continued = Continuation {
-        after,
-        has_copy: true,
-    };
     let now = router.clock.now();
     let chosen = router.core.borrow_mut().choose_copy(
         now,
@@ -241,9 +242,13 @@
     match attempt::make(router, call, choice, attempts.sent, Some(continued)).await {
         Attempt::Answered(answered) if answered.response.status() == StatusCode::OK => {
             attempts.sent += 1;
+            router
+                .metrics
+                .count_continued(continued.software == choice.software);
             tracing::info!(event = "answer_taken_up", id = %call.id,
                 from = from.as_ref().map(InstanceId::as_str), instance = %choice.instance,
-                version = choice.expected_version, copied = continued.has_copy,
+                version = choice.expected_version, began_at_software = continued.software.as_str(),
+                software = choice.software.as_str(), copied = continued.has_copy,
                 after = continued.after.as_ref().map(|id| String::from_utf8_lossy(id).into_owned()),
                 "router: another back end resumed a stream");
             ResumeAttempt::Resumed(answered)
