Resume streams only at the software version that began them, and copy runs only there

Cause: the choice of a back end for a resumption, and of the target of a copied run, asked for weights and room but not for the software, because nobody read that field of the heartbeats.

The version that began a stream is now a part of EarlierAttempts, and one function removes the back ends that do not run it from every choice that continues a stream, beside the fences of incarnation and weights. Copies are placed at the run's own version. When no back end of the version takes requests, the stream is cut as when none is ready.

--- a/crates/gateway-core/src/router/copies.rs
+++ b/crates/gateway-core/src/router/copies.rs
@@ -41,7 +41,10 @@
         let zone = NameHash::of(&self.params.zone);
         let others = usable.iter().filter(|other| {
             let is_same = *other.id == placed.instance;
-            !is_same && other.version == placed.version && !other.endpoint.is_limited()
+            !is_same
+                && other.version == placed.version
+                && other.endpoint.record.software == placed.software
+                && !other.endpoint.is_limited()
         });
         // Copies within a zone are cheaper.
         let sampled = k_smallest_by_key(others, SAMPLED_COPY_TARGETS, |other| {
@@ -72,7 +75,8 @@
         if earlier.arrived > 0 && !self.budget.may_retry(now, &admission.pool) {
             return Err(ChoiceError::NoBudget);
         }
-        let candidates = self.candidates(now, admission, prompt);
+        let mut candidates = self.candidates(now, admission, prompt);
+        self.retain_required_software(&mut candidates, admission, earlier.required_software);
         let holder = candidates
             .iter()
             .find(|candidate| *candidate.id == copy.instance && candidate.version == copy.version);
--- a/crates/gateway-core/src/router/copies_tests.rs
+++ b/crates/gateway-core/src/router/copies_tests.rs
@@ -3,9 +3,11 @@
 use drumshore_core::Timestamp;
 use rstest::rstest;
 
-use super::super::tests::{admit_model_request, at, prompt_of, router_for_copies};
+use super::super::tests::{
+    admit_model_request, at, prompt_of, record, router_for_copies, router_with,
+};
 use super::*;
-use crate::{LoadEntry, Outcome};
+use crate::{InstanceRecord, LoadEntry, Outcome, SoftwareVersion};
 
 fn admission(router: &mut RouterCore, kind: RequestKind) -> Admission {
     admit_model_request(router, kind)
@@ -90,3 +92,23 @@
     let refused = router.choose_copy(at(2), &admission, Some(&prompt), &other_weights, earlier);
     assert_eq!(refused.unwrap_err(), ChoiceError::NoneLeft);
 }
+
+/// What a back end of another software version would add to the stream does not fit.
+#[test]
+fn runs_are_copied_only_to_back_ends_of_their_software_version() {
+    let versions = ["v1", "v2"];
+    let back_ends = (0..6).map(|number| InstanceRecord {
+        software: SoftwareVersion::new(versions[number % 2]),
+        ..record(&format!("llm-{number}"), "models", number as u64 + 1)
+    });
+    let mut router = router_with(back_ends.collect());
+    let admission = admission(&mut router, RequestKind::Stream);
+    for number in 0..40 {
+        let choice = choose(&mut router, &admission, &prompt_of(600 + number));
+        let copy = choice.copy.expect("the pool has room for copies");
+        let target = router.view.instance(copy.instance.as_str()).unwrap();
+        assert_eq!(target.software, choice.software);
+        let began = Timestamp(0);
+        router.finished(at(3), &choice.instance, began, Outcome::Answered);
+    }
+}
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -30,6 +30,7 @@
 mod reach;
 mod reported_loads;
 mod request;
+mod required_software;
 mod router_count;
 mod speed_class;
 mod speeds;
--- a/crates/gateway-core/src/router/notices.rs
+++ b/crates/gateway-core/src/router/notices.rs
@@ -9,7 +9,7 @@
 
 use super::{Admission, Backoff, ChoiceError, Prompt, RouterCore};
 use crate::limits::RateShare;
-use crate::{BackEndNotice, InstanceId, PoolName, RequestRate};
+use crate::{BackEndNotice, InstanceId, PoolName, RequestRate, SoftwareKey};
 
 /// How long a back end gets no requests after it last announced that it is leaving. A leaving back end ends within
 /// seconds, or tens of seconds while it has long streams. The limit matters for a back end that restarts under the
@@ -339,7 +339,8 @@
     ) -> Option<ChoiceError> {
         let sample = self.random.random();
         let none_left = self.candidates(now, admission, prompt).is_empty();
-        let reason = none_left.then(|| self.no_candidate_error(now, admission, prompt, sample));
+        let reason =
+            none_left.then(|| self.no_candidate_error(now, admission, prompt, sample, None));
         reason.filter(|reason| matches!(reason, ChoiceError::BackedOff(_)))
     }
 
@@ -352,8 +353,10 @@
         admission: &Admission,
         prompt: Option<&Prompt>,
         sample: u64,
+        required: Option<SoftwareKey>,
     ) -> ChoiceError {
-        let eligible = self.eligible(now, admission, prompt);
+        let mut eligible = self.eligible(now, admission, prompt);
+        self.retain_required_software(&mut eligible, admission, required);
         let waits = eligible.iter().filter_map(|candidate| {
             let endpoint = candidate.endpoint;
             let brittle_wait = self.brittle_wait(now, endpoint).unwrap_or_default();
@@ -365,7 +368,10 @@
         });
         let waits: Vec<Duration> = waits.collect();
         let Some(soonest) = waits.iter().min().copied() else {
-            return ChoiceError::NoneReady;
+            return match required {
+                None => ChoiceError::NoneReady,
+                Some(_) => ChoiceError::NoneOfSoftware,
+            };
         };
         let limits = eligible.iter();
         let limits =
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -41,7 +41,12 @@
         }
         let mut candidates = self.candidates(now, admission, prompt);
         if candidates.is_empty() {
-            return Err(self.no_candidate_error(now, admission, prompt, sample));
+            return Err(self.no_candidate_error(now, admission, prompt, sample, None));
+        }
+        let required = earlier.required_software;
+        self.retain_required_software(&mut candidates, admission, required);
+        if candidates.is_empty() {
+            return Err(self.no_candidate_error(now, admission, prompt, sample, required));
         }
         if !earlier.tried.is_empty() {
             candidates.retain(|candidate| !earlier.tried.contains(candidate.id));
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Charge, OverLimit, TenantShare};
-use crate::{InstanceId, ModelName, PoolName, RequestFingerprint, Route, Tenant};
+use crate::{InstanceId, ModelName, PoolName, RequestFingerprint, Route, SoftwareKey, Tenant};
 
 /// A part of a prompt, which other requests may have in common.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -71,6 +71,9 @@
     /// This router reaches no back end of the pool, and no other router took the request over.
     #[error("no path to the back ends")]
     NoPath,
+    /// No back end that takes requests runs the software version that began the stream.
+    #[error("no back end of the software version that began the stream")]
+    NoneOfSoftware,
     /// The pool's retry budget is used up for now.
     #[error("retry budget used up")]
     NoBudget,
@@ -117,6 +120,8 @@
     pub crashes_before_call: u32,
     /// Attempts of this call that broke off after the back end may have started to run the request.
     pub broken: u32,
+    /// The software version that began the stream that the next attempt continues; `None` if it begins one.
+    pub required_software: Option<SoftwareKey>,
 }
 
 /// A request that was admitted and may be forwarded.
--- a/crates/gateway-core/src/router/summary.rs
+++ b/crates/gateway-core/src/router/summary.rs
@@ -3,7 +3,7 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::{InstanceRecord, Lifecycle};
+use crate::{InstanceRecord, Lifecycle, SoftwareKey};
 
 /// Hash of the name of a pool, zone or model.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,7 @@
     pub zone: NameHash,
     pub is_ready: bool,
     pub is_loading: bool,
+    pub software: SoftwareKey,
     /// The model and version, if the back end holds exactly one model, as nearly all do.
     only_model: Option<(NameHash, u64)>,
 }
@@ -37,6 +38,7 @@
             zone: NameHash::of(record.zone.as_str()),
             is_ready: record.lifecycle == Lifecycle::Ready,
             is_loading: record.is_loading(),
+            software: SoftwareKey::of_names(record.pool.as_str(), record.software.as_str()),
             only_model,
         }
     }
--- a/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
@@ -121,6 +121,7 @@
         fingerprint: Some(fingerprint("a")),
         crashes_before_call,
         broken,
+        required_software: None,
     };
     let chosen = choose(&mut router, earlier);
     assert_eq!(chosen.is_ok(), is_retried, "{chosen:?}");
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -111,6 +111,9 @@
     if worst_execution == Execution::NotRun {
         let (after, reason) = match error {
             Some(ChoiceError::NoneReady) => (RETRY_WITHOUT_BACK_ENDS, "no_back_end"),
+            Some(ChoiceError::NoneOfSoftware) => {
+                (RETRY_WITHOUT_BACK_ENDS, "no_back_end_of_software")
+            }
             Some(ChoiceError::BackedOff(backoff)) => (backoff.retry_after, "backed_off"),
             Some(ChoiceError::Overloaded(overload)) => (overload.retry_after, "overloaded"),
             Some(ChoiceError::Quarantined) => (MAX_RETRY_AFTER, "quarantined"),
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -17,7 +17,7 @@
 
 use drumshore_core::Execution;
 use drumshore_gateway_core::{
-    Choice, EarlierAttempts, InstanceId, Outcome, RunCopy, SoftwareVersion,
+    Choice, EarlierAttempts, InstanceId, Outcome, RunCopy, SoftwareKey, SoftwareVersion,
 };
 use hyper::StatusCode;
 
@@ -39,6 +39,8 @@
     pub sent: u32,
     /// Attempts whose connection broke when the request may have been running.
     pub broken: u32,
+    /// The software version that began the stream that the request continues; `None` if it begins one.
+    pub required_software: Option<SoftwareKey>,
 }
 
 impl Attempts {
@@ -49,6 +51,7 @@
             fingerprint: call.fingerprint,
             crashes_before_call: call.crashes_before_call,
             broken: self.broken,
+            required_software: self.required_software,
         }
     }
 
@@ -88,7 +91,14 @@
 }
 
 impl Resumption {
-    pub fn new(router: &Rc<Router>, call: Rc<Call>, attempts: Attempts, choice: &Choice) -> Self {
+    pub fn new(
+        router: &Rc<Router>,
+        call: Rc<Call>,
+        mut attempts: Attempts,
+        choice: &Choice,
+    ) -> Self {
+        let software = SoftwareKey::of(&call.admission.pool, &choice.software);
+        attempts.required_software = Some(software);
         Self {
             router: Rc::clone(router),
             call,
