Continue streams that callers take up at the software version that began them

Cause: nobody read Resumes, and only the router that began a stream knew where it began.

A router now tells two control machines of each stream that may be taken up when its answer begins, before the first event is forwarded, and tells all of them again to a control machine that becomes one of the two. A take-up is looked up at the own router and at all linked control machines; its version is the requirement of every attempt, and its pool the one whose back ends run it. A stream of unknown origin goes on only if the pool has and had one version and the view is at most a second old; otherwise it is rejected at once, as not run.

The key of a stream is a keyed hash of tenant and attempt, so that no caller can name, probe or displace the stream of another tenant. Origins are kept for as long as the caller waits, at most 120 s, 16,384 at a router and 400,000 at a control machine; the tenant that keeps most gives way. Earlier builds are sent none of the messages. Streams that began while no version was recorded count as unknown.

--- a/crates/gateway-core/src/fingerprint.rs
+++ b/crates/gateway-core/src/fingerprint.rs
@@ -94,6 +94,13 @@
 }
 
 impl RequestFingerprint {
+    /// The first eight bytes as a number.
+    pub(crate) fn leading_u64(self) -> u64 {
+        let mut bytes = [0; 8];
+        bytes.copy_from_slice(&self.0[..8]);
+        u64::from_le_bytes(bytes)
+    }
+
     /// A number from 0 to 1, uniformly distributed over fingerprints.
     pub fn fraction(self) -> f64 {
         f64::from(self.0[0]) / 256.0
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -29,6 +29,7 @@
 mod router_wire;
 mod software;
 mod state;
+mod streams;
 mod view_links;
 
 pub use command::{Command, LoadPhase, Proposal, ProposalId};
@@ -58,4 +59,5 @@
 pub use router_wire::RouterWire;
 pub use software::{SoftwareKey, SoftwareVersion};
 pub use state::{InstanceRecord, Lifecycle, LoadedModel, Position, ReplicatedState, TargetWeights};
+pub use streams::{StreamKey, StreamOrigin, StreamOrigins, StreamPublisher, MAX_STREAM_LIFETIME};
 pub use view_links::{LinkAction, Progress, ViewLinks};
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -8,7 +8,9 @@
 use drumshore_wire::{Blob, List, Text};
 
 use crate::back_end_speed::{SpeedNews, SpeedSample};
-use crate::{FingerprintKey, InstanceRecord, RequestFingerprint};
+use crate::{
+    FingerprintKey, InstanceRecord, RequestFingerprint, SoftwareKey, StreamKey, StreamOrigin,
+};
 
 mod software;
 mod tenants;
@@ -423,6 +425,20 @@
     /// The response: the addresses for clients, IP:PORT, of routers that reach back ends.
     #[brw(magic(31u8))]
     Peers(List<Text>),
+    /// From a router: streams that it began, or that a caller took up at it.
+    #[brw(magic(32u8))]
+    StreamOrigins(List<StreamOrigin>),
+    /// From a router: asks which software version began a stream.
+    #[brw(magic(33u8))]
+    FetchStreamOrigin(StreamKey),
+    /// The response.
+    #[brw(magic(34u8))]
+    StreamSoftware {
+        /// The stream.
+        stream: StreamKey,
+        /// 0 or 1 version; none if this control machine does not know the stream.
+        software: List<SoftwareKey>,
+    },
 }
 
 impl Message {
@@ -454,6 +470,14 @@
         matches!(self, Self::FetchPeers | Self::Peers(_))
     }
 
+    /// Whether the message is about streams, which only peers from [`crate::RouterWire::WithStreams`] on decode.
+    pub fn is_about_streams(&self) -> bool {
+        matches!(
+            self,
+            Self::StreamOrigins(_) | Self::FetchStreamOrigin(_) | Self::StreamSoftware { .. }
+        )
+    }
+
     /// Decodes a payload; `None` if it is not a valid message.
     pub fn decode(payload: &[u8]) -> Option<Self> {
         let mut cursor = std::io::Cursor::new(payload);
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -39,6 +39,7 @@
 mod summary;
 mod suspected_fingerprints;
 mod suspects;
+mod take_up;
 mod tenant_demand;
 mod view;
 
@@ -88,6 +89,7 @@
 use stores::Stores;
 use suspected_fingerprints::SuspectedFingerprints;
 use suspects::Suspect;
+use take_up::DepartedVersions;
 use tenant_demand::TenantDemands;
 use view::View;
 
@@ -141,6 +143,7 @@
     suspected_fingerprints: SuspectedFingerprints,
     speeds: BackEndSpeeds,
     speed_samples: SpeedSamples,
+    departed_versions: DepartedVersions,
 }
 
 impl RouterCore {
@@ -170,6 +173,7 @@
             suspected_fingerprints: SuspectedFingerprints::default(),
             speeds: BackEndSpeeds::default(),
             speed_samples: SpeedSamples::default(),
+            departed_versions: DepartedVersions::default(),
         }
     }
 
@@ -217,13 +221,14 @@
             self.tenant_demands.set_tenants(document);
         }
         self.suspected_fingerprints.apply(now, &changes);
-        self.update_endpoints(&changes);
+        self.update_endpoints(now, &changes);
         Ok(())
     }
 
     /// Updates only the changed back ends: while thousands of back ends register, hundreds of changes arrive each
     /// second.
-    fn update_endpoints(&mut self, changes: &Changes) {
+    fn update_endpoints(&mut self, now: Timestamp, changes: &Changes) {
+        self.note_departed_versions(now, changes);
         if changes.since == 0 {
             self.endpoints.replace_all(self.view.instances());
             return;
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -74,6 +74,9 @@
     /// No back end that takes requests runs the software version that began the stream.
     #[error("no back end of the software version that began the stream")]
     NoneOfSoftware,
+    /// Nobody knows which software version began the stream that the request takes up, and the pool has several.
+    #[error("unknown which software version began the stream")]
+    UnknownOrigin,
     /// The pool's retry budget is used up for now.
     #[error("retry budget used up")]
     NoBudget,
--- /dev/null
+++ b/crates/gateway-core/src/router/take_up_tests.rs
@@ -0,0 +1,153 @@
+use rstest::rstest;
+
+use super::super::tests::{admit_model_request, at, changes, record, router_with};
+use super::*;
+use crate::{InstanceRecord, RequestKind, Share, SoftwareVersion};
+
+const POOL: &str = "models";
+const CONFIRMED_AT: u64 = 0;
+
+fn back_end(number: u64, pool: &str, version: &str) -> InstanceRecord {
+    InstanceRecord {
+        software: SoftwareVersion::new(version),
+        ..record(&format!("{pool}-{number}"), pool, number)
+    }
+}
+
+fn back_ends(versions: &[&str]) -> Vec<InstanceRecord> {
+    let numbered = versions.iter().zip(1..);
+    numbered
+        .map(|(version, number)| back_end(number, POOL, version))
+        .collect()
+}
+
+fn software(version: &str) -> SoftwareKey {
+    SoftwareKey::of_names(POOL, version)
+}
+
+fn admission(router: &mut RouterCore) -> Admission {
+    admit_model_request(router, RequestKind::ResumableStream)
+}
+
+/// Applies changes to a router whose view began with revision 10.
+fn change(router: &mut RouterCore, now: u64, revision: u64, records: Vec<InstanceRecord>) {
+    let changes = changes(revision - 1, revision, records);
+    router.apply(at(now), changes, |_| unreachable!()).unwrap();
+    router.on_confirmed(at(now), revision, 1);
+}
+
+fn remove(router: &mut RouterCore, now: u64, revision: u64, name: &str) {
+    let mut changes = changes(revision - 1, revision, Vec::new());
+    changes.removed.items.push(name.into());
+    router.apply(at(now), changes, |_| unreachable!()).unwrap();
+    router.on_confirmed(at(now), revision, 1);
+}
+
+#[rstest]
+#[case::known(Some("v2"), Ok("v2"))]
+#[case::gone(Some("v3"), Err(ChoiceError::NoneOfSoftware))]
+#[case::unknown(None, Err(ChoiceError::UnknownOrigin))]
+#[case::undeclared(Some(""), Err(ChoiceError::UnknownOrigin))]
+fn in_a_pool_of_two_versions_a_stream_goes_on_only_if_its_origin_is_known(
+    #[case] origin: Option<&str>,
+    #[case] expected: Result<&str, ChoiceError>,
+) {
+    let mut router = router_with(back_ends(&["v1", "v2"]));
+    let mut admission = admission(&mut router);
+    let required = router.continue_stream(at(1), &mut admission, origin.map(software));
+    assert_eq!(required, expected.map(software));
+}
+
+#[rstest]
+#[case::declared(&["v1", "v1"], "v1")]
+#[case::undeclared(&["", ""], "")]
+fn in_a_pool_of_one_version_a_stream_of_unknown_origin_goes_on(
+    #[case] versions: &[&str],
+    #[case] expected: &str,
+) {
+    let mut router = router_with(back_ends(versions));
+    let mut admission = admission(&mut router);
+    let required = router.continue_stream(at(1), &mut admission, None);
+    assert_eq!(required, Ok(software(expected)));
+}
+
+/// A view that is not confirmed may lack the version that began the stream.
+#[test]
+fn an_outdated_view_does_not_tell_that_there_is_one_version() {
+    let mut router = router_with(back_ends(&["v1"]));
+    let mut admission = admission(&mut router);
+    let late = CONFIRMED_AT + MAX_VIEW_AGE.as_millis() as u64 + 10;
+    let required = router.continue_stream(at(late), &mut admission, None);
+    assert_eq!(required, Err(ChoiceError::UnknownOrigin));
+    let required = router.continue_stream(at(late), &mut admission, Some(software("v1")));
+    assert_eq!(required, Ok(software("v1")));
+}
+
+#[test]
+fn a_version_that_left_counts_for_as_long_as_its_streams_may_last() {
+    let mut router = router_with(back_ends(&["v1", "v2"]));
+    remove(&mut router, 1_000, 11, "models-1");
+    let mut admission = admission(&mut router);
+    let required = router.continue_stream(at(1_100), &mut admission, None);
+    assert_eq!(required, Err(ChoiceError::UnknownOrigin));
+    let later = 1_000 + MAX_STREAM_LIFETIME.as_millis() as u64 + 10;
+    router.on_confirmed(at(later), 11, 1);
+    let required = router.continue_stream(at(later), &mut admission, None);
+    assert_eq!(required, Ok(software("v2")));
+}
+
+#[test]
+fn a_back_end_that_starts_again_at_another_version_leaves_the_earlier_one() {
+    let mut router = router_with(back_ends(&["v1"]));
+    change(&mut router, 1_000, 11, vec![back_end(1, POOL, "v2")]);
+    let mut admission = admission(&mut router);
+    let required = router.continue_stream(at(1_100), &mut admission, None);
+    assert_eq!(required, Err(ChoiceError::UnknownOrigin));
+}
+
+/// While builds are replaced, versions become known one after the other.
+#[test]
+fn a_version_that_becomes_known_is_no_second_one() {
+    let mut router = router_with(back_ends(&["", ""]));
+    change(&mut router, 1_000, 11, back_ends(&["v1", "v1"]));
+    let mut admission = admission(&mut router);
+    for origin in [None, Some(software(""))] {
+        let required = router.continue_stream(at(1_100), &mut admission, origin);
+        assert_eq!(required, Ok(software("v1")));
+    }
+}
+
+#[test]
+fn a_stream_goes_on_in_the_pool_that_began_it() {
+    let mut instances = back_ends(&["v1"]);
+    instances.push(back_end(7, "apps", "v1"));
+    let mut router = router_with(instances);
+    let mut admission = admission(&mut router);
+    let share = |pool: &str| Share {
+        pool: PoolName::new(pool),
+        weight: 1,
+    };
+    let route = std::rc::Rc::make_mut(&mut admission.route);
+    route.shares = vec![share(POOL), share("apps")];
+    for pool in [POOL, "apps"] {
+        let origin = SoftwareKey::of_names(pool, "v1");
+        let required = router.continue_stream(at(1), &mut admission, Some(origin));
+        assert_eq!((required, admission.pool.as_str()), (Ok(origin), pool));
+    }
+}
+
+#[test]
+fn a_share_without_weight_takes_up_no_stream() {
+    let mut instances = back_ends(&["v1"]);
+    instances.push(back_end(7, "apps", "v1"));
+    let mut router = router_with(instances);
+    let mut admission = admission(&mut router);
+    let route = std::rc::Rc::make_mut(&mut admission.route);
+    route.shares.push(Share {
+        pool: PoolName::new("apps"),
+        weight: 0,
+    });
+    let origin = SoftwareKey::of_names("apps", "v1");
+    let required = router.continue_stream(at(1), &mut admission, Some(origin));
+    assert_eq!(required, Err(ChoiceError::NoneOfSoftware));
+}
--- a/crates/gateway-core/src/router_wire.rs
+++ b/crates/gateway-core/src/router_wire.rs
@@ -144,7 +144,9 @@
     /// Encodes a message; `None` if the peer cannot decode this message.
     pub fn encode(self, message: &Message) -> Option<Vec<u8>> {
         let is_decoded = match self {
-            Self::WithStreams | Self::WithPeers => true,
+            Self::WithStreams => true,
+            _ if message.is_about_streams() => false,
+            Self::WithPeers => true,
             Self::WithMeasurements => !message.is_about_peers(),
             Self::Current | Self::BeforeViews => {
                 !message.is_about_peers() && !message.is_measurement()
--- a/crates/gateway-core/src/router_wire_tests.rs
+++ b/crates/gateway-core/src/router_wire_tests.rs
@@ -1,10 +1,14 @@
 //! Tests of the wire format of earlier builds.
 
+use std::time::Duration;
+
 use rstest::rstest;
 
 use super::*;
 use crate::back_end_speed::SpeedNews;
-use crate::{Announcement, Following, LoadEntry};
+use crate::{
+    Announcement, Following, LoadEntry, SoftwareKey, StreamKey, StreamOrigin, TenantKey, TenantName,
+};
 
 fn status() -> RouterStatus {
     RouterStatus {
@@ -237,3 +241,45 @@
     let detected = RouterWire::detect_from_peer(&unmarked);
     assert_eq!(detected, Some((RouterWire::Current, Message::KeepAlive)));
 }
+
+fn stream_messages() -> Vec<Message> {
+    let stream = StreamKey::of(&FingerprintKey::generate(1), "tenant", "id");
+    let software = SoftwareKey::of_names("pool", "v1");
+    let tenant = TenantKey::of(&TenantName::new("tenant"));
+    let origin = StreamOrigin::new(stream, tenant, software, Duration::from_secs(5));
+    vec![
+        Message::StreamOrigins(List::new(vec![origin])),
+        Message::FetchStreamOrigin(stream),
+        Message::StreamSoftware {
+            stream,
+            software: List::new(vec![software]),
+        },
+    ]
+}
+
+#[test]
+fn messages_about_streams_are_sent_only_to_builds_that_decode_them() {
+    for message in stream_messages() {
+        for wire in RouterWire::ALL {
+            let expected = (wire == RouterWire::WithStreams).then(|| message.encode());
+            assert_eq!(wire.encode(&message), expected, "{wire:?}");
+        }
+        let decoded = Message::decode(&message.encode());
+        assert_eq!(decoded, Some(message));
+    }
+}
+
+#[rstest]
+#[case::router(Message::Router(status()))]
+#[case::control_machine(Message::ControlZone(Text::new("a")))]
+#[case::keep_alive(Message::KeepAlive)]
+fn a_build_that_decodes_messages_about_streams_is_known_to_decode_the_earlier_ones(
+    #[case] first: Message,
+) {
+    let marked = RouterWire::WithStreams.encode(&first).unwrap();
+    let detected = RouterWire::detect_from_peer(&marked);
+    assert_eq!(detected, Some((RouterWire::WithStreams, first.clone())));
+    let earlier = RouterWire::WithPeers.encode(&first).unwrap();
+    assert!(marked.starts_with(&earlier));
+    assert!(RouterWire::WithStreams.has_measurements() && RouterWire::WithStreams.has_peers());
+}
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod peers;
 mod quarantine;
 mod store;
+mod streams;
 mod traffic_log;
 
 use std::cell::{Cell, RefCell};
@@ -46,6 +47,7 @@
 use configuration::CachedConfiguration;
 use connections::ConnectionLimits;
 use peers::Peers;
+use streams::Streams;
 
 /// How long a connection may be idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -79,6 +81,8 @@
     /// The role at the last tick; `None` before the first one with an open replica.
     role: Cell<Option<Role>>,
     configuration: RefCell<CachedConfiguration>,
+    /// Which software versions began the streams of routers.
+    streams: RefCell<Streams>,
 }
 
 /// Runs a control machine until the process receives a stop signal.
@@ -117,6 +121,7 @@
         flush: Notify::new(),
         role: Cell::new(None),
         configuration: RefCell::default(),
+        streams: RefCell::default(),
         settings,
     });
     listen(&control)?;
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -223,14 +223,32 @@
     });
     loop {
         match receiver.receive().await {
-            Ok(message) => {
-                control.with_core(|core, now| core.on_router(now, connection, message));
-            }
+            Ok(message) => on_router_message(control, connection, message),
             Err(_) => return,
         }
     }
 }
 
+fn on_router_message(control: &Control, connection: ConnectionId, message: Message) {
+    let now = control.clock.now();
+    match message {
+        Message::StreamOrigins(origins) => {
+            let mut streams = control.streams.borrow_mut();
+            streams.record(now, &origins.items);
+            control.metrics.stream_origins.set(streams.len() as i64);
+        }
+        Message::FetchStreamOrigin(stream) => {
+            let answer = control.streams.borrow().answer(now, stream);
+            if let Some(sender) = control.routers.borrow().get(&connection) {
+                sender.send(&answer);
+            }
+        }
+        message => {
+            control.with_core(|core, now| core.on_router(now, connection, message));
+        }
+    }
+}
+
 async fn serve_control(control: &Control, sender: Sender, first: Message, mut receiver: Receiver) {
     let mut message = first;
     loop {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -100,6 +100,10 @@
     answer_ends: Family<AnswerEndLabel, Counter>,
     /// Streams that another back end resumed within the answer, by whether its software version is that of the first one.
     continued_streams: Family<OutcomeLabel, Counter>,
+    /// Streams that callers took up, by what was known of their origin.
+    take_ups: Family<OutcomeLabel, Counter>,
+    /// Origins of streams that a control machine keeps.
+    pub stream_origins: Gauge,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -141,6 +145,8 @@
         let late_answers = Family::default();
         let answer_ends = Family::default();
         let continued_streams = Family::default();
+        let take_ups = Family::default();
+        let stream_origins = Gauge::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -175,6 +181,16 @@
             "Streams that another back end resumed, by software version",
             Clone::clone(&continued_streams),
         );
+        registry.register(
+            "take_ups",
+            "Streams that callers took up, by what was known of their origin",
+            Clone::clone(&take_ups),
+        );
+        registry.register(
+            "stream_origins",
+            "Origins of streams that a control machine keeps",
+            stream_origins.clone(),
+        );
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -242,6 +258,8 @@
             late_answers,
             answer_ends,
             continued_streams,
+            take_ups,
+            stream_origins,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
@@ -286,6 +304,10 @@
         self.continued_streams.get_or_create(&label).inc();
     }
 
+    pub fn count_take_up(&self, outcome: &'static str) {
+        self.take_ups.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -14,7 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Router;
-use super::{crash_detection, demand_metrics, reports, view_changes};
+use super::{crash_detection, demand_metrics, reports, streams, view_changes};
 use crate::link::{Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
 
@@ -84,8 +84,17 @@
         }
     }
 
+    /// The control machines that decode messages about streams.
+    pub fn with_streams(&self) -> Vec<Ipv4Addr> {
+        let links = self.open_links.borrow();
+        let decoding = links
+            .iter()
+            .filter(|(_, link)| link.sender.wire().has_streams());
+        decoding.map(|(address, _)| *address).collect()
+    }
+
     /// Queues a message; false when the link has ended or its queue is full.
-    fn send(&self, to: Ipv4Addr, message: &Message) -> bool {
+    pub fn send(&self, to: Ipv4Addr, message: &Message) -> bool {
         let links = self.open_links.borrow();
         links.get(&to).is_some_and(|link| link.sender.send(message))
     }
@@ -93,6 +102,7 @@
 
 pub(super) fn start(router: &Rc<Router>) {
     let links = Rc::new(Links::new(router));
+    router.streams.set_links(&links);
     tokio::task::spawn_local(maintain_links(Rc::clone(router), Rc::clone(&links)));
     tokio::task::spawn_local(poll_periodically(Rc::clone(router), links));
 }
@@ -206,6 +216,7 @@
                 "router: connected to a control machine");
             let reason = run_link(&router, &links, address, sender, receiver).await;
             links.on_closed(address);
+            streams::on_links_changed(&router, &links);
             tracing::info!(event = "control_lost", %address, reason,
                 "router: lost the connection to a control machine");
         }
@@ -253,6 +264,7 @@
         return "closed";
     };
     links.set_wire(address, wire);
+    streams::on_links_changed(router, links);
     loop {
         on_message(router, links, address, wire, message);
         message = match receiver.receive().await {
@@ -359,6 +371,10 @@
             let addresses = addresses.map(|address| address.as_str().to_owned());
             router.peers.set(router.clock.now(), addresses.collect());
         }
+        Message::StreamSoftware { stream, software } => {
+            let software = software.items.first().copied();
+            router.streams.on_answer(stream, software);
+        }
         Message::AccountLevels(levels) => {
             let now = router.clock.now();
             let mut core = router.core.borrow_mut();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -8,7 +8,7 @@
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
     Admission, Choice, ChoiceError, FingerprintInput, Prompt, Refusal, RequestFingerprint,
-    RequestHead,
+    RequestHead, MAX_STREAM_LIFETIME,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
@@ -23,7 +23,7 @@
 use super::peer_forwarding;
 use super::refusal::{self, Refused};
 use super::resume::Attempts;
-use super::take_up::TakeUp;
+use super::take_up::{self, TakeUp};
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::server::NoAnswer;
@@ -42,6 +42,8 @@
     pub id: String,
     pub received: Timestamp,
     pub deadline: Timestamp,
+    /// When the caller stops waiting, over all its attempts.
+    pub caller_deadline: Timestamp,
     pub admission: Admission,
     pub prompt: Option<Prompt>,
     pub parts: Parts,
@@ -260,6 +262,7 @@
         crashes_before_call,
         received,
         deadline: received.plus(time_limit),
+        caller_deadline: received.plus(requested_limit.min(MAX_STREAM_LIFETIME)),
         admission,
         prompt,
         parts,
@@ -285,8 +288,18 @@
 }
 
 /// Tries back ends until one answers, the attempts are used up or the deadline has passed.
-async fn answer(router: &Rc<Router>, call: Call, open: OpenRequest) -> Response<AnswerBody> {
+async fn answer(router: &Rc<Router>, mut call: Call, open: OpenRequest) -> Response<AnswerBody> {
     let mut attempts = Attempts::default();
+    let has_path = !router.core.borrow().has_lost_path(&call.admission.pool);
+    if has_path {
+        match take_up::required_software(router, &mut call).await {
+            Ok(required) => attempts.required_software = required,
+            Err(error) => {
+                let not_run = Execution::NotRun;
+                return refusal::answer_unserved(router, &call, &[], not_run, Some(error));
+            }
+        }
+    }
     // The worst case over all attempts: not run, may have run, ran.
     let mut worst_execution = Execution::NotRun;
     for _ in 0..MAX_TRIES {
--- a/crates/gateway/src/router/forwarded_answer.rs
+++ b/crates/gateway/src/router/forwarded_answer.rs
@@ -14,6 +14,7 @@
 use super::received_body::ReceivedBody;
 use super::relay::{Relay, Relayed};
 use super::resume::{Attempts, Resumption};
+use super::streams;
 use super::timeliness::Timeliness;
 use super::Router;
 use crate::answer::AnswerBody;
@@ -62,6 +63,13 @@
             core.record_first_byte(choice, now.since(open_attempt.began_at()));
         }
     }
+    let may_be_taken_up = call.admission.route.kind == RequestKind::ResumableStream
+        && response.status() == StatusCode::OK
+        && received.is_event_stream();
+    if may_be_taken_up {
+        // Before the first event is forwarded, because the caller may return as soon as it has that.
+        streams::record(router, &call, choice);
+    }
     let speed = SpeedUsed::of(router, choice);
     router.metrics.count_request("answered", elapsed);
     let limit = router.core.borrow().limit_of(&choice.instance);
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod reports;
 mod resume;
 mod silence;
+mod streams;
 mod take_up;
 mod timeliness;
 mod view_changes;
@@ -56,6 +57,7 @@
 use first_view::FirstView;
 use peers::Peers;
 use silence::SilenceMonitor;
+use streams::Streams;
 
 /// Interval at which idle connections to back ends are closed and the gauge of the view's age is set.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
@@ -104,6 +106,8 @@
     /// Notifies the links to control machines that there are new reports of crashes.
     crash_reports_changed: Notify,
     unknown_headers: UnknownHeaders,
+    /// Which software versions began the streams that callers may take up.
+    streams: Streams,
 }
 
 /// Runs a router until the process receives a stop signal.
@@ -137,6 +141,7 @@
         loads_changed: watch::channel(()).0,
         crash_reports_changed: Notify::new(),
         unknown_headers: UnknownHeaders::default(),
+        streams: Streams::new(seed),
         settings,
     });
     listen(&router)?;
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -114,6 +114,7 @@
             Some(ChoiceError::NoneOfSoftware) => {
                 (RETRY_WITHOUT_BACK_ENDS, "no_back_end_of_software")
             }
+            Some(ChoiceError::UnknownOrigin) => (RETRY_WITHOUT_BACK_ENDS, "unknown_origin"),
             Some(ChoiceError::BackedOff(backoff)) => (backoff.retry_after, "backed_off"),
             Some(ChoiceError::Overloaded(overload)) => (overload.retry_after, "overloaded"),
             Some(ChoiceError::Quarantined) => (MAX_RETRY_AFTER, "quarantined"),
--- a/crates/gateway/src/router/take_up.rs
+++ b/crates/gateway/src/router/take_up.rs
@@ -1,12 +1,18 @@
 //! Requests by which callers take up streams that were cut.
 
+use drumshore_gateway_core::{ChoiceError, SoftwareKey};
 use hyper::header::HeaderName;
 use hyper::HeaderMap;
 
+use super::forward::Call;
+use super::streams::{self, Source};
+use super::Router;
 use crate::dialect::HeaderNames;
 
 /// Longer values identify no request, and are neither kept nor logged.
 const MAX_VALUE_BYTES: usize = 128;
+/// How often control machines are asked while the pool has several software versions.
+const LOOKUP_ROUNDS: u32 = 2;
 
 /// What a request says of the stream that it takes up.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -42,3 +48,43 @@
     let is_valid = !value.is_empty() && value.len() <= MAX_VALUE_BYTES;
     is_valid.then(|| value.to_owned())
 }
+
+/// The software version at which the stream of a take-up must go on, and the pool that has it; `None` for a request that
+/// begins a stream.
+pub(super) async fn required_software(
+    router: &Router,
+    call: &mut Call,
+) -> Result<Option<SoftwareKey>, ChoiceError> {
+    if call.take_up.is_none() || !call.admission.route.kind.is_stream() {
+        return Ok(None);
+    }
+    let asked_at = router.clock.now();
+    let (stream, rounds) = {
+        let core = router.core.borrow();
+        let stream = call
+            .taken_up()
+            .and_then(|begun_by| core.stream_key(&call.admission, begun_by));
+        let has_one_version = core.sole_software(asked_at, &call.admission).is_some();
+        (stream, if has_one_version { 1 } else { LOOKUP_ROUNDS })
+    };
+    let (origin, source) = match stream {
+        Some(stream) => streams::find(router, stream, rounds).await,
+        None => (None, Source::Unknown),
+    };
+    let now = router.clock.now();
+    let core = router.core.borrow();
+    let required = core.continue_stream(now, &mut call.admission, origin);
+    let outcome = match (&required, source) {
+        (Ok(_), Source::Unknown) => "only_version",
+        (Ok(_), _) => "known",
+        (Err(ChoiceError::NoneOfSoftware), _) => "version_gone",
+        (Err(_), _) => "unknown",
+    };
+    router.metrics.count_take_up(outcome);
+    tracing::info!(event = "take_up", id = %call.id, takes_up = call.taken_up(), after = call.taken_up_after(),
+        outcome, source = source.as_str(), began_at = origin.map(tracing::field::display), pool = %call.admission.pool,
+        view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64),
+        asked_for_ms = now.since(asked_at).as_millis() as u64, revision = core.revision(),
+        "router: a caller takes up a stream");
+    required.map(Some)
+}
--- a/crates/gateway/src/traffic.rs
+++ b/crates/gateway/src/traffic.rs
@@ -108,6 +108,9 @@
         Message::TenantDemands { .. } => "tenant_demands",
         Message::FetchPeers => "fetch_peers",
         Message::Peers(_) => "peers",
+        Message::StreamOrigins(_) => "stream_origins",
+        Message::FetchStreamOrigin(_) => "fetch_stream_origin",
+        Message::StreamSoftware { .. } => "stream_software",
     }
 }
 
