Ignore late reports of the software version that a back end ran before it started again

A back end may start again under its name with other software, and a link may delay a heartbeat of the earlier start until after one of the later. The version then went back to the earlier one until the next heartbeat, and streams of that second were recorded under the wrong version.

Heartbeats now carry when the back end started (0 if it does not say), the record keeps it with the version, and a report of an earlier start changes nothing, on any control machine.

Test: a_late_report_of_an_earlier_start_changes_no_version. Without the comparison the record takes any version that differs, so it ends at v1. Not covered: the time between such a start and its first heartbeat, in which routers still take the back end for the earlier version.

--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -137,13 +137,16 @@
         /// The fingerprint.
         fingerprint: RequestFingerprint,
     },
-    /// Sets the software version of a registered back end. Earlier builds skip this command.
+    /// Sets the software version of a registered back end, unless it has started again since it reported this one.
+    /// Earlier builds skip this command.
     #[brw(magic(11u8))]
     SetSoftwareVersion {
         /// The incarnation.
         instance: Text,
         /// The version that it runs.
         software: SoftwareVersion,
+        /// When it started, in Unix milliseconds of its own clock; 0 if it does not say.
+        started_ms: u64,
     },
 }
 
--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -39,6 +39,8 @@
     pub models: Vec<(ModelName, u64)>,
     /// The version of the software that it runs.
     pub software: SoftwareVersion,
+    /// When it started, in Unix milliseconds of its own clock; 0 if it does not say.
+    pub started_ms: u64,
 }
 
 impl<D: Directory> ControlCore<D> {
@@ -64,7 +66,7 @@
             self.propose(Some(ticket), registration(heartbeat));
             return;
         }
-        if record.software != heartbeat.software {
+        if record.is_superseded_by(&heartbeat.software, heartbeat.started_ms) {
             self.propose_software_version(heartbeat);
         }
         self.effects.push(Effect::Reply(ticket, Reply::Accepted));
@@ -79,6 +81,7 @@
         let command = Command::SetSoftwareVersion {
             instance: Text::new(heartbeat.instance.as_str()),
             software: heartbeat.software.clone(),
+            started_ms: heartbeat.started_ms,
         };
         self.propose(None, command);
     }
--- a/crates/gateway-core/src/message/software.rs
+++ b/crates/gateway-core/src/message/software.rs
@@ -16,6 +16,7 @@
     /// The position of the record in its list.
     position: u32,
     software: SoftwareVersion,
+    started_ms: u64,
 }
 
 impl SoftwareEntry {
@@ -26,6 +27,7 @@
         let entry = |(record, position): (&InstanceRecord, u32)| Self {
             position,
             software: record.software.clone(),
+            started_ms: record.started_ms,
         };
         List::new(declared.map(entry).collect())
     }
@@ -36,6 +38,7 @@
         for entry in entries {
             if let Some(record) = records.get_mut(entry.position as usize) {
                 record.software = entry.software.clone();
+                record.started_ms = entry.started_ms;
             }
         }
     }
--- a/crates/gateway-core/src/router/placement_cost_tests.rs
+++ b/crates/gateway-core/src/router/placement_cost_tests.rs
@@ -20,6 +20,7 @@
         registered: 1,
         revision: 1,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     };
     let mut endpoint = Endpoint::new(&Rc::new(record), Default::default());
     endpoint.set_time_factor(time_factor);
--- a/crates/gateway-core/src/router/summary_tests.rs
+++ b/crates/gateway-core/src/router/summary_tests.rs
@@ -23,6 +23,7 @@
         registered: 1,
         revision: 1,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     }
 }
 
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -165,6 +165,7 @@
         registered,
         revision: registered,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     }
 }
 
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -76,6 +76,9 @@
     /// earlier builds do not read it.
     #[brw(ignore)]
     pub software: SoftwareVersion,
+    /// When the back end that reported this version started, in Unix milliseconds of its own clock; 0 if it did not say.
+    #[brw(ignore)]
+    pub started_ms: u64,
 }
 
 impl InstanceRecord {
@@ -85,6 +88,12 @@
         models.find(|loaded| loaded.model.as_str() == model)
     }
 
+    /// Whether a report of the software version changes the record. A back end may start again under its name, and a
+    /// report that it sent before may arrive later.
+    pub fn is_superseded_by(&self, software: &SoftwareVersion, started_ms: u64) -> bool {
+        self.software != *software && started_ms >= self.started_ms
+    }
+
     /// True while the back end is loading new weights.
     pub fn is_loading(&self) -> bool {
         self.models.items.iter().any(|loaded| loaded.loading != 0)
@@ -225,9 +234,11 @@
             Command::SetFingerprintKey { key } => self.set_fingerprint_key(position, key),
             Command::Quarantine { fingerprint } => self.quarantine(position, *fingerprint),
             Command::Release { fingerprint } => self.release(position, *fingerprint),
-            Command::SetSoftwareVersion { instance, software } => {
-                self.set_software_version(position, instance, software)
-            }
+            Command::SetSoftwareVersion {
+                instance,
+                software,
+                started_ms,
+            } => self.set_software_version(position, instance, software, *started_ms),
         };
         if changed {
             self.revision = position;
@@ -285,6 +296,7 @@
             registered: position,
             revision: position,
             software: SoftwareVersion::default(),
+            started_ms: 0,
         };
         self.instances.insert(name.to_owned(), record);
         let earlier = removed.map(|removed| removed.revision);
@@ -311,14 +323,16 @@
         position: u64,
         instance: &Text,
         software: &SoftwareVersion,
+        started_ms: u64,
     ) -> bool {
         let Some(record) = self.instances.get_mut(instance.as_str()) else {
             return false;
         };
-        if record.software == *software {
+        if !record.is_superseded_by(software, started_ms) {
             return false;
         }
         record.software = software.clone();
+        record.started_ms = started_ms;
         let earlier = std::mem::replace(&mut record.revision, position);
         self.changed
             .note(position, instance.as_str(), Some(earlier));
--- a/crates/gateway-core/tests/backoff/mod.rs
+++ b/crates/gateway-core/tests/backoff/mod.rs
@@ -451,6 +451,7 @@
         registered: number + 1,
         revision: 1,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     });
     let changes = Changes {
         since: 0,
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -355,6 +355,7 @@
         lifecycle: Lifecycle::Ready,
         models: vec![(ModelName::new("model"), version)],
         software: SoftwareVersion::default(),
+        started_ms: 0,
     }
 }
 
--- a/crates/gateway-core/tests/limits_of_back_ends/mod.rs
+++ b/crates/gateway-core/tests/limits_of_back_ends/mod.rs
@@ -233,6 +233,7 @@
         registered: 1,
         revision: 1,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     };
     let changes = Changes {
         since: 0,
--- a/crates/gateway-core/tests/software_versions.rs
+++ b/crates/gateway-core/tests/software_versions.rs
@@ -51,6 +51,7 @@
     let set = Command::SetSoftwareVersion {
         instance: Text::new("i-1"),
         software: SoftwareVersion::new(version),
+        started_ms: 7,
     };
     state.apply(2, &set);
     state
@@ -83,6 +84,21 @@
     assert_eq!(software_at(&mut cluster, 3).as_deref(), Some("v2"));
 }
 
+/// A link may delay a heartbeat until after its sender has started again.
+#[test]
+fn a_late_report_of_an_earlier_start_changes_no_version() {
+    let mut cluster = settled_cluster();
+    for (version, started_ms, expected) in [("v1", 5, "v1"), ("v2", 6, "v2"), ("v1", 5, "v2")] {
+        let heartbeat = Heartbeat {
+            started_ms,
+            ..running(version)
+        };
+        cluster.heartbeat(address(1), &heartbeat);
+        cluster.run(SECOND);
+        assert_eq!(software_at(&mut cluster, 2).as_deref(), Some(expected));
+    }
+}
+
 #[test]
 fn a_version_is_recorded_once_no_control_machine_of_an_earlier_build_is_left() {
     let mut cluster = settled_cluster();
@@ -118,6 +134,7 @@
     assert_eq!(Message::decode(&encoded), Some(message));
     let mut undeclared: Changes = changes;
     undeclared.instances.items[0].software = SoftwareVersion::default();
+    undeclared.instances.items[0].started_ms = 0;
     let undeclared = Message::Changes(undeclared).encode();
     assert_eq!(encoded[..undeclared.len()], undeclared[..]);
 }
--- a/crates/gateway-core/tests/tenants/mod.rs
+++ b/crates/gateway-core/tests/tenants/mod.rs
@@ -365,6 +365,7 @@
         registered: number + 1,
         revision: 1,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     }
 }
 
--- a/crates/gateway-core/tests/wire_layout.rs
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -52,6 +52,7 @@
         registered: 5,
         revision: 6,
         software: SoftwareVersion::default(),
+        started_ms: 0,
     }
 }
 
--- a/crates/gateway/src/control/applied.rs
+++ b/crates/gateway/src/control/applied.rs
@@ -85,12 +85,17 @@
                 "control: a request fingerprint was quarantined"
             );
         }
-        Command::SetSoftwareVersion { instance, software } => {
+        Command::SetSoftwareVersion {
+            instance,
+            software,
+            started_ms,
+        } => {
             tracing::info!(
                 event = "software_version_set",
                 position,
                 instance = instance.as_str(),
                 %software,
+                started_ms,
                 "control: a back end declared the version of its software"
             );
         }
