Count and log fields of heartbeats and configurations that nobody reads

The class of the incident: the contract handed a property of back ends over, and the boundary dropped it without a line. Headers that nobody reads are counted and logged once each; fields of documents were not. Now they are, by their paths, bounded to 32 names a process: of a heartbeat when its back end is not registered yet, of a configuration when it is accepted.

Headers and fields share one module.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -36,7 +36,10 @@
         ControlCall::SetTargetWeights => set_target_weights(&control, &body).await,
         ControlCall::Heartbeat(instance) => match control.dialect.heartbeat(&instance, &body) {
             Err(error) => invalid(&control, &error.to_string()),
-            Ok(heartbeat) => serve_heartbeat(&control, &heartbeat).await,
+            Ok(heartbeat) => {
+                record_unknown_fields(&control, &heartbeat, &body);
+                serve_heartbeat(&control, &heartbeat).await
+            }
         },
         ControlCall::Deregister(instance) => {
             let command = Command::Deregister {
@@ -52,6 +55,17 @@
     Ok(response)
 }
 
+/// Records the fields that nobody reads of a back end that is not registered yet. Its later heartbeats have the same.
+fn record_unknown_fields(control: &Control, heartbeat: &Heartbeat, body: &[u8]) {
+    let name = heartbeat.instance.as_str();
+    let is_registered = control.with_core(|core, _| core.state().instance(name).is_some());
+    if is_registered == Some(false) {
+        let unknown = control.dialect.unknown_heartbeat_fields(body);
+        let fields = &control.unknown_fields;
+        fields.record_fields(&control.metrics, name, &unknown);
+    }
+}
+
 async fn serve_heartbeat(control: &Control, heartbeat: &Heartbeat) -> Response<AnswerBody> {
     let asking = control.ask(|core, now, ticket| {
         core.set_earlier_build_present(control.peers.has_earlier_build());
@@ -80,6 +94,9 @@
     let version = document.version;
     let routes = document.routes.len();
     drop(document);
+    let unknown = control.dialect.unknown_configuration_fields(&body);
+    let fields = &control.unknown_fields;
+    fields.record_fields(&control.metrics, "an operator", &unknown);
     let command = Command::Configure {
         version,
         body: Blob::new(body.to_vec()),
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -15,7 +15,7 @@
 
 use super::Control;
 use crate::dialect::OutboundCall;
-use crate::unknown_headers::UnknownHeaders;
+use crate::unknown_names::UnknownNames;
 use crate::upstream::Upstreams;
 
 /// Timeout of a call. A back end acknowledges an order at once, before it carries it out.
@@ -36,7 +36,7 @@
     backoff_until: RefCell<HashMap<InstanceId, Timestamp>>,
     /// The time of the next allowed query, for back ends that limit their rate of requests.
     no_query_until: RefCell<HashMap<InstanceId, Timestamp>>,
-    unknown_headers: UnknownHeaders,
+    unknown_headers: UnknownNames,
 }
 
 /// The answer of a back end or store to a call.
@@ -53,7 +53,7 @@
             upstreams,
             backoff_until: RefCell::default(),
             no_query_until: RefCell::default(),
-            unknown_headers: UnknownHeaders::default(),
+            unknown_headers: UnknownNames::default(),
         }
     }
 
@@ -81,7 +81,7 @@
         let headers = response.headers();
         let is_known_header = |name: &HeaderName| control.dialect.is_known_header(name);
         self.unknown_headers
-            .record(is_known_header, &control.metrics, instance, headers);
+            .record_headers(is_known_header, &control.metrics, instance, headers);
         let notice = control.dialect.notice(status, headers);
         if let Some(retry_after) = notice.retry_after {
             self.record_backoff(control, instance, retry_after);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -40,6 +40,7 @@
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
 use crate::traffic::LinkTraffic;
+use crate::unknown_names::UnknownNames;
 use crate::upstream::Upstreams;
 use crate::{run_on_event_loop, DaemonError};
 
@@ -83,6 +84,7 @@
     configuration: RefCell<CachedConfiguration>,
     /// Which software versions began the streams of routers.
     streams: RefCell<Streams>,
+    unknown_fields: UnknownNames,
 }
 
 /// Runs a control machine until the process receives a stop signal.
@@ -122,6 +124,7 @@
         role: Cell::new(None),
         configuration: RefCell::default(),
         streams: RefCell::default(),
+        unknown_fields: UnknownNames::default(),
         settings,
     });
     listen(&control)?;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -143,6 +143,12 @@
     /// Parses a back end's heartbeat.
     fn heartbeat(&self, instance: &InstanceId, body: &[u8]) -> Result<Heartbeat, InvalidCall>;
 
+    /// The fields of a heartbeat that are neither read nor known to be irrelevant.
+    fn unknown_heartbeat_fields(&self, body: &[u8]) -> Vec<String>;
+
+    /// The same of a configuration.
+    fn unknown_configuration_fields(&self, body: &[u8]) -> Vec<String>;
+
     /// Parses the model and the version of its weights that an operator sets.
     fn weights(&self, body: &[u8]) -> Result<(ModelName, u64), InvalidCall>;
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,7 +19,7 @@
 mod signals;
 mod sockets;
 mod traffic;
-mod unknown_headers;
+mod unknown_names;
 mod upstream;
 
 pub use control::run as run_control;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -121,6 +121,8 @@
     leaves: Family<OutcomeLabel, Counter>,
     /// Unknown headers in back ends' answers, by name.
     unknown_headers: Family<NameLabel, Counter>,
+    /// Unknown fields of documents, by path.
+    unknown_fields: Family<NameLabel, Counter>,
     /// Bytes sent over links to other processes, by kind of message; the kind `dropped` counts messages.
     pub link_bytes: Counters,
     /// Requests to control machines for changes, and the outcomes of the answers.
@@ -155,6 +157,7 @@
         let back_end_notices = Family::default();
         let leaves = Family::default();
         let unknown_headers = Family::default();
+        let unknown_fields = Family::default();
         let link_bytes = Counters::default();
         let fetches = Family::default();
         let decisions = Family::default();
@@ -231,6 +234,11 @@
             "Headers of back ends' answers that nobody reads",
             Clone::clone(&unknown_headers),
         );
+        registry.register(
+            "unknown_fields",
+            "Fields of heartbeats and configurations that nobody reads",
+            Clone::clone(&unknown_fields),
+        );
         registry.register(
             "link_bytes",
             "Bytes to other processes, by kind of message; of the kind dropped, messages",
@@ -269,6 +277,7 @@
             back_end_notices,
             leaves,
             unknown_headers,
+            unknown_fields,
             link_bytes,
             fetches,
             decisions,
@@ -361,6 +370,13 @@
         self.unknown_headers.get_or_create(&label).inc();
     }
 
+    pub fn count_unknown_field(&self, name: &str) {
+        let label = NameLabel {
+            name: name.to_owned(),
+        };
+        self.unknown_fields.get_or_create(&label).inc();
+    }
+
     pub fn count_fetch(&self, outcome: &'static str) {
         self.fetches.get_or_create(&OutcomeLabel { outcome }).inc();
     }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -46,7 +46,7 @@
 use crate::settings::RouterSettings;
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
-use crate::unknown_headers::UnknownHeaders;
+use crate::unknown_names::UnknownNames;
 use crate::upstream::Upstreams;
 use crate::{run_on_event_loop, DaemonError};
 
@@ -105,7 +105,7 @@
     loads_changed: watch::Sender<()>,
     /// Notifies the links to control machines that there are new reports of crashes.
     crash_reports_changed: Notify,
-    unknown_headers: UnknownHeaders,
+    unknown_headers: UnknownNames,
     /// Which software versions began the streams that callers may take up.
     streams: Streams,
 }
@@ -140,7 +140,7 @@
         silence_monitor: SilenceMonitor::default(),
         loads_changed: watch::channel(()).0,
         crash_reports_changed: Notify::new(),
-        unknown_headers: UnknownHeaders::default(),
+        unknown_headers: UnknownNames::default(),
         streams: Streams::new(seed),
         settings,
     });
--- a/crates/gateway/src/router/notices.rs
+++ b/crates/gateway/src/router/notices.rs
@@ -32,7 +32,7 @@
     let metrics = &router.metrics;
     router
         .unknown_headers
-        .record(is_known_header, metrics, &instance, headers);
+        .record_headers(is_known_header, metrics, &instance, headers);
     record(router, &instance, notice, sent_at);
 }
 
