Record software versions while control machines are replaced, and repeat them afterwards

While one control machine of an earlier build was linked, no version was recorded at all, so that during an upgrade every router took back ends of two versions for one.

Versions are now recorded at once, and each control machine that saw a machine of an earlier build go proposes them again with the next heartbeat of each back end. The command counts as a change also where the version is the same, so that replicas do not differ in their revisions. Routers that follow a machine of the earlier build still take all back ends for one version. A repeated heartbeat of a back end whose registration is pending proposes nothing more.

--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -55,8 +55,10 @@
         }
         self.record_heartbeat(name);
         let Some(record) = self.state.instance(name) else {
-            self.register(ticket, heartbeat);
-            self.propose_software_version(heartbeat);
+            let is_proposed = self.register(ticket, heartbeat);
+            if is_proposed {
+                self.propose_software_version(heartbeat);
+            }
             return;
         };
         let is_leaving =
@@ -66,7 +68,8 @@
             self.propose(Some(ticket), registration(heartbeat));
             return;
         }
-        if record.is_superseded_by(&heartbeat.software, heartbeat.started_ms) {
+        let is_changed = record.is_superseded_by(&heartbeat.software, heartbeat.started_ms);
+        if self.software_to_repeat.remove(name) || is_changed {
             self.propose_software_version(heartbeat);
         }
         self.effects.push(Effect::Reply(ticket, Reply::Accepted));
@@ -75,7 +78,7 @@
 
     /// Proposes the software version of a back end. A version that is no longer declared stays.
     fn propose_software_version(&mut self, heartbeat: &Heartbeat) {
-        if !heartbeat.software.is_declared() || self.earlier_build_present {
+        if !heartbeat.software.is_declared() {
             return;
         }
         let command = Command::SetSoftwareVersion {
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -25,7 +25,7 @@
 mod suspects;
 mod tenant_demand;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
 use drumshore_consensus::{
@@ -128,9 +128,10 @@
     leaderless_since: Option<Timestamp>,
     now: Timestamp,
     effects: Vec<Effect>,
-    /// Whether another control machine runs a build that skips [`Command::SetSoftwareVersion`]. Such a machine would
-    /// write snapshots without the versions, and lack them after its upgrade.
+    /// Whether another control machine runs a build that skips [`Command::SetSoftwareVersion`].
     earlier_build_present: bool,
+    /// Back ends whose software version is to be proposed again with their next heartbeat.
+    software_to_repeat: BTreeSet<String>,
 }
 
 impl<D: Directory> ControlCore<D> {
@@ -190,6 +191,7 @@
             now: Timestamp::default(),
             effects: Vec::new(),
             earlier_build_present: false,
+            software_to_repeat: BTreeSet::new(),
         })
     }
 
@@ -235,9 +237,16 @@
         known
     }
 
-    /// Sets whether another control machine runs a build without software versions of back ends.
+    /// Sets whether another control machine runs a build without software versions of back ends. Such a machine writes
+    /// snapshots without them, so they are proposed again once it has been upgraded.
     pub fn set_earlier_build_present(&mut self, is_present: bool) {
-        self.earlier_build_present = is_present;
+        let was_present = std::mem::replace(&mut self.earlier_build_present, is_present);
+        if was_present && !is_present {
+            let instances = self.state.instances();
+            let declared = instances.filter(|record| record.software.is_declared());
+            let names = declared.map(|record| record.instance.as_str().to_owned());
+            self.software_to_repeat = names.collect();
+        }
     }
 
     /// Replaces the seeds.
--- a/crates/gateway-core/src/control/proposals.rs
+++ b/crates/gateway-core/src/control/proposals.rs
@@ -178,8 +178,8 @@
     /// Registers a back end. A repeated heartbeat, sent because the first one was not answered in
     /// time, waits for the pending command; another command would only lengthen the log. The
     /// registration of a back end that is leaving gets a command of its own and is answered when a
-    /// quorum knows that it leaves.
-    pub(super) fn register(&mut self, ticket: Ticket, heartbeat: &Heartbeat) {
+    /// quorum knows that it leaves. True if a command was proposed.
+    pub(super) fn register(&mut self, ticket: Ticket, heartbeat: &Heartbeat) -> bool {
         let name = heartbeat.instance.as_str();
         let waiter = self.waiter(ticket);
         let proposals = &mut self.proposals;
@@ -187,12 +187,13 @@
         let in_progress = proposals.registrations.get(name).filter(|_| is_ready);
         if let Some(pending) = in_progress.and_then(|id| proposals.pending.get_mut(id)) {
             pending.waiters.push(waiter);
-            return;
+            return false;
         }
         let expires = self.now.plus(REGISTRATION_TTL);
         let command = registration(heartbeat);
         let registers = is_ready.then(|| name.to_owned());
         self.propose_for(vec![waiter], command, registers, expires);
+        true
     }
 
     fn waiter(&self, ticket: Ticket) -> Waiter {
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -328,9 +328,10 @@
         let Some(record) = self.instances.get_mut(instance.as_str()) else {
             return false;
         };
-        if !record.is_superseded_by(software, started_ms) {
+        if started_ms < record.started_ms {
             return false;
         }
+        // Also counts as a change if the version is the same: a replica that lacks it must not differ in its revision.
         record.software = software.clone();
         record.started_ms = started_ms;
         let earlier = std::mem::replace(&mut record.revision, position);
--- a/crates/gateway-core/tests/software_versions.rs
+++ b/crates/gateway-core/tests/software_versions.rs
@@ -99,17 +99,27 @@
     }
 }
 
+/// Such a machine skips the command, and starts after its upgrade from a snapshot without the version.
 #[test]
-fn a_version_is_recorded_once_no_control_machine_of_an_earlier_build_is_left() {
+fn versions_are_proposed_again_once_a_control_machine_of_an_earlier_build_is_upgraded() {
     let mut cluster = settled_cluster();
     cluster.core(address(1)).set_earlier_build_present(true);
     cluster.heartbeat(address(1), &running("v1"));
     cluster.run(SECOND);
-    assert_eq!(software_at(&mut cluster, 1).as_deref(), Some(""));
-    cluster.core(address(1)).set_earlier_build_present(false);
+    assert_eq!(software_at(&mut cluster, 2).as_deref(), Some("v1"));
+    let before = cluster.core(address(2)).state().revision();
     cluster.heartbeat(address(1), &running("v1"));
     cluster.run(SECOND);
-    assert_eq!(software_at(&mut cluster, 2).as_deref(), Some("v1"));
+    assert_eq!(cluster.core(address(2)).state().revision(), before);
+    cluster.core(address(1)).set_earlier_build_present(false);
+    for _ in 0..2 {
+        cluster.heartbeat(address(1), &running("v1"));
+        cluster.run(SECOND);
+    }
+    for number in 1..=3 {
+        let revision = cluster.core(address(number)).state().revision();
+        assert_eq!(revision, before + 1);
+    }
 }
 
 #[test]
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -96,7 +96,7 @@
                 earlier_builds.remove(&target);
             } else if earlier_builds.insert(target) {
                 tracing::info!(event = "earlier_build", peer = %target, ?wire,
-                    "control: another control machine runs an earlier build; software versions are not recorded");
+                    "control: another control machine runs an earlier build, which does not record software versions");
             }
         };
         let reason = match run_link(&sender, receiver, &mut queue, on_wire).await {
