Do not take versions for gone when a router receives the whole state again

A router that is sent the whole state noted all versions it knew as gone, among them that of back ends whose version had not been recorded yet. For 120 s its pool then had had two versions, and take-ups of unknown origin were rejected although there was one.

Each back end is now compared with what the state says of it, as for other changes. Found by reading after another test had failed; the unit test receiving_the_whole_state_again_departs_no_version_that_stays is new with the fix.

--- a/crates/gateway-core/src/router/take_up.rs
+++ b/crates/gateway-core/src/router/take_up.rs
@@ -1,14 +1,16 @@
 //! Where a stream goes on that a caller takes up.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
 
+use super::endpoint::Endpoint;
 use super::summary::{NameHash, Summary};
 use super::{Admission, Choice, ChoiceError, RouterCore};
 use crate::{
-    Changes, InstanceId, PoolName, SoftwareKey, StreamKey, StreamOrigin, TenantKey, TenantName,
-    MAX_STREAM_LIFETIME,
+    Changes, InstanceId, PoolName, SoftwareKey, SoftwareVersion, StreamKey, StreamOrigin,
+    TenantKey, TenantName, MAX_STREAM_LIFETIME,
 };
 
 /// A view that was confirmed longer ago may lack a version that has come since.
@@ -29,8 +31,19 @@
 pub(super) struct DepartedVersions(Vec<Departed>);
 
 impl DepartedVersions {
-    /// Records that a back end no longer runs a version.
-    pub fn note(&mut self, at: Timestamp, pool: NameHash, software: SoftwareKey) {
+    /// Records the version of a back end that is gone or runs another one. `later` is the version that it runs from now
+    /// on, if it is not gone.
+    fn note_change(&mut self, at: Timestamp, endpoint: &Endpoint, later: Option<&SoftwareVersion>) {
+        let earlier = &endpoint.record.software;
+        // A back end whose version was not recorded before ran the same one.
+        let departs = later.is_none_or(|later| later != earlier && earlier.is_declared());
+        if departs {
+            let Summary { pool, software, .. } = endpoint.summary;
+            self.note(at, pool, software);
+        }
+    }
+
+    fn note(&mut self, at: Timestamp, pool: NameHash, software: SoftwareKey) {
         self.0.retain(|departed| departed.software != software);
         if self.0.len() >= MAX_DEPARTED {
             self.0.remove(0);
@@ -109,27 +122,23 @@
 
     /// Records the versions of back ends that changes remove or replace; called before the changes are applied.
     pub(super) fn note_departed_versions(&mut self, now: Timestamp, changes: &Changes) {
+        let changed = changes.instances.items.iter();
+        let later: HashMap<&str, &SoftwareVersion> = changed
+            .map(|record| (record.instance.as_str(), &record.software))
+            .collect();
         if changes.since == 0 {
-            for (_, endpoint) in self.endpoints.iter() {
-                let Summary { pool, software, .. } = endpoint.summary;
-                self.departed_versions.note(now, pool, software);
+            for (id, endpoint) in self.endpoints.iter() {
+                let later = later.get(id.as_str()).copied();
+                self.departed_versions.note_change(now, endpoint, later);
             }
             return;
         }
-        let removed = changes.removed.items.iter().map(|name| (name, None));
-        let changed = changes.instances.items.iter();
-        let changed = changed.map(|record| (&record.instance, Some(&record.software)));
-        for (name, software) in removed.chain(changed) {
-            let Some(endpoint) = self.endpoints.get(&InstanceId::new(name.as_str())) else {
-                continue;
-            };
-            let earlier = &endpoint.record.software;
-            // A back end whose version was not recorded before ran the same one.
-            let is_unchanged =
-                software.is_some_and(|software| software == earlier || !earlier.is_declared());
-            if !is_unchanged {
-                let Summary { pool, software, .. } = endpoint.summary;
-                self.departed_versions.note(now, pool, software);
+        let removed = changes.removed.items.iter();
+        let removed = removed.map(|name| (name.as_str(), None));
+        let changed = later.iter().map(|(name, later)| (*name, Some(*later)));
+        for (name, later) in removed.chain(changed) {
+            if let Some(endpoint) = self.endpoints.get(&InstanceId::new(name)) {
+                self.departed_versions.note_change(now, endpoint, later);
             }
         }
     }
--- a/crates/gateway-core/src/router/take_up_tests.rs
+++ b/crates/gateway-core/src/router/take_up_tests.rs
@@ -1,6 +1,6 @@
 use rstest::rstest;
 
-use super::super::tests::{admit_model_request, at, changes, record, router_with};
+use super::super::tests::{admit_model_request, at, changes, document, record, router_with};
 use super::*;
 use crate::{InstanceRecord, RequestKind, Share, SoftwareVersion};
 
@@ -151,3 +151,16 @@
     let required = router.continue_stream(at(1), &mut admission, Some(origin));
     assert_eq!(required, Err(ChoiceError::NoneOfSoftware));
 }
+
+#[test]
+fn receiving_the_whole_state_again_departs_no_version_that_stays() {
+    let mut router = router_with(back_ends(&["", ""]));
+    for (now, versions) in [(1_000, ["v1", "v1"]), (2_000, ["v1", "v1"])] {
+        let whole = changes(0, 10 + now, back_ends(&versions));
+        router.apply(at(now), whole, |_| Ok(document())).unwrap();
+        router.on_confirmed(at(now), 10 + now, 1);
+        let mut admission = admission(&mut router);
+        let required = router.continue_stream(at(now), &mut admission, None);
+        assert_eq!(required, Ok(software("v1")));
+    }
+}
--- a/crates/gateway-core/src/router/tests/mod.rs
+++ b/crates/gateway-core/src/router/tests/mod.rs
@@ -123,7 +123,7 @@
     }
 }
 
-fn document() -> Document {
+pub(super) fn document() -> Document {
     let mut open = route("open", "/open/", &[("apps", 1)]);
     open.public = true;
     Document {
