Record no origin under a name that a caller made up

A caller that took a stream up in a pool of one version, and named an attempt that nobody knew, had that name recorded with the version at which it went on. Once a second version had come, the made-up name was known, and a stream that began under it later at the other version had two contradicting origins, so its caller could not go on (within one tenant).

An origin is now recorded under the own identifier of a request that begins a stream, and extended under the one that a take-up names only if that was known.

Test: a_stream_of_unknown_origin_goes_on_only_in_a_pool_of_one_software_version failed before (the name was served in a pool of two versions) and passes. With it: streams of another tenant, streams that break again, seven routers of which three are killed, the control machine killed or restarted; all six tests of the file pass.

--- a/crates/gateway/src/router/streams.rs
+++ b/crates/gateway/src/router/streams.rs
@@ -128,9 +128,13 @@
 /// took up.
 pub(super) fn record(router: &Router, call: &Call, choice: &Choice) {
     let now = router.clock.now();
-    let begun_by = call.taken_up().unwrap_or(&call.id);
     let core = router.core.borrow();
-    let Some(stream) = core.stream_key(&call.admission, begun_by) else {
+    let stream = match &call.take_up {
+        None => core.stream_key(&call.admission, &call.id),
+        // A caller may name any attempt, also one that has not begun a stream yet.
+        Some(take_up) => take_up.known_stream,
+    };
+    let Some(stream) = stream else {
         return;
     };
     let lifetime = call.caller_deadline.since(now) + LIFETIME_MARGIN;
--- a/crates/gateway/src/router/take_up.rs
+++ b/crates/gateway/src/router/take_up.rs
@@ -1,6 +1,6 @@
 //! Requests by which callers take up streams that were cut.
 
-use drumshore_gateway_core::{ChoiceError, SoftwareKey};
+use drumshore_gateway_core::{ChoiceError, SoftwareKey, StreamKey};
 use hyper::header::HeaderName;
 use hyper::HeaderMap;
 
@@ -21,6 +21,8 @@
     pub begun_by: Option<String>,
     /// The last event that the caller received; `None` if it is not named, or by no valid value.
     pub after: Option<String>,
+    /// The stream, once it is known where it began.
+    pub known_stream: Option<StreamKey>,
 }
 
 impl TakeUp {
@@ -34,6 +36,7 @@
         takes_up.then(|| Self {
             begun_by: only_value(headers, &names.taken_up_request),
             after: only_value(headers, &names.last_event_id),
+            known_stream: None,
         })
     }
 }
@@ -86,5 +89,9 @@
         view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64),
         asked_for_ms = now.since(asked_at).as_millis() as u64, revision = core.revision(),
         "router: a caller takes up a stream");
+    drop(core);
+    if let Some(take_up) = &mut call.take_up {
+        take_up.known_stream = stream.filter(|_| source != Source::Unknown);
+    }
     required.map(Some)
 }
