--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -76,6 +76,18 @@
         self.propose_newer_versions(heartbeat);
     }
 
+    /// Sets whether another control machine runs a build without software versions of back ends. Such a machine writes
+    /// snapshots without them, so they are proposed again once it has been upgraded.
+    pub fn set_earlier_build_present(&mut self, is_present: bool) {
+        let was_present = std::mem::replace(&mut self.earlier_build_present, is_present);
+        if was_present && !is_present {
+            let instances = self.state.instances();
+            let declared = instances.filter(|record| record.software.is_declared());
+            let names = declared.map(|record| record.instance.as_str().to_owned());
+            self.software_to_repeat = names.collect();
+        }
+    }
+
     /// Proposes the software version of a back end. A version that is no longer declared stays.
     fn propose_software_version(&mut self, heartbeat: &Heartbeat) {
         if !heartbeat.software.is_declared() {
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -2,6 +2,7 @@
 
 mod changes;
 mod snapshot;
+mod software;
 
 use std::collections::BTreeMap;
 
@@ -88,12 +89,6 @@
         models.find(|loaded| loaded.model.as_str() == model)
     }
 
-    /// Whether a report of the software version changes the record. A back end may start again under its name, and a
-    /// report that it sent before may arrive later.
-    pub fn is_superseded_by(&self, software: &SoftwareVersion, started_ms: u64) -> bool {
-        self.software != *software && started_ms >= self.started_ms
-    }
-
     /// True while the back end is loading new weights.
     pub fn is_loading(&self) -> bool {
         self.models.items.iter().any(|loaded| loaded.loading != 0)
@@ -318,28 +313,6 @@
         true
     }
 
-    fn set_software_version(
-        &mut self,
-        position: u64,
-        instance: &Text,
-        software: &SoftwareVersion,
-        started_ms: u64,
-    ) -> bool {
-        let Some(record) = self.instances.get_mut(instance.as_str()) else {
-            return false;
-        };
-        if started_ms < record.started_ms {
-            return false;
-        }
-        // Also counts as a change if the version is the same: a replica that lacks it must not differ in its revision.
-        record.software = software.clone();
-        record.started_ms = started_ms;
-        let earlier = std::mem::replace(&mut record.revision, position);
-        self.changed
-            .note(position, instance.as_str(), Some(earlier));
-        true
-    }
-
     /// Also records the removal of an instance that was never registered, so that a delayed registration does not
     /// add it.
     fn remove(&mut self, position: u64, instance: &Text, may_return: bool) -> bool {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -235,7 +235,7 @@
         Message::StreamOrigins(origins) => {
             let mut streams = control.streams.borrow_mut();
             streams.record(now, &origins.items);
-            control.metrics.stream_origins.set(streams.len() as i64);
+            control.metrics.streams.origins.set(streams.len() as i64);
         }
         Message::FetchStreamOrigin(stream) => {
             let answer = control.streams.borrow().answer(now, stream);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,8 +18,10 @@
 
 use crate::answer::{self, AnswerBody};
 
+mod streams;
 mod tenant_demands;
 
+pub(crate) use streams::StreamMetrics;
 pub(crate) use tenant_demands::{TenantDemandGauges, MAX_DEMAND_LABELS};
 
 const CONTENT_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -98,12 +100,8 @@
     late_answers: Family<OutcomeLabel, Counter>,
     /// Bodies of back ends' answers by how they ended.
     answer_ends: Family<AnswerEndLabel, Counter>,
-    /// Streams that another back end resumed within the answer, by whether its software version is that of the first one.
-    continued_streams: Family<OutcomeLabel, Counter>,
-    /// Streams that callers took up, by what was known of their origin.
-    take_ups: Family<OutcomeLabel, Counter>,
-    /// Origins of streams that a control machine keeps.
-    pub stream_origins: Gauge,
+    /// Streams that went on at another back end.
+    pub streams: StreamMetrics,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -146,9 +144,7 @@
         let latency = Histogram::new(LATENCY_BUCKETS);
         let late_answers = Family::default();
         let answer_ends = Family::default();
-        let continued_streams = Family::default();
-        let take_ups = Family::default();
-        let stream_origins = Gauge::default();
+        let streams = StreamMetrics::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -179,21 +175,7 @@
             "Bodies of back ends' answers, by framing and end",
             Clone::clone(&answer_ends),
         );
-        registry.register(
-            "continued_streams",
-            "Streams that another back end resumed, by software version",
-            Clone::clone(&continued_streams),
-        );
-        registry.register(
-            "take_ups",
-            "Streams that callers took up, by what was known of their origin",
-            Clone::clone(&take_ups),
-        );
-        registry.register(
-            "stream_origins",
-            "Origins of streams that a control machine keeps",
-            stream_origins.clone(),
-        );
+        streams.register(&mut registry);
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -265,9 +247,7 @@
             latency,
             late_answers,
             answer_ends,
-            continued_streams,
-            take_ups,
-            stream_origins,
+            streams,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
@@ -307,16 +287,6 @@
         self.answer_ends.get_or_create(&label).inc();
     }
 
-    pub fn count_continued(&self, at_same_software: bool) {
-        let outcome = if at_same_software { "same" } else { "other" };
-        let label = OutcomeLabel { outcome };
-        self.continued_streams.get_or_create(&label).inc();
-    }
-
-    pub fn count_take_up(&self, outcome: &'static str) {
-        self.take_ups.get_or_create(&OutcomeLabel { outcome }).inc();
-    }
-
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -254,6 +254,7 @@
             attempts.sent += 1;
             router
                 .metrics
+                .streams
                 .count_continued(continued.software == choice.software);
             tracing::info!(event = "answer_taken_up", id = %call.id,
                 from = from.as_ref().map(InstanceId::as_str), instance = %choice.instance,
--- a/crates/gateway/src/router/take_up.rs
+++ b/crates/gateway/src/router/take_up.rs
@@ -83,7 +83,7 @@
         (Err(ChoiceError::NoneOfSoftware), _) => "version_gone",
         (Err(_), _) => "unknown",
     };
-    router.metrics.count_take_up(outcome);
+    router.metrics.streams.count_take_up(outcome);
     tracing::info!(event = "take_up", id = %call.id, takes_up = call.taken_up(), after = call.taken_up_after(),
         outcome, source = source.as_str(), began_at = origin.map(tracing::field::display), pool = %call.admission.pool,
         view_age_ms = core.view_age(now).map(|age| age.as_millis() as u64),
