--- a/crates/gateway-core/src/command.rs
+++ b/crates/gateway-core/src/command.rs
@@ -5,7 +5,7 @@
 use binrw::{binrw, BinRead, BinWrite};
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{FingerprintKey, LoadedModel, RequestFingerprint, SoftwareVersion};
+use crate::{Fingerprint, FingerprintKey, LoadedModel, SoftwareVersion};
 
 /// Identifies a proposal, so that the replica that accepted it can answer the waiting caller once it is committed.
 #[binrw]
@@ -129,13 +129,13 @@
     #[brw(magic(9u8))]
     Quarantine {
         /// The fingerprint.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
     },
     /// Ends the quarantine of a fingerprint.
     #[brw(magic(10u8))]
     Release {
         /// The fingerprint.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
     },
     /// Sets the software version of a registered back end, unless it has started again since it reported this one.
     /// Earlier builds skip this command.
--- a/crates/gateway-core/src/control/effect.rs
+++ b/crates/gateway-core/src/control/effect.rs
@@ -4,7 +4,7 @@
 
 use super::order::Order;
 use super::{ConnectionId, LoadPlan, Reply, SpeedChange, Ticket};
-use crate::{Command, InstanceId, Message, RequestFingerprint};
+use crate::{Command, Fingerprint, InstanceId, Message};
 
 /// An output of the core for its driver to carry out.
 #[derive(Clone, Debug)]
@@ -27,7 +27,7 @@
     /// Log that another back end crashed while serving requests with a fingerprint.
     FingerprintSuspected {
         /// The request fingerprint.
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         /// Distinct moments at which back ends crashed.
         crashes: u32,
     },
--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -20,7 +20,7 @@
     TRIAL_DELAYS, TRIAL_SPREAD,
 };
 use crate::{
-    Command, FingerprintEvent, FingerprintReport, FingerprintSuspicion, Message, RequestFingerprint,
+    Command, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintSuspicion, Message,
 };
 
 /// Bandwidth per router for suspicions, out of 14 KB/s for all control traffic; up to five control
@@ -37,12 +37,12 @@
 pub(super) struct SuspectedRequests {
     ledger: CrashLedger,
     /// Crash counts that routers were sent last.
-    sent: BTreeMap<RequestFingerprint, u8>,
+    sent: BTreeMap<Fingerprint, u8>,
     /// Crash counts that differ from those sent; 0 withdraws a suspicion.
-    unsent: BTreeMap<RequestFingerprint, u8>,
+    unsent: BTreeMap<Fingerprint, u8>,
     /// Time of the last removal of outdated crashes.
     expired_at: Timestamp,
-    quarantined: BTreeMap<RequestFingerprint, QuarantineRecord>,
+    quarantined: BTreeMap<Fingerprint, QuarantineRecord>,
 }
 
 /// A quarantined fingerprint as one control machine knows it.
@@ -61,7 +61,7 @@
     }
 
     /// Returns true once for each trial, when it comes due.
-    fn take_due_trial(&mut self, now: Timestamp, fingerprint: RequestFingerprint) -> bool {
+    fn take_due_trial(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let spread = TRIAL_SPREAD.mul_f64(fingerprint.fraction());
         let next = TRIAL_DELAYS.get(self.trials);
         let is_due = next.is_some_and(|after| now.since(self.at) >= *after + spread);
@@ -72,7 +72,7 @@
 
 impl SuspectedRequests {
     /// Updates the crash count that routers are to be sent, if it differs from the one sent.
-    fn update_unsent(&mut self, fingerprint: RequestFingerprint) {
+    fn update_unsent(&mut self, fingerprint: Fingerprint) {
         let crashes = self.ledger.crashes(fingerprint);
         let crashes = if crashes < CRASHES_FOR_SUSPICION {
             0
@@ -89,7 +89,7 @@
 
     /// Takes the next suspicions to send, those with the most crashes first, and marks them as sent.
     fn take_unsent(&mut self, limit: usize) -> Vec<FingerprintSuspicion> {
-        let mut due: Vec<(u8, RequestFingerprint)> =
+        let mut due: Vec<(u8, Fingerprint)> =
             self.unsent.iter().map(|item| (*item.1, *item.0)).collect();
         due.sort_unstable_by(|one, other| other.cmp(one));
         due.truncate(limit);
@@ -131,7 +131,7 @@
         }
     }
 
-    fn on_crash_reported(&mut self, fingerprint: RequestFingerprint, report: CrashReport) {
+    fn on_crash_reported(&mut self, fingerprint: Fingerprint, report: CrashReport) {
         let suspected = &mut self.suspected_requests;
         if !suspected.ledger.record_crash(self.now, fingerprint, report) {
             return;
@@ -153,27 +153,27 @@
 
     /// Crashes while serving a quarantined request no longer count against the requests that were in flight
     /// at the same back ends.
-    fn clear_explained_suspicions(&mut self, culprit: RequestFingerprint) {
+    fn clear_explained_suspicions(&mut self, culprit: Fingerprint) {
         for cleared in self.suspected_requests.ledger.attribute_crashes_to(culprit) {
             self.suspected_requests.update_unsent(cleared);
         }
     }
 
     /// Clears a fingerprint: a request that completed does not crash every back end that serves it.
-    fn on_request_completed(&mut self, fingerprint: RequestFingerprint) {
+    fn on_request_completed(&mut self, fingerprint: Fingerprint) {
         self.clear_suspicion(fingerprint);
         if self.state.is_quarantined(fingerprint) {
             self.propose(None, Command::Release { fingerprint });
         }
     }
 
-    fn clear_suspicion(&mut self, fingerprint: RequestFingerprint) {
+    fn clear_suspicion(&mut self, fingerprint: Fingerprint) {
         self.suspected_requests.ledger.clear(fingerprint);
         self.suspected_requests.update_unsent(fingerprint);
     }
 
     /// The quarantine was committed.
-    pub(super) fn on_quarantined(&mut self, fingerprint: RequestFingerprint) {
+    pub(super) fn on_quarantined(&mut self, fingerprint: Fingerprint) {
         let record = QuarantineRecord::new(self.now);
         self.suspected_requests
             .quarantined
@@ -182,7 +182,7 @@
     }
 
     /// The release was committed: the fingerprint starts over without a record of crashes.
-    pub(super) fn on_released(&mut self, fingerprint: RequestFingerprint) {
+    pub(super) fn on_released(&mut self, fingerprint: Fingerprint) {
         self.suspected_requests.quarantined.remove(&fingerprint);
         self.clear_suspicion(fingerprint);
     }
@@ -216,7 +216,7 @@
     }
 
     /// Permits one router to send one request with the fingerprint to a back end.
-    fn permit_trial(&mut self, fingerprint: RequestFingerprint) {
+    fn permit_trial(&mut self, fingerprint: Fingerprint) {
         let connections = self.routers.connections();
         let index = (fingerprint.fraction() * connections.len() as f64) as usize;
         if let Some(connection) = connections.get(index) {
@@ -233,7 +233,7 @@
         }
         suspected.expired_at = now;
         suspected.ledger.expire(now);
-        let sent: Vec<RequestFingerprint> = suspected.sent.keys().copied().collect();
+        let sent: Vec<Fingerprint> = suspected.sent.keys().copied().collect();
         for fingerprint in sent {
             suspected.update_unsent(fingerprint);
         }
--- a/crates/gateway-core/src/fingerprint_tests.rs
+++ b/crates/gateway-core/src/fingerprint_tests.rs
@@ -86,3 +86,54 @@
         );
     }
 }
+
+fn prompt(parts: &[&str]) -> Prompt {
+    let part = |id: &&str| crate::PromptPart {
+        id: (*id).to_owned(),
+        tokens: 100,
+    };
+    Prompt {
+        model: crate::ModelName::new("m"),
+        parts: parts.iter().map(part).collect(),
+        output: 10,
+    }
+}
+
+#[test]
+fn requests_that_share_a_prompt_part_share_its_fingerprint_whatever_else_differs() {
+    let key = FingerprintKey::generate(7);
+    let one = RequestFingerprints::new(&key, &INPUT, Some(&prompt(&["a", "b", "c"])));
+    let other = FingerprintInput {
+        tenant: "t2",
+        host: "b.example",
+        body: b"another body",
+        ..INPUT
+    };
+    let other = RequestFingerprints::new(&key, &other, Some(&prompt(&["b", "d"])));
+    assert_ne!(one.request(), other.request());
+    assert_eq!(one.parts()[1], other.parts()[0]);
+    assert!(one.parts()[0] != other.parts()[0]);
+}
+
+#[test]
+fn the_last_prompt_part_has_no_fingerprint() {
+    let key = FingerprintKey::generate(7);
+    let fingerprints = RequestFingerprints::new(&key, &INPUT, Some(&prompt(&["a", "b", "a", "c"])));
+    assert_eq!(
+        fingerprints.parts(),
+        [key.identify_part("a"), key.identify_part("b")]
+    );
+    let of_one_part = RequestFingerprints::new(&key, &INPUT, Some(&prompt(&["c"])));
+    assert_eq!(of_one_part.parts(), []);
+}
+
+#[test]
+fn fingerprints_tell_prompt_parts_from_requests() {
+    let key = FingerprintKey::generate(7);
+    assert_eq!(key.identify(&INPUT).scope(), FingerprintScope::Request);
+    assert_eq!(key.identify_part("a").scope(), FingerprintScope::PromptPart);
+    assert_ne!(
+        key.identify_part("a").to_string(),
+        key.identify_part("b").to_string()
+    );
+}
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -41,7 +41,10 @@
     CacheStore, Document, InvalidDocument, Limits, ModelPool, Pool, RequestKind, Route, Share,
     Tenant,
 };
-pub use fingerprint::{FingerprintInput, FingerprintKey, FingerprintPrefix, RequestFingerprint};
+pub use fingerprint::{
+    Fingerprint, FingerprintInput, FingerprintKey, FingerprintPrefix, FingerprintScope,
+    RequestFingerprints,
+};
 pub use ids::{InstanceId, ModelName, PoolName, TenantName};
 pub use message::{
     AccountLevel, Announcement, BackEndKey, Changes, DemandEntry, FingerprintEvent,
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -8,9 +8,7 @@
 use drumshore_wire::{Blob, List, Text};
 
 use crate::back_end_speed::{SpeedNews, SpeedSample};
-use crate::{
-    FingerprintKey, InstanceRecord, RequestFingerprint, SoftwareKey, StreamKey, StreamOrigin,
-};
+use crate::{Fingerprint, FingerprintKey, InstanceRecord, SoftwareKey, StreamKey, StreamOrigin};
 
 mod software;
 mod tenants;
@@ -118,7 +116,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Quarantine {
     /// The fingerprints.
-    pub fingerprints: List<RequestFingerprint>,
+    pub fingerprints: List<Fingerprint>,
 }
 
 /// What happened to a request at a back end.
@@ -145,7 +143,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FingerprintReport {
     /// The fingerprint of the request.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Milliseconds since the event.
     pub age_ms: u32,
     /// What happened.
@@ -158,7 +156,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FingerprintSuspicion {
     /// The fingerprint.
-    pub fingerprint: RequestFingerprint,
+    pub fingerprint: Fingerprint,
     /// Incidents with crashes, where simultaneous crashes count once; 0 if the fingerprint is no longer suspected.
     pub crashes: u8,
 }
@@ -388,7 +386,7 @@
     KeepAlive,
     /// From the leader: the next request with this quarantined fingerprint may run as a trial.
     #[brw(magic(22u8))]
-    PermitTrial(RequestFingerprint),
+    PermitTrial(Fingerprint),
     /// From a control machine to a router: the zone of the control machine.
     #[brw(magic(23u8))]
     ControlZone(Text),
--- a/crates/gateway-core/src/quarantine/completions.rs
+++ b/crates/gateway-core/src/quarantine/completions.rs
@@ -5,7 +5,7 @@
 
 use drumshore_core::Timestamp;
 
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 /// The length of a generation. For one to two generations, a completion is evidence that its fingerprint does not crash
 /// back ends. Without it, a fingerprint that many requests share would be taken for the cause, because every back end
@@ -21,14 +21,14 @@
 /// Fingerprints of completed requests, in two generations.
 #[derive(Debug, Default)]
 pub(crate) struct Completions {
-    newer: HashSet<RequestFingerprint>,
-    older: HashSet<RequestFingerprint>,
+    newer: HashSet<Fingerprint>,
+    older: HashSet<Fingerprint>,
     generation_start: Timestamp,
 }
 
 impl Completions {
     /// Records a completed request; ignored once the generation is full.
-    pub fn note(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
+    pub fn note(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         self.age(now);
         if self.newer.len() < MAX_FINGERPRINTS {
             self.newer.insert(fingerprint);
@@ -36,7 +36,7 @@
     }
 
     /// True if a request with this fingerprint completed within the last one to two generations.
-    pub fn contains(&mut self, now: Timestamp, fingerprint: RequestFingerprint) -> bool {
+    pub fn contains(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         self.age(now);
         self.newer.contains(&fingerprint) || self.older.contains(&fingerprint)
     }
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -6,7 +6,7 @@
 use drumshore_core::Timestamp;
 
 use super::{CRASHES_FOR_QUARANTINE, REMEMBER_CRASHES_FOR};
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 /// Crashes within this time count as one incident, unless one back end received the request after the other had
 /// crashed: a power failure crashes many back ends at once, and several of them may be serving requests with the
@@ -55,7 +55,7 @@
 /// fingerprint.
 #[derive(Debug, Default)]
 pub(crate) struct CrashLedger {
-    by_fingerprint: HashMap<RequestFingerprint, Vec<Crash>>,
+    by_fingerprint: HashMap<Fingerprint, Vec<Crash>>,
     /// Back ends whose crash is attributed to a quarantined fingerprint. It doesn't count against the other requests
     /// that they were serving.
     attributed: VecDeque<u32>,
@@ -67,7 +67,7 @@
     pub fn record_crash(
         &mut self,
         now: Timestamp,
-        fingerprint: RequestFingerprint,
+        fingerprint: Fingerprint,
         report: CrashReport,
     ) -> bool {
         let back_end = report.back_end;
@@ -96,7 +96,7 @@
     }
 
     /// The number of incidents in which back ends crashed while serving the fingerprint.
-    pub fn crashes(&self, fingerprint: RequestFingerprint) -> u32 {
+    pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
         let crashes = self
             .by_fingerprint
             .get(&fingerprint)
@@ -113,13 +113,13 @@
     }
 
     /// Forgets all crashes of a fingerprint. True if there were any.
-    pub fn clear(&mut self, fingerprint: RequestFingerprint) -> bool {
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         self.by_fingerprint.remove(&fingerprint).is_some()
     }
 
     /// Attributes all crashes recorded for a quarantined fingerprint to it alone: they no longer count against other
     /// requests that these back ends were serving. Returns the fingerprints that now have fewer crashes or none.
-    pub fn attribute_crashes_to(&mut self, culprit: RequestFingerprint) -> Vec<RequestFingerprint> {
+    pub fn attribute_crashes_to(&mut self, culprit: Fingerprint) -> Vec<Fingerprint> {
         let crashes = self
             .by_fingerprint
             .get(&culprit)
@@ -164,7 +164,7 @@
     /// crash a back end for each incident.
     fn evict(&mut self, now: Timestamp) {
         self.expire(now);
-        let mut by_rank: Vec<(u32, i64, RequestFingerprint)> =
+        let mut by_rank: Vec<(u32, i64, Fingerprint)> =
             Vec::with_capacity(self.by_fingerprint.len());
         for (fingerprint, crashes) in &self.by_fingerprint {
             let last = crashes.last().map(|crash| crash.at).unwrap_or_default();
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -11,7 +11,7 @@
     Timestamp(1 + ms * 1_000)
 }
 
-fn fingerprint(number: u32) -> RequestFingerprint {
+fn fingerprint(number: u32) -> Fingerprint {
     let body = number.to_le_bytes();
     FingerprintKey::generate(1).identify(&FingerprintInput {
         body: &body,
@@ -111,7 +111,7 @@
     );
 }
 
-fn sorted<const N: usize>(mut fingerprints: [RequestFingerprint; N]) -> Vec<RequestFingerprint> {
+fn sorted<const N: usize>(mut fingerprints: [Fingerprint; N]) -> Vec<Fingerprint> {
     fingerprints.sort_unstable();
     fingerprints.to_vec()
 }
--- a/crates/gateway-core/src/router/mod.rs
+++ b/crates/gateway-core/src/router/mod.rs
@@ -54,7 +54,7 @@
 use crate::back_end_speed::{BackEndSpeeds, SpeedSamples};
 use crate::{
     BackEndNotice, Changes, Document, FingerprintInput, HolderEntry, InstanceId, InvalidDocument,
-    LoadEntry, Position, RequestFingerprint, RequestRate, Route, StoreId, StoredKey, Tenant,
+    LoadEntry, Position, RequestFingerprints, RequestRate, Route, StoreId, StoredKey, Tenant,
 };
 
 pub use accounts::{Charge, OverLimit};
@@ -289,9 +289,16 @@
         })
     }
 
-    /// Computes the fingerprint of a request; `None` before the fingerprint key is known.
-    pub fn identify(&self, input: &FingerprintInput<'_>) -> Option<RequestFingerprint> {
-        self.view.fingerprint_key().map(|key| key.identify(input))
+    /// Computes the fingerprints of a request; none before the fingerprint key is known.
+    pub fn identify(
+        &self,
+        input: &FingerprintInput<'_>,
+        prompt: Option<&Prompt>,
+    ) -> RequestFingerprints {
+        let key = self.view.fingerprint_key();
+        key.map_or_else(RequestFingerprints::default, |key| {
+            RequestFingerprints::new(key, input, prompt)
+        })
     }
 
     /// Refunds the charge of an admitted request that no back end has run.
--- a/crates/gateway-core/src/router/request.rs
+++ b/crates/gateway-core/src/router/request.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::{Charge, OverLimit, TenantShare};
-use crate::{InstanceId, ModelName, PoolName, RequestFingerprint, Route, SoftwareKey, Tenant};
+use crate::{InstanceId, ModelName, PoolName, RequestFingerprints, Route, SoftwareKey, Tenant};
 
 /// A part of a prompt, which other requests may have in common.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -116,10 +116,10 @@
     pub tried: &'a [InstanceId],
     /// Attempts that reached a back end, including those that it refused.
     pub arrived: u32,
-    /// The request's fingerprint; `None` when crashes are not tracked for it.
-    pub fingerprint: Option<RequestFingerprint>,
-    /// Back-end crashes while serving requests with this fingerprint, as known when this call began. Crashes
-    /// at about the same time count once.
+    /// The request's fingerprints; `None` when crashes are not tracked for it.
+    pub fingerprints: Option<&'a RequestFingerprints>,
+    /// Back-end crashes while serving the same request, as known when this call began. Crashes at about the same time
+    /// count once.
     pub crashes_before_call: u32,
     /// Attempts of this call that broke off after the back end may have started to run the request.
     pub broken: u32,
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -14,8 +14,8 @@
     CRASHES_FOR_SUSPICION, PERMIT_VALID_FOR, REMEMBER_CRASHES_FOR,
 };
 use crate::{
-    Changes, FingerprintEvent, FingerprintReport, FingerprintSuspicion, InstanceId, LoadEntry,
-    RequestFingerprint,
+    Changes, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintSuspicion, InstanceId,
+    LoadEntry, RequestFingerprints,
 };
 
 /// Reports kept for control machines that connect later. Each report is sent to all control machines.
@@ -27,7 +27,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Observation {
     at: Timestamp,
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
     /// `None` once the event no longer counts.
     event: Option<FingerprintEvent>,
 }
@@ -51,11 +51,11 @@
     own: CrashLedger,
     completions: Completions,
     /// Crash counts over all routers, as sent by control machines.
-    announced: HashMap<RequestFingerprint, u8>,
+    announced: HashMap<Fingerprint, u8>,
     /// The replicated quarantine list.
-    quarantined: HashSet<RequestFingerprint>,
+    quarantined: HashSet<Fingerprint>,
     /// Quarantined fingerprints with a permit for one trial, and when each permit arrived.
-    permits: HashMap<RequestFingerprint, Timestamp>,
+    permits: HashMap<Fingerprint, Timestamp>,
     reports: VecDeque<Observation>,
     /// How many reports have been removed from the front of `reports`.
     dropped_reports: u64,
@@ -63,7 +63,7 @@
 
 impl SuspectedFingerprints {
     /// How many crashes while serving the fingerprint this router knows of. Back ends that crash together count once.
-    fn crashes(&self, fingerprint: RequestFingerprint) -> u32 {
+    fn crashes(&self, fingerprint: Fingerprint) -> u32 {
         let announced = self
             .announced
             .get(&fingerprint)
@@ -72,18 +72,18 @@
         self.own.crashes(fingerprint).max(u32::from(announced))
     }
 
-    fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
+    fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.quarantined.contains(&fingerprint)
             || self.crashes(fingerprint) >= CRASHES_FOR_QUARANTINE
     }
 
     /// Consumes the permit for one trial of a quarantined fingerprint. False when there is none or it has expired.
-    fn take_permit(&mut self, now: Timestamp, fingerprint: RequestFingerprint) -> bool {
+    fn take_permit(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let permitted_at = self.permits.remove(&fingerprint);
         permitted_at.is_some_and(|at| now.since(at) < PERMIT_VALID_FOR)
     }
 
-    fn report(&mut self, at: Timestamp, fingerprint: RequestFingerprint, event: FingerprintEvent) {
+    fn report(&mut self, at: Timestamp, fingerprint: Fingerprint, event: FingerprintEvent) {
         let event = Some(event);
         self.reports.push_back(Observation {
             at,
@@ -98,11 +98,7 @@
 
     /// Reports a recent completion of a request with this fingerprint, which the router that observed the crashes
     /// does not know of. Returns whether there was one.
-    fn report_recent_completion(
-        &mut self,
-        now: Timestamp,
-        fingerprint: RequestFingerprint,
-    ) -> bool {
+    fn report_recent_completion(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let has_completed = self.completions.contains(now, fingerprint);
         if has_completed {
             self.clear(fingerprint);
@@ -111,7 +107,7 @@
         has_completed
     }
 
-    fn clear(&mut self, fingerprint: RequestFingerprint) -> bool {
+    fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         let was_announced = self.announced.remove(&fingerprint).is_some();
         // Control machines that connect later must not receive these reports.
         let reports = self
@@ -132,15 +128,13 @@
         let fingerprints = listed
             .into_iter()
             .flat_map(|listed| &listed.fingerprints.items);
-        let listed: HashSet<RequestFingerprint> = fingerprints.copied().collect();
+        let listed: HashSet<Fingerprint> = fingerprints.copied().collect();
         let before = std::mem::replace(&mut self.quarantined, listed);
-        let released: Vec<RequestFingerprint> =
-            before.difference(&self.quarantined).copied().collect();
+        let released: Vec<Fingerprint> = before.difference(&self.quarantined).copied().collect();
         for fingerprint in released {
             self.clear(fingerprint);
         }
-        let added: Vec<RequestFingerprint> =
-            self.quarantined.difference(&before).copied().collect();
+        let added: Vec<Fingerprint> = self.quarantined.difference(&before).copied().collect();
         for fingerprint in added {
             self.report_recent_completion(now, fingerprint);
         }
@@ -149,7 +143,7 @@
 
 impl RouterCore {
     /// How many crashes while serving the fingerprint this router knows of. Back ends that crash together count once.
-    pub fn crash_count(&self, fingerprint: RequestFingerprint) -> u32 {
+    pub fn crash_count(&self, fingerprint: Fingerprint) -> u32 {
         self.suspected_fingerprints.crashes(fingerprint)
     }
 
@@ -161,7 +155,7 @@
         now: Timestamp,
         earlier: &EarlierAttempts<'_>,
     ) -> Result<(), ChoiceError> {
-        let Some(fingerprint) = earlier.fingerprint else {
+        let Some(fingerprint) = earlier.fingerprints.and_then(RequestFingerprints::request) else {
             return Ok(());
         };
         if self.suspected_fingerprints.is_quarantined(fingerprint) {
@@ -181,7 +175,8 @@
 
     /// Whether so many back ends have crashed while serving the fingerprint that its request is placed where a
     /// further crash loses the fewest other requests.
-    pub(super) fn is_suspected(&self, fingerprint: Option<RequestFingerprint>) -> bool {
+    pub(super) fn is_suspected(&self, fingerprints: Option<&RequestFingerprints>) -> bool {
+        let fingerprint = fingerprints.and_then(RequestFingerprints::request);
         fingerprint.is_some_and(|fingerprint| {
             let suspected = &self.suspected_fingerprints;
             suspected.is_quarantined(fingerprint)
@@ -190,7 +185,7 @@
     }
 
     /// The leader permits this router one trial of a quarantined fingerprint.
-    pub fn on_trial_permitted(&mut self, now: Timestamp, fingerprint: RequestFingerprint) {
+    pub fn on_trial_permitted(&mut self, now: Timestamp, fingerprint: Fingerprint) {
         let permits = &mut self.suspected_fingerprints.permits;
         permits.retain(|_, at| now.since(*at) < PERMIT_VALID_FOR);
         permits.insert(fingerprint, now);
@@ -202,14 +197,13 @@
         &mut self,
         now: Timestamp,
         instance: &InstanceId,
-        fingerprints: &[(RequestFingerprint, Timestamp)],
-    ) -> Vec<(RequestFingerprint, u32)> {
+        fingerprints: &[(Fingerprint, Timestamp)],
+    ) -> Vec<(Fingerprint, u32)> {
         let back_end = LoadEntry::key_of(instance.as_str());
         self.endpoints.on_crashed(now, instance);
         self.suspect(instance);
         let suspected = &mut self.suspected_fingerprints;
-        let fingerprints: BTreeMap<RequestFingerprint, Timestamp> =
-            fingerprints.iter().copied().collect();
+        let fingerprints: BTreeMap<Fingerprint, Timestamp> = fingerprints.iter().copied().collect();
         let mut new = Vec::new();
         for (fingerprint, sent_at) in fingerprints {
             if suspected.completions.contains(now, fingerprint) {
@@ -239,11 +233,7 @@
 
     /// A request with this fingerprint completed, so it does not crash every back end that serves it. Returns
     /// whether the fingerprint was quarantined or had any crash counted.
-    pub fn on_fingerprint_completed(
-        &mut self,
-        now: Timestamp,
-        fingerprint: RequestFingerprint,
-    ) -> bool {
+    pub fn on_fingerprint_completed(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let suspected = &mut self.suspected_fingerprints;
         suspected.completions.note(now, fingerprint);
         let was_suspected =
@@ -254,6 +244,19 @@
         was_suspected
     }
 
+    /// Records that a request with these prompt parts completed.
+    pub fn on_prompt_parts_completed(&mut self, now: Timestamp, parts: &[Fingerprint]) {
+        for part in parts {
+            self.suspected_fingerprints.completions.note(now, *part);
+        }
+    }
+
+    /// Whether a request with this fingerprint recently completed at this router.
+    pub fn has_completed_recently(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        let completions = &mut self.suspected_fingerprints.completions;
+        completions.contains(now, fingerprint)
+    }
+
     /// Applies crash counts sent by a control machine. Counts only grow, so the largest one received from any
     /// control machine holds, until one of them sends 0 or a request with the fingerprint has recently completed
     /// at this router.
--- a/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
@@ -2,26 +2,36 @@
 
 use super::*;
 use crate::{
-    FingerprintEvent, FingerprintInput, FingerprintKey, FingerprintSuspicion, Quarantine,
-    RequestFingerprint,
+    Fingerprint, FingerprintEvent, FingerprintInput, FingerprintKey, FingerprintSuspicion,
+    Quarantine, RequestFingerprints,
 };
 
-fn fingerprint(body: &str) -> RequestFingerprint {
+fn fingerprint(body: &str) -> Fingerprint {
     FingerprintKey::generate(1).identify(&FingerprintInput {
         body: body.as_bytes(),
         ..FingerprintInput::default()
     })
 }
 
-fn first_attempt(fingerprint: RequestFingerprint) -> EarlierAttempts<'static> {
+fn request(body: &str) -> RequestFingerprints {
+    RequestFingerprints::of_request(fingerprint(body))
+}
+
+fn first_attempt(fingerprints: &RequestFingerprints) -> EarlierAttempts<'_> {
     EarlierAttempts {
-        fingerprint: Some(fingerprint),
+        fingerprints: Some(fingerprints),
         ..EarlierAttempts::default()
     }
 }
 
+/// Chooses a back end for the first attempt of a request.
+fn choose_first(router: &mut RouterCore, fingerprint: Fingerprint) -> Result<Choice, ChoiceError> {
+    let fingerprints = RequestFingerprints::of_request(fingerprint);
+    choose(router, first_attempt(&fingerprints))
+}
+
 /// The named back ends crash while serving a request with the fingerprint, one second apart.
-fn crash_while_serving(router: &mut RouterCore, fingerprint: RequestFingerprint, names: &[&str]) {
+fn crash_while_serving(router: &mut RouterCore, fingerprint: Fingerprint, names: &[&str]) {
     for (number, name) in names.iter().enumerate() {
         let now = at(1_000 * (1 + number as u64));
         router.on_back_end_crashed(now, &InstanceId::new(name), &[(fingerprint, now)]);
@@ -37,11 +47,11 @@
 fn a_fingerprint_is_refused_after_three_crashes_seen_by_this_router_alone() {
     let mut router = router();
     crash_while_serving(&mut router, fingerprint("a"), &["app-1", "app-2"]);
-    assert!(choose(&mut router, first_attempt(fingerprint("a"))).is_ok());
+    assert!(choose_first(&mut router, fingerprint("a")).is_ok());
     crash_while_serving(&mut router, fingerprint("a"), &["app-1", "app-2", "app-3"]);
-    let refused = choose(&mut router, first_attempt(fingerprint("a")));
+    let refused = choose_first(&mut router, fingerprint("a"));
     assert_eq!(refused, Err(ChoiceError::Quarantined));
-    assert!(choose(&mut router, first_attempt(fingerprint("b"))).is_ok());
+    assert!(choose_first(&mut router, fingerprint("b")).is_ok());
 }
 
 #[rstest]
@@ -65,11 +75,11 @@
             with_quarantine(10, 11, &[fingerprint("a")]),
         );
     }
-    let refused = choose(&mut router, first_attempt(fingerprint("a")));
+    let refused = choose_first(&mut router, fingerprint("a"));
     assert_eq!(refused, Err(ChoiceError::Quarantined));
 }
 
-fn with_quarantine(since: u64, revision: u64, fingerprints: &[RequestFingerprint]) -> Changes {
+fn with_quarantine(since: u64, revision: u64, fingerprints: &[Fingerprint]) -> Changes {
     let fingerprints = List::new(fingerprints.to_vec());
     Changes {
         quarantine: List::new(vec![Quarantine { fingerprints }]),
@@ -92,8 +102,8 @@
         with_quarantine(11, 12, &[fingerprint("b")]),
     );
     assert_eq!(router.crash_count(fingerprint("a")), 0);
-    assert!(choose(&mut router, first_attempt(fingerprint("a"))).is_ok());
-    assert!(choose(&mut router, first_attempt(fingerprint("b"))).is_err());
+    assert!(choose_first(&mut router, fingerprint("a")).is_ok());
+    assert!(choose_first(&mut router, fingerprint("b")).is_err());
     let reports = router.fingerprint_reports_since(at(3_300), &mut 0);
     assert!(
         reports.is_empty(),
@@ -118,7 +128,7 @@
     let earlier = EarlierAttempts {
         tried: if broken > 0 { &tried } else { &[] },
         arrived: broken,
-        fingerprint: Some(fingerprint("a")),
+        fingerprints: Some(&request("a")),
         crashes_before_call,
         broken,
         required_software: None,
@@ -153,7 +163,7 @@
             at(1),
             &admission,
             Some(&prompt),
-            first_attempt(fingerprint("a")),
+            first_attempt(&request("a")),
         );
         let choice = choice.unwrap();
         assert_eq!((choice.instance.as_str(), &choice.copy), ("llm-6", &None));
@@ -196,7 +206,7 @@
     );
     crash_while_serving(&mut router, fingerprint("a"), &["app-1", "app-2", "app-3"]);
     assert!(router.on_fingerprint_completed(at(3_100), fingerprint("a")));
-    assert!(choose(&mut router, first_attempt(fingerprint("a"))).is_ok());
+    assert!(choose_first(&mut router, fingerprint("a")).is_ok());
     let reports = router.fingerprint_reports_since(at(3_200), &mut 3);
     let events: Vec<FingerprintEvent> = reports.iter().map(|report| report.event).collect();
     assert_eq!(events, [FingerprintEvent::Completed]);
@@ -212,13 +222,13 @@
         with_quarantine(10, 11, &[fingerprint("a")]),
     );
     router.on_trial_permitted(at(3_400), fingerprint("a"));
-    assert!(choose(&mut router, first_attempt(fingerprint("a"))).is_ok());
-    let next = choose(&mut router, first_attempt(fingerprint("a")));
+    assert!(choose_first(&mut router, fingerprint("a")).is_ok());
+    let next = choose_first(&mut router, fingerprint("a"));
     assert_eq!(next, Err(ChoiceError::Quarantined));
     router.on_trial_permitted(at(3_500), fingerprint("a"));
-    assert!(router.is_suspected(Some(fingerprint("a"))));
+    assert!(router.is_suspected(Some(&request("a"))));
     let too_late = at(23_500);
-    let refused = router.check_fingerprint(too_late, &first_attempt(fingerprint("a")));
+    let refused = router.check_fingerprint(too_late, &first_attempt(&request("a")));
     assert_eq!(refused, Err(ChoiceError::Quarantined));
 }
 
@@ -232,11 +242,12 @@
     );
     router.on_trial_permitted(at(3_400), fingerprint("a"));
     let tried = [InstanceId::new("app-1")];
+    let request = request("a");
     let earlier = EarlierAttempts {
         tried: &tried,
         arrived: 1,
         broken: 1,
-        ..first_attempt(fingerprint("a"))
+        ..first_attempt(&request)
     };
     assert_eq!(choose(&mut router, earlier), Err(ChoiceError::Quarantined));
 }
@@ -298,7 +309,7 @@
         update(&mut router, at(1_000), quarantined);
     }
     let reports = router.fingerprint_reports_since(at(1_000), &mut cursor);
-    let events: Vec<(RequestFingerprint, FingerprintEvent)> = reports
+    let events: Vec<(Fingerprint, FingerprintEvent)> = reports
         .iter()
         .map(|report| (report.fingerprint, report.event))
         .collect();
@@ -307,7 +318,7 @@
         [(fingerprint("common"), FingerprintEvent::Completed)]
     );
     assert_eq!(
-        choose(&mut router, first_attempt(fingerprint("common"))).is_ok(),
+        choose_first(&mut router, fingerprint("common")).is_ok(),
         suspicion
     );
 }
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -9,7 +9,7 @@
 use binrw::binrw;
 use drumshore_wire::{Blob, List, Text};
 
-use crate::{Command, FingerprintKey, LoadPhase, RequestFingerprint, SoftwareVersion};
+use crate::{Command, Fingerprint, FingerprintKey, LoadPhase, SoftwareVersion};
 
 pub use changes::Position;
 
@@ -147,7 +147,7 @@
     changed: ChangeIndex,
     fingerprint_key: Option<StoredFingerprintKey>,
     /// The quarantined fingerprints, each with the log position that quarantined it.
-    quarantined: BTreeMap<RequestFingerprint, u64>,
+    quarantined: BTreeMap<Fingerprint, u64>,
     quarantine_revision: u64,
 }
 
@@ -200,12 +200,12 @@
     }
 
     /// The quarantined fingerprints.
-    pub fn quarantined(&self) -> impl Iterator<Item = RequestFingerprint> + '_ {
+    pub fn quarantined(&self) -> impl Iterator<Item = Fingerprint> + '_ {
         self.quarantined.keys().copied()
     }
 
     /// True while requests with the fingerprint are sent to no back end.
-    pub fn is_quarantined(&self, fingerprint: RequestFingerprint) -> bool {
+    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         self.quarantined.contains_key(&fingerprint)
     }
 
@@ -381,7 +381,7 @@
         true
     }
 
-    fn quarantine(&mut self, position: u64, fingerprint: RequestFingerprint) -> bool {
+    fn quarantine(&mut self, position: u64, fingerprint: Fingerprint) -> bool {
         if self.is_quarantined(fingerprint) {
             return false;
         }
@@ -396,7 +396,7 @@
         true
     }
 
-    fn release(&mut self, position: u64, fingerprint: RequestFingerprint) -> bool {
+    fn release(&mut self, position: u64, fingerprint: Fingerprint) -> bool {
         let was_quarantined = self.quarantined.remove(&fingerprint).is_some();
         if was_quarantined {
             self.quarantine_revision = position;
--- a/crates/gateway-core/src/state/snapshot.rs
+++ b/crates/gateway-core/src/state/snapshot.rs
@@ -12,7 +12,7 @@
     TargetWeights,
 };
 use crate::message::SoftwareEntry;
-use crate::RequestFingerprint;
+use crate::Fingerprint;
 
 #[binrw]
 #[brw(little)]
@@ -28,7 +28,7 @@
 #[brw(little)]
 #[derive(Clone, Copy, Debug)]
 struct Quarantined {
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
     position: u64,
 }
 
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -1,8 +1,8 @@
 //! Requests that crash back ends: suspicion, quarantine, trials and release of their fingerprints.
 
 use drumshore_gateway_core::{
-    Command, FingerprintEvent, FingerprintInput, FingerprintKey, FingerprintReport,
-    FingerprintSuspicion, RequestFingerprint,
+    Command, Fingerprint, FingerprintEvent, FingerprintInput, FingerprintKey, FingerprintReport,
+    FingerprintSuspicion,
 };
 
 use super::*;
@@ -14,18 +14,14 @@
 /// Duration of a quarantine, after which the fingerprint is released.
 const QUARANTINE: Duration = Duration::from_secs(600);
 
-fn fingerprint(number: u8) -> RequestFingerprint {
+fn fingerprint(number: u8) -> Fingerprint {
     FingerprintKey::generate(1).identify(&FingerprintInput {
         body: &[number],
         ..FingerprintInput::default()
     })
 }
 
-fn crash_report(
-    fingerprint: RequestFingerprint,
-    back_end: u32,
-    age: Duration,
-) -> FingerprintReport {
+fn crash_report(fingerprint: Fingerprint, back_end: u32, age: Duration) -> FingerprintReport {
     FingerprintReport {
         fingerprint,
         age_ms: age.as_millis() as u32,
@@ -37,7 +33,7 @@
 }
 
 /// Reports of three back ends that crashed a second apart, the last one now.
-fn three_crashes(fingerprint: RequestFingerprint) -> Vec<FingerprintReport> {
+fn three_crashes(fingerprint: Fingerprint) -> Vec<FingerprintReport> {
     let crashes = (1..=3).map(|number| crash_report(fingerprint, number, SECOND * (3 - number)));
     crashes.collect()
 }
@@ -63,7 +59,7 @@
     cluster: &Cluster,
     machine: Ipv4Addr,
     link: ConnectionId,
-    fingerprint: RequestFingerprint,
+    fingerprint: Fingerprint,
 ) -> Option<u8> {
     let sent = cluster.to_routers.iter().rev();
     let mut sent = sent.filter(|(from, to, _)| *from == machine && *to == link);
@@ -73,7 +69,7 @@
     })
 }
 
-fn crashes_of(suspicions: &[FingerprintSuspicion], fingerprint: RequestFingerprint) -> Option<u8> {
+fn crashes_of(suspicions: &[FingerprintSuspicion], fingerprint: Fingerprint) -> Option<u8> {
     let mut suspicions = suspicions.iter();
     let found = suspicions.find(|suspicion| suspicion.fingerprint == fingerprint);
     found.map(|suspicion| suspicion.crashes)
--- a/crates/gateway-core/tests/wire_layout.rs
+++ b/crates/gateway-core/tests/wire_layout.rs
@@ -13,10 +13,10 @@
     CurveEntry, PrefillCurve, SpeedEntry, SpeedNews, SpeedSample,
 };
 use drumshore_gateway_core::{
-    AccountLevel, Announcement, BackEndKey, Changes, Command, DemandEntry, FingerprintEvent,
-    FingerprintInput, FingerprintKey, FingerprintReport, FingerprintSuspicion, Following,
-    HolderEntry, InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message, PoolKey,
-    PoolName, Proposal, ProposalId, Quarantine, ReplicatedState, RequestFingerprint, RouterStatus,
+    AccountLevel, Announcement, BackEndKey, Changes, Command, DemandEntry, Fingerprint,
+    FingerprintEvent, FingerprintInput, FingerprintKey, FingerprintReport, FingerprintSuspicion,
+    Following, HolderEntry, InstanceRecord, Lifecycle, LoadEntry, LoadPhase, LoadedModel, Message,
+    PoolKey, PoolName, Proposal, ProposalId, Quarantine, ReplicatedState, RouterStatus,
     SoftwareVersion, StoreId, StoredKey, TenantDemand, TenantKey, TenantName, UsageEntry,
     WeightsNotice,
 };
@@ -24,7 +24,7 @@
 
 const RELEASED: &str = include_str!("wire_layout.txt");
 
-fn fingerprint() -> RequestFingerprint {
+fn fingerprint() -> Fingerprint {
     FingerprintKey::generate(1).identify(&FingerprintInput::default())
 }
 
--- a/crates/gateway/src/control/quarantine.rs
+++ b/crates/gateway/src/control/quarantine.rs
@@ -5,7 +5,7 @@
 
 use std::fmt::Write;
 
-use drumshore_gateway_core::{Command, FingerprintPrefix, RequestFingerprint};
+use drumshore_gateway_core::{Command, Fingerprint, FingerprintPrefix};
 use hyper::{Method, Response, StatusCode};
 
 use super::{api, Control};
@@ -44,7 +44,7 @@
     }
 }
 
-fn quarantined(control: &Control) -> Option<Vec<RequestFingerprint>> {
+fn quarantined(control: &Control) -> Option<Vec<Fingerprint>> {
     let core = control.core.borrow();
     Some(core.as_ref()?.state().quarantined().collect())
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,9 +18,11 @@
 
 use crate::answer::{self, AnswerBody};
 
+mod crashes;
 mod streams;
 mod tenant_demands;
 
+pub(crate) use crashes::CrashMetrics;
 pub(crate) use streams::StreamMetrics;
 pub(crate) use tenant_demands::{TenantDemandGauges, MAX_DEMAND_LABELS};
 
@@ -102,6 +104,8 @@
     answer_ends: Family<AnswerEndLabel, Counter>,
     /// Streams that went on at another back end.
     pub streams: StreamMetrics,
+    /// What back ends were serving when they crashed.
+    pub crashes: CrashMetrics,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -145,6 +149,7 @@
         let late_answers = Family::default();
         let answer_ends = Family::default();
         let streams = StreamMetrics::default();
+        let crashes = CrashMetrics::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -176,6 +181,7 @@
             Clone::clone(&answer_ends),
         );
         streams.register(&mut registry);
+        crashes.register(&mut registry);
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -248,6 +254,7 @@
             late_answers,
             answer_ends,
             streams,
+            crashes,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -6,14 +6,16 @@
 //! refused when the process has crashed.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{Choice, FingerprintSuspicion, InstanceId, RequestFingerprint};
+use drumshore_gateway_core::{
+    Choice, Fingerprint, FingerprintSuspicion, InstanceId, RequestFingerprints,
+};
 
 use super::{paths, Router};
 use crate::sockets;
@@ -23,13 +25,16 @@
 /// that does not respond within this time is isolated or has no power.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The maximum number of fingerprints that are logged for one crash.
+const MAX_EVIDENCE_LINES: usize = 32;
+
 /// A request that a back end may have been running when its connection broke.
 #[derive(Clone, Debug)]
 pub(super) struct BrokenRun {
     /// The request's identifier.
     pub id: String,
-    /// The request's fingerprint; `None` before the key for fingerprints is known.
-    pub fingerprint: Option<RequestFingerprint>,
+    /// The request's fingerprints.
+    pub fingerprints: RequestFingerprints,
     /// When it was sent.
     pub sent_at: Timestamp,
 }
@@ -146,22 +151,48 @@
     tracing::info!(event = "back_end_examined", %instance, finding = found, runs = runs.len(),
         "router: probed a back end whose connections broke");
     for run in &runs {
-        tracing::info!(event = "run_broken", id = %run.id, work = run.fingerprint.map(tracing::field::display),
-            %instance, finding = found, "router: the connection to a back end broke during a request");
+        tracing::info!(event = "run_broken", id = %run.id, work = run.fingerprints.request().map(tracing::field::display),
+            parts = run.fingerprints.displayed_parts(), %instance, finding = found, "router: the connection to a back end broke during a request");
     }
     if finding == Finding::Crashed {
+        log_evidence(router, instance, &runs);
         report_crash(router, instance, &runs);
     }
 }
 
+/// Logs what a crashed back end was serving: first what has not completed elsewhere.
+fn log_evidence(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
+    let now = router.clock.now();
+    let mut served: BTreeMap<Fingerprint, usize> = BTreeMap::new();
+    for fingerprint in runs.iter().flat_map(|run| run.fingerprints.iter()) {
+        *served.entry(fingerprint).or_default() += 1;
+    }
+    let mut core = router.core.borrow_mut();
+    let with_completion = |(fingerprint, runs)| {
+        let has_completed = core.has_completed_recently(now, fingerprint);
+        (has_completed, fingerprint, runs)
+    };
+    let mut evidence: Vec<_> = served.into_iter().map(with_completion).collect();
+    drop(core);
+    evidence.sort_unstable();
+    for (has_completed, fingerprint, _) in &evidence {
+        let metrics = &router.metrics.crashes;
+        metrics.count_evidence(fingerprint.scope(), *has_completed);
+    }
+    for (has_completed, fingerprint, runs) in evidence.iter().take(MAX_EVIDENCE_LINES) {
+        tracing::info!(event = "crash_evidence", work = %fingerprint, scope = fingerprint.scope().as_str(), %instance,
+            runs, completed_elsewhere = has_completed, "router: a crashed back end was serving requests with this fingerprint");
+    }
+}
+
 /// Records a crash and reports it to all control machines: the next router that receives a request with the same
 /// fingerprint may be another one.
 fn report_crash(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
     let with_fingerprint = |run: &BrokenRun| {
-        run.fingerprint
-            .map(|fingerprint| (fingerprint, run.sent_at))
+        let fingerprint = run.fingerprints.request();
+        fingerprint.map(|fingerprint| (fingerprint, run.sent_at))
     };
-    let fingerprints: Vec<(RequestFingerprint, Timestamp)> =
+    let fingerprints: Vec<(Fingerprint, Timestamp)> =
         runs.iter().filter_map(with_fingerprint).collect();
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
-    Admission, Choice, ChoiceError, FingerprintInput, Prompt, Refusal, RequestFingerprint,
+    Admission, Choice, ChoiceError, FingerprintInput, Prompt, Refusal, RequestFingerprints,
     RequestHead, MAX_STREAM_LIFETIME,
 };
 use http_body_util::{BodyExt, Limited};
@@ -48,13 +48,13 @@
     pub prompt: Option<Prompt>,
     pub parts: Parts,
     pub body: Bytes,
-    /// The request's fingerprint; `None` before the key for fingerprints is known.
-    pub fingerprint: Option<RequestFingerprint>,
+    /// The request's fingerprints; none before the key for fingerprints is known.
+    pub fingerprints: RequestFingerprints,
     /// Whether another router forwarded it.
     pub is_forwarded: bool,
     /// The stream that it takes up, if any.
     pub take_up: Option<TakeUp>,
-    /// Times before this call at which back ends crashed while serving a request with this fingerprint.
+    /// Times before this call at which back ends crashed while serving the same request.
     pub crashes_before_call: u32,
 }
 
@@ -251,12 +251,13 @@
         let read = timeout(time_limit, reading).await.map_err(|_| NoAnswer)?;
         read.map_err(|_| NoAnswer)?.to_bytes()
     };
-    let fingerprint = fingerprint_of(router, &parts, &admission, &body);
+    let fingerprints = fingerprints_of(router, &parts, &admission, &body, prompt.as_ref());
     let core = router.core.borrow();
-    let crashes_before_call = fingerprint.map_or(0, |fingerprint| core.crash_count(fingerprint));
+    let request = fingerprints.request();
+    let crashes_before_call = request.map_or(0, |request| core.crash_count(request));
     Ok(Call {
         id,
-        fingerprint,
+        fingerprints,
         is_forwarded,
         take_up,
         crashes_before_call,
@@ -270,21 +271,23 @@
     })
 }
 
-fn fingerprint_of(
+fn fingerprints_of(
     router: &Router,
     parts: &Parts,
     admission: &Admission,
     body: &Bytes,
-) -> Option<RequestFingerprint> {
+    prompt: Option<&Prompt>,
+) -> RequestFingerprints {
     let target = parts.uri.path_and_query();
     let tenant = admission.tenant.as_ref();
-    router.core.borrow().identify(&FingerprintInput {
+    let input = FingerprintInput {
         method: parts.method.as_str(),
         host: &admission.route.host,
         target: target.map_or("", |target| target.as_str()),
         tenant: tenant.map_or("", |tenant| tenant.name.as_str()),
         body,
-    })
+    };
+    router.core.borrow().identify(&input, prompt)
 }
 
 /// Tries back ends until one answers, the attempts are used up or the deadline has passed.
@@ -368,7 +371,7 @@
     unanswered: Unanswered,
 ) {
     let elapsed = router.clock.now().since(call.received);
-    tracing::info!(event = "attempt_ended", id = %call.id, work = call.fingerprint.map(tracing::field::display),
+    tracing::info!(event = "attempt_ended", id = %call.id, work = call.fingerprints.request().map(tracing::field::display),
         instance = %choice.instance,
         outcome = outcome_name(unanswered.outcome), execution = unanswered.execution.as_str(),
         sent = unanswered.sent, version = choice.expected_version, software = choice.software.as_str(), chosen_by = unanswered.basis.revision,
--- a/crates/gateway/src/router/forwarded_answer.rs
+++ b/crates/gateway/src/router/forwarded_answer.rs
@@ -74,7 +74,8 @@
     router.metrics.count_request("answered", elapsed);
     let limit = router.core.borrow().limit_of(&choice.instance);
     let basis = open_attempt.basis;
-    tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display),
+    tracing::info!(event = "request", id = %call.id, work = call.fingerprints.request().map(tracing::field::display),
+        parts = call.fingerprints.displayed_parts(),
         route = %call.admission.route.name, tenant = call.tenant(), outcome = "answered", status = response.status().as_u16(),
         priority = call.admission.priority, instance = %choice.instance,
         attempts = attempts.tried.len(), rank = choice.rank, in_flight = choice.in_flight,
--- a/crates/gateway/src/router/open_attempt.rs
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -41,7 +41,7 @@
             execution: Execution::MayHaveRun,
             run: BrokenRun {
                 id: call.id.clone(),
-                fingerprint: call.fingerprint,
+                fingerprints: call.fingerprints.clone(),
                 sent_at: router.clock.now(),
             },
         }
@@ -77,7 +77,12 @@
 
     /// Records that the back end did not crash during the run, which clears the request's fingerprint of suspicion.
     fn record_completed(&self, now: Timestamp) {
-        let Some(fingerprint) = self.run.fingerprint else {
+        let parts = self.run.fingerprints.parts();
+        if self.outcome == Outcome::Answered {
+            let mut core = self.router.core.borrow_mut();
+            core.on_prompt_parts_completed(now, parts);
+        }
+        let Some(fingerprint) = self.run.fingerprints.request() else {
             return;
         };
         let was_suspected = self
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -86,7 +86,8 @@
     let own_answer = final_answer(worst_execution, error, now >= call.deadline);
     router.metrics.count_request(own_answer.reason, elapsed);
     let reach = router.core.borrow().pool_reach(now, &call.admission.pool);
-    tracing::info!(event = "request", id = %call.id, work = call.fingerprint.map(tracing::field::display), route = %call.admission.route.name,
+    tracing::info!(event = "request", id = %call.id, work = call.fingerprints.request().map(tracing::field::display),
+        parts = call.fingerprints.displayed_parts(), route = %call.admission.route.name,
         tenant = call.tenant(), outcome = own_answer.reason, status = own_answer.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         takes_up = call.taken_up(), after = call.taken_up_after(),
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
-use drumshore_gateway_core::{Outcome, RequestFingerprint};
+use drumshore_gateway_core::{Fingerprint, Outcome};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use tokio::time::Sleep;
 use tracing::field::DisplayValue;
@@ -263,7 +263,7 @@
         if !resumption.begin() {
             return false;
         }
-        tracing::info!(event = "answer_broken", id = %self.id, work = self.displayed_fingerprint(),
+        tracing::info!(event = "answer_broken", id = %self.id, work = self.displayed_fingerprint(), parts = self.open_attempt.run.fingerprints.displayed_parts(),
             instance = %self.open_attempt.choice.instance, %error, "router: a back end broke off a stream; resuming it at another one");
         self.open_attempt.end(Outcome::Broken, Execution::Ran);
         self.connection = None;
@@ -319,10 +319,11 @@
             bytes = self.received.bytes(), "router: the body of an answer ended without a mark of its end");
     }
 
-    fn displayed_fingerprint(&self) -> Option<DisplayValue<RequestFingerprint>> {
+    fn displayed_fingerprint(&self) -> Option<DisplayValue<Fingerprint>> {
         self.open_attempt
             .run
-            .fingerprint
+            .fingerprints
+            .request()
             .map(tracing::field::display)
     }
 
@@ -346,7 +347,7 @@
     }
 
     fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
-        tracing::info!(event = "answer_cut", id = %self.id, work = self.displayed_fingerprint(),
+        tracing::info!(event = "answer_cut", id = %self.id, work = self.displayed_fingerprint(), parts = self.open_attempt.run.fingerprints.displayed_parts(),
             instance = %self.open_attempt.choice.instance, framed_by = self.received.framing().as_str(),
             bytes = self.received.bytes(), reason, %error, "router: closed the caller's connection before the end of an answer");
         self.open_attempt.end(outcome, Execution::Ran);
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -44,11 +44,11 @@
 }
 
 impl Attempts {
-    pub fn earlier(&self, call: &Call) -> EarlierAttempts<'_> {
+    pub fn earlier<'a>(&'a self, call: &'a Call) -> EarlierAttempts<'a> {
         EarlierAttempts {
             tried: &self.tried,
             arrived: self.sent,
-            fingerprint: call.fingerprint,
+            fingerprints: Some(&call.fingerprints),
             crashes_before_call: call.crashes_before_call,
             broken: self.broken,
             required_software: self.required_software,
