Quarantine prompt parts that crash back ends, by the mechanism that quarantines requests

Callers saw back ends crash one after the other, 46 and 51 in two spells, while requests of one kind came. Class: containment tied to the identity of what came again, where the cause is a property that requests share.

A crash now counts against each fingerprint that the back end was serving: the request's, and those of the parts of its prompt except the last, whatever the tenant. Only an answer that succeeded and whose end is not in doubt clears a part; whoever heard of a recent completion, router or control machine, counts no crash against it. A part that another one explains better (it crashed only some of the same back ends) is not proposed. The crash of a quarantined request still counts against parts, or requests sent three times would hide them. At most 256 parts, of the runs sent last, are recorded for one crash at a router.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -54,7 +54,7 @@
 use members::JoinRequests;
 use order_lease::OrderLeases;
 use proposals::PendingProposals;
-use quarantine::SuspectedRequests;
+use quarantine::SuspectedFingerprints;
 use reads::Reads;
 use refusing::Refusing;
 use rollout::Rollouts;
@@ -111,7 +111,7 @@
     speed_broadcast: SpeedBroadcast,
     suspects: Suspects,
     refusing: Refusing,
-    suspected_requests: SuspectedRequests,
+    suspected_fingerprints: SuspectedFingerprints,
     tenant_accounts: TenantAccounts,
     tenant_demands: TenantDemands,
     /// Proposed if the replicated state has no key for request fingerprints.
@@ -177,7 +177,7 @@
             speed_broadcast: SpeedBroadcast::default(),
             suspects: Suspects::default(),
             refusing: Refusing::default(),
-            suspected_requests: SuspectedRequests::default(),
+            suspected_fingerprints: SuspectedFingerprints::default(),
             tenant_accounts: TenantAccounts::default(),
             tenant_demands: TenantDemands::default(),
             generated_fingerprint_key: FingerprintKey::generate(seed),
@@ -254,6 +254,7 @@
         self.routers.update_unresponsive(now);
         self.announce_if_pending();
         self.expire_suspicions();
+        self.propose_quarantines();
         self.review_quarantines();
         self.broadcast_suspicions();
         if self.role() == Role::Leader {
--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -1,5 +1,5 @@
-//! Requests that crash back ends: control machines add up the reports of routers and propose which
-//! request fingerprints are quarantined.
+//! Requests and prompt parts that crash back ends: control machines add up the reports of routers and propose which
+//! fingerprints are quarantined.
 //!
 //! Every control machine accepts reports, notifies its routers and proposes quarantines and
 //! releases, whether it leads or not. Reports only accumulate, so counting them on several machines is harmless, and
@@ -16,8 +16,7 @@
 
 use super::{ConnectionId, ControlCore, Effect};
 use crate::quarantine::{
-    CrashLedger, CrashReport, CRASHES_FOR_QUARANTINE, CRASHES_FOR_SUSPICION, QUARANTINE_FOR,
-    TRIAL_DELAYS, TRIAL_SPREAD,
+    CrashLedger, CrashReport, QuarantinePolicy, CRASHES_FOR_SUSPICION, TRIAL_SPREAD,
 };
 use crate::{
     Command, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintSuspicion, Message,
@@ -32,10 +31,14 @@
 /// Interval between removals of outdated crashes.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// What one control machine knows of requests that crash back ends.
+/// What one control machine knows of requests and prompt parts that crash back ends.
 #[derive(Debug, Default)]
-pub(super) struct SuspectedRequests {
+pub(super) struct SuspectedFingerprints {
     ledger: CrashLedger,
+    /// Whether crashes were recorded since the counts were last compared with those sent.
+    has_new_crashes: bool,
+    /// Fingerprints with enough crashes for a quarantine that is not committed yet.
+    accused: BTreeMap<Fingerprint, Accusation>,
     /// Crash counts that routers were sent last.
     sent: BTreeMap<Fingerprint, u8>,
     /// Crash counts that differ from those sent; 0 withdraws a suspicion.
@@ -45,6 +48,13 @@
     quarantined: BTreeMap<Fingerprint, QuarantineRecord>,
 }
 
+/// A fingerprint whose quarantine is due unless reports contradict it.
+#[derive(Clone, Copy, Debug)]
+struct Accusation {
+    since: Timestamp,
+    proposed_at: Option<Timestamp>,
+}
+
 /// A quarantined fingerprint as one control machine knows it.
 #[derive(Clone, Copy, Debug)]
 struct QuarantineRecord {
@@ -63,30 +73,49 @@
     /// Returns true once for each trial, when it comes due.
     fn take_due_trial(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let spread = TRIAL_SPREAD.mul_f64(fingerprint.fraction());
-        let next = TRIAL_DELAYS.get(self.trials);
+        let next = QuarantinePolicy::of(fingerprint)
+            .trial_delays
+            .get(self.trials);
         let is_due = next.is_some_and(|after| now.since(self.at) >= *after + spread);
         self.trials += usize::from(is_due);
         is_due
     }
 }
 
-impl SuspectedRequests {
+impl SuspectedFingerprints {
     /// Updates the crash count that routers are to be sent, if it differs from the one sent.
     fn update_unsent(&mut self, fingerprint: Fingerprint) {
         let crashes = self.ledger.crashes(fingerprint);
-        let crashes = if crashes < CRASHES_FOR_SUSPICION {
+        let least = QuarantinePolicy::of(fingerprint).crashes;
+        let sent = self.sent.get(&fingerprint).copied().unwrap_or_default();
+        // Routers keep the largest count until they are sent 0.
+        let is_withdrawn = crashes < least && u32::from(sent) >= least;
+        let crashes = if crashes < CRASHES_FOR_SUSPICION || is_withdrawn {
             0
         } else {
-            crashes
+            u8::try_from(crashes).unwrap_or(u8::MAX).max(sent)
         };
-        let crashes = u8::try_from(crashes).unwrap_or(u8::MAX);
-        if self.sent.get(&fingerprint).copied().unwrap_or_default() == crashes {
+        if sent == crashes {
             self.unsent.remove(&fingerprint);
         } else {
             self.unsent.insert(fingerprint, crashes);
         }
     }
 
+    fn update_all_unsent(&mut self, fingerprints: &[Fingerprint]) {
+        for fingerprint in fingerprints {
+            self.update_unsent(*fingerprint);
+        }
+    }
+
+    /// Updates the counts of all fingerprints that were sent: crashes of other back ends at the same time lower them.
+    fn update_all_sent(&mut self) {
+        let sent: Vec<Fingerprint> = self.sent.keys().copied().collect();
+        for fingerprint in sent {
+            self.update_unsent(fingerprint);
+        }
+    }
+
     /// Takes the next suspicions to send, those with the most crashes first, and marks them as sent.
     fn take_unsent(&mut self, limit: usize) -> Vec<FingerprintSuspicion> {
         let mut due: Vec<(u8, Fingerprint)> =
@@ -97,6 +126,7 @@
             self.unsent.remove(fingerprint);
             if *crashes == 0 {
                 self.sent.remove(fingerprint);
+                self.update_unsent(*fingerprint);
             } else {
                 self.sent.insert(*fingerprint, *crashes);
             }
@@ -111,7 +141,7 @@
 }
 
 impl<D: Directory> ControlCore<D> {
-    /// Processes a router's reports on request fingerprints.
+    /// Processes a router's reports on fingerprints.
     pub(super) fn on_fingerprint_reports(&mut self, reports: &[FingerprintReport]) {
         for report in reports {
             match report.event {
@@ -132,10 +162,19 @@
     }
 
     fn on_crash_reported(&mut self, fingerprint: Fingerprint, report: CrashReport) {
-        let suspected = &mut self.suspected_requests;
-        if !suspected.ledger.record_crash(self.now, fingerprint, report) {
+        let is_quarantined = self.state.is_quarantined(fingerprint);
+        let suspected = &mut self.suspected_fingerprints;
+        let is_new = suspected.ledger.record_crash(self.now, fingerprint, report);
+        if is_quarantined {
+            let relieved = suspected
+                .ledger
+                .attribute_crash_to(fingerprint, report.back_end);
+            suspected.update_all_unsent(&relieved);
+        }
+        if !is_new {
             return;
         }
+        suspected.has_new_crashes = true;
         suspected.update_unsent(fingerprint);
         let crashes = suspected.ledger.crashes(fingerprint);
         if crashes >= CRASHES_FOR_SUSPICION {
@@ -144,23 +183,57 @@
                 crashes,
             });
         }
-        if self.state.is_quarantined(fingerprint) {
-            self.clear_explained_suspicions(fingerprint);
-        } else if crashes >= CRASHES_FOR_QUARANTINE {
+    }
+
+    /// Proposes the quarantines whose hearing has ended without a contradiction. Proposed again after some time if the
+    /// log does not accept one.
+    pub(super) fn propose_quarantines(&mut self) {
+        let (now, retry_after) = (self.now, self.params.reply_timeout);
+        let suspected = &mut self.suspected_fingerprints;
+        if std::mem::take(&mut suspected.has_new_crashes) {
+            suspected.update_all_sent();
+        } else if suspected.accused.is_empty() {
+            return;
+        }
+        let culprits = self.suspected_fingerprints.ledger.culprits();
+        let accused = &mut self.suspected_fingerprints.accused;
+        accused.retain(|fingerprint, _| culprits.contains(fingerprint));
+        let mut due = Vec::new();
+        for fingerprint in culprits {
+            if self.state.is_quarantined(fingerprint) {
+                accused.remove(&fingerprint);
+                continue;
+            }
+            let accusation = accused.entry(fingerprint).or_insert(Accusation {
+                since: now,
+                proposed_at: None,
+            });
+            let is_heard = now.since(accusation.since) >= QuarantinePolicy::of(fingerprint).hearing;
+            let is_pending = accusation
+                .proposed_at
+                .is_some_and(|at| now.since(at) < retry_after);
+            if is_heard && !is_pending {
+                accusation.proposed_at = Some(now);
+                due.push(fingerprint);
+            }
+        }
+        for fingerprint in due {
             self.propose(None, Command::Quarantine { fingerprint });
         }
     }
 
-    /// Crashes while serving a quarantined request no longer count against the requests that were in flight
-    /// at the same back ends.
+    /// Crashes while serving a quarantined request or prompt part no longer count against the requests that were in
+    /// flight at the same back ends.
     fn clear_explained_suspicions(&mut self, culprit: Fingerprint) {
-        for cleared in self.suspected_requests.ledger.attribute_crashes_to(culprit) {
-            self.suspected_requests.update_unsent(cleared);
-        }
+        let suspected = &mut self.suspected_fingerprints;
+        let relieved = suspected.ledger.attribute_crashes_to(culprit);
+        suspected.update_all_unsent(&relieved);
     }
 
     /// Clears a fingerprint: a request that completed does not crash every back end that serves it.
     fn on_request_completed(&mut self, fingerprint: Fingerprint) {
+        let ledger = &mut self.suspected_fingerprints.ledger;
+        ledger.record_completion(self.now, fingerprint);
         self.clear_suspicion(fingerprint);
         if self.state.is_quarantined(fingerprint) {
             self.propose(None, Command::Release { fingerprint });
@@ -168,14 +241,14 @@
     }
 
     fn clear_suspicion(&mut self, fingerprint: Fingerprint) {
-        self.suspected_requests.ledger.clear(fingerprint);
-        self.suspected_requests.update_unsent(fingerprint);
+        self.suspected_fingerprints.ledger.clear(fingerprint);
+        self.suspected_fingerprints.update_unsent(fingerprint);
     }
 
     /// The quarantine was committed.
     pub(super) fn on_quarantined(&mut self, fingerprint: Fingerprint) {
         let record = QuarantineRecord::new(self.now);
-        self.suspected_requests
+        self.suspected_fingerprints
             .quarantined
             .insert(fingerprint, record);
         self.clear_explained_suspicions(fingerprint);
@@ -183,7 +256,7 @@
 
     /// The release was committed: the fingerprint starts over without a record of crashes.
     pub(super) fn on_released(&mut self, fingerprint: Fingerprint) {
-        self.suspected_requests.quarantined.remove(&fingerprint);
+        self.suspected_fingerprints.quarantined.remove(&fingerprint);
         self.clear_suspicion(fingerprint);
     }
 
@@ -194,14 +267,14 @@
         let is_leader = self.role() == Role::Leader;
         let (mut trials, mut released) = (Vec::new(), Vec::new());
         for fingerprint in self.state.quarantined() {
-            let records = &mut self.suspected_requests.quarantined;
+            let records = &mut self.suspected_fingerprints.quarantined;
             let record = records
                 .entry(fingerprint)
                 .or_insert(QuarantineRecord::new(now));
             if record.take_due_trial(now, fingerprint) && is_leader {
                 trials.push(fingerprint);
             }
-            if now.since(record.at) >= QUARANTINE_FOR && is_leader {
+            if now.since(record.at) >= QuarantinePolicy::of(fingerprint).lasts && is_leader {
                 // Proposed again after this time if the log does not accept it.
                 record.at = record.at.plus(self.params.reply_timeout);
                 released.push(fingerprint);
@@ -227,7 +300,7 @@
 
     /// Removes outdated crashes.
     pub(super) fn expire_suspicions(&mut self) {
-        let (now, suspected) = (self.now, &mut self.suspected_requests);
+        let (now, suspected) = (self.now, &mut self.suspected_fingerprints);
         if now.since(suspected.expired_at) < EXPIRY_INTERVAL {
             return;
         }
@@ -241,12 +314,12 @@
 
     /// Sends routers the changed suspicions, as many as the bandwidth allows.
     pub(super) fn broadcast_suspicions(&mut self) {
-        if self.suspected_requests.unsent.is_empty() {
+        if self.suspected_fingerprints.unsent.is_empty() {
             return;
         }
         let budget = MAX_BYTES_PER_SECOND * self.params.tick.as_secs_f64();
         let limit = (budget / FingerprintSuspicion::BYTES as f64).max(1.0) as usize;
-        let sent = self.suspected_requests.take_unsent(limit);
+        let sent = self.suspected_fingerprints.take_unsent(limit);
         for connection in self.routers.connections() {
             let message = Message::FingerprintSuspicions(List::new(sent.clone()));
             self.effects.push(Effect::ToRouter(connection, message));
@@ -255,7 +328,7 @@
 
     /// Sends suspicions to a router that has just connected, those with the most crashes first.
     pub(super) fn send_suspicions(&mut self, connection: ConnectionId) {
-        let sent = self.suspected_requests.sent.iter();
+        let sent = self.suspected_fingerprints.sent.iter();
         let suspicions = sent.map(|(fingerprint, crashes)| FingerprintSuspicion {
             fingerprint: *fingerprint,
             crashes: *crashes,
--- a/crates/gateway-core/src/quarantine/completions.rs
+++ b/crates/gateway-core/src/quarantine/completions.rs
@@ -15,8 +15,8 @@
 /// The maximum time for which a completion counts as evidence for its fingerprint.
 pub(crate) const COMPLETION_VALID_FOR: Duration = Duration::from_secs(2 * GENERATION.as_secs());
 /// The maximum number of fingerprints in one generation, of 16 bytes each. A router's share of the intended system
-/// size, 111 requests per second, makes 555 in that time.
-const MAX_FINGERPRINTS: usize = 4_096;
+/// size, 111 requests per second with 20 prompt parts each, makes 11,655 in that time if none is shared.
+const MAX_FINGERPRINTS: usize = 16_384;
 
 /// Fingerprints of completed requests, in two generations.
 #[derive(Debug, Default)]
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -5,18 +5,19 @@
 
 use drumshore_core::Timestamp;
 
-use super::{CRASHES_FOR_QUARANTINE, REMEMBER_CRASHES_FOR};
-use crate::Fingerprint;
+use super::completions::Completions;
+use super::{QuarantinePolicy, REMEMBER_CRASHES_FOR};
+use crate::{Fingerprint, FingerprintScope};
 
 /// Crashes within this time count as one incident, unless one back end received the request after the other had
 /// crashed: a power failure crashes many back ends at once, and several of them may be serving requests with the
 /// same fingerprint. Routers see crashes of the same incident up to 9 ms apart.
 const SAME_INCIDENT: Duration = Duration::from_millis(50);
 /// The maximum number of crashes kept for one fingerprint.
-const MAX_CRASHES: usize = 8;
-/// The maximum number of fingerprints kept. Each takes 80 to 200 bytes, so all of them take at most 800 KB. If a
-/// quarter of 1,900 back ends with 16 requests each crash together, they make 7,600 entries; the oldest are evicted.
-const MAX_FINGERPRINTS: usize = 4_096;
+const MAX_CRASHES: usize = 16;
+/// The maximum number of fingerprints kept. Each takes 80 to 400 bytes, so all of them take at most 3.2 MB; the oldest
+/// are evicted.
+const MAX_FINGERPRINTS: usize = 8_192;
 /// The maximum number of back ends remembered as crashed by a quarantined fingerprint, so that late reports of their
 /// crashes are ignored.
 const MAX_ATTRIBUTED: usize = 1_024;
@@ -51,19 +52,40 @@
     pub service_time: Duration,
 }
 
+/// Back ends whose crash is attributed to a quarantined fingerprint, oldest first.
+#[derive(Debug, Default)]
+struct Attributed(VecDeque<(u32, FingerprintScope)>);
+
+impl Attributed {
+    fn add(&mut self, back_end: u32, culprit: FingerprintScope) {
+        if !self.0.contains(&(back_end, culprit)) {
+            self.0.push_back((back_end, culprit));
+            let surplus = self.0.len().saturating_sub(MAX_ATTRIBUTED);
+            self.0.drain(..surplus);
+        }
+    }
+
+    /// Whether a crash does not count against fingerprints of a scope. The cause of a crash that is attributed to a
+    /// request may be a part of its prompt.
+    fn relieves(&self, back_end: u32, scope: FingerprintScope) -> bool {
+        let culprits = self.0.iter().filter(|(known, _)| *known == back_end);
+        culprits.into_iter().any(|(_, culprit)| *culprit >= scope)
+    }
+}
+
 /// Crashes of back ends by the fingerprints that they were serving, except those attributed to another, quarantined
-/// fingerprint.
+/// fingerprint, and except fingerprints whose requests recently completed.
 #[derive(Debug, Default)]
 pub(crate) struct CrashLedger {
     by_fingerprint: HashMap<Fingerprint, Vec<Crash>>,
-    /// Back ends whose crash is attributed to a quarantined fingerprint. It doesn't count against the other requests
-    /// that they were serving.
-    attributed: VecDeque<u32>,
+    attributed: Attributed,
+    completions: Completions,
 }
 
 impl CrashLedger {
     /// Records that a back end crashed while serving the fingerprint. False if the crash is known already, is
-    /// attributed to another fingerprint, or exceeds [`MAX_CRASHES`].
+    /// attributed to another fingerprint, exceeds [`MAX_CRASHES`], or a request with the fingerprint recently
+    /// completed.
     pub fn record_crash(
         &mut self,
         now: Timestamp,
@@ -71,7 +93,9 @@
         report: CrashReport,
     ) -> bool {
         let back_end = report.back_end;
-        if self.attributed.contains(&back_end) {
+        let at = micros(now) - report.age.as_micros() as i64;
+        let is_relieved = self.attributed.relieves(back_end, fingerprint.scope());
+        if is_relieved || self.completions.contains(now, fingerprint) {
             return false;
         }
         if self.by_fingerprint.len() >= MAX_FINGERPRINTS
@@ -84,7 +108,6 @@
         if is_known || crashes.len() >= MAX_CRASHES {
             return false;
         }
-        let at = micros(now) - report.age.as_micros() as i64;
         let received = at - report.service_time.as_micros() as i64;
         crashes.push(Crash {
             back_end,
@@ -112,26 +135,81 @@
         incidents
     }
 
+    /// Of the fingerprints with enough incidents to be quarantined, those that no other one explains better: each of
+    /// the others crashed only back ends that also crashed while serving one of these.
+    pub fn culprits(&self) -> Vec<Fingerprint> {
+        let mut candidates: Vec<(usize, Fingerprint, BTreeSet<u32>)> = Vec::new();
+        for (fingerprint, crashes) in &self.by_fingerprint {
+            let least = QuarantinePolicy::of(*fingerprint).crashes;
+            if crashes.len() >= least as usize && self.crashes(*fingerprint) >= least {
+                let back_ends = crashes.iter().map(|crash| crash.back_end).collect();
+                candidates.push((crashes.len(), *fingerprint, back_ends));
+            }
+        }
+        candidates.sort_unstable_by(|one, other| other.cmp(one));
+        let mut culprits: Vec<(Fingerprint, BTreeSet<u32>)> = Vec::new();
+        for (_, fingerprint, back_ends) in candidates {
+            let explains = |(culprit, crashed): &(Fingerprint, BTreeSet<u32>)| {
+                culprit.scope() >= fingerprint.scope()
+                    && crashed.len() > back_ends.len()
+                    && back_ends.is_subset(crashed)
+            };
+            if !culprits.iter().any(explains) {
+                culprits.push((fingerprint, back_ends));
+            }
+        }
+        culprits
+            .into_iter()
+            .map(|(fingerprint, _)| fingerprint)
+            .collect()
+    }
+
+    /// Records that a request with the fingerprint completed, which clears it. True if any crash was recorded.
+    pub fn record_completion(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        self.completions.note(now, fingerprint);
+        self.clear(fingerprint)
+    }
+
+    /// Whether a request with the fingerprint recently completed.
+    pub fn has_completed_recently(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        self.completions.contains(now, fingerprint)
+    }
+
     /// Forgets all crashes of a fingerprint. True if there were any.
     pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
         self.by_fingerprint.remove(&fingerprint).is_some()
     }
 
-    /// Attributes all crashes recorded for a quarantined fingerprint to it alone: they no longer count against other
-    /// requests that these back ends were serving. Returns the fingerprints that now have fewer crashes or none.
+    /// Attributes all crashes recorded for a quarantined fingerprint to it: they no longer count against others that
+    /// these back ends were serving, except the crashes of a request against the parts of prompts. Returns the
+    /// fingerprints that now have fewer crashes or none.
     pub fn attribute_crashes_to(&mut self, culprit: Fingerprint) -> Vec<Fingerprint> {
-        let crashes = self
-            .by_fingerprint
-            .get(&culprit)
-            .cloned()
-            .unwrap_or_default();
-        let back_ends: BTreeSet<u32> = crashes.iter().map(|crash| crash.back_end).collect();
+        let crashes = self.by_fingerprint.get(&culprit);
+        let crashes = crashes.into_iter().flatten();
+        let back_ends: BTreeSet<u32> = crashes.map(|crash| crash.back_end).collect();
+        for back_end in &back_ends {
+            self.attributed.add(*back_end, culprit.scope());
+        }
+        self.relieve_others(culprit, &back_ends)
+    }
+
+    /// Attributes one crash to a quarantined fingerprint, also if it is not recorded for it.
+    pub fn attribute_crash_to(&mut self, culprit: Fingerprint, back_end: u32) -> Vec<Fingerprint> {
+        self.attributed.add(back_end, culprit.scope());
+        self.relieve_others(culprit, &BTreeSet::from([back_end]))
+    }
+
+    fn relieve_others(
+        &mut self,
+        culprit: Fingerprint,
+        back_ends: &BTreeSet<u32>,
+    ) -> Vec<Fingerprint> {
         let mut changed = Vec::new();
-        for (fingerprint, crashes) in self
-            .by_fingerprint
-            .iter_mut()
-            .filter(|(fingerprint, _)| **fingerprint != culprit)
-        {
+        let others = self.by_fingerprint.iter_mut();
+        for (fingerprint, crashes) in others.filter(|(fingerprint, _)| **fingerprint != culprit) {
+            if culprit.scope() < fingerprint.scope() {
+                continue;
+            }
             let before = crashes.len();
             crashes.retain(|crash| !back_ends.contains(&crash.back_end));
             if crashes.len() < before {
@@ -139,13 +217,6 @@
             }
         }
         self.by_fingerprint.retain(|_, crashes| !crashes.is_empty());
-        let new = back_ends
-            .into_iter()
-            .filter(|back_end| !self.attributed.contains(back_end));
-        let new: Vec<u32> = new.collect();
-        self.attributed.extend(new);
-        let surplus = self.attributed.len().saturating_sub(MAX_ATTRIBUTED);
-        self.attributed.drain(..surplus);
         changed.sort_unstable();
         changed
     }
@@ -168,7 +239,8 @@
             Vec::with_capacity(self.by_fingerprint.len());
         for (fingerprint, crashes) in &self.by_fingerprint {
             let last = crashes.last().map(|crash| crash.at).unwrap_or_default();
-            let rank = self.crashes(*fingerprint).min(CRASHES_FOR_QUARANTINE);
+            let most = QuarantinePolicy::of(*fingerprint).crashes;
+            let rank = self.crashes(*fingerprint).min(most);
             by_rank.push((rank, last, *fingerprint));
         }
         by_rank.sort_unstable();
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -11,6 +11,10 @@
     Timestamp(1 + ms * 1_000)
 }
 
+fn part(name: &str) -> Fingerprint {
+    FingerprintKey::generate(1).identify_part(name)
+}
+
 fn fingerprint(number: u32) -> Fingerprint {
     let body = number.to_le_bytes();
     FingerprintKey::generate(1).identify(&FingerprintInput {
@@ -124,7 +128,7 @@
     for _ in 0..2 * MAX_ATTRIBUTED {
         ledger.attribute_crashes_to(fingerprint(1));
     }
-    assert_eq!(ledger.attributed, [1]);
+    assert_eq!(ledger.attributed.0, [(1, FingerprintScope::Request)]);
 }
 
 #[test]
@@ -188,7 +192,7 @@
 #[rstest]
 fn two_crashes_of_a_quarter_of_a_pool_quarantine_no_request(#[values(1, 2, 3, 4, 5)] seed: u64) {
     assert_eq!(
-        quarantined_by_chance(seed, 2, 0.25, CRASHES_FOR_QUARANTINE),
+        quarantined_by_chance(seed, 2, 0.25, QuarantinePolicy::of(fingerprint(0)).crashes),
         0.0
     );
 }
@@ -205,3 +209,82 @@
         println!("{waves} waves, {least} incidents: {mean:.1} of 1,000");
     }
 }
+
+/// Records that a back end crashed while serving the fingerprints.
+fn crash(ledger: &mut CrashLedger, now: Timestamp, back_end: u32, serving: &[Fingerprint]) {
+    for fingerprint in serving {
+        ledger.record_crash(now, *fingerprint, crashed(back_end, 0));
+    }
+}
+
+#[test]
+fn a_part_is_the_culprit_and_not_the_rarer_parts_and_requests_beside_it() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..8_u32 {
+        let other = part(&format!("other-{}", number / 5));
+        let request = fingerprint(number / 3);
+        let serving = [part("crashing"), other, request];
+        crash(&mut ledger, at(u64::from(number) * 300), number, &serving);
+    }
+    assert!(ledger.crashes(part("other-0")) >= QuarantinePolicy::of(part("other-0")).crashes);
+    assert_eq!(ledger.culprits(), [part("crashing")]);
+}
+
+#[test]
+fn two_parts_that_crash_different_back_ends_are_both_culprits() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..10_u32 {
+        let crashing = part(["one", "two"][number as usize % 2]);
+        crash(
+            &mut ledger,
+            at(u64::from(number) * 150),
+            number,
+            &[crashing],
+        );
+    }
+    let mut culprits = ledger.culprits();
+    culprits.sort_unstable();
+    assert_eq!(culprits, sorted([part("one"), part("two")]));
+}
+
+#[test]
+fn a_request_that_is_sent_three_times_does_not_condemn_the_parts_of_its_prompt() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..3 {
+        let serving = [fingerprint(1), part("session")];
+        crash(&mut ledger, at(u64::from(number) * 500), number, &serving);
+    }
+    assert_eq!(ledger.culprits(), [fingerprint(1)]);
+}
+
+#[test]
+fn crashes_attributed_to_requests_still_count_against_the_part_that_they_share() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..4 {
+        let request = fingerprint(number / 3);
+        crash(
+            &mut ledger,
+            at(u64::from(number) * 500),
+            number,
+            &[request, part("shared")],
+        );
+        if number == 2 {
+            assert_eq!(ledger.attribute_crashes_to(request), []);
+        }
+    }
+    assert_eq!(ledger.culprits(), [part("shared")]);
+}
+
+#[test]
+fn a_part_whose_requests_complete_is_never_a_culprit() {
+    let mut ledger = CrashLedger::default();
+    for number in 0..10_u32 {
+        let now = at(u64::from(number) * 300);
+        if number.is_multiple_of(3) {
+            ledger.record_completion(now, part("everybody"));
+        }
+        let serving = [part("everybody"), part("crashing")];
+        crash(&mut ledger, now, number, &serving);
+    }
+    assert_eq!(ledger.culprits(), [part("crashing")]);
+}
--- a/crates/gateway-core/src/router/choose.rs
+++ b/crates/gateway-core/src/router/choose.rs
@@ -25,7 +25,7 @@
         prompt: Option<&Prompt>,
         earlier: EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
-        self.check_fingerprint(now, &earlier)?;
+        self.check_fingerprints(now, &earlier)?;
         let is_retry = earlier.arrived > 0;
         if earlier.tried.is_empty() {
             self.budget.on_request(now, &admission.pool);
--- a/crates/gateway-core/src/router/copies.rs
+++ b/crates/gateway-core/src/router/copies.rs
@@ -71,7 +71,7 @@
         copy: &RunCopy,
         earlier: EarlierAttempts<'_>,
     ) -> Result<Choice, ChoiceError> {
-        self.check_fingerprint(now, &earlier)?;
+        self.check_fingerprints(now, &earlier)?;
         if earlier.arrived > 0 && !self.budget.may_retry(now, &admission.pool) {
             return Err(ChoiceError::NoBudget);
         }
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -3,6 +3,7 @@
 //! A router combines its own observations, crash counts sent by control machines, and the replicated quarantine
 //! list. Any one of them is enough to act on, so a router that is cut off relies on its own observations.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
@@ -10,18 +11,21 @@
 
 use super::{ChoiceError, EarlierAttempts, RouterCore};
 use crate::quarantine::{
-    Completions, CrashLedger, CrashReport, COMPLETION_VALID_FOR, CRASHES_FOR_QUARANTINE,
-    CRASHES_FOR_SUSPICION, PERMIT_VALID_FOR, REMEMBER_CRASHES_FOR,
+    CrashLedger, CrashReport, QuarantinePolicy, COMPLETION_VALID_FOR, CRASHES_FOR_SUSPICION,
+    PERMIT_VALID_FOR, REMEMBER_CRASHES_FOR,
 };
 use crate::{
-    Changes, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintSuspicion, InstanceId,
-    LoadEntry, RequestFingerprints,
+    Changes, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintScope,
+    FingerprintSuspicion, InstanceId, LoadEntry, RequestFingerprints,
 };
 
 /// Reports kept for control machines that connect later. Each report is sent to all control machines.
-const MAX_REPORTS: usize = 512;
+const MAX_REPORTS: usize = 2_048;
 /// Fingerprints kept for which control machines have sent crash counts.
 const MAX_ANNOUNCED: usize = 4_096;
+/// Prompt parts that are recorded for one crash, of the requests that were sent last. The cause is among them: it crashes
+/// a back end that begins to answer.
+const MAX_PARTS_PER_CRASH: usize = 256;
 
 /// An event that this router observed for a fingerprint.
 #[derive(Clone, Copy, Debug)]
@@ -49,7 +53,6 @@
 #[derive(Debug, Default)]
 pub(super) struct SuspectedFingerprints {
     own: CrashLedger,
-    completions: Completions,
     /// Crash counts over all routers, as sent by control machines.
     announced: HashMap<Fingerprint, u8>,
     /// The replicated quarantine list.
@@ -64,23 +67,40 @@
 impl SuspectedFingerprints {
     /// How many crashes while serving the fingerprint this router knows of. Back ends that crash together count once.
     fn crashes(&self, fingerprint: Fingerprint) -> u32 {
-        let announced = self
-            .announced
-            .get(&fingerprint)
-            .copied()
-            .unwrap_or_default();
-        self.own.crashes(fingerprint).max(u32::from(announced))
+        let announced = self.announced_crashes(fingerprint);
+        self.own.crashes(fingerprint).max(announced)
     }
 
+    fn announced_crashes(&self, fingerprint: Fingerprint) -> u32 {
+        let announced = self.announced.get(&fingerprint).copied();
+        u32::from(announced.unwrap_or_default())
+    }
+
+    /// Whether requests with the fingerprint are not sent. What this router saw itself is not enough for a prompt part:
+    /// many back ends may have crashed at once, most of them unseen by this router.
     fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
+        let crashes = match fingerprint.scope() {
+            FingerprintScope::Request => self.crashes(fingerprint),
+            FingerprintScope::PromptPart => self.announced_crashes(fingerprint),
+        };
         self.quarantined.contains(&fingerprint)
-            || self.crashes(fingerprint) >= CRASHES_FOR_QUARANTINE
+            || crashes >= QuarantinePolicy::of(fingerprint).crashes
     }
 
-    /// Consumes the permit for one trial of a quarantined fingerprint. False when there is none or it has expired.
-    fn take_permit(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
-        let permitted_at = self.permits.remove(&fingerprint);
-        permitted_at.is_some_and(|at| now.since(at) < PERMIT_VALID_FOR)
+    /// Consumes the permits for one trial of a request with these quarantined fingerprints. False, without consuming
+    /// any, unless there is a valid one for each of them.
+    fn take_permits(&mut self, now: Timestamp, fingerprints: &[Fingerprint]) -> bool {
+        let is_permitted = |fingerprint: &Fingerprint| {
+            let permitted_at = self.permits.get(fingerprint);
+            permitted_at.is_some_and(|at| now.since(*at) < PERMIT_VALID_FOR)
+        };
+        let are_permitted = fingerprints.iter().all(is_permitted);
+        if are_permitted {
+            for fingerprint in fingerprints {
+                self.permits.remove(fingerprint);
+            }
+        }
+        are_permitted
     }
 
     fn report(&mut self, at: Timestamp, fingerprint: Fingerprint, event: FingerprintEvent) {
@@ -99,7 +119,7 @@
     /// Reports a recent completion of a request with this fingerprint, which the router that observed the crashes
     /// does not know of. Returns whether there was one.
     fn report_recent_completion(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
-        let has_completed = self.completions.contains(now, fingerprint);
+        let has_completed = self.own.has_completed_recently(now, fingerprint);
         if has_completed {
             self.clear(fingerprint);
             self.report(now, fingerprint, FingerprintEvent::Completed);
@@ -147,41 +167,61 @@
         self.suspected_fingerprints.crashes(fingerprint)
     }
 
-    /// Decides whether a request with this fingerprint may be sent now. A suspected request is not retried within
+    /// Decides whether a request with these fingerprints may be sent now. A suspected request is not retried within
     /// its call. The caller may call again, which spreads further attempts in time and leaves time for the
     /// observations of other routers to arrive.
-    pub(super) fn check_fingerprint(
+    pub fn check_fingerprints(
         &mut self,
         now: Timestamp,
         earlier: &EarlierAttempts<'_>,
     ) -> Result<(), ChoiceError> {
-        let Some(fingerprint) = earlier.fingerprints.and_then(RequestFingerprints::request) else {
+        let Some(fingerprints) = earlier.fingerprints else {
             return Ok(());
         };
-        if self.suspected_fingerprints.is_quarantined(fingerprint) {
+        let suspected = &mut self.suspected_fingerprints;
+        let quarantined: Vec<Fingerprint> = fingerprints
+            .iter()
+            .filter(|fingerprint| suspected.is_quarantined(*fingerprint))
+            .collect();
+        if !quarantined.is_empty() {
             let is_first = earlier.tried.is_empty();
-            if is_first && self.suspected_fingerprints.take_permit(now, fingerprint) {
+            if is_first && suspected.take_permits(now, &quarantined) {
                 return Ok(());
             }
             return Err(ChoiceError::Quarantined);
         }
-        let crashes = self.suspected_fingerprints.crashes(fingerprint);
-        let crashes = crashes.max(earlier.crashes_before_call + earlier.broken);
-        if earlier.broken > 0 && crashes >= CRASHES_FOR_SUSPICION {
+        if earlier.broken == 0 {
+            return Ok(());
+        }
+        let crashes = fingerprints
+            .iter()
+            .map(|fingerprint| suspected.crashes(fingerprint));
+        let of_request = earlier.crashes_before_call + earlier.broken;
+        if crashes.fold(of_request, u32::max) >= CRASHES_FOR_SUSPICION {
             return Err(ChoiceError::Suspected);
         }
         Ok(())
     }
 
+    /// The first quarantined fingerprint of a request.
+    pub fn quarantined_fingerprint(
+        &self,
+        fingerprints: &RequestFingerprints,
+    ) -> Option<Fingerprint> {
+        let suspected = &self.suspected_fingerprints;
+        let mut fingerprints = fingerprints.iter();
+        fingerprints.find(|fingerprint| suspected.is_quarantined(*fingerprint))
+    }
+
     /// Whether so many back ends have crashed while serving the fingerprint that its request is placed where a
     /// further crash loses the fewest other requests.
     pub(super) fn is_suspected(&self, fingerprints: Option<&RequestFingerprints>) -> bool {
-        let fingerprint = fingerprints.and_then(RequestFingerprints::request);
-        fingerprint.is_some_and(|fingerprint| {
-            let suspected = &self.suspected_fingerprints;
+        let suspected = &self.suspected_fingerprints;
+        let is_suspected = |fingerprint: Fingerprint| {
             suspected.is_quarantined(fingerprint)
                 || suspected.crashes(fingerprint) >= CRASHES_FOR_SUSPICION
-        })
+        };
+        fingerprints.is_some_and(|fingerprints| fingerprints.iter().any(is_suspected))
     }
 
     /// The leader permits this router one trial of a quarantined fingerprint.
@@ -203,12 +243,8 @@
         self.endpoints.on_crashed(now, instance);
         self.suspect(instance);
         let suspected = &mut self.suspected_fingerprints;
-        let fingerprints: BTreeMap<Fingerprint, Timestamp> = fingerprints.iter().copied().collect();
         let mut new = Vec::new();
-        for (fingerprint, sent_at) in fingerprints {
-            if suspected.completions.contains(now, fingerprint) {
-                continue;
-            }
+        for (fingerprint, sent_at) in latest_runs(fingerprints) {
             let service_time = now.since(sent_at);
             let crash = CrashReport {
                 back_end,
@@ -235,26 +271,20 @@
     /// whether the fingerprint was quarantined or had any crash counted.
     pub fn on_fingerprint_completed(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let suspected = &mut self.suspected_fingerprints;
-        suspected.completions.note(now, fingerprint);
+        let had_crashes = suspected.own.record_completion(now, fingerprint);
+        let was_announced = suspected.clear(fingerprint);
         let was_suspected =
-            suspected.clear(fingerprint) || suspected.quarantined.contains(&fingerprint);
+            had_crashes || was_announced || suspected.quarantined.contains(&fingerprint);
         if was_suspected {
             suspected.report(now, fingerprint, FingerprintEvent::Completed);
         }
         was_suspected
     }
 
-    /// Records that a request with these prompt parts completed.
-    pub fn on_prompt_parts_completed(&mut self, now: Timestamp, parts: &[Fingerprint]) {
-        for part in parts {
-            self.suspected_fingerprints.completions.note(now, *part);
-        }
-    }
-
     /// Whether a request with this fingerprint recently completed at this router.
     pub fn has_completed_recently(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
-        let completions = &mut self.suspected_fingerprints.completions;
-        completions.contains(now, fingerprint)
+        let own = &mut self.suspected_fingerprints.own;
+        own.has_completed_recently(now, fingerprint)
     }
 
     /// Applies crash counts sent by a control machine. Counts only grow, so the largest one received from any
@@ -308,3 +338,21 @@
             .collect()
     }
 }
+
+/// Each fingerprint with the last time at which a request with it was sent, of prompt parts at most
+/// [`MAX_PARTS_PER_CRASH`].
+fn latest_runs(fingerprints: &[(Fingerprint, Timestamp)]) -> Vec<(Fingerprint, Timestamp)> {
+    let mut latest: BTreeMap<Fingerprint, Timestamp> = BTreeMap::new();
+    for (fingerprint, sent_at) in fingerprints {
+        let last = latest.entry(*fingerprint).or_default();
+        *last = (*last).max(*sent_at);
+    }
+    let is_part = |(fingerprint, _): &(Fingerprint, Timestamp)| {
+        fingerprint.scope() == FingerprintScope::PromptPart
+    };
+    let (mut parts, mut runs): (Vec<_>, Vec<_>) = latest.into_iter().partition(is_part);
+    parts.sort_by_key(|(_, sent_at)| Reverse(*sent_at));
+    parts.truncate(MAX_PARTS_PER_CRASH);
+    runs.extend(parts);
+    runs
+}
--- a/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
@@ -228,7 +228,7 @@
     router.on_trial_permitted(at(3_500), fingerprint("a"));
     assert!(router.is_suspected(Some(&request("a"))));
     let too_late = at(23_500);
-    let refused = router.check_fingerprint(too_late, &first_attempt(&request("a")));
+    let refused = router.check_fingerprints(too_late, &first_attempt(&request("a")));
     assert_eq!(refused, Err(ChoiceError::Quarantined));
 }
 
--- a/crates/gateway/src/control/applied.rs
+++ b/crates/gateway/src/control/applied.rs
@@ -82,7 +82,8 @@
                 event = "work_quarantined",
                 position,
                 work = format_args!("{fingerprint:#}"),
-                "control: a request fingerprint was quarantined"
+                scope = fingerprint.scope().as_str(),
+                "control: a fingerprint was quarantined"
             );
         }
         Command::SetSoftwareVersion {
@@ -104,7 +105,8 @@
                 event = "work_released",
                 position,
                 work = format_args!("{fingerprint:#}"),
-                "control: a request fingerprint was released from quarantine"
+                scope = fingerprint.scope().as_str(),
+                "control: a fingerprint was released from quarantine"
             );
         }
         Command::Load {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -288,6 +288,7 @@
                 tracing::info!(
                     event = "work_suspected",
                     work = format_args!("{fingerprint:#}"),
+                    scope = fingerprint.scope().as_str(),
                     ends = crashes,
                     "control: another back end crashed while serving requests with this fingerprint"
                 );
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -274,7 +274,7 @@
     mut open_attempt: OpenAttempt,
     context: AttemptContext,
 ) -> Attempt {
-    open_attempt.answered();
+    open_attempt.answered(response.status());
     let names = router.dialect.headers();
     let headers = response.headers();
     let is_for_this_request = header(headers, &names.request_id) == call.id;
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -355,8 +355,8 @@
                 .core
                 .borrow_mut()
                 .on_trial_permitted(now, fingerprint);
-            tracing::info!(event = "work_trial", work = %fingerprint, by = %address,
-                    "router: a control machine permitted one trial run of a quarantined request fingerprint");
+            tracing::info!(event = "work_trial", work = %fingerprint, scope = fingerprint.scope().as_str(), by = %address,
+                    "router: a control machine permitted one trial run of a quarantined fingerprint");
         }
         Message::Holders(entries) => {
             let now = router.clock.now();
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -41,7 +41,7 @@
 
 /// The result of probing a back end's address after connections to it broke.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Finding {
+pub(super) enum Finding {
     /// It refuses connections and had not announced a stop: the process has crashed.
     Crashed,
     /// It refuses connections, and so do the other back ends of its pool: this router has no path to them.
@@ -124,9 +124,9 @@
     core.is_serving(router.clock.now(), instance)
 }
 
-/// Whether a back end has crashed whose connection ended together with its answer. The connection opened to find out
-/// replaces the one that ended.
-pub(super) async fn has_crashed(router: Rc<Router>, choice: Choice) -> bool {
+/// Finds out whether a back end has crashed whose connection ended together with its answer. The connection opened to
+/// find out replaces the one that ended.
+pub(super) async fn probe_end(router: Rc<Router>, choice: Choice) -> Finding {
     let Choice {
         instance, address, ..
     } = &choice;
@@ -134,14 +134,13 @@
     let opening = router
         .upstreams
         .open_idle(instance, address, choice.connections);
-    let finding = match opening.await {
+    match opening.await {
         Ok(()) => Finding::new(Ok(()), is_serving),
         Err(NoConnection::Unreachable(error)) => Finding::new(Err(error), is_serving),
         Err(NoConnection::NoneFree | NoConnection::NoPath) => {
             probe_address(&router, instance, address).await
         }
-    };
-    finding == Finding::Crashed
+    }
 }
 
 fn apply_finding(router: &Rc<Router>, instance: &InstanceId, finding: Finding) {
@@ -188,16 +187,15 @@
 /// Records a crash and reports it to all control machines: the next router that receives a request with the same
 /// fingerprint may be another one.
 fn report_crash(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
-    let with_fingerprint = |run: &BrokenRun| {
-        let fingerprint = run.fingerprints.request();
-        fingerprint.map(|fingerprint| (fingerprint, run.sent_at))
-    };
-    let fingerprints: Vec<(Fingerprint, Timestamp)> =
-        runs.iter().filter_map(with_fingerprint).collect();
+    let mut fingerprints: Vec<(Fingerprint, Timestamp)> = Vec::new();
+    for run in runs {
+        let of_run = run.fingerprints.iter();
+        fingerprints.extend(of_run.map(|fingerprint| (fingerprint, run.sent_at)));
+    }
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
     for (fingerprint, crashes) in core.on_back_end_crashed(now, instance, &fingerprints) {
-        tracing::info!(event = "work_suspected", work = %fingerprint, ends = crashes, %instance, by = "this router",
+        tracing::info!(event = "work_suspected", work = %fingerprint, scope = fingerprint.scope().as_str(), ends = crashes, %instance, by = "this router",
             "router: a back end crashed while serving requests with this fingerprint");
     }
     drop(core);
@@ -222,7 +220,7 @@
         crashes,
     } in suspicions
     {
-        tracing::info!(event = "work_suspected", work = %fingerprint, ends = crashes, by = %address,
-            "router: a control machine reported a suspected request fingerprint");
+        tracing::info!(event = "work_suspected", work = %fingerprint, scope = fingerprint.scope().as_str(), ends = crashes, by = %address,
+            "router: a control machine reported a suspected fingerprint");
     }
 }
--- a/crates/gateway/src/router/open_attempt.rs
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use drumshore_core::{Execution, Timestamp};
-use drumshore_gateway_core::{Choice, Outcome};
+use drumshore_gateway_core::{Choice, Fingerprint, Outcome};
+use hyper::StatusCode;
 
 use super::attempt::AttemptBasis;
 use super::crash_detection::{self, BrokenRun};
@@ -20,6 +21,8 @@
     /// The time within which the answer should begin.
     pub target: Duration,
     answered: bool,
+    /// When the answer began; `None` before, if the back end reported a failure, or if the end is in doubt.
+    began_to_answer_at: Option<Timestamp>,
     outcome: Outcome,
     execution: Execution,
     /// The request as sent.
@@ -37,6 +40,7 @@
             choice: choice.clone(),
             basis: AttemptBasis::now(router),
             answered: false,
+            began_to_answer_at: None,
             outcome: Outcome::Abandoned,
             execution: Execution::MayHaveRun,
             run: BrokenRun {
@@ -53,8 +57,11 @@
     }
 
     /// Records that the head of the answer has arrived.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, status: StatusCode) {
         self.on_bytes_received();
+        if status.is_success() {
+            self.began_to_answer_at = Some(self.router.clock.now());
+        }
         let latency = self.router.clock.now().since(self.run.sent_at);
         self.record_answered(Some(latency));
     }
@@ -64,6 +71,11 @@
         self.choice.last_received_at.set(self.router.clock.now());
     }
 
+    /// Records that the end of the answer may be that of a crash.
+    pub fn doubt_end(&mut self) {
+        self.began_to_answer_at = None;
+    }
+
     fn record_answered(&mut self, latency: Option<Duration>) {
         if !std::mem::replace(&mut self.answered, true) {
             let now = self.router.clock.now();
@@ -75,25 +87,33 @@
         }
     }
 
-    /// Records that the back end did not crash during the run, which clears the request's fingerprint of suspicion.
-    fn record_completed(&self, now: Timestamp) {
-        let parts = self.run.fingerprints.parts();
-        if self.outcome == Outcome::Answered {
+    /// Records that the back end did not crash during the run, which clears these fingerprints of suspicion.
+    fn clear_suspicion(&self, fingerprints: impl Iterator<Item = Fingerprint>) {
+        let now = self.router.clock.now();
+        for fingerprint in fingerprints {
             let mut core = self.router.core.borrow_mut();
-            core.on_prompt_parts_completed(now, parts);
+            let was_suspected = core.on_fingerprint_completed(now, fingerprint);
+            drop(core);
+            if was_suspected {
+                tracing::info!(event = "work_cleared", id = %self.run.id, work = %fingerprint, scope = fingerprint.scope().as_str(),
+                    instance = %self.choice.instance, "router: a request with a suspected fingerprint ran well");
+                self.router.crash_reports_changed.notify_waiters();
+            }
         }
-        let Some(fingerprint) = self.run.fingerprints.request() else {
-            return;
-        };
-        let was_suspected = self
-            .router
-            .core
-            .borrow_mut()
-            .on_fingerprint_completed(now, fingerprint);
-        if was_suspected {
-            tracing::info!(event = "work_cleared", id = %self.run.id, work = %fingerprint,
-                instance = %self.choice.instance, "router: a request with a suspected fingerprint ran to completion");
-            self.router.crash_reports_changed.notify_waiters();
+    }
+
+    /// Clears what the end of the run shows to be sound. A back end may fail a request before it reads the prompt, so
+    /// only an answer is evidence for prompt parts.
+    fn record_completed(&self) {
+        let fingerprints = &self.run.fingerprints;
+        match self.outcome {
+            Outcome::Answered if self.began_to_answer_at.is_some() => {
+                self.clear_suspicion(fingerprints.iter());
+            }
+            Outcome::Answered | Outcome::Failed => {
+                self.clear_suspicion(fingerprints.request().into_iter())
+            }
+            _ => {}
         }
     }
 
@@ -123,9 +143,7 @@
         self.router
             .metrics
             .count_attempt(outcome_name(self.outcome));
-        if matches!(self.outcome, Outcome::Answered | Outcome::Failed) {
-            self.record_completed(now);
-        }
+        self.record_completed();
         if self.outcome == Outcome::Broken && self.execution != Execution::NotRun {
             let address = &self.choice.address;
             crash_detection::probe(&self.router, instance, address, self.run.clone());
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -86,12 +86,20 @@
     let own_answer = final_answer(worst_execution, error, now >= call.deadline);
     router.metrics.count_request(own_answer.reason, elapsed);
     let reach = router.core.borrow().pool_reach(now, &call.admission.pool);
+    let quarantined = match error {
+        Some(ChoiceError::Quarantined) => {
+            let core = router.core.borrow();
+            core.quarantined_fingerprint(&call.fingerprints)
+        }
+        _ => None,
+    };
     tracing::info!(event = "request", id = %call.id, work = call.fingerprints.request().map(tracing::field::display),
         parts = call.fingerprints.displayed_parts(), route = %call.admission.route.name,
         tenant = call.tenant(), outcome = own_answer.reason, status = own_answer.status.as_u16(), priority = call.admission.priority,
         instance = tried.last().map(InstanceId::as_str), attempts = tried.len(),
         takes_up = call.taken_up(), after = call.taken_up_after(),
         execution = worst_execution.as_str(), choice = error.map(tracing::field::display),
+        quarantined = quarantined.map(tracing::field::display), scope = quarantined.map(|fingerprint| fingerprint.scope().as_str()),
         ready = reach.ready, unreachable = reach.unreachable,
         received_ms_ago = reach.received_ago.map(|ago| ago.as_millis() as u64),
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -14,7 +14,7 @@
 use tokio::time::Sleep;
 use tracing::field::DisplayValue;
 
-use super::crash_detection;
+use super::crash_detection::{self, Finding};
 use super::forward::OpenRequest;
 use super::open_attempt::OpenAttempt;
 use super::received_body::{AnswerEnd, ReceivedBody};
@@ -56,7 +56,7 @@
     /// Completes when the back end of a stream that may be resumed is found silent.
     silence: Option<Pin<Box<dyn Future<Output = ()>>>>,
     /// Completes when it is known whether the back end of an answer with an unmarked end has crashed.
-    crash_check: Option<Pin<Box<dyn Future<Output = bool>>>>,
+    crash_check: Option<Pin<Box<dyn Future<Output = Finding>>>>,
     is_finished: bool,
     timeliness: Timeliness,
     _open: OpenRequest,
@@ -238,11 +238,14 @@
                 let attempt = &self.open_attempt;
                 let check = self.crash_check.get_or_insert_with(|| {
                     let (router, choice) = (Rc::clone(&attempt.router), attempt.choice.clone());
-                    Box::pin(crash_detection::has_crashed(router, choice))
+                    Box::pin(crash_detection::probe_end(router, choice))
                 });
-                let has_crashed = ready!(check.as_mut().poll(context));
+                let finding = ready!(check.as_mut().poll(context));
                 self.crash_check = None;
-                Poll::Ready(has_crashed.then_some(BrokenOff::Crash))
+                if finding != Finding::Alive {
+                    self.open_attempt.doubt_end();
+                }
+                Poll::Ready((finding == Finding::Crashed).then_some(BrokenOff::Crash))
             }
         }
     }
