Do not repeat the first trial of a quarantine after control machines start again

Each trial of a quarantined fingerprint that crashes back ends crashes one more; users accept three in all. A control machine that started again took the quarantines of its log for new ones and, once it led, permitted all trials anew: a test with all machines killed and started 16 s after the decision saw a second permit within 30 s. A quarantine at or before the last entry that the log had at the start is from before it, and its first trial counts as permitted. An innocent fingerprint whose quarantine such a restart follows within 10 s waits for the second trial, at 60 s. A first try by the time since the start failed existing tests, which quarantine within seconds of it. Open: a machine that lost its disk and leads at once.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -93,6 +93,8 @@
     snapshot_at: LogIndex,
     /// Size of the last snapshot.
     snapshot_bytes: usize,
+    /// The last entry in the log when this process started.
+    logged_at_start: LogIndex,
     /// Size of the commands applied since the last snapshot.
     bytes_since_snapshot: usize,
     seeds: Vec<Ipv4Addr>,
@@ -153,6 +155,7 @@
         let consensus = params.consensus.clone();
         let replica = Replica::open(directory, &identity, members, consensus, seed)?;
         Ok(Self {
+            logged_at_start: replica.raft().last_index(),
             proposals: PendingProposals::new(seed, params.reply_timeout),
             params,
             holder,
@@ -387,7 +390,7 @@
             Command::Deregister { instance } | Command::Expire { instance } => {
                 self.heartbeat_times.forget(instance.as_str());
             }
-            Command::Quarantine { fingerprint } => self.on_quarantined(*fingerprint),
+            Command::Quarantine { fingerprint } => self.on_quarantined(position, *fingerprint),
             Command::Release { fingerprint } => self.on_released(*fingerprint),
             _ => {}
         }
--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -70,6 +70,11 @@
         Self { at, trials: 0 }
     }
 
+    /// The record of a quarantine from before the start of this process. Its first trial may have been permitted.
+    fn found(at: Timestamp) -> Self {
+        Self { at, trials: 1 }
+    }
+
     /// Returns true once for each trial, when it comes due.
     fn take_due_trial(&mut self, now: Timestamp, fingerprint: Fingerprint) -> bool {
         let spread = TRIAL_SPREAD.mul_f64(fingerprint.fraction());
@@ -246,8 +251,12 @@
     }
 
     /// The quarantine was committed.
-    pub(super) fn on_quarantined(&mut self, fingerprint: Fingerprint) {
-        let record = QuarantineRecord::new(self.now);
+    pub(super) fn on_quarantined(&mut self, position: u64, fingerprint: Fingerprint) {
+        let record = if position <= self.logged_at_start.0 {
+            QuarantineRecord::found(self.now)
+        } else {
+            QuarantineRecord::new(self.now)
+        };
         self.suspected_fingerprints
             .quarantined
             .insert(fingerprint, record);
@@ -270,7 +279,7 @@
             let records = &mut self.suspected_fingerprints.quarantined;
             let record = records
                 .entry(fingerprint)
-                .or_insert(QuarantineRecord::new(now));
+                .or_insert(QuarantineRecord::found(now));
             if record.take_due_trial(now, fingerprint) && is_leader {
                 trials.push(fingerprint);
             }
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -284,12 +284,16 @@
 
 /// Lets time pass while routers send pings.
 fn run_with_pings(cluster: &mut Cluster, seconds: u32) {
+    run_with_pings_over(cluster, &[LINK, OTHER_LINK], seconds);
+}
+
+fn run_with_pings_over(cluster: &mut Cluster, links: &[ConnectionId], seconds: u32) {
     for sequence in 0..u64::from(seconds) {
         let now = cluster.now;
         for number in 1..=3 {
             let core = cluster.core(address(number));
-            for link in [LINK, OTHER_LINK] {
-                core.on_router(now, link, Message::Ping { sequence });
+            for link in links {
+                core.on_router(now, *link, Message::Ping { sequence });
             }
         }
         cluster.run(SECOND);
@@ -323,6 +327,26 @@
     assert_eq!(permits(&cluster).len(), 3);
 }
 
+/// Each trial may crash a back end, and a process that starts again knows nothing of earlier ones.
+#[test]
+fn a_restart_of_all_control_machines_does_not_repeat_the_first_trial() {
+    let mut cluster = cluster_with_router(3);
+    let leader = cluster.leader().unwrap();
+    report(&mut cluster, leader, &three_crashes(fingerprint(1)));
+    run_with_pings_over(&mut cluster, &[LINK], 16);
+    assert_eq!(permits(&cluster).len(), 1);
+    for number in 1..=3 {
+        cluster.kill(address(number));
+        cluster.start(address(number));
+    }
+    cluster.run(3 * SECOND);
+    for number in 1..=3 {
+        cluster.link_router(address(number), LINK, ROUTER);
+    }
+    run_with_pings_over(&mut cluster, &[LINK], 30);
+    assert_eq!(permits(&cluster).len(), 1);
+}
+
 /// A new leader does not repeat a trial that its predecessor permitted.
 #[test]
 fn a_change_of_leader_permits_no_further_trial() {
