Count the crashes of many back ends at once only against what most of them were serving

Now an incident counts against a fingerprint only if at least half of the back ends that crashed within 50 ms of it were serving it; those attributed to a quarantined fingerprint do not count.

--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -18,6 +18,9 @@
 /// The maximum number of fingerprints kept. Each takes 80 to 400 bytes, so all of them take at most 3.2 MB; the oldest
 /// are evicted.
 const MAX_FINGERPRINTS: usize = 8_192;
+/// The maximum number of back ends whose time of crash is remembered, of about 100 bytes each: several times those of the
+/// largest fleet.
+const MAX_BACK_ENDS: usize = 65_536;
 /// The maximum number of back ends remembered as crashed by a quarantined fingerprint, so that late reports of their
 /// crashes are ignored.
 const MAX_ATTRIBUTED: usize = 1_024;
@@ -52,6 +55,51 @@
     pub service_time: Duration,
 }
 
+/// When back ends crashed, whatever they were serving.
+#[derive(Debug, Default)]
+struct CrashTimes {
+    by_back_end: HashMap<u32, i64>,
+    in_order: BTreeSet<(i64, u32)>,
+}
+
+impl CrashTimes {
+    /// Records a crash at the earliest time that is reported for it.
+    fn record(&mut self, back_end: u32, at: i64) {
+        let known = self.by_back_end.get(&back_end).copied();
+        if known.is_some_and(|known| known <= at) {
+            return;
+        }
+        if let Some(known) = known {
+            self.in_order.remove(&(known, back_end));
+        }
+        self.by_back_end.insert(back_end, at);
+        self.in_order.insert((at, back_end));
+        if self.in_order.len() > MAX_BACK_ENDS {
+            if let Some((_, oldest)) = self.in_order.pop_first() {
+                self.by_back_end.remove(&oldest);
+            }
+        }
+    }
+
+    /// The back ends that crashed within [`SAME_INCIDENT`] of a time.
+    fn around(&self, at: i64) -> impl Iterator<Item = u32> + '_ {
+        let close = SAME_INCIDENT.as_micros() as i64;
+        let range = (at - close, u32::MIN)..=(at + close, u32::MAX);
+        self.in_order.range(range).map(|(_, back_end)| *back_end)
+    }
+
+    fn expire(&mut self, now: i64) {
+        let oldest = now - REMEMBER_CRASHES_FOR.as_micros() as i64;
+        while let Some((at, back_end)) = self.in_order.first().copied() {
+            if at > oldest {
+                return;
+            }
+            self.in_order.pop_first();
+            self.by_back_end.remove(&back_end);
+        }
+    }
+}
+
 /// Back ends whose crash is attributed to a quarantined fingerprint, oldest first.
 #[derive(Debug, Default)]
 struct Attributed(VecDeque<(u32, FingerprintScope)>);
@@ -78,6 +126,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct CrashLedger {
     by_fingerprint: HashMap<Fingerprint, Vec<Crash>>,
+    times: CrashTimes,
     attributed: Attributed,
     completions: Completions,
 }
@@ -94,6 +143,7 @@
     ) -> bool {
         let back_end = report.back_end;
         let at = micros(now) - report.age.as_micros() as i64;
+        self.times.record(back_end, at);
         let is_relieved = self.attributed.relieves(back_end, fingerprint.scope());
         if is_relieved || self.completions.contains(now, fingerprint) {
             return false;
@@ -129,12 +179,39 @@
         for crash in crashes {
             if !incident.is_some_and(|earlier| crash.may_share_cause_with(earlier)) {
                 incident = Some(crash);
-                incidents += 1;
+                incidents += u32::from(self.explains_incident(fingerprint, crashes, crash));
             }
         }
         incidents
     }
 
+    /// Whether at least half of the back ends that crashed at the time of a crash were serving the fingerprint. Others
+    /// are in one of many back ends that crash at once by chance.
+    fn explains_incident(
+        &self,
+        fingerprint: Fingerprint,
+        crashes: &[Crash],
+        first: &Crash,
+    ) -> bool {
+        let Some(at) = self.times.by_back_end.get(&first.back_end) else {
+            return false;
+        };
+        let (mut served, mut crashed) = (0, 0);
+        for back_end in self.times.around(*at) {
+            if crashes.iter().any(|crash| crash.back_end == back_end) {
+                served += 1;
+                crashed += 1;
+            } else if !self.attributed.relieves(back_end, fingerprint.scope()) {
+                crashed += 1;
+            }
+            // Thousands may crash at once.
+            if crashed > 2 * crashes.len() {
+                return false;
+            }
+        }
+        2 * served >= crashed
+    }
+
     /// Of the fingerprints with enough incidents to be quarantined, those that no other one explains better: each of
     /// the others crashed only back ends that also crashed while serving one of these.
     pub fn culprits(&self) -> Vec<Fingerprint> {
@@ -228,6 +305,7 @@
                 .retain(|crash| micros(now) - crash.at < REMEMBER_CRASHES_FOR.as_micros() as i64);
             !crashes.is_empty()
         });
+        self.times.expire(micros(now));
     }
 
     /// Evicts down to half the capacity: first the fingerprints with the fewest incidents, among them those whose last
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -217,6 +217,40 @@
     }
 }
 
+#[test]
+fn one_of_many_back_ends_that_crash_at_once_does_not_count_against_what_it_served() {
+    let mut ledger = CrashLedger::default();
+    for wave in 0..5 {
+        let time = at(u64::from(wave) * 2_500);
+        for back_end in 0..7 {
+            let number = 100 * wave + back_end;
+            let mut serving = vec![fingerprint(number)];
+            serving.extend((back_end == 3).then(|| part("rare")));
+            crash(&mut ledger, time, number, &serving);
+        }
+    }
+    assert_eq!(ledger.crashes(part("rare")), 0);
+    assert_eq!(ledger.culprits(), []);
+}
+
+#[test]
+fn a_part_that_every_back_end_served_which_crashed_at_once_counts() {
+    let mut ledger = CrashLedger::default();
+    for wave in 0..4 {
+        for back_end in 0..3 {
+            let number = 100 * wave + back_end;
+            let time = at(u64::from(wave) * 1_000 + 10 * u64::from(back_end));
+            crash(
+                &mut ledger,
+                time,
+                number,
+                &[part("crashing"), fingerprint(number)],
+            );
+        }
+    }
+    assert_eq!(ledger.culprits(), [part("crashing")]);
+}
+
 #[test]
 fn a_part_is_the_culprit_and_not_the_rarer_parts_and_requests_beside_it() {
     let mut ledger = CrashLedger::default();
