Take an answer that has gone on for two seconds as evidence for the parts of its prompt

Only a completion cleared a prompt part. Streams last 11 s in the mean at the target, so the parts of long streams may see four crashes of single back ends without a completion between them, and would be quarantined for it. A part that crashes back ends does so when they begin to answer; a successful answer that still goes on after 2 s shows that its parts are sound, whatever ends it later. Whole requests are cleared by their end alone, as before.

--- a/crates/gateway/src/router/open_attempt.rs
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -12,6 +12,10 @@
 use super::forward::Call;
 use super::{paths, Router};
 
+/// A run whose answer has gone on for this long shows that the parts of its prompt are sound, before it has ended: a part
+/// that crashes back ends does so when the answer begins. Streams may last longer than the crashes of a pool.
+const PROVEN_AFTER: Duration = Duration::from_secs(2);
+
 /// An attempt in progress at a back end. When dropped, it reports how the attempt ended, so that the number of requests
 /// in flight stays correct on every path.
 pub(crate) struct OpenAttempt {
@@ -23,6 +27,8 @@
     answered: bool,
     /// When the answer began; `None` before, if the back end reported a failure, or if the end is in doubt.
     began_to_answer_at: Option<Timestamp>,
+    /// Whether the run has shown that the parts of its prompt are sound.
+    is_proven: bool,
     outcome: Outcome,
     execution: Execution,
     /// The request as sent.
@@ -41,6 +47,7 @@
             basis: AttemptBasis::now(router),
             answered: false,
             began_to_answer_at: None,
+            is_proven: false,
             outcome: Outcome::Abandoned,
             execution: Execution::MayHaveRun,
             run: BrokenRun {
@@ -67,8 +74,14 @@
     }
 
     /// Records that bytes of the answer have arrived.
-    pub fn on_bytes_received(&self) {
-        self.choice.last_received_at.set(self.router.clock.now());
+    pub fn on_bytes_received(&mut self) {
+        let now = self.router.clock.now();
+        self.choice.last_received_at.set(now);
+        let began_at = self.began_to_answer_at;
+        let is_long = began_at.is_some_and(|began_at| now.since(began_at) >= PROVEN_AFTER);
+        if is_long && !std::mem::replace(&mut self.is_proven, true) {
+            self.clear_suspicion(self.run.fingerprints.parts().iter().copied());
+        }
     }
 
     /// Records that the end of the answer may be that of a crash.
