Count crashes that looked like a lost path once their back ends are known to have ended

A back end that refuses connections when no other one of its pool is reached either was taken for out of reach, and what it was serving was forgotten. The runs are kept now (64 back ends, 20 s) until the view has lost the back end or has a later one at its address, which a lost path does not bring about, and count at the time at which they broke.

--- a/crates/gateway-core/src/router/leaving.rs
+++ b/crates/gateway-core/src/router/leaving.rs
@@ -5,7 +5,7 @@
 use drumshore_core::Timestamp;
 
 use super::RouterCore;
-use crate::{Changes, InstanceId, Lifecycle};
+use crate::{Changes, InstanceId, InstanceRecord, Lifecycle};
 
 /// How a router knows that a back end gets no new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -40,6 +40,22 @@
         self.leave(now, instance).is_none()
     }
 
+    /// Whether a back end has certainly ended: the view does not contain it any more, or has a later one at its address.
+    pub fn has_ended(&self, instance: &InstanceId) -> bool {
+        let Some(endpoint) = self.endpoints.get(instance) else {
+            return true;
+        };
+        let ended = &endpoint.record;
+        let is_later = |other: &InstanceRecord| {
+            other.address == ended.address && other.registered > ended.registered
+        };
+        self.endpoints.has_shared_addresses()
+            && self
+                .endpoints
+                .iter()
+                .any(|(_, other)| is_later(&other.record))
+    }
+
     /// False once a back end leaves or is gone, and while it asks this router to back off. A request that was assigned
     /// to it earlier and is still unsent must not be sent then.
     pub fn allows_requests(&self, now: Timestamp, instance: &InstanceId) -> bool {
--- a/crates/gateway-core/src/router/leaving_tests.rs
+++ b/crates/gateway-core/src/router/leaving_tests.rs
@@ -72,3 +72,24 @@
     apply(&mut router, leaves());
     assert!(!left.iter().any(|id| router.allows_requests(at(6), id)));
 }
+
+#[test]
+fn a_back_end_has_ended_once_it_is_removed_or_another_one_has_its_address() {
+    let mut router = router();
+    assert!(!router.has_ended(&id("app-1")));
+    let mut successor = record("app-9", "apps", 1);
+    successor.address = record("app-1", "apps", 1).address;
+    successor.registered = 11;
+    let removed = List::new(vec![Text::new("app-2")]);
+    apply(
+        &mut router,
+        Changes {
+            removed,
+            ..changes(10, 11, vec![successor])
+        },
+    );
+    assert!(router.has_ended(&id("app-1")));
+    assert!(router.has_ended(&id("app-2")));
+    assert!(!router.has_ended(&id("app-3")));
+    assert!(!router.has_ended(&id("app-9")));
+}
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -5,7 +5,6 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
-use std::time::Duration;
 
 use drumshore_core::Timestamp;
 
@@ -239,22 +238,43 @@
         instance: &InstanceId,
         fingerprints: &[(Fingerprint, Timestamp)],
     ) -> Vec<(Fingerprint, u32)> {
-        let back_end = LoadEntry::key_of(instance.as_str());
         self.endpoints.on_crashed(now, instance);
         self.suspect(instance);
+        self.record_crash(now, now, instance, fingerprints)
+    }
+
+    /// The same for a back end that is found to have crashed some time ago, and is gone by now.
+    pub fn on_earlier_crash_found(
+        &mut self,
+        now: Timestamp,
+        crashed_at: Timestamp,
+        instance: &InstanceId,
+        fingerprints: &[(Fingerprint, Timestamp)],
+    ) -> Vec<(Fingerprint, u32)> {
+        self.record_crash(now, crashed_at, instance, fingerprints)
+    }
+
+    fn record_crash(
+        &mut self,
+        now: Timestamp,
+        crashed_at: Timestamp,
+        instance: &InstanceId,
+        fingerprints: &[(Fingerprint, Timestamp)],
+    ) -> Vec<(Fingerprint, u32)> {
+        let back_end = LoadEntry::key_of(instance.as_str());
         let suspected = &mut self.suspected_fingerprints;
         let mut new = Vec::new();
         for (fingerprint, sent_at) in latest_runs(fingerprints) {
-            let service_time = now.since(sent_at);
+            let service_time = crashed_at.since(sent_at);
             let crash = CrashReport {
                 back_end,
-                age: Duration::ZERO,
+                age: now.since(crashed_at),
                 service_time,
             };
             if suspected.own.record_crash(now, fingerprint, crash) {
                 let service_time_ms = u32::try_from(service_time.as_millis()).unwrap_or(u32::MAX);
                 suspected.report(
-                    now,
+                    crashed_at,
                     fingerprint,
                     FingerprintEvent::BackEndCrashed {
                         back_end,
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -6,7 +6,7 @@
 //! refused when the process has crashed.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -93,6 +93,64 @@
     }
 }
 
+/// The maximum number of back ends in [`UndecidedCrashes`].
+const MAX_UNDECIDED: usize = 64;
+/// A back end that crashed is replaced, or its registration expires, within this time.
+const MAX_UNDECIDED_TIME: Duration = Duration::from_secs(20);
+
+/// Back ends that refused connections when no other one of their pool was reached either, with the runs that broke
+/// there. Most of a pool may have crashed, or this router has lost its path.
+#[derive(Default)]
+pub(super) struct UndecidedCrashes(RefCell<VecDeque<UndecidedCrash>>);
+
+struct UndecidedCrash {
+    instance: InstanceId,
+    runs: Vec<BrokenRun>,
+    found_at: Timestamp,
+}
+
+impl UndecidedCrashes {
+    fn add(&self, crash: UndecidedCrash) {
+        let mut crashes = self.0.borrow_mut();
+        crashes.push_back(crash);
+        let surplus = crashes.len().saturating_sub(MAX_UNDECIDED);
+        crashes.drain(..surplus);
+    }
+
+    /// Takes those whose back end has ended, and drops those that are too old.
+    fn take_decided(
+        &self,
+        now: Timestamp,
+        has_ended: impl Fn(&InstanceId) -> bool,
+    ) -> Vec<UndecidedCrash> {
+        let mut crashes = self.0.borrow_mut();
+        let (decided, undecided): (Vec<_>, Vec<_>) = crashes
+            .drain(..)
+            .partition(|crash| has_ended(&crash.instance));
+        let recent = undecided
+            .into_iter()
+            .filter(|crash| now.since(crash.found_at) < MAX_UNDECIDED_TIME);
+        crashes.extend(recent);
+        decided
+    }
+}
+
+/// Counts crashes that looked like a lost path, once the view shows that their back ends have ended.
+pub(super) fn review_undecided(router: &Router) {
+    let now = router.clock.now();
+    let core = router.core.borrow();
+    let decided = router
+        .undecided_crashes
+        .take_decided(now, |instance| core.has_ended(instance));
+    drop(core);
+    for crash in decided {
+        tracing::info!(event = "back_end_ended", instance = %crash.instance, runs = crash.runs.len(),
+            found_ms_ago = now.since(crash.found_at).as_millis() as u64,
+            "router: a back end that seemed to be out of reach has crashed");
+        report_crash(router, &crash.instance, &crash.runs, crash.found_at);
+    }
+}
+
 /// Finds out why a run broke. Runs that break at a back end while it is being probed share that probe.
 pub(super) fn probe(router: &Rc<Router>, instance: &InstanceId, address: &str, run: BrokenRun) {
     if router.pending_probes.add(instance, run) {
@@ -153,9 +211,15 @@
         tracing::info!(event = "run_broken", id = %run.id, work = run.fingerprints.request().map(tracing::field::display),
             parts = run.fingerprints.displayed_parts(), %instance, finding = found, "router: the connection to a back end broke during a request");
     }
-    if finding == Finding::Crashed {
-        log_evidence(router, instance, &runs);
-        report_crash(router, instance, &runs);
+    let found_at = router.clock.now();
+    match finding {
+        Finding::Crashed => report_crash(router, instance, &runs, found_at),
+        Finding::NoPath => router.undecided_crashes.add(UndecidedCrash {
+            instance: instance.clone(),
+            runs,
+            found_at,
+        }),
+        Finding::StoppedAsAnnounced | Finding::Alive | Finding::Unresponsive => {}
     }
 }
 
@@ -186,7 +250,8 @@
 
 /// Records a crash and reports it to all control machines: the next router that receives a request with the same
 /// fingerprint may be another one.
-fn report_crash(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
+fn report_crash(router: &Router, instance: &InstanceId, runs: &[BrokenRun], crashed_at: Timestamp) {
+    log_evidence(router, instance, runs);
     let mut fingerprints: Vec<(Fingerprint, Timestamp)> = Vec::new();
     for run in runs {
         let of_run = run.fingerprints.iter();
@@ -194,7 +259,12 @@
     }
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
-    for (fingerprint, crashes) in core.on_back_end_crashed(now, instance, &fingerprints) {
+    let counted = if core.has_ended(instance) {
+        core.on_earlier_crash_found(now, crashed_at, instance, &fingerprints)
+    } else {
+        core.on_back_end_crashed(now, instance, &fingerprints)
+    };
+    for (fingerprint, crashes) in counted {
         tracing::info!(event = "work_suspected", work = %fingerprint, scope = fingerprint.scope().as_str(), ends = crashes, %instance, by = "this router",
             "router: a back end crashed while serving requests with this fingerprint");
     }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -53,7 +53,7 @@
 pub(crate) use peer_forwarding::PeerBody;
 pub(crate) use relay::Relay;
 
-use crash_detection::PendingProbes;
+use crash_detection::{PendingProbes, UndecidedCrashes};
 use first_view::FirstView;
 use peers::Peers;
 use silence::SilenceMonitor;
@@ -100,6 +100,7 @@
     caller_slots: ConnectionSlots,
     /// Back ends that are probed because connections to them broke.
     pending_probes: PendingProbes,
+    undecided_crashes: UndecidedCrashes,
     silence_monitor: SilenceMonitor,
     /// Notifies the links to control machines that the load of a back end changed by a long prompt.
     loads_changed: watch::Sender<()>,
@@ -137,6 +138,7 @@
         first_view: FirstView::default(),
         caller_slots: ConnectionSlots::new(MAX_CONNECTIONS),
         pending_probes: PendingProbes::default(),
+        undecided_crashes: UndecidedCrashes::default(),
         silence_monitor: SilenceMonitor::default(),
         loads_changed: watch::channel(()).0,
         crash_reports_changed: Notify::new(),
--- a/crates/gateway/src/router/view_changes.rs
+++ b/crates/gateway/src/router/view_changes.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use super::control_links::wake_waiting_requests;
+use super::crash_detection;
 use super::Router;
 
 /// Maximum number of leaving back ends that are logged by name per message; a whole view may remove thousands.
@@ -39,7 +40,9 @@
                 took_us = started.elapsed().as_micros() as u64,
                 "router: applied changes to the view"
             );
+            drop(core);
             record_leaves(router, revision, &leaves);
+            crash_detection::review_undecided(router);
             wake_waiting_requests(router);
             router.crash_reports_changed.notify_waiters();
             Progress::Made { held }
