--- a/crates/gateway-core/tests/prompt_part_quarantine.rs
+++ b/crates/gateway-core/tests/prompt_part_quarantine.rs
@@ -23,8 +23,6 @@
 const ROUTERS: usize = 985;
 const CONTROLS: u8 = 10;
 const BACK_ENDS: usize = 9_998;
-/// Control machines that a router is linked to.
-const LINKS: u8 = 5;
 const STEP: Duration = Duration::from_millis(50);
 /// Steps from a change of the replicated state until a router has it.
 const FETCH_STEPS: u64 = 5;
@@ -195,7 +193,7 @@
             step: 0,
         };
         for number in 0..ROUTERS {
-            for control in simulation.links(number) {
+            for control in 1..=CONTROLS {
                 let name = format!("10.1.0.{number}:80");
                 let (at, connection) = (address(control), connection(number));
                 simulation.cluster.link_router(at, connection, &name);
@@ -204,12 +202,6 @@
         simulation
     }
 
-    fn links(&self, router: usize) -> Vec<u8> {
-        let first = router % usize::from(CONTROLS);
-        let links = (0..LINKS).map(|link| (first as u8 + 2 * link) % CONTROLS + 1);
-        links.collect()
-    }
-
     fn now(&self) -> Timestamp {
         self.cluster.now
     }
@@ -468,7 +460,6 @@
     fn exchange_messages(&mut self) {
         let now = self.now();
         for number in 0..ROUTERS {
-            let links = self.links(number);
             let router = &mut self.routers[number];
             while let Some((control, message)) = router.to_controls.pop_front() {
                 let core = self.cluster.core(address(control));
@@ -476,12 +467,12 @@
             }
             if self.step.is_multiple_of(PING_STEPS) {
                 let sequence = self.step;
-                for control in &links {
-                    let core = self.cluster.core(address(*control));
+                for control in 1..=CONTROLS {
+                    let core = self.cluster.core(address(control));
                     core.on_router(now, connection(number), Message::Ping { sequence });
                 }
             }
-            for control in links {
+            for control in 1..=CONTROLS {
                 let cursor = &mut router.cursors[usize::from(control)];
                 let reports = router.core.fingerprint_reports_since(now, cursor);
                 if !reports.is_empty() {
