--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -38,7 +38,7 @@
     /// Whether crashes were recorded since the counts were last compared with those sent.
     has_new_crashes: bool,
     /// Fingerprints with enough crashes for a quarantine that is not committed yet.
-    accused: BTreeMap<Fingerprint, Accusation>,
+    pending: BTreeMap<Fingerprint, PendingQuarantine>,
     /// Crash counts that routers were sent last.
     sent: BTreeMap<Fingerprint, u8>,
     /// Crash counts that differ from those sent; 0 withdraws a suspicion.
@@ -50,7 +50,7 @@
 
 /// A fingerprint whose quarantine is due unless reports contradict it.
 #[derive(Clone, Copy, Debug)]
-struct Accusation {
+struct PendingQuarantine {
     since: Timestamp,
     proposed_at: Option<Timestamp>,
 }
@@ -190,35 +190,36 @@
         }
     }
 
-    /// Proposes the quarantines whose hearing has ended without a contradiction. Proposed again after some time if the
+    /// Proposes the quarantines that no report has contradicted for long enough. Proposed again after some time if the
     /// log does not accept one.
     pub(super) fn propose_quarantines(&mut self) {
         let (now, retry_after) = (self.now, self.params.reply_timeout);
         let suspected = &mut self.suspected_fingerprints;
         if std::mem::take(&mut suspected.has_new_crashes) {
             suspected.update_all_sent();
-        } else if suspected.accused.is_empty() {
+        } else if suspected.pending.is_empty() {
             return;
         }
-        let culprits = self.suspected_fingerprints.ledger.culprits();
-        let accused = &mut self.suspected_fingerprints.accused;
-        accused.retain(|fingerprint, _| culprits.contains(fingerprint));
+        let candidates = self.suspected_fingerprints.ledger.quarantine_candidates();
+        let pending = &mut self.suspected_fingerprints.pending;
+        pending.retain(|fingerprint, _| candidates.contains(fingerprint));
         let mut due = Vec::new();
-        for fingerprint in culprits {
+        for fingerprint in candidates {
             if self.state.is_quarantined(fingerprint) {
-                accused.remove(&fingerprint);
+                pending.remove(&fingerprint);
                 continue;
             }
-            let accusation = accused.entry(fingerprint).or_insert(Accusation {
+            let quarantine = pending.entry(fingerprint).or_insert(PendingQuarantine {
                 since: now,
                 proposed_at: None,
             });
-            let is_heard = now.since(accusation.since) >= QuarantinePolicy::of(fingerprint).hearing;
-            let is_pending = accusation
+            let is_confirmed =
+                now.since(quarantine.since) >= QuarantinePolicy::of(fingerprint).confirmation_delay;
+            let is_proposed = quarantine
                 .proposed_at
                 .is_some_and(|at| now.since(at) < retry_after);
-            if is_heard && !is_pending {
-                accusation.proposed_at = Some(now);
+            if is_confirmed && !is_proposed {
+                quarantine.proposed_at = Some(now);
                 due.push(fingerprint);
             }
         }
@@ -315,10 +316,7 @@
         }
         suspected.expired_at = now;
         suspected.ledger.expire(now);
-        let sent: Vec<Fingerprint> = suspected.sent.keys().copied().collect();
-        for fingerprint in sent {
-            suspected.update_unsent(fingerprint);
-        }
+        suspected.update_all_sent();
     }
 
     /// Sends routers the changed suspicions, as many as the bandwidth allows.
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -116,8 +116,8 @@
     /// Whether a crash does not count against fingerprints of a scope. The cause of a crash that is attributed to a
     /// request may be a part of its prompt.
     fn relieves(&self, back_end: u32, scope: FingerprintScope) -> bool {
-        let culprits = self.0.iter().filter(|(known, _)| *known == back_end);
-        culprits.into_iter().any(|(_, culprit)| *culprit >= scope)
+        let mut culprits = self.0.iter().filter(|(known, _)| *known == back_end);
+        culprits.any(|(_, culprit)| *culprit >= scope)
     }
 }
 
@@ -214,7 +214,7 @@
 
     /// Of the fingerprints with enough incidents to be quarantined, those that no other one explains better: each of
     /// the others crashed only back ends that also crashed while serving one of these.
-    pub fn culprits(&self) -> Vec<Fingerprint> {
+    pub fn quarantine_candidates(&self) -> Vec<Fingerprint> {
         let mut candidates: Vec<(usize, Fingerprint, BTreeSet<u32>)> = Vec::new();
         for (fingerprint, crashes) in &self.by_fingerprint {
             let least = QuarantinePolicy::of(*fingerprint).crashes;
@@ -224,19 +224,18 @@
             }
         }
         candidates.sort_unstable_by(|one, other| other.cmp(one));
-        let mut culprits: Vec<(Fingerprint, BTreeSet<u32>)> = Vec::new();
+        let mut kept: Vec<(Fingerprint, BTreeSet<u32>)> = Vec::new();
         for (_, fingerprint, back_ends) in candidates {
             let explains = |(culprit, crashed): &(Fingerprint, BTreeSet<u32>)| {
                 culprit.scope() >= fingerprint.scope()
                     && crashed.len() > back_ends.len()
                     && back_ends.is_subset(crashed)
             };
-            if !culprits.iter().any(explains) {
-                culprits.push((fingerprint, back_ends));
+            if !kept.iter().any(explains) {
+                kept.push((fingerprint, back_ends));
             }
         }
-        culprits
-            .into_iter()
+        kept.into_iter()
             .map(|(fingerprint, _)| fingerprint)
             .collect()
     }
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -230,7 +230,7 @@
         }
     }
     assert_eq!(ledger.crashes(part("rare")), 0);
-    assert_eq!(ledger.culprits(), []);
+    assert_eq!(ledger.quarantine_candidates(), []);
 }
 
 #[test]
@@ -248,7 +248,7 @@
             );
         }
     }
-    assert_eq!(ledger.culprits(), [part("crashing")]);
+    assert_eq!(ledger.quarantine_candidates(), [part("crashing")]);
 }
 
 #[test]
@@ -261,7 +261,7 @@
         crash(&mut ledger, at(u64::from(number) * 300), number, &serving);
     }
     assert!(ledger.crashes(part("other-0")) >= QuarantinePolicy::of(part("other-0")).crashes);
-    assert_eq!(ledger.culprits(), [part("crashing")]);
+    assert_eq!(ledger.quarantine_candidates(), [part("crashing")]);
 }
 
 #[test]
@@ -276,7 +276,7 @@
             &[crashing],
         );
     }
-    let mut culprits = ledger.culprits();
+    let mut culprits = ledger.quarantine_candidates();
     culprits.sort_unstable();
     assert_eq!(culprits, sorted([part("one"), part("two")]));
 }
@@ -288,7 +288,7 @@
         let serving = [fingerprint(1), part("session")];
         crash(&mut ledger, at(u64::from(number) * 500), number, &serving);
     }
-    assert_eq!(ledger.culprits(), [fingerprint(1)]);
+    assert_eq!(ledger.quarantine_candidates(), [fingerprint(1)]);
 }
 
 #[test]
@@ -306,7 +306,7 @@
             assert_eq!(ledger.attribute_crashes_to(request), []);
         }
     }
-    assert_eq!(ledger.culprits(), [part("shared")]);
+    assert_eq!(ledger.quarantine_candidates(), [part("shared")]);
 }
 
 #[test]
@@ -320,5 +320,5 @@
         let serving = [part("everybody"), part("crashing")];
         crash(&mut ledger, now, number, &serving);
     }
-    assert_eq!(ledger.culprits(), [part("crashing")]);
+    assert_eq!(ledger.quarantine_candidates(), [part("crashing")]);
 }
--- a/crates/gateway-core/src/quarantine/mod.rs
+++ b/crates/gateway-core/src/quarantine/mod.rs
@@ -35,7 +35,7 @@
     /// The number of incidents, each with a crash while serving the fingerprint, after which it is quarantined.
     pub crashes: u32,
     /// How long control machines wait for contradicting reports before they propose the quarantine.
-    pub hearing: Duration,
+    pub confirmation_delay: Duration,
     /// The delays after the decision at which one router may run one request with the fingerprint as a trial. A
     /// fingerprint that many requests share and that has not completed yet may be quarantined together with the one
     /// that causes the crashes, and only a trial shows that it is innocent. A trial of the cause crashes one more back
@@ -50,7 +50,7 @@
 /// a quarter of its back ends twice.
 const REQUEST_POLICY: QuarantinePolicy = QuarantinePolicy {
     crashes: 3,
-    hearing: Duration::ZERO,
+    confirmation_delay: Duration::ZERO,
     trial_delays: &[
         Duration::from_secs(10),
         Duration::from_secs(60),
@@ -64,7 +64,7 @@
 /// have time to arrive.
 const PROMPT_PART_POLICY: QuarantinePolicy = QuarantinePolicy {
     crashes: 4,
-    hearing: Duration::from_millis(300),
+    confirmation_delay: Duration::from_millis(300),
     trial_delays: &[Duration::from_secs(10), Duration::from_secs(60)],
     lasts: Duration::from_secs(24 * 3_600),
 };
