Compare mock answers of one length in the test of cut streams

Cause: the test sent no request id, so the mock engine drew a random 64 bit number for each answer, and RequestId prints it in hexadecimal without leading zeros. Each of the four events repeats the id. When the second id was a digit shorter, the whole second answer had 580 bytes where the first had 584, so a cut after 584 - 3 bytes cut nothing. One digit less has a chance of about one in 16.

Ruled out: the cut itself and the reader of streams. 580 is 584 less four times one digit, and a run with two digits less shows 576; the answer was whole and was rightly taken for done.

The checks are the same, byte for byte. Only the test changes.

--- a/crates/testbed/tests/unframed_engine.rs
+++ b/crates/testbed/tests/unframed_engine.rs
@@ -3,7 +3,8 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-use drumshore_core::ModelName;
+use drumshore_core::{ModelName, RequestId};
+use drumshore_router::engine_api;
 use drumshore_router::relay::{RelayProgress, StreamRelay};
 use drumshore_testbed::engine::http::{self, EngineOptions};
 use drumshore_testbed::engine::unframed;
@@ -21,12 +22,14 @@
     http::spawn(options).expect("a free port")
 }
 
-/// The head and the body of a streamed completion, as its connection carries them.
-fn complete(address: SocketAddr) -> (String, Vec<u8>) {
+/// The head and the body of a streamed completion, as its connection carries them. Events repeat the id, so answers to
+/// ids of one length are of one length.
+fn complete(address: SocketAddr, id: RequestId) -> (String, Vec<u8>) {
     let body =
         json!({"model": "m", "prompt": "berth 7", "max_tokens": 4, "stream": true}).to_string();
     let request = format!(
-        "POST /v1/completions HTTP/1.1\r\nhost: engine\r\ncontent-length: {}\r\n\r\n{body}",
+        "POST /v1/completions HTTP/1.1\r\nhost: engine\r\n{}: {id}\r\ncontent-length: {}\r\n\r\n{body}",
+        engine_api::REQUEST_ID,
         body.len()
     );
     let mut stream = TcpStream::connect(address).expect("the engine listens");
@@ -43,7 +46,12 @@
 #[test]
 fn a_stream_cut_at_any_byte_is_not_done() {
     let engine = start_engine();
-    let (head, whole) = complete(unframed::spawn(engine, None).expect("a free port"));
+    let ids = [1, 2].map(|sequence| RequestId {
+        router: 0,
+        sequence,
+    });
+    let uncut = unframed::spawn(engine, None).expect("a free port");
+    let (head, whole) = complete(uncut, ids[0]);
     assert!(
         !head.contains("transfer-encoding") && !head.contains("content-length"),
         "{head}"
@@ -58,7 +66,8 @@
         );
     }
     let cut = whole.len() - 3;
-    let (_, body) = complete(unframed::spawn(engine, Some(cut as u64)).expect("a free port"));
+    let cutting = unframed::spawn(engine, Some(cut as u64)).expect("a free port");
+    let (_, body) = complete(cutting, ids[1]);
     assert_eq!(
         (body.len(), progress(&body)),
         (cut, Ok(RelayProgress::Open))
