--- a/crates/gateway-core/tests/prompt_part_quarantine.rs
+++ b/crates/gateway-core/tests/prompt_part_quarantine.rs
@@ -26,12 +26,9 @@
 const STEP: Duration = Duration::from_millis(50);
 /// Steps from a change of the replicated state until a router has it.
 const FETCH_STEPS: u64 = 5;
-/// Steps between two pings of a router to a control machine.
 const PING_STEPS: u64 = 20;
 const SOUND_PER_STEP: usize = 200;
-/// Parts that many requests share.
 const KINDS: usize = 40;
-/// Requests that share a part with no others.
 const SESSION_REQUESTS: usize = 5;
 /// Requests in a row among which the long streams share a part with no others.
 const LONG_SESSION_REQUESTS: usize = 20;
@@ -50,7 +47,6 @@
 /// Bytes per second that all control traffic may cost a router.
 const ROUTER_BYTES_PER_SECOND: usize = 14_000;
 
-/// What crashes back ends.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Cause {
     /// Requests with a part, so many a second, each sent up to [`TRIES`] times.
@@ -61,7 +57,6 @@
     },
     /// Two fifths of the back ends crash together, five times.
     PowerFailures,
-    /// Both.
     PromptPartAndPowerFailures,
 }
 
@@ -119,7 +114,6 @@
     /// The incarnation and the runs of each back end.
     back_ends: Vec<(u64, Vec<Run>)>,
     crashing: Vec<CrashingRequest>,
-    /// Sound requests that their callers send again.
     repeated: Vec<(Timestamp, SoundRequest)>,
     crashing_sent: usize,
     sound_sent: usize,
@@ -338,7 +332,6 @@
         }
     }
 
-    /// Sends the requests with the crashing part that are due, and crashes the back ends that begin to answer one.
     fn send_crashing(&mut self) {
         let now = self.now();
         let (due, later): (Vec<_>, Vec<_>) = std::mem::take(&mut self.crashing)
