Send levels of tenants' limits only while a quorum answers the leader

What callers saw: more of a tenant's requests ran than its limit allows.

Cause: a leader whose incoming links are silent goes on sending levels until it steps down, 0.6 to 1.2 s later. These levels grow at the limit's rate and hold no usage, since no report arrives, and each router takes them for current for 0.3 s more. Class: a part takes its own silence for the world's.

Change: the leader sends levels only while a quorum has answered it within two heartbeat intervals (0.3 s); routers then spend their own shares, as without a leader. account_levels_withheld tells when that begins and ends. has_recent_quorum, which nobody called, takes the number of ticks now.

Levels still flow with 100 ms there and back between control machines.

Not covered: a router whose own reports are lost while the leader's levels reach it. No message or log entry changes; earlier routers take the missing levels as they take a lost leader.

--- a/crates/consensus/src/raft.rs
+++ b/crates/consensus/src/raft.rs
@@ -240,10 +240,10 @@
         Some(self.ticks.saturating_sub(progress.last_response_tick))
     }
 
-    /// True while this replica leads and a majority has replied within `election_ticks` of its own
-    /// clock. For status reports only; reads use [`Raft::read_index`].
-    pub fn has_recent_quorum(&self) -> bool {
-        self.role == Role::Leader && self.quorum_active_within(self.params.election_ticks)
+    /// True while this replica leads and a majority has replied within `ticks` of its own clock. Does not show that no
+    /// other replica leads; reads use [`Raft::read_index`].
+    pub fn has_quorum_within(&self, ticks: u64) -> bool {
+        self.role == Role::Leader && self.quorum_active_within(ticks)
     }
 
     /// Advances time by one tick.
--- a/crates/gateway-core/src/control/accounts.rs
+++ b/crates/gateway-core/src/control/accounts.rs
@@ -30,6 +30,9 @@
 /// How long a new leader adopts levels that routers report: two report intervals, plus the time
 /// that routers need to find it.
 const TAKEOVER_PERIOD: Duration = Duration::from_millis(1_500);
+/// A leader that a quorum has not answered within this many heartbeat intervals sends no levels: it may receive nothing,
+/// the usage that routers report included, and routers would take its levels for current.
+const MAX_UNANSWERED_HEARTBEATS: u64 = 2;
 /// Routers that account for less than this fraction of a tenant's recent usage are forgotten.
 const MIN_USAGE_SHARE: f64 = 1e-3;
 
@@ -52,6 +55,8 @@
     reported: BTreeMap<ConnectionId, BTreeSet<TenantKey>>,
     notified_at: BTreeMap<ConnectionId, Timestamp>,
     next_update: Timestamp,
+    /// Whether levels are withheld because no quorum has answered recently.
+    is_withheld: bool,
 }
 
 impl TenantAccount {
@@ -194,6 +199,9 @@
         if self.tenant_accounts.limits.is_empty() || now < self.tenant_accounts.next_update {
             return;
         }
+        if self.withhold_account_levels() {
+            return;
+        }
         let close = self.tenant_accounts.close_to_limit(now);
         let bytes = (close.len() * AccountLevel::BYTES) as f64;
         let interval = Duration::from_secs_f64(bytes / MAX_BYTES_PER_SECOND).max(NOTIFY_INTERVAL);
@@ -206,6 +214,18 @@
         }
     }
 
+    /// Whether this leader sends no levels at present. Each change is logged.
+    fn withhold_account_levels(&mut self) -> bool {
+        let ticks = self.params.consensus.heartbeat_ticks * MAX_UNANSWERED_HEARTBEATS;
+        let is_withheld = !self.replica.raft().has_quorum_within(ticks);
+        if is_withheld != self.tenant_accounts.is_withheld {
+            self.tenant_accounts.is_withheld = is_withheld;
+            self.effects
+                .push(Effect::AccountLevelsWithheld(is_withheld));
+        }
+        is_withheld
+    }
+
     pub(super) fn forget_usage_of(&mut self, connection: ConnectionId) {
         self.tenant_accounts.reported.remove(&connection);
         self.tenant_accounts.notified_at.remove(&connection);
--- a/crates/gateway-core/src/control/effect.rs
+++ b/crates/gateway-core/src/control/effect.rs
@@ -31,6 +31,8 @@
         /// Distinct moments at which back ends crashed.
         crashes: u32,
     },
+    /// Log that the levels of tenants' accounts are withheld from routers, or no longer are.
+    AccountLevelsWithheld(bool),
     /// Log a new estimate of speed.
     SpeedChanged(SpeedChange),
     /// Log that another machine sent a message for routers that must not be passed on.
--- a/crates/gateway-core/tests/limits.rs
+++ b/crates/gateway-core/tests/limits.rs
@@ -93,6 +93,8 @@
     levels_in_flight: VecDeque<(Timestamp, usize, Message)>,
     /// Routers and control machines do not reach each other.
     is_cut_off: bool,
+    /// The reports of all routers are lost, while they receive the leader's levels.
+    are_reports_lost: bool,
     /// A router whose reports are lost, while it receives the leader's levels.
     router_with_lost_reports: Option<usize>,
     /// A router that the leader's levels do not reach.
@@ -100,6 +102,7 @@
     random: ChaCha8Rng,
     admitted: Vec<Admitted>,
     refused: u32,
+    refused_by_own_share: u32,
     /// Refused requests that a bucket with immediate knowledge of all requests would have admitted.
     refused_below_limit: u32,
     /// Level of the bucket with immediate knowledge of all requests.
@@ -118,11 +121,13 @@
             limit,
             levels_in_flight: VecDeque::new(),
             is_cut_off: false,
+            are_reports_lost: false,
             router_with_lost_reports: None,
             router_without_levels: None,
             random: ChaCha8Rng::seed_from_u64(seed),
             admitted: Vec::new(),
             refused: 0,
+            refused_by_own_share: 0,
             refused_below_limit: 0,
             exact_level: limit.burst,
         };
@@ -215,7 +220,7 @@
         let now = self.cluster.now;
         for (index, router) in self.routers.iter_mut().enumerate() {
             let usage = router.take_usage(now);
-            if self.router_with_lost_reports == Some(index) {
+            if self.are_reports_lost || self.router_with_lost_reports == Some(index) {
                 continue;
             }
             if !usage.is_empty() {
@@ -277,6 +282,7 @@
             Err(Refusal::OverLimit(over)) => {
                 assert!(over.by_own_share || over.level <= 0.0);
                 self.refused += 1;
+                self.refused_by_own_share += u32::from(over.by_own_share);
                 self.refused_below_limit += u32::from(self.exact_level >= f64::from(tokens));
             }
             Err(other) => panic!("refused for another reason: {other}"),
@@ -423,6 +429,40 @@
     assert_within_limit_while_leaders_are_lost(leaderless_ms);
 }
 
+#[rstest]
+#[case::a_small_tenant(29_000.0, 8.0, 7)]
+#[case::a_large_tenant(570_000.0, 3.0, 79)]
+#[case::many_routers(325_000.0, 5.0, 85)]
+fn a_leader_that_receives_nothing_does_not_let_routers_exceed_a_limit(
+    #[case] rate: f64,
+    #[case] demand: f64,
+    #[case] routers: usize,
+    #[values(0, 150, 300, 450)] after_ms: u64,
+) {
+    let mut fleet = Fleet::new(routers, limit(rate), after_ms);
+    let started_at = fleet.cluster.now;
+    fleet.run(4 * SECOND + Duration::from_millis(after_ms), rate * demand);
+    let leader = fleet.leader;
+    let others = fleet.cluster.seeds.clone().into_iter();
+    let links = others.filter(|at| *at != leader).map(|at| (at, leader));
+    fleet.cluster.severed.extend(links);
+    fleet.are_reports_lost = true;
+    fleet.run(6 * SECOND, rate * demand);
+    fleet.assert_within_limit(started_at);
+}
+
+#[test]
+fn control_machines_that_are_far_apart_do_not_withhold_levels() {
+    let rate = 325_000.0;
+    let mut fleet = Fleet::new(7, limit(rate), 6);
+    for at in fleet.cluster.seeds.clone() {
+        fleet.cluster.delays.insert(at, Duration::from_millis(50));
+    }
+    fleet.run(6 * SECOND, rate * 3.0);
+    assert!(fleet.refused > 0, "the limit is used up");
+    assert_eq!(fleet.refused_by_own_share, 0);
+}
+
 #[test]
 fn a_tenant_far_below_its_limit_is_served_without_a_leader() {
     let mut fleet = Fleet::new(79, limit(570_000.0), 5);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -293,6 +293,11 @@
                     "control: another back end crashed while serving requests with this fingerprint"
                 );
             }
+            Effect::AccountLevelsWithheld(is_withheld) => tracing::info!(
+                event = "account_levels_withheld",
+                is_withheld,
+                "control: the levels of tenants' limits are sent only while a quorum answers"
+            ),
             Effect::SpeedChanged(change) => back_end_speeds::log(&change),
             Effect::NewsRefused => {
                 self.metrics.count_decision("news_refused");
