Limit how long crashes that the quarantine list does not confirm reject a request

Cause: a router's own count of three crashes is enough to quarantine a request, for as long as crashes are remembered (600 s). This router had been out of touch; back in touch it learned that back ends it had taken for out of reach had crashed, and counted these crashes late, against a stream that they had been serving too, with no completion young enough to speak for it. Control machines ignored the same reports: a quarantined part explains those crashes. Nothing could end the verdict, since the stream was sent nowhere there and no trial is permitted for what the list does not have. A count of a control machine that is withdrawn while a link is down stays in the same way.

Ruled out: the replicated list (no work_quarantined for it) and counts of control machines (none sent). The lines of the late findings themselves were suppressed in a burst of link lines; that they were counted follows from the verdict, the order in time and the code.

Change: own crashes count towards a verdict for 10 s after the last one, announced counts for 30 s after they were last sent, and control machines send counts again each 10 s while the quarantine is not committed. Suspicion (fewer copies, no retries) stays as it was.

Evidence: the three router tests and the one of control machines fail with both limits and the repetition taken out (scratch copy). Messages and log entries stay as they are.

--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -28,7 +28,7 @@
 /// Limit on the suspected fingerprints that a router is sent when it connects, 4 KB; those with the
 /// most crashes come first.
 const MAX_SENT_ON_CONNECT: usize = 256;
-/// Interval between removals of outdated crashes.
+/// Interval between removals of outdated crashes, and between repetitions of unconfirmed counts.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
 /// What one control machine knows of requests and prompt parts that crash back ends.
@@ -121,6 +121,16 @@
         }
     }
 
+    /// Marks the counts for a quarantine that is not committed to be sent again: routers forget them after some time.
+    fn repeat_unconfirmed(&mut self, is_quarantined: impl Fn(Fingerprint) -> bool) {
+        for (fingerprint, crashes) in &self.sent {
+            let least = QuarantinePolicy::of(*fingerprint).crashes;
+            if u32::from(*crashes) >= least && !is_quarantined(*fingerprint) {
+                self.unsent.entry(*fingerprint).or_insert(*crashes);
+            }
+        }
+    }
+
     /// Takes the next suspicions to send, those with the most crashes first, and marks them as sent.
     fn take_unsent(&mut self, limit: usize) -> Vec<FingerprintSuspicion> {
         let mut due: Vec<(u8, Fingerprint)> =
@@ -308,7 +318,7 @@
         }
     }
 
-    /// Removes outdated crashes.
+    /// Removes outdated crashes, and repeats the counts that routers act on before a quarantine is committed.
     pub(super) fn expire_suspicions(&mut self) {
         let (now, suspected) = (self.now, &mut self.suspected_fingerprints);
         if now.since(suspected.expired_at) < EXPIRY_INTERVAL {
@@ -317,6 +327,8 @@
         suspected.expired_at = now;
         suspected.ledger.expire(now);
         suspected.update_all_sent();
+        let state = &self.state;
+        suspected.repeat_unconfirmed(|fingerprint| state.is_quarantined(fingerprint));
     }
 
     /// Sends routers the changed suspicions, as many as the bandwidth allows.
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -185,6 +185,13 @@
         incidents
     }
 
+    /// The time since the last crash while serving the fingerprint.
+    pub fn last_crash_age(&self, now: Timestamp, fingerprint: Fingerprint) -> Option<Duration> {
+        let last = self.by_fingerprint.get(&fingerprint)?.last()?;
+        let age = u64::try_from(micros(now) - last.at).unwrap_or(0);
+        Some(Duration::from_micros(age))
+    }
+
     /// Whether at least half of the back ends that crashed at the time of a crash were serving the fingerprint. Others
     /// are in one of many back ends that crash at once by chance.
     fn explains_incident(
--- a/crates/gateway-core/src/router/placement.rs
+++ b/crates/gateway-core/src/router/placement.rs
@@ -52,7 +52,7 @@
             candidates.retain(|candidate| !earlier.tried.contains(candidate.id));
         }
         let usable = prefer_healthy(now, candidates);
-        if self.is_suspected(earlier.fingerprints) {
+        if self.is_suspected(now, earlier.fingerprints) {
             return self.place_suspected(now, admission, prompt, &usable, sample);
         }
         let usable = self.lead_to_newest_weights(prompt, usable, sample);
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -1,10 +1,13 @@
 //! Request fingerprints that are suspected of crashing back ends, as one router knows them.
 //!
 //! A router combines its own observations, crash counts sent by control machines, and the replicated quarantine
-//! list. Any one of them is enough to act on, so a router that is cut off relies on its own observations.
+//! list. Any one of them is enough to act on, so a router that is cut off relies on its own observations. What the list
+//! does not confirm holds for a limited time: control machines know which crashes have another cause, and a router that
+//! lost its links misses that they withdraw a count.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::time::Duration;
 
 use drumshore_core::Timestamp;
 
@@ -22,6 +25,11 @@
 const MAX_REPORTS: usize = 2_048;
 /// Fingerprints kept for which control machines have sent crash counts.
 const MAX_ANNOUNCED: usize = 4_096;
+/// How long after the last of them this router's own crashes quarantine a request. Within this time, a router that reaches
+/// control machines has their verdict.
+const OWN_CRASHES_VALID_FOR: Duration = Duration::from_secs(10);
+/// How long a crash count of a control machine quarantines. Three times the interval at which it is sent again.
+const ANNOUNCED_VALID_FOR: Duration = Duration::from_secs(30);
 /// Prompt parts that are recorded for one crash, of the requests that were sent last. The cause is among them: it crashes
 /// a back end that begins to answer.
 const MAX_PARTS_PER_CRASH: usize = 256;
@@ -48,12 +56,19 @@
     }
 }
 
+/// A crash count over all routers.
+#[derive(Clone, Copy, Debug)]
+struct AnnouncedCrashes {
+    crashes: u8,
+    received_at: Timestamp,
+}
+
 /// Suspected and quarantined fingerprints, and the observations that this router reports about them.
 #[derive(Debug, Default)]
 pub(super) struct SuspectedFingerprints {
     own: CrashLedger,
-    /// Crash counts over all routers, as sent by control machines.
-    announced: HashMap<Fingerprint, u8>,
+    /// Crash counts as sent by control machines.
+    announced: HashMap<Fingerprint, AnnouncedCrashes>,
     /// The replicated quarantine list.
     quarantined: HashSet<Fingerprint>,
     /// Quarantined fingerprints with a permit for one trial, and when each permit arrived.
@@ -66,24 +81,47 @@
 impl SuspectedFingerprints {
     /// How many crashes while serving the fingerprint this router knows of. Back ends that crash together count once.
     fn crashes(&self, fingerprint: Fingerprint) -> u32 {
-        let announced = self.announced_crashes(fingerprint);
+        let announced = self.announced.get(&fingerprint);
+        let announced = announced.map_or(0, |announced| u32::from(announced.crashes));
         self.own.crashes(fingerprint).max(announced)
     }
 
-    fn announced_crashes(&self, fingerprint: Fingerprint) -> u32 {
-        let announced = self.announced.get(&fingerprint).copied();
-        u32::from(announced.unwrap_or_default())
+    /// Whether requests with the fingerprint are not sent.
+    fn is_quarantined(&self, now: Timestamp, fingerprint: Fingerprint) -> bool {
+        let least = QuarantinePolicy::of(fingerprint).crashes;
+        self.quarantined.contains(&fingerprint)
+            || self.recently_announced_crashes(now, fingerprint) >= least
+            || self.own_recent_crashes(now, fingerprint) >= least
+    }
+
+    fn recently_announced_crashes(&self, now: Timestamp, fingerprint: Fingerprint) -> u32 {
+        let announced = self.announced.get(&fingerprint);
+        let recent =
+            announced.filter(|announced| now.since(announced.received_at) < ANNOUNCED_VALID_FOR);
+        recent.map_or(0, |announced| u32::from(announced.crashes))
     }
 
-    /// Whether requests with the fingerprint are not sent. What this router saw itself is not enough for a prompt part:
-    /// many back ends may have crashed at once, most of them unseen by this router.
-    fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        let crashes = match fingerprint.scope() {
-            FingerprintScope::Request => self.crashes(fingerprint),
-            FingerprintScope::PromptPart => self.announced_crashes(fingerprint),
+    /// What this router saw itself is not enough for a prompt part: many back ends may have crashed at once, most of them
+    /// unseen by this router.
+    fn own_recent_crashes(&self, now: Timestamp, fingerprint: Fingerprint) -> u32 {
+        let last = self.own.last_crash_age(now, fingerprint);
+        let is_recent = last.is_some_and(|age| age < OWN_CRASHES_VALID_FOR);
+        if is_recent && fingerprint.scope() == FingerprintScope::Request {
+            self.own.crashes(fingerprint)
+        } else {
+            0
+        }
+    }
+
+    fn record_announced(&mut self, now: Timestamp, fingerprint: Fingerprint, crashes: u8) {
+        let announced = AnnouncedCrashes {
+            crashes,
+            received_at: now,
         };
-        self.quarantined.contains(&fingerprint)
-            || crashes >= QuarantinePolicy::of(fingerprint).crashes
+        let held = self.announced.entry(fingerprint).or_insert(announced);
+        if crashes >= held.crashes {
+            *held = announced;
+        }
     }
 
     /// Consumes the permits for one trial of a request with these quarantined fingerprints. False, without consuming
@@ -180,7 +218,7 @@
         let suspected = &mut self.suspected_fingerprints;
         let quarantined: Vec<Fingerprint> = fingerprints
             .iter()
-            .filter(|fingerprint| suspected.is_quarantined(*fingerprint))
+            .filter(|fingerprint| suspected.is_quarantined(now, *fingerprint))
             .collect();
         if !quarantined.is_empty() {
             let is_first = earlier.tried.is_empty();
@@ -205,19 +243,24 @@
     /// The first quarantined fingerprint of a request.
     pub fn quarantined_fingerprint(
         &self,
+        now: Timestamp,
         fingerprints: &RequestFingerprints,
     ) -> Option<Fingerprint> {
         let suspected = &self.suspected_fingerprints;
         let mut fingerprints = fingerprints.iter();
-        fingerprints.find(|fingerprint| suspected.is_quarantined(*fingerprint))
+        fingerprints.find(|fingerprint| suspected.is_quarantined(now, *fingerprint))
     }
 
     /// Whether so many back ends have crashed while serving the fingerprint that its request is placed where a
     /// further crash loses the fewest other requests.
-    pub(super) fn is_suspected(&self, fingerprints: Option<&RequestFingerprints>) -> bool {
+    pub(super) fn is_suspected(
+        &self,
+        now: Timestamp,
+        fingerprints: Option<&RequestFingerprints>,
+    ) -> bool {
         let suspected = &self.suspected_fingerprints;
         let is_suspected = |fingerprint: Fingerprint| {
-            suspected.is_quarantined(fingerprint)
+            suspected.is_quarantined(now, fingerprint)
                 || suspected.crashes(fingerprint) >= CRASHES_FOR_SUSPICION
         };
         fingerprints.is_some_and(|fingerprints| fingerprints.iter().any(is_suspected))
@@ -328,8 +371,7 @@
             } else if suspected.announced.len() < MAX_ANNOUNCED
                 || suspected.announced.contains_key(fingerprint)
             {
-                let announced = suspected.announced.entry(*fingerprint).or_default();
-                *announced = (*announced).max(*crashes);
+                suspected.record_announced(now, *fingerprint, *crashes);
             }
         }
     }
--- a/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
@@ -79,6 +79,61 @@
     assert_eq!(refused, Err(ChoiceError::Quarantined));
 }
 
+fn check_first(
+    router: &mut RouterCore,
+    now_ms: u64,
+    fingerprint: Fingerprint,
+) -> Result<(), ChoiceError> {
+    let fingerprints = RequestFingerprints::of_request(fingerprint);
+    router.check_fingerprints(at(now_ms), &first_attempt(&fingerprints))
+}
+
+#[test]
+fn crashes_seen_by_this_router_alone_refuse_a_fingerprint_for_ten_seconds() {
+    let mut router = router();
+    let suspected = fingerprint("a");
+    crash_while_serving(&mut router, suspected, &["app-1", "app-2", "app-3"]);
+    let refused = check_first(&mut router, 12_900, suspected);
+    assert_eq!(refused, Err(ChoiceError::Quarantined));
+    assert_eq!(check_first(&mut router, 13_100, suspected), Ok(()));
+    assert!(router.is_suspected(at(13_100), Some(&request("a"))));
+    let now = at(13_500);
+    router.on_back_end_crashed(now, &InstanceId::new("app-4"), &[(suspected, now)]);
+    let refused = check_first(&mut router, 23_400, suspected);
+    assert_eq!(refused, Err(ChoiceError::Quarantined));
+}
+
+#[test]
+fn a_crash_count_that_is_not_sent_again_refuses_a_fingerprint_for_thirty_seconds() {
+    let mut router = router();
+    let suspected = fingerprint("a");
+    let count = |crashes| FingerprintSuspicion {
+        fingerprint: suspected,
+        crashes,
+    };
+    router.on_fingerprint_suspicions(at(1_000), &[count(4)]);
+    router.on_fingerprint_suspicions(at(11_000), &[count(4)]);
+    router.on_fingerprint_suspicions(at(12_000), &[count(2)]);
+    let refused = check_first(&mut router, 40_900, suspected);
+    assert_eq!(refused, Err(ChoiceError::Quarantined));
+    assert_eq!(check_first(&mut router, 41_100, suspected), Ok(()));
+}
+
+#[test]
+fn crashes_that_are_found_late_are_reported_and_refuse_nothing() {
+    let mut router = router();
+    let suspected = fingerprint("a");
+    for (number, name) in ["app-1", "app-2", "app-3"].iter().enumerate() {
+        let crashed_at = at(1_000 * (1 + number as u64));
+        let served = [(suspected, crashed_at)];
+        let instance = InstanceId::new(name);
+        router.on_earlier_crash_found(at(20_000), crashed_at, &instance, &served);
+    }
+    assert_eq!(check_first(&mut router, 20_000, suspected), Ok(()));
+    let reports = router.fingerprint_reports_since(at(20_000), &mut 0);
+    assert_eq!(reports.len(), 3);
+}
+
 fn with_quarantine(since: u64, revision: u64, fingerprints: &[Fingerprint]) -> Changes {
     let fingerprints = List::new(fingerprints.to_vec());
     Changes {
@@ -226,7 +281,7 @@
     let next = choose_first(&mut router, fingerprint("a"));
     assert_eq!(next, Err(ChoiceError::Quarantined));
     router.on_trial_permitted(at(3_500), fingerprint("a"));
-    assert!(router.is_suspected(Some(&request("a"))));
+    assert!(router.is_suspected(at(3_500), Some(&request("a"))));
     let too_late = at(23_500);
     let refused = router.check_fingerprints(too_late, &first_attempt(&request("a")));
     assert_eq!(refused, Err(ChoiceError::Quarantined));
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -153,6 +153,30 @@
     assert!(!is_quarantined_at(&mut cluster, others[2]));
 }
 
+/// Routers forget counts that are not sent again.
+#[test]
+fn counts_are_sent_again_while_no_majority_commits_the_quarantine() {
+    let mut cluster = cluster_with_router(5);
+    let leader = cluster.leader().unwrap();
+    let others = others_than(leader, 5);
+    for stopped in [leader, others[0], others[1]] {
+        cluster.kill(stopped);
+    }
+    cluster.run(2 * SECOND);
+    report(&mut cluster, others[2], &three_crashes(fingerprint(1)));
+    cluster.run(SECOND);
+    for _ in 0..2 {
+        cluster.to_routers.clear();
+        for _ in 0..10 {
+            let (now, ping) = (cluster.now, Message::Ping { sequence: 1 });
+            cluster.core(others[2]).on_router(now, LINK, ping);
+            cluster.run(SECOND);
+        }
+        let repeated = last_reported_crashes(&cluster, others[2], LINK, fingerprint(1));
+        assert_eq!(repeated, Some(3));
+    }
+}
+
 #[test]
 fn counted_crashes_survive_a_change_of_leader() {
     let mut cluster = cluster_with_router(3);
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -89,7 +89,7 @@
     let quarantined = match error {
         Some(ChoiceError::Quarantined) => {
             let core = router.core.borrow();
-            core.quarantined_fingerprint(&call.fingerprints)
+            core.quarantined_fingerprint(now, &call.fingerprints)
         }
         _ => None,
     };
