Log why an answer was cut, and how late the event loop runs

answer_cut, answer_broken and attempt_ended had only the text of the HTTP library, by which a connection that the kernel ended for want of acknowledgements could not be told from one that the back end reset. Nothing said whether the event loop ran at that time.

The reason is now found from the sources of the library's error (connection_errors) and logged as `cause`, with the times since the request was sent and since the last bytes from the back end, the time left until the deadline, and the delay of the event loop. An error that the library gives to the connection's task alone is kept for the body.

caller_connection_ended says why a caller's connection ended while its request was being answered.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -21,6 +21,17 @@
     FromPeer(Box<PeerBody>),
 }
 
+impl AnswerBody {
+    /// The identifier of the request, if the answer is forwarded.
+    pub fn request_id(&self) -> Option<&str> {
+        match self {
+            Self::Own(_) => None,
+            Self::Relayed(relay) => Some(relay.id()),
+            Self::FromPeer(body) => Some(body.id()),
+        }
+    }
+}
+
 impl Body for AnswerBody {
     type Data = Bytes;
     type Error = io::Error;
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -33,6 +33,7 @@
 use crate::answer::AnswerBody;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
+use crate::event_loop_delay::{self, EventLoopDelay};
 use crate::link::{Frame, Sender};
 use crate::metrics::Metrics;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
@@ -130,6 +131,7 @@
     listen(&control)?;
     tokio::task::spawn_local(flush_on_request(Rc::clone(&control)));
     tokio::task::spawn_local(tick(Rc::clone(&control)));
+    tokio::task::spawn_local(measure_event_loop_delay(Rc::clone(&control)));
     tokio::task::spawn_local(traffic_log::log_periodically(Rc::clone(&control)));
     tokio::task::spawn_local(store::follow_all(Rc::clone(&control)));
     tracing::info!(event = "started", role = "control", node = %control.settings.node,
@@ -216,6 +218,13 @@
     }
 }
 
+/// Measures the delay of the event loop; calls that wait for a reply of the core count as open requests.
+async fn measure_event_loop_delay(control: Rc<Control>) {
+    let delay = Rc::new(EventLoopDelay::new());
+    let metrics = Rc::clone(&control.metrics);
+    event_loop_delay::measure(delay, metrics, || control.waiting.borrow().len()).await;
+}
+
 async fn flush_on_request(control: Rc<Control>) {
     loop {
         control.flush.notified().await;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,9 +7,12 @@
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
 mod answer;
+mod caller_connections;
 mod clock;
+mod connection_errors;
 mod control;
 mod dialect;
+mod event_loop_delay;
 mod link;
 pub mod logs;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -19,10 +19,12 @@
 use crate::answer::{self, AnswerBody};
 
 mod crashes;
+mod event_loop;
 mod streams;
 mod tenant_demands;
 
 pub(crate) use crashes::CrashMetrics;
+pub(crate) use event_loop::EventLoopMetrics;
 pub(crate) use streams::StreamMetrics;
 pub(crate) use tenant_demands::{TenantDemandGauges, MAX_DEMAND_LABELS};
 
@@ -106,6 +108,8 @@
     pub streams: StreamMetrics,
     /// What back ends were serving when they crashed.
     pub crashes: CrashMetrics,
+    /// How late the event loop runs.
+    pub event_loop: EventLoopMetrics,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -150,6 +154,7 @@
         let answer_ends = Family::default();
         let streams = StreamMetrics::default();
         let crashes = CrashMetrics::default();
+        let event_loop = EventLoopMetrics::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -182,6 +187,7 @@
         );
         streams.register(&mut registry);
         crashes.register(&mut registry);
+        event_loop.register(&mut registry);
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -255,6 +261,7 @@
             answer_ends,
             streams,
             crashes,
+            event_loop,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
+use super::end_cause::EndCause;
 use super::forward::{header, may_try_again, Call};
 use super::headers;
 use super::notices;
@@ -74,6 +75,10 @@
     pub execution: Execution,
     /// Whether the request reached the back end.
     pub sent: bool,
+    /// When it was sent; `None` if it was not.
+    pub sent_at: Option<Timestamp>,
+    /// Why the attempt ended, if the outcome does not tell.
+    pub cause: Option<EndCause>,
     pub basis: AttemptBasis,
 }
 
@@ -123,12 +128,13 @@
                 NoConnection::Unreachable(_) | NoConnection::NoPath => Outcome::Unreachable,
                 NoConnection::NoneFree => Outcome::NoFreeConnection,
             };
-            return unanswered(open_attempt, outcome, Execution::NotRun, false);
+            return unanswered(open_attempt, outcome, Execution::NotRun, false, None);
         }
     };
     if !may_send(router, call, choice, &open_attempt.basis) {
         connection.release(router.clock.now());
-        return unanswered(open_attempt, Outcome::Withheld, Execution::NotRun, false);
+        let not_run = Execution::NotRun;
+        return unanswered(open_attempt, Outcome::Withheld, not_run, false, None);
     }
     let remaining = call.deadline.since(router.clock.now());
     let mut request = outbound(router, call, choice, remaining);
@@ -136,19 +142,24 @@
         set_continuation(router, call, choice, continued, request.headers_mut());
     }
     let time_limit = head_timeout(call, sent_before, remaining);
+    let limit = if time_limit < remaining {
+        EndCause::HeadTimeout
+    } else {
+        EndCause::Deadline
+    };
     let sent_at = router.clock.now();
     let watch = Watch::new(router, choice, call.admission.route.target);
     let may_move = may_try_again(&call.admission, Execution::MayHaveRun, sent_before + 1);
     let sent = tokio::select! {
-        sent = timeout(time_limit, connection.send(request)) => sent.ok(),
-        () = watch.silent_if(sent_at, may_move) => None,
+        sent = timeout(time_limit, connection.send(request)) => sent.map_err(|_| limit),
+        () = watch.silent_if(sent_at, may_move) => Err(EndCause::BackEndSilent),
     };
     let response = match sent {
-        Some(Ok(response)) => response,
-        Some(Err(error)) => return connection_broken(open_attempt, error),
-        None => {
-            let outcome = Outcome::TimedOut;
-            return unanswered(open_attempt, outcome, Execution::MayHaveRun, true);
+        Ok(Ok(response)) => response,
+        Ok(Err(error)) => return connection_broken(open_attempt, error),
+        Err(cause) => {
+            let (outcome, execution) = (Outcome::TimedOut, Execution::MayHaveRun);
+            return unanswered(open_attempt, outcome, execution, true, Some(cause));
         }
     };
     classify_answer(
@@ -202,12 +213,12 @@
 }
 
 fn connection_broken(open_attempt: OpenAttempt, error: SendError) -> Attempt {
-    let execution = match error {
-        SendError::NotSent => Execution::NotRun,
-        SendError::Broken => Execution::MayHaveRun,
+    let (execution, cause) = match error {
+        SendError::NotSent => (Execution::NotRun, EndCause::NotSent),
+        SendError::Broken(error) => (Execution::MayHaveRun, EndCause::Connection(error)),
     };
-    let sent = error == SendError::Broken;
-    unanswered(open_attempt, Outcome::Broken, execution, sent)
+    let sent = error != SendError::NotSent;
+    unanswered(open_attempt, Outcome::Broken, execution, sent, Some(cause))
 }
 
 fn unanswered(
@@ -215,12 +226,15 @@
     outcome: Outcome,
     execution: Execution,
     sent: bool,
+    cause: Option<EndCause>,
 ) -> Attempt {
     open_attempt.end(outcome, execution);
     Attempt::Unanswered(Unanswered {
         outcome,
         execution,
         sent,
+        sent_at: sent.then(|| open_attempt.sent_at()),
+        cause,
         basis: open_attempt.basis,
     })
 }
@@ -286,8 +300,9 @@
     notices::process(router, choice, &response, sent_at);
     if !is_for_this_request {
         // A surplus answer to an earlier request on the connection: whether this request ran is unknown.
-        let outcome = Outcome::Broken;
-        return unanswered(open_attempt, outcome, Execution::MayHaveRun, true);
+        let (outcome, execution) = (Outcome::Broken, Execution::MayHaveRun);
+        let cause = Some(EndCause::SurplusAnswer);
+        return unanswered(open_attempt, outcome, execution, true, cause);
     }
     let not_run = headers.contains_key(&names.not_run)
         || response.status() == StatusCode::MISDIRECTED_REQUEST;
@@ -300,7 +315,7 @@
             _ => Outcome::Shed,
         };
         drain(router, response, connection);
-        return unanswered(open_attempt, outcome, Execution::NotRun, true);
+        return unanswered(open_attempt, outcome, Execution::NotRun, true, None);
     }
     let failed = response.status().is_server_error();
     if failed
@@ -311,7 +326,7 @@
         )
     {
         drain(router, response, connection);
-        return unanswered(open_attempt, Outcome::Failed, Execution::Ran, true);
+        return unanswered(open_attempt, Outcome::Failed, Execution::Ran, true, None);
     }
     Attempt::Answered(Box::new(Answered {
         response,
--- /dev/null
+++ b/crates/gateway/src/router/end_cause.rs
@@ -0,0 +1,74 @@
+//! Why an attempt at a back end ended without a whole answer.
+
+use tokio::time::{Instant, Sleep};
+
+use crate::connection_errors::ConnectionError;
+use crate::upstream::Connection;
+
+/// Why an attempt ended without a whole answer, for logs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EndCause {
+    /// The request's deadline passed.
+    Deadline,
+    /// The head of the answer did not arrive within the time after which another back end is tried.
+    HeadTimeout,
+    /// The back end sent nothing and accepted no connections.
+    BackEndSilent,
+    /// The stream was broken off before, and no back end resumed it.
+    NotResumed,
+    /// The connection ended before any of the request was sent on it.
+    NotSent,
+    /// The answer was that to another request.
+    SurplusAnswer,
+    /// The body ended inside an event, or before the first one.
+    InsideEvent,
+    /// The back end crashed when it ended an answer with its connection.
+    BackEndCrashed,
+    /// The connection to the back end ended.
+    Connection(ConnectionError),
+}
+
+impl EndCause {
+    /// The cause of an error of the body of an answer that arrives over `connection`.
+    pub fn of_body(connection: Option<&Connection>, error: &hyper::Error) -> Self {
+        Self::Connection(match connection {
+            Some(connection) => connection.body_error(error),
+            None => ConnectionError::of(error),
+        })
+    }
+
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Deadline => "deadline",
+            Self::HeadTimeout => "head_timeout",
+            Self::BackEndSilent => "back_end_silent",
+            Self::NotResumed => "not_resumed",
+            Self::NotSent => "not_sent",
+            Self::SurplusAnswer => "surplus_answer",
+            Self::InsideEvent => "ended_inside_event",
+            Self::BackEndCrashed => "back_end_crashed",
+            Self::Connection(error) => connection_error_name(error),
+        }
+    }
+}
+
+fn connection_error_name(error: ConnectionError) -> &'static str {
+    match error {
+        ConnectionError::Closed => "back_end_closed",
+        ConnectionError::Reset => "back_end_reset",
+        ConnectionError::Unacknowledged => "unacknowledged",
+        ConnectionError::NoRoute => "no_route",
+        ConnectionError::Malformed => "malformed",
+        ConnectionError::HeadTimeout => "head_timeout",
+        ConnectionError::Unknown => "unknown",
+    }
+}
+
+/// Milliseconds until a deadline, for logs.
+pub(super) fn remaining_ms(deadline: &Sleep) -> u64 {
+    let remaining = deadline
+        .deadline()
+        .saturating_duration_since(Instant::now());
+    remaining.as_millis() as u64
+}
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -18,8 +18,9 @@
 use tokio::time::timeout;
 
 use super::attempt::{self, Attempt, Unanswered};
+use super::end_cause::EndCause;
 use super::forwarded_answer::forward_answer;
-use super::open_attempt::outcome_name;
+use super::open_attempt::{outcome_name, received_ms_ago};
 use super::peer_forwarding;
 use super::refusal::{self, Refused};
 use super::resume::Attempts;
@@ -370,13 +371,21 @@
     choice: &Choice,
     unanswered: Unanswered,
 ) {
-    let elapsed = router.clock.now().since(call.received);
+    let now = router.clock.now();
+    let elapsed = now.since(call.received);
+    let cause = unanswered.cause;
+    let sent_ago = unanswered.sent_at.map(|sent_at| now.since(sent_at));
     tracing::info!(event = "attempt_ended", id = %call.id, work = call.fingerprints.request().map(tracing::field::display),
         instance = %choice.instance,
         outcome = outcome_name(unanswered.outcome), execution = unanswered.execution.as_str(),
         sent = unanswered.sent, version = choice.expected_version, software = choice.software.as_str(), chosen_by = unanswered.basis.revision,
         view_age_ms = unanswered.basis.view_age_ms(), connection_wait_ms = unanswered.basis.connection_wait_ms(),
-        elapsed_ms = elapsed.as_millis() as u64, "router: an attempt at a back end ended without an answer to forward");
+        elapsed_ms = elapsed.as_millis() as u64, cause = cause.map(EndCause::as_str),
+        sent_ms_ago = cause.and(sent_ago).map(|ago| ago.as_millis() as u64),
+        received_ms_ago = cause.and_then(|_| received_ms_ago(router, choice)),
+        remaining_ms = cause.map(|_| call.deadline.since(now).as_millis() as u64),
+        event_loop_late_ms = cause.map(|_| router.event_loop_delay.late_ms()),
+        "router: an attempt at a back end ended without an answer to forward");
 }
 
 /// Whether another back end may be tried. A request that may have run is sent again only if it may run twice.
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -5,6 +5,7 @@
 mod control_links;
 mod crash_detection;
 mod demand_metrics;
+mod end_cause;
 mod event_scanner;
 mod events;
 mod first_view;
@@ -41,6 +42,7 @@
 use crate::answer::{self, AnswerBody};
 use crate::clock::Clock;
 use crate::dialect::Dialect;
+use crate::event_loop_delay::{self, EventLoopDelay};
 use crate::metrics::Metrics;
 use crate::server::{self, ConnectionSlots, NoAnswer, ServerParams, WhenFull};
 use crate::settings::RouterSettings;
@@ -83,6 +85,7 @@
     clock: Clock,
     settings: RouterSettings,
     metrics: Rc<Metrics>,
+    event_loop_delay: Rc<EventLoopDelay>,
     /// When this process received the stop signal.
     stopping: Cell<Option<Timestamp>>,
     /// Requests whose head was received and whose answer has not ended.
@@ -129,6 +132,7 @@
         upstreams: Upstreams::new(clock),
         clock,
         metrics: Metrics::new(),
+        event_loop_delay: Rc::new(EventLoopDelay::new()),
         stopping: Cell::new(None),
         open_requests: Cell::new(0),
         open_forwarded_requests: Cell::new(0),
@@ -149,6 +153,7 @@
     listen(&router)?;
     control_links::start(&router);
     tokio::task::spawn_local(prune(Rc::clone(&router)));
+    tokio::task::spawn_local(measure_event_loop_delay(Rc::clone(&router)));
     tracing::info!(event = "started", role = "router", node = %router.settings.node,
         listen = %router.settings.listen, "router: accepting requests");
     while signals.next().await == SignalRequest::Reload {
@@ -216,6 +221,12 @@
     }
 }
 
+async fn measure_event_loop_delay(router: Rc<Router>) {
+    let delay = Rc::clone(&router.event_loop_delay);
+    let metrics = Rc::clone(&router.metrics);
+    event_loop_delay::measure(delay, metrics, || router.open_requests.get()).await;
+}
+
 impl Router {
     /// True when the process is stopping and would probably exit before such a request is answered.
     fn stops_too_soon_for(&self, kind: RequestKind) -> bool {
--- a/crates/gateway/src/router/open_attempt.rs
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -63,6 +63,17 @@
         self.run.sent_at
     }
 
+    /// When the request was sent, once it has a connection.
+    pub fn sent_at(&self) -> Timestamp {
+        self.began_at().plus(self.basis.connection_wait)
+    }
+
+    /// Milliseconds since the request was sent, for logs.
+    pub fn sent_ms_ago(&self) -> u64 {
+        let now = self.router.clock.now();
+        now.since(self.sent_at()).as_millis() as u64
+    }
+
     /// Records that the head of the answer has arrived.
     pub fn answered(&mut self, status: StatusCode) {
         self.on_bytes_received();
@@ -164,6 +175,13 @@
     }
 }
 
+/// Milliseconds since this router last received bytes from a back end, for logs; `None` if it never did.
+pub(super) fn received_ms_ago(router: &Router, choice: &Choice) -> Option<u64> {
+    let received_at = choice.last_received_at.get();
+    let ago = router.clock.now().since(received_at);
+    (received_at != Timestamp::default()).then_some(ago.as_millis() as u64)
+}
+
 /// The name of an outcome in logs and metrics.
 pub(super) fn outcome_name(outcome: Outcome) -> &'static str {
     match outcome {
--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -115,6 +115,7 @@
         Some(PathChange::Lost) => {
             tracing::info!(event = "path_lost", %pool, ready = reach.ready, unreachable = reach.unreachable,
                 received_ms_ago = reach.received_ago.map(|ago| ago.as_millis() as u64), peers = router.peers.count(),
+                event_loop_late_ms = router.event_loop_delay.late_ms(),
                 "router: reached no back end of a pool; forwarding its requests to other routers");
             router.path_lost.notify_waiters();
             check_other_pools(router);
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -20,6 +20,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
 use tokio::time::{timeout, Sleep};
 
+use super::end_cause::{remaining_ms, EndCause};
 use super::forward::{may_try_again, Call, OpenRequest};
 use super::{headers, notices, refusal, Router};
 use crate::answer::AnswerBody;
@@ -115,7 +116,7 @@
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
         Ok(Ok(response)) => Forwarded::Answered(response, connection),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
-        Ok(Err(SendError::Broken)) | Err(_) => Forwarded::Broken,
+        Ok(Err(SendError::Broken(_))) | Err(_) => Forwarded::Broken,
     }
 }
 
@@ -191,6 +192,10 @@
 }
 
 impl PeerBody {
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     pub fn is_end_stream(&self) -> bool {
         self.body.is_end_stream()
     }
@@ -206,7 +211,9 @@
         match Pin::new(&mut self.body).poll_frame(context) {
             Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
             Poll::Ready(Some(Err(error))) => {
-                Poll::Ready(Some(Err(self.cut("broken", io::Error::other(error)))))
+                let cause = EndCause::of_body(self.connection.as_ref(), &error);
+                let error = io::Error::other(error);
+                Poll::Ready(Some(Err(self.cut("broken", cause, error))))
             }
             Poll::Ready(None) => {
                 self.finish();
@@ -214,7 +221,7 @@
             }
             Poll::Pending if self.deadline.as_mut().poll(context).is_ready() => {
                 let error = io::Error::from(io::ErrorKind::TimedOut);
-                Poll::Ready(Some(Err(self.cut("timed_out", error))))
+                Poll::Ready(Some(Err(self.cut("timed_out", EndCause::Deadline, error))))
             }
             Poll::Pending => Poll::Pending,
         }
@@ -226,8 +233,9 @@
         }
     }
 
-    fn cut(&mut self, reason: &'static str, error: io::Error) -> io::Error {
-        tracing::info!(event = "answer_cut", id = %self.id, reason, %error,
+    fn cut(&mut self, reason: &'static str, cause: EndCause, error: io::Error) -> io::Error {
+        tracing::info!(event = "answer_cut", id = %self.id, reason, cause = cause.as_str(), %error,
+            remaining_ms = remaining_ms(&self.deadline), event_loop_late_ms = self.router.event_loop_delay.late_ms(),
             "router: closed the caller's connection before the end of an answer from another router");
         self.connection = None;
         error
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -15,8 +15,9 @@
 use tracing::field::DisplayValue;
 
 use super::crash_detection::{self, Finding};
+use super::end_cause::{remaining_ms, EndCause};
 use super::forward::OpenRequest;
-use super::open_attempt::OpenAttempt;
+use super::open_attempt::{received_ms_ago, OpenAttempt};
 use super::received_body::{AnswerEnd, ReceivedBody};
 use super::resume::Resumption;
 use super::silence::Watch;
@@ -32,6 +33,15 @@
     Crash,
 }
 
+impl BrokenOff {
+    fn cause(self) -> EndCause {
+        match self {
+            Self::InsideEvent => EndCause::InsideEvent,
+            Self::Crash => EndCause::BackEndCrashed,
+        }
+    }
+}
+
 /// Whether a broken stream is being resumed at another back end.
 enum ResumeState {
     /// It is not broken, or has been resumed.
@@ -111,6 +121,10 @@
         });
     }
 
+    pub fn id(&self) -> &str {
+        &self.id
+    }
+
     pub fn is_end_stream(&self) -> bool {
         // A stream that may be resumed ends only when polling returns the end: an incomplete event may still be
         // pending.
@@ -142,7 +156,12 @@
                 ResumeState::Resuming => return self.poll_deadline(context),
                 ResumeState::Failed => {
                     let error = io::Error::from(io::ErrorKind::ConnectionReset);
-                    return Poll::Ready(Some(Err(self.cut(Outcome::Broken, "broken", error))));
+                    return Poll::Ready(Some(Err(self.cut(
+                        Outcome::Broken,
+                        "broken",
+                        EndCause::NotResumed,
+                        error,
+                    ))));
                 }
             }
             match self.poll_body(context) {
@@ -155,7 +174,8 @@
                 }
                 Poll::Ready(Some(Err(error))) => {
                     self.count_end("error");
-                    if let Some(error) = self.resume_or_cut(io::Error::other(error)) {
+                    let cause = EndCause::of_body(self.connection.as_ref(), &error);
+                    if let Some(error) = self.resume_or_cut(cause, io::Error::other(error)) {
                         return Poll::Ready(Some(Err(error)));
                     }
                 }
@@ -168,7 +188,7 @@
                     Poll::Ready(Some(broken_off)) => {
                         self.record_end(AnswerEnd::BrokenOff);
                         let error = io::Error::new(io::ErrorKind::UnexpectedEof, broken_off);
-                        if let Some(error) = self.resume_or_cut(error) {
+                        if let Some(error) = self.resume_or_cut(broken_off.cause(), error) {
                             return Poll::Ready(Some(Err(error)));
                         }
                     }
@@ -187,7 +207,8 @@
             return false;
         }
         self.silence = None;
-        self.begin_resuming(&"its back end accepts no connections")
+        let cause = EndCause::BackEndSilent;
+        self.begin_resuming(cause, &"its back end accepts no connections")
     }
 
     fn poll_deadline(
@@ -198,7 +219,9 @@
             return Poll::Pending;
         }
         let error = io::Error::from(io::ErrorKind::TimedOut);
-        Poll::Ready(Some(Err(self.cut(Outcome::TimedOut, "timed_out", error))))
+        let cause = EndCause::Deadline;
+        let error = self.cut(Outcome::TimedOut, "timed_out", cause, error);
+        Poll::Ready(Some(Err(error)))
     }
 
     /// The part of a frame that can be forwarded; `None` while the current event is incomplete.
@@ -251,15 +274,15 @@
     }
 
     /// Starts to resume a broken answer at another back end, or ends it; the error closes the caller's connection.
-    fn resume_or_cut(&mut self, error: io::Error) -> Option<io::Error> {
-        if self.begin_resuming(&error) {
+    fn resume_or_cut(&mut self, cause: EndCause, error: io::Error) -> Option<io::Error> {
+        if self.begin_resuming(cause, &error) {
             return None;
         }
-        Some(self.cut(Outcome::Broken, "broken", error))
+        Some(self.cut(Outcome::Broken, "broken", cause, error))
     }
 
     /// Starts to resume a broken stream at another back end; false when it must not be resumed.
-    fn begin_resuming(&mut self, error: &dyn std::fmt::Display) -> bool {
+    fn begin_resuming(&mut self, cause: EndCause, error: &dyn std::fmt::Display) -> bool {
         let Some(resumption) = &mut self.resumption else {
             return false;
         };
@@ -267,7 +290,10 @@
             return false;
         }
         tracing::info!(event = "answer_broken", id = %self.id, work = self.displayed_fingerprint(), parts = self.open_attempt.run.fingerprints.displayed_parts(),
-            instance = %self.open_attempt.choice.instance, %error, "router: a back end broke off a stream; resuming it at another one");
+            instance = %self.open_attempt.choice.instance, cause = cause.as_str(), %error,
+            sent_ms_ago = self.open_attempt.sent_ms_ago(), received_ms_ago = self.received_ms_ago(),
+            remaining_ms = remaining_ms(&self.deadline), event_loop_late_ms = self.event_loop_late_ms(),
+            "router: a back end broke off a stream; resuming it at another one");
         self.open_attempt.end(Outcome::Broken, Execution::Ran);
         self.connection = None;
         true
@@ -349,10 +375,27 @@
             "router: an answer missed its latency target");
     }
 
-    fn cut(&mut self, outcome: Outcome, reason: &'static str, error: io::Error) -> io::Error {
+    fn received_ms_ago(&self) -> Option<u64> {
+        received_ms_ago(&self.open_attempt.router, &self.open_attempt.choice)
+    }
+
+    fn event_loop_late_ms(&self) -> u64 {
+        self.open_attempt.router.event_loop_delay.late_ms()
+    }
+
+    fn cut(
+        &mut self,
+        outcome: Outcome,
+        reason: &'static str,
+        cause: EndCause,
+        error: io::Error,
+    ) -> io::Error {
         tracing::info!(event = "answer_cut", id = %self.id, work = self.displayed_fingerprint(), parts = self.open_attempt.run.fingerprints.displayed_parts(),
             instance = %self.open_attempt.choice.instance, framed_by = self.received.framing().as_str(),
-            bytes = self.received.bytes(), reason, %error, "router: closed the caller's connection before the end of an answer");
+            bytes = self.received.bytes(), reason, cause = cause.as_str(), %error,
+            sent_ms_ago = self.open_attempt.sent_ms_ago(), received_ms_ago = self.received_ms_ago(),
+            remaining_ms = remaining_ms(&self.deadline), event_loop_late_ms = self.event_loop_late_ms(),
+            "router: closed the caller's connection before the end of an answer");
         self.open_attempt.end(outcome, Execution::Ran);
         self.connection = None;
         error
--- a/crates/gateway/src/router/silence.rs
+++ b/crates/gateway/src/router/silence.rs
@@ -80,6 +80,13 @@
         notify
     }
 
+    /// The requests in flight at a back end that wait to learn whether it is silent.
+    fn waiting_requests(&self, instance: &InstanceId) -> usize {
+        let watched = self.0.borrow();
+        let entry = watched.get(instance);
+        entry.map_or(0, |entry| entry.silent.strong_count())
+    }
+
     /// Marks a back end as being probed; false if it is being probed already or was found alive recently.
     fn begin_probe(&self, now: Timestamp, instance: &InstanceId) -> bool {
         let mut watched = self.0.borrow_mut();
@@ -169,25 +176,28 @@
         let (router, instance) = (Rc::clone(&self.router), self.instance.clone());
         let address = self.address.clone();
         tokio::task::spawn_local(async move {
-            let is_silent = probe(&router, &instance, &address, now, silence).await;
-            on_probed(&router, &instance, silence, is_silent);
+            let mut connects = 0;
+            let is_silent = probe(&router, &instance, &address, now, silence, &mut connects).await;
+            on_probed(&router, &instance, silence, is_silent, connects);
         });
     }
 }
 
 /// Whether a back end, silent for `silence` at `began`, accepts no connection until it has been silent for longer than a
-/// sound one may be.
+/// sound one may be. `connects` is set to the number of connections that it tried to open.
 async fn probe(
     router: &Rc<Router>,
     instance: &InstanceId,
     address: &str,
     began: Timestamp,
     silence: Duration,
+    connects: &mut usize,
 ) -> bool {
     let Ok(address) = address.parse::<SocketAddr>() else {
         return false;
     };
     for failed in 1.. {
+        *connects = failed;
         match sockets::connect(address, CONNECT_TIMEOUT).await {
             Ok(_) => {
                 router.core.borrow_mut().stop_avoiding(instance);
@@ -209,11 +219,18 @@
     false
 }
 
-fn on_probed(router: &Rc<Router>, instance: &InstanceId, silence: Duration, is_silent: bool) {
+fn on_probed(
+    router: &Rc<Router>,
+    instance: &InstanceId,
+    silence: Duration,
+    is_silent: bool,
+    connects: usize,
+) {
     let now = router.clock.now();
     let finding = if is_silent { "silent" } else { "alive" };
     router.metrics.count_back_end_probed(finding);
-    tracing::info!(event = "back_end_probed", %instance, finding, silence_ms = silence.as_millis() as u64,
+    tracing::info!(event = "back_end_probed", %instance, finding, silence_ms = silence.as_millis() as u64, connects,
+        requests = router.silence_monitor.waiting_requests(instance), event_loop_late_ms = router.event_loop_delay.late_ms(),
         "router: probed a back end that sent nothing while requests were in flight");
     if is_silent {
         router.core.borrow_mut().on_silent(now, instance);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -17,6 +17,7 @@
 use tokio::sync::Semaphore;
 
 use crate::answer::AnswerBody;
+use crate::caller_connections::CurrentRequest;
 
 /// Delay after an error of the listener, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -128,20 +129,25 @@
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let _ = stream.set_nodelay(true);
+    let current_request = CurrentRequest::default();
+    let tracked_request = current_request.clone();
     let reads_chunks = Rc::new(Cell::new(true));
     let caller_reads_chunks = Rc::clone(&reads_chunks);
     let service = service_fn(move |mut request: Request<Incoming>| {
         caller_reads_chunks.set(request.version() > Version::HTTP_10);
         request.extensions_mut().insert(peer);
-        handler(request)
+        tracked_request.clone().track(handler(request))
     });
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(params.idle_timeout)
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let served = (&mut connection).await;
-    if served.is_err() && !reads_chunks.get() {
+    let Err(error) = (&mut connection).await else {
+        return;
+    };
+    current_request.log_end(peer.0, &error);
+    if !reads_chunks.get() {
         reset(&connection.into_parts().io.into_inner(), peer);
     }
 }
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::connection_errors::ConnectionError;
 use crate::sockets;
 
 /// How long opening a connection may take.
@@ -54,7 +55,7 @@
     NotSent,
     /// The connection broke after at least a part of the request was sent.
     #[error("connection broke after part of the request was sent")]
-    Broken,
+    Broken(ConnectionError),
 }
 
 /// An idle connection.
@@ -79,6 +80,8 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Why the connection ended, if neither a request nor a body can tell.
+    ended: Rc<Cell<Option<ConnectionError>>>,
     pool: Rc<Pool>,
     /// How long the peer keeps the connection open while it is idle.
     idle_timeout: Duration,
@@ -101,12 +104,21 @@
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
-            None => SendError::Broken,
+            None => SendError::Broken(ConnectionError::of(error.error())),
         })?;
         self.idle_timeout = keep_alive(&response).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         Ok(response)
     }
 
+    /// Why reading the body of an answer failed. The library hides the reason from the body when the connection ends
+    /// outside of reading it.
+    pub fn body_error(&self, error: &hyper::Error) -> ConnectionError {
+        match ConnectionError::of(error) {
+            ConnectionError::Unknown => self.ended.get().unwrap_or(ConnectionError::Unknown),
+            known => known,
+        }
+    }
+
     /// Returns the connection to its pool, after its answer has been read to the end.
     pub fn release(self, now: Timestamp) {
         let pool = Rc::clone(&self.pool);
@@ -233,12 +245,18 @@
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream));
     let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+    let ended = Rc::new(Cell::new(None));
+    let ended_by_task = Rc::clone(&ended);
     let task = tokio::task::spawn_local(async move {
-        let _ = connection.await;
+        // Errors of a request in flight are returned to its sender instead.
+        if let Err(error) = connection.await {
+            ended_by_task.set(Some(ConnectionError::of(&error)));
+        }
     });
     Ok(Connection {
         sender,
         task: task.abort_handle(),
+        ended,
         pool: slot.into_pool(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     })
