Keep the run of a stalled stream until another back end answers

Callers saw streams cut although their runs went on and ended well. A back end that accepted no connection for 2 s lost the streams that it was writing: the router closed their connections first and looked for another back end then, and where none was left, allowed, reachable or willing, it cut the caller.

The run is now kept while another back end is asked. It is given up when that one answers, and goes on if none does or if its back end sends something first (answer_stalled, answer_not_moved). A stream that nobody takes up is not tried again by the probe; when its connection breaks, it is resumed as before.

--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -52,6 +52,15 @@
     Failed,
 }
 
+/// The state of the run whose answer is being forwarded, while another back end is asked to resume it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FirstRun {
+    /// It goes on, or has been replaced.
+    InUse,
+    /// Its back end accepts no connections. It is kept until another back end answers.
+    Stalled,
+}
+
 /// Forwards a body as it arrives. Dropping it before the end closes the connection to the back end, which cancels the
 /// run; an error closes the caller's connection, so that a truncated answer never looks complete.
 pub(crate) struct Relay {
@@ -65,6 +74,7 @@
     resumption: Option<Resumption>,
     /// Completes when the back end of a stream that may be resumed is found silent.
     silence: Option<Pin<Box<dyn Future<Output = ()>>>>,
+    first_run: FirstRun,
     /// Completes when it is known whether the back end of an answer with an unmarked end has crashed.
     crash_check: Option<Pin<Box<dyn Future<Output = Finding>>>>,
     is_finished: bool,
@@ -97,6 +107,7 @@
             deadline: Box::pin(tokio::time::sleep(relayed.remaining)),
             resumption: relayed.resumption,
             silence: None,
+            first_run: FirstRun::InUse,
             crash_check: None,
             is_finished: false,
             timeliness: relayed.timeliness,
@@ -153,7 +164,11 @@
         loop {
             match self.poll_resumed(context) {
                 ResumeState::NotResuming => {}
+                ResumeState::Resuming if self.first_run == FirstRun::Stalled => {}
                 ResumeState::Resuming => return self.poll_deadline(context),
+                ResumeState::Failed if self.first_run == FirstRun::Stalled => {
+                    self.return_to_first("no other back end resumes the stream");
+                }
                 ResumeState::Failed => {
                     let error = io::Error::from(io::ErrorKind::ConnectionReset);
                     return Poll::Ready(Some(Err(self.cut(
@@ -166,6 +181,7 @@
             }
             match self.poll_body(context) {
                 Poll::Ready(Some(Ok(frame))) => {
+                    self.return_to_first("its back end sends again");
                     self.open_attempt.on_bytes_received();
                     self.timeliness.on_piece(self.now());
                     if let Some(frame) = self.whole_events(frame) {
@@ -182,6 +198,7 @@
                 Poll::Ready(None) => match self.poll_end(context) {
                     Poll::Pending => return Poll::Pending,
                     Poll::Ready(None) => {
+                        self.return_to_first("its answer has ended");
                         self.finish();
                         return Poll::Ready(None);
                     }
@@ -193,22 +210,43 @@
                         }
                     }
                 },
-                Poll::Pending if self.resumes_from_silent(context) => {}
+                Poll::Pending if self.looks_elsewhere(context) => {}
                 Poll::Pending => return self.poll_deadline(context),
             }
         }
     }
 
-    /// Starts to resume a stream whose back end was found silent; false while it was not, or must not be resumed.
-    fn resumes_from_silent(&mut self, context: &mut Context<'_>) -> bool {
+    /// Starts to resume a stream whose back end was found silent, and keeps its run meanwhile; false while the back end
+    /// was not found silent, or if the stream must not be resumed.
+    fn looks_elsewhere(&mut self, context: &mut Context<'_>) -> bool {
         let silence = self.silence.as_mut();
         let is_silent = silence.is_some_and(|silence| silence.as_mut().poll(context).is_ready());
         if !is_silent {
             return false;
         }
         self.silence = None;
-        let cause = EndCause::BackEndSilent;
-        self.begin_resuming(cause, &"its back end accepts no connections")
+        let resumption = self.resumption.as_mut();
+        if !resumption.is_some_and(Resumption::begin_beside_first) {
+            return false;
+        }
+        self.first_run = FirstRun::Stalled;
+        tracing::info!(event = "answer_stalled", id = %self.id, instance = %self.open_attempt.choice.instance,
+            sent_ms_ago = self.open_attempt.sent_ms_ago(), received_ms_ago = self.received_ms_ago(),
+            event_loop_late_ms = self.event_loop_late_ms(),
+            "router: the back end of a stream accepts no connections; looking for another one to resume it");
+        true
+    }
+
+    /// Goes on with the run that was kept while another back end was asked to resume it.
+    fn return_to_first(&mut self, reason: &'static str) {
+        if std::mem::replace(&mut self.first_run, FirstRun::InUse) == FirstRun::InUse {
+            return;
+        }
+        if let Some(resumption) = &mut self.resumption {
+            resumption.abort();
+        }
+        tracing::info!(event = "answer_not_moved", id = %self.id, instance = %self.open_attempt.choice.instance, reason,
+            "router: a stream stays at the back end that began it");
     }
 
     fn poll_deadline(
@@ -281,14 +319,24 @@
         Some(self.cut(Outcome::Broken, "broken", cause, error))
     }
 
-    /// Starts to resume a broken stream at another back end; false when it must not be resumed.
+    /// Starts to resume a broken stream at another back end, unless that has been started; false when it must not be
+    /// resumed.
     fn begin_resuming(&mut self, cause: EndCause, error: &dyn std::fmt::Display) -> bool {
         let Some(resumption) = &mut self.resumption else {
             return false;
         };
-        if !resumption.begin() {
+        if self.first_run == FirstRun::Stalled {
+            resumption.on_first_broken();
+        } else if !resumption.begin() {
             return false;
         }
+        self.give_up_first(cause, error);
+        true
+    }
+
+    /// Ends the run at the back end that has broken off, or that another one replaces.
+    fn give_up_first(&mut self, cause: EndCause, error: &dyn std::fmt::Display) {
+        self.first_run = FirstRun::InUse;
         tracing::info!(event = "answer_broken", id = %self.id, work = self.displayed_fingerprint(), parts = self.open_attempt.run.fingerprints.displayed_parts(),
             instance = %self.open_attempt.choice.instance, cause = cause.as_str(), %error,
             sent_ms_ago = self.open_attempt.sent_ms_ago(), received_ms_ago = self.received_ms_ago(),
@@ -296,7 +344,6 @@
             "router: a back end broke off a stream; resuming it at another one");
         self.open_attempt.end(Outcome::Broken, Execution::Ran);
         self.connection = None;
-        true
     }
 
     /// Continues with the body from the back end that resumes the stream.
@@ -310,6 +357,12 @@
             Some(Poll::Pending) => ResumeState::Resuming,
             Some(Poll::Ready(None)) => ResumeState::Failed,
             Some(Poll::Ready(Some(answered))) => {
+                if self.first_run == FirstRun::Stalled {
+                    self.give_up_first(
+                        EndCause::BackEndSilent,
+                        &"its back end accepts no connections",
+                    );
+                }
                 self.received.on_resumed(&answered.response);
                 self.body = answered.response.into_body();
                 self.connection = Some(answered.connection);
--- a/crates/gateway/src/router/resume.rs
+++ b/crates/gateway/src/router/resume.rs
@@ -4,7 +4,8 @@
 //! forwarded whole. The response head, and the seal header in it, remain those of the first back end. Each resumption is
 //! an attempt of the request, bounded by the route's attempts and the retry budget. The broken connection is closed
 //! first, which cancels the earlier run. A stream that has only stalled is not resumed, because its run may continue,
-//! unless its back end accepts no connections.
+//! unless its back end accepts no connections. Its run is then kept until another back end answers, and goes on if none
+//! does or if it sends something first.
 //!
 //! A stream whose route does not allow it is resumed only where its run was copied to. That continues the same run, so
 //! nothing runs twice and the route's attempts do not count. A back end without the copy reports that, and the answer
@@ -67,12 +68,8 @@
 pub(super) struct ResumedStream {
     pub answered: Answered,
     attempts: Attempts,
-}
-
-impl ResumedStream {
-    fn new(answered: Answered, attempts: Attempts) -> Self {
-        Self { answered, attempts }
-    }
+    /// Whether a copy of the run was used.
+    is_copy: bool,
 }
 
 type ResumeFuture = Pin<Box<dyn Future<Output = Option<ResumedStream>>>>;
@@ -110,8 +107,29 @@
         }
     }
 
-    /// Starts to resume at another back end; false, without any change, when the stream must not be resumed.
+    /// Starts to resume a broken stream at another back end; false, without any change, when it must not be resumed.
     pub fn begin(&mut self) -> bool {
+        if !self.begin_beside_first() {
+            return false;
+        }
+        self.on_first_broken();
+        true
+    }
+
+    /// Records that the run that is to be replaced has ended.
+    pub fn on_first_broken(&mut self) {
+        self.attempts.broken += 1;
+        self.events.discard_partial();
+    }
+
+    /// Stops an attempt in progress, whose run is cancelled.
+    pub fn abort(&mut self) {
+        self.resuming = None;
+    }
+
+    /// Starts to resume at another back end while the stream may still go on at the first one; false, without any
+    /// change, when it must not be resumed.
+    pub fn begin_beside_first(&mut self) -> bool {
         let is_late = self.router.clock.now() >= self.call.deadline;
         if is_late || !self.events.allow_resuming() {
             return false;
@@ -122,15 +140,13 @@
         if may_try_again(&self.call.admission, Execution::Ran, attempts.sent) {
             let continued = self.continuation(false);
             self.resuming = Some(Box::pin(resume(router, call, attempts, continued)));
-        } else if let Some(copy) = self.copy.take() {
+        } else if let Some(copy) = self.copy.clone() {
             let continued = self.continuation(true);
             let resuming = resume_copy(router, call, attempts, continued, copy);
             self.resuming = Some(Box::pin(resuming));
         } else {
             return false;
         }
-        self.attempts.broken += 1;
-        self.events.discard_partial();
         true
     }
 
@@ -152,6 +168,10 @@
         self.resuming = None;
         let answered = resumed.map(|resumed| {
             self.attempts = resumed.attempts;
+            self.events.discard_partial();
+            if resumed.is_copy {
+                self.copy = None;
+            }
             resumed.answered
         });
         Some(Poll::Ready(answered))
@@ -186,7 +206,11 @@
         };
         match resume_at(&router, &call, &mut attempts, &choice, &continued).await {
             ResumeAttempt::Resumed(answered) => {
-                return Some(ResumedStream::new(*answered, attempts))
+                return Some(ResumedStream {
+                    answered: *answered,
+                    attempts,
+                    is_copy: false,
+                })
             }
             ResumeAttempt::ErrorAnswer => return None,
             ResumeAttempt::Unresumed => {}
@@ -224,7 +248,11 @@
         }
     };
     match resume_at(&router, &call, &mut attempts, &choice, &continued).await {
-        ResumeAttempt::Resumed(answered) => Some(ResumedStream::new(*answered, attempts)),
+        ResumeAttempt::Resumed(answered) => Some(ResumedStream {
+            answered: *answered,
+            attempts,
+            is_copy: true,
+        }),
         ResumeAttempt::ErrorAnswer | ResumeAttempt::Unresumed => {
             log_not_resumed(&call, &attempts, "the copied run was not resumed");
             None
