Take a back end for silent only if it sends nothing and others accept connections

A probe added its own duration to the silence before it, so a back end that sent its answer while it was probed was taken for silent 2 s after the last byte before the probe: 0.8 s, the target of the route, and five connects of 250 ms.

A probe now ends when bytes arrive (finding sending). Before it says silent it compares: if no other back end accepts a connection either, this router's own path may be the cause (path_in_doubt), and nothing is ended or reported.

--- a/crates/gateway/src/router/silence.rs
+++ b/crates/gateway/src/router/silence.rs
@@ -4,10 +4,11 @@
 //! seconds. When nothing has arrived from a back end for about a request's target, the router therefore opens a
 //! new connection to it: a working back end accepts one within a network round trip, however busy it is. A back end
 //! that does not is avoided by this router. A sound one may be silent for a second or so and then go on, so only one that
-//! stays silent for longer is reported to all routers, and requests that may run twice are ended and sent elsewhere.
+//! stays silent for longer, while others accept connections, is reported to all routers, and requests that may run twice
+//! are sent elsewhere.
 //! Requests that may run only once keep waiting, because the back end may have run them and may still answer.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -54,7 +55,7 @@
     router: Rc<Router>,
     instance: InstanceId,
     address: String,
-    last_received_at: Rc<std::cell::Cell<Timestamp>>,
+    last_received_at: Rc<Cell<Timestamp>>,
     patience: Duration,
     silent: Rc<Notify>,
 }
@@ -104,18 +105,20 @@
     }
 
     /// Ends a probe; notifies the requests in flight if the back end is silent.
-    fn end_probe(&self, now: Timestamp, instance: &InstanceId, is_silent: bool) {
+    fn end_probe(&self, now: Timestamp, instance: &InstanceId, finding: Finding) {
         let mut watched = self.0.borrow_mut();
         let Some(entry) = watched.get_mut(instance) else {
             return;
         };
         entry.probing = false;
-        if is_silent {
-            if let Some(silent) = entry.silent.upgrade() {
-                silent.notify_waiters();
+        match finding {
+            Finding::Silent => {
+                if let Some(silent) = entry.silent.upgrade() {
+                    silent.notify_waiters();
+                }
             }
-        } else {
-            entry.alive_at = Some(now);
+            Finding::Alive | Finding::Sending => entry.alive_at = Some(now),
+            Finding::PathInDoubt => {}
         }
     }
 }
@@ -173,69 +176,118 @@
             return;
         }
         let silence = self.silence(since);
-        let (router, instance) = (Rc::clone(&self.router), self.instance.clone());
-        let address = self.address.clone();
+        let probe = Probe {
+            router: Rc::clone(&self.router),
+            instance: self.instance.clone(),
+            address: self.address.clone(),
+            last_received_at: Rc::clone(&self.last_received_at),
+            began: now,
+            silence,
+            connects: Cell::new(0),
+        };
         tokio::task::spawn_local(async move {
-            let mut connects = 0;
-            let is_silent = probe(&router, &instance, &address, now, silence, &mut connects).await;
-            on_probed(&router, &instance, silence, is_silent, connects);
+            let finding = probe.run().await;
+            on_probed(&probe, finding);
         });
     }
 }
 
-/// Whether a back end, silent for `silence` at `began`, accepts no connection until it has been silent for longer than a
-/// sound one may be. `connects` is set to the number of connections that it tried to open.
-async fn probe(
-    router: &Rc<Router>,
-    instance: &InstanceId,
-    address: &str,
+/// What a probe found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Finding {
+    /// It accepts connections, or its process has ended and the connections to it are reset.
+    Alive,
+    /// Bytes arrived from it during the probe.
+    Sending,
+    /// It accepts no connection, and nothing was received from it, for longer than a sound one may be silent.
+    Silent,
+    /// It accepts no connection, and neither do others: this router's own path may be the cause.
+    PathInDoubt,
+}
+
+impl Finding {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Alive => "alive",
+            Self::Sending => "sending",
+            Self::Silent => "silent",
+            Self::PathInDoubt => "path_in_doubt",
+        }
+    }
+}
+
+/// A probe of one back end.
+struct Probe {
+    router: Rc<Router>,
+    instance: InstanceId,
+    address: String,
+    last_received_at: Rc<Cell<Timestamp>>,
     began: Timestamp,
+    /// How long nothing had been received when the probe began.
     silence: Duration,
-    connects: &mut usize,
-) -> bool {
-    let Ok(address) = address.parse::<SocketAddr>() else {
-        return false;
-    };
-    for failed in 1.. {
-        *connects = failed;
-        match sockets::connect(address, CONNECT_TIMEOUT).await {
-            Ok(_) => {
-                router.core.borrow_mut().stop_avoiding(instance);
-                return false;
+    /// Connections that it has tried to open.
+    connects: Cell<usize>,
+}
+
+impl Probe {
+    /// Tries to connect until the back end accepts, sends something, or has been silent for longer than a sound one may
+    /// be.
+    async fn run(&self) -> Finding {
+        let Ok(address) = self.address.parse::<SocketAddr>() else {
+            return Finding::Alive;
+        };
+        for failed in 1.. {
+            self.connects.set(failed);
+            match sockets::connect(address, CONNECT_TIMEOUT).await {
+                Ok(_) => {
+                    let mut core = self.router.core.borrow_mut();
+                    core.stop_avoiding(&self.instance);
+                    return Finding::Alive;
+                }
+                Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
+                // The machine is reachable, and the connections of a process that has ended are reset.
+                Err(_) => return Finding::Alive,
             }
-            Err(error) if error.kind() == io::ErrorKind::TimedOut => {}
-            // The machine is reachable, and the connections of a process that has ended are reset.
-            Err(_) => return false,
-        }
-        let now = router.clock.now();
-        if failed >= FAILED_PROBES {
-            router.core.borrow_mut().avoid(now, instance);
-            paths::check(router, instance);
-            if silence + now.since(began) >= MAX_SOUND_SILENCE {
-                return true;
+            if self.last_received_at.get() > self.began {
+                return Finding::Sending;
+            }
+            let now = self.router.clock.now();
+            if failed >= FAILED_PROBES {
+                self.router.core.borrow_mut().avoid(now, &self.instance);
+                paths::check(&self.router, &self.instance);
+                if self.silence + now.since(self.began) >= MAX_SOUND_SILENCE {
+                    return self.compare().await;
+                }
             }
         }
+        Finding::Alive
+    }
+
+    /// Whether another back end accepts a connection while this one does not.
+    async fn compare(&self) -> Finding {
+        let is_open_beside = paths::is_open_beside(&self.router, &self.instance).await;
+        if self.last_received_at.get() > self.began {
+            Finding::Sending
+        } else if is_open_beside {
+            Finding::Silent
+        } else {
+            Finding::PathInDoubt
+        }
     }
-    false
 }
 
-fn on_probed(
-    router: &Rc<Router>,
-    instance: &InstanceId,
-    silence: Duration,
-    is_silent: bool,
-    connects: usize,
-) {
+fn on_probed(probe: &Probe, finding: Finding) {
+    let (router, instance) = (&probe.router, &probe.instance);
     let now = router.clock.now();
-    let finding = if is_silent { "silent" } else { "alive" };
-    router.metrics.count_back_end_probed(finding);
-    tracing::info!(event = "back_end_probed", %instance, finding, silence_ms = silence.as_millis() as u64, connects,
-        requests = router.silence_monitor.waiting_requests(instance), event_loop_late_ms = router.event_loop_delay.late_ms(),
-        "router: probed a back end that sent nothing while requests were in flight");
+    let is_silent = finding == Finding::Silent;
+    router.metrics.count_back_end_probed(finding.as_str());
+    tracing::info!(event = "back_end_probed", %instance, finding = finding.as_str(), silence_ms = probe.silence.as_millis() as u64,
+        connects = probe.connects.get(), requests = router.silence_monitor.waiting_requests(instance), event_loop_late_ms = router.event_loop_delay.late_ms(),
+                "router: probed a back end that sent nothing while requests were in flight");
     if is_silent {
         router.core.borrow_mut().on_silent(now, instance);
         router.upstreams.close_idle(instance);
         paths::check(router, instance);
     }
-    router.silence_monitor.end_probe(now, instance, is_silent);
+    router.silence_monitor.end_probe(now, instance, finding);
 }
