Do not take a path for lost while the back ends of its pool send

A router whose link was full found all new connections late by 250 ms and took its path for lost, 77 ms after bytes from the same pool in one case: its requests went to peers whose links were as full, and no stream could be resumed.

If connections time out, and bytes from any back end of the pool have arrived since the check began, the path is open. Refused connections are judged as before: a path whose open connections live on while new ones are refused is lost.

--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -1,10 +1,12 @@
 //! Checks whether this router has a path to the back ends of a pool, after an attempt at one of them failed.
 
 use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
+use drumshore_core::Timestamp;
 use drumshore_gateway_core::{InstanceId, PathChange, PathCheck, PoolName, Witness};
 use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
@@ -34,7 +36,7 @@
     let Some(witnesses) = witnesses else {
         return true;
     };
-    let is_open = !witnesses.is_empty() && reaches_any(router, witnesses).await;
+    let is_open = !witnesses.is_empty() && reaches_any(router, witnesses).await == Reach::Accepted;
     if !is_open {
         check(router, refusing);
     }
@@ -49,7 +51,12 @@
 async fn repeat_until_reached(router: Rc<Router>, mut check: PathCheck) {
     loop {
         let pool = check.pool.clone();
-        let reached = reaches_any(&router, check.witnesses).await;
+        let began = router.clock.now();
+        let reached = match reaches_any(&router, check.witnesses).await {
+            Reach::Accepted => true,
+            Reach::Refused => false,
+            Reach::TimedOut => has_received_since(&router, &pool, began),
+        };
         record(&router, &pool, reached);
         loop {
             if !router.core.borrow().has_lost_path(&pool) {
@@ -66,8 +73,24 @@
     }
 }
 
-/// Whether any of the back ends accepts a connection.
-async fn reaches_any(router: &Rc<Router>, witnesses: Vec<Witness>) -> bool {
+/// The result of opening connections to back ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Reach {
+    Refused,
+    /// None was accepted in time. Connections may be lost on the way, or wait behind other data on this router's link.
+    TimedOut,
+    Accepted,
+}
+
+/// Whether bytes have arrived from any back end of a pool. Then connections that time out wait behind other data.
+fn has_received_since(router: &Router, pool: &PoolName, began: Timestamp) -> bool {
+    let now = router.clock.now();
+    let received_ago = router.core.borrow().pool_reach(now, pool).received_ago;
+    received_ago.is_some_and(|ago| ago < now.since(began))
+}
+
+/// Whether any of the back ends accepts a connection; otherwise, whether any attempt timed out.
+async fn reaches_any(router: &Rc<Router>, witnesses: Vec<Witness>) -> Reach {
     let (sender, mut results) = mpsc::unbounded_channel();
     for witness in witnesses {
         let (router, sender) = (Rc::clone(router), sender.clone());
@@ -77,16 +100,18 @@
         });
     }
     drop(sender);
-    while let Some(reached) = results.recv().await {
-        if reached {
-            return true;
+    let mut best = Reach::Refused;
+    while let Some(reach) = results.recv().await {
+        best = best.max(reach);
+        if best == Reach::Accepted {
+            break;
         }
     }
-    false
+    best
 }
 
 /// Opens a connection, which is kept for a later request.
-async fn reaches(router: &Router, witness: &Witness) -> bool {
+async fn reaches(router: &Router, witness: &Witness) -> Reach {
     let Witness {
         instance,
         address,
@@ -94,12 +119,22 @@
     } = witness;
     let opening = router.upstreams.open_idle(instance, address, *connections);
     match timeout(CONNECT_TIMEOUT, opening).await {
+        Ok(Ok(())) => Reach::Accepted,
         Ok(Err(NoConnection::NoneFree)) => match address.parse() {
-            Ok(address) => sockets::connect(address, CONNECT_TIMEOUT).await.is_ok(),
-            Err(_) => false,
+            Ok(address) => reach_of(sockets::connect(address, CONNECT_TIMEOUT).await),
+            Err(_) => Reach::Refused,
         },
-        Ok(opened) => opened.is_ok(),
-        Err(_) => false,
+        Ok(Err(NoConnection::Unreachable(error))) => reach_of::<()>(Err(error)),
+        Ok(Err(NoConnection::NoPath)) => Reach::Refused,
+        Err(_) => Reach::TimedOut,
+    }
+}
+
+fn reach_of<T>(connected: io::Result<T>) -> Reach {
+    match connected {
+        Ok(_) => Reach::Accepted,
+        Err(error) if error.kind() == io::ErrorKind::TimedOut => Reach::TimedOut,
+        Err(_) => Reach::Refused,
     }
 }
 
