Repeat a fetch of changes only when nothing of its response arrives

A fetch was repeated at the next control machine after 300 ms, on the assumption that a response takes 50 ms because larger ones are sent in chunks. The configuration is not: 380 KB take 0.4 s at 7.5 Mbit/s alone, and longer the more copies share the link.

A fetch is now overdue when no part of a message has arrived from its machine for that time. For the same reason a link on which a message is arriving is neither unresponsive nor closed when answers to pings wait behind that message. changes_asked says how many bytes of incomplete messages there are, view_changed how many bytes the changes had and how long the configuration took to parse.

--- a/crates/gateway-core/src/view_links/fetches.rs
+++ b/crates/gateway-core/src/view_links/fetches.rs
@@ -8,8 +8,8 @@
 
 use crate::Position;
 
-/// A fetch without a response is repeated after this time. A response takes at most 50 ms on a link of 10 Mbit/s,
-/// because larger ones are sent in chunks.
+/// A fetch is repeated when nothing of a response has arrived for this time. The configuration is not sent in chunks, so
+/// a response may take longer to arrive.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 /// The timeout doubles with each further fetch from the same machine, at most this many times. Control machines that
 /// respond late are overloaded, and repeated fetches would add to their load.
@@ -36,7 +36,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Fetch {
     to: Ipv4Addr,
-    sent_at: Timestamp,
+    /// When it was sent, or when a part of a message arrived from the machine since.
+    progressed_at: Timestamp,
     timeout: Duration,
 }
 
@@ -104,11 +105,18 @@
         *count += 1;
         self.pending = Some(Fetch {
             to,
-            sent_at: now,
+            progressed_at: now,
             timeout: FETCH_TIMEOUT * 2_u32.pow(doublings),
         });
     }
 
+    /// A part of a message arrived from a machine; the message is not complete yet.
+    pub fn on_partial_message(&mut self, now: Timestamp, from: Ipv4Addr) {
+        if let Some(fetch) = self.pending.as_mut().filter(|fetch| fetch.to == from) {
+            fetch.progressed_at = now;
+        }
+    }
+
     /// A link was closed: a fetch sent on it gets no response.
     pub fn on_link_ended(&mut self, address: Ipv4Addr) {
         self.revisions.remove(&address);
@@ -148,7 +156,7 @@
 
 impl Fetch {
     fn is_overdue(&self, now: Timestamp) -> bool {
-        now.since(self.sent_at) >= self.timeout
+        now.since(self.progressed_at) >= self.timeout
     }
 }
 
--- a/crates/gateway-core/src/view_links/fetches_tests.rs
+++ b/crates/gateway-core/src/view_links/fetches_tests.rs
@@ -138,3 +138,33 @@
     };
     assert_eq!(asked, [round(100, 300), round(1_000, 600)].concat());
 }
+
+#[test]
+fn a_fetch_whose_response_is_arriving_is_not_repeated_at_other_machines() {
+    let mut fetches = with_revisions(
+        &[(FOLLOWED, NEWEST), (OTHER, NEWEST), (THIRD, NEWEST)],
+        HELD,
+    );
+    assert_eq!(fetch(&mut fetches, 100, HELD), Some(FOLLOWED));
+    for milliseconds in (150..5_000).step_by(50) {
+        fetches.on_partial_message(at(milliseconds), FOLLOWED);
+        assert_eq!(fetch(&mut fetches, milliseconds, HELD), None);
+    }
+}
+
+#[test]
+fn a_fetch_whose_response_stops_arriving_is_repeated_at_another_machine() {
+    let mut fetches = with_revisions(&[(FOLLOWED, NEWEST), (OTHER, NEWEST)], HELD);
+    assert_eq!(fetch(&mut fetches, 100, HELD), Some(FOLLOWED));
+    fetches.on_partial_message(at(350), FOLLOWED);
+    assert_eq!(fetch(&mut fetches, 649, HELD), None);
+    assert_eq!(fetch(&mut fetches, 650, HELD), Some(OTHER));
+}
+
+#[test]
+fn messages_of_other_machines_do_not_delay_the_repetition_of_a_fetch() {
+    let mut fetches = with_revisions(&[(FOLLOWED, NEWEST), (OTHER, NEWEST)], HELD);
+    assert_eq!(fetch(&mut fetches, 100, HELD), Some(FOLLOWED));
+    fetches.on_partial_message(at(350), OTHER);
+    assert_eq!(fetch(&mut fetches, 400, HELD), Some(OTHER));
+}
--- a/crates/gateway-core/src/view_links/mod.rs
+++ b/crates/gateway-core/src/view_links/mod.rs
@@ -131,6 +131,12 @@
         self.fetches.on_fetch_sent(now, to);
     }
 
+    /// A part of a message arrived from a machine, which is therefore working; the message is not complete yet.
+    pub fn on_partial_message(&mut self, now: Timestamp, from: Ipv4Addr) {
+        self.fetches.on_partial_message(now, from);
+        self.ping_schedule.on_partial_message(now, from);
+    }
+
     /// For how long a newer revision has been known without progress; `None` when none is.
     pub fn behind(&self, now: Timestamp) -> Option<Duration> {
         self.fetches.behind(now)
--- a/crates/gateway-core/src/view_links/pings.rs
+++ b/crates/gateway-core/src/view_links/pings.rs
@@ -31,6 +31,8 @@
     /// When each unanswered ping was sent, by sequence number.
     unanswered: BTreeMap<u64, Timestamp>,
     last_sent: Option<Timestamp>,
+    /// When a part of a message last arrived. Answers to pings wait behind a large message.
+    partial_message_at: Timestamp,
 }
 
 impl Pings {
@@ -52,6 +54,13 @@
         sent_at
     }
 
+    /// A part of a message arrived; the message is not complete yet.
+    pub fn on_partial_message(&mut self, now: Timestamp, from: Ipv4Addr) {
+        if let Some(link) = self.links.get_mut(&from) {
+            link.partial_message_at = now;
+        }
+    }
+
     /// The pings to send now: one to each machine on a new link, then one to the next responsive machine in turn, and
     /// one to each unresponsive machine per link interval.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<(Ipv4Addr, u64)> {
@@ -111,10 +120,12 @@
 }
 
 impl Link {
-    /// How long the oldest unanswered ping has been waiting.
+    /// How long the oldest unanswered ping has been waiting without a part of another message arriving.
     fn waiting_time(&self, now: Timestamp) -> Duration {
         let oldest = self.unanswered.values().next();
-        oldest.map_or(Duration::ZERO, |at| now.since(*at))
+        oldest.map_or(Duration::ZERO, |at| {
+            now.since((*at).max(self.partial_message_at))
+        })
     }
 
     fn is_due(&self, now: Timestamp, spacing: Duration) -> bool {
--- a/crates/gateway-core/src/view_links/pings_tests.rs
+++ b/crates/gateway-core/src/view_links/pings_tests.rs
@@ -115,3 +115,17 @@
     assert!(pings.timed_out(after(2_500)).is_empty());
     assert_eq!(pings.timed_out(after(2_501)), [machine(1)]);
 }
+
+#[test]
+fn a_link_on_which_a_large_message_is_arriving_is_neither_unresponsive_nor_closed() {
+    let mut pings = linked(1);
+    let sent = run(&mut pings, 100, 1);
+    assert_eq!(sent.len(), 1);
+    for milliseconds in (100..10_000).step_by(100) {
+        let now = Timestamp(milliseconds * 1_000);
+        pings.on_partial_message(now, machine(1));
+        assert!(pings.unresponsive(now).next().is_none());
+        assert!(pings.timed_out(now).is_empty());
+    }
+    assert!(pings.timed_out(Timestamp(12_401_000)).contains(&machine(1)));
+}
--- a/crates/gateway/src/link.rs
+++ b/crates/gateway/src/link.rs
@@ -139,13 +139,48 @@
     }
 }
 
+/// How much of a message that is being received has arrived.
+#[derive(Debug, Default)]
+pub(crate) struct PartialMessage {
+    bytes: Cell<usize>,
+    seen_bytes: Cell<usize>,
+}
+
+impl PartialMessage {
+    /// Whether a message is incomplete, and a part of it arrived since the last call.
+    pub fn take_progress(&self) -> bool {
+        let bytes = self.bytes.get();
+        bytes > 0 && bytes != self.seen_bytes.replace(bytes)
+    }
+
+    /// The bytes of the incomplete message that have arrived; 0 between messages.
+    pub fn bytes(&self) -> usize {
+        self.bytes.get()
+    }
+
+    fn on_received(&self, bytes: usize) {
+        self.bytes.set(self.bytes.get() + bytes);
+    }
+
+    fn reset(&self) {
+        self.bytes.set(0);
+        self.seen_bytes.set(0);
+    }
+}
+
 /// The receiving half of a link.
 pub(crate) struct Receiver {
     stream_half: OwnedReadHalf,
     wire: RouterWire,
+    partial: Rc<PartialMessage>,
 }
 
 impl Receiver {
+    /// How much of the next message has arrived.
+    pub fn partial_message(&self) -> Rc<PartialMessage> {
+        Rc::clone(&self.partial)
+    }
+
     /// Receives the first message from a router or control machine, which determines the layout of those that follow.
     pub async fn receive_first(&mut self) -> Result<(RouterWire, Message), FrameError> {
         let payload = self.receive_payload().await?;
@@ -179,7 +214,17 @@
         self.stream_half.read_exact(&mut head).await?;
         let head = FrameHead::parse(head)?;
         let mut payload = vec![0; head.payload_bytes()];
-        self.stream_half.read_exact(&mut payload).await?;
+        let mut received = 0;
+        while received < payload.len() {
+            match self.stream_half.read(&mut payload[received..]).await? {
+                0 => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+                count => {
+                    received += count;
+                    self.partial.on_received(count);
+                }
+            }
+        }
+        self.partial.reset();
         head.check(&payload)?;
         Ok(payload)
     }
@@ -217,6 +262,7 @@
         Receiver {
             stream_half: read,
             wire,
+            partial: Rc::default(),
         },
     )
 }
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -15,7 +15,7 @@
 
 use super::Router;
 use super::{crash_detection, demand_metrics, reports, streams, view_changes};
-use crate::link::{Receiver, Redial, Sender};
+use crate::link::{PartialMessage, Receiver, Redial, Sender};
 use crate::traffic::LinkTraffic;
 
 /// Interval between checks of which control machines exist.
@@ -47,6 +47,8 @@
     sender: Sender,
     /// Notified to close the link.
     close_requested: Rc<Notify>,
+    /// How much of the next message from the control machine has arrived.
+    partial_message: Rc<PartialMessage>,
 }
 
 impl Links {
@@ -93,6 +95,25 @@
         decoding.map(|(address, _)| *address).collect()
     }
 
+    /// Notes the links on which a part of a message has arrived.
+    fn note_partial_messages(&self, now: Timestamp) {
+        let mut view_links = self.view_links.borrow_mut();
+        for (address, link) in self.open_links.borrow().iter() {
+            if link.partial_message.take_progress() {
+                view_links.on_partial_message(now, *address);
+            }
+        }
+    }
+
+    /// The bytes that have arrived of incomplete messages, over all links.
+    fn partial_bytes(&self) -> usize {
+        let links = self.open_links.borrow();
+        links
+            .values()
+            .map(|link| link.partial_message.bytes())
+            .sum()
+    }
+
     /// Queues a message; false when the link has ended or its queue is full.
     pub fn send(&self, to: Ipv4Addr, message: &Message) -> bool {
         let links = self.open_links.borrow();
@@ -117,6 +138,7 @@
 /// Executes all actions that are due on the links.
 fn poll(router: &Router, links: &Links) {
     let now = router.clock.now();
+    links.note_partial_messages(now);
     let position = router.core.borrow().position();
     let actions = links.view_links.borrow_mut().poll(now, position);
     for action in actions {
@@ -168,6 +190,7 @@
                     .on_fetch_sent(router.clock.now(), to);
                 router.metrics.count_fetch("asked");
                 tracing::info!(event = "changes_asked", address = %to, held = position.held, is_followed,
+                    partial_bytes = links.partial_bytes(),
                     "router: requested changes from a control machine");
             }
         }
@@ -236,6 +259,7 @@
     let link = Link {
         sender: sender.clone(),
         close_requested: Rc::clone(&close_requested),
+        partial_message: receiver.partial_message(),
     };
     sender.send_marked(&reports::status(router));
     links.open_links.borrow_mut().insert(address, link);
--- a/crates/gateway/src/router/view_changes.rs
+++ b/crates/gateway/src/router/view_changes.rs
@@ -1,6 +1,7 @@
 //! Applies changes of the replicated state to the view, and logs what they change.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use drumshore_gateway_core::{Changes, InstanceId, Leave, Progress, ViewLinks};
 use tokio::time::Instant;
@@ -20,7 +21,14 @@
     let (revision, newest) = (changes.revision, changes.newest);
     let (instances, removed) = (changes.instances.items.len(), changes.removed.items.len());
     let leaves = router.core.borrow().leaves_in(&changes);
-    let parse = |body: &[u8]| router.dialect.document(body);
+    let bytes = changes.bytes();
+    let mut parsing = Duration::ZERO;
+    let parse = |body: &[u8]| {
+        let began = Instant::now();
+        let document = router.dialect.document(body);
+        parsing = began.elapsed();
+        document
+    };
     let applied = router.core.borrow_mut().apply(now, changes, parse);
     let core = router.core.borrow();
     let held = core.revision();
@@ -37,6 +45,8 @@
                 removed,
                 leaving = leaves.len(),
                 configuration = core.configuration_version(),
+                bytes,
+                parsing_us = parsing.as_micros() as u64,
                 took_us = started.elapsed().as_micros() as u64,
                 "router: applied changes to the view"
             );
@@ -49,7 +59,7 @@
         }
         Err(error) => {
             router.metrics.count_fetch("refused");
-            tracing::info!(event = "view_refused", %from, revision, %error,
+            tracing::info!(event = "view_refused", %from, revision, bytes, %error,
                 "router: changes from a control machine could not be applied to the view");
             Progress::None { held }
         }
