--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -93,9 +93,9 @@
             .as_ref()
             .and_then(|answer| answer.id.as_deref());
         tracing::info!(
-            event = "caller_connection_ended", id, %peer, cause = cause(reason),
+            event = "caller_connection_ended", id = id.map(tracing::field::display), %peer, cause = cause(reason),
             answer_begun = request.answer.is_some(),
-            received_ms_ago = request.since.elapsed().as_millis() as u64, %error,
+            request_age_ms = request.since.elapsed().as_millis() as u64, %error,
             "server: a caller's connection ended while its request was being answered"
         );
     }
--- a/crates/gateway/src/connection_errors_tests.rs
+++ b/crates/gateway/src/connection_errors_tests.rs
@@ -14,6 +14,10 @@
 use tokio::task::LocalSet;
 
 use super::*;
+use crate::sockets;
+
+/// More than the buffers of both sides hold.
+const UNREAD_BYTES: usize = 64 << 20;
 
 /// How a back end ends its connection.
 #[derive(Clone, Copy, Debug)]
@@ -108,6 +112,28 @@
     assert_eq!(ConnectionError::of(&error), expected);
 }
 
+/// The kernel reports a peer that takes no data as one that acknowledges none.
+#[test]
+fn a_connection_that_the_kernel_ends_is_classified() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    let error = LocalSet::new().block_on(&runtime, async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let stream = TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+        sockets::enable_dead_peer_detection(&stream).unwrap();
+        let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.unwrap();
+        tokio::task::spawn_local(connection);
+        let body = Full::new(Bytes::from(vec![0; UNREAD_BYTES]));
+        sender.send_request(Request::new(body)).await.unwrap_err()
+    });
+    let reason = ConnectionError::of(&error);
+    assert_eq!(reason, ConnectionError::Unacknowledged, "{error:?}");
+}
+
 #[test]
 fn a_timer_of_this_process_is_not_taken_for_the_kernel() {
     let error = io::Error::from(io::ErrorKind::TimedOut);
