--- a/crates/gateway-core/src/message/extension.rs
+++ b/crates/gateway-core/src/message/extension.rs
@@ -56,3 +56,7 @@
         .expect("the field fits in its length fields");
     payload.extend(cursor.into_inner());
 }
+
+#[cfg(test)]
+#[path = "extension_tests.rs"]
+mod tests;
--- a/crates/gateway-core/tests/configuration_in_force/router.rs
+++ b/crates/gateway-core/tests/configuration_in_force/router.rs
@@ -124,7 +124,7 @@
                         Message::Fetch {
                             since,
                             source_revision,
-                            configuration: None,
+                            configuration: self.core.configuration_patch_base(),
                         },
                     )
                 }
