Bound the heads of an answer, and avoid back ends that exceed it

Cause: an HTTP client discards interim heads and goes on reading, so 103 without end was read until the deadline, at full speed, and a head that drips in held a request as long. A back end that did so was avoided for 0.4 s, like one whose connection broke.

Change: the connection to a back end counts what arrives from the sending of a request to the end of the head of its answer: 64 KiB and 16 interim heads over all heads, and 1 s from the first byte of one head to its last. Beyond that its read fails, which closes the connection. A pause between two heads, and silence before the first, are not limited. The attempt ends as `limit_exceeded`: it may have run, so only what may be repeated goes on elsewhere, and the caller of the rest gets 502. The back end is avoided for 10 s while others are left; `answer_limit_exceeded` is logged with the request, the back end, what was exceeded, bytes and time, and `answer_limits_exceeded` counts it.

--- a/crates/gateway-core/src/router/endpoint.rs
+++ b/crates/gateway-core/src/router/endpoint.rs
@@ -20,6 +20,7 @@
 const BROKEN_COOLDOWN: Duration = Duration::from_millis(400);
 const MIN_UNREACHABLE_COOLDOWN: Duration = Duration::from_millis(500);
 const MAX_UNREACHABLE_COOLDOWN: Duration = Duration::from_secs(5);
+const LIMIT_EXCEEDED_COOLDOWN: Duration = Duration::from_secs(10);
 const MISDIRECTED_COOLDOWN: Duration = Duration::from_secs(30);
 /// Back ends prefill prompts in chunks of this many tokens. A short prompt waits for the chunk in progress.
 const PREFILL_CHUNK_TOKENS: f64 = 4_096.0;
@@ -58,6 +59,8 @@
     Withheld,
     /// The connection broke, or the response was malformed.
     Broken,
+    /// The response exceeded a limit on what a back end may send.
+    LimitExceeded,
     /// No complete response before the deadline.
     TimedOut,
     /// The client disconnected, or the router gave up for a reason unrelated to the back end.
@@ -153,6 +156,10 @@
                 self.update_failure_rate(true);
                 BROKEN_COOLDOWN
             }
+            Outcome::LimitExceeded => {
+                self.update_failure_rate(true);
+                LIMIT_EXCEEDED_COOLDOWN
+            }
             Outcome::TimedOut | Outcome::Unreachable => {
                 self.update_failure_rate(true);
                 self.next_unreachable_cooldown(now)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod control;
 mod dialect;
+mod head_limits;
 mod link;
 pub mod logs;
 mod metrics;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -102,6 +102,8 @@
     late_answers: Family<OutcomeLabel, Counter>,
     /// Bodies of back ends' answers by how they ended.
     answer_ends: Family<AnswerEndLabel, Counter>,
+    /// Answers of back ends that exceeded a limit, by limit.
+    answer_limits_exceeded: Family<OutcomeLabel, Counter>,
     /// Streams that went on at another back end.
     pub streams: StreamMetrics,
     /// What back ends were serving when they crashed.
@@ -148,6 +150,7 @@
         let latency = Histogram::new(LATENCY_BUCKETS);
         let late_answers = Family::default();
         let answer_ends = Family::default();
+        let answer_limits_exceeded = Family::default();
         let streams = StreamMetrics::default();
         let crashes = CrashMetrics::default();
         let limit_units = Family::default();
@@ -180,6 +183,11 @@
             "Bodies of back ends' answers, by framing and end",
             Clone::clone(&answer_ends),
         );
+        registry.register(
+            "answer_limits_exceeded",
+            "Answers of back ends and stores that exceeded a limit, by limit",
+            Clone::clone(&answer_limits_exceeded),
+        );
         streams.register(&mut registry);
         crashes.register(&mut registry);
         registry.register(
@@ -253,6 +261,7 @@
             latency,
             late_answers,
             answer_ends,
+            answer_limits_exceeded,
             streams,
             crashes,
             limit_units,
@@ -294,6 +303,11 @@
         self.answer_ends.get_or_create(&label).inc();
     }
 
+    pub fn count_answer_limit_exceeded(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.answer_limits_exceeded.get_or_create(&label).inc();
+    }
+
     pub fn count_limit_units(&self, tenant: &str, outcome: &'static str, units: u32) {
         let mut labelled = self.labelled_tenants.borrow_mut();
         if labelled.len() < MAX_TENANT_LABELS && !labelled.contains(tenant) {
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
+use super::answer_limits;
 use super::forward::{header, may_try_again, Call};
 use super::headers;
 use super::notices;
@@ -202,12 +203,16 @@
 }
 
 fn connection_broken(open_attempt: OpenAttempt, error: SendError) -> Attempt {
-    let execution = match error {
-        SendError::NotSent => Execution::NotRun,
-        SendError::Broken => Execution::MayHaveRun,
+    let (outcome, execution, sent) = match error {
+        SendError::NotSent => (Outcome::Broken, Execution::NotRun, false),
+        SendError::Broken => (Outcome::Broken, Execution::MayHaveRun, true),
+        SendError::HeadLimit(excess) => {
+            let (limit, bytes) = (excess.limit.as_str(), excess.bytes);
+            answer_limits::record(&open_attempt, limit, bytes, excess.elapsed);
+            (Outcome::LimitExceeded, Execution::MayHaveRun, true)
+        }
     };
-    let sent = error == SendError::Broken;
-    unanswered(open_attempt, Outcome::Broken, execution, sent)
+    unanswered(open_attempt, outcome, execution, sent)
 }
 
 fn unanswered(
--- a/crates/gateway/src/router/open_attempt.rs
+++ b/crates/gateway/src/router/open_attempt.rs
@@ -176,6 +176,7 @@
         Outcome::Unreachable => "unreachable",
         Outcome::Withheld => "withheld",
         Outcome::Broken => "broken",
+        Outcome::LimitExceeded => "limit_exceeded",
         Outcome::TimedOut => "timed_out",
         Outcome::Abandoned => "abandoned",
     }
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -115,7 +115,7 @@
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
         Ok(Ok(response)) => Forwarded::Answered(response, connection),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
-        Ok(Err(SendError::Broken)) | Err(_) => Forwarded::Broken,
+        Ok(Err(SendError::Broken | SendError::HeadLimit(_))) | Err(_) => Forwarded::Broken,
     }
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -20,6 +20,7 @@
 use tokio::time::timeout;
 
 use crate::clock::Clock;
+use crate::head_limits::{HeadExcess, HeadLimit, Heads, LimitedStream};
 use crate::sockets;
 
 /// How long opening a connection may take.
@@ -55,6 +56,9 @@
     /// The connection broke after at least a part of the request was sent.
     #[error("connection broke after part of the request was sent")]
     Broken,
+    /// The request was sent, and the heads of the answer exceeded a limit.
+    #[error("{}", .0.limit)]
+    HeadLimit(HeadExcess),
 }
 
 /// An idle connection.
@@ -78,6 +82,7 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    heads: Heads,
     task: AbortHandle,
     pool: Rc<Pool>,
     /// How long the peer keeps the connection open while it is idle.
@@ -98,15 +103,23 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.heads.expect_answer();
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| match error.take_message() {
             Some(_) => SendError::NotSent,
-            None => SendError::Broken,
+            None => self.broken(error.error()),
         })?;
         self.idle_timeout = keep_alive(&response).unwrap_or(DEFAULT_IDLE_TIMEOUT);
         Ok(response)
     }
 
+    fn broken(&self, error: &hyper::Error) -> SendError {
+        let exceeded = self.heads.exceeded();
+        let too_long = error.is_parse_too_large().then_some(HeadLimit::Bytes);
+        let exceeded = exceeded.or_else(|| too_long.map(|limit| self.heads.as_excess(limit)));
+        exceeded.map_or(SendError::Broken, SendError::HeadLimit)
+    }
+
     /// Returns the connection to its pool, after its answer has been read to the end.
     pub fn release(self, now: Timestamp) {
         let pool = Rc::clone(&self.pool);
@@ -229,6 +242,8 @@
         .map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
     let slot = OpeningSlot::take(pool);
     let stream = sockets::connect(address, CONNECT_TIMEOUT).await?;
+    let heads = Heads::default();
+    let stream = LimitedStream::new(stream, heads.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream));
@@ -238,6 +253,7 @@
     });
     Ok(Connection {
         sender,
+        heads,
         task: task.abort_handle(),
         pool: slot.into_pool(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
