Bound the bodies of answers, and judge streams by whole events

Cause: a plain body, chunks, comments, empty events, whole events or one line without end were passed on until the deadline, and their back end was taken for sound.

Change: the router cuts a stream after 1 MiB without a whole event that carries data or an identifier, or beyond 8 MiB and 1 MiB for each second that it has taken; a body that is no stream and declares no length after 64 MiB. A declared length has no such bound, but one beyond 1 GiB is not begun. The back end is then avoided, logged and counted as for heads. A stream that may be resumed goes on elsewhere already after 256 KiB without a whole event, the most that is held back for it; if no other back end may take it, it stays until 1 MiB, so a long event is still passed on whole.

--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -7,12 +7,12 @@
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{Choice, Outcome, RequestKind, SoftwareVersion};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
-use super::answer_limits;
+use super::answer_limits::{self, BodyLimit};
 use super::forward::{header, may_try_again, Call};
 use super::headers;
 use super::notices;
@@ -307,6 +307,12 @@
         drain(router, response, connection);
         return unanswered(open_attempt, outcome, Execution::NotRun, true);
     }
+    let length = response.body().size_hint().exact();
+    if answer_limits::exceeds_declared_length(length) {
+        answer_limits::record_body(&open_attempt, BodyLimit::DeclaredBytes, 0);
+        let outcome = Outcome::LimitExceeded;
+        return unanswered(open_attempt, outcome, Execution::MayHaveRun, true);
+    }
     let failed = response.status().is_server_error();
     if failed
         && may_try_again(
--- a/crates/gateway/src/router/event_scanner.rs
+++ b/crates/gateway/src/router/event_scanner.rs
@@ -9,16 +9,53 @@
     Field,
 }
 
+/// The name of a field, as far as it has arrived.
+#[derive(Clone, Copy, Debug, Default)]
+struct FieldName {
+    bytes: [u8; Self::MAX_LENGTH],
+    length: usize,
+    is_ended: bool,
+}
+
+impl FieldName {
+    /// Length of the longest name that is told from others.
+    const MAX_LENGTH: usize = 4;
+
+    fn add(&mut self, byte: u8) {
+        self.is_ended |= byte == b':';
+        if self.is_ended {
+            return;
+        }
+        if let Some(next) = self.bytes.get_mut(self.length) {
+            *next = byte;
+        } else {
+            self.is_ended = true;
+        }
+        self.length += 1;
+    }
+
+    /// Whether fields of this name carry what the caller reads.
+    fn carries_content(&self) -> bool {
+        let name = self.bytes.get(..self.length);
+        name.is_some_and(|name| matches!(name, b"id" | b"data"))
+    }
+}
+
 /// How far a stream of events has got.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct EventScanner {
     line: Line,
+    /// The name of the current line's field.
+    field_name: FieldName,
     /// Whether fields have arrived since the last blank line.
     is_event_open: bool,
+    /// Whether one of them carries data or an identifier.
+    has_content: bool,
     follows_carriage_return: bool,
     /// Whether lines end with both a carriage return and a line feed.
     uses_both_line_ends: bool,
     has_event: bool,
+    events_with_content: u64,
 }
 
 impl EventScanner {
@@ -27,7 +64,7 @@
     pub fn scan(&mut self, bytes: &[u8]) -> usize {
         let (mut whole, mut index) = (0, 0);
         while index < bytes.len() {
-            if self.line != Line::Empty {
+            if self.line != Line::Empty && !self.is_in_field_name() {
                 let rest = bytes[index..].iter();
                 let line_end = rest.clone().position(|byte| matches!(byte, b'\n' | b'\r'));
                 index += line_end.unwrap_or(rest.len() - 1);
@@ -47,6 +84,11 @@
         self.is_event_open || self.line != Line::Empty || is_between_line_ends
     }
 
+    /// Whole events that carry data or an identifier.
+    pub fn events_with_content(&self) -> u64 {
+        self.events_with_content
+    }
+
     /// Whether an event has ended.
     pub fn has_event(&self) -> bool {
         self.has_event
@@ -56,11 +98,16 @@
     pub fn discard_partial_event(&mut self) {
         *self = Self {
             has_event: self.has_event,
+            events_with_content: self.events_with_content,
             uses_both_line_ends: self.uses_both_line_ends,
             ..Self::default()
         };
     }
 
+    fn is_in_field_name(&self) -> bool {
+        self.line == Line::Field && !self.field_name.is_ended
+    }
+
     fn add(&mut self, byte: u8) {
         let follows_carriage_return = std::mem::take(&mut self.follows_carriage_return);
         match byte {
@@ -71,16 +118,27 @@
                 self.end_line();
             }
             b':' if self.line == Line::Empty => self.line = Line::Comment,
-            _ if self.line == Line::Empty => self.line = Line::Field,
-            _ => {}
+            _ => {
+                if self.line == Line::Empty {
+                    self.line = Line::Field;
+                    self.field_name = FieldName::default();
+                }
+                self.field_name.add(byte);
+            }
         }
     }
 
     fn end_line(&mut self) {
         match std::mem::take(&mut self.line) {
-            Line::Empty => self.has_event |= std::mem::take(&mut self.is_event_open),
+            Line::Empty => {
+                self.has_event |= std::mem::take(&mut self.is_event_open);
+                self.events_with_content += u64::from(std::mem::take(&mut self.has_content));
+            }
             Line::Comment => {}
-            Line::Field => self.is_event_open = true,
+            Line::Field => {
+                self.is_event_open = true;
+                self.has_content |= self.field_name.carries_content();
+            }
         }
     }
 }
--- a/crates/gateway/src/router/event_scanner_tests.rs
+++ b/crates/gateway/src/router/event_scanner_tests.rs
@@ -79,3 +79,24 @@
     scanner.scan(b"\n");
     assert!(scanner.has_event());
 }
+
+#[rstest]
+#[case::data("data: a\n\n", 1)]
+#[case::identifier("id: 1\n\n", 1)]
+#[case::name_without_colon("data\n\n", 1)]
+#[case::both_of_one_event("id: 1\ndata: a\ndata: b\n\n", 1)]
+#[case::several_events("data: a\n\ndata: b\r\n\r\nid: 3\r\r", 3)]
+#[case::comments(": data: a\n\n:\n\n", 0)]
+#[case::other_fields("event: data\nretry: 1\nda: 1\ndatas: 1\nident: 1\n\n", 0)]
+#[case::no_name(" id: 1\n\n", 0)]
+#[case::an_open_event("data: a\n", 0)]
+#[case::an_event_after_an_empty_one("event: a\n\ndata: b\n\n", 1)]
+fn events_with_content_are_counted(#[case] stream: &str, #[case] count: u64) {
+    for piece in [1, 3, stream.len()] {
+        let mut scanner = EventScanner::default();
+        for piece in stream.as_bytes().chunks(piece) {
+            scanner.scan(piece);
+        }
+        assert_eq!(scanner.events_with_content(), count, "in pieces of {piece}");
+    }
+}
--- a/crates/gateway/src/router/events.rs
+++ b/crates/gateway/src/router/events.rs
@@ -6,7 +6,7 @@
 const ID_FIELD: &[u8] = b"id:";
 /// Limit of the memory for an incomplete event, above the size of any event that back ends send. Beyond it the rest of the
 /// stream is forwarded as it arrives, and can no longer be resumed.
-const MAX_PENDING_BYTES: usize = 256 << 10;
+pub(super) const MAX_PENDING_BYTES: usize = 256 << 10;
 
 /// The events of one answer.
 #[derive(Debug, Default)]
--- a/crates/gateway/src/router/received_body.rs
+++ b/crates/gateway/src/router/received_body.rs
@@ -114,6 +114,17 @@
         self.events.is_some()
     }
 
+    /// Whether the length is known from the head.
+    pub fn has_declared_length(&self) -> bool {
+        self.framing == Framing::Length
+    }
+
+    /// Whole events that carry data or an identifier; `None` if the body is not a stream.
+    pub fn events_with_content(&self) -> Option<u64> {
+        let events = self.events.as_ref();
+        events.map(EventScanner::events_with_content)
+    }
+
     /// Bytes that have arrived, over all back ends.
     pub fn bytes(&self) -> u64 {
         self.bytes
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::Sleep;
 use tracing::field::DisplayValue;
 
+use super::answer_limits::{self, BodyLimit, BodyProgress};
 use super::crash_detection::{self, Finding};
 use super::forward::OpenRequest;
 use super::open_attempt::OpenAttempt;
@@ -42,12 +43,22 @@
     Failed,
 }
 
+/// How a body goes on that has exceeded a limit.
+enum AfterExcess {
+    /// Another back end may continue it.
+    Resuming,
+    Cut(io::Error),
+    /// From the same back end: no other one can continue it, and it is not beyond all limits.
+    Unchanged,
+}
+
 /// Forwards a body as it arrives. Dropping it before the end closes the connection to the back end, which cancels the
 /// run; an error closes the caller's connection, so that a truncated answer never looks complete.
 pub(crate) struct Relay {
     id: String,
     body: Incoming,
     received: ReceivedBody,
+    progress: BodyProgress,
     connection: Option<Connection>,
     open_attempt: OpenAttempt,
     deadline: Pin<Box<Sleep>>,
@@ -82,6 +93,7 @@
             id: relayed.id,
             body: relayed.body,
             received: relayed.received,
+            progress: BodyProgress::new(relayed.open_attempt.router.clock.now()),
             connection: Some(relayed.connection),
             open_attempt: relayed.open_attempt,
             deadline: Box::pin(tokio::time::sleep(relayed.remaining)),
@@ -149,7 +161,13 @@
                 Poll::Ready(Some(Ok(frame))) => {
                     self.open_attempt.on_bytes_received();
                     self.timeliness.on_piece(self.now());
-                    if let Some(frame) = self.whole_events(frame) {
+                    let whole = frame.data_ref().map_or(0, |data| self.received.add(data));
+                    match self.check_limits(&frame) {
+                        AfterExcess::Resuming => continue,
+                        AfterExcess::Cut(error) => return Poll::Ready(Some(Err(error))),
+                        AfterExcess::Unchanged => {}
+                    }
+                    if let Some(frame) = self.whole_events(frame, whole) {
                         return Poll::Ready(Some(Ok(frame)));
                     }
                 }
@@ -201,9 +219,33 @@
         Poll::Ready(Some(Err(self.cut(Outcome::TimedOut, "timed_out", error))))
     }
 
-    /// The part of a frame that can be forwarded; `None` while the current event is incomplete.
-    fn whole_events(&mut self, frame: Frame<Bytes>) -> Option<Frame<Bytes>> {
-        let whole = frame.data_ref().map_or(0, |data| self.received.add(data));
+    /// Leaves a back end whose answer exceeds a limit with this frame.
+    fn check_limits(&mut self, frame: &Frame<Bytes>) -> AfterExcess {
+        let (now, bytes) = (self.now(), frame.data_ref().map_or(0, Bytes::len));
+        let is_resumable = self.resumption.is_some();
+        let exceeded = self.progress.add(now, bytes, &self.received, is_resumable);
+        exceeded.map_or(AfterExcess::Unchanged, |limit| self.leave(limit))
+    }
+
+    fn leave(&mut self, limit: BodyLimit) -> AfterExcess {
+        let resumes = limit.allows_resuming() && self.begin_resuming(&limit);
+        if !resumes && !limit.ends_answer() {
+            return AfterExcess::Unchanged;
+        }
+        self.count_end("limit_exceeded");
+        answer_limits::record_body(&self.open_attempt, limit, self.received.bytes());
+        if resumes {
+            self.open_attempt
+                .end(Outcome::LimitExceeded, Execution::Ran);
+            return AfterExcess::Resuming;
+        }
+        let error = io::Error::new(io::ErrorKind::InvalidData, limit);
+        AfterExcess::Cut(self.cut(Outcome::LimitExceeded, "limit_exceeded", error))
+    }
+
+    /// The part of a frame that can be forwarded, `whole` bytes of which belong to whole events; `None` while the current
+    /// event is incomplete.
+    fn whole_events(&mut self, frame: Frame<Bytes>, whole: usize) -> Option<Frame<Bytes>> {
         if self.is_whole() {
             self.finish();
         }
@@ -285,6 +327,7 @@
             Some(Poll::Ready(None)) => ResumeState::Failed,
             Some(Poll::Ready(Some(answered))) => {
                 self.received.on_resumed(&answered.response);
+                self.progress.on_resumed();
                 self.body = answered.response.into_body();
                 self.connection = Some(answered.connection);
                 self.open_attempt = answered.open_attempt;
