--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -13,6 +13,7 @@
 mod control;
 mod dialect;
 mod event_loop_delay;
+mod head_limits;
 mod link;
 pub mod logs;
 mod metrics;
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -7,11 +7,12 @@
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{Choice, Outcome, RequestKind, SoftwareVersion};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
+use super::answer_limits::{self, BodyLimit};
 use super::end_cause::EndCause;
 use super::forward::{header, may_try_again, Call};
 use super::headers;
@@ -213,12 +214,25 @@
 }
 
 fn connection_broken(open_attempt: OpenAttempt, error: SendError) -> Attempt {
-    let (execution, cause) = match error {
-        SendError::NotSent => (Execution::NotRun, EndCause::NotSent),
-        SendError::Broken(error) => (Execution::MayHaveRun, EndCause::Connection(error)),
+    let (outcome, execution, cause) = match error {
+        SendError::NotSent => (Outcome::Broken, Execution::NotRun, EndCause::NotSent),
+        SendError::Broken(error) => (
+            Outcome::Broken,
+            Execution::MayHaveRun,
+            EndCause::Connection(error),
+        ),
+        SendError::HeadLimit(excess) => {
+            let (limit, bytes) = (excess.limit.as_str(), excess.bytes);
+            answer_limits::record(&open_attempt, limit, bytes, excess.elapsed);
+            (
+                Outcome::LimitExceeded,
+                Execution::MayHaveRun,
+                EndCause::LimitExceeded,
+            )
+        }
     };
     let sent = error != SendError::NotSent;
-    unanswered(open_attempt, Outcome::Broken, execution, sent, Some(cause))
+    unanswered(open_attempt, outcome, execution, sent, Some(cause))
 }
 
 fn unanswered(
@@ -317,6 +331,13 @@
         drain(router, response, connection);
         return unanswered(open_attempt, outcome, Execution::NotRun, true, None);
     }
+    let length = response.body().size_hint().exact();
+    if answer_limits::exceeds_declared_length(length) {
+        answer_limits::record_body(&open_attempt, BodyLimit::DeclaredBytes, 0);
+        let (outcome, cause) = (Outcome::LimitExceeded, EndCause::LimitExceeded);
+        let execution = Execution::MayHaveRun;
+        return unanswered(open_attempt, outcome, execution, true, Some(cause));
+    }
     let failed = response.status().is_server_error();
     if failed
         && may_try_again(
--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -24,6 +24,8 @@
     InsideEvent,
     /// The back end crashed when it ended an answer with its connection.
     BackEndCrashed,
+    /// The answer exceeded a limit.
+    LimitExceeded,
     /// The connection to the back end ended.
     Connection(ConnectionError),
 }
@@ -48,6 +50,7 @@
             Self::SurplusAnswer => "surplus_answer",
             Self::InsideEvent => "ended_inside_event",
             Self::BackEndCrashed => "back_end_crashed",
+            Self::LimitExceeded => "limit_exceeded",
             Self::Connection(error) => connection_error_name(error),
         }
     }
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -116,7 +116,7 @@
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
         Ok(Ok(response)) => Forwarded::Answered(response, connection),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
-        Ok(Err(SendError::Broken(_))) | Err(_) => Forwarded::Broken,
+        Ok(Err(SendError::Broken(_) | SendError::HeadLimit(_))) | Err(_) => Forwarded::Broken,
     }
 }
 
