--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -42,7 +42,7 @@
 
 /// How an attempt at a peer ended.
 enum Forwarded {
-    Answered(Response<Incoming>, Connection),
+    Answered(Box<(Response<Incoming>, Connection)>),
     /// The peer did not run the request.
     Declined,
     Unreachable,
@@ -80,7 +80,8 @@
         log(router, &call, peer, &forwarded);
         let now = router.clock.now();
         match forwarded {
-            Forwarded::Answered(response, connection) => {
+            Forwarded::Answered(answered) => {
+                let (response, connection) = *answered;
                 // The peer has charged the request to its tenant as well.
                 router.core.borrow_mut().refund(now, &call.admission);
                 return answer(router, &call, open, response, connection);
@@ -114,7 +115,7 @@
     let request = outbound(router, call, remaining);
     match timeout(remaining, connection.send(request)).await {
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
-        Ok(Ok(response)) => Forwarded::Answered(response, connection),
+        Ok(Ok(response)) => Forwarded::Answered(Box::new((response, connection))),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
         Ok(Err(SendError::Broken(_) | SendError::HeadLimit(_))) | Err(_) => Forwarded::Broken,
     }
@@ -137,7 +138,7 @@
 
 fn log(router: &Router, call: &Call, peer: &str, forwarded: &Forwarded) {
     let status = match forwarded {
-        Forwarded::Answered(response, _) => Some(response.status().as_u16()),
+        Forwarded::Answered(answered) => Some(answered.0.status().as_u16()),
         _ => None,
     };
     let elapsed = router.clock.now().since(call.received);
