Let the kernel end a connection whose answer cannot be replaced only at the deadline

The kernel ends a connection to a back end when data or keep-alive probes stay unacknowledged for 2 s (TCP_USER_TIMEOUT). When this router's own link is full, acknowledgements arrive as late although the back end is sound, and an answer that no other back end can give was lost with the connection.

The limit is now set anew with each request: 2 s where another back end may give the answer, the time until the deadline where none can. An idle connection keeps the limit of its last request and gets the new one before the next is sent.

--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -15,6 +15,7 @@
 
 use super::Control;
 use crate::dialect::OutboundCall;
+use crate::sockets;
 use crate::unknown_names::UnknownNames;
 use crate::upstream::Upstreams;
 
@@ -76,7 +77,10 @@
             return None;
         }
         let request = request(control, expect.then_some(instance), address, call)?;
-        let response = connection.send(request).await.ok()?;
+        let response = connection
+            .send(request, sockets::UNACKNOWLEDGED_TIMEOUT)
+            .await
+            .ok()?;
         let status = response.status();
         let headers = response.headers();
         let is_known_header = |name: &HeaderName| control.dialect.is_known_header(name);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod clock;
 mod connection_errors;
 mod control;
+mod dead_peer_timeout;
 mod dialect;
 mod event_loop_delay;
 mod head_limits;
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -21,6 +21,7 @@
 use super::paths;
 use super::silence::Watch;
 use super::Router;
+use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
 
 /// The head of the answer to a repeatable request should arrive within the route's target times this factor; then
@@ -151,8 +152,10 @@
     let sent_at = router.clock.now();
     let watch = Watch::new(router, choice, call.admission.route.target);
     let may_move = may_try_again(&call.admission, Execution::MayHaveRun, sent_before + 1);
+    let is_replaceable = may_move || choice.copy.is_some();
+    let dead_peer_timeout = dead_peer_timeout(is_replaceable, remaining);
     let sent = tokio::select! {
-        sent = timeout(time_limit, connection.send(request)) => sent.map_err(|_| limit),
+        sent = timeout(time_limit, connection.send(request, dead_peer_timeout)) => sent.map_err(|_| limit),
         () = watch.silent_if(sent_at, may_move) => Err(EndCause::BackEndSilent),
     };
     let response = match sent {
@@ -253,6 +256,16 @@
     })
 }
 
+/// How long the back end may acknowledge nothing. An answer that no other back end can give is waited for until the
+/// deadline: this router's own link may be what is slow.
+fn dead_peer_timeout(is_replaceable: bool, remaining: Duration) -> Duration {
+    if is_replaceable {
+        sockets::UNACKNOWLEDGED_TIMEOUT
+    } else {
+        sockets::UNACKNOWLEDGED_TIMEOUT.max(remaining)
+    }
+}
+
 /// How long to wait for the head of the answer: until the deadline, unless another back end may be tried.
 fn head_timeout(call: &Call, sent_before: u32, remaining: Duration) -> Duration {
     let route = &call.admission.route;
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -24,6 +24,7 @@
 use super::forward::{may_try_again, Call, OpenRequest};
 use super::{headers, notices, refusal, Router};
 use crate::answer::AnswerBody;
+use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
 
 /// Marks a request that another router forwards.
@@ -113,7 +114,8 @@
     };
     let remaining = call.deadline.since(router.clock.now());
     let request = outbound(router, call, remaining);
-    match timeout(remaining, connection.send(request)).await {
+    let sending = connection.send(request, sockets::UNACKNOWLEDGED_TIMEOUT);
+    match timeout(remaining, sending).await {
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
         Ok(Ok(response)) => Forwarded::Answered(Box::new((response, connection))),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -11,7 +11,7 @@
 use crate::DaemonError;
 
 /// The connection ends when sent data is not acknowledged for this long.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
+pub(crate) const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Idle time before the first keep-alive probe.
 const KEEP_ALIVE_DELAY: Duration = Duration::from_secs(1);
 /// Time between two probes, for which a peer may be silent: with a user timeout set, the kernel gives up at the first
@@ -40,6 +40,11 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Sets how long sent data and keep-alive probes may stay unacknowledged.
+pub(crate) fn set_unacknowledged_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
+}
+
 /// Opens a listener; the error says what it was to serve.
 pub(crate) fn open(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
     listen(address).map_err(|source| DaemonError::Listen {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -21,6 +21,7 @@
 
 use crate::clock::Clock;
 use crate::connection_errors::ConnectionError;
+use crate::dead_peer_timeout::{AdjustableStream, DeadPeerTimeout};
 use crate::head_limits::{HeadExcess, HeadLimit, Heads, LimitedStream};
 use crate::sockets;
 
@@ -84,6 +85,7 @@
 pub(crate) struct Connection {
     sender: SendRequest<Full<Bytes>>,
     heads: Heads,
+    dead_peer_timeout: DeadPeerTimeout,
     task: AbortHandle,
     /// Why the connection ended, if neither a request nor a body can tell.
     ended: Rc<Cell<Option<ConnectionError>>>,
@@ -101,11 +103,14 @@
 }
 
 impl Connection {
-    /// Sends a request and waits for the head of the answer.
+    /// Sends a request and waits for the head of the answer. The connection ends when the peer acknowledges nothing for
+    /// `dead_peer_timeout`, until the next request.
     pub async fn send(
         &mut self,
         request: Request<Full<Bytes>>,
+        dead_peer_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
+        self.dead_peer_timeout.set(dead_peer_timeout);
         self.heads.expect_answer();
         let sent = self.sender.try_send_request(request).await;
         let response = sent.map_err(|mut error| match error.take_message() {
@@ -258,6 +263,8 @@
     let slot = OpeningSlot::take(pool);
     let stream = sockets::connect(address, CONNECT_TIMEOUT).await?;
     let heads = Heads::default();
+    let dead_peer_timeout = DeadPeerTimeout::default();
+    let stream = AdjustableStream::new(stream, dead_peer_timeout.clone());
     let stream = LimitedStream::new(stream, heads.clone());
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
@@ -274,6 +281,7 @@
     Ok(Connection {
         sender,
         heads,
+        dead_peer_timeout,
         task: task.abort_handle(),
         ended,
         pool: slot.into_pool(),
