Limit the calls to a control machine by their kind, in bytes and time

Cause: the body of any call was read up to 8 MiB, the bound for a configuration, and for as long as it came. Heartbeats without end from a few back ends filled the memory of a control machine, and one that drips in held its connection for good.

Change: a heartbeat, a deregistration, a request to the directory or for new weights has 256 KiB and 3 s for its body, a configuration 8 MiB and 20 s. Beyond that, and when a body breaks off, the connection is closed as before; now `call_unread` says why, and it is counted.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -6,18 +6,14 @@
 use bytes::Bytes;
 use drumshore_gateway_core::{Command, Heartbeat, Lifecycle, Reply};
 use drumshore_wire::{Blob, Text};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use super::Control;
+use super::{call_body, Control};
 use crate::answer::{self, AnswerBody};
 use crate::dialect::ControlCall;
 use crate::server::{NoAnswer, Peer};
 
-/// Limit of the body of a call.
-const MAX_BODY_BYTES: usize = 8 << 20;
-
 /// Serves one call; `NoAnswer` when its body is too long or cannot be read.
 pub(super) async fn serve(
     control: Rc<Control>,
@@ -28,8 +24,7 @@
         return Ok(answer::plain(StatusCode::NOT_FOUND, ""));
     };
     let caller = request.extensions().get::<Peer>().copied();
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES);
-    let body = body.collect().await.map_err(|_| NoAnswer)?.to_bytes();
+    let body = call_body::read(&control, &call, request.into_body(), caller).await?;
     let response = match call {
         ControlCall::PutConfiguration => put_configuration(&control, body).await,
         ControlCall::GetConfiguration => get_configuration(&control).await,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod applied;
 mod back_end_speeds;
 mod back_ends;
+mod call_body;
 mod configuration;
 mod connections;
 mod folder;
