--- a/crates/gateway-core/src/view_links/fetches_tests.rs
+++ b/crates/gateway-core/src/view_links/fetches_tests.rs
@@ -168,3 +168,19 @@
     fetches.on_partial_message(at(350), OTHER);
     assert_eq!(fetch(&mut fetches, 400, HELD), Some(OTHER));
 }
+
+/// The machine or its link may be slow, while others send the same in a moment.
+#[test]
+fn a_response_that_trickles_does_not_keep_a_router_from_asking_another_machine() {
+    const APPLY_WITHIN: u64 = 2_000;
+    let mut fetches = with_revisions(&[(FOLLOWED, NEWEST), (OTHER, NEWEST)], HELD);
+    assert_eq!(fetch(&mut fetches, 100, HELD), Some(FOLLOWED));
+    let asked: Vec<_> = (150..APPLY_WITHIN)
+        .step_by(50)
+        .filter_map(|milliseconds| {
+            fetches.on_partial_message(at(milliseconds), FOLLOWED);
+            fetch(&mut fetches, milliseconds, HELD)
+        })
+        .collect();
+    assert_eq!(asked, [OTHER]);
+}
