Call a back end silent only beside one that accepts a connection at the same time

Where no sound back end was left to compare with, a silent one was condemned, and the accused was judged before the others were tried, so a queue that drained in between spoke against it alone. It is now tried again together with the others, and nothing to compare with leaves the path in doubt. One that sends during its probe is used again at once.

Bytes of open connections keep a path from being taken for lost, but no longer show that a lost one is regained: only an accepted connection does.

--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -31,16 +31,19 @@
 
 /// Whether this router reaches back ends beside one that refused it. True if no sound one is left to compare with.
 pub(super) async fn is_open_beside(router: &Rc<Router>, refusing: &InstanceId) -> bool {
+    reaches_others(router, refusing).await.unwrap_or(true)
+}
+
+/// Whether this router reaches other back ends of the pool than one that it does not reach; `None` if no sound one is
+/// left to compare with.
+pub(super) async fn reaches_others(router: &Rc<Router>, refusing: &InstanceId) -> Option<bool> {
     let now = router.clock.now();
-    let witnesses = router.core.borrow_mut().sound_witnesses(now, refusing);
-    let Some(witnesses) = witnesses else {
-        return true;
-    };
+    let witnesses = router.core.borrow_mut().sound_witnesses(now, refusing)?;
     let is_open = !witnesses.is_empty() && reaches_any(router, witnesses).await == Reach::Accepted;
     if !is_open {
         check(router, refusing);
     }
-    is_open
+    Some(is_open)
 }
 
 /// Carries out a check and repeats it while the path is lost.
@@ -55,7 +58,11 @@
         let reached = match reaches_any(&router, check.witnesses).await {
             Reach::Accepted => true,
             Reach::Refused => false,
-            Reach::TimedOut => has_received_since(&router, &pool, began),
+            // Bytes of open connections do not show that new ones are accepted again.
+            Reach::TimedOut => {
+                !router.core.borrow().has_lost_path(&pool)
+                    && has_received_since(&router, &pool, began)
+            }
         };
         record(&router, &pool, reached);
         loop {
--- a/crates/gateway/src/router/silence.rs
+++ b/crates/gateway/src/router/silence.rs
@@ -249,6 +249,8 @@
                 Err(_) => return Finding::Alive,
             }
             if self.last_received_at.get() > self.began {
+                let mut core = self.router.core.borrow_mut();
+                core.stop_avoiding(&self.instance);
                 return Finding::Sending;
             }
             let now = self.router.clock.now();
@@ -256,7 +258,7 @@
                 self.router.core.borrow_mut().avoid(now, &self.instance);
                 paths::check(&self.router, &self.instance);
                 if self.silence + now.since(self.began) >= MAX_SOUND_SILENCE {
-                    return self.compare().await;
+                    return self.compare(address).await;
                 }
             }
         }
@@ -264,14 +266,21 @@
     }
 
     /// Whether another back end accepts a connection while this one does not.
-    async fn compare(&self) -> Finding {
-        let is_open_beside = paths::is_open_beside(&self.router, &self.instance).await;
-        if self.last_received_at.get() > self.began {
-            Finding::Sending
-        } else if is_open_beside {
-            Finding::Silent
-        } else {
-            Finding::PathInDoubt
+    async fn compare(&self, address: SocketAddr) -> Finding {
+        let others = paths::reaches_others(&self.router, &self.instance);
+        let connecting = sockets::connect(address, CONNECT_TIMEOUT);
+        let (reaches_others, connected) = tokio::join!(others, connecting);
+        self.connects.set(self.connects.get() + 1);
+        let is_sending = self.last_received_at.get() > self.began;
+        if connected.is_ok() || is_sending {
+            let mut core = self.router.core.borrow_mut();
+            core.stop_avoiding(&self.instance);
+        }
+        match (connected.is_ok(), is_sending, reaches_others) {
+            (true, _, _) => Finding::Alive,
+            (_, true, _) => Finding::Sending,
+            (_, _, Some(true)) => Finding::Silent,
+            (_, _, Some(false) | None) => Finding::PathInDoubt,
         }
     }
 }
