Ask a further control machine when a response takes longer than a second

The progress of a response held a fetch for as long as any byte came each 300 ms, so a slow machine or link kept a router behind past the bound of a configuration. A response now has one second, doubled with each further fetch, before another machine is asked; one that is still responding is not asked again. The same progress excuses unanswered pings for 2.5 s at most.

--- a/crates/gateway-core/src/view_links/fetches.rs
+++ b/crates/gateway-core/src/view_links/fetches.rs
@@ -11,6 +11,9 @@
 /// A fetch is repeated when nothing of a response has arrived for this time. The configuration is not sent in chunks, so
 /// a response may take longer to arrive.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(300);
+/// A fetch is also repeated, at another machine, when its response is not complete after this time, which doubles with
+/// each fetch since the last progress: the machine or its link may be slow.
+const MAX_RESPONSE_TIME: Duration = Duration::from_secs(1);
 /// The timeout doubles with each further fetch from the same machine, at most this many times. Control machines that
 /// respond late are overloaded, and repeated fetches would add to their load.
 const MAX_DOUBLINGS: u32 = 3;
@@ -30,6 +33,8 @@
     newest: u64,
     /// The revision that each linked machine announced last.
     revisions: BTreeMap<Ipv4Addr, u64>,
+    /// When a part of an incomplete message last arrived from each linked machine.
+    partial_messages: BTreeMap<Ipv4Addr, Timestamp>,
 }
 
 /// A fetch that has not been answered yet.
@@ -39,6 +44,7 @@
     /// When it was sent, or when a part of a message arrived from the machine since.
     progressed_at: Timestamp,
     timeout: Duration,
+    complete_by: Timestamp,
 }
 
 impl Fetches {
@@ -91,6 +97,7 @@
             |revision: u64| revision > position.held && revision >= position.source_revision;
         let able = self.revisions.iter().filter(|(_, has)| has_more(**has));
         let able = able.map(|(address, _)| *address);
+        let able = able.filter(|address| !self.is_responding(now, *address));
         able.filter(|address| may_ask_any || followed.contains(address))
             .min_by_key(|address| {
                 let is_followed = followed.contains(address);
@@ -100,6 +107,8 @@
 
     /// A fetch was sent to a control machine.
     pub fn on_fetch_sent(&mut self, now: Timestamp, to: Ipv4Addr) {
+        let fetches: u32 = self.fetch_counts.values().sum();
+        let max_response_time = MAX_RESPONSE_TIME * 2_u32.pow(fetches.min(MAX_DOUBLINGS));
         let count = self.fetch_counts.entry(to).or_default();
         let doublings = (*count).min(MAX_DOUBLINGS);
         *count += 1;
@@ -107,11 +116,13 @@
             to,
             progressed_at: now,
             timeout: FETCH_TIMEOUT * 2_u32.pow(doublings),
+            complete_by: now.plus(max_response_time),
         });
     }
 
     /// A part of a message arrived from a machine; the message is not complete yet.
     pub fn on_partial_message(&mut self, now: Timestamp, from: Ipv4Addr) {
+        self.partial_messages.insert(from, now);
         if let Some(fetch) = self.pending.as_mut().filter(|fetch| fetch.to == from) {
             fetch.progressed_at = now;
         }
@@ -120,6 +131,7 @@
     /// A link was closed: a fetch sent on it gets no response.
     pub fn on_link_ended(&mut self, address: Ipv4Addr) {
         self.revisions.remove(&address);
+        self.partial_messages.remove(&address);
         self.pending = self.pending.filter(|fetch| fetch.to != address);
     }
 
@@ -134,6 +146,13 @@
         self.behind_since = is_behind.then_some(since);
     }
 
+    /// Whether the response of a machine to an earlier fetch is still arriving.
+    fn is_responding(&self, now: Timestamp, address: Ipv4Addr) -> bool {
+        let partial_message_at = self.partial_messages.get(&address);
+        self.fetch_count(address) > 0
+            && partial_message_at.is_some_and(|at| now.since(*at) < FETCH_TIMEOUT)
+    }
+
     fn fetch_count(&self, address: Ipv4Addr) -> u32 {
         self.fetch_counts.get(&address).copied().unwrap_or_default()
     }
@@ -156,7 +175,7 @@
 
 impl Fetch {
     fn is_overdue(&self, now: Timestamp) -> bool {
-        now.since(self.progressed_at) >= self.timeout
+        now.since(self.progressed_at) >= self.timeout || now >= self.complete_by
     }
 }
 
--- a/crates/gateway-core/src/view_links/pings.rs
+++ b/crates/gateway-core/src/view_links/pings.rs
@@ -16,6 +16,8 @@
 /// A machine that leaves a ping unanswered for this time is unresponsive: it is cut off from a majority, frozen, or
 /// overloaded.
 const RESPONSIVE_WITHIN: Duration = Duration::from_millis(500);
+/// For how long after a ping the arrival of a part of another message, behind which its answer may wait, counts.
+const PARTIAL_MESSAGE_GRACE: Duration = Duration::from_millis(2_500);
 /// A link on which a ping has no answer for longer than this is closed.
 const LINK_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -124,7 +126,8 @@
     fn waiting_time(&self, now: Timestamp) -> Duration {
         let oldest = self.unanswered.values().next();
         oldest.map_or(Duration::ZERO, |at| {
-            now.since((*at).max(self.partial_message_at))
+            let latest = at.plus(PARTIAL_MESSAGE_GRACE);
+            now.since((*at).max(self.partial_message_at.min(latest)))
         })
     }
 
