Refuse changes whose patch cannot be read

An unreadable patch was taken for none, so the view would have advanced and kept the earlier configuration. A patch that starts elsewhere no longer clears the failure of an earlier one.

--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -488,7 +488,7 @@
     pub fn decode(payload: &[u8]) -> Option<Self> {
         let mut cursor = std::io::Cursor::new(payload);
         let mut message = binrw::BinRead::read(&mut cursor).ok()?;
-        extension::read_after(&mut cursor, &mut message);
+        extension::read_after(&mut cursor, &mut message)?;
         Some(message)
     }
 }
--- a/crates/gateway-core/src/message/extension.rs
+++ b/crates/gateway-core/src/message/extension.rs
@@ -21,19 +21,25 @@
     }
 }
 
-/// Reads the fields that follow a message, if there are any.
-pub(super) fn read_after(cursor: &mut Cursor<&[u8]>, message: &mut Message) {
+/// Reads the fields that follow a message, if there are any; `None` if they cannot be read and may not be ignored.
+pub(super) fn read_after(cursor: &mut Cursor<&[u8]>, message: &mut Message) -> Option<()> {
     match message {
         Message::Changes(changes) => {
             let software = List::read_le(cursor).ok();
             SoftwareEntry::set_all(&mut changes.instances.items, software.as_ref());
-            changes.patch = ConfigurationPatch::read_le(cursor).ok();
+            let has_more = cursor.position() < cursor.get_ref().len() as u64;
+            // Without it the view would advance and keep the earlier configuration.
+            changes.patch = match has_more {
+                true => Some(ConfigurationPatch::read_le(cursor).ok()?),
+                false => None,
+            };
         }
         Message::Fetch { configuration, .. } => {
             *configuration = ConfigurationHash::read_le(cursor).ok();
         }
         _ => {}
     }
+    Some(())
 }
 
 fn append_to_changes(payload: &mut Vec<u8>, changes: &Changes) {
--- a/crates/gateway-core/src/router/held_configuration.rs
+++ b/crates/gateway-core/src/router/held_configuration.rs
@@ -24,7 +24,7 @@
             return Ok(body.map(|body| body.bytes.clone()));
         };
         let body = patch.apply(&self.body);
-        self.has_failed = body
+        self.has_failed |= body
             .as_ref()
             .is_err_and(|error| *error != PatchError::OtherBase);
         body.map(Some)
