Read the lists of large stores

Cause: the answer of a store was read up to 1 MiB, as a back end's report is. A store of the users has room for 4.1 million tokens, some 110,000 parts of their smallest mean size; its list is longer, so such a store would have been taken for unreachable, and asked again without end.

Change: the answers of stores have a limit of their own, 16 MiB.

--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -22,8 +22,10 @@
 const TIMEOUT: Duration = Duration::from_millis(400);
 /// Connections to one back end.
 const CONNECTIONS: usize = 2;
-/// Limit of the body of an answer.
+/// Limit of the body of a back end's answer.
 const MAX_ANSWER_BYTES: usize = 1 << 20;
+/// Limit of the body of a store's answer, which may list some hundred thousand prompt parts.
+const MAX_STORE_ANSWER_BYTES: usize = 16 << 20;
 /// How long no calls are made to a back end or store whose answer exceeded a limit.
 const EXCESS_PAUSE: Duration = Duration::from_secs(2);
 /// Interval between queries to a back end that limits its rate of requests. Without a limit, a back end that loads
@@ -94,13 +96,18 @@
         if let Some(retry_after) = notice.retry_after {
             self.record_backoff(control, instance, retry_after);
         }
-        let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+        let max_bytes = if expect {
+            MAX_ANSWER_BYTES
+        } else {
+            MAX_STORE_ANSWER_BYTES
+        };
+        let body = Limited::new(response.into_body(), max_bytes);
         let body = body.collect().await;
         if body
             .as_ref()
             .is_err_and(|error| error.is::<LengthLimitError>())
         {
-            let bytes = MAX_ANSWER_BYTES as u64;
+            let bytes = max_bytes as u64;
             self.record_excess(control, instance, "answer_bytes", bytes, sent_at);
         }
         let body = body.ok()?.to_bytes();
