Do not report back ends that did not respond over this router's slow path

A request that broke or timed out after 2 s without bytes reported its back end to all routers, also where the path was only slow because this router's link was full. Such reports are dropped as those over a lost path are.

--- a/crates/gateway-core/src/router/paths.rs
+++ b/crates/gateway-core/src/router/paths.rs
@@ -148,7 +148,7 @@
     ) -> Option<PathChange> {
         let change = self.paths.end_check(now, pool, reached);
         match change {
-            Some(PathChange::Lost) => self.suspects.retain(|suspect| suspect.pool != *pool),
+            Some(PathChange::Lost) => self.forget_suspects(pool),
             Some(PathChange::Regained(_)) => self.endpoints.forget_failures(pool),
             None => {}
         }
--- a/crates/gateway-core/src/router/paths_tests.rs
+++ b/crates/gateway-core/src/router/paths_tests.rs
@@ -183,3 +183,12 @@
     let check = router.begin_path_recheck(at(30), &PoolName::new("models"));
     assert_eq!(check.unwrap().witnesses.len(), WITNESSES);
 }
+
+#[test]
+fn back_ends_that_did_not_respond_over_a_slow_path_are_not_reported() {
+    let mut router = router();
+    router.on_silent(at(10), &back_end("app-1"));
+    router.on_silent(at(10), &back_end("llm-4"));
+    router.forget_suspects(&pool());
+    assert_eq!(router.take_suspects(), [LoadEntry::key_of("llm-4")]);
+}
--- a/crates/gateway-core/src/router/suspects.rs
+++ b/crates/gateway-core/src/router/suspects.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Does not report the back ends of a pool that this router found unresponsive: the cause is its own path.
+    pub fn forget_suspects(&mut self, pool: &PoolName) {
+        self.suspects.retain(|suspect| suspect.pool != *pool);
+    }
+
     /// Avoids a back end that does not respond at the moment, without reporting it.
     pub fn avoid(&mut self, now: Timestamp, instance: &InstanceId) {
         self.endpoints.avoid(now, instance);
--- a/crates/gateway/src/router/paths.rs
+++ b/crates/gateway/src/router/paths.rs
@@ -58,11 +58,7 @@
         let reached = match reaches_any(&router, check.witnesses).await {
             Reach::Accepted => true,
             Reach::Refused => false,
-            // Bytes of open connections do not show that new ones are accepted again.
-            Reach::TimedOut => {
-                !router.core.borrow().has_lost_path(&pool)
-                    && has_received_since(&router, &pool, began)
-            }
+            Reach::TimedOut => is_slow(&router, &pool, began),
         };
         record(&router, &pool, reached);
         loop {
@@ -89,11 +85,19 @@
     Accepted,
 }
 
-/// Whether bytes have arrived from any back end of a pool. Then connections that time out wait behind other data.
-fn has_received_since(router: &Router, pool: &PoolName, began: Timestamp) -> bool {
+/// Whether a path that was not lost is slow: bytes arrive from back ends of the pool, and connections that time out wait
+/// behind other data. Then no back end is reported for not responding. Bytes of open connections do not show that a path
+/// is regained.
+fn is_slow(router: &Router, pool: &PoolName, began: Timestamp) -> bool {
     let now = router.clock.now();
-    let received_ago = router.core.borrow().pool_reach(now, pool).received_ago;
-    received_ago.is_some_and(|ago| ago < now.since(began))
+    let mut core = router.core.borrow_mut();
+    let received_ago = core.pool_reach(now, pool).received_ago;
+    let is_slow =
+        !core.has_lost_path(pool) && received_ago.is_some_and(|ago| ago < now.since(began));
+    if is_slow {
+        core.forget_suspects(pool);
+    }
+    is_slow
 }
 
 /// Whether any of the back ends accepts a connection; otherwise, whether any attempt timed out.
