--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -11,8 +11,10 @@
     rm -rf "$folder"
 }
 trap cleanup EXIT
-trap 'exit 2' INT TERM
-timeout -k 1 110 target/review/standins crashing-part "$folder" "$here/record.txt"
+timeout -k 1 110 target/review/standins crashing-part "$folder" "$here/record.txt" &
+driver=$!
+trap 'kill "$driver" 2> /dev/null; exit 2' INT TERM
+wait "$driver"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standins/back_end.rs
+++ b/review/standins/back_end.rs
@@ -90,7 +90,7 @@
         Ok(Self { process, options })
     }
 
-    /// Has it say `draining` from now on.
+    /// Has it say that it leaves from now on.
     pub fn leave(&mut self) -> io::Result<()> {
         let input = self.process.child.stdin.as_mut();
         input.map_or(Ok(()), |input| writeln!(input, "leave"))
@@ -240,6 +240,15 @@
         streamed.map(|()| false)
     }
 
+    /// Set on all answers of a back end that leaves.
+    fn leaving_header(&self) -> &'static str {
+        if self.is_leaving.load(Ordering::SeqCst) {
+            "Server-Leaving: 1\r\n"
+        } else {
+            ""
+        }
+    }
+
     fn take_slot(&self) {
         let running = self.running.lock().expect("no holder panics");
         let mut running = self
@@ -263,8 +272,9 @@
         body: &str,
     ) -> io::Result<()> {
         let answer = format!(
-            "HTTP/1.1 {status}\r\nX-Drumshore-Request-Id: {id}\r\nX-Drumshore-Instance-Id: {}\r\n{headers}Content-Length: {}\r\n\r\n{body}",
+            "HTTP/1.1 {status}\r\nX-Drumshore-Request-Id: {id}\r\nX-Drumshore-Instance-Id: {}\r\n{}{headers}Content-Length: {}\r\n\r\n{body}",
             self.options.id,
+            self.leaving_header(),
             body.len()
         );
         stream.write_all(answer.as_bytes())
@@ -273,8 +283,10 @@
     /// Answers with events and neither a length nor chunks; the answer ends with its connection.
     fn stream(&self, request: &Message, id: &str, stream: &mut TcpStream) -> io::Result<()> {
         let head = format!(
-            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Drumshore-Request-Id: {id}\r\nX-Drumshore-Response-Seal: seal-{}-{id}\r\nX-Drumshore-Instance-Id: {}\r\nConnection: close\r\n\r\n",
-            self.options.id, self.options.id
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Drumshore-Request-Id: {id}\r\nX-Drumshore-Response-Seal: seal-{}-{id}\r\nX-Drumshore-Instance-Id: {}\r\nX-Drumshore-Weight-Versions: 1\r\n{}Connection: close\r\n\r\n",
+            self.options.id,
+            self.options.id,
+            self.leaving_header()
         );
         stream.write_all(head.as_bytes())?;
         let last_received: u32 = request.header("last-event-id").parse().unwrap_or(0);
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -365,10 +365,10 @@
             INTERNAL_PORT,
             8080,
         ];
-        let hosts = [10, 11, 12, 30, 31, 50, 51, 52, 53];
+        let hosts = (10..13).chain(30..32).chain(50..60);
         let is_all_free = hosts
-            .iter()
-            .all(|host| ports.iter().all(|port| is_free(*host, *port)));
+            .clone()
+            .all(|host| ports.iter().all(|port| is_free(host, *port)));
         is_all_free.then_some(network)
     })
 }
--- a/review/standins/short_notice.rs
+++ b/review/standins/short_notice.rs
@@ -2,7 +2,7 @@
 
 use std::path::Path;
 use std::sync::Arc;
-use std::thread;
+use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
 use crate::back_end::{Handle, Options};
@@ -17,10 +17,12 @@
 const INTERVAL: Duration = Duration::from_millis(100);
 /// How long after its notice a back end is gone.
 const NOTICE: Duration = Duration::from_secs(2);
+/// How long after the notice another one comes.
+const SUCCESSOR_AFTER: Duration = Duration::from_secs(4);
 const STREAMS: usize = 60;
 const BETWEEN_STREAMS: Duration = Duration::from_millis(200);
 /// The streams before which a back end is given notice.
-const NOTICES_BEFORE: [usize; 2] = [20, 40];
+const NOTICES_BEFORE: [usize; 2] = [20, 45];
 
 pub fn run(folder: &Path, record_path: &Path, record: &Record) -> Result<bool, Failure> {
     let deployment = Arc::new(Deployment::start(folder, record)?);
@@ -40,11 +42,14 @@
         })
     })?;
     thread::sleep(CONTACT + Duration::from_secs(1));
+    let mut successors = Vec::new();
     let mut readers = Vec::new();
     for number in 0..STREAMS {
         if NOTICES_BEFORE.contains(&number) && !is_trouble_off() {
             if let Some(back_end) = back_ends.pop() {
-                take_away(back_end, record);
+                let number = BACK_ENDS + successors.len() as u8;
+                let successor = options(&deployment, record_path, number);
+                successors.push(take_away(folder, back_end, successor, record));
             }
         }
         let deployment = Arc::clone(&deployment);
@@ -58,6 +63,10 @@
         .into_iter()
         .filter_map(|reader| reader.join().ok().flatten());
     let streams: Vec<Stream> = streams.collect();
+    // Ends them.
+    for successor in successors {
+        drop(successor.join());
+    }
     let truncated = streams
         .iter()
         .filter(|stream| stream.looks_complete && !stream.is_whole())
@@ -87,9 +96,14 @@
     }
 }
 
-/// The platform gives a back end notice, and ends it two seconds later.
-fn take_away(mut back_end: Handle, record: &Record) {
-    let record = record.clone();
+/// The platform gives a back end notice, ends it two seconds later, and starts another one four seconds after the notice.
+fn take_away(
+    folder: &Path,
+    mut back_end: Handle,
+    successor: Options,
+    record: &Record,
+) -> JoinHandle<Option<Handle>> {
+    let (folder, record) = (folder.to_owned(), record.clone());
     thread::spawn(move || {
         let id = back_end.options.id.clone();
         record.line(&format!("platform: gives notice to {id}"));
@@ -97,7 +111,9 @@
         thread::sleep(NOTICE);
         back_end.process.kill();
         record.line(&format!("platform: {id} is gone"));
-    });
+        thread::sleep(SUCCESSOR_AFTER - NOTICE);
+        Handle::start(&folder, successor).ok()
+    })
 }
 
 /// What a caller received of a stream.
