--- a/review/standins/short_notice.rs
+++ b/review/standins/short_notice.rs
@@ -19,10 +19,10 @@
 const NOTICE: Duration = Duration::from_secs(2);
 /// How long after the notice another one comes.
 const SUCCESSOR_AFTER: Duration = Duration::from_secs(4);
-const STREAMS: usize = 60;
-const BETWEEN_STREAMS: Duration = Duration::from_millis(200);
+const STREAMS: usize = 120;
+const BETWEEN_STREAMS: Duration = Duration::from_millis(100);
 /// The streams before which a back end is given notice.
-const NOTICES_BEFORE: [usize; 2] = [20, 45];
+const NOTICES_BEFORE: [usize; 2] = [40, 90];
 
 pub fn run(folder: &Path, record_path: &Path, record: &Record) -> Result<bool, Failure> {
     let deployment = Arc::new(Deployment::start(folder, record)?);
