Routers: log and count the requests that are open when the process stops and exits

Callers of three requests saw their connection closed around a stop of their router, and no line of the router named one of them: a request left no line between its head and its answer, and stopped only counted what it cut.

Each request now has a record of how far it is (receiving, unsent, sent, answering), where it was sent, whether it may have run and how many bytes of its answer came. The oldest 100 are listed at the stop signal and at the exit; a request that is admitted in between has a line with the time left. open_requests, admitted_while_stopping_total and open_at_exit_total count them.

No decision changes. The stop of a router moved to a module of its own.

--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,13 +18,17 @@
 
 use crate::answer::{self, AnswerBody};
 
+mod counters;
 mod crashes;
 mod event_loop;
+mod stop;
 mod streams;
 mod tenant_demands;
 
+pub(crate) use counters::Counters;
 pub(crate) use crashes::CrashMetrics;
 pub(crate) use event_loop::EventLoopMetrics;
+pub(crate) use stop::StopMetrics;
 pub(crate) use streams::StreamMetrics;
 pub(crate) use tenant_demands::{TenantDemandGauges, MAX_DEMAND_LABELS};
 
@@ -76,21 +80,6 @@
     pub outcome: &'static str,
 }
 
-/// A family of counters by kind; the kinds are a fixed set of names.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct Counters(Family<KindLabel, Counter>);
-
-#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
-struct KindLabel {
-    kind: &'static str,
-}
-
-impl Counters {
-    pub fn add(&self, kind: &'static str, amount: u64) {
-        self.0.get_or_create(&KindLabel { kind }).inc_by(amount);
-    }
-}
-
 /// The metrics of one process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -114,6 +103,8 @@
     pub crashes: CrashMetrics,
     /// How late the event loop runs.
     pub event_loop: EventLoopMetrics,
+    /// Requests that are open, also when the process stops.
+    pub stop: StopMetrics,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -161,6 +152,7 @@
         let streams = StreamMetrics::default();
         let crashes = CrashMetrics::default();
         let event_loop = EventLoopMetrics::default();
+        let stop = StopMetrics::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -204,6 +196,7 @@
         streams.register(&mut registry);
         crashes.register(&mut registry);
         event_loop.register(&mut registry);
+        stop.register(&mut registry);
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -280,6 +273,7 @@
             streams,
             crashes,
             event_loop,
+            stop,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -152,6 +152,7 @@
         EndCause::Deadline
     };
     let sent_at = router.clock.now();
+    call.progress.on_sent(choice.instance.as_str());
     if let Some(continued) = continued {
         continued.hand_over.on_sent(sent_at);
     }
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -1,6 +1,5 @@
 //! Handles one request: admits it, reads its body and tries back ends until one answers.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +20,7 @@
 use super::end_cause::EndCause;
 use super::forwarded_answer::forward_answer;
 use super::open_attempt::{outcome_name, received_ms_ago};
+use super::open_requests::{OpenRequest, Progress};
 use super::peer_forwarding;
 use super::refusal::{self, Refused};
 use super::resume::Attempts;
@@ -41,6 +41,7 @@
 /// An admitted request whose body has been read.
 pub(super) struct Call {
     pub id: String,
+    pub progress: Rc<Progress>,
     pub received: Timestamp,
     pub deadline: Timestamp,
     /// When the caller stops waiting, over all its attempts.
@@ -77,54 +78,20 @@
     }
 }
 
-/// Counts a request as open until its answer has ended.
-pub(super) struct OpenRequest {
-    router: Rc<Router>,
-    is_forwarded: bool,
-}
-
-impl OpenRequest {
-    fn new(router: &Rc<Router>, is_forwarded: bool) -> Self {
-        let open = Self {
-            router: Rc::clone(router),
-            is_forwarded,
-        };
-        for count in open.counts() {
-            count.set(count.get() + 1);
-        }
-        open
-    }
-
-    /// The counts that include the request.
-    fn counts(&self) -> impl Iterator<Item = &Cell<usize>> {
-        let forwarded = self
-            .is_forwarded
-            .then_some(&self.router.open_forwarded_requests);
-        std::iter::once(&self.router.open_requests).chain(forwarded)
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        for count in self.counts() {
-            count.set(count.get() - 1);
-        }
-    }
-}
-
 /// Serves one request of a caller. While the process is stopping, the answer closes its connection.
 pub(super) async fn serve(
     router: Rc<Router>,
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, NoAnswer> {
     let is_forwarded = peer_forwarding::is_forwarded(request.headers());
-    let open = OpenRequest::new(&router, is_forwarded);
     let received = router.clock.now();
     let id = header(request.headers(), &router.dialect.headers().request_id);
+    let open = OpenRequest::new(&router, &id, received, is_forwarded);
     let admitted = admit_when_confirmed(&router, &request, received).await;
     let mut response = match admitted {
         Ok((admission, prompt)) => {
-            let call = read_call(&router, id, received, admission, prompt, request).await?;
+            let progress = Rc::clone(&open.progress);
+            let call = read_call(&router, id, progress, admission, prompt, request).await?;
             answer(&router, call, open).await
         }
         Err(refused) => {
@@ -197,7 +164,7 @@
     let is_forwarded = peer_forwarding::is_forwarded(headers);
     let refused = if router.stops_too_soon_for(admission.route.kind) {
         Some(Refused::Stopping)
-    } else if is_forwarded && router.open_forwarded_requests.get() > MAX_FORWARDED_REQUESTS {
+    } else if is_forwarded && router.open_requests.forwarded() > MAX_FORWARDED_REQUESTS {
         Some(Refused::TooManyForwarded)
     } else {
         None
@@ -228,11 +195,12 @@
 async fn read_call(
     router: &Router,
     id: String,
-    received: Timestamp,
+    progress: Rc<Progress>,
     admission: Admission,
     prompt: Option<Prompt>,
     request: Request<Incoming>,
 ) -> Result<Call, NoAnswer> {
+    let received = progress.received;
     let names = router.dialect.headers();
     let named = header(request.headers(), &names.deadline_ms).parse().ok();
     let requested_limit = named.map_or(admission.route.timeout, Duration::from_millis);
@@ -252,18 +220,22 @@
         let read = timeout(time_limit, reading).await.map_err(|_| NoAnswer)?;
         read.map_err(|_| NoAnswer)?.to_bytes()
     };
+    let deadline = received.plus(time_limit);
+    progress.on_received(deadline);
+    router.log_admission_while_stopping(&id, admission.route.name.as_str(), time_limit);
     let fingerprints = fingerprints_of(router, &parts, &admission, &body, prompt.as_ref());
     let core = router.core.borrow();
     let request = fingerprints.request();
     let crashes_before_call = request.map_or(0, |request| core.crash_count(request));
     Ok(Call {
         id,
+        progress,
         fingerprints,
         is_forwarded,
         take_up,
         crashes_before_call,
         received,
-        deadline: received.plus(time_limit),
+        deadline,
         caller_deadline: received.plus(requested_limit.min(MAX_STREAM_LIFETIME)),
         admission,
         prompt,
@@ -348,6 +320,7 @@
             }
             Attempt::Unanswered(unanswered) => {
                 log_unanswered(router, &call, &choice, unanswered);
+                call.progress.on_unanswered(unanswered.execution);
                 worst_execution = worst_execution.max(unanswered.execution);
                 attempts.record(unanswered);
                 if !may_try_again(&call.admission, worst_execution, attempts.sent) {
--- a/crates/gateway/src/router/forwarded_answer.rs
+++ b/crates/gateway/src/router/forwarded_answer.rs
@@ -8,8 +8,9 @@
 use hyper::{Response, StatusCode, Version};
 
 use super::attempt::Answered;
-use super::forward::{Call, OpenRequest};
+use super::forward::Call;
 use super::headers;
+use super::open_requests::OpenRequest;
 use super::peer_forwarding;
 use super::received_body::ReceivedBody;
 use super::relay::{Relay, Relayed};
@@ -56,6 +57,7 @@
     let now = router.clock.now();
     let elapsed = now.since(call.received);
     let received = ReceivedBody::new(&response, call.admission.route.kind);
+    call.progress.on_answered();
     if response.status().is_success() {
         let mut core = router.core.borrow_mut();
         core.accepted(now, choice);
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod headers;
 mod notices;
 mod open_attempt;
+mod open_requests;
 mod paths;
 mod peer_forwarding;
 mod peers;
@@ -24,6 +25,7 @@
 mod reports;
 mod resume;
 mod silence;
+mod stop;
 mod streams;
 mod take_up;
 mod timeliness;
@@ -34,7 +36,7 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use drumshore_gateway_core::{RequestKind, RouterCore};
+use drumshore_gateway_core::RouterCore;
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
@@ -58,6 +60,7 @@
 
 use crash_detection::{PendingProbes, UndecidedCrashes};
 use first_view::FirstView;
+use open_requests::OpenRequests;
 use peers::Peers;
 use silence::SilenceMonitor;
 use streams::Streams;
@@ -70,13 +73,6 @@
 const MAX_CONNECTIONS: usize = 1_500;
 /// Connections to each of the readiness and metrics listeners.
 const MAX_PLATFORM_CONNECTIONS: usize = 32;
-/// The process exits this long before the end of the grace period, when it would be killed.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Streams may outlast the grace period; none is started later than this after the stop signal.
-const LATEST_STREAM_START: Duration = Duration::from_millis(2_800);
-/// A request other than a stream needs this long before the process exits; a later one would be cut off.
-const MIN_ANSWER_TIME: Duration = Duration::from_millis(1_200);
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// State that the tasks of a router share.
 pub(crate) struct Router {
@@ -89,10 +85,7 @@
     event_loop_delay: Rc<EventLoopDelay>,
     /// When this process received the stop signal.
     stopping: Cell<Option<Timestamp>>,
-    /// Requests whose head was received and whose answer has not ended.
-    open_requests: Cell<usize>,
-    /// Of those, requests that other routers forwarded.
-    open_forwarded_requests: Cell<usize>,
+    open_requests: OpenRequests,
     peers: Peers,
     /// Notifies waiting requests that the path to the back ends of a pool was lost.
     path_lost: Notify,
@@ -135,8 +128,7 @@
         metrics: Metrics::new(),
         event_loop_delay: Rc::new(EventLoopDelay::new()),
         stopping: Cell::new(None),
-        open_requests: Cell::new(0),
-        open_forwarded_requests: Cell::new(0),
+        open_requests: OpenRequests::default(),
         peers: Peers::default(),
         path_lost: Notify::new(),
         status_changed: Notify::new(),
@@ -161,7 +153,7 @@
         tracing::info!(event = "reloaded", seeds = ?(router.settings.seeds)(),
             "router: received a reload signal; seeds read again");
     }
-    stop(&router).await;
+    stop::stop(&router).await;
     Ok(())
 }
 
@@ -225,49 +217,5 @@
 async fn measure_event_loop_delay(router: Rc<Router>) {
     let delay = Rc::clone(&router.event_loop_delay);
     let metrics = Rc::clone(&router.metrics);
-    event_loop_delay::measure(delay, metrics, || router.open_requests.get()).await;
-}
-
-impl Router {
-    /// True when the process is stopping and would probably exit before such a request is answered.
-    fn stops_too_soon_for(&self, kind: RequestKind) -> bool {
-        let Some(stop_started) = self.stopping.get() else {
-            return false;
-        };
-        let elapsed = self.clock.now().since(stop_started);
-        if kind.is_stream() {
-            return elapsed > LATEST_STREAM_START;
-        }
-        let stop_limit = self.settings.grace.saturating_sub(EXIT_MARGIN);
-        elapsed + MIN_ANSWER_TIME > stop_limit
-    }
-}
-
-/// Stops the router. The directory no longer lists it, and each answer closes its connection, so that callers move to
-/// other routers. The process ends once cached directory answers have expired and no request is open, at the latest
-/// when the grace period is nearly over.
-async fn stop(router: &Rc<Router>) {
-    let stop_started = router.clock.now();
-    router.stopping.set(Some(stop_started));
-    router.status_changed.notify_waiters();
-    tracing::info!(
-        event = "stopping",
-        open_requests = router.open_requests.get(),
-        "router: received a stop signal; draining open requests"
-    );
-    let stop_limit = router.settings.grace.saturating_sub(EXIT_MARGIN);
-    loop {
-        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        let elapsed = router.clock.now().since(stop_started);
-        let is_drained =
-            elapsed >= router.settings.directory_max_age && router.open_requests.get() == 0;
-        if elapsed >= stop_limit || is_drained {
-            break;
-        }
-    }
-    tracing::info!(
-        event = "stopped",
-        open_requests = router.open_requests.get(),
-        "router: stopped serving"
-    );
+    event_loop_delay::measure(delay, metrics, || router.open_requests.count()).await;
 }
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -21,7 +21,8 @@
 use tokio::time::{timeout, Sleep};
 
 use super::end_cause::{remaining_ms, EndCause};
-use super::forward::{may_try_again, Call, OpenRequest};
+use super::forward::{may_try_again, Call};
+use super::open_requests::OpenRequest;
 use super::{headers, notices, refusal, Router};
 use crate::answer::AnswerBody;
 use crate::sockets;
@@ -87,10 +88,17 @@
                 router.core.borrow_mut().refund(now, &call.admission);
                 return answer(router, &call, open, response, connection);
             }
-            Forwarded::Declined => router.peers.on_declined(now, peer, pool),
-            Forwarded::Unreachable => router.peers.on_unreachable(now, peer),
+            Forwarded::Declined => {
+                call.progress.on_unanswered(Execution::NotRun);
+                router.peers.on_declined(now, peer, pool);
+            }
+            Forwarded::Unreachable => {
+                call.progress.on_unanswered(Execution::NotRun);
+                router.peers.on_unreachable(now, peer);
+            }
             Forwarded::Broken => {
                 worst_execution = Execution::MayHaveRun;
+                call.progress.on_unanswered(worst_execution);
                 let may_repeat = may_try_again(&call.admission, worst_execution, 1);
                 if !may_repeat || !router.core.borrow_mut().charge_retry(now, &call.admission) {
                     break;
@@ -114,6 +122,7 @@
     };
     let remaining = call.deadline.since(router.clock.now());
     let request = outbound(router, call, remaining);
+    call.progress.on_sent(peer);
     let sending = connection.send(request, sockets::UNACKNOWLEDGED_TIMEOUT);
     match timeout(remaining, sending).await {
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
@@ -157,6 +166,7 @@
     connection: Connection,
 ) -> Response<AnswerBody> {
     let now = router.clock.now();
+    call.progress.on_answered();
     router
         .metrics
         .count_request("forwarded", now.since(call.received));
@@ -175,7 +185,7 @@
         body,
         connection: Some(connection),
         deadline: Box::pin(tokio::time::sleep(remaining)),
-        _open: open,
+        open,
     };
     if body.is_end_stream() {
         body.finish();
@@ -191,7 +201,7 @@
     body: Incoming,
     connection: Option<Connection>,
     deadline: Pin<Box<Sleep>>,
-    _open: OpenRequest,
+    open: OpenRequest,
 }
 
 impl PeerBody {
@@ -212,7 +222,11 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         match Pin::new(&mut self.body).poll_frame(context) {
-            Poll::Ready(Some(Ok(frame))) => Poll::Ready(Some(Ok(frame))),
+            Poll::Ready(Some(Ok(frame))) => {
+                let received = frame.data_ref().map_or(0, Bytes::len) as u64;
+                self.open.progress.add_answer_bytes(received);
+                Poll::Ready(Some(Ok(frame)))
+            }
             Poll::Ready(Some(Err(error))) => {
                 let cause = EndCause::of_body(self.connection.as_ref(), &error);
                 let error = io::Error::other(error);
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -17,8 +17,8 @@
 use super::answer_limits::{self, BodyLimit, BodyProgress};
 use super::crash_detection::{self, EndCheck};
 use super::end_cause::{remaining_ms, EndCause};
-use super::forward::OpenRequest;
 use super::open_attempt::{received_ms_ago, OpenAttempt};
+use super::open_requests::OpenRequest;
 use super::received_body::{AnswerEnd, ReceivedBody};
 use super::resume::Resumption;
 use super::silence::Watch;
@@ -101,7 +101,7 @@
     end_check: Option<EndCheck>,
     is_finished: bool,
     timeliness: Timeliness,
-    _open: OpenRequest,
+    open: OpenRequest,
 }
 
 /// An answer whose body is to be forwarded.
@@ -136,7 +136,7 @@
             end_check: None,
             is_finished: false,
             timeliness: relayed.timeliness,
-            _open: open,
+            open,
         };
         if relay.is_whole() {
             relay.finish();
@@ -211,6 +211,8 @@
                     self.open_attempt.on_bytes_received();
                     self.timeliness.on_piece(self.now());
                     let whole = frame.data_ref().map_or(0, |data| self.received.add(data));
+                    let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
+                    self.open.progress.add_answer_bytes(bytes);
                     match self.check_limits(&frame) {
                         AfterExcess::Resuming => continue,
                         AfterExcess::Cut(error) => return Poll::Ready(Some(Err(error))),
--- /dev/null
+++ b/crates/gateway/src/router/stop.rs
@@ -0,0 +1,100 @@
+//! The end of a router: it drains its requests after a stop signal, and tells what is open when it exits.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use drumshore_gateway_core::RequestKind;
+
+use super::Router;
+
+/// The process exits this long before the end of the grace period, when it would be killed.
+const EXIT_MARGIN: Duration = Duration::from_millis(400);
+/// Streams may outlast the grace period; none is started later than this after the stop signal.
+const LATEST_STREAM_START: Duration = Duration::from_millis(2_800);
+/// A request other than a stream needs this long before the process exits; a later one would be cut off.
+const MIN_ANSWER_TIME: Duration = Duration::from_millis(1_200);
+const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// Lines about single requests at the stop signal, and again at the exit.
+const MAX_LISTED_REQUESTS: usize = 100;
+
+impl Router {
+    /// True when the process is stopping and would probably exit before such a request is answered.
+    pub(super) fn stops_too_soon_for(&self, kind: RequestKind) -> bool {
+        let Some(stop_started) = self.stopping.get() else {
+            return false;
+        };
+        let elapsed = self.clock.now().since(stop_started);
+        if kind.is_stream() {
+            return elapsed > LATEST_STREAM_START;
+        }
+        elapsed + MIN_ANSWER_TIME > self.stop_limit()
+    }
+
+    /// How long after the stop signal the process exits.
+    fn stop_limit(&self) -> Duration {
+        self.settings.grace.saturating_sub(EXIT_MARGIN)
+    }
+
+    /// Logs and counts a request that was admitted after the stop signal.
+    pub(super) fn log_admission_while_stopping(&self, id: &str, route: &str, time_limit: Duration) {
+        let Some(stop_started) = self.stopping.get() else {
+            return;
+        };
+        self.metrics.stop.admitted_while_stopping.inc();
+        let elapsed = self.clock.now().since(stop_started);
+        let exits_in = self.stop_limit().saturating_sub(elapsed);
+        tracing::info!(event = "request_admitted", %id, route, time_limit_ms = time_limit.as_millis() as u64,
+            stopping_for_ms = elapsed.as_millis() as u64, exits_in_ms = exits_in.as_millis() as u64,
+            "router: admitted a request while the process stops");
+    }
+}
+
+/// Stops the router. The directory no longer lists it, and each answer closes its connection, so that callers move to
+/// other routers. The process ends once cached directory answers have expired and no request is open, at the latest
+/// when the grace period is nearly over.
+pub(super) async fn stop(router: &Rc<Router>) {
+    let stop_started = router.clock.now();
+    router.stopping.set(Some(stop_started));
+    router.status_changed.notify_waiters();
+    tracing::info!(
+        event = "stopping",
+        open_requests = router.open_requests.count(),
+        "router: received a stop signal; draining open requests"
+    );
+    router
+        .open_requests
+        .report(stop_started, MAX_LISTED_REQUESTS, "stopping");
+    loop {
+        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
+        let elapsed = router.clock.now().since(stop_started);
+        let is_drained =
+            elapsed >= router.settings.directory_max_age && router.open_requests.count() == 0;
+        if elapsed >= router.stop_limit() || is_drained {
+            break;
+        }
+    }
+    log_exit(router);
+}
+
+/// Logs and counts what is open when the process exits.
+fn log_exit(router: &Router) {
+    let now = router.clock.now();
+    let open = &router.open_requests;
+    let by_stage = open.report(now, MAX_LISTED_REQUESTS, "exiting");
+    for (stage, requests) in by_stage {
+        router
+            .metrics
+            .stop
+            .count_open_at_exit(stage.as_str(), requests);
+    }
+    let [receiving, unsent, sent, answering] = by_stage.map(|(_, requests)| requests);
+    tracing::info!(
+        event = "stopped",
+        open_requests = open.count(),
+        receiving,
+        unsent,
+        sent,
+        answering,
+        "router: stopped serving"
+    );
+}
