A stopping router admits only requests that it can answer before it exits

Callers saw their connection closed without an answer around a stop of their router, though a back end had the request; callers of non-repeatable requests could not know whether it had run.

Cause: what a stopping router admits was bounded by an assumption, that 1.2 s suffice for an answer, and not by the time that the request may take. A back end that was silent for a little longer, or busy, lost all that was in flight when the router exited.

A request is admitted while its own time limit (the smaller of the route's time-out and of the caller's deadline) ends before the process does, and in the first 2.8 s after the signal (or 0.35 of a shorter grace period), in which callers cannot know of the stop. Any other is refused at once, not run, for another router. This holds for streams as well. The exit margin shrinks with grace periods below 3.2 s.

What is still open at the end of the grace period is another fault.

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -162,7 +162,8 @@
     };
     let admission = router.core.borrow_mut().admit(now, head)?;
     let is_forwarded = peer_forwarding::is_forwarded(headers);
-    let refused = if router.stops_too_soon_for(admission.route.kind) {
+    let limits = TimeLimits::of(router, headers, &admission);
+    let refused = if !router.can_answer_before_exit(limits.answer) {
         Some(Refused::Stopping)
     } else if is_forwarded && router.open_requests.forwarded() > MAX_FORWARDED_REQUESTS {
         Some(Refused::TooManyForwarded)
@@ -181,6 +182,27 @@
     Ok((admission, prompt))
 }
 
+/// How long a request may take, from its head on.
+struct TimeLimits {
+    /// How long its caller waits, over all its attempts.
+    caller: Duration,
+    /// The time within which its answer must end.
+    answer: Duration,
+}
+
+impl TimeLimits {
+    fn of(router: &Router, headers: &HeaderMap, admission: &Admission) -> Self {
+        let timeout = admission.route.timeout;
+        let named = header(headers, &router.dialect.headers().deadline_ms);
+        let named = named.parse().ok().map(Duration::from_millis);
+        let caller = named.unwrap_or(timeout);
+        Self {
+            caller,
+            answer: caller.min(timeout),
+        }
+    }
+}
+
 /// The lowercase name of the host that the request is for, without the port.
 fn host_of<B>(request: &Request<B>) -> String {
     let named = request.headers().get(HOST);
@@ -201,28 +223,27 @@
     request: Request<Incoming>,
 ) -> Result<Call, NoAnswer> {
     let received = progress.received;
-    let names = router.dialect.headers();
-    let named = header(request.headers(), &names.deadline_ms).parse().ok();
-    let requested_limit = named.map_or(admission.route.timeout, Duration::from_millis);
-    let time_limit = requested_limit.min(admission.route.timeout);
+    let limits = TimeLimits::of(router, request.headers(), &admission);
     let max_body_bytes = router
         .core
         .borrow()
         .document()
         .map_or(0, |document| document.limits.body_bytes);
     let is_forwarded = peer_forwarding::is_forwarded(request.headers());
-    let take_up = TakeUp::of(request.headers(), names);
+    let take_up = TakeUp::of(request.headers(), router.dialect.headers());
     let (parts, body) = request.into_parts();
     let body = if body.is_end_stream() {
         Bytes::new()
     } else {
         let reading = Limited::new(body, max_body_bytes).collect();
-        let read = timeout(time_limit, reading).await.map_err(|_| NoAnswer)?;
+        let read = timeout(limits.answer, reading)
+            .await
+            .map_err(|_| NoAnswer)?;
         read.map_err(|_| NoAnswer)?.to_bytes()
     };
-    let deadline = received.plus(time_limit);
+    let deadline = received.plus(limits.answer);
     progress.on_received(deadline);
-    router.log_admission_while_stopping(&id, admission.route.name.as_str(), time_limit);
+    router.log_admission_while_stopping(&id, admission.route.name.as_str(), limits.answer);
     let fingerprints = fingerprints_of(router, &parts, &admission, &body, prompt.as_ref());
     let core = router.core.borrow();
     let request = fingerprints.request();
@@ -236,7 +257,7 @@
         crashes_before_call,
         received,
         deadline,
-        caller_deadline: received.plus(requested_limit.min(MAX_STREAM_LIFETIME)),
+        caller_deadline: received.plus(limits.caller.min(MAX_STREAM_LIFETIME)),
         admission,
         prompt,
         parts,
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -46,7 +46,7 @@
 pub(super) enum Refused {
     /// The view of the replicated state does not allow it.
     ByView(Refusal),
-    /// This process is stopping and would exit before the request is answered.
+    /// This process is stopping and may exit before the request is answered.
     Stopping,
     /// Other routers have forwarded as many requests as this one serves for them.
     TooManyForwarded,
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -3,36 +3,51 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use drumshore_gateway_core::RequestKind;
-
 use super::Router;
 
 /// The process exits this long before the end of the grace period, when it would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
-/// Streams may outlast the grace period; none is started later than this after the stop signal.
-const LATEST_STREAM_START: Duration = Duration::from_millis(2_800);
-/// A request other than a stream needs this long before the process exits; a later one would be cut off.
-const MIN_ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Shorter grace periods have a shorter margin, this part of them.
+const MAX_EXIT_MARGIN_PART: u32 = 8;
+/// For so long after the stop signal requests are admitted that may outlast the process: their callers cannot know yet
+/// that it stops.
+const UNBOUNDED_ADMISSION: Duration = Duration::from_millis(2_800);
+/// Of shorter grace periods, this part.
+const MAX_UNBOUNDED_ADMISSION_PART: f64 = 0.35;
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Lines about single requests at the stop signal, and again at the exit.
 const MAX_LISTED_REQUESTS: usize = 100;
 
+/// What happens when, as times after the stop signal.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct StopSchedule {
+    /// Until then, requests are admitted whatever their time limit.
+    unbounded_admission: Duration,
+    /// The process exits then.
+    exit: Duration,
+}
+
+impl StopSchedule {
+    fn of(grace: Duration) -> Self {
+        Self {
+            unbounded_admission: grace
+                .mul_f64(MAX_UNBOUNDED_ADMISSION_PART)
+                .min(UNBOUNDED_ADMISSION),
+            exit: grace - EXIT_MARGIN.min(grace / MAX_EXIT_MARGIN_PART),
+        }
+    }
+}
+
 impl Router {
-    /// True when the process is stopping and would probably exit before such a request is answered.
-    pub(super) fn stops_too_soon_for(&self, kind: RequestKind) -> bool {
+    /// Whether a request that must be answered within `time_limit` ends before the process does; true unless the process
+    /// is stopping.
+    pub(super) fn can_answer_before_exit(&self, time_limit: Duration) -> bool {
         let Some(stop_started) = self.stopping.get() else {
-            return false;
+            return true;
         };
         let elapsed = self.clock.now().since(stop_started);
-        if kind.is_stream() {
-            return elapsed > LATEST_STREAM_START;
-        }
-        elapsed + MIN_ANSWER_TIME > self.stop_limit()
-    }
-
-    /// How long after the stop signal the process exits.
-    fn stop_limit(&self) -> Duration {
-        self.settings.grace.saturating_sub(EXIT_MARGIN)
+        let schedule = StopSchedule::of(self.settings.grace);
+        elapsed <= schedule.unbounded_admission || elapsed + time_limit <= schedule.exit
     }
 
     /// Logs and counts a request that was admitted after the stop signal.
@@ -42,7 +57,9 @@
         };
         self.metrics.stop.admitted_while_stopping.inc();
         let elapsed = self.clock.now().since(stop_started);
-        let exits_in = self.stop_limit().saturating_sub(elapsed);
+        let exits_in = StopSchedule::of(self.settings.grace)
+            .exit
+            .saturating_sub(elapsed);
         tracing::info!(event = "request_admitted", %id, route, time_limit_ms = time_limit.as_millis() as u64,
             stopping_for_ms = elapsed.as_millis() as u64, exits_in_ms = exits_in.as_millis() as u64,
             "router: admitted a request while the process stops");
@@ -53,6 +70,7 @@
 /// other routers. The process ends once cached directory answers have expired and no request is open, at the latest
 /// when the grace period is nearly over.
 pub(super) async fn stop(router: &Rc<Router>) {
+    let schedule = StopSchedule::of(router.settings.grace);
     let stop_started = router.clock.now();
     router.stopping.set(Some(stop_started));
     router.status_changed.notify_waiters();
@@ -69,7 +87,7 @@
         let elapsed = router.clock.now().since(stop_started);
         let is_drained =
             elapsed >= router.settings.directory_max_age && router.open_requests.count() == 0;
-        if elapsed >= router.stop_limit() || is_drained {
+        if elapsed >= schedule.exit || is_drained {
             break;
         }
     }
@@ -98,3 +116,7 @@
         "router: stopped serving"
     );
 }
+
+#[cfg(test)]
+#[path = "stop_tests.rs"]
+mod tests;
