Give open requests a final answer before a stopping router exits

A request that was still open when a stopping router's time was over saw its connection closed: its caller was told nothing, and could not know whether the request had run. A caller of HTTP/1.0 took a cut stream for a whole one, because the process ended its connection in order.

Cause: the process ended with whatever was open; nothing told the tasks of requests.

400 ms before the end of the grace period (an eighth of a shorter one) requests without an answer get one: 503 if no back end can have run them, 504 otherwise; also those whose body has not arrived. The process exits when all have been sent, 200 ms later at most. The search for an answer is separate from its forwarding now, and the worst case of its attempts is kept with the request's progress, so that it is known at any moment; admission has a module of its own.

--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -1,7 +1,5 @@
 //! Why an attempt at a back end ended without a whole answer.
 
-use tokio::time::{Instant, Sleep};
-
 use crate::connection_errors::ConnectionError;
 use crate::upstream::Connection;
 
@@ -10,6 +8,8 @@
 pub(super) enum EndCause {
     /// The request's deadline passed.
     Deadline,
+    /// This process is about to exit.
+    Exit,
     /// The head of the answer did not arrive within the time after which another back end is tried.
     HeadTimeout,
     /// The back end sent nothing and accepted no connections.
@@ -47,6 +47,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Deadline => "deadline",
+            Self::Exit => "process_exit",
             Self::HeadTimeout => "head_timeout",
             Self::BackEndSilent => "back_end_silent",
             Self::NotResumed => "not_resumed",
@@ -74,10 +75,20 @@
     }
 }
 
-/// Milliseconds until a deadline, for logs.
-pub(super) fn remaining_ms(deadline: &Sleep) -> u64 {
-    let remaining = deadline
-        .deadline()
-        .saturating_duration_since(Instant::now());
-    remaining.as_millis() as u64
+/// Why an answer is broken off whose body ended without an error of the connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum BrokenOff {
+    #[error("the stream ended inside an event, or before the first one")]
+    InsideEvent,
+    #[error("nothing marked the end of the answer, and its back end was not seen to run on")]
+    Unmarked(EndCause),
+}
+
+impl BrokenOff {
+    pub fn cause(self) -> EndCause {
+        match self {
+            Self::InsideEvent => EndCause::InsideEvent,
+            Self::Unmarked(cause) => cause,
+        }
+    }
 }
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -6,23 +6,24 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
-    Admission, Choice, ChoiceError, FingerprintInput, Prompt, Refusal, RequestFingerprints,
-    RequestHead, MAX_STREAM_LIFETIME,
+    Admission, Choice, ChoiceError, FingerprintInput, InstanceId, Prompt, RequestFingerprints,
+    MAX_STREAM_LIFETIME,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{HeaderValue, CONNECTION, HOST};
+use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
 use tokio::time::timeout;
 
-use super::attempt::{self, Attempt, Unanswered};
+use super::admission::{admit_when_confirmed, TimeLimits};
+use super::attempt::{self, Answered, Attempt, Unanswered};
 use super::end_cause::EndCause;
 use super::forwarded_answer::forward_answer;
 use super::open_attempt::{outcome_name, received_ms_ago};
 use super::open_requests::{OpenRequest, Progress};
-use super::peer_forwarding;
-use super::refusal::{self, Refused};
+use super::peer_forwarding::{self, PeerAnswer};
+use super::refusal::{self, Refused, Unserved};
 use super::resume::Attempts;
 use super::take_up::{self, TakeUp};
 use super::Router;
@@ -33,8 +34,6 @@
 const MAX_TRIES: usize = 4;
 /// Limit of the body that is read from a refused request. For a longer one, a new connection costs the caller less.
 const MAX_UNREAD_BYTES: usize = 64 << 10;
-/// Requests that other routers may have open here. Each of them has callers of its own to serve.
-const MAX_FORWARDED_REQUESTS: usize = 400;
 /// How long to wait for the body of a refused request.
 const UNREAD_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -91,8 +90,12 @@
     let mut response = match admitted {
         Ok((admission, prompt)) => {
             let progress = Rc::clone(&open.progress);
-            let call = read_call(&router, id, progress, admission, prompt, request).await?;
-            answer(&router, call, open).await
+            let reading = read_call(&router, id.clone(), progress, admission, prompt, request);
+            tokio::select! {
+                biased;
+                call = reading => answer(&router, call?, open).await,
+                () = router.exit_notice.given() => refusal::refuse(&router, &id, received, Refused::Stopping),
+            }
         }
         Err(refused) => {
             discard_body(request.into_body());
@@ -123,97 +126,6 @@
     });
 }
 
-/// Admits a request; waits for the first confirmed view where that is allowed.
-async fn admit_when_confirmed(
-    router: &Router,
-    request: &Request<Incoming>,
-    received: Timestamp,
-) -> Result<(Admission, Option<Prompt>), Refused> {
-    loop {
-        let now = router.clock.now();
-        let confirmed = router.first_view.confirmed();
-        let admitted = admit(router, request, now);
-        let Err(Refused::ByView(Refusal::NoConfiguration | Refusal::Unconfirmed)) = admitted else {
-            return admitted;
-        };
-        let remaining = router.first_view.remaining_wait(now, received);
-        let Some(remaining) = remaining.filter(|_| router.stopping.get().is_none()) else {
-            return admitted;
-        };
-        let _waiting = router.first_view.waiting();
-        let _ = timeout(remaining, confirmed).await;
-    }
-}
-
-fn admit(
-    router: &Router,
-    request: &Request<Incoming>,
-    now: Timestamp,
-) -> Result<(Admission, Option<Prompt>), Refused> {
-    let names = router.dialect.headers();
-    let headers = request.headers();
-    let host = host_of(request);
-    let key = headers.get(&names.key).and_then(|key| key.to_str().ok());
-    let head = RequestHead {
-        host: &host,
-        path: request.uri().path(),
-        key,
-        declared_tokens: router.dialect.declared_tokens(headers),
-    };
-    let admission = router.core.borrow_mut().admit(now, head)?;
-    let is_forwarded = peer_forwarding::is_forwarded(headers);
-    let limits = TimeLimits::of(router, headers, &admission);
-    let refused = if !router.can_answer_before_exit(limits.answer) {
-        Some(Refused::Stopping)
-    } else if is_forwarded && router.open_requests.forwarded() > MAX_FORWARDED_REQUESTS {
-        Some(Refused::TooManyForwarded)
-    } else {
-        None
-    };
-    if let Some(refused) = refused {
-        router.core.borrow_mut().refund(now, &admission);
-        return Err(refused);
-    }
-    if let Some((tenant, charge)) = admission.tenant.as_ref().zip(admission.charge) {
-        let metrics = &router.metrics;
-        metrics.count_limit_units(tenant.name.as_str(), "admitted", charge.cost);
-    }
-    let prompt = router.dialect.prompt(headers);
-    Ok((admission, prompt))
-}
-
-/// How long a request may take, from its head on.
-struct TimeLimits {
-    /// How long its caller waits, over all its attempts.
-    caller: Duration,
-    /// The time within which its answer must end.
-    answer: Duration,
-}
-
-impl TimeLimits {
-    fn of(router: &Router, headers: &HeaderMap, admission: &Admission) -> Self {
-        let timeout = admission.route.timeout;
-        let named = header(headers, &router.dialect.headers().deadline_ms);
-        let named = named.parse().ok().map(Duration::from_millis);
-        let caller = named.unwrap_or(timeout);
-        Self {
-            caller,
-            answer: caller.min(timeout),
-        }
-    }
-}
-
-/// The lowercase name of the host that the request is for, without the port.
-fn host_of<B>(request: &Request<B>) -> String {
-    let named = request.headers().get(HOST);
-    let host = named
-        .and_then(|host| host.to_str().ok())
-        .or_else(|| request.uri().host())
-        .unwrap_or_default();
-    let without_port = host.rsplit_once(':').map_or(host, |(host, _)| host);
-    without_port.to_ascii_lowercase()
-}
-
 async fn read_call(
     router: &Router,
     id: String,
@@ -284,21 +196,62 @@
     router.core.borrow().identify(&input, prompt)
 }
 
-/// Tries back ends until one answers, the attempts are used up or the deadline has passed.
+/// How the search for an answer ended.
+enum Found {
+    Answer {
+        choice: Choice,
+        answered: Box<Answered>,
+        attempts: Attempts,
+    },
+    FromPeer(PeerAnswer),
+    Nowhere {
+        /// Back ends that were chosen.
+        tried: Vec<InstanceId>,
+        reason: Unserved,
+    },
+}
+
+impl Found {
+    fn nowhere(attempts: Attempts, error: Option<ChoiceError>) -> Self {
+        Self::Nowhere {
+            tried: attempts.tried,
+            reason: Unserved::NoBackEnd(error),
+        }
+    }
+}
+
+/// Answers a request whose body has been read. When the process exits before an answer has begun, the caller is told
+/// whether the request may have run.
 async fn answer(router: &Rc<Router>, mut call: Call, open: OpenRequest) -> Response<AnswerBody> {
+    let found = tokio::select! {
+        biased;
+        found = find_answer(router, &mut call) => found,
+        () = router.exit_notice.given() => Found::Nowhere {
+            tried: Vec::new(),
+            reason: Unserved::Exiting,
+        },
+    };
+    match found {
+        Found::Answer {
+            choice,
+            answered,
+            attempts,
+        } => forward_answer(router, call, &choice, *answered, open, attempts),
+        Found::FromPeer(answer) => peer_forwarding::forward_answer(router, &call, open, answer),
+        Found::Nowhere { tried, reason } => refusal::answer_unserved(router, &call, &tried, reason),
+    }
+}
+
+/// Tries back ends until one answers, the attempts are used up or the deadline has passed.
+async fn find_answer(router: &Rc<Router>, call: &mut Call) -> Found {
     let mut attempts = Attempts::default();
     let has_path = !router.core.borrow().has_lost_path(&call.admission.pool);
     if has_path {
-        match take_up::required_software(router, &mut call).await {
+        match take_up::required_software(router, call).await {
             Ok(required) => attempts.required_software = required,
-            Err(error) => {
-                let not_run = Execution::NotRun;
-                return refusal::answer_unserved(router, &call, &[], not_run, Some(error));
-            }
+            Err(error) => return Found::nowhere(attempts, Some(error)),
         }
     }
-    // The worst case over all attempts: not run, may have run, ran.
-    let mut worst_execution = Execution::NotRun;
     for _ in 0..MAX_TRIES {
         let now = router.clock.now();
         if call.deadline <= now {
@@ -306,16 +259,17 @@
         }
         if router.core.borrow().has_lost_path(&call.admission.pool) {
             if call.is_forwarded {
-                let error = Some(ChoiceError::NoPath);
-                let tried = &attempts.tried;
-                return refusal::answer_unserved(router, &call, tried, worst_execution, error);
+                return Found::nowhere(attempts, Some(ChoiceError::NoPath));
             }
             let is_retry = attempts.sent > 0;
             if !is_retry || router.core.borrow_mut().charge_retry(now, &call.admission) {
-                return peer_forwarding::forward(router, call, open, worst_execution).await;
+                let answer = peer_forwarding::forward(router, call).await;
+                let without_path =
+                    || Found::nowhere(Attempts::default(), Some(ChoiceError::NoPath));
+                return answer.map_or_else(without_path, Found::FromPeer);
             }
         }
-        let earlier = attempts.earlier(&call);
+        let earlier = attempts.earlier(call);
         let prompt = call.prompt.as_ref();
         let chosen = router
             .core
@@ -323,28 +277,23 @@
             .choose(now, &call.admission, prompt, earlier);
         let choice = match chosen {
             Ok(choice) => choice,
-            Err(error) => {
-                return refusal::answer_unserved(
-                    router,
-                    &call,
-                    &attempts.tried,
-                    worst_execution,
-                    Some(error),
-                )
-            }
+            Err(error) => return Found::nowhere(attempts, Some(error)),
         };
         attempts.tried.push(choice.instance.clone());
-        match attempt::make(router, &call, &choice, attempts.sent, None).await {
+        match attempt::make(router, call, &choice, attempts.sent, None).await {
             Attempt::Answered(answered) => {
                 attempts.sent += 1;
-                return forward_answer(router, call, &choice, *answered, open, attempts);
+                return Found::Answer {
+                    choice,
+                    answered,
+                    attempts,
+                };
             }
             Attempt::Unanswered(unanswered) => {
-                log_unanswered(router, &call, &choice, unanswered);
+                log_unanswered(router, call, &choice, unanswered);
                 call.progress.on_unanswered(unanswered.execution);
-                worst_execution = worst_execution.max(unanswered.execution);
                 attempts.record(unanswered);
-                if !may_try_again(&call.admission, worst_execution, attempts.sent) {
+                if !may_try_again(&call.admission, call.progress.execution(), attempts.sent) {
                     break;
                 }
             }
@@ -352,10 +301,11 @@
     }
     let now = router.clock.now();
     let prompt = call.prompt.as_ref();
-    let mut core = router.core.borrow_mut();
-    let error = core.pool_backoff(now, &call.admission, prompt);
-    drop(core);
-    refusal::answer_unserved(router, &call, &attempts.tried, worst_execution, error)
+    let error = router
+        .core
+        .borrow_mut()
+        .pool_backoff(now, &call.admission, prompt);
+    Found::nowhere(attempts, error)
 }
 
 /// Logs an attempt without an answer to forward.
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,7 +1,9 @@
 //! The router daemon: forwards callers' requests to back ends and keeps its view of the replicated state current over
 //! links to control machines.
 
+mod admission;
 mod answer_limits;
+mod answer_timer;
 mod attempt;
 mod control_links;
 mod crash_detection;
@@ -9,6 +11,7 @@
 mod end_cause;
 mod event_scanner;
 mod events;
+mod exit_notice;
 mod first_view;
 mod forward;
 mod forwarded_answer;
@@ -59,6 +62,7 @@
 pub(crate) use relay::Relay;
 
 use crash_detection::{PendingProbes, UndecidedCrashes};
+use exit_notice::ExitNotice;
 use first_view::FirstView;
 use open_requests::OpenRequests;
 use peers::Peers;
@@ -85,6 +89,7 @@
     event_loop_delay: Rc<EventLoopDelay>,
     /// When this process received the stop signal.
     stopping: Cell<Option<Timestamp>>,
+    exit_notice: ExitNotice,
     open_requests: OpenRequests,
     peers: Peers,
     /// Notifies waiting requests that the path to the back ends of a pool was lost.
@@ -128,6 +133,7 @@
         metrics: Metrics::new(),
         event_loop_delay: Rc::new(EventLoopDelay::new()),
         stopping: Cell::new(None),
+        exit_notice: ExitNotice::default(),
         open_requests: OpenRequests::default(),
         peers: Peers::default(),
         path_lost: Notify::new(),
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -4,26 +4,26 @@
 //! is forwarded once: a router that receives it so marked sends it to a back end or declines it, which tells that it has
 //! not run. Routers of earlier builds ignore the mark and serve it like any request.
 
-use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
 use drumshore_core::Execution;
-use drumshore_gateway_core::{ChoiceError, InstanceId};
+use drumshore_gateway_core::InstanceId;
 use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
-use tokio::time::{timeout, Sleep};
+use tokio::time::timeout;
 
-use super::end_cause::{remaining_ms, EndCause};
+use super::answer_timer::AnswerTimer;
+use super::end_cause::EndCause;
 use super::forward::{may_try_again, Call};
 use super::open_requests::OpenRequest;
-use super::{headers, notices, refusal, Router};
+use super::{headers, notices, Router};
 use crate::answer::AnswerBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -44,7 +44,7 @@
 
 /// How an attempt at a peer ended.
 enum Forwarded {
-    Answered(Box<(Response<Incoming>, Connection)>),
+    Answered(Box<PeerAnswer>),
     /// The peer did not run the request.
     Declined,
     Unreachable,
@@ -63,13 +63,14 @@
     }
 }
 
-/// Forwards a request to peers until one answers. `worst_execution` is that of its attempts at back ends.
-pub(super) async fn forward(
-    router: &Rc<Router>,
-    call: Call,
-    open: OpenRequest,
-    mut worst_execution: Execution,
-) -> Response<AnswerBody> {
+/// An answer of another router.
+pub(super) struct PeerAnswer {
+    response: Response<Incoming>,
+    connection: Connection,
+}
+
+/// Forwards a request to peers until one answers; `None` if none does.
+pub(super) async fn forward(router: &Rc<Router>, call: &Call) -> Option<PeerAnswer> {
     let pool = &call.admission.pool;
     let peers = router.peers.candidates(router.clock.now(), pool);
     for peer in peers.iter().take(MAX_PEERS) {
@@ -77,16 +78,15 @@
         if call.deadline <= now {
             break;
         }
-        let forwarded = attempt(router, &call, peer).await;
+        let forwarded = attempt(router, call, peer).await;
         router.metrics.count_forwarded(forwarded.as_str());
-        log(router, &call, peer, &forwarded);
+        log(router, call, peer, &forwarded);
         let now = router.clock.now();
         match forwarded {
             Forwarded::Answered(answered) => {
-                let (response, connection) = *answered;
                 // The peer has charged the request to its tenant as well.
                 router.core.borrow_mut().refund(now, &call.admission);
-                return answer(router, &call, open, response, connection);
+                return Some(*answered);
             }
             Forwarded::Declined => {
                 call.progress.on_unanswered(Execution::NotRun);
@@ -97,17 +97,16 @@
                 router.peers.on_unreachable(now, peer);
             }
             Forwarded::Broken => {
-                worst_execution = Execution::MayHaveRun;
-                call.progress.on_unanswered(worst_execution);
-                let may_repeat = may_try_again(&call.admission, worst_execution, 1);
+                let execution = Execution::MayHaveRun;
+                call.progress.on_unanswered(execution);
+                let may_repeat = may_try_again(&call.admission, execution, 1);
                 if !may_repeat || !router.core.borrow_mut().charge_retry(now, &call.admission) {
                     break;
                 }
             }
         }
     }
-    let error = Some(ChoiceError::NoPath);
-    refusal::answer_unserved(router, &call, &[], worst_execution, error)
+    None
 }
 
 async fn attempt(router: &Rc<Router>, call: &Call, peer: &str) -> Forwarded {
@@ -126,7 +125,10 @@
     let sending = connection.send(request, sockets::UNACKNOWLEDGED_TIMEOUT);
     match timeout(remaining, sending).await {
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
-        Ok(Ok(response)) => Forwarded::Answered(Box::new((response, connection))),
+        Ok(Ok(response)) => Forwarded::Answered(Box::new(PeerAnswer {
+            response,
+            connection,
+        })),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
         Ok(Err(SendError::Broken(_) | SendError::HeadLimit(_))) | Err(_) => Forwarded::Broken,
     }
@@ -149,7 +151,7 @@
 
 fn log(router: &Router, call: &Call, peer: &str, forwarded: &Forwarded) {
     let status = match forwarded {
-        Forwarded::Answered(answered) => Some(answered.0.status().as_u16()),
+        Forwarded::Answered(answered) => Some(answered.response.status().as_u16()),
         _ => None,
     };
     let elapsed = router.clock.now().since(call.received);
@@ -158,13 +160,17 @@
         elapsed_ms = elapsed.as_millis() as u64, "router: forwarded a request to another router");
 }
 
-fn answer(
+/// Forwards an answer of another router to the caller.
+pub(super) fn forward_answer(
     router: &Rc<Router>,
     call: &Call,
     open: OpenRequest,
-    response: Response<Incoming>,
-    connection: Connection,
+    answer: PeerAnswer,
 ) -> Response<AnswerBody> {
+    let PeerAnswer {
+        response,
+        connection,
+    } = answer;
     let now = router.clock.now();
     call.progress.on_answered();
     router
@@ -184,7 +190,7 @@
         router: Rc::clone(router),
         body,
         connection: Some(connection),
-        deadline: Box::pin(tokio::time::sleep(remaining)),
+        timer: AnswerTimer::new(router, remaining),
         open,
     };
     if body.is_end_stream() {
@@ -200,7 +206,7 @@
     router: Rc<Router>,
     body: Incoming,
     connection: Option<Connection>,
-    deadline: Pin<Box<Sleep>>,
+    timer: AnswerTimer,
     open: OpenRequest,
 }
 
@@ -236,11 +242,12 @@
                 self.finish();
                 Poll::Ready(None)
             }
-            Poll::Pending if self.deadline.as_mut().poll(context).is_ready() => {
+            Poll::Pending => {
+                let over = ready!(self.timer.poll(context));
                 let error = io::Error::from(io::ErrorKind::TimedOut);
-                Poll::Ready(Some(Err(self.cut("timed_out", EndCause::Deadline, error))))
+                let error = self.cut(over.reason(), over.cause(), error);
+                Poll::Ready(Some(Err(error)))
             }
-            Poll::Pending => Poll::Pending,
         }
     }
 
@@ -252,7 +259,7 @@
 
     fn cut(&mut self, reason: &'static str, cause: EndCause, error: io::Error) -> io::Error {
         tracing::info!(event = "answer_cut", id = %self.id, reason, cause = cause.as_str(), %error,
-            remaining_ms = remaining_ms(&self.deadline), event_loop_late_ms = self.router.event_loop_delay.late_ms(),
+            remaining_ms = self.timer.remaining_ms(), event_loop_late_ms = self.router.event_loop_delay.late_ms(),
             "router: closed the caller's connection before the end of an answer from another router");
         self.connection = None;
         error
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -70,20 +70,47 @@
     }
 }
 
+/// Why no back end answered an admitted request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) enum Unserved {
+    /// No back end was chosen, for this reason if one is known, or none that was chosen answered.
+    NoBackEnd(Option<ChoiceError>),
+    /// This process exits before an answer has begun.
+    Exiting,
+}
+
+impl Unserved {
+    fn choice_error(self) -> Option<ChoiceError> {
+        match self {
+            Self::NoBackEnd(error) => error,
+            Self::Exiting => None,
+        }
+    }
+
+    /// Whether another router may serve the request.
+    fn concerns_this_router(self) -> bool {
+        matches!(
+            self,
+            Self::Exiting | Self::NoBackEnd(Some(ChoiceError::NoPath))
+        )
+    }
+}
+
 /// Answers and logs a request that no back end answered. One that did not run is not charged to its tenant.
 pub(super) fn answer_unserved(
     router: &Router,
     call: &Call,
     tried: &[InstanceId],
-    worst_execution: Execution,
-    error: Option<ChoiceError>,
+    unserved: Unserved,
 ) -> Response<AnswerBody> {
     let now = router.clock.now();
+    let worst_execution = call.progress.execution();
+    let error = unserved.choice_error();
     if worst_execution == Execution::NotRun {
         router.core.borrow_mut().refund(now, &call.admission);
     }
     let elapsed = now.since(call.received);
-    let own_answer = final_answer(worst_execution, error, now >= call.deadline);
+    let own_answer = final_answer(worst_execution, unserved, now >= call.deadline);
     router.metrics.count_request(own_answer.reason, elapsed);
     let reach = router.core.borrow().pool_reach(now, &call.admission.pool);
     let quarantined = match error {
@@ -105,20 +132,17 @@
         elapsed_ms = elapsed.as_millis() as u64, revision = router.core.borrow().revision(),
             "router: no back end answered a request");
     let mut response = respond(own_answer);
-    if call.is_forwarded && error == Some(ChoiceError::NoPath) && own_answer.is_unavailable() {
+    if call.is_forwarded && unserved.concerns_this_router() && own_answer.is_unavailable() {
         peer_forwarding::mark_declined(&mut response);
     }
     response
 }
 
 /// 503 guarantees that the request has not run; 502 and 504 guarantee nothing.
-fn final_answer(
-    worst_execution: Execution,
-    error: Option<ChoiceError>,
-    is_late: bool,
-) -> OwnAnswer {
+fn final_answer(worst_execution: Execution, unserved: Unserved, is_late: bool) -> OwnAnswer {
     if worst_execution == Execution::NotRun {
-        let (after, reason) = match error {
+        let (after, reason) = match unserved.choice_error() {
+            _ if unserved == Unserved::Exiting => (RETRY_AT_ANOTHER_ROUTER, "stopping"),
             Some(ChoiceError::NoneReady) => (RETRY_WITHOUT_BACK_ENDS, "no_back_end"),
             Some(ChoiceError::NoneOfSoftware) => {
                 (RETRY_WITHOUT_BACK_ENDS, "no_back_end_of_software")
@@ -141,6 +165,8 @@
     }
     let (status, reason) = if is_late {
         (StatusCode::GATEWAY_TIMEOUT, "timed_out")
+    } else if unserved == Unserved::Exiting {
+        (StatusCode::GATEWAY_TIMEOUT, "stopped")
     } else {
         (StatusCode::BAD_GATEWAY, "broken")
     };
--- a/crates/gateway/src/router/refusal_tests.rs
+++ b/crates/gateway/src/router/refusal_tests.rs
@@ -41,7 +41,7 @@
     #[case] status: u16,
     #[case] has_retry_after: bool,
 ) {
-    let given_up = final_answer(worst, error, is_late);
+    let given_up = final_answer(worst, Unserved::NoBackEnd(error), is_late);
     assert_eq!(given_up.status.as_u16(), status);
     assert_eq!(given_up.retry_after.is_some(), has_retry_after);
 }
@@ -63,7 +63,21 @@
 
 #[test]
 fn an_overloaded_pool_sets_the_time_of_the_retry() {
-    let given_up = final_answer(Execution::NotRun, OVERLOADED, false);
+    let given_up = final_answer(Execution::NotRun, Unserved::NoBackEnd(OVERLOADED), false);
     let answer = (given_up.reason, given_up.retry_after);
     assert_eq!(answer, ("overloaded", Some(Duration::from_millis(1_300))));
 }
+
+#[rstest]
+#[case::not_run(Execution::NotRun, StatusCode::SERVICE_UNAVAILABLE)]
+#[case::sent(Execution::MayHaveRun, StatusCode::GATEWAY_TIMEOUT)]
+#[case::ran(Execution::Ran, StatusCode::GATEWAY_TIMEOUT)]
+fn a_process_that_exits_tells_whether_the_request_may_have_run(
+    #[case] worst: Execution,
+    #[case] status: StatusCode,
+) {
+    let own_answer = final_answer(worst, Unserved::Exiting, false);
+    assert_eq!(own_answer.status, status);
+    let is_promise = status == StatusCode::SERVICE_UNAVAILABLE;
+    assert_eq!(own_answer.retry_after.is_some(), is_promise);
+}
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -15,8 +15,9 @@
 use tracing::field::DisplayValue;
 
 use super::answer_limits::{self, BodyLimit, BodyProgress};
+use super::answer_timer::AnswerTimer;
 use super::crash_detection::{self, EndCheck};
-use super::end_cause::{remaining_ms, EndCause};
+use super::end_cause::{BrokenOff, EndCause};
 use super::open_attempt::{received_ms_ago, OpenAttempt};
 use super::open_requests::OpenRequest;
 use super::received_body::{AnswerEnd, ReceivedBody};
@@ -25,24 +26,6 @@
 use super::timeliness::Timeliness;
 use crate::upstream::Connection;
 
-/// Why an answer is broken off whose body ended without an error of the connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-enum BrokenOff {
-    #[error("the stream ended inside an event, or before the first one")]
-    InsideEvent,
-    #[error("nothing marked the end of the answer, and its back end was not seen to run on")]
-    Unmarked(EndCause),
-}
-
-impl BrokenOff {
-    fn cause(self) -> EndCause {
-        match self {
-            Self::InsideEvent => EndCause::InsideEvent,
-            Self::Unmarked(cause) => cause,
-        }
-    }
-}
-
 /// Why a stream leaves a back end that was found silent, for logs.
 const NO_CONNECTIONS: &str = "its back end accepts no connections";
 
@@ -87,7 +70,7 @@
     progress: BodyProgress,
     connection: Option<Connection>,
     open_attempt: OpenAttempt,
-    deadline: Pin<Box<Sleep>>,
+    timer: AnswerTimer,
     /// Set for a stream that another back end may resume.
     resumption: Option<Resumption>,
     /// Completes when the back end of a stream that may be resumed is found silent.
@@ -120,6 +103,7 @@
 
 impl Relay {
     pub(super) fn new(relayed: Relayed, open: OpenRequest) -> Self {
+        let timer = AnswerTimer::new(&relayed.open_attempt.router, relayed.remaining);
         let mut relay = Self {
             id: relayed.id,
             body: relayed.body,
@@ -127,7 +111,7 @@
             progress: BodyProgress::new(relayed.open_attempt.router.clock.now()),
             connection: Some(relayed.connection),
             open_attempt: relayed.open_attempt,
-            deadline: Box::pin(tokio::time::sleep(relayed.remaining)),
+            timer,
             resumption: relayed.resumption,
             silence: None,
             first_run: FirstRun::InUse,
@@ -190,7 +174,7 @@
             match self.poll_resumed(context) {
                 ResumeState::NotResuming => {}
                 ResumeState::Resuming if self.keeps_first(context) => {}
-                ResumeState::Resuming => return self.poll_deadline(context),
+                ResumeState::Resuming => return self.poll_timer(context),
                 ResumeState::Failed if self.keeps_first(context) => {
                     self.return_to_first("no other back end resumes the stream");
                     self.watch_for_silence();
@@ -230,7 +214,7 @@
                     }
                 }
                 Poll::Ready(None) => match self.poll_end(context) {
-                    Poll::Pending => return self.poll_deadline(context),
+                    Poll::Pending => return self.poll_timer(context),
                     Poll::Ready(None) => {
                         self.return_to_first("its answer has ended");
                         self.finish();
@@ -245,7 +229,7 @@
                     }
                 },
                 Poll::Pending if self.looks_elsewhere(context) => {}
-                Poll::Pending => return self.poll_deadline(context),
+                Poll::Pending => return self.poll_timer(context),
             }
         }
     }
@@ -307,16 +291,13 @@
             "router: a stream stays at the back end that began it");
     }
 
-    fn poll_deadline(
+    fn poll_timer(
         &mut self,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        if self.deadline.as_mut().poll(context).is_pending() {
-            return Poll::Pending;
-        }
+        let over = ready!(self.timer.poll(context));
         let error = io::Error::from(io::ErrorKind::TimedOut);
-        let cause = EndCause::Deadline;
-        let error = self.cut(Outcome::TimedOut, "timed_out", cause, error);
+        let error = self.cut(over.outcome(), over.reason(), over.cause(), error);
         Poll::Ready(Some(Err(error)))
     }
 
@@ -427,7 +408,7 @@
         tracing::info!(event = "answer_broken", id = %self.id, work = self.displayed_fingerprint(), parts = self.open_attempt.run.fingerprints.displayed_parts(),
             instance = %self.open_attempt.choice.instance, cause = cause.as_str(), %error, found = self.found(), leave = self.known_leave(),
             sent_ms_ago = self.open_attempt.sent_ms_ago(), received_ms_ago = self.received_ms_ago(),
-            remaining_ms = remaining_ms(&self.deadline), event_loop_late_ms = self.event_loop_late_ms(),
+            remaining_ms = self.timer.remaining_ms(), event_loop_late_ms = self.event_loop_late_ms(),
             "router: a back end broke off a stream; resuming it at another one");
         self.open_attempt.end(Outcome::Broken, Execution::Ran);
         self.connection = None;
@@ -551,7 +532,7 @@
             instance = %self.open_attempt.choice.instance, framed_by = self.received.framing().as_str(),
             bytes = self.received.bytes(), reason, cause = cause.as_str(), %error, found = self.found(), leave = self.known_leave(),
             sent_ms_ago = self.open_attempt.sent_ms_ago(), received_ms_ago = self.received_ms_ago(),
-            remaining_ms = remaining_ms(&self.deadline), event_loop_late_ms = self.event_loop_late_ms(),
+            remaining_ms = self.timer.remaining_ms(), event_loop_late_ms = self.event_loop_late_ms(),
             "router: closed the caller's connection before the end of an answer");
         self.open_attempt.end(outcome, Execution::Ran);
         self.connection = None;
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -3,18 +3,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tokio::time::sleep;
+
 use super::Router;
 
-/// The process exits this long before the end of the grace period, when it would be killed.
+/// All requests are answered this long before the end of the grace period, when the process would be killed.
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Shorter grace periods have a shorter margin, this part of them.
 const MAX_EXIT_MARGIN_PART: u32 = 8;
+/// How much of the margin may pass until the last answers have been sent.
+const FLUSH_PART: u32 = 2;
 /// For so long after the stop signal requests are admitted that may outlast the process: their callers cannot know yet
 /// that it stops.
 const UNBOUNDED_ADMISSION: Duration = Duration::from_millis(2_800);
 /// Of shorter grace periods, this part.
 const MAX_UNBOUNDED_ADMISSION_PART: f64 = 0.35;
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
 /// Lines about single requests at the stop signal, and again at the exit.
 const MAX_LISTED_REQUESTS: usize = 100;
 
@@ -23,17 +28,21 @@
 struct StopSchedule {
     /// Until then, requests are admitted whatever their time limit.
     unbounded_admission: Duration,
-    /// The process exits then.
+    /// All requests that are still open get a final answer then.
+    final_answers: Duration,
+    /// The process exits then, at the latest.
     exit: Duration,
 }
 
 impl StopSchedule {
     fn of(grace: Duration) -> Self {
+        let margin = EXIT_MARGIN.min(grace / MAX_EXIT_MARGIN_PART);
         Self {
             unbounded_admission: grace
                 .mul_f64(MAX_UNBOUNDED_ADMISSION_PART)
                 .min(UNBOUNDED_ADMISSION),
-            exit: grace - EXIT_MARGIN.min(grace / MAX_EXIT_MARGIN_PART),
+            final_answers: grace - margin,
+            exit: grace - margin + margin / FLUSH_PART,
         }
     }
 }
@@ -47,7 +56,7 @@
         };
         let elapsed = self.clock.now().since(stop_started);
         let schedule = StopSchedule::of(self.settings.grace);
-        elapsed <= schedule.unbounded_admission || elapsed + time_limit <= schedule.exit
+        elapsed <= schedule.unbounded_admission || elapsed + time_limit <= schedule.final_answers
     }
 
     /// Logs and counts a request that was admitted after the stop signal.
@@ -67,8 +76,8 @@
 }
 
 /// Stops the router. The directory no longer lists it, and each answer closes its connection, so that callers move to
-/// other routers. The process ends once cached directory answers have expired and no request is open, at the latest
-/// when the grace period is nearly over.
+/// other routers. The process ends once cached directory answers have expired and no request is open. When the grace
+/// period is nearly over, requests that are still open get a final answer.
 pub(super) async fn stop(router: &Rc<Router>) {
     let schedule = StopSchedule::of(router.settings.grace);
     let stop_started = router.clock.now();
@@ -82,20 +91,29 @@
     router
         .open_requests
         .report(stop_started, MAX_LISTED_REQUESTS, "stopping");
-    loop {
-        tokio::time::sleep(STOP_CHECK_INTERVAL).await;
-        let elapsed = router.clock.now().since(stop_started);
-        let is_drained =
-            elapsed >= router.settings.directory_max_age && router.open_requests.count() == 0;
-        if elapsed >= schedule.exit || is_drained {
-            break;
-        }
+    let since_stop = || router.clock.now().since(stop_started);
+    let is_drained =
+        || since_stop() >= router.settings.directory_max_age && router.open_requests.count() == 0;
+    while since_stop() < schedule.final_answers && !is_drained() {
+        let remaining = schedule.final_answers.saturating_sub(since_stop());
+        sleep(remaining.min(STOP_CHECK_INTERVAL)).await;
+    }
+    if router.open_requests.count() > 0 {
+        log_open_requests(router);
+        router.exit_notice.give();
     }
-    log_exit(router);
+    while since_stop() < schedule.exit && router.open_requests.count() > 0 {
+        sleep(FLUSH_CHECK_INTERVAL).await;
+    }
+    tracing::info!(
+        event = "stopped",
+        open_requests = router.open_requests.count(),
+        "router: stopped serving"
+    );
 }
 
-/// Logs and counts what is open when the process exits.
-fn log_exit(router: &Router) {
+/// Logs and counts the requests that are open when the time to stop is over.
+fn log_open_requests(router: &Router) {
     let now = router.clock.now();
     let open = &router.open_requests;
     let by_stage = open.report(now, MAX_LISTED_REQUESTS, "exiting");
@@ -107,13 +125,13 @@
     }
     let [receiving, unsent, sent, answering] = by_stage.map(|(_, requests)| requests);
     tracing::info!(
-        event = "stopped",
+        event = "exiting",
         open_requests = open.count(),
         receiving,
         unsent,
         sent,
         answering,
-        "router: stopped serving"
+        "router: the time to stop is nearly over; sending final answers to open requests"
     );
 }
 
