A stopping router closes its callers' connections in order before it exits

A router counted as drained when no request was open. That leaves out what has been written and not sent, and what has just arrived on a connection: both ended with the process, an idle connection without notice.

The connections of a server are counted and can be closed: no further ones are accepted, idle ones are closed, the others after the answer that they wait for, and only then does the process exit. Bytes that had arrived when the closing began are read first. Connections whose answers have not been sent when the grace period is nearly over are cut, with a reset for callers that read no chunks, and with a line.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -1,6 +1,7 @@
 //! Logs why a caller's connection ended while a request was being answered on it.
 
 use std::cell::RefCell;
+use std::fmt::Display;
 use std::future::Future;
 use std::io;
 use std::net::IpAddr;
@@ -79,22 +80,35 @@
         if error.is_user() {
             return;
         }
+        let reason = ConnectionError::of(error);
+        self.log(peer, cause(reason), error, |request| {
+            // A caller that stops waiting closes its connection.
+            reason != ConnectionError::Closed || request.answer.is_some()
+        });
+    }
+
+    /// Logs that this process closed the connection of `peer` because it exits, if a request was being answered.
+    pub fn log_cut(&self, peer: IpAddr) {
+        let error = "its answer was not sent in time";
+        self.log(peer, "process_exit", &error, |_| true);
+    }
+
+    fn log(
+        &self,
+        peer: IpAddr,
+        cause: &'static str,
+        error: &dyn Display,
+        is_logged: impl FnOnce(&Request) -> bool,
+    ) {
         let request = self.0.borrow();
-        let Some(request) = request.as_ref() else {
+        let Some(request) = request.as_ref().filter(|request| is_logged(request)) else {
             return;
         };
-        let reason = ConnectionError::of(error);
-        // A caller that stops waiting closes its connection.
-        if reason == ConnectionError::Closed && request.answer.is_none() {
-            return;
-        }
-        let id = request
-            .answer
-            .as_ref()
-            .and_then(|answer| answer.id.as_deref());
+        let answer = request.answer.as_ref();
+        let id = answer.and_then(|answer| answer.id.as_deref());
         tracing::info!(
-            event = "caller_connection_ended", id = id.map(tracing::field::display), %peer, cause = cause(reason),
-            answer_begun = request.answer.is_some(),
+            event = "caller_connection_ended", id = id.map(tracing::field::display), %peer, cause,
+            answer_begun = answer.is_some(),
             request_age_ms = request.since.elapsed().as_millis() as u64, %error,
             "server: a caller's connection ended while its request was being answered"
         );
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod link;
 pub mod logs;
 mod metrics;
+mod open_connections;
 mod router;
 mod server;
 mod settings;
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -50,7 +50,8 @@
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
 use crate::metrics::Metrics;
-use crate::server::{self, ConnectionSlots, NoAnswer, ServerParams, WhenFull};
+use crate::open_connections::Connections;
+use crate::server::{self, NoAnswer, ServerParams, WhenFull};
 use crate::settings::RouterSettings;
 use crate::signals::{Request as SignalRequest, Signals};
 use crate::sockets;
@@ -98,8 +99,7 @@
     status_changed: Notify,
     /// Lets requests wait that arrive before the view is confirmed for the first time.
     first_view: FirstView,
-    /// Slots for callers' connections.
-    caller_slots: ConnectionSlots,
+    caller_connections: Connections,
     /// Back ends that are probed because connections to them broke.
     pending_probes: PendingProbes,
     undecided_crashes: UndecidedCrashes,
@@ -139,7 +139,7 @@
         path_lost: Notify::new(),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
-        caller_slots: ConnectionSlots::new(MAX_CONNECTIONS),
+        caller_connections: Connections::new(MAX_CONNECTIONS),
         pending_probes: PendingProbes::default(),
         undecided_crashes: UndecidedCrashes::default(),
         silence_monitor: SilenceMonitor::default(),
@@ -171,8 +171,8 @@
         when_full: WhenFull::Wait,
     };
     let shared = Rc::clone(router);
-    let slots = router.caller_slots.clone();
-    let forwarding = server::serve_with_slots(callers, params, slots, move |request| {
+    let connections = router.caller_connections.clone();
+    let forwarding = server::serve_until_closed(callers, params, connections, move |request| {
         forward::serve(Rc::clone(&shared), request)
     });
     tokio::task::spawn_local(forwarding);
@@ -202,7 +202,7 @@
 fn readiness(router: &Router) -> Response<AnswerBody> {
     let configured = router.core.borrow().configuration_version() > 0;
     // A router without free connection slots accepts no caller until a connection ends, so it is not ready.
-    let has_room = !router.caller_slots.all_occupied();
+    let has_room = !router.caller_connections.all_occupied();
     if configured && has_room && router.stopping.get().is_none() {
         answer::plain(StatusCode::OK, "")
     } else {
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -76,8 +76,9 @@
 }
 
 /// Stops the router. The directory no longer lists it, and each answer closes its connection, so that callers move to
-/// other routers. The process ends once cached directory answers have expired and no request is open. When the grace
-/// period is nearly over, requests that are still open get a final answer.
+/// other routers. Once cached directory answers have expired and no request is open, the connections are closed, and the
+/// process ends when all has been sent on them. When the grace period is nearly over, requests that are still open get a
+/// final answer.
 pub(super) async fn stop(router: &Rc<Router>) {
     let schedule = StopSchedule::of(router.settings.grace);
     let stop_started = router.clock.now();
@@ -98,16 +99,26 @@
         let remaining = schedule.final_answers.saturating_sub(since_stop());
         sleep(remaining.min(STOP_CHECK_INTERVAL)).await;
     }
+    let connections = &router.caller_connections;
+    connections.close();
+    // A request that arrived while its connection was being closed is answered like the others.
+    while since_stop() < schedule.final_answers && connections.count() > 0 {
+        sleep(FLUSH_CHECK_INTERVAL).await;
+    }
     if router.open_requests.count() > 0 {
         log_open_requests(router);
         router.exit_notice.give();
     }
-    while since_stop() < schedule.exit && router.open_requests.count() > 0 {
+    while since_stop() < schedule.exit && connections.count() > 0 {
         sleep(FLUSH_CHECK_INTERVAL).await;
     }
+    let unsent = connections.count();
+    connections.cut();
+    sleep(FLUSH_CHECK_INTERVAL).await;
     tracing::info!(
         event = "stopped",
         open_requests = router.open_requests.count(),
+        cut_connections = unsent,
         "router: stopped serving"
     );
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -3,8 +3,8 @@
 use std::cell::Cell;
 use std::future::Future;
 use std::net::IpAddr;
+use std::pin::Pin;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::body::Incoming;
@@ -14,10 +14,10 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
 
 use crate::answer::AnswerBody;
 use crate::caller_connections::CurrentRequest;
+use crate::open_connections::{Connections, OpenConnection};
 
 /// Delay after an error of the listener, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -53,65 +53,58 @@
 #[error("the caller disconnected or sent an incomplete request")]
 pub(crate) struct NoAnswer;
 
-/// The connection slots of a server.
-#[derive(Clone, Debug)]
-pub(crate) struct ConnectionSlots(Arc<Semaphore>);
-
-impl ConnectionSlots {
-    /// Creates this many slots.
-    pub fn new(max_connections: usize) -> Self {
-        Self(Arc::new(Semaphore::new(max_connections)))
-    }
-
-    /// True while no slot is free. The server takes a slot before it accepts a connection, so one more connection may
-    /// still be accepted.
-    pub fn all_occupied(&self) -> bool {
-        self.0.available_permits() == 0
-    }
-}
-
 /// Serves connections until the process ends.
 pub(crate) async fn serve<H, F>(listener: TcpListener, params: ServerParams, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
-    let slots = ConnectionSlots::new(params.max_connections);
-    serve_with_slots(listener, params, slots, handler).await;
+    let connections = Connections::new(params.max_connections);
+    serve_until_closed(listener, params, connections, handler).await;
 }
 
-/// Serves connections until the process ends, with slots that the caller can observe.
-pub(crate) async fn serve_with_slots<H, F>(
+/// Serves connections until they are closed.
+pub(crate) async fn serve_until_closed<H, F>(
     listener: TcpListener,
     params: ServerParams,
-    slots: ConnectionSlots,
+    connections: Connections,
     handler: H,
 ) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
-    let handler = Rc::new(handler);
-    let slots = slots.0;
+    let accepting = accept(listener, params, &connections, Rc::new(handler));
+    tokio::select! {
+        () = accepting => {}
+        () = connections.closing() => {}
+    }
+}
+
+async fn accept<H, F>(
+    listener: TcpListener,
+    params: ServerParams,
+    connections: &Connections,
+    handler: Rc<H>,
+) where
+    H: Fn(Request<Incoming>) -> F + 'static,
+    F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
+{
     loop {
         let slot = match params.when_full {
             WhenFull::Close => None,
-            WhenFull::Wait => match Arc::clone(&slots).acquire_owned().await {
-                Ok(slot) => Some(slot),
-                Err(_) => return,
-            },
+            WhenFull::Wait => Some(connections.free_slot().await),
         };
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let slot = slot.or_else(|| Arc::clone(&slots).try_acquire_owned().ok());
-                let Some(slot) = slot else {
+                let Some(slot) = slot.or_else(|| connections.try_free_slot()) else {
                     tracing::info!(event = "connection_refused", %peer,
                         open = params.max_connections, "server: closed a connection because all connection slots are in use");
                     continue;
                 };
+                let open = connections.open(slot);
                 let handler = Rc::clone(&handler);
                 tokio::task::spawn_local(async move {
-                    serve_connection(stream, Peer(peer.ip()), params, handler).await;
-                    drop(slot);
+                    serve_connection(stream, Peer(peer.ip()), params, handler, open).await;
                 });
             }
             Err(error) => {
@@ -123,8 +116,13 @@
     }
 }
 
-async fn serve_connection<H, F>(stream: TcpStream, peer: Peer, params: ServerParams, handler: Rc<H>)
-where
+async fn serve_connection<H, F>(
+    stream: TcpStream,
+    peer: Peer,
+    params: ServerParams,
+    handler: Rc<H>,
+    open: OpenConnection,
+) where
     H: Fn(Request<Incoming>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
@@ -143,15 +141,36 @@
         .header_read_timeout(params.idle_timeout)
         .max_buf_size(BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    let Err(error) = (&mut connection).await else {
-        return;
+    let mut ended = tokio::select! {
+        biased;
+        ended = &mut connection => Some(ended),
+        () = closing_and_read(&open) => None,
     };
-    current_request.log_end(peer.0, &error);
+    if ended.is_none() {
+        Pin::new(&mut connection).graceful_shutdown();
+        ended = tokio::select! {
+            biased;
+            ended = &mut connection => Some(ended),
+            () = open.cutting() => None,
+        };
+    }
+    match ended {
+        Some(Ok(())) => return,
+        Some(Err(error)) => current_request.log_end(peer.0, &error),
+        None => current_request.log_cut(peer.0),
+    }
     if !reads_chunks.get() {
         reset(&connection.into_parts().io.into_inner(), peer);
     }
 }
 
+/// Completes when the connection is to be closed, and what had arrived on it by then can have been read.
+async fn closing_and_read(open: &OpenConnection) {
+    open.closing().await;
+    // The event loop learns of bytes on a connection that has just been accepted when it polls for events.
+    tokio::task::yield_now().await;
+}
+
 /// Makes a connection end with a reset: its caller takes the ordinary end for the end of a whole answer.
 fn reset(stream: &TcpStream, peer: Peer) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -72,22 +72,22 @@
             max_connections: 2,
             when_full: WhenFull::Wait,
         };
-        let slots = ConnectionSlots::new(params.max_connections);
-        let answering = serve_with_slots(
+        let connections = Connections::new(params.max_connections);
+        let answering = serve_until_closed(
             listener,
             params,
-            slots.clone(),
+            connections.clone(),
             |_: Request<Incoming>| async { Ok(answer::plain(StatusCode::OK, "")) },
         );
         tokio::task::spawn_local(answering);
-        assert!(!slots.all_occupied());
+        assert!(!connections.all_occupied());
         let mut first = connect(address).await;
         assert!(ask(&mut first).await > 0);
         let mut second = connect(address).await;
         assert!(ask(&mut second).await > 0);
-        assert!(slots.all_occupied());
+        assert!(connections.all_occupied());
         drop((first, second));
-        while slots.all_occupied() {
+        while connections.all_occupied() {
             tokio::task::yield_now().await;
         }
     });
@@ -104,3 +104,72 @@
         assert!(ask(&mut second).await > 0);
     });
 }
+
+/// Starts a server that answers each request with so many bytes, after a delay.
+async fn server_to_close(bytes: usize, delay: Duration) -> (SocketAddr, Connections) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let params = ServerParams {
+        idle_timeout: Duration::from_secs(60),
+        max_connections: 8,
+        when_full: WhenFull::Wait,
+    };
+    let connections = Connections::new(params.max_connections);
+    let answering = serve_until_closed(
+        listener,
+        params,
+        connections.clone(),
+        move |_: Request<Incoming>| async move {
+            tokio::time::sleep(delay).await;
+            Ok(answer::plain(StatusCode::OK, vec![b'x'; bytes]))
+        },
+    );
+    tokio::task::spawn_local(answering);
+    (address, connections)
+}
+
+async fn read_to_end(stream: &mut TcpStream) -> Vec<u8> {
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).await.unwrap();
+    received
+}
+
+/// Guards against a process that exits before what it has written has been sent.
+#[test]
+fn a_connection_is_open_until_its_caller_has_the_whole_answer() {
+    const BYTES: usize = 32 << 20;
+    run(async {
+        let (address, connections) = server_to_close(BYTES, Duration::from_millis(20)).await;
+        let mut idle = connect(address).await;
+        let mut slow = connect(address).await;
+        slow.write_all(REQUEST).await.unwrap();
+        while connections.count() < 2 {
+            tokio::task::yield_now().await;
+        }
+        connections.close();
+        assert_eq!(read_to_end(&mut idle).await, b"");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        assert_eq!(connections.count(), 1);
+        assert!(read_to_end(&mut slow).await.len() > BYTES);
+        while connections.count() > 0 {
+            tokio::task::yield_now().await;
+        }
+        assert!(TcpStream::connect(address).await.is_err());
+    });
+}
+
+/// Guards against a caller of HTTP/1.0 that takes a cut answer for a whole one.
+#[test]
+fn a_connection_that_is_cut_inside_an_answer_is_reset_for_callers_without_chunks() {
+    run(async {
+        let (address, connections) = server_to_close(32 << 20, Duration::ZERO).await;
+        let mut stream = connect(address).await;
+        stream.write_all(b"GET / HTTP/1.0\r\n\r\n").await.unwrap();
+        let mut first = [0; 16];
+        stream.read_exact(&mut first).await.unwrap();
+        connections.close();
+        connections.cut();
+        let mut received = Vec::new();
+        assert!(stream.read_to_end(&mut received).await.is_err());
+    });
+}
