A stopping control machine answers the calls that wait for a decision

Calls that are not decided by the end of the leadership transfer are answered as unavailable (503), so that their callers ask another machine; the connections are closed in order, for 200 ms at most. The lines say how many calls were undecided and how many connections were cut.

Test: a call beside two killed control machines of three. Before: no answer; after: 503.

--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod folder;
 mod peers;
 mod quarantine;
+mod stop;
 mod store;
 mod streams;
 mod traffic_log;
@@ -37,6 +38,7 @@
 use crate::event_loop_delay::{self, EventLoopDelay};
 use crate::link::{Frame, Sender};
 use crate::metrics::Metrics;
+use crate::open_connections::Connections;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
 use crate::settings::ControlSettings;
 use crate::signals::{Request as SignalRequest, Signals};
@@ -58,8 +60,6 @@
 const MAX_METRICS_CONNECTIONS: usize = 32;
 /// Delay before each attempt to open the data folder again after its disk failed.
 const REOPEN_DELAY: Duration = Duration::from_millis(500);
-/// Time between the start of the leadership transfer and the end of the process.
-const LEADERSHIP_TRANSFER: Duration = Duration::from_millis(400);
 
 type Core = ControlCore<FileDirectory>;
 
@@ -74,6 +74,8 @@
     traffic: Rc<LinkTraffic>,
     peers: Peers,
     back_ends: BackEnds,
+    /// The connections of operators, back ends and callers of the directory.
+    callers: RefCell<Vec<Connections>>,
     /// The links to connected routers.
     routers: RefCell<HashMap<ConnectionId, Sender>>,
     /// Calls that wait for a reply of the core.
@@ -119,6 +121,7 @@
         peers: Peers::new(settings.internal_port, Rc::clone(&traffic)),
         traffic,
         back_ends: BackEnds::new(Upstreams::new(clock)),
+        callers: RefCell::default(),
         routers: RefCell::default(),
         waiting: RefCell::default(),
         next_ticket: Cell::new(0),
@@ -145,13 +148,7 @@
         );
         control.reload_seeds();
     }
-    tracing::info!(
-        event = "stopping",
-        "control: received a stop signal; transferring leadership"
-    );
-    control.with_core(|core, _| core.step_down());
-    tokio::time::sleep(LEADERSHIP_TRANSFER).await;
-    tracing::info!(event = "stopped", "control: stopped serving");
+    stop::stop(&control).await;
     Ok(())
 }
 
@@ -172,8 +169,10 @@
             ..params
         };
         let listener = sockets::open(purpose, address)?;
+        let connections = Connections::new(max_connections);
+        control.callers.borrow_mut().push(connections.clone());
         let shared = Rc::clone(control);
-        let answering = server::serve(listener, params, move |request| {
+        let answering = server::serve_until_closed(listener, params, connections, move |request| {
             api::serve(Rc::clone(&shared), request)
         });
         tokio::task::spawn_local(answering);
