Forward no success that lacks the proof of a back end

What callers saw: 200 without the back end's seal, its body framed as whole, if a back end wrote a part of its answer's head, a blank line, and closed. Cause: such a head parses; nothing looked for the seal, which was among the lost fields. Without a length or chunks the body ends with the connection, and a back end that runs on vouches for that end. A stream that was being resumed took such an answer for its rest; a router with a peer took whatever the peer's address answered.

The protocol now names the proof that back ends set on answers (`HeaderNames::proof`, none where there is none), and a success without it counts as a broken attempt: 502, or another back end where the request may be repeated. A success from a peer needs the proof and the request's identifier, and each answer of a peer a length or chunks, as routers set them. That is sufficient because every success of a back end carries the seal; calls of the router's own carry none and take another way. No stand-in had to change: all of them send a seal.

--- /dev/null
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -0,0 +1,38 @@
+//! Tests of the judgement of heads.
+
+use hyper::header::HeaderName;
+use hyper::Response;
+use rstest::rstest;
+
+use super::{fault, HeadFault};
+
+const PROOF: HeaderName = HeaderName::from_static("proof");
+
+fn response(status: u16, fields: &[(&'static str, &str)]) -> Response<()> {
+    let builder = Response::builder().status(status);
+    let builder = fields.iter().fold(builder, |builder, (name, value)| {
+        builder.header(*name, *value)
+    });
+    builder.body(()).unwrap()
+}
+
+#[rstest]
+#[case::proven(200, &[("proof", "p")], None)]
+#[case::missing(200, &[("etag", "p")], Some(HeadFault::Unproven))]
+#[case::empty(200, &[("proof", "")], Some(HeadFault::Unproven))]
+#[case::repeated(200, &[("proof", "p"), ("proof", "p")], Some(HeadFault::Unproven))]
+#[case::without_body(204, &[], Some(HeadFault::Unproven))]
+#[case::failure(500, &[], None)]
+#[case::redirection(304, &[], None)]
+fn a_success_needs_one_proof(
+    #[case] status: u16,
+    #[case] fields: &[(&'static str, &str)],
+    #[case] expected: Option<HeadFault>,
+) {
+    assert_eq!(fault(Some(&PROOF), &response(status, fields)), expected);
+}
+
+#[test]
+fn a_success_needs_no_proof_where_back_ends_give_none() {
+    assert_eq!(fault(None, &response(200, &[])), None);
+}
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -12,6 +12,7 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
+use super::answer_head;
 use super::answer_limits::{self, BodyLimit};
 use super::end_cause::EndCause;
 use super::forward::{header, may_try_again, Call};
@@ -349,6 +350,11 @@
         drain(router, response, connection);
         return unanswered(open_attempt, outcome, Execution::NotRun, true, None);
     }
+    if let Some(fault) = answer_head::fault(names.proof.as_ref(), &response) {
+        let (outcome, execution) = (Outcome::Broken, Execution::MayHaveRun);
+        let cause = Some(EndCause::Head(fault));
+        return unanswered(open_attempt, outcome, execution, true, cause);
+    }
     let length = response.body().size_hint().exact();
     if answer_limits::exceeds_declared_length(length) {
         answer_limits::record_body(&open_attempt, BodyLimit::DeclaredBytes, 0);
--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -2,6 +2,7 @@
 
 use tokio::time::{Instant, Sleep};
 
+use super::answer_head::HeadFault;
 use crate::connection_errors::ConnectionError;
 use crate::upstream::Connection;
 
@@ -28,6 +29,8 @@
     BackEndLeft,
     /// The back end ended an answer with its connection, and did not respond after that.
     BackEndUnresponsive,
+    /// The head of the answer is not that of a back end, or not whole.
+    Head(HeadFault),
     /// The answer exceeded a limit.
     LimitExceeded,
     /// The connection to the back end ended.
@@ -56,6 +59,7 @@
             Self::BackEndCrashed => "back_end_crashed",
             Self::BackEndLeft => "back_end_left",
             Self::BackEndUnresponsive => "back_end_unresponsive",
+            Self::Head(fault) => fault.as_str(),
             Self::LimitExceeded => "limit_exceeded",
             Self::Connection(error) => connection_error_name(error),
         }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -1,6 +1,7 @@
 //! The router daemon: forwards callers' requests to back ends and keeps its view of the replicated state current over
 //! links to control machines.
 
+mod answer_head;
 mod answer_limits;
 mod attempt;
 mod control_links;
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -21,8 +21,9 @@
 use tokio::time::{timeout, Sleep};
 
 use super::end_cause::{remaining_ms, EndCause};
-use super::forward::{may_try_again, Call, OpenRequest};
-use super::{headers, notices, refusal, Router};
+use super::forward::{header, may_try_again, Call, OpenRequest};
+use super::received_body::Framing;
+use super::{answer_head, headers, notices, refusal, Router};
 use crate::answer::AnswerBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -49,6 +50,8 @@
     Unreachable,
     /// The peer may have run the request.
     Broken,
+    /// The same; it sent something that no router answers.
+    Invalid,
 }
 
 impl Forwarded {
@@ -58,6 +61,7 @@
             Self::Declined => "declined",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::Invalid => "invalid",
         }
     }
 }
@@ -89,7 +93,7 @@
             }
             Forwarded::Declined => router.peers.on_declined(now, peer, pool),
             Forwarded::Unreachable => router.peers.on_unreachable(now, peer),
-            Forwarded::Broken => {
+            Forwarded::Broken | Forwarded::Invalid => {
                 worst_execution = Execution::MayHaveRun;
                 let may_repeat = may_try_again(&call.admission, worst_execution, 1);
                 if !may_repeat || !router.core.borrow_mut().charge_retry(now, &call.admission) {
@@ -117,12 +121,24 @@
     let sending = connection.send(request, sockets::UNACKNOWLEDGED_TIMEOUT);
     match timeout(remaining, sending).await {
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
+        Ok(Ok(response)) if !is_valid(router, call, &response) => Forwarded::Invalid,
         Ok(Ok(response)) => Forwarded::Answered(Box::new((response, connection))),
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
         Ok(Err(SendError::Broken(_) | SendError::HeadLimit(_))) | Err(_) => Forwarded::Broken,
     }
 }
 
+/// Whether a router may have given an answer: routers frame each one, and a success is that of a back end to this request.
+fn is_valid(router: &Router, call: &Call, response: &Response<Incoming>) -> bool {
+    let names = router.dialect.headers();
+    let is_failure = !response.status().is_success();
+    let is_from_back_end = || {
+        header(response.headers(), &names.request_id) == call.id
+            && answer_head::fault(names.proof.as_ref(), response).is_none()
+    };
+    Framing::of(response) != Framing::Connection && (is_failure || is_from_back_end())
+}
+
 fn outbound(router: &Router, call: &Call, remaining: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
--- a/crates/gateway/src/router/received_body.rs
+++ b/crates/gateway/src/router/received_body.rs
@@ -22,7 +22,8 @@
 }
 
 impl Framing {
-    fn of(response: &Response<Incoming>) -> Self {
+    /// What marks the end of the body of an answer.
+    pub fn of(response: &Response<Incoming>) -> Self {
         let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
         let last_coding = codings
             .next_back()
