Forward no body in a transfer coding that callers are not told of

What callers saw: 200 with the raw chunks of the back end as its body, framed as whole, if `Transfer-Encoding` lost the last letters of its value. Cause: the HTTP library decodes chunks and nothing else. It takes a body in any other coding as it is, up to the end of the connection, and the field is not forwarded, since it concerns one connection. The same befell a whole `gzip, chunked`.

Such an answer now counts as a broken attempt. Requests ask for no coding, so no server may use one but chunks.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -3,14 +3,18 @@
 //! A head that ends early with a blank line parses like a whole one: the fields after it are missing, among them what
 //! frames the body.
 
-use hyper::header::HeaderName;
+use hyper::header::{HeaderName, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response};
 
+const CHUNKED: &[u8] = b"chunked";
+
 /// Why an answer is not taken for that of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HeadFault {
     /// A success without the proof that a back end gave it.
     Unproven,
+    /// A transfer coding other than chunks, of which callers are not told.
+    UnknownTransferCoding,
 }
 
 impl HeadFault {
@@ -18,16 +22,21 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Unproven => "unproven",
+            Self::UnknownTransferCoding => "unknown_transfer_coding",
         }
     }
 }
 
 /// What is wrong with the head of an answer; `None` if nothing is. `proof` names the field that back ends set on answers.
 pub(super) fn fault<B>(proof: Option<&HeaderName>, response: &Response<B>) -> Option<HeadFault> {
-    if response.status().is_success() && !is_proven(proof, response.headers()) {
-        return Some(HeadFault::Unproven);
+    let (status, headers) = (response.status(), response.headers());
+    if has_unknown_transfer_coding(headers) {
+        Some(HeadFault::UnknownTransferCoding)
+    } else if status.is_success() && !is_proven(proof, headers) {
+        Some(HeadFault::Unproven)
+    } else {
+        None
     }
-    None
 }
 
 /// Whether the proof is there, once and not empty. Its text means nothing to the gateway.
@@ -40,6 +49,16 @@
     has_proof && values.next().is_none()
 }
 
+/// Whether the body has another transfer coding than chunks, which requests do not ask for (RFC 9112 §7.4). The HTTP
+/// library decodes chunks only, and takes a body in another coding as it is.
+fn has_unknown_transfer_coding(headers: &HeaderMap) -> bool {
+    let fields = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut codings = fields.flat_map(|field| field.as_bytes().split(|byte| *byte == b','));
+    let first = codings.next().map(<[u8]>::trim_ascii);
+    let is_other = first.is_some_and(|coding| !coding.eq_ignore_ascii_case(CHUNKED));
+    is_other || codings.next().is_some()
+}
+
 #[cfg(test)]
 #[path = "answer_head_tests.rs"]
 mod tests;
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -8,7 +8,7 @@
 
 const PROOF: HeaderName = HeaderName::from_static("proof");
 
-fn response(status: u16, fields: &[(&'static str, &str)]) -> Response<()> {
+fn response(status: u16, fields: &[(&str, &str)]) -> Response<()> {
     let builder = Response::builder().status(status);
     let builder = fields.iter().fold(builder, |builder, (name, value)| {
         builder.header(*name, *value)
@@ -32,6 +32,28 @@
     assert_eq!(fault(Some(&PROOF), &response(status, fields)), expected);
 }
 
+#[rstest]
+#[case::none(&[], None)]
+#[case::chunked(&["Chunked "], None)]
+#[case::cut(&["chu"], Some(HeadFault::UnknownTransferCoding))]
+#[case::empty(&[""], Some(HeadFault::UnknownTransferCoding))]
+#[case::other(&["gzip"], Some(HeadFault::UnknownTransferCoding))]
+#[case::list(&["gzip, chunked"], Some(HeadFault::UnknownTransferCoding))]
+#[case::fields(&["gzip", "chunked"], Some(HeadFault::UnknownTransferCoding))]
+#[case::twice(&["chunked, chunked"], Some(HeadFault::UnknownTransferCoding))]
+fn a_body_has_no_transfer_coding_but_chunks(
+    #[case] codings: &[&str],
+    #[case] expected: Option<HeadFault>,
+) {
+    let fields: Vec<_> = codings
+        .iter()
+        .map(|coding| ("transfer-encoding", *coding))
+        .collect();
+    for status in [200, 500] {
+        assert_eq!(fault(None, &response(status, &fields)), expected);
+    }
+}
+
 #[test]
 fn a_success_needs_no_proof_where_back_ends_give_none() {
     assert_eq!(fault(None, &response(200, &[])), None);
