Forward no agreement to a protocol that no request asked for

What callers saw: 101 without a body, after which their connection carries another protocol by the words of the router. Cause: the HTTP library discards interim heads but this one, and the router forwarded it like any status. No request asks a back end to switch, since the field that does concerns one connection.

A 101 now counts as a broken attempt.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -4,7 +4,7 @@
 //! frames the body.
 
 use hyper::header::{HeaderName, TRANSFER_ENCODING};
-use hyper::{HeaderMap, Response};
+use hyper::{HeaderMap, Response, StatusCode};
 
 const CHUNKED: &[u8] = b"chunked";
 
@@ -15,6 +15,8 @@
     Unproven,
     /// A transfer coding other than chunks, of which callers are not told.
     UnknownTransferCoding,
+    /// An agreement to another protocol, for which no request asks.
+    ProtocolSwitch,
 }
 
 impl HeadFault {
@@ -23,6 +25,7 @@
         match self {
             Self::Unproven => "unproven",
             Self::UnknownTransferCoding => "unknown_transfer_coding",
+            Self::ProtocolSwitch => "protocol_switch",
         }
     }
 }
@@ -30,7 +33,9 @@
 /// What is wrong with the head of an answer; `None` if nothing is. `proof` names the field that back ends set on answers.
 pub(super) fn fault<B>(proof: Option<&HeaderName>, response: &Response<B>) -> Option<HeadFault> {
     let (status, headers) = (response.status(), response.headers());
-    if has_unknown_transfer_coding(headers) {
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        Some(HeadFault::ProtocolSwitch)
+    } else if has_unknown_transfer_coding(headers) {
         Some(HeadFault::UnknownTransferCoding)
     } else if status.is_success() && !is_proven(proof, headers) {
         Some(HeadFault::Unproven)
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -24,6 +24,7 @@
 #[case::without_body(204, &[], Some(HeadFault::Unproven))]
 #[case::failure(500, &[], None)]
 #[case::redirection(304, &[], None)]
+#[case::upgrade(101, &[("proof", "p")], Some(HeadFault::ProtocolSwitch))]
 fn a_success_needs_one_proof(
     #[case] status: u16,
     #[case] fields: &[(&'static str, &str)],
