Promise callers nothing by a failure that lost its last fields

What callers saw: 503, 429 or 408 of a back end that had not said that the request did not run, and without its seal, for instance because its head ended early with a blank line. Callers send a request again after these, although it may have run.

Without the proof of a back end these statuses now count as a broken attempt: 502, which promises nothing. With it they go back unchanged; so does every other failure, with or without, since a caller may conclude nothing from it. 421 alone says that nothing ran, as before.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -30,7 +30,8 @@
     /// On an answer: the back end did not run the request and will not.
     pub not_run: HeaderName,
     /// On an answer to a request that ran: the proof that a back end gave it. A success without it is not one of a back
-    /// end, so it is not forwarded. `None` where back ends give no proof.
+    /// end, so it is not forwarded, and neither is a status by which callers send a request again. `None` where back ends
+    /// give no proof.
     pub proof: Option<HeaderName>,
     /// Priority of a request; 0 is most urgent.
     pub priority: HeaderName,
--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -11,7 +11,7 @@
 /// Why an answer is not taken for that of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum HeadFault {
-    /// A success without the proof that a back end gave it.
+    /// A success, or a promise that the request has not run, without the proof that a back end gave it.
     Unproven,
     /// A transfer coding other than chunks, of which callers are not told.
     UnknownTransferCoding,
@@ -37,13 +37,25 @@
         Some(HeadFault::ProtocolSwitch)
     } else if has_unknown_transfer_coding(headers) {
         Some(HeadFault::UnknownTransferCoding)
-    } else if status.is_success() && !is_proven(proof, headers) {
+    } else if needs_proof(status) && !is_proven(proof, headers) {
         Some(HeadFault::Unproven)
     } else {
         None
     }
 }
 
+/// Whether callers rely on an answer: on a success, or on a status by which they may send the request again although it
+/// must not run twice.
+fn needs_proof(status: StatusCode) -> bool {
+    status.is_success()
+        || matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+        )
+}
+
 /// Whether the proof is there, once and not empty. Its text means nothing to the gateway.
 fn is_proven(proof: Option<&HeaderName>, headers: &HeaderMap) -> bool {
     let Some(proof) = proof else {
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -23,9 +23,11 @@
 #[case::repeated(200, &[("proof", "p"), ("proof", "p")], Some(HeadFault::Unproven))]
 #[case::without_body(204, &[], Some(HeadFault::Unproven))]
 #[case::failure(500, &[], None)]
+#[case::promise(503, &[], Some(HeadFault::Unproven))]
+#[case::proven_promise(503, &[("proof", "p")], None)]
 #[case::redirection(304, &[], None)]
 #[case::upgrade(101, &[("proof", "p")], Some(HeadFault::ProtocolSwitch))]
-fn a_success_needs_one_proof(
+fn an_answer_that_callers_rely_on_needs_one_proof(
     #[case] status: u16,
     #[case] fields: &[(&'static str, &str)],
     #[case] expected: Option<HeadFault>,
