--- /dev/null
+++ b/crates/gateway/src/router/answer_head.rs
@@ -0,0 +1,81 @@
+//! Judges by the head of an answer whether a back end gave that answer.
+//!
+//! A head that ends early with a blank line parses like a whole one: the fields after it are missing, among them what
+//! frames the body.
+
+use hyper::header::{HeaderName, TRANSFER_ENCODING};
+use hyper::{HeaderMap, Response, StatusCode};
+
+const CHUNKED: &[u8] = b"chunked";
+
+/// Why an answer is not taken for that of a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum HeadFault {
+    /// A success, or a promise that the request has not run, without the proof that a back end gave it.
+    Unproven,
+    /// A transfer coding other than chunks, of which callers are not told.
+    UnknownTransferCoding,
+    /// An agreement to another protocol, for which no request asks.
+    ProtocolSwitch,
+}
+
+impl HeadFault {
+    /// The name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Unproven => "unproven",
+            Self::UnknownTransferCoding => "unknown_transfer_coding",
+            Self::ProtocolSwitch => "protocol_switch",
+        }
+    }
+}
+
+/// What is wrong with the head of an answer; `None` if nothing is. `proof` names the field that back ends set on answers.
+pub(super) fn fault<B>(proof: Option<&HeaderName>, response: &Response<B>) -> Option<HeadFault> {
+    let (status, headers) = (response.status(), response.headers());
+    if status == StatusCode::SWITCHING_PROTOCOLS {
+        Some(HeadFault::ProtocolSwitch)
+    } else if has_unknown_transfer_coding(headers) {
+        Some(HeadFault::UnknownTransferCoding)
+    } else if needs_proof(status) && !is_proven(proof, headers) {
+        Some(HeadFault::Unproven)
+    } else {
+        None
+    }
+}
+
+/// Whether callers rely on an answer: on a success, or on a status by which they may send the request again although it
+/// must not run twice.
+fn needs_proof(status: StatusCode) -> bool {
+    status.is_success()
+        || matches!(
+            status,
+            StatusCode::REQUEST_TIMEOUT
+                | StatusCode::TOO_MANY_REQUESTS
+                | StatusCode::SERVICE_UNAVAILABLE
+        )
+}
+
+/// Whether the proof is there, once and not empty. Its text means nothing to the gateway.
+fn is_proven(proof: Option<&HeaderName>, headers: &HeaderMap) -> bool {
+    let Some(proof) = proof else {
+        return true;
+    };
+    let mut values = headers.get_all(proof).iter();
+    let has_proof = values.next().is_some_and(|value| !value.is_empty());
+    has_proof && values.next().is_none()
+}
+
+/// Whether the body has another transfer coding than chunks, which requests do not ask for (RFC 9112 §7.4). The HTTP
+/// library decodes chunks only, and takes a body in another coding as it is.
+fn has_unknown_transfer_coding(headers: &HeaderMap) -> bool {
+    let fields = headers.get_all(TRANSFER_ENCODING).iter();
+    let mut codings = fields.flat_map(|field| field.as_bytes().split(|byte| *byte == b','));
+    let first = codings.next().map(<[u8]>::trim_ascii);
+    let is_other = first.is_some_and(|coding| !coding.eq_ignore_ascii_case(CHUNKED));
+    is_other || codings.next().is_some()
+}
+
+#[cfg(test)]
+#[path = "answer_head_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -0,0 +1,63 @@
+//! Tests of the judgement of heads.
+
+use hyper::header::HeaderName;
+use hyper::Response;
+use rstest::rstest;
+
+use super::{fault, HeadFault};
+
+const PROOF: HeaderName = HeaderName::from_static("proof");
+
+fn response(status: u16, fields: &[(&str, &str)]) -> Response<()> {
+    let builder = Response::builder().status(status);
+    let builder = fields.iter().fold(builder, |builder, (name, value)| {
+        builder.header(*name, *value)
+    });
+    builder.body(()).unwrap()
+}
+
+#[rstest]
+#[case::proven(200, &[("proof", "p")], None)]
+#[case::missing(200, &[("etag", "p")], Some(HeadFault::Unproven))]
+#[case::empty(200, &[("proof", "")], Some(HeadFault::Unproven))]
+#[case::repeated(200, &[("proof", "p"), ("proof", "p")], Some(HeadFault::Unproven))]
+#[case::without_body(204, &[], Some(HeadFault::Unproven))]
+#[case::failure(500, &[], None)]
+#[case::promise(503, &[], Some(HeadFault::Unproven))]
+#[case::proven_promise(503, &[("proof", "p")], None)]
+#[case::redirection(304, &[], None)]
+#[case::upgrade(101, &[("proof", "p")], Some(HeadFault::ProtocolSwitch))]
+fn an_answer_that_callers_rely_on_needs_one_proof(
+    #[case] status: u16,
+    #[case] fields: &[(&'static str, &str)],
+    #[case] expected: Option<HeadFault>,
+) {
+    assert_eq!(fault(Some(&PROOF), &response(status, fields)), expected);
+}
+
+#[rstest]
+#[case::none(&[], None)]
+#[case::chunked(&["Chunked "], None)]
+#[case::cut(&["chu"], Some(HeadFault::UnknownTransferCoding))]
+#[case::empty(&[""], Some(HeadFault::UnknownTransferCoding))]
+#[case::other(&["gzip"], Some(HeadFault::UnknownTransferCoding))]
+#[case::list(&["gzip, chunked"], Some(HeadFault::UnknownTransferCoding))]
+#[case::fields(&["gzip", "chunked"], Some(HeadFault::UnknownTransferCoding))]
+#[case::twice(&["chunked, chunked"], Some(HeadFault::UnknownTransferCoding))]
+fn a_body_has_no_transfer_coding_but_chunks(
+    #[case] codings: &[&str],
+    #[case] expected: Option<HeadFault>,
+) {
+    let fields: Vec<_> = codings
+        .iter()
+        .map(|coding| ("transfer-encoding", *coding))
+        .collect();
+    for status in [200, 500] {
+        assert_eq!(fault(None, &response(status, &fields)), expected);
+    }
+}
+
+#[test]
+fn a_success_needs_no_proof_where_back_ends_give_none() {
+    assert_eq!(fault(None, &response(200, &[])), None);
+}
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -2,6 +2,7 @@
 //! links to control machines.
 
 mod admission;
+mod answer_head;
 mod answer_limits;
 mod answer_timer;
 mod attempt;
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -21,9 +21,10 @@
 
 use super::answer_timer::AnswerTimer;
 use super::end_cause::EndCause;
-use super::forward::{may_try_again, Call};
+use super::forward::{header, may_try_again, Call};
 use super::open_requests::OpenRequest;
-use super::{headers, notices, Router};
+use super::received_body::Framing;
+use super::{answer_head, headers, notices, Router};
 use crate::answer::AnswerBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -50,6 +51,8 @@
     Unreachable,
     /// The peer may have run the request.
     Broken,
+    /// The same; it sent something that no router answers.
+    Invalid,
 }
 
 impl Forwarded {
@@ -59,6 +62,7 @@
             Self::Declined => "declined",
             Self::Unreachable => "unreachable",
             Self::Broken => "broken",
+            Self::Invalid => "invalid",
         }
     }
 }
@@ -96,7 +100,7 @@
                 call.progress.on_unanswered(Execution::NotRun);
                 router.peers.on_unreachable(now, peer);
             }
-            Forwarded::Broken => {
+            Forwarded::Broken | Forwarded::Invalid => {
                 let execution = Execution::MayHaveRun;
                 call.progress.on_unanswered(execution);
                 let may_repeat = may_try_again(&call.admission, execution, 1);
@@ -125,6 +129,7 @@
     let sending = connection.send(request, sockets::UNACKNOWLEDGED_TIMEOUT);
     match timeout(remaining, sending).await {
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
+        Ok(Ok(response)) if !is_valid(router, call, &response) => Forwarded::Invalid,
         Ok(Ok(response)) => Forwarded::Answered(Box::new(PeerAnswer {
             response,
             connection,
@@ -134,6 +139,17 @@
     }
 }
 
+/// Whether a router may have given an answer: routers frame each one, and a success is that of a back end to this request.
+fn is_valid(router: &Router, call: &Call, response: &Response<Incoming>) -> bool {
+    let names = router.dialect.headers();
+    let is_failure = !response.status().is_success();
+    let is_from_back_end = || {
+        header(response.headers(), &names.request_id) == call.id
+            && answer_head::fault(names.proof.as_ref(), response).is_none()
+    };
+    Framing::of(response) != Framing::Connection && (is_failure || is_from_back_end())
+}
+
 fn outbound(router: &Router, call: &Call, remaining: Duration) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(call.body.clone()));
     *request.method_mut() = call.parts.method.clone();
