Decide by the order of events, not by the age of a view, that a pool has one software version

Cause: a stream of unknown origin goes on at the only version in sight if a quorum confirmed the view at most 1 s ago. The version that began the stream may have joined since. No age is short enough: a view that is some milliseconds old lacks what joined after its confirmation.

Change: the version of a back end is committed before any stream begins there, so before the caller of the broken stream returns. A take-up of unknown origin in a pool of one version pings control machines after it has arrived, and goes on only by a view that the answer to such a ping confirms. Pings are those that exist, so control machines of earlier builds answer them; requests that arrive together share them. A known origin waits for nothing.

The unit test of an outdated view is replaced: with a confirmation before, at or after the arrival of the request, at once and 10 s later. Other unit tests take up streams by requests that arrived before the confirmation; what they expect is unchanged.

Conclusion: the order holds with any pause between two steps.

--- a/crates/gateway-core/src/router/departed_versions.rs
+++ b/crates/gateway-core/src/router/departed_versions.rs
@@ -10,13 +10,14 @@
 
 use super::endpoint::Endpoint;
 use super::summary::{NameHash, Summary};
-use super::take_up::MAX_VIEW_AGE;
 use super::RouterCore;
 use crate::{
     Changes, DepartedVersion, InstanceId, PoolName, SoftwareKey, SoftwareVersion,
     MAX_STREAM_LIFETIME,
 };
 
+/// A version may have come and left unseen since a view was confirmed, if that is longer ago.
+const MAX_VIEW_AGE: Duration = Duration::from_secs(1);
 /// Versions that left a pool and are remembered; the oldest are forgotten first.
 const MAX_OBSERVED: usize = 64;
 
--- a/crates/gateway-core/src/router/take_up.rs
+++ b/crates/gateway-core/src/router/take_up.rs
@@ -11,9 +11,6 @@
     PoolName, SoftwareKey, StreamKey, StreamOrigin, TenantKey, TenantName, MAX_STREAM_LIFETIME,
 };
 
-/// A view that was confirmed longer ago may lack a version that has come since.
-pub(super) const MAX_VIEW_AGE: Duration = Duration::from_secs(1);
-
 /// What a router knows of the software versions that a request's streams may have begun at.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct KnownVersions {
@@ -67,18 +64,19 @@
     }
 
     /// The software version at which a stream that a caller takes up must go on. Moves the request to the pool whose
-    /// back ends run it. `origin` is the version that began the stream, if it is known.
+    /// back ends run it. `origin` is the version that began the stream, if it is known; `received` is when the request
+    /// arrived.
     ///
     /// A stream of unknown origin goes on only if there is one version that it can have begun at.
     pub fn continue_stream(
         &self,
         now: Timestamp,
+        received: Timestamp,
         admission: &mut Admission,
         origin: Option<SoftwareKey>,
     ) -> Result<SoftwareKey, ChoiceError> {
-        let origin = origin.filter(|origin| !self.was_undeclared(admission, *origin));
-        let Some(origin) = origin else {
-            let sole = self.sole_software(now, admission);
+        let Some(origin) = self.recorded_origin(admission, origin) else {
+            let sole = self.sole_software(now, received, admission);
             return sole.ok_or(ChoiceError::UnknownOrigin);
         };
         let pool = self.pool_that_runs(admission, origin);
@@ -86,13 +84,47 @@
         Ok(origin)
     }
 
-    /// The only software version that back ends of the request's pool run, and ran for as long as a stream may last;
-    /// `None` if there are several in any pool of its route, or if this router may lack one that serves or has left.
-    pub fn sole_software(&self, now: Timestamp, admission: &Admission) -> Option<SoftwareKey> {
-        let is_current = self.view_age(now).is_some_and(|age| age <= MAX_VIEW_AGE);
-        if !is_current {
-            return None;
-        }
+    /// Whether a stream of this origin can go on only once a quorum has confirmed the view, asked after `received`.
+    pub fn awaits_confirmation(
+        &self,
+        now: Timestamp,
+        received: Timestamp,
+        admission: &Admission,
+        origin: Option<SoftwareKey>,
+    ) -> bool {
+        self.recorded_origin(admission, origin).is_none()
+            && self.one_software_in_view(now, admission).is_some()
+            && !self.is_confirmed_after(received)
+    }
+
+    /// Whether this router's view holds all that was accepted up to `at`, as confirmed by a quorum.
+    pub fn is_confirmed_after(&self, at: Timestamp) -> bool {
+        self.view.is_confirmed_after(at)
+    }
+
+    /// The only software version that a stream on the request's route can have begun at before the request was received.
+    ///
+    /// The version of a back end is accepted before a router begins a stream there, and the caller of a broken stream
+    /// returns after that. A view that was confirmed before the request arrived may lack this version, however recent the
+    /// confirmation is.
+    fn sole_software(
+        &self,
+        now: Timestamp,
+        received: Timestamp,
+        admission: &Admission,
+    ) -> Option<SoftwareKey> {
+        let sole = self.one_software_in_view(now, admission);
+        sole.filter(|_| self.is_confirmed_after(received))
+    }
+
+    /// The only software version that back ends of the request's pool run, and ran for as long as a stream may last, as
+    /// far as the view tells; `None` if there are several in any pool of its route, or if this router may lack one that has
+    /// left.
+    pub fn one_software_in_view(
+        &self,
+        now: Timestamp,
+        admission: &Admission,
+    ) -> Option<SoftwareKey> {
         if !self.departed_versions.are_complete(now) {
             return None;
         }
@@ -107,6 +139,15 @@
         self.sole_version_of(now, &admission.pool)
     }
 
+    /// The origin of a stream, unless it tells no more than that no version was recorded when the stream began.
+    fn recorded_origin(
+        &self,
+        admission: &Admission,
+        origin: Option<SoftwareKey>,
+    ) -> Option<SoftwareKey> {
+        origin.filter(|origin| !self.was_undeclared(admission, *origin))
+    }
+
     fn sole_version_of(&self, now: Timestamp, pool: &PoolName) -> Option<SoftwareKey> {
         let name = NameHash::of(pool.as_str());
         let mut versions = self
--- a/crates/gateway-core/src/router/take_up_tests.rs
+++ b/crates/gateway-core/src/router/take_up_tests.rs
@@ -43,6 +43,18 @@
     router.on_confirmed(at(now), revision, 1);
 }
 
+/// Takes up a stream by a request that arrived before the last confirmation of the view was requested.
+fn take_up(
+    router: &RouterCore,
+    now: Timestamp,
+    admission: &mut Admission,
+    origin: Option<SoftwareKey>,
+) -> Result<SoftwareKey, ChoiceError> {
+    let confirmed = router.view.confirmed().unwrap();
+    let received = Timestamp(confirmed.0 - 1);
+    router.continue_stream(now, received, admission, origin)
+}
+
 fn remove(router: &mut RouterCore, now: u64, revision: u64, name: &str) {
     let mut changes = changes(revision - 1, revision, Vec::new());
     changes.removed.items.push(name.into());
@@ -61,7 +73,7 @@
 ) {
     let mut router = router_with(back_ends(&["v1", "v2"]));
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(1), &mut admission, origin.map(software));
+    let required = take_up(&router, at(1), &mut admission, origin.map(software));
     assert_eq!(required, expected.map(software));
 }
 
@@ -74,20 +86,66 @@
 ) {
     let mut router = router_with(back_ends(versions));
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(1), &mut admission, None);
+    let required = take_up(&router, at(1), &mut admission, None);
     assert_eq!(required, Ok(software(expected)));
 }
 
-/// A view that is not confirmed may lack the version that began the stream.
-#[test]
-fn an_outdated_view_does_not_tell_that_there_is_one_version() {
+/// Guards against a version that joined after the view was confirmed, however short a time ago that was.
+#[rstest]
+#[case::before_the_confirmation(-1, Ok("v1"))]
+#[case::at_the_confirmation(0, Err(ChoiceError::UnknownOrigin))]
+#[case::after_the_confirmation(1, Err(ChoiceError::UnknownOrigin))]
+fn a_view_tells_that_there_is_one_version_only_if_its_confirmation_was_requested_after_the_take_up(
+    #[case] received_later_us: i64,
+    #[case] expected: Result<&str, ChoiceError>,
+) {
     let mut router = router_with(back_ends(&["v1"]));
     let mut admission = admission(&mut router);
-    let late = CONFIRMED_AT + MAX_VIEW_AGE.as_millis() as u64 + 10;
-    let required = router.continue_stream(at(late), &mut admission, None);
+    let received = Timestamp(at(CONFIRMED_AT).0.saturating_add_signed(received_later_us));
+    for now in [at(1), at(10_000)] {
+        let required = router.continue_stream(now, received, &mut admission, None);
+        assert_eq!(required, expected.map(software));
+        let awaits = router.awaits_confirmation(now, received, &admission, None);
+        assert_eq!(awaits, expected.is_err());
+        let required = router.continue_stream(now, received, &mut admission, Some(software("v1")));
+        assert_eq!(required, Ok(software("v1")));
+    }
+}
+
+/// Guards against a confirmation that counts before the changes that it names have arrived.
+#[rstest]
+#[case::another_version("v2", Err(ChoiceError::UnknownOrigin))]
+#[case::the_same_version("v1", Ok("v1"))]
+fn a_confirmation_of_a_later_revision_counts_once_the_view_holds_it(
+    #[case] joining: &str,
+    #[case] expected: Result<&str, ChoiceError>,
+) {
+    let mut router = router_with(back_ends(&["v1"]));
+    let mut admission = admission(&mut router);
+    let (received, confirmed, now) = (at(10), at(11), at(12));
+    router.on_confirmed(confirmed, 11, 1);
+    let required = router.continue_stream(now, received, &mut admission, None);
     assert_eq!(required, Err(ChoiceError::UnknownOrigin));
-    let required = router.continue_stream(at(late), &mut admission, Some(software("v1")));
-    assert_eq!(required, Ok(software("v1")));
+    let joined = changes(10, 11, vec![back_end(2, POOL, joining)]);
+    router.apply(now, joined, |_| unreachable!()).unwrap();
+    let required = router.continue_stream(now, received, &mut admission, None);
+    assert_eq!(required, expected.map(software));
+}
+
+#[rstest]
+#[case::known(&["v1"], Some("v1"), false)]
+#[case::undeclared(&["v1"], Some(""), true)]
+#[case::several_versions(&["v1", "v2"], None, false)]
+fn only_a_stream_of_unknown_origin_in_a_pool_of_one_version_awaits_a_confirmation(
+    #[case] versions: &[&str],
+    #[case] origin: Option<&str>,
+    #[case] expected: bool,
+) {
+    let mut router = router_with(back_ends(versions));
+    let admission = admission(&mut router);
+    let origin = origin.map(software);
+    let awaits = router.awaits_confirmation(at(2), at(1), &admission, origin);
+    assert_eq!(awaits, expected);
 }
 
 #[test]
@@ -95,11 +153,11 @@
     let mut router = router_with(back_ends(&["v1", "v2"]));
     remove(&mut router, 1_000, 11, "models-1");
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(1_100), &mut admission, None);
+    let required = take_up(&router, at(1_100), &mut admission, None);
     assert_eq!(required, Err(ChoiceError::UnknownOrigin));
     let later = 1_000 + MAX_STREAM_LIFETIME.as_millis() as u64 + 10;
     router.on_confirmed(at(later), 11, 1);
-    let required = router.continue_stream(at(later), &mut admission, None);
+    let required = take_up(&router, at(later), &mut admission, None);
     assert_eq!(required, Ok(software("v2")));
 }
 
@@ -108,7 +166,7 @@
     let mut router = router_with(back_ends(&["v1"]));
     change(&mut router, 1_000, 11, vec![back_end(1, POOL, "v2")]);
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(1_100), &mut admission, None);
+    let required = take_up(&router, at(1_100), &mut admission, None);
     assert_eq!(required, Err(ChoiceError::UnknownOrigin));
 }
 
@@ -144,9 +202,9 @@
 ) {
     let mut router = started_router(departed);
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(1), &mut admission, None);
+    let required = take_up(&router, at(1), &mut admission, None);
     assert_eq!(required, expected.map(software));
-    let required = router.continue_stream(at(1), &mut admission, Some(software("v2")));
+    let required = take_up(&router, at(1), &mut admission, Some(software("v2")));
     assert_eq!(required, Ok(software("v2")));
 }
 
@@ -161,7 +219,7 @@
         (lifetime + 1, Ok(software("v2"))),
     ] {
         router.on_confirmed(at(later), 10, 1);
-        let required = router.continue_stream(at(later), &mut admission, None);
+        let required = take_up(&router, at(later), &mut admission, None);
         assert_eq!(required, expected);
     }
 }
@@ -173,7 +231,7 @@
     change(&mut router, 1_000, 11, back_ends(&["v1", "v1"]));
     let mut admission = admission(&mut router);
     for origin in [None, Some(software(""))] {
-        let required = router.continue_stream(at(1_100), &mut admission, origin);
+        let required = take_up(&router, at(1_100), &mut admission, origin);
         assert_eq!(required, Ok(software("v1")));
     }
 }
@@ -192,7 +250,7 @@
     route.shares = vec![share(POOL), share("apps")];
     for pool in [POOL, "apps"] {
         let origin = SoftwareKey::of_names(pool, "v1");
-        let required = router.continue_stream(at(1), &mut admission, Some(origin));
+        let required = take_up(&router, at(1), &mut admission, Some(origin));
         assert_eq!((required, admission.pool.as_str()), (Ok(origin), pool));
     }
 }
@@ -209,7 +267,7 @@
         weight: 0,
     });
     let origin = SoftwareKey::of_names("apps", "v1");
-    let required = router.continue_stream(at(1), &mut admission, Some(origin));
+    let required = take_up(&router, at(1), &mut admission, Some(origin));
     assert_eq!(required, Err(ChoiceError::NoneOfSoftware));
 }
 
@@ -221,7 +279,7 @@
         router.apply(at(now), whole, |_| Ok(document())).unwrap();
         router.on_confirmed(at(now), 10 + now, 1);
         let mut admission = admission(&mut router);
-        let required = router.continue_stream(at(now), &mut admission, None);
+        let required = take_up(&router, at(now), &mut admission, None);
         assert_eq!(required, Ok(software("v1")));
     }
 }
@@ -261,7 +319,7 @@
         apply_untold(&mut router, now, changes);
     }
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(now), &mut admission, None);
+    let required = take_up(&router, at(now), &mut admission, None);
     assert_eq!(required, Err(ChoiceError::UnknownOrigin));
 }
 
@@ -279,7 +337,7 @@
     changes.removed.items.push("models-2".into());
     apply_untold(&mut router, now, changes);
     let mut admission = admission(&mut router);
-    let required = router.continue_stream(at(now), &mut admission, None);
+    let required = take_up(&router, at(now), &mut admission, None);
     assert_eq!(required, expected.map(software));
 }
 
@@ -292,6 +350,6 @@
     std::rc::Rc::make_mut(&mut admission.route).timeout = 2 * MAX_STREAM_LIFETIME;
     let later = 1_010 + MAX_STREAM_LIFETIME.as_millis() as u64;
     router.on_confirmed(at(later), 11, 1);
-    let required = router.continue_stream(at(later), &mut admission, None);
+    let required = take_up(&router, at(later), &mut admission, None);
     assert_eq!(required, Err(ChoiceError::UnknownOrigin));
 }
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -87,6 +87,11 @@
         self.confirmed
     }
 
+    /// Whether this view holds all that was accepted up to `at`.
+    pub fn is_confirmed_after(&self, at: Timestamp) -> bool {
+        self.confirmed.is_some_and(|asked_at| asked_at > at)
+    }
+
     pub fn document(&self) -> Option<&Document> {
         self.document.as_ref()
     }
--- a/crates/gateway-core/src/view_links/mod.rs
+++ b/crates/gateway-core/src/view_links/mod.rs
@@ -102,6 +102,11 @@
         self.ping_schedule.on_answer(from, sequence)
     }
 
+    /// A request waits until the view is confirmed by the answer to a ping that was sent after `after`.
+    pub fn await_confirmation(&mut self, after: Timestamp) {
+        self.ping_schedule.await_answer(after);
+    }
+
     /// A machine announced its revision, while the view holds `held`. True if this shows that the view, which was
     /// current so far, is behind.
     pub fn on_revision(
--- a/crates/gateway-core/src/view_links/pings.rs
+++ b/crates/gateway-core/src/view_links/pings.rs
@@ -16,6 +16,10 @@
 /// A machine that leaves a ping unanswered for this time is unresponsive: it is cut off from a majority, frozen, or
 /// overloaded.
 const RESPONSIVE_WITHIN: Duration = Duration::from_millis(500);
+/// While requests wait for a confirmation, further machines are pinged if this time passes without an answer.
+const AWAITED_HEDGE_AFTER: Duration = Duration::from_millis(40);
+/// Machines that are pinged at a time while requests wait for a confirmation; one of them may stand still.
+const AWAITED_MACHINES: usize = 2;
 /// For how long after a ping the arrival of a part of another message, behind which its answer may wait, counts.
 const PARTIAL_MESSAGE_GRACE: Duration = Duration::from_millis(2_500);
 /// A link on which a ping has no answer for longer than this is closed.
@@ -26,6 +30,8 @@
 pub struct Pings {
     last_sequence: u64,
     links: BTreeMap<Ipv4Addr, Link>,
+    /// Requests wait for the answer to a ping that was sent after this time.
+    awaited_after: Option<Timestamp>,
 }
 
 #[derive(Debug, Default)]
@@ -48,11 +54,17 @@
         self.links.remove(&address);
     }
 
+    /// A request waits for the answer to a ping that was sent after `after`.
+    pub fn await_answer(&mut self, after: Timestamp) {
+        self.awaited_after = self.awaited_after.max(Some(after));
+    }
+
     /// A ping was answered; earlier pings on the link need no answer any more. Returns when the ping was sent.
     pub fn on_answer(&mut self, from: Ipv4Addr, sequence: u64) -> Option<Timestamp> {
         let link = self.links.get_mut(&from)?;
         let sent_at = link.unanswered.remove(&sequence);
         link.unanswered.retain(|other, _| *other > sequence);
+        self.awaited_after = self.awaited_after.filter(|after| sent_at <= Some(*after));
         sent_at
     }
 
@@ -63,8 +75,8 @@
         }
     }
 
-    /// The pings to send now: one to each machine on a new link, then one to the next responsive machine in turn, and
-    /// one to each unresponsive machine per link interval.
+    /// The pings to send now: one to each machine on a new link, then one to the next responsive machine in turn, one to
+    /// each unresponsive machine per link interval, and those that requests wait for.
     pub fn take_due(&mut self, now: Timestamp) -> Vec<(Ipv4Addr, u64)> {
         let machines = self.links.len().max(1) as u32;
         let link_spacing = (PING_SPACING * machines).min(MAX_LINK_SPACING);
@@ -76,6 +88,7 @@
             }
         }
         due.extend(self.next_in_turn(now, link_spacing / machines));
+        due.extend(self.awaited(now));
         due.sort_unstable();
         due.dedup();
         due.into_iter().map(|to| (to, self.send(now, to))).collect()
@@ -96,6 +109,24 @@
             .filter(|_| last.is_due(now, interval))
     }
 
+    /// The machines to ping for requests that wait. None while an answer may be on its way: the next pings then serve all
+    /// requests that have come meanwhile.
+    fn awaited(&self, now: Timestamp) -> Vec<Ipv4Addr> {
+        let links = self.links.iter();
+        let mut responsive: Vec<_> = links.filter(|(_, link)| link.is_responsive(now)).collect();
+        let is_answer_near = |link: &Link| {
+            let last = link.unanswered.values().next_back();
+            last.is_some_and(|sent_at| now.since(*sent_at) < AWAITED_HEDGE_AFTER)
+        };
+        let is_due = self.awaited_after.is_some_and(|after| now > after);
+        if !is_due || responsive.iter().any(|(_, link)| is_answer_near(link)) {
+            return Vec::new();
+        }
+        responsive.sort_by_key(|(_, link)| link.last_sent);
+        let pinged = responsive.into_iter().take(AWAITED_MACHINES);
+        pinged.map(|(address, _)| *address).collect()
+    }
+
     fn send(&mut self, now: Timestamp, to: Ipv4Addr) -> u64 {
         self.last_sequence += 1;
         let link = self.links.entry(to).or_default();
--- a/crates/gateway-core/src/view_links/pings_tests.rs
+++ b/crates/gateway-core/src/view_links/pings_tests.rs
@@ -138,3 +138,65 @@
     }
     assert!(pings.timed_out(Timestamp(6_000_000)).contains(&machine(1)));
 }
+
+/// Links whose last ping was answered, so that none is due for some time.
+fn answered(machines: u8, now: Timestamp) -> Pings {
+    let mut pings = linked(machines);
+    for (to, sequence) in pings.take_due(now) {
+        pings.on_answer(to, sequence);
+    }
+    pings
+}
+
+const LINKED_AT: Timestamp = Timestamp(1_000_000);
+
+fn after_ms(milliseconds: u64) -> Timestamp {
+    LINKED_AT.plus(Duration::from_millis(milliseconds))
+}
+
+/// Guards against an answer to an earlier ping that passes for the confirmation that a request waits for.
+#[test]
+fn a_request_waits_for_the_answer_to_a_ping_that_was_sent_after_it_arrived() {
+    let mut pings = linked(1);
+    let earlier = pings.take_due(LINKED_AT);
+    pings.await_answer(after_ms(1));
+    assert_eq!(pings.take_due(after_ms(2)), []);
+    pings.on_answer(earlier[0].0, earlier[0].1);
+    let awaited = pings.take_due(after_ms(3));
+    assert_eq!(awaited.len(), 1);
+    pings.on_answer(awaited[0].0, awaited[0].1);
+    assert_eq!(pings.take_due(after_ms(4)), []);
+}
+
+/// Guards against a ping for each of many requests that arrive together.
+#[test]
+fn requests_that_arrive_while_an_answer_is_awaited_share_the_next_pings() {
+    let mut pings = answered(5, LINKED_AT);
+    let mut sent = Vec::new();
+    for request in 0..20 {
+        let now = after_ms(1 + request);
+        pings.await_answer(now);
+        sent.extend(pings.take_due(now.plus(Duration::from_micros(1))));
+    }
+    assert_eq!(sent.len(), AWAITED_MACHINES);
+    pings.on_answer(sent[0].0, sent[0].1);
+    pings.on_answer(sent[1].0, sent[1].1);
+    let shared = pings.take_due(after_ms(30));
+    assert_eq!(shared.len(), AWAITED_MACHINES);
+    pings.on_answer(shared[0].0, shared[0].1);
+    pings.on_answer(shared[1].0, shared[1].1);
+    assert_eq!(pings.take_due(after_ms(31)), []);
+}
+
+/// Guards against requests that are rejected because a control machine stands still.
+#[test]
+fn further_machines_are_pinged_while_those_that_a_request_waits_for_do_not_answer() {
+    let mut pings = answered(5, LINKED_AT);
+    pings.await_answer(after_ms(1));
+    let first = pings.take_due(after_ms(2));
+    let later = pings.take_due(after_ms(2).plus(AWAITED_HEDGE_AFTER));
+    assert_eq!((first.len(), later.len()), (2, 2));
+    assert!(later
+        .iter()
+        .all(|(to, _)| !first.iter().any(|(earlier, _)| earlier == to)));
+}
--- a/crates/gateway/src/router/control_links.rs
+++ b/crates/gateway/src/router/control_links.rs
@@ -10,7 +10,7 @@
 use drumshore_gateway_core::{LinkAction, Message, ReportedLoads, RouterWire, ViewLinks};
 use tokio::sync::Notify;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Router;
@@ -31,6 +31,8 @@
     /// The task that maintains the link to each control machine.
     pub tasks: RefCell<BTreeMap<Ipv4Addr, JoinHandle<()>>>,
     view_links: RefCell<ViewLinks>,
+    /// Notified when the view may have been confirmed.
+    view_confirmed: Notify,
     traffic: Rc<LinkTraffic>,
     /// The links that are connected.
     open_links: RefCell<BTreeMap<Ipv4Addr, Link>>,
@@ -59,6 +61,7 @@
             controls: RefCell::default(),
             tasks: RefCell::default(),
             view_links: RefCell::new(ViewLinks::new(&router.settings.params.zone, seed)),
+            view_confirmed: Notify::new(),
             traffic: Rc::new(LinkTraffic::with_counters(
                 router.metrics.link_bytes.clone(),
             )),
@@ -147,6 +150,28 @@
     fetch_peers_if_due(router, links);
 }
 
+/// Asks whether the view is current, and waits until it holds all that was accepted up to `at`; false if it does not
+/// within `limit`.
+pub(super) async fn confirm_view(
+    router: &Router,
+    links: &Links,
+    at: Timestamp,
+    limit: Duration,
+) -> bool {
+    links.view_links.borrow_mut().await_confirmation(at);
+    poll(router, links);
+    let confirmed = async {
+        loop {
+            let changed = links.view_confirmed.notified();
+            if router.core.borrow().is_confirmed_after(at) {
+                return;
+            }
+            changed.await;
+        }
+    };
+    timeout(limit, confirmed).await.is_ok()
+}
+
 /// Asks any control machine for the routers to forward requests to.
 fn fetch_peers_if_due(router: &Router, links: &Links) {
     let has_lost_path = router.core.borrow().has_lost_any_path();
@@ -314,6 +339,7 @@
             let mut view_links = links.view_links.borrow_mut();
             view_changes::apply(router, &mut view_links, address, changes);
             drop(view_links);
+            links.view_confirmed.notify_waiters();
             poll(router, links);
         }
         Message::Pong {
@@ -329,6 +355,7 @@
                 let mut core = router.core.borrow_mut();
                 core.on_confirmed(ping_sent_at, revision, routers);
             }
+            links.view_confirmed.notify_waiters();
             wake_waiting_requests(router);
             if !controls.items.is_empty() {
                 let controls = controls.items.into_iter().map(Ipv4Addr::from);
--- a/crates/gateway/src/router/streams.rs
+++ b/crates/gateway/src/router/streams.rs
@@ -78,6 +78,15 @@
         answered: 0,
     };
 
+    /// This result after an earlier one of the same stream.
+    pub fn after(self, earlier: Self) -> Self {
+        Self {
+            asked: earlier.asked + self.asked,
+            answered: earlier.answered + self.answered,
+            ..self
+        }
+    }
+
     /// The name of the outcome in metrics.
     fn outcome(&self) -> &'static str {
         match self.source {
@@ -105,6 +114,11 @@
         let _ = self.links.set(Rc::clone(links));
     }
 
+    /// The links that messages about streams are sent on; `None` before they are started.
+    pub fn links(&self) -> Option<&Rc<Links>> {
+        self.links.get()
+    }
+
     /// Passes the answer of a control machine to the lookups that wait for it.
     pub fn on_answer(&self, stream: StreamKey, software: Option<SoftwareKey>) {
         for answers in self.lookups.borrow().get(&stream).into_iter().flatten() {
