Take two heads that run into each other for no answer

What callers saw: 200 with the seal and the body of a failure, if a back end stopped inside a head and wrote another answer from its first byte on. Cause: the second status line ends the value of the field, or the reason phrase, in which the first head stopped; the fields after it belong to the second answer, the status to the first.

A status line in a field or in the reason phrase of an answer now counts as a broken attempt. Cut elsewhere, the second status line is no field and the head does not parse. What a back end would have to send to be refused wrongly is the status line of another server, in a field.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -3,10 +3,13 @@
 //! A head that ends early with a blank line parses like a whole one: the fields after it are missing, among them what
 //! frames the body.
 
-use hyper::header::{HeaderName, TRANSFER_ENCODING};
+use hyper::ext::ReasonPhrase;
+use hyper::header::{HeaderName, HeaderValue, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 
 const CHUNKED: &[u8] = b"chunked";
+/// The start of a status line, before the minor version, a space and three digits.
+const STATUS_LINE: &[u8] = b"HTTP/1.";
 
 /// Why an answer is not taken for that of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -17,6 +20,8 @@
     UnknownTransferCoding,
     /// An agreement to another protocol, for which no request asks.
     ProtocolSwitch,
+    /// A status line inside it: another head begins there.
+    TwoHeads,
 }
 
 impl HeadFault {
@@ -26,6 +31,7 @@
             Self::Unproven => "unproven",
             Self::UnknownTransferCoding => "unknown_transfer_coding",
             Self::ProtocolSwitch => "protocol_switch",
+            Self::TwoHeads => "two_heads",
         }
     }
 }
@@ -35,6 +41,8 @@
     let (status, headers) = (response.status(), response.headers());
     if status == StatusCode::SWITCHING_PROTOCOLS {
         Some(HeadFault::ProtocolSwitch)
+    } else if has_second_status_line(response) {
+        Some(HeadFault::TwoHeads)
     } else if has_unknown_transfer_coding(headers) {
         Some(HeadFault::UnknownTransferCoding)
     } else if needs_proof(status) && !is_proven(proof, headers) {
@@ -66,6 +74,25 @@
     has_proof && values.next().is_none()
 }
 
+/// Whether a status line stands in the reason phrase or in a field. The fields after it are those of another answer, and
+/// the status is not.
+fn has_second_status_line<B>(response: &Response<B>) -> bool {
+    let reason = response.extensions().get::<ReasonPhrase>();
+    let reason = reason.map(ReasonPhrase::as_bytes);
+    let fields = response.headers().values().map(HeaderValue::as_bytes);
+    fields.chain(reason).any(contains_status_line)
+}
+
+fn contains_status_line(text: &[u8]) -> bool {
+    let mut starts = text.windows(STATUS_LINE.len() + 5);
+    starts.any(|start| match start.strip_prefix(STATUS_LINE) {
+        Some([minor, b' ', code @ ..]) => {
+            minor.is_ascii_digit() && code.iter().all(u8::is_ascii_digit)
+        }
+        _ => false,
+    })
+}
+
 /// Whether the body has another transfer coding than chunks, which requests do not ask for (RFC 9112 §7.4). The HTTP
 /// library decodes chunks only, and takes a body in another coding as it is.
 fn has_unknown_transfer_coding(headers: &HeaderMap) -> bool {
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the judgement of heads.
 
+use hyper::ext::ReasonPhrase;
 use hyper::header::HeaderName;
 use hyper::Response;
 use rstest::rstest;
@@ -57,6 +58,21 @@
     }
 }
 
+#[rstest]
+#[case::whole_value("HTTP/1.1 500 Internal Server Error", true)]
+#[case::end_of_value("text/plaHTTP/1.0 200", true)]
+#[case::version_alone("HTTP/1.1", false)]
+#[case::short_code("HTTP/1.1 20", false)]
+#[case::other_text("HTTP/1.1 upgrade", false)]
+fn a_head_has_one_status_line(#[case] text: &str, #[case] is_second: bool) {
+    let expected = is_second.then_some(HeadFault::TwoHeads);
+    assert_eq!(fault(None, &response(200, &[("etag", text)])), expected);
+    let mut with_reason = response(200, &[]);
+    let reason = ReasonPhrase::try_from(text.as_bytes()).unwrap();
+    with_reason.extensions_mut().insert(reason);
+    assert_eq!(fault(None, &with_reason), expected);
+}
+
 #[test]
 fn a_success_needs_no_proof_where_back_ends_give_none() {
     assert_eq!(fault(None, &response(200, &[])), None);
