Cut answers that have begun a little later than the final answers of the others

An answer whose head arrived in the moment of the exit notice reached its caller as a closed connection: the notice that gives a final answer to requests without one also cut the body that was still arriving, before the head had been written.

Requests without an answer get theirs first; answers that have begun may end for another 100 ms before they are cut.

--- a/crates/gateway/src/router/answer_timer.rs
+++ b/crates/gateway/src/router/answer_timer.rs
@@ -57,7 +57,7 @@
         let router = Rc::clone(router);
         Self {
             deadline: Box::pin(sleep(remaining)),
-            exit: Box::pin(async move { router.exit_notice.given().await }),
+            exit: Box::pin(async move { router.exit_notices.cuts.given().await }),
         }
     }
 
--- a/crates/gateway/src/router/exit_notice.rs
+++ b/crates/gateway/src/router/exit_notice.rs
@@ -4,14 +4,23 @@
 
 use tokio::sync::Notify;
 
-/// Given once, when the time to stop is nearly over.
+/// The notices that a router gives to open requests, one after the other.
 #[derive(Debug, Default)]
-pub(super) struct ExitNotice {
+pub(super) struct ExitNotices {
+    /// Requests whose answers have not begun get a final answer now.
+    pub final_answers: Notice,
+    /// Answers that have not ended are cut now.
+    pub cuts: Notice,
+}
+
+/// Given once.
+#[derive(Debug, Default)]
+pub(super) struct Notice {
     is_given: Cell<bool>,
     notify: Notify,
 }
 
-impl ExitNotice {
+impl Notice {
     pub fn give(&self) {
         self.is_given.set(true);
         self.notify.notify_waiters();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -94,7 +94,7 @@
             tokio::select! {
                 biased;
                 call = reading => answer(&router, call?, open).await,
-                () = router.exit_notice.given() => refusal::refuse(&router, &id, received, Refused::Stopping),
+                () = router.exit_notices.final_answers.given() => refusal::refuse(&router, &id, received, Refused::Stopping),
             }
         }
         Err(refused) => {
@@ -226,7 +226,7 @@
     let found = tokio::select! {
         biased;
         found = find_answer(router, &mut call) => found,
-        () = router.exit_notice.given() => Found::Nowhere {
+        () = router.exit_notices.final_answers.given() => Found::Nowhere {
             tried: Vec::new(),
             reason: Unserved::Exiting,
         },
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -64,7 +64,7 @@
 pub(crate) use relay::Relay;
 
 use crash_detection::{PendingProbes, UndecidedCrashes};
-use exit_notice::ExitNotice;
+use exit_notice::ExitNotices;
 use first_view::FirstView;
 use open_requests::OpenRequests;
 use peers::Peers;
@@ -91,7 +91,7 @@
     event_loop_delay: Rc<EventLoopDelay>,
     /// When this process received the stop signal.
     stopping: Cell<Option<Timestamp>>,
-    exit_notice: ExitNotice,
+    exit_notices: ExitNotices,
     open_requests: OpenRequests,
     peers: Peers,
     /// Notifies waiting requests that the path to the back ends of a pool was lost.
@@ -134,7 +134,7 @@
         metrics: Metrics::new(),
         event_loop_delay: Rc::new(EventLoopDelay::new()),
         stopping: Cell::new(None),
-        exit_notice: ExitNotice::default(),
+        exit_notices: ExitNotices::default(),
         open_requests: OpenRequests::default(),
         peers: Peers::default(),
         path_lost: Notify::new(),
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -11,8 +11,10 @@
 const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Shorter grace periods have a shorter margin, this part of them.
 const MAX_EXIT_MARGIN_PART: u32 = 8;
-/// How much of the margin may pass until the last answers have been sent.
-const FLUSH_PART: u32 = 2;
+/// After this part of the margin answers that have not ended are cut.
+const CUT_PART: u32 = 4;
+/// After this part of the margin the process exits, whatever has been sent by then.
+const EXIT_PART: u32 = 2;
 /// For so long after the stop signal requests are admitted that may outlast the process: their callers cannot know yet
 /// that it stops.
 const UNBOUNDED_ADMISSION: Duration = Duration::from_millis(2_800);
@@ -28,8 +30,10 @@
 struct StopSchedule {
     /// Until then, requests are admitted whatever their time limit.
     unbounded_admission: Duration,
-    /// All requests that are still open get a final answer then.
+    /// All requests whose answers have not begun get a final answer then.
     final_answers: Duration,
+    /// Answers that have not ended are cut then.
+    cuts: Duration,
     /// The process exits then, at the latest.
     exit: Duration,
 }
@@ -42,7 +46,8 @@
                 .mul_f64(MAX_UNBOUNDED_ADMISSION_PART)
                 .min(UNBOUNDED_ADMISSION),
             final_answers: grace - margin,
-            exit: grace - margin + margin / FLUSH_PART,
+            cuts: grace - margin + margin / CUT_PART,
+            exit: grace - margin + margin / EXIT_PART,
         }
     }
 }
@@ -107,8 +112,12 @@
     }
     if router.open_requests.count() > 0 {
         log_open_requests(router);
-        router.exit_notice.give();
+        router.exit_notices.final_answers.give();
     }
+    while since_stop() < schedule.cuts && connections.count() > 0 {
+        sleep(FLUSH_CHECK_INTERVAL).await;
+    }
+    router.exit_notices.cuts.give();
     while since_stop() < schedule.exit && connections.count() > 0 {
         sleep(FLUSH_CHECK_INTERVAL).await;
     }
--- a/crates/gateway/src/router/stop_tests.rs
+++ b/crates/gateway/src/router/stop_tests.rs
@@ -2,25 +2,18 @@
 
 use super::*;
 
-const fn ms(milliseconds: u64) -> Duration {
-    Duration::from_millis(milliseconds)
-}
-
 #[rstest]
-#[case::none(ms(0), ms(0), ms(0), ms(0))]
-#[case::short(ms(2_000), ms(700), ms(1_750), ms(1_875))]
-#[case::usual(ms(8_000), ms(2_800), ms(7_600), ms(7_800))]
-#[case::long(ms(30_000), ms(2_800), ms(29_600), ms(29_800))]
-fn a_process_exits_within_its_grace_period(
-    #[case] grace: Duration,
-    #[case] unbounded_admission: Duration,
-    #[case] final_answers: Duration,
-    #[case] exit: Duration,
-) {
-    let schedule = StopSchedule {
-        unbounded_admission,
-        final_answers,
-        exit,
-    };
-    assert_eq!(StopSchedule::of(grace), schedule);
+#[case::none([0, 0, 0, 0], 0)]
+#[case::short([700, 1_750, 1_812, 1_875], 2_000)]
+#[case::usual([2_800, 7_600, 7_700, 7_800], 8_000)]
+#[case::long([2_800, 29_600, 29_700, 29_800], 30_000)]
+fn a_process_exits_within_its_grace_period(#[case] expected_ms: [u128; 4], #[case] grace_ms: u64) {
+    let schedule = StopSchedule::of(Duration::from_millis(grace_ms));
+    let times = [
+        schedule.unbounded_admission,
+        schedule.final_answers,
+        schedule.cuts,
+        schedule.exit,
+    ];
+    assert_eq!(times.map(|time| time.as_millis()), expected_ms);
 }
