Discard what callers send behind the last answer before their connection is closed

A caller that had sent more on its connection lost a part of the answer before: unread bytes turn the end of a connection into a reset, which discards what the caller has not received. At the exit of a router an answer that its caller read slowly ended short.

Connections that the server closes are read until the caller closes its side, for 500 ms at most (RFC 9112 §9.6), and nothing that arrives is served.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -13,7 +13,9 @@
 use hyper::{Request, Response, Version};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
 
 use crate::answer::AnswerBody;
 use crate::caller_connections::CurrentRequest;
@@ -22,6 +24,9 @@
 /// Delay after an error of the listener, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 const BUFFER_BYTES: usize = 64 << 10;
+/// How long a caller may take to close its side of a connection after the last answer.
+const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+const LINGER_BUFFER_BYTES: usize = 1 << 10;
 
 /// Limits of a server's connections.
 #[derive(Clone, Copy, Debug)]
@@ -154,13 +159,27 @@
             () = open.cutting() => None,
         };
     }
-    match ended {
-        Some(Ok(())) => return,
-        Some(Err(error)) => current_request.log_end(peer.0, &error),
+    match &ended {
+        Some(Ok(())) => {}
+        Some(Err(error)) => current_request.log_end(peer.0, error),
         None => current_request.log_cut(peer.0),
     }
-    if !reads_chunks.get() {
-        reset(&connection.into_parts().io.into_inner(), peer);
+    let stream = connection.into_parts().io.into_inner();
+    match ended {
+        Some(Ok(())) => linger(stream, &open).await,
+        _ if reads_chunks.get() => {}
+        _ => reset(&stream, peer),
+    }
+}
+
+/// Discards what the caller still sends, until it closes its side, before the connection is closed (RFC 9112 §9.6). Bytes
+/// that nobody has read would turn the end into a reset, which discards what the caller has not received of its answer.
+async fn linger(mut stream: TcpStream, open: &OpenConnection) {
+    let mut discarded = [0; LINGER_BUFFER_BYTES];
+    let reading = async { while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {} };
+    tokio::select! {
+        _ = timeout(LINGER_TIMEOUT, reading) => {}
+        () = open.cutting() => {}
     }
 }
 
--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -148,6 +148,7 @@
         }
         connections.close();
         assert_eq!(read_to_end(&mut idle).await, b"");
+        drop(idle);
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert_eq!(connections.count(), 1);
         assert!(read_to_end(&mut slow).await.len() > BYTES);
@@ -173,3 +174,18 @@
         assert!(stream.read_to_end(&mut received).await.is_err());
     });
 }
+
+/// Guards against an end that waits for callers that keep connections open after the last answer.
+#[test]
+fn a_connection_that_its_caller_leaves_open_is_closed_after_a_time() {
+    run(async {
+        let (address, connections) = server_to_close(1, Duration::ZERO).await;
+        let mut caller = connect(address).await;
+        assert!(ask(&mut caller).await > 0);
+        connections.close();
+        assert_eq!(read_to_end(&mut caller).await, b"");
+        while connections.count() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
