Take an empty success that ends with its connection for broken off

What callers saw: 200 with an empty body, framed as whole, after a back end that frames its answers by their connection had stopped right behind the head and closed. Cause: such an end was complete if the back end runs on, which says nothing of an answer of which no byte had come. For streams it was broken off already.

A success without a length and without chunks is now broken off as long as no byte of its body has come. An empty one that is meant says so by a length of 0 or by 204. A body of which a part has come is judged as before.

--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -21,7 +21,7 @@
     NotSent,
     /// The answer was that to another request.
     SurplusAnswer,
-    /// The body ended inside an event, or before the first one.
+    /// The body ended inside an event, or before the first one or any byte.
     InsideEvent,
     /// The back end crashed when it ended an answer with its connection.
     BackEndCrashed,
--- a/crates/gateway/src/router/received_body.rs
+++ b/crates/gateway/src/router/received_body.rs
@@ -53,7 +53,7 @@
 pub(super) enum AnswerEnd {
     /// The back end marked the end.
     Complete,
-    /// A stream ended inside an event, or ended with its connection before any event.
+    /// A stream ended inside an event, or a success ended with its connection before any event or byte.
     BrokenOff,
     /// The connection ended where the answer may end: it may be complete, or its back end may have ended.
     Unmarked,
@@ -74,6 +74,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReceivedBody {
     framing: Framing,
+    is_success: bool,
     /// Set when the body is a stream of events.
     events: Option<EventScanner>,
     bytes: u64,
@@ -82,9 +83,11 @@
 impl ReceivedBody {
     /// The body of an answer to a request of this kind, before its first byte.
     pub fn new(response: &Response<Incoming>, kind: RequestKind) -> Self {
-        let is_stream = response.status().is_success() && is_event_stream(response.headers(), kind);
+        let is_success = response.status().is_success();
+        let is_stream = is_success && is_event_stream(response.headers(), kind);
         Self {
             framing: Framing::of(response),
+            is_success,
             events: is_stream.then(EventScanner::default),
             bytes: 0,
         }
@@ -138,14 +141,16 @@
     }
 
     /// What it says of the answer when the body ends here without an error of the connection. An event that lacks its
-    /// blank line is discarded by its reader, so a stream that ends inside one lacks it, however it is framed.
+    /// blank line is discarded by its reader, so a stream that ends inside one lacks it, however it is framed. A success
+    /// without a body says so by its length.
     pub fn end(&self) -> AnswerEnd {
         let is_inside_event = self.events.is_some_and(|events| events.is_inside_event());
         let lacks_events = self.events.is_some_and(|events| !events.has_event());
+        let lacks_body = self.is_success && self.bytes == 0;
         match self.framing {
             _ if is_inside_event => AnswerEnd::BrokenOff,
             Framing::Length | Framing::Chunks => AnswerEnd::Complete,
-            Framing::Connection if lacks_events => AnswerEnd::BrokenOff,
+            Framing::Connection if lacks_events || lacks_body => AnswerEnd::BrokenOff,
             Framing::Connection => AnswerEnd::Unmarked,
         }
     }
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -28,7 +28,7 @@
 /// Why an answer is broken off whose body ended without an error of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 enum BrokenOff {
-    #[error("the stream ended inside an event, or before the first one")]
+    #[error("the answer ended inside an event, or before the first one or any byte")]
     InsideEvent,
     #[error("nothing marked the end of the answer, and its back end was not seen to run on")]
     Unmarked(EndCause),
