--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -21,7 +21,7 @@
     NotSent,
     /// The answer was that to another request.
     SurplusAnswer,
-    /// The body ended inside an event, or before the first one.
+    /// The body ended inside an event, or before the first one or any byte.
     InsideEvent,
     /// The back end crashed when it ended an answer with its connection.
     BackEndCrashed,
@@ -82,7 +82,7 @@
 /// Why an answer is broken off whose body ended without an error of the connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub(super) enum BrokenOff {
-    #[error("the stream ended inside an event, or before the first one")]
+    #[error("the answer ended inside an event, or before the first one or any byte")]
     InsideEvent,
     #[error("nothing marked the end of the answer, and its back end was not seen to run on")]
     Unmarked(EndCause),
