Do not take a part of the changes for the state at its revision

By reading, no run with real processes: a router that lacks many changes is sent them in parts, in the order of their revisions as they are at the sender. A back end that changed again later is not in an earlier part. If another control machine, which lags, then confirms a revision up to which the part leads, the view counts as confirmed without that back end, and a stream of unknown origin may go on at the only version in it, though another one had joined before.

Change: a view whose last changes were a part of those that their sender had is not confirmed for take-ups of unknown origin until the rest has arrived.

Evidence: a_view_that_holds_a_part_of_the_changes_does_not_tell_that_there_is_one_version fails before (goes on) and passes.

--- a/crates/gateway-core/src/router/take_up_tests.rs
+++ b/crates/gateway-core/src/router/take_up_tests.rs
@@ -132,6 +132,29 @@
     assert_eq!(required, expected.map(software));
 }
 
+/// Guards against a back end that is in neither the earlier view nor the part that has arrived, because it changed since.
+#[test]
+fn a_view_that_holds_a_part_of_the_changes_does_not_tell_that_there_is_one_version() {
+    let mut router = router_with(back_ends(&["v1"]));
+    let mut admission = admission(&mut router);
+    let (received, confirmed, now) = (at(10), at(11), at(12));
+    let part = Changes {
+        newest: 20,
+        ..changes(10, 15, Vec::new())
+    };
+    router.apply(now, part, |_| unreachable!()).unwrap();
+    router.on_confirmed(confirmed, 15, 1);
+    let required = router.continue_stream(now, received, &mut admission, None);
+    assert_eq!(required, Err(ChoiceError::UnknownOrigin));
+    let rest = Changes {
+        newest: 20,
+        ..changes(15, 20, Vec::new())
+    };
+    router.apply(now, rest, |_| unreachable!()).unwrap();
+    let required = router.continue_stream(now, received, &mut admission, None);
+    assert_eq!(required, Ok(software("v1")));
+}
+
 #[rstest]
 #[case::known(&["v1"], Some("v1"), false)]
 #[case::undeclared(&["v1"], Some(""), true)]
--- a/crates/gateway-core/src/router/view.rs
+++ b/crates/gateway-core/src/router/view.rs
@@ -50,6 +50,9 @@
     revision: u64,
     /// See [`Position::source_revision`].
     source_revision: u64,
+    /// Whether the last changes were a part of those that their sender had. What changed again since then is in neither the
+    /// earlier state nor this part.
+    is_partial: bool,
     /// When the latest request was sent whose answer confirmed the held revision as current.
     confirmed: Option<Timestamp>,
     /// Confirmations of revisions that have not arrived yet, each with the time of its request.
@@ -89,7 +92,7 @@
 
     /// Whether this view holds all that was accepted up to `at`.
     pub fn is_confirmed_after(&self, at: Timestamp) -> bool {
-        self.confirmed.is_some_and(|asked_at| asked_at > at)
+        !self.is_partial && self.confirmed.is_some_and(|asked_at| asked_at > at)
     }
 
     pub fn document(&self) -> Option<&Document> {
@@ -194,6 +197,7 @@
         }
         self.record_weights(now, changes);
         self.revision = changes.revision;
+        self.is_partial = changes.revision < changes.newest;
         self.apply_pending_confirmations();
         Ok(())
     }
