Test a request that arrives in the turn in which a server closes its connections

What callers see: the connection of a request closes without an answer although the request has been handled, and a back end may have it.

Cause: a server without connections closes and then cuts them without a turn of the event loop in between. The task that accepts connections runs after that, may look at the listener before it looks at whether to end, and so accepts a connection that is cut as soon as its request has been read.

The test has no processes: a request is waiting at the listener when the connections are closed, nought to three turns of the event loop after it was sent, 50 times each.

--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -189,3 +189,52 @@
         }
     });
 }
+
+/// Guards against requests that are handled although their connection is closed before the answer.
+#[test]
+fn a_request_that_arrives_while_connections_are_closed_is_answered_or_not_read() {
+    run(async {
+        // What is polled first in a turn of the event loop varies.
+        for turns in (0..4).cycle().take(200) {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let params = ServerParams {
+                idle_timeout: Duration::from_secs(60),
+                max_connections: 8,
+                when_full: WhenFull::Wait,
+            };
+            let connections = Connections::new(params.max_connections);
+            let handled = Rc::new(Cell::new(0));
+            let counted = Rc::clone(&handled);
+            let answering = serve_until_closed(
+                listener,
+                params,
+                connections.clone(),
+                move |_: Request<Incoming>| {
+                    counted.set(counted.get() + 1);
+                    async {
+                        tokio::time::sleep(Duration::from_millis(2)).await;
+                        Ok(answer::plain(StatusCode::OK, ""))
+                    }
+                },
+            );
+            tokio::task::spawn_local(answering);
+            tokio::task::yield_now().await;
+            let mut caller = std::net::TcpStream::connect(address).unwrap();
+            std::io::Write::write_all(&mut caller, REQUEST).unwrap();
+            for _ in 0..turns {
+                tokio::task::yield_now().await;
+            }
+            connections.close();
+            while connections.count() > 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            connections.cut();
+            tokio::time::sleep(Duration::from_millis(5)).await;
+            let mut answer = [0; 256];
+            let received = std::io::Read::read(&mut caller, &mut answer).unwrap_or(0);
+            let is_answered = received > 0;
+            assert_eq!(handled.get() > 0, is_answered, "closed after {turns} turns");
+        }
+    });
+}
