Accept no connection after a server's connections have been told to close

A router that had drained could still take a connection from its listener's queue in the turn of the event loop in which it closed its connections.

Cause: the accepting task looked at either the listener or the notice first, by chance; a connection that was accepted after the count had been read as 0 was not waited for. The notice comes first now.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -80,8 +80,10 @@
 {
     let accepting = accept(listener, params, &connections, Rc::new(handler));
     tokio::select! {
-        () = accepting => {}
+        // A connection that is accepted later would not be waited for.
+        biased;
         () = connections.closing() => {}
+        () = accepting => {}
     }
 }
 
