Let every open request be answered before a router exits, however many there are

Callers saw their connection closed without an answer at the exit of a router, although a back end had their request: 841 and 714 of 1,360 requests that were open at the final answers (1,450 callers, a grace period of 2 s, debug build, machine loaded; two runs of two). With few requests the same happened when the event loop was late: 24 of 80 after 4 s of standing still.

The process ended 5 ms after it had told the connections to close, by the clock. Tasks that had not run since the final answers did not get to send theirs; nor could they reset the connections of callers that take an ordinary end for the end of a whole answer.

Now the process waits, for at most a second, until each of these tasks has run once more.

--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -21,6 +21,7 @@
 pub(crate) struct Connections {
     slots: Arc<Semaphore>,
     open: Rc<Cell<usize>>,
+    cut: Rc<Cell<usize>>,
     phase: Rc<watch::Sender<Phase>>,
 }
 
@@ -32,6 +33,7 @@
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
     open: Rc<Cell<usize>>,
+    cut: Rc<Cell<usize>>,
     phase: watch::Receiver<Phase>,
     _slot: Slot,
 }
@@ -42,6 +44,7 @@
         Self {
             slots: Arc::new(Semaphore::new(max_connections)),
             open: Rc::default(),
+            cut: Rc::default(),
             phase: Rc::new(watch::channel(Phase::Serving).0),
         }
     }
@@ -57,6 +60,11 @@
         self.open.get()
     }
 
+    /// How many were closed before their answers had been sent.
+    pub fn cut_count(&self) -> usize {
+        self.cut.get()
+    }
+
     /// Accepts no further ones, closes the idle ones, and the others after the answer that they wait for.
     pub fn close(&self) {
         self.enter(Phase::Closing);
@@ -100,6 +108,7 @@
         self.open.set(self.open.get() + 1);
         OpenConnection {
             open: Rc::clone(&self.open),
+            cut: Rc::clone(&self.cut),
             phase: self.phase.subscribe(),
             _slot: slot,
         }
@@ -116,6 +125,11 @@
     pub async fn cutting(&self) {
         reached(self.phase.clone(), Phase::Cutting).await;
     }
+
+    /// Counts it as closed before its answer had been sent.
+    pub fn count_cut(&self) {
+        self.cut.set(self.cut.get() + 1);
+    }
 }
 
 impl Drop for OpenConnection {
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -22,6 +22,8 @@
 const MAX_UNBOUNDED_ADMISSION_PART: f64 = 0.35;
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// How long the tasks of all connections may take to run once more after that.
+const CUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Lines about single requests at the stop signal, and again at the exit.
 const MAX_LISTED_REQUESTS: usize = 100;
 
@@ -121,13 +123,16 @@
     while since_stop() < schedule.exit && connections.count() > 0 {
         sleep(FLUSH_CHECK_INTERVAL).await;
     }
-    let unsent = connections.count();
     connections.cut();
-    sleep(FLUSH_CHECK_INTERVAL).await;
+    // Each task sends what it can before it closes its connection, and many tasks may not have run since the final answers.
+    let cut_until = since_stop() + CUT_TIMEOUT;
+    while since_stop() < cut_until && connections.count() > 0 {
+        sleep(FLUSH_CHECK_INTERVAL).await;
+    }
     tracing::info!(
         event = "stopped",
         open_requests = router.open_requests.count(),
-        cut_connections = unsent,
+        cut_connections = connections.cut_count(),
         "router: stopped serving"
     );
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -157,7 +157,10 @@
     match ended {
         Some(Ok(())) => return,
         Some(Err(error)) => current_request.log_end(peer.0, &error),
-        None => current_request.log_cut(peer.0),
+        None => {
+            open.count_cut();
+            current_request.log_cut(peer.0);
+        }
     }
     if !reads_chunks.get() {
         reset(&connection.into_parts().io.into_inner(), peer);
