--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -164,7 +164,10 @@
     match &ended {
         Some(Ok(())) => {}
         Some(Err(error)) => current_request.log_end(peer.0, error),
-        None => current_request.log_cut(peer.0),
+        None => {
+            open.count_cut();
+            current_request.log_cut(peer.0);
+        }
     }
     let stream = connection.into_parts().io.into_inner();
     match ended {
