Refuse requests that wait for the first view when their router exits

A router that had just started, had no confirmed view yet and was stopped with a grace period of 0.3 s closed the connections of the callers whose requests waited for the view: 6 of 6 got no answer. Only reading a body and looking for an answer heard the notice of the exit.

Admission hears it too. A request that another router forwarded and whose body has not arrived by then is now marked as declined, like one that is refused by its head, so that the router that forwarded it tries another one.

a_request_that_waits_for_the_first_view_at_the_exit_is_refused failed before.

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -86,7 +86,20 @@
     let received = router.clock.now();
     let id = header(request.headers(), &router.dialect.headers().request_id);
     let open = OpenRequest::new(&router, &id, received, is_forwarded);
-    let admitted = admit_when_confirmed(&router, &request, received).await;
+    let exiting = || router.exit_notices.final_answers.given();
+    let refuse = |refused: Refused| {
+        let may_be_served_elsewhere = refused.concerns_this_router();
+        let mut response = refusal::refuse(&router, &id, received, refused);
+        if is_forwarded && may_be_served_elsewhere {
+            peer_forwarding::mark_declined(&mut response);
+        }
+        response
+    };
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit_when_confirmed(&router, &request, received) => admitted,
+        () = exiting() => Err(Refused::Stopping),
+    };
     let mut response = match admitted {
         Ok((admission, prompt)) => {
             let progress = Rc::clone(&open.progress);
@@ -94,17 +107,12 @@
             tokio::select! {
                 biased;
                 call = reading => answer(&router, call?, open).await,
-                () = router.exit_notices.final_answers.given() => refusal::refuse(&router, &id, received, Refused::Stopping),
+                () = exiting() => refuse(Refused::Stopping),
             }
         }
         Err(refused) => {
             discard_body(request.into_body());
-            let may_be_served_elsewhere = refused.concerns_this_router();
-            let mut response = refusal::refuse(&router, &id, received, refused);
-            if is_forwarded && may_be_served_elsewhere {
-                peer_forwarding::mark_declined(&mut response);
-            }
-            response
+            refuse(refused)
         }
     };
     if router.stopping.get().is_some() {
