--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -148,6 +148,7 @@
         }
         connections.close();
         assert_eq!(read_to_end(&mut idle).await, b"");
+        drop(idle);
         tokio::time::sleep(Duration::from_millis(100)).await;
         assert_eq!(connections.count(), 1);
         assert!(read_to_end(&mut slow).await.len() > BYTES);
@@ -173,3 +174,71 @@
         assert!(stream.read_to_end(&mut received).await.is_err());
     });
 }
+
+/// Guards against an end that waits for callers that keep connections open after the last answer.
+#[test]
+fn a_connection_that_its_caller_leaves_open_is_closed_after_a_time() {
+    run(async {
+        let (address, connections) = server_to_close(1, Duration::ZERO).await;
+        let mut caller = connect(address).await;
+        assert!(ask(&mut caller).await > 0);
+        connections.close();
+        assert_eq!(read_to_end(&mut caller).await, b"");
+        while connections.count() > 0 {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    });
+}
+
+/// Guards against requests that are handled although their connection is closed before the answer.
+#[test]
+fn a_request_that_arrives_while_connections_are_closed_is_answered_or_not_read() {
+    run(async {
+        // What is polled first in a turn of the event loop varies.
+        for turns in (0..4).cycle().take(200) {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let address = listener.local_addr().unwrap();
+            let params = ServerParams {
+                idle_timeout: Duration::from_secs(60),
+                max_connections: 8,
+                when_full: WhenFull::Wait,
+            };
+            let connections = Connections::new(params.max_connections);
+            let handled = Rc::new(Cell::new(0));
+            let counted = Rc::clone(&handled);
+            let answering = serve_until_closed(
+                listener,
+                params,
+                connections.clone(),
+                move |_: Request<Incoming>| {
+                    counted.set(counted.get() + 1);
+                    async {
+                        tokio::time::sleep(Duration::from_millis(2)).await;
+                        Ok(answer::plain(StatusCode::OK, ""))
+                    }
+                },
+            );
+            tokio::task::spawn_local(answering);
+            tokio::task::yield_now().await;
+            let mut caller = std::net::TcpStream::connect(address).unwrap();
+            std::io::Write::write_all(&mut caller, REQUEST).unwrap();
+            let caller = std::thread::spawn(move || {
+                let mut answer = [0; 256];
+                std::io::Read::read(&mut caller, &mut answer).is_ok_and(|bytes| bytes > 0)
+            });
+            for _ in 0..turns {
+                tokio::task::yield_now().await;
+            }
+            connections.close();
+            while connections.count() > 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            connections.cut();
+            while !caller.is_finished() {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+            let is_answered = caller.join().unwrap();
+            assert_eq!(handled.get() > 0, is_answered, "closed after {turns} turns");
+        }
+    });
+}
