Stop of a router in named steps, with the final answers always announced

The function had grown with the fixes: waiting for a moment or a condition stands once now. The notice of the final answers was left out when no request was open; one that arrives on a connection which is being closed would have waited for nothing. No test shows that, since such a request is refused by its time limit in all but a race. requests_open_at_exit and control_stops pass.

--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use drumshore_core::Timestamp;
 use tokio::time::sleep;
 
 use super::Router;
@@ -22,7 +23,7 @@
 const MAX_UNBOUNDED_ADMISSION_PART: f64 = 0.35;
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
-/// How long the tasks of all connections may take to run once more after that.
+/// How long the tasks of all connections may take to run once more when these are cut.
 const CUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Lines about single requests at the stop signal, and again at the exit.
 const MAX_LISTED_REQUESTS: usize = 100;
@@ -82,53 +83,71 @@
     }
 }
 
+/// A stop in progress.
+struct Stop<'a> {
+    router: &'a Router,
+    started: Timestamp,
+}
+
+impl Stop<'_> {
+    fn elapsed(&self) -> Duration {
+        self.router.clock.now().since(self.started)
+    }
+
+    /// Whether no caller can come by a cached directory answer, and no request is open.
+    fn is_drained(&self) -> bool {
+        let is_unlisted = self.elapsed() >= self.router.settings.directory_max_age;
+        is_unlisted && self.router.open_requests.count() == 0
+    }
+
+    fn are_connections_closed(&self) -> bool {
+        self.router.caller_connections.count() == 0
+    }
+
+    /// Waits until `limit` after the stop signal, or until `is_done`.
+    async fn wait(&self, limit: Duration, interval: Duration, is_done: impl Fn(&Self) -> bool) {
+        while !is_done(self) {
+            let remaining = limit.saturating_sub(self.elapsed());
+            if remaining.is_zero() {
+                return;
+            }
+            sleep(remaining.min(interval)).await;
+        }
+    }
+}
+
 /// Stops the router. The directory no longer lists it, and each answer closes its connection, so that callers move to
 /// other routers. Once cached directory answers have expired and no request is open, the connections are closed, and the
 /// process ends when all has been sent on them. When the grace period is nearly over, requests that are still open get a
 /// final answer.
 pub(super) async fn stop(router: &Rc<Router>) {
     let schedule = StopSchedule::of(router.settings.grace);
-    let stop_started = router.clock.now();
-    router.stopping.set(Some(stop_started));
+    let stop = Stop {
+        router,
+        started: router.clock.now(),
+    };
+    router.stopping.set(Some(stop.started));
     router.status_changed.notify_waiters();
-    tracing::info!(
-        event = "stopping",
-        open_requests = router.open_requests.count(),
-        "router: received a stop signal; draining open requests"
-    );
-    router
-        .open_requests
-        .report(stop_started, MAX_LISTED_REQUESTS, "stopping");
-    let since_stop = || router.clock.now().since(stop_started);
-    let is_drained =
-        || since_stop() >= router.settings.directory_max_age && router.open_requests.count() == 0;
-    while since_stop() < schedule.final_answers && !is_drained() {
-        let remaining = schedule.final_answers.saturating_sub(since_stop());
-        sleep(remaining.min(STOP_CHECK_INTERVAL)).await;
-    }
-    let connections = &router.caller_connections;
+    log_stopping(&stop);
+    let (connections, notices) = (&router.caller_connections, &router.exit_notices);
+    let (closed, interval) = (Stop::are_connections_closed, FLUSH_CHECK_INTERVAL);
+    let drained = Stop::is_drained;
+    stop.wait(schedule.final_answers, STOP_CHECK_INTERVAL, drained)
+        .await;
     connections.close();
     // A request that arrived while its connection was being closed is answered like the others.
-    while since_stop() < schedule.final_answers && connections.count() > 0 {
-        sleep(FLUSH_CHECK_INTERVAL).await;
-    }
+    stop.wait(schedule.final_answers, interval, closed).await;
     if router.open_requests.count() > 0 {
         log_open_requests(router);
-        router.exit_notices.final_answers.give();
-    }
-    while since_stop() < schedule.cuts && connections.count() > 0 {
-        sleep(FLUSH_CHECK_INTERVAL).await;
-    }
-    router.exit_notices.cuts.give();
-    while since_stop() < schedule.exit && connections.count() > 0 {
-        sleep(FLUSH_CHECK_INTERVAL).await;
     }
+    notices.final_answers.give();
+    stop.wait(schedule.cuts, interval, closed).await;
+    notices.cuts.give();
+    stop.wait(schedule.exit, interval, closed).await;
     connections.cut();
     // Each task sends what it can before it closes its connection, and many tasks may not have run since the final answers.
-    let cut_until = since_stop() + CUT_TIMEOUT;
-    while since_stop() < cut_until && connections.count() > 0 {
-        sleep(FLUSH_CHECK_INTERVAL).await;
-    }
+    let all_have_run = stop.elapsed() + CUT_TIMEOUT;
+    stop.wait(all_have_run, interval, closed).await;
     tracing::info!(
         event = "stopped",
         open_requests = router.open_requests.count(),
@@ -137,6 +156,16 @@
     );
 }
 
+fn log_stopping(stop: &Stop<'_>) {
+    let open = &stop.router.open_requests;
+    tracing::info!(
+        event = "stopping",
+        open_requests = open.count(),
+        "router: received a stop signal; draining open requests"
+    );
+    open.report(stop.started, MAX_LISTED_REQUESTS, "stopping");
+}
+
 /// Logs and counts the requests that are open when the time to stop is over.
 fn log_open_requests(router: &Router) {
     let now = router.clock.now();
