Bound the bytes of requests that a router holds

Seen by callers: a router that many clients send large bodies to runs out of memory and ends, and with it all requests that it serves. Clients that stop just short of the end keep what they sent in memory until the time limit of their route.

Cause: each request collected its body by itself, up to the limit of one body, so nothing limited all of them together. What was collected were slices of the connection's read buffer: a chunk of one byte kept up to 8 KiB alive, and the parts were copied once more when the body was complete.

Change: one account of bytes for all bodies of a process, a fifth of the memory that the settings name (`limits.memory_mb`). Bytes are charged as they arrive, in segments of a fixed size whose charge doesn't depend on how the body was cut, until the last attempt that holds the body has ended. Attempts, peers and the fingerprint read the segments; no copy is made. Nothing is reserved for an announced length. When the account is full, the body that has been without progress for longest gives way (408); if all progress, the request whose bytes find no room is refused (503 with Retry-After, its connection is closed). Both promise that it has not run, which is true: no back end is chosen before its body is complete. A quarter of the account is for bodies up to 64 KiB, and one body of the longest length always fits.

Ruled out: reserving announced lengths (few clients that send nothing shut out all others); a reader that pauses (the bytes stay in the kernel and count for the machine); one growing buffer a body (doubles, and copies in the heap).

--- a/crates/gateway-core/src/fingerprint.rs
+++ b/crates/gateway-core/src/fingerprint.rs
@@ -49,8 +49,8 @@
     pub target: &'a str,
     /// The tenant, or empty on a route that needs none. Requests of different tenants never share a fingerprint.
     pub tenant: &'a str,
-    /// The whole body.
-    pub body: &'a [u8],
+    /// The whole body, in parts. Where it is cut makes no difference.
+    pub body: &'a [&'a [u8]],
 }
 
 /// What a fingerprint identifies.
@@ -108,31 +108,45 @@
     /// Computes the fingerprint of a request.
     pub fn identify(&self, input: &FingerprintInput<'_>) -> Fingerprint {
         let fields = [input.method, input.host, input.target, input.tenant];
-        self.hash(fields.map(str::as_bytes).into_iter().chain([input.body]))
+        let mut hash = self.hash();
+        for field in fields {
+            add_field(&mut hash, &[field.as_bytes()]);
+        }
+        add_field(&mut hash, input.body);
+        fingerprint(hash)
     }
 
     /// Computes the fingerprint of a prompt part with this identifier.
     pub fn identify_part(&self, part: &str) -> Fingerprint {
-        let Fingerprint(mut bytes) = self.hash([part.as_bytes()]);
+        let mut hash = self.hash();
+        add_field(&mut hash, &[part.as_bytes()]);
+        let Fingerprint(mut bytes) = fingerprint(hash);
         let suffix = FINGERPRINT_BYTES - PROMPT_PART_SUFFIX.len();
         bytes[suffix..].copy_from_slice(&PROMPT_PART_SUFFIX);
         Fingerprint(bytes)
     }
 
-    fn hash<'a>(&self, fields: impl IntoIterator<Item = &'a [u8]>) -> Fingerprint {
-        let mut mac = <Hmac<Sha256> as Mac>::new_from_slice(&self.0).expect("any key length fits");
-        for field in fields {
-            // Each field is preceded by its length, so that bytes moved from one field to the next change the hash.
-            mac.update(&(field.len() as u64).to_le_bytes());
-            mac.update(field);
-        }
-        let digest = mac.finalize().into_bytes();
-        let mut bytes = [0; FINGERPRINT_BYTES];
-        bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
-        Fingerprint(bytes)
+    fn hash(&self) -> Hmac<Sha256> {
+        <Hmac<Sha256> as Mac>::new_from_slice(&self.0).expect("any key length fits")
     }
 }
 
+/// Adds a field after its length, so that bytes moved from one field to the next change the hash.
+fn add_field(hash: &mut Hmac<Sha256>, parts: &[&[u8]]) {
+    let length: usize = parts.iter().map(|part| part.len()).sum();
+    hash.update(&(length as u64).to_le_bytes());
+    for part in parts {
+        hash.update(part);
+    }
+}
+
+fn fingerprint(hash: Hmac<Sha256>) -> Fingerprint {
+    let digest = hash.finalize().into_bytes();
+    let mut bytes = [0; FINGERPRINT_BYTES];
+    bytes.copy_from_slice(&digest[..FINGERPRINT_BYTES]);
+    Fingerprint(bytes)
+}
+
 impl Fingerprint {
     /// What the fingerprint identifies.
     pub fn scope(self) -> FingerprintScope {
--- a/crates/gateway-core/src/fingerprint_tests.rs
+++ b/crates/gateway-core/src/fingerprint_tests.rs
@@ -9,7 +9,7 @@
     host: "a.example",
     target: "/x/one?part=2",
     tenant: "t1",
-    body: b"the body",
+    body: &[b"the body"],
 };
 
 #[test]
@@ -23,13 +23,26 @@
 #[case::host(FingerprintInput { host: "b.example", ..INPUT })]
 #[case::target(FingerprintInput { target: "/x/one?part=3", ..INPUT })]
 #[case::caller(FingerprintInput { tenant: "t2", ..INPUT })]
-#[case::body(FingerprintInput { body: b"another body", ..INPUT })]
+#[case::body(FingerprintInput { body: &[b"another body"], ..INPUT })]
 #[case::moved_border(FingerprintInput { target: "/x/one?part=2t", tenant: "1", ..INPUT })]
 fn a_difference_in_any_field_changes_the_fingerprint(#[case] other: FingerprintInput<'_>) {
     let key = FingerprintKey::generate(7);
     assert_ne!(key.identify(&INPUT), key.identify(&other));
 }
 
+#[rstest]
+#[case::single_bytes(1)]
+#[case::three_parts(3)]
+fn the_cut_of_a_body_does_not_change_the_fingerprint(#[case] cut: usize) {
+    let key = FingerprintKey::generate(7);
+    let body: Vec<&[u8]> = b"the body".chunks(cut).collect();
+    let cut = FingerprintInput {
+        body: &body,
+        ..INPUT
+    };
+    assert_eq!(key.identify(&INPUT), key.identify(&cut));
+}
+
 #[test]
 fn another_key_gives_another_fingerprint() {
     assert_ne!(
@@ -76,7 +89,7 @@
         let start = std::time::Instant::now();
         for _ in 0..ROUNDS {
             std::hint::black_box(key.identify(&FingerprintInput {
-                body: &body,
+                body: &[&body],
                 ..INPUT
             }));
         }
@@ -106,7 +119,7 @@
     let other = FingerprintInput {
         tenant: "t2",
         host: "b.example",
-        body: b"another body",
+        body: &[b"another body"],
         ..INPUT
     };
     let other = RequestFingerprints::new(&key, &other, Some(&prompt(&["b", "d"])));
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -18,7 +18,7 @@
 fn fingerprint(number: u32) -> Fingerprint {
     let body = number.to_le_bytes();
     FingerprintKey::generate(1).identify(&FingerprintInput {
-        body: &body,
+        body: &[&body],
         ..FingerprintInput::default()
     })
 }
--- a/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/tests/suspected_fingerprints.rs
@@ -8,7 +8,7 @@
 
 fn fingerprint(body: &str) -> Fingerprint {
     FingerprintKey::generate(1).identify(&FingerprintInput {
-        body: body.as_bytes(),
+        body: &[body.as_bytes()],
         ..FingerprintInput::default()
     })
 }
--- a/crates/gateway-core/tests/control/quarantine.rs
+++ b/crates/gateway-core/tests/control/quarantine.rs
@@ -16,7 +16,7 @@
 
 fn fingerprint(number: u8) -> Fingerprint {
     FingerprintKey::generate(1).identify(&FingerprintInput {
-        body: &[number],
+        body: &[&[number]],
         ..FingerprintInput::default()
     })
 }
@@ -402,7 +402,7 @@
     let leader = cluster.leader().unwrap();
     let fingerprints = (0..10_000_u32).map(|number| {
         FingerprintKey::generate(2).identify(&FingerprintInput {
-            body: &number.to_le_bytes(),
+            body: &[&number.to_le_bytes()],
             ..FingerprintInput::default()
         })
     });
@@ -449,7 +449,7 @@
     let leader = cluster.leader().unwrap();
     for number in 0..1_100_u32 {
         let fingerprint = FingerprintKey::generate(3).identify(&FingerprintInput {
-            body: &number.to_le_bytes(),
+            body: &[&number.to_le_bytes()],
             ..FingerprintInput::default()
         });
         cluster.submit(leader, Command::Quarantine { fingerprint });
--- a/crates/gateway-core/tests/prompt_part_quarantine.rs
+++ b/crates/gateway-core/tests/prompt_part_quarantine.rs
@@ -203,7 +203,7 @@
     fn fingerprints(&self, parts: &[String]) -> RequestFingerprints {
         let body = parts.join(",");
         let input = FingerprintInput {
-            body: body.as_bytes(),
+            body: &[body.as_bytes()],
             ..FingerprintInput::default()
         };
         RequestFingerprints::new(&self.key, &input, Some(&prompt(parts)))
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -8,13 +8,14 @@
 use bytes::Bytes;
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{BackEndReport, InstanceId, Order, OrderOutcome, RequestRate};
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_TYPE, HOST};
 use hyper::{Request, StatusCode};
 use tokio::time::timeout;
 
 use super::Control;
 use crate::dialect::OutboundCall;
+use crate::request_body::{OutboundBody, RequestBody};
 use crate::sockets;
 use crate::unknown_names::UnknownNames;
 use crate::upstream::{SendError, Upstreams};
@@ -181,9 +182,9 @@
     expected: Option<&InstanceId>,
     address: &str,
     call: OutboundCall,
-) -> Option<Request<Full<Bytes>>> {
+) -> Option<Request<OutboundBody>> {
     let has_body = !call.body.is_empty();
-    let mut request = Request::new(Full::new(call.body));
+    let mut request = Request::new(RequestBody::from(call.body).to_outbound());
     *request.method_mut() = call.method;
     *request.uri_mut() = call.path.parse().ok()?;
     let headers = request.headers_mut();
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
 mod answer;
+mod body_reception;
 mod caller_connections;
 mod clock;
 mod connection_errors;
@@ -17,8 +18,11 @@
 mod head_limits;
 mod link;
 pub mod logs;
+mod memory_account;
+mod memory_shares;
 mod metrics;
 mod open_connections;
+mod request_body;
 mod router;
 mod server;
 mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -18,6 +18,7 @@
 
 use crate::answer::{self, AnswerBody};
 
+mod clients;
 mod counters;
 mod crashes;
 mod event_loop;
@@ -25,6 +26,7 @@
 mod streams;
 mod tenant_demands;
 
+pub(crate) use clients::ClientMetrics;
 pub(crate) use counters::Counters;
 pub(crate) use crashes::CrashMetrics;
 pub(crate) use event_loop::EventLoopMetrics;
@@ -105,6 +107,8 @@
     pub event_loop: EventLoopMetrics,
     /// Requests that are open, also when the process stops.
     pub stop: StopMetrics,
+    /// What is held for clients.
+    pub clients: ClientMetrics,
     /// Units of the limits of tenants, admitted and refused.
     limit_units: Family<TenantLabel, Counter>,
     /// Tenants with their own counters.
@@ -153,6 +157,7 @@
         let crashes = CrashMetrics::default();
         let event_loop = EventLoopMetrics::default();
         let stop = StopMetrics::default();
+        let clients = ClientMetrics::default();
         let limit_units = Family::default();
         let broken_back_ends = Family::default();
         let probed_back_ends = Family::default();
@@ -197,6 +202,7 @@
         crashes.register(&mut registry);
         event_loop.register(&mut registry);
         stop.register(&mut registry);
+        clients.register(&mut registry);
         registry.register(
             "limit_units",
             "Units of tenants' limits",
@@ -274,6 +280,7 @@
             crashes,
             event_loop,
             stop,
+            clients,
             limit_units,
             labelled_tenants: RefCell::default(),
             broken_back_ends,
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{Choice, Outcome, RequestKind, SoftwareVersion};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
@@ -23,6 +23,7 @@
 use super::resume::HandOver;
 use super::silence::Watch;
 use super::Router;
+use crate::request_body::OutboundBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
 
@@ -287,9 +288,9 @@
     call: &Call,
     choice: &Choice,
     remaining: Duration,
-) -> Request<Full<Bytes>> {
+) -> Request<OutboundBody> {
     let names = router.dialect.headers();
-    let mut request = Request::new(Full::new(call.body.clone()));
+    let mut request = Request::new(call.body.to_outbound());
     *request.method_mut() = call.parts.method.clone();
     let target = call.parts.uri.path_and_query().cloned();
     *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
     Admission, Choice, ChoiceError, FingerprintInput, InstanceId, Prompt, RequestFingerprints,
@@ -28,6 +27,8 @@
 use super::take_up::{self, TakeUp};
 use super::Router;
 use crate::answer::AnswerBody;
+use crate::body_reception::{BodyError, BodyLimits};
+use crate::request_body::RequestBody;
 use crate::server::NoAnswer;
 
 /// Limit of all attempts, including those that reached no back end and so do not count towards the route's limit.
@@ -48,7 +49,7 @@
     pub admission: Admission,
     pub prompt: Option<Prompt>,
     pub parts: Parts,
-    pub body: Bytes,
+    pub body: RequestBody,
     /// The request's fingerprints; none before the key for fingerprints is known.
     pub fingerprints: RequestFingerprints,
     /// Whether another router forwarded it.
@@ -106,7 +107,10 @@
             let reading = read_call(&router, id.clone(), progress, admission, prompt, request);
             tokio::select! {
                 biased;
-                call = reading => answer(&router, call?, open).await,
+                call = reading => match call {
+                    Ok(call) => answer(&router, call, open).await,
+                    Err(error) => refuse_unread(error, &refuse)?,
+                },
                 () = exiting() => refuse(Refused::Stopping),
             }
         }
@@ -122,6 +126,22 @@
     Ok(response)
 }
 
+/// Refuses a request whose body was not received; its connection is closed, because the rest may still come.
+fn refuse_unread(
+    error: BodyError,
+    refuse: impl Fn(Refused) -> Response<AnswerBody>,
+) -> Result<Response<AnswerBody>, NoAnswer> {
+    let refused = match error {
+        BodyError::NoMemory => Refused::NoMemory,
+        BodyError::Stalled => Refused::BodyStalled,
+        BodyError::TooLarge | BodyError::TimedOut | BodyError::Broken => return Err(NoAnswer),
+    };
+    let mut response = refuse(refused);
+    let close = HeaderValue::from_static("close");
+    response.headers_mut().insert(CONNECTION, close);
+    Ok(response)
+}
+
 /// Reads and discards the body of a request that was refused by its head. The caller may still be sending it; a
 /// connection with an unread body is closed, and the caller's next request on it would get no answer.
 fn discard_body(body: Incoming) {
@@ -129,8 +149,9 @@
         return;
     }
     tokio::task::spawn_local(async move {
-        let reading = Limited::new(body, MAX_UNREAD_BYTES).collect();
-        let _ = timeout(UNREAD_BODY_TIMEOUT, reading).await;
+        let mut body = Limited::new(body, MAX_UNREAD_BYTES);
+        let discarding = async { while let Some(Ok(_)) = body.frame().await {} };
+        let _ = timeout(UNREAD_BODY_TIMEOUT, discarding).await;
     });
 }
 
@@ -141,7 +162,7 @@
     admission: Admission,
     prompt: Option<Prompt>,
     request: Request<Incoming>,
-) -> Result<Call, NoAnswer> {
+) -> Result<Call, BodyError> {
     let received = progress.received;
     let limits = TimeLimits::of(router, request.headers(), &admission);
     let max_body_bytes = router
@@ -152,15 +173,12 @@
     let is_forwarded = peer_forwarding::is_forwarded(request.headers());
     let take_up = TakeUp::of(request.headers(), router.dialect.headers());
     let (parts, body) = request.into_parts();
-    let body = if body.is_end_stream() {
-        Bytes::new()
-    } else {
-        let reading = Limited::new(body, max_body_bytes).collect();
-        let read = timeout(limits.answer, reading)
-            .await
-            .map_err(|_| NoAnswer)?;
-        read.map_err(|_| NoAnswer)?.to_bytes()
+    let body_limits = BodyLimits {
+        bytes: max_body_bytes,
+        time: limits.answer,
     };
+    let body = router.receptions.receive(body, body_limits).await;
+    let body = body.inspect_err(|error| log_unread(router, &id, &progress, error))?;
     let deadline = received.plus(limits.answer);
     progress.on_received(deadline);
     router.log_admission_while_stopping(&id, admission.route.name.as_str(), limits.answer);
@@ -185,11 +203,20 @@
     })
 }
 
+fn log_unread(router: &Router, id: &str, progress: &Progress, error: &BodyError) {
+    let account = router.receptions.account();
+    router.metrics.clients.count_rejected(error.as_str());
+    tracing::info!(event = "body_unread", %id, reason = error.as_str(),
+        held_bytes = account.held(), max_held_bytes = account.limit(),
+        elapsed_ms = router.clock.now().since(progress.received).as_millis() as u64,
+        "router: the body of a request was not received");
+}
+
 fn fingerprints_of(
     router: &Router,
     parts: &Parts,
     admission: &Admission,
-    body: &Bytes,
+    body: &RequestBody,
     prompt: Option<&Prompt>,
 ) -> RequestFingerprints {
     let target = parts.uri.path_and_query();
@@ -199,7 +226,7 @@
         host: &admission.route.host,
         target: target.map_or("", |target| target.as_str()),
         tenant: tenant.map_or("", |tenant| tenant.name.as_str()),
-        body,
+        body: &body.parts(),
     };
     router.core.borrow().identify(&input, prompt)
 }
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -47,9 +47,12 @@
 use tokio::sync::{watch, Notify};
 
 use crate::answer::{self, AnswerBody};
+use crate::body_reception::Receptions;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
+use crate::memory_account::MemoryAccount;
+use crate::memory_shares;
 use crate::metrics::Metrics;
 use crate::open_connections::Connections;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
@@ -93,6 +96,8 @@
     stopping: Cell<Option<Timestamp>>,
     exit_notices: ExitNotices,
     open_requests: OpenRequests,
+    /// The bodies of requests that are being received.
+    receptions: Rc<Receptions>,
     peers: Peers,
     /// Notifies waiting requests that the path to the back ends of a pool was lost.
     path_lost: Notify,
@@ -126,16 +131,20 @@
     let mut signals = Signals::new()?;
     let clock = Clock::start();
     let seed = rand::rng().random();
+    let metrics = Metrics::new();
+    let max_client_bytes = memory_shares::client_bytes(settings.memory_bytes);
+    let receptions = Receptions::new(MemoryAccount::new(max_client_bytes, &metrics.clients));
     let router = Rc::new(Router {
         core: RefCell::new(RouterCore::new(settings.params.clone(), seed)),
         dialect,
         upstreams: Upstreams::new(clock),
         clock,
-        metrics: Metrics::new(),
+        metrics,
         event_loop_delay: Rc::new(EventLoopDelay::new()),
         stopping: Cell::new(None),
         exit_notices: ExitNotices::default(),
         open_requests: OpenRequests::default(),
+        receptions,
         peers: Peers::default(),
         path_lost: Notify::new(),
         status_changed: Notify::new(),
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -13,7 +13,6 @@
 use bytes::Bytes;
 use drumshore_core::Execution;
 use drumshore_gateway_core::InstanceId;
-use http_body_util::Full;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH};
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
@@ -26,6 +25,7 @@
 use super::received_body::Framing;
 use super::{answer_head, headers, notices, Router};
 use crate::answer::AnswerBody;
+use crate::request_body::OutboundBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
 
@@ -150,8 +150,8 @@
     Framing::of(response) != Framing::Connection && (is_failure || is_from_back_end())
 }
 
-fn outbound(router: &Router, call: &Call, remaining: Duration) -> Request<Full<Bytes>> {
-    let mut request = Request::new(Full::new(call.body.clone()));
+fn outbound(router: &Router, call: &Call, remaining: Duration) -> Request<OutboundBody> {
+    let mut request = Request::new(call.body.to_outbound());
     *request.method_mut() = call.parts.method.clone();
     let target = call.parts.uri.path_and_query().cloned();
     *request.uri_mut() = target.map_or_else(Uri::default, Uri::from);
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -50,13 +50,18 @@
     Stopping,
     /// Other routers have forwarded as many requests as this one serves for them.
     TooManyForwarded,
+    /// This process holds as many bytes of requests as it may.
+    NoMemory,
+    /// The body made no progress while others needed its place.
+    BodyStalled,
 }
 
 impl Refused {
     /// Whether another router may serve the request.
     pub fn concerns_this_router(&self) -> bool {
         match self {
-            Self::Stopping | Self::TooManyForwarded => true,
+            Self::Stopping | Self::TooManyForwarded | Self::NoMemory => true,
+            Self::BodyStalled => false,
             Self::ByView(refusal) => {
                 matches!(refusal, Refusal::NoConfiguration | Refusal::Unconfirmed)
             }
@@ -205,6 +210,8 @@
         }
         Refused::Stopping => (unavailable, Some(RETRY_AT_ANOTHER_ROUTER), "stopping"),
         Refused::TooManyForwarded => (unavailable, Some(RETRY_SOON), "too_many_forwarded"),
+        Refused::NoMemory => (unavailable, Some(RETRY_SOON), "no_memory"),
+        Refused::BodyStalled => (StatusCode::REQUEST_TIMEOUT, None, "body_stalled"),
     };
     let now = router.clock.now();
     router.metrics.count_request(reason, now.since(received));
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,8 @@
     pub internal_port: u16,
     /// Returns the addresses of some control machines.
     pub seeds: SeedSource,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: u64,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
     /// The longest time for which any caller uses a cached directory answer.
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -7,10 +7,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::InstanceId;
-use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{Request, Response};
@@ -24,6 +22,7 @@
 use crate::connection_errors::ConnectionError;
 use crate::dead_peer_timeout::{AdjustableStream, DeadPeerTimeout};
 use crate::head_limits::{HeadExcess, HeadLimit, Heads, LimitedStream};
+use crate::request_body::OutboundBody;
 use crate::sockets;
 
 /// How long opening a connection may take.
@@ -84,7 +83,7 @@
 /// A connection to a back end; closed when dropped.
 #[derive(Debug)]
 pub(crate) struct Connection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<OutboundBody>,
     heads: Heads,
     dead_peer_timeout: DeadPeerTimeout,
     task: AbortHandle,
@@ -108,7 +107,7 @@
     /// `dead_peer_timeout`, until the next request.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<OutboundBody>,
         dead_peer_timeout: Duration,
     ) -> Result<Response<Incoming>, SendError> {
         self.dead_peer_timeout.set(dead_peer_timeout);
