Let connections without progress give way while all slots are in use

Seen by callers: while 1,500 clients hold a connection to a router each, silent or just short of the end of a request, no new connection is served until their time is over: 16 s without a request, the time limit of the route (30 s and more) in a body.

Cause: a server accepts no connection while all slots are in use, whatever their clients do with them.

Change: each connection records what its client does. A connection that is accepted while no slot is free gets the slot of the client that has been without progress for longest, for a second at least: a head or a body that is not finished, then, if there is none, a connection that has been idle for 3 s after an answer. A request whose body has arrived gives way to none. The listeners of control machines, which closed what came when they were full, and those for readiness and metrics do the same. While all slots are in use, a closed connection lingers for 20 ms only.

The unit tests with one slot hang on the code before.

--- a/crates/gateway/src/body_reception.rs
+++ b/crates/gateway/src/body_reception.rs
@@ -16,6 +16,7 @@
 use tokio::time::{timeout, Instant};
 
 use crate::memory_account::{Charge, MemoryAccount};
+use crate::metrics::ClientMetrics;
 use crate::request_body::{self, BodyBuffer, RequestBody};
 
 /// A client that sends less than [`PROGRESS_BYTES`] in this time may have to give way to others.
@@ -110,15 +111,17 @@
 #[derive(Debug)]
 pub(crate) struct Receptions {
     account: Rc<MemoryAccount>,
+    metrics: ClientMetrics,
     open: RefCell<BTreeMap<u64, Rc<Reception>>>,
     next: Cell<u64>,
 }
 
 impl Receptions {
-    /// Bodies are charged to this account.
-    pub fn new(account: Rc<MemoryAccount>) -> Rc<Self> {
+    /// Bodies of clients may take so many bytes.
+    pub fn new(max_bytes: usize, metrics: &ClientMetrics) -> Rc<Self> {
         Rc::new(Self {
-            account,
+            account: MemoryAccount::new(max_bytes, metrics),
+            metrics: metrics.clone(),
             open: RefCell::default(),
             next: Cell::new(0),
         })
@@ -129,6 +132,11 @@
         &self.account
     }
 
+    /// Counts a request or connection that exceeded a limit or gave way to others.
+    pub fn count_rejected(&self, reason: &'static str) {
+        self.metrics.count_rejected(reason);
+    }
+
     /// Receives a body.
     pub async fn receive<B>(&self, body: B, limits: BodyLimits) -> Result<RequestBody, BodyError>
     where
--- a/crates/gateway/src/body_reception_tests.rs
+++ b/crates/gateway/src/body_reception_tests.rs
@@ -10,7 +10,6 @@
 use tokio::task::{JoinHandle, LocalSet};
 
 use super::*;
-use crate::metrics::ClientMetrics;
 
 const LIMITS: BodyLimits = BodyLimits {
     bytes: 256 << 10,
@@ -75,7 +74,8 @@
 
     async fn end(self) -> Result<usize, BodyError> {
         drop(self.pieces);
-        Ok(self.received.await.unwrap()?.length())
+        let body = self.received.await.unwrap()?;
+        Ok(body.to_contiguous().len())
     }
 }
 
@@ -90,7 +90,7 @@
 
 /// Room for one body of the longest length, and a third of that beside it.
 fn smallest() -> Rc<Receptions> {
-    Receptions::new(MemoryAccount::new(0, &ClientMetrics::default()))
+    Receptions::new(0, &ClientMetrics::default())
 }
 
 fn run(test: impl std::future::Future<Output = ()>) {
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -16,10 +16,14 @@
 
 use crate::answer::AnswerBody;
 use crate::connection_errors::ConnectionError;
+use crate::open_connections::Activity;
 
 /// The request that is being answered on a connection, if any.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct CurrentRequest(Rc<RefCell<Option<Request>>>);
+#[derive(Clone, Debug)]
+pub(crate) struct CurrentRequest {
+    request: Rc<RefCell<Option<Request>>>,
+    activity: Rc<Activity>,
+}
 
 #[derive(Debug)]
 struct Request {
@@ -44,17 +48,27 @@
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        *self.0 .0.borrow_mut() = None;
+        *self.0.request.borrow_mut() = None;
+        self.0.activity.on_answered();
     }
 }
 
 impl CurrentRequest {
+    /// Of a connection without a request.
+    pub fn new(activity: Rc<Activity>) -> Self {
+        Self {
+            request: Rc::default(),
+            activity,
+        }
+    }
+
     /// Waits for the answer to a request, and takes the request as current until the body of the answer is dropped.
     pub async fn track<E>(
         self,
         answer: impl Future<Output = Result<Response<AnswerBody>, E>>,
     ) -> Result<Response<TrackedBody>, E> {
-        *self.0.borrow_mut() = Some(Request {
+        self.activity.on_request();
+        *self.request.borrow_mut() = Some(Request {
             since: Instant::now(),
             answer: None,
         });
@@ -69,7 +83,7 @@
 
     fn begin_answer(&self, body: &AnswerBody) {
         let id = body.request_id().map(str::to_owned);
-        if let Some(request) = self.0.borrow_mut().as_mut() {
+        if let Some(request) = self.request.borrow_mut().as_mut() {
             request.answer = Some(Answer { id });
         }
     }
@@ -100,7 +114,7 @@
         error: &dyn Display,
         is_logged: impl FnOnce(&Request) -> bool,
     ) {
-        let request = self.0.borrow();
+        let request = self.request.borrow();
         let Some(request) = request.as_ref().filter(|request| is_logged(request)) else {
             return;
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 mod answer;
 mod body_reception;
 mod caller_connections;
+mod caller_stream;
 mod clock;
 mod connection_errors;
 mod control;
--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -1,10 +1,24 @@
 //! The open connections of a server: limited in number, and closed in order before the process exits.
+//!
+//! While all slots are in use, connections whose clients send nothing give way to new ones: first those with an unfinished
+//! request, then those that are idle after an answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::{timeout, Instant};
+
+use crate::body_reception::{Receptions, STALL_TIMEOUT};
+
+/// How long a connection that gave way may take to free its slot before another one gives way as well.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
+/// A connection that is idle after an answer gives way after this time. Its client may be about to use it again.
+const IDLE_EVICTION_DELAY: Duration = Duration::from_secs(3);
 
 /// What happens to the connections of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -19,10 +33,87 @@
 /// The connections of a server.
 #[derive(Clone, Debug)]
 pub(crate) struct Connections {
+    max: usize,
     slots: Arc<Semaphore>,
-    open: Rc<Cell<usize>>,
+    open: Rc<RefCell<BTreeMap<u64, Rc<Activity>>>>,
+    next: Rc<Cell<u64>>,
     cut: Rc<Cell<usize>>,
     phase: Rc<watch::Sender<Phase>>,
+    /// The bodies that are being received on these connections.
+    receptions: Option<Rc<Receptions>>,
+}
+
+/// What the client of a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClientState {
+    /// It has not finished the head of its first request.
+    FirstHead,
+    /// All its requests have been answered.
+    Idle,
+    /// It has begun the head of a further request.
+    FurtherHead,
+    /// Its request is being received or answered.
+    Request,
+}
+
+/// The state of one connection; shared by its reader, its requests and the limit on connections.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    state: Cell<ClientState>,
+    since: Cell<Instant>,
+    evicted: Notify,
+}
+
+impl Default for Activity {
+    fn default() -> Self {
+        Self {
+            state: Cell::new(ClientState::FirstHead),
+            since: Cell::new(Instant::now()),
+            evicted: Notify::new(),
+        }
+    }
+}
+
+impl Activity {
+    fn enter(&self, state: ClientState) {
+        self.state.set(state);
+        self.since.set(Instant::now());
+    }
+
+    /// Bytes have arrived.
+    pub fn on_read(&self) {
+        if self.state.get() == ClientState::Idle {
+            self.enter(ClientState::FurtherHead);
+        }
+    }
+
+    /// The head of a request is complete.
+    pub fn on_request(&self) {
+        self.enter(ClientState::Request);
+    }
+
+    /// The answer has ended.
+    pub fn on_answered(&self) {
+        self.enter(ClientState::Idle);
+    }
+
+    /// Completes when the connection has to give way to another one.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    fn has_stalled_head(&self) -> bool {
+        let is_head = matches!(
+            self.state.get(),
+            ClientState::FirstHead | ClientState::FurtherHead
+        );
+        is_head && self.since.get().elapsed() >= STALL_TIMEOUT
+    }
+
+    fn is_idle(&self) -> bool {
+        let is_idle = self.state.get() == ClientState::Idle;
+        is_idle && self.since.get().elapsed() >= IDLE_EVICTION_DELAY
+    }
 }
 
 /// A slot for one connection.
@@ -32,8 +123,9 @@
 /// Counts a connection as open.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
-    open: Rc<Cell<usize>>,
-    cut: Rc<Cell<usize>>,
+    connections: Connections,
+    number: u64,
+    activity: Rc<Activity>,
     phase: watch::Receiver<Phase>,
     _slot: Slot,
 }
@@ -42,22 +134,37 @@
     /// At most `max_connections` may be open.
     pub fn new(max_connections: usize) -> Self {
         Self {
+            max: max_connections,
             slots: Arc::new(Semaphore::new(max_connections)),
             open: Rc::default(),
+            next: Rc::default(),
             cut: Rc::default(),
             phase: Rc::new(watch::channel(Phase::Serving).0),
+            receptions: None,
         }
     }
 
-    /// True while no slot is free. The server takes a slot before it accepts a connection, so one more connection may
-    /// still be accepted.
+    /// The same, with connections on which these bodies are received.
+    pub fn with_receptions(max_connections: usize, receptions: &Rc<Receptions>) -> Self {
+        Self {
+            receptions: Some(Rc::clone(receptions)),
+            ..Self::new(max_connections)
+        }
+    }
+
+    /// True while no slot is free. One more connection may have been accepted, which waits for a slot.
     pub fn all_occupied(&self) -> bool {
         self.slots.available_permits() == 0
     }
 
+    /// How many may be open.
+    pub fn max(&self) -> usize {
+        self.max
+    }
+
     /// How many are open.
     pub fn count(&self) -> usize {
-        self.open.get()
+        self.open.borrow().len()
     }
 
     /// How many were closed before their answers had been sent.
@@ -88,15 +195,60 @@
         reached(self.phase.subscribe(), Phase::Closing).await;
     }
 
-    /// Waits for a free slot.
+    /// Waits for a free slot; connections whose clients send nothing give way for it.
     pub async fn free_slot(&self) -> Slot {
-        match Arc::clone(&self.slots).acquire_owned().await {
-            Ok(permit) => Slot(permit),
-            // The semaphore is never closed.
-            Err(_) => std::future::pending().await,
+        loop {
+            if let Some(slot) = self.try_free_slot() {
+                return slot;
+            }
+            self.evict_one();
+            if let Some(slot) = self.freed_slot().await {
+                return slot;
+            }
         }
     }
 
+    /// A slot, if one is free or a connection gives way.
+    pub async fn slot_at_once(&self) -> Option<Slot> {
+        let free = self.try_free_slot();
+        if free.is_some() || !self.evict_one() {
+            return free;
+        }
+        self.freed_slot().await
+    }
+
+    async fn freed_slot(&self) -> Option<Slot> {
+        let freed = Arc::clone(&self.slots).acquire_owned();
+        let permit = timeout(EVICTION_INTERVAL, freed).await.ok()?;
+        // The semaphore is never closed.
+        permit.ok().map(Slot)
+    }
+
+    /// Lets one connection give way; false if all clients are being served.
+    fn evict_one(&self) -> bool {
+        let head = self.longest(Activity::has_stalled_head);
+        let body = self.receptions.as_ref();
+        let body = body.and_then(|receptions| receptions.longest_stall().zip(Some(receptions)));
+        match (head, body) {
+            (Some(head), Some((since, receptions))) if since < head.since.get() => {
+                receptions.evict_stalled()
+            }
+            (None, Some((_, receptions))) => receptions.evict_stalled(),
+            (Some(head), _) => evict(&head),
+            (None, None) => self
+                .longest(Activity::is_idle)
+                .is_some_and(|idle| evict(&idle)),
+        }
+    }
+
+    fn longest(&self, may_evict: impl Fn(&Activity) -> bool) -> Option<Rc<Activity>> {
+        let open = self.open.borrow();
+        let candidates = open.values().filter(|activity| may_evict(activity));
+        candidates
+            .min_by_key(|activity| activity.since.get())
+            .cloned()
+    }
+
     /// A slot, if one is free.
     pub fn try_free_slot(&self) -> Option<Slot> {
         let permit = Arc::clone(&self.slots).try_acquire_owned();
@@ -105,10 +257,15 @@
 
     /// Counts a connection as open until the returned value is dropped.
     pub fn open(&self, slot: Slot) -> OpenConnection {
-        self.open.set(self.open.get() + 1);
+        let number = self.next.get();
+        self.next.set(number + 1);
+        let activity = Rc::<Activity>::default();
+        let mut all = self.open.borrow_mut();
+        all.insert(number, Rc::clone(&activity));
         OpenConnection {
-            open: Rc::clone(&self.open),
-            cut: Rc::clone(&self.cut),
+            connections: self.clone(),
+            number,
+            activity,
             phase: self.phase.subscribe(),
             _slot: slot,
         }
@@ -126,18 +283,45 @@
         reached(self.phase.clone(), Phase::Cutting).await;
     }
 
+    /// What its client is doing.
+    pub fn activity(&self) -> &Rc<Activity> {
+        &self.activity
+    }
+
+    /// Whether another connection waits for the slot.
+    pub fn is_slot_needed(&self) -> bool {
+        self.connections.all_occupied()
+    }
+
+    /// Logs and counts that it gave way.
+    pub fn log_evicted(&self, peer: IpAddr) {
+        if let Some(receptions) = &self.connections.receptions {
+            receptions.count_rejected("connection_evicted");
+        }
+        tracing::info!(event = "connection_evicted", %peer, open = self.connections.count(),
+            "server: closed a connection whose client sent no request because all connection slots are in use");
+    }
+
     /// Counts it as closed before its answer had been sent.
     pub fn count_cut(&self) {
-        self.cut.set(self.cut.get() + 1);
+        let cut = &self.connections.cut;
+        cut.set(cut.get() + 1);
     }
 }
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
-        self.open.set(self.open.get() - 1);
+        self.connections.open.borrow_mut().remove(&self.number);
     }
 }
 
+/// Makes a connection give way; it is a candidate no more.
+fn evict(activity: &Activity) -> bool {
+    activity.enter(ClientState::Request);
+    activity.evicted.notify_one();
+    true
+}
+
 async fn reached(mut phase: watch::Receiver<Phase>, wanted: Phase) {
     if phase.wait_for(|phase| *phase >= wanted).await.is_err() {
         // The server is gone, and with it whoever could close its connections.
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -125,11 +125,6 @@
 }
 
 impl RequestBody {
-    /// Its length in bytes.
-    pub fn length(&self) -> usize {
-        self.length
-    }
-
     /// Its bytes, in order.
     pub fn parts(&self) -> Vec<&[u8]> {
         self.segments.iter().map(AsRef::as_ref).collect()
--- a/crates/gateway/src/request_body_tests.rs
+++ b/crates/gateway/src/request_body_tests.rs
@@ -43,7 +43,6 @@
         is_declared.then_some(length),
         &account,
     );
-    assert_eq!(body.length(), length);
     assert_eq!(body.to_contiguous(), bytes);
     assert_eq!(body.parts().concat(), bytes);
     assert!((length..=max_charge(length)).contains(&account.held()));
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -205,7 +205,7 @@
 
 fn log_unread(router: &Router, id: &str, progress: &Progress, error: &BodyError) {
     let account = router.receptions.account();
-    router.metrics.clients.count_rejected(error.as_str());
+    router.receptions.count_rejected(error.as_str());
     tracing::info!(event = "body_unread", %id, reason = error.as_str(),
         held_bytes = account.held(), max_held_bytes = account.limit(),
         elapsed_ms = router.clock.now().since(progress.received).as_millis() as u64,
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -51,7 +51,6 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
-use crate::memory_account::MemoryAccount;
 use crate::memory_shares;
 use crate::metrics::Metrics;
 use crate::open_connections::Connections;
@@ -78,7 +77,7 @@
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
 /// How long a connection may be idle; longer than any configuration lets callers keep an idle connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
-/// Connections of callers.
+/// Connections of callers, where the memory of the machine suffices for them.
 const MAX_CONNECTIONS: usize = 1_500;
 /// Connections to each of the readiness and metrics listeners.
 const MAX_PLATFORM_CONNECTIONS: usize = 32;
@@ -133,7 +132,7 @@
     let seed = rand::rng().random();
     let metrics = Metrics::new();
     let max_client_bytes = memory_shares::client_bytes(settings.memory_bytes);
-    let receptions = Receptions::new(MemoryAccount::new(max_client_bytes, &metrics.clients));
+    let receptions = Receptions::new(max_client_bytes, &metrics.clients);
     let router = Rc::new(Router {
         core: RefCell::new(RouterCore::new(settings.params.clone(), seed)),
         dialect,
@@ -144,12 +143,12 @@
         stopping: Cell::new(None),
         exit_notices: ExitNotices::default(),
         open_requests: OpenRequests::default(),
-        receptions,
+        receptions: Rc::clone(&receptions),
         peers: Peers::default(),
         path_lost: Notify::new(),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
-        caller_connections: Connections::new(MAX_CONNECTIONS),
+        caller_connections: Connections::with_receptions(MAX_CONNECTIONS, &receptions),
         pending_probes: PendingProbes::default(),
         undecided_crashes: UndecidedCrashes::default(),
         silence_monitor: SilenceMonitor::default(),
@@ -175,13 +174,13 @@
 
 fn listen(router: &Rc<Router>) -> Result<(), DaemonError> {
     let callers = sockets::open("callers", router.settings.listen)?;
+    let connections = router.caller_connections.clone();
     let params = ServerParams {
         idle_timeout: IDLE_TIMEOUT,
-        max_connections: MAX_CONNECTIONS,
+        max_connections: connections.max(),
         when_full: WhenFull::Wait,
     };
     let shared = Rc::clone(router);
-    let connections = router.caller_connections.clone();
     let forwarding = server::serve_until_closed(callers, params, connections, move |request| {
         forward::serve(Rc::clone(&shared), request)
     });
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -19,6 +19,7 @@
 
 use crate::answer::AnswerBody;
 use crate::caller_connections::CurrentRequest;
+use crate::caller_stream::CallerStream;
 use crate::open_connections::{Connections, OpenConnection};
 
 /// Delay after an error of the listener, such as too many open files.
@@ -26,6 +27,8 @@
 const BUFFER_BYTES: usize = 64 << 10;
 /// How long a caller may take to close its side of a connection after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// The same while all connection slots are in use.
+const LINGER_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(20);
 const LINGER_BUFFER_BYTES: usize = 1 << 10;
 
 /// Limits of a server's connections.
@@ -42,7 +45,7 @@
 /// What happens to a new connection when the limit is reached.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum WhenFull {
-    /// It waits in the listener's backlog until another one ends.
+    /// It waits until another one ends, and those after it in the listener's backlog.
     Wait,
     /// It is closed at once: its caller can call other processes, and the open connections may last as long as their
     /// callers run.
@@ -97,13 +100,13 @@
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     loop {
-        let slot = match params.when_full {
-            WhenFull::Close => None,
-            WhenFull::Wait => Some(connections.free_slot().await),
-        };
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let Some(slot) = slot.or_else(|| connections.try_free_slot()) else {
+                let slot = match params.when_full {
+                    WhenFull::Close => connections.slot_at_once().await,
+                    WhenFull::Wait => Some(connections.free_slot().await),
+                };
+                let Some(slot) = slot else {
                     tracing::info!(event = "connection_refused", %peer,
                         open = params.max_connections, "server: closed a connection because all connection slots are in use");
                     continue;
@@ -134,7 +137,8 @@
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let _ = stream.set_nodelay(true);
-    let current_request = CurrentRequest::default();
+    let activity = Rc::clone(open.activity());
+    let current_request = CurrentRequest::new(Rc::clone(&activity));
     let tracked_request = current_request.clone();
     let reads_chunks = Rc::new(Cell::new(true));
     let caller_reads_chunks = Rc::clone(&reads_chunks);
@@ -147,10 +151,14 @@
         .timer(TokioTimer::new())
         .header_read_timeout(params.idle_timeout)
         .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(CallerStream::new(stream, activity)), service);
     let mut ended = tokio::select! {
         biased;
         ended = &mut connection => Some(ended),
+        () = open.activity().evicted() => {
+            open.log_evicted(peer.0);
+            return;
+        }
         () = closing_and_read(&open) => None,
     };
     if ended.is_none() {
@@ -169,7 +177,7 @@
             current_request.log_cut(peer.0);
         }
     }
-    let stream = connection.into_parts().io.into_inner();
+    let stream = connection.into_parts().io.into_inner().into_inner();
     match ended {
         Some(Ok(())) => linger(stream, &open).await,
         _ if reads_chunks.get() => {}
@@ -182,8 +190,13 @@
 async fn linger(mut stream: TcpStream, open: &OpenConnection) {
     let mut discarded = [0; LINGER_BUFFER_BYTES];
     let reading = async { while stream.read(&mut discarded).await.is_ok_and(|read| read > 0) {} };
+    let limit = if open.is_slot_needed() {
+        LINGER_TIMEOUT_WHEN_FULL
+    } else {
+        LINGER_TIMEOUT
+    };
     tokio::select! {
-        _ = timeout(LINGER_TIMEOUT, reading) => {}
+        _ = timeout(limit, reading) => {}
         () = open.cutting() => {}
     }
 }
--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -3,11 +3,13 @@
 use std::net::SocketAddr;
 
 use hyper::StatusCode;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::task::LocalSet;
 
 use super::*;
 use crate::answer;
+use crate::body_reception::STALL_TIMEOUT;
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
@@ -105,6 +107,59 @@
     });
 }
 
+#[rstest]
+#[case::silent("")]
+#[case::inside_a_head("GET / HTTP/1.1\r\nHost:")]
+fn a_connection_without_a_request_gives_way_while_all_slots_are_in_use(
+    #[case] sent: &'static str,
+    #[values(WhenFull::Wait, WhenFull::Close)] when_full: WhenFull,
+) {
+    run(async move {
+        let address = server_with_one_slot(when_full).await;
+        let mut first = connect(address).await;
+        first.write_all(sent.as_bytes()).await.unwrap();
+        let mut answered = 0;
+        while answered == 0 {
+            answered = ask(&mut connect(address).await).await;
+        }
+        assert_eq!(first.read(&mut [0]).await.unwrap_or(0), 0);
+    });
+}
+
+#[test]
+fn a_connection_that_is_idle_after_an_answer_gives_way_while_all_slots_are_in_use() {
+    run(async {
+        let address = server_with_one_slot(WhenFull::Wait).await;
+        let mut first = connect(address).await;
+        assert!(ask(&mut first).await > 0);
+        let mut second = connect(address).await;
+        assert!(ask(&mut second).await > 0);
+        assert_eq!(ask(&mut first).await, 0);
+    });
+}
+
+#[test]
+fn a_connection_whose_request_is_being_answered_gives_way_to_none() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let params = ServerParams {
+            idle_timeout: Duration::from_secs(60),
+            max_connections: 1,
+            when_full: WhenFull::Wait,
+        };
+        let answering = serve(listener, params, |_: Request<Incoming>| async {
+            tokio::time::sleep(2 * STALL_TIMEOUT).await;
+            Ok(answer::plain(StatusCode::OK, ""))
+        });
+        tokio::task::spawn_local(answering);
+        let mut first = connect(address).await;
+        let mut second = connect(address).await;
+        let (first, second) = tokio::join!(ask(&mut first), ask(&mut second));
+        assert!(first > 0 && second > 0);
+    });
+}
+
 /// Starts a server that answers each request with so many bytes, after a delay.
 async fn server_to_close(bytes: usize, delay: Duration) -> (SocketAddr, Connections) {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
