Bound the memory of clients' connections by that of the machine

Cause: the kernel lets the receive buffer of a connection grow by itself, to 6 MB and more, and all of it counts as memory of the machine. A connection with an unfinished request takes 29 KB in the process, and there were 1,500 slots on every machine.

Change: connections of clients inherit a receive buffer of 16 KiB (32 with the kernel's bookkeeping), which does not grow, and connections get 40 in 100 of the machine's memory, 64 KiB each: 1,500 slots from 246 MB on, 671 at 110 MB. With a fifth for the bytes of requests, and as much again for what the kernel keeps of bodies on their way to back ends, 22 MB of 110 are left for the process itself. A router's view, links and program take 4 to 16 MB.

Ruled out: a receive buffer of 4 KiB (a body of 4 MiB over 2.4 ms takes 2.4 s).

--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -133,6 +133,7 @@
     let metrics = Metrics::new();
     let max_client_bytes = memory_shares::client_bytes(settings.memory_bytes);
     let receptions = Receptions::new(max_client_bytes, &metrics.clients);
+    let max_connections = memory_shares::connections(settings.memory_bytes, MAX_CONNECTIONS);
     let router = Rc::new(Router {
         core: RefCell::new(RouterCore::new(settings.params.clone(), seed)),
         dialect,
@@ -148,7 +149,7 @@
         path_lost: Notify::new(),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
-        caller_connections: Connections::with_receptions(MAX_CONNECTIONS, &receptions),
+        caller_connections: Connections::with_receptions(max_connections, &receptions),
         pending_probes: PendingProbes::default(),
         undecided_crashes: UndecidedCrashes::default(),
         silence_monitor: SilenceMonitor::default(),
@@ -173,7 +174,7 @@
 }
 
 fn listen(router: &Rc<Router>) -> Result<(), DaemonError> {
-    let callers = sockets::open("callers", router.settings.listen)?;
+    let callers = sockets::open_for_clients("callers", router.settings.listen)?;
     let connections = router.caller_connections.clone();
     let params = ServerParams {
         idle_timeout: IDLE_TIMEOUT,
@@ -189,7 +190,7 @@
         max_connections: MAX_PLATFORM_CONNECTIONS,
         ..params
     };
-    let ready = sockets::open("readiness", router.settings.ready_listen)?;
+    let ready = sockets::open_for_clients("readiness", router.settings.ready_listen)?;
     let shared = Rc::clone(router);
     let answering = server::serve(ready, platform, move |_: Request<Incoming>| {
         let response = readiness(&shared);
@@ -197,7 +198,7 @@
     });
     tokio::task::spawn_local(answering);
     if let Some(address) = router.settings.metrics_listen {
-        let listener = sockets::open("metrics", address)?;
+        let listener = sockets::open_for_clients("metrics", address)?;
         let metrics = Rc::clone(&router.metrics);
         let answering = server::serve(listener, platform, move |request| {
             let response = metrics.answer(&request);
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -19,6 +19,8 @@
 /// probe after it, whatever their number (tcp(7), `TCP_USER_TIMEOUT`).
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const BACKLOG: i32 = 512;
+/// Size of the receive buffer of a client's connection. Linux doubles it, for its own bookkeeping (socket(7)).
+const CLIENT_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 
 /// Opens a connection within `time_limit`; fails with `TimedOut` after it.
 pub(crate) async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<TcpStream> {
@@ -61,15 +63,37 @@
 
 /// Opens a listener; the error says what it was to serve.
 pub(crate) fn open(purpose: &'static str, address: SocketAddr) -> Result<TcpListener, DaemonError> {
-    listen(address).map_err(|source| DaemonError::Listen {
+    open_with(purpose, address, |_| Ok(()))
+}
+
+/// Opens a listener for clients, of whose bytes the kernel keeps few that nobody has read.
+pub(crate) fn open_for_clients(
+    purpose: &'static str,
+    address: SocketAddr,
+) -> Result<TcpListener, DaemonError> {
+    open_with(purpose, address, |socket| {
+        socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)
+    })
+}
+
+fn open_with(
+    purpose: &'static str,
+    address: SocketAddr,
+    configure: impl FnOnce(&Socket) -> io::Result<()>,
+) -> Result<TcpListener, DaemonError> {
+    listen(address, configure).map_err(|source| DaemonError::Listen {
         purpose,
         address,
         source,
     })
 }
 
-/// Opens a listener. A restarted process can bind its predecessor's address at once.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+/// Opens a listener; its connections inherit what `configure` sets. A restarted process can bind its predecessor's address
+/// at once.
+fn listen(
+    address: SocketAddr,
+    configure: impl FnOnce(&Socket) -> io::Result<()>,
+) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
@@ -77,6 +101,7 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    configure(&socket)?;
     socket.bind(&address.into())?;
     socket.listen(BACKLOG)?;
     TcpListener::from_std(socket.into())
