Answer requests whose bodies are too large or late, in place of closing their connections

Seen by callers: a body over `max_body_bytes`, announced or just sent, or one that had not arrived at the deadline of its request ended with a closed connection and no answer, which promises nothing; a client that may repeat its request sends it again.

Cause: every failure to read a body ended as that of a client that has left.

Change: 413 at once when the head announces too much, before any byte of the body is read, or as soon as too much has come; 408 at the deadline. Both are given before a back end is chosen, so the request has not run.

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -134,7 +134,9 @@
     let refused = match error {
         BodyError::NoMemory => Refused::NoMemory,
         BodyError::Stalled => Refused::BodyStalled,
-        BodyError::TooLarge | BodyError::TimedOut | BodyError::Broken => return Err(NoAnswer),
+        BodyError::TimedOut => Refused::BodyTimedOut,
+        BodyError::TooLarge => Refused::BodyTooLarge,
+        BodyError::Broken => return Err(NoAnswer),
     };
     let mut response = refuse(refused);
     let close = HeaderValue::from_static("close");
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -54,6 +54,10 @@
     NoMemory,
     /// The body made no progress while others needed its place.
     BodyStalled,
+    /// The body had not arrived when the time limit of the request was over.
+    BodyTimedOut,
+    /// The body is longer than the configuration allows.
+    BodyTooLarge,
 }
 
 impl Refused {
@@ -61,7 +65,7 @@
     pub fn concerns_this_router(&self) -> bool {
         match self {
             Self::Stopping | Self::TooManyForwarded | Self::NoMemory => true,
-            Self::BodyStalled => false,
+            Self::BodyStalled | Self::BodyTimedOut | Self::BodyTooLarge => false,
             Self::ByView(refusal) => {
                 matches!(refusal, Refusal::NoConfiguration | Refusal::Unconfirmed)
             }
@@ -212,6 +216,8 @@
         Refused::TooManyForwarded => (unavailable, Some(RETRY_SOON), "too_many_forwarded"),
         Refused::NoMemory => (unavailable, Some(RETRY_SOON), "no_memory"),
         Refused::BodyStalled => (StatusCode::REQUEST_TIMEOUT, None, "body_stalled"),
+        Refused::BodyTimedOut => (StatusCode::REQUEST_TIMEOUT, None, "body_timed_out"),
+        Refused::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, None, "body_too_large"),
     };
     let now = router.clock.now();
     router.metrics.count_request(reason, now.since(received));
