Pay back the charge of a request whose body is not received

Seen by callers: the ordinary requests of a tenant are refused with 429 after others with its key sent oversized or unfinished bodies, although none of those ran.

Cause: a request is charged to its tenant by its head, and the charge was paid back only for requests whose body had arrived.

Change: it is paid back also when the body is too large, too late, breaks off or gives way.

Test: 120 oversized bodies of a tenant that may send 6 at once, then three ordinary requests: the first was refused with 429 on the code before; all are served now.

--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -180,7 +180,11 @@
         time: limits.answer,
     };
     let body = router.receptions.receive(body, body_limits).await;
-    let body = body.inspect_err(|error| log_unread(router, &id, &progress, error))?;
+    let body = body.inspect_err(|error| {
+        log_unread(router, &id, &progress, error);
+        let now = router.clock.now();
+        router.core.borrow_mut().refund(now, &admission);
+    })?;
     let deadline = received.plus(limits.answer);
     progress.on_received(deadline);
     router.log_admission_while_stopping(&id, admission.route.name.as_str(), limits.answer);
