Bound the bytes of calls that a control machine holds

Seen by callers: 30 clients that each send all but the end of a configuration of 8 MiB bring a control machine of 110 MB to 299 MB (chunked 301, far over the limit 278, whole and invalid 223 MB; 39 to 60 MB of it unread), which ends it, and with it heartbeats and configurations. A call with a body that is too large ended without an answer, so that an operator sends it to the next machine, and the next.

Cause: as at routers, each call collected its body by itself; the limit of one call is twice that of a request, and 2,382 connections were allowed on every machine.

One configuration of the longest length always fits. A body that is too large gets 413, which ends an operator's call. Connections get 40 in 100 of the memory, with receive buffers of 16 KiB.

--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -9,12 +9,13 @@
 use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
-use super::{call_body, Control};
+use super::call_body::{self, Unread};
+use super::Control;
 use crate::answer::{self, AnswerBody};
 use crate::dialect::ControlCall;
 use crate::server::{NoAnswer, Peer};
 
-/// Serves one call; `NoAnswer` when its body is too long or cannot be read.
+/// Serves one call; `NoAnswer` when its caller leaves before its body is complete.
 pub(super) async fn serve(
     control: Rc<Control>,
     request: Request<Incoming>,
@@ -24,7 +25,13 @@
         return Ok(answer::plain(StatusCode::NOT_FOUND, ""));
     };
     let caller = request.extensions().get::<Peer>().copied();
-    let body = call_body::read(&control, &call, request.into_body(), caller).await?;
+    let read = call_body::read(&control, &call, request.into_body(), caller).await;
+    let call_body = match read {
+        Ok(body) => body,
+        Err(Unread::Refused(response)) => return Ok(*response),
+        Err(Unread::NoAnswer(no_answer)) => return Err(no_answer),
+    };
+    let body = call_body.bytes();
     let response = match call {
         ControlCall::PutConfiguration => put_configuration(&control, body).await,
         ControlCall::GetConfiguration => get_configuration(&control).await,
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -33,10 +33,12 @@
 use tokio::time::{interval, MissedTickBehavior};
 
 use crate::answer::AnswerBody;
+use crate::body_reception::Receptions;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
 use crate::link::{Frame, Sender};
+use crate::memory_shares;
 use crate::metrics::Metrics;
 use crate::open_connections::Connections;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
@@ -76,6 +78,8 @@
     back_ends: BackEnds,
     /// The connections of operators, back ends and callers of the directory.
     callers: RefCell<Vec<Connections>>,
+    /// The bodies of their calls that are being received.
+    receptions: Rc<Receptions>,
     /// The links to connected routers.
     routers: RefCell<HashMap<ConnectionId, Sender>>,
     /// Calls that wait for a reply of the core.
@@ -111,6 +115,8 @@
         }
     };
     let metrics = Metrics::new();
+    let max_client_bytes = memory_shares::client_bytes(settings.memory_bytes);
+    let receptions = Receptions::new(max_client_bytes, &metrics.clients);
     let traffic = LinkTraffic::with_counters(metrics.link_bytes.clone());
     let traffic = Rc::new(traffic);
     let control = Rc::new(Control {
@@ -122,6 +128,7 @@
         traffic,
         back_ends: BackEnds::new(Upstreams::new(clock)),
         callers: RefCell::default(),
+        receptions,
         routers: RefCell::default(),
         waiting: RefCell::default(),
         next_ticket: Cell::new(0),
@@ -155,9 +162,10 @@
 fn listen(control: &Rc<Control>) -> Result<(), DaemonError> {
     let settings = &control.settings;
     let limits = ConnectionLimits::new(settings.max_descriptors);
-    let mut addresses = vec![("control", settings.listen, limits.control)];
+    let fitting = |most| memory_shares::connections(settings.memory_bytes, most);
+    let mut addresses = vec![("control", settings.listen, fitting(limits.control))];
     let directory = settings.directory_listen;
-    addresses.extend(directory.map(|at| ("directory", at, limits.directory)));
+    addresses.extend(directory.map(|at| ("directory", at, fitting(limits.directory))));
     let params = ServerParams {
         idle_timeout: IDLE_TIMEOUT,
         max_connections: MAX_METRICS_CONNECTIONS,
@@ -168,8 +176,8 @@
             max_connections,
             ..params
         };
-        let listener = sockets::open(purpose, address)?;
-        let connections = Connections::new(max_connections);
+        let listener = sockets::open_for_clients(purpose, address)?;
+        let connections = Connections::with_receptions(max_connections, &control.receptions);
         control.callers.borrow_mut().push(connections.clone());
         let shared = Rc::clone(control);
         let answering = server::serve_until_closed(listener, params, connections, move |request| {
@@ -178,7 +186,7 @@
         tokio::task::spawn_local(answering);
     }
     if let Some(address) = settings.metrics_listen {
-        let listener = sockets::open("metrics", address)?;
+        let listener = sockets::open_for_clients("metrics", address)?;
         let shared = Rc::clone(control);
         let answering = server::serve(listener, params, move |request: Request<Incoming>| {
             let shared = Rc::clone(&shared);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -54,6 +54,8 @@
     pub seeds: SeedSource,
     /// True when the cluster is started for the first time.
     pub bootstrap: bool,
+    /// Memory of the machine, in bytes.
+    pub memory_bytes: u64,
     /// File descriptors that the process may have open.
     pub max_descriptors: usize,
     /// The folder that stores the state.
