Hold clients to the limits of heads and of idle time that the configuration names

Seen by callers: a client may take 16 s for the head of a request, whatever `header_timeout_ms` says, and send a head of 64 KiB, whatever `max_header_bytes` says; so a connection with a slow head holds its slot five times as long as the operator allows, and each connection may fill buffers four times as large.

Cause: `max_header_bytes`, `header_timeout_ms` and `idle_timeout_ms` were decoded and read nowhere; the HTTP library has one timer for idle time and heads, which ran for 16 s.

Change: a connection gets the limits of the configuration that is in force when it is accepted: the library's buffer is as long as the longest head (431; 1 KiB more for what another router adds, 8 KiB at least), a head has `header_timeout_ms` from its first byte to its last, and a connection may be idle for `idle_timeout_ms` and a second. The rest of a body whose request was answered is no head. Control machines and the listeners for readiness and metrics have fixed limits of 16 KiB and 3 s. What has arrived is read before the timer is looked at, so that a process that stood still ends no connection for it.

Tests: `server_tests.rs`; without the change a slow head ended after 60 s there, a head of 18 KiB was answered with 200, and an idle connection stayed open.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -16,7 +16,7 @@
 
 use crate::answer::AnswerBody;
 use crate::connection_errors::ConnectionError;
-use crate::open_connections::Activity;
+use crate::open_connections::{Activity, OpenPart};
 
 /// The request that is being answered on a connection, if any.
 #[derive(Clone, Debug)]
@@ -44,12 +44,14 @@
     _request: RequestGuard,
 }
 
-struct RequestGuard(CurrentRequest);
+struct RequestGuard {
+    current: CurrentRequest,
+    _open: OpenPart,
+}
 
 impl Drop for RequestGuard {
     fn drop(&mut self) {
-        *self.0.request.borrow_mut() = None;
-        self.0.activity.on_answered();
+        *self.current.request.borrow_mut() = None;
     }
 }
 
@@ -67,14 +69,16 @@
         self,
         answer: impl Future<Output = Result<Response<AnswerBody>, E>>,
     ) -> Result<Response<TrackedBody>, E> {
-        self.activity.on_request();
         *self.request.borrow_mut() = Some(Request {
             since: Instant::now(),
             answer: None,
         });
-        let guard = RequestGuard(self);
+        let guard = RequestGuard {
+            _open: self.activity.open_part(),
+            current: self,
+        };
         let response = answer.await?;
-        guard.0.begin_answer(response.body());
+        guard.current.begin_answer(response.body());
         Ok(response.map(|body| TrackedBody {
             body,
             _request: guard,
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -1,25 +1,47 @@
-//! The connection of a client, as its server reads it: records what its client is doing.
+//! The connection of a client, as its server reads it: records what its client is doing, and limits the time for a head.
 
+use std::future::Future;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::time::{sleep, Sleep};
 
 use crate::open_connections::Activity;
 
-/// A connection that tells when bytes arrive.
+/// A connection that tells when bytes arrive, and whose reads fail when a head takes too long.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
     activity: Rc<Activity>,
+    head_timeout: Duration,
+    /// Runs while a head is arriving.
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
-    pub fn new(stream: TcpStream, activity: Rc<Activity>) -> Self {
-        Self { stream, activity }
+    pub fn new(stream: TcpStream, activity: Rc<Activity>, head_timeout: Duration) -> Self {
+        Self {
+            stream,
+            activity,
+            head_timeout,
+            timer: None,
+        }
+    }
+
+    /// Whether the head that is arriving has taken too long.
+    fn poll_head_timeout(&mut self, context: &mut Context<'_>) -> bool {
+        if !self.activity.has_partial_head() {
+            self.timer = None;
+            return false;
+        }
+        let timeout = self.head_timeout;
+        let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(timeout)));
+        timer.as_mut().poll(context).is_ready()
     }
 
     pub fn into_inner(self) -> TcpStream {
@@ -38,6 +60,10 @@
         if buffer.filled().len() > before {
             self.activity.on_read();
         }
+        // What has arrived is read first: it may finish the head after this process stood still.
+        if polled.is_pending() && self.poll_head_timeout(context) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
         polled
     }
 }
--- a/crates/gateway/src/control/api.rs
+++ b/crates/gateway/src/control/api.rs
@@ -6,19 +6,19 @@
 use bytes::Bytes;
 use drumshore_gateway_core::{Command, Heartbeat, Lifecycle, Reply};
 use drumshore_wire::{Blob, Text};
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 
 use super::call_body::{self, Unread};
 use super::Control;
 use crate::answer::{self, AnswerBody};
+use crate::caller_body::CallerBody;
 use crate::dialect::ControlCall;
 use crate::server::{NoAnswer, Peer};
 
 /// Serves one call; `NoAnswer` when its caller leaves before its body is complete.
 pub(super) async fn serve(
     control: Rc<Control>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Response<AnswerBody>, NoAnswer> {
     let call = control.dialect.call(request.method(), request.uri());
     let Some(call) = call else {
--- a/crates/gateway/src/control/call_body.rs
+++ b/crates/gateway/src/control/call_body.rs
@@ -3,13 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyper::body::Incoming;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::{Response, StatusCode};
 
 use super::Control;
 use crate::answer::{self, AnswerBody};
 use crate::body_reception::{BodyError, BodyLimits};
+use crate::caller_body::CallerBody;
 use crate::dialect::ControlCall;
 use crate::memory_account::Charge;
 use crate::server::{NoAnswer, Peer};
@@ -53,7 +53,7 @@
 pub(super) async fn read(
     control: &Control,
     call: &ControlCall,
-    body: Incoming,
+    body: CallerBody,
     caller: Option<Peer>,
 ) -> Result<CallBody, Unread> {
     let limits = limits_of(call);
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -26,7 +26,6 @@
 use drumshore_gateway_core::{
     ConnectionId, ControlCore, Effect, Message, Reply, RouterWire, Ticket,
 };
-use hyper::body::Incoming;
 use hyper::{Request, Response};
 use rand::Rng;
 use tokio::sync::{oneshot, Notify};
@@ -34,6 +33,7 @@
 
 use crate::answer::AnswerBody;
 use crate::body_reception::Receptions;
+use crate::caller_body::CallerBody;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
@@ -188,7 +188,7 @@
     if let Some(address) = settings.metrics_listen {
         let listener = sockets::open_for_clients("metrics", address)?;
         let shared = Rc::clone(control);
-        let answering = server::serve(listener, params, move |request: Request<Incoming>| {
+        let answering = server::serve(listener, params, move |request: Request<CallerBody>| {
             let shared = Rc::clone(&shared);
             async move { Ok::<_, NoAnswer>(serve_operators(&shared, &request).await) }
         });
@@ -203,7 +203,7 @@
 /// Serves operators at the metrics address: calls about the quarantine, and metrics for any other request.
 async fn serve_operators(
     control: &Rc<Control>,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
 ) -> Response<AnswerBody> {
     match quarantine::call_of(request.method(), request.uri().path()) {
         Some(call) => quarantine::serve(control, call).await,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod answer;
 mod body_reception;
+mod caller_body;
 mod caller_connections;
 mod caller_stream;
 mod clock;
--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -20,6 +20,27 @@
 /// A connection that is idle after an answer gives way after this time. Its client may be about to use it again.
 const IDLE_EVICTION_DELAY: Duration = Duration::from_secs(3);
 
+/// Limits of the heads that clients send, and of the time between their requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HeadLimits {
+    /// Bytes of a head.
+    pub bytes: usize,
+    /// Time from the first byte of a head to its last.
+    pub time: Duration,
+    /// How long a connection may be idle; `None` if only the server's own limit holds.
+    pub idle: Option<Duration>,
+}
+
+impl Default for HeadLimits {
+    fn default() -> Self {
+        Self {
+            bytes: 16 << 10,
+            time: Duration::from_secs(3),
+            idle: None,
+        }
+    }
+}
+
 /// What happens to the connections of a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Phase {
@@ -39,6 +60,7 @@
     next: Rc<Cell<u64>>,
     cut: Rc<Cell<usize>>,
     phase: Rc<watch::Sender<Phase>>,
+    head_limits: Rc<Cell<HeadLimits>>,
     /// The bodies that are being received on these connections.
     receptions: Option<Rc<Receptions>>,
 }
@@ -61,14 +83,35 @@
 pub(crate) struct Activity {
     state: Cell<ClientState>,
     since: Cell<Instant>,
+    has_partial_head: Cell<bool>,
+    /// Counts the requests on the connection.
+    request: Cell<u64>,
+    /// What has not ended of the current request: its body, and its answer.
+    open_parts: Cell<u8>,
     evicted: Notify,
 }
 
+/// The body or the answer of a request, while it lasts.
+#[derive(Debug)]
+pub(crate) struct OpenPart {
+    activity: Rc<Activity>,
+    request: u64,
+}
+
+impl Drop for OpenPart {
+    fn drop(&mut self) {
+        self.activity.end_part(self.request);
+    }
+}
+
 impl Default for Activity {
     fn default() -> Self {
         Self {
             state: Cell::new(ClientState::FirstHead),
             since: Cell::new(Instant::now()),
+            has_partial_head: Cell::new(false),
+            request: Cell::new(0),
+            open_parts: Cell::new(0),
             evicted: Notify::new(),
         }
     }
@@ -85,16 +128,29 @@
         if self.state.get() == ClientState::Idle {
             self.enter(ClientState::FurtherHead);
         }
+        let is_request = self.state.get() == ClientState::Request;
+        self.has_partial_head.set(!is_request);
+    }
+
+    /// Whether a part of a head has arrived.
+    pub fn has_partial_head(&self) -> bool {
+        self.has_partial_head.get()
     }
 
     /// The head of a request is complete.
     pub fn on_request(&self) {
+        self.has_partial_head.set(false);
+        self.request.set(self.request.get() + 1);
+        self.open_parts.set(2);
         self.enter(ClientState::Request);
     }
 
-    /// The answer has ended.
-    pub fn on_answered(&self) {
-        self.enter(ClientState::Idle);
+    /// The body or the answer of the current request, which ends when this is dropped.
+    pub fn open_part(self: &Rc<Self>) -> OpenPart {
+        OpenPart {
+            activity: Rc::clone(self),
+            request: self.request.get(),
+        }
     }
 
     /// Completes when the connection has to give way to another one.
@@ -102,6 +158,17 @@
         self.evicted.notified().await;
     }
 
+    fn end_part(&self, request: u64) {
+        // The body of an earlier request may be dropped late.
+        if request != self.request.get() {
+            return;
+        }
+        self.open_parts.set(self.open_parts.get().saturating_sub(1));
+        if self.open_parts.get() == 0 {
+            self.enter(ClientState::Idle);
+        }
+    }
+
     fn has_stalled_head(&self) -> bool {
         let is_head = matches!(
             self.state.get(),
@@ -140,6 +207,7 @@
             next: Rc::default(),
             cut: Rc::default(),
             phase: Rc::new(watch::channel(Phase::Serving).0),
+            head_limits: Rc::default(),
             receptions: None,
         }
     }
@@ -152,6 +220,16 @@
         }
     }
 
+    /// Sets the limits of connections that are accepted from now on.
+    pub fn set_head_limits(&self, limits: HeadLimits) {
+        self.head_limits.set(limits);
+    }
+
+    /// The limits of the next connection.
+    pub fn head_limits(&self) -> HeadLimits {
+        self.head_limits.get()
+    }
+
     /// True while no slot is free. One more connection may have been accepted, which waits for a slot.
     pub fn all_occupied(&self) -> bool {
         self.slots.available_permits() == 0
@@ -293,13 +371,18 @@
         self.connections.all_occupied()
     }
 
-    /// Logs and counts that it gave way.
-    pub fn log_evicted(&self, peer: IpAddr) {
+    /// The limits of heads on it.
+    pub fn head_limits(&self) -> HeadLimits {
+        self.connections.head_limits()
+    }
+
+    /// Logs and counts that it is closed because of what its client sent.
+    pub fn log_rejected(&self, peer: IpAddr, reason: &'static str) {
         if let Some(receptions) = &self.connections.receptions {
-            receptions.count_rejected("connection_evicted");
+            receptions.count_rejected(reason);
         }
-        tracing::info!(event = "connection_evicted", %peer, open = self.connections.count(),
-            "server: closed a connection whose client sent no request because all connection slots are in use");
+        tracing::info!(event = "connection_rejected", %peer, reason, open = self.connections.count(),
+            max = self.connections.max(), "server: closed the connection of a client without an answer to a request");
     }
 
     /// Counts it as closed before its answer had been sent.
--- a/crates/gateway/src/router/admission.rs
+++ b/crates/gateway/src/router/admission.rs
@@ -4,7 +4,6 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{Admission, Prompt, Refusal, RequestHead};
-use hyper::body::Incoming;
 use hyper::header::HOST;
 use hyper::{HeaderMap, Request};
 use tokio::time::timeout;
@@ -13,6 +12,7 @@
 use super::peer_forwarding;
 use super::refusal::Refused;
 use super::Router;
+use crate::caller_body::CallerBody;
 
 /// Requests that other routers may have open here. Each of them has callers of its own to serve.
 const MAX_FORWARDED_REQUESTS: usize = 400;
@@ -20,7 +20,7 @@
 /// Admits a request; waits for the first confirmed view where that is allowed.
 pub(super) async fn admit_when_confirmed(
     router: &Router,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
     received: Timestamp,
 ) -> Result<(Admission, Option<Prompt>), Refused> {
     loop {
@@ -41,7 +41,7 @@
 
 fn admit(
     router: &Router,
-    request: &Request<Incoming>,
+    request: &Request<CallerBody>,
     now: Timestamp,
 ) -> Result<(Admission, Option<Prompt>), Refused> {
     let names = router.dialect.headers();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -9,7 +9,7 @@
     MAX_STREAM_LIFETIME,
 };
 use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
@@ -28,6 +28,7 @@
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::body_reception::{BodyError, BodyLimits};
+use crate::caller_body::CallerBody;
 use crate::request_body::RequestBody;
 use crate::server::NoAnswer;
 
@@ -81,7 +82,7 @@
 /// Serves one request of a caller. While the process is stopping, the answer closes its connection.
 pub(super) async fn serve(
     router: Rc<Router>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Response<AnswerBody>, NoAnswer> {
     let is_forwarded = peer_forwarding::is_forwarded(request.headers());
     let received = router.clock.now();
@@ -146,7 +147,7 @@
 
 /// Reads and discards the body of a request that was refused by its head. The caller may still be sending it; a
 /// connection with an unread body is closed, and the caller's next request on it would get no answer.
-fn discard_body(body: Incoming) {
+fn discard_body(body: CallerBody) {
     if body.is_end_stream() {
         return;
     }
@@ -163,7 +164,7 @@
     progress: Rc<Progress>,
     admission: Admission,
     prompt: Option<Prompt>,
-    request: Request<Incoming>,
+    request: Request<CallerBody>,
 ) -> Result<Call, BodyError> {
     let received = progress.received;
     let limits = TimeLimits::of(router, request.headers(), &admission);
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -41,13 +41,13 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::RouterCore;
-use hyper::body::Incoming;
 use hyper::{Request, Response, StatusCode};
 use rand::Rng;
 use tokio::sync::{watch, Notify};
 
 use crate::answer::{self, AnswerBody};
 use crate::body_reception::Receptions;
+use crate::caller_body::CallerBody;
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
@@ -192,7 +192,7 @@
     };
     let ready = sockets::open_for_clients("readiness", router.settings.ready_listen)?;
     let shared = Rc::clone(router);
-    let answering = server::serve(ready, platform, move |_: Request<Incoming>| {
+    let answering = server::serve(ready, platform, move |_: Request<CallerBody>| {
         let response = readiness(&shared);
         async move { Ok::<_, NoAnswer>(response) }
     });
--- a/crates/gateway/src/router/view_changes.rs
+++ b/crates/gateway/src/router/view_changes.rs
@@ -3,12 +3,13 @@
 use std::net::Ipv4Addr;
 use std::time::Duration;
 
-use drumshore_gateway_core::{Changes, InstanceId, Leave, Progress, ViewLinks};
+use drumshore_gateway_core::{Changes, Document, InstanceId, Leave, Progress, ViewLinks};
 use tokio::time::Instant;
 
 use super::control_links::wake_waiting_requests;
 use super::crash_detection;
 use super::Router;
+use crate::open_connections::HeadLimits;
 
 /// Maximum number of leaving back ends that are logged by name per message; a whole view may remove thousands.
 const MAX_NAMED_LEAVES: usize = 16;
@@ -51,6 +52,7 @@
                 took_us = started.elapsed().as_micros() as u64,
                 "router: applied changes to the view"
             );
+            apply_client_limits(router, core.document());
             drop(core);
             record_leaves(router, revision, &leaves);
             crash_detection::review_undecided(router);
@@ -68,6 +70,17 @@
     view_links.on_changes(now, from, newest, progress);
 }
 
+fn apply_client_limits(router: &Router, document: Option<&Document>) {
+    let Some(limits) = document.map(|document| &document.limits) else {
+        return;
+    };
+    router.caller_connections.set_head_limits(HeadLimits {
+        bytes: limits.header_bytes,
+        time: limits.header_timeout,
+        idle: Some(limits.idle_timeout),
+    });
+}
+
 fn record_leaves(router: &Router, revision: u64, leaves: &[(InstanceId, Leave)]) {
     for (_, leave) in leaves {
         router.metrics.count_leave(*leave);
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -18,13 +18,19 @@
 use tokio::time::timeout;
 
 use crate::answer::AnswerBody;
+use crate::caller_body::CallerBody;
 use crate::caller_connections::CurrentRequest;
 use crate::caller_stream::CallerStream;
 use crate::open_connections::{Connections, OpenConnection};
 
 /// Delay after an error of the listener, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-const BUFFER_BYTES: usize = 64 << 10;
+/// The least that the HTTP library reads at a time.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+/// What another router adds to a head that it forwards.
+const FORWARDED_HEAD_BYTES: usize = 1 << 10;
+/// How much longer than its client a server keeps an idle connection, so that no request meets its end.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 /// How long a caller may take to close its side of a connection after the last answer.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 /// The same while all connection slots are in use.
@@ -34,7 +40,7 @@
 /// Limits of a server's connections.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ServerParams {
-    /// How long a connection may be idle, and how long reading a request's head may take.
+    /// How long a connection may be idle, unless the limits of its clients say so.
     pub idle_timeout: Duration,
     /// Connections that may be open at the same time.
     pub max_connections: usize,
@@ -64,7 +70,7 @@
 /// Serves connections until the process ends.
 pub(crate) async fn serve<H, F>(listener: TcpListener, params: ServerParams, handler: H)
 where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<CallerBody>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let connections = Connections::new(params.max_connections);
@@ -78,7 +84,7 @@
     connections: Connections,
     handler: H,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<CallerBody>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let accepting = accept(listener, params, &connections, Rc::new(handler));
@@ -96,7 +102,7 @@
     connections: &Connections,
     handler: Rc<H>,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<CallerBody>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     loop {
@@ -133,7 +139,7 @@
     handler: Rc<H>,
     open: OpenConnection,
 ) where
-    H: Fn(Request<Incoming>) -> F + 'static,
+    H: Fn(Request<CallerBody>) -> F + 'static,
     F: Future<Output = Result<Response<AnswerBody>, NoAnswer>> + 'static,
 {
     let _ = stream.set_nodelay(true);
@@ -145,18 +151,23 @@
     let service = service_fn(move |mut request: Request<Incoming>| {
         caller_reads_chunks.set(request.version() > Version::HTTP_10);
         request.extensions_mut().insert(peer);
+        activity.on_request();
+        let request = request.map(|body| CallerBody::new(body, activity.open_part()));
         tracked_request.clone().track(handler(request))
     });
+    let limits = open.head_limits();
+    let idle_timeout = limits.idle.map(|idle| idle + IDLE_MARGIN);
+    let stream = CallerStream::new(stream, Rc::clone(open.activity()), limits.time);
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(params.idle_timeout)
-        .max_buf_size(BUFFER_BYTES)
-        .serve_connection(TokioIo::new(CallerStream::new(stream, activity)), service);
+        .header_read_timeout(idle_timeout.unwrap_or(params.idle_timeout))
+        .max_buf_size((limits.bytes + FORWARDED_HEAD_BYTES).max(MIN_BUFFER_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
     let mut ended = tokio::select! {
         biased;
         ended = &mut connection => Some(ended),
         () = open.activity().evicted() => {
-            open.log_evicted(peer.0);
+            open.log_rejected(peer.0, "connection_evicted");
             return;
         }
         () = closing_and_read(&open) => None,
@@ -171,7 +182,12 @@
     }
     match &ended {
         Some(Ok(())) => {}
-        Some(Err(error)) => current_request.log_end(peer.0, error),
+        Some(Err(error)) => {
+            if let Some(reason) = exceeded_head_limit(error, &open) {
+                open.log_rejected(peer.0, reason);
+            }
+            current_request.log_end(peer.0, error);
+        }
         None => {
             open.count_cut();
             current_request.log_cut(peer.0);
@@ -185,6 +201,16 @@
     }
 }
 
+/// The limit of heads that a connection ended for, as logs name it.
+fn exceeded_head_limit(error: &hyper::Error, open: &OpenConnection) -> Option<&'static str> {
+    if error.is_parse_too_large() {
+        return Some("head_too_large");
+    }
+    open.activity()
+        .has_partial_head()
+        .then_some("head_unfinished")
+}
+
 /// Discards what the caller still sends, until it closes its side, before the connection is closed (RFC 9112 §9.6). Bytes
 /// that nobody has read would turn the end into a reset, which discards what the caller has not received of its answer.
 async fn linger(mut stream: TcpStream, open: &OpenConnection) {
--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use http_body_util::BodyExt;
 use hyper::StatusCode;
 use rstest::rstest;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -10,6 +11,7 @@
 use super::*;
 use crate::answer;
 use crate::body_reception::STALL_TIMEOUT;
+use crate::open_connections::HeadLimits;
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
@@ -21,7 +23,7 @@
         max_connections: 1,
         when_full,
     };
-    let answering = serve(listener, params, |_: Request<Incoming>| async {
+    let answering = serve(listener, params, |_: Request<CallerBody>| async {
         Ok(answer::plain(StatusCode::OK, ""))
     });
     tokio::task::spawn_local(answering);
@@ -79,7 +81,7 @@
             listener,
             params,
             connections.clone(),
-            |_: Request<Incoming>| async { Ok(answer::plain(StatusCode::OK, "")) },
+            |_: Request<CallerBody>| async { Ok(answer::plain(StatusCode::OK, "")) },
         );
         tokio::task::spawn_local(answering);
         assert!(!connections.all_occupied());
@@ -148,7 +150,7 @@
             max_connections: 1,
             when_full: WhenFull::Wait,
         };
-        let answering = serve(listener, params, |_: Request<Incoming>| async {
+        let answering = serve(listener, params, |_: Request<CallerBody>| async {
             tokio::time::sleep(2 * STALL_TIMEOUT).await;
             Ok(answer::plain(StatusCode::OK, ""))
         });
@@ -174,7 +176,7 @@
         listener,
         params,
         connections.clone(),
-        move |_: Request<Incoming>| async move {
+        move |_: Request<CallerBody>| async move {
             tokio::time::sleep(delay).await;
             Ok(answer::plain(StatusCode::OK, vec![b'x'; bytes]))
         },
@@ -265,7 +267,7 @@
                 listener,
                 params,
                 connections.clone(),
-                move |_: Request<Incoming>| {
+                move |_: Request<CallerBody>| {
                     counted.set(counted.get() + 1);
                     async {
                         tokio::time::sleep(Duration::from_millis(2)).await;
@@ -297,3 +299,118 @@
         }
     });
 }
+
+/// Starts a server with these limits of heads.
+async fn server_with_head_limits(limits: HeadLimits) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let params = ServerParams {
+        idle_timeout: Duration::from_secs(60),
+        max_connections: 8,
+        when_full: WhenFull::Wait,
+    };
+    let connections = Connections::new(params.max_connections);
+    connections.set_head_limits(limits);
+    let answering = serve_until_closed(
+        listener,
+        params,
+        connections,
+        |_: Request<CallerBody>| async { Ok(answer::plain(StatusCode::OK, "")) },
+    );
+    tokio::task::spawn_local(answering);
+    address
+}
+
+#[test]
+fn a_head_that_takes_too_long_ends_its_connection() {
+    run(async {
+        let limits = HeadLimits {
+            time: Duration::from_millis(100),
+            ..HeadLimits::default()
+        };
+        let address = server_with_head_limits(limits).await;
+        let mut stream = connect(address).await;
+        stream.write_all(b"GET / HT").await.unwrap();
+        assert_eq!(stream.read(&mut [0]).await.unwrap_or(0), 0);
+        let mut kept = connect(address).await;
+        assert!(ask(&mut kept).await > 0);
+        tokio::time::sleep(2 * limits.time).await;
+        assert!(
+            ask(&mut kept).await > 0,
+            "the time between requests counts for none"
+        );
+        kept.write_all(b"GET / HT").await.unwrap();
+        assert_eq!(kept.read(&mut [0]).await.unwrap_or(0), 0);
+    });
+}
+
+#[test]
+fn a_connection_that_is_idle_for_too_long_ends() {
+    run(async {
+        let address = server_with_head_limits(HeadLimits {
+            idle: Some(Duration::ZERO),
+            ..HeadLimits::default()
+        })
+        .await;
+        let mut stream = connect(address).await;
+        assert!(ask(&mut stream).await > 0);
+        assert_eq!(stream.read(&mut [0]).await.unwrap_or(0), 0);
+    });
+}
+
+#[rstest]
+#[case::longest(16 << 10, "HTTP/1.1 200 ")]
+#[case::longer(18 << 10, "HTTP/1.1 431 ")]
+fn a_head_is_limited_in_length(#[case] bytes: usize, #[case] expected: &str) {
+    run(async {
+        let address = server_with_head_limits(HeadLimits::default()).await;
+        let mut stream = connect(address).await;
+        let head = format!(
+            "GET / HTTP/1.1\r\nHost: a\r\nX: {}\r\n\r\n",
+            "x".repeat(bytes - 32)
+        );
+        stream.write_all(head.as_bytes()).await.unwrap();
+        let mut answer = [0; 64];
+        let read = stream.read(&mut answer).await.unwrap();
+        let answer = String::from_utf8_lossy(&answer[..read]);
+        assert!(answer.starts_with(expected), "{answer}");
+    });
+}
+
+/// The rest of a body that is not read is no head.
+#[test]
+fn a_body_that_arrives_after_its_answer_ends_no_connection() {
+    run(async {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let params = ServerParams {
+            idle_timeout: Duration::from_secs(60),
+            max_connections: 8,
+            when_full: WhenFull::Wait,
+        };
+        let connections = Connections::new(params.max_connections);
+        connections.set_head_limits(HeadLimits {
+            time: Duration::from_millis(100),
+            ..HeadLimits::default()
+        });
+        let answering = serve_until_closed(
+            listener,
+            params,
+            connections,
+            |request: Request<CallerBody>| async {
+                let mut body = request.into_body();
+                tokio::task::spawn_local(async move { while body.frame().await.is_some() {} });
+                Ok(answer::plain(StatusCode::OK, ""))
+            },
+        );
+        tokio::task::spawn_local(answering);
+        let mut stream = connect(address).await;
+        let head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na";
+        stream.write_all(head).await.unwrap();
+        assert!(stream.read(&mut [0; 256]).await.unwrap() > 0);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        stream.write_all(b"a").await.unwrap();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        assert!(ask(&mut stream).await > 0);
+    });
+}
