Charge the heads of requests to the account of held bytes

Seen by callers: nothing yet. Heads of 16 KiB are held until their requests end, also while a body or an answer is waited for; 671 connections could hold 11 MB of them beside a full account of bodies on a machine of 110 MB.

Change: a router charges what a head takes, with 64 bytes for each field, from its arrival until its answer has ended. Without room for it the request is refused like one without room for its body (503, Retry-After). The account's effective limit, which always has room for one body of the longest length, holds for heads as well.

--- a/crates/gateway/src/body_reception.rs
+++ b/crates/gateway/src/body_reception.rs
@@ -114,6 +114,8 @@
     metrics: ClientMetrics,
     open: RefCell<BTreeMap<u64, Rc<Reception>>>,
     next: Cell<u64>,
+    /// The longest body that any request may have had so far.
+    longest_allowed: Cell<usize>,
 }
 
 impl Receptions {
@@ -124,6 +126,7 @@
             metrics: metrics.clone(),
             open: RefCell::default(),
             next: Cell::new(0),
+            longest_allowed: Cell::new(0),
         })
     }
 
@@ -145,6 +148,8 @@
         if body.is_end_stream() {
             return Ok(RequestBody::default());
         }
+        let longest_allowed = self.longest_allowed.get().max(limits.bytes);
+        self.longest_allowed.set(longest_allowed);
         let declared = body.size_hint().exact();
         if declared.is_some_and(|declared| declared > limits.bytes as u64) {
             return Err(BodyError::TooLarge);
@@ -161,7 +166,7 @@
 
     /// Charges bytes of clients other than bodies; `None` if there is no room for them.
     pub fn charge(&self, bytes: usize) -> Option<Charge> {
-        self.charge_up_to(bytes, self.account.limit())
+        self.charge_up_to(bytes, self.limit())
     }
 
     /// Makes the body that has been without progress for longest give way to another client. False if all progress.
@@ -201,16 +206,25 @@
         }
     }
 
-    /// How many bytes may be held when a body has this length and may be `max_bytes` long. One body of the longest length
-    /// and small ones beside it fit in any account.
-    fn limit_for(&self, length: usize, max_bytes: usize) -> usize {
-        let limit = self.account.limit();
-        let large = (limit as f64 * LARGE_BODY_SHARE) as usize;
-        let large = large.max(request_body::max_charge(max_bytes));
+    /// How many bytes may be held when a body has this length.
+    fn limit_for(&self, length: usize) -> usize {
         if length > SMALL_BODY_BYTES {
-            return large;
+            self.limit_of_large_bodies()
+        } else {
+            self.limit()
         }
-        limit.max((large as f64 / LARGE_BODY_SHARE) as usize)
+    }
+
+    fn limit(&self) -> usize {
+        let beside_large = self.limit_of_large_bodies() as f64 / LARGE_BODY_SHARE;
+        self.account.limit().max(beside_large as usize)
+    }
+
+    /// One body of the longest length fits in any account.
+    fn limit_of_large_bodies(&self) -> usize {
+        let share = self.account.limit() as f64 * LARGE_BODY_SHARE;
+        let longest = request_body::max_charge(self.longest_allowed.get());
+        longest.max(share as usize)
     }
 }
 
@@ -260,7 +274,7 @@
             return Err(BodyError::TooLarge);
         }
         while !bytes.is_empty() {
-            self.add_segment_if_needed(max_bytes)?;
+            self.add_segment_if_needed()?;
             let mut buffer = self.reception.buffer.borrow_mut();
             let buffer = buffer.as_mut().ok_or(BodyError::Stalled)?;
             bytes = buffer.append(bytes);
@@ -269,7 +283,7 @@
         Ok(())
     }
 
-    fn add_segment_if_needed(&self, max_bytes: usize) -> Result<(), BodyError> {
+    fn add_segment_if_needed(&self) -> Result<(), BodyError> {
         let needed = {
             let buffer = self.reception.buffer.borrow();
             let buffer = buffer.as_ref().ok_or(BodyError::Stalled)?;
@@ -279,7 +293,7 @@
         let Some((charge, length)) = needed else {
             return Ok(());
         };
-        let limit = self.receptions.limit_for(length, max_bytes);
+        let limit = self.receptions.limit_for(length);
         let charge = self.receptions.charge_up_to(charge, limit);
         // Making room may have made this body give way itself.
         let mut buffer = self.reception.buffer.borrow_mut();
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -36,6 +36,8 @@
 const MAX_TRIES: usize = 4;
 /// Limit of the body that is read from a refused request. For a longer one, a new connection costs the caller less.
 const MAX_UNREAD_BYTES: usize = 64 << 10;
+/// What one field of a head takes beside its bytes.
+const FIELD_OVERHEAD_BYTES: usize = 64;
 /// How long to wait for the body of a refused request.
 const UNREAD_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -87,7 +89,7 @@
     let is_forwarded = peer_forwarding::is_forwarded(request.headers());
     let received = router.clock.now();
     let id = header(request.headers(), &router.dialect.headers().request_id);
-    let open = OpenRequest::new(&router, &id, received, is_forwarded);
+    let mut open = OpenRequest::new(&router, &id, received, is_forwarded);
     let exiting = || router.exit_notices.final_answers.given();
     let refuse = |refused: Refused| {
         let may_be_served_elsewhere = refused.concerns_this_router();
@@ -97,11 +99,14 @@
         }
         response
     };
+    let head_charge = router.receptions.charge(head_bytes(&request));
     let admitted = tokio::select! {
         biased;
+        () = std::future::ready(()), if head_charge.is_none() => Err(Refused::NoMemory),
         admitted = admit_when_confirmed(&router, &request, received) => admitted,
         () = exiting() => Err(Refused::Stopping),
     };
+    open.hold(head_charge);
     let mut response = match admitted {
         Ok((admission, prompt)) => {
             let progress = Rc::clone(&open.progress);
@@ -127,6 +132,15 @@
     Ok(response)
 }
 
+/// What the head of a request takes in memory.
+fn head_bytes(request: &Request<CallerBody>) -> usize {
+    let fields = request.headers().iter();
+    let fields =
+        fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD_BYTES);
+    let target = request.uri().path_and_query();
+    fields.sum::<usize>() + target.map_or(0, |target| target.as_str().len())
+}
+
 /// Refuses a request whose body was not received; its connection is closed, because the rest may still come.
 fn refuse_unread(
     error: BodyError,
--- a/crates/gateway/src/router/open_requests.rs
+++ b/crates/gateway/src/router/open_requests.rs
@@ -7,6 +7,7 @@
 use drumshore_core::{Execution, Timestamp};
 
 use super::Router;
+use crate::memory_account::Charge;
 
 /// How far a request is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -163,6 +164,8 @@
     number: u64,
     is_forwarded: bool,
     pub progress: Rc<Progress>,
+    /// The memory of its head.
+    head: Option<Charge>,
 }
 
 impl OpenRequest {
@@ -182,8 +185,14 @@
             number,
             is_forwarded,
             progress,
+            head: None,
         }
     }
+
+    /// Charges its head until its answer has ended.
+    pub fn hold(&mut self, head: Option<Charge>) {
+        self.head = head;
+    }
 }
 
 impl Drop for OpenRequest {
