Bound what the kernel keeps of answers that callers do not read

Seen by callers: 100 clients that ask for answers of 4 MiB and read nothing bring a machine of 48 MB to 416 MB, 391 of it in send buffers of the kernel (4 MiB a connection). It counts as memory of the machine, which ends the process.

Cause: the kernel lets the send buffer of a connection grow to 4 MiB, and the receive buffer of the back end's connection to 6.

Change: connections of clients inherit a send buffer of 16 KiB, and connections to back ends have a receive buffer of 32 KiB (twice that with the kernel's bookkeeping). An open answer that nobody reads takes up to 128 KiB with its buffers in the process, so connections at routers count with as much, for half of the memory: 419 at 110 MB, 991 at 260, 1,500 from 393 MB on.

Ruled out: an account of answer bytes; they arrive in the kernel before the process can refuse them.

--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -133,7 +133,8 @@
     let metrics = Metrics::new();
     let max_client_bytes = memory_shares::client_bytes(settings.memory_bytes);
     let receptions = Receptions::new(max_client_bytes, &metrics.clients);
-    let max_connections = memory_shares::connections(settings.memory_bytes, MAX_CONNECTIONS);
+    let max_connections =
+        memory_shares::forwarding_connections(settings.memory_bytes, MAX_CONNECTIONS);
     let router = Rc::new(Router {
         core: RefCell::new(RouterCore::new(settings.params.clone(), seed)),
         dialect,
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -1,12 +1,13 @@
 //! TCP sockets that detect a dead peer.
 
+use std::future::Future;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{timeout, timeout_at, Instant};
 
 use crate::DaemonError;
@@ -19,12 +20,21 @@
 /// probe after it, whatever their number (tcp(7), `TCP_USER_TIMEOUT`).
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const BACKLOG: i32 = 512;
-/// Size of the receive buffer of a client's connection. Linux doubles it, for its own bookkeeping (socket(7)).
-const CLIENT_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
+/// Size of the receive buffer, and of the send buffer, of a client's connection. Linux doubles it, for its own bookkeeping
+/// (socket(7)).
+const CLIENT_BUFFER_BYTES: usize = 16 << 10;
+/// Size of the receive buffer of a connection to a back end.
+const BACK_END_RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 
 /// Opens a connection within `time_limit`; fails with `TimedOut` after it.
 pub(crate) async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<TcpStream> {
-    let connecting = TcpStream::connect(address);
+    finish_connecting(TcpStream::connect(address), time_limit).await
+}
+
+async fn finish_connecting(
+    connecting: impl Future<Output = io::Result<TcpStream>>,
+    time_limit: Duration,
+) -> io::Result<TcpStream> {
     let stream = timeout(time_limit, connecting)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
@@ -32,6 +42,19 @@
     Ok(stream)
 }
 
+/// Opens a connection to a back end, of whose answers the kernel keeps few bytes while a client does not read them.
+pub(crate) async fn connect_to_back_end(
+    address: SocketAddr,
+    time_limit: Duration,
+) -> io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_recv_buffer_size(BACK_END_RECEIVE_BUFFER_BYTES)?;
+    finish_connecting(socket.connect(address), time_limit).await
+}
+
 /// Whether a connection on which nothing was sent is open at a time. Returns before when its peer closes it or sends bytes.
 pub(crate) async fn stays_open(stream: &TcpStream, until: Instant) -> bool {
     let mut byte = [0];
@@ -66,13 +89,14 @@
     open_with(purpose, address, |_| Ok(()))
 }
 
-/// Opens a listener for clients, of whose bytes the kernel keeps few that nobody has read.
+/// Opens a listener for clients, of whose requests and answers the kernel keeps few bytes that nobody has read.
 pub(crate) fn open_for_clients(
     purpose: &'static str,
     address: SocketAddr,
 ) -> Result<TcpListener, DaemonError> {
     open_with(purpose, address, |socket| {
-        socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)
+        socket.set_recv_buffer_size(CLIENT_BUFFER_BYTES)?;
+        socket.set_send_buffer_size(CLIENT_BUFFER_BYTES)
     })
 }
 
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -289,7 +289,7 @@
     let address: SocketAddr = address
         .parse()
         .map_err(|_| io::Error::from(io::ErrorKind::InvalidInput))?;
-    sockets::connect(address, CONNECT_TIMEOUT).await
+    sockets::connect_to_back_end(address, CONNECT_TIMEOUT).await
 }
 
 async fn begin_http(stream: TcpStream, slot: OpeningSlot) -> Result<Connection, NoConnection> {
