--- a/crates/gateway/src/caller_body.rs
+++ b/crates/gateway/src/caller_body.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use crate::open_connections::OpenPart;
+use crate::client_activity::OpenPart;
 
 /// The body of a request. The connection takes bytes that arrive after it is dropped for a further request.
 #[derive(Debug)]
--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -15,8 +15,8 @@
 use tokio::time::Instant;
 
 use crate::answer::AnswerBody;
+use crate::client_activity::{Activity, OpenPart};
 use crate::connection_errors::ConnectionError;
-use crate::open_connections::{Activity, OpenPart};
 
 /// The request that is being answered on a connection, if any.
 #[derive(Clone, Debug)]
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Sleep};
 
-use crate::open_connections::Activity;
+use crate::client_activity::Activity;
 
 /// A connection that tells when bytes arrive, and whose reads fail when a head takes too long.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/gateway/src/client_activity.rs
@@ -0,0 +1,145 @@
+//! What the client of a connection is doing, by which a server decides whose connection gives way to a new one.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+use tokio::time::Instant;
+
+use crate::body_reception::STALL_TIMEOUT;
+
+/// A connection that is idle after an answer gives way after this time. Its client may be about to use it again.
+const IDLE_EVICTION_DELAY: Duration = Duration::from_secs(3);
+
+/// What the client of a connection is doing.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ClientState {
+    /// It has not finished the head of its first request.
+    FirstHead,
+    /// All its requests have been answered.
+    Idle,
+    /// It has begun the head of a further request.
+    FurtherHead,
+    /// Its request is being received or answered.
+    Request,
+}
+
+/// The state of one connection; shared by its reader, its requests and the limit on connections.
+#[derive(Debug)]
+pub(crate) struct Activity {
+    state: Cell<ClientState>,
+    since: Cell<Instant>,
+    has_partial_head: Cell<bool>,
+    /// Counts the requests on the connection.
+    request: Cell<u64>,
+    /// What has not ended of the current request: its body, and its answer.
+    open_parts: Cell<u8>,
+    evicted: Notify,
+}
+
+/// The body or the answer of a request, while it lasts.
+#[derive(Debug)]
+pub(crate) struct OpenPart {
+    activity: Rc<Activity>,
+    request: u64,
+}
+
+impl Drop for OpenPart {
+    fn drop(&mut self) {
+        self.activity.end_part(self.request);
+    }
+}
+
+impl Default for Activity {
+    fn default() -> Self {
+        Self {
+            state: Cell::new(ClientState::FirstHead),
+            since: Cell::new(Instant::now()),
+            has_partial_head: Cell::new(false),
+            request: Cell::new(0),
+            open_parts: Cell::new(0),
+            evicted: Notify::new(),
+        }
+    }
+}
+
+impl Activity {
+    fn enter(&self, state: ClientState) {
+        self.state.set(state);
+        self.since.set(Instant::now());
+    }
+
+    /// Bytes have arrived.
+    pub fn on_read(&self) {
+        if self.state.get() == ClientState::Idle {
+            self.enter(ClientState::FurtherHead);
+        }
+        let is_request = self.state.get() == ClientState::Request;
+        self.has_partial_head.set(!is_request);
+    }
+
+    /// Whether a part of a head has arrived.
+    pub fn has_partial_head(&self) -> bool {
+        self.has_partial_head.get()
+    }
+
+    /// The head of a request is complete.
+    pub fn on_request(&self) {
+        self.has_partial_head.set(false);
+        self.request.set(self.request.get() + 1);
+        self.open_parts.set(2);
+        self.enter(ClientState::Request);
+    }
+
+    /// The body or the answer of the current request, which ends when this is dropped.
+    pub fn open_part(self: &Rc<Self>) -> OpenPart {
+        OpenPart {
+            activity: Rc::clone(self),
+            request: self.request.get(),
+        }
+    }
+
+    /// Since when its client has been doing the same.
+    pub fn since(&self) -> Instant {
+        self.since.get()
+    }
+
+    /// Makes the connection give way; it is a candidate no more.
+    pub fn evict(&self) -> bool {
+        self.enter(ClientState::Request);
+        self.evicted.notify_one();
+        true
+    }
+
+    /// Completes when the connection has to give way to another one.
+    pub async fn evicted(&self) {
+        self.evicted.notified().await;
+    }
+
+    fn end_part(&self, request: u64) {
+        // The body of an earlier request may be dropped late.
+        if request != self.request.get() {
+            return;
+        }
+        self.open_parts.set(self.open_parts.get().saturating_sub(1));
+        if self.open_parts.get() == 0 {
+            self.enter(ClientState::Idle);
+        }
+    }
+
+    /// Whether a head has been unfinished for too long.
+    pub fn has_stalled_head(&self) -> bool {
+        let is_head = matches!(
+            self.state.get(),
+            ClientState::FirstHead | ClientState::FurtherHead
+        );
+        is_head && self.since.get().elapsed() >= STALL_TIMEOUT
+    }
+
+    /// Whether the client has been idle for so long after an answer that it may have to give way.
+    pub fn is_idle(&self) -> bool {
+        let is_idle = self.state.get() == ClientState::Idle;
+        is_idle && self.since.get().elapsed() >= IDLE_EVICTION_DELAY
+    }
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod caller_body;
 mod caller_connections;
 mod caller_stream;
+mod client_activity;
 mod clock;
 mod connection_errors;
 mod control;
--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -10,15 +10,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
-use tokio::time::{timeout, Instant};
+use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::time::timeout;
 
-use crate::body_reception::{Receptions, STALL_TIMEOUT};
+use crate::body_reception::Receptions;
+use crate::client_activity::Activity;
 
 /// How long a connection that gave way may take to free its slot before another one gives way as well.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
-/// A connection that is idle after an answer gives way after this time. Its client may be about to use it again.
-const IDLE_EVICTION_DELAY: Duration = Duration::from_secs(3);
 
 /// Limits of the heads that clients send, and of the time between their requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -65,124 +64,6 @@
     receptions: Option<Rc<Receptions>>,
 }
 
-/// What the client of a connection is doing.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ClientState {
-    /// It has not finished the head of its first request.
-    FirstHead,
-    /// All its requests have been answered.
-    Idle,
-    /// It has begun the head of a further request.
-    FurtherHead,
-    /// Its request is being received or answered.
-    Request,
-}
-
-/// The state of one connection; shared by its reader, its requests and the limit on connections.
-#[derive(Debug)]
-pub(crate) struct Activity {
-    state: Cell<ClientState>,
-    since: Cell<Instant>,
-    has_partial_head: Cell<bool>,
-    /// Counts the requests on the connection.
-    request: Cell<u64>,
-    /// What has not ended of the current request: its body, and its answer.
-    open_parts: Cell<u8>,
-    evicted: Notify,
-}
-
-/// The body or the answer of a request, while it lasts.
-#[derive(Debug)]
-pub(crate) struct OpenPart {
-    activity: Rc<Activity>,
-    request: u64,
-}
-
-impl Drop for OpenPart {
-    fn drop(&mut self) {
-        self.activity.end_part(self.request);
-    }
-}
-
-impl Default for Activity {
-    fn default() -> Self {
-        Self {
-            state: Cell::new(ClientState::FirstHead),
-            since: Cell::new(Instant::now()),
-            has_partial_head: Cell::new(false),
-            request: Cell::new(0),
-            open_parts: Cell::new(0),
-            evicted: Notify::new(),
-        }
-    }
-}
-
-impl Activity {
-    fn enter(&self, state: ClientState) {
-        self.state.set(state);
-        self.since.set(Instant::now());
-    }
-
-    /// Bytes have arrived.
-    pub fn on_read(&self) {
-        if self.state.get() == ClientState::Idle {
-            self.enter(ClientState::FurtherHead);
-        }
-        let is_request = self.state.get() == ClientState::Request;
-        self.has_partial_head.set(!is_request);
-    }
-
-    /// Whether a part of a head has arrived.
-    pub fn has_partial_head(&self) -> bool {
-        self.has_partial_head.get()
-    }
-
-    /// The head of a request is complete.
-    pub fn on_request(&self) {
-        self.has_partial_head.set(false);
-        self.request.set(self.request.get() + 1);
-        self.open_parts.set(2);
-        self.enter(ClientState::Request);
-    }
-
-    /// The body or the answer of the current request, which ends when this is dropped.
-    pub fn open_part(self: &Rc<Self>) -> OpenPart {
-        OpenPart {
-            activity: Rc::clone(self),
-            request: self.request.get(),
-        }
-    }
-
-    /// Completes when the connection has to give way to another one.
-    pub async fn evicted(&self) {
-        self.evicted.notified().await;
-    }
-
-    fn end_part(&self, request: u64) {
-        // The body of an earlier request may be dropped late.
-        if request != self.request.get() {
-            return;
-        }
-        self.open_parts.set(self.open_parts.get().saturating_sub(1));
-        if self.open_parts.get() == 0 {
-            self.enter(ClientState::Idle);
-        }
-    }
-
-    fn has_stalled_head(&self) -> bool {
-        let is_head = matches!(
-            self.state.get(),
-            ClientState::FirstHead | ClientState::FurtherHead
-        );
-        is_head && self.since.get().elapsed() >= STALL_TIMEOUT
-    }
-
-    fn is_idle(&self) -> bool {
-        let is_idle = self.state.get() == ClientState::Idle;
-        is_idle && self.since.get().elapsed() >= IDLE_EVICTION_DELAY
-    }
-}
-
 /// A slot for one connection.
 #[derive(Debug)]
 pub(crate) struct Slot(#[allow(dead_code)] OwnedSemaphorePermit);
@@ -308,23 +189,21 @@
         let body = self.receptions.as_ref();
         let body = body.and_then(|receptions| receptions.longest_stall().zip(Some(receptions)));
         match (head, body) {
-            (Some(head), Some((since, receptions))) if since < head.since.get() => {
+            (Some(head), Some((since, receptions))) if since < head.since() => {
                 receptions.evict_stalled()
             }
             (None, Some((_, receptions))) => receptions.evict_stalled(),
-            (Some(head), _) => evict(&head),
+            (Some(head), _) => head.evict(),
             (None, None) => self
                 .longest(Activity::is_idle)
-                .is_some_and(|idle| evict(&idle)),
+                .is_some_and(|idle| idle.evict()),
         }
     }
 
     fn longest(&self, may_evict: impl Fn(&Activity) -> bool) -> Option<Rc<Activity>> {
         let open = self.open.borrow();
         let candidates = open.values().filter(|activity| may_evict(activity));
-        candidates
-            .min_by_key(|activity| activity.since.get())
-            .cloned()
+        candidates.min_by_key(|activity| activity.since()).cloned()
     }
 
     /// A slot, if one is free.
@@ -398,13 +277,6 @@
     }
 }
 
-/// Makes a connection give way; it is a candidate no more.
-fn evict(activity: &Activity) -> bool {
-    activity.enter(ClientState::Request);
-    activity.evicted.notify_one();
-    true
-}
-
 async fn reached(mut phase: watch::Receiver<Phase>, wanted: Phase) {
     if phase.wait_for(|phase| *phase >= wanted).await.is_err() {
         // The server is gone, and with it whoever could close its connections.
--- a/crates/gateway/src/router/forward.rs
+++ b/crates/gateway/src/router/forward.rs
@@ -1,19 +1,15 @@
 //! Handles one request: admits it, reads its body and tries back ends until one answers.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{
     Admission, Choice, ChoiceError, FingerprintInput, InstanceId, Prompt, RequestFingerprints,
     MAX_STREAM_LIFETIME,
 };
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Body;
 use hyper::header::{HeaderValue, CONNECTION};
 use hyper::http::request::Parts;
 use hyper::{HeaderMap, Request, Response};
-use tokio::time::timeout;
 
 use super::admission::{admit_when_confirmed, TimeLimits};
 use super::attempt::{self, Answered, Attempt, Unanswered};
@@ -25,6 +21,7 @@
 use super::refusal::{self, Refused, Unserved};
 use super::resume::Attempts;
 use super::take_up::{self, TakeUp};
+use super::unread;
 use super::Router;
 use crate::answer::AnswerBody;
 use crate::body_reception::{BodyError, BodyLimits};
@@ -34,12 +31,6 @@
 
 /// Limit of all attempts, including those that reached no back end and so do not count towards the route's limit.
 const MAX_TRIES: usize = 4;
-/// Limit of the body that is read from a refused request. For a longer one, a new connection costs the caller less.
-const MAX_UNREAD_BYTES: usize = 64 << 10;
-/// What one field of a head takes beside its bytes.
-const FIELD_OVERHEAD_BYTES: usize = 64;
-/// How long to wait for the body of a refused request.
-const UNREAD_BODY_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// An admitted request whose body has been read.
 pub(super) struct Call {
@@ -93,20 +84,29 @@
     let exiting = || router.exit_notices.final_answers.given();
     let refuse = |refused: Refused| {
         let may_be_served_elsewhere = refused.concerns_this_router();
+        let leaves_body_unread = refused.leaves_body_unread();
         let mut response = refusal::refuse(&router, &id, received, refused);
         if is_forwarded && may_be_served_elsewhere {
             peer_forwarding::mark_declined(&mut response);
         }
+        if leaves_body_unread {
+            announce_close(&mut response);
+        }
         response
     };
-    let head_charge = router.receptions.charge(head_bytes(&request));
+    open.hold(unread::charge_head(&router, &request));
+    let admitting = async {
+        if open.holds_head() {
+            admit_when_confirmed(&router, &request, received).await
+        } else {
+            Err(Refused::NoMemory)
+        }
+    };
     let admitted = tokio::select! {
         biased;
-        () = std::future::ready(()), if head_charge.is_none() => Err(Refused::NoMemory),
-        admitted = admit_when_confirmed(&router, &request, received) => admitted,
+        admitted = admitting => admitted,
         () = exiting() => Err(Refused::Stopping),
     };
-    open.hold(head_charge);
     let mut response = match admitted {
         Ok((admission, prompt)) => {
             let progress = Rc::clone(&open.progress);
@@ -115,61 +115,26 @@
                 biased;
                 call = reading => match call {
                     Ok(call) => answer(&router, call, open).await,
-                    Err(error) => refuse_unread(error, &refuse)?,
+                    Err(error) => refuse(unread::refusal(&error).ok_or(NoAnswer)?),
                 },
                 () = exiting() => refuse(Refused::Stopping),
             }
         }
         Err(refused) => {
-            discard_body(request.into_body());
+            unread::discard_body(request.into_body());
             refuse(refused)
         }
     };
     if router.stopping.get().is_some() {
-        let close = HeaderValue::from_static("close");
-        response.headers_mut().insert(CONNECTION, close);
+        announce_close(&mut response);
     }
     Ok(response)
 }
 
-/// What the head of a request takes in memory.
-fn head_bytes(request: &Request<CallerBody>) -> usize {
-    let fields = request.headers().iter();
-    let fields =
-        fields.map(|(name, value)| name.as_str().len() + value.len() + FIELD_OVERHEAD_BYTES);
-    let target = request.uri().path_and_query();
-    fields.sum::<usize>() + target.map_or(0, |target| target.as_str().len())
-}
-
-/// Refuses a request whose body was not received; its connection is closed, because the rest may still come.
-fn refuse_unread(
-    error: BodyError,
-    refuse: impl Fn(Refused) -> Response<AnswerBody>,
-) -> Result<Response<AnswerBody>, NoAnswer> {
-    let refused = match error {
-        BodyError::NoMemory => Refused::NoMemory,
-        BodyError::Stalled => Refused::BodyStalled,
-        BodyError::TimedOut => Refused::BodyTimedOut,
-        BodyError::TooLarge => Refused::BodyTooLarge,
-        BodyError::Broken => return Err(NoAnswer),
-    };
-    let mut response = refuse(refused);
+/// Tells the caller that its connection is closed after the answer.
+fn announce_close(response: &mut Response<AnswerBody>) {
     let close = HeaderValue::from_static("close");
     response.headers_mut().insert(CONNECTION, close);
-    Ok(response)
-}
-
-/// Reads and discards the body of a request that was refused by its head. The caller may still be sending it; a
-/// connection with an unread body is closed, and the caller's next request on it would get no answer.
-fn discard_body(body: CallerBody) {
-    if body.is_end_stream() {
-        return;
-    }
-    tokio::task::spawn_local(async move {
-        let mut body = Limited::new(body, MAX_UNREAD_BYTES);
-        let discarding = async { while let Some(Ok(_)) = body.frame().await {} };
-        let _ = timeout(UNREAD_BODY_TIMEOUT, discarding).await;
-    });
 }
 
 async fn read_call(
@@ -196,7 +161,7 @@
     };
     let body = router.receptions.receive(body, body_limits).await;
     let body = body.inspect_err(|error| {
-        log_unread(router, &id, &progress, error);
+        unread::record(router, &id, &progress, error);
         let now = router.clock.now();
         router.core.borrow_mut().refund(now, &admission);
     })?;
@@ -224,15 +189,6 @@
     })
 }
 
-fn log_unread(router: &Router, id: &str, progress: &Progress, error: &BodyError) {
-    let account = router.receptions.account();
-    router.receptions.count_rejected(error.as_str());
-    tracing::info!(event = "body_unread", %id, reason = error.as_str(),
-        held_bytes = account.held(), max_held_bytes = account.limit(),
-        elapsed_ms = router.clock.now().since(progress.received).as_millis() as u64,
-        "router: the body of a request was not received");
-}
-
 fn fingerprints_of(
     router: &Router,
     parts: &Parts,
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -33,6 +33,7 @@
 mod streams;
 mod take_up;
 mod timeliness;
+mod unread;
 mod view_changes;
 
 use std::cell::{Cell, RefCell};
--- a/crates/gateway/src/router/open_requests.rs
+++ b/crates/gateway/src/router/open_requests.rs
@@ -189,6 +189,11 @@
         }
     }
 
+    /// Whether its head is charged.
+    pub fn holds_head(&self) -> bool {
+        self.head.is_some()
+    }
+
     /// Charges its head until its answer has ended.
     pub fn hold(&mut self, head: Option<Charge>) {
         self.head = head;
--- a/crates/gateway/src/router/refusal.rs
+++ b/crates/gateway/src/router/refusal.rs
@@ -61,6 +61,14 @@
 }
 
 impl Refused {
+    /// Whether the rest of the request may still come on its connection.
+    pub fn leaves_body_unread(&self) -> bool {
+        match self {
+            Self::NoMemory | Self::BodyStalled | Self::BodyTimedOut | Self::BodyTooLarge => true,
+            Self::ByView(_) | Self::Stopping | Self::TooManyForwarded => false,
+        }
+    }
+
     /// Whether another router may serve the request.
     pub fn concerns_this_router(&self) -> bool {
         match self {
--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -300,7 +300,7 @@
     });
 }
 
-/// Starts a server with these limits of heads.
+/// Starts a server with these limits of heads, which answers before it reads the bodies of requests.
 async fn server_with_head_limits(limits: HeadLimits) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -315,7 +315,11 @@
         listener,
         params,
         connections,
-        |_: Request<CallerBody>| async { Ok(answer::plain(StatusCode::OK, "")) },
+        |request: Request<CallerBody>| async {
+            let mut body = request.into_body();
+            tokio::task::spawn_local(async move { while body.frame().await.is_some() {} });
+            Ok(answer::plain(StatusCode::OK, ""))
+        },
     );
     tokio::task::spawn_local(answering);
     address
@@ -381,29 +385,11 @@
 #[test]
 fn a_body_that_arrives_after_its_answer_ends_no_connection() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let params = ServerParams {
-            idle_timeout: Duration::from_secs(60),
-            max_connections: 8,
-            when_full: WhenFull::Wait,
-        };
-        let connections = Connections::new(params.max_connections);
-        connections.set_head_limits(HeadLimits {
+        let address = server_with_head_limits(HeadLimits {
             time: Duration::from_millis(100),
             ..HeadLimits::default()
-        });
-        let answering = serve_until_closed(
-            listener,
-            params,
-            connections,
-            |request: Request<CallerBody>| async {
-                let mut body = request.into_body();
-                tokio::task::spawn_local(async move { while body.frame().await.is_some() {} });
-                Ok(answer::plain(StatusCode::OK, ""))
-            },
-        );
-        tokio::task::spawn_local(answering);
+        })
+        .await;
         let mut stream = connect(address).await;
         let head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\na";
         stream.write_all(head).await.unwrap();
