Routers keep to the descriptors of their settings; answers at their exit are whole again

Seen by callers: a router with few descriptors (`limits.max_fds`) accepted connections until it had none left for back ends.

Change: connections of callers are at most half of the descriptors that are left after 280. Receive buffers of connections to back ends stay at 32 KiB.

--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -80,6 +80,12 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(16);
 /// Connections of callers, where the memory of the machine suffices for them.
 const MAX_CONNECTIONS: usize = 1_500;
+/// On a machine with very few descriptors, too.
+const MIN_CONNECTIONS: usize = 64;
+/// Descriptors of a caller's connection and of the one to the back end that serves its request.
+const DESCRIPTORS_PER_CONNECTION: usize = 2;
+/// Descriptors reserved for listeners, links to control machines, and the 200 that the users' platform sets aside for files.
+const RESERVED_DESCRIPTORS: usize = 280;
 /// Connections to each of the readiness and metrics listeners.
 const MAX_PLATFORM_CONNECTIONS: usize = 32;
 
@@ -134,8 +140,7 @@
     let metrics = Metrics::new();
     let max_client_bytes = memory_shares::client_bytes(settings.memory_bytes);
     let receptions = Receptions::new(max_client_bytes, &metrics.clients);
-    let max_connections =
-        memory_shares::forwarding_connections(settings.memory_bytes, MAX_CONNECTIONS);
+    let max_connections = max_caller_connections(&settings);
     let router = Rc::new(Router {
         core: RefCell::new(RouterCore::new(settings.params.clone(), seed)),
         dialect,
@@ -175,6 +180,15 @@
     Ok(())
 }
 
+/// How many connections of callers the memory and the descriptors of the machine suffice for.
+fn max_caller_connections(settings: &RouterSettings) -> usize {
+    let by_memory = memory_shares::forwarding_connections(settings.memory_bytes, MAX_CONNECTIONS);
+    let by_descriptors = settings.max_descriptors.map(|descriptors| {
+        descriptors.saturating_sub(RESERVED_DESCRIPTORS) / DESCRIPTORS_PER_CONNECTION
+    });
+    by_descriptors.map_or(by_memory, |most| by_memory.min(most.max(MIN_CONNECTIONS)))
+}
+
 fn listen(router: &Rc<Router>) -> Result<(), DaemonError> {
     let callers = sockets::open_for_clients("callers", router.settings.listen)?;
     let connections = router.caller_connections.clone();
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,8 @@
     pub seeds: SeedSource,
     /// Memory of the machine, in bytes.
     pub memory_bytes: u64,
+    /// File descriptors that the process may have open, if they are limited.
+    pub max_descriptors: Option<usize>,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
     /// The longest time for which any caller uses a cached directory answer.
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -20,9 +20,8 @@
 /// probe after it, whatever their number (tcp(7), `TCP_USER_TIMEOUT`).
 const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(2);
 const BACKLOG: i32 = 512;
-/// Size of the receive buffer, and of the send buffer, of a client's connection. Linux doubles it, for its own bookkeeping
-/// (socket(7)).
-const CLIENT_BUFFER_BYTES: usize = 16 << 10;
+/// Size of the receive buffer of a client's connection. Linux doubles it, for its own bookkeeping (socket(7)).
+const CLIENT_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// Size of the receive buffer of a connection to a back end.
 const BACK_END_RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 
@@ -89,14 +88,13 @@
     open_with(purpose, address, |_| Ok(()))
 }
 
-/// Opens a listener for clients, of whose requests and answers the kernel keeps few bytes that nobody has read.
+/// Opens a listener for clients, of whose requests the kernel keeps few bytes that nobody has read.
 pub(crate) fn open_for_clients(
     purpose: &'static str,
     address: SocketAddr,
 ) -> Result<TcpListener, DaemonError> {
     open_with(purpose, address, |socket| {
-        socket.set_recv_buffer_size(CLIENT_BUFFER_BYTES)?;
-        socket.set_send_buffer_size(CLIENT_BUFFER_BYTES)
+        socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)
     })
 }
 
