Answers that arrived before a router's exit are passed on although its event loop is late

Seen by callers: requests that a back end had answered got no answer when their router exited.

Cause: the notices before an exit are given by the clock. After a delay of the event loop (104 and 114 ms in the traces), the notice of the cuts comes in the same turn in which the loop learns of answers. Each task was cut when its answer had no further piece at that moment, although the rest was in the buffer of the connection to the back end (`answer_cut` with received_ms_ago=0); requests whose answers were there got 504. Past the time of the exit, connections were cut in the same turn.

Change: a notice takes effect three turns of the event loop after it was given, counted by a task of its own, and anew after each piece of an answer that is read.

Ruled out: a `yield_now` in the waiting task itself.

--- a/crates/gateway/src/router/answer_timer.rs
+++ b/crates/gateway/src/router/answer_timer.rs
@@ -48,16 +48,24 @@
 
 /// Runs until the deadline of a request, or until the process exits.
 pub(super) struct AnswerTimer {
+    router: Rc<Router>,
     deadline: Pin<Box<Sleep>>,
     exit: Pin<Box<dyn Future<Output = ()>>>,
 }
 
 impl AnswerTimer {
     pub fn new(router: &Rc<Router>, remaining: Duration) -> Self {
-        let router = Rc::clone(router);
         Self {
+            router: Rc::clone(router),
             deadline: Box::pin(sleep(remaining)),
-            exit: Box::pin(async move { router.exit_notices.cuts.given().await }),
+            exit: cut_notice(router),
+        }
+    }
+
+    /// A part of the answer has been read. Further ones may be there when answers are cut.
+    pub fn on_progress(&mut self) {
+        if self.router.exit_notices.cuts.is_given() {
+            self.exit = cut_notice(&self.router);
         }
     }
 
@@ -76,3 +84,9 @@
         remaining.as_millis() as u64
     }
 }
+
+/// Completes when answers are cut because the process exits.
+fn cut_notice(router: &Rc<Router>) -> Pin<Box<dyn Future<Output = ()>>> {
+    let router = Rc::clone(router);
+    Box::pin(async move { router.exit_notices.cuts.given().await })
+}
--- a/crates/gateway/src/router/exit_notice.rs
+++ b/crates/gateway/src/router/exit_notice.rs
@@ -3,6 +3,11 @@
 use std::cell::Cell;
 
 use tokio::sync::Notify;
+use tokio::task::{spawn_local, yield_now};
+
+/// Turns of the event loop in which what has arrived from a back end reaches the task of its request: one in which the loop
+/// learns of it, and one each for the head of an answer and a piece of its body.
+const TURNS_TO_READ: usize = 3;
 
 /// The notices that a router gives to open requests, one after the other.
 #[derive(Debug, Default)]
@@ -26,11 +31,27 @@
         self.notify.notify_waiters();
     }
 
-    /// Completes when the notice has been given.
+    /// Whether it has been given.
+    pub fn is_given(&self) -> bool {
+        self.is_given.get()
+    }
+
+    /// Completes when the notice has been given, and what had arrived by then can have been read: after a delay of the event
+    /// loop, answers may be there that no task has seen.
     pub async fn given(&self) {
         let notified = self.notify.notified();
         if !self.is_given.get() {
             notified.await;
         }
+        // Whoever waits may be polled several times in a turn, which would end a `yield_now` of its own early.
+        let turns = spawn_local(async {
+            for _ in 0..TURNS_TO_READ {
+                yield_now().await;
+            }
+        });
+        if let Err(error) = turns.await {
+            tracing::warn!(event = "exit_turns_failed", %error,
+                "router: failed to wait for the event loop before the exit");
+        }
     }
 }
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -192,6 +192,7 @@
             match self.poll_body(context) {
                 Poll::Ready(Some(Ok(frame))) => {
                     self.return_to_first("its back end sends again");
+                    self.timer.on_progress();
                     self.open_attempt.on_bytes_received();
                     self.timeliness.on_piece(self.now());
                     let whole = frame.data_ref().map_or(0, |data| self.received.add(data));
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use super::Router;
@@ -23,6 +24,8 @@
 const MAX_UNBOUNDED_ADMISSION_PART: f64 = 0.35;
 const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 const FLUSH_CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// Turns of a late event loop in which answers that have arrived are forwarded, from the cuts to the end of connections.
+const MAX_TURNS_BEFORE_CUT: usize = 32;
 /// How long the tasks of all connections may take to run once more when these are cut.
 const CUT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Lines about single requests at the stop signal, and again at the exit.
@@ -114,6 +117,16 @@
             sleep(remaining.min(interval)).await;
         }
     }
+
+    /// Lets all tasks run in so many turns of the event loop, or until `is_done`.
+    async fn pass_turns(&self, turns: usize, is_done: impl Fn(&Self) -> bool) {
+        for _ in 0..turns {
+            if is_done(self) {
+                return;
+            }
+            yield_now().await;
+        }
+    }
 }
 
 /// Stops the router. The directory no longer lists it, and each answer closes its connection, so that callers move to
@@ -144,6 +157,7 @@
     stop.wait(schedule.cuts, interval, closed).await;
     notices.cuts.give();
     stop.wait(schedule.exit, interval, closed).await;
+    stop.pass_turns(MAX_TURNS_BEFORE_CUT, closed).await;
     connections.cut();
     // Each task sends what it can before it closes its connection, and many tasks may not have run since the final answers.
     let all_have_run = stop.elapsed() + CUT_TIMEOUT;
