Bound what the kernel keeps of answers that clients do not read

Seen: 100 clients that do not read answers of 4 MiB made a router of 48 MB use 416 MB, 391 of it in send buffers of the kernel, which count as memory of its machine: the process is killed, with the requests of all others.

Cause: send buffers grow to 4 MiB each by themselves, and no account or limit knew of them.

Ruled out: small send buffers (answers of 200 KB cut at the exit, taken back earlier); 16 KiB for all, raised at the exit only: two cases of a_whole_answer_outlives_the_router were cut at the time limit of their route, because their callers read later.

--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, Sleep};
 
 use crate::client_activity::Activity;
+use crate::sockets;
 
 /// A connection that tells when bytes arrive, and whose reads fail when a head takes too long.
 #[derive(Debug)]
@@ -44,6 +45,16 @@
         timer.as_mut().poll(context).is_ready()
     }
 
+    fn apply_unsent_limit(&self) {
+        let Some(bytes) = self.activity.take_unsent_limit() else {
+            return;
+        };
+        if let Err(error) = sockets::set_unsent_limit(&self.stream, bytes) {
+            tracing::warn!(event = "unsent_limit_failed", bytes, %error,
+                "server: failed to limit the unsent bytes of a connection");
+        }
+    }
+
     pub fn into_inner(self) -> TcpStream {
         self.stream
     }
@@ -74,6 +85,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unsent_limit();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -82,6 +94,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.apply_unsent_limit();
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
--- a/crates/gateway/src/client_activity.rs
+++ b/crates/gateway/src/client_activity.rs
@@ -36,6 +36,8 @@
     /// What has not ended of the current request: its body, and its answer.
     open_parts: Cell<u8>,
     evicted: Notify,
+    /// A limit of the bytes of answers that the kernel keeps unsent, until it is applied.
+    unsent_limit: Cell<Option<u32>>,
 }
 
 /// The body or the answer of a request, while it lasts.
@@ -60,6 +62,7 @@
             request: Cell::new(0),
             open_parts: Cell::new(0),
             evicted: Notify::new(),
+            unsent_limit: Cell::new(None),
         }
     }
 }
@@ -117,6 +120,21 @@
         self.evicted.notified().await;
     }
 
+    /// Whether a request is being received or answered.
+    pub fn is_serving(&self) -> bool {
+        self.state.get() == ClientState::Request
+    }
+
+    /// Sets how many bytes of answers the kernel keeps unsent from the next write on.
+    pub fn set_unsent_limit(&self, bytes: u32) {
+        self.unsent_limit.set(Some(bytes));
+    }
+
+    /// The limit that is to be applied.
+    pub fn take_unsent_limit(&self) -> Option<u32> {
+        self.unsent_limit.take()
+    }
+
     fn end_part(&self, request: u64) {
         // The body of an earlier request may be dropped late.
         if request != self.request.get() {
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -38,7 +38,7 @@
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
 use crate::link::{Frame, Sender};
-use crate::memory_shares;
+use crate::memory_shares::{self, UnsentBytes};
 use crate::metrics::Metrics;
 use crate::open_connections::Connections;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
@@ -163,6 +163,7 @@
     let settings = &control.settings;
     let limits = ConnectionLimits::new(settings.max_descriptors);
     let fitting = |most| memory_shares::connections(settings.memory_bytes, most);
+    let unsent_bytes = UnsentBytes::new(settings.memory_bytes);
     let mut addresses = vec![("control", settings.listen, fitting(limits.control))];
     let directory = settings.directory_listen;
     addresses.extend(directory.map(|at| ("directory", at, fitting(limits.directory))));
@@ -177,7 +178,8 @@
             ..params
         };
         let listener = sockets::open_for_clients(purpose, address)?;
-        let connections = Connections::with_receptions(max_connections, &control.receptions);
+        let connections =
+            Connections::with_receptions(max_connections, &control.receptions, unsent_bytes);
         control.callers.borrow_mut().push(connections.clone());
         let shared = Rc::clone(control);
         let answering = server::serve_until_closed(listener, params, connections, move |request| {
--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -15,6 +15,7 @@
 
 use crate::body_reception::Receptions;
 use crate::client_activity::Activity;
+use crate::memory_shares::UnsentBytes;
 
 /// How long a connection that gave way may take to free its slot before another one gives way as well.
 const EVICTION_INTERVAL: Duration = Duration::from_millis(20);
@@ -62,6 +63,7 @@
     head_limits: Rc<Cell<HeadLimits>>,
     /// The bodies that are being received on these connections.
     receptions: Option<Rc<Receptions>>,
+    unsent_bytes: UnsentBytes,
 }
 
 /// A slot for one connection.
@@ -90,13 +92,19 @@
             phase: Rc::new(watch::channel(Phase::Serving).0),
             head_limits: Rc::default(),
             receptions: None,
+            unsent_bytes: UnsentBytes::default(),
         }
     }
 
-    /// The same, with connections on which these bodies are received.
-    pub fn with_receptions(max_connections: usize, receptions: &Rc<Receptions>) -> Self {
+    /// The same, with connections on which these bodies are received, and so much memory for unsent answers.
+    pub fn with_receptions(
+        max_connections: usize,
+        receptions: &Rc<Receptions>,
+        unsent_bytes: UnsentBytes,
+    ) -> Self {
         Self {
             receptions: Some(Rc::clone(receptions)),
+            unsent_bytes,
             ..Self::new(max_connections)
         }
     }
@@ -131,8 +139,16 @@
         self.cut.get()
     }
 
-    /// Accepts no further ones, closes the idle ones, and the others after the answer that they wait for.
+    /// Accepts no further ones, closes the idle ones, and the others after the answer that they wait for. The kernel keeps
+    /// more of these answers, for clients that read them after the process has exited.
     pub fn close(&self) {
+        let open = self.open.borrow();
+        let serving = open.values().filter(|activity| activity.is_serving());
+        let unsent_limit = self.unsent_bytes.of_closing(serving.count());
+        for activity in open.values() {
+            activity.set_unsent_limit(unsent_limit);
+        }
+        drop(open);
         self.enter(Phase::Closing);
     }
 
@@ -219,6 +235,7 @@
         let activity = Rc::<Activity>::default();
         let mut all = self.open.borrow_mut();
         all.insert(number, Rc::clone(&activity));
+        activity.set_unsent_limit(self.unsent_bytes.of_accepted(all.len()));
         OpenConnection {
             connections: self.clone(),
             number,
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -52,7 +52,7 @@
 use crate::clock::Clock;
 use crate::dialect::Dialect;
 use crate::event_loop_delay::{self, EventLoopDelay};
-use crate::memory_shares;
+use crate::memory_shares::{self, UnsentBytes};
 use crate::metrics::Metrics;
 use crate::open_connections::Connections;
 use crate::server::{self, NoAnswer, ServerParams, WhenFull};
@@ -156,7 +156,11 @@
         path_lost: Notify::new(),
         status_changed: Notify::new(),
         first_view: FirstView::default(),
-        caller_connections: Connections::with_receptions(max_connections, &receptions),
+        caller_connections: Connections::with_receptions(
+            max_connections,
+            &receptions,
+            UnsentBytes::new(settings.memory_bytes),
+        ),
         pending_probes: PendingProbes::default(),
         undecided_crashes: UndecidedCrashes::default(),
         silence_monitor: SilenceMonitor::default(),
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -10,6 +10,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{timeout, timeout_at, Instant};
 
+use crate::memory_shares::MIN_UNSENT_BYTES;
 use crate::DaemonError;
 
 /// The connection ends when sent data is not acknowledged for this long.
@@ -88,13 +89,20 @@
     open_with(purpose, address, |_| Ok(()))
 }
 
-/// Opens a listener for clients, of whose requests the kernel keeps few bytes that nobody has read.
+/// Lets the kernel keep so many bytes of a connection before it has sent them. The peer's window bounds those that it has
+/// sent.
+pub(crate) fn set_unsent_limit(stream: &TcpStream, bytes: u32) -> io::Result<()> {
+    SockRef::from(stream).set_tcp_notsent_lowat(bytes)
+}
+
+/// Opens a listener for clients, of whose requests and answers the kernel keeps few bytes that nobody has read.
 pub(crate) fn open_for_clients(
     purpose: &'static str,
     address: SocketAddr,
 ) -> Result<TcpListener, DaemonError> {
     open_with(purpose, address, |socket| {
-        socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)
+        socket.set_recv_buffer_size(CLIENT_RECEIVE_BUFFER_BYTES)?;
+        socket.set_tcp_notsent_lowat(MIN_UNSENT_BYTES)
     })
 }
 
