--- a/crates/gateway/src/server_tests.rs
+++ b/crates/gateway/src/server_tests.rs
@@ -15,14 +15,23 @@
 
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 
-async fn server_with_one_slot(when_full: WhenFull) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let params = ServerParams {
+fn params(max_connections: usize, when_full: WhenFull) -> ServerParams {
+    ServerParams {
         idle_timeout: Duration::from_secs(60),
-        max_connections: 1,
+        max_connections,
         when_full,
-    };
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    (listener, address)
+}
+
+async fn server_with_one_slot(when_full: WhenFull) -> SocketAddr {
+    let (listener, address) = listen().await;
+    let params = params(1, when_full);
     let answering = serve(listener, params, |_: Request<CallerBody>| async {
         Ok(answer::plain(StatusCode::OK, ""))
     });
@@ -69,13 +78,8 @@
 #[test]
 fn all_slots_are_occupied_until_connections_end() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let params = ServerParams {
-            idle_timeout: Duration::from_secs(60),
-            max_connections: 2,
-            when_full: WhenFull::Wait,
-        };
+        let (listener, address) = listen().await;
+        let params = params(2, WhenFull::Wait);
         let connections = Connections::new(params.max_connections);
         let answering = serve_until_closed(
             listener,
@@ -143,13 +147,8 @@
 #[test]
 fn a_connection_whose_request_is_being_answered_gives_way_to_none() {
     run(async {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let params = ServerParams {
-            idle_timeout: Duration::from_secs(60),
-            max_connections: 1,
-            when_full: WhenFull::Wait,
-        };
+        let (listener, address) = listen().await;
+        let params = params(1, WhenFull::Wait);
         let answering = serve(listener, params, |_: Request<CallerBody>| async {
             tokio::time::sleep(2 * STALL_TIMEOUT).await;
             Ok(answer::plain(StatusCode::OK, ""))
@@ -164,13 +163,8 @@
 
 /// Starts a server that answers each request with so many bytes, after a delay.
 async fn server_to_close(bytes: usize, delay: Duration) -> (SocketAddr, Connections) {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let params = ServerParams {
-        idle_timeout: Duration::from_secs(60),
-        max_connections: 8,
-        when_full: WhenFull::Wait,
-    };
+    let (listener, address) = listen().await;
+    let params = params(8, WhenFull::Wait);
     let connections = Connections::new(params.max_connections);
     let answering = serve_until_closed(
         listener,
@@ -253,13 +247,8 @@
     run(async {
         // What is polled first in a turn of the event loop varies.
         for turns in (0..4).cycle().take(200) {
-            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-            let address = listener.local_addr().unwrap();
-            let params = ServerParams {
-                idle_timeout: Duration::from_secs(60),
-                max_connections: 8,
-                when_full: WhenFull::Wait,
-            };
+            let (listener, address) = listen().await;
+            let params = params(8, WhenFull::Wait);
             let connections = Connections::new(params.max_connections);
             let handled = Rc::new(Cell::new(0));
             let counted = Rc::clone(&handled);
@@ -302,13 +291,8 @@
 
 /// Starts a server with these limits of heads, which answers before it reads the bodies of requests.
 async fn server_with_head_limits(limits: HeadLimits) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let address = listener.local_addr().unwrap();
-    let params = ServerParams {
-        idle_timeout: Duration::from_secs(60),
-        max_connections: 8,
-        when_full: WhenFull::Wait,
-    };
+    let (listener, address) = listen().await;
+    let params = params(8, WhenFull::Wait);
     let connections = Connections::new(params.max_connections);
     connections.set_head_limits(limits);
     let answering = serve_until_closed(
