Connections whose clients do not read their answers give way while all slots are in use

Seen by callers: 250 clients that do not read answers of 4 MiB held all connection slots of a router of 48 MB; no ordinary request was answered in 30 s, and none would have been until the clients left, for a blocked answer ends at no time limit.

Cause: a connection counts as served until its answer has been taken. Since the kernel keeps few bytes of an answer, one that is not read never gets there; before, the kernel took up to 4 MiB and the connection was idle.

Change: a connection whose client has taken nothing of its answer for 3 s gives way after the idle ones. It is reset, so that the kernel keeps nothing of it and no caller takes the cut answer for a whole one; the kernel discards after 1 s what an idle client that gave way has not taken.

--- a/crates/gateway/src/caller_connections.rs
+++ b/crates/gateway/src/caller_connections.rs
@@ -111,6 +111,13 @@
         self.log(peer, "process_exit", &error, |_| true);
     }
 
+    /// Logs that the connection of `peer` gave way to another one; false if no request was being answered.
+    pub fn log_evicted(&self, peer: IpAddr) -> bool {
+        let error = "its answer was not read";
+        self.log(peer, "evicted", &error, |_| true);
+        self.request.borrow().is_some()
+    }
+
     fn log(
         &self,
         peer: IpAddr,
--- a/crates/gateway/src/caller_stream.rs
+++ b/crates/gateway/src/caller_stream.rs
@@ -86,7 +86,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.apply_unsent_limit();
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.activity.on_write(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -95,7 +97,9 @@
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.apply_unsent_limit();
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.activity.on_write(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/src/client_activity.rs
+++ b/crates/gateway/src/client_activity.rs
@@ -11,6 +11,8 @@
 
 /// A connection that is idle after an answer gives way after this time. Its client may be about to use it again.
 const IDLE_EVICTION_DELAY: Duration = Duration::from_secs(3);
+/// A connection whose client reads nothing of its answer gives way after this time.
+const UNREAD_EVICTION_DELAY: Duration = Duration::from_secs(3);
 
 /// What the client of a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,6 +37,8 @@
     request: Cell<u64>,
     /// What has not ended of the current request: its body, and its answer.
     open_parts: Cell<u8>,
+    /// Since when its client has read nothing of an answer that waits to be sent.
+    unread_since: Cell<Option<Instant>>,
     evicted: Notify,
     /// A limit of the bytes of answers that the kernel keeps unsent, until it is applied.
     unsent_limit: Cell<Option<u32>>,
@@ -61,6 +65,7 @@
             has_partial_head: Cell::new(false),
             request: Cell::new(0),
             open_parts: Cell::new(0),
+            unread_since: Cell::new(None),
             evicted: Notify::new(),
             unsent_limit: Cell::new(None),
         }
@@ -82,6 +87,12 @@
         self.has_partial_head.set(!is_request);
     }
 
+    /// Bytes of an answer were taken by the kernel, or were not because the client reads nothing.
+    pub fn on_write(&self, is_blocked: bool) {
+        let unread_since = is_blocked.then(|| self.unread_since.get().unwrap_or_else(Instant::now));
+        self.unread_since.set(unread_since);
+    }
+
     /// Whether a part of a head has arrived.
     pub fn has_partial_head(&self) -> bool {
         self.has_partial_head.get()
@@ -103,16 +114,11 @@
         }
     }
 
-    /// Since when its client has been doing the same.
-    pub fn since(&self) -> Instant {
-        self.since.get()
-    }
-
     /// Makes the connection give way; it is a candidate no more.
-    pub fn evict(&self) -> bool {
+    pub fn evict(&self) {
         self.enter(ClientState::Request);
+        self.unread_since.set(None);
         self.evicted.notify_one();
-        true
     }
 
     /// Completes when the connection has to give way to another one.
@@ -146,18 +152,26 @@
         }
     }
 
-    /// Whether a head has been unfinished for too long.
-    pub fn has_stalled_head(&self) -> bool {
+    /// Since when a head has been unfinished, if that is too long.
+    pub fn stalled_head_since(&self) -> Option<Instant> {
         let is_head = matches!(
             self.state.get(),
             ClientState::FirstHead | ClientState::FurtherHead
         );
-        is_head && self.since.get().elapsed() >= STALL_TIMEOUT
+        let since = is_head.then(|| self.since.get());
+        since.filter(|since| since.elapsed() >= STALL_TIMEOUT)
     }
 
-    /// Whether the client has been idle for so long after an answer that it may have to give way.
-    pub fn is_idle(&self) -> bool {
+    /// Since when the client has been idle after an answer, if it may have to give way for that.
+    pub fn idle_since(&self) -> Option<Instant> {
         let is_idle = self.state.get() == ClientState::Idle;
-        is_idle && self.since.get().elapsed() >= IDLE_EVICTION_DELAY
+        let since = is_idle.then(|| self.since.get());
+        since.filter(|since| since.elapsed() >= IDLE_EVICTION_DELAY)
+    }
+
+    /// Since when the client has read nothing of its answer, if that is too long.
+    pub fn unread_since(&self) -> Option<Instant> {
+        let since = self.unread_since.get();
+        since.filter(|since| since.elapsed() >= UNREAD_EVICTION_DELAY)
     }
 }
--- a/crates/gateway/src/head_limits.rs
+++ b/crates/gateway/src/head_limits.rs
@@ -11,7 +11,7 @@
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
 
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf};
 use tokio::time::{sleep, Instant, Sleep};
 
 /// Limit of all heads of one answer together.
@@ -21,6 +21,8 @@
 /// How long one head may take from its first byte to its last. A head is one or two packets, of which one may be lost
 /// and sent again more than once.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes that are read at a time. The HTTP library keeps several reads of an answer that its caller does not take.
+const MAX_READ_BYTES: u64 = 8 << 10;
 /// Position of the first digit of the status code in the first line of a head.
 const STATUS_POSITION: usize = "HTTP/1.1 ".len();
 
@@ -169,7 +171,7 @@
     }
 }
 
-/// A connection whose reads fail once the heads of an answer exceed a limit.
+/// A connection whose reads are short, and fail once the heads of an answer exceed a limit.
 #[derive(Debug)]
 pub(crate) struct LimitedStream<S> {
     stream: S,
@@ -225,7 +227,8 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let mut limited = (&mut self.stream).take(MAX_READ_BYTES);
+        let polled = Pin::new(&mut limited).poll_read(context, buffer);
         if polled.is_ready() {
             self.on_read(&buffer.filled()[before..]);
         }
--- a/crates/gateway/src/open_connections.rs
+++ b/crates/gateway/src/open_connections.rs
@@ -1,7 +1,7 @@
 //! The open connections of a server: limited in number, and closed in order before the process exits.
 //!
-//! While all slots are in use, connections whose clients send nothing give way to new ones: first those with an unfinished
-//! request, then those that are idle after an answer.
+//! While all slots are in use, connections whose clients make no progress give way to new ones: first those with an unfinished
+//! request, then those that are idle after an answer, then those whose clients read nothing of their answers.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 
 use crate::body_reception::Receptions;
 use crate::client_activity::Activity;
@@ -201,25 +201,37 @@
 
     /// Lets one connection give way; false if all clients are being served.
     fn evict_one(&self) -> bool {
-        let head = self.longest(Activity::has_stalled_head);
+        let head = self.longest(Activity::stalled_head_since);
         let body = self.receptions.as_ref();
         let body = body.and_then(|receptions| receptions.longest_stall().zip(Some(receptions)));
         match (head, body) {
-            (Some(head), Some((since, receptions))) if since < head.since() => {
+            (Some((head_since, _)), Some((since, receptions))) if since < head_since => {
                 receptions.evict_stalled()
             }
             (None, Some((_, receptions))) => receptions.evict_stalled(),
-            (Some(head), _) => head.evict(),
-            (None, None) => self
-                .longest(Activity::is_idle)
-                .is_some_and(|idle| idle.evict()),
+            (head, _) => {
+                let waiting = head
+                    .or_else(|| self.longest(Activity::idle_since))
+                    .or_else(|| self.longest(Activity::unread_since));
+                if let Some((_, connection)) = &waiting {
+                    connection.evict();
+                }
+                waiting.is_some()
+            }
         }
     }
 
-    fn longest(&self, may_evict: impl Fn(&Activity) -> bool) -> Option<Rc<Activity>> {
+    /// The connection that has been in a state for longest, and since when.
+    fn longest(
+        &self,
+        since: impl Fn(&Activity) -> Option<Instant>,
+    ) -> Option<(Instant, Rc<Activity>)> {
         let open = self.open.borrow();
-        let candidates = open.values().filter(|activity| may_evict(activity));
-        candidates.min_by_key(|activity| activity.since()).cloned()
+        let candidates = open
+            .values()
+            .filter_map(|activity| Some((since(activity)?, activity)));
+        let longest = candidates.min_by_key(|(since, _)| *since);
+        longest.map(|(since, activity)| (since, Rc::clone(activity)))
     }
 
     /// A slot, if one is free.
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,6 +22,7 @@
 use crate::caller_connections::CurrentRequest;
 use crate::caller_stream::CallerStream;
 use crate::open_connections::{Connections, OpenConnection};
+use crate::sockets;
 
 /// Delay after an error of the listener, such as too many open files.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -36,6 +37,8 @@
 /// The same while all connection slots are in use.
 const LINGER_TIMEOUT_WHEN_FULL: Duration = Duration::from_millis(20);
 const LINGER_BUFFER_BYTES: usize = 1 << 10;
+/// How long the kernel keeps what an idle caller has not taken of its answers after its connection gave way.
+const UNSENT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Limits of a server's connections.
 #[derive(Clone, Copy, Debug)]
@@ -67,6 +70,16 @@
 #[error("the caller disconnected or sent an incomplete request")]
 pub(crate) struct NoAnswer;
 
+/// Why a connection ended.
+enum ConnectionEnd {
+    /// Its client closed it, it broke, or its last answer has been sent.
+    Finished(hyper::Result<()>),
+    /// It gave way to another one.
+    Evicted,
+    /// The process exits.
+    Cut,
+}
+
 /// Serves connections until the process ends.
 pub(crate) async fn serve<H, F>(listener: TcpListener, params: ServerParams, handler: H)
 where
@@ -163,41 +176,51 @@
         .header_read_timeout(idle_timeout.unwrap_or(params.idle_timeout))
         .max_buf_size((limits.bytes + FORWARDED_HEAD_BYTES).max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut ended = tokio::select! {
+    let ended = tokio::select! {
         biased;
-        ended = &mut connection => Some(ended),
-        () = open.activity().evicted() => {
-            open.log_rejected(peer.0, "connection_evicted");
-            return;
-        }
+        ended = &mut connection => Some(ConnectionEnd::Finished(ended)),
+        () = open.activity().evicted() => Some(ConnectionEnd::Evicted),
         () = closing_and_read(&open) => None,
     };
-    if ended.is_none() {
-        Pin::new(&mut connection).graceful_shutdown();
-        ended = tokio::select! {
-            biased;
-            ended = &mut connection => Some(ended),
-            () = open.cutting() => None,
-        };
-    }
-    match &ended {
-        Some(Ok(())) => {}
-        Some(Err(error)) => {
-            if let Some(reason) = exceeded_head_limit(error, &open) {
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            Pin::new(&mut connection).graceful_shutdown();
+            tokio::select! {
+                biased;
+                ended = &mut connection => ConnectionEnd::Finished(ended),
+                () = open.cutting() => ConnectionEnd::Cut,
+            }
+        }
+    };
+    let is_finished = matches!(ended, ConnectionEnd::Finished(Ok(())));
+    let is_evicted = matches!(ended, ConnectionEnd::Evicted);
+    let may_cut_answer = match ended {
+        ConnectionEnd::Finished(Ok(())) => false,
+        ConnectionEnd::Finished(Err(error)) => {
+            if let Some(reason) = exceeded_head_limit(&error, &open) {
                 open.log_rejected(peer.0, reason);
             }
-            current_request.log_end(peer.0, error);
+            current_request.log_end(peer.0, &error);
+            true
         }
-        None => {
+        ConnectionEnd::Evicted => {
+            open.log_rejected(peer.0, "connection_evicted");
+            current_request.log_evicted(peer.0)
+        }
+        ConnectionEnd::Cut => {
             open.count_cut();
             current_request.log_cut(peer.0);
+            true
         }
-    }
+    };
     let stream = connection.into_parts().io.into_inner().into_inner();
-    match ended {
-        Some(Ok(())) => linger(stream, &open).await,
-        _ if reads_chunks.get() => {}
-        _ => reset(&stream, peer),
+    if is_finished {
+        linger(stream, &open).await;
+    } else if may_cut_answer && (is_evicted || !reads_chunks.get()) {
+        reset(&stream, peer);
+    } else if is_evicted {
+        discard_unsent(&stream, peer);
     }
 }
 
@@ -234,6 +257,14 @@
     tokio::task::yield_now().await;
 }
 
+/// Makes the kernel discard soon what the caller of a closed connection does not take.
+fn discard_unsent(stream: &TcpStream, peer: Peer) {
+    if let Err(error) = sockets::set_unacknowledged_timeout(stream, UNSENT_TIMEOUT) {
+        tracing::warn!(event = "timeout_failed", peer = %peer.0, %error,
+            "server: failed to limit how long the kernel keeps an answer after the connection was closed");
+    }
+}
+
 /// Makes a connection end with a reset: its caller takes the ordinary end for the end of a whole answer.
 fn reset(stream: &TcpStream, peer: Peer) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
--- a/crates/gateway/src/sockets.rs
+++ b/crates/gateway/src/sockets.rs
@@ -24,7 +24,7 @@
 /// Size of the receive buffer of a client's connection. Linux doubles it, for its own bookkeeping (socket(7)).
 const CLIENT_RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// Size of the receive buffer of a connection to a back end.
-const BACK_END_RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+const BACK_END_RECEIVE_BUFFER_BYTES: u32 = 16 << 10;
 
 /// Opens a connection within `time_limit`; fails with `TimedOut` after it.
 pub(crate) async fn connect(address: SocketAddr, time_limit: Duration) -> io::Result<TcpStream> {
