A late exit passes whole turns of the event loop before it cuts connections

Since the notices take effect three turns later, the answers come in the turns before connections are cut, and those were not whole ones: the task that stops the router is polled each time the event loop has run 61 others, which ends a `yield_now` of its own. Its turns are now those of a task of their own, as those of the notices.

--- a/crates/gateway/src/router/exit_notice.rs
+++ b/crates/gateway/src/router/exit_notice.rs
@@ -43,15 +43,20 @@
         if !self.is_given.get() {
             notified.await;
         }
-        // Whoever waits may be polled several times in a turn, which would end a `yield_now` of its own early.
-        let turns = spawn_local(async {
-            for _ in 0..TURNS_TO_READ {
-                yield_now().await;
-            }
-        });
-        if let Err(error) = turns.await {
-            tracing::warn!(event = "exit_turns_failed", %error,
-                "router: failed to wait for the event loop before the exit");
+        pass_turns(TURNS_TO_READ).await;
+    }
+}
+
+/// Completes when the event loop has let all tasks that were ready run, so many times.
+pub(super) async fn pass_turns(turns: usize) {
+    // Whoever waits may be polled several times in a turn, which would end a `yield_now` of its own early.
+    let passing = spawn_local(async move {
+        for _ in 0..turns {
+            yield_now().await;
         }
+    });
+    if let Err(error) = passing.await {
+        tracing::warn!(event = "exit_turns_failed", %error,
+            "router: failed to wait for the event loop before the exit");
     }
 }
--- a/crates/gateway/src/router/stop.rs
+++ b/crates/gateway/src/router/stop.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use drumshore_core::Timestamp;
-use tokio::task::yield_now;
 use tokio::time::sleep;
 
+use super::exit_notice::pass_turns;
 use super::Router;
 
 /// All requests are answered this long before the end of the grace period, when the process would be killed.
@@ -124,7 +124,7 @@
             if is_done(self) {
                 return;
             }
-            yield_now().await;
+            pass_turns(1).await;
         }
     }
 }
