--- a/crates/gateway/src/memory_shares.rs
+++ b/crates/gateway/src/memory_shares.rs
@@ -16,7 +16,7 @@
 /// what the kernel keeps of bytes that nobody reads.
 const CONNECTION_BYTES: u64 = 64 << 10;
 /// The same with the connection to the back end whose answer is forwarded.
-const FORWARDING_CONNECTION_BYTES: u64 = 224 << 10;
+const FORWARDING_CONNECTION_BYTES: u64 = 176 << 10;
 /// Bytes of answers that the kernel keeps of any connection before it has sent them. It takes more than that until the packet
 /// that it fills is complete, 64 KiB at most.
 pub(crate) const MIN_UNSENT_BYTES: u32 = 16 << 10;
