--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -153,6 +153,68 @@
     pub process: Process,
     pub address: SocketAddr,
     pub log: PathBuf,
+    name: String,
+    folder: PathBuf,
+}
+
+impl Control {
+    /// Starts the process again, with `bootstrap` false and its data as it was.
+    pub fn start_again(&mut self, record: &Record) {
+        let file = self.folder.join(format!("{}.conf", self.name));
+        let settings = fs::read_to_string(&file).unwrap();
+        let settings = settings.replace("bootstrap=true", "bootstrap=false");
+        let ip = self.address.ip();
+        self.process = start_program(&self.folder, &self.name, "control", &settings, ip).0;
+        record.line(format!("started {} (control) again", self.name));
+    }
+
+    /// Bytes of the files that it keeps.
+    pub fn data_bytes(&self) -> u64 {
+        let files = fs::read_dir(self.folder.join(format!("{}-data", self.name)));
+        let files = files.into_iter().flatten().flatten();
+        files.filter_map(|file| Some(file.metadata().ok()?.len())).sum()
+    }
+}
+
+/// Starts one of the programs under review, as `deploy/system.toml` does.
+fn start_program(folder: &Path, name: &str, role: &str, settings: &str, ip: IpAddr) -> (Process, PathBuf) {
+    if !Path::new(PROGRAM).exists() {
+        panic!("{PROGRAM} has not been built");
+    }
+    let file = folder.join(format!("{name}.conf"));
+    fs::write(&file, settings).unwrap();
+    let log = folder.join(format!("{name}.log"));
+    let output = File::create(&log).unwrap();
+    let process = Process::spawn(
+        Command::new(PROGRAM)
+            .arg(role)
+            .env_clear()
+            .env("PATH", std::env::var("PATH").unwrap_or_default())
+            .env("DRUMSHORE_BOOT", &file)
+            .env("METRICS_PORT", free_port(ip).to_string())
+            .stdin(Stdio::null())
+            .stdout(output.try_clone().unwrap())
+            .stderr(output),
+    );
+    (process, log)
+}
+
+/// The resident memory of a process; 0 once it has ended.
+pub fn resident_kb(pid: u32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
+    number.unwrap_or(0)
+}
+
+/// The version of the configuration that a control machine gives an operator.
+pub fn read_back(address: SocketAddr) -> Option<u32> {
+    let head = format!("GET /-/config HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
+    let answer = send(address, head.as_bytes(), Duration::from_secs(1)).ok()?;
+    let body = String::from_utf8_lossy(&answer.body).into_owned();
+    let (_, rest) = body.split_once("\"version\":")?;
+    let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+    digits.parse().ok().filter(|_| answer.status == 200)
 }
 
 /// A back end as it registers.
@@ -197,7 +259,7 @@
     third: u8,
     beating: Arc<AtomicBool>,
     pub back_ends: Arc<Mutex<BTreeMap<String, Registered>>>,
-    pub controls: Mutex<Vec<Control>>,
+    pub controls: Arc<Mutex<Vec<Control>>>,
     internal_port: u16,
     fourth: Mutex<u8>,
 }
@@ -205,6 +267,7 @@
 impl Drop for Rig {
     fn drop(&mut self) {
         self.beating.store(false, Ordering::SeqCst);
+        kill_all();
         let _ = fs::remove_dir_all(&self.folder);
     }
 }
@@ -223,7 +286,7 @@
             third: pid as u8,
             beating: Arc::new(AtomicBool::new(true)),
             back_ends: Arc::default(),
-            controls: Mutex::default(),
+            controls: Arc::default(),
             internal_port: 0,
             fourth: Mutex::new(1),
         };
@@ -279,7 +342,14 @@
                 data.display()
             );
             let (process, log) = self.start(&name, "control", &settings, address.ip());
-            let control = Control { process, address, log };
+            let folder = self.folder.clone();
+            let control = Control {
+                process,
+                address,
+                log,
+                name,
+                folder,
+            };
             self.controls.lock().unwrap().push(control);
         }
         fs::write(self.folder.join("seeds"), seeds).unwrap();
@@ -306,29 +376,12 @@
     }
 
     fn start(&self, name: &str, role: &str, settings: &str, ip: IpAddr) -> (Process, PathBuf) {
-        if !Path::new(PROGRAM).exists() {
-            panic!("{PROGRAM} has not been built");
-        }
-        let file = self.folder.join(format!("{name}.conf"));
-        fs::write(&file, settings).unwrap();
-        let log = self.folder.join(format!("{name}.log"));
-        let output = File::create(&log).unwrap();
-        let process = Process::spawn(
-            Command::new(PROGRAM)
-                .arg(role)
-                .env_clear()
-                .env("PATH", std::env::var("PATH").unwrap_or_default())
-                .env("DRUMSHORE_BOOT", &file)
-                .env("METRICS_PORT", free_port(ip).to_string())
-                .stdin(Stdio::null())
-                .stdout(output.try_clone().unwrap())
-                .stderr(output),
-        );
+        let started = start_program(&self.folder, name, role, settings, ip);
         self.record.line(format!("started {name} ({role})"));
-        (process, log)
+        started
     }
 
-    fn control_addresses(&self) -> Vec<SocketAddr> {
+    pub fn control_addresses(&self) -> Vec<SocketAddr> {
         let controls = self.controls.lock().unwrap();
         controls.iter().map(|control| control.address).collect()
     }
@@ -402,7 +455,7 @@
     listener.local_addr().unwrap().port()
 }
 
-fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
+pub fn call(address: SocketAddr, method: &str, path: &str, body: &str) -> u16 {
     let head = format!(
         "{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Type: application/json\r\n\
          Content-Length: {}\r\nConnection: close\r\n\r\n{body}",
