--- a/review/standins-2/case-held-back.rs
+++ b/review/standins-2/case-held-back.rs
@@ -29,17 +29,19 @@
 const MEMORY_MB: u64 = 110;
 const BACK_ENDS: usize = 8;
 const SLOTS: u32 = 64;
-/// Streams that are open at the same time, fewer than a back end and the router take connections.
-const STREAMS: usize = 295;
+/// Streams that callers begin each second, below the 111 requests a second that the users' target gives each router.
+const STREAM_INTERVAL: Duration = Duration::from_millis(13);
+const STREAMS: usize = 900;
 /// The mean length of these requests on the users' pages.
 const BODY_BYTES: usize = 18_000;
-/// Bytes of one event that go on without an end, at this pace.
-const PIECE_BYTES: usize = 4 << 10;
-const PIECE_INTERVAL: Duration = Duration::from_millis(40);
+/// Bytes of one event that a back end sends at once; the event goes on without an end after that, at a slower pace.
+const FIRST_BYTES: usize = 245 << 10;
+const PIECE_BYTES: usize = 100;
+const PIECE_INTERVAL: Duration = Duration::from_millis(100);
 /// A caller gives a stream up after a gap of so long: two seconds, four times the objective or eight times the allowed
 /// pause, whichever is longest.
 const CALLER_PATIENCE: Duration = Duration::from_secs(4);
-const ROUNDS: usize = 3;
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 fn main() {
     run_case(case);
@@ -79,41 +81,40 @@
     rig.record.line(format!("memory of the router at first: {} KB", memory_kb(&router.process)));
     let platform = Platform::watch(&router.process);
     in_trouble.store(rig.has_trouble, Ordering::SeqCst);
+    let front = router.front;
     let mut desk_answers = 0;
-    for round in 0..ROUNDS {
-        let front = router.front;
-        let callers: Vec<_> = (0..STREAMS)
-            .map(|number| {
-                let id = format!("d{round:07x}{number:08x}");
-                thread::spawn(move || read_stream(front, &id))
-            })
-            .collect();
-        let began = Instant::now();
-        while began.elapsed() < CALLER_PATIENCE {
-            thread::sleep(Duration::from_millis(500));
-            let id = format!("e{round:07x}{:08x}", began.elapsed().as_millis());
+    let mut callers = Vec::new();
+    let mut reported = Instant::now();
+    for number in 0..STREAMS {
+        let id = format!("d{number:015x}");
+        callers.push(thread::spawn(move || read_stream(front, &id)));
+        thread::sleep(STREAM_INTERVAL);
+        if reported.elapsed() >= REPORT_INTERVAL {
+            reported = Instant::now();
+            let id = format!("e{number:015x}");
             let beside = exchange(front, &Request::new("/desk/x", &id), Duration::from_secs(2));
             desk_answers += usize::from(beside.is_ok_and(|answer| answer.status == 200));
             rig.record.line(format!(
-                "{} streams run at back ends, {} began so far; memory of the router: {} KB",
+                "callers have begun {} streams, {} run at back ends, {} have begun there; memory of the router: {} KB",
+                number + 1,
                 running.load(Ordering::SeqCst),
                 begun.load(Ordering::SeqCst),
                 memory_kb(&router.process)
             ));
         }
-        let results: Vec<StreamEnd> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
-        let count = |end: StreamEnd| results.iter().filter(|other| **other == end).count();
-        rig.record.line(format!(
-            "callers: {} whole streams, {} given up, {} cut, {} refused or without an answer",
-            count(StreamEnd::Whole),
-            count(StreamEnd::GivenUp),
-            count(StreamEnd::Cut),
-            count(StreamEnd::None)
-        ));
         if platform.has_killed.load(Ordering::SeqCst) {
             break;
         }
     }
+    let results: Vec<StreamEnd> = callers.into_iter().map(|caller| caller.join().unwrap()).collect();
+    let count = |end: StreamEnd| results.iter().filter(|other| **other == end).count();
+    rig.record.line(format!(
+        "callers: {} whole streams, {} given up, {} cut, {} refused or without an answer",
+        count(StreamEnd::Whole),
+        count(StreamEnd::GivenUp),
+        count(StreamEnd::Cut),
+        count(StreamEnd::None)
+    ));
     rig.record.line(format!("{desk_answers} plain requests were answered beside the streams"));
     let peak = platform.peak_kb.load(Ordering::SeqCst);
     rig.record.line(format!("most memory of the router: {peak} KB, its machine has {} KB", MEMORY_MB * 1_000_000 / 1024));
@@ -176,6 +177,9 @@
         if stream.write_all(start.as_bytes()).is_err() {
             return false;
         }
+        if stream.write_all(chunk(&"x".repeat(FIRST_BYTES)).as_bytes()).is_err() {
+            return false;
+        }
         let piece = chunk(&"x".repeat(PIECE_BYTES));
         while stream.write_all(piece.as_bytes()).is_ok() {
             thread::sleep(PIECE_INTERVAL);
