--- a/review/standins-2/rig.rs
+++ b/review/standins-2/rig.rs
@@ -224,6 +224,8 @@
     pub service: String,
     pub address: SocketAddr,
     pub slots: u32,
+    /// The version of its software.
+    pub version: &'static str,
     pub born: u64,
 }
 
@@ -234,14 +236,15 @@
             service: service.to_owned(),
             address,
             slots,
+            version: "v1",
             born: unix_ms(),
         }
     }
 
     pub fn heartbeat(&self, sequence: u64, state: &str) -> String {
         format!(
-            r#"{{"service":"{}","address":"{}","zone":"north","version":"v1","slots":{},"state":"{state}","cold_remaining_ms":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{}}}"#,
-            self.service, self.address, self.slots, self.born
+            r#"{{"service":"{}","address":"{}","zone":"north","version":"{}","slots":{},"state":"{state}","cold_remaining_ms":0,"stage":"both","models":[{{"name":"m","version":1,"adapters":[]}}],"sequence":{sequence},"born":{}}}"#,
+            self.service, self.address, self.version, self.slots, self.born
         )
     }
 }
