Refuse an answer with both a length and a transfer coding

Callers got the first bytes of the chunks as a complete answer: the head had Transfer-Encoding: chunked and Content-Length. The HTTP library reads such a body by its chunks (RFC 9112 6.3), and the router removed the transfer coding as a field of one connection and passed the length on, by which the answer to the caller was framed.

A back end must not send both (RFC 9112 6.2), so either may be wrong. Such a head is a fault now (two_framings): the attempt counts as broken, the request may have run, and one that may be repeated goes to another back end.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -4,7 +4,7 @@
 //! frames the body.
 
 use hyper::ext::ReasonPhrase;
-use hyper::header::{HeaderName, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 
 const CHUNKED: &[u8] = b"chunked";
@@ -18,6 +18,8 @@
     Unproven,
     /// A transfer coding other than chunks, of which callers are not told.
     UnknownTransferCoding,
+    /// A length beside a transfer coding, of which either may be wrong (RFC 9112 §6.2).
+    TwoFramings,
     /// An agreement to another protocol, for which no request asks.
     ProtocolSwitch,
     /// A status line inside it: another head begins there.
@@ -30,6 +32,7 @@
         match self {
             Self::Unproven => "unproven",
             Self::UnknownTransferCoding => "unknown_transfer_coding",
+            Self::TwoFramings => "two_framings",
             Self::ProtocolSwitch => "protocol_switch",
             Self::TwoHeads => "two_heads",
         }
@@ -45,6 +48,8 @@
         Some(HeadFault::TwoHeads)
     } else if has_unknown_transfer_coding(headers) {
         Some(HeadFault::UnknownTransferCoding)
+    } else if has_two_framings(headers) {
+        Some(HeadFault::TwoFramings)
     } else if needs_proof(status) && !is_proven(proof, headers) {
         Some(HeadFault::Unproven)
     } else {
@@ -103,6 +108,10 @@
     is_other || codings.next().is_some()
 }
 
+fn has_two_framings(headers: &HeaderMap) -> bool {
+    headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH)
+}
+
 #[cfg(test)]
 #[path = "answer_head_tests.rs"]
 mod tests;
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -58,6 +58,15 @@
     }
 }
 
+#[test]
+fn a_body_has_one_framing() {
+    let fields = [("transfer-encoding", "chunked"), ("content-length", "14")];
+    for status in [200, 500] {
+        let found = fault(None, &response(status, &fields));
+        assert_eq!(found, Some(HeadFault::TwoFramings));
+    }
+}
+
 #[rstest]
 #[case::whole_value("HTTP/1.1 500 Internal Server Error", true)]
 #[case::end_of_value("text/plaHTTP/1.0 200", true)]
