Refuse an answer whose status is beyond all classes

Callers got answers with status 600, 700 or 999. The HTTP library reads each status of three digits from 100 on, and the router passed on what is no success as it came.

A status above 599 is of no class and invalid (RFC 9110 15). It is a fault of the head now (unknown_status), so the caller gets 502 or the answer of another back end.

Status 599 still passes.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -8,6 +8,8 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 const CHUNKED: &[u8] = b"chunked";
+/// The last status code of any class (RFC 9110 §15).
+const LAST_STATUS: u16 = 599;
 /// The start of a status line, before the minor version, a space and three digits.
 const STATUS_LINE: &[u8] = b"HTTP/1.";
 
@@ -22,6 +24,8 @@
     TwoFramings,
     /// An agreement to another protocol, for which no request asks.
     ProtocolSwitch,
+    /// A status code of no class.
+    UnknownStatus,
     /// A status line inside it: another head begins there.
     TwoHeads,
 }
@@ -34,6 +38,7 @@
             Self::UnknownTransferCoding => "unknown_transfer_coding",
             Self::TwoFramings => "two_framings",
             Self::ProtocolSwitch => "protocol_switch",
+            Self::UnknownStatus => "unknown_status",
             Self::TwoHeads => "two_heads",
         }
     }
@@ -44,6 +49,8 @@
     let (status, headers) = (response.status(), response.headers());
     if status == StatusCode::SWITCHING_PROTOCOLS {
         Some(HeadFault::ProtocolSwitch)
+    } else if status.as_u16() > LAST_STATUS {
+        Some(HeadFault::UnknownStatus)
     } else if has_second_status_line(response) {
         Some(HeadFault::TwoHeads)
     } else if has_unknown_transfer_coding(headers) {
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -27,6 +27,9 @@
 #[case::promise(503, &[], Some(HeadFault::Unproven))]
 #[case::proven_promise(503, &[("proof", "p")], None)]
 #[case::redirection(304, &[], None)]
+#[case::last_status(599, &[], None)]
+#[case::beyond_all_classes(600, &[("proof", "p")], Some(HeadFault::UnknownStatus))]
+#[case::three_digits(999, &[("proof", "p")], Some(HeadFault::UnknownStatus))]
 #[case::upgrade(101, &[("proof", "p")], Some(HeadFault::ProtocolSwitch))]
 fn an_answer_that_callers_rely_on_needs_one_proof(
     #[case] status: u16,
