Refuse an answer that frames content with a status that has none

Callers got an empty success: the head had status 204 and a length or chunks. The HTTP library expects no body behind 204, whatever its fields say, so the body was left over on the connection and the answer ended behind its head. 205 was passed on with a body that it must not have.

204 has neither a length nor a transfer coding, and 205 no content (RFC 9110 8.6, 15.3.6), so status or framing is wrong. Such a head is a fault now (unexpected_content). A declared length of zero still passes, which some servers add.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -22,6 +22,8 @@
     UnknownTransferCoding,
     /// A length beside a transfer coding, of which either may be wrong (RFC 9112 §6.2).
     TwoFramings,
+    /// Content that is framed by the head of a status without content (RFC 9110 §8.6, §15.3.6).
+    UnexpectedContent,
     /// An agreement to another protocol, for which no request asks.
     ProtocolSwitch,
     /// A status code of no class.
@@ -37,6 +39,7 @@
             Self::Unproven => "unproven",
             Self::UnknownTransferCoding => "unknown_transfer_coding",
             Self::TwoFramings => "two_framings",
+            Self::UnexpectedContent => "unexpected_content",
             Self::ProtocolSwitch => "protocol_switch",
             Self::UnknownStatus => "unknown_status",
             Self::TwoHeads => "two_heads",
@@ -57,6 +60,8 @@
         Some(HeadFault::UnknownTransferCoding)
     } else if has_two_framings(headers) {
         Some(HeadFault::TwoFramings)
+    } else if has_unexpected_content(status, headers) {
+        Some(HeadFault::UnexpectedContent)
     } else if needs_proof(status) && !is_proven(proof, headers) {
         Some(HeadFault::Unproven)
     } else {
@@ -119,6 +124,19 @@
     headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH)
 }
 
+/// Whether a head frames content that its status excludes. Some servers declare a length of zero with such a status.
+fn has_unexpected_content(status: StatusCode, headers: &HeaderMap) -> bool {
+    let declares_content = || {
+        let mut lengths = headers.get_all(CONTENT_LENGTH).iter();
+        lengths.any(|length| length.as_bytes().iter().any(|digit| *digit != b'0'))
+    };
+    match status {
+        StatusCode::NO_CONTENT => headers.contains_key(TRANSFER_ENCODING) || declares_content(),
+        StatusCode::RESET_CONTENT => declares_content(),
+        _ => false,
+    }
+}
+
 #[cfg(test)]
 #[path = "answer_head_tests.rs"]
 mod tests;
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -70,6 +70,23 @@
     }
 }
 
+#[rstest]
+#[case::empty(204, &[], None)]
+#[case::zero_length(204, &[("content-length", "0")], None)]
+#[case::length(204, &[("content-length", "10")], Some(HeadFault::UnexpectedContent))]
+#[case::chunks(204, &[("transfer-encoding", "chunked")], Some(HeadFault::UnexpectedContent))]
+#[case::reset_and_zero_length(205, &[("content-length", "0")], None)]
+#[case::reset_and_no_chunks(205, &[("transfer-encoding", "chunked")], None)]
+#[case::reset_and_length(205, &[("content-length", "10")], Some(HeadFault::UnexpectedContent))]
+#[case::not_modified(304, &[("content-length", "10")], None)]
+fn a_status_without_content_frames_none(
+    #[case] status: u16,
+    #[case] fields: &[(&str, &str)],
+    #[case] expected: Option<HeadFault>,
+) {
+    assert_eq!(fault(None, &response(status, fields)), expected);
+}
+
 #[rstest]
 #[case::whole_value("HTTP/1.1 500 Internal Server Error", true)]
 #[case::end_of_value("text/plaHTTP/1.0 200", true)]
