Refuse an answer whose framing field is corrupt

Callers got chunk sizes as a part of the body, or half of a body as a complete answer: a byte of the name Transfer-Encoding or Content-Length was changed, added, lost or swapped, or the line end before the field was missing. The HTTP library takes a head without either field for one whose body ends with the connection (RFC 9112 6.3), and the back end ran on, which vouched for the end.

Answers without a frame are sound and still served, so the head has to show that it once had one: it has neither field, and another field whose name is one edit away from theirs, or a value with such a field in it. That is a fault now (corrupt_framing). A value that only names the field passes, as in Access-Control-Expose-Headers: Content-Length.

Two edits in one name are not found.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -10,6 +10,8 @@
 const CHUNKED: &[u8] = b"chunked";
 /// The last status code of any class (RFC 9110 §15).
 const LAST_STATUS: u16 = 599;
+/// The fields that frame a body (RFC 9112 §6).
+const FRAMING_FIELDS: [HeaderName; 2] = [CONTENT_LENGTH, TRANSFER_ENCODING];
 /// The start of a status line, before the minor version, a space and three digits.
 const STATUS_LINE: &[u8] = b"HTTP/1.";
 
@@ -22,6 +24,8 @@
     UnknownTransferCoding,
     /// A length beside a transfer coding, of which either may be wrong (RFC 9112 §6.2).
     TwoFramings,
+    /// No framing, but a field that is a framing field with a byte changed, or that has one in its value.
+    CorruptFraming,
     /// Content that is framed by the head of a status without content (RFC 9110 §8.6, §15.3.6).
     UnexpectedContent,
     /// An agreement to another protocol, for which no request asks.
@@ -39,6 +43,7 @@
             Self::Unproven => "unproven",
             Self::UnknownTransferCoding => "unknown_transfer_coding",
             Self::TwoFramings => "two_framings",
+            Self::CorruptFraming => "corrupt_framing",
             Self::UnexpectedContent => "unexpected_content",
             Self::ProtocolSwitch => "protocol_switch",
             Self::UnknownStatus => "unknown_status",
@@ -60,6 +65,8 @@
         Some(HeadFault::UnknownTransferCoding)
     } else if has_two_framings(headers) {
         Some(HeadFault::TwoFramings)
+    } else if has_corrupt_framing(headers) {
+        Some(HeadFault::CorruptFraming)
     } else if has_unexpected_content(status, headers) {
         Some(HeadFault::UnexpectedContent)
     } else if needs_proof(status) && !is_proven(proof, headers) {
@@ -124,6 +131,51 @@
     headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH)
 }
 
+/// Whether a head without framing once had one. The body then seems to end with the connection: its chunks are taken for
+/// content, and one that is cut for whole.
+fn has_corrupt_framing(headers: &HeaderMap) -> bool {
+    let has_framing = FRAMING_FIELDS
+        .iter()
+        .any(|field| headers.contains_key(field));
+    let is_corrupt = |name: &HeaderName, value: &HeaderValue| {
+        FRAMING_FIELDS.iter().any(|field| {
+            let field = field.as_str().as_bytes();
+            is_one_edit_from(name.as_str().as_bytes(), field)
+                || contains_field(value.as_bytes(), field)
+        })
+    };
+    !has_framing && headers.iter().any(|(name, value)| is_corrupt(name, value))
+}
+
+/// Whether a name becomes another one by changing, adding or removing one byte, or by swapping two neighbours.
+fn is_one_edit_from(name: &[u8], other: &[u8]) -> bool {
+    let is_same = |(one, other): &(&u8, &u8)| one == other;
+    let common = name.iter().zip(other).take_while(is_same).count();
+    let (name, other) = (&name[common..], &other[common..]);
+    match (name, other) {
+        ([first, second, rest @ ..], [other_first, other_second, other_rest @ ..])
+            if (first, second) == (other_second, other_first) =>
+        {
+            rest == other_rest
+        }
+        ([_, rest @ ..], [_, other_rest @ ..]) if rest.len() == other_rest.len() => {
+            rest == other_rest
+        }
+        ([_, rest @ ..], other) if rest.len() == other.len() => rest == other,
+        (name, [_, other_rest @ ..]) => name == other_rest,
+        _ => false,
+    }
+}
+
+/// Whether a field line stands inside a value: its line end is missing.
+fn contains_field(value: &[u8], field: &[u8]) -> bool {
+    let mut starts = (0..value.len()).map(|start| &value[start..]);
+    starts.any(|start| {
+        let (name, rest) = start.split_at(field.len().min(start.len()));
+        name.eq_ignore_ascii_case(field) && rest.trim_ascii_start().starts_with(b":")
+    })
+}
+
 /// Whether a head frames content that its status excludes. Some servers declare a length of zero with such a status.
 fn has_unexpected_content(status: StatusCode, headers: &HeaderMap) -> bool {
     let declares_content = || {
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -87,6 +87,35 @@
     assert_eq!(fault(None, &response(status, fields)), expected);
 }
 
+#[rstest]
+#[case::changed("content-lemgth", "10", true)]
+#[case::first_changed("xontent-length", "10", true)]
+#[case::last_changed("transfer-encodinx", "chunked", true)]
+#[case::removed("content-lngth", "10", true)]
+#[case::last_removed("content-lengt", "10", true)]
+#[case::added("contentt-length", "10", true)]
+#[case::added_at_start("xcontent-length", "10", true)]
+#[case::added_at_end("transfer-encodings", "chunked", true)]
+#[case::swapped("transfer-encodign", "chunked", true)]
+#[case::in_a_value("etag", "a Content-Length : 10", true)]
+#[case::at_the_start_of_a_value("etag", "transfer-encoding:chunked", true)]
+#[case::name_in_a_value("access-control-expose-headers", "Content-Length, ETag", false)]
+#[case::two_edits("x-content-length", "10", false)]
+#[case::similar_field("content-language", "en", false)]
+#[case::other_field("content-encoding", "identity", false)]
+fn a_head_without_framing_has_no_trace_of_one(
+    #[case] name: &'static str,
+    #[case] value: &str,
+    #[case] is_corrupt: bool,
+) {
+    let expected = is_corrupt.then_some(HeadFault::CorruptFraming);
+    for status in [200, 500] {
+        assert_eq!(fault(None, &response(status, &[(name, value)])), expected);
+        let framed = [(name, value), ("content-length", "10")];
+        assert_eq!(fault(None, &response(status, &framed)), None);
+    }
+}
+
 #[rstest]
 #[case::whole_value("HTTP/1.1 500 Internal Server Error", true)]
 #[case::end_of_value("text/plaHTTP/1.0 200", true)]
