End an answer visibly whose body goes on behind its declared length

Callers got the beginning of a body as a complete answer: the length in the head had lost a digit. The HTTP library ends the body there, keeps the rest as bytes on an idle connection, and closes that connection with an error that nobody asked for; the end had been passed on by then.

What follows the last answer on a connection is read now, at the end of the connection's task (surplus.rs). Bytes that begin no other answer are the rest of the body, so the answer is broken off (length_exceeded): a plain answer is ended before its last bytes, a stream goes on at another back end or is cut, an answer of another router is cut. Bytes that begin an answer say nothing of the answer before them, which is served as before.

- A body that came with its head is read before the head is forwarded (read_ahead.rs), so the caller gets 502 or the answer of another back end in place of an answer that ends early.
- A success without content is complete with its head, so it waits 50 ms for bytes.
A success with content does not wait: nothing marks that no more will come, and what arrives after its last byte cannot be told.

--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
 use super::answer_head;
@@ -20,9 +20,11 @@
 use super::notices;
 use super::open_attempt::OpenAttempt;
 use super::paths;
+use super::received_body::Framing;
 use super::resume::HandOver;
 use super::silence::Watch;
 use super::Router;
+use crate::read_ahead::ReadAheadBody;
 use crate::request_body::OutboundBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -33,6 +35,9 @@
 /// Time allowed for waiting for a free connection, in addition to the time for opening one.
 const CONNECTION_WAIT: Duration = Duration::from_millis(60);
 
+/// How long content may take to follow the head of a success that declares none.
+const EMPTY_ANSWER_WAIT: Duration = Duration::from_millis(50);
+
 /// How one attempt ended.
 pub(super) enum Attempt {
     Answered(Box<Answered>),
@@ -89,11 +94,25 @@
 
 /// An answer to forward to the caller.
 pub(super) struct Answered {
-    pub response: Response<Incoming>,
+    pub response: Response<ReadAheadBody>,
     pub connection: Connection,
     pub open_attempt: OpenAttempt,
 }
 
+impl Answered {
+    /// Whether bytes follow the declared length that begin no other answer. A success without content is complete with its
+    /// head, so content is waited for.
+    async fn is_followed_by_content(&self) -> bool {
+        let (body, surplus) = (self.response.body(), self.connection.surplus());
+        let is_empty_success = body.is_end_stream() && self.response.status().is_success();
+        if is_empty_success {
+            surplus.becomes_content(EMPTY_ANSWER_WAIT).await
+        } else {
+            body.is_read() && surplus.is_content()
+        }
+    }
+}
+
 /// The position of a stream that an attempt resumes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Continuation {
@@ -174,7 +193,7 @@
             return unanswered(open_attempt, outcome, execution, true, Some(cause));
         }
     };
-    classify_answer(
+    let attempt = classify_answer(
         router,
         call,
         choice,
@@ -185,7 +204,11 @@
             sent_at,
             earlier_attempts: sent_before,
         },
-    )
+    );
+    match attempt {
+        Attempt::Answered(answered) => check_length(call, answered).await,
+        Attempt::Unanswered(unanswered) => Attempt::Unanswered(unanswered),
+    }
 }
 
 /// Whether a request may still be sent now that it has a connection. Its back end may have begun to leave, or asked for a
@@ -376,12 +399,28 @@
         return unanswered(open_attempt, Outcome::Failed, Execution::Ran, true, None);
     }
     Attempt::Answered(Box::new(Answered {
-        response,
+        response: response.map(ReadAheadBody::new),
         connection,
         open_attempt,
     }))
 }
 
+/// Takes back an answer whose body goes on behind its declared length, as far as it has arrived with the head. Nothing of
+/// it has been forwarded then.
+async fn check_length(call: &Call, mut answered: Box<Answered>) -> Attempt {
+    let has_declared_length = Framing::of(&answered.response) == Framing::Length;
+    if !has_declared_length || call.parts.method == Method::HEAD {
+        return Attempt::Answered(answered);
+    }
+    answered.response.body_mut().read_ahead().await;
+    if !answered.is_followed_by_content().await {
+        return Attempt::Answered(answered);
+    }
+    let (outcome, execution) = (Outcome::Broken, Execution::MayHaveRun);
+    let cause = Some(EndCause::LengthExceeded);
+    unanswered(answered.open_attempt, outcome, execution, true, cause)
+}
+
 /// Reads a short answer to its end, so that its connection can be reused.
 fn drain(router: &Rc<Router>, response: Response<Incoming>, connection: Connection) {
     const MAX_BYTES: usize = 16 << 10;
--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -23,6 +23,8 @@
     SurplusAnswer,
     /// The body ended inside an event, or before the first one or any byte.
     InsideEvent,
+    /// The body went on behind the length that the back end declared.
+    LengthExceeded,
     /// The back end crashed when it ended an answer with its connection.
     BackEndCrashed,
     /// The back end left when it ended an answer with its connection.
@@ -57,6 +59,7 @@
             Self::NotSent => "not_sent",
             Self::SurplusAnswer => "surplus_answer",
             Self::InsideEvent => "ended_inside_event",
+            Self::LengthExceeded => "length_exceeded",
             Self::BackEndCrashed => "back_end_crashed",
             Self::BackEndLeft => "back_end_left",
             Self::BackEndUnresponsive => "back_end_unresponsive",
@@ -84,6 +87,8 @@
 pub(super) enum BrokenOff {
     #[error("the answer ended inside an event, or before the first one or any byte")]
     InsideEvent,
+    #[error("the body went on behind its declared length")]
+    LengthExceeded,
     #[error("nothing marked the end of the answer, and its back end was not seen to run on")]
     Unmarked(EndCause),
 }
@@ -92,6 +97,7 @@
     pub fn cause(self) -> EndCause {
         match self {
             Self::InsideEvent => EndCause::InsideEvent,
+            Self::LengthExceeded => EndCause::LengthExceeded,
             Self::Unmarked(cause) => cause,
         }
     }
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 
 use super::answer_timer::AnswerTimer;
-use super::end_cause::EndCause;
+use super::end_cause::{BrokenOff, EndCause};
 use super::forward::{header, may_try_again, Call};
 use super::open_requests::OpenRequest;
 use super::received_body::Framing;
@@ -192,6 +192,7 @@
     router
         .metrics
         .count_request("forwarded", now.since(call.received));
+    let has_declared_length = Framing::of(&response) == Framing::Length;
     let (mut head, body) = response.into_parts();
     if let Some(back_end) = head.headers.remove(SERVED_BY) {
         let back_end = InstanceId::new(&String::from_utf8_lossy(back_end.as_bytes()));
@@ -205,6 +206,7 @@
         id: call.id.clone(),
         router: Rc::clone(router),
         body,
+        has_declared_length,
         connection: Some(connection),
         timer: AnswerTimer::new(router, remaining),
         open,
@@ -221,6 +223,7 @@
     id: String,
     router: Rc<Router>,
     body: Incoming,
+    has_declared_length: bool,
     connection: Option<Connection>,
     timer: AnswerTimer,
     open: OpenRequest,
@@ -247,6 +250,11 @@
             Poll::Ready(Some(Ok(frame))) => {
                 let received = frame.data_ref().map_or(0, Bytes::len) as u64;
                 self.open.progress.add_answer_bytes(received);
+                if self.is_followed_by_content() {
+                    let broken_off = BrokenOff::LengthExceeded;
+                    let error = io::Error::new(io::ErrorKind::UnexpectedEof, broken_off);
+                    return Poll::Ready(Some(Err(self.cut("broken", broken_off.cause(), error))));
+                }
                 Poll::Ready(Some(Ok(frame)))
             }
             Poll::Ready(Some(Err(error))) => {
@@ -267,6 +275,13 @@
         }
     }
 
+    /// Whether the body goes on behind its declared length.
+    fn is_followed_by_content(&self) -> bool {
+        let connection = self.connection.as_ref();
+        let is_followed = connection.is_some_and(|connection| connection.surplus().is_content());
+        self.has_declared_length && self.body.is_end_stream() && is_followed
+    }
+
     fn finish(&mut self) {
         if let Some(connection) = self.connection.take() {
             connection.release(self.router.clock.now());
--- a/crates/gateway/src/router/received_body.rs
+++ b/crates/gateway/src/router/received_body.rs
@@ -1,7 +1,7 @@
 //! Judges by the body of a back end's answer whether the answer is whole.
 
 use drumshore_gateway_core::RequestKind;
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use hyper::header::{CONTENT_TYPE, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response};
 
@@ -23,7 +23,7 @@
 
 impl Framing {
     /// What marks the end of the body of an answer.
-    pub fn of(response: &Response<Incoming>) -> Self {
+    pub fn of(response: &Response<impl Body>) -> Self {
         let mut codings = response.headers().get_all(TRANSFER_ENCODING).iter();
         let last_coding = codings
             .next_back()
@@ -53,7 +53,8 @@
 pub(super) enum AnswerEnd {
     /// The back end marked the end.
     Complete,
-    /// A stream ended inside an event, or a success ended with its connection before any event or byte.
+    /// A stream ended inside an event, a success ended with its connection before any event or byte, or the body goes on
+    /// behind its declared length.
     BrokenOff,
     /// The connection ended where the answer may end: it may be complete, or its back end may have ended.
     Unmarked,
@@ -78,11 +79,13 @@
     /// Set when the body is a stream of events.
     events: Option<EventScanner>,
     bytes: u64,
+    /// Whether the body goes on behind its declared length.
+    exceeds_length: bool,
 }
 
 impl ReceivedBody {
     /// The body of an answer to a request of this kind, before its first byte.
-    pub fn new(response: &Response<Incoming>, kind: RequestKind) -> Self {
+    pub fn new(response: &Response<impl Body>, kind: RequestKind) -> Self {
         let is_success = response.status().is_success();
         let is_stream = is_success && is_event_stream(response.headers(), kind);
         Self {
@@ -90,12 +93,14 @@
             is_success,
             events: is_stream.then(EventScanner::default),
             bytes: 0,
+            exceeds_length: false,
         }
     }
 
     /// The body goes on in the answer of another back end, after the last whole event.
-    pub fn on_resumed(&mut self, response: &Response<Incoming>) {
+    pub fn on_resumed(&mut self, response: &Response<impl Body>) {
         self.framing = Framing::of(response);
+        self.exceeds_length = false;
         if let Some(events) = &mut self.events {
             events.discard_partial_event();
         }
@@ -108,6 +113,16 @@
         events.map_or(bytes.len(), |events| events.scan(bytes))
     }
 
+    /// The rest of the body follows its last byte by the declared length.
+    pub fn on_length_exceeded(&mut self) {
+        self.exceeds_length = true;
+    }
+
+    /// Whether the body goes on behind its declared length.
+    pub fn exceeds_length(&self) -> bool {
+        self.exceeds_length
+    }
+
     /// What marks the end of the body.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -148,7 +163,7 @@
         let lacks_events = self.events.is_some_and(|events| !events.has_event());
         let lacks_body = self.is_success && self.bytes == 0;
         match self.framing {
-            _ if is_inside_event => AnswerEnd::BrokenOff,
+            _ if is_inside_event || self.exceeds_length => AnswerEnd::BrokenOff,
             Framing::Length | Framing::Chunks => AnswerEnd::Complete,
             Framing::Connection if lacks_events || lacks_body => AnswerEnd::BrokenOff,
             Framing::Connection => AnswerEnd::Unmarked,
--- a/crates/gateway/src/router/relay.rs
+++ b/crates/gateway/src/router/relay.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use drumshore_core::{Execution, Timestamp};
 use drumshore_gateway_core::{Fingerprint, Leave, Outcome};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use tokio::time::Sleep;
 use tracing::field::DisplayValue;
 
@@ -24,6 +24,7 @@
 use super::resume::Resumption;
 use super::silence::Watch;
 use super::timeliness::Timeliness;
+use crate::read_ahead::ReadAheadBody;
 use crate::upstream::Connection;
 
 /// Why a stream leaves a back end that was found silent, for logs.
@@ -65,7 +66,7 @@
 /// run; an error closes the caller's connection, so that a truncated answer never looks complete.
 pub(crate) struct Relay {
     id: String,
-    body: Incoming,
+    body: ReadAheadBody,
     received: ReceivedBody,
     progress: BodyProgress,
     connection: Option<Connection>,
@@ -91,7 +92,7 @@
 pub(super) struct Relayed {
     /// The request's identifier.
     pub id: String,
-    pub body: Incoming,
+    pub body: ReadAheadBody,
     pub received: ReceivedBody,
     pub connection: Connection,
     pub open_attempt: OpenAttempt,
@@ -203,6 +204,9 @@
                         AfterExcess::Cut(error) => return Poll::Ready(Some(Err(error))),
                         AfterExcess::Unchanged => {}
                     }
+                    if let Some(error) = self.check_length() {
+                        return Poll::Ready(Some(Err(error)));
+                    }
                     if let Some(frame) = self.whole_events(frame, whole) {
                         return Poll::Ready(Some(Ok(frame)));
                     }
@@ -222,9 +226,7 @@
                         return Poll::Ready(None);
                     }
                     Poll::Ready(Some(broken_off)) => {
-                        self.record_end(AnswerEnd::BrokenOff);
-                        let error = io::Error::new(io::ErrorKind::UnexpectedEof, broken_off);
-                        if let Some(error) = self.resume_or_cut(broken_off.cause(), error) {
+                        if let Some(error) = self.on_broken_off(broken_off) {
                             return Poll::Ready(Some(Err(error)));
                         }
                     }
@@ -363,6 +365,9 @@
     fn poll_end(&mut self, context: &mut Context<'_>) -> Poll<Option<BrokenOff>> {
         match self.received.end() {
             AnswerEnd::Complete => Poll::Ready(None),
+            AnswerEnd::BrokenOff if self.received.exceeds_length() => {
+                Poll::Ready(Some(BrokenOff::LengthExceeded))
+            }
             AnswerEnd::BrokenOff => Poll::Ready(Some(BrokenOff::InsideEvent)),
             AnswerEnd::Unmarked => {
                 self.connection = None;
@@ -379,6 +384,29 @@
         }
     }
 
+    /// Looks for the rest of the body behind its declared length. An answer whose length is passed on would be complete
+    /// with its last bytes, so it is ended before them; the error closes the caller's connection.
+    fn check_length(&mut self) -> Option<io::Error> {
+        let has_declared_length = self.received.has_declared_length();
+        let connection = self.connection.as_ref();
+        let is_followed = connection.is_some_and(|connection| connection.surplus().is_content());
+        if !has_declared_length || !self.body.is_end_stream() || !is_followed {
+            return None;
+        }
+        self.received.on_length_exceeded();
+        if self.received.is_event_stream() {
+            return None;
+        }
+        self.on_broken_off(BrokenOff::LengthExceeded)
+    }
+
+    /// Records that the answer is broken off and resumes it, or ends it; the error closes the caller's connection.
+    fn on_broken_off(&mut self, broken_off: BrokenOff) -> Option<io::Error> {
+        self.record_end(AnswerEnd::BrokenOff);
+        let error = io::Error::new(io::ErrorKind::UnexpectedEof, broken_off);
+        self.resume_or_cut(broken_off.cause(), error)
+    }
+
     /// Starts to resume a broken answer at another back end, or ends it; the error closes the caller's connection.
     fn resume_or_cut(&mut self, cause: EndCause, error: io::Error) -> Option<io::Error> {
         if self.begin_resuming(cause, &error) {
--- a/crates/gateway/src/upstream.rs
+++ b/crates/gateway/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use crate::head_limits::{HeadExcess, HeadLimit, Heads, LimitedStream};
 use crate::request_body::OutboundBody;
 use crate::sockets;
+use crate::surplus::Surplus;
 
 /// How long opening a connection may take.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -89,6 +91,7 @@
     task: AbortHandle,
     /// Why the connection ended, if neither a request nor a body can tell.
     ended: Rc<Cell<Option<ConnectionError>>>,
+    surplus: Surplus,
     pool: Rc<Pool>,
     /// How long the peer keeps the connection open while it is idle.
     idle_timeout: Duration,
@@ -140,6 +143,12 @@
         }
     }
 
+    /// What follows the last answer. It is known when the answer's last byte has been read, as far as it has arrived by
+    /// then.
+    pub fn surplus(&self) -> &Surplus {
+        &self.surplus
+    }
+
     /// Returns the connection to its pool, after its answer has been read to the end.
     pub fn release(self, now: Timestamp) {
         let pool = Rc::clone(&self.pool);
@@ -300,14 +309,20 @@
     let handshake = http1::Builder::new()
         .max_buf_size(BUFFER_BYTES)
         .handshake(TokioIo::new(stream));
-    let (sender, connection) = handshake.await.map_err(io::Error::other)?;
+    let (sender, mut connection) = handshake.await.map_err(io::Error::other)?;
     let ended = Rc::new(Cell::new(None));
-    let ended_by_task = Rc::clone(&ended);
+    let surplus = Surplus::default();
+    let (ended_by_task, surplus_of_task) = (Rc::clone(&ended), surplus.clone());
     let task = tokio::task::spawn_local(async move {
+        let polled = poll_fn(|context| connection.poll_without_shutdown(context));
         // Errors of a request in flight are returned to its sender instead.
-        if let Err(error) = connection.await {
+        if let Err(error) = polled.await {
             ended_by_task.set(Some(ConnectionError::of(&error)));
         }
+        let rest = connection.into_parts();
+        surplus_of_task
+            .read(&rest.read_buf, rest.io.into_inner())
+            .await;
     });
     Ok(Connection {
         sender,
@@ -315,6 +330,7 @@
         dead_peer_timeout,
         task: task.abort_handle(),
         ended,
+        surplus,
         pool: slot.into_pool(),
         idle_timeout: DEFAULT_IDLE_TIMEOUT,
     })
