Judge the head of an answer before any of its fields counts

classify_answer believed that field, whatever the status, before the head was judged; the notices of a head (a leave, a limit, a backoff), its status and its time counted before as well. Now a head is judged first, and a faulty one tells nothing but that the back end sends. A rejection needs no proof, but a status that may reject: 400 to 499 or 503; another one contradicts it (contradictory_rejection), so the request may have run.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/router/answer_head.rs
@@ -7,6 +7,8 @@
 use hyper::header::{HeaderName, HeaderValue, CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{HeaderMap, Response, StatusCode};
 
+use crate::dialect::HeaderNames;
+
 const CHUNKED: &[u8] = b"chunked";
 /// The last status code of any class (RFC 9110 §15).
 const LAST_STATUS: u16 = 599;
@@ -24,6 +26,8 @@
     UnknownTransferCoding,
     /// A length beside a transfer coding, of which either may be wrong (RFC 9112 §6.2).
     TwoFramings,
+    /// A rejection by its fields, and by its status an answer to a request that ran.
+    ContradictoryRejection,
     /// No framing, but a field that is a framing field with a byte changed, or that has one in its value.
     CorruptFraming,
     /// Content that is framed by the head of a status without content (RFC 9110 §8.6, §15.3.6).
@@ -43,6 +47,7 @@
             Self::Unproven => "unproven",
             Self::UnknownTransferCoding => "unknown_transfer_coding",
             Self::TwoFramings => "two_framings",
+            Self::ContradictoryRejection => "contradictory_rejection",
             Self::CorruptFraming => "corrupt_framing",
             Self::UnexpectedContent => "unexpected_content",
             Self::ProtocolSwitch => "protocol_switch",
@@ -52,8 +57,30 @@
     }
 }
 
-/// What is wrong with the head of an answer; `None` if nothing is. `proof` names the field that back ends set on answers.
-pub(super) fn fault<B>(proof: Option<&HeaderName>, response: &Response<B>) -> Option<HeadFault> {
+/// The fields by which a back end tells whether a request ran.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct VerdictFields<'a> {
+    proof: Option<&'a HeaderName>,
+    not_run: &'a HeaderName,
+}
+
+impl<'a> VerdictFields<'a> {
+    /// The fields of this protocol.
+    pub fn of(names: &'a HeaderNames) -> Self {
+        Self {
+            proof: names.proof.as_ref(),
+            not_run: &names.not_run,
+        }
+    }
+}
+
+/// What is wrong with the head of an answer of a back end; `None` if nothing is. No field of a head counts before this.
+pub(super) fn fault<B>(fields: &VerdictFields<'_>, response: &Response<B>) -> Option<HeadFault> {
+    structure_fault(response).or_else(|| verdict_fault(fields, response))
+}
+
+/// What is wrong with the head of any answer, whoever gave it.
+pub(super) fn structure_fault<B>(response: &Response<B>) -> Option<HeadFault> {
     let (status, headers) = (response.status(), response.headers());
     if status == StatusCode::SWITCHING_PROTOCOLS {
         Some(HeadFault::ProtocolSwitch)
@@ -69,13 +96,26 @@
         Some(HeadFault::CorruptFraming)
     } else if has_unexpected_content(status, headers) {
         Some(HeadFault::UnexpectedContent)
-    } else if needs_proof(status) && !is_proven(proof, headers) {
-        Some(HeadFault::Unproven)
     } else {
         None
     }
 }
 
+/// What is wrong with what a head says of the request.
+fn verdict_fault<B>(fields: &VerdictFields<'_>, response: &Response<B>) -> Option<HeadFault> {
+    let (status, headers) = (response.status(), response.headers());
+    if headers.contains_key(fields.not_run) {
+        return (!may_reject(status)).then_some(HeadFault::ContradictoryRejection);
+    }
+    let is_unproven = needs_proof(status) && !is_proven(fields.proof, headers);
+    is_unproven.then_some(HeadFault::Unproven)
+}
+
+/// Whether a status may say that the request has not run.
+fn may_reject(status: StatusCode) -> bool {
+    status.is_client_error() || status == StatusCode::SERVICE_UNAVAILABLE
+}
+
 /// Whether callers rely on an answer: on a success, or on a status by which they may send the request again although it
 /// must not run twice.
 fn needs_proof(status: StatusCode) -> bool {
--- a/crates/gateway/src/router/answer_head_tests.rs
+++ b/crates/gateway/src/router/answer_head_tests.rs
@@ -5,9 +5,15 @@
 use hyper::Response;
 use rstest::rstest;
 
-use super::{fault, HeadFault};
+use super::{HeadFault, VerdictFields};
 
 const PROOF: HeaderName = HeaderName::from_static("proof");
+const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
+
+fn fault(proof: Option<&HeaderName>, response: &Response<()>) -> Option<HeadFault> {
+    let not_run = &NOT_RUN;
+    super::fault(&VerdictFields { proof, not_run }, response)
+}
 
 fn response(status: u16, fields: &[(&str, &str)]) -> Response<()> {
     let builder = Response::builder().status(status);
@@ -39,6 +45,24 @@
     assert_eq!(fault(Some(&PROOF), &response(status, fields)), expected);
 }
 
+#[rstest]
+#[case::busy(503, None)]
+#[case::over_limit(429, None)]
+#[case::misdirected(421, None)]
+#[case::invalid(400, None)]
+#[case::success(200, Some(HeadFault::ContradictoryRejection))]
+#[case::failure(500, Some(HeadFault::ContradictoryRejection))]
+#[case::time_out(504, Some(HeadFault::ContradictoryRejection))]
+fn a_rejection_needs_no_proof_but_a_status_that_rejects(
+    #[case] status: u16,
+    #[case] expected: Option<HeadFault>,
+) {
+    let rejection = response(status, &[("not-run", "1")]);
+    assert_eq!(fault(Some(&PROOF), &rejection), expected);
+    let proven = response(status, &[("not-run", "1"), ("proof", "p")]);
+    assert_eq!(fault(Some(&PROOF), &proven), expected);
+}
+
 #[rstest]
 #[case::none(&[], None)]
 #[case::chunked(&["Chunked "], None)]
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
-use super::answer_head;
+use super::answer_head::{self, VerdictFields};
 use super::answer_limits::{self, BodyLimit};
 use super::end_cause::EndCause;
 use super::forward::{header, may_try_again, Call};
@@ -346,8 +346,14 @@
     mut open_attempt: OpenAttempt,
     context: AttemptContext,
 ) -> Attempt {
-    open_attempt.answered(response.status());
+    open_attempt.on_bytes_received();
     let names = router.dialect.headers();
+    if let Some(fault) = answer_head::fault(&VerdictFields::of(names), &response) {
+        let (outcome, execution) = (Outcome::Broken, Execution::MayHaveRun);
+        let cause = Some(EndCause::Head(fault));
+        return unanswered(open_attempt, outcome, execution, true, cause);
+    }
+    open_attempt.answered(response.status());
     let headers = response.headers();
     let is_for_this_request = header(headers, &names.request_id) == call.id;
     let sent_at = if is_for_this_request {
@@ -375,11 +381,6 @@
         drain(router, response, connection);
         return unanswered(open_attempt, outcome, Execution::NotRun, true, None);
     }
-    if let Some(fault) = answer_head::fault(names.proof.as_ref(), &response) {
-        let (outcome, execution) = (Outcome::Broken, Execution::MayHaveRun);
-        let cause = Some(EndCause::Head(fault));
-        return unanswered(open_attempt, outcome, execution, true, cause);
-    }
     let length = response.body().size_hint().exact();
     if answer_limits::exceeds_declared_length(length) {
         answer_limits::record_body(&open_attempt, BodyLimit::DeclaredBytes, 0);
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -18,12 +18,13 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
 use tokio::time::timeout;
 
+use super::answer_head::{self, VerdictFields};
 use super::answer_timer::AnswerTimer;
 use super::end_cause::{BrokenOff, EndCause};
 use super::forward::{header, may_try_again, Call};
 use super::open_requests::OpenRequest;
 use super::received_body::Framing;
-use super::{answer_head, headers, notices, Router};
+use super::{headers, notices, Router};
 use crate::answer::AnswerBody;
 use crate::request_body::OutboundBody;
 use crate::sockets;
@@ -145,7 +146,7 @@
     let is_failure = !response.status().is_success();
     let is_from_back_end = || {
         header(response.headers(), &names.request_id) == call.id
-            && answer_head::fault(names.proof.as_ref(), response).is_none()
+            && answer_head::fault(&VerdictFields::of(names), response).is_none()
     };
     Framing::of(response) != Framing::Connection && (is_failure || is_from_back_end())
 }
