Judge the head of a peer's answer before it declines a request

A request forwarded to another router counted as not run, so that it was sent to a third one or answered 503, when the answer named the field by which routers decline, whatever its status and framing. It is the same cause as for the answers of back ends: the field was believed before the head was judged. No router writes such a head; a process that has its address now may.

The answer is judged first now, a failure by the structure of its head too, and declines only with status 503. Otherwise the request may have run.

--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -129,8 +129,8 @@
     call.progress.on_sent(peer);
     let sending = connection.send(request, sockets::UNACKNOWLEDGED_TIMEOUT);
     match timeout(remaining, sending).await {
-        Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
         Ok(Ok(response)) if !is_valid(router, call, &response) => Forwarded::Invalid,
+        Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
         Ok(Ok(response)) => Forwarded::Answered(Box::new(PeerAnswer {
             response,
             connection,
@@ -140,15 +140,20 @@
     }
 }
 
-/// Whether a router may have given an answer: routers frame each one, and a success is that of a back end to this request.
+/// Whether a router may have given an answer: routers frame each one, decline with one status only, and a success is that
+/// of a back end to this request.
 fn is_valid(router: &Router, call: &Call, response: &Response<Incoming>) -> bool {
     let names = router.dialect.headers();
-    let is_failure = !response.status().is_success();
-    let is_from_back_end = || {
-        header(response.headers(), &names.request_id) == call.id
+    let (status, headers) = (response.status(), response.headers());
+    let is_sound = if status.is_success() {
+        header(headers, &names.request_id) == call.id
             && answer_head::fault(&VerdictFields::of(names), response).is_none()
+    } else {
+        answer_head::structure_fault(response).is_none()
     };
-    Framing::of(response) != Framing::Connection && (is_failure || is_from_back_end())
+    let declines = headers.contains_key(&DECLINED);
+    let may_decline = status == StatusCode::SERVICE_UNAVAILABLE;
+    Framing::of(response) != Framing::Connection && is_sound && (may_decline || !declines)
 }
 
 fn outbound(router: &Router, call: &Call, remaining: Duration) -> Request<OutboundBody> {
