Control machines judge the head of an answer before its fields count

A control machine made no calls to a back end or store for as long as a malformed head said in Retry-After, and took the status of such a head for the outcome of an order.

The judgement moves from the router to the crate (answer_head.rs), and a call whose answer has a fault of structure has no answer (event answer_malformed). Such answers carry no proof, so none is required.

--- a/crates/gateway/src/router/answer_head.rs
+++ b/crates/gateway/src/answer_head.rs
@@ -19,7 +19,7 @@
 
 /// Why an answer is not taken for that of a back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum HeadFault {
+pub(crate) enum HeadFault {
     /// A success, or a promise that the request has not run, without the proof that a back end gave it.
     Unproven,
     /// A transfer coding other than chunks, of which callers are not told.
@@ -59,7 +59,7 @@
 
 /// The fields by which a back end tells whether a request ran.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct VerdictFields<'a> {
+pub(crate) struct VerdictFields<'a> {
     proof: Option<&'a HeaderName>,
     not_run: &'a HeaderName,
 }
@@ -75,12 +75,12 @@
 }
 
 /// What is wrong with the head of an answer of a back end; `None` if nothing is. No field of a head counts before this.
-pub(super) fn fault<B>(fields: &VerdictFields<'_>, response: &Response<B>) -> Option<HeadFault> {
+pub(crate) fn fault<B>(fields: &VerdictFields<'_>, response: &Response<B>) -> Option<HeadFault> {
     structure_fault(response).or_else(|| verdict_fault(fields, response))
 }
 
 /// What is wrong with the head of any answer, whoever gave it.
-pub(super) fn structure_fault<B>(response: &Response<B>) -> Option<HeadFault> {
+pub(crate) fn structure_fault<B>(response: &Response<B>) -> Option<HeadFault> {
     let (status, headers) = (response.status(), response.headers());
     if status == StatusCode::SWITCHING_PROTOCOLS {
         Some(HeadFault::ProtocolSwitch)
--- a/crates/gateway/src/control/back_ends.rs
+++ b/crates/gateway/src/control/back_ends.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use super::Control;
+use crate::answer_head;
 use crate::dialect::OutboundCall;
 use crate::request_body::{OutboundBody, RequestBody};
 use crate::sockets;
@@ -64,7 +65,7 @@
     }
 
     /// Calls a back end, or a store; `expect` adds the expected instance, which stores do not use. `None` when there is no
-    /// answer, or when the back end has requested a backoff, in which case nothing is sent.
+    /// answer or a malformed one, or when the back end has requested a backoff, in which case nothing is sent.
     pub async fn call(
         &self,
         control: &Control,
@@ -91,6 +92,11 @@
             self.record_excess(control, instance, limit, excess.bytes, sent_at);
         }
         let response = sent.ok()?;
+        if let Some(fault) = answer_head::structure_fault(&response) {
+            tracing::info!(event = "answer_malformed", %instance, fault = fault.as_str(),
+                "control: an answer of a back end or store has a malformed head; closing its connection");
+            return None;
+        }
         let status = response.status();
         let headers = response.headers();
         let is_known_header = |name: &HeaderName| control.dialect.is_known_header(name);
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(missing_docs, rust_2018_idioms, clippy::unwrap_used)]
 
 mod answer;
+mod answer_head;
 mod body_reception;
 mod caller_body;
 mod caller_connections;
--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -12,7 +12,6 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
-use super::answer_head::{self, VerdictFields};
 use super::answer_limits::{self, BodyLimit};
 use super::end_cause::EndCause;
 use super::forward::{header, may_try_again, Call};
@@ -24,6 +23,7 @@
 use super::resume::HandOver;
 use super::silence::Watch;
 use super::Router;
+use crate::answer_head::{self, VerdictFields};
 use crate::read_ahead::ReadAheadBody;
 use crate::request_body::OutboundBody;
 use crate::sockets;
--- a/crates/gateway/src/router/end_cause.rs
+++ b/crates/gateway/src/router/end_cause.rs
@@ -1,6 +1,6 @@
 //! Why an attempt at a back end ended without a whole answer.
 
-use super::answer_head::HeadFault;
+use crate::answer_head::HeadFault;
 use crate::connection_errors::ConnectionError;
 use crate::upstream::Connection;
 
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -2,7 +2,6 @@
 //! links to control machines.
 
 mod admission;
-mod answer_head;
 mod answer_limits;
 mod answer_timer;
 mod attempt;
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -18,7 +18,6 @@
 use hyper::{HeaderMap, Request, Response, StatusCode, Uri, Version};
 use tokio::time::timeout;
 
-use super::answer_head::{self, VerdictFields};
 use super::answer_timer::AnswerTimer;
 use super::end_cause::{BrokenOff, EndCause};
 use super::forward::{header, may_try_again, Call};
@@ -26,6 +25,7 @@
 use super::received_body::Framing;
 use super::{headers, notices, Router};
 use crate::answer::AnswerBody;
+use crate::answer_head::{self, VerdictFields};
 use crate::request_body::OutboundBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
