Forward a repeated length once

Callers got "Content-Length: 14, 14" when a back end sent that. The HTTP library accepts a list of equal lengths, as it should (RFC 9112 6.3), and the router passed the field on as it came, which it must not (RFC 9110 8.6): a caller that reads one number finds no length.

The answer is whole, so it is served with one of the lengths.

--- a/crates/gateway/src/router/forwarded_answer.rs
+++ b/crates/gateway/src/router/forwarded_answer.rs
@@ -95,6 +95,7 @@
         "router: a back end answered; forwarding the answer to the caller");
     let (mut head, body) = response.into_parts();
     headers::strip_connection_headers(&mut head.headers);
+    headers::merge_lengths(&mut head.headers);
     if call.is_forwarded {
         peer_forwarding::name_back_end(&mut head.headers, &open_attempt.choice.instance);
     }
--- a/crates/gateway/src/router/headers.rs
+++ b/crates/gateway/src/router/headers.rs
@@ -44,6 +44,18 @@
     }
 }
 
+/// Replaces a repeated length, which the HTTP library accepts if all are the same, by one of them (RFC 9112 §6.3).
+pub(super) fn merge_lengths(headers: &mut HeaderMap) {
+    let Some(first) = headers.get(CONTENT_LENGTH) else {
+        return;
+    };
+    let length = first.as_bytes().split(|byte| *byte == b',').next();
+    let length = length.map(<[u8]>::trim_ascii).map(HeaderValue::from_bytes);
+    if let Some(Ok(length)) = length {
+        headers.insert(CONTENT_LENGTH, length);
+    }
+}
+
 /// The caller's headers as sent to a back end, without those that depend on the attempt. Drops headers that only the
 /// gateway may set.
 pub(super) fn for_back_end(mut headers: HeaderMap, names: &HeaderNames) -> HeaderMap {
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -205,6 +205,7 @@
         notices::process_forwarded(router, &back_end, head.status, &head.headers);
     }
     headers::strip_connection_headers(&mut head.headers);
+    headers::merge_lengths(&mut head.headers);
     // The version, and with it whether a body may have chunks, is that of the caller's connection.
     head.version = Version::HTTP_11;
     let remaining = call.deadline.since(now);
