The first interface refuses malformed heads of engines

A router of the product's own interface read the body of an engine's answer by chunk sizes, or believed an engine's word that a request had not run, from a head with a misspelled framing field, both framings, an unknown coding or status, or another head inside. Streams need [DONE], so none was taken for complete early, but chunk sizes were passed on inside events.

It is the same cause in another reader: its HTTP client accepts such heads, and nothing judged them. The structure of a head is judged now where calls to engines return; a malformed one counts like a connection that ended, so the stream is resumed or the attempt fails as one that may have run.

Documents that control machines read (probes, reports) are JSON, which does not parse when it is cut.

--- a/crates/node/src/router/upstream.rs
+++ b/crates/node/src/router/upstream.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use drumshore_core::{Execution, Priority};
-use drumshore_http::EXECUTION_HEADER;
+use drumshore_http::{head_structure_fault, EXECUTION_HEADER};
 use drumshore_router::engine_api;
 use drumshore_router::{Assignment, CompletionRequest, UpstreamEnd, UpstreamHead};
 use drumshore_routing::{AnswerLoad, AnswerReport};
@@ -74,7 +74,7 @@
             Some(key) => call.header(engine_api::IDEMPOTENCY_KEY, key.as_str()),
             None => call,
         };
-        into_head_and_body(call.send(&request.upstream_body[..]))
+        into_head_and_body(assignment, call.send(&request.upstream_body[..]))
     }
 
     /// Resumes a stream after the last event received.
@@ -90,7 +90,7 @@
         if let Some(event) = last_event {
             call = call.header(engine_api::LAST_EVENT_ID, event.to_string());
         }
-        into_head_and_body(call.call())
+        into_head_and_body(assignment, call.call())
     }
 
     /// Cancels a request at its engine after the caller has disconnected. A failure is only logged.
@@ -132,10 +132,21 @@
     format!("http://{}{path}/{}", assignment.address, assignment.request)
 }
 
+/// A malformed head is that of no answer, so the connection ends with it.
 fn into_head_and_body(
+    assignment: &Assignment,
     result: Result<Response<Body>, ureq::Error>,
 ) -> Result<(UpstreamHead, UpstreamBody), UpstreamEnd> {
     let response = result.map_err(|error| upstream_end(&error))?;
+    if let Some(fault) = head_structure_fault(response.status(), response.headers(), None) {
+        tracing::warn!(
+            "router: engine {} answered request {} with a malformed head: {}",
+            assignment.engine,
+            assignment.request,
+            fault.as_str()
+        );
+        return Err(UpstreamEnd::Ended);
+    }
     let head = upstream_head(response.status().as_u16(), response.headers());
     let reader = response.into_body().into_reader();
     Ok((head, UpstreamBody { reader }))
@@ -179,3 +190,7 @@
         Priority::Batch => "batch",
     }
 }
+
+#[cfg(test)]
+#[path = "upstream_tests.rs"]
+mod tests;
