An answer of a peer that goes on behind its length is refused like that of a back end

An answer of another router whose body went on behind its length was cut after its head had been forwarded, although nothing had to be: for a body of one piece the caller got a connection that was closed without an answer. The judgement before the head is forwarded moves to a module of its own (declared_length.rs), which both ways use; the wait for content behind an empty success stays with the router that called the back end.

--- a/crates/gateway/src/router/attempt.rs
+++ b/crates/gateway/src/router/attempt.rs
@@ -9,17 +9,17 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body::{Body, Incoming};
 use hyper::header::HeaderValue;
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use hyper::{HeaderMap, Request, Response, StatusCode, Uri};
 use tokio::time::timeout;
 
 use super::answer_limits::{self, BodyLimit};
+use super::declared_length;
 use super::end_cause::EndCause;
 use super::forward::{header, may_try_again, Call};
 use super::headers;
 use super::notices;
 use super::open_attempt::OpenAttempt;
 use super::paths;
-use super::received_body::Framing;
 use super::resume::HandOver;
 use super::silence::Watch;
 use super::Router;
@@ -35,9 +35,6 @@
 /// Time allowed for waiting for a free connection, in addition to the time for opening one.
 const CONNECTION_WAIT: Duration = Duration::from_millis(60);
 
-/// How long content may take to follow the head of a success that declares none.
-const EMPTY_ANSWER_WAIT: Duration = Duration::from_millis(50);
-
 /// How one attempt ended.
 pub(super) enum Attempt {
     Answered(Box<Answered>),
@@ -99,20 +96,6 @@
     pub open_attempt: OpenAttempt,
 }
 
-impl Answered {
-    /// Whether bytes follow the declared length that begin no other answer. A success without content is complete with its
-    /// head, so content is waited for.
-    async fn is_followed_by_content(&self) -> bool {
-        let (body, surplus) = (self.response.body(), self.connection.surplus());
-        let is_empty_success = body.is_end_stream() && self.response.status().is_success();
-        if is_empty_success {
-            surplus.becomes_content(EMPTY_ANSWER_WAIT).await
-        } else {
-            body.is_read() && surplus.is_content()
-        }
-    }
-}
-
 /// The position of a stream that an attempt resumes.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Continuation {
@@ -406,15 +389,15 @@
     }))
 }
 
-/// Takes back an answer whose body goes on behind its declared length, as far as it has arrived with the head. Nothing of
-/// it has been forwarded then.
+/// Takes back an answer whose body goes on behind its declared length. Nothing of it has been forwarded yet.
 async fn check_length(call: &Call, mut answered: Box<Answered>) -> Attempt {
-    let has_declared_length = Framing::of(&answered.response) == Framing::Length;
-    if !has_declared_length || call.parts.method == Method::HEAD {
-        return Attempt::Answered(answered);
-    }
-    answered.response.body_mut().read_ahead().await;
-    if !answered.is_followed_by_content().await {
+    let is_exceeded = declared_length::is_exceeded(
+        &call.parts.method,
+        &mut answered.response,
+        &answered.connection,
+        declared_length::EMPTY_ANSWER_WAIT,
+    );
+    if !is_exceeded.await {
         return Attempt::Answered(answered);
     }
     let (outcome, execution) = (Outcome::Broken, Execution::MayHaveRun);
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod attempt;
 mod control_links;
 mod crash_detection;
+mod declared_length;
 mod demand_metrics;
 mod end_cause;
 mod event_scanner;
--- a/crates/gateway/src/router/peer_forwarding.rs
+++ b/crates/gateway/src/router/peer_forwarding.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use super::answer_timer::AnswerTimer;
+use super::declared_length;
 use super::end_cause::{BrokenOff, EndCause};
 use super::forward::{header, may_try_again, Call};
 use super::open_requests::OpenRequest;
@@ -26,6 +27,7 @@
 use super::{headers, notices, Router};
 use crate::answer::AnswerBody;
 use crate::answer_head::{self, VerdictFields};
+use crate::read_ahead::ReadAheadBody;
 use crate::request_body::OutboundBody;
 use crate::sockets;
 use crate::upstream::{Connection, NoConnection, SendError};
@@ -70,7 +72,7 @@
 
 /// An answer of another router.
 pub(super) struct PeerAnswer {
-    response: Response<Incoming>,
+    response: Response<ReadAheadBody>,
     connection: Connection,
 }
 
@@ -131,15 +133,29 @@
     match timeout(remaining, sending).await {
         Ok(Ok(response)) if !is_valid(router, call, &response) => Forwarded::Invalid,
         Ok(Ok(response)) if response.headers().contains_key(&DECLINED) => Forwarded::Declined,
-        Ok(Ok(response)) => Forwarded::Answered(Box::new(PeerAnswer {
-            response,
-            connection,
-        })),
+        Ok(Ok(response)) => check_length(call, response, connection).await,
         Ok(Err(SendError::NotSent)) => Forwarded::Unreachable,
         Ok(Err(SendError::Broken(_) | SendError::HeadLimit(_))) | Err(_) => Forwarded::Broken,
     }
 }
 
+/// The peer has waited for content behind an answer without any.
+async fn check_length(
+    call: &Call,
+    response: Response<Incoming>,
+    connection: Connection,
+) -> Forwarded {
+    let mut response = response.map(ReadAheadBody::new);
+    let (method, no_wait) = (&call.parts.method, Duration::ZERO);
+    if declared_length::is_exceeded(method, &mut response, &connection, no_wait).await {
+        return Forwarded::Invalid;
+    }
+    Forwarded::Answered(Box::new(PeerAnswer {
+        response,
+        connection,
+    }))
+}
+
 /// Whether a router may have given an answer: routers frame each one, decline with one status only, and a success is that
 /// of a back end to this request.
 fn is_valid(router: &Router, call: &Call, response: &Response<Incoming>) -> bool {
@@ -229,7 +245,7 @@
 pub(crate) struct PeerBody {
     id: String,
     router: Rc<Router>,
-    body: Incoming,
+    body: ReadAheadBody,
     has_declared_length: bool,
     connection: Option<Connection>,
     timer: AnswerTimer,
