Find a byte that was added before the same byte of a framing field

A head with "cnontent-length" was not found to have a corrupt framing field: the added byte and its neighbour look like two that were swapped, and the rest was compared for that case only. The case with swapped neighbours requires its rest now. The unit test failed before.

--- a/crates/http/src/answer_head.rs
+++ b/crates/http/src/answer_head.rs
@@ -127,9 +127,9 @@
     let (name, other) = (&name[common..], &other[common..]);
     match (name, other) {
         ([first, second, rest @ ..], [other_first, other_second, other_rest @ ..])
-            if (first, second) == (other_second, other_first) =>
+            if (first, second, rest) == (other_second, other_first, other_rest) =>
         {
-            rest == other_rest
+            true
         }
         ([_, rest @ ..], [_, other_rest @ ..]) if rest.len() == other_rest.len() => {
             rest == other_rest
--- a/crates/http/src/answer_head_tests.rs
+++ b/crates/http/src/answer_head_tests.rs
@@ -80,6 +80,7 @@
 #[case::removed("content-lngth", "10", true)]
 #[case::last_removed("content-lengt", "10", true)]
 #[case::added("contentt-length", "10", true)]
+#[case::added_before_the_same_byte("cnontent-length", "10", true)]
 #[case::added_at_start("xcontent-length", "10", true)]
 #[case::added_at_end("transfer-encodings", "chunked", true)]
 #[case::swapped("transfer-encodign", "chunked", true)]
