Log whether a reported crash counts, and against what

The lines at hand name neither the crashes that a router did not recognize nor those that were recognized and not counted, so the hypotheses (a name counts once; routers recognize too few; another rule hides them) could not be told apart.

Recording a crash now yields a verdict in place of a bool. Routers write it with the incident count into crash_evidence, control machines write one crash_reported line for each crash in a router's report, both count crash_verdicts_total{outcome}. Crashes that look like a lost path and are never confirmed leave crash_unconfirmed.

--- a/crates/gateway-core/src/control/effect.rs
+++ b/crates/gateway-core/src/control/effect.rs
@@ -1,10 +1,40 @@
 //! What a control machine's core asks its driver to do.
 
 use std::net::Ipv4Addr;
+use std::time::Duration;
 
 use super::order::Order;
 use super::{ConnectionId, LoadPlan, Reply, SpeedChange, Ticket};
-use crate::{Command, Fingerprint, InstanceId, Message};
+use crate::{Command, CrashEvidence, Fingerprint, InstanceId, Message, VerdictCounts};
+
+/// A router's report of a crashed back end, summed over the fingerprints that it was serving.
+#[derive(Clone, Copy, Debug)]
+pub struct CrashReported {
+    /// The back end's key, see [`crate::LoadEntry::key_of`].
+    pub back_end: u32,
+    /// The time since the crash, by the router's report.
+    pub age: Duration,
+    /// How many fingerprints the crash counts against, and why not against the others.
+    pub verdicts: VerdictCounts,
+    /// The incidents counted for the fingerprint with the most of them.
+    pub most_crashes: u32,
+}
+
+impl CrashReported {
+    pub(super) fn new(back_end: u32, age: Duration) -> Self {
+        Self {
+            back_end,
+            age,
+            verdicts: VerdictCounts::default(),
+            most_crashes: 0,
+        }
+    }
+
+    pub(super) fn add(&mut self, evidence: CrashEvidence) {
+        self.verdicts.add(evidence.verdict);
+        self.most_crashes = self.most_crashes.max(evidence.crashes);
+    }
+}
 
 /// An output of the core for its driver to carry out.
 #[derive(Clone, Debug)]
@@ -31,6 +61,8 @@
         /// Distinct moments at which back ends crashed.
         crashes: u32,
     },
+    /// Log a router's report of a crashed back end.
+    CrashReported(CrashReported),
     /// Log that the levels of tenants' accounts are withheld from routers, or no longer are.
     AccountLevelsWithheld(bool),
     /// Log a new estimate of speed.
--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -40,7 +40,7 @@
 use crate::back_end_speed::{SpeedChange, SpeedLearner};
 use crate::{Command, FingerprintKey, LoadPhase, Message, Proposal, ReplicatedState};
 
-pub use effect::Effect;
+pub use effect::{CrashReported, Effect};
 pub use instances::Heartbeat;
 pub use members::{address_of, bootstrap_id};
 pub use order::{BackEndReport, LoadPlan, LoadReason, Order, OrderId, OrderOutcome};
--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -14,9 +14,11 @@
 use drumshore_core::Timestamp;
 use drumshore_wire::List;
 
+use super::effect::CrashReported;
 use super::{ConnectionId, ControlCore, Effect};
 use crate::quarantine::{
-    CrashLedger, CrashReport, QuarantinePolicy, CRASHES_FOR_SUSPICION, TRIAL_SPREAD,
+    CrashEvidence, CrashLedger, CrashReport, CrashVerdict, QuarantinePolicy, CRASHES_FOR_SUSPICION,
+    TRIAL_SPREAD,
 };
 use crate::{
     Command, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintSuspicion, Message,
@@ -158,6 +160,7 @@
 impl<D: Directory> ControlCore<D> {
     /// Processes a router's reports on fingerprints.
     pub(super) fn on_fingerprint_reports(&mut self, reports: &[FingerprintReport]) {
+        let mut crashed: BTreeMap<u32, CrashReported> = BTreeMap::new();
         for report in reports {
             match report.event {
                 FingerprintEvent::BackEndCrashed {
@@ -169,34 +172,48 @@
                         age: Duration::from_millis(u64::from(report.age_ms)),
                         service_time: Duration::from_millis(u64::from(service_time_ms)),
                     };
-                    self.on_crash_reported(report.fingerprint, crash);
+                    let evidence = self.on_crash_reported(report.fingerprint, crash);
+                    let reported = crashed.entry(back_end);
+                    reported
+                        .or_insert(CrashReported::new(back_end, crash.age))
+                        .add(evidence);
                 }
                 FingerprintEvent::Completed => self.on_request_completed(report.fingerprint),
             }
         }
+        let crashed = crashed.into_values().map(Effect::CrashReported);
+        self.effects.extend(crashed);
     }
 
-    fn on_crash_reported(&mut self, fingerprint: Fingerprint, report: CrashReport) {
+    fn on_crash_reported(
+        &mut self,
+        fingerprint: Fingerprint,
+        report: CrashReport,
+    ) -> CrashEvidence {
         let is_quarantined = self.state.is_quarantined(fingerprint);
         let suspected = &mut self.suspected_fingerprints;
-        let is_new = suspected.ledger.record_crash(self.now, fingerprint, report);
+        let verdict = suspected.ledger.record_crash(self.now, fingerprint, report);
         if is_quarantined {
             let relieved = suspected
                 .ledger
                 .attribute_crash_to(fingerprint, report.back_end);
             suspected.update_all_unsent(&relieved);
         }
-        if !is_new {
-            return;
-        }
-        suspected.has_new_crashes = true;
-        suspected.update_unsent(fingerprint);
         let crashes = suspected.ledger.crashes(fingerprint);
-        if crashes >= CRASHES_FOR_SUSPICION {
-            self.effects.push(Effect::FingerprintSuspected {
-                fingerprint,
-                crashes,
-            });
+        if verdict == CrashVerdict::Counted {
+            suspected.has_new_crashes = true;
+            suspected.update_unsent(fingerprint);
+            if crashes >= CRASHES_FOR_SUSPICION {
+                self.effects.push(Effect::FingerprintSuspected {
+                    fingerprint,
+                    crashes,
+                });
+            }
+        }
+        CrashEvidence {
+            fingerprint,
+            verdict,
+            crashes,
         }
     }
 
--- a/crates/gateway-core/src/lib.rs
+++ b/crates/gateway-core/src/lib.rs
@@ -36,8 +36,9 @@
 pub use command::{Command, LoadPhase, Proposal, ProposalId};
 pub use configuration_patch::{ConfigurationHash, ConfigurationPatch, PatchError};
 pub use control::{
-    address_of, bootstrap_id, BackEndReport, ConnectionId, ControlCore, ControlParams, Effect,
-    Heartbeat, LoadPlan, LoadReason, Order, OrderId, OrderOutcome, Reply, StoreUpdate, Ticket,
+    address_of, bootstrap_id, BackEndReport, ConnectionId, ControlCore, ControlParams,
+    CrashReported, Effect, Heartbeat, LoadPlan, LoadReason, Order, OrderId, OrderOutcome, Reply,
+    StoreUpdate, Ticket,
 };
 pub use document::{
     CacheStore, Document, InvalidDocument, Limits, ModelPool, Pool, RequestKind, Route, Share,
@@ -55,6 +56,7 @@
     WeightsNotice,
 };
 pub use notice::{BackEndNotice, RejectionRate, RequestRate};
+pub use quarantine::{CrashEvidence, CrashVerdict, VerdictCounts};
 pub use router::{
     Admission, Backoff, BrittleChange, CacheEstimate, Charge, Choice, ChoiceError, EarlierAttempts,
     Forecast, KnownVersions, Leave, LimitChange, NoticeChange, Outcome, OverLimit, Overload,
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -6,7 +6,7 @@
 use drumshore_core::Timestamp;
 
 use super::completions::Completions;
-use super::{QuarantinePolicy, REMEMBER_CRASHES_FOR};
+use super::{CrashVerdict, QuarantinePolicy, REMEMBER_CRASHES_FOR};
 use crate::{Fingerprint, FingerprintScope};
 
 /// Crashes within this time count as one incident, unless one back end received the request after the other had
@@ -132,21 +132,21 @@
 }
 
 impl CrashLedger {
-    /// Records that a back end crashed while serving the fingerprint. False if the crash is known already, is
-    /// attributed to another fingerprint, exceeds [`MAX_CRASHES`], or a request with the fingerprint recently
-    /// completed.
+    /// Records that a back end crashed while serving the fingerprint, if that counts against it.
     pub fn record_crash(
         &mut self,
         now: Timestamp,
         fingerprint: Fingerprint,
         report: CrashReport,
-    ) -> bool {
+    ) -> CrashVerdict {
         let back_end = report.back_end;
         let at = micros(now) - report.age.as_micros() as i64;
         self.times.record(back_end, at);
-        let is_relieved = self.attributed.relieves(back_end, fingerprint.scope());
-        if is_relieved || self.completions.contains(now, fingerprint) {
-            return false;
+        if self.attributed.relieves(back_end, fingerprint.scope()) {
+            return CrashVerdict::Attributed;
+        }
+        if self.completions.contains(now, fingerprint) {
+            return CrashVerdict::RecentlyCompleted;
         }
         if self.by_fingerprint.len() >= MAX_FINGERPRINTS
             && !self.by_fingerprint.contains_key(&fingerprint)
@@ -154,9 +154,11 @@
             self.evict(now);
         }
         let crashes = self.by_fingerprint.entry(fingerprint).or_default();
-        let is_known = crashes.iter().any(|crash| crash.back_end == back_end);
-        if is_known || crashes.len() >= MAX_CRASHES {
-            return false;
+        if crashes.iter().any(|crash| crash.back_end == back_end) {
+            return CrashVerdict::Known;
+        }
+        if crashes.len() >= MAX_CRASHES {
+            return CrashVerdict::Excess;
         }
         let received = at - report.service_time.as_micros() as i64;
         crashes.push(Crash {
@@ -165,7 +167,7 @@
             at,
         });
         crashes.sort_unstable_by_key(|crash| crash.at);
-        true
+        CrashVerdict::Counted
     }
 
     /// The number of incidents in which back ends crashed while serving the fingerprint.
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -35,17 +35,25 @@
 #[test]
 fn each_back_end_and_each_incident_counts_once() {
     let mut ledger = CrashLedger::default();
-    assert!(ledger.record_crash(at(0), fingerprint(1), crashed(10, 0)));
-    assert!(
-        !ledger.record_crash(at(5), fingerprint(1), crashed(10, 0)),
+    assert_eq!(
+        ledger.record_crash(at(0), fingerprint(1), crashed(10, 0)),
+        CrashVerdict::Counted
+    );
+    assert_eq!(
+        ledger.record_crash(at(5), fingerprint(1), crashed(10, 0)),
+        CrashVerdict::Known,
         "the same crash, reported by another router"
     );
-    assert!(
+    assert_eq!(
         ledger.record_crash(at(9), fingerprint(1), crashed(11, 0)),
+        CrashVerdict::Counted,
         "a crash in the same incident"
     );
     assert_eq!(ledger.crashes(fingerprint(1)), 1);
-    assert!(ledger.record_crash(at(400), fingerprint(1), crashed(12, 0)));
+    assert_eq!(
+        ledger.record_crash(at(400), fingerprint(1), crashed(12, 0)),
+        CrashVerdict::Counted
+    );
     assert_eq!(ledger.crashes(fingerprint(1)), 2);
     assert_eq!(ledger.crashes(fingerprint(2)), 0);
 }
@@ -109,8 +117,9 @@
         ),
         (3, 1, 0)
     );
-    assert!(
-        !ledger.record_crash(at(2_100), fingerprint(4), crashed(3, 0)),
+    assert_eq!(
+        ledger.record_crash(at(2_100), fingerprint(4), crashed(3, 0)),
+        CrashVerdict::Attributed,
         "a late report of an attributed crash"
     );
 }
--- a/crates/gateway-core/src/quarantine/mod.rs
+++ b/crates/gateway-core/src/quarantine/mod.rs
@@ -8,9 +8,11 @@
 
 mod completions;
 mod ledger;
+mod verdict;
 
 pub(crate) use completions::COMPLETION_VALID_FOR;
 pub(crate) use ledger::{CrashLedger, CrashReport};
+pub use verdict::{CrashEvidence, CrashVerdict, VerdictCounts};
 
 use std::time::Duration;
 
--- a/crates/gateway-core/src/router/suspected_fingerprints.rs
+++ b/crates/gateway-core/src/router/suspected_fingerprints.rs
@@ -13,8 +13,8 @@
 
 use super::{ChoiceError, EarlierAttempts, RouterCore};
 use crate::quarantine::{
-    CrashLedger, CrashReport, QuarantinePolicy, COMPLETION_VALID_FOR, CRASHES_FOR_SUSPICION,
-    PERMIT_VALID_FOR, REMEMBER_CRASHES_FOR,
+    CrashEvidence, CrashLedger, CrashReport, CrashVerdict, QuarantinePolicy, COMPLETION_VALID_FOR,
+    CRASHES_FOR_SUSPICION, PERMIT_VALID_FOR, REMEMBER_CRASHES_FOR,
 };
 use crate::{
     Changes, Fingerprint, FingerprintEvent, FingerprintReport, FingerprintScope,
@@ -273,14 +273,14 @@
         permits.insert(fingerprint, now);
     }
 
-    /// A back end crashed while serving requests with these fingerprints, each since the given time. Returns the
-    /// fingerprints for which this crash was not known before, each with its crash count.
+    /// A back end crashed while serving requests with these fingerprints, each since the given time. Returns what that
+    /// means for each of them.
     pub fn on_back_end_crashed(
         &mut self,
         now: Timestamp,
         instance: &InstanceId,
         fingerprints: &[(Fingerprint, Timestamp)],
-    ) -> Vec<(Fingerprint, u32)> {
+    ) -> Vec<CrashEvidence> {
         self.endpoints.on_crashed(now, instance);
         self.suspect(instance);
         self.record_crash(now, now, instance, fingerprints)
@@ -293,7 +293,7 @@
         crashed_at: Timestamp,
         instance: &InstanceId,
         fingerprints: &[(Fingerprint, Timestamp)],
-    ) -> Vec<(Fingerprint, u32)> {
+    ) -> Vec<CrashEvidence> {
         self.record_crash(now, crashed_at, instance, fingerprints)
     }
 
@@ -303,10 +303,10 @@
         crashed_at: Timestamp,
         instance: &InstanceId,
         fingerprints: &[(Fingerprint, Timestamp)],
-    ) -> Vec<(Fingerprint, u32)> {
+    ) -> Vec<CrashEvidence> {
         let back_end = LoadEntry::key_of(instance.as_str());
         let suspected = &mut self.suspected_fingerprints;
-        let mut new = Vec::new();
+        let mut evidence = Vec::new();
         for (fingerprint, sent_at) in latest_runs(fingerprints) {
             let service_time = crashed_at.since(sent_at);
             let crash = CrashReport {
@@ -314,20 +314,22 @@
                 age: now.since(crashed_at),
                 service_time,
             };
-            if suspected.own.record_crash(now, fingerprint, crash) {
+            let verdict = suspected.own.record_crash(now, fingerprint, crash);
+            if verdict == CrashVerdict::Counted {
                 let service_time_ms = u32::try_from(service_time.as_millis()).unwrap_or(u32::MAX);
-                suspected.report(
-                    crashed_at,
-                    fingerprint,
-                    FingerprintEvent::BackEndCrashed {
-                        back_end,
-                        service_time_ms,
-                    },
-                );
-                new.push((fingerprint, suspected.crashes(fingerprint)));
+                let event = FingerprintEvent::BackEndCrashed {
+                    back_end,
+                    service_time_ms,
+                };
+                suspected.report(crashed_at, fingerprint, event);
             }
+            evidence.push(CrashEvidence {
+                fingerprint,
+                verdict,
+                crashes: suspected.crashes(fingerprint),
+            });
         }
-        new
+        evidence
     }
 
     /// A request with this fingerprint completed, so it does not crash every back end that serves it. Returns
--- a/crates/gateway-core/tests/cluster/mod.rs
+++ b/crates/gateway-core/tests/cluster/mod.rs
@@ -279,6 +279,7 @@
             Effect::NewsRefused => self.news_refused += 1,
             Effect::Applied { .. }
             | Effect::FingerprintSuspected { .. }
+            | Effect::CrashReported(_)
             | Effect::AccountLevelsWithheld(_)
             | Effect::SpeedChanged(_)
             | Effect::LoadPlanned(_) => {}
--- a/crates/gateway/src/control/applied.rs
+++ b/crates/gateway/src/control/applied.rs
@@ -1,6 +1,6 @@
 //! Log lines for commands that were applied from the replicated log, and for planned loads of weights.
 
-use drumshore_gateway_core::{Command, LoadPlan, LoadReason};
+use drumshore_gateway_core::{Command, CrashReported, CrashVerdict, LoadPlan, LoadReason};
 
 use crate::metrics::Metrics;
 
@@ -137,6 +137,28 @@
     }
 }
 
+/// Logs and counts a router's report of a crashed back end. One line for all fingerprints that it was serving: there may
+/// be hundreds.
+pub(super) fn log_crash(metrics: &Metrics, report: &CrashReported) {
+    for verdict in CrashVerdict::ALL {
+        let fingerprints = report.verdicts.of(verdict);
+        metrics.crashes.count_verdicts(verdict, fingerprints);
+    }
+    let of = |verdict| report.verdicts.of(verdict);
+    tracing::info!(
+        event = "crash_reported",
+        back_end = format_args!("{:08x}", report.back_end),
+        age_ms = report.age.as_millis() as u64,
+        counted = of(CrashVerdict::Counted),
+        known = of(CrashVerdict::Known),
+        attributed = of(CrashVerdict::Attributed),
+        completed_elsewhere = of(CrashVerdict::RecentlyCompleted),
+        excess = of(CrashVerdict::Excess),
+        most_ends = report.most_crashes,
+        "control: a router reported a crashed back end"
+    );
+}
+
 /// Logs and counts the decision to take a back end out of service for a load of weights.
 pub(super) fn log_load_plan(metrics: &Metrics, plan: &LoadPlan) {
     let reason = plan.reason();
--- a/crates/gateway/src/control/mod.rs
+++ b/crates/gateway/src/control/mod.rs
@@ -312,6 +312,7 @@
                     "control: another back end crashed while serving requests with this fingerprint"
                 );
             }
+            Effect::CrashReported(report) => applied::log_crash(&self.metrics, &report),
             Effect::AccountLevelsWithheld(is_withheld) => tracing::info!(
                 event = "account_levels_withheld",
                 is_withheld,
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -14,7 +14,8 @@
 
 use drumshore_core::Timestamp;
 use drumshore_gateway_core::{
-    Choice, Fingerprint, FingerprintSuspicion, InstanceId, Leave, RequestFingerprints,
+    Choice, CrashEvidence, CrashVerdict, Fingerprint, FingerprintSuspicion, InstanceId, Leave,
+    LoadEntry, RequestFingerprints,
 };
 use tokio::net::TcpStream;
 use tokio::time::{sleep, Instant};
@@ -132,7 +133,9 @@
         let mut crashes = self.0.borrow_mut();
         crashes.push_back(crash);
         let surplus = crashes.len().saturating_sub(MAX_UNDECIDED);
-        crashes.drain(..surplus);
+        for crash in crashes.drain(..surplus) {
+            log_unconfirmed(&crash, "too many");
+        }
     }
 
     /// Takes those whose back end has ended, and drops those that are too old.
@@ -145,14 +148,22 @@
         let (decided, undecided): (Vec<_>, Vec<_>) = crashes
             .drain(..)
             .partition(|crash| has_ended(&crash.instance));
-        let recent = undecided
-            .into_iter()
-            .filter(|crash| now.since(crash.found_at) < MAX_UNDECIDED_TIME);
-        crashes.extend(recent);
+        for crash in undecided {
+            if now.since(crash.found_at) < MAX_UNDECIDED_TIME {
+                crashes.push_back(crash);
+            } else {
+                log_unconfirmed(&crash, "too old");
+            }
+        }
         decided
     }
 }
 
+fn log_unconfirmed(crash: &UndecidedCrash, reason: &'static str) {
+    tracing::info!(event = "crash_unconfirmed", instance = %crash.instance, runs = crash.runs.len(), reason,
+        "router: a back end that seemed to be out of reach was not found to have crashed; its broken requests count against nothing");
+}
+
 /// Counts crashes that looked like a lost path, once the view shows that their back ends have ended.
 pub(super) fn review_undecided(router: &Router) {
     let now = router.clock.now();
@@ -307,35 +318,45 @@
     }
 }
 
-/// Logs what a crashed back end was serving: first what has not completed elsewhere.
-fn log_evidence(router: &Router, instance: &InstanceId, runs: &[BrokenRun]) {
-    let now = router.clock.now();
+/// Logs and counts what a crashed back end was serving: first what the crash counts against.
+fn log_evidence(
+    router: &Router,
+    instance: &InstanceId,
+    runs: &[BrokenRun],
+    mut evidence: Vec<CrashEvidence>,
+) {
     let mut served: BTreeMap<Fingerprint, usize> = BTreeMap::new();
     for fingerprint in runs.iter().flat_map(|run| run.fingerprints.iter()) {
         *served.entry(fingerprint).or_default() += 1;
     }
-    let mut core = router.core.borrow_mut();
-    let with_completion = |(fingerprint, runs)| {
-        let has_completed = core.has_completed_recently(now, fingerprint);
-        (has_completed, fingerprint, runs)
-    };
-    let mut evidence: Vec<_> = served.into_iter().map(with_completion).collect();
-    drop(core);
-    evidence.sort_unstable();
-    for (has_completed, fingerprint, _) in &evidence {
-        let metrics = &router.metrics.crashes;
-        metrics.count_evidence(fingerprint.scope(), *has_completed);
+    evidence.sort_unstable_by_key(|item| (item.verdict, item.fingerprint));
+    let metrics = &router.metrics.crashes;
+    for CrashEvidence {
+        fingerprint,
+        verdict,
+        ..
+    } in &evidence
+    {
+        let has_completed = *verdict == CrashVerdict::RecentlyCompleted;
+        metrics.count_evidence(fingerprint.scope(), has_completed);
+        metrics.count_verdicts(*verdict, 1);
     }
-    for (has_completed, fingerprint, runs) in evidence.iter().take(MAX_EVIDENCE_LINES) {
+    for CrashEvidence {
+        fingerprint,
+        verdict,
+        crashes,
+    } in evidence.iter().take(MAX_EVIDENCE_LINES)
+    {
         tracing::info!(event = "crash_evidence", work = %fingerprint, scope = fingerprint.scope().as_str(), %instance,
-            runs, completed_elsewhere = has_completed, "router: a crashed back end was serving requests with this fingerprint");
+            back_end = format_args!("{:08x}", LoadEntry::key_of(instance.as_str())), runs = served.get(fingerprint).copied().unwrap_or_default(),
+            completed_elsewhere = *verdict == CrashVerdict::RecentlyCompleted, outcome = verdict.as_str(), ends = crashes,
+            "router: a crashed back end was serving requests with this fingerprint");
     }
 }
 
 /// Records a crash and reports it to all control machines: the next router that receives a request with the same
 /// fingerprint may be another one.
 fn report_crash(router: &Router, instance: &InstanceId, runs: &[BrokenRun], crashed_at: Timestamp) {
-    log_evidence(router, instance, runs);
     let mut fingerprints: Vec<(Fingerprint, Timestamp)> = Vec::new();
     for run in runs {
         let of_run = run.fingerprints.iter();
@@ -343,16 +364,25 @@
     }
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
-    let counted = if core.has_ended(instance) {
+    let evidence = if core.has_ended(instance) {
         core.on_earlier_crash_found(now, crashed_at, instance, &fingerprints)
     } else {
         core.on_back_end_crashed(now, instance, &fingerprints)
     };
-    for (fingerprint, crashes) in counted {
+    drop(core);
+    let counted = evidence
+        .iter()
+        .filter(|item| item.verdict == CrashVerdict::Counted);
+    for CrashEvidence {
+        fingerprint,
+        crashes,
+        ..
+    } in counted
+    {
         tracing::info!(event = "work_suspected", work = %fingerprint, scope = fingerprint.scope().as_str(), ends = crashes, %instance, by = "this router",
             "router: a back end crashed while serving requests with this fingerprint");
     }
-    drop(core);
+    log_evidence(router, instance, runs, evidence);
     router.upstreams.close_idle(instance);
     router.crash_reports_changed.notify_waiters();
 }
