Count crashes that look like a lost path once the back end starts again

A router that finds a back end refusing, and no other of its pool accepting, keeps the broken requests until the view shows that the back end has ended: it lost the name, or has a later back end at the address. A back end that starts again under its name changes nothing in the view, so the crash was dropped after 20 s and its requests counted against nothing. Callers saw streams cut by one prompt part again and again.

Control machines now propose a back end's software version again when its heartbeats bring a later start, also if the version is the same. The record thereby has the start of the process that runs, which changes already carry, and a router compares it with the start that it knew when the connections broke. A restart under a kept name costs one log entry and one record sent to each router.

A back end that declares no software version, or no start, is not told apart from its predecessor, as before.

--- a/crates/gateway-core/src/control/instances.rs
+++ b/crates/gateway-core/src/control/instances.rs
@@ -88,7 +88,8 @@
         }
     }
 
-    /// Proposes the software version of a back end. A version that is no longer declared stays.
+    /// Proposes the software version of a back end and the start of its process. A version that is no longer declared
+    /// stays, and with it the start.
     fn propose_software_version(&mut self, heartbeat: &Heartbeat) {
         if !heartbeat.software.is_declared() {
             return;
--- a/crates/gateway-core/src/router/leaving.rs
+++ b/crates/gateway-core/src/router/leaving.rs
@@ -40,12 +40,23 @@
         self.leave(now, instance).is_none()
     }
 
-    /// Whether a back end has certainly ended: the view does not contain it any more, or has a later one at its address.
-    pub fn has_ended(&self, instance: &InstanceId) -> bool {
+    /// When the process that runs a back end started, in Unix milliseconds of the back end's clock; 0 if the view does
+    /// not say.
+    pub fn start_of(&self, instance: &InstanceId) -> u64 {
+        let endpoint = self.endpoints.get(instance);
+        endpoint.map_or(0, |endpoint| endpoint.record.started_ms)
+    }
+
+    /// Whether the process that ran a back end has certainly ended: the view has a later start than `started_ms` for it,
+    /// does not contain it any more, or has a later back end at its address.
+    pub fn has_ended(&self, instance: &InstanceId, started_ms: u64) -> bool {
         let Some(endpoint) = self.endpoints.get(instance) else {
             return true;
         };
         let ended = &endpoint.record;
+        if ended.started_ms > started_ms {
+            return true;
+        }
         let is_later = |other: &InstanceRecord| {
             other.address == ended.address && other.registered > ended.registered
         };
--- a/crates/gateway-core/src/router/leaving_tests.rs
+++ b/crates/gateway-core/src/router/leaving_tests.rs
@@ -73,10 +73,22 @@
     assert!(!left.iter().any(|id| router.allows_requests(at(6), id)));
 }
 
+#[test]
+fn the_process_of_a_back_end_has_ended_once_the_view_has_a_later_start_of_it() {
+    let mut router = router();
+    let earlier = router.start_of(&id("app-1"));
+    let mut started = record("app-1", "apps", 1);
+    started.started_ms = earlier + 1;
+    apply(&mut router, changes(10, 11, vec![started]));
+    assert!(router.has_ended(&id("app-1"), earlier));
+    assert!(!router.has_ended(&id("app-1"), router.start_of(&id("app-1"))));
+    assert!(!router.has_ended(&id("app-2"), earlier));
+}
+
 #[test]
 fn a_back_end_has_ended_once_it_is_removed_or_another_one_has_its_address() {
     let mut router = router();
-    assert!(!router.has_ended(&id("app-1")));
+    assert!(!router.has_ended(&id("app-1"), 0));
     let mut successor = record("app-9", "apps", 1);
     successor.address = record("app-1", "apps", 1).address;
     successor.registered = 11;
@@ -88,8 +100,8 @@
             ..changes(10, 11, vec![successor])
         },
     );
-    assert!(router.has_ended(&id("app-1")));
-    assert!(router.has_ended(&id("app-2")));
-    assert!(!router.has_ended(&id("app-3")));
-    assert!(!router.has_ended(&id("app-9")));
+    assert!(router.has_ended(&id("app-1"), 0));
+    assert!(router.has_ended(&id("app-2"), 0));
+    assert!(!router.has_ended(&id("app-3"), 0));
+    assert!(!router.has_ended(&id("app-9"), 0));
 }
--- a/crates/gateway-core/src/state.rs
+++ b/crates/gateway-core/src/state.rs
@@ -80,7 +80,8 @@
     /// earlier builds do not read it.
     #[brw(ignore)]
     pub software: SoftwareVersion,
-    /// When the back end that reported this version started, in Unix milliseconds of its own clock; 0 if it did not say.
+    /// When the latest process under this name that reported its version started, in Unix milliseconds of its own clock;
+    /// 0 if none said so.
     #[brw(ignore)]
     pub started_ms: u64,
 }
--- a/crates/gateway-core/src/state/software.rs
+++ b/crates/gateway-core/src/state/software.rs
@@ -1,4 +1,4 @@
-//! The software versions of registered back ends.
+//! The software versions of registered back ends, and when their processes started.
 
 use drumshore_wire::Text;
 
@@ -6,10 +6,11 @@
 use crate::SoftwareVersion;
 
 impl InstanceRecord {
-    /// Whether a report of the software version changes the record. A back end may start again under its name, and a
-    /// report that it sent before may arrive later.
+    /// Whether a report of the software version and the start changes the record. A back end may start again under its
+    /// name, also with the same software, and a report that it sent before may arrive later.
     pub fn is_superseded_by(&self, software: &SoftwareVersion, started_ms: u64) -> bool {
-        self.software != *software && started_ms >= self.started_ms
+        let is_later_start = started_ms > self.started_ms;
+        is_later_start || (self.software != *software && started_ms == self.started_ms)
     }
 }
 
--- a/crates/gateway-core/tests/software_versions.rs
+++ b/crates/gateway-core/tests/software_versions.rs
@@ -85,6 +85,21 @@
     assert_eq!(software_at(&mut cluster, 3).as_deref(), Some("v2"));
 }
 
+#[test]
+fn a_back_end_that_starts_again_with_the_same_software_gets_the_later_start() {
+    let mut cluster = settled_cluster();
+    for (started_ms, expected) in [(5, 5), (6, 6), (5, 6), (0, 6)] {
+        let heartbeat = Heartbeat {
+            started_ms,
+            ..running("v1")
+        };
+        cluster.heartbeat(address(1), &heartbeat);
+        cluster.run(SECOND);
+        let state = cluster.core(address(2)).state();
+        assert_eq!(records(state)[0].started_ms, expected);
+    }
+}
+
 /// A link may delay a heartbeat until after its sender has started again.
 #[test]
 fn a_late_report_of_an_earlier_start_changes_no_version() {
--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -120,16 +120,19 @@
 /// Back ends that refused connections when no other one of their pool was reached either, with the runs that broke
 /// there. Most of a pool may have crashed, or this router has lost its path.
 #[derive(Default)]
-pub(super) struct UndecidedCrashes(RefCell<VecDeque<UndecidedCrash>>);
+pub(super) struct UndecidedCrashes(RefCell<VecDeque<SuspectedCrash>>);
 
-struct UndecidedCrash {
+/// A back end whose connections broke and that refuses others.
+struct SuspectedCrash {
     instance: InstanceId,
+    /// The start of its process as the view had it, see [`drumshore_gateway_core::RouterCore::start_of`].
+    started_ms: u64,
     runs: Vec<BrokenRun>,
     found_at: Timestamp,
 }
 
 impl UndecidedCrashes {
-    fn add(&self, crash: UndecidedCrash) {
+    fn add(&self, crash: SuspectedCrash) {
         let mut crashes = self.0.borrow_mut();
         crashes.push_back(crash);
         let surplus = crashes.len().saturating_sub(MAX_UNDECIDED);
@@ -142,12 +145,10 @@
     fn take_decided(
         &self,
         now: Timestamp,
-        has_ended: impl Fn(&InstanceId) -> bool,
-    ) -> Vec<UndecidedCrash> {
+        has_ended: impl Fn(&SuspectedCrash) -> bool,
+    ) -> Vec<SuspectedCrash> {
         let mut crashes = self.0.borrow_mut();
-        let (decided, undecided): (Vec<_>, Vec<_>) = crashes
-            .drain(..)
-            .partition(|crash| has_ended(&crash.instance));
+        let (decided, undecided): (Vec<_>, Vec<_>) = crashes.drain(..).partition(has_ended);
         for crash in undecided {
             if now.since(crash.found_at) < MAX_UNDECIDED_TIME {
                 crashes.push_back(crash);
@@ -159,7 +160,7 @@
     }
 }
 
-fn log_unconfirmed(crash: &UndecidedCrash, reason: &'static str) {
+fn log_unconfirmed(crash: &SuspectedCrash, reason: &'static str) {
     tracing::info!(event = "crash_unconfirmed", instance = %crash.instance, runs = crash.runs.len(), reason,
         "router: a back end that seemed to be out of reach was not found to have crashed; its broken requests count against nothing");
 }
@@ -168,15 +169,15 @@
 pub(super) fn review_undecided(router: &Router) {
     let now = router.clock.now();
     let core = router.core.borrow();
-    let decided = router
-        .undecided_crashes
-        .take_decided(now, |instance| core.has_ended(instance));
+    let decided = router.undecided_crashes.take_decided(now, |crash| {
+        core.has_ended(&crash.instance, crash.started_ms)
+    });
     drop(core);
     for crash in decided {
         tracing::info!(event = "back_end_ended", instance = %crash.instance, runs = crash.runs.len(),
-            found_ms_ago = now.since(crash.found_at).as_millis() as u64,
+            started_ms = crash.started_ms, found_ms_ago = now.since(crash.found_at).as_millis() as u64,
             "router: a back end that seemed to be out of reach has crashed");
-        report_crash(router, &crash.instance, &crash.runs, crash.found_at);
+        report_crash(router, &crash);
     }
 }
 
@@ -293,7 +294,7 @@
 fn is_replaced(router: &Router, instance: &InstanceId) -> bool {
     let core = router.core.borrow();
     let is_removed = core.leave(router.clock.now(), instance) == Some(Leave::Removed);
-    !is_removed && core.has_ended(instance)
+    !is_removed && core.has_ended(instance, core.start_of(instance))
 }
 
 fn apply_finding(router: &Rc<Router>, instance: &InstanceId, finding: Finding) {
@@ -306,14 +307,15 @@
         tracing::info!(event = "run_broken", id = %run.id, work = run.fingerprints.request().map(tracing::field::display),
             parts = run.fingerprints.displayed_parts(), %instance, finding = found, "router: the connection to a back end broke during a request");
     }
-    let found_at = router.clock.now();
+    let crash = SuspectedCrash {
+        instance: instance.clone(),
+        started_ms: router.core.borrow().start_of(instance),
+        runs,
+        found_at: router.clock.now(),
+    };
     match finding {
-        Finding::Crashed => report_crash(router, instance, &runs, found_at),
-        Finding::NoPath => router.undecided_crashes.add(UndecidedCrash {
-            instance: instance.clone(),
-            runs,
-            found_at,
-        }),
+        Finding::Crashed => report_crash(router, &crash),
+        Finding::NoPath => router.undecided_crashes.add(crash),
         Finding::StoppedAsAnnounced | Finding::Alive | Finding::Unresponsive => {}
     }
 }
@@ -356,7 +358,13 @@
 
 /// Records a crash and reports it to all control machines: the next router that receives a request with the same
 /// fingerprint may be another one.
-fn report_crash(router: &Router, instance: &InstanceId, runs: &[BrokenRun], crashed_at: Timestamp) {
+fn report_crash(router: &Router, crash: &SuspectedCrash) {
+    let SuspectedCrash {
+        instance,
+        started_ms,
+        runs,
+        found_at,
+    } = crash;
     let mut fingerprints: Vec<(Fingerprint, Timestamp)> = Vec::new();
     for run in runs {
         let of_run = run.fingerprints.iter();
@@ -364,8 +372,8 @@
     }
     let now = router.clock.now();
     let mut core = router.core.borrow_mut();
-    let evidence = if core.has_ended(instance) {
-        core.on_earlier_crash_found(now, crashed_at, instance, &fingerprints)
+    let evidence = if core.has_ended(instance, *started_ms) {
+        core.on_earlier_crash_found(now, *found_at, instance, &fingerprints)
     } else {
         core.on_back_end_crashed(now, instance, &fingerprints)
     };
