Count each crash of back ends that start again under their names

Each crash cut the streams of sound callers beside it.

Cause: the ledger of crashes knew a crash by the back end's name, so a second one was a repetition of the first (`is_known`). Three names never make four incidents. The same key hid crashes in two further places: those attributed to a verdict (later crashes of the names did not count against anything else), and the time of a crash, of which only the earliest of a name was kept.

A crash is now known by name and time: a report is about a known crash of the name if the times from receipt of the request to the crash overlap, with a margin of 0.5 s for reports that are under way, and about a later process otherwise. Reports keep their layout, and those of earlier builds count too. A router that notices a crash seconds late received no answer to a request that it had sent before it, so one crash told by several routers stays one.

--- a/crates/gateway-core/src/back_end_speed/news.rs
+++ b/crates/gateway-core/src/back_end_speed/news.rs
@@ -14,7 +14,7 @@
 #[brw(little)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SpeedEntry {
-    /// The key of the incarnation, see [`crate::LoadEntry::key_of`].
+    /// The key of the back end's name, see [`crate::LoadEntry::key_of`].
     pub back_end: u32,
     /// The time factor in thousandths.
     time_factor: u16,
--- a/crates/gateway-core/src/back_end_speed/sample.rs
+++ b/crates/gateway-core/src/back_end_speed/sample.rs
@@ -11,7 +11,7 @@
 #[brw(little)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SpeedSample {
-    /// The key of the incarnation, see [`crate::LoadEntry::key_of`].
+    /// The key of the back end's name, see [`crate::LoadEntry::key_of`].
     pub back_end: u32,
     /// Prefilled tokens, in units of [`SpeedSample::TOKENS`].
     prefilled: u16,
--- a/crates/gateway-core/src/control/quarantine.rs
+++ b/crates/gateway-core/src/control/quarantine.rs
@@ -196,7 +196,7 @@
         if is_quarantined {
             let relieved = suspected
                 .ledger
-                .attribute_crash_to(fingerprint, report.back_end);
+                .attribute_crash_to(self.now, fingerprint, report);
             suspected.update_all_unsent(&relieved);
         }
         let crashes = suspected.ledger.crashes(fingerprint);
--- a/crates/gateway-core/src/message.rs
+++ b/crates/gateway-core/src/message.rs
@@ -138,7 +138,7 @@
     /// The back end crashed while serving the request.
     #[brw(magic(1u8))]
     BackEndCrashed {
-        /// The key of the incarnation, see [`LoadEntry::key_of`].
+        /// The key of the back end's name, see [`LoadEntry::key_of`].
         back_end: u32,
         /// Milliseconds from receiving the request to the crash.
         service_time_ms: u32,
@@ -190,7 +190,7 @@
     /// The largest key.
     pub const MAX: Self = Self(u64::MAX);
 
-    /// The key of an incarnation.
+    /// The key of the back end with this name. Processes that start under it one after the other share it.
     pub fn of(instance: &str) -> Self {
         Self(xxhash_rust::xxh3::xxh3_64(instance.as_bytes()))
     }
@@ -206,7 +206,7 @@
 #[brw(little)]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LoadEntry {
-    /// The key of the incarnation, see [`LoadEntry::key_of`].
+    /// The key of the back end's name, see [`LoadEntry::key_of`].
     pub key: u32,
     /// Prompt tokens of requests that were sent and not yet answered, in units of [`LoadEntry::TOKENS`].
     pub pending: u16,
@@ -263,7 +263,7 @@
 pub struct HolderEntry {
     /// A hash of the prefix and its salt.
     pub prefix: u32,
-    /// The key of the incarnation, see [`LoadEntry::key_of`].
+    /// The key of the back end's name, see [`LoadEntry::key_of`].
     pub key: u32,
 }
 
--- a/crates/gateway-core/src/quarantine/ledger.rs
+++ b/crates/gateway-core/src/quarantine/ledger.rs
@@ -6,6 +6,7 @@
 use drumshore_core::Timestamp;
 
 use super::completions::Completions;
+use super::crash_times::{CrashId, CrashTimes};
 use super::{CrashVerdict, QuarantinePolicy, REMEMBER_CRASHES_FOR};
 use crate::{Fingerprint, FingerprintScope};
 
@@ -18,17 +19,13 @@
 /// The maximum number of fingerprints kept. Each takes 80 to 400 bytes, so all of them take at most 3.2 MB; the oldest
 /// are evicted.
 const MAX_FINGERPRINTS: usize = 8_192;
-/// The maximum number of back ends whose time of crash is remembered, of about 100 bytes each: several times those of the
-/// largest fleet.
-const MAX_BACK_ENDS: usize = 65_536;
-/// The maximum number of back ends remembered as crashed by a quarantined fingerprint, so that late reports of their
-/// crashes are ignored.
+/// The maximum number of crashes remembered as caused by a quarantined fingerprint, so that late reports of them are
+/// ignored.
 const MAX_ATTRIBUTED: usize = 1_024;
 
 #[derive(Clone, Copy, Debug)]
 struct Crash {
-    /// The key of the incarnation, see [`crate::LoadEntry::key_of`].
-    back_end: u32,
+    id: CrashId,
     /// When the back end received the request, in microseconds on this process's clock; negative if that was before
     /// the process started.
     received: i64,
@@ -47,7 +44,7 @@
 /// A back end that crashed while serving a request.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct CrashReport {
-    /// The key of the incarnation, see [`crate::LoadEntry::key_of`].
+    /// The key of the back end's name, see [`crate::LoadEntry::key_of`].
     pub back_end: u32,
     /// The time since the crash.
     pub age: Duration,
@@ -55,59 +52,14 @@
     pub service_time: Duration,
 }
 
-/// When back ends crashed, whatever they were serving.
+/// Crashes that are attributed to a quarantined fingerprint, oldest first.
 #[derive(Debug, Default)]
-struct CrashTimes {
-    by_back_end: HashMap<u32, i64>,
-    in_order: BTreeSet<(i64, u32)>,
-}
-
-impl CrashTimes {
-    /// Records a crash at the earliest time that is reported for it.
-    fn record(&mut self, back_end: u32, at: i64) {
-        let known = self.by_back_end.get(&back_end).copied();
-        if known.is_some_and(|known| known <= at) {
-            return;
-        }
-        if let Some(known) = known {
-            self.in_order.remove(&(known, back_end));
-        }
-        self.by_back_end.insert(back_end, at);
-        self.in_order.insert((at, back_end));
-        if self.in_order.len() > MAX_BACK_ENDS {
-            if let Some((_, oldest)) = self.in_order.pop_first() {
-                self.by_back_end.remove(&oldest);
-            }
-        }
-    }
-
-    /// The back ends that crashed within [`SAME_INCIDENT`] of a time.
-    fn around(&self, at: i64) -> impl Iterator<Item = u32> + '_ {
-        let close = SAME_INCIDENT.as_micros() as i64;
-        let range = (at - close, u32::MIN)..=(at + close, u32::MAX);
-        self.in_order.range(range).map(|(_, back_end)| *back_end)
-    }
-
-    fn expire(&mut self, now: i64) {
-        let oldest = now - REMEMBER_CRASHES_FOR.as_micros() as i64;
-        while let Some((at, back_end)) = self.in_order.first().copied() {
-            if at > oldest {
-                return;
-            }
-            self.in_order.pop_first();
-            self.by_back_end.remove(&back_end);
-        }
-    }
-}
-
-/// Back ends whose crash is attributed to a quarantined fingerprint, oldest first.
-#[derive(Debug, Default)]
-struct Attributed(VecDeque<(u32, FingerprintScope)>);
+struct Attributed(VecDeque<(CrashId, FingerprintScope)>);
 
 impl Attributed {
-    fn add(&mut self, back_end: u32, culprit: FingerprintScope) {
-        if !self.0.contains(&(back_end, culprit)) {
-            self.0.push_back((back_end, culprit));
+    fn add(&mut self, crash: CrashId, culprit: FingerprintScope) {
+        if !self.0.contains(&(crash, culprit)) {
+            self.0.push_back((crash, culprit));
             let surplus = self.0.len().saturating_sub(MAX_ATTRIBUTED);
             self.0.drain(..surplus);
         }
@@ -115,8 +67,8 @@
 
     /// Whether a crash does not count against fingerprints of a scope. The cause of a crash that is attributed to a
     /// request may be a part of its prompt.
-    fn relieves(&self, back_end: u32, scope: FingerprintScope) -> bool {
-        let mut culprits = self.0.iter().filter(|(known, _)| *known == back_end);
+    fn relieves(&self, crash: CrashId, scope: FingerprintScope) -> bool {
+        let mut culprits = self.0.iter().filter(|(known, _)| *known == crash);
         culprits.any(|(_, culprit)| *culprit >= scope)
     }
 }
@@ -139,10 +91,8 @@
         fingerprint: Fingerprint,
         report: CrashReport,
     ) -> CrashVerdict {
-        let back_end = report.back_end;
-        let at = micros(now) - report.age.as_micros() as i64;
-        self.times.record(back_end, at);
-        if self.attributed.relieves(back_end, fingerprint.scope()) {
+        let crash = self.identify(now, report);
+        if self.attributed.relieves(crash.id, fingerprint.scope()) {
             return CrashVerdict::Attributed;
         }
         if self.completions.contains(now, fingerprint) {
@@ -154,22 +104,25 @@
             self.evict(now);
         }
         let crashes = self.by_fingerprint.entry(fingerprint).or_default();
-        if crashes.iter().any(|crash| crash.back_end == back_end) {
+        if crashes.iter().any(|known| known.id == crash.id) {
             return CrashVerdict::Known;
         }
         if crashes.len() >= MAX_CRASHES {
             return CrashVerdict::Excess;
         }
-        let received = at - report.service_time.as_micros() as i64;
-        crashes.push(Crash {
-            back_end,
-            received,
-            at,
-        });
+        crashes.push(crash);
         crashes.sort_unstable_by_key(|crash| crash.at);
         CrashVerdict::Counted
     }
 
+    /// The crash that a report is about, at the times that this report gives.
+    fn identify(&mut self, now: Timestamp, report: CrashReport) -> Crash {
+        let at = micros(now) - report.age.as_micros() as i64;
+        let received = at - report.service_time.as_micros() as i64;
+        let id = self.times.record(report.back_end, received, at);
+        Crash { id, received, at }
+    }
+
     /// The number of incidents in which back ends crashed while serving the fingerprint.
     pub fn crashes(&self, fingerprint: Fingerprint) -> u32 {
         let crashes = self
@@ -202,15 +155,15 @@
         crashes: &[Crash],
         first: &Crash,
     ) -> bool {
-        let Some(at) = self.times.by_back_end.get(&first.back_end) else {
+        let Some(at) = self.times.time_of(first.id) else {
             return false;
         };
         let (mut served, mut crashed) = (0, 0);
-        for back_end in self.times.around(*at) {
-            if crashes.iter().any(|crash| crash.back_end == back_end) {
+        for crash in self.times.around(at, SAME_INCIDENT) {
+            if crashes.iter().any(|known| known.id == crash) {
                 served += 1;
                 crashed += 1;
-            } else if !self.attributed.relieves(back_end, fingerprint.scope()) {
+            } else if !self.attributed.relieves(crash, fingerprint.scope()) {
                 crashed += 1;
             }
             // Thousands may crash at once.
@@ -221,27 +174,27 @@
         2 * served >= crashed
     }
 
-    /// Of the fingerprints with enough incidents to be quarantined, those that no other one explains better: each of
-    /// the others crashed only back ends that also crashed while serving one of these.
+    /// Of the fingerprints with enough incidents to be quarantined, those that no other one explains better: all crashes
+    /// of each of the others happened while one of these was served as well.
     pub fn quarantine_candidates(&self) -> Vec<Fingerprint> {
-        let mut candidates: Vec<(usize, Fingerprint, BTreeSet<u32>)> = Vec::new();
+        let mut candidates: Vec<(usize, Fingerprint, BTreeSet<CrashId>)> = Vec::new();
         for (fingerprint, crashes) in &self.by_fingerprint {
             let least = QuarantinePolicy::of(*fingerprint).crashes;
             if crashes.len() >= least as usize && self.crashes(*fingerprint) >= least {
-                let back_ends = crashes.iter().map(|crash| crash.back_end).collect();
-                candidates.push((crashes.len(), *fingerprint, back_ends));
+                let ids = crashes.iter().map(|crash| crash.id).collect();
+                candidates.push((crashes.len(), *fingerprint, ids));
             }
         }
         candidates.sort_unstable_by(|one, other| other.cmp(one));
-        let mut kept: Vec<(Fingerprint, BTreeSet<u32>)> = Vec::new();
-        for (_, fingerprint, back_ends) in candidates {
-            let explains = |(culprit, crashed): &(Fingerprint, BTreeSet<u32>)| {
+        let mut kept: Vec<(Fingerprint, BTreeSet<CrashId>)> = Vec::new();
+        for (_, fingerprint, crashes) in candidates {
+            let explains = |(culprit, explained): &(Fingerprint, BTreeSet<CrashId>)| {
                 culprit.scope() >= fingerprint.scope()
-                    && crashed.len() > back_ends.len()
-                    && back_ends.is_subset(crashed)
+                    && explained.len() > crashes.len()
+                    && crashes.is_subset(explained)
             };
             if !kept.iter().any(explains) {
-                kept.push((fingerprint, back_ends));
+                kept.push((fingerprint, crashes));
             }
         }
         kept.into_iter()
@@ -266,29 +219,34 @@
     }
 
     /// Attributes all crashes recorded for a quarantined fingerprint to it: they no longer count against others that
-    /// these back ends were serving, except the crashes of a request against the parts of prompts. Returns the
+    /// were served at the same time, except the crashes of a request against the parts of prompts. Returns the
     /// fingerprints that now have fewer crashes or none.
     pub fn attribute_crashes_to(&mut self, culprit: Fingerprint) -> Vec<Fingerprint> {
         let crashes = self.by_fingerprint.get(&culprit);
         let crashes = crashes.into_iter().flatten();
-        let back_ends: BTreeSet<u32> = crashes.map(|crash| crash.back_end).collect();
-        for back_end in &back_ends {
-            self.attributed.add(*back_end, culprit.scope());
-        }
-        self.relieve_others(culprit, &back_ends)
+        let crashes: BTreeSet<CrashId> = crashes.map(|crash| crash.id).collect();
+        self.attribute(culprit, &crashes)
     }
 
     /// Attributes one crash to a quarantined fingerprint, also if it is not recorded for it.
-    pub fn attribute_crash_to(&mut self, culprit: Fingerprint, back_end: u32) -> Vec<Fingerprint> {
-        self.attributed.add(back_end, culprit.scope());
-        self.relieve_others(culprit, &BTreeSet::from([back_end]))
+    pub fn attribute_crash_to(
+        &mut self,
+        now: Timestamp,
+        culprit: Fingerprint,
+        report: CrashReport,
+    ) -> Vec<Fingerprint> {
+        let crash = self.identify(now, report);
+        self.attribute(culprit, &BTreeSet::from([crash.id]))
     }
 
-    fn relieve_others(
+    fn attribute(
         &mut self,
         culprit: Fingerprint,
-        back_ends: &BTreeSet<u32>,
+        explained: &BTreeSet<CrashId>,
     ) -> Vec<Fingerprint> {
+        for crash in explained {
+            self.attributed.add(*crash, culprit.scope());
+        }
         let mut changed = Vec::new();
         let others = self.by_fingerprint.iter_mut();
         for (fingerprint, crashes) in others.filter(|(fingerprint, _)| **fingerprint != culprit) {
@@ -296,7 +254,7 @@
                 continue;
             }
             let before = crashes.len();
-            crashes.retain(|crash| !back_ends.contains(&crash.back_end));
+            crashes.retain(|crash| !explained.contains(&crash.id));
             if crashes.len() < before {
                 changed.push(*fingerprint);
             }
--- a/crates/gateway-core/src/quarantine/ledger_tests.rs
+++ b/crates/gateway-core/src/quarantine/ledger_tests.rs
@@ -137,7 +137,8 @@
     for _ in 0..2 * MAX_ATTRIBUTED {
         ledger.attribute_crashes_to(fingerprint(1));
     }
-    assert_eq!(ledger.attributed.0, [(1, FingerprintScope::Request)]);
+    let crash = ledger.by_fingerprint[&fingerprint(1)][0].id;
+    assert_eq!(ledger.attributed.0, [(crash, FingerprintScope::Request)]);
 }
 
 #[test]
@@ -331,3 +332,70 @@
     }
     assert_eq!(ledger.quarantine_candidates(), [part("crashing")]);
 }
+
+/// A back end that served a request for 100 ms and has just crashed.
+fn crashed_soon(back_end: u32) -> CrashReport {
+    CrashReport {
+        service_time: Duration::from_millis(100),
+        ..crashed(back_end, 0)
+    }
+}
+
+/// An earlier crash under a name must not hide those of the processes that start under it later.
+#[rstest]
+#[case::one(1, 1_000)]
+#[case::two(2, 1_000)]
+#[case::two_often(2, 350)]
+#[case::three(3, 1_000)]
+fn each_crash_of_back_ends_that_keep_their_names_counts(
+    #[case] back_ends: u32,
+    #[case] interval_ms: u64,
+) {
+    let mut ledger = CrashLedger::default();
+    let (cause, least) = (part("crashing"), 4);
+    for number in 0..least {
+        let now = at(u64::from(number) * interval_ms);
+        let crash = crashed_soon(number % back_ends);
+        assert_eq!(
+            ledger.record_crash(now, cause, crash),
+            CrashVerdict::Counted
+        );
+        // Another router reports the same crash.
+        let later = now.plus(Duration::from_millis(9));
+        assert_eq!(
+            ledger.record_crash(later, cause, crash),
+            CrashVerdict::Known
+        );
+    }
+    assert_eq!(ledger.crashes(cause), least);
+    assert_eq!(ledger.quarantine_candidates(), [cause]);
+}
+
+#[test]
+fn a_crash_is_not_attributed_to_what_crashed_an_earlier_process_under_the_name() {
+    let mut ledger = CrashLedger::default();
+    for second in 0..3 {
+        let now = at(second * 3_000);
+        ledger.record_crash(now, fingerprint(1), crashed_soon(7));
+    }
+    ledger.attribute_crashes_to(fingerprint(1));
+    let late = ledger.record_crash(at(6_010), fingerprint(2), crashed_soon(7));
+    assert_eq!(late, CrashVerdict::Attributed);
+    let next = ledger.record_crash(at(9_000), fingerprint(2), crashed_soon(7));
+    assert_eq!(next, CrashVerdict::Counted);
+}
+
+#[test]
+fn crashes_at_once_of_back_ends_that_crashed_before_count_against_nothing_that_few_served() {
+    let mut ledger = CrashLedger::default();
+    for wave in 0..5 {
+        let time = at(wave * 2_500);
+        for back_end in 0..7 {
+            let mut serving = vec![fingerprint(100 * wave as u32 + back_end)];
+            serving.extend((back_end == 3).then(|| part("rare")));
+            crash(&mut ledger, time, back_end, &serving);
+        }
+    }
+    assert_eq!(ledger.crashes(part("rare")), 0);
+    assert_eq!(ledger.quarantine_candidates(), []);
+}
--- a/crates/gateway-core/src/quarantine/mod.rs
+++ b/crates/gateway-core/src/quarantine/mod.rs
@@ -7,6 +7,7 @@
 //! and replicate the decision to quarantine one, so that it survives the restart of any process.
 
 mod completions;
+mod crash_times;
 mod ledger;
 mod verdict;
 
