Refuse an answer that names two requests

With the caller's own first, the answer was served as whole, on both kinds of route; with the other first it got 502.

Which of the two the rest of the head belongs to cannot be known, so the head is faulty (contradictory_request): nothing in it counts, and the request may have run. An identifier that is repeated unchanged passes.

--- a/crates/gateway/src/answer_head.rs
+++ b/crates/gateway/src/answer_head.rs
@@ -19,6 +19,8 @@
     Unproven,
     /// A rejection by its fields, and by its status an answer to a request that ran.
     ContradictoryRejection,
+    /// It names two requests that it answers.
+    ContradictoryRequest,
 }
 
 impl HeadFault {
@@ -28,13 +30,15 @@
             Self::Structure(fault) => fault.as_str(),
             Self::Unproven => "unproven",
             Self::ContradictoryRejection => "contradictory_rejection",
+            Self::ContradictoryRequest => "contradictory_request",
         }
     }
 }
 
-/// The fields by which a back end tells whether a request ran.
+/// The fields by which a back end tells which request it answers, and whether that ran.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct VerdictFields<'a> {
+    request: &'a HeaderName,
     proof: Option<&'a HeaderName>,
     not_run: &'a HeaderName,
 }
@@ -43,6 +47,7 @@
     /// The fields of this protocol.
     pub fn of(names: &'a HeaderNames) -> Self {
         Self {
+            request: &names.request_id,
             proof: names.proof.as_ref(),
             not_run: &names.not_run,
         }
@@ -65,6 +70,11 @@
 /// What is wrong with what a head says of the request.
 fn verdict_fault<B>(fields: &VerdictFields<'_>, response: &Response<B>) -> Option<HeadFault> {
     let (status, headers) = (response.status(), response.headers());
+    let mut requests = headers.get_all(fields.request).iter();
+    let first = requests.next();
+    if requests.any(|other| Some(other) != first) {
+        return Some(HeadFault::ContradictoryRequest);
+    }
     if headers.contains_key(fields.not_run) {
         return (!may_reject(status)).then_some(HeadFault::ContradictoryRejection);
     }
--- a/crates/gateway/src/answer_head_tests.rs
+++ b/crates/gateway/src/answer_head_tests.rs
@@ -8,12 +8,17 @@
 
 use super::{HeadFault, VerdictFields};
 
+const REQUEST: HeaderName = HeaderName::from_static("request");
 const PROOF: HeaderName = HeaderName::from_static("proof");
 const NOT_RUN: HeaderName = HeaderName::from_static("not-run");
 
 fn fault(proof: Option<&HeaderName>, response: &Response<()>) -> Option<HeadFault> {
-    let not_run = &NOT_RUN;
-    super::fault(&VerdictFields { proof, not_run }, response)
+    let fields = VerdictFields {
+        request: &REQUEST,
+        proof,
+        not_run: &NOT_RUN,
+    };
+    super::fault(&fields, response)
 }
 
 fn response(status: u16, fields: &[(&str, &str)]) -> Response<()> {
@@ -24,6 +29,20 @@
     builder.body(()).unwrap()
 }
 
+#[rstest]
+#[case::one(&["a"], None)]
+#[case::repeated(&["a", "a"], None)]
+#[case::two(&["a", "b"], Some(HeadFault::ContradictoryRequest))]
+#[case::two_after_a_repetition(&["a", "a", "b"], Some(HeadFault::ContradictoryRequest))]
+fn an_answer_names_one_request(
+    #[case] requests: &[&'static str],
+    #[case] expected: Option<HeadFault>,
+) {
+    let requests = requests.iter().map(|id| ("request", *id));
+    let fields: Vec<_> = requests.chain([("proof", "p")]).collect();
+    assert_eq!(fault(Some(&PROOF), &response(200, &fields)), expected);
+}
+
 #[rstest]
 #[case::proven(200, &[("proof", "p")], None)]
 #[case::missing(200, &[("etag", "p")], Some(HeadFault::Unproven))]
