--- a/crates/gateway-core/tests/prompt_part_quarantine.rs
+++ b/crates/gateway-core/tests/prompt_part_quarantine.rs
@@ -107,6 +107,8 @@
 
 struct Simulation {
     cause: Cause,
+    /// Whether back ends that crashed start again under their names.
+    keeps_names: bool,
     cluster: Cluster,
     random: ChaCha8Rng,
     key: FingerprintKey,
@@ -156,7 +158,7 @@
 }
 
 impl Simulation {
-    fn new(seed: u64, cause: Cause) -> Self {
+    fn new(seed: u64, cause: Cause, keeps_names: bool) -> Self {
         let mut cluster = Cluster::new(CONTROLS);
         while cluster.leader().is_none() {
             cluster.run(STEP);
@@ -185,6 +187,7 @@
             arrivals: Vec::new(),
             crashes: Vec::new(),
             step: 0,
+            keeps_names,
         };
         for number in 0..ROUTERS {
             for control in 1..=CONTROLS {
@@ -409,7 +412,8 @@
         let now = self.now();
         let (incarnation, runs) = std::mem::take(&mut self.back_ends[back_end]);
         self.back_ends[back_end].0 = incarnation + 1;
-        let instance = InstanceId::new(&format!("i-{back_end}-{incarnation}"));
+        let named_by = if self.keeps_names { 0 } else { incarnation };
+        let instance = InstanceId::new(&format!("i-{back_end}-{named_by}"));
         let mut by_router: BTreeMap<usize, Vec<(Fingerprint, Timestamp)>> = BTreeMap::new();
         for run in &runs {
             let served = run.fingerprints.iter();
@@ -535,8 +539,9 @@
 
     fn print(&self) {
         println!(
-            "{:?}: {} crashes within {:?}, {} late, {} of {} sound requests rejected, {} bytes a second at most",
+            "{:?}, names kept: {}: {} crashes within {:?}, {} late, {} of {} sound requests rejected, {} bytes a second at most",
             self.cause,
+            self.keeps_names,
             self.crashes.len(),
             self.crashes.iter().max().zip(self.crashes.first()).map(|(last, first)| last.since(*first)),
             self.late(),
@@ -554,8 +559,9 @@
 #[case::beside_power_failures(Cause::PromptPartAndPowerFailures)]
 fn at_985_routers_a_prompt_part_that_crashes_back_ends_is_quarantined_and_no_other(
     #[case] cause: Cause,
+    #[values(false, true)] keeps_names: bool,
 ) {
-    let mut simulated = Simulation::new(1, cause).run();
+    let mut simulated = Simulation::new(1, cause, keeps_names).run();
     simulated.print();
     let culprit = simulated.key.identify_part(CRASHING);
     let late = simulated.late();
@@ -567,9 +573,9 @@
     assert!(bytes < ROUTER_BYTES_PER_SECOND, "{bytes} bytes a second");
 }
 
-#[test]
-fn at_985_routers_power_failures_quarantine_nothing() {
-    let mut simulated = Simulation::new(1, Cause::PowerFailures).run();
+#[rstest]
+fn at_985_routers_power_failures_quarantine_nothing(#[values(false, true)] keeps_names: bool) {
+    let mut simulated = Simulation::new(1, Cause::PowerFailures, keeps_names).run();
     simulated.print();
     assert_eq!(simulated.quarantined(), []);
     assert_eq!(simulated.sound_rejected, 0);
