Tell routers of each crash of a back end that starts again under its name

The leader passes a router's report of an unresponsive or crashed back end on to the others, unless heartbeats that came after an earlier report contradict it; those of the next process under the name did. For 10 s, and while its last heartbeat was recent, each of the other routers had to lose a request to find out by itself.

The leader now forgets that contradiction when a later start of the back end is committed.

Test: a_back_end_that_starts_again_under_its_name_is_reported_again_when_it_crashes failed before (0 messages in place of 1); those on routers that are cut off from a sound back end are unchanged and pass.

--- a/crates/gateway-core/src/control/mod.rs
+++ b/crates/gateway-core/src/control/mod.rs
@@ -403,6 +403,9 @@
             Command::Deregister { instance } | Command::Expire { instance } => {
                 self.heartbeat_times.forget(instance.as_str());
             }
+            Command::SetSoftwareVersion { instance, .. } => {
+                self.believe_reports_on(instance.as_str())
+            }
             Command::Quarantine { fingerprint } => self.on_quarantined(position, *fingerprint),
             Command::Release { fingerprint } => self.on_released(*fingerprint),
             _ => {}
--- a/crates/gateway-core/src/control/suspects.rs
+++ b/crates/gateway-core/src/control/suspects.rs
@@ -15,7 +15,7 @@
 use drumshore_wire::List;
 
 use super::{ConnectionId, ControlCore};
-use crate::Message;
+use crate::{LoadEntry, Message};
 
 /// Interval between two notifications of one suspect. Routers avoid it for twice as long.
 const RENOTIFY_INTERVAL: Duration = Duration::from_secs(1);
@@ -85,6 +85,18 @@
         self.notify_of_suspects(&new, Some(from));
     }
 
+    /// The process of a back end has started: heartbeats that contradicted a report say nothing of reports on this one.
+    pub(super) fn believe_reports_on(&mut self, instance: &str) {
+        let key = LoadEntry::key_of(instance);
+        let last_heartbeat = self.heartbeat_times.last_by_short_key(key);
+        if !self
+            .suspects
+            .is_pending(key, last_heartbeat.unwrap_or_default())
+        {
+            self.suspects.0.remove(&key);
+        }
+    }
+
     /// Notifies all routers again of suspects without a heartbeat since the report.
     pub(super) fn renotify_of_suspects(&mut self) {
         if self.suspects.0.is_empty() {
--- a/crates/gateway-core/tests/control/main.rs
+++ b/crates/gateway-core/tests/control/main.rs
@@ -17,8 +17,8 @@
 
 use cluster::{address, back_end, Cluster};
 use drumshore_gateway_core::{
-    BackEndReport, ConnectionId, ControlParams, HolderEntry, Lifecycle, LoadEntry, Message,
-    ModelName, OrderOutcome, Reply, StoreId, StoreUpdate, StoredKey,
+    BackEndReport, ConnectionId, ControlParams, Heartbeat, HolderEntry, Lifecycle, LoadEntry,
+    Message, ModelName, OrderOutcome, Reply, SoftwareVersion, StoreId, StoreUpdate, StoredKey,
 };
 use drumshore_wire::List;
 use rstest::rstest;
--- a/crates/gateway-core/tests/control/unresponsive.rs
+++ b/crates/gateway-core/tests/control/unresponsive.rs
@@ -114,3 +114,26 @@
     cluster.run(Duration::from_millis(50));
     assert_eq!(suspect_messages_received(&cluster), 1);
 }
+
+/// The heartbeats of its later process contradict the report on the earlier one, and must not hide the next crash.
+#[test]
+fn a_back_end_that_starts_again_under_its_name_is_reported_again_when_it_crashes() {
+    let (mut cluster, leader) = with_two_routers(true);
+    let started = |started_ms| Heartbeat {
+        software: SoftwareVersion::new("v1"),
+        started_ms,
+        ..back_end(1, 1)
+    };
+    cluster.heartbeat(leader, &started(1));
+    run_with_routers(&mut cluster, leader, false, SECOND);
+    for started_ms in 2..=4 {
+        report_unresponsive(&mut cluster, leader);
+        run_with_routers(&mut cluster, leader, false, SECOND);
+        cluster.heartbeat(leader, &started(started_ms));
+        run_with_routers(&mut cluster, leader, false, SECOND);
+        cluster.to_routers.clear();
+    }
+    report_unresponsive(&mut cluster, leader);
+    cluster.run(Duration::from_millis(50));
+    assert_eq!(suspect_messages_received(&cluster), 1);
+}
