Write no line for a crash that other routers reported whole

Read as a newcomer: every router that had requests at a crashed back end reports it to each control machine, so a loss of power would write a line for each pair of router and back end. Reports that add nothing are only counted (crash_verdicts_total, known).

--- a/crates/gateway-core/src/quarantine/verdict.rs
+++ b/crates/gateway-core/src/quarantine/verdict.rs
@@ -60,8 +60,17 @@
         self.0[verdict as usize] += 1;
     }
 
+    /// Whether no fingerprint got another verdict.
+    pub fn are_all(&self, verdict: CrashVerdict) -> bool {
+        self.0.iter().sum::<u32>() == self.of(verdict)
+    }
+
     /// The number of fingerprints with a verdict.
     pub fn of(&self, verdict: CrashVerdict) -> u32 {
         self.0[verdict as usize]
     }
 }
+
+#[cfg(test)]
+#[path = "verdict_tests.rs"]
+mod tests;
--- a/crates/gateway/src/control/applied.rs
+++ b/crates/gateway/src/control/applied.rs
@@ -137,13 +137,16 @@
     }
 }
 
-/// Logs and counts a router's report of a crashed back end. One line for all fingerprints that it was serving: there may
-/// be hundreds.
+/// Logs and counts a router's report of a crashed back end. One line for all fingerprints that it was serving, since there
+/// may be hundreds, and none if other routers reported all of them: each router that had requests there does.
 pub(super) fn log_crash(metrics: &Metrics, report: &CrashReported) {
     for verdict in CrashVerdict::ALL {
         let fingerprints = report.verdicts.of(verdict);
         metrics.crashes.count_verdicts(verdict, fingerprints);
     }
+    if report.verdicts.are_all(CrashVerdict::Known) {
+        return;
+    }
     let of = |verdict| report.verdicts.of(verdict);
     tracing::info!(
         event = "crash_reported",
