--- a/crates/gateway/src/router/crash_detection.rs
+++ b/crates/gateway/src/router/crash_detection.rs
@@ -6,7 +6,7 @@
 //! refused when the process has crashed.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -21,6 +21,7 @@
 use tokio::time::{sleep, Instant};
 
 use super::end_cause::EndCause;
+use super::undecided_crashes::SuspectedCrash;
 use super::{paths, Router};
 use crate::sockets;
 use crate::upstream::NoConnection;
@@ -112,59 +113,6 @@
     }
 }
 
-/// The maximum number of back ends in [`UndecidedCrashes`].
-const MAX_UNDECIDED: usize = 64;
-/// A back end that crashed is replaced, or its registration expires, within this time.
-const MAX_UNDECIDED_TIME: Duration = Duration::from_secs(20);
-
-/// Back ends that refused connections when no other one of their pool was reached either, with the runs that broke
-/// there. Most of a pool may have crashed, or this router has lost its path.
-#[derive(Default)]
-pub(super) struct UndecidedCrashes(RefCell<VecDeque<SuspectedCrash>>);
-
-/// A back end whose connections broke and that refuses others.
-struct SuspectedCrash {
-    instance: InstanceId,
-    /// The start of its process as the view had it, see [`drumshore_gateway_core::RouterCore::start_of`].
-    started_ms: u64,
-    runs: Vec<BrokenRun>,
-    found_at: Timestamp,
-}
-
-impl UndecidedCrashes {
-    fn add(&self, crash: SuspectedCrash) {
-        let mut crashes = self.0.borrow_mut();
-        crashes.push_back(crash);
-        let surplus = crashes.len().saturating_sub(MAX_UNDECIDED);
-        for crash in crashes.drain(..surplus) {
-            log_unconfirmed(&crash, "too many");
-        }
-    }
-
-    /// Takes those whose back end has ended, and drops those that are too old.
-    fn take_decided(
-        &self,
-        now: Timestamp,
-        has_ended: impl Fn(&SuspectedCrash) -> bool,
-    ) -> Vec<SuspectedCrash> {
-        let mut crashes = self.0.borrow_mut();
-        let (decided, undecided): (Vec<_>, Vec<_>) = crashes.drain(..).partition(has_ended);
-        for crash in undecided {
-            if now.since(crash.found_at) < MAX_UNDECIDED_TIME {
-                crashes.push_back(crash);
-            } else {
-                log_unconfirmed(&crash, "too old");
-            }
-        }
-        decided
-    }
-}
-
-fn log_unconfirmed(crash: &SuspectedCrash, reason: &'static str) {
-    tracing::info!(event = "crash_unconfirmed", instance = %crash.instance, runs = crash.runs.len(), reason,
-        "router: a back end that seemed to be out of reach was not found to have crashed; its broken requests count against nothing");
-}
-
 /// Counts crashes that looked like a lost path, once the view shows that their back ends have ended.
 pub(super) fn review_undecided(router: &Router) {
     let now = router.clock.now();
--- a/crates/gateway/src/router/mod.rs
+++ b/crates/gateway/src/router/mod.rs
@@ -33,6 +33,7 @@
 mod streams;
 mod take_up;
 mod timeliness;
+mod undecided_crashes;
 mod unread;
 mod view_changes;
 
@@ -66,13 +67,14 @@
 pub(crate) use peer_forwarding::PeerBody;
 pub(crate) use relay::Relay;
 
-use crash_detection::{PendingProbes, UndecidedCrashes};
+use crash_detection::PendingProbes;
 use exit_notice::ExitNotices;
 use first_view::FirstView;
 use open_requests::OpenRequests;
 use peers::Peers;
 use silence::SilenceMonitor;
 use streams::Streams;
+use undecided_crashes::UndecidedCrashes;
 
 /// Interval at which idle connections to back ends are closed and the gauge of the view's age is set.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(1);
